--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,6 @@
+//! Clock, names, sorted maps and input limits shared by all crates.
+
+pub mod clock;
+pub mod limits;
+pub mod name;
+pub mod sorted;
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The buckthorncove binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: filter chain, dispatch to backend servers, drain.
--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement decisions: gangs, guarantees, quotas, reclaim, quarantine.
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,1 @@
+//! The scheduler process: lease, controllers, orders to workers.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, workers and backend servers.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's table service, object store and VM list.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and h2 transport between the processes of buckthorncove.
