--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -16,7 +16,18 @@
 /// assert_eq!(start.since(Millis(5_000)), Millis(0));
 /// ```
 #[derive(
-    Clone, Copy, Debug, Default, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize,
 )]
 #[display("{_0} ms")]
 #[serde(transparent)]
@@ -41,6 +52,7 @@
     /// use base::clock::Millis;
     /// assert_eq!(Millis(9).since(Millis(4)), Millis(5));
     /// ```
+    #[must_use]
     pub const fn since(self, earlier: Self) -> Self {
         Self(self.0.saturating_sub(earlier.0))
     }
--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -24,7 +24,10 @@
 #[derive(Clone, Debug, Display, Eq, PartialEq, Error)]
 pub enum NameError {
     /// The text is empty or too long.
-    #[display("a name has 1 to {} characters, this one has {len}", limits::NAME_BYTES)]
+    #[display(
+        "a name has 1 to {} characters, this one has {len}",
+        limits::NAME_BYTES
+    )]
     Length {
         /// Length in bytes.
         len: usize,
--- /dev/null
+++ b/crates/plan/src/event.rs
@@ -0,0 +1,106 @@
+//! Events that the scheduler reports to the plan, and the decisions that follow.
+
+use base::name::Name;
+use schema::{config::Config, job::Job};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    order::{Attempt, Order},
+    record::{JobKey, JobRecord},
+};
+
+/// A worker as reported by the platform.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct WorkerInfo {
+    /// Name of the worker.
+    pub name: Name,
+    /// Rack in which it stands.
+    pub rack: Name,
+    /// Data centre of the rack.
+    pub data_centre: Name,
+    /// Number of accelerators, at most 32.
+    pub accelerators: u16,
+    /// Processor cores.
+    pub cores: u16,
+    /// Memory, in MiB.
+    pub memory_mb: u32,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// A configuration came into force.
+    Configured {
+        /// The new configuration.
+        config: Config,
+    },
+    /// A worker is there and takes work.
+    WorkerUp {
+        /// The worker.
+        worker: WorkerInfo,
+    },
+    /// A worker is about to leave: it gets no new work, and its tasks are to be moved.
+    WorkerLeaving {
+        /// Name of the worker.
+        worker: Name,
+    },
+    /// A worker is lost and the leases of its tasks have lapsed.
+    WorkerLost {
+        /// Name of the worker.
+        worker: Name,
+    },
+    /// A job was submitted.
+    Submitted {
+        /// The job.
+        job: Job,
+    },
+    /// The cancellation of a job was asked for.
+    CancelAsked {
+        /// The job.
+        job: JobKey,
+    },
+    /// A worker reports about one member of a gang.
+    Member {
+        /// The attempt.
+        attempt: Attempt,
+        /// Name of the worker.
+        worker: Name,
+        /// What the worker reports.
+        report: Report,
+    },
+    /// Time passed; sent at least once a second.
+    Tick,
+}
+
+/// What a worker reports about one member of a gang.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Report {
+    /// The accelerators are held.
+    Held,
+    /// The worker can't hold them, or the hold expired.
+    NotHeld,
+    /// The task runs.
+    Running {
+        /// Memory in use, in MiB.
+        memory_mb: u32,
+    },
+    /// The task ended with success.
+    Done,
+    /// The task failed.
+    Failed,
+    /// The task was stopped; the accelerators are free.
+    Stopped {
+        /// Whether a checkpoint was taken.
+        checkpoint: bool,
+    },
+}
+
+/// Records to commit, then orders to send.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Decision {
+    /// Records that must be durable before any of the orders is sent.
+    pub records: Vec<JobRecord>,
+    /// Orders to workers.
+    pub orders: Vec<Order>,
+}
--- /dev/null
+++ b/crates/plan/src/record.rs
@@ -0,0 +1,62 @@
+//! Durable record of a job.
+
+use base::{clock::Millis, name::Name};
+use derive_more::Display;
+use schema::job::{Job, Phase};
+use serde::{Deserialize, Serialize};
+
+/// Key of a job: its organisation and its name.
+#[derive(Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[display("{organisation}/{name}")]
+pub struct JobKey {
+    /// Organisation that submitted the job.
+    pub organisation: Name,
+    /// Name of the job.
+    pub name: Name,
+}
+
+/// Place of one member of a gang.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Member {
+    /// Worker on which the member runs.
+    pub worker: Name,
+    /// Accelerators of the worker, bit `i` for accelerator `i`.
+    pub accelerators: u32,
+}
+
+/// Durable record of a job, written before any order that follows from it is sent.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct JobRecord {
+    /// The job as submitted.
+    pub job: Job,
+    /// Current phase.
+    pub phase: Phase,
+    /// Number of the current or last attempt; 0 before the first.
+    pub attempt: u32,
+    /// Places of the members of the current attempt; empty while waiting.
+    pub members: Vec<Member>,
+    /// Whether the gang runs on capacity beyond its organisation's guarantee.
+    pub borrowed: bool,
+    /// Whether the job's cancellation was accepted.
+    pub cancelled: bool,
+    /// Time of acceptance, wall clock.
+    pub submitted_at: Millis,
+    /// Start of the current attempt, wall clock; zero if there is none.
+    pub started_at: Millis,
+    /// Run time that earlier attempts completed and checkpointed.
+    pub completed_ms: Millis,
+    /// Distinct workers on which the job failed.
+    pub failed_on: Vec<Name>,
+    /// Why the job is in this phase, for people; empty if there is nothing to say.
+    pub reason: String,
+}
+
+impl JobRecord {
+    /// Returns the key of the job.
+    pub fn key(&self) -> JobKey {
+        JobKey {
+            organisation: self.job.organisation.clone(),
+            name: self.job.name.clone(),
+        }
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -1,1 +1,7 @@
-//! Typed configuration model of buckthorncove, read from schema versions 1 and 2.
+//! Typed configuration model, read from schema versions 1 and 2.
+
+pub mod config;
+pub mod job;
+pub mod organisation;
+pub mod service;
+pub mod shape;
