--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -124,7 +124,7 @@
             // a new one.
             Err(_) => {
                 self.disconnect().await;
-                Err(WireError::lost(format!(
+                Err(WireError::lost(&format!(
                     "no answer from {} in {}",
                     self.addr, self.timeout
                 )))
@@ -186,7 +186,7 @@
     match reply {
         Reply::Hello { .. } => Ok(sender),
         Reply::Failed { message, .. } => Err(WireError::not_sent(&message)),
-        other => Err(WireError::not_sent(format!(
+        other => Err(WireError::not_sent(&format!(
             "unexpected answer to Hello: {other:?}"
         ))),
     }
