Read records in schema versions 1 and 2 into one model

A stopped upgrade leaves records with other names, units, nesting, merged fields and defaults. Both versions are read into the model of this crate, so that nothing behind it can treat them differently.

--- /dev/null
+++ b/crates/schema/src/v1.rs
@@ -0,0 +1,327 @@
+//! Schema version 1, the old form.
+//!
+//! It differs from the model in names (`tenant`, `group`, `backend`), units (GiB, minutes,
+//! seconds), nesting (flat), merged fields (`gpus` in total with `gpus_per_node`) and defaults
+//! (`same_rack` is true and `preemptible` is false when left out).
+
+use base::{clock::Millis, name::Name};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::Placement,
+    job::{Job, StopMode},
+    organisation::{Guarantee, Organisation, Team},
+    read::{self, ReadError},
+    record::Record,
+    service::{Class, Operation, Service},
+    shape::{Adjacency, Shape},
+};
+
+/// Types of records in version 1, for messages.
+const TYPES: &str = "tenant, group, backend, policy, job";
+/// MiB in one GiB.
+pub(crate) const MIB_PER_GIB: u32 = 1_024;
+/// Milliseconds in one minute.
+pub(crate) const MS_PER_MINUTE: u64 = 60_000;
+/// Milliseconds in one second.
+pub(crate) const MS_PER_SECOND: u64 = 1_000;
+/// Percent for one step of `packing`.
+pub(crate) const PERCENT_PER_STEP: u8 = 10;
+
+/// `{version: 1, type: "tenant"}`.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Tenant {
+    pub version: u32,
+    pub r#type: String,
+    pub tenant: Name,
+    #[serde(default = "one")]
+    pub share: u32,
+    #[serde(default)]
+    pub tokens: Vec<String>,
+    #[serde(default)]
+    pub reserved: Vec<Reserved>,
+}
+
+/// Reserved capacity of a tenant.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Reserved {
+    pub count: u16,
+    pub gpus: u16,
+    pub gpus_per_node: u16,
+    pub cpus_per_node: u16,
+    pub mem_gb_per_node: u32,
+    #[serde(default = "yes")]
+    pub same_rack: bool,
+    #[serde(default)]
+    pub same_node: bool,
+}
+
+/// `{version: 1, type: "group"}`.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Group {
+    pub version: u32,
+    pub r#type: String,
+    pub tenant: Name,
+    pub group: Name,
+    pub max_gpus: u32,
+}
+
+/// `{version: 1, type: "backend"}`.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Backend {
+    pub version: u32,
+    pub r#type: String,
+    pub backend: Name,
+    #[serde(default = "eight")]
+    pub slots: u16,
+    #[serde(default = "sixty")]
+    pub max_conns: u16,
+    pub calls: Vec<Call>,
+}
+
+/// A call of a backend.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Call {
+    pub call: Name,
+    #[serde(default)]
+    pub interactive: bool,
+    #[serde(default)]
+    pub retry: bool,
+    #[serde(default = "ten")]
+    pub timeout_s: u64,
+}
+
+/// `{version: 1, type: "policy"}`.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Policy {
+    pub version: u32,
+    pub r#type: String,
+    pub packing: u8,
+}
+
+/// `{version: 1, type: "job"}`.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct OldJob {
+    pub version: u32,
+    pub r#type: String,
+    pub tenant: Name,
+    pub group: Name,
+    pub job: Name,
+    pub work: Name,
+    pub gpus: u16,
+    pub gpus_per_node: u16,
+    pub cpus_per_node: u16,
+    pub mem_gb_per_node: u32,
+    #[serde(default = "yes")]
+    pub same_rack: bool,
+    #[serde(default)]
+    pub same_node: bool,
+    pub max_minutes: u64,
+    #[serde(default)]
+    pub priority: Priority,
+    #[serde(default)]
+    pub preemptible: bool,
+}
+
+/// Priority of a job.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Priority {
+    #[default]
+    Normal,
+    Urgent,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn eight() -> u16 {
+    8
+}
+
+fn sixty() -> u16 {
+    60
+}
+
+fn ten() -> u64 {
+    10
+}
+
+/// Reads the record of `type`.
+pub(crate) fn read(text: &str, kind: Option<&str>) -> Result<Record, ReadError> {
+    match kind {
+        Some("tenant") => organisation(text, read::parse(text)?),
+        Some("group") => Ok(team(read::parse(text)?)),
+        Some("backend") => service(text, read::parse(text)?),
+        Some("policy") => placement(text, &read::parse(text)?),
+        Some("job") => job(text, read::parse(text)?),
+        Some(kind) => {
+            let problem = format!("type '{kind}' is unknown; expected one of {TYPES}");
+            Err(ReadError::in_field(text, "type", problem))
+        }
+        None => {
+            let problem = format!("no type; expected one of {TYPES}");
+            Err(ReadError::in_field(text, "type", problem))
+        }
+    }
+}
+
+fn organisation(text: &str, old: Tenant) -> Result<Record, ReadError> {
+    let guarantees = old
+        .reserved
+        .iter()
+        .map(|r| guarantee(text, r))
+        .collect::<Result<_, _>>()?;
+    Ok(Record::Organisation(Organisation {
+        name: old.tenant,
+        token_hashes: old.tokens,
+        guarantees,
+        weight: old.share,
+    }))
+}
+
+fn guarantee(text: &str, old: &Reserved) -> Result<Guarantee, ReadError> {
+    let shape = Shape {
+        members: members(text, old.gpus, old.gpus_per_node)?,
+        accelerators: old.gpus_per_node,
+        cores: old.cpus_per_node,
+        memory_mb: memory(text, old.mem_gb_per_node)?,
+        adjacency: adjacency(
+            text,
+            old.same_node,
+            old.same_rack,
+            old.gpus,
+            old.gpus_per_node,
+        )?,
+    };
+    Ok(Guarantee {
+        gangs: old.count,
+        shape,
+    })
+}
+
+fn team(old: Group) -> Record {
+    Record::Team(Team {
+        organisation: old.tenant,
+        name: old.group,
+        quota_accelerators: old.max_gpus,
+    })
+}
+
+fn service(text: &str, old: Backend) -> Result<Record, ReadError> {
+    let operations = old
+        .calls
+        .into_iter()
+        .map(|call| operation(text, call))
+        .collect::<Result<_, _>>()?;
+    Ok(Record::Service(Service {
+        name: old.backend,
+        slots: old.slots,
+        connections: old.max_conns,
+        operations,
+    }))
+}
+
+fn operation(text: &str, old: Call) -> Result<Operation, ReadError> {
+    let deadline_ms = scaled(text, "timeout_s", old.timeout_s, MS_PER_SECOND)?;
+    Ok(Operation {
+        name: old.call,
+        class: if old.interactive {
+            Class::Live
+        } else {
+            Class::Deferrable
+        },
+        repeatable: old.retry,
+        deadline_ms,
+    })
+}
+
+fn placement(text: &str, old: &Policy) -> Result<Record, ReadError> {
+    match old.packing.checked_mul(PERCENT_PER_STEP) {
+        Some(percent) => Ok(Record::Placement(Placement {
+            fragmentation_percent: percent,
+        })),
+        None => Err(ReadError::in_field(text, "packing", "expected 0 to 10")),
+    }
+}
+
+fn job(text: &str, old: OldJob) -> Result<Record, ReadError> {
+    let shape = Shape {
+        members: members(text, old.gpus, old.gpus_per_node)?,
+        accelerators: old.gpus_per_node,
+        cores: old.cpus_per_node,
+        memory_mb: memory(text, old.mem_gb_per_node)?,
+        adjacency: adjacency(
+            text,
+            old.same_node,
+            old.same_rack,
+            old.gpus,
+            old.gpus_per_node,
+        )?,
+    };
+    Ok(Record::Job(Job {
+        organisation: old.tenant,
+        team: old.group,
+        name: old.job,
+        kind: old.work,
+        shape,
+        run_time_ms: scaled(text, "max_minutes", old.max_minutes, MS_PER_MINUTE)?,
+        urgent: old.priority == Priority::Urgent,
+        stop: if old.preemptible {
+            StopMode::Checkpoint
+        } else {
+            StopMode::Never
+        },
+    }))
+}
+
+/// Splits the merged field `gpus` into members of `gpus_per_node` each.
+fn members(text: &str, gpus: u16, per_node: u16) -> Result<u16, ReadError> {
+    if per_node == 0 || !gpus.is_multiple_of(per_node) {
+        let problem = format!("{gpus} is not a multiple of gpus_per_node ({per_node})");
+        return Err(ReadError::in_field(text, "gpus", problem));
+    }
+    Ok(gpus / per_node)
+}
+
+fn memory(text: &str, gib: u32) -> Result<u32, ReadError> {
+    gib.checked_mul(MIB_PER_GIB)
+        .ok_or_else(|| ReadError::in_field(text, "mem_gb_per_node", "too large"))
+}
+
+fn adjacency(
+    text: &str,
+    same_node: bool,
+    same_rack: bool,
+    gpus: u16,
+    per_node: u16,
+) -> Result<Adjacency, ReadError> {
+    if same_node && gpus != per_node {
+        let problem = format!("one node has {per_node} of the {gpus} gpus");
+        return Err(ReadError::in_field(text, "same_node", problem));
+    }
+    Ok(match (same_node, same_rack) {
+        (true, _) => Adjacency::Worker,
+        (false, true) => Adjacency::Rack,
+        (false, false) => Adjacency::DataCentre,
+    })
+}
+
+fn scaled(text: &str, field: &str, value: u64, factor: u64) -> Result<Millis, ReadError> {
+    value
+        .checked_mul(factor)
+        .map(Millis)
+        .ok_or_else(|| ReadError::in_field(text, field, "too large"))
+}
