--- /dev/null
+++ b/crates/cli/src/command/apply.rs
@@ -0,0 +1,64 @@
+//! `apply`: changes the configuration.
+
+use ntex::http::Method;
+use schema::{change, config::Config, record::Versioned};
+use serde::{Deserialize, Serialize};
+
+use super::files;
+use crate::{
+    api::{self, Api},
+    args,
+    exit::Failure,
+};
+
+/// Body of `POST /config`.
+#[derive(Debug, Serialize)]
+struct Body {
+    change: u64,
+    records: Vec<String>,
+    expected_revision: Option<u64>,
+}
+
+/// Answer to `POST /config`.
+#[derive(Debug, Deserialize, Serialize)]
+struct Applied {
+    revision: u64,
+}
+
+/// Runs the command.
+pub fn run(args: args::Apply) -> eyre::Result<()> {
+    let found = files::read(&args.paths)?;
+    let api = Api::new(&args.entry, args.token_file.as_deref())?;
+    api::block_on(async move {
+        let current: Config = api.send_json(Method::GET, "/config", None).await?;
+        let records: Vec<Versioned> = found.iter().map(|f| f.versioned.clone()).collect();
+        let (_, differences) = change::apply(&current, &records)
+            .map_err(|e| Failure::bad_input(e.to_string()))?;
+        if !args.json {
+            for difference in differences.iter().filter(|d| d.is_change()) {
+                println!("{difference}");
+            }
+        }
+        if args.dry_run {
+            return Ok(());
+        }
+        let change = args.change.unwrap_or_else(|| fastrand::u64(1..));
+        let body = Body {
+            change,
+            records: found.into_iter().map(|f| f.text).collect(),
+            // A repeated change was made against an older revision than the current one.
+            expected_revision: args.change.is_none().then_some(current.revision),
+        };
+        let body = serde_json::to_string(&body)?;
+        let applied: Applied = api
+            .send_json(Method::POST, "/config", Some(body))
+            .await
+            .map_err(|e| e.wrap_err(format!("change {change}; repeat with --change {change}")))?;
+        if args.json {
+            println!("{}", serde_json::to_string(&applied)?);
+        } else {
+            println!("revision {} is in force everywhere", applied.revision);
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/cli/src/command/jobs.rs
@@ -0,0 +1,112 @@
+//! `submit`, `cancel`, `status` and `settle`.
+
+use ntex::{http::Method, time};
+use wire::message::JobStatus;
+
+use super::files;
+use crate::{
+    api::{self, Api},
+    args,
+    exit::Failure,
+};
+
+/// Time between two looks at a job that is waited for.
+const POLL: time::Millis = time::Millis(500);
+
+/// Submits a job.
+pub fn submit(args: args::Submit) -> eyre::Result<()> {
+    let found = files::read(std::slice::from_ref(&args.path))?;
+    let [job] = found.as_slice() else {
+        return Err(Failure::bad_input(format!("{}: expected one job record", args.path)));
+    };
+    let text = job.text.clone();
+    let api = Api::new(&args.entry, args.token_file.as_deref())?;
+    api::block_on(async move {
+        let mut status: JobStatus = api.send_json(Method::POST, "/jobs", Some(text)).await?;
+        print(&status, args.json)?;
+        while args.wait && !status.phase.is_final() {
+            time::sleep(POLL).await;
+            let path = format!("/jobs/{}/{}", status.organisation, status.name);
+            let next: JobStatus = api.send_json(Method::GET, &path, None).await?;
+            if next != status {
+                print(&next, args.json)?;
+            }
+            status = next;
+        }
+        Ok(())
+    })
+}
+
+/// Cancels a job.
+pub fn cancel(args: &args::Cancel) -> eyre::Result<()> {
+    let path = job_path(&args.job)?;
+    let api = Api::new(&args.entry, args.token_file.as_deref())?;
+    let json = args.json;
+    api::block_on(async move {
+        let status: JobStatus = api.send_json(Method::DELETE, &path, None).await?;
+        print(&status, json)
+    })
+}
+
+/// Shows one job or all.
+pub fn status(args: &args::Status) -> eyre::Result<()> {
+    let path = match &args.job {
+        Some(job) => job_path(job)?,
+        None => "/jobs".into(),
+    };
+    let api = Api::new(&args.entry, args.token_file.as_deref())?;
+    let (json, one) = (args.json, args.job.is_some());
+    api::block_on(async move {
+        let jobs: Vec<JobStatus> = if one {
+            vec![api.send_json(Method::GET, &path, None).await?]
+        } else {
+            api.send_json(Method::GET, &path, None).await?
+        };
+        jobs.iter().try_for_each(|status| print(status, json))
+    })
+}
+
+/// Settles a request whose outcome is unknown.
+pub fn settle(args: &args::Settle) -> eyre::Result<()> {
+    let (organisation, key) = args
+        .key
+        .split_once('/')
+        .ok_or_else(|| Failure::bad_input("expected ORGANISATION/KEY"))?;
+    if !["ran", "not-run"].contains(&args.outcome.as_str()) {
+        return Err(Failure::bad_input("expected 'ran' or 'not-run'"));
+    }
+    let path = format!("/claims/{organisation}/{key}/{}", args.outcome);
+    let api = Api::new(&args.entry, args.token_file.as_deref())?;
+    api::block_on(async move {
+        let answer = api.send(Method::POST, &path, None).await?;
+        println!("{answer}");
+        Ok(())
+    })
+}
+
+fn job_path(job: &str) -> eyre::Result<String> {
+    match job.split_once('/') {
+        Some((organisation, name)) => Ok(format!("/jobs/{organisation}/{name}")),
+        None => Err(Failure::bad_input(format!("'{job}': expected ORGANISATION/NAME"))),
+    }
+}
+
+fn print(status: &JobStatus, json: bool) -> eyre::Result<()> {
+    if json {
+        println!("{}", serde_json::to_string(status)?);
+        return Ok(());
+    }
+    let workers: Vec<&str> = status.workers.iter().map(base::name::Name::as_str).collect();
+    let mut line = format!(
+        "{}/{} {} attempt {}",
+        status.organisation, status.name, status.phase, status.attempt
+    );
+    if !workers.is_empty() {
+        line += &format!(" on {}", workers.join(" "));
+    }
+    if !status.reason.is_empty() {
+        line += &format!(": {}", status.reason);
+    }
+    println!("{line}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/command/show.rs
@@ -0,0 +1,49 @@
+//! `get` and `dump`: print what a process knows.
+
+use ntex::http::Method;
+use schema::{config::Config, record::Record, v2};
+
+use crate::{
+    api::{self, Api},
+    args,
+};
+
+/// Prints the configuration in force.
+pub fn get(args: &args::Get) -> eyre::Result<()> {
+    let api = Api::new(&args.entry, args.token_file.as_deref())?;
+    let json = args.json;
+    api::block_on(async move {
+        let config: Config = api.send_json(Method::GET, "/config", None).await?;
+        if json {
+            println!("{}", serde_json::to_string(&config)?);
+            return Ok(());
+        }
+        println!("// revision {}", config.revision);
+        let texts: Vec<String> = records(config).iter().map(v2::write).collect();
+        println!("{}", texts.join("\n---\n"));
+        Ok(())
+    })
+}
+
+fn records(config: Config) -> Vec<Record> {
+    let mut records: Vec<Record> = vec![config.placement.into()];
+    records.extend(config.organisations.values().cloned().map(Record::from));
+    records.extend(config.teams.values().cloned().map(Record::from));
+    records.extend(config.services.values().cloned().map(Record::from));
+    records
+}
+
+/// Prints the state of a process.
+pub fn dump(args: &args::Dump) -> eyre::Result<()> {
+    let api = Api::new(&args.entry, args.token_file.as_deref())?;
+    let json = args.json;
+    api::block_on(async move {
+        let state: serde_json::Value = api.send_json(Method::GET, "/dump", None).await?;
+        if json {
+            println!("{state}");
+        } else {
+            println!("{}", serde_json::to_string_pretty(&state)?);
+        }
+        Ok(())
+    })
+}
