--- /dev/null
+++ b/crates/standin/src/backend.rs
@@ -0,0 +1,434 @@
+//! Stand-in for backend servers.
+
+use std::{io, net, sync};
+
+use base::{
+    clock::{self, Millis},
+    limits,
+};
+use ntex::{
+    http::{Method, StatusCode},
+    time,
+    util::Bytes,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+use crate::{
+    backend_cfg::{BackendCfg, BackendFaults, OVERSIZED_BYTES, ServiceTime},
+    host::{Call, Delivery, Host, Reply, Serve},
+};
+
+/// One execution of a request.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Execution {
+    /// Name of the operation.
+    pub operation: String,
+    /// Header `x-request-id`.
+    pub request_id: String,
+    /// Header `x-organisation`.
+    pub organisation: String,
+    /// Field `key` of the body, if the body is JSON and has one.
+    pub key: Option<String>,
+    /// Start, on the clock of [`base::clock::now`].
+    pub started_at: Millis,
+    /// End; `None` while it runs.
+    pub ended_at: Option<Millis>,
+}
+
+/// Counters of one server since its start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub struct BackendStats {
+    /// Requests received.
+    pub received: u64,
+    /// Requests run.
+    pub run: u64,
+    /// Requests that met a server whose slots were all in use.
+    pub overruns: u64,
+    /// Requests answered "not run".
+    pub not_run: u64,
+    /// Most requests at once, running or waiting.
+    pub most_in_flight: usize,
+    /// Connections closed because there were too many.
+    pub connections_refused: u64,
+}
+
+/// One or more running backend servers on one thread; dropping it stops them.
+#[derive(Debug)]
+pub struct Handle {
+    host: Host,
+    servers: Vec<Server>,
+}
+
+/// Starts the backend servers on their own thread.
+///
+/// ```
+/// use standin::{backend, backend_cfg::BackendCfg};
+///
+/// let cfg = BackendCfg { servers: 3, ..BackendCfg::default() };
+/// let mut handle = backend::start(cfg).unwrap();
+/// assert_eq!(handle.addrs().len(), 3);
+/// handle.stop();
+/// ```
+pub fn start(cfg: BackendCfg) -> io::Result<Handle> {
+    let cfg = sync::Arc::new(cfg);
+    let servers: Vec<Server> = (0..cfg.servers).map(|i| Server::new(&cfg, i)).collect();
+    let sites = servers.iter().enumerate().map(|(i, server)| {
+        let mut addr = cfg.listen;
+        if addr.port() != 0 {
+            addr.set_port(addr.port() + i as u16);
+        }
+        (addr, server.clone())
+    });
+    let host = Host::start("standin-backend", sites.collect())?;
+    Ok(Handle { host, servers })
+}
+
+impl Handle {
+    /// Returns the address of the first server.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.host.addrs()[0]
+    }
+
+    /// Returns the addresses of all servers.
+    pub fn addrs(&self) -> &[net::SocketAddr] {
+        self.host.addrs()
+    }
+
+    /// Returns the server with this index.
+    pub fn server(&self, index: usize) -> &Server {
+        &self.servers[index]
+    }
+
+    /// Returns all servers.
+    pub fn servers(&self) -> &[Server] {
+        &self.servers
+    }
+
+    /// Closes all listeners and connections.
+    pub fn stop(&mut self) {
+        self.host.stop();
+    }
+}
+
+/// One backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    cfg: sync::Arc<BackendCfg>,
+    slots: sync::Arc<Semaphore>,
+    state: sync::Arc<sync::Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    faults: BackendFaults,
+    stats: BackendStats,
+    history: Vec<Execution>,
+    in_flight: usize,
+    waiting: usize,
+    /// Request id and body of the last answer, which a crossed answer repeats.
+    last: (String, Bytes),
+    rng: fastrand::Rng,
+}
+
+#[derive(Serialize)]
+struct AnswerBody<'a> {
+    request_id: &'a str,
+    operation: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<&'a str>,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    padding: &'a str,
+}
+
+#[derive(Deserialize)]
+struct KeyBody {
+    key: Option<String>,
+}
+
+/// What happens to a request before it gets a slot.
+enum Entry {
+    Run,
+    Refused(Reply),
+}
+
+impl Server {
+    fn new(cfg: &sync::Arc<BackendCfg>, index: u16) -> Self {
+        let state = State {
+            faults: cfg.faults.clone(),
+            stats: BackendStats::default(),
+            history: Vec::new(),
+            in_flight: 0,
+            waiting: 0,
+            last: ("none".into(), Bytes::from_static(b"{}")),
+            rng: fastrand::Rng::with_seed(cfg.seed.wrapping_add(u64::from(index))),
+        };
+        Self {
+            cfg: cfg.clone(),
+            slots: sync::Arc::new(Semaphore::new(cfg.slots)),
+            state: sync::Arc::new(sync::Mutex::new(state)),
+        }
+    }
+
+    /// Replaces the fault state.
+    pub fn set_faults(&self, faults: BackendFaults) {
+        self.lock().faults = faults;
+    }
+
+    /// Returns the fault state.
+    pub fn faults(&self) -> BackendFaults {
+        self.lock().faults.clone()
+    }
+
+    /// Returns all executions in the order of their starts.
+    pub fn history(&self) -> Vec<Execution> {
+        self.lock().history.clone()
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> BackendStats {
+        self.lock().stats
+    }
+
+    async fn route(self, call: Call) -> Reply {
+        if let Some(operation) = call.path.strip_prefix("/run/") {
+            if call.method != Method::POST {
+                return Reply::error(StatusCode::METHOD_NOT_ALLOWED, "use POST");
+            }
+            return self.run(&call, operation).await;
+        }
+        match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/history") => Reply::ok(&self.lock().history),
+            (&Method::GET, "/stats") => Reply::ok(&self.lock().stats),
+            (&Method::GET, "/faults") => Reply::ok(&self.lock().faults),
+            (&Method::PUT, "/faults") => self.put_faults(&call),
+            _ => Reply::error(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    fn put_faults(&self, call: &Call) -> Reply {
+        match call.json::<BackendFaults>() {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                Reply::empty(StatusCode::NO_CONTENT)
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    async fn run(&self, call: &Call, operation: &str) -> Reply {
+        let _flight = Flight::new(self);
+        if let Entry::Refused(reply) = self.enter(call) {
+            return reply;
+        }
+        let Some(permit) = self.slot(call).await else {
+            return self.not_run(call);
+        };
+        let key = serde_json::from_slice::<KeyBody>(&call.body);
+        let key = key.ok().and_then(|b| b.key);
+        self.execute(call, operation, key.as_deref()).await;
+        drop(permit);
+        let late = self.lock().faults.late_ms;
+        sleep(late).await;
+        self.answer(call, operation, key.as_deref())
+    }
+
+    /// Applies the faults that end a request before it is run.
+    fn enter(&self, call: &Call) -> Entry {
+        let mut state = self.lock();
+        if state.faults.silent {
+            let silence = Reply::empty(StatusCode::OK).delivered(Delivery::Never);
+            return Entry::Refused(silence);
+        }
+        let (fail, cut, refuse) = (
+            state.faults.fail,
+            state.faults.cut_before,
+            state.faults.not_run,
+        );
+        if state.hit(cut) {
+            return Entry::Refused(Reply::empty(StatusCode::OK).delivered(Delivery::Cut));
+        }
+        if state.hit(fail) {
+            let failed = Reply::error(StatusCode::INTERNAL_SERVER_ERROR, "failed");
+            return Entry::Refused(self.with_headers(&state, call, failed));
+        }
+        if state.hit(refuse) {
+            drop(state);
+            return Entry::Refused(self.not_run(call));
+        }
+        Entry::Run
+    }
+
+    /// Waits for a slot; `None` if the queue is full or the deadline passes.
+    async fn slot(&self, call: &Call) -> Option<SemaphorePermit<'_>> {
+        if let Ok(permit) = self.slots.try_acquire() {
+            return Some(permit);
+        }
+        let _waiting = Waiting::new(self)?;
+        let acquire = self.slots.acquire();
+        let deadline = call.header("x-deadline-ms").parse::<u32>();
+        let permit = match deadline {
+            Ok(left) => time::timeout(time::Millis(left), acquire).await.ok()?,
+            Err(_) => acquire.await,
+        };
+        permit.ok()
+    }
+
+    async fn execute(&self, call: &Call, operation: &str, key: Option<&str>) {
+        let (index, service_time) = {
+            let mut state = self.lock();
+            state.stats.run += 1;
+            state.history.push(Execution {
+                operation: operation.to_owned(),
+                request_id: call.header("x-request-id").to_owned(),
+                organisation: call.header("x-organisation").to_owned(),
+                key: key.map(ToOwned::to_owned),
+                started_at: clock::now(),
+                ended_at: None,
+            });
+            let service_time = state.draw(&self.cfg, operation);
+            (state.history.len() - 1, service_time)
+        };
+        sleep(service_time).await;
+        self.lock().history[index].ended_at = Some(clock::now());
+    }
+
+    fn answer(&self, call: &Call, operation: &str, key: Option<&str>) -> Reply {
+        let mut state = self.lock();
+        let id = call.header("x-request-id").to_owned();
+        let padding = " ".repeat(self.cfg.answer_bytes);
+        let body = AnswerBody {
+            request_id: &id,
+            operation,
+            key,
+            padding: &padding,
+        };
+        let reply = Reply::ok(&body);
+        let previous = std::mem::replace(&mut state.last, (id, reply.body.clone()));
+        let mut reply = self.with_headers(&state, call, reply);
+        let shares = state.faults.clone();
+        if state.hit(shares.crossed) {
+            reply.headers.retain(|h| h.0 != "x-request-id");
+            reply.headers.push(("x-request-id", previous.0));
+            reply.body = previous.1;
+        }
+        if state.hit(shares.oversized) {
+            reply.body = Bytes::from(vec![b' '; OVERSIZED_BYTES]);
+        }
+        if state.hit(shares.truncated) {
+            return reply.delivered(Delivery::Truncated);
+        }
+        if state.hit(shares.cut_after) {
+            return reply.delivered(Delivery::Cut);
+        }
+        reply
+    }
+
+    fn not_run(&self, call: &Call) -> Reply {
+        let mut state = self.lock();
+        state.stats.not_run += 1;
+        let mut reply = Reply::error(StatusCode::SERVICE_UNAVAILABLE, "not run");
+        reply.headers.push(("x-not-run", "1".into()));
+        self.with_headers(&state, call, reply)
+    }
+
+    fn with_headers(&self, state: &State, call: &Call, mut reply: Reply) -> Reply {
+        let id = call.header("x-request-id").to_owned();
+        reply.headers.push(("x-request-id", id));
+        if self.cfg.report_load {
+            let used = state.in_flight.min(self.cfg.slots);
+            let load = format!("{used}/{}", self.cfg.slots);
+            reply.headers.push(("x-load", load));
+        }
+        if state.faults.leaving {
+            reply.headers.push(("x-leaving", "1".into()));
+        }
+        reply
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Serve for Server {
+    fn serve(&self, call: Call) -> impl Future<Output = Reply> + 'static {
+        self.clone().route(call)
+    }
+
+    fn connections(&self) -> usize {
+        self.cfg.connections
+    }
+
+    fn body_bytes(&self) -> usize {
+        limits::BODY_BYTES
+    }
+
+    fn connection_refused(&self) {
+        self.lock().stats.connections_refused += 1;
+    }
+}
+
+impl State {
+    fn hit(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.f64() < share
+    }
+
+    fn draw(&mut self, cfg: &BackendCfg, operation: &str) -> Millis {
+        let listed = cfg.operations.iter().find(|o| o.operation == operation);
+        let time: ServiceTime = listed.map_or(cfg.default_time, |o| o.time);
+        let exponential = -(1.0 - self.rng.f64()).ln() * time.mean_ms.0 as f64;
+        let drawn = (time.min_ms.0 as f64 + exponential).min(time.max_ms.0 as f64);
+        Millis((drawn * self.faults.slow_factor) as u64)
+    }
+}
+
+/// Counts one request while it is running or waiting.
+struct Flight<'a>(&'a Server);
+
+impl<'a> Flight<'a> {
+    fn new(server: &'a Server) -> Self {
+        let mut state = server.lock();
+        state.stats.received += 1;
+        state.in_flight += 1;
+        state.stats.most_in_flight = state.stats.most_in_flight.max(state.in_flight);
+        Self(server)
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.0.lock().in_flight -= 1;
+    }
+}
+
+/// Counts one request while it waits for a slot.
+struct Waiting<'a>(&'a Server);
+
+impl<'a> Waiting<'a> {
+    /// Returns `None` if the queue is full.
+    fn new(server: &'a Server) -> Option<Self> {
+        let mut state = server.lock();
+        state.stats.overruns += 1;
+        if state.waiting >= server.cfg.queue {
+            return None;
+        }
+        state.waiting += 1;
+        Some(Self(server))
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
+
+async fn sleep(span: Millis) {
+    if span > Millis::ZERO {
+        time::sleep(time::Millis(span.0 as u32)).await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,336 @@
+//! HTTP hosting for the stand-ins: one thread with its own ntex system and any number of listeners.
+
+use std::{
+    cell, future, io, net, rc,
+    rc::Rc,
+    task::{Context, Poll},
+    thread,
+};
+
+use futures_util::StreamExt;
+use ntex::{
+    Pipeline, ServiceFactory, fn_service,
+    http::{
+        HeaderMap, HttpService, HttpServiceConfig, Method, Payload, Request, Response, StatusCode,
+        body::{Body, BodySize, MessageBody},
+        error,
+    },
+    io::{Io, IoRef},
+    rt, time,
+    util::{Bytes, BytesMut},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::sync::oneshot;
+
+/// Idle connections stay open longer than any client keeps them, so that the client closes first.
+const KEEP_ALIVE: time::Seconds = time::Seconds(75);
+/// Wait after a failed `accept`, such as when the process has no free descriptors.
+const ACCEPT_RETRY: time::Millis = time::Millis(50);
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) query: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    /// Returns a header as text; absent and non-text headers are empty.
+    pub(crate) fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.and_then(|v| v.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Reads the body as JSON, or returns the answer that refuses it.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        serde_json::from_slice(&self.body).map_err(|e| Reply::bad(&e.to_string()))
+    }
+}
+
+/// What the caller gets to see of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Delivery {
+    /// The whole answer.
+    Whole,
+    /// The head and half of the body, then the connection is closed.
+    Truncated,
+    /// Nothing: the connection is closed.
+    Cut,
+    /// Nothing: the connection stays open.
+    Never,
+}
+
+/// An answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: Vec<(&'static str, String)>,
+    pub(crate) body: Bytes,
+    pub(crate) delivery: Delivery,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: &'a str,
+}
+
+impl Reply {
+    pub(crate) fn new(status: StatusCode, body: Bytes) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body,
+            delivery: Delivery::Whole,
+        }
+    }
+
+    pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Self {
+        let text = serde_json::to_vec(body).expect("stand-in answers are plain data");
+        let mut reply = Self::new(status, Bytes::from(text));
+        reply
+            .headers
+            .push(("content-type", "application/json".into()));
+        reply
+    }
+
+    pub(crate) fn ok<T: Serialize>(body: &T) -> Self {
+        Self::json(StatusCode::OK, body)
+    }
+
+    pub(crate) fn error(status: StatusCode, error: &str) -> Self {
+        Self::json(status, &ErrorBody { error })
+    }
+
+    pub(crate) fn bad(error: &str) -> Self {
+        Self::error(StatusCode::BAD_REQUEST, error)
+    }
+
+    pub(crate) fn empty(status: StatusCode) -> Self {
+        Self::new(status, Bytes::new())
+    }
+
+    #[must_use]
+    pub(crate) fn delivered(mut self, delivery: Delivery) -> Self {
+        self.delivery = delivery;
+        self
+    }
+}
+
+/// A service behind one listener.
+pub(crate) trait Serve: Clone + Send + 'static {
+    /// Answers one request. It runs to its end even when the caller has gone.
+    fn serve(&self, call: Call) -> impl Future<Output = Reply> + 'static;
+
+    /// Most connections at once; further ones are closed without an answer.
+    fn connections(&self) -> usize;
+
+    /// Largest request body, in bytes.
+    fn body_bytes(&self) -> usize;
+
+    /// Notes that a connection was closed because there were too many.
+    fn connection_refused(&self) {}
+}
+
+/// A running host; dropping it stops it.
+#[derive(Debug)]
+pub(crate) struct Host {
+    addrs: Vec<net::SocketAddr>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Host {
+    /// Starts a thread that serves each service on its own address.
+    pub(crate) fn start<S: Serve>(
+        name: &str,
+        sites: Vec<(net::SocketAddr, S)>,
+    ) -> io::Result<Self> {
+        let mut bound = Vec::with_capacity(sites.len());
+        let mut addrs = Vec::with_capacity(sites.len());
+        for (addr, service) in sites {
+            let listener = net::TcpListener::bind(addr)?;
+            listener.set_nonblocking(true)?;
+            addrs.push(listener.local_addr()?);
+            bound.push((listener, service));
+        }
+        let (stop, stopped) = oneshot::channel();
+        let system = name.to_owned();
+        let thread = thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(move || {
+                rt::System::new(&system, rt::DefaultRuntime).block_on(async move {
+                    for (listener, service) in bound {
+                        rt::spawn(accept(listener, service)).detach();
+                    }
+                    let _ = stopped.await;
+                });
+            })?;
+        Ok(Self {
+            addrs,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
+    }
+
+    pub(crate) fn addrs(&self) -> &[net::SocketAddr] {
+        &self.addrs
+    }
+
+    /// Closes all listeners and connections and waits for the end of the thread.
+    pub(crate) fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Counts one open connection until it is dropped.
+struct Open(Rc<cell::Cell<usize>>);
+
+impl Open {
+    fn new(count: &Rc<cell::Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn accept<S: Serve>(listener: net::TcpListener, service: S) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("standin: cannot listen: {e}"),
+    };
+    let http_cfg = HttpServiceConfig::new()
+        .set_keepalive_timeout(KEEP_ALIVE)
+        .set_client_timeout(time::Seconds::ZERO);
+    let cfg: ntex::SharedCfg = ntex::SharedCfg::new("standin").add(http_cfg).into();
+    let handler = service.clone();
+    let http = HttpService::new(fn_service(move |req| handle(handler.clone(), req)));
+    let Ok(http) = ServiceFactory::<Io, ntex::SharedCfg>::create(&http, cfg.clone()).await else {
+        return log::error!("standin: cannot start the HTTP service");
+    };
+    let http = Pipeline::new(http);
+    let open = rc::Rc::new(cell::Cell::new(0));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("standin: cannot accept: {e}");
+                time::sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        if open.get() >= service.connections() {
+            service.connection_refused();
+            continue;
+        }
+        let stream = stream.into_std();
+        let io = stream.and_then(|s| rt::from_tcp_stream(s, cfg.clone()));
+        let Ok(io) = io else { continue };
+        let (http, guard) = (http.clone(), Open::new(&open));
+        rt::spawn(async move {
+            let _guard = guard;
+            let _ = http.call(io).await;
+        })
+        .detach();
+    }
+}
+
+async fn handle<S: Serve>(service: S, mut req: Request) -> Result<Response, error::HttpError> {
+    let io = req.io().cloned();
+    let Ok(body) = read_body(req.take_payload(), service.body_bytes()).await else {
+        return Ok(respond(Reply::empty(StatusCode::PAYLOAD_TOO_LARGE), io));
+    };
+    let call = Call {
+        method: req.method().clone(),
+        path: req.path().to_owned(),
+        query: req.uri().query().unwrap_or_default().to_owned(),
+        headers: req.headers().clone(),
+        body,
+    };
+    let served = rt::spawn(service.serve(call)).await;
+    let reply = served
+        .unwrap_or_else(|_| Reply::error(StatusCode::INTERNAL_SERVER_ERROR, "the stand-in failed"));
+    match (reply.delivery, &io) {
+        (Delivery::Never, _) => future::pending().await,
+        (Delivery::Cut, Some(io)) => {
+            io.terminate();
+            future::pending().await
+        }
+        _ => Ok(respond(reply, io)),
+    }
+}
+
+async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, ()> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| ())?;
+        if body.len() + chunk.len() > limit {
+            return Err(());
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn respond(reply: Reply, io: Option<IoRef>) -> Response {
+    let mut builder = Response::build(reply.status);
+    for (name, value) in reply.headers {
+        builder.header(name, value);
+    }
+    match reply.delivery {
+        Delivery::Truncated => {
+            let body = CutBody {
+                declared: reply.body.len() as u64,
+                half: Some(reply.body.slice(..reply.body.len() / 2)),
+                io,
+            };
+            builder.body(Body::from_message(body))
+        }
+        _ if reply.body.is_empty() => builder.finish(),
+        _ => builder.body(reply.body),
+    }
+}
+
+/// A body that declares its whole length, sends half of it and closes the connection.
+struct CutBody {
+    declared: u64,
+    half: Option<Bytes>,
+    io: Option<IoRef>,
+}
+
+impl MessageBody for CutBody {
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.declared)
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Rc<dyn std::error::Error>>>> {
+        if let Some(half) = self.half.take() {
+            return Poll::Ready(Some(Ok(half)));
+        }
+        if let Some(io) = self.io.take() {
+            io.close();
+        }
+        Poll::Ready(Some(Err(Rc::new(io::Error::other("truncated")))))
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,13 @@
-//! Stand-ins for the platform, workers and backend servers.
+//! Stand-ins for the platform, workers and backend servers, with fault switches.
+
+pub mod backend;
+pub mod backend_cfg;
+pub mod faults;
+mod host;
+pub mod platform;
+pub mod platform_cfg;
+mod platform_state;
+mod query;
+pub mod worker;
+pub mod worker_cfg;
+mod worker_task;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,367 @@
+//! Stand-in for the platform: table service, object store and VM list.
+
+use std::{io, net, sync};
+
+use base::clock::{self, Millis};
+use derive_more::Display;
+use ntex::{
+    http::{Method, StatusCode},
+    time,
+    util::Bytes,
+};
+use serde::{Deserialize, Serialize};
+use store::{
+    objects::OBJECT_BYTES,
+    table::{Commit, Row, Txn},
+    vm::Vm,
+    vms::VmList,
+};
+
+use crate::{
+    faults::Faults,
+    host::{Call, Delivery, Host, Reply, Serve},
+    platform_cfg::PlatformCfg,
+    platform_state::State,
+    query,
+};
+
+/// Most rows in one answer.
+pub const SCAN_ROWS: usize = 1_000;
+/// Largest transaction, in bytes of its JSON text.
+pub const TXN_BYTES: usize = 4 << 20;
+/// Longest key, in bytes.
+pub const TABLE_KEY_BYTES: usize = 512;
+
+/// Calls and rows since the start.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Deserialize, Serialize)]
+#[display("{commits} commits, {gets} gets, {scans} scans")]
+#[serde(default)]
+pub struct Stats {
+    /// Transactions received, whatever became of them.
+    pub commits: u64,
+    /// Transactions that were applied.
+    pub applied: u64,
+    /// Transactions that failed a check.
+    pub conflicts: u64,
+    /// Reads of one row.
+    pub gets: u64,
+    /// Reads of a range.
+    pub scans: u64,
+    /// Writes of rows that were applied, deletions included.
+    pub rows_written: u64,
+    /// Rows returned.
+    pub rows_read: u64,
+    /// Writes and deletions of objects.
+    pub object_writes: u64,
+    /// Reads of objects.
+    pub object_reads: u64,
+    /// Reads of the VM list.
+    pub vm_reads: u64,
+    /// Calls that a fault refused with 503.
+    pub refused: u64,
+    /// Calls whose answer or request was lost by a fault.
+    pub lost: u64,
+}
+
+/// A running platform stand-in; dropping it stops it.
+#[derive(Debug)]
+pub struct Handle {
+    host: Host,
+    platform: Platform,
+}
+
+/// Starts a platform stand-in on its own thread.
+///
+/// ```
+/// use standin::{platform, platform_cfg::PlatformCfg};
+///
+/// let mut handle = platform::start(PlatformCfg::default()).unwrap();
+/// assert_ne!(handle.addr().port(), 0);
+/// handle.stop();
+/// ```
+pub fn start(cfg: PlatformCfg) -> io::Result<Handle> {
+    let listen = cfg.listen;
+    let platform = Platform {
+        connections: cfg.connections,
+        state: sync::Arc::new(sync::Mutex::new(State::new(cfg))),
+    };
+    let host = Host::start("standin-platform", vec![(listen, platform.clone())])?;
+    Ok(Handle { host, platform })
+}
+
+impl Handle {
+    /// Returns the address of all three interfaces.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.host.addrs()[0]
+    }
+
+    /// Returns the base URL of all three interfaces.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr())
+    }
+
+    /// Closes the listener and all connections. The tables are gone afterwards.
+    pub fn stop(&mut self) {
+        self.host.stop();
+    }
+
+    /// Replaces the fault state.
+    pub fn set_faults(&self, faults: Faults) {
+        self.platform.lock().faults = faults;
+    }
+
+    /// Returns the fault state.
+    pub fn faults(&self) -> Faults {
+        self.platform.lock().faults.clone()
+    }
+
+    /// Replaces the VM list; readers see it after the lag.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        self.platform.lock().set_vms(clock::now(), vms);
+    }
+
+    /// Returns the counters.
+    pub fn stats(&self) -> Stats {
+        self.platform.lock().stats
+    }
+
+    /// Reads a row as it is, without faults, lag or counting.
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.platform.lock().row(key)
+    }
+
+    /// Reads rows as they are, without faults, lag or counting.
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        self.platform.lock().rows(prefix)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Platform {
+    connections: usize,
+    state: sync::Arc<sync::Mutex<State>>,
+}
+
+#[derive(Deserialize, Serialize)]
+struct VersionBody {
+    version: u64,
+}
+
+#[derive(Serialize)]
+struct ConflictBody {
+    conflict: Vec<store::table::Key>,
+}
+
+#[derive(Serialize)]
+struct RowsBody {
+    rows: Vec<Row>,
+}
+
+/// How a call of table service or object store goes wrong.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fate {
+    Served,
+    Refused,
+    Silent,
+    RequestLost,
+    AnswerLost,
+}
+
+fn check_txn(txn: &Txn) -> Result<(), &'static str> {
+    let checked = txn.checks.iter().map(|c| &c.key);
+    let written = txn.writes.iter().map(|w| &w.key);
+    if checked
+        .chain(written)
+        .any(|k| k.is_empty() || k.len() > TABLE_KEY_BYTES)
+    {
+        return Err("a key has 1 to 512 bytes");
+    }
+    let values = txn.writes.iter().filter_map(|w| w.value.as_deref());
+    for value in values {
+        if serde_json::from_str::<serde::de::IgnoredAny>(value).is_err() {
+            return Err("a value is no JSON text");
+        }
+    }
+    Ok(())
+}
+
+impl Serve for Platform {
+    fn serve(&self, call: Call) -> impl Future<Output = Reply> + 'static {
+        self.clone().route(call)
+    }
+
+    fn connections(&self) -> usize {
+        self.connections
+    }
+
+    fn body_bytes(&self) -> usize {
+        OBJECT_BYTES
+    }
+}
+
+impl Platform {
+    async fn route(self, call: Call) -> Reply {
+        if call.path.starts_with("/tables/") || call.path.starts_with("/objects/") {
+            return self.storage(call).await;
+        }
+        match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/vms") => self.vms(),
+            (&Method::PUT, "/vms") => self.put_vms(&call),
+            (&Method::GET, "/faults") => Reply::ok(&self.lock().faults),
+            (&Method::PUT, "/faults") => self.put_faults(&call),
+            (&Method::GET, "/stats") => Reply::ok(&self.lock().stats),
+            _ => Reply::error(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    async fn storage(&self, call: Call) -> Reply {
+        let (fate, slow) = self.fate(&call);
+        match fate {
+            Fate::Refused => {
+                return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "outage");
+            }
+            Fate::Silent => return Reply::empty(StatusCode::OK).delivered(Delivery::Never),
+            Fate::RequestLost => return Reply::empty(StatusCode::OK).delivered(Delivery::Cut),
+            Fate::Served | Fate::AnswerLost => {}
+        }
+        if slow > Millis::ZERO {
+            time::sleep(time::Millis(slow.0 as u32)).await;
+        }
+        let reply = self.apply(&call);
+        match fate {
+            Fate::AnswerLost => reply.delivered(Delivery::Cut),
+            _ => reply,
+        }
+    }
+
+    fn fate(&self, call: &Call) -> (Fate, Millis) {
+        let writes = call.method != Method::GET;
+        let mut state = self.lock();
+        let fate = state.fate(writes);
+        match fate {
+            Fate::Refused => state.stats.refused += 1,
+            Fate::RequestLost | Fate::AnswerLost => state.stats.lost += 1,
+            Fate::Served | Fate::Silent => {}
+        }
+        (fate, state.faults.slow_ms)
+    }
+
+    fn apply(&self, call: &Call) -> Reply {
+        match (&call.method, call.path.as_str()) {
+            (&Method::POST, "/tables/commit") => self.commit(call),
+            (&Method::GET, "/tables/row") => self.get(call),
+            (&Method::GET, "/tables/rows") => self.scan(call),
+            (_, path) => match path.strip_prefix("/objects/").and_then(query::decode) {
+                Some(name) if !name.is_empty() => self.object(call, name),
+                _ => Reply::error(StatusCode::NOT_FOUND, "no such call"),
+            },
+        }
+    }
+
+    fn commit(&self, call: &Call) -> Reply {
+        self.lock().stats.commits += 1;
+        if call.body.len() > TXN_BYTES {
+            return Reply::error(StatusCode::PAYLOAD_TOO_LARGE, "transaction too large");
+        }
+        let txn: Txn = match call.json() {
+            Ok(txn) => txn,
+            Err(reply) => return reply,
+        };
+        if let Err(error) = check_txn(&txn) {
+            return Reply::bad(error);
+        }
+        match self.lock().commit(clock::now(), txn) {
+            Commit::Done { version } => Reply::ok(&VersionBody { version }),
+            Commit::Conflict { keys } => {
+                Reply::json(StatusCode::CONFLICT, &ConflictBody { conflict: keys })
+            }
+        }
+    }
+
+    fn get(&self, call: &Call) -> Reply {
+        let Some(key) = query::field(&call.query, "key") else {
+            return Reply::bad("the query needs key");
+        };
+        match self.lock().get(clock::now(), &key) {
+            Some(row) => Reply::ok(&row),
+            None => Reply::error(StatusCode::NOT_FOUND, "no such row"),
+        }
+    }
+
+    fn scan(&self, call: &Call) -> Reply {
+        let text = |name| query::field(&call.query, name).unwrap_or_default();
+        let limit = query::field(&call.query, "limit").map_or(Ok(SCAN_ROWS), |l| l.parse());
+        let Ok(limit) = limit else {
+            return Reply::bad("limit is no number");
+        };
+        let rows = self.lock().scan(
+            clock::now(),
+            &text("prefix"),
+            &text("after"),
+            limit.min(SCAN_ROWS),
+        );
+        Reply::ok(&RowsBody { rows })
+    }
+
+    fn object(&self, call: &Call, name: String) -> Reply {
+        let mut state = self.lock();
+        match call.method {
+            Method::PUT => {
+                state.stats.object_writes += 1;
+                state.objects.insert(name, call.body.clone());
+                Reply::empty(StatusCode::NO_CONTENT)
+            }
+            Method::DELETE => {
+                state.stats.object_writes += 1;
+                state.objects.remove(name.as_str());
+                Reply::empty(StatusCode::NO_CONTENT)
+            }
+            Method::GET => {
+                state.stats.object_reads += 1;
+                let found: Option<Bytes> = state.objects.get(name.as_str()).cloned();
+                found.map_or_else(
+                    || Reply::error(StatusCode::NOT_FOUND, "no such object"),
+                    |bytes| Reply::new(StatusCode::OK, bytes),
+                )
+            }
+            _ => Reply::error(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
+        }
+    }
+
+    fn vms(&self) -> Reply {
+        let mut state = self.lock();
+        state.stats.vm_reads += 1;
+        if state.faults.vm_outage {
+            state.stats.refused += 1;
+            return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let vms = state.vms(clock::now());
+        Reply::ok(&VmList { vms })
+    }
+
+    fn put_vms(&self, call: &Call) -> Reply {
+        match call.json::<VmList>() {
+            Ok(list) => {
+                self.lock().set_vms(clock::now(), list.vms);
+                Reply::empty(StatusCode::NO_CONTENT)
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    fn put_faults(&self, call: &Call) -> Reply {
+        match call.json::<Faults>() {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                Reply::empty(StatusCode::NO_CONTENT)
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,240 @@
+//! Stand-in for workers.
+
+use std::{future, io, net, sync};
+
+use base::{
+    clock::{self, Millis},
+    limits,
+};
+use ntex::http::{Method, StatusCode};
+use plan::{
+    event::Report,
+    order::{Attempt, Order},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    host::{Call, Delivery, Host, Reply, Serve},
+    worker_cfg::{Behaviour, WorkerCfg},
+    worker_task::Machine,
+};
+
+/// Body of `POST /orders`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct OrdersBody {
+    /// Fencing number of the scheduler.
+    pub fence: u64,
+    /// Length of the leases that this call grants or renews.
+    pub lease_ms: Millis,
+    /// Attempts whose task leases are renewed.
+    #[serde(default)]
+    pub renew: Vec<Attempt>,
+    /// Orders, taken in their sequence.
+    #[serde(default)]
+    pub orders: Vec<Order>,
+}
+
+/// Body of the answer to `POST /orders`.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct OrdersAnswer {
+    /// State of every task that is held, runs, or ended and was not dropped yet.
+    pub tasks: Vec<TaskReport>,
+}
+
+/// State of one task.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct TaskReport {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Its accelerators on this worker.
+    pub accelerators: u32,
+    /// Its state.
+    pub report: Report,
+}
+
+/// Body of a refusal because of an old fencing number.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct FencedBody {
+    /// Highest fencing number that the worker has seen.
+    pub highest_fence: u64,
+}
+
+/// One run of a task, from its start to its end.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Run {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Its accelerators on this worker.
+    pub accelerators: u32,
+    /// Start, on the clock of [`base::clock::now`].
+    pub started_at: Millis,
+    /// End; `None` while it runs.
+    pub ended_at: Option<Millis>,
+    /// How it ended; `None` while it runs.
+    pub end: Option<Report>,
+}
+
+/// One or more running workers on one thread; dropping it stops them.
+#[derive(Debug)]
+pub struct Handle {
+    host: Host,
+    workers: Vec<Worker>,
+}
+
+/// Starts one worker on its own thread.
+///
+/// ```
+/// use standin::{worker, worker_cfg::WorkerCfg};
+///
+/// let mut handle = worker::start(WorkerCfg::default()).unwrap();
+/// assert!(handle.worker(0).history().is_empty());
+/// handle.stop();
+/// ```
+pub fn start(cfg: WorkerCfg) -> io::Result<Handle> {
+    start_all(vec![cfg])
+}
+
+/// Starts several workers on one thread, each on its own address.
+///
+/// ```
+/// use standin::{worker, worker_cfg::WorkerCfg};
+///
+/// let handle = worker::start_all(vec![WorkerCfg::default(), WorkerCfg::default()]).unwrap();
+/// assert_eq!(handle.addrs().len(), 2);
+/// ```
+pub fn start_all(cfgs: Vec<WorkerCfg>) -> io::Result<Handle> {
+    let workers: Vec<Worker> = cfgs.into_iter().map(Worker::new).collect();
+    let sites = workers.iter().map(|w| (w.listen, w.clone())).collect();
+    let host = Host::start("standin-worker", sites)?;
+    Ok(Handle { host, workers })
+}
+
+impl Handle {
+    /// Returns the address of the first worker.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.host.addrs()[0]
+    }
+
+    /// Returns the addresses of all workers.
+    pub fn addrs(&self) -> &[net::SocketAddr] {
+        self.host.addrs()
+    }
+
+    /// Returns the worker with this index.
+    pub fn worker(&self, index: usize) -> &Worker {
+        &self.workers[index]
+    }
+
+    /// Returns all workers.
+    pub fn workers(&self) -> &[Worker] {
+        &self.workers
+    }
+
+    /// Closes all listeners and connections; the tasks are gone afterwards.
+    pub fn stop(&mut self) {
+        self.host.stop();
+    }
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    listen: net::SocketAddr,
+    connections: usize,
+    machine: sync::Arc<sync::Mutex<Machine>>,
+}
+
+impl Worker {
+    fn new(cfg: WorkerCfg) -> Self {
+        Self {
+            listen: cfg.listen,
+            connections: cfg.connections,
+            machine: sync::Arc::new(sync::Mutex::new(Machine::new(cfg))),
+        }
+    }
+
+    /// Replaces the behaviour; it applies to tasks that start or stop afterwards.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        let mut machine = self.lock();
+        machine.advance(clock::now());
+        machine.behaviour = behaviour;
+    }
+
+    /// Returns the behaviour.
+    pub fn behaviour(&self) -> Behaviour {
+        self.lock().behaviour.clone()
+    }
+
+    /// Returns all runs in the order of their starts.
+    pub fn history(&self) -> Vec<Run> {
+        let mut machine = self.lock();
+        machine.advance(clock::now());
+        machine.history.clone()
+    }
+
+    fn route(&self, call: &Call) -> Reply {
+        match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/history") => Reply::ok(&self.history()),
+            (&Method::GET, "/behaviour") => Reply::ok(&self.behaviour()),
+            (&Method::PUT, "/behaviour") => self.put_behaviour(call),
+            _ if self.lock().behaviour.silent => {
+                Reply::empty(StatusCode::OK).delivered(Delivery::Never)
+            }
+            (&Method::GET, "/info") => Reply::ok(&self.lock().cfg.info),
+            (&Method::POST, "/orders") => self.orders(call),
+            _ => Reply::error(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    fn orders(&self, call: &Call) -> Reply {
+        let body: OrdersBody = match call.json() {
+            Ok(body) => body,
+            Err(reply) => return reply,
+        };
+        let mut machine = self.lock();
+        let name = &machine.cfg.info.name;
+        if body.orders.iter().any(|o| o.member.worker != *name) {
+            return Reply::bad("an order is for another worker");
+        }
+        if body.orders.iter().any(|o| o.member.accelerators == 0) {
+            return Reply::bad("an order has no accelerators");
+        }
+        match machine.orders(clock::now(), &body) {
+            Ok(answer) => Reply::ok(&answer),
+            Err(fenced) => {
+                let highest_fence = fenced.highest_fence;
+                Reply::json(StatusCode::CONFLICT, &FencedBody { highest_fence })
+            }
+        }
+    }
+
+    fn put_behaviour(&self, call: &Call) -> Reply {
+        match call.json::<Behaviour>() {
+            Ok(behaviour) => {
+                self.set_behaviour(behaviour);
+                Reply::empty(StatusCode::NO_CONTENT)
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Machine> {
+        self.machine
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Serve for Worker {
+    fn serve(&self, call: Call) -> impl Future<Output = Reply> + 'static {
+        future::ready(self.route(&call))
+    }
+
+    fn connections(&self) -> usize {
+        self.connections
+    }
+
+    fn body_bytes(&self) -> usize {
+        limits::BODY_BYTES
+    }
+}
--- /dev/null
+++ b/crates/store/src/caller.rs
@@ -0,0 +1,159 @@
+//! One HTTP call to the platform, with failures told apart by whether anything was sent.
+
+use std::{net, rc};
+
+use ntex::{
+    client::{
+        Client, ClientRequest, Connector,
+        error::{ClientError, ConnectError},
+    },
+    http::{Method, StatusCode},
+    io::IoConfig,
+    service::cfg::SharedCfg,
+    time,
+    util::Bytes,
+};
+use tokio::sync;
+
+use crate::{http_cfg::HttpCfg, table::StoreError};
+
+/// Idle connections are closed by the client first, so that a call does not meet a closing one.
+const IDLE_SECS: u16 = 10;
+
+/// Client for one base URL; clones share its connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    inner: rc::Rc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    base: String,
+    address: Option<net::SocketAddr>,
+    client: Client,
+    permits: sync::Semaphore,
+    cfg: HttpCfg,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// A call that got no whole answer.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// No byte was sent.
+    NotSent(String),
+    /// Something may have been sent.
+    NoAnswer(String),
+}
+
+impl Failure {
+    /// Classifies a failed call that changes state.
+    pub(crate) fn of_write(self) -> StoreError {
+        match self {
+            Self::NotSent(reason) => StoreError::NotDone { reason },
+            Self::NoAnswer(reason) => StoreError::Unknown { reason },
+        }
+    }
+
+    /// Classifies a failed read, which has no effect in any case.
+    pub(crate) fn of_read(self) -> StoreError {
+        match self {
+            Self::NotSent(reason) | Self::NoAnswer(reason) => StoreError::NotDone { reason },
+        }
+    }
+}
+
+impl Caller {
+    pub(crate) async fn new(base: &str, cfg: HttpCfg) -> Result<Self, StoreError> {
+        let base = base.trim_end_matches('/').to_owned();
+        let io = IoConfig::new().set_connect_timeout(time::Millis(cfg.connect_ms.0 as u32));
+        let shared: SharedCfg = SharedCfg::new("store").add(io).into();
+        // The permits limit the connections. The pool's own limit is never reached, because a
+        // wait inside the pool can't be told from a wait for the answer.
+        let connector = Connector::default()
+            .limit(cfg.connections + 1)
+            .keep_alive(time::Seconds(IDLE_SECS));
+        let client = Client::builder()
+            .connector::<Connector>(connector)
+            .disable_redirects()
+            .disable_timeout()
+            .response_payload_limit(cfg.answer_bytes)
+            .response_payload_timeout(time::Millis::ZERO)
+            .build(shared)
+            .await
+            .map_err(|e| StoreError::NotDone {
+                reason: e.to_string(),
+            })?;
+        let address = base.strip_prefix("http://").and_then(|a| a.parse().ok());
+        let inner = Inner {
+            base,
+            address,
+            client,
+            permits: sync::Semaphore::new(cfg.connections),
+            cfg,
+        };
+        Ok(Self {
+            inner: rc::Rc::new(inner),
+        })
+    }
+
+    pub(crate) fn request(&self, method: Method, path: &str) -> ClientRequest {
+        let url = format!("{}{path}", self.inner.base);
+        let req = self.inner.client.request(method, url);
+        match self.inner.address {
+            None => req,
+            Some(address) => req.address(address),
+        }
+    }
+
+    /// Sends the request and reads the whole answer.
+    pub(crate) async fn call(&self, req: ClientRequest, body: Bytes) -> Result<Answer, Failure> {
+        let cfg = &self.inner.cfg;
+        let permit = self.inner.permits.acquire();
+        let Ok(Ok(_permit)) = time::timeout(to_ntex(cfg.queue_ms), permit).await else {
+            return Err(Failure::NotSent("no connection got free in time".into()));
+        };
+        let exchange = time::timeout(to_ntex(cfg.call_ms), exchange(req, body));
+        match exchange.await {
+            Ok(result) => result,
+            Err(()) => Err(Failure::NoAnswer(format!("no answer in {}", cfg.call_ms))),
+        }
+    }
+}
+
+async fn exchange(req: ClientRequest, body: Bytes) -> Result<Answer, Failure> {
+    let sent = if body.is_empty() {
+        req.send().await
+    } else {
+        req.send_body(body).await
+    };
+    let resp = sent.map_err(|e| classify(&e))?;
+    let status = resp.status();
+    match resp.body().await {
+        Ok(body) => Ok(Answer { status, body }),
+        Err(e) => Err(Failure::NoAnswer(format!("incomplete answer: {e}"))),
+    }
+}
+
+/// Tells a connection that could not be opened from one that was lost during the call.
+///
+/// The HTTP library reports a connection that closes without an answer as `Disconnected(None)`,
+/// so only `Disconnected(Some(_))` proves that the connection was never opened.
+fn classify(err: &ClientError) -> Failure {
+    match err {
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            Failure::NoAnswer("connection closed without an answer".into())
+        }
+        ClientError::Connect(_) | ClientError::Url(_) => Failure::NotSent(err.to_string()),
+        _ => Failure::NoAnswer(err.to_string()),
+    }
+}
+
+fn to_ntex(t: base::clock::Millis) -> time::Millis {
+    time::Millis(t.0 as u32)
+}
--- /dev/null
+++ b/crates/store/src/http_cfg.rs
@@ -0,0 +1,33 @@
+//! Settings of the HTTP clients of the platform.
+
+use base::clock::Millis;
+use serde::Deserialize;
+
+/// Settings of [`HttpTable`](crate::http::HttpTable), [`Objects`](crate::objects::Objects) and
+/// [`Vms`](crate::vms::Vms).
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HttpCfg {
+    /// Most connections kept to the platform; further calls wait for one.
+    pub connections: usize,
+    /// Longest wait for a free connection. Reaching it means that nothing was sent.
+    pub queue_ms: Millis,
+    /// Longest wait for a new connection. Reaching it means that nothing was sent.
+    pub connect_ms: Millis,
+    /// Longest wait for a whole answer, from the time when a connection is free.
+    pub call_ms: Millis,
+    /// Largest answer, in bytes.
+    pub answer_bytes: usize,
+}
+
+impl Default for HttpCfg {
+    fn default() -> Self {
+        Self {
+            connections: 16,
+            queue_ms: Millis(1_000),
+            connect_ms: Millis(500),
+            call_ms: Millis(2_000),
+            answer_bytes: 64 << 20,
+        }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,5 +1,11 @@
 //! Client of the platform's table service, object store and VM list.
 
+mod caller;
+pub mod client;
+pub mod http;
+pub mod http_cfg;
 pub mod mem;
+pub mod objects;
 pub mod table;
 pub mod vm;
+pub mod vms;
