--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,1 +1,12 @@
-//! At-most-once execution by idempotency keys claimed in the table service.
+//! At-most-once execution by idempotency keys that are claimed in the table service.
+//!
+//! A request that may not be repeated claims its key before it is sent to a backend server. All
+//! claims of one entry go through one [`driver::Driver`], which commits them in groups.
+
+pub mod claim_cfg;
+pub mod claims;
+pub mod driver;
+pub mod fingerprint;
+pub mod record;
+pub mod store;
+pub mod ticket;
--- /dev/null
+++ b/crates/claim/src/record.rs
@@ -0,0 +1,103 @@
+//! The claim row.
+
+use base::{clock::Millis, limits, name::Name};
+use serde::{Deserialize, Serialize};
+use store::table::Key;
+
+use crate::fingerprint::Fingerprint;
+
+/// Content of a row `claim/{org}/{key}`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Record {
+    /// Binds the key to one request.
+    pub fingerprint: Fingerprint,
+    /// Member id of the entry that claimed the key; it differs for each incarnation.
+    pub owner: u64,
+    /// Number that the owner gave to this claim, to recognise its own write.
+    pub nonce: u64,
+    /// Wall-clock time of the last write, for retention only.
+    pub written_ms: Millis,
+    /// What is known about the execution.
+    pub state: State,
+}
+
+/// What is known about the execution that a claim covers.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// The owner runs the request.
+    InProgress,
+    /// The request ran and this is its answer.
+    Completed(Answer),
+    /// The request was not run; the key may be claimed again.
+    NotRun,
+    /// Whether the request ran is not known.
+    Unknown,
+}
+
+/// Answer of a backend server.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the `content-type` header.
+    pub content_type: String,
+    /// Body; `None` if it was too large to be stored.
+    pub body: Option<Body>,
+}
+
+/// Body of a stored answer.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Body {
+    /// Body that is valid UTF-8.
+    Text(String),
+    /// Any other body.
+    Bytes(Vec<u8>),
+}
+
+impl Body {
+    /// Returns the bytes.
+    ///
+    /// ```
+    /// assert_eq!(claim::record::Body::Text("a".into()).as_bytes(), b"a");
+    /// ```
+    pub fn as_bytes(&self) -> &[u8] {
+        match self {
+            Self::Text(text) => text.as_bytes(),
+            Self::Bytes(bytes) => bytes,
+        }
+    }
+}
+
+impl Answer {
+    /// Creates an answer; a body over the limit for stored answers is left out.
+    ///
+    /// ```
+    /// use claim::record::Answer;
+    /// assert!(Answer::new(200, "text/plain", b"paid".to_vec()).body.is_some());
+    /// assert!(Answer::new(200, "text/plain", vec![b'a'; 1 << 20]).body.is_none());
+    /// ```
+    pub fn new(status: u16, content_type: &str, body: Vec<u8>) -> Self {
+        let fits = body.len() <= limits::STORED_ANSWER_BYTES;
+        let body = fits.then(|| match String::from_utf8(body) {
+            Ok(text) => Body::Text(text),
+            Err(e) => Body::Bytes(e.into_bytes()),
+        });
+        Self {
+            status,
+            content_type: content_type.to_owned(),
+            body,
+        }
+    }
+}
+
+/// Key of the row of an idempotency key of an organisation.
+///
+/// ```
+/// let key = claim::record::row_key(&"tulegenov".parse().unwrap(), "k1");
+/// assert_eq!(&*key, "claim/tulegenov/k1");
+/// ```
+pub fn row_key(organisation: &Name, key: &str) -> Key {
+    format!("claim/{organisation}/{key}").into()
+}
--- /dev/null
+++ b/crates/claim/src/ticket.rs
@@ -0,0 +1,148 @@
+//! Tickets of held claims, and waiters for their results.
+
+use std::rc::Rc;
+
+use store::table::Key;
+use tokio::sync::watch;
+
+use crate::{
+    claims::{Settle, Shared},
+    fingerprint::Fingerprint,
+    record::{Answer, State},
+};
+
+/// How a claimed request ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Settled {
+    /// It ran and this is its answer.
+    Completed(Answer),
+    /// It was certainly not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Settled {
+    pub(crate) fn into_state(self) -> State {
+        match self {
+            Self::Completed(answer) => State::Completed(answer),
+            Self::NotRun => State::NotRun,
+            Self::Unknown => State::Unknown,
+        }
+    }
+}
+
+/// Right to run one request; settle it with the outcome.
+///
+/// A ticket that is dropped without a settlement counts as `unknown`, because the request may
+/// have been sent.
+#[derive(Debug)]
+pub struct Ticket {
+    shared: Rc<Shared>,
+    key: Key,
+    fingerprint: Fingerprint,
+    nonce: u64,
+    version: u64,
+    delivered: bool,
+    settled: bool,
+}
+
+impl Ticket {
+    pub(crate) fn new(
+        shared: Rc<Shared>,
+        key: Key,
+        fingerprint: Fingerprint,
+        nonce: u64,
+        version: u64,
+    ) -> Self {
+        Self {
+            shared,
+            key,
+            fingerprint,
+            nonce,
+            version,
+            delivered: false,
+            settled: false,
+        }
+    }
+
+    pub(crate) fn delivered(mut self) -> Self {
+        self.delivered = true;
+        self
+    }
+
+    /// Records that the request ran and what it answered.
+    pub fn complete(mut self, answer: Answer) {
+        self.settle(Settled::Completed(answer));
+    }
+
+    /// Records that the request was certainly not run.
+    pub fn not_run(mut self) {
+        self.settle(Settled::NotRun);
+    }
+
+    /// Records that the request may have run.
+    pub fn unknown(mut self) {
+        self.settle(Settled::Unknown);
+    }
+
+    fn settle(&mut self, settled: Settled) {
+        self.settled = true;
+        self.shared.settle(Settle {
+            key: self.key.clone(),
+            fingerprint: self.fingerprint.clone(),
+            nonce: self.nonce,
+            version: self.version,
+            settled,
+        });
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        // A ticket that never reached the caller of `begin` can't have led to a dispatch.
+        self.settle(if self.delivered {
+            Settled::Unknown
+        } else {
+            Settled::NotRun
+        });
+    }
+}
+
+impl Shared {
+    /// Tells the waiters, and queues the settlement for the table.
+    pub(crate) fn settle(&self, settle: Settle) {
+        let mut inner = self.cell.borrow_mut();
+        if let Some(local) = inner.local.get(&*settle.key) {
+            local.result.send_replace(Some(settle.settled.clone()));
+        }
+        inner.settles.push(settle);
+        drop(inner);
+        self.work.notify_one();
+    }
+}
+
+/// Waits for the result of a request that runs on this entry.
+#[derive(Debug)]
+pub struct Waiter {
+    result: watch::Receiver<Option<Settled>>,
+}
+
+impl Waiter {
+    pub(crate) fn new(result: watch::Receiver<Option<Settled>>) -> Self {
+        Self { result }
+    }
+
+    /// Returns how the running request ended.
+    pub async fn wait(mut self) -> Settled {
+        let settled = self.result.wait_for(Option::is_some).await;
+        settled
+            .ok()
+            .and_then(|s| s.clone())
+            // The claim was dropped before it held, so nothing was sent.
+            .unwrap_or(Settled::NotRun)
+    }
+}
--- /dev/null
+++ b/crates/route/src/limits_cfg.rs
@@ -0,0 +1,48 @@
+//! Settings of the limits per backend server.
+
+use base::clock::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::{health_cfg::HealthCfg, limits::Policy};
+
+/// Settings of the limits per backend server, with their defaults.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LimitsCfg {
+    /// How servers are selected.
+    pub policy: Policy,
+    /// Requests that one backend server runs at the same time.
+    pub slots: u16,
+    /// Connections that one backend server takes from all entries together.
+    pub connections: u16,
+    /// Entries that are expected to share the servers.
+    pub entries: u16,
+    /// Age at which a load report or a peer's counts are no longer used.
+    pub report_max_age_ms: Millis,
+    /// Health of servers.
+    pub health: HealthCfg,
+}
+
+impl Default for LimitsCfg {
+    fn default() -> Self {
+        Self {
+            policy: Policy::TwoChoices,
+            slots: 8,
+            connections: 60,
+            entries: 9,
+            report_max_age_ms: Millis(1_000),
+            health: HealthCfg::default(),
+        }
+    }
+}
+
+impl LimitsCfg {
+    /// Most connections that this entry opens to one server.
+    ///
+    /// ```
+    /// assert_eq!(route::limits_cfg::LimitsCfg::default().connection_cap(), 6);
+    /// ```
+    pub fn connection_cap(&self) -> u16 {
+        (self.connections / self.entries.max(1)).max(1)
+    }
+}
--- /dev/null
+++ b/crates/route/src/retry_cfg.rs
@@ -0,0 +1,26 @@
+//! Settings of the retry budget.
+
+use base::clock::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Settings of the retry budget, with their defaults.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RetryCfg {
+    /// Retries allowed for each hundred requests of the window.
+    pub percent: u32,
+    /// Retries allowed in the window even when there are few requests.
+    pub at_least: u32,
+    /// Length of the window.
+    pub window_ms: Millis,
+}
+
+impl Default for RetryCfg {
+    fn default() -> Self {
+        Self {
+            percent: 10,
+            at_least: 3,
+            window_ms: Millis::from_secs(10),
+        }
+    }
+}
