plan: place gangs, hold, commit, go, stop and restore

The plan rebuilds from durable records alone; outstanding orders go out again when a worker is reported. JobRecord gains charged_memory_mb, peak_memory_mb, ended_at and claim (all with serde defaults) and JobRecord::submitted.

--- /dev/null
+++ b/crates/plan/src/jobs.rs
@@ -0,0 +1,127 @@
+//! Table of jobs.
+
+use base::{clock::Millis, sorted::SortedMap};
+use schema::job::Phase;
+
+use crate::{
+    order::Attempt,
+    record::{JobKey, JobRecord},
+};
+
+/// Position of a job in the table.
+pub type JobId = usize;
+
+/// What is known about one member of the current attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// The last order was not confirmed.
+    Asked,
+    /// The accelerators are held.
+    Held,
+    /// The task runs.
+    Running,
+    /// The task ended with success.
+    Done,
+    /// The task does not run any more, or its worker is lost.
+    Stopped,
+}
+
+/// A job with its state in memory.
+#[derive(Clone, Debug)]
+pub struct JobState {
+    /// Durable record.
+    pub rec: JobRecord,
+    /// One entry for each member of the record.
+    pub progress: Vec<Progress>,
+    /// Start of the current phase, as far as this process knows.
+    pub since: Millis,
+    /// Time of the last order.
+    pub sent_at: Millis,
+    /// Whether each member that stopped took a checkpoint.
+    pub checkpointed: bool,
+    /// Time since which a member uses more memory than it is charged with.
+    pub over_since: Option<Millis>,
+}
+
+impl JobState {
+    pub fn new(rec: JobRecord, now: Millis) -> Self {
+        Self {
+            progress: vec![Progress::Asked; rec.members.len()],
+            rec,
+            since: now,
+            sent_at: now,
+            checkpointed: true,
+            over_since: None,
+        }
+    }
+
+    pub fn attempt(&self) -> Attempt {
+        Attempt {
+            job: self.rec.key(),
+            attempt: self.rec.attempt,
+        }
+    }
+
+    pub fn all(&self, progress: Progress) -> bool {
+        self.progress.iter().all(|p| *p == progress)
+    }
+
+    /// Memory with which each member is charged.
+    pub fn charged_mb(&self) -> u32 {
+        self.rec.charged_memory_mb.max(self.rec.job.shape.memory_mb)
+    }
+}
+
+/// Jobs by position and by key.
+#[derive(Clone, Debug, Default)]
+pub struct Jobs {
+    slots: Vec<Option<JobState>>,
+    free: Vec<JobId>,
+    index: SortedMap<JobKey, JobId>,
+}
+
+impl Jobs {
+    pub fn insert(&mut self, job: JobState) -> JobId {
+        let key = job.rec.key();
+        let id = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            self.slots.len() - 1
+        });
+        self.slots[id] = Some(job);
+        self.index.insert(key, id);
+        id
+    }
+
+    pub fn remove(&mut self, key: &JobKey) {
+        if let Some(id) = self.index.remove(key) {
+            self.slots[id] = None;
+            self.free.push(id);
+        }
+    }
+
+    pub fn find(&self, key: &JobKey) -> Option<JobId> {
+        self.index.get(key).copied()
+    }
+
+    pub fn get(&self, id: JobId) -> &JobState {
+        self.slots[id].as_ref().expect("the job is in the table")
+    }
+
+    pub fn get_mut(&mut self, id: JobId) -> &mut JobState {
+        self.slots[id].as_mut().expect("the job is in the table")
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (JobId, &JobState)> {
+        self.slots
+            .iter()
+            .enumerate()
+            .filter_map(|(id, job)| Some((id, job.as_ref()?)))
+    }
+
+    /// Returns the jobs in `phase`.
+    pub fn in_phase(&self, phase: Phase) -> impl Iterator<Item = JobId> {
+        self.iter()
+            .filter(move |(_, job)| job.rec.phase == phase)
+            .map(|(id, _)| id)
+    }
+}
--- /dev/null
+++ b/crates/plan/src/plan_cfg.rs
@@ -0,0 +1,50 @@
+//! Settings of the plan.
+
+use base::clock::Millis;
+
+/// Settings of the plan that are not part of the operators' configuration.
+///
+/// ```
+/// let cfg = plan::plan_cfg::PlanCfg::default();
+/// assert_eq!(cfg.policy, plan::plan_cfg::Policy::Full);
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PlanCfg {
+    /// Way of choosing places.
+    pub policy: Policy,
+    /// Time until an order without an answer is sent again.
+    pub resend_after: Millis,
+    /// Time until a hold that not all members confirmed is given up.
+    pub hold_limit: Millis,
+    /// Time after a restore until a worker that was not reported counts as lost. It is longer
+    /// than the lease of a task, so its tasks have stopped by then.
+    pub absent_limit: Millis,
+    /// Time for which a worker that did not hold gets no new member; doubled on repetition.
+    pub hold_backoff: Millis,
+    /// Most records in one decision.
+    pub max_records: usize,
+}
+
+impl Default for PlanCfg {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Full,
+            resend_after: Millis(1_000),
+            hold_limit: Millis(4_000),
+            absent_limit: Millis(45_000),
+            hold_backoff: Millis(2_000),
+            max_records: 200,
+        }
+    }
+}
+
+/// Way of choosing places.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Policy {
+    /// First come, first fit: strict order of arrival, first place that fits. A baseline.
+    FirstFit,
+    /// Best fit without holding back capacity for starving gangs. A baseline.
+    BestFit,
+    /// Best fit with capacity held back and bounded backfill.
+    Full,
+}
--- a/crates/plan/src/record.rs
+++ b/crates/plan/src/record.rs
@@ -49,9 +49,53 @@
     pub failed_on: Vec<Name>,
     /// Why the job is in this phase, for people; empty if there is nothing to say.
     pub reason: String,
+    /// Memory with which each member of the current attempt is charged, in MiB; at least the
+    /// declared memory, and 0 before the first attempt.
+    #[serde(default)]
+    pub charged_memory_mb: u32,
+    /// Highest memory that a member reported, in MiB; 0 before the first report.
+    #[serde(default)]
+    pub peak_memory_mb: u32,
+    /// Time of the final phase, wall clock; zero before.
+    #[serde(default)]
+    pub ended_at: Millis,
+    /// Guaranteed gang whose capacity the current attempt uses; none if it runs on borrowed
+    /// capacity or not at all.
+    #[serde(default)]
+    pub claim: Option<Claim>,
+}
+
+/// One guaranteed gang of an organisation.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct Claim {
+    /// Position of the guarantee in the organisation's list.
+    pub guarantee: u16,
+    /// Number of the gang within the guarantee, from 0.
+    pub gang: u16,
 }
 
 impl JobRecord {
+    /// Returns the record of a job that was just submitted.
+    pub fn submitted(job: Job, now: Millis) -> Self {
+        Self {
+            job,
+            phase: Phase::Waiting,
+            attempt: 0,
+            members: Vec::new(),
+            borrowed: false,
+            cancelled: false,
+            submitted_at: now,
+            started_at: Millis::ZERO,
+            completed_ms: Millis::ZERO,
+            failed_on: Vec::new(),
+            reason: String::new(),
+            charged_memory_mb: 0,
+            peak_memory_mb: 0,
+            ended_at: Millis::ZERO,
+            claim: None,
+        }
+    }
+
     /// Returns the key of the job.
     pub fn key(&self) -> JobKey {
         JobKey {
--- /dev/null
+++ b/crates/plan/src/report.rs
@@ -0,0 +1,218 @@
+//! Reports of workers, and the passing of time.
+
+use base::name::Name;
+use schema::job::Phase;
+
+use crate::{
+    event::Report,
+    jobs::{JobId, Progress},
+    order::{Action, Attempt, Order},
+    record::Member,
+    state::{Plan, Step},
+    workers::Status,
+};
+
+impl Plan {
+    /// Handles a report about one member.
+    pub(crate) fn report(
+        &mut self,
+        step: &mut Step,
+        attempt: &Attempt,
+        worker: &Name,
+        report: Report,
+    ) {
+        let Some((id, members)) = self.members_on(attempt, worker) else {
+            return Self::refuse_unknown(step, attempt, worker, report);
+        };
+        match self.jobs.get(id).rec.phase {
+            Phase::Holding => self.report_holding(step, id, &members, worker, report),
+            Phase::Running => self.report_running(step, id, &members, worker, report),
+            Phase::Stopping => self.report_stopping(step, id, &members, report),
+            _ => {}
+        }
+    }
+
+    /// Returns the members of the attempt on the worker, if the attempt is the current one.
+    fn members_on(&self, attempt: &Attempt, worker: &Name) -> Option<(JobId, Vec<usize>)> {
+        let id = self.jobs.find(&attempt.job)?;
+        let rec = &self.jobs.get(id).rec;
+        let here = |i: &usize| rec.members[*i].worker == *worker;
+        let members: Vec<usize> = (0..rec.members.len()).filter(here).collect();
+        (rec.attempt == attempt.attempt && !members.is_empty()).then_some((id, members))
+    }
+
+    /// Tells a worker to give up an attempt that is not the current one.
+    fn refuse_unknown(step: &mut Step, attempt: &Attempt, worker: &Name, report: Report) {
+        let action = match report {
+            Report::Held => Action::Release,
+            Report::Running { .. } => Action::Stop { checkpoint: false },
+            _ => return,
+        };
+        step.orders.push(Order {
+            attempt: attempt.clone(),
+            member: Member {
+                worker: worker.clone(),
+                accelerators: 0,
+            },
+            action,
+        });
+    }
+
+    fn report_holding(
+        &mut self,
+        step: &mut Step,
+        id: JobId,
+        members: &[usize],
+        worker: &Name,
+        report: Report,
+    ) {
+        match report {
+            Report::Held => self.held(step, id, members, worker),
+            Report::NotHeld | Report::Failed => {
+                self.rest(step, worker);
+                self.abort(step, id, Phase::Waiting, "a worker did not hold");
+            }
+            _ => {}
+        }
+    }
+
+    fn held(&mut self, step: &mut Step, id: JobId, members: &[usize], worker: &Name) {
+        if let Some(w) = self.workers.find(worker) {
+            self.workers.list[w].missed_holds = 0;
+        }
+        self.mark(id, members, Progress::Held);
+        if self.jobs.get(id).all(Progress::Held) {
+            self.start(step, id);
+        }
+    }
+
+    fn report_running(
+        &mut self,
+        step: &mut Step,
+        id: JobId,
+        members: &[usize],
+        worker: &Name,
+        report: Report,
+    ) {
+        match report {
+            Report::Held => {}
+            Report::Running { memory_mb } => {
+                self.mark(id, members, Progress::Running);
+                self.measure(step, id, members, memory_mb);
+            }
+            Report::Done => {
+                self.mark(id, members, Progress::Done);
+                if self.jobs.get(id).all(Progress::Done) {
+                    self.done(step, id);
+                }
+            }
+            Report::Failed => {
+                self.mark(id, members, Progress::Stopped);
+                self.failed(step, id, worker);
+                self.stop(step, id, "a member failed");
+            }
+            Report::NotHeld | Report::Stopped { .. } => {
+                self.mark(id, members, Progress::Stopped);
+                self.stop(step, id, "a member stopped by itself");
+            }
+        }
+    }
+
+    fn report_stopping(&mut self, step: &mut Step, id: JobId, members: &[usize], report: Report) {
+        match report {
+            Report::Done => self.mark(id, members, Progress::Done),
+            Report::Stopped { checkpoint } => {
+                self.mark(id, members, Progress::Stopped);
+                self.jobs.get_mut(id).checkpointed &= checkpoint;
+            }
+            Report::Failed | Report::NotHeld => {
+                self.mark(id, members, Progress::Stopped);
+                self.jobs.get_mut(id).checkpointed = false;
+            }
+            Report::Held | Report::Running { .. } => return,
+        }
+        self.end_stop(step, id);
+    }
+
+    fn mark(&mut self, id: JobId, members: &[usize], progress: Progress) {
+        let job = self.jobs.get_mut(id);
+        for i in members {
+            if job.progress[*i] != Progress::Done {
+                job.progress[*i] = progress;
+            }
+        }
+    }
+
+    /// Keeps new members away from a worker that did not hold.
+    fn rest(&mut self, step: &Step, worker: &Name) {
+        let Some(id) = self.workers.find(worker) else {
+            return;
+        };
+        let worker = &mut self.workers.list[id];
+        worker.missed_holds = (worker.missed_holds + 1).min(6);
+        let factor = 1 << (worker.missed_holds - 1);
+        worker.rest_until = step.now + base::clock::Millis(self.cfg.hold_backoff.0 * factor);
+    }
+
+    /// Handles the passing of time.
+    pub(crate) fn tick(&mut self, step: &mut Step) {
+        self.lose_absent(step);
+        let open = |phase| matches!(phase, Phase::Holding | Phase::Running | Phase::Stopping);
+        let jobs: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| open(job.rec.phase))
+            .map(|(id, _)| id)
+            .collect();
+        for id in jobs {
+            self.tick_job(step, id);
+        }
+    }
+
+    fn tick_job(&mut self, step: &mut Step, id: JobId) {
+        if step.changed.len() >= self.cfg.max_records {
+            return;
+        }
+        let job = self.jobs.get(id);
+        if job.rec.phase == Phase::Holding && step.now.since(job.since) >= self.cfg.hold_limit {
+            return self.hold_missed(step, id);
+        }
+        let asked = job.progress.contains(&Progress::Asked);
+        if asked && step.now.since(job.sent_at) >= self.cfg.resend_after {
+            self.send_outstanding(step, id);
+        }
+    }
+
+    fn hold_missed(&mut self, step: &mut Step, id: JobId) {
+        let job = self.jobs.get(id);
+        let late = job.rec.members.iter().zip(&job.progress);
+        let late: Vec<Name> = late
+            .filter(|(_, p)| **p == Progress::Asked)
+            .map(|(member, _)| member.worker.clone())
+            .collect();
+        for worker in &late {
+            self.rest(step, worker);
+        }
+        self.abort(step, id, Phase::Waiting, "a worker did not answer a hold");
+    }
+
+    /// Gives up workers that were not reported since the restore.
+    fn lose_absent(&mut self, step: &mut Step) {
+        if step.now.since(self.restored_at) < self.cfg.absent_limit {
+            return;
+        }
+        let absent = |w: &&crate::workers::Worker| {
+            w.status == Status::Absent && !w.lost && !w.tasks.is_empty()
+        };
+        let names: Vec<Name> = self
+            .workers
+            .list
+            .iter()
+            .filter(absent)
+            .map(|w| w.info.name.clone())
+            .collect();
+        for name in names {
+            self.worker_lost(step, &name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/fleet/mod.rs
@@ -0,0 +1,171 @@
+//! Fake workers that only answer orders, and builders of jobs and workers.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use base::{clock::Millis, name::Name};
+use plan::{
+    event::{Event, Report, WorkerInfo},
+    order::{Action, Attempt, Order},
+    record::Member,
+};
+use schema::{
+    job::{Job, StopMode},
+    shape::{Adjacency, Shape},
+};
+
+pub fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+pub fn worker(i: usize, per_rack: usize) -> WorkerInfo {
+    WorkerInfo {
+        name: name(&format!("w{i}")),
+        rack: name(&format!("r{}", i / per_rack)),
+        data_centre: name("dc"),
+        accelerators: 8,
+        cores: 64,
+        memory_mb: 256 << 10,
+    }
+}
+
+pub fn shape(members: u16, accelerators: u16, adjacency: Adjacency) -> Shape {
+    Shape {
+        members,
+        accelerators,
+        cores: 2,
+        memory_mb: 1024,
+        adjacency,
+    }
+}
+
+pub fn job(organisation: &str, title: &str, shape: Shape) -> Job {
+    Job {
+        organisation: name(organisation),
+        team: name("team"),
+        name: name(title),
+        kind: name("kind"),
+        shape,
+        run_time_ms: Millis::from_secs(60),
+        urgent: false,
+        stop: StopMode::Checkpoint,
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Task {
+    Held,
+    Running,
+    Ended(Report),
+}
+
+/// The members that one worker knows. Orders about them are idempotent.
+#[derive(Clone, Debug, Default)]
+pub struct FakeWorker {
+    pub tasks: BTreeMap<Attempt, (Vec<Member>, Task)>,
+}
+
+impl FakeWorker {
+    pub fn busy(&self) -> u32 {
+        let live = self
+            .tasks
+            .values()
+            .filter(|(_, task)| !matches!(task, Task::Ended(_)));
+        live.flat_map(|(members, _)| members)
+            .fold(0, |bits, m| bits | m.accelerators)
+    }
+
+    /// Carries out an order and returns the answer.
+    pub fn order(&mut self, order: &Order) -> Option<Report> {
+        match order.action {
+            Action::Hold { .. } => Some(self.hold(order)),
+            Action::Go => Some(self.go(order)),
+            Action::Release => {
+                self.tasks.remove(&order.attempt);
+                None
+            }
+            Action::Stop { checkpoint } => Some(self.stop(order, checkpoint)),
+            Action::Throttle => None,
+        }
+    }
+
+    fn hold(&mut self, order: &Order) -> Report {
+        if let Some((members, task)) = self.tasks.get_mut(&order.attempt) {
+            if !members.contains(&order.member) {
+                members.push(order.member.clone());
+            }
+            return Self::answer(*task);
+        }
+        if self.busy() & order.member.accelerators != 0 {
+            return Report::NotHeld;
+        }
+        let entry = (vec![order.member.clone()], Task::Held);
+        self.tasks.insert(order.attempt.clone(), entry);
+        Report::Held
+    }
+
+    fn go(&mut self, order: &Order) -> Report {
+        let Some((_, task)) = self.tasks.get_mut(&order.attempt) else {
+            return Report::NotHeld;
+        };
+        if *task == Task::Held {
+            *task = Task::Running;
+        }
+        Self::answer(*task)
+    }
+
+    fn stop(&mut self, order: &Order, checkpoint: bool) -> Report {
+        let Some((_, task)) = self.tasks.get_mut(&order.attempt) else {
+            return Report::Stopped { checkpoint: false };
+        };
+        if !matches!(task, Task::Ended(_)) {
+            *task = Task::Ended(Report::Stopped { checkpoint });
+        }
+        Self::answer(*task)
+    }
+
+    fn answer(task: Task) -> Report {
+        match task {
+            Task::Held => Report::Held,
+            Task::Running => Report::Running { memory_mb: 1 },
+            Task::Ended(report) => report,
+        }
+    }
+}
+
+/// All fake workers by name.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    pub workers: BTreeMap<Name, FakeWorker>,
+}
+
+impl Fleet {
+    pub fn order(&mut self, order: &Order) -> Option<Event> {
+        let worker = self.workers.entry(order.member.worker.clone()).or_default();
+        let report = worker.order(order)?;
+        Some(Event::Member {
+            attempt: order.attempt.clone(),
+            worker: order.member.worker.clone(),
+            report,
+        })
+    }
+
+    /// Ends the task of the attempt on each worker where it runs, and returns the reports.
+    pub fn end(&mut self, attempt: &Attempt, report: Report) -> Vec<Event> {
+        let mut events = Vec::new();
+        for (worker, fake) in &mut self.workers {
+            let Some((_, task)) = fake.tasks.get_mut(attempt) else {
+                continue;
+            };
+            if *task == Task::Running {
+                *task = Task::Ended(report);
+                events.push(Event::Member {
+                    attempt: attempt.clone(),
+                    worker: worker.clone(),
+                    report,
+                });
+            }
+        }
+        events
+    }
+}
