--- a/crates/plan/src/gang.rs
+++ b/crates/plan/src/gang.rs
@@ -16,6 +16,7 @@
     pub(crate) fn hold(&mut self, step: &mut Step, id: JobId, members: Vec<Member>) {
         let job = self.jobs.get_mut(id);
         job.progress = vec![Progress::Asked; members.len()];
+        job.heard_at = vec![step.now; members.len()];
         job.rec.members = members;
         job.rec.attempt += 1;
         job.rec.reason.clear();
@@ -31,6 +32,7 @@
     pub(crate) fn start(&mut self, step: &mut Step, id: JobId) {
         let job = self.jobs.get_mut(id);
         job.progress.fill(Progress::Asked);
+        job.heard_at.fill(step.now);
         job.rec.started_at = step.now;
         self.enter(step, id, Phase::Running);
         self.send_outstanding(step, id);
@@ -128,6 +130,7 @@
         let job = self.jobs.get_mut(id);
         let members = std::mem::take(&mut job.rec.members);
         job.progress.clear();
+        job.heard_at.clear();
         let need = need(job);
         self.workers.give_back(id, &members, need);
         let job = self.jobs.get_mut(id);
--- a/crates/plan/src/jobs.rs
+++ b/crates/plan/src/jobs.rs
@@ -33,6 +33,8 @@
     pub rec: JobRecord,
     /// One entry for each member of the record.
     pub progress: Vec<Progress>,
+    /// Time of the last report about each member.
+    pub heard_at: Vec<Millis>,
     /// Start of the current phase, as far as this process knows.
     pub since: Millis,
     /// Time of the last order.
@@ -47,6 +49,7 @@
     pub fn new(rec: JobRecord, now: Millis) -> Self {
         Self {
             progress: vec![Progress::Asked; rec.members.len()],
+            heard_at: vec![now; rec.members.len()],
             rec,
             since: now,
             sent_at: now,
--- a/crates/plan/src/plan_cfg.rs
+++ b/crates/plan/src/plan_cfg.rs
@@ -14,6 +14,9 @@
     pub policy: Policy,
     /// Time until an order without an answer is sent again.
     pub resend_after: Millis,
+    /// Time after which a running member without a report is asked again; its worker repeats its
+    /// last report, so a lost one does not keep the gang's accelerators for ever.
+    pub poll_after: Millis,
     /// Time until a hold that not all members confirmed is given up.
     pub hold_limit: Millis,
     /// Time after a restore until a worker that was not reported counts as lost. It is longer
@@ -30,6 +33,7 @@
         Self {
             policy: Policy::Full,
             resend_after: Millis(1_000),
+            poll_after: Millis(30_000),
             hold_limit: Millis(4_000),
             absent_limit: Millis(45_000),
             hold_backoff: Millis(2_000),
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -24,6 +24,9 @@
         let Some((id, members)) = self.members_on(attempt, worker) else {
             return Self::refuse_unknown(step, attempt, worker, report);
         };
+        for i in &members {
+            self.jobs.get_mut(id).heard_at[*i] = step.now;
+        }
         match self.jobs.get(id).rec.phase {
             Phase::Holding => self.report_holding(step, id, &members, worker, report),
             Phase::Running => self.report_running(step, id, &members, worker, report),
@@ -177,12 +180,28 @@
         if job.rec.phase == Phase::Holding && step.now.since(job.since) >= self.cfg.hold_limit {
             return self.hold_missed(step, id);
         }
+        if job.rec.phase == Phase::Running {
+            self.poll_silent(step, id);
+        }
+        let job = self.jobs.get(id);
         let asked = job.progress.contains(&Progress::Asked);
         if asked && step.now.since(job.sent_at) >= self.cfg.resend_after {
             self.send_outstanding(step, id);
         }
     }
 
+    /// Asks the running members again that did not report for a while.
+    fn poll_silent(&mut self, step: &Step, id: JobId) {
+        let job = self.jobs.get_mut(id);
+        for (progress, heard_at) in job.progress.iter_mut().zip(&mut job.heard_at) {
+            let silent = step.now.since(*heard_at) >= self.cfg.poll_after;
+            if silent && *progress == Progress::Running {
+                *progress = Progress::Asked;
+                *heard_at = step.now;
+            }
+        }
+    }
+
     fn hold_missed(&mut self, step: &mut Step, id: JobId) {
         let job = self.jobs.get(id);
         let late = job.rec.members.iter().zip(&job.progress);
--- a/crates/plan/tests/fleet/mod.rs
+++ b/crates/plan/tests/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! Fake workers that only answer orders, and builders of jobs and workers.
 #![allow(dead_code)]
 
+pub mod world;
+
 use std::collections::BTreeMap;
 
 use base::{clock::Millis, name::Name};
@@ -54,7 +56,8 @@
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Task {
-    Held,
+    /// Held until this time.
+    Held(Millis),
     Running,
     Ended(Report),
 }
@@ -76,9 +79,9 @@
     }
 
     /// Carries out an order and returns the answer.
-    pub fn order(&mut self, order: &Order) -> Option<Report> {
+    pub fn order(&mut self, now: Millis, order: &Order) -> Option<Report> {
         match order.action {
-            Action::Hold { .. } => Some(self.hold(order)),
+            Action::Hold { .. } => Some(self.hold(now, order)),
             Action::Go => Some(self.go(order)),
             Action::Release => {
                 self.tasks.remove(&order.attempt);
@@ -89,7 +92,7 @@
         }
     }
 
-    fn hold(&mut self, order: &Order) -> Report {
+    fn hold(&mut self, now: Millis, order: &Order) -> Report {
         if let Some((members, task)) = self.tasks.get_mut(&order.attempt) {
             if !members.contains(&order.member) {
                 members.push(order.member.clone());
@@ -99,7 +102,8 @@
         if self.busy() & order.member.accelerators != 0 {
             return Report::NotHeld;
         }
-        let entry = (vec![order.member.clone()], Task::Held);
+        let until = now + Millis::from_secs(20);
+        let entry = (vec![order.member.clone()], Task::Held(until));
         self.tasks.insert(order.attempt.clone(), entry);
         Report::Held
     }
@@ -108,7 +112,7 @@
         let Some((_, task)) = self.tasks.get_mut(&order.attempt) else {
             return Report::NotHeld;
         };
-        if *task == Task::Held {
+        if matches!(task, Task::Held(_)) {
             *task = Task::Running;
         }
         Self::answer(*task)
@@ -126,7 +130,7 @@
 
     fn answer(task: Task) -> Report {
         match task {
-            Task::Held => Report::Held,
+            Task::Held(_) => Report::Held,
             Task::Running => Report::Running { memory_mb: 1 },
             Task::Ended(report) => report,
         }
@@ -140,9 +144,9 @@
 }
 
 impl Fleet {
-    pub fn order(&mut self, order: &Order) -> Option<Event> {
+    pub fn order(&mut self, now: Millis, order: &Order) -> Option<Event> {
         let worker = self.workers.entry(order.member.worker.clone()).or_default();
-        let report = worker.order(order)?;
+        let report = worker.order(now, order)?;
         Some(Event::Member {
             attempt: order.attempt.clone(),
             worker: order.member.worker.clone(),
@@ -150,6 +154,14 @@
         })
     }
 
+    /// Drops the holds that expired.
+    pub fn expire(&mut self, now: Millis) {
+        for worker in self.workers.values_mut() {
+            let keep = |task: &Task| !matches!(task, Task::Held(until) if *until <= now);
+            worker.tasks.retain(|_, (_, task)| keep(task));
+        }
+    }
+
     /// Ends the task of the attempt on each worker where it runs, and returns the reports.
     pub fn end(&mut self, attempt: &Attempt, report: Report) -> Vec<Event> {
         let mut events = Vec::new();
--- /dev/null
+++ b/crates/plan/tests/fleet/world.rs
@@ -0,0 +1,370 @@
+//! A plan with its durable records, fake workers and messages in flight.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use base::{clock::Millis, name::Name};
+use plan::{
+    event::{Decision, Event, Report, WorkerInfo},
+    order::{Action, Attempt, Order},
+    plan_cfg::PlanCfg,
+    record::{JobKey, JobRecord},
+    state::Plan,
+};
+use quickcheck::{Arbitrary, Gen};
+use schema::{config::Config, job::Job, job::Phase};
+
+use super::{Fleet, Task};
+
+/// One step of a random history.
+#[derive(Clone, Debug)]
+pub enum Op {
+    Submit(u8),
+    Cancel(u8),
+    Lose(u8),
+    Up(u8),
+    Leave(u8),
+    End(u8, bool),
+    Configure(u8),
+    Deliver(u8),
+    DropOrder,
+    DropReport,
+    Wait(u16),
+    /// The next decision is lost before its commit.
+    CrashBeforeCommit,
+    /// The next decision is committed, its orders are lost.
+    CrashAfterCommit,
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let n = u8::arbitrary(g);
+        match u8::arbitrary(g) % 32 {
+            0..=7 => Self::Submit(n),
+            8 | 9 => Self::Cancel(n),
+            10 => Self::Lose(n),
+            11 | 12 => Self::Up(n),
+            13 => Self::Leave(n),
+            14..=16 => Self::End(n, bool::arbitrary(g)),
+            17 => Self::Configure(n),
+            18..=24 => Self::Deliver(n),
+            25 => Self::DropOrder,
+            26 => Self::DropReport,
+            27..=29 => Self::Wait(u16::arbitrary(g) % 6_000),
+            30 => Self::CrashBeforeCommit,
+            _ => Self::CrashAfterCommit,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Crash {
+    BeforeCommit,
+    AfterCommit,
+}
+
+/// What the random history works on.
+pub struct Setting {
+    pub jobs: fn(u8, usize) -> Job,
+    pub configs: Vec<Config>,
+    pub workers: Vec<WorkerInfo>,
+}
+
+/// A plan with everything around it.
+pub struct World {
+    pub setting: Setting,
+    pub plan: Plan,
+    pub config: Config,
+    pub db: BTreeMap<JobKey, JobRecord>,
+    pub fleet: Fleet,
+    pub up: BTreeMap<Name, WorkerInfo>,
+    pub now: Millis,
+    pub error: Option<String>,
+    submitted: Vec<JobKey>,
+    orders: VecDeque<Order>,
+    reports: VecDeque<Event>,
+    crash: Option<Crash>,
+}
+
+impl World {
+    pub fn new(setting: Setting) -> Self {
+        let mut world = Self {
+            config: setting.configs[0].clone(),
+            plan: Plan::new(PlanCfg::default()),
+            setting,
+            db: BTreeMap::new(),
+            fleet: Fleet::default(),
+            up: BTreeMap::new(),
+            now: Millis(1_000),
+            error: None,
+            submitted: Vec::new(),
+            orders: VecDeque::new(),
+            reports: VecDeque::new(),
+            crash: None,
+        };
+        let config = world.config.clone();
+        world.handle(Event::Configured { config });
+        for i in 0..world.setting.workers.len() {
+            world.worker_up(i);
+        }
+        world
+    }
+
+    pub fn fail(&mut self, text: String) {
+        self.error.get_or_insert(text);
+    }
+
+    pub fn step(&mut self, op: &Op) {
+        self.now += Millis(10);
+        match *op {
+            Op::Submit(n) => self.submit(n),
+            Op::Cancel(n) => self.cancel(n),
+            Op::Lose(n) => self.lose(n),
+            Op::Up(n) => self.worker_up(usize::from(n) % self.setting.workers.len()),
+            Op::Leave(n) => self.leave(n),
+            Op::End(n, done) => self.end(n, done),
+            Op::Configure(n) => self.configure(n),
+            Op::Deliver(n) => self.deliver(usize::from(n) + 1),
+            Op::DropOrder => drop(self.orders.pop_front()),
+            Op::DropReport => drop(self.reports.pop_front()),
+            Op::Wait(ms) => self.wait(Millis(ms.into())),
+            Op::CrashBeforeCommit => self.crash = Some(Crash::BeforeCommit),
+            Op::CrashAfterCommit => self.crash = Some(Crash::AfterCommit),
+        }
+    }
+
+    /// Delivers everything and lets time pass, without further faults.
+    pub fn settle(&mut self) {
+        self.crash = None;
+        for _ in 0..90 {
+            self.deliver(usize::MAX);
+            self.wait(Millis(1_000));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let lost = match &event {
+            Event::WorkerLost { worker } => Some(worker.clone()),
+            _ => None,
+        };
+        let decision = self.plan.handle(self.now, event);
+        match self.crash.take() {
+            Some(Crash::BeforeCommit) => self.restore(),
+            Some(Crash::AfterCommit) => {
+                self.commit(lost.as_ref(), &decision);
+                self.restore();
+            }
+            None => {
+                self.commit(lost.as_ref(), &decision);
+                self.orders.extend(decision.orders);
+            }
+        }
+    }
+
+    fn restore(&mut self) {
+        let records = self.db.values().cloned().collect();
+        self.plan = Plan::restore(PlanCfg::default(), self.config.clone(), records, self.now);
+        let workers: Vec<WorkerInfo> = self.up.values().cloned().collect();
+        for worker in workers {
+            self.handle(Event::WorkerUp { worker });
+        }
+    }
+
+    fn commit(&mut self, lost: Option<&Name>, decision: &Decision) {
+        for rec in &decision.records {
+            let old = self.db.insert(rec.key(), rec.clone());
+            if old.is_some_and(|old| old.phase.is_final()) {
+                self.fail(format!("a final record changes: {rec:?}"));
+            }
+        }
+        self.check_orders(decision);
+        self.check_usage();
+        if let Some(worker) = lost {
+            self.check_lost(worker);
+        }
+    }
+
+    /// An order must follow from the durable record of its attempt.
+    fn check_orders(&mut self, decision: &Decision) {
+        let allowed = |order: &Order| {
+            let rec = &self.db.get(&order.attempt.job)?;
+            let current = rec.attempt == order.attempt.attempt;
+            let phase = match order.action {
+                Action::Hold { .. } => Phase::Holding,
+                Action::Go | Action::Throttle => Phase::Running,
+                Action::Stop { .. } | Action::Release => return Some(()),
+            };
+            (current && rec.phase == phase && rec.members.contains(&order.member)).then_some(())
+        };
+        let wrong = decision.orders.iter().find(|o| {
+            let end = matches!(o.action, Action::Stop { .. } | Action::Release);
+            !end && allowed(o).is_none()
+        });
+        if let Some(order) = wrong {
+            let text = format!("an order without a record: {order:?}");
+            self.fail(text);
+        }
+    }
+
+    /// No accelerator, core or memory may be used twice.
+    fn check_usage(&mut self) {
+        let mut used: BTreeMap<Name, (u32, u32, u32)> = BTreeMap::new();
+        let mut twice = None;
+        for rec in self.db.values() {
+            let memory = rec.charged_memory_mb.max(rec.job.shape.memory_mb);
+            for member in &rec.members {
+                let sum = used.entry(member.worker.clone()).or_default();
+                if sum.0 & member.accelerators != 0 {
+                    twice = Some(rec.key());
+                }
+                sum.0 |= member.accelerators;
+                sum.1 += u32::from(rec.job.shape.cores);
+                sum.2 += memory;
+            }
+        }
+        let over = self.setting.workers.iter().find(|w| {
+            let sum = used.get(&w.name).copied().unwrap_or_default();
+            sum.1 > w.cores.into() || sum.2 > w.memory_mb
+        });
+        if twice.is_some() || over.is_some() {
+            self.fail(format!("used twice: {twice:?} {over:?}"));
+        }
+    }
+
+    /// The loss of a worker must stop its gangs in the same decision.
+    fn check_lost(&mut self, worker: &Name) {
+        let on = |rec: &&JobRecord| rec.members.iter().any(|m| m.worker == *worker);
+        let active = |rec: &&JobRecord| matches!(rec.phase, Phase::Holding | Phase::Running);
+        if let Some(rec) = self.db.values().filter(on).find(active) {
+            let text = format!("a gang goes on without a lost member: {rec:?}");
+            self.fail(text);
+        }
+    }
+
+    /// Running gangs must run whole, and nothing else may run, once all messages arrived.
+    pub fn check_settled(&mut self) {
+        let mut wrong = None;
+        for rec in self.db.values() {
+            let attempt = Attempt {
+                job: rec.key(),
+                attempt: rec.attempt,
+            };
+            let runs = |m: &&plan::record::Member| {
+                let tasks = self.fleet.workers.get(&m.worker).map(|w| &w.tasks);
+                let task = tasks.and_then(|t| t.get(&attempt));
+                task.is_some_and(|(_, task)| {
+                    matches!(task, Task::Running | Task::Ended(Report::Done))
+                })
+            };
+            let running = rec.members.iter().filter(runs).count();
+            let ok = match rec.phase {
+                Phase::Running => running == rec.members.len(),
+                Phase::Holding | Phase::Stopping => false,
+                _ => true,
+            };
+            if !ok {
+                wrong = Some(format!("{rec:?} with {running} members running"));
+            }
+        }
+        for (name, worker) in &self.fleet.workers {
+            for (attempt, (_, task)) in &worker.tasks {
+                let rec = self.db.get(&attempt.job);
+                let wanted =
+                    rec.is_some_and(|r| r.attempt == attempt.attempt && r.phase == Phase::Running);
+                if !matches!(task, Task::Ended(_)) && !wanted {
+                    wrong = Some(format!("{name} has {task:?} of {attempt}"));
+                }
+            }
+        }
+        if let Some(text) = wrong {
+            self.fail(format!("not settled: {text}"));
+        }
+    }
+
+    fn submit(&mut self, n: u8) {
+        let job = (self.setting.jobs)(n, self.submitted.len());
+        self.submitted.push(JobKey {
+            organisation: job.organisation.clone(),
+            name: job.name.clone(),
+        });
+        self.handle(Event::Submitted { job });
+    }
+
+    fn cancel(&mut self, n: u8) {
+        if !self.submitted.is_empty() {
+            let job = self.submitted[usize::from(n) % self.submitted.len()].clone();
+            self.handle(Event::CancelAsked { job });
+        }
+    }
+
+    fn lose(&mut self, n: u8) {
+        let name = self.setting.workers[usize::from(n) % self.setting.workers.len()]
+            .name
+            .clone();
+        if self.up.remove(&name).is_none() {
+            return;
+        }
+        self.fleet.workers.remove(&name);
+        self.orders.retain(|o| o.member.worker != name);
+        self.reports
+            .retain(|e| !matches!(e, Event::Member { worker, .. } if *worker == name));
+        self.handle(Event::WorkerLost { worker: name });
+    }
+
+    fn worker_up(&mut self, i: usize) {
+        let worker = self.setting.workers[i].clone();
+        self.up.insert(worker.name.clone(), worker.clone());
+        self.handle(Event::WorkerUp { worker });
+    }
+
+    fn leave(&mut self, n: u8) {
+        let worker = self.setting.workers[usize::from(n) % self.setting.workers.len()]
+            .name
+            .clone();
+        self.handle(Event::WorkerLeaving { worker });
+    }
+
+    fn configure(&mut self, n: u8) {
+        let n = usize::from(n) % self.setting.configs.len();
+        self.config = self.setting.configs[n].clone();
+        let config = self.config.clone();
+        self.handle(Event::Configured { config });
+    }
+
+    fn end(&mut self, n: u8, done: bool) {
+        let running: Vec<Attempt> = self
+            .db
+            .values()
+            .filter(|r| r.phase == Phase::Running)
+            .map(|r| Attempt {
+                job: r.key(),
+                attempt: r.attempt,
+            })
+            .collect();
+        if running.is_empty() {
+            return;
+        }
+        let attempt = &running[usize::from(n) % running.len()];
+        let report = if done { Report::Done } else { Report::Failed };
+        self.reports.extend(self.fleet.end(attempt, report));
+    }
+
+    fn deliver(&mut self, count: usize) {
+        for _ in 0..count {
+            if let Some(order) = self.orders.pop_front() {
+                if self.up.contains_key(&order.member.worker) {
+                    self.reports.extend(self.fleet.order(self.now, &order));
+                }
+            } else if let Some(event) = self.reports.pop_front() {
+                self.handle(event);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn wait(&mut self, time: Millis) {
+        self.now += time;
+        self.fleet.expire(self.now);
+        self.handle(Event::Tick);
+    }
+}
--- a/crates/plan/tests/gang.rs
+++ b/crates/plan/tests/gang.rs
@@ -42,7 +42,7 @@
     let mut actions = Vec::new();
     let mut orders = decision.orders;
     while !orders.is_empty() {
-        let events: Vec<Event> = orders.iter().filter_map(|o| fleet.order(o)).collect();
+        let events: Vec<Event> = orders.iter().filter_map(|o| fleet.order(now, o)).collect();
         actions.extend(orders.iter().map(|o| o.action));
         orders = events
             .into_iter()
