--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,159 @@
+//! Metrics of an entry, listed in docs/metrics.md.
+
+use base::clock::Millis;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS: [f64; 14] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// Values that are read when the metrics are collected.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Levels {
+    /// Requests under way.
+    pub in_flight: u64,
+    /// Requests that wait for a slot.
+    pub queued: u64,
+    /// Connections of callers and operators.
+    pub connections: u64,
+    /// Requests under way at backend servers.
+    pub backend_busy: u64,
+    /// Idle connections to backend servers.
+    pub backend_idle: u64,
+    /// Revision of the configuration in force.
+    pub config_revision: u64,
+    /// Age of the last confirmation of the configuration.
+    pub config_age: Millis,
+    /// Age of the VM list.
+    pub vm_list_age: Millis,
+    /// Bytes of request bodies held.
+    pub body_bytes: u64,
+    /// 1 if the entry is ready, else 0.
+    pub ready: u64,
+}
+
+/// Instruments of an entry.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    // Dropping the provider would end the collection.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    seconds: Histogram<f64>,
+    backend_seconds: Histogram<f64>,
+    backend_answers: Counter<u64>,
+    retries: Counter<u64>,
+    claims: Counter<u64>,
+    alarms: Counter<u64>,
+    in_flight: Gauge<u64>,
+    queued: Gauge<u64>,
+    connections: Gauge<u64>,
+    backend_busy: Gauge<u64>,
+    backend_idle: Gauge<u64>,
+    config_revision: Gauge<u64>,
+    config_age: Gauge<u64>,
+    vm_list_age: Gauge<u64>,
+    body_bytes: Gauge<u64>,
+    ready: Gauge<u64>,
+}
+
+fn histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    let builder = meter.f64_histogram(name);
+    builder.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("entry");
+        let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        Self {
+            requests: counter("entry_requests"),
+            seconds: histogram(&meter, "entry_request_seconds"),
+            backend_seconds: histogram(&meter, "entry_backend_seconds"),
+            backend_answers: counter("entry_backend_answers"),
+            retries: counter("entry_retries"),
+            claims: counter("entry_claims"),
+            alarms: counter("entry_alarms"),
+            in_flight: gauge("entry_in_flight"),
+            queued: gauge("entry_queued"),
+            connections: gauge("entry_connections"),
+            backend_busy: gauge("entry_backend_busy"),
+            backend_idle: gauge("entry_backend_idle"),
+            config_revision: gauge("entry_config_revision"),
+            config_age: gauge("entry_config_age_ms"),
+            vm_list_age: gauge("entry_vm_list_age_ms"),
+            body_bytes: gauge("entry_body_bytes"),
+            ready: gauge("entry_ready"),
+            registry,
+            _provider: provider,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts one request on the request path with its result, `answered` or a refusal code.
+    pub fn request(&self, result: &str, took: Millis) {
+        let result = [KeyValue::new("result", result.to_owned())];
+        self.requests.add(1, &result);
+        self.seconds.record(seconds(took), &[]);
+    }
+
+    /// Counts one attempt at a backend server, with `whole`, `not_run` or the fault.
+    pub fn backend(&self, result: &'static str, took: Millis) {
+        let result = [KeyValue::new("result", result)];
+        self.backend_answers.add(1, &result);
+        self.backend_seconds.record(seconds(took), &[]);
+    }
+
+    /// Counts one retry.
+    pub fn retry(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// Counts one claim of an idempotency key with its result.
+    pub fn claim(&self, result: &'static str) {
+        self.claims.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts one alarm about `part`.
+    pub fn alarm(&self, part: &'static str) {
+        self.alarms.add(1, &[KeyValue::new("part", part)]);
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn text(&self, levels: Levels) -> Vec<u8> {
+        self.in_flight.record(levels.in_flight, &[]);
+        self.queued.record(levels.queued, &[]);
+        self.connections.record(levels.connections, &[]);
+        self.backend_busy.record(levels.backend_busy, &[]);
+        self.backend_idle.record(levels.backend_idle, &[]);
+        self.config_revision.record(levels.config_revision, &[]);
+        self.config_age.record(levels.config_age.0, &[]);
+        self.vm_list_age.record(levels.vm_list_age.0, &[]);
+        self.body_bytes.record(levels.body_bytes, &[]);
+        self.ready.record(levels.ready, &[]);
+        let mut text = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("entry: metrics can't be encoded: {e}");
+        }
+        text
+    }
+}
+
+fn seconds(span: Millis) -> f64 {
+    span.to_duration().as_secs_f64()
+}
