--- /dev/null
+++ b/crates/sched/src/cfg.rs
@@ -0,0 +1,329 @@
+//! Settings of the scheduler process, with all defaults.
+
+use std::net;
+
+use base::{clock::Millis, name::Name};
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Settings of the scheduler process.
+///
+/// ```
+/// let cfg = sched::cfg::read("{ shard: 'north' /* one data centre */ }").unwrap();
+/// assert_eq!(cfg.shard.as_str(), "north");
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Settings {
+    /// Address of the platform: table service, object store and VM list.
+    pub platform: net::SocketAddr,
+    /// Address at which other processes of buckthorncove are served.
+    pub wire: net::SocketAddr,
+    /// Address of `/ready`, `/dump` and `/metrics`.
+    pub http: net::SocketAddr,
+    /// Data centre of this process.
+    pub data_centre: Name,
+    /// Shard whose lease the process competes for.
+    pub shard: Name,
+    /// Settings of the lease.
+    pub lease: LeaseCfg,
+    /// Settings of commits of decisions.
+    pub commit: CommitCfg,
+    /// Settings of the contact to workers.
+    pub workers: WorkersCfg,
+    /// Settings of configuration changes.
+    pub config: ConfigCfg,
+    /// Settings of membership rows.
+    pub members: MembersCfg,
+}
+
+/// Settings of the lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct LeaseCfg {
+    /// Time between two renewals by the holder.
+    pub renew_ms: Millis,
+    /// Time after the start of the last successful renewal during which the holder acts.
+    pub hold_ms: Millis,
+    /// Time without a renewal after which a candidate takes over.
+    pub take_ms: Millis,
+    /// Time between two looks of a candidate.
+    pub look_ms: Millis,
+}
+
+/// Settings of commits of decisions.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct CommitCfg {
+    /// Most records in one transaction.
+    pub batch: usize,
+    /// Most records that wait for a commit; further submissions are refused.
+    pub backlog: usize,
+    /// Most records written in one second.
+    pub writes_per_s: u32,
+    /// Most records written in one second after an outage, until the backlog is written.
+    pub recovery_writes_per_s: u32,
+    /// Time after which a transaction that is not settled counts as an outage.
+    pub stuck_ms: Millis,
+    /// Pause before a failed transaction is sent again.
+    pub retry_ms: Millis,
+}
+
+/// Settings of the contact to workers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct WorkersCfg {
+    /// Time between two readings of the VM list.
+    pub list_ms: Millis,
+    /// Longest time between two renewals of task leases.
+    pub renew_ms: Millis,
+    /// Lease of a task.
+    pub task_lease_ms: Millis,
+    /// Pause before a failed call is repeated.
+    pub retry_ms: Millis,
+    /// Longest time of one call.
+    pub timeout_ms: Millis,
+    /// Silence after which a worker gets no new work and its gangs are moved.
+    pub suspect_ms: Millis,
+}
+
+/// Settings of configuration changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ConfigCfg {
+    /// Time for which a node serves after its last confirmation.
+    pub serving_lease_ms: Millis,
+    /// Pause between two pushes to a member that has not acknowledged.
+    pub push_ms: Millis,
+    /// Longest wait for acknowledgements before the answer is "unknown".
+    pub accept_ms: Millis,
+}
+
+/// Settings of membership rows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct MembersCfg {
+    /// Time between two renewals of the own row.
+    pub renew_ms: Millis,
+    /// Time without a renewal after which the leader removes a row.
+    pub remove_ms: Millis,
+    /// Time between two readings of all rows.
+    pub list_ms: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let local = net::IpAddr::V4(net::Ipv4Addr::LOCALHOST);
+        Self {
+            platform: (local, 7_100).into(),
+            wire: (local, 0).into(),
+            http: (local, 0).into(),
+            data_centre: "local".parse().expect("a constant name"),
+            shard: "main".parse().expect("a constant name"),
+            lease: LeaseCfg::default(),
+            commit: CommitCfg::default(),
+            workers: WorkersCfg::default(),
+            config: ConfigCfg::default(),
+            members: MembersCfg::default(),
+        }
+    }
+}
+
+impl Default for LeaseCfg {
+    fn default() -> Self {
+        Self {
+            renew_ms: Millis(1_000),
+            hold_ms: Millis(4_000),
+            take_ms: Millis(6_000),
+            look_ms: Millis(500),
+        }
+    }
+}
+
+impl Default for CommitCfg {
+    fn default() -> Self {
+        Self {
+            batch: 100,
+            backlog: 20_000,
+            writes_per_s: 600,
+            recovery_writes_per_s: 200,
+            stuck_ms: Millis(1_000),
+            retry_ms: Millis(100),
+        }
+    }
+}
+
+impl Default for WorkersCfg {
+    fn default() -> Self {
+        Self {
+            list_ms: Millis(500),
+            renew_ms: Millis(1_000),
+            task_lease_ms: Millis(30_000),
+            retry_ms: Millis(250),
+            timeout_ms: Millis(1_000),
+            suspect_ms: Millis(3_000),
+        }
+    }
+}
+
+impl Default for ConfigCfg {
+    fn default() -> Self {
+        Self {
+            serving_lease_ms: Millis(2_000),
+            push_ms: Millis(100),
+            accept_ms: Millis(10_000),
+        }
+    }
+}
+
+impl Default for MembersCfg {
+    fn default() -> Self {
+        Self {
+            renew_ms: Millis(2_000),
+            remove_ms: Millis(10_000),
+            list_ms: Millis(1_000),
+        }
+    }
+}
+
+/// Why settings are refused.
+#[derive(Clone, Debug, Display, Eq, PartialEq, Error)]
+pub enum CfgError {
+    /// The text is no JSON with comments.
+    #[display("settings: not JSON with comments: {reason}")]
+    Syntax {
+        /// Where and why.
+        reason: String,
+    },
+    /// One value is not acceptable.
+    #[display("settings: {path}: found {value}, expected {expected}")]
+    Value {
+        /// Path of the value, such as `lease.hold_ms`.
+        path: String,
+        /// The value as JSON.
+        value: String,
+        /// What is accepted.
+        expected: String,
+    },
+}
+
+/// Reads settings from JSON with comments; values that are left out have their defaults.
+///
+/// # Errors
+///
+/// Returns the path, the value and what was expected for the first value that is not acceptable.
+///
+/// ```
+/// let e = sched::cfg::read("{ lease: { hold_ms: 9000 } }").unwrap_err();
+/// assert!(e.to_string().contains("lease.hold_ms: found 9000, expected less than"));
+/// ```
+pub fn read(text: &str) -> Result<Settings, CfgError> {
+    let given: Value = json5::from_str(text).map_err(|e| CfgError::Syntax {
+        reason: e.to_string(),
+    })?;
+    let mut all = serde_json::to_value(Settings::default()).expect("defaults are JSON");
+    merge(&mut all, &given, "")?;
+    let cfg = parse(&all).map_err(|expected| wrong("", &given, expected))?;
+    check(&cfg)?;
+    Ok(cfg)
+}
+
+/// Sets every leaf of `given` in `all` and checks that the result is still of the right type.
+fn merge(all: &mut Value, given: &Value, path: &str) -> Result<(), CfgError> {
+    let Value::Object(fields) = given else {
+        return Err(wrong(path, given, "an object".into()));
+    };
+    for (name, value) in fields {
+        let path = if path.is_empty() {
+            name.clone()
+        } else {
+            format!("{path}.{name}")
+        };
+        let Some(slot) = all.get_mut(name) else {
+            return Err(wrong(&path, value, "no such setting".into()));
+        };
+        if slot.is_object() {
+            merge(slot, value, &path)?;
+            continue;
+        }
+        leaf(&path, value)?;
+        *slot = value.clone();
+    }
+    Ok(())
+}
+
+/// Checks one value by putting it into the defaults.
+fn leaf(path: &str, value: &Value) -> Result<(), CfgError> {
+    let mut probe = serde_json::to_value(Settings::default()).expect("defaults are JSON");
+    let pointer = format!("/{}", path.replace('.', "/"));
+    if let Some(slot) = probe.pointer_mut(&pointer) {
+        *slot = value.clone();
+    }
+    parse(&probe).map_err(|expected| wrong(path, value, expected))?;
+    Ok(())
+}
+
+fn parse(value: &Value) -> Result<Settings, String> {
+    serde_json::from_value(value.clone()).map_err(|e| e.to_string())
+}
+
+fn wrong(path: &str, value: &Value, expected: String) -> CfgError {
+    CfgError::Value {
+        path: path.into(),
+        value: value.to_string(),
+        expected,
+    }
+}
+
+fn check(cfg: &Settings) -> Result<(), CfgError> {
+    let (lease, commit) = (&cfg.lease, &cfg.commit);
+    less(
+        "lease.renew_ms",
+        lease.renew_ms,
+        "lease.hold_ms",
+        lease.hold_ms,
+    )?;
+    less(
+        "lease.hold_ms",
+        lease.hold_ms,
+        "lease.take_ms",
+        lease.take_ms,
+    )?;
+    less(
+        "lease.look_ms",
+        lease.look_ms,
+        "lease.take_ms",
+        lease.take_ms,
+    )?;
+    let workers = &cfg.workers;
+    less(
+        "workers.renew_ms",
+        workers.renew_ms,
+        "workers.task_lease_ms",
+        workers.task_lease_ms,
+    )?;
+    for (path, value) in [
+        ("commit.batch", commit.batch as u64),
+        ("commit.backlog", commit.backlog as u64),
+        ("commit.writes_per_s", u64::from(commit.writes_per_s)),
+        (
+            "commit.recovery_writes_per_s",
+            u64::from(commit.recovery_writes_per_s),
+        ),
+        ("lease.renew_ms", lease.renew_ms.0),
+        ("lease.look_ms", lease.look_ms.0),
+        ("workers.list_ms", workers.list_ms.0),
+        ("workers.renew_ms", workers.renew_ms.0),
+        ("members.renew_ms", cfg.members.renew_ms.0),
+        ("members.list_ms", cfg.members.list_ms.0),
+        ("config.push_ms", cfg.config.push_ms.0),
+    ] {
+        if value == 0 {
+            return Err(wrong(path, &value.into(), "at least 1".into()));
+        }
+    }
+    Ok(())
+}
+
+fn less(path: &str, value: Millis, than: &str, limit: Millis) -> Result<(), CfgError> {
+    if value < limit {
+        return Ok(());
+    }
+    let expected = format!("less than {than} ({})", limit.0);
+    Err(wrong(path, &value.0.into(), expected))
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,1 +1,5 @@
-//! The scheduler process: lease, controllers, orders to workers.
+//! The scheduler process: lease, controllers and orders to workers.
+
+pub mod cfg;
+pub mod lease;
+pub mod rows;
--- /dev/null
+++ b/crates/sched/tests/lease.rs
@@ -0,0 +1,257 @@
+//! The lease as a state machine, over a table model with lost, late and reordered calls.
+
+use base::clock::Millis;
+use quickcheck::{Gen, QuickCheck};
+use sched::{
+    cfg::LeaseCfg,
+    lease::{Lease, LeaseSeen, Outcome, Step},
+    rows::{BeatRow, LeaseRow},
+};
+use store::{
+    mem::MemTable,
+    table::{Commit, Txn},
+};
+
+/// One candidate with the step that it has under way.
+struct Node {
+    id: u64,
+    lease: Lease,
+    step: Option<Step>,
+    answer: Option<Outcome>,
+}
+
+/// Several candidates on one table, with copies of calls that arrive late.
+struct Model {
+    now: Millis,
+    table: MemTable,
+    nodes: Vec<Node>,
+    late: Vec<(u64, Step)>,
+    highest: u64,
+}
+
+impl Model {
+    fn new(nodes: u64) -> Self {
+        let node = |id| Node {
+            id,
+            lease: Lease::new(id, LeaseCfg::default()),
+            step: None,
+            answer: None,
+        };
+        Self {
+            now: Millis(1),
+            table: MemTable::default(),
+            nodes: (1..=nodes).map(node).collect(),
+            late: Vec::new(),
+            highest: 0,
+        }
+    }
+
+    /// Lets node `i` start its next step.
+    fn start(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        if node.step.is_some() {
+            return;
+        }
+        match node.lease.step(self.now) {
+            Step::Wait { .. } | Step::Ended => {}
+            step => node.step = Some(step),
+        }
+    }
+
+    /// Lets the step of node `i` reach the table.
+    fn apply(&mut self, i: usize) {
+        let node = &self.nodes[i];
+        if let (Some(step), None) = (node.step, node.answer) {
+            let outcome = apply(&self.table, node.id, step);
+            self.nodes[i].answer = Some(outcome);
+        }
+    }
+
+    /// Lets the answer reach node `i`.
+    fn answer(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        if let Some(outcome) = node.answer.take() {
+            node.step = None;
+            node.lease.done(self.now, outcome);
+        }
+    }
+
+    /// Loses the call of node `i`; a call that has not reached the table may still do so later.
+    fn lose(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        let Some(step) = node.step.take() else { return };
+        if node.answer.take().is_none() {
+            self.late.push((node.id, step));
+        }
+        node.lease.done(self.now, Outcome::Unknown);
+    }
+
+    fn deliver_late(&mut self) {
+        if let Some((id, step)) = self.late.pop() {
+            apply(&self.table, id, step);
+        }
+    }
+
+    fn run(&mut self, action: u8, arg: u8) {
+        let i = usize::from(arg) % self.nodes.len();
+        match action % 16 {
+            0..=3 => self.start(i),
+            4..=6 => self.apply(i),
+            7..=9 => self.answer(i),
+            10 => self.lose(i),
+            11 => self.deliver_late(),
+            12 if arg < 8 => self.nodes[i].lease.stop(),
+            12 | 13 => self.now += Millis(u64::from(arg)),
+            14 => self.now += Millis(u64::from(arg) * 8),
+            _ => self.now += Millis(u64::from(arg) * 40),
+        }
+    }
+
+    /// At most one node acts, and fencing numbers only grow.
+    fn holds(&mut self) -> bool {
+        let now = self.now;
+        let acting: Vec<_> = self
+            .nodes
+            .iter()
+            .filter_map(|n| n.lease.acting(now))
+            .collect();
+        let Some(held) = acting.first() else {
+            return true;
+        };
+        let grows = held.fence >= self.highest;
+        self.highest = held.fence;
+        acting.len() == 1 && grows
+    }
+}
+
+fn apply(table: &MemTable, id: u64, step: Step) -> Outcome {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let beat = serde_json::to_string(&BeatRow {
+        holder: id,
+        count: 0,
+    })
+    .unwrap();
+    let txn = match step {
+        Step::Look => return look(table),
+        Step::Take {
+            lease,
+            beat: seen,
+            fence,
+        } => {
+            let row = LeaseRow {
+                holder: id,
+                fence,
+                address,
+            };
+            Txn::default()
+                .check("lease/main", lease)
+                .check("beat/main", seen)
+                .put("lease/main", serde_json::to_string(&row).unwrap())
+                .put("beat/main", beat)
+        }
+        Step::Renew { lease } => Txn::default()
+            .check("lease/main", lease)
+            .put("beat/main", beat),
+        Step::Release { lease } => Txn::default()
+            .check("lease/main", lease)
+            .delete("beat/main"),
+        Step::Wait { .. } | Step::Ended => unreachable!("not a call"),
+    };
+    match table.commit(&txn) {
+        Commit::Done { version } => Outcome::Done { version },
+        Commit::Conflict { keys } => Outcome::Conflict {
+            lease: keys.iter().any(|k| &**k == "lease/main"),
+        },
+    }
+}
+
+fn look(table: &MemTable) -> Outcome {
+    let lease = table.get("lease/main").map(|row| {
+        let value: LeaseRow = serde_json::from_str(&row.value).unwrap();
+        LeaseSeen {
+            version: row.version,
+            holder: value.holder,
+            fence: value.fence,
+        }
+    });
+    Outcome::Rows {
+        lease,
+        beat: table.get("beat/main").map_or(0, |row| row.version),
+    }
+}
+
+/// Guards against two schedulers that act at the same time, whatever is lost, late or frozen.
+#[test]
+fn at_most_one_scheduler_acts() {
+    fn property(actions: Vec<(u8, u8)>) -> bool {
+        let mut model = Model::new(3);
+        actions.into_iter().all(|(action, arg)| {
+            model.run(action, arg);
+            model.holds()
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(600, 7))
+        .tests(3_000)
+        .quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
+}
+
+/// Runs node `i` without faults for `ms`.
+fn run_for(model: &mut Model, nodes: &[usize], ms: u64) {
+    for _ in 0..ms / 50 {
+        model.now += Millis(50);
+        for &i in nodes {
+            model.start(i);
+            model.apply(i);
+            model.answer(i);
+        }
+        assert!(model.holds());
+    }
+}
+
+/// Guards against a lease that nobody takes after its holder is killed.
+#[test]
+fn another_takes_over_within_seven_seconds() {
+    let mut model = Model::new(2);
+    run_for(&mut model, &[0, 1], 3_000);
+    let now = model.now;
+    let first = model
+        .nodes
+        .iter()
+        .position(|n| n.lease.acting(now).is_some())
+        .unwrap();
+    run_for(&mut model, &[1 - first], 7_000);
+    let held = model.nodes[1 - first].lease.acting(model.now).unwrap();
+    assert_eq!(held.fence, 2);
+}
+
+/// Guards against a planned stop that costs the six seconds of a crash.
+#[test]
+fn planned_stop_hands_over_at_once() {
+    let mut model = Model::new(2);
+    run_for(&mut model, &[0, 1], 3_000);
+    let now = model.now;
+    let first = model
+        .nodes
+        .iter()
+        .position(|n| n.lease.acting(now).is_some())
+        .unwrap();
+    model.nodes[first].lease.stop();
+    run_for(&mut model, &[0, 1], 700);
+    assert!(model.nodes[1 - first].lease.acting(model.now).is_some());
+}
+
+/// Guards against a takeover that is forgotten because its answer was lost.
+#[test]
+fn lost_answer_of_the_takeover_is_settled() {
+    let mut model = Model::new(1);
+    model.start(0);
+    model.apply(0);
+    model.answer(0);
+    model.start(0);
+    model.apply(0);
+    model.lose(0);
+    assert!(model.nodes[0].lease.held().is_none());
+    run_for(&mut model, &[0], 1_000);
+    assert_eq!(model.nodes[0].lease.acting(model.now).unwrap().fence, 1);
+}
