--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -3,3 +3,5 @@
 pub mod cfg;
 pub mod lease;
 pub mod rows;
+pub mod link;
+pub mod queue;
