--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,1 +1,7 @@
-//! The scheduler process: lease, controllers, orders to workers.
+//! The scheduler process: lease, controllers and orders to workers.
+
+pub mod cfg;
+pub mod lease;
+pub mod rows;
+pub mod link;
+pub mod queue;
