--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -22,6 +22,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     average_ms: Option<f64>,
+    sampled_at: Millis,
     failures_in_row: u32,
     ejected: Option<Ejection>,
 }
@@ -62,18 +63,24 @@
         if !outcome.is_failure() {
             self.failures_in_row = 0;
             self.ejected = None;
-            self.sample(took);
+            self.sample(now, took);
             return;
         }
-        self.sample(took.max(cfg.failure_counts_as_ms));
+        self.sample(now, took.max(cfg.failure_counts_as_ms));
         self.failures_in_row += 1;
         self.eject_if_due(cfg, now);
     }
 
-    /// Average service time in milliseconds with failures as slow answers; `None` before the
-    /// first answer.
-    pub fn average_ms(&self) -> Option<f64> {
-        self.average_ms
+    /// Average service time in milliseconds, with failures as slow answers.
+    ///
+    /// A server without recent answers is taken to be near `typical_ms`.
+    pub fn average_ms(&self, cfg: &HealthCfg, now: Millis, typical_ms: f64) -> f64 {
+        let Some(average) = self.average_ms else {
+            return typical_ms;
+        };
+        let idle = now.since(self.sampled_at).0 as f64;
+        let kept = (-idle / cfg.forget_half_ms.0.max(1) as f64).exp2();
+        typical_ms + (average - typical_ms) * kept
     }
 
     fn probe_undecided(&mut self) {
@@ -82,7 +89,8 @@
         }
     }
 
-    fn sample(&mut self, took: Millis) {
+    fn sample(&mut self, now: Millis, took: Millis) {
+        self.sampled_at = now;
         let took = took.0 as f64;
         self.average_ms = Some(match self.average_ms {
             None => took,
--- a/crates/route/src/health_cfg.rs
+++ b/crates/route/src/health_cfg.rs
@@ -13,6 +13,9 @@
     pub probe_first_ms: Millis,
     /// Longest time between two probes.
     pub probe_max_ms: Millis,
+    /// Time without an answer after which half of the distance to the typical service time is
+    /// forgotten. Without this a server that was slow once would lose every comparison for good.
+    pub forget_half_ms: Millis,
     /// Service time that a failure counts as.
     pub failure_counts_as_ms: Millis,
 }
@@ -20,9 +23,10 @@
 impl Default for HealthCfg {
     fn default() -> Self {
         Self {
-            eject_after: 3,
+            eject_after: 5,
             probe_first_ms: Millis(500),
             probe_max_ms: Millis::from_secs(30),
+            forget_half_ms: Millis::from_secs(5),
             failure_counts_as_ms: Millis::from_secs(5),
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admit;
 pub mod admit_cfg;
+mod fair;
 pub mod health;
 pub mod health_cfg;
 pub mod limits;
--- a/crates/route/src/limits.rs
+++ b/crates/route/src/limits.rs
@@ -10,6 +10,9 @@
     outcome::{Load, Outcome, ServerId},
 };
 
+/// Weight of the newest answer in the typical service time of all servers, as a divisor.
+const TYPICAL_DIVISOR: f64 = 64.0;
+
 /// How an entry limits its requests to a server whose load by other entries it can't see.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -57,6 +60,8 @@
     me: u64,
     members: Vec<u64>,
     servers: SortedMap<ServerId, Server>,
+    peers: SortedMap<u64, Peer>,
+    typical_ms: f64,
     rng: fastrand::Rng,
 }
 
@@ -65,9 +70,25 @@
     in_flight: u16,
     leaving: bool,
     removed: bool,
+    /// Slots that belong to this entry under [`Policy::StaticDivision`].
+    own_slots: u16,
+    report: Option<Report>,
     health: Health,
 }
 
+#[derive(Debug)]
+struct Report {
+    at: Millis,
+    /// Slots in use by other entries.
+    others: u16,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    at: Millis,
+    counts: SortedMap<ServerId, u16>,
+}
+
 impl Limits {
     /// Creates a view without servers for the entry with member id `me`.
     pub fn new(cfg: LimitsCfg, me: u64, seed: u64) -> Self {
@@ -76,15 +97,19 @@
             me,
             members: vec![me],
             servers: SortedMap::default(),
+            peers: SortedMap::default(),
+            typical_ms: 1.0,
             rng: fastrand::Rng::with_seed(seed),
         }
     }
 
     /// Adds a server, or takes a leaving or removed one back.
     pub fn add_server(&mut self, id: ServerId) {
+        let own_slots = self.own_slots(&id);
         let server = self.servers.entry(id);
         server.leaving = false;
         server.removed = false;
+        server.own_slots = own_slots;
     }
 
     /// Gives a server no new requests; those in flight run to their end.
@@ -108,6 +133,12 @@
         members.sort_unstable();
         members.dedup();
         self.members = members;
+        self.peers.retain(|id, _| self.members.contains(id));
+        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
+        for id in ids {
+            let own_slots = self.own_slots(&id);
+            self.servers.entry(id).own_slots = own_slots;
+        }
     }
 
     /// Selects a server for one request, or `None` if no server may take one now.
@@ -115,18 +146,34 @@
     /// Servers in `exclude` are not selected. The selection is not yet counted: call
     /// [`Limits::started`] when the request is sent.
     pub fn pick(&mut self, now: Millis, exclude: &[ServerId]) -> Option<ServerId> {
-        let cap = self.cfg.connection_cap();
-        let open: Vec<&ServerId> = self
+        let open: Vec<(&ServerId, &Server)> = self
             .servers
             .iter()
-            .filter(|(id, s)| s.is_open(now, cap) && !exclude.contains(id))
-            .map(|(id, _)| id)
+            .filter(|(id, s)| s.is_usable(now) && !exclude.contains(id))
+            .filter(|(id, s)| self.has_room(now, id, s))
             .collect();
         if open.is_empty() {
             return None;
         }
-        let i = self.rng.usize(..open.len());
-        Some(open[i].clone())
+        let first = self.rng.usize(..open.len());
+        let mut second = self.rng.usize(..open.len());
+        if second == first {
+            second = (first + 1) % open.len();
+        }
+        let score = |i: usize| self.score(now, open[i].0, open[i].1);
+        let best = if score(second) < score(first) {
+            second
+        } else {
+            first
+        };
+        Some(open[best].0.clone())
+    }
+
+    /// Returns whether [`Limits::pick`] would select a server.
+    pub fn has_open(&self, now: Millis) -> bool {
+        self.servers
+            .iter()
+            .any(|(id, s)| s.is_usable(now) && self.has_room(now, id, s))
     }
 
     /// Counts a request that is sent to `id`.
@@ -144,13 +191,21 @@
         id: &ServerId,
         outcome: Outcome,
         took: Millis,
-        _reported: Option<Load>,
+        reported: Option<Load>,
     ) {
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
         server.in_flight = server.in_flight.saturating_sub(1);
         server.health.record(&self.cfg.health, now, outcome, took);
+        if let Some(load) = reported {
+            // The answered request still held its slot when the server took the count.
+            let others = load.used.saturating_sub(server.in_flight + 1);
+            server.report = Some(Report { at: now, others });
+        }
+        if outcome == Outcome::Answered {
+            self.typical_ms += (took.0 as f64 - self.typical_ms) / TYPICAL_DIVISOR;
+        }
         if server.removed && server.in_flight == 0 {
             self.servers.remove(id);
         }
@@ -169,16 +224,103 @@
     }
 
     /// Takes the counts of another entry.
-    pub fn peer_counts(&mut self, _now: Millis, _peer: u64, _counts: &[Count]) {}
+    pub fn peer_counts(&mut self, now: Millis, peer: u64, counts: &[Count]) {
+        if peer == self.me || !self.members.contains(&peer) {
+            return;
+        }
+        let counts = counts.iter().map(|c| (c.server.clone(), c.in_flight));
+        let counts = counts.collect();
+        self.peers.insert(peer, Peer { at: now, counts });
+    }
 
     /// Requests that this entry has in flight at `id`.
     pub fn in_flight(&self, id: &ServerId) -> u16 {
         self.servers.get(id).map_or(0, |s| s.in_flight)
     }
+
+    /// Returns whether the policy allows one more request at `server`.
+    fn has_room(&self, now: Millis, id: &ServerId, server: &Server) -> bool {
+        let own = server.in_flight;
+        if own >= self.cfg.connection_cap() {
+            return false;
+        }
+        match self.cfg.policy {
+            Policy::StaticDivision => own < server.own_slots,
+            Policy::TwoChoices => own < self.cfg.blind_cap(),
+            Policy::ReportedLoad | Policy::Exchange => {
+                self.load(now, id, server) < f64::from(self.cfg.slots)
+            }
+        }
+    }
+
+    /// Requests at `server` as far as the policy can see them.
+    fn load(&self, now: Millis, id: &ServerId, server: &Server) -> f64 {
+        let own = f64::from(server.in_flight);
+        match self.cfg.policy {
+            Policy::StaticDivision | Policy::TwoChoices => own,
+            Policy::ReportedLoad => own + self.reported(now, server),
+            Policy::Exchange => own + self.exchanged(now, id),
+        }
+    }
+
+    fn reported(&self, now: Millis, server: &Server) -> f64 {
+        let Some(report) = &server.report else {
+            return 0.0;
+        };
+        f64::from(report.others) * self.freshness(now, report.at)
+    }
+
+    fn exchanged(&self, now: Millis, id: &ServerId) -> f64 {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|p| self.freshness(now, p.at) > 0.0);
+        let counts = fresh.filter_map(|p| p.counts.get(id));
+        counts.map(|c| f64::from(*c)).sum()
+    }
+
+    /// 1 for a report of this moment, falling to 0 at the age at which it is no longer used.
+    fn freshness(&self, now: Millis, at: Millis) -> f64 {
+        let max = self.cfg.report_max_age_ms.0.max(1) as f64;
+        (1.0 - now.since(at).0 as f64 / max).max(0.0)
+    }
+
+    /// Expected time in milliseconds to an answer, for comparison only.
+    fn score(&self, now: Millis, id: &ServerId, server: &Server) -> f64 {
+        let health = &self.cfg.health;
+        let average = server.health.average_ms(health, now, self.typical_ms);
+        let load = self.load(now, id, server) + 1.0;
+        if self.cfg.policy == Policy::StaticDivision {
+            return average * load / f64::from(server.own_slots.max(1));
+        }
+        average * load
+    }
+
+    fn own_slots(&self, id: &ServerId) -> u16 {
+        let own = |slot: &u16| {
+            let weight_of = |member: u64| (weight(member, id, *slot), member);
+            let mine = weight_of(self.me);
+            self.members.iter().all(|m| weight_of(*m) <= mine)
+        };
+        (0..self.cfg.slots).filter(own).count() as u16
+    }
 }
 
 impl Server {
-    fn is_open(&self, now: Millis, cap: u16) -> bool {
-        !self.leaving && !self.removed && self.in_flight < cap && self.health.is_usable(now)
+    fn is_usable(&self, now: Millis) -> bool {
+        !self.leaving && !self.removed && self.health.is_usable(now)
     }
 }
+
+/// Hash of a (server, slot) pair for one member; FNV-1a, so that all builds agree on it.
+fn weight(member: u64, server: &ServerId, slot: u16) -> u64 {
+    let member = member.to_le_bytes();
+    let slot = slot.to_le_bytes();
+    let bytes = member.iter().chain(&slot).chain(server.as_str().as_bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    // The last bytes hardly reach the high bits of FNV-1a; this finaliser spreads them.
+    let mixed = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed ^ (mixed >> 33)
+}
--- a/crates/route/src/limits_cfg.rs
+++ b/crates/route/src/limits_cfg.rs
@@ -17,6 +17,8 @@
     pub connections: u16,
     /// Entries that are expected to share the servers.
     pub entries: u16,
+    /// Factor by which the caps of all entries together may exceed the slots of a server.
+    pub overcommit: u16,
     /// Age at which a load report or a peer's counts are no longer used.
     pub report_max_age_ms: Millis,
     /// Health of servers.
@@ -30,6 +32,7 @@
             slots: 8,
             connections: 60,
             entries: 9,
+            overcommit: 2,
             report_max_age_ms: Millis(1_000),
             health: HealthCfg::default(),
         }
@@ -45,4 +48,17 @@
     pub fn connection_cap(&self) -> u16 {
         (self.connections / self.entries.max(1)).max(1)
     }
+
+    /// Most requests that this entry has in flight at one server when it can't see the load that
+    /// other entries put on it.
+    ///
+    /// ```
+    /// assert_eq!(route::limits_cfg::LimitsCfg::default().blind_cap(), 2);
+    /// ```
+    pub fn blind_cap(&self) -> u16 {
+        let share = self.slots * self.overcommit;
+        share
+            .div_ceil(self.entries.max(1))
+            .clamp(1, self.connection_cap())
+    }
 }
