--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -23,6 +23,8 @@
 pub struct Api {
     base: String,
     token: Option<String>,
+    /// Whether output is JSON for scripts.
+    pub json: bool,
 }
 
 /// Body of every refusal.
@@ -35,23 +37,46 @@
 
 impl Api {
     /// Reads the token file and returns the client.
-    pub fn new(entry: &str, token_file: Option<&str>) -> eyre::Result<Self> {
+    pub fn new(entry: &str, token_file: Option<&str>, json: bool) -> eyre::Result<Self> {
         let token = match token_file {
             None => None,
             Some(path) => {
-                let text = fs::read_to_string(path).wrap_err_with(|| format!("token file {path}"))?;
+                let text =
+                    fs::read_to_string(path).wrap_err_with(|| format!("token file {path}"))?;
                 Some(text.trim().to_owned())
             }
         };
-        Ok(Self { base: format!("http://{entry}"), token })
+        Ok(Self {
+            base: format!("http://{entry}"),
+            token,
+            json,
+        })
     }
 
-    /// Sends a request and returns the whole answer as text.
+    /// Returns a client that uses `token`.
+    pub fn with_token(entry: &str, token: &str) -> Self {
+        Self {
+            base: format!("http://{entry}"),
+            token: Some(token.into()),
+            json: false,
+        }
+    }
+
+    /// Returns a client of the same entry that uses another token.
+    pub fn as_token(&self, token: &str) -> Self {
+        Self {
+            token: Some(token.into()),
+            ..self.clone()
+        }
+    }
+
+    /// Sends a request, with an idempotency key if there is one, and returns the whole answer.
     pub async fn send(
         &self,
         method: http::Method,
         path: &str,
         body: Option<String>,
+        key: Option<&str>,
     ) -> eyre::Result<String> {
         let client = client::Client::builder()
             .response_timeout(ntex::time::Millis(ANSWER_TIMEOUT_MS))
@@ -63,6 +88,9 @@
         if let Some(token) = &self.token {
             req = req.bearer_auth(token);
         }
+        if let Some(key) = key {
+            req = req.header("idempotency-key", key);
+        }
         let sent = match body {
             Some(body) => req.content_type("application/json").send_body(body).await,
             None => req.send().await,
@@ -92,7 +120,7 @@
         path: &str,
         body: Option<String>,
     ) -> eyre::Result<T> {
-        let text = self.send(method, path, body).await?;
+        let text = self.send(method, path, body, None).await?;
         serde_json::from_str(&text).wrap_err("the entry's answer can't be read")
     }
 }
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -8,6 +8,15 @@
 /// record; 3 outcome unknown, ask again.
 #[derive(Debug, FromArgs)]
 pub struct Args {
+    /// address of any entry, for operator commands (default 127.0.0.1:7000)
+    #[argh(option, default = "String::from(\"127.0.0.1:7000\")")]
+    pub entry: String,
+    /// file that holds the access token, for operator commands
+    #[argh(option)]
+    pub token_file: Option<String>,
+    /// print JSON for scripts
+    #[argh(switch)]
+    pub json: bool,
     #[argh(subcommand)]
     pub command: Command,
 }
@@ -98,93 +107,72 @@
     pub write: bool,
 }
 
-/// How to reach an entry.
-macro_rules! api_options {
-    ($(#[$doc:meta])* $name:ident, $command:literal { $($(#[$field_doc:meta])* $field:ident: $type:ty,)* }) => {
-        $(#[$doc])*
-        #[derive(Debug, FromArgs)]
-        #[argh(subcommand, name = $command)]
-        pub struct $name {
-            $($(#[$field_doc])* pub $field: $type,)*
-            /// address of any entry (default 127.0.0.1:7000)
-            #[argh(option, default = "String::from(\"127.0.0.1:7000\")")]
-            pub entry: String,
-            /// file that holds the access token
-            #[argh(option)]
-            pub token_file: Option<String>,
-            /// print JSON for scripts
-            #[argh(switch)]
-            pub json: bool,
-        }
-    };
-}
-
-api_options! {
-    /// Apply record files as one change of the configuration; repeating it is safe.
-    Apply, "apply" {
-        /// record files or directories of them (*.json)
-        #[argh(positional)]
-        paths: Vec<String>,
-        /// show the difference and change nothing
-        #[argh(switch)]
-        dry_run: bool,
-        /// id of an earlier apply whose outcome was unknown
-        #[argh(option)]
-        change: Option<u64>,
-    }
+/// Apply record files as one change of the configuration; repeating it is safe.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct Apply {
+    /// record files or directories of them (*.json)
+    #[argh(positional)]
+    pub paths: Vec<String>,
+    /// show the difference and change nothing
+    #[argh(switch)]
+    pub dry_run: bool,
+    /// id of an earlier apply whose outcome was unknown
+    #[argh(option)]
+    pub change: Option<u64>,
 }
 
-api_options! {
-    /// Print the configuration in force as records of schema version 2.
-    Get, "get" {}
-}
+/// Print the configuration in force as records of schema version 2.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "get")]
+pub struct Get {}
 
-api_options! {
-    /// Submit the job of a record file; repeating it is safe.
-    Submit, "submit" {
-        /// record file of the job
-        #[argh(positional)]
-        path: String,
-        /// wait until the job has ended
-        #[argh(switch)]
-        wait: bool,
-    }
+/// Submit the job of a record file; repeating it is safe.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub struct Submit {
+    /// record file of the job
+    #[argh(positional)]
+    pub path: String,
+    /// wait until the job has ended
+    #[argh(switch)]
+    pub wait: bool,
 }
 
-api_options! {
-    /// Cancel a job; repeating it is safe.
-    Cancel, "cancel" {
-        /// job as ORGANISATION/NAME
-        #[argh(positional)]
-        job: String,
-    }
+/// Cancel a job; repeating it is safe.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cancel")]
+pub struct Cancel {
+    /// job as ORGANISATION/NAME
+    #[argh(positional)]
+    pub job: String,
 }
 
-api_options! {
-    /// Settle a request whose outcome is unknown, after you have looked at the backend service.
-    Settle, "settle" {
-        /// request as ORGANISATION/KEY
-        #[argh(positional)]
-        key: String,
-        /// whether the request ran: "ran" or "not-run"
-        #[argh(positional)]
-        outcome: String,
-    }
+/// Settle a request whose outcome is unknown, after you have looked at the backend service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "settle")]
+pub struct Settle {
+    /// request as ORGANISATION/KEY
+    #[argh(positional)]
+    pub key: String,
+    /// whether the request ran: "ran" or "not-run"
+    #[argh(positional)]
+    pub outcome: String,
 }
 
-api_options! {
-    /// Show jobs and their phases.
-    Status, "status" {
-        /// job as ORGANISATION/NAME; all jobs without it
-        #[argh(positional)]
-        job: Option<String>,
-    }
+/// Show jobs and their phases.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {
+    /// job as ORGANISATION/NAME; all jobs without it
+    #[argh(positional)]
+    pub job: Option<String>,
 }
 
-api_options! {
-    /// Print the state of a process as JSON.
-    Dump, "dump" {}
-}
+/// Print the state of a process as JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub struct Dump {}
 
 /// Measure the request path or the decisions.
 #[derive(Debug, FromArgs)]
--- /dev/null
+++ b/crates/cli/src/bench/mod.rs
@@ -0,0 +1,4 @@
+//! Measurements.
+
+pub mod load;
+pub mod path;
--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -26,15 +26,14 @@
 }
 
 /// Runs the command.
-pub fn run(args: args::Apply) -> eyre::Result<()> {
+pub fn run(api: Api, args: args::Apply) -> eyre::Result<()> {
     let found = files::read(&args.paths)?;
-    let api = Api::new(&args.entry, args.token_file.as_deref())?;
     api::block_on(async move {
         let current: Config = api.send_json(Method::GET, "/config", None).await?;
         let records: Vec<Versioned> = found.iter().map(|f| f.versioned.clone()).collect();
-        let (_, differences) = change::apply(&current, &records)
-            .map_err(|e| Failure::bad_input(e.to_string()))?;
-        if !args.json {
+        let (_, differences) =
+            change::apply(&current, &records).map_err(|e| Failure::bad_input(e.to_string()))?;
+        if !api.json {
             for difference in differences.iter().filter(|d| d.is_change()) {
                 println!("{difference}");
             }
@@ -54,7 +53,7 @@
             .send_json(Method::POST, "/config", Some(body))
             .await
             .map_err(|e| e.wrap_err(format!("change {change}; repeat with --change {change}")))?;
-        if args.json {
+        if api.json {
             println!("{}", serde_json::to_string(&applied)?);
         } else {
             println!("revision {} is in force everywhere", applied.revision);
--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -14,22 +14,24 @@
 const POLL: time::Millis = time::Millis(500);
 
 /// Submits a job.
-pub fn submit(args: args::Submit) -> eyre::Result<()> {
+pub fn submit(api: Api, args: args::Submit) -> eyre::Result<()> {
     let found = files::read(std::slice::from_ref(&args.path))?;
     let [job] = found.as_slice() else {
-        return Err(Failure::bad_input(format!("{}: expected one job record", args.path)));
+        return Err(Failure::bad_input(format!(
+            "{}: expected one job record",
+            args.path
+        )));
     };
     let text = job.text.clone();
-    let api = Api::new(&args.entry, args.token_file.as_deref())?;
     api::block_on(async move {
         let mut status: JobStatus = api.send_json(Method::POST, "/jobs", Some(text)).await?;
-        print(&status, args.json)?;
+        print(&status, api.json)?;
         while args.wait && !status.phase.is_final() {
             time::sleep(POLL).await;
             let path = format!("/jobs/{}/{}", status.organisation, status.name);
             let next: JobStatus = api.send_json(Method::GET, &path, None).await?;
             if next != status {
-                print(&next, args.json)?;
+                print(&next, api.json)?;
             }
             status = next;
         }
@@ -38,36 +40,33 @@
 }
 
 /// Cancels a job.
-pub fn cancel(args: &args::Cancel) -> eyre::Result<()> {
+pub fn cancel(api: Api, args: &args::Cancel) -> eyre::Result<()> {
     let path = job_path(&args.job)?;
-    let api = Api::new(&args.entry, args.token_file.as_deref())?;
-    let json = args.json;
     api::block_on(async move {
         let status: JobStatus = api.send_json(Method::DELETE, &path, None).await?;
-        print(&status, json)
+        print(&status, api.json)
     })
 }
 
 /// Shows one job or all.
-pub fn status(args: &args::Status) -> eyre::Result<()> {
+pub fn status(api: Api, args: &args::Status) -> eyre::Result<()> {
     let path = match &args.job {
         Some(job) => job_path(job)?,
         None => "/jobs".into(),
     };
-    let api = Api::new(&args.entry, args.token_file.as_deref())?;
-    let (json, one) = (args.json, args.job.is_some());
+    let one = args.job.is_some();
     api::block_on(async move {
         let jobs: Vec<JobStatus> = if one {
             vec![api.send_json(Method::GET, &path, None).await?]
         } else {
             api.send_json(Method::GET, &path, None).await?
         };
-        jobs.iter().try_for_each(|status| print(status, json))
+        jobs.iter().try_for_each(|status| print(status, api.json))
     })
 }
 
 /// Settles a request whose outcome is unknown.
-pub fn settle(args: &args::Settle) -> eyre::Result<()> {
+pub fn settle(api: Api, args: &args::Settle) -> eyre::Result<()> {
     let (organisation, key) = args
         .key
         .split_once('/')
@@ -76,9 +75,8 @@
         return Err(Failure::bad_input("expected 'ran' or 'not-run'"));
     }
     let path = format!("/claims/{organisation}/{key}/{}", args.outcome);
-    let api = Api::new(&args.entry, args.token_file.as_deref())?;
     api::block_on(async move {
-        let answer = api.send(Method::POST, &path, None).await?;
+        let answer = api.send(Method::POST, &path, None, None).await?;
         println!("{answer}");
         Ok(())
     })
@@ -87,7 +85,9 @@
 fn job_path(job: &str) -> eyre::Result<String> {
     match job.split_once('/') {
         Some((organisation, name)) => Ok(format!("/jobs/{organisation}/{name}")),
-        None => Err(Failure::bad_input(format!("'{job}': expected ORGANISATION/NAME"))),
+        None => Err(Failure::bad_input(format!(
+            "'{job}': expected ORGANISATION/NAME"
+        ))),
     }
 }
 
@@ -96,7 +96,11 @@
         println!("{}", serde_json::to_string(status)?);
         return Ok(());
     }
-    let workers: Vec<&str> = status.workers.iter().map(base::name::Name::as_str).collect();
+    let workers: Vec<&str> = status
+        .workers
+        .iter()
+        .map(base::name::Name::as_str)
+        .collect();
     let mut line = format!(
         "{}/{} {} attempt {}",
         status.organisation, status.name, status.phase, status.attempt
--- a/crates/cli/src/command/show.rs
+++ b/crates/cli/src/command/show.rs
@@ -3,18 +3,13 @@
 use ntex::http::Method;
 use schema::{config::Config, record::Record, v2};
 
-use crate::{
-    api::{self, Api},
-    args,
-};
+use crate::api::{self, Api};
 
 /// Prints the configuration in force.
-pub fn get(args: &args::Get) -> eyre::Result<()> {
-    let api = Api::new(&args.entry, args.token_file.as_deref())?;
-    let json = args.json;
+pub fn get(api: Api) -> eyre::Result<()> {
     api::block_on(async move {
         let config: Config = api.send_json(Method::GET, "/config", None).await?;
-        if json {
+        if api.json {
             println!("{}", serde_json::to_string(&config)?);
             return Ok(());
         }
@@ -34,12 +29,10 @@
 }
 
 /// Prints the state of a process.
-pub fn dump(args: &args::Dump) -> eyre::Result<()> {
-    let api = Api::new(&args.entry, args.token_file.as_deref())?;
-    let json = args.json;
+pub fn dump(api: Api) -> eyre::Result<()> {
     api::block_on(async move {
         let state: serde_json::Value = api.send_json(Method::GET, "/dump", None).await?;
-        if json {
+        if api.json {
             println!("{state}");
         } else {
             println!("{}", serde_json::to_string_pretty(&state)?);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,9 +2,11 @@
 
 mod api;
 mod args;
+mod bench;
 mod command;
 mod exit;
 mod logs;
+mod world;
 
 use std::process;
 
