--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -13,7 +13,7 @@
     SharedCfg,
     client::{Client, ClientResponse, Connector, error::ClientError},
     connect,
-    http::{StatusCode, error::PayloadError, header::HeaderValue},
+    http::{StatusCode, Uri, error::PayloadError, header::HeaderValue},
     io::cfg::IoConfig,
     service,
 };
@@ -239,14 +239,15 @@
         let dial = Rc::new(Cell::new(Dial::Closed));
         let state = dial.clone();
         let tcp = connect::Connector::new();
-        let connector = service::apply_fn_factory(tcp, async move |target, svc| {
+        let connector = service::apply_fn_factory(tcp, async move |target: connect::Connect<Uri>, svc| {
             state.set(Dial::Closed);
             let io = svc.call(target).await?;
             state.set(Dial::Open);
             Ok(io)
         });
         let client = Client::builder()
-            .connector(Connector::new().connector(connector).limit(1))
+            // The type parameter is unused in the signature of ntex.
+            .connector::<()>(Connector::new().connector(connector).limit(1))
             .disable_redirects()
             .disable_timeout()
             .no_default_headers()
--- /dev/null
+++ b/crates/entry/src/decisions.rs
@@ -0,0 +1,286 @@
+//! Jobs and configuration: requests that the leading scheduler decides.
+
+use std::rc::Rc;
+
+use base::{clock, clock::Millis, limits, name::Name};
+use ntex::{
+    http::{HeaderMap, StatusCode},
+    web::HttpResponse,
+};
+use schema::{config::Config, job::Job, job::Phase};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use wire::message::{Effect, JobStatus, Reply, Request};
+
+use crate::{
+    auth::Identity,
+    input::{self, Body},
+    refusal::{Code, Outcome, Refusal},
+    state::Entry,
+};
+
+/// Most jobs that one answer lists.
+const JOBS: u32 = 1_000;
+/// Header with the id of a change, by which a lost answer can be asked for again.
+pub const CHANGE: &str = "x-change";
+
+/// A request about jobs or the configuration.
+#[derive(Debug)]
+pub enum Ask {
+    /// Submits the job in the body.
+    Submit(Body),
+    /// Lists jobs.
+    Jobs,
+    /// Shows one job.
+    Job(Name, Name),
+    /// Cancels one job.
+    Cancel(Name, Name),
+    /// Changes the configuration by the records in the body.
+    Apply(Body),
+    /// Shows the configuration.
+    Config,
+}
+
+/// Body of `POST /config`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Change {
+    /// Records, each as an object or as JSON text.
+    records: Vec<Value>,
+    /// Revision that the change was made against.
+    expected_revision: Option<u64>,
+    /// Id of the change; repeating it is safe.
+    change: Option<u64>,
+}
+
+/// State of a job as shown to callers.
+#[derive(Debug, Serialize)]
+struct JobView<'a> {
+    organisation: &'a Name,
+    name: &'a Name,
+    phase: Phase,
+    attempt: u32,
+    workers: &'a [Name],
+    reason: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct JobsView<'a> {
+    jobs: Vec<JobView<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct AppliedView {
+    revision: u64,
+    change: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct ConfigView<'a> {
+    revision: u64,
+    config: &'a Config,
+}
+
+/// Decides who may ask what, asks the leading scheduler and shows its answer.
+pub async fn run(cx: Rc<Entry>, identity: Identity, ask: Ask) -> HttpResponse {
+    let start = clock::now();
+    let result = answer(&cx, &identity, ask).await;
+    let took = clock::now().since(start);
+    match result {
+        Ok(response) => {
+            cx.metrics.request("decided", took);
+            response
+        }
+        Err(refusal) => {
+            cx.metrics.request(&refusal.code, took);
+            refusal.response()
+        }
+    }
+}
+
+/// Returns who sent a request about jobs or the configuration.
+pub fn identify(cx: &Entry, headers: &HeaderMap) -> Result<Identity, Refusal> {
+    cx.identify(headers)
+}
+
+async fn answer(cx: &Entry, identity: &Identity, ask: Ask) -> Result<HttpResponse, Refusal> {
+    match ask {
+        Ask::Submit(body) => {
+            let job: Job = input::json(&body.bytes)?;
+            allow(identity, &job.organisation)?;
+            let reply = send(cx, &Request::Submit { job }).await?;
+            job_response(reply, StatusCode::ACCEPTED)
+        }
+        Ask::Jobs => {
+            let organisation = match identity {
+                Identity::Organisation(name) => Some(name.clone()),
+                Identity::Operator(_) => None,
+            };
+            let req = Request::Jobs {
+                organisation,
+                limit: JOBS,
+            };
+            match send(cx, &req).await? {
+                Reply::Jobs { jobs } => {
+                    let jobs = jobs.iter().map(view).collect();
+                    Ok(HttpResponse::Ok().json(&JobsView { jobs }))
+                }
+                other => Err(unexpected(&other)),
+            }
+        }
+        Ask::Job(organisation, job) => {
+            allow(identity, &organisation)?;
+            let reply = send(cx, &Request::JobStatus { organisation, job }).await?;
+            job_response(reply, StatusCode::OK)
+        }
+        Ask::Cancel(organisation, job) => {
+            allow(identity, &organisation)?;
+            let reply = send(cx, &Request::Cancel { organisation, job }).await?;
+            job_response(reply, StatusCode::OK)
+        }
+        Ask::Apply(body) => apply(cx, operator(identity)?, &body).await,
+        Ask::Config => {
+            operator(identity)?;
+            show_config(cx).await
+        }
+    }
+}
+
+async fn apply(cx: &Entry, operator: Name, body: &Body) -> Result<HttpResponse, Refusal> {
+    let change: Change = input::json(&body.bytes)?;
+    if change.records.len() > limits::APPLY_RECORDS {
+        let message = format!("a change has at most {} records", limits::APPLY_RECORDS);
+        return Err(Refusal::not_run(Code::TooManyRecords, message));
+    }
+    let id = change.change.unwrap_or_else(|| fastrand::u64(1..));
+    let records = change.records.into_iter().map(|record| match record {
+        Value::String(text) => text,
+        other => other.to_string(),
+    });
+    let req = Request::Apply {
+        change: id,
+        operator,
+        records: records.collect(),
+        expected_revision: change.expected_revision,
+    };
+    // The id lets the operator ask again for a decision that is not known.
+    let with_id = |mut refusal: Refusal| {
+        refusal.message = format!("{} (change {id})", refusal.message);
+        refusal
+    };
+    match send(cx, &req).await.map_err(with_id)? {
+        Reply::Applied { revision } => {
+            let view = AppliedView {
+                revision,
+                change: id,
+            };
+            let mut response = HttpResponse::Ok();
+            response.header(CHANGE, id.to_string());
+            Ok(response.json(&view))
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+async fn show_config(cx: &Entry) -> Result<HttpResponse, Refusal> {
+    // Member 0 is no member, so the leader does not take this as an acknowledgement.
+    let req = Request::Current {
+        member: 0,
+        known_revision: 0,
+    };
+    match send(cx, &req).await? {
+        Reply::Current { revision, config } => {
+            let config = config.unwrap_or_default();
+            let config = &config;
+            Ok(HttpResponse::Ok().json(&ConfigView { revision, config }))
+        }
+        other => Err(unexpected(&other)),
+    }
+}
+
+/// Sends `req` to the leader and turns its refusal into one for the caller.
+async fn send(cx: &Entry, req: &Request) -> Result<Reply, Refusal> {
+    match cx.schedulers.call(req, cx.cfg.scheduler_timeout).await? {
+        Reply::Failed {
+            code,
+            message,
+            done,
+        } => Err(refused(code, message, done)),
+        reply => Ok(reply),
+    }
+}
+
+fn refused(code: String, message: String, done: Effect) -> Refusal {
+    if done == Effect::Maybe {
+        return Refusal {
+            code: code.into(),
+            ..Refusal::unknown(Code::DecisionUnknown, message)
+        };
+    }
+    let status = match code.as_str() {
+        c if c.starts_with("unknown_") || c == "not_found" => StatusCode::NOT_FOUND,
+        c if c.contains("conflict") || c.contains("revision") || c.contains("exists") => {
+            StatusCode::CONFLICT
+        }
+        c if c.contains("quota") || c.contains("full") => StatusCode::TOO_MANY_REQUESTS,
+        c if c.contains("store") || c.contains("unavailable") || c.contains("leader") => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        _ => StatusCode::UNPROCESSABLE_ENTITY,
+    };
+    Refusal {
+        status,
+        code: code.into(),
+        outcome: Outcome::NotRun,
+        message,
+    }
+}
+
+fn allow(identity: &Identity, organisation: &Name) -> Result<(), Refusal> {
+    match identity {
+        Identity::Operator(_) => Ok(()),
+        Identity::Organisation(own) if own == organisation => Ok(()),
+        Identity::Organisation(_) => {
+            let message = "the access token belongs to another organisation";
+            Err(Refusal::not_run(Code::Forbidden, message))
+        }
+    }
+}
+
+fn operator(identity: &Identity) -> Result<Name, Refusal> {
+    match identity {
+        Identity::Operator(name) => Ok(name.clone()),
+        Identity::Organisation(_) => {
+            let message = "only operators see and change the configuration";
+            Err(Refusal::not_run(Code::Forbidden, message))
+        }
+    }
+}
+
+fn job_response(reply: Reply, status: StatusCode) -> Result<HttpResponse, Refusal> {
+    match reply {
+        Reply::Job { status: job } => Ok(HttpResponse::build(status).json(&view(&job))),
+        other => Err(unexpected(&other)),
+    }
+}
+
+fn view(status: &JobStatus) -> JobView<'_> {
+    JobView {
+        organisation: &status.organisation,
+        name: &status.name,
+        phase: status.phase,
+        attempt: status.attempt,
+        workers: &status.workers,
+        reason: &status.reason,
+    }
+}
+
+fn unexpected(reply: &Reply) -> Refusal {
+    let message = format!("the scheduler sent an unexpected answer: {reply:?}");
+    Refusal::unknown(Code::DecisionUnknown, message)
+}
+
+/// Longest time from the arrival of a request to its answer, for the end of a planned stop.
+pub const fn longest(scheduler_timeout: Millis) -> Millis {
+    Millis(scheduler_timeout.0 + 5_000)
+}
--- /dev/null
+++ b/crates/entry/src/dump.rs
@@ -0,0 +1,94 @@
+//! State of an entry as JSON.
+
+use std::net;
+
+use base::{clock::Millis, name::Name};
+use serde::Serialize;
+
+use crate::state::{Entry, Phase};
+
+/// State of an entry as shown by `GET /dump`.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    id: String,
+    data_centre: Name,
+    phase: Phase,
+    ready: bool,
+    in_flight: usize,
+    connections: usize,
+    body_bytes: usize,
+    config_revision: u64,
+    config_age_ms: Option<Millis>,
+    vm_list_age_ms: Option<Millis>,
+    members: usize,
+    leader: Option<net::SocketAddr>,
+    claims_unsettled: usize,
+    backend_busy: usize,
+    backend_idle: usize,
+    services: Vec<ServiceDump>,
+    servers: Vec<ServerDump>,
+}
+
+#[derive(Debug, Serialize)]
+struct ServiceDump {
+    name: Name,
+    queued: usize,
+    in_flight: Vec<InFlightDump>,
+}
+
+#[derive(Debug, Serialize)]
+struct InFlightDump {
+    server: Name,
+    requests: u16,
+}
+
+#[derive(Debug, Serialize)]
+struct ServerDump {
+    name: Name,
+    service: Name,
+    address: net::SocketAddr,
+    leaving: bool,
+}
+
+impl Dump {
+    /// Collects the state.
+    pub fn of(cx: &Entry) -> Self {
+        let (backend_busy, backend_idle) = cx.backends.counts();
+        let lanes = cx.lanes();
+        let services = lanes.into_iter().map(|(name, lane)| ServiceDump {
+            name,
+            queued: lane.queued(),
+            in_flight: lane
+                .in_flight()
+                .into_iter()
+                .map(|(server, requests)| InFlightDump { server, requests })
+                .collect(),
+        });
+        let servers = cx.vms.servers();
+        let servers = servers.iter().map(|(name, server)| ServerDump {
+            name: name.clone(),
+            service: server.service.clone(),
+            address: server.address,
+            leaving: server.leaving,
+        });
+        Self {
+            id: format!("{:016x}", cx.id),
+            data_centre: cx.cfg.data_centre.clone(),
+            phase: cx.phase.get(),
+            ready: cx.is_ready(),
+            in_flight: cx.in_flight.get(),
+            connections: cx.connections.get(),
+            body_bytes: cx.bodies.used(),
+            config_revision: cx.config.revision(),
+            config_age_ms: cx.config.age(),
+            vm_list_age_ms: cx.vms.age(),
+            members: cx.members.count(),
+            leader: cx.schedulers.leader(),
+            claims_unsettled: cx.claims.unsettled(),
+            backend_busy,
+            backend_idle,
+            services: services.collect(),
+            servers: servers.collect(),
+        }
+    }
+}
--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -52,6 +52,15 @@
     pub load: Option<Load>,
 }
 
+impl Ended {
+    /// The request was given up before anything was sent.
+    pub const CANCELLED: Self = Self {
+        outcome: Outcome::Cancelled,
+        took: Millis::ZERO,
+        load: None,
+    };
+}
+
 /// A place in the queue; dropping it gives up the place.
 #[derive(Debug)]
 pub struct Place<'a> {
@@ -175,7 +184,7 @@
             inner.limits.started(now, &server);
             let waiter = inner.waiters.remove(&next.id);
             if waiter.is_none_or(|w| w.send(Ok(server.clone())).is_err()) {
-                let (outcome, took) = (Outcome::Cancelled, Millis::ZERO);
+                let Ended { outcome, took, .. } = Ended::CANCELLED;
                 inner.limits.finished(now, &server, outcome, took, None);
                 inner.admit.finished(None);
             }
@@ -258,5 +267,11 @@
         let mut inner = self.lane.inner.borrow_mut();
         inner.admit.cancel(self.id);
         inner.waiters.remove(&self.id);
+        drop(inner);
+        // A server that was granted and not taken would count as in use for ever.
+        if let Ok(Ok(server)) = self.grant.try_recv() {
+            self.lane.ended(&server, Ended::CANCELLED);
+            self.lane.finished(None);
+        }
     }
 }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -84,6 +84,9 @@
     /// A request with this key is under way on another entry.
     #[display("in_progress")]
     InProgress,
+    /// The request with this key ran and its answer was too large to be kept.
+    #[display("answer_not_kept")]
+    AnswerNotKept,
     /// The outcome of an earlier request with this key is not known.
     #[display("outcome_unknown")]
     OutcomeUnknown,
@@ -136,7 +139,7 @@
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::Unauthorised => StatusCode::UNAUTHORIZED,
             Self::Forbidden => StatusCode::FORBIDDEN,
-            Self::KeyConflict | Self::InProgress => StatusCode::CONFLICT,
+            Self::KeyConflict | Self::InProgress | Self::AnswerNotKept => StatusCode::CONFLICT,
             Self::TooManyConnections | Self::QueueFull | Self::BodyMemoryFull => {
                 StatusCode::TOO_MANY_REQUESTS
             }
@@ -204,15 +207,28 @@
         }
     }
 
-    /// Returns the HTTP answer.
-    pub fn response(&self) -> HttpResponse {
+    /// Changes the outcome and keeps the status.
+    #[must_use]
+    pub fn with_outcome(mut self, outcome: Outcome) -> Self {
+        self.outcome = outcome;
+        self
+    }
+
+    /// Returns the body of the answer as JSON text.
+    pub fn body(&self) -> String {
         let body = Body {
             code: &self.code,
             outcome: self.outcome,
             message: &self.message,
         };
+        serde_json::to_string(&body).expect("a refusal is valid JSON")
+    }
+
+    /// Returns the HTTP answer.
+    pub fn response(&self) -> HttpResponse {
         HttpResponse::build(self.status)
             .set_header(REFUSED, &*self.code)
-            .json(&body)
+            .content_type("application/json")
+            .body(self.body())
     }
 }
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,302 @@
+//! Start and planned stop of an entry.
+
+use std::{io, net, rc::Rc, sync::mpsc, thread};
+
+use base::{clock, clock::Millis, limits};
+use derive_more::{Display, Error, From};
+use ntex::{
+    SharedCfg,
+    http::{HttpService, HttpServiceConfig, h1::Control},
+    io::{Filter, IoConfig},
+    rt, server,
+    service::fn_service,
+    time::Seconds,
+    web,
+};
+use store::table::StoreError;
+use tokio::{sync::watch, time};
+
+use crate::{
+    entry_cfg::EntryCfg,
+    http,
+    state::{Entry, Phase},
+    tasks,
+};
+
+/// Connections over the limit that are accepted, so that they can be told so.
+const SPARE_CONNECTIONS: usize = 64;
+/// Time between two looks at the requests under way during a planned stop.
+const DRAIN_PERIOD: Millis = Millis(5);
+/// Time for which an entry without requests under way still answers callers that arrive late.
+const LINGER: Millis = Millis(100);
+/// Longest wait for the table service during a planned stop.
+const FAREWELL: Millis = Millis(2_000);
+
+/// Why an entry could not start or run.
+#[derive(Debug, Display, Error, From)]
+pub enum EntryError {
+    /// An address could not be bound, or a thread not started.
+    #[display("entry: {_0}")]
+    Io(io::Error),
+    /// A client of the platform could not be made.
+    #[display("entry: {_0}")]
+    Store(StoreError),
+    /// The entry's thread ended before it served.
+    #[display("entry: the server ended during its start")]
+    Ended,
+}
+
+/// A running entry; dropping it stops it as planned.
+#[derive(Debug)]
+pub struct Handle {
+    addr: net::SocketAddr,
+    members_addr: net::SocketAddr,
+    stop: watch::Sender<bool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Handle {
+    /// Returns the address on which callers and operators are served.
+    pub const fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Returns the address on which other members are served.
+    pub const fn members_addr(&self) -> net::SocketAddr {
+        self.members_addr
+    }
+
+    /// Begins a planned stop and returns at once.
+    pub fn begin_stop(&self) {
+        let _ = self.stop.send(true);
+    }
+
+    /// Stops as planned: no request under way is cut off.
+    pub fn stop(mut self) {
+        self.join();
+    }
+
+    fn join(&mut self) {
+        self.begin_stop();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.join();
+    }
+}
+
+/// Starts an entry on its own threads; it listens when this function returns.
+pub fn start(cfg: EntryCfg) -> Result<Handle, EntryError> {
+    let listener = net::TcpListener::bind(cfg.listen)?;
+    let members = net::TcpListener::bind(cfg.listen_members)?;
+    let (addr, members_addr) = (listener.local_addr()?, members.local_addr()?);
+    let (stop, stopped) = watch::channel(false);
+    let (started, starting) = mpsc::channel();
+    let thread = thread::Builder::new()
+        .name("entry".into())
+        .spawn(move || {
+            let system = rt::System::new("entry", rt::DefaultRuntime);
+            system.block_on(main(cfg, listener, members, stopped, started));
+        })?;
+    match starting.recv() {
+        Ok(Ok(())) => Ok(Handle {
+            addr,
+            members_addr,
+            stop,
+            thread: Some(thread),
+        }),
+        Ok(Err(e)) => Err(e),
+        Err(_) => Err(EntryError::Ended),
+    }
+}
+
+/// Runs an entry until the process is told to stop (SIGTERM or SIGINT), and stops it as planned.
+pub fn run(cfg: EntryCfg) -> Result<(), EntryError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (mut term, mut int) = {
+        let _guard = runtime.enter();
+        use tokio::signal::unix::{SignalKind, signal};
+        (
+            signal(SignalKind::terminate())?,
+            signal(SignalKind::interrupt())?,
+        )
+    };
+    let handle = start(cfg)?;
+    log::info!("entry: serves callers on {}", handle.addr());
+    runtime.block_on(async {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    });
+    log::info!("entry: stops as planned");
+    handle.stop();
+    Ok(())
+}
+
+/// Everything that the worker thread needs to build its state.
+struct Parts {
+    cfg: EntryCfg,
+    members: net::TcpListener,
+    stopped: watch::Receiver<bool>,
+    started: mpsc::Sender<Result<(), EntryError>>,
+    drained: watch::Sender<bool>,
+}
+
+async fn main(
+    cfg: EntryCfg,
+    listener: net::TcpListener,
+    members: net::TcpListener,
+    stopped: watch::Receiver<bool>,
+    started: mpsc::Sender<Result<(), EntryError>>,
+) {
+    let (drained_tx, mut drained) = watch::channel(false);
+    let connections = cfg.connections;
+    let failed = started.clone();
+    let parts = std::sync::Arc::new(std::sync::Mutex::new(Some(Parts {
+        cfg,
+        members,
+        stopped,
+        started,
+        drained: drained_tx,
+    })));
+    let factory = async move |_: server::Config| {
+        // The server has one worker thread, which builds its service once.
+        let parts = parts.lock().ok().and_then(|mut p| p.take());
+        let cx = match parts {
+            Some(parts) => build(parts).await,
+            None => None,
+        };
+        let app_cx = cx.clone();
+        let app = web::App::new().default_service(web::to(
+            move |req: web::HttpRequest, payload: web::types::Payload| {
+                let cx = app_cx.clone();
+                async move { answer(cx, req, payload).await }
+            },
+        ));
+        HttpService::new(app).h1_control(fn_service(move |control| {
+            let ack = on_control(cx.as_ref(), control);
+            async move { Ok::<_, io::Error>(ack) }
+        }))
+    };
+    let server = server::build()
+        .workers(1)
+        .maxconn(connections + SPARE_CONNECTIONS)
+        .disable_signals()
+        .shutdown_timeout(ntex::time::Millis(2_000))
+        .listen("entry", listener, factory);
+    let server = match server {
+        Ok(server) => server.config("entry", shared_cfg()).run(),
+        Err(e) => {
+            let _ = failed.send(Err(e.into()));
+            return;
+        }
+    };
+    drop(failed);
+    // The sender is dropped when the worker thread could not build its state.
+    let _ = drained.changed().await;
+    server.stop(true).await;
+}
+
+fn shared_cfg() -> SharedCfg {
+    let timeout = Seconds(limits::HEADER_TIMEOUT.0.div_ceil(1_000) as u16);
+    let http = HttpServiceConfig::new()
+        .set_max_buf_size(limits::HEADER_BYTES)
+        .set_headers_read_rate(timeout, timeout, u32::MAX)
+        .set_payload_read_rate(timeout, Seconds::ZERO, 1)
+        .set_keepalive_timeout(Seconds(75));
+    let io = IoConfig::new().set_disconnect_timeout(Seconds(1));
+    SharedCfg::new("ENTRY").add(http).add(io).into()
+}
+
+async fn build(parts: Parts) -> Option<Rc<Entry>> {
+    let members_addr = parts.members.local_addr();
+    let built = match members_addr {
+        Ok(addr) => Entry::new(parts.cfg, addr).await.map_err(EntryError::from),
+        Err(e) => Err(e.into()),
+    };
+    let (cx, driver) = match built {
+        Ok(built) => built,
+        Err(e) => {
+            let _ = parts.started.send(Err(e));
+            return None;
+        }
+    };
+    let wire = match tasks::serve_members(cx.clone(), parts.members) {
+        Ok(wire) => wire,
+        Err(e) => {
+            let _ = parts.started.send(Err(e.into()));
+            return None;
+        }
+    };
+    tasks::start(&cx, driver);
+    let stopping = cx.clone();
+    rt::spawn(async move {
+        stop(&stopping, parts.stopped).await;
+        wire.shutdown().await;
+        let _ = parts.drained.send(true);
+    });
+    let _ = parts.started.send(Ok(()));
+    Some(cx)
+}
+
+async fn answer(
+    cx: Option<Rc<Entry>>,
+    req: web::HttpRequest,
+    payload: web::types::Payload,
+) -> web::HttpResponse {
+    match cx {
+        Some(cx) => http::serve(cx, req, payload).await,
+        None => web::HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn on_control<F: Filter, E: ntex::http::ResponseError>(
+    cx: Option<&Rc<Entry>>,
+    control: Control<F, E>,
+) -> ntex::http::h1::ControlAck<F> {
+    match cx {
+        Some(cx) => http::control(cx, control),
+        None => control.ack(),
+    }
+}
+
+/// Waits for the order to stop, and returns when nothing is under way any more.
+async fn stop(cx: &Rc<Entry>, mut stopped: watch::Receiver<bool>) {
+    let _ = stopped.wait_for(|stop| *stop).await;
+    cx.phase.set(Phase::Notice);
+    log::info!("entry: not ready any more, stops in {}", cx.cfg.stop_notice);
+    time::sleep(cx.cfg.stop_notice.to_duration()).await;
+    cx.phase.set(Phase::Draining);
+    let longest = cx.cfg.max_deadline.max(cx.cfg.scheduler_timeout) + cx.cfg.body_timeout;
+    let end = clock::now() + longest;
+    while cx.in_flight.get() > 0 && clock::now() < end {
+        time::sleep(DRAIN_PERIOD.to_duration()).await;
+    }
+    if cx.in_flight.get() > 0 {
+        log::error!("entry: stops with {} requests under way", cx.in_flight.get());
+    }
+    time::sleep(LINGER.to_duration()).await;
+    farewell(cx).await;
+}
+
+/// Writes what is left to write to the table service.
+async fn farewell(cx: &Entry) {
+    let end = clock::now() + FAREWELL;
+    while cx.claims.unsettled() > 0 && clock::now() < end {
+        time::sleep(DRAIN_PERIOD.to_duration()).await;
+    }
+    let leaving = cx.members.leave(&cx.table);
+    match time::timeout(FAREWELL.to_duration(), leaving).await {
+        Ok(Ok(())) => {}
+        Ok(Err(e)) => log::warn!("entry: the member row was not deleted: {e}"),
+        Err(_) => log::warn!("entry: the member row was not deleted: no answer in {FAREWELL}"),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,264 @@
+//! State of an entry; all of it belongs to one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    net,
+    rc::Rc,
+};
+
+use base::{clock, clock::Millis, name::Name, sorted::SortedMap};
+use claim::{claim_cfg::ClaimCfg, claims::Claims, driver::Driver};
+use derive_more::Display;
+use ntex::http::HeaderMap;
+use route::limits_cfg::LimitsCfg;
+use schema::service::Service;
+use serde::Serialize;
+use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::StoreError, vms::Vms};
+use tokio::{sync::Mutex, time};
+
+use crate::{
+    auth::Identity,
+    backend::Backends,
+    claim_store::ClaimStore,
+    config::Current,
+    entry_cfg::EntryCfg,
+    input::BodyMemory,
+    lane::Lane,
+    members::Members,
+    metrics::{Levels, Metrics},
+    refusal::{Code, Refusal},
+    schedulers::Schedulers,
+    vm_watch::VmWatch,
+};
+
+/// Phase of an entry's life.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Requests are served.
+    #[display("serving")]
+    Serving,
+    /// Requests are served, but readiness tells the load balancer to send no more.
+    #[display("notice")]
+    Notice,
+    /// New requests are refused; those in flight run to their end.
+    #[display("draining")]
+    Draining,
+}
+
+/// State of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    /// Settings.
+    pub cfg: EntryCfg,
+    /// Random incarnation id.
+    pub id: u64,
+    /// Phase of the entry's life.
+    pub phase: Cell<Phase>,
+    /// Requests under way.
+    pub in_flight: Cell<usize>,
+    /// Connections of callers and operators.
+    pub connections: Cell<usize>,
+    /// Memory for request bodies.
+    pub bodies: Rc<BodyMemory>,
+    /// Configuration in force.
+    pub config: Current,
+    /// Held while the configuration is read.
+    pub config_read: Mutex<()>,
+    /// Whether the last read of the configuration from the table service succeeded.
+    pub table_reached: Cell<bool>,
+    /// Members as last read, and this entry's own row.
+    pub members: Members,
+    /// VM list.
+    pub vms: VmWatch,
+    /// Connections to backend servers.
+    pub backends: Backends,
+    /// Claims of idempotency keys.
+    pub claims: Claims,
+    /// Schedulers.
+    pub schedulers: Schedulers,
+    /// Table service.
+    pub table: Table,
+    /// Metrics.
+    pub metrics: Metrics,
+    lanes: RefCell<SortedMap<Name, Rc<Lane>>>,
+    next_request: Cell<u64>,
+}
+
+/// Counts one request as under way until it is dropped.
+#[derive(Debug)]
+pub struct Flight(Rc<Entry>);
+
+impl Entry {
+    /// Creates the state and the driver of the claims, which must run beside it.
+    pub async fn new(
+        cfg: EntryCfg,
+        wire: net::SocketAddr,
+    ) -> Result<(Rc<Self>, Driver<ClaimStore>), StoreError> {
+        let http = HttpCfg {
+            call_ms: cfg.platform_timeout,
+            ..HttpCfg::default()
+        };
+        let table = HttpTable::new(&format!("http://{}", cfg.table), http.clone()).await?;
+        let table = Table::from(table);
+        let vms = Vms::new(&format!("http://{}", cfg.vm_list), http).await?;
+        let id = fastrand::u64(1..);
+        let (claims, driver) =
+            Claims::new(ClaimCfg::default(), ClaimStore(table.clone()), id);
+        let entry = Self {
+            id,
+            phase: Cell::new(Phase::Serving),
+            in_flight: Cell::new(0),
+            connections: Cell::new(0),
+            bodies: Rc::new(BodyMemory::new(cfg.body_memory)),
+            config: Current::default(),
+            config_read: Mutex::new(()),
+            table_reached: Cell::new(false),
+            members: Members::new(id, wire),
+            vms: VmWatch::new(vms, cfg.platform_timeout),
+            backends: Backends::new(cfg.connect_timeout, cfg.backend_idle),
+            claims,
+            schedulers: Schedulers::new(cfg.schedulers.clone()),
+            table,
+            metrics: Metrics::default(),
+            lanes: RefCell::default(),
+            next_request: Cell::new(0),
+            cfg,
+        };
+        Ok((Rc::new(entry), driver))
+    }
+
+    /// Counts a request as under way, unless the entry refuses new requests.
+    pub fn enter(self: &Rc<Self>) -> Result<Flight, Refusal> {
+        if self.phase.get() == Phase::Draining {
+            let message = "this entry is stopping, use another one";
+            return Err(Refusal::not_run(Code::Stopping, message));
+        }
+        self.in_flight.set(self.in_flight.get() + 1);
+        Ok(Flight(self.clone()))
+    }
+
+    /// Returns whether the load balancer should send requests here.
+    pub fn is_ready(&self) -> bool {
+        self.phase.get() == Phase::Serving
+            && self.config.revision() > 0
+            && self.config.is_confirmed(self.cfg.config_lease)
+            && self.vms.age().is_some()
+    }
+
+    /// Returns who sent a request.
+    pub fn identify(&self, headers: &HeaderMap) -> Result<Identity, Refusal> {
+        let force = self.config.get();
+        force.tokens.identify(&self.cfg.operators, headers)
+    }
+
+    /// Returns a new request id; it names this incarnation, so ids never repeat.
+    pub fn request_id(&self) -> String {
+        self.next_request.set(self.next_request.get() + 1);
+        format!("{:016x}-{}", self.id, self.next_request.get())
+    }
+
+    /// Returns the lane of a service.
+    pub fn lane(&self, service: &Service) -> Rc<Lane> {
+        if let Some(lane) = self.lanes.borrow().get(&service.name) {
+            return lane.clone();
+        }
+        let limits = LimitsCfg {
+            slots: service.slots,
+            connections: service.connections,
+            entries: self.cfg.expected_entries as u16,
+            ..LimitsCfg::default()
+        };
+        let lane = Rc::new(Lane::new(limits, self.id));
+        self.fill_lane(&service.name, &lane);
+        self.lanes
+            .borrow_mut()
+            .insert(service.name.clone(), lane.clone());
+        lane
+    }
+
+    /// Returns all lanes by service.
+    pub fn lanes(&self) -> Vec<(Name, Rc<Lane>)> {
+        let lanes = self.lanes.borrow();
+        lanes.iter().map(|(k, v)| (k.clone(), v.clone())).collect()
+    }
+
+    /// Gives every lane the servers of the VM list and closes connections to servers that are gone.
+    pub fn spread_servers(&self) {
+        for (service, lane) in self.lanes() {
+            self.fill_lane(&service, &lane);
+        }
+        let servers = self.vms.servers();
+        self.backends
+            .prune(|addr| servers.values().any(|s| s.address == *addr));
+    }
+
+    /// Reads the VM list if it is older than `max_age`.
+    pub async fn refresh_vms(&self, max_age: Millis) {
+        match self.vms.refresh(max_age, self.cfg.vm_poll).await {
+            Ok(true) => self.spread_servers(),
+            Ok(false) => {}
+            Err(e) => {
+                log::error!("entry: alarm: the VM list is unavailable: {e}");
+                self.metrics.alarm("vm_list");
+            }
+        }
+    }
+
+    /// Reads and confirms the configuration if its confirmation is older than `max_age`.
+    pub async fn refresh_config(&self, max_age: Millis) {
+        if self.config.is_confirmed(max_age) {
+            return;
+        }
+        let _reading = self.config_read.lock().await;
+        if self.config.is_confirmed(max_age) {
+            return;
+        }
+        let reading = self.config.refresh(&self.table);
+        let read = time::timeout(self.cfg.platform_timeout.to_duration(), reading).await;
+        let problem = match read {
+            Ok(Ok(found)) if found < self.config.revision() => {
+                Some(format!("the table shows the lower revision {found}"))
+            }
+            Ok(Ok(_)) => None,
+            Ok(Err(e)) => Some(e.to_string()),
+            Err(_) => Some(format!("no answer in {}", self.cfg.platform_timeout)),
+        };
+        self.table_reached.set(problem.is_none());
+        if let Some(problem) = problem {
+            log::error!("config: alarm: the configuration was not confirmed: {problem}");
+            self.metrics.alarm("config");
+            self.members.vouch(self, clock::now()).await;
+        }
+    }
+
+    /// Returns the levels that the metrics show.
+    pub fn levels(&self) -> Levels {
+        let (busy, idle) = self.backends.counts();
+        let queued: usize = self.lanes().iter().map(|(_, lane)| lane.queued()).sum();
+        Levels {
+            in_flight: self.in_flight.get() as u64,
+            queued: queued as u64,
+            connections: self.connections.get() as u64,
+            backend_busy: busy as u64,
+            backend_idle: idle as u64,
+            config_revision: self.config.revision(),
+            config_age: self.config.age().unwrap_or(Millis(u64::MAX)),
+            vm_list_age: self.vms.age().unwrap_or(Millis(u64::MAX)),
+            body_bytes: self.bodies.used() as u64,
+            ready: u64::from(self.is_ready()),
+        }
+    }
+
+    fn fill_lane(&self, service: &Name, lane: &Lane) {
+        let servers = self.vms.servers();
+        let mine = servers.iter().filter(|(_, s)| s.service == *service);
+        lane.set_servers(mine, self.members.entries());
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/tasks.rs
@@ -0,0 +1,126 @@
+//! Tasks that run beside the requests: polling, renewal, answers to other members.
+
+use std::{net, rc::Rc};
+
+use base::{clock, clock::Millis};
+use claim::driver::Driver;
+use ntex::rt;
+use tokio::time;
+use wire::message::{Effect, Reply, Request};
+
+use crate::{claim_store::ClaimStore, state::Entry};
+
+/// Time between two looks at waiting requests, for late ones and for probes that become due.
+const PUMP_PERIOD: Millis = Millis(20);
+
+/// Starts all tasks.
+pub fn start(cx: &Rc<Entry>, driver: Driver<ClaimStore>) {
+    rt::spawn(driver.run());
+    rt::spawn(poll_config(cx.clone()));
+    rt::spawn(poll_leader(cx.clone()));
+    rt::spawn(poll_vms(cx.clone()));
+    rt::spawn(renew(cx.clone()));
+    rt::spawn(pump(cx.clone()));
+}
+
+/// Serves other members on `listener`.
+pub fn serve_members(
+    cx: Rc<Entry>,
+    listener: net::TcpListener,
+) -> std::io::Result<wire::server::Server> {
+    wire::server::serve(listener, move |req| {
+        let cx = cx.clone();
+        async move { answer_member(&cx, req) }
+    })
+}
+
+fn answer_member(cx: &Entry, req: Request) -> Reply {
+    match req {
+        Request::Ping => Reply::Pong,
+        Request::Vouch { .. } => Reply::Vouch {
+            revision: cx.config.revision(),
+            table_reached: cx.table_reached.get(),
+        },
+        Request::Current { known_revision, .. } => {
+            let force = cx.config.get();
+            let revision = force.config.revision;
+            let config = (revision > known_revision).then(|| force.config.clone());
+            Reply::Current { revision, config }
+        }
+        _ => Reply::Failed {
+            code: "not_a_scheduler".into(),
+            message: "this member is an entry".into(),
+            done: Effect::None,
+        },
+    }
+}
+
+async fn poll_config(cx: Rc<Entry>) {
+    loop {
+        let start = clock::now();
+        cx.refresh_config(Millis::ZERO).await;
+        pause(start, cx.cfg.config_poll).await;
+    }
+}
+
+/// Tells the leader which revision is in force here and takes a newer one from it.
+async fn poll_leader(cx: Rc<Entry>) {
+    loop {
+        let start = clock::now();
+        let req = Request::Current {
+            member: cx.id,
+            known_revision: cx.config.revision(),
+        };
+        let reply = match cx.schedulers.leader() {
+            Some(_) => cx.schedulers.call_leader(&req).await,
+            None => cx.schedulers.call(&req, cx.cfg.config_poll).await.ok(),
+        };
+        if let Some(Reply::Current { revision, config }) = reply {
+            if let Some(config) = config {
+                cx.config.install(config);
+            }
+            if revision == cx.config.revision() {
+                cx.config.confirm(start);
+            }
+        }
+        pause(start, cx.cfg.config_poll).await;
+    }
+}
+
+async fn poll_vms(cx: Rc<Entry>) {
+    loop {
+        let start = clock::now();
+        cx.refresh_vms(Millis::ZERO).await;
+        pause(start, cx.cfg.vm_poll).await;
+    }
+}
+
+async fn renew(cx: Rc<Entry>) {
+    loop {
+        let start = clock::now();
+        if let Err(e) = cx.members.renew(&cx.table).await {
+            log::warn!("entry: the member row was not renewed: {e}");
+        }
+        if let Err(e) = cx.members.read(&cx.table).await {
+            log::warn!("entry: the member rows were not read: {e}");
+        }
+        pause(start, cx.cfg.member_renewal).await;
+    }
+}
+
+async fn pump(cx: Rc<Entry>) {
+    loop {
+        time::sleep(PUMP_PERIOD.to_duration()).await;
+        for (_, lane) in cx.lanes() {
+            if lane.queued() > 0 {
+                lane.pump();
+            }
+        }
+    }
+}
+
+/// Waits until `period` has passed since `start`.
+async fn pause(start: Millis, period: Millis) {
+    let spent = clock::now().since(start);
+    time::sleep(period.since(spent).max(Millis(1)).to_duration()).await;
+}
