plan: guarantees with capacity set aside, reclaim, quotas, ranks, quarantine, corrections

Each guaranteed gang has boxes located on workers, so the sum of the locations proves that all unclaimed guarantees can be placed at once. The random histories found: a box located beside a worker whose rack was not known yet, partly claimed gangs that a repack skipped, and orders superseded within one decision.

--- a/crates/plan/src/gang.rs
+++ b/crates/plan/src/gang.rs
@@ -1,6 +1,6 @@
 //! Steps of a gang: hold, commit, go, stop.
 
-use base::name::Name;
+use base::{clock::Millis, name::Name};
 use schema::job::{Phase, StopMode};
 
 use crate::{
@@ -21,9 +21,11 @@
         job.rec.attempt += 1;
         job.rec.reason.clear();
         job.checkpointed = true;
-        job.over_since = None;
+        job.over_by = None;
         let need = need(job);
         self.workers.take(id, &self.jobs.get(id).rec.members, need);
+        self.count_usage(id, true);
+        self.note_end(step, id);
         self.enter(step, id, Phase::Holding);
         self.send_outstanding(step, id);
     }
@@ -40,7 +42,7 @@
 
     /// Gives up an attempt before its commit.
     pub(crate) fn abort(&mut self, step: &mut Step, id: JobId, phase: Phase, reason: &str) {
-        self.order_all(step, id, Action::Release);
+        self.order_members(step, id, Action::Release);
         self.clear(id);
         self.jobs.get_mut(id).rec.reason = reason.into();
         self.enter(step, id, phase);
@@ -56,6 +58,7 @@
         job.checkpointed = job.progress.iter().all(|p| *p == Progress::Asked);
         job.rec.reason = reason.into();
         self.enter(step, id, Phase::Stopping);
+        self.count_stopping(id, true);
         self.mark_absent(id);
         self.send_outstanding(step, id);
         self.end_stop(step, id);
@@ -94,8 +97,8 @@
         if job.checkpointed && !all_done {
             job.rec.completed_ms += step.now.since(job.rec.started_at);
         }
-        self.clear(id);
         let phase = self.phase_after_stop(id, all_done);
+        self.clear(id);
         self.enter(step, id, phase);
     }
 
@@ -125,8 +128,33 @@
         self.enter(step, id, Phase::Done);
     }
 
+    /// Adds the members of a stopping gang to the resources that become free soon, or takes
+    /// them off.
+    pub(crate) fn count_stopping(&mut self, id: JobId, add: bool) {
+        let job = self.jobs.get(id);
+        if job.rec.phase != Phase::Stopping {
+            return;
+        }
+        let need = need(job);
+        for member in &job.rec.members {
+            if let Some(w) = self.workers.find(&member.worker) {
+                let worker = &mut self.workers.list[w];
+                worker.stopping = if add {
+                    worker.stopping.plus(need)
+                } else {
+                    worker.stopping.minus(need)
+                };
+            }
+        }
+    }
+
     /// Frees the accelerators of all members.
     fn clear(&mut self, id: JobId) {
+        self.count_stopping(id, false);
+        self.count_claim(id, false);
+        self.count_usage(id, false);
+        self.unclaim(id);
+        self.capacity_changed();
         let job = self.jobs.get_mut(id);
         let members = std::mem::take(&mut job.rec.members);
         job.progress.clear();
@@ -134,19 +162,24 @@
         let need = need(job);
         self.workers.give_back(id, &members, need);
         let job = self.jobs.get_mut(id);
-        job.rec.started_at = base::clock::Millis::ZERO;
         job.rec.borrowed = false;
         job.rec.claim = None;
     }
 
     pub(crate) fn enter(&mut self, step: &mut Step, id: JobId, phase: Phase) {
+        self.queue_remove(id);
         let job = self.jobs.get_mut(id);
         job.rec.phase = phase;
         job.since = step.now;
+        step.changed.push(id);
         if phase.is_final() {
             job.rec.ended_at = step.now;
+            let rec = job.rec.clone();
+            self.learn(&rec);
+        } else if phase == Phase::Waiting {
+            job.rec.started_at = Millis::ZERO;
+            self.queue_add(id);
         }
-        step.changed.push(id);
     }
 
     /// Sends the order of the current phase to all members that did not confirm it.
@@ -175,7 +208,18 @@
         }
     }
 
-    fn order_all(&mut self, step: &mut Step, id: JobId, action: Action) {
+    /// Notes the expected end of a gang on its workers.
+    fn note_end(&mut self, step: &Step, id: JobId) {
+        let end = self.expected_end(step.now, id);
+        for member in &self.jobs.get(id).rec.members {
+            if let Some(w) = self.workers.find(&member.worker) {
+                let worker = &mut self.workers.list[w];
+                worker.expected_end = worker.expected_end.max(end);
+            }
+        }
+    }
+
+    fn order_members(&mut self, step: &mut Step, id: JobId, action: Action) {
         let job = self.jobs.get(id);
         let order = |member: &Member| Order {
             attempt: job.attempt(),
@@ -199,7 +243,10 @@
         match job.rec.phase {
             Phase::Holding => self.abort(step, id, Phase::Cancelled, "cancelled"),
             Phase::Running => self.stop(step, id, "cancelled"),
-            Phase::Waiting => self.enter(step, id, Phase::Cancelled),
+            Phase::Waiting => {
+                self.unclaim(id);
+                self.enter(step, id, Phase::Cancelled);
+            }
             _ => {}
         }
     }
@@ -211,7 +258,8 @@
         };
         self.workers.list[id].status = Status::Absent;
         self.workers.list[id].lost = true;
-        for job in self.workers.list[id].tasks.clone() {
+        self.worker_closed(id);
+        for job in self.workers.jobs_on(id) {
             match self.jobs.get(job).rec.phase {
                 Phase::Stopping => {
                     self.mark_absent(job);
--- a/crates/plan/src/health.rs
+++ b/crates/plan/src/health.rs
@@ -1,33 +1,157 @@
-//! Failures of jobs and workers.
+//! Failures of workers and jobs: quarantine, probes, and jobs at fault themselves.
 
-use base::name::Name;
+use base::{clock::Millis, name::Name};
+use schema::job::Phase;
 
 use crate::{
     jobs::JobId,
     state::{Plan, Step},
 };
 
-/// Distinct workers after whose failures a job is at fault itself.
-const JOB_FAILURES: usize = 3;
+/// Distinct workers after whose failures a job is at fault itself, and failures in a row of
+/// distinct jobs after which a worker is.
+const FAILURES: usize = 3;
+/// Length of the first quarantine; it doubles until `LONGEST_QUARANTINE`.
+const QUARANTINE: Millis = Millis::from_secs(60);
+/// Length of the longest quarantine.
+const LONGEST_QUARANTINE: Millis = Millis::from_secs(3_600);
+
+/// Failures of a worker.
+#[derive(Clone, Debug)]
+pub struct Health<K> {
+    /// Jobs of the last failures in a row, distinct.
+    strikes: Vec<K>,
+    state: State,
+    /// Length of the next quarantine.
+    next: Millis,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Sound,
+    Quarantined {
+        until: Millis,
+    },
+    /// One job at a time, until one succeeds.
+    Probing,
+}
+
+impl<K> Default for Health<K> {
+    fn default() -> Self {
+        Self {
+            strikes: Vec::new(),
+            state: State::Sound,
+            next: QUARANTINE,
+        }
+    }
+}
+
+impl<K: PartialEq> Health<K> {
+    pub fn is_quarantined(&self) -> bool {
+        matches!(self.state, State::Quarantined { .. })
+    }
+
+    pub fn is_probing(&self) -> bool {
+        self.state == State::Probing
+    }
+
+    pub fn success(&mut self) {
+        self.strikes.clear();
+        if self.state == State::Probing {
+            *self = Self::default();
+        }
+    }
+
+    /// Notes a failure; returns whether the worker is quarantined by it.
+    pub fn failure(&mut self, now: Millis, job: K) -> bool {
+        if !self.strikes.contains(&job) {
+            self.strikes.push(job);
+        }
+        let enough = self.strikes.len() >= FAILURES || self.state == State::Probing;
+        if !enough || self.is_quarantined() {
+            return false;
+        }
+        self.state = State::Quarantined {
+            until: now + self.next,
+        };
+        self.next = Millis((self.next.0 * 2).min(LONGEST_QUARANTINE.0));
+        self.strikes.clear();
+        true
+    }
+
+    /// Ends a quarantine whose time is over; returns whether it did.
+    pub fn tick(&mut self, now: Millis) -> bool {
+        let over = matches!(self.state, State::Quarantined { until } if until <= now);
+        if over {
+            self.state = State::Probing;
+        }
+        over
+    }
+}
 
 impl Plan {
+    /// Notes a success on a worker.
+    pub(crate) fn succeeded(&mut self, worker: &Name) {
+        if let Some(id) = self.workers.find(worker) {
+            self.workers.list[id].health.success();
+        }
+    }
+
     /// Notes that a member of the job failed on a worker.
     pub(crate) fn failed(&mut self, step: &mut Step, id: JobId, worker: &Name) {
         let rec = &mut self.jobs.get_mut(id).rec;
         if !rec.failed_on.contains(worker) {
             rec.failed_on.push(worker.clone());
+        }
+        step.changed.push(id);
+        let key = rec.key();
+        let Some(w) = self.workers.find(worker) else {
+            return;
+        };
+        if self.workers.list[w].health.failure(step.now, key) {
+            self.worker_closed(w);
+            self.forgive(step, worker);
+        }
+    }
+
+    /// Takes a quarantined worker off the lists of failures: the worker was at fault.
+    fn forgive(&mut self, step: &mut Step, worker: &Name) {
+        let blamed = |job: &crate::jobs::JobState| {
+            !job.rec.phase.is_final() && job.rec.failed_on.contains(worker)
+        };
+        let jobs: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| blamed(job))
+            .map(|(id, _)| id)
+            .collect();
+        for id in jobs {
+            let waiting = self.jobs.get(id).rec.phase == Phase::Waiting;
+            if waiting {
+                self.queue_remove(id);
+            }
+            self.jobs.get_mut(id).rec.failed_on.retain(|w| w != worker);
+            if waiting {
+                self.queue_add(id);
+            }
             step.changed.push(id);
         }
     }
 
-    /// Returns whether the job failed on enough distinct workers to be at fault itself.
+    /// Returns whether the job is at fault itself: it failed on enough sound workers, or outgrew
+    /// the largest correction of its declared memory.
     pub(crate) fn is_own_fault(&self, id: JobId) -> bool {
-        self.jobs.get(id).rec.failed_on.len() >= JOB_FAILURES
+        let rec = &self.jobs.get(id).rec;
+        let enough = FAILURES.min(self.workers.list.len().max(1));
+        rec.failed_on.len() >= enough || self.outgrew_all(id)
     }
 
-    /// Notes the memory that a member uses.
-    pub(crate) fn measure(&mut self, _: &mut Step, id: JobId, _: &[usize], memory_mb: u32) {
-        let rec = &mut self.jobs.get_mut(id).rec;
-        rec.peak_memory_mb = rec.peak_memory_mb.max(memory_mb);
+    /// Ends quarantines whose time is over.
+    pub(crate) fn tick_health(&mut self, now: Millis) {
+        for id in 0..self.workers.list.len() {
+            if self.workers.list[id].health.tick(now) {
+                self.worker_opened();
+            }
+        }
     }
 }
--- a/crates/plan/src/jobs.rs
+++ b/crates/plan/src/jobs.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     order::Attempt,
+    queue::ClassId,
     record::{JobKey, JobRecord},
+    slots::SlotId,
+    workers::WorkerId,
 };
 
 /// Position of a job in the table.
@@ -41,8 +44,18 @@
     pub sent_at: Millis,
     /// Whether each member that stopped took a checkpoint.
     pub checkpointed: bool,
-    /// Time since which a member uses more memory than it is charged with.
-    pub over_since: Option<Millis>,
+    /// Time since which a member uses more memory than it is charged with, and the member.
+    pub over_by: Option<(Millis, usize)>,
+    /// Class of a waiting job in the queue.
+    pub class: Option<ClassId>,
+    /// Slot of a claim.
+    pub slot: Option<SlotId>,
+    /// Box of the slot for each member.
+    pub boxes: Vec<usize>,
+    /// Whether the job has a claim and waits until borrowed work is stopped for it.
+    pub pending: bool,
+    /// Workers, one for each member, on which a pending claim waits for resources.
+    pub awaits: Vec<WorkerId>,
 }
 
 impl JobState {
@@ -54,7 +67,12 @@
             since: now,
             sent_at: now,
             checkpointed: true,
-            over_since: None,
+            over_by: None,
+            class: None,
+            slot: None,
+            boxes: Vec::new(),
+            pending: false,
+            awaits: Vec::new(),
         }
     }
 
@@ -121,6 +139,13 @@
             .filter_map(|(id, job)| Some((id, job.as_ref()?)))
     }
 
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (JobId, &mut JobState)> {
+        self.slots
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(id, job)| Some((id, job.as_mut()?)))
+    }
+
     /// Returns the jobs in `phase`.
     pub fn in_phase(&self, phase: Phase) -> impl Iterator<Item = JobId> {
         self.iter()
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -1,85 +1,120 @@
-//! Choice of places.
+//! Choice of places on borrowed capacity.
 
-use base::name::Name;
-use schema::{job::Phase, shape::Adjacency};
+use base::clock::Millis;
+use schema::{job::StopMode, shape::Adjacency};
 
 use crate::{
+    amount::Amount,
     jobs::JobId,
+    plan_cfg::Policy,
     record::Member,
-    state::{Plan, Step, need},
-    workers::{Need, WorkerId},
+    sites::{self, Prefer, Site},
+    state::{Plan, Step},
+    workers::{Worker, WorkerId},
 };
 
+/// Cost of covering the unclaimed part of a guarantee: a claim stops the job there.
+const OVERLAY_COST: u32 = 1 << 16;
+/// Cost of each free accelerator of the worker: full workers are filled first.
+const FREE_COST: u32 = 1 << 8;
+/// Highest cost of free accelerators elsewhere in the rack.
+const RACK_COST: u32 = 1 << 7;
+/// Highest cost of a different expected end.
+const END_COST: u32 = 1 << 6;
+/// Difference of expected ends at which the cost is highest.
+const END_SPAN: Millis = Millis::from_secs(6 * 3_600);
+
 impl Plan {
-    /// Places waiting jobs, oldest first.
-    pub(crate) fn place(&mut self, step: &mut Step) {
-        let mut waiting: Vec<JobId> = self.jobs.in_phase(Phase::Waiting).collect();
-        waiting.sort_by_key(|id| self.jobs.get(*id).rec.submitted_at);
-        for id in waiting {
-            if step.changed.len() >= self.cfg.max_records {
-                return;
+    /// Finds free resources for a job that can be stopped.
+    pub(crate) fn find_borrowed(&self, step: &Step, id: JobId) -> Option<Vec<Member>> {
+        let job = &self.jobs.get(id).rec.job;
+        if job.stop == StopMode::Never {
+            return None;
+        }
+        let sites = self.borrow_sites(step, id);
+        let prefer = match self.cfg.policy {
+            Policy::FirstFit => Prefer::First,
+            Policy::BestFit | Policy::Full => Prefer::Tightest,
+        };
+        let workers = sites::choose(&sites, job.shape.members, job.shape.adjacency, prefer)?;
+        Some(self.members_at(id, &workers))
+    }
+
+    fn borrow_sites(&self, step: &Step, id: JobId) -> Vec<Site> {
+        let (need, members) = self.gang_of(id);
+        let end = self.expected_end(step.now, id);
+        let avoid = &self.jobs.get(id).rec.failed_on;
+        let racks = self.rack_costs();
+        let mut sites = Vec::new();
+        for (worker, w) in self.workers.list.iter().enumerate() {
+            let room = w.spare().count_of(need, members);
+            if room == 0 || !w.is_open(step.now) || avoid.contains(&w.info.name) {
+                continue;
             }
-            if let Some(members) = self.find_place(step, id) {
-                self.hold(step, id, members);
+            if Self::is_held_back(w, id, end) {
+                continue;
             }
+            sites.push(Site {
+                worker,
+                rack: w.rack,
+                data_centre: self.workers.data_centre_of(worker),
+                room,
+                cost: self.site_cost(worker, need, end, racks[w.rack]),
+            });
         }
+        sites
+    }
+
+    /// Whether the worker is held back for another job that is expected to start before `end`.
+    fn is_held_back(worker: &Worker, id: JobId, end: Millis) -> bool {
+        let for_other = worker.held_back.filter(|(job, _)| *job != id);
+        for_other.is_some_and(|(_, start)| end > start)
     }
 
-    fn find_place(&self, step: &Step, id: JobId) -> Option<Vec<Member>> {
-        let job = self.jobs.get(id);
-        let need = need(job);
-        let count = job.rec.job.shape.members;
-        self.domains(job.rec.job.shape.adjacency)
-            .into_iter()
-            .find_map(|domain| self.fill(step, &domain, need, count))
+    fn site_cost(&self, worker: WorkerId, need: Amount, end: Millis, rack: u32) -> u32 {
+        let w = &self.workers.list[worker];
+        let free = w.free().accelerators * FREE_COST;
+        if self.cfg.policy != Policy::Full {
+            return free;
+        }
+        let unclaimed = w.reserved.minus(w.claimed);
+        let covers = !need.fits_in(w.free().minus(unclaimed));
+        let overlay = if covers { OVERLAY_COST } else { 0 };
+        let difference = w.expected_end.0.abs_diff(end.0).min(END_SPAN.0);
+        let ends = difference * u64::from(END_COST) / END_SPAN.0;
+        overlay + free + rack + ends as u32
     }
 
-    /// Returns the sets of workers within which a gang of this adjacency may stand.
-    fn domains(&self, adjacency: Adjacency) -> Vec<Vec<WorkerId>> {
+    /// Cost of each rack: low for full racks.
+    fn rack_costs(&self) -> Vec<u32> {
+        let cost = |workers: &Vec<WorkerId>| {
+            let sum = |amount: fn(&Worker) -> Amount| -> u32 {
+                let of = |w: &WorkerId| amount(&self.workers.list[*w]).accelerators;
+                workers.iter().map(of).sum()
+            };
+            sum(Worker::free) * RACK_COST / sum(Worker::capacity).max(1)
+        };
+        self.workers
+            .racks
+            .iter()
+            .map(|r| cost(&r.workers))
+            .collect()
+    }
+
+    /// Workers of each domain within which a gang of this adjacency may stand.
+    pub(crate) fn domains(&self, adjacency: Adjacency) -> Vec<Vec<WorkerId>> {
         let racks = &self.workers.racks;
         match adjacency {
             Adjacency::Worker => (0..self.workers.list.len()).map(|w| vec![w]).collect(),
             Adjacency::Rack => racks.iter().map(|r| r.workers.clone()).collect(),
             Adjacency::DataCentre => {
-                let mut names: Vec<&Name> = racks.iter().map(|r| &r.data_centre).collect();
-                names.sort_unstable();
-                names.dedup();
-                let workers = |name: &Name| {
-                    let name = name.clone();
-                    racks.iter().filter(move |r| r.data_centre == name)
-                };
-                names
-                    .into_iter()
-                    .map(|n| workers(n).flat_map(|r| r.workers.clone()).collect())
-                    .collect()
-            }
-        }
-    }
-
-    fn fill(
-        &self,
-        step: &Step,
-        domain: &[WorkerId],
-        need: Need,
-        count: u16,
-    ) -> Option<Vec<Member>> {
-        let mut members = Vec::new();
-        for id in domain {
-            let worker = &self.workers.list[*id];
-            if !worker.is_open(step.now) {
-                continue;
-            }
-            let room = worker.room(need, count - members.len() as u16);
-            let mut except = 0;
-            for _ in 0..room {
-                let accelerators = worker.pick(need.accelerators, except);
-                except |= accelerators;
-                members.push(Member {
-                    worker: worker.info.name.clone(),
-                    accelerators,
-                });
+                let count = racks.iter().map(|r| r.data_centre + 1).max().unwrap_or(0);
+                let mut domains = vec![Vec::new(); count];
+                for rack in racks {
+                    domains[rack.data_centre].extend(&rack.workers);
+                }
+                domains
             }
         }
-        (members.len() == usize::from(count)).then_some(members)
     }
 }
--- a/crates/plan/src/plan_cfg.rs
+++ b/crates/plan/src/plan_cfg.rs
@@ -24,8 +24,21 @@
     pub absent_limit: Millis,
     /// Time for which a worker that did not hold gets no new member; doubled on repetition.
     pub hold_backoff: Millis,
-    /// Most records in one decision.
+    /// Most records in one decision of a tick or a placement; the rest follows in later ones.
     pub max_records: usize,
+    /// Most searches for a place in one decision; the rest follows in later ones.
+    pub max_tries: usize,
+    /// Wait after which a claim that is not urgent stops borrowed work. Until then it uses what
+    /// becomes free by itself.
+    pub reclaim_after: Millis,
+    /// Wait after which workers are held back for a large gang at weight 0; a tenth of it at
+    /// weight 1.
+    pub starve_after: Millis,
+    /// Time for which a member may use more memory than it is charged with.
+    pub throttle_limit: Millis,
+    /// Time after a restore until jobs are compared with the known workers, which are reported
+    /// one by one.
+    pub fleet_grace: Millis,
 }
 
 impl Default for PlanCfg {
@@ -38,6 +51,11 @@
             absent_limit: Millis(45_000),
             hold_backoff: Millis(2_000),
             max_records: 200,
+            max_tries: 64,
+            reclaim_after: Millis(10_000),
+            starve_after: Millis(300_000),
+            throttle_limit: Millis(10_000),
+            fleet_grace: Millis(10_000),
         }
     }
 }
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -105,6 +105,7 @@
             }
             Report::Done => {
                 self.mark(id, members, Progress::Done);
+                self.succeeded(worker);
                 if self.jobs.get(id).all(Progress::Done) {
                     self.done(step, id);
                 }
@@ -160,6 +161,8 @@
     /// Handles the passing of time.
     pub(crate) fn tick(&mut self, step: &mut Step) {
         self.lose_absent(step);
+        self.tick_health(step.now);
+        self.tick_fleet(step);
         let open = |phase| matches!(phase, Phase::Holding | Phase::Running | Phase::Stopping);
         let jobs: Vec<JobId> = self
             .jobs
@@ -170,6 +173,23 @@
         for id in jobs {
             self.tick_job(step, id);
         }
+        self.hold_back(step);
+        // Waits and rests end by time alone, so all classes are tried again once all were.
+        if self.queue.len > 0 && self.tried_at == self.generation {
+            self.capacity_changed();
+        }
+    }
+
+    /// Compares the waiting jobs with the fleet once all workers had the time to be reported.
+    fn tick_fleet(&mut self, step: &mut Step) {
+        let known = step.now.since(self.restored_at) >= self.cfg.fleet_grace;
+        if known && !self.knows_fleet {
+            self.knows_fleet = true;
+            self.recheck = true;
+        }
+        if std::mem::take(&mut self.recheck) {
+            self.refuse_impossible(step);
+        }
     }
 
     fn tick_job(&mut self, step: &mut Step, id: JobId) {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -1,15 +1,19 @@
 //! The plan: all jobs and workers, and the decisions about them.
 
-use base::clock::Millis;
+use base::{clock::Millis, name::Name, sorted::SortedMap};
 use schema::{config::Config, job::Phase};
 
 use crate::{
-    event::{Decision, Event},
+    amount::Amount,
+    event::{Decision, Event, WorkerInfo},
     jobs::{JobId, JobState, Jobs},
-    order::Order,
+    learn::{Correction, KindKey},
+    order::{Action, Order},
     plan_cfg::PlanCfg,
+    queue::{Queue, Usage},
     record::{JobKey, JobRecord},
-    workers::{Need, Status, Workers},
+    slots::Slots,
+    workers::{Status, Workers},
 };
 
 /// All jobs and workers of one shard, and the decisions about them.
@@ -34,7 +38,27 @@
     pub(crate) config: Config,
     pub(crate) jobs: Jobs,
     pub(crate) workers: Workers,
+    pub(crate) slots: Slots,
+    /// Jobs with a claim that wait until borrowed work is stopped.
+    pub(crate) pending: Vec<JobId>,
+    pub(crate) queue: Queue,
+    pub(crate) usage: Usage,
+    pub(crate) corrections: SortedMap<KindKey, Correction>,
+    /// Raised whenever capacity becomes free or changes.
+    pub(crate) generation: u64,
+    /// Generation in which all classes of waiting jobs were tried.
+    pub(crate) tried_at: u64,
+    /// Sum of the weights of all organisations.
+    pub(crate) total_weight: f64,
+    /// Sum of the accelerators of all workers.
+    pub(crate) total_accelerators: f64,
     pub(crate) restored_at: Millis,
+    /// Whether all workers had the time to be reported.
+    pub(crate) knows_fleet: bool,
+    /// Whether the waiting jobs have to be compared with the limits again.
+    pub(crate) recheck: bool,
+    /// Jobs that changed while the plan was restored.
+    pub(crate) unsaved: Vec<JobId>,
 }
 
 /// Changes that one event made so far.
@@ -45,6 +69,15 @@
     pub(crate) orders: Vec<Order>,
 }
 
+impl Step {
+    fn at(now: Millis) -> Self {
+        Self {
+            now,
+            ..Self::default()
+        }
+    }
+}
+
 impl Plan {
     /// Returns a plan without jobs, workers and configuration.
     pub fn new(cfg: PlanCfg) -> Self {
@@ -53,7 +86,19 @@
             config: Config::default(),
             jobs: Jobs::default(),
             workers: Workers::default(),
+            slots: Slots::default(),
+            pending: Vec::new(),
+            queue: Queue::default(),
+            usage: Usage::default(),
+            corrections: SortedMap::default(),
+            generation: 1,
+            tried_at: 0,
+            total_weight: 0.0,
+            total_accelerators: 0.0,
             restored_at: Millis::ZERO,
+            knows_fleet: true,
+            recheck: false,
+            unsaved: Vec::new(),
         }
     }
 
@@ -66,33 +111,53 @@
         let mut plan = Self::new(cfg);
         plan.config = config;
         plan.restored_at = now;
+        plan.knows_fleet = false;
+        let mut ended: Vec<&JobRecord> = records.iter().filter(|r| r.phase.is_final()).collect();
+        ended.sort_by_key(|r| r.ended_at);
+        for rec in ended {
+            plan.learn(rec);
+        }
         for rec in records {
             plan.restore_job(rec, now);
         }
+        let mut step = Step::at(now);
+        plan.rebuild_slots(&mut step);
+        plan.count_totals();
+        plan.unsaved = step.changed;
         plan
     }
 
     fn restore_job(&mut self, rec: JobRecord, now: Millis) {
         let id = self.jobs.insert(JobState::new(rec, now));
         let job = self.jobs.get(id);
-        self.workers.take(id, &job.rec.members, need(job));
+        if job.rec.phase == Phase::Waiting {
+            return self.queue_add(id);
+        }
+        if !job.rec.members.is_empty() {
+            self.workers.take(id, &job.rec.members, need(job));
+            self.count_usage(id, true);
+            self.count_stopping(id, true);
+        }
     }
 
     /// Handles an event. `now` is the wall clock; only differences and order matter.
     ///
     /// The records of the decision must be durable before any of its orders is sent.
     pub fn handle(&mut self, now: Millis, event: Event) -> Decision {
-        let mut step = Step {
-            now,
-            ..Step::default()
-        };
+        let mut step = Step::at(now);
+        step.changed.append(&mut self.unsaved);
         match event {
             Event::Configured { config } => self.configured(&mut step, config),
             Event::WorkerUp { worker } => self.worker_up(&mut step, worker),
             Event::WorkerLeaving { worker } => self.worker_leaving(&mut step, &worker),
             Event::WorkerLost { worker } => self.worker_lost(&mut step, &worker),
             Event::Submitted { job } => self.submitted(&mut step, job),
-            Event::CancelAsked { job } => self.cancel(&mut step, &job),
+            // A wave of cancellations frees its capacity before any of it is used again: the
+            // next event of another kind places.
+            Event::CancelAsked { job } => {
+                self.cancel(&mut step, &job);
+                return self.finish(step);
+            }
             Event::Member {
                 attempt,
                 worker,
@@ -107,13 +172,27 @@
     fn finish(&self, mut step: Step) -> Decision {
         step.changed.sort_unstable();
         step.changed.dedup();
+        let mut orders = step.orders;
+        orders.retain(|order| self.is_current(order));
         let record = |id: &JobId| self.jobs.get(*id).rec.clone();
         Decision {
             records: step.changed.iter().map(record).collect(),
-            orders: step.orders,
+            orders,
         }
     }
 
+    /// Returns whether an order still follows from the state at the end of the decision: a gang
+    /// may be placed and stopped again by one event.
+    fn is_current(&self, order: &Order) -> bool {
+        let phase = match order.action {
+            Action::Hold { .. } => Phase::Holding,
+            Action::Go | Action::Throttle => Phase::Running,
+            Action::Release | Action::Stop { .. } => return true,
+        };
+        let rec = self.job(&order.attempt.job);
+        rec.is_some_and(|rec| rec.phase == phase && rec.attempt == order.attempt.attempt)
+    }
+
     /// Returns the record of a job.
     pub fn job(&self, key: &JobKey) -> Option<&JobRecord> {
         self.jobs.find(key).map(|id| &self.jobs.get(id).rec)
@@ -135,37 +214,48 @@
 
     fn configured(&mut self, step: &mut Step, config: Config) {
         self.config = config;
+        self.count_totals();
+        self.rebuild_slots(step);
+        self.capacity_changed();
         self.refuse_impossible(step);
     }
 
-    fn worker_up(&mut self, step: &mut Step, info: crate::event::WorkerInfo) {
+    fn worker_up(&mut self, step: &mut Step, info: WorkerInfo) {
+        let known = self.workers.find(&info.name);
+        let changed = known.is_some_and(|w| {
+            let old = &self.workers.list[w].info;
+            old.accelerators > 0 && *old != info
+        });
         let id = self.workers.up(info);
-        let mut jobs = self.workers.list[id].tasks.clone();
-        jobs.sort_unstable();
-        jobs.dedup();
-        for job in jobs {
+        self.count_totals();
+        if changed {
+            self.rebuild_slots(step);
+        }
+        self.worker_opened();
+        for job in self.workers.jobs_on(id) {
             self.send_outstanding(step, job);
         }
     }
 
-    fn worker_leaving(&mut self, step: &mut Step, name: &base::name::Name) {
+    fn worker_leaving(&mut self, step: &mut Step, name: &Name) {
         let Some(id) = self.workers.find(name) else {
             return;
         };
-        if self.workers.list[id].status == Status::Up {
-            self.workers.list[id].status = Status::Leaving;
+        if self.workers.list[id].status != Status::Up {
+            return;
         }
-        for job in self.workers.list[id].tasks.clone() {
+        self.workers.list[id].status = Status::Leaving;
+        self.worker_closed(id);
+        for job in self.workers.jobs_on(id) {
             self.interrupt(step, job, "the worker is leaving");
         }
     }
 }
 
 /// Returns what each member of the job uses.
-pub(crate) fn need(job: &JobState) -> Need {
-    Need {
-        accelerators: job.rec.job.shape.accelerators,
-        cores: job.rec.job.shape.cores,
+pub(crate) fn need(job: &JobState) -> Amount {
+    Amount {
         memory_mb: job.charged_mb(),
+        ..Amount::of(&job.rec.job.shape)
     }
 }
--- a/crates/plan/tests/fleet/mod.rs
+++ b/crates/plan/tests/fleet/mod.rs
@@ -12,7 +12,9 @@
     record::Member,
 };
 use schema::{
+    config::Config,
     job::{Job, StopMode},
+    organisation::{Guarantee, Organisation},
     shape::{Adjacency, Shape},
 };
 
@@ -54,6 +56,31 @@
     }
 }
 
+/// A configuration with these guarantees: organisation, gangs and shape.
+pub fn config(revision: u64, guarantees: &[(&str, u16, Shape)]) -> Config {
+    let mut config = Config {
+        revision,
+        ..Config::default()
+    };
+    for (organisation, gangs, shape) in guarantees {
+        let org = Organisation {
+            name: name(organisation),
+            token_hashes: Vec::new(),
+            guarantees: Vec::new(),
+            weight: 1,
+        };
+        if config.organisations.get(&org.name).is_none() {
+            config.organisations.insert(org.name.clone(), org.clone());
+        }
+        let org = config.organisations.get_mut(&org.name).unwrap();
+        org.guarantees.push(Guarantee {
+            gangs: *gangs,
+            shape: *shape,
+        });
+    }
+    config
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Task {
     /// Held until this time.
--- a/crates/plan/tests/fleet/world.rs
+++ b/crates/plan/tests/fleet/world.rs
@@ -7,11 +7,15 @@
     event::{Decision, Event, Report, WorkerInfo},
     order::{Action, Attempt, Order},
     plan_cfg::PlanCfg,
-    record::{JobKey, JobRecord},
+    record::{Claim, JobKey, JobRecord},
     state::Plan,
 };
 use quickcheck::{Arbitrary, Gen};
-use schema::{config::Config, job::Job, job::Phase};
+use schema::{
+    config::Config,
+    job::{Job, Phase, StopMode},
+    shape::{Adjacency, Shape},
+};
 
 use super::{Fleet, Task};
 
@@ -178,6 +182,7 @@
         }
         self.check_orders(decision);
         self.check_usage();
+        self.check_guarantees();
         if let Some(worker) = lost {
             self.check_lost(worker);
         }
@@ -230,6 +235,53 @@
         }
     }
 
+    /// Work that can't be stopped must not borrow, and the unclaimed guarantees must fit beside
+    /// the claims whenever the plan says so.
+    fn check_guarantees(&mut self) {
+        let active: Vec<&JobRecord> = self.db.values().filter(|r| !r.members.is_empty()).collect();
+        let never = |r: &&&JobRecord| r.borrowed && r.job.stop == StopMode::Never;
+        if let Some(rec) = active.iter().find(never) {
+            let text = format!("it can't be stopped and borrows: {rec:?}");
+            return self.fail(text);
+        }
+        if self.plan.unlocated() > 0 {
+            return;
+        }
+        let mut left: BTreeMap<Name, Left> = BTreeMap::new();
+        for worker in self.up.values() {
+            left.insert(worker.name.clone(), Left::of(worker));
+        }
+        for rec in active.iter().filter(|r| !r.borrowed) {
+            for member in &rec.members {
+                if let Some(left) = left.get_mut(&member.worker) {
+                    left.take(&rec.job.shape);
+                }
+            }
+        }
+        let mut unclaimed = Vec::new();
+        for org in self.config.organisations.values() {
+            for (i, g) in org.guarantees.iter().enumerate() {
+                for gang in 0..g.gangs {
+                    let claim = Some(Claim {
+                        guarantee: i as u16,
+                        gang,
+                    });
+                    let claims =
+                        |r: &&JobRecord| r.claim == claim && r.job.organisation == org.name;
+                    if !active.iter().any(claims) {
+                        unclaimed.push(g.shape);
+                    }
+                }
+            }
+        }
+        unclaimed.sort_by_key(|s| std::cmp::Reverse(s.total_accelerators()));
+        let mut sites: Vec<Left> = left.into_values().collect();
+        if !fits_all(&unclaimed, &mut sites) {
+            let text = format!("unclaimed guarantees don't fit: {unclaimed:?} in {sites:?}");
+            self.fail(text);
+        }
+    }
+
     /// The loss of a worker must stop its gangs in the same decision.
     fn check_lost(&mut self, worker: &Name) {
         let on = |rec: &&JobRecord| rec.members.iter().any(|m| m.worker == *worker);
@@ -368,3 +420,78 @@
         self.handle(Event::Tick);
     }
 }
+
+/// Free resources of a worker.
+#[derive(Clone, Debug)]
+struct Left {
+    rack: Name,
+    accelerators: u32,
+    cores: u32,
+    memory_mb: u32,
+}
+
+impl Left {
+    fn of(worker: &WorkerInfo) -> Self {
+        Self {
+            rack: worker.rack.clone(),
+            accelerators: worker.accelerators.into(),
+            cores: worker.cores.into(),
+            memory_mb: worker.memory_mb,
+        }
+    }
+
+    fn fits(&self, shape: &Shape) -> bool {
+        self.accelerators >= shape.accelerators.into()
+            && self.cores >= shape.cores.into()
+            && self.memory_mb >= shape.memory_mb
+    }
+
+    fn take(&mut self, shape: &Shape) {
+        self.accelerators = self.accelerators.saturating_sub(shape.accelerators.into());
+        self.cores = self.cores.saturating_sub(shape.cores.into());
+        self.memory_mb = self.memory_mb.saturating_sub(shape.memory_mb);
+    }
+
+    fn give(&mut self, shape: &Shape) {
+        self.accelerators += u32::from(shape.accelerators);
+        self.cores += u32::from(shape.cores);
+        self.memory_mb += shape.memory_mb;
+    }
+}
+
+/// Exhaustive search for places of all gangs at once.
+fn fits_all(gangs: &[Shape], sites: &mut [Left]) -> bool {
+    let Some((first, rest)) = gangs.split_first() else {
+        return true;
+    };
+    fits_gang(first, rest, sites, first.members, None)
+}
+
+fn fits_gang(
+    shape: &Shape,
+    rest: &[Shape],
+    sites: &mut [Left],
+    members: u16,
+    last: Option<usize>,
+) -> bool {
+    if members == 0 {
+        return fits_all(rest, sites);
+    }
+    for i in last.unwrap_or(0)..sites.len() {
+        let near = last.is_none_or(|l| match shape.adjacency {
+            Adjacency::Worker => l == i,
+            Adjacency::Rack => sites[l].rack == sites[i].rack,
+            Adjacency::DataCentre => true,
+        });
+        if !near || !sites[i].fits(shape) {
+            continue;
+        }
+        sites[i].take(shape);
+        let found = fits_gang(shape, rest, sites, members - 1, Some(i));
+        sites[i].give(shape);
+        if found {
+            return true;
+        }
+    }
+    false
+}
