plan: tests of guarantees and limits; a job may retry on the only worker

A fleet of one worker ended a job at its first failure, because three distinct workers were capped by the size of the fleet. Failures are counted in the record instead, and holds on a worker that enters quarantine are given up.

--- a/crates/plan/src/claim.rs
+++ b/crates/plan/src/claim.rs
@@ -96,7 +96,7 @@
                 worker.awaited
             };
             worker.is_open(step.now)
-                && !job.rec.failed_on.contains(&worker.info.name)
+                && !self.avoids(id, &worker.info.name)
                 && need.times(count).fits_in(worker.free().minus(awaited))
         })
     }
@@ -124,10 +124,9 @@
         rate: impl Fn(&Self, WorkerId) -> (u16, u32),
     ) -> Vec<Site> {
         let s = &self.slots.list[slot];
-        let avoid = &self.jobs.get(id).rec.failed_on;
         let mut sites = Vec::new();
         for (worker, w) in self.workers.list.iter().enumerate() {
-            if !w.is_open(step.now) || avoid.contains(&w.info.name) {
+            if !w.is_open(step.now) || self.avoids(id, &w.info.name) {
                 continue;
             }
             let own = s.boxes.iter().filter(|b| b.worker == Some(worker)).count();
@@ -191,10 +190,9 @@
                 return moved;
             }
         }
-        let avoid = &self.jobs.get(id).rec.failed_on;
         let open = |w: &WorkerId| {
             let w = &self.workers.list[*w];
-            w.is_sound() && !avoid.contains(&w.info.name)
+            w.is_sound() && !self.avoids(id, &w.info.name)
         };
         let usable = |f: &Fit| f.workers.iter().all(open);
         fits.into_iter().find(usable)
--- a/crates/plan/src/health.rs
+++ b/crates/plan/src/health.rs
@@ -11,6 +11,8 @@
 /// Distinct workers after whose failures a job is at fault itself, and failures in a row of
 /// distinct jobs after which a worker is.
 const FAILURES: usize = 3;
+/// Failures after which a job is at fault itself where there are too few workers to tell.
+const MOST_FAILURES: u32 = 6;
 /// Length of the first quarantine; it doubles until `LONGEST_QUARANTINE`.
 const QUARANTINE: Millis = Millis::from_secs(60);
 /// Length of the longest quarantine.
@@ -100,6 +102,7 @@
     /// Notes that a member of the job failed on a worker.
     pub(crate) fn failed(&mut self, step: &mut Step, id: JobId, worker: &Name) {
         let rec = &mut self.jobs.get_mut(id).rec;
+        rec.failures += 1;
         if !rec.failed_on.contains(worker) {
             rec.failed_on.push(worker.clone());
         }
@@ -111,6 +114,11 @@
         if self.workers.list[w].health.failure(step.now, key) {
             self.worker_closed(w);
             self.forgive(step, worker);
+            for job in self.workers.jobs_on(w) {
+                if self.jobs.get(job).rec.phase == Phase::Holding {
+                    self.interrupt(step, job, "the worker is in quarantine");
+                }
+            }
         }
     }
 
@@ -130,7 +138,9 @@
             if waiting {
                 self.queue_remove(id);
             }
-            self.jobs.get_mut(id).rec.failed_on.retain(|w| w != worker);
+            let rec = &mut self.jobs.get_mut(id).rec;
+            rec.failed_on.retain(|w| w != worker);
+            rec.failures = rec.failures.saturating_sub(1);
             if waiting {
                 self.queue_add(id);
             }
@@ -142,8 +152,15 @@
     /// the largest correction of its declared memory.
     pub(crate) fn is_own_fault(&self, id: JobId) -> bool {
         let rec = &self.jobs.get(id).rec;
-        let enough = FAILURES.min(self.workers.list.len().max(1));
-        rec.failed_on.len() >= enough || self.outgrew_all(id)
+        let failed = rec.failed_on.len() >= FAILURES || rec.failures >= MOST_FAILURES;
+        failed || self.outgrew_all(id)
+    }
+
+    /// Whether the job is to be kept off a worker on which it failed. A job that failed on all
+    /// workers may use any of them again.
+    pub(crate) fn avoids(&self, id: JobId, worker: &Name) -> bool {
+        let failed_on = &self.jobs.get(id).rec.failed_on;
+        failed_on.len() < self.workers.list.len() && failed_on.contains(worker)
     }
 
     /// Ends quarantines whose time is over.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -43,12 +43,11 @@
     fn borrow_sites(&self, step: &Step, id: JobId) -> Vec<Site> {
         let (need, members) = self.gang_of(id);
         let end = self.expected_end(step.now, id);
-        let avoid = &self.jobs.get(id).rec.failed_on;
         let racks = self.rack_costs();
         let mut sites = Vec::new();
         for (worker, w) in self.workers.list.iter().enumerate() {
             let room = w.spare().count_of(need, members);
-            if room == 0 || !w.is_open(step.now) || avoid.contains(&w.info.name) {
+            if room == 0 || !w.is_open(step.now) || self.avoids(id, &w.info.name) {
                 continue;
             }
             if Self::is_held_back(w, id, end) {
--- a/crates/plan/src/record.rs
+++ b/crates/plan/src/record.rs
@@ -47,6 +47,9 @@
     pub completed_ms: Millis,
     /// Distinct workers on which the job failed.
     pub failed_on: Vec<Name>,
+    /// Failures on workers that were not found at fault.
+    #[serde(default)]
+    pub failures: u32,
     /// Why the job is in this phase, for people; empty if there is nothing to say.
     pub reason: String,
     /// Memory with which each member of the current attempt is charged, in MiB; at least the
@@ -88,6 +91,7 @@
             started_at: Millis::ZERO,
             completed_ms: Millis::ZERO,
             failed_on: Vec::new(),
+            failures: 0,
             reason: String::new(),
             charged_memory_mb: 0,
             peak_memory_mb: 0,
--- a/crates/plan/tests/fleet/world.rs
+++ b/crates/plan/tests/fleet/world.rs
@@ -145,6 +145,13 @@
         }
     }
 
+    /// Submits a job and delivers all messages that follow, without the passing of time.
+    pub fn claim(&mut self, job: Job) {
+        self.now += Millis(10);
+        self.handle(Event::Submitted { job });
+        self.deliver(usize::MAX);
+    }
+
     fn handle(&mut self, event: Event) {
         let lost = match &event {
             Event::WorkerLost { worker } => Some(worker.clone()),
--- /dev/null
+++ b/crates/plan/tests/guarantee.rs
@@ -0,0 +1,172 @@
+//! Guarantees: the check of a configuration, reclaim, and its victims.
+
+mod fleet;
+
+use base::clock::Millis;
+use fleet::{config, job, name, shape, worker};
+use plan::{
+    check::{self, ConfigRefusal},
+    event::{Decision, Event, Report, WorkerInfo},
+    order::{Action, Attempt},
+    plan_cfg::PlanCfg,
+    record::JobKey,
+    state::Plan,
+};
+use schema::{
+    config::Config,
+    job::{Job, Phase, StopMode},
+    shape::Adjacency,
+};
+
+fn workers(count: usize) -> Vec<WorkerInfo> {
+    (0..count).map(|i| worker(i, 2)).collect()
+}
+
+fn plan_with(config: Config, count: usize) -> Plan {
+    let mut plan = Plan::new(PlanCfg::default());
+    plan.handle(Millis(1), Event::Configured { config });
+    for worker in workers(count) {
+        plan.handle(Millis(1), Event::WorkerUp { worker });
+    }
+    plan
+}
+
+/// Submits a job and answers its holds.
+fn run(plan: &mut Plan, now: u64, job: Job) -> Decision {
+    let key = JobKey {
+        organisation: job.organisation.clone(),
+        name: job.name.clone(),
+    };
+    let decision = plan.handle(Millis(now), Event::Submitted { job });
+    let rec = plan.job(&key).unwrap().clone();
+    for member in &rec.members {
+        let attempt = Attempt {
+            job: key.clone(),
+            attempt: rec.attempt,
+        };
+        plan.handle(
+            Millis(now),
+            Event::Member {
+                attempt,
+                worker: member.worker.clone(),
+                report: Report::Held,
+            },
+        );
+    }
+    decision
+}
+
+fn key(organisation: &str, title: &str) -> JobKey {
+    JobKey {
+        organisation: name(organisation),
+        name: name(title),
+    }
+}
+
+fn stopped(decision: &Decision) -> Vec<String> {
+    let stops = decision.orders.iter();
+    let mut jobs: Vec<String> = stops
+        .filter(|o| matches!(o.action, Action::Stop { .. }))
+        .map(|o| o.attempt.job.name.to_string())
+        .collect();
+    jobs.sort();
+    jobs.dedup();
+    jobs
+}
+
+/// Guards against guarantees that one lost worker breaks, by sums and by adjacency.
+#[test]
+fn guarantees_must_hold_with_any_worker_lost() {
+    let pair = shape(2, 8, Adjacency::Rack);
+    let fits = config(1, &[("a", 1, pair)]);
+    assert_eq!(check::check_config(&fits, &workers(4)), Ok(()));
+    let sum = config(1, &[("a", 1, pair), ("b", 1, pair)]);
+    let refusal = check::check_config(&sum, &workers(4)).unwrap_err();
+    let expected = ConfigRefusal::Total {
+        resource: "accelerators",
+        wanted: 32,
+        available: 24,
+    };
+    assert_eq!(refusal, expected);
+    // 32 of 40 accelerators, but a loss in the first or second rack leaves one whole rack.
+    let adjacency = check::check_config(&sum, &workers(5)).unwrap_err();
+    assert!(matches!(
+        adjacency,
+        ConfigRefusal::Packing { placed: 0 | 1, .. }
+    ));
+    assert_eq!(check::check_config(&sum, &workers(6)), Ok(()));
+}
+
+/// Guards against a claim that waits behind borrowed work, or stops more than it needs.
+#[test]
+fn an_urgent_claim_stops_the_cheapest_borrowed_work() {
+    let mut plan = plan_with(config(1, &[("a", 1, shape(1, 8, Adjacency::Worker))]), 2);
+    let mut restart = job("b", "restart", shape(1, 8, Adjacency::Worker));
+    restart.stop = StopMode::Restart;
+    run(&mut plan, 10, restart);
+    run(
+        &mut plan,
+        20,
+        job("b", "checkpoint", shape(1, 8, Adjacency::Worker)),
+    );
+    let mut claim = job("a", "claim", shape(1, 8, Adjacency::Worker));
+    claim.urgent = true;
+    let decision = run(&mut plan, 600_000, claim);
+    assert_eq!(stopped(&decision), ["checkpoint"]);
+    let attempt = Attempt {
+        job: key("b", "checkpoint"),
+        attempt: 1,
+    };
+    let worker = decision.orders[0].member.worker.clone();
+    let report = Report::Stopped { checkpoint: true };
+    let event = Event::Member {
+        attempt,
+        worker,
+        report,
+    };
+    plan.handle(Millis(600_100), event);
+    let claim = plan.job(&key("a", "claim")).unwrap();
+    assert_eq!((claim.phase, claim.borrowed), (Phase::Holding, false));
+}
+
+/// Guards against work in the way of a guarantee that can't be moved out of it.
+#[test]
+fn work_that_must_not_stop_needs_a_guarantee() {
+    let mut plan = plan_with(config(1, &[("a", 1, shape(1, 4, Adjacency::Worker))]), 2);
+    let mut never = job("a", "fits", shape(1, 4, Adjacency::Worker));
+    never.stop = StopMode::Never;
+    run(&mut plan, 10, never.clone());
+    assert_eq!(plan.job(&key("a", "fits")).unwrap().phase, Phase::Running);
+    never.name = name("second");
+    run(&mut plan, 20, never.clone());
+    assert_eq!(plan.job(&key("a", "second")).unwrap().phase, Phase::Waiting);
+    never.name = name("large");
+    never.shape.accelerators = 8;
+    run(&mut plan, 30, never);
+    let rec = plan.job(&key("a", "large")).unwrap();
+    assert_eq!(rec.phase, Phase::Refused);
+    assert!(
+        rec.reason.contains("the largest is 1 members of 4"),
+        "{}",
+        rec.reason
+    );
+}
+
+/// Guards against a claim that loses its capacity when its guarantee is taken away.
+#[test]
+fn a_claim_that_must_not_stop_outlives_its_guarantee() {
+    let shape = shape(1, 8, Adjacency::Worker);
+    let mut plan = plan_with(config(1, &[("a", 1, shape)]), 2);
+    let mut never = job("a", "never", shape);
+    never.stop = StopMode::Never;
+    run(&mut plan, 10, never);
+    let config = config(2, &[("b", 1, shape)]);
+    plan.handle(Millis(20), Event::Configured { config });
+    let mut claim = job("b", "claim", shape);
+    claim.urgent = true;
+    run(&mut plan, 30, claim);
+    let kept = plan.job(&key("a", "never")).unwrap();
+    let claim = plan.job(&key("b", "claim")).unwrap();
+    assert_eq!((kept.phase, claim.phase), (Phase::Running, Phase::Running));
+    assert_ne!(kept.members[0].worker, claim.members[0].worker);
+}
--- a/crates/plan/tests/history.rs
+++ b/crates/plan/tests/history.rs
@@ -4,14 +4,14 @@
 
 use base::clock::Millis;
 use fleet::{
-    config, job, shape, worker,
+    config, job, name, shape, worker,
     world::{Op, Setting, World},
 };
-use plan::check;
+use plan::{check, record::JobRecord};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use schema::{
     config::Config,
-    job::{Job, StopMode},
+    job::{Job, Phase, StopMode},
     shape::Adjacency,
 };
 
@@ -96,9 +96,34 @@
         if world.plan.unlocated() > 0 {
             world.fail("a guarantee has no capacity set aside".into());
         }
+        claim_whole(world);
     })
 }
 
+/// An urgent job of an unclaimed guaranteed shape must run as soon as the borrowed work stopped.
+fn claim_whole(world: &mut World) {
+    let organisation = name("other");
+    let claims = |r: &&JobRecord| r.claim.is_some() && r.job.organisation == organisation;
+    if world.db.values().any(|r| claims(&r)) {
+        return;
+    }
+    let shape = guaranteed()
+        .organisations
+        .get(&organisation)
+        .unwrap()
+        .guarantees[0]
+        .shape;
+    let mut job = job("other", "claim", shape);
+    job.urgent = true;
+    job.stop = StopMode::Never;
+    let rec = JobRecord::submitted(job.clone(), world.now);
+    world.claim(job);
+    let phase = world.db.get(&rec.key()).map(|r| r.phase);
+    if phase != Some(Phase::Running) {
+        world.fail(format!("the claim of a guarantee is {phase:?}"));
+    }
+}
+
 fn check_all(property: fn(Vec<Op>) -> TestResult) {
     for seed in 1..=4 {
         QuickCheck::new()
