--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -4,6 +4,7 @@
 
 use eyre::WrapErr;
 use ntex::{client, http, rt};
+use schema::config::Config;
 use serde::{Deserialize, de::DeserializeOwned};
 
 use crate::exit::Failure;
@@ -35,7 +36,19 @@
     message: String,
 }
 
+/// Answer to `GET /config`.
+#[derive(Debug, Deserialize)]
+struct InForce {
+    config: Config,
+}
+
 impl Api {
+    /// Returns the configuration in force.
+    pub async fn config(&self) -> eyre::Result<Config> {
+        let in_force: InForce = self.send_json(http::Method::GET, "/config", None).await?;
+        Ok(in_force.config)
+    }
+
     /// Reads the token file and returns the client.
     pub fn new(entry: &str, token_file: Option<&str>, json: bool) -> eyre::Result<Self> {
         let token = match token_file {
--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -1,6 +1,7 @@
 //! `submit`, `cancel`, `status` and `settle`.
 
 use ntex::{http::Method, time};
+use serde::Deserialize;
 use wire::message::JobStatus;
 
 use super::files;
@@ -13,6 +14,12 @@
 /// Time between two looks at a job that is waited for.
 const POLL: time::Millis = time::Millis(500);
 
+/// Answer to `GET /jobs`.
+#[derive(Debug, Deserialize)]
+struct Jobs {
+    jobs: Vec<JobStatus>,
+}
+
 /// Submits a job.
 pub fn submit(api: Api, args: args::Submit) -> eyre::Result<()> {
     let found = files::read(std::slice::from_ref(&args.path))?;
@@ -59,7 +66,7 @@
         let jobs: Vec<JobStatus> = if one {
             vec![api.send_json(Method::GET, &path, None).await?]
         } else {
-            api.send_json(Method::GET, &path, None).await?
+            api.send_json::<Jobs>(Method::GET, &path, None).await?.jobs
         };
         jobs.iter().try_for_each(|status| print(status, api.json))
     })
--- a/crates/cli/src/command/show.rs
+++ b/crates/cli/src/command/show.rs
@@ -8,7 +8,7 @@
 /// Prints the configuration in force.
 pub fn get(api: Api) -> eyre::Result<()> {
     api::block_on(async move {
-        let config: Config = api.send_json(Method::GET, "/config", None).await?;
+        let config = api.config().await?;
         if api.json {
             println!("{}", serde_json::to_string(&config)?);
             return Ok(());
