--- a/crates/sched/src/link.rs
+++ b/crates/sched/src/link.rs
@@ -121,6 +121,11 @@
         self.silence != Silence::None
     }
 
+    /// Returns whether the leases of all tasks on the worker have lapsed.
+    pub fn is_lost(&self) -> bool {
+        self.silence == Silence::Lost
+    }
+
     /// Returns whether the worker must be asked what it is before it gets orders.
     pub fn needs_info(&self) -> bool {
         self.info.is_none() || self.is_suspected()
--- /dev/null
+++ b/crates/sched/src/restore.rs
@@ -0,0 +1,149 @@
+//! Rebuilds the state of a new leadership from the table.
+
+use std::rc::Rc;
+
+use derive_more::{Display, Error, From};
+use plan::record::JobRecord;
+use schema::config::Config;
+use store::table::{Check, Commit, Key, Row, StoreError, Txn};
+
+use crate::{
+    config,
+    ctx::Cx,
+    leader::Leader,
+    records,
+    rows::RevRow,
+    state::{State, Stored},
+};
+
+/// Rows in one page of a scan.
+const PAGE: usize = 1_000;
+/// Rows whose versions are confirmed in one transaction.
+const CONFIRM: usize = 500;
+
+/// Why the state could not be rebuilt.
+#[derive(Clone, Debug, Display, Error, From)]
+pub(crate) enum RestoreError {
+    /// The table does not answer.
+    #[display("{_0}")]
+    Store(StoreError),
+    /// A read does not show the newest rows.
+    #[display("the reads are stale")]
+    #[from(ignore)]
+    Stale,
+    /// A row is not readable.
+    #[display("the row {key} is not readable: {reason}")]
+    #[from(ignore)]
+    Row {
+        /// Key of the row.
+        key: Key,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Rebuilds configuration, jobs and plan.
+pub(crate) async fn run(cx: &Cx, leader: &Rc<Leader>) -> Result<(), RestoreError> {
+    wait_for_takeover(cx, leader).await?;
+    let (config, rev) = read_config(cx).await?;
+    let audits = config::read_audits(cx, config.revision).await?;
+    let jobs = read_jobs(cx).await?;
+    let mut state = State::new(cx.cfg.workers);
+    cx.revision.set(cx.revision.get().max(config.revision));
+    leader.config.restore(rev, audits);
+    state.restore(config, jobs, cx.plan_now());
+    leader.state.replace(Some(state));
+    Ok(())
+}
+
+/// Checks that reads show the own takeover, after which nobody else writes rows of this shard.
+async fn wait_for_takeover(cx: &Cx, leader: &Leader) -> Result<(), RestoreError> {
+    let row = cx.table.get(&cx.lease_key()).await?;
+    if row.is_none_or(|r| r.version < leader.held.version) {
+        return Err(RestoreError::Stale);
+    }
+    Ok(())
+}
+
+/// Reads the configuration and the version of the `rev` row.
+async fn read_config(cx: &Cx) -> Result<(Config, u64), RestoreError> {
+    let mut rows = Vec::new();
+    for prefix in records::PREFIXES {
+        rows.extend(scan(cx, prefix).await?);
+    }
+    let rev = cx.table.get("rev").await?;
+    let mut checks = checks(&rows);
+    checks.push(Check {
+        key: "rev".into(),
+        version: rev.as_ref().map_or(0, |r| r.version),
+    });
+    confirm(cx, &checks).await?;
+    let mut config = Config::default();
+    for row in &rows {
+        records::insert_row(&mut config, &row.key, &row.value).map_err(|e| unreadable(row, &e))?;
+    }
+    let Some(rev) = rev else {
+        return Ok((config, 0));
+    };
+    let value: RevRow = serde_json::from_str(&rev.value).map_err(|e| unreadable(&rev, &e))?;
+    config.revision = value.revision;
+    Ok((config, rev.version))
+}
+
+async fn read_jobs(cx: &Cx) -> Result<Vec<Stored>, RestoreError> {
+    let rows = scan(cx, "job/").await?;
+    confirm(cx, &checks(&rows)).await?;
+    let mut jobs = Vec::with_capacity(rows.len());
+    for row in rows {
+        let record: JobRecord =
+            serde_json::from_str(&row.value).map_err(|e| unreadable(&row, &e))?;
+        jobs.push(Stored {
+            version: row.version,
+            record,
+        });
+    }
+    Ok(jobs)
+}
+
+/// Reads all pages of a prefix.
+pub(crate) async fn scan(cx: &Cx, prefix: &str) -> Result<Vec<Row>, StoreError> {
+    let mut rows: Vec<Row> = Vec::new();
+    loop {
+        let after = rows.last().map_or("", |r| &*r.key).to_owned();
+        let page = cx.table.scan(prefix, &after, PAGE).await?;
+        let whole = page.len() >= PAGE;
+        rows.extend(page);
+        if !whole {
+            return Ok(rows);
+        }
+    }
+}
+
+fn checks(rows: &[Row]) -> Vec<Check> {
+    let check = |row: &Row| Check {
+        key: row.key.clone(),
+        version: row.version,
+    };
+    rows.iter().map(check).collect()
+}
+
+/// Confirms by transactions without writes that the reads are not stale.
+async fn confirm(cx: &Cx, checks: &[Check]) -> Result<(), RestoreError> {
+    for part in checks.chunks(CONFIRM) {
+        let txn = Txn {
+            checks: part.to_vec(),
+            writes: Vec::new(),
+        };
+        if let Commit::Conflict { .. } = cx.table.commit(&txn).await? {
+            return Err(RestoreError::Stale);
+        }
+    }
+    Ok(())
+}
+
+fn unreadable(row: &Row, e: &impl ToString) -> RestoreError {
+    RestoreError::Row {
+        key: row.key.clone(),
+        reason: e.to_string(),
+    }
+}
