--- /dev/null
+++ b/crates/sched/src/answer.rs
@@ -0,0 +1,17 @@
+//! Answers that several controllers give.
+
+use wire::message::{Effect, Reply};
+
+/// Returns the answer to a request that failed.
+pub(crate) fn failed(code: &str, message: impl Into<String>, done: Effect) -> Reply {
+    Reply::Failed {
+        code: code.into(),
+        message: message.into(),
+        done,
+    }
+}
+
+/// Returns the answer to a request that was not begun because something is down.
+pub(crate) fn unavailable(message: &str) -> Reply {
+    failed("unavailable", message, Effect::None)
+}
--- /dev/null
+++ b/crates/sched/src/config.rs
@@ -0,0 +1,297 @@
+//! Configuration controller: changes, and their way to all members.
+
+use std::{cell::RefCell, net, rc::Rc, sync::Arc};
+
+use base::{
+    clock::{self, Millis},
+    limits,
+    name::Name,
+    sorted::SortedMap,
+};
+use ntex::rt;
+use plan::event::Event;
+use schema::config::Config;
+use store::table::{StoreError, Txn};
+use tokio::sync::{Mutex, Notify, oneshot};
+use wire::{
+    client::Client,
+    message::{Effect, Reply, Request},
+};
+
+use crate::{
+    accept::{self, Verdict},
+    answer,
+    ctx::{self, Cx},
+    executor::{self, Abandoned},
+    leader::Leader,
+    lease_task::to_json,
+    records,
+    rows::{self, AuditRow, RevRow},
+};
+
+/// Changes that are remembered, so that a repetition gets the same answer.
+const REMEMBERED: u64 = 1_000;
+/// Longest wait for the answer to a push.
+const PUSH_TIMEOUT: Millis = Millis(500);
+
+/// A change as asked for.
+#[derive(Clone, Debug)]
+pub(crate) struct Change {
+    pub(crate) id: u64,
+    pub(crate) operator: Name,
+    pub(crate) records: Vec<String>,
+    pub(crate) expected: Option<u64>,
+}
+
+/// State of the configuration in one leadership.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigState {
+    inner: RefCell<Inner>,
+    /// Changes are made one after the other.
+    lock: Arc<Mutex<()>>,
+    /// Wakes whoever waits for acknowledgements.
+    acked: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Version of the `rev` row.
+    rev: u64,
+    /// Revisions by change id.
+    changes: SortedMap<u64, u64>,
+    /// Time of the last commit, or of the takeover.
+    committed: Millis,
+    /// Entries by incarnation id; `None` before the first reading.
+    members: Option<Vec<Entry>>,
+    /// Revision that each member has in force.
+    acks: SortedMap<u64, u64>,
+}
+
+/// An entry process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Entry {
+    pub(crate) id: u64,
+    pub(crate) address: net::SocketAddr,
+}
+
+impl ConfigState {
+    /// Takes the state over from the table.
+    pub(crate) fn restore(&self, rev: u64, audits: Vec<AuditRow>) {
+        let mut inner = self.inner.borrow_mut();
+        inner.rev = rev;
+        inner.committed = clock::now();
+        inner.changes = audits.iter().map(|a| (a.change, a.revision)).collect();
+    }
+
+    /// Takes the entries that have a membership row.
+    pub(crate) fn set_members(&self, members: Vec<Entry>) {
+        let mut inner = self.inner.borrow_mut();
+        inner
+            .acks
+            .retain(|id, _| members.iter().any(|m| m.id == *id));
+        inner.members = Some(members);
+        drop(inner);
+        self.acked.notify_waiters();
+    }
+
+    fn ack(&self, member: u64, revision: u64) {
+        let mut inner = self.inner.borrow_mut();
+        let known = inner.acks.entry(member);
+        *known = revision.max(*known);
+        drop(inner);
+        self.acked.notify_waiters();
+    }
+
+    fn verdict(&self, revision: u64, lease: Millis) -> Verdict {
+        let inner = self.inner.borrow();
+        let now = clock::now();
+        let Some(members) = &inner.members else {
+            return Verdict::Wait { until: now + lease };
+        };
+        let acked = |m: &Entry| inner.acks.get(&m.id).is_some_and(|r| *r >= revision);
+        let acked: Vec<bool> = members.iter().map(acked).collect();
+        accept::verdict(now, inner.committed, lease, &acked)
+    }
+
+    fn missing(&self, revision: u64) -> Vec<Entry> {
+        let inner = self.inner.borrow();
+        let behind = |m: &&Entry| inner.acks.get(&m.id).is_none_or(|r| *r < revision);
+        let members = inner.members.iter().flatten();
+        members.filter(behind).copied().collect()
+    }
+}
+
+/// Reads the audit rows of the newest changes.
+pub(crate) async fn read_audits(cx: &Cx, revision: u64) -> Result<Vec<AuditRow>, StoreError> {
+    let after = rows::audit_key(revision.saturating_sub(REMEMBERED));
+    let page = cx.table.scan("audit/", &after, REMEMBERED as usize).await?;
+    let read = |row: &store::table::Row| serde_json::from_str(&row.value).ok();
+    Ok(page.iter().filter_map(read).collect())
+}
+
+/// Answers the question for the configuration; it also is the acknowledgement of a member.
+pub(crate) fn current(leader: &Leader, member: u64, known: u64) -> Reply {
+    leader.config.ack(member, known);
+    let config = leader.with(|s| s.config.clone()).unwrap_or_default();
+    Reply::Current {
+        revision: config.revision,
+        config: (config.revision > known).then_some(config),
+    }
+}
+
+/// Makes a change and answers when it is in force everywhere.
+pub(crate) async fn apply(cx: &Cx, leader: &Rc<Leader>, change: Change) -> Reply {
+    if change.records.len() > limits::APPLY_RECORDS {
+        let most = limits::APPLY_RECORDS;
+        let message = format!(
+            "a change has at most {most} records, this one has {}",
+            change.records.len()
+        );
+        return answer::failed("too_many_records", message, Effect::None);
+    }
+    let limit = clock::now() + cx.cfg.config.accept_ms;
+    let guard = leader.config.lock.clone().lock_owned();
+    let Ok(guard) = tokio::time::timeout(cx.cfg.config.accept_ms.to_duration(), guard).await else {
+        return answer::unavailable("an earlier change is not settled");
+    };
+    let (tx, rx) = oneshot::channel();
+    let (task_cx, task_leader) = (cx.clone(), leader.clone());
+    // The commit goes on when the caller has gone, because its outcome must be known before the
+    // next change.
+    rt::spawn(async move {
+        let _guard = guard;
+        let _ = tx.send(commit(&task_cx, &task_leader, change).await);
+    })
+    .detach();
+    let left = limit.since(clock::now());
+    match tokio::time::timeout(left.to_duration(), rx).await {
+        Ok(Ok(Ok(revision))) => wait_in_force(cx, leader, revision, limit).await,
+        Ok(Ok(Err(reply))) => reply,
+        Ok(Err(_)) | Err(_) => open("the commit is not settled"),
+    }
+}
+
+fn open(what: &str) -> Reply {
+    let message = format!("{what}; repeat the change with the same id to learn its outcome");
+    answer::failed("outcome_unknown", message, Effect::Maybe)
+}
+
+/// Commits a change and returns its revision.
+async fn commit(cx: &Cx, leader: &Rc<Leader>, change: Change) -> Result<u64, Reply> {
+    if let Some(revision) = leader.config.inner.borrow().changes.get(&change.id) {
+        return Ok(*revision);
+    }
+    let stuck = leader.with(|s| s.stuck).unwrap_or(true);
+    if stuck || !cx.is_acting(leader) {
+        return Err(answer::unavailable(
+            "the table service does not take changes",
+        ));
+    }
+    let old = leader.with(|s| s.config.clone()).unwrap_or_default();
+    let next = next(&old, &change)?;
+    let txn = transaction(cx, leader, &old, &next, &change);
+    match executor::settle(cx, leader, &txn).await {
+        Ok(version) => {
+            in_force(cx, leader, change.id, version, next);
+            Ok(leader.with(|s| s.config.revision).unwrap_or_default())
+        }
+        Err(Abandoned::Lost { maybe: true }) => Err(open("the lease was lost")),
+        Err(Abandoned::Lost { maybe: false }) => Err(answer::unavailable("the lease was lost")),
+        Err(Abandoned::Conflict) => {
+            cx.end_leadership("the revision is not as expected, the state is rebuilt");
+            let message = "another change came first".to_owned();
+            Err(answer::failed("revision_conflict", message, Effect::None))
+        }
+    }
+}
+
+fn next(old: &Config, change: &Change) -> Result<Config, Reply> {
+    if let Some(expected) = change.expected
+        && expected != old.revision
+    {
+        let message = format!(
+            "the change was made against revision {expected}, in force is {}",
+            old.revision
+        );
+        return Err(answer::failed("revision_conflict", message, Effect::None));
+    }
+    records::apply(old, &change.records)
+        .map_err(|e| answer::failed("bad_record", e.to_string(), Effect::None))
+}
+
+fn transaction(cx: &Cx, leader: &Leader, old: &Config, next: &Config, change: &Change) -> Txn {
+    let revision = next.revision;
+    let audit = AuditRow {
+        revision,
+        change: change.id,
+        operator: change.operator.clone(),
+        at: clock::wall(),
+        records: change.records.clone(),
+    };
+    let rev = leader.config.inner.borrow().rev;
+    let txn = Txn::default()
+        .check(cx.lease_key(), leader.held.version)
+        .check("rev", rev);
+    // The audit row comes last: it is the one that is read back when the answer is lost.
+    records::writes(txn, old, next)
+        .put("rev", to_json(&RevRow { revision }))
+        .put(rows::audit_key(revision), to_json(&audit))
+}
+
+/// Puts a committed revision in force here and pushes it to the members.
+fn in_force(cx: &Cx, leader: &Rc<Leader>, change: u64, version: u64, config: Config) {
+    let revision = config.revision;
+    {
+        let mut inner = leader.config.inner.borrow_mut();
+        inner.rev = version;
+        inner.committed = clock::now();
+        inner.changes.insert(change, revision);
+    }
+    cx.revision.set(cx.revision.get().max(revision));
+    leader.with(|s| s.config = config.clone());
+    leader.event(cx, Event::Configured { config });
+    log::info!("config: revision {revision} is committed");
+    for entry in leader.config.missing(revision) {
+        let (cx, leader) = (cx.clone(), leader.clone());
+        rt::spawn(async move { push(&cx, &leader, entry, revision).await }).detach();
+    }
+}
+
+/// Tells a member about a revision until it has it in force.
+async fn push(cx: &Cx, leader: &Leader, entry: Entry, revision: u64) {
+    let client = Client::new(entry.address).with_timeout(PUSH_TIMEOUT);
+    let request = Request::Current {
+        member: cx.id,
+        known_revision: revision,
+    };
+    while leader.is_alive() && cx.revision.get() == revision {
+        if !leader.config.missing(revision).contains(&entry) {
+            return;
+        }
+        if let Ok(Reply::Current { revision: has, .. }) = client.call(&request).await {
+            leader.config.ack(entry.id, has);
+        }
+        ctx::sleep(cx.cfg.config.push_ms).await;
+    }
+}
+
+async fn wait_in_force(cx: &Cx, leader: &Leader, revision: u64, limit: Millis) -> Reply {
+    loop {
+        let acked = leader.config.acked.notified();
+        let until = match leader
+            .config
+            .verdict(revision, cx.cfg.config.serving_lease_ms)
+        {
+            Verdict::InForce => return Reply::Applied { revision },
+            Verdict::Wait { until } => until.min(limit),
+        };
+        let now = clock::now();
+        if now >= limit || !leader.is_alive() {
+            return open("the change is committed, but not known to be in force everywhere");
+        }
+        tokio::select! {
+            () = acked => {}
+            () = ctx::sleep(until.since(now)) => {}
+        }
+    }
+}
--- a/crates/sched/src/ctx.rs
+++ b/crates/sched/src/ctx.rs
@@ -106,7 +106,10 @@
     /// Ends the leadership; everything that is not done is dropped.
     pub(crate) fn end_leadership(&self, why: &str) {
         if let Some(leader) = self.leader.take() {
-            log::warn!("lease: leadership with fencing number {} ends: {why}", leader.held.fence);
+            log::warn!(
+                "lease: leadership with fencing number {} ends: {why}",
+                leader.held.fence
+            );
             leader.end();
         }
         self.lease_changed.notify_one();
--- a/crates/sched/src/executor.rs
+++ b/crates/sched/src/executor.rs
@@ -56,7 +56,11 @@
             after_outage(leader, pace).await;
         }
         Err(Abandoned::Lost { maybe }) => {
-            batch.settle(if maybe { Settled::Unknown } else { Settled::Dropped });
+            batch.settle(if maybe {
+                Settled::Unknown
+            } else {
+                Settled::Dropped
+            });
         }
         Err(Abandoned::Conflict) => {
             batch.settle(Settled::Unknown);
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -15,8 +15,9 @@
     ctx::{self, Cx},
     executor,
     lease::Held,
-    members, restore,
+    members,
     queue::Settled,
+    restore,
     state::State,
     workers,
 };
--- a/crates/sched/src/lease_task.rs
+++ b/crates/sched/src/lease_task.rs
@@ -61,7 +61,11 @@
         count,
     });
     match step {
-        Step::Take { lease, beat: seen, fence } => {
+        Step::Take {
+            lease,
+            beat: seen,
+            fence,
+        } => {
             let row = LeaseRow {
                 holder: cx.id,
                 fence,
--- /dev/null
+++ b/crates/sched/src/members.rs
@@ -0,0 +1,101 @@
+//! Membership rows: the own one, and those of all processes as the leader sees them.
+
+use std::rc::Rc;
+
+use base::{
+    clock::{self, Millis},
+    sorted::SortedMap,
+};
+use store::table::{Key, Row, Txn};
+
+use crate::{
+    config::Entry,
+    ctx::{self, Cx},
+    leader::Leader,
+    lease_task::to_json,
+    restore,
+    rows::{self, MemberRole, MemberRow},
+};
+
+/// Renews the own row; it never returns.
+pub(crate) async fn run_own(cx: Cx) {
+    let mut renewed = 0;
+    loop {
+        renewed += 1;
+        let row = MemberRow {
+            id: cx.id,
+            address: cx.addr,
+            role: MemberRole::Scheduler,
+            renewed,
+        };
+        let txn = Txn::default().put(rows::member_key(cx.id), to_json(&row));
+        if let Err(e) = cx.table.commit(&txn).await {
+            log::debug!("sched: the membership row is not renewed: {e}");
+        }
+        ctx::sleep(cx.cfg.members.renew_ms).await;
+    }
+}
+
+/// Removes the own row at a planned stop.
+pub(crate) async fn remove_own(cx: &Cx) {
+    let txn = Txn::default().delete(rows::member_key(cx.id));
+    if let Err(e) = cx.table.commit(&txn).await {
+        log::debug!("sched: the membership row is not removed: {e}");
+    }
+}
+
+/// A row with the time at which its version was first seen.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    version: u64,
+    since: Millis,
+}
+
+/// Reads all rows and removes those that are not renewed.
+pub(crate) async fn run_leader(cx: &Cx, leader: &Rc<Leader>) {
+    let mut seen: SortedMap<Key, Seen> = SortedMap::default();
+    while leader.is_alive() {
+        match restore::scan(cx, "member/").await {
+            Ok(rows) => take(cx, leader, &mut seen, &rows).await,
+            Err(e) => log::debug!("sched: the membership rows are not available: {e}"),
+        }
+        ctx::sleep(cx.cfg.members.list_ms).await;
+    }
+}
+
+async fn take(cx: &Cx, leader: &Leader, seen: &mut SortedMap<Key, Seen>, rows: &[Row]) {
+    let now = clock::now();
+    seen.retain(|key, _| rows.iter().any(|r| r.key == *key));
+    let mut entries = Vec::new();
+    for row in rows {
+        let known = seen.get(&row.key).filter(|s| s.version == row.version);
+        let since = known.map_or(now, |s| s.since);
+        let version = row.version;
+        seen.insert(row.key.clone(), Seen { version, since });
+        if now.since(since) >= cx.cfg.members.remove_ms {
+            remove(cx, leader, row).await;
+        } else {
+            entries.extend(entry(row));
+        }
+    }
+    leader.config.set_members(entries);
+}
+
+fn entry(row: &Row) -> Option<Entry> {
+    let member: MemberRow = serde_json::from_str(&row.value).ok()?;
+    (member.role == MemberRole::Entry).then_some(Entry {
+        id: member.id,
+        address: member.address,
+    })
+}
+
+async fn remove(cx: &Cx, leader: &Leader, row: &Row) {
+    let txn = Txn::default()
+        .check(cx.lease_key(), leader.held.version)
+        .check(row.key.clone(), row.version)
+        .delete(row.key.clone());
+    match cx.table.commit(&txn).await {
+        Ok(_) => log::info!("sched: {} is removed or was renewed", row.key),
+        Err(e) => log::debug!("sched: {} is not removed: {e}", row.key),
+    }
+}
--- a/crates/sched/src/records.rs
+++ b/crates/sched/src/records.rs
@@ -1,131 +1,100 @@
-//! Configuration records: how they are given and how they are kept in the table.
+//! Configuration records as given by operators, and the rows in which they are kept.
 
-use base::name::Name;
+use base::sorted::SortedMap;
 use derive_more::{Display, Error};
 use schema::{
-    config::{Config, Placement, TeamKey},
+    change::{self, ChangeError},
+    config::{Config, TeamKey},
     organisation::{Organisation, Team},
+    read::{self, ReadError},
     service::Service,
 };
-use serde::{Deserialize, Serialize};
-use store::table::Key;
+use serde::Serialize;
+use store::table::Txn;
 
 use crate::lease_task::to_json;
 
 /// Prefixes of all rows of the configuration but `rev`.
 pub const PREFIXES: [&str; 4] = ["org/", "service/", "team/", "placement"];
 
-/// One record of the configuration.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-#[serde(tag = "kind", rename_all = "snake_case")]
-pub enum Record {
-    /// An organisation.
-    Organisation(Organisation),
-    /// A team.
-    Team(Team),
-    /// A service.
-    Service(Service),
-    /// Settings of placement.
-    Placement(Placement),
-}
-
-/// Why a record is refused.
-#[derive(Clone, Debug, Display, Eq, PartialEq, Error)]
+/// Why a change is refused; nothing of it is applied then.
+#[derive(Clone, Debug, Display, Error)]
 pub enum RecordError {
-    /// The record is not readable.
+    /// A record is not readable.
     #[display("record {index}: {reason}")]
     Unreadable {
         /// Position in the change, from 0.
         index: usize,
         /// Where and why.
-        reason: String,
-    },
-    /// A team of an organisation that does not exist.
-    #[display("team {team}: there is no organisation {organisation}")]
-    NoOrganisation {
-        /// The team.
-        team: Name,
-        /// The organisation that it names.
-        organisation: Name,
+        reason: ReadError,
     },
+    /// The records do not fit the configuration.
+    #[display("{_0}")]
+    Refused(ChangeError),
 }
 
-/// Reads the records of a change.
+/// Returns the configuration with the records in place; its revision is one higher.
+///
+/// The revision also grows when the records change nothing, so that the change has its audit row
+/// and a repetition of it gets the same answer.
 ///
 /// ```
-/// let text = r#"{"kind":"placement","fragmentation_percent":30}"#;
-/// let read = sched::records::read(&[text.to_owned()]).unwrap();
-/// assert_eq!(read.len(), 1);
+/// let text = "{schema: 2, kind: 'placement', spec: {fragmentation_percent: 30}}";
+/// let next = sched::records::apply(&schema::config::Config::default(), &[text.into()]).unwrap();
+/// assert_eq!(next.revision, 1);
 /// ```
-pub fn read(texts: &[String]) -> Result<Vec<Record>, RecordError> {
+pub fn apply(config: &Config, texts: &[String]) -> Result<Config, RecordError> {
     let read = |(index, text): (usize, &String)| {
-        serde_json::from_str(text).map_err(|e| RecordError::Unreadable {
-            index,
-            reason: e.to_string(),
-        })
+        read::read(text).map_err(|reason| RecordError::Unreadable { index, reason })
     };
-    texts.iter().enumerate().map(read).collect()
+    let records: Result<Vec<_>, _> = texts.iter().enumerate().map(read).collect();
+    let (mut next, _) = change::apply(config, &records?).map_err(RecordError::Refused)?;
+    next.revision = config.revision + 1;
+    Ok(next)
 }
 
-/// Returns the configuration with the records in place, and checks it.
+/// Adds the writes that turn the rows of `old` into those of `new`.
 ///
 /// ```
-/// let next = sched::records::apply(&schema::config::Config::default(), &[]).unwrap();
-/// assert_eq!(next.revision, 1);
+/// use schema::config::Config;
+/// let (old, mut new) = (Config::default(), Config::default());
+/// new.placement.fragmentation_percent = 30;
+/// assert_eq!(sched::records::writes(store::table::Txn::default(), &old, &new).writes.len(), 1);
 /// ```
-pub fn apply(config: &Config, records: &[Record]) -> Result<Config, RecordError> {
-    let mut next = config.clone();
-    next.revision += 1;
-    for record in records {
-        insert(&mut next, record.clone());
-    }
-    for team in next.teams.values() {
-        if next.organisations.get(&team.organisation).is_none() {
-            return Err(RecordError::NoOrganisation {
-                team: team.name.clone(),
-                organisation: team.organisation.clone(),
-            });
-        }
+#[must_use]
+pub fn writes(txn: Txn, old: &Config, new: &Config) -> Txn {
+    let mut txn = diff(txn, &old.organisations, &new.organisations, |name| {
+        format!("org/{name}")
+    });
+    txn = diff(txn, &old.services, &new.services, |name| {
+        format!("service/{name}")
+    });
+    txn = diff(txn, &old.teams, &new.teams, |key| {
+        format!("team/{}/{}", key.organisation, key.team)
+    });
+    if old.placement != new.placement {
+        txn = txn.put("placement", to_json(&new.placement));
     }
-    Ok(next)
+    txn
 }
 
-fn insert(config: &mut Config, record: Record) {
-    match record {
-        Record::Organisation(o) => {
-            config.organisations.insert(o.name.clone(), o);
-        }
-        Record::Team(t) => {
-            let key = TeamKey {
-                organisation: t.organisation.clone(),
-                team: t.name.clone(),
-            };
-            config.teams.insert(key, t);
-        }
-        Record::Service(s) => {
-            config.services.insert(s.name.clone(), s);
+fn diff<K: Ord, V: Eq + Serialize>(
+    mut txn: Txn,
+    old: &SortedMap<K, V>,
+    new: &SortedMap<K, V>,
+    key: impl Fn(&K) -> String,
+) -> Txn {
+    for (k, v) in new.iter() {
+        if old.get(k) != Some(v) {
+            txn = txn.put(key(k), to_json(v));
         }
-        Record::Placement(p) => config.placement = p,
     }
-}
-
-/// Returns the row in which a record is kept, as key and value.
-///
-/// ```
-/// # use schema::config::Placement;
-/// let row = sched::records::row(&sched::records::Record::Placement(Placement::default()));
-/// assert_eq!(&*row.0, "placement");
-/// ```
-pub fn row(record: &Record) -> (Key, String) {
-    match record {
-        Record::Organisation(o) => (format!("org/{}", o.name).into(), to_json(o)),
-        Record::Team(t) => {
-            let key = format!("team/{}/{}", t.organisation, t.name);
-            (key.into(), to_json(t))
+    for k in old.keys() {
+        if new.get(k).is_none() {
+            txn = txn.delete(key(k));
         }
-        Record::Service(s) => (format!("service/{}", s.name).into(), to_json(s)),
-        Record::Placement(p) => ("placement".into(), to_json(p)),
     }
+    txn
 }
 
 /// Puts a row of the table into the configuration; rows of other kinds are left out.
@@ -136,13 +105,25 @@
 /// assert_eq!(config.placement.fragmentation_percent, 30);
 /// ```
 pub fn insert_row(config: &mut Config, key: &str, value: &str) -> Result<(), serde_json::Error> {
-    let record = match key.split('/').next() {
-        Some("org") => Record::Organisation(serde_json::from_str(value)?),
-        Some("team") => Record::Team(serde_json::from_str(value)?),
-        Some("service") => Record::Service(serde_json::from_str(value)?),
-        Some("placement") => Record::Placement(serde_json::from_str(value)?),
-        _ => return Ok(()),
-    };
-    insert(config, record);
+    match key.split('/').next() {
+        Some("org") => {
+            let o: Organisation = serde_json::from_str(value)?;
+            config.organisations.insert(o.name.clone(), o);
+        }
+        Some("team") => {
+            let t: Team = serde_json::from_str(value)?;
+            let key = TeamKey {
+                organisation: t.organisation.clone(),
+                team: t.name.clone(),
+            };
+            config.teams.insert(key, t);
+        }
+        Some("service") => {
+            let s: Service = serde_json::from_str(value)?;
+            config.services.insert(s.name.clone(), s);
+        }
+        Some("placement") => config.placement = serde_json::from_str(value)?,
+        _ => {}
+    }
     Ok(())
 }
--- a/crates/sched/src/workers.rs
+++ b/crates/sched/src/workers.rs
@@ -97,7 +97,9 @@
 fn due(leader: &Leader, name: &Name) -> Option<(Millis, Rc<Notify>)> {
     leader.with(|s| {
         let contact = s.contacts.get(name)?;
-        let due = contact.address.map_or(Millis(u64::MAX), |_| contact.link.due());
+        let due = contact
+            .address
+            .map_or(Millis(u64::MAX), |_| contact.link.due());
         Some((due, contact.wake.clone()))
     })?
 }
@@ -150,7 +152,10 @@
             }
         }
         Ok(info) => {
-            log::warn!("sched: the worker at {addr} is {} and not {name}", info.name);
+            log::warn!(
+                "sched: the worker at {addr} is {} and not {name}",
+                info.name
+            );
             ctx::sleep(cx.cfg.workers.renew_ms).await;
         }
         Err(reason) => {
