--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -150,6 +150,7 @@
             id,
             organisation: organisation.clone(),
             class,
+            cost: 1,
             deadline,
         };
         inner.admit.push(now, waiting)?;
@@ -170,7 +171,7 @@
         let inner = &mut *inner;
         for late in inner.admit.expired(now) {
             if let Some(waiter) = inner.waiters.remove(&late.id) {
-                let expected = inner.admit.expected(late.class);
+                let expected = inner.admit.expected(&late.organisation, late.class);
                 let _ = waiter.send(Err(Refused::Deadline { expected }));
             }
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -103,8 +103,7 @@
         let table = Table::from(table);
         let vms = Vms::new(&format!("http://{}", cfg.vm_list), http).await?;
         let id = fastrand::u64(1..);
-        let (claims, driver) =
-            Claims::new(ClaimCfg::default(), ClaimStore(table.clone()), id);
+        let (claims, driver) = Claims::new(ClaimCfg::default(), ClaimStore(table.clone()), id);
         let entry = Self {
             id,
             phase: Cell::new(Phase::Serving),
