--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -4,9 +4,12 @@
 
 use base::clock;
 
-/// Sends log lines to standard error; `RUST_LOG` sets the level, `info` is the default.
+/// Default levels: `info` for this project, `warn` for libraries.
+const DEFAULT: &str = "warn,claim=info,entry=info,route=info,sched=info,standin=info,store=info";
+
+/// Sends log lines to standard error; `RUST_LOG` sets the levels.
 pub fn init() {
-    let env = env_logger::Env::default().default_filter_or("info");
+    let env = env_logger::Env::default().default_filter_or(DEFAULT);
     env_logger::Builder::from_env(env)
         .format(|buf, record| {
             writeln!(
--- a/crates/cli/src/world.rs
+++ b/crates/cli/src/world.rs
@@ -34,14 +34,12 @@
 pub struct World {
     /// Entries.
     pub entries: Vec<entry::Handle>,
-    /// Schedulers.
-    pub schedulers: Vec<sched::Handle>,
     /// Backend servers.
     pub backends: backend::Handle,
-    /// Workers.
-    pub workers: worker::Handle,
-    /// Platform; the last field, because it is dropped last.
-    pub platform: platform::Handle,
+    _schedulers: Vec<sched::Handle>,
+    _workers: worker::Handle,
+    // The last field, because fields are dropped in this order and all others use the platform.
+    _platform: platform::Handle,
 }
 
 impl World {
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,7 +2,9 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 use std::{
-    fs, io::{Read, Write}, net, path, process,
+    fs,
+    io::{Read, Write},
+    net, path, process,
     sync::atomic::{AtomicU16, Ordering},
     thread, time,
 };
@@ -75,7 +77,12 @@
             .stderr(log)
             .spawn()
             .unwrap();
-        Self { child, role, settings, http }
+        Self {
+            child,
+            role,
+            settings,
+            http,
+        }
     }
 
     fn signal(&self, signal: Signal) {
@@ -111,7 +118,9 @@
 
     /// Waits for the end of the process and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
-        let status = until("end of the process", LIMIT, || self.child.try_wait().unwrap());
+        let status = until("end of the process", LIMIT, || {
+            self.child.try_wait().unwrap()
+        });
         status.code()
     }
 
@@ -176,14 +185,20 @@
     let (head, body) = text.split_once("\r\n\r\n")?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let head = head.to_ascii_lowercase();
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
     let body = match length {
         Some(length) if body.len() != length.trim().parse::<usize>().ok()? => return None,
         Some(_) => body.to_owned(),
         None => chunks(body)?,
     };
     let value = serde_json::from_str(&body).unwrap_or(Value::String(body));
-    Some(Answer { status, head, body: value })
+    Some(Answer {
+        status,
+        head,
+        body: value,
+    })
 }
 
 /// Joins the chunks of a body; `None` if the last chunk is missing.
@@ -221,8 +236,14 @@
             entries: 2,
             schedulers: 2,
             workers: 4,
-            backends: backend_cfg::BackendCfg { servers: 3, ..Default::default() },
-            behaviour: worker_cfg::Behaviour { run_ms: Millis(300), ..Default::default() },
+            backends: backend_cfg::BackendCfg {
+                servers: 3,
+                ..Default::default()
+            },
+            behaviour: worker_cfg::Behaviour {
+                run_ms: Millis(300),
+                ..Default::default()
+            },
         }
     }
 }
@@ -252,7 +273,11 @@
         let schedulers = wires.iter().enumerate().map(|(i, wire)| {
             let http = free_addr();
             let cfg = json!({ "platform": platform.addr(), "wire": wire, "http": http });
-            Proc::start("scheduler", write(&dir, &format!("scheduler-{i}"), &cfg), http)
+            Proc::start(
+                "scheduler",
+                write(&dir, &format!("scheduler-{i}"), &cfg),
+                http,
+            )
         });
         let schedulers = schedulers.collect();
         let entries = (0..self.entries).map(|i| {
@@ -266,7 +291,14 @@
             Proc::start("entry", write(&dir, &format!("entry-{i}"), &cfg), http)
         });
         let entries = entries.collect();
-        let system = System { entries, schedulers, backends, workers, vms, platform };
+        let system = System {
+            entries,
+            schedulers,
+            backends,
+            workers,
+            vms,
+            platform,
+        };
         system.configure();
         system
     }
@@ -296,8 +328,12 @@
         role,
         state: VmState::Live,
     };
-    let rack = || VmRole::Worker { rack: "rack-1".parse().unwrap() };
-    let service = || VmRole::Backend { service: "refund".parse().unwrap() };
+    let rack = || VmRole::Worker {
+        rack: "rack-1".parse().unwrap(),
+    };
+    let service = || VmRole::Backend {
+        service: "refund".parse().unwrap(),
+    };
     let workers = workers.addrs().iter().enumerate();
     let backends = backends.addrs().iter().enumerate();
     workers
@@ -336,7 +372,13 @@
     /// Sends a request of the operator.
     pub fn operate(&self, entry: usize, method: &str, path: &str, body: &str) -> Option<Answer> {
         let bearer = format!("Bearer {OPERATOR}");
-        send(self.entries[entry].http, method, path, &[("authorization", &bearer)], body)
+        send(
+            self.entries[entry].http,
+            method,
+            path,
+            &[("authorization", &bearer)],
+            body,
+        )
     }
 
     /// Sends a request of a caller.
@@ -346,7 +388,11 @@
 
     /// Returns the number of executions of all backend servers that carry `key` in the body.
     pub fn executions(&self, key: &str) -> usize {
-        let all = self.backends.servers().iter().flat_map(backend::Server::history);
+        let all = self
+            .backends
+            .servers()
+            .iter()
+            .flat_map(backend::Server::history);
         all.filter(|e| e.key.as_deref() == Some(key)).count()
     }
 
@@ -369,7 +415,9 @@
     /// Waits until a job has reached a phase.
     pub fn until_phase(&self, name: &str, phase: &str, limit: time::Duration) {
         until(&format!("job {name} {phase}"), limit, || {
-            (0..self.entries.len()).any(|e| self.phase(e, name) == phase).then_some(())
+            (0..self.entries.len())
+                .any(|e| self.phase(e, name) == phase)
+                .then_some(())
         });
     }
 }
@@ -382,7 +430,13 @@
         headers.push(("idempotency-key", key));
     }
     let body = json!({ "key": key.unwrap_or("none") }).to_string();
-    send(entry, "POST", &format!("/call/refund/{operation}"), &headers, &body)
+    send(
+        entry,
+        "POST",
+        &format!("/call/refund/{operation}"),
+        &headers,
+        &body,
+    )
 }
 
 /// Returns the time on the clock that the stand-ins use in their histories.
--- /dev/null
+++ b/crates/cli/tests/faults.rs
@@ -0,0 +1,365 @@
+//! Faults of whole processes: kills, freezes, planned stops and outages of the platform.
+
+mod common;
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread, time,
+};
+
+use base::clock::Millis;
+use common::{Answer, Builder, System, until};
+use standin::{backend, backend_cfg, faults::Faults, worker, worker_cfg};
+use store::vm::VmState;
+
+/// Bound on the start of work after the loss of the leading scheduler: takeover, then the start.
+const TAKEOVER: time::Duration = time::Duration::from_secs(12);
+
+fn slow_backends(ms: u64) -> backend_cfg::BackendCfg {
+    let time = backend_cfg::ServiceTime {
+        min_ms: Millis(ms),
+        mean_ms: Millis(0),
+        max_ms: Millis(ms),
+    };
+    backend_cfg::BackendCfg {
+        servers: 3,
+        default_time: time,
+        ..Default::default()
+    }
+}
+
+fn long_jobs() -> worker_cfg::Behaviour {
+    worker_cfg::Behaviour {
+        run_ms: Millis::from_secs(3_600),
+        ..Default::default()
+    }
+}
+
+/// Sends payouts with distinct keys from `threads` threads until `f` returns, and returns all
+/// answers by key.
+fn payouts_during(
+    system: &System,
+    entry: usize,
+    threads: usize,
+    f: impl FnOnce(),
+) -> BTreeMap<String, Option<Answer>> {
+    let stop = AtomicBool::new(false);
+    let answers = Mutex::new(BTreeMap::new());
+    let addr = system.entries[entry].http;
+    thread::scope(|scope| {
+        for t in 0..threads {
+            let (stop, answers) = (&stop, &answers);
+            scope.spawn(move || {
+                for i in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let key = format!("payout-{t}-{i}");
+                    let answer = common::call(addr, "payout", Some(&key));
+                    answers.lock().unwrap().insert(key, answer);
+                }
+            });
+        }
+        f();
+        stop.store(true, Ordering::Relaxed);
+    });
+    answers.into_inner().unwrap()
+}
+
+/// Fails if an answer contradicts the executions of the backend servers.
+fn check_payouts(system: &System, answers: &BTreeMap<String, Option<Answer>>) {
+    for (key, answer) in answers {
+        let executions = system.executions(key);
+        assert!(executions <= 1, "{key} ran {executions} times");
+        let Some(answer) = answer else { continue };
+        match (answer.status, answer.text("outcome")) {
+            (200, _) => assert_eq!(executions, 1, "{key}: answered, not run: {answer:?}"),
+            (_, "not_run") => assert_eq!(executions, 0, "{key}: refused, but run: {answer:?}"),
+            (_, "unknown") => {}
+            _ => panic!("{key}: neither an answer nor a refusal: {answer:?}"),
+        }
+    }
+}
+
+fn sleep(ms: u64) {
+    thread::sleep(time::Duration::from_millis(ms));
+}
+
+/// Guards against a planned stop that cuts requests in flight or exits with a failure.
+#[test]
+fn a_planned_stop_of_an_entry_cuts_nothing() {
+    let builder = Builder {
+        backends: slow_backends(150),
+        ..Builder::default()
+    };
+    let mut system = builder.start("planned-stop");
+    let answers = payouts_during(&system, 0, 8, || {
+        sleep(300);
+        system.entries[0].terminate();
+        until("readiness turns", common::LIMIT, || {
+            (!system.entries[0].is_ready()).then_some(())
+        });
+        sleep(1_500);
+    });
+    let whole = answers
+        .values()
+        .flatten()
+        .filter(|a| a.status == 200)
+        .count();
+    assert!(whole >= 8, "only {whole} answers");
+    check_payouts(&system, &answers);
+    for (key, answer) in &answers {
+        let ran = system.executions(key) > 0;
+        assert!(answer.is_some() || !ran, "{key} ran and its answer was cut");
+    }
+    assert_eq!(system.entries[0].wait(), Some(0));
+}
+
+/// Guards against a payout that runs again after the entry that sent it was killed.
+#[test]
+fn a_payout_of_a_killed_entry_never_runs_again() {
+    let builder = Builder {
+        backends: slow_backends(700),
+        ..Builder::default()
+    };
+    let mut system = builder.start("killed-entry");
+    let addr = system.entries[0].http;
+    let first = thread::spawn(move || common::call(addr, "payout", Some("once")));
+    until("the payout runs", common::LIMIT, || {
+        (system.executions("once") == 1).then_some(())
+    });
+    system.entries[0].kill();
+    assert!(first.join().unwrap().is_none());
+    // The owner counts as alive until its member row lapses, then the outcome is unknown.
+    let last = until("outcome unknown", 2 * common::LIMIT, || {
+        let answer = system.call(1, "payout", Some("once"))?;
+        assert_ne!(answer.status, 200, "{answer:?}");
+        assert_eq!(system.executions("once"), 1);
+        (answer.status == 504).then_some(answer)
+    });
+    assert_eq!(last.text("outcome"), "unknown");
+    let settled = system
+        .operate(1, "POST", "/claims/weddings/once/ran", "")
+        .unwrap();
+    assert_eq!(settled.status, 200, "{settled:?}");
+    assert_eq!(system.executions("once"), 1);
+}
+
+/// Guards against duplicates and untrue refusals while answers of the table service are lost.
+#[test]
+fn lost_answers_of_the_table_service_cause_no_duplicate() {
+    let system = Builder::default().start("lost-answers");
+    let answers = payouts_during(&system, 0, 6, || {
+        system.platform.set_faults(Faults {
+            lost_answers: 0.3,
+            ..Faults::default()
+        });
+        sleep(2_500);
+        system.platform.set_faults(Faults::default());
+        sleep(500);
+    });
+    assert!(answers.len() > 20, "only {} requests", answers.len());
+    check_payouts(&system, &answers);
+}
+
+/// Guards against payouts without a claim, and against live work that stops with the table.
+#[test]
+fn an_outage_of_the_table_refuses_payouts_and_serves_scores() {
+    let system = Builder::default().start("table-outage");
+    system.platform.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    let start = time::Instant::now();
+    let mut scores = 0;
+    while start.elapsed() < time::Duration::from_secs(6) {
+        let payout = system
+            .call(0, "payout", Some(&format!("outage-{scores}")))
+            .unwrap();
+        assert_eq!(
+            (payout.status, payout.text("outcome")),
+            (503, "not_run"),
+            "{payout:?}"
+        );
+        let score = system.call(0, "score", None).unwrap();
+        assert_eq!(score.status, 200, "{score:?}");
+        scores += 1;
+        sleep(100);
+    }
+    assert_eq!(
+        (0..scores)
+            .map(|i| system.executions(&format!("outage-{i}")))
+            .sum::<usize>(),
+        0
+    );
+    system.platform.set_faults(Faults::default());
+    until("payouts run again", common::LIMIT, || {
+        system
+            .call(0, "payout", Some("after"))
+            .filter(|a| a.status == 200)
+    });
+}
+
+/// Guards against new work for a leaving server from an entry that was frozen meanwhile.
+#[test]
+fn a_thawed_entry_sends_nothing_to_a_server_that_left() {
+    let system = Builder::default().start("thawed-entry");
+    assert_eq!(system.call(0, "score", None).unwrap().status, 200);
+    system.entries[0].freeze();
+    let mut vms = system.vms.clone();
+    for vm in vms.iter_mut().filter(|vm| vm.name.as_str() == "refund-0") {
+        vm.state = VmState::Leaving;
+    }
+    system.platform.set_vms(vms);
+    // A server that left gets no work 3 s later, however long the entry was frozen.
+    sleep(3_000);
+    let before = system.backends.server(0).history().len();
+    system.entries[0].thaw();
+    for _ in 0..30 {
+        let answer = system.call(0, "score", None).unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(system.backends.server(0).history().len(), before);
+}
+
+/// Guards against a gang that stops, or starts twice, when the leading scheduler is killed.
+#[test]
+fn gangs_outlive_the_scheduler_that_started_them() {
+    let builder = Builder {
+        behaviour: long_jobs(),
+        ..Builder::default()
+    };
+    let mut system = builder.start("killed-scheduler");
+    assert_eq!(system.submit(0, "first", 2).unwrap().status, 202);
+    system.until_phase("first", "running", common::LIMIT);
+    let leader = leader(&system);
+    system.schedulers[leader].kill();
+    until("the next job is taken", TAKEOVER, || {
+        system.submit(0, "second", 1).filter(|a| a.status == 202)
+    });
+    system.until_phase("second", "running", TAKEOVER);
+    assert_eq!(system.phase(0, "first"), "running");
+    let starts = check_runs(&system);
+    assert_eq!((starts["first"], starts["second"]), (2, 1));
+}
+
+/// Guards against orders of a scheduler that was frozen while another took over.
+#[test]
+fn a_thawed_scheduler_gives_no_orders() {
+    let builder = Builder {
+        behaviour: long_jobs(),
+        schedulers: 3,
+        ..Builder::default()
+    };
+    let system = builder.start("thawed-scheduler");
+    assert_eq!(system.submit(0, "first", 1).unwrap().status, 202);
+    system.until_phase("first", "running", common::LIMIT);
+    let old = leader(&system);
+    system.schedulers[old].freeze();
+    until("the next job is taken", TAKEOVER, || {
+        system.submit(0, "second", 2).filter(|a| a.status == 202)
+    });
+    system.until_phase("second", "running", TAKEOVER);
+    system.schedulers[old].thaw();
+    assert_eq!(system.submit(0, "third", 1).unwrap().status, 202);
+    system.until_phase("third", "running", TAKEOVER);
+    let starts = check_runs(&system);
+    assert_eq!(
+        (starts["first"], starts["second"], starts["third"]),
+        (1, 2, 1)
+    );
+}
+
+/// Guards against a hand-over that waits for the lease to lapse, and against a failing exit code.
+#[test]
+fn a_planned_stop_of_the_leader_hands_over_at_once() {
+    let mut system = Builder::default().start("hand-over");
+    let old = leader(&system);
+    system.schedulers[old].terminate();
+    assert_eq!(system.schedulers[old].wait(), Some(0));
+    // Without a hand-over the candidates wait 6 s for the lease to lapse.
+    let limit = time::Duration::from_secs(3);
+    until("the next job is taken", limit, || {
+        system.submit(0, "after", 1).filter(|a| a.status == 202)
+    });
+    system.until_phase("after", "done", common::LIMIT);
+}
+
+/// Guards against running gangs that are stopped because the table service is down.
+#[test]
+fn gangs_run_on_during_an_outage_of_the_table() {
+    let builder = Builder {
+        behaviour: long_jobs(),
+        ..Builder::default()
+    };
+    let system = builder.start("gang-outage");
+    assert_eq!(system.submit(0, "long", 2).unwrap().status, 202);
+    system.until_phase("long", "running", common::LIMIT);
+    system.platform.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    // Longer than the lease of a task, which is 30 s, so that only renewals keep the gang running.
+    sleep(34_000);
+    let refused = system.submit(0, "during", 1).unwrap();
+    assert_ne!(refused.status, 202, "{refused:?}");
+    system.platform.set_faults(Faults::default());
+    until("jobs are taken again", TAKEOVER, || {
+        system.submit(0, "after", 1).filter(|a| a.status == 202)
+    });
+    system.until_phase("after", "running", TAKEOVER);
+    assert_eq!(check_runs(&system)["long"], 2);
+    assert_eq!(system.phase(0, "long"), "running");
+}
+
+/// Returns the index of the scheduler that holds the lease.
+fn leader(system: &System) -> usize {
+    until("a leader", common::LIMIT, || {
+        system.schedulers.iter().position(|s| {
+            let dump = common::get(s.http, "/dump");
+            dump.is_some_and(|d| d.body["leading"] == true)
+        })
+    })
+}
+
+/// Fails if an accelerator was used twice at a time; returns the number of task starts by job.
+fn check_runs(system: &System) -> BTreeMap<String, usize> {
+    let mut starts = BTreeMap::new();
+    for worker in system.workers.workers() {
+        let runs = worker.history();
+        for (i, a) in runs.iter().enumerate() {
+            *starts.entry(a.attempt.job.name.to_string()).or_default() += 1;
+            for b in &runs[i + 1..] {
+                assert!(!overlap(a, b), "an accelerator was used twice: {a:?} {b:?}");
+            }
+        }
+    }
+    starts
+}
+
+fn overlap(a: &worker::Run, b: &worker::Run) -> bool {
+    let ends = |run: &worker::Run| run.ended_at.unwrap_or(Millis(u64::MAX));
+    a.accelerators & b.accelerators != 0 && a.started_at < ends(b) && b.started_at < ends(a)
+}
+
+/// Guards against an idle test: the stand-ins' histories must show what happened.
+#[test]
+fn requests_and_jobs_leave_a_history() {
+    let system = Builder::default().start("history");
+    assert_eq!(system.call(1, "payout", Some("seen")).unwrap().status, 200);
+    assert_eq!(system.executions("seen"), 1);
+    assert_eq!(system.submit(1, "seen", 4).unwrap().status, 202);
+    system.until_phase("seen", "done", common::LIMIT);
+    assert_eq!(check_runs(&system)["seen"], 4);
+    let total: usize = system
+        .backends
+        .servers()
+        .iter()
+        .map(|s: &backend::Server| s.history().len())
+        .sum();
+    assert_eq!(total, 1);
+}
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -7,7 +7,12 @@
     http::{HeaderMap, StatusCode},
     web::HttpResponse,
 };
-use schema::{config::Config, job::Job, job::Phase};
+use schema::{
+    config::Config,
+    job::{Job, Phase},
+    read,
+    record::Record,
+};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use wire::message::{Effect, JobStatus, Reply, Request};
@@ -106,7 +111,7 @@
 async fn answer(cx: &Entry, identity: &Identity, ask: Ask) -> Result<HttpResponse, Refusal> {
     match ask {
         Ask::Submit(body) => {
-            let job: Job = input::json(&body.bytes)?;
+            let job = read_job(&body)?;
             allow(identity, &job.organisation)?;
             let reply = send(cx, &Request::Submit { job }).await?;
             job_response(reply, StatusCode::ACCEPTED)
@@ -146,6 +151,20 @@
     }
 }
 
+/// Reads a job record in either schema version.
+fn read_job(body: &Body) -> Result<Job, Refusal> {
+    let bad = |message: String| Refusal::not_run(Code::BadRecord, message);
+    let text = str::from_utf8(&body.bytes).map_err(|e| bad(e.to_string()))?;
+    let versioned = read::read(text).map_err(|e| bad(e.to_string()))?;
+    match versioned.record {
+        Record::Job(job) => Ok(job),
+        other => Err(bad(format!(
+            "expected a job record, found {}",
+            other.title()
+        ))),
+    }
+}
+
 async fn apply(cx: &Entry, operator: Name, body: &Body) -> Result<HttpResponse, Refusal> {
     let change: Change = input::json(&body.bytes)?;
     if change.records.len() > limits::APPLY_RECORDS {
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -48,7 +48,10 @@
     /// The request did not arrive in time.
     #[display("too_slow")]
     TooSlow,
-    /// The body is no valid JSON of the expected form.
+    /// The record in the body can't be used.
+    #[display("bad_record")]
+    BadRecord,
+    /// The body is not the JSON that is expected.
     #[display("bad_json")]
     BadJson,
     /// A change has too many records.
@@ -131,6 +134,7 @@
             Self::BadRequest
             | Self::BadHeader
             | Self::BodyIncomplete
+            | Self::BadRecord
             | Self::BadJson
             | Self::KeyRequired
             | Self::BadKey => StatusCode::BAD_REQUEST,
