--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -39,11 +39,15 @@
         let token = match token_file {
             None => None,
             Some(path) => {
-                let text = fs::read_to_string(path).wrap_err_with(|| format!("token file {path}"))?;
+                let text =
+                    fs::read_to_string(path).wrap_err_with(|| format!("token file {path}"))?;
                 Some(text.trim().to_owned())
             }
         };
-        Ok(Self { base: format!("http://{entry}"), token })
+        Ok(Self {
+            base: format!("http://{entry}"),
+            token,
+        })
     }
 
     /// Sends a request and returns the whole answer as text.
--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -32,8 +32,8 @@
     api::block_on(async move {
         let current: Config = api.send_json(Method::GET, "/config", None).await?;
         let records: Vec<Versioned> = found.iter().map(|f| f.versioned.clone()).collect();
-        let (_, differences) = change::apply(&current, &records)
-            .map_err(|e| Failure::bad_input(e.to_string()))?;
+        let (_, differences) =
+            change::apply(&current, &records).map_err(|e| Failure::bad_input(e.to_string()))?;
         if !args.json {
             for difference in differences.iter().filter(|d| d.is_change()) {
                 println!("{difference}");
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -10,7 +10,9 @@
 /// Runs the command.
 pub fn run(args: &args::Check) -> eyre::Result<()> {
     if let Some(path) = &args.entry {
-        settings(path, |text| entry::entry_cfg::EntryCfg::parse(text).map(drop))?;
+        settings(path, |text| {
+            entry::entry_cfg::EntryCfg::parse(text).map(drop)
+        })?;
     }
     if let Some(path) = &args.scheduler {
         settings(path, |text| sched::cfg::read(text).map(drop))?;
@@ -25,8 +27,7 @@
     path: &str,
     read: impl Fn(&str) -> Result<(), E>,
 ) -> eyre::Result<()> {
-    let text =
-        fs::read_to_string(path).map_err(|e| Failure::bad_input(format!("{path}: {e}")))?;
+    let text = fs::read_to_string(path).map_err(|e| Failure::bad_input(format!("{path}: {e}")))?;
     read(&text).map_err(|e| Failure::bad_input(format!("{path}: {e}")))?;
     println!("{path}: settings are valid");
     Ok(())
@@ -42,7 +43,12 @@
     change::apply(&Config::default(), &configuration)
         .map_err(|e| Failure::bad_input(e.to_string()))?;
     for f in &found {
-        println!("{}: {} (schema version {})", f.place, f.versioned.record.title(), f.versioned.version);
+        println!(
+            "{}: {} (schema version {})",
+            f.place,
+            f.versioned.record.title(),
+            f.versioned.version
+        );
     }
     println!("{} records are valid", found.len());
     Ok(())
--- a/crates/cli/src/command/files.rs
+++ b/crates/cli/src/command/files.rs
@@ -49,13 +49,17 @@
     let mut errors = Vec::new();
     for file in list(paths)? {
         let name = file.display().to_string();
-        let content = fs::read_to_string(&file)
-            .map_err(|e| Failure::bad_input(format!("{name}: {e}")))?;
+        let content =
+            fs::read_to_string(&file).map_err(|e| Failure::bad_input(format!("{name}: {e}")))?;
         for part in text::split(&content) {
             match read::read(&part.text) {
                 Ok(versioned) => {
                     let place = format!("{name}:{}", part.line);
-                    found.push(Found { place, text: part.text, versioned });
+                    found.push(Found {
+                        place,
+                        text: part.text,
+                        versioned,
+                    });
                 }
                 Err(e) => {
                     let line = part.line + e.line - 1;
--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -17,7 +17,10 @@
 pub fn submit(args: args::Submit) -> eyre::Result<()> {
     let found = files::read(std::slice::from_ref(&args.path))?;
     let [job] = found.as_slice() else {
-        return Err(Failure::bad_input(format!("{}: expected one job record", args.path)));
+        return Err(Failure::bad_input(format!(
+            "{}: expected one job record",
+            args.path
+        )));
     };
     let text = job.text.clone();
     let api = Api::new(&args.entry, args.token_file.as_deref())?;
@@ -87,7 +90,9 @@
 fn job_path(job: &str) -> eyre::Result<String> {
     match job.split_once('/') {
         Some((organisation, name)) => Ok(format!("/jobs/{organisation}/{name}")),
-        None => Err(Failure::bad_input(format!("'{job}': expected ORGANISATION/NAME"))),
+        None => Err(Failure::bad_input(format!(
+            "'{job}': expected ORGANISATION/NAME"
+        ))),
     }
 }
 
@@ -96,7 +101,11 @@
         println!("{}", serde_json::to_string(status)?);
         return Ok(());
     }
-    let workers: Vec<&str> = status.workers.iter().map(base::name::Name::as_str).collect();
+    let workers: Vec<&str> = status
+        .workers
+        .iter()
+        .map(base::name::Name::as_str)
+        .collect();
     let mut line = format!(
         "{}/{} {} attempt {}",
         status.organisation, status.name, status.phase, status.attempt
--- a/crates/cli/src/command/migrate.rs
+++ b/crates/cli/src/command/migrate.rs
@@ -13,8 +13,8 @@
     let mut rewritten = Vec::new();
     for file in files::list(&args.paths)? {
         let name = file.display().to_string();
-        let content = fs::read_to_string(&file)
-            .map_err(|e| Failure::bad_input(format!("{name}: {e}")))?;
+        let content =
+            fs::read_to_string(&file).map_err(|e| Failure::bad_input(format!("{name}: {e}")))?;
         let new =
             migrate::file(&content).map_err(|e| Failure::bad_input(format!("{name}: {e}")))?;
         rewritten.push((file, content, new));
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -22,17 +22,29 @@
 impl Failure {
     /// Returns an error for a refused request.
     pub fn refused(message: impl Into<String>) -> eyre::Report {
-        Self { code: REFUSED, message: message.into() }.into()
+        Self {
+            code: REFUSED,
+            message: message.into(),
+        }
+        .into()
     }
 
     /// Returns an error for wrong input.
     pub fn bad_input(message: impl Into<String>) -> eyre::Report {
-        Self { code: BAD_INPUT, message: message.into() }.into()
+        Self {
+            code: BAD_INPUT,
+            message: message.into(),
+        }
+        .into()
     }
 
     /// Returns an error for a request whose outcome is unknown.
     pub fn unknown(message: impl Into<String>) -> eyre::Report {
-        Self { code: UNKNOWN, message: message.into() }.into()
+        Self {
+            code: UNKNOWN,
+            message: message.into(),
+        }
+        .into()
     }
 }
 
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -9,7 +9,13 @@
     let env = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(env)
         .format(|buf, record| {
-            writeln!(buf, "{} {} {}", clock::wall().0, record.level(), record.args())
+            writeln!(
+                buf,
+                "{} {} {}",
+                clock::wall().0,
+                record.level(),
+                record.args()
+            )
         })
         .init();
 }
--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -189,7 +189,8 @@
     pub fn prune(&self, is_known: impl Fn(&net::SocketAddr) -> bool) {
         let now = clock::now();
         self.pools.borrow_mut().retain(|addr, pool| {
-            pool.idle.retain(|idle| self.is_fresh(idle, now) && is_known(addr));
+            pool.idle
+                .retain(|idle| self.is_fresh(idle, now) && is_known(addr));
             pool.busy > 0 || !pool.idle.is_empty()
         });
     }
@@ -239,12 +240,13 @@
         let dial = Rc::new(Cell::new(Dial::Closed));
         let state = dial.clone();
         let tcp = connect::Connector::new();
-        let connector = service::apply_fn_factory(tcp, async move |target: connect::Connect<Uri>, svc| {
-            state.set(Dial::Closed);
-            let io = svc.call(target).await?;
-            state.set(Dial::Open);
-            Ok(io)
-        });
+        let connector =
+            service::apply_fn_factory(tcp, async move |target: connect::Connect<Uri>, svc| {
+                state.set(Dial::Closed);
+                let io = svc.call(target).await?;
+                state.set(Dial::Open);
+                Ok(io)
+            });
         let client = Client::builder()
             // The type parameter is unused in the signature of ntex.
             .connector::<()>(Connector::new().connector(connector).limit(1))
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -5,8 +5,7 @@
 use base::{clock, clock::Millis, limits, name::Name};
 use claim::{
     claims::Begun,
-    fingerprint,
-    record,
+    fingerprint, record,
     ticket::{Settled, Ticket},
 };
 use ntex::{
@@ -198,7 +197,11 @@
             let content_type = answer.content_type.as_ref();
             let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or("");
             let body = answer.body.to_vec();
-            ticket.complete(record::Answer::new(answer.status.as_u16(), content_type, body));
+            ticket.complete(record::Answer::new(
+                answer.status.as_u16(),
+                content_type,
+                body,
+            ));
         }
         Err(refusal) if refusal.outcome == Outcome::NotRun => ticket.not_run(),
         Err(_) => ticket.unknown(),
--- a/crates/entry/src/fields.rs
+++ b/crates/entry/src/fields.rs
@@ -100,11 +100,7 @@
     }
 
     /// Reads a text that `T` parses and that has no default.
-    pub fn required<T: str::FromStr>(
-        &mut self,
-        name: &str,
-        expected: &str,
-    ) -> Result<T, CfgError> {
+    pub fn required<T: str::FromStr>(&mut self, name: &str, expected: &str) -> Result<T, CfgError> {
         let value = self.rest.remove(name).unwrap_or(Value::Null);
         parse(self.path(name), &value, expected)
     }
@@ -155,11 +151,7 @@
 /// What is expected where an address stands.
 pub const ADDRESS: &str = "an IP address with a port, such as \"127.0.0.1:7000\"";
 
-fn parse<T: str::FromStr>(
-    path: String,
-    value: &Value,
-    expected: &str,
-) -> Result<T, CfgError> {
+fn parse<T: str::FromStr>(path: String, value: &Value, expected: &str) -> Result<T, CfgError> {
     let text = value.as_str().and_then(|s| s.parse().ok());
     text.ok_or_else(|| CfgError::new(path, value, expected))
 }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -152,12 +152,12 @@
     running.await.unwrap_or_else(|_| lost())
 }
 
-fn names(
-    organisation: &str,
-    job: &str,
-) -> Result<(base::name::Name, base::name::Name), Refusal> {
+fn names(organisation: &str, job: &str) -> Result<(base::name::Name, base::name::Name), Refusal> {
     let bad = |e: base::name::NameError| Refusal::not_run(Code::NotFound, e.to_string());
-    Ok((organisation.parse().map_err(bad)?, job.parse().map_err(bad)?))
+    Ok((
+        organisation.parse().map_err(bad)?,
+        job.parse().map_err(bad)?,
+    ))
 }
 
 async fn body(cx: &Entry, headers: &HeaderMap, payload: Payload) -> Result<Body, Refusal> {
@@ -173,7 +173,11 @@
 /// Answer when the task of a request ended without one, which only a panic does.
 fn lost() -> HttpResponse {
     log::error!("entry: the task of a request failed");
-    Refusal::unknown(Code::OutcomeUnknown, "the entry failed while it ran the request").response()
+    Refusal::unknown(
+        Code::OutcomeUnknown,
+        "the entry failed while it ran the request",
+    )
+    .response()
 }
 
 fn ready(cx: &Entry) -> HttpResponse {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -97,12 +97,10 @@
     let (addr, members_addr) = (listener.local_addr()?, members.local_addr()?);
     let (stop, stopped) = watch::channel(false);
     let (started, starting) = mpsc::channel();
-    let thread = thread::Builder::new()
-        .name("entry".into())
-        .spawn(move || {
-            let system = rt::System::new("entry", rt::DefaultRuntime);
-            system.block_on(main(cfg, listener, members, stopped, started));
-        })?;
+    let thread = thread::Builder::new().name("entry".into()).spawn(move || {
+        let system = rt::System::new("entry", rt::DefaultRuntime);
+        system.block_on(main(cfg, listener, members, stopped, started));
+    })?;
     match starting.recv() {
         Ok(Ok(())) => Ok(Handle {
             addr,
@@ -281,7 +279,10 @@
         time::sleep(DRAIN_PERIOD.to_duration()).await;
     }
     if cx.in_flight.get() > 0 {
-        log::error!("entry: stops with {} requests under way", cx.in_flight.get());
+        log::error!(
+            "entry: stops with {} requests under way",
+            cx.in_flight.get()
+        );
     }
     time::sleep(LINGER.to_duration()).await;
     farewell(cx).await;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -103,8 +103,7 @@
         let table = Table::from(table);
         let vms = Vms::new(&format!("http://{}", cfg.vm_list), http).await?;
         let id = fastrand::u64(1..);
-        let (claims, driver) =
-            Claims::new(ClaimCfg::default(), ClaimStore(table.clone()), id);
+        let (claims, driver) = Claims::new(ClaimCfg::default(), ClaimStore(table.clone()), id);
         let entry = Self {
             id,
             phase: Cell::new(Phase::Serving),
@@ -218,16 +217,20 @@
         let read = time::timeout(self.cfg.platform_timeout.to_duration(), reading).await;
         let problem = match read {
             Ok(Ok(found)) if found < self.config.revision() => {
-                Some(format!("the table shows the lower revision {found}"))
+                format!("the table shows the lower revision {found}")
             }
-            Ok(Ok(_)) => None,
-            Ok(Err(e)) => Some(e.to_string()),
-            Err(_) => Some(format!("no answer in {}", self.cfg.platform_timeout)),
+            Ok(Ok(_)) => {
+                self.table_reached.set(true);
+                return;
+            }
+            Ok(Err(ref e)) => e.to_string(),
+            Err(_) => format!("no answer in {}", self.cfg.platform_timeout),
         };
-        self.table_reached.set(problem.is_none());
-        if let Some(problem) = problem {
-            log::error!("config: alarm: the configuration was not confirmed: {problem}");
-            self.metrics.alarm("config");
+        log::error!("config: alarm: the configuration was not confirmed: {problem}");
+        self.metrics.alarm("config");
+        let is_unreachable = !matches!(read, Ok(Ok(_)));
+        self.table_reached.set(!is_unreachable);
+        if is_unreachable {
             self.members.vouch(self, clock::now()).await;
         }
     }
--- a/crates/entry/src/vm_watch.rs
+++ b/crates/entry/src/vm_watch.rs
@@ -67,7 +67,9 @@
     /// Returns whether any server of `service` takes work.
     pub fn serves(&self, service: &Name) -> bool {
         let servers = self.servers.borrow();
-        servers.values().any(|s| s.service == *service && !s.leaving)
+        servers
+            .values()
+            .any(|s| s.service == *service && !s.leaving)
     }
 
     /// Records that a server marked itself as leaving.
--- /dev/null
+++ b/crates/entry/tests/entry/setup.rs
@@ -0,0 +1,414 @@
+//! Builder of an entry with its stand-ins, and a small blocking HTTP client.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex, mpsc},
+    thread,
+    time::{Duration, Instant},
+};
+
+use base::clock::Millis;
+use entry::{Handle, auth::TokenHash, entry_cfg::EntryCfg};
+use serde_json::{Value, json};
+use standin::{
+    backend,
+    backend_cfg::{BackendCfg, BackendFaults, ServiceTime},
+    platform,
+    platform_cfg::PlatformCfg,
+};
+use store::vm::{Vm, VmRole, VmState};
+use wire::message::{Reply, Request};
+
+pub const LIMIT: Duration = Duration::from_secs(10);
+pub const ORG: &str = "rain-cover";
+pub const TOKEN: &str = "rain-cover-token";
+pub const OTHER_TOKEN: &str = "lamp-loans-token";
+pub const OPERATOR_TOKEN: &str = "operator-token";
+
+/// An answer as the caller saw it.
+#[derive(Debug)]
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Got {
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub fn field(&self, name: &str) -> String {
+        self.json()[name].as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Returns the code and the outcome of a refusal.
+    pub fn refusal(&self) -> (String, String) {
+        (self.field("code"), self.field("outcome"))
+    }
+
+    pub fn header(&self, name: &str) -> Option<String> {
+        let lines = self.head.lines().filter_map(|l| l.split_once(':'));
+        let mut found = lines.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.next().map(|(_, v)| v.trim().to_owned())
+    }
+}
+
+/// Sends raw bytes and reads the answer until its length is reached or the connection ends.
+pub fn raw(addr: SocketAddr, bytes: &[u8]) -> Option<Got> {
+    let mut tcp = TcpStream::connect(addr).ok()?;
+    tcp.set_read_timeout(Some(LIMIT)).unwrap();
+    // The entry may refuse and close before it has read everything.
+    let _ = tcp.write_all(bytes);
+    receive(&mut tcp)
+}
+
+pub fn receive(tcp: &mut TcpStream) -> Option<Got> {
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 65_536];
+    loop {
+        if let Some(got) = parse(&bytes) {
+            return Some(got);
+        }
+        match tcp.read(&mut chunk) {
+            Ok(0) | Err(_) => return None,
+            Ok(n) => bytes.extend_from_slice(&chunk[..n]),
+        }
+    }
+}
+
+fn parse(bytes: &[u8]) -> Option<Got> {
+    let end = bytes.windows(4).position(|w| w == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let mut got = Got {
+        status,
+        head,
+        body: bytes[end + 4..].to_vec(),
+    };
+    let length: usize = got
+        .header("content-length")
+        .map_or(0, |v| v.parse().unwrap());
+    if got.body.len() < length {
+        return None;
+    }
+    got.body.truncate(length);
+    Some(got)
+}
+
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: entry\r\n");
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    text += &format!("content-length: {}\r\n\r\n", body.len());
+    [text.as_bytes(), body].concat()
+}
+
+pub fn send(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Got {
+    raw(addr, &request(method, path, headers, body)).expect("a whole answer")
+}
+
+/// Polls until `done` returns true; fails the test after the limit.
+pub fn eventually(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + LIMIT;
+    while !done() {
+        assert!(Instant::now() < end, "not reached: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// An entry, or several, with stand-ins.
+pub struct System {
+    pub platform: platform::Handle,
+    pub backends: backend::Handle,
+    pub entries: Vec<Handle>,
+    pub vms: Vec<Vm>,
+    pub scheduler: Scheduler,
+}
+
+/// Builder of a [`System`].
+pub struct Builder {
+    servers: u16,
+    entries: usize,
+    extra: Vec<SocketAddr>,
+    cfg: Value,
+    backend: BackendCfg,
+    replies: Vec<Reply>,
+}
+
+pub fn system() -> Builder {
+    let time = ServiceTime {
+        min_ms: Millis(1),
+        mean_ms: Millis(0),
+        max_ms: Millis(1),
+    };
+    Builder {
+        servers: 1,
+        entries: 1,
+        extra: Vec::new(),
+        cfg: json!({ "config_poll_ms": 50, "vm_poll_ms": 50, "stop_notice_ms": 50 }),
+        backend: BackendCfg {
+            default_time: time,
+            ..BackendCfg::default()
+        },
+        replies: Vec::new(),
+    }
+}
+
+impl Builder {
+    pub fn servers(mut self, servers: u16) -> Self {
+        self.servers = servers;
+        self
+    }
+
+    pub fn entries(mut self, entries: usize) -> Self {
+        self.entries = entries;
+        self
+    }
+
+    pub fn set(mut self, name: &str, value: Value) -> Self {
+        self.cfg[name] = value;
+        self
+    }
+
+    /// Uses this address as the only backend server.
+    pub fn raw_server(mut self, addr: SocketAddr) -> Self {
+        self.extra.push(addr);
+        self
+    }
+
+    pub fn faults(mut self, faults: BackendFaults) -> Self {
+        self.backend.faults = faults;
+        self
+    }
+
+    pub fn service_ms(mut self, ms: u64) -> Self {
+        self.backend.default_time.min_ms = Millis(ms);
+        self.backend.default_time.max_ms = Millis(ms);
+        self
+    }
+
+    /// Answers that the scheduler gives in turn; the last one is repeated.
+    pub fn replies(mut self, replies: Vec<Reply>) -> Self {
+        self.replies = replies;
+        self
+    }
+
+    pub fn start(mut self) -> System {
+        self.backend.servers = self.servers;
+        let backends = backend::start(self.backend).unwrap();
+        let addrs = match self.extra.as_slice() {
+            [] => backends.addrs().to_vec(),
+            extra => extra.to_vec(),
+        };
+        let vms: Vec<Vm> = addrs.iter().enumerate().map(|(i, a)| vm(i, *a)).collect();
+        let platform = platform::start(PlatformCfg {
+            vms: vms.clone(),
+            ..PlatformCfg::default()
+        })
+        .unwrap();
+        let scheduler = Scheduler::start(self.replies);
+        put_config(platform.addr(), 1, &[]);
+        let mut cfg = self.cfg;
+        cfg["table"] = json!(platform.addr());
+        cfg["vm_list"] = json!(platform.addr());
+        cfg["schedulers"] = json!([scheduler.addr]);
+        let hash = TokenHash::of(OPERATOR_TOKEN).to_string();
+        cfg["operators"] = json!([{ "name": "aigerim", "token_hash": hash }]);
+        let mut system = System {
+            platform,
+            backends,
+            entries: Vec::new(),
+            vms,
+            scheduler,
+        };
+        for _ in 0..self.entries {
+            let cfg = EntryCfg::from_value(cfg.clone()).unwrap();
+            system.entries.push(entry::start(cfg).unwrap());
+        }
+        for i in 0..self.entries {
+            eventually("every entry is ready", || {
+                system.get(i, "/ready").status == 200
+            });
+        }
+        system
+    }
+}
+
+pub fn vm(index: usize, address: SocketAddr) -> Vm {
+    Vm {
+        name: format!("s{index}").parse().unwrap(),
+        address,
+        data_centre: "a".parse().unwrap(),
+        role: VmRole::Backend {
+            service: "refund".parse().unwrap(),
+        },
+        state: VmState::Live,
+    }
+}
+
+/// Writes the configuration of the tests with more organisations as revision `revision`.
+pub fn put_config(platform: SocketAddr, revision: u64, more: &[&str]) {
+    let operation = |name: &str, repeatable: bool, class: &str| json!({ "name": name, "class": class, "repeatable": repeatable, "deadline_ms": 5000 });
+    let organisation = |name: &str, token: &str| {
+        let hash = TokenHash::of(token).to_string();
+        json!({ "name": name, "token_hashes": [hash], "guarantees": [], "weight": 1 })
+    };
+    let operations = json!([
+        operation("score", true, "live"),
+        operation("pay", false, "live"),
+        operation("check", true, "deferrable"),
+    ]);
+    let mut rows = vec![
+        ("rev".to_owned(), json!({ "revision": revision })),
+        (
+            "service/refund".to_owned(),
+            json!({ "name": "refund", "operations": operations }),
+        ),
+        (format!("org/{ORG}"), organisation(ORG, TOKEN)),
+        (
+            "org/lamp-loans".to_owned(),
+            organisation("lamp-loans", OTHER_TOKEN),
+        ),
+    ];
+    for name in more {
+        rows.push((format!("org/{name}"), organisation(name, name)));
+    }
+    put_rows(platform, &rows);
+}
+
+pub fn put_rows(platform: SocketAddr, rows: &[(String, Value)]) {
+    let write = |(key, value): &(String, Value)| json!({ "key": key, "value": value.to_string() });
+    let writes: Vec<Value> = rows.iter().map(write).collect();
+    let txn = json!({ "checks": [], "writes": writes }).to_string();
+    let got = send(platform, "POST", "/tables/commit", &[], txn.as_bytes());
+    assert_eq!(got.status, 200, "{got:?}");
+}
+
+impl System {
+    pub fn addr(&self) -> SocketAddr {
+        self.entries[0].addr()
+    }
+
+    pub fn get(&self, entry: usize, path: &str) -> Got {
+        send(self.entries[entry].addr(), "GET", path, &[], b"")
+    }
+
+    pub fn dump(&self) -> Value {
+        self.get(0, "/dump").json()
+    }
+
+    /// Calls the repeatable operation.
+    pub fn score(&self) -> Got {
+        call(self.addr(), "score", &[], b"{}")
+    }
+
+    /// Calls the operation that may not be repeated.
+    pub fn pay(&self, key: &str) -> Got {
+        pay(self.addr(), key)
+    }
+
+    pub fn decide(&self, method: &str, path: &str, token: &str, body: &Value) -> Got {
+        let bearer = format!("Bearer {token}");
+        let body = if body.is_null() {
+            String::new()
+        } else {
+            body.to_string()
+        };
+        let headers = [("authorization", &*bearer)];
+        send(self.addr(), method, path, &headers, body.as_bytes())
+    }
+
+    pub fn set_faults(&self, faults: &BackendFaults) {
+        for server in self.backends.servers() {
+            server.set_faults(faults.clone());
+        }
+    }
+
+    /// Number of executions at all servers.
+    pub fn runs(&self) -> usize {
+        self.backends
+            .servers()
+            .iter()
+            .map(|s| s.history().len())
+            .sum()
+    }
+
+    /// Number of executions of requests with this key in their body.
+    pub fn runs_of(&self, key: &str) -> usize {
+        let servers = self.backends.servers().iter();
+        let all = servers.flat_map(standin::backend::Server::history);
+        all.filter(|e| e.key.as_deref() == Some(key)).count()
+    }
+}
+
+pub fn call(addr: SocketAddr, operation: &str, more: &[(&str, &str)], body: &[u8]) -> Got {
+    let bearer = format!("Bearer {TOKEN}");
+    let mut headers = vec![("authorization", &*bearer)];
+    headers.extend_from_slice(more);
+    send(
+        addr,
+        "POST",
+        &format!("/call/refund/{operation}"),
+        &headers,
+        body,
+    )
+}
+
+pub fn pay(addr: SocketAddr, key: &str) -> Got {
+    let body = json!({ "key": key }).to_string();
+    call(addr, "pay", &[("idempotency-key", key)], body.as_bytes())
+}
+
+/// Scheduler that gives scripted answers and records requests other than `Current`.
+pub struct Scheduler {
+    pub addr: SocketAddr,
+    pub asked: Arc<Mutex<Vec<Request>>>,
+    _stop: mpsc::Sender<()>,
+}
+
+impl Scheduler {
+    pub fn start(replies: Vec<Reply>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let asked = Arc::new(Mutex::new(Vec::new()));
+        let (stop, stopped) = mpsc::channel::<()>();
+        let log = asked.clone();
+        thread::spawn(move || {
+            let system = ntex::rt::System::new("scheduler", ntex::rt::DefaultRuntime);
+            system.block_on(async move {
+                let next = Arc::new(Mutex::new(replies.into_iter()));
+                let last = Arc::new(Mutex::new(None));
+                let _server = wire::server::serve(listener, move |req| {
+                    let is_poll = matches!(&req, Request::Current { member, .. } if *member != 0);
+                    if !is_poll {
+                        log.lock().unwrap().push(req);
+                        if let Some(reply) = next.lock().unwrap().next() {
+                            *last.lock().unwrap() = Some(reply);
+                        }
+                    }
+                    let scripted = last.lock().unwrap().clone().filter(|_| !is_poll);
+                    let reply = scripted.unwrap_or(Reply::NotLeader { leader: None });
+                    async move { reply }
+                })
+                .unwrap();
+                while stopped.try_recv() == Err(mpsc::TryRecvError::Empty) {
+                    ntex::time::sleep(ntex::time::Millis(20)).await;
+                }
+            });
+        });
+        Self {
+            addr,
+            asked,
+            _stop: stop,
+        }
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -2,6 +2,6 @@
 
 pub mod cfg;
 pub mod lease;
-pub mod rows;
 pub mod link;
 pub mod queue;
+pub mod rows;
--- a/crates/sched/src/link.rs
+++ b/crates/sched/src/link.rs
@@ -163,7 +163,9 @@
             return vec![order];
         }
         let tasks = self.tasks.iter().filter(|t| t.attempt == order.attempt);
-        tasks.map(|t| order_for(&self.name, t, order.action)).collect()
+        tasks
+            .map(|t| order_for(&self.name, t, order.action))
+            .collect()
     }
 
     /// Returns whether a start of the attempt may still reach the worker.
@@ -302,7 +304,11 @@
 
     /// Returns the event for one attempt if its state is new or was asked for.
     fn look_at(&mut self, attempt: &Attempt, asked: bool) -> Option<Event> {
-        let mine: Vec<&Task> = self.tasks.iter().filter(|t| t.attempt == *attempt).collect();
+        let mine: Vec<&Task> = self
+            .tasks
+            .iter()
+            .filter(|t| t.attempt == *attempt)
+            .collect();
         if mine.is_empty() && self.outbox.iter().any(|o| o.attempt == *attempt) {
             return None;
         }
@@ -314,7 +320,11 @@
                 return None;
             }
         };
-        if self.awaited.get(attempt).is_some_and(|a| answers(*a, report)) {
+        if self
+            .awaited
+            .get(attempt)
+            .is_some_and(|a| answers(*a, report))
+        {
             self.awaited.remove(attempt);
         }
         let before = self.passed.insert(attempt.clone(), report);
