--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -4,6 +4,7 @@
 
 use eyre::WrapErr;
 use ntex::{client, http, rt};
+use schema::config::Config;
 use serde::{Deserialize, de::DeserializeOwned};
 
 use crate::exit::Failure;
@@ -23,6 +24,8 @@
 pub struct Api {
     base: String,
     token: Option<String>,
+    /// Whether output is JSON for scripts.
+    pub json: bool,
 }
 
 /// Body of every refusal.
@@ -33,9 +36,21 @@
     message: String,
 }
 
+/// Answer to `GET /config`.
+#[derive(Debug, Deserialize)]
+struct InForce {
+    config: Config,
+}
+
 impl Api {
+    /// Returns the configuration in force.
+    pub async fn config(&self) -> eyre::Result<Config> {
+        let in_force: InForce = self.send_json(http::Method::GET, "/config", None).await?;
+        Ok(in_force.config)
+    }
+
     /// Reads the token file and returns the client.
-    pub fn new(entry: &str, token_file: Option<&str>) -> eyre::Result<Self> {
+    pub fn new(entry: &str, token_file: Option<&str>, json: bool) -> eyre::Result<Self> {
         let token = match token_file {
             None => None,
             Some(path) => {
@@ -47,15 +62,34 @@
         Ok(Self {
             base: format!("http://{entry}"),
             token,
+            json,
         })
     }
 
-    /// Sends a request and returns the whole answer as text.
+    /// Returns a client that uses `token`.
+    pub fn with_token(entry: &str, token: &str) -> Self {
+        Self {
+            base: format!("http://{entry}"),
+            token: Some(token.into()),
+            json: false,
+        }
+    }
+
+    /// Returns a client of the same entry that uses another token.
+    pub fn as_token(&self, token: &str) -> Self {
+        Self {
+            token: Some(token.into()),
+            ..self.clone()
+        }
+    }
+
+    /// Sends a request, with an idempotency key if there is one, and returns the whole answer.
     pub async fn send(
         &self,
         method: http::Method,
         path: &str,
         body: Option<String>,
+        key: Option<&str>,
     ) -> eyre::Result<String> {
         let client = client::Client::builder()
             .response_timeout(ntex::time::Millis(ANSWER_TIMEOUT_MS))
@@ -67,6 +101,9 @@
         if let Some(token) = &self.token {
             req = req.bearer_auth(token);
         }
+        if let Some(key) = key {
+            req = req.header("idempotency-key", key);
+        }
         let sent = match body {
             Some(body) => req.content_type("application/json").send_body(body).await,
             None => req.send().await,
@@ -96,7 +133,7 @@
         path: &str,
         body: Option<String>,
     ) -> eyre::Result<T> {
-        let text = self.send(method, path, body).await?;
+        let text = self.send(method, path, body, None).await?;
         serde_json::from_str(&text).wrap_err("the entry's answer can't be read")
     }
 }
