--- a/crates/cli/src/world.rs
+++ b/crates/cli/src/world.rs
@@ -58,10 +58,10 @@
             .collect::<eyre::Result<Vec<_>>>()?;
         Ok(Self {
             entries,
-            schedulers,
             backends,
-            workers,
-            platform,
+            _schedulers: schedulers,
+            _workers: workers,
+            _platform: platform,
         })
     }
 }
--- /dev/null
+++ b/crates/sched/tests/site/mod.rs
@@ -0,0 +1,234 @@
+//! A small site for tests: platform and workers in stand-ins, and schedulers.
+#![allow(dead_code, reason = "each test file uses a part of the site")]
+
+use std::{future::Future, net};
+
+use base::{
+    clock::{self, Millis},
+    name::Name,
+};
+use plan::{event::WorkerInfo, record::JobRecord};
+use sched::cfg::Settings;
+use schema::{
+    job::{Job, Phase, StopMode},
+    shape::{Adjacency, Shape},
+};
+use standin::{platform, platform_cfg::PlatformCfg, worker, worker_cfg::WorkerCfg};
+use store::vm::{Vm, VmRole, VmState};
+use wire::{
+    client::Client,
+    message::{JobStatus, Reply, Request},
+};
+
+/// Longest wait for a condition; longer than a takeover of the lease.
+pub const LIMIT: Millis = Millis(15_000);
+
+pub struct Site {
+    pub platform: platform::Handle,
+    pub workers: worker::Handle,
+    pub scheds: Vec<sched::Handle>,
+}
+
+impl Site {
+    pub fn new(workers: usize, scheds: usize) -> Self {
+        let platform = platform::start(PlatformCfg::default()).unwrap();
+        let workers = worker::start_all((0..workers).map(worker_cfg).collect()).unwrap();
+        let mut site = Self {
+            platform,
+            workers,
+            scheds: Vec::new(),
+        };
+        site.platform.set_vms(site.vms());
+        for _ in 0..scheds {
+            site.add_sched(|_| {});
+        }
+        site
+    }
+
+    pub fn vms(&self) -> Vec<Vm> {
+        let vm = |(i, addr): (usize, &net::SocketAddr)| Vm {
+            name: worker_cfg(i).info.name,
+            address: *addr,
+            data_centre: name("dc-1"),
+            role: VmRole::Worker {
+                rack: worker_cfg(i).info.rack,
+            },
+            state: VmState::Live,
+        };
+        self.workers.addrs().iter().enumerate().map(vm).collect()
+    }
+
+    pub fn add_sched(&mut self, change: impl FnOnce(&mut Settings)) {
+        let mut cfg = Settings {
+            platform: self.platform.addr(),
+            ..Settings::default()
+        };
+        change(&mut cfg);
+        self.scheds.push(sched::start(cfg).unwrap());
+    }
+
+    /// Returns the index of the scheduler that leads, once there is one.
+    pub async fn leader(&self) -> usize {
+        eventually("a scheduler leads", async || {
+            for (i, sched) in self.scheds.iter().enumerate() {
+                let list = Request::Jobs {
+                    organisation: None,
+                    limit: 0,
+                };
+                let client = Client::new(sched.addr()).with_timeout(Millis(300));
+                if matches!(client.call(&list).await, Ok(Reply::Jobs { .. })) {
+                    return Some(i);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    pub async fn client(&self) -> Client {
+        Client::new(self.scheds[self.leader().await].addr())
+    }
+
+    /// Applies organisation `org` with team `team`.
+    pub async fn configure(&self) -> Client {
+        let client = self.client().await;
+        let reply = client.call(&apply(1, None, &base_records())).await.unwrap();
+        assert_eq!(reply, Reply::Applied { revision: 1 });
+        eventually("all workers are known", async || {
+            let dump = self.record_free_dump().await;
+            (dump.matches("sched_workers ").count() == 1
+                && dump.contains(&format!("sched_workers {}", self.workers.addrs().len())))
+            .then_some(())
+        })
+        .await;
+        client
+    }
+
+    async fn record_free_dump(&self) -> String {
+        let leader = &self.scheds[self.leader().await];
+        get(leader.http_addr(), "/metrics").await
+    }
+
+    pub fn record(&self, job: &str) -> Option<JobRecord> {
+        let row = self.platform.row(&format!("job/org/{job}"))?;
+        Some(serde_json::from_str(&row.value).unwrap())
+    }
+
+    pub async fn wait_for_phase(&self, job: &str, phase: Phase) -> JobRecord {
+        let what = format!("{job} is {phase}");
+        eventually(&what, async || {
+            self.record(job).filter(|r| r.phase == phase)
+        })
+        .await
+    }
+
+    pub async fn wait_for_running(&self, job: &str, members: usize) {
+        eventually(&format!("{job} runs"), async || {
+            (self.running(job) == members).then_some(())
+        })
+        .await;
+    }
+
+    /// Returns the number of tasks of the job that run now.
+    pub fn running(&self, job: &str) -> usize {
+        let runs = self
+            .workers
+            .workers()
+            .iter()
+            .flat_map(worker::Worker::history);
+        runs.filter(|r| r.attempt.job.name.as_str() == job && r.ended_at.is_none())
+            .count()
+    }
+}
+
+pub fn name(s: &str) -> Name {
+    s.parse().unwrap()
+}
+
+pub fn worker_cfg(i: usize) -> WorkerCfg {
+    WorkerCfg {
+        info: WorkerInfo {
+            name: name(&format!("worker-{i}")),
+            rack: name(&format!("rack-{}", i / 8)),
+            ..WorkerCfg::default().info
+        },
+        ..WorkerCfg::default()
+    }
+}
+
+pub fn base_records() -> Vec<String> {
+    vec![
+        "{schema: 2, kind: 'organisation', spec: {name: 'org'}}".into(),
+        "{schema: 2, kind: 'team', spec: {organisation: 'org', name: 'team', quota_accelerators: 9999}}"
+            .into(),
+    ]
+}
+
+pub fn apply(change: u64, expected_revision: Option<u64>, records: &[String]) -> Request {
+    Request::Apply {
+        change,
+        operator: name("tester"),
+        records: records.to_vec(),
+        expected_revision,
+    }
+}
+
+/// A gang of `members` with `accelerators` each.
+pub fn job(job: &str, members: u16, accelerators: u16) -> Job {
+    Job {
+        organisation: name("org"),
+        team: name("team"),
+        name: name(job),
+        kind: name("test"),
+        shape: Shape {
+            members,
+            accelerators,
+            cores: 1,
+            memory_mb: 64,
+            adjacency: Adjacency::DataCentre,
+        },
+        run_time_ms: Millis(60_000),
+        urgent: false,
+        stop: StopMode::Checkpoint,
+    }
+}
+
+pub async fn submit(client: &Client, job: Job) -> JobStatus {
+    match client.call(&Request::Submit { job }).await {
+        Ok(Reply::Job { status }) => status,
+        other => panic!("{other:?}"),
+    }
+}
+
+pub fn cancel(job: &str) -> Request {
+    Request::Cancel {
+        organisation: name("org"),
+        job: name(job),
+    }
+}
+
+/// Polls until `f` returns something.
+pub async fn eventually<T, F: Future<Output = Option<T>>>(what: &str, f: impl Fn() -> F) -> T {
+    let start = clock::now();
+    loop {
+        if let Some(found) = f().await {
+            return found;
+        }
+        assert!(
+            clock::now().since(start) < LIMIT,
+            "not within {LIMIT}: {what}"
+        );
+        pause(5).await;
+    }
+}
+
+pub async fn pause(ms: u64) {
+    tokio::time::sleep(Millis(ms).to_duration()).await;
+}
+
+pub async fn get(addr: net::SocketAddr, path: &str) -> String {
+    let client = ntex::client::Client::new().await;
+    let url = format!("http://{addr}{path}");
+    let resp = client.get(url).send().await.unwrap();
+    String::from_utf8(resp.body().await.unwrap().to_vec()).unwrap()
+}
