--- a/crates/cli/src/bench/path.rs
+++ b/crates/cli/src/bench/path.rs
@@ -16,8 +16,12 @@
 
 /// Access token of the organisation that sends the requests.
 const TOKEN: &str = "bench-token";
-/// SHA-256 of the access token, which is also the operator's.
+/// SHA-256 of the access token.
 const TOKEN_HASH: &str = "7137e16f75a1d75b6fd65930672814806cdc1a0d6e0aa38611afc996a402258b";
+/// Access token of the operator, who applies the configuration.
+const OPERATOR: &str = "operator-demo-token";
+/// SHA-256 of the operator's access token.
+const OPERATOR_HASH: &str = "053fa11d794b3d944f1cd07a6cd7e574762682bb9e02bbbac8fb0690c6403e6e";
 /// Service time of the backend servers.
 const SERVICE_TIME: Millis = Millis(5);
 /// Backend servers.
@@ -37,7 +41,7 @@
         seconds: args.seconds,
     };
     api::block_on(async move {
-        configure(&Api::with_token(&entry.to_string(), TOKEN)).await?;
+        configure(&Api::with_token(&entry.to_string(), OPERATOR)).await?;
         println!(
             "{} requests a second, service time {SERVICE_TIME}",
             load.rate
@@ -73,7 +77,7 @@
         },
         service: "refund".parse()?,
         behaviour: worker_cfg::Behaviour::default(),
-        operator_token_hash: TOKEN_HASH.into(),
+        operator_token_hash: OPERATOR_HASH.into(),
     })
 }
 
@@ -144,10 +148,18 @@
 }
 
 async fn succeeds(req: client::ClientRequest) -> bool {
-    let Ok(answer) = req.send_body("{\"claim\":17}").await else {
-        return false;
+    let answer = match req.send_body("{\"claim\":17}").await {
+        Ok(answer) => answer,
+        Err(e) => {
+            log::warn!("bench: no answer: {e}");
+            return false;
+        }
     };
-    answer.status().is_success() && answer.body().await.is_ok()
+    if !answer.status().is_success() {
+        log::warn!("bench: status {}", answer.status());
+        return false;
+    }
+    answer.body().await.is_ok()
 }
 
 fn print(case: &str, load: Load, m: &Measured) {
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -5,7 +5,8 @@
 use base::clock;
 
 /// Default levels: `info` for this project, `warn` for libraries.
-const DEFAULT: &str = "warn,claim=info,entry=info,route=info,sched=info,standin=info,store=info";
+const DEFAULT: &str =
+    "warn,buckthorncove=info,claim=info,entry=info,route=info,sched=info,standin=info,store=info";
 
 /// Sends log lines to standard error; `RUST_LOG` sets the levels.
 pub fn init() {
