Add contract tests for the platform, worker and backend interfaces

Cause: the clients and stand-ins had one test. Fault cases now stand in tables for each interface, the classification of table calls is checked under mixed faults, and the table in memory is compared with a simple model.

The tests brought out: a truncated answer without a body was delivered whole (it is now cut), and settling a commit under stale reads needs pauses between its rounds.

Ruled out: recognising a lost write by a single read. Reads may be stale, so a missing id proves nothing; settle sends the transaction again and confirms a lost race by a check-only transaction.

--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -26,6 +26,8 @@
     pub lost_answers: f64,
     /// Share of the writes that are lost with the connection and take no effect.
     pub lost_requests: f64,
+    /// Share of the calls that take effect and whose answer ends in the middle of its body.
+    pub cut_answers: f64,
     /// Age of the state that table reads see.
     pub read_lag_ms: Millis,
     /// Age of the VM list.
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -268,14 +268,20 @@
     let served = rt::spawn(service.serve(call)).await;
     let reply = served
         .unwrap_or_else(|_| Reply::error(StatusCode::INTERNAL_SERVER_ERROR, "the stand-in failed"));
-    match (reply.delivery, &io) {
-        (Delivery::Never, _) => future::pending().await,
-        (Delivery::Cut, Some(io)) => {
-            io.terminate();
-            future::pending().await
-        }
-        _ => Ok(respond(reply, io)),
+    match reply.delivery {
+        Delivery::Never => future::pending().await,
+        Delivery::Cut => cut(io.as_ref()).await,
+        Delivery::Truncated if reply.body.is_empty() => cut(io.as_ref()).await,
+        Delivery::Whole | Delivery::Truncated => Ok(respond(reply, io)),
+    }
+}
+
+/// Closes the connection; the request then never ends by itself.
+async fn cut<T>(io: Option<&IoRef>) -> T {
+    if let Some(io) = io {
+        io.terminate();
     }
+    future::pending().await
 }
 
 async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, ()> {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,3 +11,5 @@
 pub mod worker;
 pub mod worker_cfg;
 mod worker_task;
+#[cfg(test)]
+mod worker_task_tests;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use store::{
     objects::OBJECT_BYTES,
-    table::{Commit, Row, Txn},
+    table::{Commit, KEY_BYTES, Row, SCAN_ROWS, TXN_BYTES, Txn},
     vm::Vm,
     vms::VmList,
 };
@@ -25,13 +25,6 @@
     query,
 };
 
-/// Most rows in one answer.
-pub const SCAN_ROWS: usize = 1_000;
-/// Largest transaction, in bytes of its JSON text.
-pub const TXN_BYTES: usize = 4 << 20;
-/// Longest key, in bytes.
-pub const TABLE_KEY_BYTES: usize = 512;
-
 /// Calls and rows since the start.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Deserialize, Serialize)]
 #[display("{commits} commits, {gets} gets, {scans} scans")]
@@ -165,6 +158,7 @@
     Silent,
     RequestLost,
     AnswerLost,
+    AnswerCut,
 }
 
 fn check_txn(txn: &Txn) -> Result<(), &'static str> {
@@ -172,7 +166,7 @@
     let written = txn.writes.iter().map(|w| &w.key);
     if checked
         .chain(written)
-        .any(|k| k.is_empty() || k.len() > TABLE_KEY_BYTES)
+        .any(|k| k.is_empty() || k.len() > KEY_BYTES)
     {
         return Err("a key has 1 to 512 bytes");
     }
@@ -222,7 +216,7 @@
             }
             Fate::Silent => return Reply::empty(StatusCode::OK).delivered(Delivery::Never),
             Fate::RequestLost => return Reply::empty(StatusCode::OK).delivered(Delivery::Cut),
-            Fate::Served | Fate::AnswerLost => {}
+            Fate::Served | Fate::AnswerLost | Fate::AnswerCut => {}
         }
         if slow > Millis::ZERO {
             time::sleep(time::Millis(slow.0 as u32)).await;
@@ -230,6 +224,7 @@
         let reply = self.apply(&call);
         match fate {
             Fate::AnswerLost => reply.delivered(Delivery::Cut),
+            Fate::AnswerCut => reply.delivered(Delivery::Truncated),
             _ => reply,
         }
     }
@@ -240,7 +235,7 @@
         let fate = state.fate(writes);
         match fate {
             Fate::Refused => state.stats.refused += 1,
-            Fate::RequestLost | Fate::AnswerLost => state.stats.lost += 1,
+            Fate::RequestLost | Fate::AnswerLost | Fate::AnswerCut => state.stats.lost += 1,
             Fate::Served | Fate::Silent => {}
         }
         (fate, state.faults.slow_ms)
--- a/crates/standin/src/platform_state.rs
+++ b/crates/standin/src/platform_state.rs
@@ -6,7 +6,7 @@
 use ntex::util::Bytes;
 use store::{
     mem::MemTable,
-    table::{Commit, Row, Txn},
+    table::{Commit, Row, SCAN_ROWS, Txn},
     vm::Vm,
 };
 
@@ -62,6 +62,9 @@
         if writes && hit(faults.lost_answers) {
             return Fate::AnswerLost;
         }
+        if hit(faults.cut_answers) {
+            return Fate::AnswerCut;
+        }
         Fate::Served
     }
 
@@ -106,7 +109,16 @@
     }
 
     pub(crate) fn rows(&self, prefix: &str) -> Vec<Row> {
-        self.table.scan(prefix, "", usize::MAX)
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let after = rows.last().map(|r| r.key.clone()).unwrap_or_default();
+            let page = self.table.scan(prefix, &after, SCAN_ROWS);
+            let full = page.len() == SCAN_ROWS;
+            rows.extend(page);
+            if !full {
+                return rows;
+            }
+        }
     }
 
     pub(crate) fn set_vms(&mut self, now: Millis, vms: Vec<Vm>) {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,15 +1,18 @@
 //! The table service as the other crates see it: over HTTP or in memory.
 
 use derive_more::From;
+use ntex::time;
 
 use crate::{
     http::HttpTable,
     mem::MemTable,
-    table::{Commit, Row, StoreError, Txn},
+    table::{Commit, Key, Row, SCAN_ROWS, StoreError, Txn},
 };
 
 /// Times that [`Table::settle`] reads and repeats before it gives up.
-const SETTLE_ROUNDS: usize = 3;
+const SETTLE_ROUNDS: u32 = 6;
+/// Pause after the first round; each further pause is twice as long.
+const SETTLE_PAUSE: time::Millis = time::Millis(50);
 
 /// A table, over HTTP or in memory.
 ///
@@ -34,9 +37,13 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Settled {
     /// The writes are applied.
-    Applied,
-    /// The writes are not applied and never will be, because another writer has changed a row
-    /// that the transaction checks; or they were applied and then overwritten.
+    Applied {
+        /// Version of the row that was read back or written.
+        version: u64,
+    },
+    /// Another writer has changed a row that the transaction checks, and the row that was read
+    /// back does not carry the id: the writes are not applied and never will be, or they were
+    /// applied and then overwritten by a writer that removed the id.
     Superseded,
 }
 
@@ -70,44 +77,84 @@
         }
     }
 
-    /// Reads a row back and tells whether it carries the id that the writer put into it.
+    /// Reads all rows whose keys start with `prefix`, in key order and in as many calls as needed.
     ///
-    /// `true` proves that the write was applied. `false` proves nothing, because the read may be
+    /// The calls are separate reads: rows that change meanwhile may be seen in either state.
+    pub async fn scan_all(&self, prefix: &str) -> Result<Vec<Row>, StoreError> {
+        let mut rows = Vec::new();
+        let mut after: Key = "".into();
+        loop {
+            let page = self.scan(prefix, &after, SCAN_ROWS).await?;
+            let full = page.len() == SCAN_ROWS;
+            rows.extend(page);
+            match rows.last() {
+                Some(last) if full => after = last.key.clone(),
+                _ => return Ok(rows),
+            }
+        }
+    }
+
+    /// Reads a row back and returns it if it carries the id that the writer put into it.
+    ///
+    /// A row proves that the write was applied. `None` proves nothing, because the read may be
     /// stale and the write may still be under way.
-    pub async fn has_mark(
+    pub async fn read_back(
         &self,
         key: &str,
         mine: impl Fn(&str) -> bool,
-    ) -> Result<bool, StoreError> {
+    ) -> Result<Option<Row>, StoreError> {
         let row = self.get(key).await?;
-        Ok(row.is_some_and(|r| mine(&r.value)))
+        Ok(row.filter(|r| mine(&r.value)))
     }
 
     /// Settles a commit whose outcome is unknown. It may be called any number of times.
     ///
     /// `key` is a row that `txn` both checks and writes, and `mine` recognises the id that the
     /// writer put into it. The row is read back; if it does not carry the id, `txn` is sent again,
-    /// which is safe because its check on `key` fails once a copy has been applied.
+    /// which is safe because its check on `key` fails once a copy has been applied. Rows are
+    /// deleted and inserted again under new versions, so a check on a version can't hold twice;
+    /// with a check on absence, `key` must not be deleted while the outcome is open.
     ///
     /// Returns `Unknown` if the outcome is still open.
+    ///
+    /// ```
+    /// use store::{client::{Settled, Table}, mem::MemTable, table::Txn};
+    ///
+    /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
+    /// let table = Table::from(MemTable::default());
+    /// let txn = Txn::default().check("a", 0).put("a", r#"{"id":"x7"}"#.into());
+    /// let mine = |value: &str| value.contains("x7");
+    /// let settled = table.settle(&txn, "a", mine).await.unwrap();
+    /// assert_eq!(settled, Settled::Applied { version: 1 });
+    /// assert_eq!(table.settle(&txn, "a", mine).await.unwrap(), settled);
+    /// # });
+    /// ```
     pub async fn settle(
         &self,
         txn: &Txn,
         key: &str,
         mine: impl Fn(&str) -> bool,
     ) -> Result<Settled, StoreError> {
-        if !txn.checks.iter().any(|c| &*c.key == key) {
+        let checked = txn.checks.iter().any(|c| &*c.key == key);
+        let written = txn.writes.iter().any(|w| &*w.key == key);
+        if !checked || !written {
             return Err(StoreError::Unknown {
-                reason: format!("the transaction has no check on {key}"),
+                reason: format!("the transaction does not both check and write {key}"),
             });
         }
-        for _ in 0..SETTLE_ROUNDS {
-            if self.has_mark(key, &mine).await.map_err(still_unknown)? {
-                return Ok(Settled::Applied);
+        let mut pause = SETTLE_PAUSE;
+        for round in 0..SETTLE_ROUNDS {
+            if round > 0 {
+                time::sleep(pause).await;
+                pause = time::Millis(pause.0 * 2);
+            }
+            if let Some(row) = self.read_back(key, &mine).await.map_err(still_open)? {
+                return Ok(Settled::Applied {
+                    version: row.version,
+                });
             }
-            match self.commit(txn).await.map_err(still_unknown)? {
-                Commit::Done { .. } => return Ok(Settled::Applied),
-                Commit::Conflict { .. } => {}
+            if let Commit::Done { version } = self.commit(txn).await.map_err(still_open)? {
+                return Ok(Settled::Applied { version });
             }
             if let Some(settled) = self.confirm(key, &mine).await? {
                 return Ok(settled);
@@ -124,12 +171,13 @@
         key: &str,
         mine: &impl Fn(&str) -> bool,
     ) -> Result<Option<Settled>, StoreError> {
-        let row = self.get(key).await.map_err(still_unknown)?;
-        if row.as_ref().is_some_and(|r| mine(&r.value)) {
-            return Ok(Some(Settled::Applied));
+        let row = self.get(key).await.map_err(still_open)?;
+        let version = row.as_ref().map_or(0, |r| r.version);
+        if row.is_some_and(|r| mine(&r.value)) {
+            return Ok(Some(Settled::Applied { version }));
         }
-        let check = Txn::default().check(key, row.map_or(0, |r| r.version));
-        match self.commit(&check).await.map_err(still_unknown)? {
+        let current = Txn::default().check(key, version);
+        match self.commit(&current).await.map_err(still_open)? {
             Commit::Done { .. } => Ok(Some(Settled::Superseded)),
             Commit::Conflict { .. } => Ok(None),
         }
@@ -137,7 +185,7 @@
 }
 
 /// A failed attempt to settle leaves the outcome of the first commit open.
-fn still_unknown(err: StoreError) -> StoreError {
+fn still_open(err: StoreError) -> StoreError {
     match err {
         StoreError::NotDone { reason } | StoreError::Unknown { reason } => {
             StoreError::Unknown { reason }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Reads up to `limit` rows whose keys start with `prefix` and follow `after`, in key order.
+    /// Reads up to `limit` rows, and at most [`SCAN_ROWS`](crate::table::SCAN_ROWS), whose keys start with `prefix` and follow `after`, in key order.
     pub async fn scan(
         &self,
         prefix: &str,
@@ -115,7 +115,9 @@
         StatusCode::CONFLICT => serde_json::from_slice::<ConflictBody>(&answer.body)
             .map(|b| Commit::Conflict { keys: b.conflict })
             .map_err(unknown),
-        StatusCode::SERVICE_UNAVAILABLE => Err(refused(answer)),
+        StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::BAD_REQUEST
+        | StatusCode::PAYLOAD_TOO_LARGE => Err(refused(answer)),
         status => Err(StoreError::Unknown {
             reason: format!("status {status}"),
         }),
--- a/crates/store/src/mem.rs
+++ b/crates/store/src/mem.rs
@@ -1,10 +1,8 @@
 //! Table in memory with the semantics of the table service.
 
-use std::sync;
+use std::{collections::BTreeMap, ops::Bound, sync};
 
-use base::sorted::SortedMap;
-
-use crate::table::{Check, Commit, Key, Row, Txn};
+use crate::table::{Check, Commit, Key, Row, SCAN_ROWS, Txn};
 
 /// Table in memory; clones share the same rows.
 ///
@@ -24,7 +22,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     version: u64,
-    rows: SortedMap<Key, Row>,
+    rows: BTreeMap<Key, Row>,
 }
 
 impl Inner {
@@ -82,18 +80,25 @@
         self.lock().rows.get(key).cloned()
     }
 
-    /// Reads up to `limit` rows whose keys start with `prefix` and follow `after`, in key order.
+    /// Reads up to `limit` rows, and at most [`SCAN_ROWS`], whose keys start with `prefix` and
+    /// follow `after`, in key order.
     ///
     /// ```
     /// assert!(store::mem::MemTable::default().scan("job/", "", 10).is_empty());
     /// ```
     pub fn scan(&self, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
         let inner = self.lock();
-        let matching = inner
-            .rows
-            .iter()
-            .filter(|(k, _)| k.starts_with(prefix) && &***k > after);
-        matching.take(limit).map(|(_, row)| row.clone()).collect()
+        let start = if after < prefix {
+            Bound::Included(prefix)
+        } else {
+            Bound::Excluded(after)
+        };
+        let following = inner.rows.range::<str, _>((start, Bound::Unbounded));
+        let matching = following.take_while(|(k, _)| k.starts_with(prefix));
+        matching
+            .take(limit.min(SCAN_ROWS))
+            .map(|(_, row)| row.clone())
+            .collect()
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Inner> {
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -5,6 +5,13 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+/// Most rows in one answer to a scan.
+pub const SCAN_ROWS: usize = 1_000;
+/// Longest key, in bytes.
+pub const KEY_BYTES: usize = 512;
+/// Largest transaction, in bytes of its JSON text.
+pub const TXN_BYTES: usize = 4 << 20;
+
 /// Key of a row, such as `job/akarihon/stock-7`.
 pub type Key = sync::Arc<str>;
 
