claim: Add group commit, read-back of lost answers, retention and settlement

A lost answer is settled by one read, because a transaction applies as a whole. An insert that may still take effect is fenced by inserting a not_run row.

--- a/crates/claim/src/claims.rs
+++ b/crates/claim/src/claims.rs
@@ -89,6 +89,12 @@
     pub(crate) key: Key,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) nonce: u64,
+    /// Version that the row must have; 0 for absent.
+    pub(crate) version: u64,
+    /// Batches of which the claim has been a part.
+    pub(crate) tries: u32,
+    /// Whether an earlier write may take effect although no answer arrived.
+    pub(crate) uncertain: bool,
     pub(crate) reply: oneshot::Sender<Begun>,
 }
 
@@ -137,6 +143,9 @@
                 key,
                 fingerprint: fingerprint.clone(),
                 nonce,
+                version: 0,
+                tries: 0,
+                uncertain: false,
                 reply,
             });
         }
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -3,10 +3,13 @@
 //! A request that may not be repeated claims its key before it is sent to a backend server. All
 //! claims of one entry go through one [`driver::Driver`], which commits them in groups.
 
+mod batch;
 pub mod claim_cfg;
 pub mod claims;
 pub mod driver;
 pub mod fingerprint;
 pub mod record;
+pub mod retention;
+pub mod settle;
 pub mod store;
 pub mod ticket;
--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -6,6 +6,9 @@
 
 use crate::fingerprint::Fingerprint;
 
+/// Prefix of the keys of claim rows.
+pub const PREFIX: &str = "claim/";
+
 /// Content of a row `claim/{org}/{key}`.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Record {
@@ -21,6 +24,13 @@
     pub state: State,
 }
 
+impl Record {
+    /// Returns whether the row was written for this claim of this owner.
+    pub(crate) fn is_by(&self, owner: u64, nonce: u64) -> bool {
+        self.owner == owner && self.nonce == nonce
+    }
+}
+
 /// What is known about the execution that a claim covers.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -99,5 +109,23 @@
 /// assert_eq!(&*key, "claim/tulegenov/k1");
 /// ```
 pub fn row_key(organisation: &Name, key: &str) -> Key {
-    format!("claim/{organisation}/{key}").into()
+    format!("{PREFIX}{organisation}/{key}").into()
+}
+
+/// Key of the member row of an entry.
+///
+/// ```
+/// assert_eq!(claim::record::member_key(7), "member/7");
+/// ```
+pub fn member_key(id: u64) -> String {
+    format!("member/{id}")
+}
+
+/// Reads a claim row; `None` if it is not a claim.
+pub(crate) fn parse(value: &str) -> Option<Record> {
+    serde_json::from_str(value).ok()
+}
+
+pub(crate) fn to_json(record: &Record) -> String {
+    serde_json::to_string(record).expect("a claim record is valid JSON")
 }
--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -383,7 +383,9 @@
         let stale = setup.fault == Fault::StaleMembers && index == 0;
         let known = if stale { ENTRIES - 1 } else { ENTRIES };
         limits.set_members((1..=known as u64).collect());
-        servers.iter().for_each(|s| limits.add_server(s.clone()));
+        for server in servers {
+            limits.add_server(server.clone());
+        }
         let early_refusal = setup.early_refusal;
         let at_least = if setup.budget { 3 } else { u32::MAX };
         Self {
@@ -436,6 +438,7 @@
 }
 
 fn main() {
+    use Fault::{AllSound, OneFailsFast, OneSlow, StaleMembers, UnevenLoad};
     use Policy::{Exchange, ReportedLoad, StaticDivision, TwoChoices};
     let policies = [StaticDivision, TwoChoices, ReportedLoad, Exchange];
     println!(
@@ -466,7 +469,6 @@
         }
         return;
     }
-    use Fault::{AllSound, OneFailsFast, OneSlow, StaleMembers, UnevenLoad};
     for fault in [AllSound, OneSlow, OneFailsFast, UnevenLoad, StaleMembers] {
         for load in [0.5, 0.8, 0.95, 3.0] {
             for policy in policies {
