--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,190 @@
+//! Command line.
+
+use argh::FromArgs;
+
+/// Schedules multi-accelerator jobs under guarantees for organisations.
+///
+/// Exit codes: 0 done; 1 refused or failed without effect; 2 wrong command line, settings or
+/// record; 3 outcome unknown, ask again.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// address of any entry, for operator commands (default 127.0.0.1:7000)
+    #[argh(option, default = "String::from(\"127.0.0.1:7000\")")]
+    pub entry: String,
+    /// file that holds the access token, for operator commands
+    #[argh(option)]
+    pub token_file: Option<String>,
+    /// print JSON for scripts
+    #[argh(switch)]
+    pub json: bool,
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Entry(Entry),
+    Scheduler(Scheduler),
+    Local(Local),
+    Standin(Standin),
+    Check(Check),
+    Migrate(Migrate),
+    Apply(Apply),
+    Get(Get),
+    Submit(Submit),
+    Cancel(Cancel),
+    Settle(Settle),
+    Status(Status),
+    Dump(Dump),
+    Bench(Bench),
+}
+
+/// Run the process that serves callers and operators.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub struct Entry {
+    /// settings file, JSON with comments
+    #[argh(positional)]
+    pub settings: String,
+}
+
+/// Run the process that decides where jobs run.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "scheduler")]
+pub struct Scheduler {
+    /// settings file, JSON with comments
+    #[argh(positional)]
+    pub settings: String,
+}
+
+/// Run the whole system in this process on stand-ins, submit a gang job, send a claim score and
+/// print what happened.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "local")]
+pub struct Local {
+    /// keep running after the demonstration until it is interrupted
+    #[argh(switch)]
+    pub stay: bool,
+}
+
+/// Run a stand-in for an outside system, for tests.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "standin")]
+pub struct Standin {
+    /// platform, worker or backend
+    #[argh(positional)]
+    pub kind: String,
+    /// settings file, JSON with comments; defaults are used without it
+    #[argh(positional)]
+    pub settings: Option<String>,
+}
+
+/// Check record files or a settings file without contacting any process.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// record files or directories of them (*.json)
+    #[argh(positional)]
+    pub paths: Vec<String>,
+    /// settings file of an entry
+    #[argh(option)]
+    pub entry: Option<String>,
+    /// settings file of a scheduler
+    #[argh(option)]
+    pub scheduler: Option<String>,
+}
+
+/// Rewrite record files of schema version 1 in version 2.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "migrate")]
+pub struct Migrate {
+    /// record files or directories of them (*.json)
+    #[argh(positional)]
+    pub paths: Vec<String>,
+    /// replace the files instead of printing the result
+    #[argh(switch)]
+    pub write: bool,
+}
+
+/// Apply record files as one change of the configuration; repeating it is safe.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct Apply {
+    /// record files or directories of them (*.json)
+    #[argh(positional)]
+    pub paths: Vec<String>,
+    /// show the difference and change nothing
+    #[argh(switch)]
+    pub dry_run: bool,
+    /// id of an earlier apply whose outcome was unknown
+    #[argh(option)]
+    pub change: Option<u64>,
+}
+
+/// Print the configuration in force as records of schema version 2.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "get")]
+pub struct Get {}
+
+/// Submit the job of a record file; repeating it is safe.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub struct Submit {
+    /// record file of the job
+    #[argh(positional)]
+    pub path: String,
+    /// wait until the job has ended
+    #[argh(switch)]
+    pub wait: bool,
+}
+
+/// Cancel a job; repeating it is safe.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cancel")]
+pub struct Cancel {
+    /// job as ORGANISATION/NAME
+    #[argh(positional)]
+    pub job: String,
+}
+
+/// Settle a request whose outcome is unknown, after you have looked at the backend service.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "settle")]
+pub struct Settle {
+    /// request as ORGANISATION/KEY
+    #[argh(positional)]
+    pub key: String,
+    /// whether the request ran: "ran" or "not-run"
+    #[argh(positional)]
+    pub outcome: String,
+}
+
+/// Show jobs and their phases.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {
+    /// job as ORGANISATION/NAME; all jobs without it
+    #[argh(positional)]
+    pub job: Option<String>,
+}
+
+/// Print the state of a process as JSON.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub struct Dump {}
+
+/// Measure the request path or the decisions.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub struct Bench {
+    /// path
+    #[argh(positional)]
+    pub kind: String,
+    /// requests a second
+    #[argh(option, default = "500")]
+    pub rate: u64,
+    /// seconds of load for each case
+    #[argh(option, default = "5")]
+    pub seconds: u64,
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,17 @@
-//! The buckthorncove binary.
+//! The buckthorncove binary: all roles and operator commands.
 
-fn main() {}
+mod api;
+mod args;
+mod bench;
+mod command;
+mod exit;
+mod logs;
+mod world;
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    let args: args::Args = argh::from_env();
+    logs::init();
+    exit::report(command::run(args))
+}
