claim: Take the table client as a store and the member key of the other crates

The key of a member row had no leading zeros, so every owner on another entry was taken for dead. The trait stays, because tests put faults between claims and the table.

--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -115,10 +115,10 @@
 /// Key of the member row of an entry.
 ///
 /// ```
-/// assert_eq!(claim::record::member_key(7), "member/7");
+/// assert_eq!(claim::record::member_key(255), "member/00000000000000ff");
 /// ```
 pub fn member_key(id: u64) -> String {
-    format!("member/{id}")
+    format!("member/{id:016x}")
 }
 
 /// Reads a claim row; `None` if it is not a claim.
--- a/crates/claim/src/store.rs
+++ b/crates/claim/src/store.rs
@@ -3,11 +3,14 @@
 use std::future::Future;
 
 use ::store::{
+    client::Table,
     mem::MemTable,
     table::{Commit, Row, StoreError, Txn},
 };
 
 /// The calls of the table service that claims need.
+///
+/// It is a trait so that tests can put lost answers, outages and stale reads in between.
 pub trait Store {
     /// Applies all writes of `txn` if every check holds.
     fn commit(&self, txn: &Txn) -> impl Future<Output = Result<Commit, StoreError>>;
@@ -37,3 +40,22 @@
         Ok(Self::scan(self, prefix, after, limit))
     }
 }
+
+impl Store for Table {
+    fn commit(&self, txn: &Txn) -> impl Future<Output = Result<Commit, StoreError>> {
+        Self::commit(self, txn)
+    }
+
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Row>, StoreError>> {
+        Self::get(self, key)
+    }
+
+    fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> impl Future<Output = Result<Vec<Row>, StoreError>> {
+        Self::scan(self, prefix, after, limit)
+    }
+}
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -107,7 +107,7 @@
         let wait = self.wait(&waiting.organisation, waiting.class);
         let reserved = Millis(wait.0 * WAIT_SHARE) + self.service();
         if now >= waiting.deadline || self.is_too_late(now + reserved, waiting.deadline) {
-            let expected = wait + self.service();
+            let expected = self.expected(&waiting.organisation, waiting.class);
             return Err(Refused::Deadline { expected });
         }
         self.class_mut(waiting.class).push(waiting);
@@ -180,6 +180,11 @@
         Millis((ahead as f64 * self.mean_ms as f64 / slots) as u64)
     }
 
+    /// Expected time until a request that is added now has its answer.
+    pub fn expected(&self, organisation: &Name, class: Class) -> Millis {
+        self.wait(organisation, class) + self.service()
+    }
+
     /// Number of waiting requests.
     pub fn len(&self) -> usize {
         self.live.len + self.deferrable.len
