claim: Test at-most-once execution under outages, lost answers and stale reads

Mutations seen to fail: not abandoning an uncertain claim, counting a dropped ticket as not run, taking any row as the own one after a lost answer, ignoring the fingerprint, taking a not_run row without a conditional update, taking a lost answer for success. Mutation that no test caught: reading back a claim that was part of an earlier batch (needs a late write, a stale read and a second lost answer in a row).

The quantum of a turn is now the lowest cost that is next in a queue: with a fixed quantum of 100 and a cost of 1 one organisation dispatched 100 requests in a row.

--- /dev/null
+++ b/crates/claim/tests/at_most_once.rs
@@ -0,0 +1,274 @@
+//! Requests that may not be repeated run at most once under faults and concurrent retries.
+
+mod common;
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+
+use base::{clock::Millis, name::Name};
+use claim::{
+    claim_cfg::ClaimCfg,
+    claims::{Begun, Claims},
+    fingerprint::{self, Fingerprint},
+    record::{self, Answer, Record, State},
+    ticket::Settled,
+};
+use common::{Faults, Faulty};
+use quickcheck::{Gen, QuickCheck};
+use store::{mem::MemTable, table::Txn};
+use tokio::{runtime, task};
+
+const ROUGH: Faults = Faults {
+    not_done: 5,
+    lost_answer: 10,
+    late_write: 10,
+    stale_read: 15,
+    failed_read: 5,
+};
+const KEYS: usize = 12;
+const CALLERS: usize = 40;
+
+type Runs = Rc<RefCell<BTreeMap<usize, u32>>>;
+
+fn run(test: impl Future<Output = ()>) {
+    let rt = runtime::Builder::new_current_thread().enable_all().build();
+    task::LocalSet::new().block_on(&rt.unwrap(), test);
+}
+
+fn name(text: &str) -> Name {
+    text.parse().unwrap()
+}
+
+fn print(body: &[u8]) -> Fingerprint {
+    fingerprint::of(&name("refund"), &name("pay"), body)
+}
+
+fn answer(text: &str) -> Answer {
+    Answer::new(200, "text/plain", text.as_bytes().to_vec())
+}
+
+fn start(store: &Faulty, owner: u64) -> Claims {
+    let cfg = ClaimCfg {
+        retry_ms: Millis(1),
+        ..ClaimCfg::default()
+    };
+    store
+        .table
+        .commit(&Txn::default().put(record::member_key(owner), "{}".into()));
+    let (claims, driver) = Claims::new(cfg, store.clone(), owner);
+    task::spawn_local(driver.run());
+    claims
+}
+
+fn row(table: &MemTable, key: &str) -> Record {
+    let row = table.get(&record::row_key(&name("org"), key)).unwrap();
+    serde_json::from_str(&row.value).unwrap()
+}
+
+async fn begin(claims: &Claims, key: &str) -> Begun {
+    claims
+        .begin(&name("org"), key, &print(key.as_bytes()))
+        .await
+}
+
+async fn settled(claims: &Claims) {
+    for _ in 0..5_000 {
+        if claims.unsettled() == 0 {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+    panic!("{} claims are not settled after 5 s", claims.unsettled());
+}
+
+/// One caller with a retry after each answer that is not final.
+async fn call(claims: Rc<[Claims; 2]>, key: usize, seed: u64, runs: Runs) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let text = format!("k{key}");
+    for _ in 0..4 {
+        let begun = begin(&claims[rng.usize(..2)], &text);
+        // Some callers go away while their claim is under way.
+        let turns = rng.usize(1..60);
+        let gone = async {
+            for _ in 0..turns {
+                task::yield_now().await;
+            }
+        };
+        let begun = if rng.u8(..10) == 0 {
+            tokio::select! { b = begun => b, () = gone => continue }
+        } else {
+            begun.await
+        };
+        match begun {
+            Begun::Run(ticket) => {
+                task::yield_now().await;
+                if rng.u8(..4) == 0 {
+                    ticket.not_run();
+                    continue;
+                }
+                *runs.borrow_mut().entry(key).or_default() += 1;
+                match rng.u8(..4) {
+                    0 => ticket.unknown(),
+                    1 => drop(ticket),
+                    _ => ticket.complete(answer(&text)),
+                }
+            }
+            Begun::Replay(stored) => {
+                assert_eq!(stored, answer(&text), "an answer of another request");
+                assert_eq!(runs.borrow().get(&key), Some(&1), "replay without a run");
+            }
+            Begun::Wait(waiter) => {
+                waiter.wait().await;
+            }
+            Begun::Conflict => panic!("conflict of equal requests"),
+            Begun::InProgressElsewhere | Begun::Unknown | Begun::NotRunStoreDown => {}
+        }
+    }
+}
+
+/// Guards against a second run of one key by two entries under outages, lost answers, late
+/// writes, stale reads and callers that go away, and against claims left behind after them.
+#[test]
+fn no_key_runs_twice() {
+    fn property(seed: u64) -> bool {
+        let runs = Runs::default();
+        let seen = runs.clone();
+        run(async move {
+            let table = MemTable::default();
+            let stores = [1, 2].map(|i| Faulty::new(table.clone(), seed ^ i, ROUGH));
+            let claims = Rc::new([start(&stores[0], 1), start(&stores[1], 2)]);
+            let calls = (0..CALLERS).map(|i| {
+                let seed = seed.wrapping_add(i as u64);
+                task::spawn_local(call(claims.clone(), i % KEYS, seed, runs.clone()))
+            });
+            for call in calls.collect::<Vec<_>>() {
+                call.await.unwrap();
+            }
+            for store in &stores {
+                store.set_faults(Faults::default());
+            }
+            settled(&claims[0]).await;
+            settled(&claims[1]).await;
+            for row in table.scan(record::PREFIX, "", 1_000) {
+                let record: Record = serde_json::from_str(&row.value).unwrap();
+                assert_ne!(
+                    record.state,
+                    State::InProgress,
+                    "{} is left behind",
+                    row.key
+                );
+            }
+        });
+        seen.borrow().values().all(|n| *n <= 1)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 7))
+        .tests(150)
+        .quickcheck(property as fn(u64) -> bool);
+}
+
+/// Guards against a refusal "not run" whose key stays blocked after the outage.
+#[test]
+fn abandoned_claim_is_freed_when_the_store_is_back() {
+    run(async {
+        let lost = Faults {
+            lost_answer: 100,
+            failed_read: 100,
+            ..Faults::default()
+        };
+        let store = Faulty::new(MemTable::default(), 1, lost);
+        let claims = start(&store, 1);
+        assert!(matches!(begin(&claims, "k").await, Begun::NotRunStoreDown));
+        assert_eq!(row(&store.table, "k").state, State::InProgress);
+        store.set_faults(Faults::default());
+        settled(&claims).await;
+        assert_eq!(row(&store.table, "k").state, State::NotRun);
+        assert!(matches!(begin(&claims, "k").await, Begun::Run(_)));
+    });
+}
+
+/// Guards against refusing a request whose claim is in the table.
+#[test]
+fn lost_answer_is_read_back() {
+    run(async {
+        let lost = Faults {
+            lost_answer: 100,
+            ..Faults::default()
+        };
+        let store = Faulty::new(MemTable::default(), 1, lost);
+        let claims = start(&store, 1);
+        let Begun::Run(ticket) = begin(&claims, "k").await else {
+            panic!("the claim is in the table");
+        };
+        assert_eq!(store.sent().0, 1);
+        store.set_faults(Faults::default());
+        ticket.complete(answer("paid"));
+        settled(&claims).await;
+        assert_eq!(
+            row(&store.table, "k").state,
+            State::Completed(answer("paid"))
+        );
+    });
+}
+
+/// Guards against a wrong answer to the second request with a key, for each state of the first.
+#[test]
+fn second_request_is_answered_by_the_state_of_the_first() {
+    run(async {
+        let table = MemTable::default();
+        let store = Faulty::new(table.clone(), 1, Faults::default());
+        let (a, b) = (start(&store, 1), start(&store, 2));
+        let Begun::Run(ticket) = begin(&a, "k").await else {
+            panic!("the key is free");
+        };
+        assert!(matches!(begin(&b, "k").await, Begun::InProgressElsewhere));
+        let Begun::Wait(waiter) = begin(&a, "k").await else {
+            panic!("the request runs on this entry");
+        };
+        let other = a.begin(&name("org"), "k", &print(b"other")).await;
+        assert!(matches!(other, Begun::Conflict));
+        let other = a.begin(&name("org2"), "k", &print(b"other")).await;
+        let Begun::Run(other) = other else {
+            panic!("keys of organisations are separate");
+        };
+        other.not_run();
+        table.commit(&Txn::default().delete(record::member_key(1)));
+        assert!(matches!(begin(&b, "k").await, Begun::Unknown));
+        ticket.complete(answer("paid"));
+        assert_eq!(waiter.wait().await, Settled::Completed(answer("paid")));
+        settled(&a).await;
+        assert!(matches!(begin(&b, "k").await, Begun::Replay(stored) if stored == answer("paid")));
+        let other = b.begin(&name("org"), "k", &print(b"other")).await;
+        assert!(matches!(other, Begun::Conflict));
+    });
+}
+
+/// Guards against one transaction for each claim, and against a conflict that fails its group.
+#[test]
+fn claims_share_transactions() {
+    run(async {
+        let store = Faulty::new(MemTable::default(), 1, Faults::default());
+        let claims = Rc::new([start(&store, 1), start(&store, 2)]);
+        let Begun::Run(taken) = begin(&claims[1], "k0").await else {
+            panic!("the key is free");
+        };
+        let before = store.sent().0;
+        let calls = (0..64).map(|i| {
+            let claims = claims.clone();
+            task::spawn_local(async move { begin(&claims[0], &format!("k{i}")).await })
+        });
+        let mut held = Vec::new();
+        for call in calls.collect::<Vec<_>>() {
+            match call.await.unwrap() {
+                Begun::Run(ticket) => held.push(ticket),
+                begun => assert!(matches!(begun, Begun::InProgressElsewhere)),
+            }
+        }
+        assert_eq!(held.len(), 63);
+        assert!(
+            store.sent().0 - before <= 3,
+            "{} transactions",
+            store.sent().0 - before
+        );
+        drop(taken);
+    });
+}
--- /dev/null
+++ b/crates/claim/tests/common/mod.rs
@@ -0,0 +1,126 @@
+//! Table in memory with outages, lost answers, late writes and stale reads.
+
+use std::{cell::RefCell, rc::Rc};
+
+use claim::store::Store;
+use store::{
+    mem::MemTable,
+    table::{Commit, Row, StoreError, Txn},
+};
+
+/// Faults in percent of the calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub not_done: u8,
+    /// The write takes effect and the answer is lost.
+    pub lost_answer: u8,
+    /// The answer is lost and the write takes effect at a later call.
+    pub late_write: u8,
+    pub stale_read: u8,
+    pub failed_read: u8,
+}
+
+#[derive(Clone, Debug)]
+pub struct Faulty {
+    pub table: MemTable,
+    shared: Rc<RefCell<Shared>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    rng: fastrand::Rng,
+    faults: Faults,
+    late: Vec<Txn>,
+    transactions: usize,
+    rows: usize,
+}
+
+impl Faulty {
+    pub fn new(table: MemTable, seed: u64, faults: Faults) -> Self {
+        let shared = Shared {
+            rng: fastrand::Rng::with_seed(seed),
+            faults,
+            late: Vec::new(),
+            transactions: 0,
+            rows: 0,
+        };
+        let shared = Rc::new(RefCell::new(shared));
+        Self { table, shared }
+    }
+
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.borrow_mut().faults = faults;
+    }
+
+    /// Transactions and rows that were sent.
+    pub fn sent(&self) -> (usize, usize) {
+        let shared = self.shared.borrow();
+        (shared.transactions, shared.rows)
+    }
+
+    /// Lets other tasks run for a random number of turns, as a network would.
+    async fn delay(&self) {
+        let turns = self.shared.borrow_mut().rng.u8(1..8);
+        for _ in 0..turns {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn chance(&self, percent: impl Fn(&Faults) -> u8) -> bool {
+        let mut shared = self.shared.borrow_mut();
+        let percent = percent(&shared.faults);
+        shared.rng.u8(..100) < percent
+    }
+
+    fn write_late(&self) {
+        let mut shared = self.shared.borrow_mut();
+        if shared.rng.bool()
+            && let Some(txn) = shared.late.pop()
+        {
+            self.table.commit(&txn);
+        }
+    }
+}
+
+impl Store for Faulty {
+    async fn commit(&self, txn: &Txn) -> Result<Commit, StoreError> {
+        self.delay().await;
+        self.write_late();
+        {
+            let mut shared = self.shared.borrow_mut();
+            shared.transactions += 1;
+            shared.rows += txn.writes.len();
+        }
+        let reason = "injected".to_owned();
+        if self.chance(|f| f.not_done) {
+            return Err(StoreError::NotDone { reason });
+        }
+        if self.chance(|f| f.late_write) {
+            self.shared.borrow_mut().late.push(txn.clone());
+            return Err(StoreError::Unknown { reason });
+        }
+        let answer = self.table.commit(txn);
+        self.delay().await;
+        if self.chance(|f| f.lost_answer) {
+            return Err(StoreError::Unknown { reason });
+        }
+        Ok(answer)
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        self.delay().await;
+        self.write_late();
+        if self.chance(|f| f.failed_read) {
+            let reason = "injected".to_owned();
+            return Err(StoreError::NotDone { reason });
+        }
+        if self.chance(|f| f.stale_read) {
+            return Ok(None);
+        }
+        Ok(self.table.get(key))
+    }
+
+    async fn scan(&self, prefix: &str, after: &str, n: usize) -> Result<Vec<Row>, StoreError> {
+        Ok(self.table.scan(prefix, after, n))
+    }
+}
--- a/crates/route/src/fair.rs
+++ b/crates/route/src/fair.rs
@@ -6,8 +6,6 @@
 
 use crate::admit::Waiting;
 
-/// Cost that an organisation may dispatch in each turn.
-pub(crate) const QUANTUM: u32 = 100;
 /// Highest cost that counts, so that a wrong cost can't keep an organisation out for long.
 pub(crate) const MAX_COST: u32 = 10_000;
 
@@ -41,6 +39,7 @@
     pub(crate) fn pop(&mut self) -> Option<Waiting> {
         loop {
             let name = self.turns.front()?.clone();
+            let quantum = self.quantum();
             let queue = self.queues.entry(name.clone());
             let Some(cost) = queue.waiting.front().map(cost) else {
                 self.turns.pop_front();
@@ -49,7 +48,7 @@
             };
             if !queue.in_turn {
                 queue.in_turn = true;
-                queue.deficit += QUANTUM;
+                queue.deficit += quantum;
             }
             if queue.deficit < cost {
                 queue.in_turn = false;
@@ -68,6 +67,13 @@
         }
     }
 
+    /// Cost that an organisation may dispatch in a turn: the lowest cost that is next in a queue,
+    /// so that every round dispatches something and no turn is a long burst.
+    fn quantum(&self) -> u32 {
+        let next = self.queues.values().filter_map(|q| q.waiting.front());
+        next.map(cost).min().unwrap_or(1)
+    }
+
     /// Removes and returns the requests for which `matches` is true.
     pub(crate) fn take(&mut self, matches: &mut impl FnMut(&Waiting) -> bool) -> Vec<Waiting> {
         let mut taken = Vec::new();
