--- a/crates/route/src/fair.rs
+++ b/crates/route/src/fair.rs
@@ -23,7 +23,14 @@
 struct OrgQueue {
     waiting: VecDeque<Waiting>,
     deficit: u32,
-    in_turn: bool,
+}
+
+impl OrgQueue {
+    /// Deficit that is missing for the first request; `None` if nothing waits.
+    fn lacks(&self) -> Option<u32> {
+        let first = self.waiting.front()?;
+        Some(cost(first).saturating_sub(self.deficit))
+    }
 }
 
 impl ClassQueue {
@@ -37,41 +44,38 @@
     }
 
     pub(crate) fn pop(&mut self) -> Option<Waiting> {
-        loop {
-            let name = self.turns.front()?.clone();
-            let quantum = self.quantum();
-            let queue = self.queues.entry(name.clone());
-            let Some(cost) = queue.waiting.front().map(cost) else {
-                self.turns.pop_front();
-                self.queues.remove(&name);
-                continue;
-            };
-            if !queue.in_turn {
-                queue.in_turn = true;
-                queue.deficit += quantum;
-            }
-            if queue.deficit < cost {
-                queue.in_turn = false;
-                self.turns.rotate_left(1);
-                continue;
-            }
-            queue.deficit -= cost;
-            let waiting = queue.waiting.pop_front();
-            if queue.waiting.is_empty() {
-                // An organisation that has nothing waiting saves no deficit for later.
-                self.turns.pop_front();
-                self.queues.remove(&name);
-            }
-            self.len -= 1;
-            return waiting;
+        if self.next_ready().is_none() {
+            self.grant();
+        }
+        let i = self.next_ready()?;
+        let name = self.turns.remove(i)?;
+        let queue = self.queues.get_mut(&name)?;
+        let waiting = queue.waiting.pop_front()?;
+        queue.deficit -= cost(&waiting);
+        if queue.waiting.is_empty() {
+            // An organisation that has nothing waiting saves no deficit for later.
+            self.queues.remove(&name);
+        } else {
+            self.turns.push_back(name);
         }
+        self.len -= 1;
+        Some(waiting)
     }
 
-    /// Cost that an organisation may dispatch in a turn: the lowest cost that is next in a queue,
-    /// so that every round dispatches something and no turn is a long burst.
-    fn quantum(&self) -> u32 {
-        let next = self.queues.values().filter_map(|q| q.waiting.front());
-        next.map(cost).min().unwrap_or(1)
+    /// The next organisation whose deficit covers its first request.
+    fn next_ready(&self) -> Option<usize> {
+        let is_ready = |name: &Name| self.queues.get(name).is_some_and(|q| q.lacks() == Some(0));
+        self.turns.iter().position(is_ready)
+    }
+
+    /// Gives every organisation the same deficit, the least that lets one of them dispatch.
+    ///
+    /// A fixed quantum would let an organisation with cheap requests dispatch a long burst.
+    fn grant(&mut self) {
+        let least = self.queues.values().filter_map(OrgQueue::lacks).min();
+        for (_, queue) in self.queues.iter_mut() {
+            queue.deficit += least.unwrap_or(0);
+        }
     }
 
     /// Removes and returns the requests for which `matches` is true.
