--- a/crates/plan/src/claim.rs
+++ b/crates/plan/src/claim.rs
@@ -249,7 +249,7 @@
     }
 
     /// Lost work of a stopped job plus the cost of breaking a job, in accelerator seconds.
-    fn victim_cost(&self, now: Millis, id: JobId) -> u64 {
+    pub(crate) fn victim_cost(&self, now: Millis, id: JobId) -> u64 {
         let rec = &self.jobs.get(id).rec;
         let lost = match (rec.phase, rec.job.stop) {
             (Phase::Holding, _) => return 0,
@@ -261,7 +261,7 @@
     }
 
     /// What the job uses on the worker.
-    fn share_on(&self, id: JobId, worker: WorkerId) -> Amount {
+    pub(crate) fn share_on(&self, id: JobId, worker: WorkerId) -> Amount {
         let here = self.workers.list[worker].tasks.iter().filter(|t| **t == id);
         need(self.jobs.get(id)).times(here.count() as u16)
     }
--- a/crates/plan/src/gang.rs
+++ b/crates/plan/src/gang.rs
@@ -172,6 +172,10 @@
         job.rec.phase = phase;
         job.since = step.now;
         step.changed.push(id);
+        match phase {
+            Phase::Holding | Phase::Running | Phase::Stopping => self.active.insert(id),
+            _ => self.active.remove(&id),
+        };
         if phase.is_final() {
             job.rec.ended_at = step.now;
             let rec = job.rec.clone();
--- a/crates/plan/src/health.rs
+++ b/crates/plan/src/health.rs
@@ -124,17 +124,11 @@
 
     /// Takes a quarantined worker off the lists of failures: the worker was at fault.
     fn forgive(&mut self, step: &mut Step, worker: &Name) {
-        let blamed = |job: &crate::jobs::JobState| {
-            !job.rec.phase.is_final() && job.rec.failed_on.contains(worker)
-        };
-        let jobs: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| blamed(job))
-            .map(|(id, _)| id)
-            .collect();
+        let blamed = |id: &JobId| self.jobs.get(*id).rec.failed_on.contains(worker);
+        let open = self.waiting().chain(self.active.iter().copied());
+        let jobs: Vec<JobId> = open.filter(blamed).collect();
         for id in jobs {
-            let waiting = self.jobs.get(id).rec.phase == Phase::Waiting;
+            let waiting = self.jobs.get(id).class.is_some();
             if waiting {
                 self.queue_remove(id);
             }
--- a/crates/plan/src/jobs.rs
+++ b/crates/plan/src/jobs.rs
@@ -1,7 +1,6 @@
 //! Table of jobs.
 
 use base::{clock::Millis, sorted::SortedMap};
-use schema::job::Phase;
 
 use crate::{
     order::Attempt,
@@ -145,11 +144,4 @@
             .enumerate()
             .filter_map(|(id, job)| Some((id, job.as_mut()?)))
     }
-
-    /// Returns the jobs in `phase`.
-    pub fn in_phase(&self, phase: Phase) -> impl Iterator<Item = JobId> {
-        self.iter()
-            .filter(move |(_, job)| job.rec.phase == phase)
-            .map(|(id, _)| id)
-    }
 }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -5,6 +5,7 @@
 mod amount;
 pub mod check;
 mod claim;
+mod compact;
 pub mod event;
 mod gang;
 mod guarantee;
--- a/crates/plan/src/queue.rs
+++ b/crates/plan/src/queue.rs
@@ -195,6 +195,14 @@
         used + wanted <= quota.quota_accelerators
     }
 
+    /// Returns all jobs that wait, in the queue or for a claim.
+    pub(crate) fn waiting(&self) -> impl Iterator<Item = JobId> {
+        let queued = self.queue.classes.iter().flat_map(|c| &c.jobs);
+        queued
+            .map(|(_, id)| *id)
+            .chain(self.pending.iter().copied())
+    }
+
     /// Returns the classes that may find a place, best first.
     pub(crate) fn ranked(&self, now: Millis) -> Vec<ClassId> {
         let open = |c: &Class| !c.jobs.is_empty() && c.blocked_at < self.generation;
--- a/crates/plan/src/refuse.rs
+++ b/crates/plan/src/refuse.rs
@@ -31,7 +31,7 @@
 
     /// Refuses the waiting jobs that can't run any more.
     pub(crate) fn refuse_impossible(&mut self, step: &mut Step) {
-        let waiting: Vec<JobId> = self.jobs.in_phase(Phase::Waiting).collect();
+        let waiting: Vec<JobId> = self.waiting().collect();
         for id in waiting {
             if step.changed.len() >= self.cfg.max_records {
                 self.recheck = true;
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -163,13 +163,7 @@
         self.lose_absent(step);
         self.tick_health(step.now);
         self.tick_fleet(step);
-        let open = |phase| matches!(phase, Phase::Holding | Phase::Running | Phase::Stopping);
-        let jobs: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| open(job.rec.phase))
-            .map(|(id, _)| id)
-            .collect();
+        let jobs: Vec<JobId> = self.active.iter().copied().collect();
         for id in jobs {
             self.tick_job(step, id);
         }
--- a/crates/plan/src/starve.rs
+++ b/crates/plan/src/starve.rs
@@ -1,6 +1,7 @@
 //! Workers held back for gangs that wait too long.
 
 use base::clock::Millis;
+use schema::job::Phase;
 
 use crate::{
     amount::Amount,
@@ -11,7 +12,7 @@
 };
 
 /// Racks for each starving gang that may have workers held back at the same time.
-const RACKS_PER_GANG: usize = 16;
+const RACKS_PER_GANG: usize = 8;
 /// Accelerators from which a gang counts as large.
 const LARGE: u32 = 8;
 
@@ -23,7 +24,7 @@
 
 impl Plan {
     /// Chooses the gangs for which workers are held back, and these workers.
-    pub(crate) fn hold_back(&mut self, step: &Step) {
+    pub(crate) fn hold_back(&mut self, step: &mut Step) {
         if self.cfg.policy != Policy::Full {
             return;
         }
@@ -42,8 +43,10 @@
             let Some(drain) = self.next_drain(step.now, id, &stay) else {
                 continue;
             };
-            for worker in drain.workers {
-                self.workers.list[worker].held_back = Some((id, drain.start));
+            let moved = self.compact(step, id, drain.start);
+            let start = moved.as_ref().map_or(drain.start, |_| step.now);
+            for worker in moved.unwrap_or(drain.workers) {
+                self.workers.list[worker].held_back = Some((id, start));
             }
         }
     }
@@ -131,7 +134,10 @@
         let jobs = self.workers.jobs_on(worker);
         let mut ends: Vec<(Millis, JobId)> = jobs
             .into_iter()
-            .map(|job| (self.expected_end(now, job), job))
+            .map(|job| match self.jobs.get(job).rec.phase {
+                Phase::Stopping => (now, job),
+                _ => (self.expected_end(now, job), job),
+            })
             .collect();
         ends.sort_unstable();
         for (end, job) in ends {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -1,5 +1,7 @@
 //! The plan: all jobs and workers, and the decisions about them.
 
+use std::collections::BTreeSet;
+
 use base::{clock::Millis, name::Name, sorted::SortedMap};
 use schema::{config::Config, job::Phase};
 
@@ -37,6 +39,8 @@
     pub(crate) cfg: PlanCfg,
     pub(crate) config: Config,
     pub(crate) jobs: Jobs,
+    /// Jobs that hold, run or stop.
+    pub(crate) active: BTreeSet<JobId>,
     pub(crate) workers: Workers,
     pub(crate) slots: Slots,
     /// Jobs with a claim that wait until borrowed work is stopped.
@@ -85,6 +89,7 @@
             cfg,
             config: Config::default(),
             jobs: Jobs::default(),
+            active: BTreeSet::new(),
             workers: Workers::default(),
             slots: Slots::default(),
             pending: Vec::new(),
@@ -134,6 +139,7 @@
             return self.queue_add(id);
         }
         if !job.rec.members.is_empty() {
+            self.active.insert(id);
             self.workers.take(id, &job.rec.members, need(job));
             self.count_usage(id, true);
             self.count_stopping(id, true);
