--- a/crates/plan/src/gang.rs
+++ b/crates/plan/src/gang.rs
@@ -25,6 +25,7 @@
         let need = need(job);
         self.workers.take(id, &self.jobs.get(id).rec.members, need);
         self.count_usage(id, true);
+        self.jobs.get_mut(id).expected = self.expected_run_time(id);
         self.note_end(step, id);
         self.enter(step, id, Phase::Holding);
         self.send_outstanding(step, id);
--- a/crates/plan/src/jobs.rs
+++ b/crates/plan/src/jobs.rs
@@ -45,6 +45,8 @@
     pub checkpointed: bool,
     /// Time since which a member uses more memory than it is charged with, and the member.
     pub over_by: Option<(Millis, usize)>,
+    /// Expected run time of the whole job, computed when it was placed.
+    pub expected: Millis,
     /// Class of a waiting job in the queue.
     pub class: Option<ClassId>,
     /// Slot of a claim.
@@ -67,6 +69,7 @@
             sent_at: now,
             checkpointed: true,
             over_by: None,
+            expected: Millis::ZERO,
             class: None,
             slot: None,
             boxes: Vec::new(),
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -43,24 +43,37 @@
     fn borrow_sites(&self, step: &Step, id: JobId) -> Vec<Site> {
         let (need, members) = self.gang_of(id);
         let end = self.expected_end(step.now, id);
-        let racks = self.rack_costs();
+        let least = need.accelerators;
         let mut sites = Vec::new();
+        let mut total = 0;
         for (worker, w) in self.workers.list.iter().enumerate() {
-            let room = w.spare().count_of(need, members);
+            let spare = w.spare();
+            if spare.accelerators < least {
+                continue;
+            }
+            let room = spare.count_of(need, members);
             if room == 0 || !w.is_open(step.now) || self.avoids(id, &w.info.name) {
                 continue;
             }
             if Self::is_held_back(w, id, end) {
                 continue;
             }
+            total += u32::from(room);
             sites.push(Site {
                 worker,
                 rack: w.rack,
                 data_centre: self.workers.data_centre_of(worker),
                 room,
-                cost: self.site_cost(worker, need, end, racks[w.rack]),
+                cost: 0,
             });
         }
+        if total < u32::from(members) {
+            return Vec::new();
+        }
+        let racks = self.rack_costs();
+        for site in &mut sites {
+            site.cost = self.site_cost(site.worker, need, end, racks[site.rack]);
+        }
         sites
     }
 
--- a/crates/plan/src/queue.rs
+++ b/crates/plan/src/queue.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    jobs::JobId,
+    jobs::{JobId, JobState},
     plan_cfg::Policy,
     state::{Plan, Step, need},
 };
@@ -29,8 +29,14 @@
 /// What makes waiting jobs equal: if one of them finds no place, none does.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct ClassKey {
-    organisation: Name,
     team: Name,
+    family: FamilyKey,
+}
+
+/// What makes waiting jobs of different teams equal but for their quotas.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct FamilyKey {
+    organisation: Name,
     kind: Name,
     shape: Shape,
     run_time_bits: u32,
@@ -45,9 +51,29 @@
 pub struct Class {
     /// Jobs by time of acceptance.
     pub jobs: BTreeSet<(Millis, JobId)>,
-    /// Generation of the capacity in which no place was found.
+    /// Generation of the capacity in which the quota was used up.
     pub blocked_at: u64,
     key: ClassKey,
+    family: usize,
+}
+
+/// Classes of one family.
+#[derive(Clone, Debug)]
+struct Family {
+    /// Generation of the capacity in which no place was found.
+    missed_at: u64,
+    classes: usize,
+}
+
+/// Outcome of a search for a place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The job left the queue.
+    Placed,
+    /// The quota of the team is used up.
+    NoQuota,
+    /// There is no place.
+    NoPlace,
 }
 
 /// Position of a class.
@@ -60,6 +86,9 @@
     pub classes: Vec<Class>,
     index: HashMap<ClassKey, ClassId>,
     free: Vec<ClassId>,
+    families: Vec<Family>,
+    family_index: HashMap<FamilyKey, usize>,
+    free_families: Vec<usize>,
     /// Classes that got a job since the last placement.
     pub fresh: Vec<ClassId>,
     /// Number of waiting jobs.
@@ -100,6 +129,7 @@
         let class = Class {
             jobs: BTreeSet::new(),
             blocked_at: 0,
+            family: self.family_of(&key.family),
             key: key.clone(),
         };
         let id = self.free.pop().unwrap_or(self.classes.len());
@@ -111,14 +141,38 @@
         id
     }
 
+    fn family_of(&mut self, key: &FamilyKey) -> usize {
+        if let Some(id) = self.family_index.get(key) {
+            self.families[*id].classes += 1;
+            return *id;
+        }
+        let family = Family {
+            missed_at: 0,
+            classes: 1,
+        };
+        let id = self.free_families.pop().unwrap_or(self.families.len());
+        match self.families.get_mut(id) {
+            Some(old) => *old = family,
+            None => self.families.push(family),
+        }
+        self.family_index.insert(key.clone(), id);
+        id
+    }
+
     fn remove(&mut self, id: ClassId, job: (Millis, JobId)) {
         if !self.classes[id].jobs.remove(&job) {
             return;
         }
         self.len -= 1;
         if self.classes[id].jobs.is_empty() {
-            self.index.remove(&self.classes[id].key);
+            let class = &self.classes[id];
+            self.index.remove(&class.key);
             self.free.push(id);
+            self.families[class.family].classes -= 1;
+            if self.families[class.family].classes == 0 {
+                self.family_index.remove(&class.key.family);
+                self.free_families.push(class.family);
+            }
         }
     }
 }
@@ -126,9 +180,8 @@
 impl Plan {
     fn class_key(&self, id: JobId) -> ClassKey {
         let rec = &self.jobs.get(id).rec;
-        ClassKey {
+        let family = FamilyKey {
             organisation: rec.job.organisation.clone(),
-            team: rec.job.team.clone(),
             kind: rec.job.kind.clone(),
             shape: rec.job.shape,
             run_time_bits: rec.job.run_time_ms.0.checked_ilog2().unwrap_or(0),
@@ -136,9 +189,32 @@
             never_stopped: rec.job.stop == StopMode::Never,
             peak_memory_mb: rec.peak_memory_mb,
             failed_on: rec.failed_on.clone(),
+        };
+        ClassKey {
+            team: rec.job.team.clone(),
+            family,
         }
     }
 
+    /// Whether a class may find a place in the present generation.
+    fn is_open(&self, class: &Class) -> bool {
+        let missed_at = self.queue.families[class.family].missed_at;
+        !class.jobs.is_empty() && class.blocked_at < self.generation && missed_at < self.generation
+    }
+
+    /// Tries to place the oldest job of a class and notes a failure for the generation.
+    fn try_class(&mut self, step: &mut Step, class: ClassId, id: JobId) -> Outcome {
+        let outcome = self.place_job(step, id);
+        let generation = self.generation;
+        let class = &mut self.queue.classes[class];
+        match outcome {
+            Outcome::Placed => {}
+            Outcome::NoQuota => class.blocked_at = generation,
+            Outcome::NoPlace => self.queue.families[class.family].missed_at = generation,
+        }
+        outcome
+    }
+
     /// Enters a waiting job.
     pub(crate) fn queue_add(&mut self, id: JobId) {
         let class = self.queue.class_of(self.class_key(id));
@@ -205,12 +281,21 @@
 
     /// Returns the classes that may find a place, best first.
     pub(crate) fn ranked(&self, now: Millis) -> Vec<ClassId> {
-        let open = |c: &Class| !c.jobs.is_empty() && c.blocked_at < self.generation;
-        let classes = self.queue.classes.iter().enumerate();
-        let mut ranked: Vec<(bool, f64, ClassId)> = classes
-            .filter(|(_, c)| open(c))
-            .map(|(id, c)| (!c.key.urgent, -self.rank(now, c), id))
-            .collect();
+        let mut shares: Vec<(&Name, f64)> = Vec::new();
+        let mut ranked: Vec<(bool, f64, ClassId)> = Vec::new();
+        for (id, class) in self.queue.classes.iter().enumerate() {
+            if !self.is_open(class) {
+                continue;
+            }
+            let organisation = &class.key.family.organisation;
+            let known = shares.iter().find(|(name, _)| *name == organisation);
+            let share = known.map_or_else(|| self.share_used(organisation), |(_, s)| *s);
+            if known.is_none() {
+                shares.push((organisation, share));
+            }
+            let rank = self.rank(now, class, share);
+            ranked.push((!class.key.family.urgent, -rank, id));
+        }
         ranked.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         ranked.into_iter().map(|(_, _, id)| id).collect()
     }
@@ -218,18 +303,18 @@
     /// Rank of a class, in minutes of wait of its oldest job.
     ///
     /// The terms beside the wait are bounded, so every job's rank passes all later ones.
-    fn rank(&self, now: Millis, class: &Class) -> f64 {
+    fn rank(&self, now: Millis, class: &Class, share_used: f64) -> f64 {
         let oldest = class.jobs.first().map_or(now, |(at, _)| *at);
         let wait = now.since(oldest).0 as f64 / 60_000.0;
         if self.cfg.policy != Policy::Full {
             return wait;
         }
         let weight = self.weight();
-        let run_time = (1_u64 << class.key.run_time_bits.min(40)) as f64;
+        let run_time = (1_u64 << class.key.family.run_time_bits.min(40)) as f64;
         let short = 1.0 / (1.0 + run_time / HALF_SHORT.0 as f64);
-        let large = f64::from(class.key.shape.total_accelerators()) / LARGE_ACCELERATORS;
+        let large = f64::from(class.key.family.shape.total_accelerators()) / LARGE_ACCELERATORS;
         wait + (1.0 - weight) * SHORT_MINUTES * short + weight * LARGE_MINUTES * large.min(1.0)
-            - SHARE_MINUTES * self.share_used(&class.key.organisation)
+            - SHARE_MINUTES * share_used
     }
 
     /// Weight of fragmentation against completion time, 0 to 1.
@@ -272,9 +357,11 @@
                 if tries == 0 || step.changed.len() >= self.cfg.max_records {
                     return;
                 }
+                if !self.is_open(&self.queue.classes[class]) {
+                    break;
+                }
                 tries -= 1;
-                if !self.place_job(step, id) {
-                    self.queue.classes[class].blocked_at = self.generation;
+                if self.try_class(step, class, id) != Outcome::Placed {
                     break;
                 }
             }
@@ -288,36 +375,43 @@
             let Some((_, id)) = self.queue.classes[class].jobs.first().copied() else {
                 continue;
             };
-            if self.queue.classes[class].blocked_at < self.generation && !self.place_job(step, id) {
-                self.queue.classes[class].blocked_at = self.generation;
+            if self.is_open(&self.queue.classes[class]) {
+                self.try_class(step, class, id);
             }
         }
     }
 
-    /// Finds a place for a waiting job. Returns whether it left the queue.
-    pub(crate) fn place_job(&mut self, step: &mut Step, id: JobId) -> bool {
+    /// Finds a place for a waiting job.
+    fn place_job(&mut self, step: &mut Step, id: JobId) -> Outcome {
         debug_assert_eq!(self.jobs.get(id).rec.phase, Phase::Waiting);
         if !self.has_quota(id) {
-            return false;
+            return Outcome::NoQuota;
         }
         self.charge(id);
         if self.claim_free(step, id) {
-            return true;
+            return Outcome::Placed;
         }
         if let Some(members) = self.find_borrowed(step, id) {
             self.jobs.get_mut(id).rec.borrowed = true;
             self.hold(step, id, members);
-            return true;
+            return Outcome::Placed;
         }
         let job = self.jobs.get(id);
         let waited = step.now.since(job.rec.submitted_at) >= self.cfg.reclaim_after;
-        (job.rec.job.urgent || waited) && self.reclaim(step, id)
+        if (job.rec.job.urgent || waited) && self.reclaim(step, id) {
+            return Outcome::Placed;
+        }
+        Outcome::NoPlace
     }
 
     /// Returns the expected end of a running job, or of a waiting job that starts now.
     pub(crate) fn expected_end(&self, now: Millis, id: JobId) -> Millis {
-        let rec = &self.jobs.get(id).rec;
-        let total = self.expected_run_time(id);
+        let JobState { rec, expected, .. } = self.jobs.get(id);
+        let total = if rec.members.is_empty() {
+            self.expected_run_time(id)
+        } else {
+            *expected
+        };
         let left = total.since(rec.completed_ms);
         if rec.started_at == Millis::ZERO {
             return now + left;
--- a/crates/plan/src/starve.rs
+++ b/crates/plan/src/starve.rs
@@ -16,6 +16,9 @@
 /// Accelerators from which a gang counts as large.
 const LARGE: u32 = 8;
 
+/// Gangs for which workers are chosen in one tick.
+const CHOICES: usize = 2;
+
 /// Workers on which a gang can start, and when.
 struct Drain {
     start: Millis,
@@ -29,26 +32,54 @@
             return;
         }
         let held: Vec<(JobId, WorkerId)> = self.held_back();
-        for worker in &mut self.workers.list {
-            worker.held_back = None;
-        }
         let most = (self.workers.racks.len() / RACKS_PER_GANG).max(1);
         let starving = self.starving(step.now, most, &held);
-        if starving.is_empty() && held.is_empty() {
-            return;
+        let changed = self.release_held(|job| !starving.contains(&job));
+        let chosen = self.next_to_hold(&starving, &held);
+        if changed || !chosen.is_empty() {
+            self.capacity_changed();
         }
-        self.capacity_changed();
-        for id in starving {
+        for id in chosen {
             let stay: Vec<WorkerId> = held.iter().filter(|h| h.0 == id).map(|h| h.1).collect();
-            let Some(drain) = self.next_drain(step.now, id, &stay) else {
-                continue;
-            };
-            let moved = self.compact(step, id, drain.start);
-            let start = moved.as_ref().map_or(drain.start, |_| step.now);
-            for worker in moved.unwrap_or(drain.workers) {
-                self.workers.list[worker].held_back = Some((id, start));
+            self.release_held(|job| job == id);
+            self.hold_back_for(step, id, &stay);
+        }
+    }
+
+    /// Returns the gangs whose workers are chosen in this tick: those without any first, then
+    /// the others in turn.
+    fn next_to_hold(&mut self, starving: &[JobId], held: &[(JobId, WorkerId)]) -> Vec<JobId> {
+        let (old, mut chosen): (Vec<JobId>, Vec<JobId>) = starving
+            .iter()
+            .partition(|id| held.iter().any(|h| h.0 == **id));
+        self.hold_turn += 1;
+        if !old.is_empty() {
+            chosen.push(old[self.hold_turn % old.len()]);
+        }
+        chosen.truncate(CHOICES);
+        chosen
+    }
+
+    fn release_held(&mut self, which: impl Fn(JobId) -> bool) -> bool {
+        let mut changed = false;
+        for worker in &mut self.workers.list {
+            if worker.held_back.is_some_and(|(job, _)| which(job)) {
+                worker.held_back = None;
+                changed = true;
             }
         }
+        changed
+    }
+
+    fn hold_back_for(&mut self, step: &mut Step, id: JobId, stay: &[WorkerId]) {
+        let Some(drain) = self.next_drain(step.now, id, stay) else {
+            return;
+        };
+        let moved = self.compact(step, id, drain.start);
+        let start = moved.as_ref().map_or(drain.start, |_| step.now);
+        for worker in moved.unwrap_or(drain.workers) {
+            self.workers.list[worker].held_back = Some((id, start));
+        }
     }
 
     fn held_back(&self) -> Vec<(JobId, WorkerId)> {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -50,6 +50,8 @@
     pub(crate) corrections: SortedMap<KindKey, Correction>,
     /// Raised whenever capacity becomes free or changes.
     pub(crate) generation: u64,
+    /// Turn of the starving gangs whose held back workers are chosen anew.
+    pub(crate) hold_turn: usize,
     /// Generation in which all classes of waiting jobs were tried.
     pub(crate) tried_at: u64,
     /// Sum of the weights of all organisations.
@@ -97,6 +99,7 @@
             usage: Usage::default(),
             corrections: SortedMap::default(),
             generation: 1,
+            hold_turn: 0,
             tried_at: 0,
             total_weight: 0.0,
             total_accelerators: 0.0,
@@ -141,6 +144,7 @@
         if !job.rec.members.is_empty() {
             self.active.insert(id);
             self.workers.take(id, &job.rec.members, need(job));
+            self.jobs.get_mut(id).expected = self.expected_run_time(id);
             self.count_usage(id, true);
             self.count_stopping(id, true);
         }
