--- a/crates/sched/src/link.rs
+++ b/crates/sched/src/link.rs
@@ -121,6 +121,11 @@
         self.silence != Silence::None
     }
 
+    /// Returns whether the leases of all tasks on the worker have lapsed.
+    pub fn is_lost(&self) -> bool {
+        self.silence == Silence::Lost
+    }
+
     /// Returns whether the worker must be asked what it is before it gets orders.
     pub fn needs_info(&self) -> bool {
         self.info.is_none() || self.is_suspected()
@@ -316,7 +321,9 @@
             Combined::One(report) => report,
             Combined::StopRest(rest) => {
                 let orders: Vec<Order> = rest.iter().map(|t| self.stop_order(t)).collect();
-                orders.into_iter().for_each(|o| self.push(o));
+                for order in orders {
+                    self.push(order);
+                }
                 return None;
             }
         };
