entry: look at the key again when the holder of a claim was not run

Cause: a request that waited for a claim which another entry won was told not_run, although the other entry ran it.

--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -176,11 +176,10 @@
             Err(_) => Err(Fault::Late),
         };
         match answer {
-            answer if true => {
+            Ok(answer) => {
                 self.keep(server, conn);
-                answer
+                Ok(answer)
             }
-            Ok(a) => Ok(a),
             Err(_) if conn.dial.get() == Dial::Closed => Err(Fault::Unreachable),
             Err(fault) => Err(fault),
         }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -102,33 +102,46 @@
 }
 
 async fn serve(cx: &Rc<Entry>, call: &Call) -> Result<Reply, Refusal> {
-    confirm_config(cx).await?;
-    if !cx.vms.serves(&call.target.service.name) {
-        cx.refresh_vms(cx.cfg.vm_poll).await;
-    }
-    if !cx.vms.serves(&call.target.service.name) {
-        let message = format!("no server of {} takes work", call.target.service.name);
-        return Err(Refusal::not_run(Code::NoServer, message));
-    }
-    let lane = cx.lane(&call.target.service);
-    let server = admitted(&lane, call).await?;
-    let slot = dispatch::Slot::new(lane.clone(), server);
-    match &call.key {
-        Some(key) if !call.target.operation.repeatable => claimed(cx, call, key, slot).await,
-        _ => {
+    loop {
+        confirm_config(cx).await?;
+        find_server(cx, &call.target.service.name).await?;
+        let lane = cx.lane(&call.target.service);
+        let server = admitted(&lane, call).await?;
+        let slot = dispatch::Slot::new(lane.clone(), server);
+        let key = call.key.as_deref();
+        let Some(key) = key.filter(|_| !call.target.operation.repeatable) else {
             let answer = dispatch::run(cx, call, order(cx, call), slot).await?;
-            Ok(Reply::Fresh(answer))
+            return Ok(Reply::Fresh(answer));
+        };
+        if let Some(reply) = claimed(cx, call, key, slot).await? {
+            return Ok(reply);
         }
     }
 }
 
+/// Refuses the request if no server of `service` takes work.
+async fn find_server(cx: &Entry, service: &Name) -> Result<(), Refusal> {
+    if cx.vms.serves(service) {
+        return Ok(());
+    }
+    cx.refresh_vms(cx.cfg.vm_poll).await;
+    if cx.vms.serves(service) {
+        return Ok(());
+    }
+    let message = format!("no server of {service} takes work");
+    Err(Refusal::not_run(Code::NoServer, message))
+}
+
 /// Runs a request that may not be repeated under a claim of its key.
+///
+/// Returns `None` if another request with the key held the claim and was not run, so that this
+/// one has to claim the key itself.
 async fn claimed(
     cx: &Rc<Entry>,
     call: &Call,
     key: &str,
     slot: dispatch::Slot,
-) -> Result<Reply, Refusal> {
+) -> Result<Option<Reply>, Refusal> {
     let (service, operation) = (&call.target.service.name, &call.target.operation.name);
     let print = fingerprint::of(service, operation, &call.body.bytes);
     let begin = cx.claims.begin(&call.organisation, key, &print);
@@ -144,7 +157,7 @@
             cx.metrics.claim("run");
             let result = dispatch::run(cx, call, order(cx, call), slot).await;
             settle(ticket, &result);
-            result.map(Reply::Fresh)
+            result.map(Reply::Fresh).map(Some)
         }
         other => {
             drop(slot);
@@ -153,10 +166,10 @@
     }
 }
 
-async fn other_result(cx: &Entry, call: &Call, begun: Begun) -> Result<Reply, Refusal> {
+async fn other_result(cx: &Entry, call: &Call, begun: Begun) -> Result<Option<Reply>, Refusal> {
     let (label, result) = match begun {
         Begun::Run(_) => unreachable!("a held claim is run"),
-        Begun::Replay(answer) => ("replay", Ok(Reply::Replayed(answer))),
+        Begun::Replay(answer) => ("replay", Ok(Some(Reply::Replayed(answer)))),
         Begun::Wait(waiter) => {
             let left = call.deadline.since(clock::now());
             let settled = time::timeout(left.to_duration(), waiter.wait()).await;
@@ -176,13 +189,13 @@
 }
 
 /// Gives a request the result of the running one with the same key.
-fn of_running(settled: Option<Settled>) -> Result<Reply, Refusal> {
+///
+/// That the other one was not run may also mean that an entry elsewhere holds the key, so the
+/// request looks at the key again instead of reporting "not run".
+fn of_running(settled: Option<Settled>) -> Result<Option<Reply>, Refusal> {
     match settled {
-        Some(Settled::Completed(answer)) => Ok(Reply::Replayed(answer)),
-        Some(Settled::NotRun) => {
-            let message = "the running request with this key was not run";
-            Err(Refusal::not_run(Code::ServerRefused, message))
-        }
+        Some(Settled::Completed(answer)) => Ok(Some(Reply::Replayed(answer))),
+        Some(Settled::NotRun) => Ok(None),
         Some(Settled::Unknown) => Err(unknown()),
         None => {
             let message = "the running request with this key had no result before the deadline";
--- a/crates/entry/tests/entry/claims.rs
+++ b/crates/entry/tests/entry/claims.rs
@@ -43,7 +43,13 @@
         ("authorization", "Bearer lamp-loans-token"),
         ("idempotency-key", "k1"),
     ];
-    let got = setup::send(system.addr(), "POST", "/call/refund/pay", &headers, br#"{"key":"k1"}"#);
+    let got = setup::send(
+        system.addr(),
+        "POST",
+        "/call/refund/pay",
+        &headers,
+        br#"{"key":"k1"}"#,
+    );
     assert_eq!((got.status, got.header("x-replayed")), (200, None));
     assert_eq!(system.runs_of("k1"), 2);
 }
@@ -51,7 +57,11 @@
 /// Guards against two runs when the same request arrives many times at once on two entries.
 #[test]
 fn simultaneous_requests_with_one_key_run_once() {
-    let system = setup::system().servers(2).entries(2).service_ms(100).start();
+    let system = setup::system()
+        .servers(2)
+        .entries(2)
+        .service_ms(100)
+        .start();
     let addrs: Vec<_> = system.entries.iter().map(entry::Handle::addr).collect();
     let threads: Vec<_> = (0..12)
         .map(|i| {
@@ -72,7 +82,10 @@
 #[test]
 fn a_store_that_is_down_refuses_only_what_may_not_be_repeated() {
     let system = setup::system().start();
-    let outage = Faults { outage: true, ..Faults::default() };
+    let outage = Faults {
+        outage: true,
+        ..Faults::default()
+    };
     system.platform.set_faults(outage);
     let got = system.pay("k1");
     assert_eq!(got.refusal(), ("store_down".into(), "not_run".into()));
@@ -88,9 +101,19 @@
 fn lost_answers_of_the_store_lead_to_one_run_at_most() {
     let system = setup::system().start();
     for (i, faults) in [
-        Faults { lost_answers: 1.0, ..Faults::default() },
-        Faults { lost_requests: 1.0, ..Faults::default() },
-        Faults { lost_answers: 0.5, lost_requests: 0.3, ..Faults::default() },
+        Faults {
+            lost_answers: 1.0,
+            ..Faults::default()
+        },
+        Faults {
+            lost_requests: 1.0,
+            ..Faults::default()
+        },
+        Faults {
+            lost_answers: 0.5,
+            lost_requests: 0.3,
+            ..Faults::default()
+        },
     ]
     .into_iter()
     .enumerate()
@@ -124,7 +147,10 @@
 #[test]
 fn an_unknown_outcome_stays_unknown_on_every_entry() {
     let system = setup::system().entries(2).start();
-    let cut = BackendFaults { cut_after: 1.0, ..BackendFaults::default() };
+    let cut = BackendFaults {
+        cut_after: 1.0,
+        ..BackendFaults::default()
+    };
     system.set_faults(&cut);
     assert_eq!(system.pay("k1").field("outcome"), "unknown");
     system.set_faults(&BackendFaults::default());
@@ -132,7 +158,10 @@
     setup::eventually("the outcome is stored", || row().contains("\"unknown\""));
     for entry in &system.entries {
         let again = setup::pay(entry.addr(), "k1");
-        assert_eq!((again.status, &*again.field("code")), (504, "outcome_unknown"));
+        assert_eq!(
+            (again.status, &*again.field("code")),
+            (504, "outcome_unknown")
+        );
     }
     assert_eq!(system.runs_of("k1"), 1);
 }
@@ -150,7 +179,10 @@
     tcp.shutdown(Shutdown::Both).unwrap();
     drop(tcp);
     let again = system.pay("k1");
-    assert_eq!((again.status, again.header("x-replayed").as_deref()), (200, Some("1")));
+    assert_eq!(
+        (again.status, again.header("x-replayed").as_deref()),
+        (200, Some("1"))
+    );
     assert_eq!(system.runs_of("k1"), 1);
     let idle = || system.dump()["in_flight"] == json!(0);
     setup::eventually("nothing is under way", idle);
@@ -178,8 +210,13 @@
 /// Guards against a slow store that turns a claim into a run after the deadline.
 #[test]
 fn a_claim_that_comes_too_late_is_not_run() {
-    let system = setup::system().set("platform_timeout_ms", json!(3_000)).start();
-    let slow = Faults { slow_ms: Millis(600), ..Faults::default() };
+    let system = setup::system()
+        .set("platform_timeout_ms", json!(3_000))
+        .start();
+    let slow = Faults {
+        slow_ms: Millis(600),
+        ..Faults::default()
+    };
     system.platform.set_faults(slow);
     let headers = [("idempotency-key", "k1"), ("x-deadline-ms", "200")];
     let got = setup::call(system.addr(), "pay", &headers, br#"{"key":"k1"}"#);
