entry: tests of leaving servers and of the planned stop

Fault found by the test of an old list: a successful read suppressed the next one for a whole poll period, so only a failed read starts the pause now.

--- a/crates/entry/src/vm_watch.rs
+++ b/crates/entry/src/vm_watch.rs
@@ -31,7 +31,7 @@
     servers: RefCell<SortedMap<Name, Server>>,
     marks: RefCell<SortedMap<Name, Millis>>,
     read: Cell<Option<Millis>>,
-    tried: Cell<Option<Millis>>,
+    failed: Cell<Option<Millis>>,
     reading: Mutex<()>,
 }
 
@@ -44,7 +44,7 @@
             servers: RefCell::default(),
             marks: RefCell::default(),
             read: Cell::new(None),
-            tried: Cell::new(None),
+            failed: Cell::new(None),
             reading: Mutex::new(()),
         }
     }
@@ -82,8 +82,8 @@
 
     /// Reads the list unless a read that started less than `max_age` ago succeeded.
     ///
-    /// While the list is unavailable, reads start at most every `pause` and the last list stays
-    /// in use. Returns whether the list was replaced, or what went wrong.
+    /// While the list is unavailable, reads start only `pause` after the last failure and the last
+    /// list stays in use. Returns whether the list was replaced, or what went wrong.
     pub async fn refresh(&self, max_age: Millis, pause: Millis) -> Result<bool, String> {
         if self.age().is_some_and(|age| age < max_age) {
             return Ok(false);
@@ -91,18 +91,22 @@
         let _reading = self.reading.lock().await;
         let now = clock::now();
         let is_young = |at: Option<Millis>, span| at.is_some_and(|at| now.since(at) < span);
-        if is_young(self.read.get(), max_age) || is_young(self.tried.get(), pause) {
+        if is_young(self.read.get(), max_age) || is_young(self.failed.get(), pause) {
             return Ok(false);
         }
-        self.tried.set(Some(now));
         let listed = time::timeout(self.timeout.to_duration(), self.vms.list()).await;
         match listed {
             Ok(Ok(vms)) => {
                 self.replace(vms, now);
                 Ok(true)
             }
-            Ok(Err(e)) => Err(e.to_string()),
-            Err(_) => Err(format!("no answer in {}", self.timeout)),
+            failure => {
+                self.failed.set(Some(clock::now()));
+                Err(match failure {
+                    Ok(Err(e)) => e.to_string(),
+                    _ => format!("no answer in {}", self.timeout),
+                })
+            }
         }
     }
 
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -2,5 +2,7 @@
 
 mod claims;
 mod faults;
+mod leaving;
 mod path;
 mod setup;
+mod stop;
