--- /dev/null
+++ b/crates/entry/tests/entry/decisions.rs
@@ -0,0 +1,137 @@
+//! Jobs and configuration, which the leading scheduler decides.
+
+use std::net::SocketAddr;
+
+use schema::{config::Config, job::Phase};
+use serde_json::{Value, json};
+use wire::message::{Effect, JobStatus, Reply, Request};
+
+use crate::setup::{self, OPERATOR_TOKEN, ORG, Scheduler, TOKEN};
+
+pub fn job_of(organisation: &str) -> Value {
+    json!({ "schema": 2, "kind": "job", "spec": {
+        "organisation": organisation, "team": "nightly", "name": "check-1", "kind": "orchard",
+        "run_time_ms": 60_000, "stop": "checkpoint",
+        "shape": { "members": 1, "accelerators": 1, "cores": 1, "memory_mb": 1,
+            "adjacency": "rack" },
+    } })
+}
+
+fn status() -> JobStatus {
+    JobStatus {
+        organisation: ORG.parse().unwrap(),
+        name: "check-1".parse().unwrap(),
+        phase: Phase::Waiting,
+        attempt: 0,
+        workers: Vec::new(),
+        reason: String::new(),
+    }
+}
+
+fn failed(code: &str, done: Effect) -> Reply {
+    Reply::Failed {
+        code: code.into(),
+        message: "because".into(),
+        done,
+    }
+}
+
+/// Guards against a job that is changed on its way, and against a lost answer.
+#[test]
+fn jobs_go_to_the_leader_and_back() {
+    let replies = vec![
+        Reply::Job { status: status() },
+        Reply::Jobs { jobs: vec![status()] },
+        Reply::Job { status: status() },
+        Reply::Job { status: status() },
+    ];
+    let system = setup::system().replies(replies).start();
+    let none = json!(null);
+    let got = system.decide("POST", "/jobs", TOKEN, &job_of(ORG));
+    assert_eq!((got.status, &*got.field("phase")), (202, "waiting"), "{got:?}");
+    let got = system.decide("GET", "/jobs", TOKEN, &none);
+    assert_eq!(got.json()["jobs"][0]["name"], "check-1");
+    let path = format!("/jobs/{ORG}/check-1");
+    assert_eq!(system.decide("GET", &path, TOKEN, &none).status, 200);
+    assert_eq!(system.decide("DELETE", &path, TOKEN, &none).status, 200);
+    let asked = system.scheduler.asked.lock().unwrap();
+    let own = Some(ORG.parse().unwrap());
+    assert!(matches!(&asked[0], Request::Submit { job } if job.name.as_str() == "check-1"));
+    assert!(matches!(&asked[1], Request::Jobs { organisation, .. } if *organisation == own));
+    assert!(matches!(&asked[3], Request::Cancel { .. }));
+}
+
+/// Guards against an organisation that sees or cancels the jobs of another one.
+#[test]
+fn an_organisation_has_only_its_own_jobs() {
+    let system = setup::system().start();
+    for method in ["GET", "DELETE"] {
+        let got = system.decide(method, "/jobs/lamp-loans/j", TOKEN, &json!(null));
+        assert_eq!(got.refusal(), ("forbidden".into(), "not_run".into()));
+    }
+    assert!(system.scheduler.asked.lock().unwrap().is_empty());
+}
+
+/// Guards against a change that does not carry the operator's name or its id.
+#[test]
+fn a_change_carries_the_operator_and_its_id() {
+    let system = setup::system().replies(vec![Reply::Applied { revision: 9 }]).start();
+    let body = json!({ "records": [{ "a": 1 }, "text"], "expected_revision": 8, "change": 42 });
+    let got = system.decide("POST", "/config", OPERATOR_TOKEN, &body);
+    assert_eq!(got.json(), json!({ "revision": 9, "change": 42 }));
+    let expected = Request::Apply {
+        change: 42,
+        operator: "aigerim".parse().unwrap(),
+        records: vec![r#"{"a":1}"#.into(), "text".into()],
+        expected_revision: Some(8),
+    };
+    assert_eq!(system.scheduler.asked.lock().unwrap()[0], expected);
+}
+
+/// Guards against a question about the configuration that counts as an acknowledgement.
+#[test]
+fn the_configuration_is_shown_to_operators() {
+    let config = Some(Config { revision: 4, ..Config::default() });
+    let replies = vec![Reply::Current { revision: 4, config }];
+    let system = setup::system().replies(replies).start();
+    let got = system.decide("GET", "/config", OPERATOR_TOKEN, &json!(null));
+    assert_eq!(got.json()["revision"], 4);
+    let asked = system.scheduler.asked.lock().unwrap();
+    assert!(matches!(asked[0], Request::Current { member: 0, .. }));
+}
+
+/// Guards against refusals of the scheduler whose outcome or code is lost.
+#[test]
+fn refusals_of_the_scheduler_keep_their_code_and_outcome() {
+    let cases = [
+        ("unknown_organisation", Effect::None, 404, "not_run"),
+        ("revision_conflict", Effect::None, 409, "not_run"),
+        ("over_quota", Effect::None, 429, "not_run"),
+        ("too_large", Effect::None, 422, "not_run"),
+        ("lost", Effect::Maybe, 504, "unknown"),
+    ];
+    let replies = cases.iter().map(|(code, done, ..)| failed(code, *done)).collect();
+    let system = setup::system().replies(replies).start();
+    for (code, _, status, outcome) in cases {
+        let got = system.decide("POST", "/jobs", TOKEN, &job_of(ORG));
+        assert_eq!(got.status, status, "{code}");
+        assert_eq!(got.refusal(), (code.into(), outcome.into()));
+    }
+}
+
+/// Guards against an entry that does not find the leader, or says "unknown" when nobody decided.
+#[test]
+fn the_leader_is_found_and_its_absence_reported() {
+    let leader = Scheduler::start(vec![Reply::Job { status: status() }]);
+    let hint = Reply::NotLeader { leader: Some(leader.addr) };
+    let system = setup::system().replies(vec![hint]).start();
+    assert_eq!(system.decide("POST", "/jobs", TOKEN, &job_of(ORG)).status, 202);
+    let closed: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let nobody = Reply::NotLeader { leader: Some(closed) };
+    let system = setup::system()
+        .set("scheduler_timeout_ms", json!(300))
+        .replies(vec![nobody])
+        .start();
+    let got = system.decide("POST", "/jobs", TOKEN, &job_of(ORG));
+    assert_eq!((got.status, got.refusal()), (503, ("no_leader".into(), "not_run".into())));
+}
--- a/crates/entry/tests/entry/stop.rs
+++ b/crates/entry/tests/entry/stop.rs
@@ -114,3 +114,14 @@
     }
     assert!(answered > 30);
 }
+
+/// Guards against a drain that relies on the server's own time limit for its connections.
+#[test]
+fn a_request_that_takes_seconds_is_not_cut_off() {
+    let mut system = setup::system().service_ms(3_000).start();
+    let addr = system.addr();
+    let running = thread::spawn(move || setup::call(addr, "score", &[], b"{}"));
+    setup::eventually("the request runs", || system.runs() == 1);
+    system.entries.remove(0).stop();
+    assert_eq!(running.join().unwrap().status, 200);
+}
