--- a/crates/sched/tests/site/mod.rs
+++ b/crates/sched/tests/site/mod.rs
@@ -1,6 +1,9 @@
 //! A small site for tests: platform and workers in stand-ins, and schedulers.
 #![allow(dead_code, reason = "each test file uses a part of the site")]
 
+pub mod history;
+pub mod relay;
+
 use std::{future::Future, net};
 
 use base::{
@@ -232,3 +235,11 @@
     let resp = client.get(url).send().await.unwrap();
     String::from_utf8(resp.body().await.unwrap().to_vec()).unwrap()
 }
+
+/// Shortens the lease, so that a takeover takes two seconds instead of seven.
+pub fn fast_lease(cfg: &mut Settings) {
+    cfg.lease.renew_ms = Millis(250);
+    cfg.lease.hold_ms = Millis(1_000);
+    cfg.lease.take_ms = Millis(1_500);
+    cfg.lease.look_ms = Millis(100);
+}
--- /dev/null
+++ b/crates/sched/tests/site/relay.rs
@@ -0,0 +1,96 @@
+//! A relay between a process and its peer that can be cut.
+
+use std::{
+    io::{Read, Write},
+    net,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+const PASS: u8 = 0;
+const CUT: u8 = 1;
+const LOSE_ANSWERS: u8 = 2;
+const ENDED: u8 = 3;
+
+/// A relay in front of `target`; dropping it ends its connections.
+pub struct Relay {
+    pub addr: net::SocketAddr,
+    mode: Arc<AtomicU8>,
+}
+
+impl Relay {
+    pub fn new(target: net::SocketAddr) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let mode = Arc::new(AtomicU8::new(PASS));
+        let shared = mode.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                match shared.load(Ordering::SeqCst) {
+                    ENDED => return,
+                    CUT => {}
+                    _ => connect(stream, target, &shared),
+                }
+            }
+        });
+        Self { addr, mode }
+    }
+
+    pub fn pass(&self) {
+        self.mode.store(PASS, Ordering::SeqCst);
+    }
+
+    /// Closes all connections and every new one.
+    pub fn cut(&self) {
+        self.mode.store(CUT, Ordering::SeqCst);
+    }
+
+    /// Lets requests through and closes the connection in place of the answer.
+    pub fn lose_answers(&self) {
+        self.mode.store(LOSE_ANSWERS, Ordering::SeqCst);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.mode.store(ENDED, Ordering::SeqCst);
+        let _ = net::TcpStream::connect(self.addr);
+    }
+}
+
+fn connect(client: net::TcpStream, target: net::SocketAddr, mode: &Arc<AtomicU8>) {
+    let Ok(server) = net::TcpStream::connect(target) else {
+        return;
+    };
+    for (from, to, answers) in [(&client, &server, false), (&server, &client, true)] {
+        let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+        let mode = mode.clone();
+        thread::spawn(move || copy(from, to, &mode, answers));
+    }
+}
+
+fn copy(mut from: net::TcpStream, mut to: net::TcpStream, mode: &AtomicU8, answers: bool) {
+    let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
+    let mut buf = [0; 64 << 10];
+    loop {
+        let read = from.read(&mut buf);
+        let mode = mode.load(Ordering::SeqCst);
+        let stop = mode == CUT || mode == ENDED;
+        match read {
+            Err(e) if !stop && e.kind() == std::io::ErrorKind::WouldBlock => continue,
+            Ok(n) if n > 0 && !stop && !(answers && mode == LOSE_ANSWERS) => {
+                if to.write_all(&buf[..n]).is_ok() {
+                    continue;
+                }
+            }
+            _ => {}
+        }
+        let _ = from.shutdown(net::Shutdown::Both);
+        let _ = to.shutdown(net::Shutdown::Both);
+        return;
+    }
+}
