--- /dev/null
+++ b/crates/sched/tests/config.rs
@@ -0,0 +1,240 @@
+//! Changes of the configuration: in force everywhere, once, and never lost.
+
+mod site;
+
+use std::cell::Cell;
+
+use base::clock::{self, Millis};
+use sched::rows::{MemberRole, MemberRow, member_key};
+use site::{Site, apply, fast_lease};
+use standin::faults::Faults;
+use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::Txn};
+use wire::{
+    client::Client,
+    message::{Effect, Reply, Request},
+};
+
+fn placement(percent: u8) -> Vec<String> {
+    vec![format!(
+        "{{schema: 2, kind: 'placement', spec: {{fragmentation_percent: {percent}}}}}"
+    )]
+}
+
+async fn site(scheds: usize) -> (Site, Client) {
+    let mut site = Site::new(1, 0);
+    for _ in 0..scheds {
+        site.add_sched(fast_lease);
+    }
+    let client = site.configure().await;
+    (site, client)
+}
+
+/// An entry as the leader sees it: a membership row and questions for the revision.
+struct Entry {
+    id: u64,
+    known: Cell<u64>,
+}
+
+impl Entry {
+    async fn join(site: &Site, id: u64) -> Self {
+        let url = site.platform.url();
+        let table = HttpTable::new(&url, HttpCfg::default()).await.unwrap();
+        let table = Table::from(table);
+        let row = MemberRow {
+            id,
+            address: "127.0.0.1:1".parse().unwrap(),
+            role: MemberRole::Entry,
+            renewed: 1,
+        };
+        let value = serde_json::to_string(&row).unwrap();
+        let txn = Txn::default().put(member_key(id), value);
+        table.commit(&txn).await.unwrap();
+        let known = Cell::new(0);
+        Self { id, known }
+    }
+
+    /// Asks once and puts a newer configuration in force.
+    async fn poll(&self, client: &Client) {
+        let request = Request::Current {
+            member: self.id,
+            known_revision: self.known.get(),
+        };
+        if let Ok(Reply::Current { revision, .. }) = client.call(&request).await {
+            self.known.set(self.known.get().max(revision));
+        }
+    }
+}
+
+async fn read_members(site: &Site) {
+    // The leader reads the rows once a second.
+    site::pause(1_200).await;
+    site.leader().await;
+}
+
+/// Guards against "accepted" before every member has the revision in force.
+#[ntex::test]
+async fn accepted_means_in_force_at_all_members() {
+    let (site, client) = site(1).await;
+    let entries = [Entry::join(&site, 1).await, Entry::join(&site, 2).await];
+    read_members(&site).await;
+    let request = apply(2, None, &placement(30));
+    let change = client.call(&request);
+    let polls = async {
+        loop {
+            for entry in &entries {
+                entry.poll(&client).await;
+                site::pause(150).await;
+            }
+        }
+    };
+    let reply = tokio::select! {
+        reply = change => reply.unwrap(),
+        () = polls => unreachable!(),
+    };
+    assert_eq!(reply, Reply::Applied { revision: 2 });
+    assert!(entries.iter().all(|e| e.known.get() == 2));
+}
+
+/// Guards against "accepted" that does not wait for the serving lease of a silent member, and
+/// against one that needs a member which is gone.
+#[ntex::test]
+async fn a_silent_member_delays_acceptance_by_its_serving_lease() {
+    let (site, client) = site(1).await;
+    let entries = [1, 2, 3].map(|id| Entry::join(&site, id));
+    let entries = futures_util::future::join_all(entries).await;
+    read_members(&site).await;
+    let start = clock::now();
+    let request = apply(2, None, &placement(30));
+    let change = client.call(&request);
+    let polls = async {
+        loop {
+            entries[0].poll(&client).await;
+            entries[1].poll(&client).await;
+            site::pause(50).await;
+        }
+    };
+    let reply = tokio::select! {
+        reply = change => reply.unwrap(),
+        () = polls => unreachable!(),
+    };
+    let took = clock::now().since(start);
+    assert_eq!(reply, Reply::Applied { revision: 2 });
+    assert!(took >= Millis(2_000) && took < Millis(3_000), "{took}");
+}
+
+/// Guards against "accepted" while only a minority has the revision in force.
+#[ntex::test]
+async fn a_minority_is_not_enough() {
+    let mut site = Site::new(1, 0);
+    site.add_sched(|cfg| cfg.config.accept_ms = Millis(3_000));
+    let client = site.configure().await;
+    let entries = [1, 2, 3].map(|id| Entry::join(&site, id));
+    let entries = futures_util::future::join_all(entries).await;
+    read_members(&site).await;
+    let request = apply(2, None, &placement(30));
+    let (reply, ()) = tokio::join!(client.call(&request), entries[0].poll(&client));
+    let Ok(Reply::Failed { code, done, .. }) = reply else {
+        panic!("{reply:?}")
+    };
+    assert_eq!((code.as_str(), done), ("outcome_unknown", Effect::Maybe));
+}
+
+/// Guards against two operators of whom one overwrites the other without notice.
+#[ntex::test]
+async fn one_of_two_racing_operators_is_told() {
+    let (_site, client) = site(1).await;
+    let requests = [2, 3].map(|id| apply(id, Some(1), &placement(id as u8)));
+    let (a, b) = tokio::join!(client.call(&requests[0]), client.call(&requests[1]));
+    let replies = [a.unwrap(), b.unwrap()];
+    let won = |r: &&Reply| **r == Reply::Applied { revision: 2 };
+    let told = |r: &&Reply| matches!(r, Reply::Failed { code, done: Effect::None, .. } if code == "revision_conflict");
+    assert_eq!(replies.iter().filter(won).count(), 1, "{replies:?}");
+    assert_eq!(replies.iter().filter(told).count(), 1, "{replies:?}");
+}
+
+/// Guards against a repeated change that is applied twice, also by the next leader, and against
+/// one that reverts a later change.
+#[ntex::test]
+async fn a_repeated_change_gets_the_same_answer() {
+    let (mut site, client) = site(2).await;
+    let first = apply(2, None, &placement(30));
+    let same = apply(4, None, &placement(40));
+    for request in [
+        &first,
+        &first,
+        &apply(3, None, &placement(40)),
+        &same,
+        &first,
+    ] {
+        client.call(request).await.unwrap();
+    }
+    let reply = client.call(&first).await.unwrap();
+    assert_eq!(reply, Reply::Applied { revision: 2 });
+    let leader = site.leader().await;
+    site.scheds[leader].kill();
+    let client = site.client().await;
+    let replies = [
+        client.call(&first).await.unwrap(),
+        client.call(&same).await.unwrap(),
+    ];
+    assert_eq!(replies[0], Reply::Applied { revision: 2 });
+    assert_eq!(replies[1], Reply::Applied { revision: 4 });
+    assert_eq!(site.platform.rows("audit/").len(), 4);
+    let row = site.platform.row("placement").unwrap();
+    assert!(row.value.contains("40"), "{}", row.value);
+}
+
+/// Guards against a change that is lost, or applied twice, when the answer of the table is lost.
+#[ntex::test]
+async fn lost_answers_of_the_table_are_settled() {
+    let (site, client) = site(1).await;
+    site.platform.set_faults(Faults {
+        lost_answers: 0.5,
+        read_lag_ms: Millis(150),
+        ..Faults::default()
+    });
+    for id in 2..8 {
+        let request = apply(id, None, &placement(id as u8));
+        let reply = client.call(&request).await.unwrap();
+        assert_eq!(reply, Reply::Applied { revision: id });
+    }
+    assert_eq!(site.platform.rows("audit/").len(), 7);
+}
+
+/// Guards against records that change the configuration in part, or that are refused unclearly.
+#[ntex::test]
+async fn a_bad_record_changes_nothing() {
+    let (site, client) = site(1).await;
+    let mut records = placement(30);
+    records.push("{version: 1, type: 'group', tenant: 'nobody', group: 'g', max_gpus: 8}".into());
+    let reply = client.call(&apply(2, None, &records)).await.unwrap();
+    let Reply::Failed {
+        code,
+        message,
+        done,
+    } = reply
+    else {
+        panic!("{reply:?}")
+    };
+    assert_eq!((code.as_str(), done), ("bad_record", Effect::None));
+    assert!(message.contains("nobody"), "{message}");
+    assert_eq!(site.platform.rows("audit/").len(), 1);
+}
+
+/// Guards against members that stay in the list after their end.
+#[ntex::test]
+async fn rows_that_are_not_renewed_are_removed() {
+    let mut site = Site::new(1, 0);
+    site.add_sched(|cfg| {
+        cfg.members.remove_ms = Millis(1_500);
+        cfg.members.renew_ms = Millis(300);
+        cfg.members.list_ms = Millis(100);
+    });
+    site.leader().await;
+    Entry::join(&site, 7).await;
+    site::eventually("the row is removed", async || {
+        site.platform.row(&member_key(7)).is_none().then_some(())
+    })
+    .await;
+    assert_eq!(site.platform.rows("member/").len(), 1);
+}
