--- /dev/null
+++ b/crates/sched/tests/link.rs
@@ -0,0 +1,176 @@
+//! The link to one worker: reports, orders and silence.
+
+use base::clock::Millis;
+use plan::{
+    event::{Event, Report, WorkerInfo},
+    order::{Action, Attempt, Order},
+    record::{JobKey, Member},
+};
+use sched::{
+    cfg::WorkersCfg,
+    link::{Link, Task},
+};
+
+const HOLD: Action = Action::Hold {
+    cores: 1,
+    memory_mb: 1,
+};
+const STOP: Action = Action::Stop { checkpoint: true };
+const RUNNING: Report = Report::Running { memory_mb: 1 };
+
+fn attempt(attempt: u32) -> Attempt {
+    let job = JobKey {
+        organisation: "org".parse().unwrap(),
+        name: "job".parse().unwrap(),
+    };
+    Attempt { job, attempt }
+}
+
+fn order(accelerators: u32, action: Action) -> Order {
+    Order {
+        attempt: attempt(1),
+        member: Member {
+            worker: "w".parse().unwrap(),
+            accelerators,
+        },
+        action,
+    }
+}
+
+fn task(accelerators: u32, report: Report) -> Task {
+    Task {
+        attempt: attempt(1),
+        accelerators,
+        report,
+    }
+}
+
+/// A link to a worker that is up and has a member of attempt 1.
+fn link() -> Link {
+    let mut link = Link::new("w".parse().unwrap(), WorkersCfg::default(), Millis(0));
+    let info = WorkerInfo {
+        name: "w".parse().unwrap(),
+        rack: "r".parse().unwrap(),
+        data_centre: "d".parse().unwrap(),
+        accelerators: 8,
+        cores: 8,
+        memory_mb: 8,
+    };
+    assert!(matches!(
+        link.informed(Millis(0), info),
+        Some(Event::WorkerUp { .. })
+    ));
+    link.assign(&attempt(1), true);
+    link
+}
+
+fn exchange(link: &mut Link, now: u64, tasks: &[Task]) -> Vec<Report> {
+    link.call(Millis(now), 1);
+    let events = link.answered(Millis(now), tasks.to_vec());
+    let report = |e: Event| match e {
+        Event::Member { report, .. } => report,
+        other => panic!("{other:?}"),
+    };
+    events.into_iter().map(report).collect()
+}
+
+/// Guards against a start that is sent, or sent again, after the stop of its attempt.
+#[test]
+fn a_stop_takes_the_place_of_a_start() {
+    let mut link = link();
+    link.push(order(1, Action::Go));
+    link.push(order(1, STOP));
+    assert_eq!(link.call(Millis(0), 1).orders, [order(1, STOP)]);
+    let mut link = self::link();
+    link.push(order(1, Action::Go));
+    link.call(Millis(0), 1);
+    link.push(order(1, STOP));
+    assert!(link.may_start(&attempt(1).job));
+    link.failed();
+    assert!(!link.may_start(&attempt(1).job));
+    assert_eq!(link.call(Millis(1), 1).orders, [order(1, STOP)]);
+}
+
+/// Guards against orders that are lost with a call.
+#[test]
+fn orders_of_a_failed_call_are_sent_again_first() {
+    let mut link = link();
+    link.push(order(1, HOLD));
+    link.call(Millis(0), 1);
+    link.push(order(1, Action::Go));
+    link.failed();
+    let orders = link.call(Millis(1), 1).orders;
+    assert_eq!(orders, [order(1, HOLD), order(1, Action::Go)]);
+}
+
+/// Guards against accelerators that are used again while another member still runs on them.
+#[test]
+fn an_end_is_reported_when_all_members_on_the_worker_have_ended() {
+    let mut link = link();
+    let part = [task(1, Report::Failed), task(2, RUNNING)];
+    assert_eq!(exchange(&mut link, 0, &part), []);
+    assert_eq!(link.call(Millis(1), 1).orders, [order(2, STOP)]);
+    let stopped = Report::Stopped { checkpoint: true };
+    let whole = [task(1, Report::Failed), task(2, stopped)];
+    assert_eq!(exchange(&mut link, 2, &whole), [Report::Failed]);
+    let done = [task(1, Report::Done), task(2, RUNNING)];
+    assert_eq!(exchange(&mut link, 3, &done), [RUNNING]);
+}
+
+/// Guards against a task that is thought to run after its worker has lost it.
+#[test]
+fn a_task_that_is_missing_is_reported() {
+    let mut link = link();
+    assert_eq!(exchange(&mut link, 0, &[task(1, RUNNING)]), [RUNNING]);
+    assert_eq!(exchange(&mut link, 1, &[task(1, RUNNING)]), []);
+    assert_eq!(exchange(&mut link, 2, &[]), [Report::NotHeld]);
+}
+
+/// Guards against a hold that is reported missing before it was asked for.
+#[test]
+fn a_member_whose_order_is_queued_is_not_missing() {
+    let mut link = link();
+    link.call(Millis(0), 1);
+    link.push(order(1, HOLD));
+    assert_eq!(link.answered(Millis(0), Vec::new()), []);
+    assert_eq!(
+        exchange(&mut link, 1, &[task(1, Report::Held)]),
+        [Report::Held]
+    );
+}
+
+/// Guards against use of a silent worker's accelerators before its task leases have lapsed.
+#[test]
+fn a_silent_worker_is_lost_only_after_the_last_lease() {
+    let mut link = link();
+    link.call(Millis(2_900), 1);
+    link.failed();
+    assert!(matches!(
+        link.check(Millis(3_000)),
+        Some(Event::WorkerLeaving { .. })
+    ));
+    assert!(link.needs_info());
+    assert_eq!(link.check(Millis(2_900 + 30_000)), None);
+    assert!(matches!(
+        link.check(Millis(2_900 + 32_000)),
+        Some(Event::WorkerLost { .. })
+    ));
+}
+
+/// Guards against slow starts: the result of an order is polled for, and idle workers are not.
+#[test]
+fn results_of_orders_are_polled_for() {
+    let mut link = link();
+    exchange(&mut link, 5_000, &[task(1, RUNNING)]);
+    assert_eq!(link.due(), Millis(6_000));
+    link.push(order(1, STOP));
+    assert_eq!(link.due(), Millis(0));
+    exchange(&mut link, 5_100, &[task(1, RUNNING)]);
+    assert!(link.due() <= Millis(5_150));
+    exchange(
+        &mut link,
+        5_150,
+        &[task(1, Report::Stopped { checkpoint: true })],
+    );
+    assert_eq!(link.due(), Millis(6_150));
+}
