--- a/crates/sched/tests/outage.rs
+++ b/crates/sched/tests/outage.rs
@@ -5,7 +5,7 @@
 use base::clock::{self, Millis};
 use schema::job::Phase;
 use site::{Site, cancel, history, job, submit};
-use standin::{faults::Faults, worker_cfg::Behaviour};
+use standin::{faults::Faults, worker::Worker, worker_cfg::Behaviour};
 use wire::message::{Effect, Reply, Request};
 
 /// A site whose task leases lapse within the outage of a test.
@@ -114,7 +114,7 @@
     .await;
     site.platform.set_faults(down());
     site::eventually("all end", async || {
-        let runs = site.workers.workers().iter().flat_map(|w| w.history());
+        let runs = site.workers.workers().iter().flat_map(Worker::history);
         (runs.filter(|r| r.ended_at.is_some()).count() == JOBS).then_some(())
     })
     .await;
--- a/crates/sched/tests/site/relay.rs
+++ b/crates/sched/tests/site/relay.rs
@@ -75,17 +75,20 @@
 
 fn copy(mut from: net::TcpStream, mut to: net::TcpStream, mode: &AtomicU8, answers: bool) {
     let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
-    let mut buf = [0; 64 << 10];
+    let mut buf = vec![0; 64 << 10];
     loop {
         let read = from.read(&mut buf);
         let mode = mode.load(Ordering::SeqCst);
         let stop = mode == CUT || mode == ENDED;
         match read {
             Err(e) if !stop && e.kind() == std::io::ErrorKind::WouldBlock => continue,
-            Ok(n) if n > 0 && !stop && !(answers && mode == LOSE_ANSWERS) => {
-                if to.write_all(&buf[..n]).is_ok() {
-                    continue;
-                }
+            Ok(n)
+                if n > 0
+                    && !stop
+                    && !(answers && mode == LOSE_ANSWERS)
+                    && to.write_all(&buf[..n]).is_ok() =>
+            {
+                continue;
             }
             _ => {}
         }
--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -63,11 +63,10 @@
         };
         // The decisions and orders of a start follow one another within about 100 ms.
         let kill_after = site::pause(10 + 18 * round);
-        tokio::select! {
-            _ = async { let _ = client.call(&request).await; std::future::pending::<()>().await } => {}
-            () = kill_after => {}
-        }
-        site.scheds.last_mut().unwrap().kill();
+        let _ = tokio::join!(client.call(&request), async {
+            kill_after.await;
+            site.scheds.last_mut().unwrap().kill();
+        });
         site.add_sched(fast_lease);
         let client = site.client().await;
         submit(&client, job(&name, 2, 1)).await;
--- a/crates/sched/tests/urgent.rs
+++ b/crates/sched/tests/urgent.rs
@@ -5,6 +5,7 @@
 use base::clock::{self, Millis};
 use schema::{job::Phase, shape::Adjacency};
 use site::{Site, cancel, history, job, submit};
+use standin::worker::Worker;
 use wire::client::Client;
 
 /// Bound on the start of urgent work when its room is free or is held by work that stops when
@@ -48,7 +49,7 @@
     let submitted = clock::now();
     submit(client, urgent).await;
     site.wait_for_running(name, 4).await;
-    let runs = site.workers.workers().iter().flat_map(|w| w.history());
+    let runs = site.workers.workers().iter().flat_map(Worker::history);
     let starts = runs.filter(|r| r.attempt.job.name.as_str() == name);
     let last = starts.map(|r| r.started_at).max().unwrap();
     last.since(submitted)
@@ -102,7 +103,7 @@
         let mut times = Vec::new();
         for i in 0..RUNS {
             site::eventually("all workers are in use", async || {
-                let runs = site.workers.workers().iter().flat_map(|w| w.history());
+                let runs = site.workers.workers().iter().flat_map(Worker::history);
                 (runs.filter(|r| r.ended_at.is_none()).count() == WORKERS).then_some(())
             })
             .await;
