--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -2,6 +2,7 @@
 
 use ntex::{http::Method, time};
 use serde::Deserialize;
+use serde_json::json;
 use wire::message::JobStatus;
 
 use super::files;
@@ -78,12 +79,17 @@
         .key
         .split_once('/')
         .ok_or_else(|| Failure::bad_input("expected ORGANISATION/KEY"))?;
-    if !["ran", "not-run"].contains(&args.outcome.as_str()) {
-        return Err(Failure::bad_input("expected 'ran' or 'not-run'"));
-    }
-    let path = format!("/claims/{organisation}/{key}/{}", args.outcome);
+    let outcome = match args.outcome.as_str() {
+        "ran" => "ran",
+        "not-run" => "not_run",
+        other => {
+            let message = format!("outcome '{other}': expected 'ran' or 'not-run'");
+            return Err(Failure::bad_input(message));
+        }
+    };
+    let body = json!({ "organisation": organisation, "key": key, "outcome": outcome }).to_string();
     api::block_on(async move {
-        let answer = api.send(Method::POST, &path, None, None).await?;
+        let answer = api.send(Method::POST, "/claims", Some(body), None).await?;
         println!("{answer}");
         Ok(())
     })
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -21,6 +21,7 @@
     auth::Identity,
     input::{self, Body},
     refusal::{Code, Outcome, Refusal},
+    settle,
     state::Entry,
 };
 
@@ -44,6 +45,8 @@
     Apply(Body),
     /// Shows the configuration.
     Config,
+    /// Settles the claim in the body.
+    Settle(Body),
 }
 
 /// Body of `POST /config`.
@@ -144,6 +147,7 @@
             job_response(reply, StatusCode::OK)
         }
         Ask::Apply(body) => apply(cx, operator(identity)?, &body).await,
+        Ask::Settle(body) => settle::run(cx, &operator(identity)?, &body).await,
         Ask::Config => {
             operator(identity)?;
             show_config(cx).await
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -48,9 +48,10 @@
             decide(&cx, headers, payload, Form::Cancel(o, j)).await
         }
         [Some("config"), None, ..] if post => decide(&cx, headers, payload, Form::Apply).await,
+        [Some("claims"), None, ..] if post => decide(&cx, headers, payload, Form::Settle).await,
         [Some("config"), None, ..] if get => decide(&cx, headers, payload, Form::Config).await,
         [
-            Some("call" | "ready" | "dump" | "metrics" | "jobs" | "config"),
+            Some("call" | "ready" | "dump" | "metrics" | "jobs" | "claims" | "config"),
             ..,
         ] => {
             let message = format!("{} is not served on {path}", req.method());
@@ -114,6 +115,7 @@
     Job(&'a str, &'a str),
     Cancel(&'a str, &'a str),
     Apply,
+    Settle,
     Config,
 }
 
@@ -134,6 +136,7 @@
     let ask = match form {
         Form::Submit => body(cx, headers, payload).await.map(Ask::Submit),
         Form::Apply => body(cx, headers, payload).await.map(Ask::Apply),
+        Form::Settle => body(cx, headers, payload).await.map(Ask::Settle),
         Form::Jobs => Ok(Ask::Jobs),
         Form::Config => Ok(Ask::Config),
         Form::Job(o, j) => names(o, j).map(|(o, j)| Ask::Job(o, j)),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod rows;
 pub mod schedulers;
 pub mod server;
+pub mod settle;
 pub mod state;
 pub mod tasks;
 pub mod vm_watch;
