--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -313,13 +313,11 @@
         return Ok(longest);
     };
     let asked = value.to_str().ok().and_then(|s| s.parse::<u64>().ok());
-    match asked.filter(|ms| *ms > 0) {
-        Some(ms) => Ok(Millis(ms).min(longest)),
-        None => {
-            let message = format!("{DEADLINE} is a whole number of milliseconds above 0");
-            Err(Refusal::not_run(Code::BadHeader, message))
-        }
+    if let Some(ms) = asked.filter(|ms| *ms > 0) {
+        return Ok(Millis(ms).min(longest));
     }
+    let message = format!("{DEADLINE} is a whole number of milliseconds above 0");
+    Err(Refusal::not_run(Code::BadHeader, message))
 }
 
 fn conflict() -> Refusal {
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use base::{clock, clock::Millis, limits, name::Name};
+use base::{clock, limits, name::Name};
 use ntex::{
     http::{HeaderMap, StatusCode},
     web::HttpResponse,
@@ -298,8 +298,3 @@
     let message = format!("the scheduler sent an unexpected answer: {reply:?}");
     Refusal::unknown(Code::DecisionUnknown, message)
 }
-
-/// Longest time from the arrival of a request to its answer, for the end of a planned stop.
-pub const fn longest(scheduler_timeout: Millis) -> Millis {
-    Millis(scheduler_timeout.0 + 5_000)
-}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -14,7 +14,11 @@
     web,
 };
 use store::table::StoreError;
-use tokio::{sync::watch, time};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    time,
+};
 
 use crate::{
     entry_cfg::EntryCfg,
@@ -120,7 +124,6 @@
         .build()?;
     let (mut term, mut int) = {
         let _guard = runtime.enter();
-        use tokio::signal::unix::{SignalKind, signal};
         (
             signal(SignalKind::terminate())?,
             signal(SignalKind::interrupt())?,
