--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod decisions;
 mod faults;
+mod history;
 mod input;
 mod lease;
 mod leaving;
