--- a/crates/entry/tests/entry/faults.rs
+++ b/crates/entry/tests/entry/faults.rs
@@ -186,17 +186,27 @@
     }
 }
 
-/// Guards against a retry of repeatable work whose first attempt may have run ending as "not run".
+/// Guards against "not run" after a first attempt that ran, when the retry is refused.
 #[test]
 fn an_unknown_first_attempt_stays_unknown() {
-    let system = setup::system().servers(1).start();
+    let system = setup::system().servers(2).service_ms(300).start();
     let cut = BackendFaults {
         cut_after: 1.0,
         ..BackendFaults::default()
     };
     system.set_faults(&cut);
-    let got = system.score();
+    let addr = system.addr();
+    let running = thread::spawn(move || setup::call(addr, "score", &[], b"{}"));
+    setup::eventually("the first attempt runs", || system.runs() == 1);
+    let mut servers = system.backends.servers().iter();
+    let other = servers.find(|s| s.history().is_empty()).unwrap();
+    other.set_faults(BackendFaults {
+        not_run: 1.0,
+        ..BackendFaults::default()
+    });
+    let got = running.join().unwrap();
     assert_eq!(got.refusal(), ("outcome_unknown".into(), "unknown".into()));
+    assert_eq!((system.runs(), other.stats().not_run), (1, 1));
 }
 
 /// Bytes that a server sends for a request id.
