entry: a new entry asks the members for a newer configuration before it serves

Cause: the first read of the table may be stale, so an entry that has just started could serve a revision lower than an accepted one. Calls before that are refused with config_unconfirmed instead of unauthorised. Mutation: the answers of the members ignored; the test fails.

A request that waited for another one of this entry with the same key now looks at the key again when that one ended without an answer.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -134,8 +134,8 @@
 
 /// Runs a request that may not be repeated under a claim of its key.
 ///
-/// Returns `None` if another request with the key held the claim and was not run, so that this
-/// one has to claim the key itself.
+/// Returns `None` if another request of this entry with the key ended without an answer, so that
+/// this one has to look at the key itself.
 async fn claimed(
     cx: &Rc<Entry>,
     call: &Call,
@@ -190,13 +190,12 @@
 
 /// Gives a request the result of the running one with the same key.
 ///
-/// That the other one was not run may also mean that an entry elsewhere holds the key, so the
-/// request looks at the key again instead of reporting "not run".
+/// Without an answer of the other one, the request looks at the key again: the other one may have
+/// lost the key to an entry elsewhere, which only the row tells.
 fn of_running(settled: Option<Settled>) -> Result<Option<Reply>, Refusal> {
     match settled {
         Some(Settled::Completed(answer)) => Ok(Some(Reply::Replayed(answer))),
-        Some(Settled::NotRun) => Ok(None),
-        Some(Settled::Unknown) => Err(unknown()),
+        Some(Settled::NotRun | Settled::Unknown) => Ok(None),
         None => {
             let message = "the running request with this key had no result before the deadline";
             Err(Refusal::unknown(Code::OutcomeUnknown, message))
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -78,6 +78,10 @@
         Ok(flight) => flight,
         Err(refusal) => return refuse(cx, &refusal),
     };
+    if !cx.has_config() {
+        let message = "this entry has just started and has no configuration yet";
+        return refuse(cx, &Refusal::not_run(Code::ConfigUnconfirmed, message));
+    }
     let checked = call::check(cx, headers, service, operation);
     let (organisation, target, key, allowed) = match checked {
         Ok(checked) => checked,
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -7,6 +7,7 @@
 
 use base::clock::Millis;
 use futures_util::future;
+use schema::config::Config;
 use store::{
     client::Table,
     table::{StoreError, Txn},
@@ -101,6 +102,25 @@
         Ok(())
     }
 
+    /// Takes the newest configuration that any other member has in force.
+    ///
+    /// The first read of the table may be stale, so an entry that has just started could otherwise
+    /// serve a revision lower than an accepted one.
+    pub async fn catch_up(&self, cx: &Entry) {
+        let others = self.others();
+        let answers = future::join_all(others.iter().map(|a| newer(*a, cx.config.revision())));
+        for config in answers.await.into_iter().flatten() {
+            cx.config.install(config);
+        }
+        cx.caught_up.set(true);
+    }
+
+    fn others(&self) -> Vec<net::SocketAddr> {
+        let last = self.last.borrow();
+        let others = last.iter().filter(|m| m.id != self.id);
+        others.map(|m| m.address).collect()
+    }
+
     /// Confirms the configuration as of `start` if a majority of the last known members, this one
     /// included, has no higher revision and does not reach the table service either.
     ///
@@ -112,11 +132,7 @@
         if known_revision == 0 {
             return;
         }
-        let others: Vec<net::SocketAddr> = {
-            let last = self.last.borrow();
-            let others = last.iter().filter(|m| m.id != self.id);
-            others.map(|m| m.address).collect()
-        };
+        let others = self.others();
         let answers = future::join_all(others.iter().map(|a| ask(*a, known_revision))).await;
         let vouching = answers.iter().filter(|a| **a == Vote::For).count() + 1;
         let is_opposed = answers.contains(&Vote::Against);
@@ -137,6 +153,20 @@
     Silent,
 }
 
+/// Asks a member for its configuration if that is newer than `known_revision`.
+async fn newer(address: net::SocketAddr, known_revision: u64) -> Option<Config> {
+    let client = Client::new(address).with_timeout(VOUCH_TIMEOUT);
+    // Member 0 is no member, so a leader does not take this as an acknowledgement.
+    let req = Request::Current {
+        member: 0,
+        known_revision,
+    };
+    match client.call(&req).await {
+        Ok(Reply::Current { config, .. }) => config,
+        _ => None,
+    }
+}
+
 async fn ask(address: net::SocketAddr, known_revision: u64) -> Vote {
     let client = Client::new(address).with_timeout(VOUCH_TIMEOUT);
     match client.call(&Request::Vouch { known_revision }).await {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -63,6 +63,8 @@
     pub bodies: Rc<BodyMemory>,
     /// Configuration in force.
     pub config: Current,
+    /// Whether this entry has asked the other members for a newer configuration since its start.
+    pub caught_up: Cell<bool>,
     /// Held while the configuration is read.
     pub config_read: Mutex<()>,
     /// Whether the last read of the configuration from the table service succeeded.
@@ -111,6 +113,7 @@
             connections: Cell::new(0),
             bodies: Rc::new(BodyMemory::new(cfg.body_memory)),
             config: Current::default(),
+            caught_up: Cell::new(false),
             config_read: Mutex::new(()),
             table_reached: Cell::new(false),
             members: Members::new(id, wire),
@@ -140,11 +143,17 @@
     /// Returns whether the load balancer should send requests here.
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
-            && self.config.revision() > 0
+            && self.has_config()
             && self.config.is_confirmed(self.cfg.config_lease)
             && self.vms.age().is_some()
     }
 
+    /// Returns whether this entry has a configuration that is not older than those of the members
+    /// that it found at its start.
+    pub fn has_config(&self) -> bool {
+        self.caught_up.get() && self.config.revision() > 0
+    }
+
     /// Returns who sent a request.
     pub fn identify(&self, headers: &HeaderMap) -> Result<Identity, Refusal> {
         let force = self.config.get();
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -101,8 +101,10 @@
         if let Err(e) = cx.members.renew(&cx.table).await {
             log::warn!("entry: the member row was not renewed: {e}");
         }
-        if let Err(e) = cx.members.read(&cx.table).await {
-            log::warn!("entry: the member rows were not read: {e}");
+        match cx.members.read(&cx.table).await {
+            Ok(()) if !cx.caught_up.get() => cx.members.catch_up(&cx).await,
+            Ok(()) => {}
+            Err(e) => log::warn!("entry: the member rows were not read: {e}"),
         }
         pause(start, cx.cfg.member_renewal).await;
     }
--- a/crates/entry/tests/entry/lease.rs
+++ b/crates/entry/tests/entry/lease.rs
@@ -81,3 +81,26 @@
     }
     assert!(asked() > 3);
 }
+
+/// Guards against an entry that starts with a lower revision than a member has, as after a stale
+/// read of the table.
+#[test]
+fn a_new_entry_takes_the_newest_revision_of_the_members() {
+    let system = setup::system().start();
+    let config = Some(schema::config::Config {
+        revision: 7,
+        ..Default::default()
+    });
+    let reply = Reply::Current {
+        revision: 7,
+        config,
+    };
+    let _member = add_member(&system, 1, reply);
+    let cfg = json!({ "table": system.platform.addr(), "vm_list": system.platform.addr() });
+    let cfg = entry::entry_cfg::EntryCfg::from_value(cfg).unwrap();
+    let second = entry::start(cfg).unwrap();
+    let revision = || setup::send(second.addr(), "GET", "/dump", &[], b"").json();
+    setup::eventually("revision 7 is taken", || revision()["config_revision"] == 7);
+    let ready = setup::send(second.addr(), "GET", "/ready", &[], b"");
+    assert_eq!(ready.status, 503, "the table shows a lower revision");
+}
