Register members and confirm the configuration by checked transactions

Cause: "accepted" was answered while entries still served by the old revision. Two reasons were seen with the tests in crates/cli/tests/config.rs: an entry that had just started was not yet in the leader's list, which is polled, and an entry took a lagging read of rev for a confirmation.

The new crate member keeps the list of members in one row, which registrations and removals change in the same transaction as the member's own row. A renewal checks the version of rev, and only that confirms a revision.

A follower of a claim that another entry holds now looks at the key again and gets 409 in_progress instead of 504.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -190,13 +190,12 @@
 
 /// Gives a request the result of the running one with the same key.
 ///
-/// That the other one was not run may also mean that an entry elsewhere holds the key, so the
-/// request looks at the key again instead of reporting "not run".
+/// Without an answer of the other one, another entry may hold the key, so the request looks at the
+/// key again and reports what it finds.
 fn of_running(settled: Option<Settled>) -> Result<Option<Reply>, Refusal> {
     match settled {
         Some(Settled::Completed(answer)) => Ok(Some(Reply::Replayed(answer))),
-        Some(Settled::NotRun) => Ok(None),
-        Some(Settled::Unknown) => Err(unknown()),
+        Some(Settled::NotRun | Settled::Unknown) => Ok(None),
         None => {
             let message = "the running request with this key had no result before the deadline";
             Err(Refusal::unknown(Code::OutcomeUnknown, message))
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -4,6 +4,7 @@
 
 use base::{clock, clock::Millis, name::Name, sorted::SortedMap};
 use derive_more::{Display, Error};
+use member::rows::{REV_KEY, RevRow};
 use schema::{
     config::{Config, TeamKey},
     organisation::{Organisation, Team},
@@ -15,10 +16,7 @@
     table::{Row, StoreError},
 };
 
-use crate::{
-    auth::Tokens,
-    rows::{REV_KEY, RevRow},
-};
+use crate::auth::Tokens;
 
 /// Rows read by one scan.
 const SCAN_ROWS: usize = 1_000;
@@ -110,21 +108,17 @@
         self.age().is_some_and(|age| age < lease)
     }
 
-    /// Reads the table's revision, puts a newer configuration in force and confirms it.
+    /// Reads the table's revision and puts a newer configuration in force.
     ///
-    /// Returns the revision found, which may be lower than the one in force when the read is
-    /// stale; nothing is confirmed then.
-    pub async fn refresh(&self, table: &Table) -> Result<u64, ReadError> {
-        let start = clock::now();
+    /// The read may be stale, so it confirms nothing. Returns the revision found with the version
+    /// of its row.
+    pub async fn refresh(&self, table: &Table) -> Result<(u64, u64), ReadError> {
         let (found, version) = revision(table).await?;
         if found > self.revision() {
             let config = read(table, found, version).await?;
             self.install(config);
         }
-        if found == self.revision() {
-            self.confirm(start);
-        }
-        Ok(found)
+        Ok((found, version))
     }
 }
 
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -212,7 +212,9 @@
         known_revision: 0,
     };
     match send(cx, &req).await? {
-        Reply::Current { revision, config } => {
+        Reply::Current {
+            revision, config, ..
+        } => {
             let config = config.unwrap_or_default();
             let config = &config;
             Ok(HttpResponse::Ok().json(&ConfigView { revision, config }))
--- a/crates/entry/src/entry_cfg.rs
+++ b/crates/entry/src/entry_cfg.rs
@@ -34,7 +34,7 @@
     pub schedulers: Vec<net::SocketAddr>,
     /// Operators who may change the configuration.
     pub operators: Vec<Operator>,
-    /// Time between two reads of the configuration revision.
+    /// Time between two reads of the configuration revision; each renews the member row, too.
     pub config_poll: Millis,
     /// Age of the last confirmation of the configuration from which this entry stops serving.
     pub config_lease: Millis,
@@ -44,8 +44,8 @@
     pub vm_max_age: Millis,
     /// Longest wait for one read from the platform.
     pub platform_timeout: Millis,
-    /// Time between two renewals of this entry's member row.
-    pub member_renewal: Millis,
+    /// Time between two reads of the list of members.
+    pub member_poll: Millis,
     /// Number of entries that share the connections of a backend server.
     pub expected_entries: u64,
     /// Longest wait for a connection to a backend server.
@@ -108,7 +108,7 @@
             vm_poll: f.millis("vm_poll_ms", Millis(500), 10..=60_000)?,
             vm_max_age: f.millis("vm_max_age_ms", Millis(1_500), 10..=60_000)?,
             platform_timeout: f.millis("platform_timeout_ms", Millis(1_000), 10..=60_000)?,
-            member_renewal: f.millis("member_renewal_ms", Millis(2_000), 10..=60_000)?,
+            member_poll: f.millis("member_poll_ms", Millis(2_000), 10..=60_000)?,
             expected_entries: f.number("expected_entries", 9, 1..=1_000)?,
             connect_timeout: f.millis("connect_timeout_ms", Millis(500), 10..=60_000)?,
             backend_idle: f.millis("backend_idle_ms", Millis(4_000), 1..=600_000)?,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod members;
 pub mod metrics;
 pub mod refusal;
-pub mod rows;
 pub mod schedulers;
 pub mod server;
 pub mod settle;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -1,55 +1,38 @@
 //! Members of the system: the row of this entry, the other members, and their vouching.
 
-use std::{
-    cell::{Cell, RefCell},
-    net,
-};
+use std::{cell::RefCell, net};
 
 use base::clock::Millis;
 use futures_util::future;
-use store::{
-    client::Table,
-    table::{StoreError, Txn},
+use member::{
+    own::Own,
+    rows::{MEMBERS_KEY, MemberList, MemberRole, MemberRow},
 };
+use store::{client::Table, table::StoreError};
 use wire::{
     client::Client,
     message::{Reply, Request},
 };
 
-use crate::{
-    rows::{MEMBER_PREFIX, MemberRole, MemberRow, member_key},
-    state::Entry,
-};
+use crate::state::Entry;
 
-/// Most members that are read.
-const MEMBERS: usize = 1_000;
 /// Longest wait for a member's answer.
 const VOUCH_TIMEOUT: Millis = Millis(500);
 
-/// Members as last read from the table.
+/// The membership of this entry, and all members as last read from the table.
 #[derive(Debug)]
 pub struct Members {
-    id: u64,
-    address: net::SocketAddr,
-    renewed: Cell<u64>,
+    /// Registration and renewal of this entry.
+    pub own: Own,
     last: RefCell<Vec<MemberRow>>,
 }
 
 impl Members {
     /// Starts with this entry, which serves members on `address`, as the only member.
     pub fn new(id: u64, address: net::SocketAddr) -> Self {
-        let me = MemberRow {
-            id,
-            address,
-            role: MemberRole::Entry,
-            renewed: 0,
-        };
-        Self {
-            id,
-            address,
-            renewed: Cell::new(0),
-            last: RefCell::new(vec![me]),
-        }
+        let own = Own::new(id, address, MemberRole::Entry);
+        let last = RefCell::new(vec![own.row()]);
+        Self { own, last }
     }
 
     /// Returns the ids of all entries.
@@ -64,40 +47,12 @@
         self.last.borrow().len()
     }
 
-    /// Writes this entry's row.
-    pub async fn renew(&self, table: &Table) -> Result<(), StoreError> {
-        self.renewed.set(self.renewed.get() + 1);
-        let row = MemberRow {
-            id: self.id,
-            address: self.address,
-            role: MemberRole::Entry,
-            renewed: self.renewed.get(),
-        };
-        let value = serde_json::to_string(&row).expect("a member row is valid JSON");
-        let txn = Txn::default().put(member_key(self.id), value);
-        table.commit(&txn).await.map(|_| ())
-    }
-
-    /// Deletes this entry's row.
-    pub async fn leave(&self, table: &Table) -> Result<(), StoreError> {
-        let txn = Txn::default().delete(member_key(self.id));
-        table.commit(&txn).await.map(|_| ())
-    }
-
-    /// Reads the rows of all members.
+    /// Reads the list of all members.
     pub async fn read(&self, table: &Table) -> Result<(), StoreError> {
-        let rows = table.scan(MEMBER_PREFIX, "", MEMBERS).await?;
-        let parsed = rows
-            .iter()
-            .filter_map(|row| serde_json::from_str::<MemberRow>(&row.value).ok());
-        let mut members: Vec<MemberRow> = parsed.filter(|m| m.id != self.id).collect();
-        members.push(MemberRow {
-            id: self.id,
-            address: self.address,
-            role: MemberRole::Entry,
-            renewed: self.renewed.get(),
-        });
-        *self.last.borrow_mut() = members;
+        let row = table.get(MEMBERS_KEY).await?;
+        let mut list = MemberList::read(row.as_ref()).without(&[self.own.id()]);
+        list.members.push(self.own.row());
+        *self.last.borrow_mut() = list.members;
         Ok(())
     }
 
@@ -114,7 +69,7 @@
         }
         let others: Vec<net::SocketAddr> = {
             let last = self.last.borrow();
-            let others = last.iter().filter(|m| m.id != self.id);
+            let others = last.iter().filter(|m| m.id != self.own.id());
             others.map(|m| m.address).collect()
         };
         let answers = future::join_all(others.iter().map(|a| ask(*a, known_revision))).await;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -297,7 +297,7 @@
     while cx.claims.unsettled() > 0 && clock::now() < end {
         time::sleep(DRAIN_PERIOD.to_duration()).await;
     }
-    let leaving = cx.members.leave(&cx.table);
+    let leaving = cx.members.own.leave(&cx.table);
     match time::timeout(FAREWELL.to_duration(), leaving).await {
         Ok(Ok(())) => {}
         Ok(Err(e)) => log::warn!("entry: the member row was not deleted: {e}"),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,6 +9,7 @@
 use base::{clock, clock::Millis, name::Name, sorted::SortedMap};
 use claim::{claim_cfg::ClaimCfg, claims::Claims, driver::Driver};
 use derive_more::Display;
+use member::own::Renewal;
 use ntex::http::HeaderMap;
 use route::limits_cfg::LimitsCfg;
 use schema::service::Service;
@@ -20,7 +21,7 @@
     auth::Identity,
     backend::Backends,
     claim_store::ClaimStore,
-    config::Current,
+    config::{self, Current},
     entry_cfg::EntryCfg,
     input::BodyMemory,
     lane::Lane,
@@ -31,6 +32,9 @@
     vm_watch::VmWatch,
 };
 
+/// Transactions that may come first before a confirmation is left to the next try.
+const CONFIRM_TRIES: usize = 3;
+
 /// Phase of an entry's life.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -213,26 +217,45 @@
         if self.config.is_confirmed(max_age) {
             return;
         }
-        let reading = self.config.refresh(&self.table);
-        let read = time::timeout(self.cfg.platform_timeout.to_duration(), reading).await;
+        let start = clock::now();
+        let confirming = self.read_and_confirm();
+        let read = time::timeout(self.cfg.platform_timeout.to_duration(), confirming).await;
         let problem = match read {
-            Ok(Ok(found)) if found < self.config.revision() => {
-                format!("the table shows the lower revision {found}")
-            }
-            Ok(Ok(_)) => {
+            Ok(Ok(Renewal::Confirmed)) => {
                 self.table_reached.set(true);
-                return;
+                return self.config.confirm(start);
             }
-            Ok(Err(ref e)) => e.to_string(),
+            Ok(Ok(Renewal::Renewed | Renewal::Again)) => {
+                return self.table_reached.set(true);
+            }
+            Ok(Err(e)) => e.to_string(),
             Err(_) => format!("no answer in {}", self.cfg.platform_timeout),
         };
         log::error!("config: alarm: the configuration was not confirmed: {problem}");
         self.metrics.alarm("config");
-        let is_unreachable = !matches!(read, Ok(Ok(_)));
-        self.table_reached.set(!is_unreachable);
-        if is_unreachable {
-            self.members.vouch(self, clock::now()).await;
+        self.table_reached.set(false);
+        self.members.vouch(self, clock::now()).await;
+    }
+
+    /// Reads the newest configuration and renews the member row, which confirms that the
+    /// configuration in force is the newest.
+    ///
+    /// It tries again at once while transactions of others come first.
+    async fn read_and_confirm(&self) -> Result<Renewal, config::ReadError> {
+        let mut renewal = Renewal::Again;
+        for _ in 0..CONFIRM_TRIES {
+            let (found, version) = self.config.refresh(&self.table).await?;
+            if found < self.config.revision() {
+                log::error!("config: alarm: the table shows the lower revision {found}");
+                self.metrics.alarm("config");
+            }
+            let rev = (found == self.config.revision()).then_some(version);
+            renewal = self.members.own.renew(&self.table, rev).await?;
+            if renewal == Renewal::Confirmed {
+                break;
+            }
         }
+        Ok(renewal)
     }
 
     /// Returns the levels that the metrics show.
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -19,7 +19,7 @@
     rt::spawn(poll_config(cx.clone()));
     rt::spawn(poll_leader(cx.clone()));
     rt::spawn(poll_vms(cx.clone()));
-    rt::spawn(renew(cx.clone()));
+    rt::spawn(read_members(cx.clone()));
     rt::spawn(pump(cx.clone()));
 }
 
@@ -45,7 +45,11 @@
             let force = cx.config.get();
             let revision = force.config.revision;
             let config = (revision > known_revision).then(|| force.config.clone());
-            Reply::Current { revision, config }
+            Reply::Current {
+                revision,
+                config,
+                listed: false,
+            }
         }
         _ => Reply::Failed {
             code: "not_a_scheduler".into(),
@@ -75,11 +79,17 @@
             Some(_) => cx.schedulers.call_leader(&req).await,
             None => cx.schedulers.call(&req, cx.cfg.config_poll).await.ok(),
         };
-        if let Some(Reply::Current { revision, config }) = reply {
+        if let Some(Reply::Current {
+            revision,
+            config,
+            listed,
+        }) = reply
+        {
             if let Some(config) = config {
                 cx.config.install(config);
             }
-            if revision == cx.config.revision() {
+            // The leader waits for the acknowledgement of those members only that it has listed.
+            if listed && revision == cx.config.revision() {
                 cx.config.confirm(start);
             }
         }
@@ -95,16 +105,13 @@
     }
 }
 
-async fn renew(cx: Rc<Entry>) {
+async fn read_members(cx: Rc<Entry>) {
     loop {
         let start = clock::now();
-        if let Err(e) = cx.members.renew(&cx.table).await {
-            log::warn!("entry: the member row was not renewed: {e}");
-        }
         if let Err(e) = cx.members.read(&cx.table).await {
-            log::warn!("entry: the member rows were not read: {e}");
+            log::warn!("entry: the list of members was not read: {e}");
         }
-        pause(start, cx.cfg.member_renewal).await;
+        pause(start, cx.cfg.member_poll).await;
     }
 }
 
--- a/crates/entry/tests/entry/decisions.rs
+++ b/crates/entry/tests/entry/decisions.rs
@@ -106,6 +106,7 @@
     let replies = vec![Reply::Current {
         revision: 4,
         config,
+        listed: false,
     }];
     let system = setup::system().replies(replies).start();
     let got = system.decide("GET", "/config", OPERATOR_TOKEN, &json!(null));
--- a/crates/entry/tests/entry/lease.rs
+++ b/crates/entry/tests/entry/lease.rs
@@ -1,6 +1,6 @@
 //! Serving lease of the configuration.
 
-use serde_json::json;
+use serde_json::{Value, json};
 use standin::faults::Faults;
 use wire::message::Reply;
 
@@ -13,13 +13,19 @@
     }
 }
 
-/// Writes the row of another member that answers `reply` to everything.
-fn add_member(system: &setup::System, id: u64, reply: Reply) -> Scheduler {
-    let member = Scheduler::start(vec![reply]);
-    let row = json!({ "id": id, "address": member.addr, "role": "entry", "renewed": 1 });
-    let key = format!("member/{id:016x}");
-    setup::put_rows(system.platform.addr(), &[(key, row)]);
-    member
+/// Lists other members, each of which answers everything with its reply.
+fn add_members(system: &setup::System, replies: &[Reply]) -> Vec<Scheduler> {
+    let members: Vec<Scheduler> = replies
+        .iter()
+        .map(|reply| Scheduler::start(vec![reply.clone()]))
+        .collect();
+    let numbered = (1..).zip(&members);
+    let rows: Vec<Value> = numbered
+        .map(|(i, m)| json!({ "id": i, "address": m.addr, "role": "entry" }))
+        .collect();
+    let list = json!({ "members": rows });
+    setup::put_rows(system.platform.addr(), &[("members".into(), list)]);
+    members
 }
 
 fn vouch(revision: u64, table_reached: bool) -> Reply {
@@ -31,11 +37,10 @@
 
 fn start(replies: &[Reply]) -> (setup::System, Vec<Scheduler>) {
     let system = setup::system()
-        .set("member_renewal_ms", json!(50))
+        .set("member_poll_ms", json!(50))
         .set("config_lease_ms", json!(500))
         .start();
-    let numbered = (1..).zip(replies.iter().cloned());
-    let members = numbered.map(|(i, r)| add_member(&system, i, r)).collect();
+    let members = add_members(&system, replies);
     let known = || system.dump()["members"] == json!(replies.len() + 1);
     setup::eventually("the members are known", known);
     (system, members)
--- /dev/null
+++ b/crates/member/src/rows.rs
@@ -0,0 +1,94 @@
+//! Rows of the membership and of the configuration revision.
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+use store::table::{Key, Row};
+
+/// Key of the list of all members.
+pub const MEMBERS_KEY: &str = "members";
+/// Prefix of the rows that members renew.
+pub const MEMBER_PREFIX: &str = "member/";
+/// Key of the configuration revision.
+pub const REV_KEY: &str = "rev";
+
+/// Content of `rev`.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct RevRow {
+    /// Revision of the configuration.
+    pub revision: u64,
+}
+
+/// A process of the system; also the content of `member/{id}`.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct MemberRow {
+    /// Random incarnation id of the process.
+    pub id: u64,
+    /// Address of its wire listener.
+    pub address: net::SocketAddr,
+    /// What the process does.
+    pub role: MemberRole,
+    /// Number of renewals, which makes each renewal change the row.
+    #[serde(default)]
+    pub renewed: u64,
+}
+
+/// What a member does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberRole {
+    /// It serves callers and operators.
+    Entry,
+    /// It competes for the lease.
+    Scheduler,
+}
+
+/// Content of `members`.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct MemberList {
+    /// All members, in the order of their registration.
+    pub members: Vec<MemberRow>,
+}
+
+impl MemberList {
+    /// Reads the list from its row; an absent or unreadable row counts as an empty list.
+    ///
+    /// ```
+    /// assert!(member::rows::MemberList::read(None).members.is_empty());
+    /// ```
+    pub fn read(row: Option<&Row>) -> Self {
+        row.and_then(|row| serde_json::from_str(&row.value).ok())
+            .unwrap_or_default()
+    }
+
+    /// Returns the list without the members with these ids.
+    ///
+    /// ```
+    /// let list = member::rows::MemberList::default();
+    /// assert_eq!(list.clone().without(&[1]), list);
+    /// ```
+    #[must_use]
+    pub fn without(mut self, ids: &[u64]) -> Self {
+        self.members.retain(|m| !ids.contains(&m.id));
+        self
+    }
+}
+
+/// Key of the row of a member.
+///
+/// ```
+/// assert_eq!(&*member::rows::member_key(255), "member/00000000000000ff");
+/// ```
+pub fn member_key(id: u64) -> Key {
+    format!("{MEMBER_PREFIX}{id:016x}").into()
+}
+
+/// Returns a row's content as JSON text.
+///
+/// ```
+/// assert_eq!(member::rows::to_json(&member::rows::RevRow { revision: 2 }), r#"{"revision":2}"#);
+/// ```
+pub fn to_json<T: Serialize>(row: &T) -> String {
+    // The rows of this module hold plain data, which always has a JSON form.
+    serde_json::to_string(row).unwrap_or_default()
+}
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -94,6 +94,11 @@
         self.acked.notify_waiters();
     }
 
+    fn is_listed(&self, member: u64) -> bool {
+        let inner = self.inner.borrow();
+        inner.members.iter().flatten().any(|m| m.id == member)
+    }
+
     fn ack(&self, member: u64, revision: u64) {
         let mut inner = self.inner.borrow_mut();
         let known = inner.acks.entry(member);
@@ -136,6 +141,7 @@
     Reply::Current {
         revision: config.revision,
         config: (config.revision > known).then_some(config),
+        listed: leader.config.is_listed(member),
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -104,6 +104,9 @@
         revision: u64,
         /// Newer configuration.
         config: Option<Config>,
+        /// Whether the sender is the leader and waits for the asker when it changes the
+        /// configuration.
+        listed: bool,
     },
     /// Answer to `Vouch`.
     Vouch {
