sched: probe before renewing an expired lease, check guarantees, pace recoveries without bursts

A holder whose answers are lost kept its beat fresh without acting, so nobody acted; it now looks first. A candidate does not count silence that it could not have seen through.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -9,7 +9,10 @@
     sorted::SortedMap,
 };
 use ntex::rt;
-use plan::event::Event;
+use plan::{
+    check,
+    event::{Event, WorkerInfo},
+};
 use schema::config::Config;
 use store::table::{StoreError, Txn};
 use tokio::sync::{Mutex, Notify, oneshot};
@@ -189,6 +192,7 @@
     }
     let old = leader.with(|s| s.config.clone()).unwrap_or_default();
     let next = next(&old, &change)?;
+    check_guarantees(leader, &old, &next)?;
     let txn = transaction(cx, leader, &old, &next, &change);
     match executor::settle(cx, leader, &txn).await {
         Ok(version) => {
@@ -219,6 +223,30 @@
         .map_err(|e| answer::failed("bad_record", e.to_string(), Effect::None))
 }
 
+/// Refuses guarantees that can't all hold together with any one worker lost.
+///
+/// Other changes pass also when the loss of workers has made the present guarantees impossible.
+fn check_guarantees(leader: &Leader, old: &Config, next: &Config) -> Result<(), Reply> {
+    let guarantees = |config: &Config| -> Vec<_> {
+        let all = config.organisations.values();
+        all.map(|o| (o.name.clone(), o.guarantees.clone()))
+            .filter(|(_, guarantees)| !guarantees.is_empty())
+            .collect()
+    };
+    if guarantees(old) == guarantees(next) {
+        return Ok(());
+    }
+    let workers: Option<Option<Vec<WorkerInfo>>> = leader.with(|s| {
+        let listed = s.contacts.values().filter(|c| c.listed);
+        listed.map(|c| c.link.info().cloned()).collect()
+    });
+    let Some(Some(workers)) = workers else {
+        return Err(answer::unavailable("some workers have not answered yet"));
+    };
+    check::check_config(next, &workers)
+        .map_err(|e| answer::failed("impossible_guarantee", e.to_string(), Effect::None))
+}
+
 fn transaction(cx: &Cx, leader: &Leader, old: &Config, next: &Config, change: &Change) -> Txn {
     let revision = next.revision;
     let audit = AuditRow {
--- a/crates/sched/src/executor.rs
+++ b/crates/sched/src/executor.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use base::clock;
+use base::clock::{self, Millis};
 use store::table::{Commit, Key, StoreError, Txn};
 
 use crate::{
@@ -15,13 +15,16 @@
 };
 
 /// Time between two looks at whether a suspended holder may act again.
-const SUSPENDED_POLL: base::clock::Millis = base::clock::Millis(20);
+const SUSPENDED_POLL: Millis = Millis(20);
 /// Most tries to find out by reads whether a transaction was applied.
 const SETTLE_TRIES: usize = 50;
 /// Longest random pause before the backlog of an outage is written, so that schedulers and
 /// entries do not all start at once.
 const RECOVERY_JITTER_MS: u64 = 500;
 
+/// Time without a backlog after which a recovery is over.
+const RECOVERY_REST: Millis = Millis(1_000);
+
 /// Why a transaction has no result.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Abandoned {
@@ -53,7 +56,7 @@
             leader.with(|s| s.committed(version, records));
             let orders = batch.settle(Settled::Committed);
             leader.with(|s| s.send(orders));
-            after_outage(leader, pace).await;
+            after_outage(leader).await;
         }
         Err(Abandoned::Lost { maybe }) => {
             batch.settle(if maybe {
@@ -70,30 +73,33 @@
 }
 
 async fn wait_for_pace(cx: &Cx, leader: &Leader, records: usize, pace: &mut Pace) {
-    let commit = &cx.cfg.commit;
-    let recovering = leader.with(|s| s.recovering).unwrap_or(false);
-    let per_s = if recovering {
-        commit.recovery_writes_per_s
+    let (commit, now) = (&cx.cfg.commit, clock::now());
+    let recovering = leader.with(|s| now < s.recover_until).unwrap_or(false);
+    let wait = if recovering {
+        // A delayed batch does not entitle the next ones to a burst.
+        pace.empty(now);
+        pace.wait(now, records, commit.recovery_writes_per_s)
     } else {
-        commit.writes_per_s
+        pace.wait(now, records, commit.writes_per_s)
     };
-    let wait = pace.wait(clock::now(), records, per_s);
-    if wait > clock::Millis::ZERO {
+    if wait > Millis::ZERO {
         ctx::sleep(wait).await;
     }
 }
 
 /// Ends the mark of an outage; the backlog is written at the pace of a recovery.
-async fn after_outage(leader: &Leader, pace: &mut Pace) {
+async fn after_outage(leader: &Leader) {
+    let now = clock::now();
     let ended = leader.with(|s| {
         let ended = std::mem::take(&mut s.stuck);
-        s.recovering = (s.recovering || ended) && !s.queue.is_empty();
+        if ended || (now < s.recover_until && !s.queue.is_empty()) {
+            s.recover_until = now + RECOVERY_REST;
+        }
         ended
     });
     if ended == Some(true) {
         log::info!("sched: the table takes transactions again");
-        pace.empty(clock::now());
-        ctx::sleep(clock::Millis(fastrand::u64(..RECOVERY_JITTER_MS))).await;
+        ctx::sleep(Millis(fastrand::u64(..RECOVERY_JITTER_MS))).await;
     }
 }
 
--- a/crates/sched/src/lease.rs
+++ b/crates/sched/src/lease.rs
@@ -103,6 +103,8 @@
     /// Version of the beat row and when it was first seen; `None` before the first look.
     seen: Option<(u64, Millis)>,
     lease: Option<LeaseSeen>,
+    /// Time of the last successful look.
+    looked: Millis,
     next: Millis,
 }
 
@@ -122,6 +124,8 @@
     /// Start of the last successful renewal.
     valid: Millis,
     next: Millis,
+    /// Whether a look has succeeded since the holder stopped acting.
+    probed: bool,
 }
 
 /// State machine of the lease of one scheduler.
@@ -246,12 +250,7 @@
             State::Watching(w) => (w.next, Step::Look),
             State::Taking(t) => (t.next, t.step()),
             State::Settling(t) => (t.next, Step::Look),
-            State::Holding(h) => (
-                h.next,
-                Step::Renew {
-                    lease: h.held.version,
-                },
-            ),
+            State::Holding(h) => (h.next, self.hold_step(now, h)),
             State::Releasing(h, _) => (
                 h.next,
                 Step::Release {
@@ -287,6 +286,17 @@
         };
     }
 
+    /// A holder that has stopped acting first looks whether it gets answers at all. Renewals whose
+    /// answers are lost would keep the others from taking over while nobody acts.
+    fn hold_step(&self, now: Millis, h: &Hold) -> Step {
+        if h.probed || now.since(h.valid) < self.cfg.hold_ms {
+            return Step::Renew {
+                lease: h.held.version,
+            };
+        }
+        Step::Look
+    }
+
     fn begin_release(&mut self, now: Millis) {
         self.state = match self.state {
             State::Watching(_) => State::Ended,
@@ -305,8 +315,12 @@
             return State::Watching(w);
         };
         w.lease = lease;
+        // While this candidate sees nothing, as in an outage of the table, the holder may be as
+        // blind; its silence does not count.
+        let blind = now.since(w.looked) > self.cfg.hold_ms;
+        w.looked = now;
         let since = match w.seen {
-            Some((seen, since)) if seen == beat => since,
+            Some((seen, since)) if seen == beat && !blind => since,
             _ => now,
         };
         w.seen = Some((beat, since));
@@ -374,10 +388,12 @@
             held: Held { fence, version },
             valid,
             next,
+            probed: false,
         })
     }
 
     fn renewed(&self, mut h: Hold, now: Millis, outcome: Outcome) -> State {
+        h.probed = false;
         match outcome {
             Outcome::Done { .. } => {
                 h.valid = self.started;
@@ -386,10 +402,18 @@
             }
             Outcome::Conflict { .. } => State::Watching(Watch::default()),
             // An unknown renewal does not count, so the holder stops acting early, never late.
-            Outcome::NotDone | Outcome::Unknown | Outcome::Rows { .. } => {
+            Outcome::NotDone | Outcome::Unknown => {
                 h.next = now + self.retry();
                 State::Holding(h)
             }
+            Outcome::Rows { lease, .. } if is_newer(lease, h.held) => {
+                State::Watching(Watch::default())
+            }
+            Outcome::Rows { .. } => {
+                h.probed = true;
+                h.next = now;
+                State::Holding(h)
+            }
         }
     }
 
@@ -409,6 +433,11 @@
     }
 }
 
+/// Returns whether the row shows a takeover after `held`; an older row is a stale read.
+fn is_newer(lease: Option<LeaseSeen>, held: Held) -> bool {
+    lease.is_some_and(|l| l.version > held.version)
+}
+
 impl Take {
     fn step(&self) -> Step {
         Step::Take {
--- a/crates/sched/src/link.rs
+++ b/crates/sched/src/link.rs
@@ -131,6 +131,11 @@
         self.info.is_none() || self.is_suspected()
     }
 
+    /// Returns the description of the worker once it has given it.
+    pub fn info(&self) -> Option<&WorkerInfo> {
+        self.info.as_ref()
+    }
+
     /// Returns the number of attempts with a member here.
     pub fn assigned(&self) -> usize {
         self.assigned.len()
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -46,8 +46,8 @@
     pub(crate) config: Config,
     /// Whether a transaction has been open for longer than usual.
     pub(crate) stuck: bool,
-    /// Whether the backlog of an outage is being written.
-    pub(crate) recovering: bool,
+    /// Time until which the backlog of an outage is taken to be written.
+    pub(crate) recover_until: Millis,
     workers_cfg: WorkersCfg,
 }
 
@@ -60,7 +60,7 @@
             contacts: SortedMap::default(),
             config: Config::default(),
             stuck: false,
-            recovering: false,
+            recover_until: Millis::ZERO,
             workers_cfg,
         }
     }
--- a/crates/sched/src/workers.rs
+++ b/crates/sched/src/workers.rs
@@ -21,7 +21,7 @@
 };
 
 /// Longest pause between two looks at a worker that does not answer.
-const IDLE: Millis = Millis(250);
+const IDLE: Millis = Millis(500);
 
 /// Reads the VM list until the leadership ends.
 pub(crate) async fn run(cx: &Cx, leader: &Rc<Leader>) {
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -221,6 +221,25 @@
     assert_eq!(site.platform.rows("audit/").len(), 1);
 }
 
+/// Guards against guarantees that are accepted although they can't hold when a worker is lost.
+#[ntex::test]
+async fn impossible_guarantees_are_refused() {
+    let (site, client) = site(1).await;
+    let shape = "shape: {members: 1, accelerators: 8, cores: 1, memory_mb: 1}";
+    let record = format!(
+        "{{schema: 2, kind: 'organisation', spec: {{name: 'org', guarantees: [{{gangs: 1, {shape}}}]}}}}"
+    );
+    let reply = client.call(&apply(2, None, &[record])).await.unwrap();
+    let Reply::Failed { code, done, .. } = reply else {
+        panic!("{reply:?}")
+    };
+    assert_eq!(
+        (code.as_str(), done),
+        ("impossible_guarantee", Effect::None)
+    );
+    assert_eq!(site.platform.rows("audit/").len(), 1);
+}
+
 /// Guards against members that stay in the list after their end.
 #[ntex::test]
 async fn rows_that_are_not_renewed_are_removed() {
--- a/crates/sched/tests/lease.rs
+++ b/crates/sched/tests/lease.rs
@@ -269,3 +269,29 @@
     run_for(&mut model, &[0], 1_000);
     assert_eq!(model.nodes[0].lease.acting(model.now).unwrap().fence, 1);
 }
+
+/// Guards against a holder that gets no answers, does not act and keeps the others from acting.
+#[test]
+fn a_holder_without_answers_is_replaced() {
+    let mut model = Model::new(2);
+    run_for(&mut model, &[0], 1_000);
+    assert!(model.nodes[0].lease.acting(model.now).is_some());
+    for _ in 0..300 {
+        model.start(0);
+        model.apply(0);
+        model.lose(0);
+        run_for(&mut model, &[1], 50);
+    }
+    assert!(model.nodes[1].lease.acting(model.now).is_some());
+}
+
+/// Guards against a takeover from a healthy holder at the end of an outage of the table.
+#[test]
+fn an_outage_does_not_move_the_lease() {
+    let mut model = Model::new(2);
+    run_for(&mut model, &[0, 1], 3_000);
+    model.now += Millis(20_000);
+    run_for(&mut model, &[1], 200);
+    run_for(&mut model, &[0, 1], 10_000);
+    assert_eq!(model.nodes[0].lease.acting(model.now).unwrap().fence, 1);
+}
--- a/crates/sched/tests/outage.rs
+++ b/crates/sched/tests/outage.rs
@@ -61,27 +61,84 @@
     history::check(&site, &[]);
 }
 
-/// Guards against a gang that runs in part for as long as the table is down.
+/// Guards against a submission that waits although the table takes no writes.
 #[ntex::test]
-async fn a_gang_with_a_lost_member_stops_during_an_outage() {
-    let site = site(3);
+async fn submissions_are_refused_while_a_transaction_is_open() {
+    let mut site = Site::new(1, 0);
+    site.add_sched(|cfg| cfg.commit.stuck_ms = Millis(300));
     let client = site.configure().await;
-    submit(&client, job("a", 3, 8)).await;
-    site.wait_for_running("a", 3).await;
+    site.platform.set_faults(down());
+    let first = Request::Submit {
+        job: job("a", 1, 1),
+    };
+    let second = async {
+        site::pause(1_000).await;
+        let start = clock::now();
+        let request = Request::Submit {
+            job: job("b", 1, 1),
+        };
+        (
+            client.call(&request).await.unwrap(),
+            clock::now().since(start),
+        )
+    };
+    let (first, (second, took)) = tokio::join!(client.call(&first), second);
+    assert!(
+        matches!(
+            first,
+            Ok(Reply::Failed {
+                done: Effect::Maybe,
+                ..
+            })
+        ),
+        "{first:?}"
+    );
+    assert!(
+        matches!(
+            second,
+            Reply::Failed {
+                done: Effect::None,
+                ..
+            }
+        ),
+        "{second:?}"
+    );
+    assert!(took < Millis(500), "refused after {took}");
+}
+
+/// Guards against gangs that run in part for as long as the table is down. The second gang loses
+/// its member when a transaction is open already.
+#[ntex::test]
+async fn gangs_with_a_lost_member_stop_during_an_outage() {
+    let site = site(6);
+    let client = site.configure().await;
+    for name in ["a", "b"] {
+        submit(&client, job(name, 3, 8)).await;
+        site.wait_for_running(name, 3).await;
+    }
     site.platform.set_faults(down());
     site::pause(1_500).await;
     let silent = Behaviour {
         silent: true,
         ..Behaviour::default()
     };
-    site.workers.worker(2).set_behaviour(silent);
-    let start = clock::now();
-    site.wait_for_running("a", 0).await;
-    let took = clock::now().since(start);
-    assert!(took < history::PART_LIMIT, "the gang stopped after {took}");
+    for name in ["a", "b"] {
+        let worker = &site.record(name).unwrap().members[0].worker;
+        let index = (0..6).find(|i| site::worker_cfg(*i).info.name == *worker);
+        site.workers
+            .worker(index.unwrap())
+            .set_behaviour(silent.clone());
+        let start = clock::now();
+        site.wait_for_running(name, 0).await;
+        let took = clock::now().since(start);
+        assert!(took < history::PART_LIMIT, "{name} stopped after {took}");
+    }
     site.platform.set_faults(Faults::default());
-    site.workers.worker(2).set_behaviour(Behaviour::default());
+    for worker in site.workers.workers() {
+        worker.set_behaviour(Behaviour::default());
+    }
     site.wait_for_running("a", 3).await;
+    site.wait_for_running("b", 3).await;
     history::check(&site, &[]);
 }
 
@@ -139,7 +196,7 @@
     assert!(most <= 210, "{most} rows in a second");
 }
 
-/// Guards against a slow table that makes a gang start in part or twice.
+/// Guards against a slow table that makes a gang start in part, or before its record says so.
 #[ntex::test]
 async fn a_slow_table_only_slows() {
     let site = site(4);
@@ -151,6 +208,16 @@
     for i in 0..4 {
         submit(&client, job(&format!("job-{i}"), 2, 4)).await;
     }
+    site::eventually("the first gang runs", async || {
+        let started = site.running("job-0");
+        let phase = site.record("job-0").unwrap().phase;
+        assert!(
+            started == 0 || phase == Phase::Running,
+            "runs while {phase}"
+        );
+        (started == 2).then_some(())
+    })
+    .await;
     for i in 0..4 {
         site.wait_for_running(&format!("job-{i}"), 2).await;
     }
