sched: count schedulers as members, and abstain from vouching without a known revision

An entry that can't reach the table asks all members, entries and schedulers alike, while a change was accepted with a majority of the entries only. With 7 entries and 7 schedulers, 9 of 14 members could know nothing of an accepted revision and vouch for the older one. The majority is now one of all members, standby schedulers acknowledge pushes and read rev, and a process that has just started abstains.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -64,15 +64,15 @@
     changes: SortedMap<u64, u64>,
     /// Time of the last commit, or of the takeover.
     committed: Millis,
-    /// Entries by incarnation id; `None` before the first reading.
-    members: Option<Vec<Entry>>,
+    /// All other members, entries and schedulers; `None` before the first reading.
+    members: Option<Vec<Member>>,
     /// Revision that each member has in force.
     acks: SortedMap<u64, u64>,
 }
 
-/// An entry process.
+/// Another member.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Entry {
+pub(crate) struct Member {
     pub(crate) id: u64,
     pub(crate) address: net::SocketAddr,
 }
@@ -86,8 +86,8 @@
         inner.changes = audits.iter().map(|a| (a.change, a.revision)).collect();
     }
 
-    /// Takes the entries that have a membership row.
-    pub(crate) fn set_members(&self, members: Vec<Entry>) {
+    /// Takes the other members that have a membership row.
+    pub(crate) fn set_members(&self, members: Vec<Member>) {
         let mut inner = self.inner.borrow_mut();
         inner
             .acks
@@ -111,14 +111,16 @@
         let Some(members) = &inner.members else {
             return Verdict::Wait { until: now + lease };
         };
-        let acked = |m: &Entry| inner.acks.get(&m.id).is_some_and(|r| *r >= revision);
-        let acked: Vec<bool> = members.iter().map(acked).collect();
+        let acked = |m: &Member| inner.acks.get(&m.id).is_some_and(|r| *r >= revision);
+        // A cut-off entry asks entries and schedulers alike, so the majority is one of all members.
+        let mut acked: Vec<bool> = members.iter().map(acked).collect();
+        acked.push(true);
         accept::verdict(now, inner.committed, lease, &acked)
     }
 
-    fn missing(&self, revision: u64) -> Vec<Entry> {
+    fn missing(&self, revision: u64) -> Vec<Member> {
         let inner = self.inner.borrow();
-        let behind = |m: &&Entry| inner.acks.get(&m.id).is_none_or(|r| *r < revision);
+        let behind = |m: &&Member| inner.acks.get(&m.id).is_none_or(|r| *r < revision);
         let members = inner.members.iter().flatten();
         members.filter(behind).copied().collect()
     }
@@ -275,29 +277,29 @@
         inner.committed = clock::now();
         inner.changes.insert(change, revision);
     }
-    cx.revision.set(cx.revision.get().max(revision));
+    cx.note_revision(revision);
     leader.with(|s| s.config = config.clone());
     leader.event(cx, Event::Configured { config });
     log::info!("config: revision {revision} is committed");
-    for entry in leader.config.missing(revision) {
+    for member in leader.config.missing(revision) {
         let (cx, leader) = (cx.clone(), leader.clone());
-        rt::spawn(async move { push(&cx, &leader, entry, revision).await }).detach();
+        rt::spawn(async move { push(&cx, &leader, member, revision).await }).detach();
     }
 }
 
 /// Tells a member about a revision until it has it in force.
-async fn push(cx: &Cx, leader: &Leader, entry: Entry, revision: u64) {
-    let client = Client::new(entry.address).with_timeout(PUSH_TIMEOUT);
+async fn push(cx: &Cx, leader: &Leader, member: Member, revision: u64) {
+    let client = Client::new(member.address).with_timeout(PUSH_TIMEOUT);
     let request = Request::Current {
         member: cx.id,
         known_revision: revision,
     };
-    while leader.is_alive() && cx.revision.get() == revision {
-        if !leader.config.missing(revision).contains(&entry) {
+    while leader.is_alive() && cx.revision.get() == Some(revision) {
+        if !leader.config.missing(revision).contains(&member) {
             return;
         }
         if let Ok(Reply::Current { revision: has, .. }) = client.call(&request).await {
-            leader.config.ack(entry.id, has);
+            leader.config.ack(member.id, has);
         }
         ctx::sleep(cx.cfg.config.push_ms).await;
     }
--- a/crates/sched/src/ctx.rs
+++ b/crates/sched/src/ctx.rs
@@ -44,8 +44,8 @@
     pub(crate) lease_changed: Notify,
     /// When the table last answered.
     pub(crate) table_seen: Cell<Millis>,
-    /// Highest revision that this process has seen.
-    pub(crate) revision: Cell<u64>,
+    /// Highest revision that this process knows of; `None` before it has learnt any.
+    pub(crate) revision: Cell<Option<u64>>,
     /// Wall clock minus the clock since boot at the start of the process.
     wall_offset: Millis,
 }
@@ -73,7 +73,7 @@
             stopping: Cell::new(false),
             lease_changed: Notify::new(),
             table_seen: Cell::new(Millis::ZERO),
-            revision: Cell::new(0),
+            revision: Cell::new(None),
             wall_offset: clock::wall().since(clock::now()),
             cfg,
         })
@@ -84,6 +84,11 @@
         self.wall_offset + clock::now()
     }
 
+    /// Notes a revision; the known one never goes down.
+    pub(crate) fn note_revision(&self, revision: u64) {
+        self.revision.set(self.revision.get().max(Some(revision)));
+    }
+
     pub(crate) fn lease_key(&self) -> Key {
         format!("lease/{}", self.cfg.shard).into()
     }
--- a/crates/sched/src/http.rs
+++ b/crates/sched/src/http.rs
@@ -95,7 +95,7 @@
     let mut dump = Dump {
         id: cx.id,
         shard: cx.cfg.shard.to_string(),
-        revision: cx.revision.get(),
+        revision: cx.revision.get().unwrap_or_default(),
         ..Dump::default()
     };
     let Some(leader) = cx.leader.borrow().clone() else {
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -9,12 +9,12 @@
 use store::table::{Key, Row, Txn};
 
 use crate::{
-    config::Entry,
+    config::Member,
     ctx::{self, Cx},
     leader::Leader,
     lease_task::to_json,
     restore,
-    rows::{self, MemberRole, MemberRow},
+    rows::{self, MemberRole, MemberRow, RevRow},
 };
 
 /// Renews the own row; it never returns.
@@ -32,10 +32,24 @@
         if let Err(e) = cx.table.commit(&txn).await {
             log::debug!("sched: the membership row is not renewed: {e}");
         }
+        learn_revision(&cx).await;
         ctx::sleep(cx.cfg.members.renew_ms).await;
     }
 }
 
+/// Reads the revision, which a standby needs in order to vouch for it.
+async fn learn_revision(cx: &Cx) {
+    let Ok(row) = cx.table.get("rev").await else {
+        return;
+    };
+    cx.table_seen.set(clock::now());
+    let rev = row.map_or(Ok(RevRow::default()), |r| serde_json::from_str(&r.value));
+    match rev {
+        Ok(rev) => cx.note_revision(rev.revision),
+        Err(e) => log::error!("config: the row rev is not readable: {e}"),
+    }
+}
+
 /// Removes the own row at a planned stop.
 pub(crate) async fn remove_own(cx: &Cx) {
     let txn = Txn::default().delete(rows::member_key(cx.id));
@@ -66,7 +80,7 @@
 async fn take(cx: &Cx, leader: &Leader, seen: &mut SortedMap<Key, Seen>, rows: &[Row]) {
     let now = clock::now();
     seen.retain(|key, _| rows.iter().any(|r| r.key == *key));
-    let mut entries = Vec::new();
+    let mut members = Vec::new();
     for row in rows {
         let known = seen.get(&row.key).filter(|s| s.version == row.version);
         let since = known.map_or(now, |s| s.since);
@@ -75,15 +89,15 @@
         if now.since(since) >= cx.cfg.members.remove_ms {
             remove(cx, leader, row).await;
         } else {
-            entries.extend(entry(row));
+            members.extend(member(row).filter(|m| m.id != cx.id));
         }
     }
-    leader.config.set_members(entries);
+    leader.config.set_members(members);
 }
 
-fn entry(row: &Row) -> Option<Entry> {
+fn member(row: &Row) -> Option<Member> {
     let member: MemberRow = serde_json::from_str(&row.value).ok()?;
-    (member.role == MemberRole::Entry).then_some(Entry {
+    Some(Member {
         id: member.id,
         address: member.address,
     })
--- a/crates/sched/src/restore.rs
+++ b/crates/sched/src/restore.rs
@@ -49,7 +49,7 @@
     let audits = config::read_audits(cx, config.revision).await?;
     let jobs = read_jobs(cx).await?;
     let mut state = State::new(cx.cfg.workers);
-    cx.revision.set(cx.revision.get().max(config.revision));
+    cx.note_revision(config.revision);
     leader.config.restore(rev, audits);
     state.restore(config, jobs, cx.plan_now());
     leader.state.replace(Some(state));
--- a/crates/sched/src/server.rs
+++ b/crates/sched/src/server.rs
@@ -27,20 +27,43 @@
         }
         _ => {}
     }
-    match cx.acting() {
-        Some(leader) => lead(&cx, &leader, req).await,
-        None => not_leader(&cx),
+    match (cx.acting(), req) {
+        (Some(leader), req) => lead(&cx, &leader, req).await,
+        (
+            None,
+            Request::Current {
+                member,
+                known_revision,
+            },
+        ) => pushed(&cx, member, known_revision),
+        (None, _) => not_leader(&cx),
     }
 }
 
 fn vouch(cx: &Cx) -> Reply {
+    // A process that has just started would vouch for what its predecessor at this address knew.
+    let Some(revision) = cx.revision.get() else {
+        return answer::failed("no_revision", "no revision is known yet", Effect::None);
+    };
     let age = clock::now().since(cx.table_seen.get());
     Reply::Vouch {
-        revision: cx.revision.get(),
+        revision,
         table_reached: age < TABLE_REACHED,
     }
 }
 
+/// Acknowledges a revision that the leader pushes; others are told to ask the leader.
+fn pushed(cx: &Cx, member: u64, revision: u64) -> Reply {
+    if cx.lease.borrow().holder() != Some(member) {
+        return not_leader(cx);
+    }
+    cx.note_revision(revision);
+    Reply::Current {
+        revision: cx.revision.get().unwrap_or_default(),
+        config: None,
+    }
+}
+
 fn not_leader(cx: &Cx) -> Reply {
     if cx.lease.borrow().held().is_some() {
         return answer::unavailable("the state is being rebuilt, or the table does not answer");
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -139,6 +139,31 @@
     assert_eq!((code.as_str(), done), ("outcome_unknown", Effect::Maybe));
 }
 
+/// Guards against a cut-off entry that finds a majority which does not know a newer revision: the
+/// schedulers that stand by count as members and know it, and one without knowledge abstains.
+#[ntex::test]
+async fn schedulers_that_stand_by_know_the_revision() {
+    let (mut site, client) = site(3).await;
+    read_members(&site).await;
+    let reply = client.call(&apply(2, None, &placement(30))).await.unwrap();
+    assert_eq!(reply, Reply::Applied { revision: 2 });
+    site.platform.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    site.add_sched(|_| {});
+    let mut known = Vec::new();
+    for sched in &site.scheds {
+        let request = Request::Vouch { known_revision: 1 };
+        match Client::new(sched.addr()).call(&request).await.unwrap() {
+            Reply::Vouch { revision, .. } => known.push(revision),
+            Reply::Failed { code, .. } => assert_eq!(code, "no_revision"),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(known, [2, 2, 2]);
+}
+
 /// Guards against two operators of whom one overwrites the other without notice.
 #[ntex::test]
 async fn one_of_two_racing_operators_is_told() {
@@ -156,7 +181,8 @@
 /// one that reverts a later change.
 #[ntex::test]
 async fn a_repeated_change_gets_the_same_answer() {
-    let (mut site, client) = site(2).await;
+    // Two of three members are a majority until the row of the killed one is removed.
+    let (mut site, client) = site(3).await;
     let first = apply(2, None, &placement(30));
     let same = apply(4, None, &placement(40));
     for request in [
--- a/crates/sched/tests/outage.rs
+++ b/crates/sched/tests/outage.rs
@@ -208,9 +208,9 @@
     for i in 0..4 {
         submit(&client, job(&format!("job-{i}"), 2, 4)).await;
     }
-    site::eventually("the first gang runs", async || {
-        let started = site.running("job-0");
-        let phase = site.record("job-0").unwrap().phase;
+    site::eventually("the last gang runs", async || {
+        let started = site.running("job-3");
+        let phase = site.record("job-3").unwrap().phase;
         assert!(
             started == 0 || phase == Phase::Running,
             "runs while {phase}"
--- a/crates/sched/tests/site/mod.rs
+++ b/crates/sched/tests/site/mod.rs
@@ -210,6 +210,13 @@
     }
 }
 
+pub fn status(job: &str) -> Request {
+    Request::JobStatus {
+        organisation: name("org"),
+        job: name(job),
+    }
+}
+
 /// Polls until `f` returns something.
 pub async fn eventually<T, F: Future<Output = Option<T>>>(what: &str, f: impl Fn() -> F) -> T {
     let start = clock::now();
--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -39,6 +39,8 @@
     let client = site.client().await;
     submit(&client, job("b", 2, 8)).await;
     site.wait_for_running("b", 2).await;
+    // A stop of the other gang would reach the workers within two renewals.
+    site::pause(2_000).await;
     assert_eq!(
         (site.running("a"), site.record("a").unwrap().attempt),
         (2, 1)
@@ -47,6 +49,24 @@
     history::check(&site, &[]);
 }
 
+/// Guards against a new holder that starts from stale rows and so forgets accepted jobs.
+#[ntex::test]
+async fn stale_reads_do_not_hide_jobs() {
+    let (mut site, client) = site(2, 2).await;
+    site.platform.set_faults(Faults {
+        read_lag_ms: clock::Millis(3_000),
+        ..Faults::default()
+    });
+    let leader = site.leader().await;
+    submit(&client, job("a", 2, 8)).await;
+    site.scheds[leader].kill();
+    let client = site.client().await;
+    let reply = client.call(&site::status("a")).await;
+    assert!(matches!(reply, Ok(Reply::Job { .. })), "{reply:?}");
+    site.wait_for_running("a", 2).await;
+    history::check(&site, &[]);
+}
+
 /// Guards against a gang that stays in part when its scheduler dies between hold and go.
 #[ntex::test]
 async fn gangs_start_whole_when_the_scheduler_dies_on_the_way() {
