--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -66,6 +66,8 @@
     committed: Millis,
     /// All other members, entries and schedulers; `None` before the first reading.
     members: Option<Vec<Member>>,
+    /// Members to which a push is under way.
+    pushing: Vec<u64>,
     /// Revision that each member has in force.
     acks: SortedMap<u64, u64>,
 }
@@ -281,23 +283,39 @@
     leader.with(|s| s.config = config.clone());
     leader.event(cx, Event::Configured { config });
     log::info!("config: revision {revision} is committed");
+    push_missing(cx, leader);
+}
+
+/// Tells all members that have not acknowledged the revision in force about it.
+pub(crate) fn push_missing(cx: &Cx, leader: &Rc<Leader>) {
+    let revision = leader.with(|s| s.config.revision).unwrap_or_default();
     for member in leader.config.missing(revision) {
+        if leader.config.inner.borrow().pushing.contains(&member.id) {
+            continue;
+        }
+        leader.config.inner.borrow_mut().pushing.push(member.id);
         let (cx, leader) = (cx.clone(), leader.clone());
-        rt::spawn(async move { push(&cx, &leader, member, revision).await }).detach();
+        rt::spawn(async move {
+            push(&cx, &leader, member).await;
+            let mut inner = leader.config.inner.borrow_mut();
+            inner.pushing.retain(|id| *id != member.id);
+        })
+        .detach();
     }
 }
 
-/// Tells a member about a revision until it has it in force.
-async fn push(cx: &Cx, leader: &Leader, member: Member, revision: u64) {
+/// Tells a member about the revision in force until it has it or is gone.
+async fn push(cx: &Cx, leader: &Leader, member: Member) {
     let client = Client::new(member.address).with_timeout(PUSH_TIMEOUT);
-    let request = Request::Current {
-        member: cx.id,
-        known_revision: revision,
-    };
-    while leader.is_alive() && cx.revision.get() == Some(revision) {
+    while leader.is_alive() {
+        let revision = leader.with(|s| s.config.revision).unwrap_or_default();
         if !leader.config.missing(revision).contains(&member) {
             return;
         }
+        let request = Request::Current {
+            member: cx.id,
+            known_revision: revision,
+        };
         if let Ok(Reply::Current { revision: has, .. }) = client.call(&request).await {
             leader.config.ack(member.id, has);
         }
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -9,7 +9,7 @@
 use store::table::{Key, Row, Txn};
 
 use crate::{
-    config::Member,
+    config::{self, Member},
     ctx::{self, Cx},
     leader::Leader,
     lease_task::to_json,
@@ -77,7 +77,7 @@
     }
 }
 
-async fn take(cx: &Cx, leader: &Leader, seen: &mut SortedMap<Key, Seen>, rows: &[Row]) {
+async fn take(cx: &Cx, leader: &Rc<Leader>, seen: &mut SortedMap<Key, Seen>, rows: &[Row]) {
     let now = clock::now();
     seen.retain(|key, _| rows.iter().any(|r| r.key == *key));
     let mut members = Vec::new();
@@ -93,6 +93,7 @@
         }
     }
     leader.config.set_members(members);
+    config::push_missing(cx, leader);
 }
 
 fn member(row: &Row) -> Option<Member> {
