--- a/crates/sched/src/cfg.rs
+++ b/crates/sched/src/cfg.rs
@@ -29,6 +29,8 @@
     pub lease: LeaseCfg,
     /// Settings of commits of decisions.
     pub commit: CommitCfg,
+    /// Settings of job records.
+    pub jobs: JobsCfg,
     /// Settings of the contact to workers.
     pub workers: WorkersCfg,
     /// Settings of configuration changes.
@@ -67,6 +69,15 @@
     pub retry_ms: Millis,
 }
 
+/// Settings of job records.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct JobsCfg {
+    /// Time for which the record of an ended job is kept.
+    pub keep_ms: Millis,
+    /// Most records removed in one second.
+    pub removals_per_s: usize,
+}
+
 /// Settings of the contact to workers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct WorkersCfg {
@@ -117,6 +128,7 @@
             shard: "main".parse().expect("a constant name"),
             lease: LeaseCfg::default(),
             commit: CommitCfg::default(),
+            jobs: JobsCfg::default(),
             workers: WorkersCfg::default(),
             config: ConfigCfg::default(),
             members: MembersCfg::default(),
@@ -148,6 +160,15 @@
     }
 }
 
+impl Default for JobsCfg {
+    fn default() -> Self {
+        Self {
+            keep_ms: Millis::from_secs(7 * 24 * 3_600),
+            removals_per_s: 20,
+        }
+    }
+}
+
 impl Default for WorkersCfg {
     fn default() -> Self {
         Self {
--- a/crates/sched/src/executor.rs
+++ b/crates/sched/src/executor.rs
@@ -203,6 +203,9 @@
     {
         return Ok(Some(row.version));
     }
+    if row.is_none() && write.value.is_none() {
+        return Ok(Some(0));
+    }
     let version = row.map_or(0, |r| r.version);
     let confirm = Txn::default().check(write.key.clone(), version);
     match cx.table.commit(&confirm).await? {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -17,7 +17,7 @@
     lease::Held,
     members,
     queue::Settled,
-    restore,
+    restore, retention,
     state::State,
     workers,
 };
@@ -130,6 +130,7 @@
         executor::run(&cx, &leader),
         workers::run(&cx, &leader),
         members::run_leader(&cx, &leader),
+        retention::run(&cx, &leader),
         tick(&cx, &leader),
     );
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod queue;
 pub mod records;
 mod restore;
+mod retention;
 pub mod rows;
 mod server;
 mod state;
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -156,6 +156,22 @@
         }
     }
 
+    /// Returns up to `limit` final records that ended at least `keep` ago and are settled.
+    pub(crate) fn outdated(&self, now: Millis, keep: Millis, limit: usize) -> Vec<(JobKey, u64)> {
+        let old = |s: &&Stored| s.record.phase.is_final() && now.since(s.record.ended_at) >= keep;
+        let stored = self.committed.values().filter(old);
+        let keys = stored.map(|s| (s.record.key(), s.version));
+        keys.take(limit).collect()
+    }
+
+    /// Forgets jobs whose rows are removed.
+    pub(crate) fn forget(&mut self, jobs: &[(JobKey, u64)]) {
+        for (job, _) in jobs {
+            self.committed.remove(job);
+            self.plan.forget(job);
+        }
+    }
+
     /// Returns whether a start of the job may still reach one of its workers.
     pub(crate) fn may_start(&self, job: &JobKey) -> bool {
         self.contacts.values().any(|c| c.link.may_start(job))
--- a/crates/sched/tests/path.rs
+++ b/crates/sched/tests/path.rs
@@ -2,8 +2,10 @@
 
 mod site;
 
+use base::clock::{self, Millis};
 use schema::job::Phase;
-use site::{Site, cancel, job, submit};
+use site::{Site, cancel, history, job, submit};
+use store::vm::VmState;
 use wire::message::{Effect, Reply, Request};
 
 /// Guards against a gang that starts in part, and against an end that is not noticed.
@@ -54,6 +56,82 @@
     assert!(site.platform.rows("job/").is_empty());
 }
 
+/// Guards against a job that starts after its cancellation was answered, and against accelerators
+/// that are used twice when many gangs come and go.
+#[ntex::test]
+async fn a_burst_with_cancellations_keeps_its_promises() {
+    let site = Site::new(8, 1);
+    let client = site.configure().await;
+    let names: Vec<String> = (0..200).map(|i| format!("job-{i}")).collect();
+    let calls = names.iter().enumerate().map(|(i, name)| {
+        let client = client.clone();
+        async move {
+            submit(&client, job(name, 1 + i as u16 % 3, 1 + i as u16 % 4)).await;
+            if i % 2 == 0 {
+                let reply = client.call(&cancel(name)).await;
+                assert!(matches!(reply, Ok(Reply::Job { .. })), "{reply:?}");
+            }
+            clock::now()
+        }
+    });
+    let answered = futures_util::future::join_all(calls).await;
+    let cancelled = names.iter().zip(&answered).step_by(2);
+    let cancelled: Vec<_> = cancelled.map(|(name, at)| (name.as_str(), *at)).collect();
+    for (name, _) in &cancelled {
+        site.wait_for_phase(name, Phase::Cancelled).await;
+    }
+    site.wait_for_running("job-1", 2).await;
+    history::check(&site, &cancelled);
+}
+
+/// Guards against work that is left on a worker which is about to go.
+#[ntex::test]
+async fn gangs_move_off_a_leaving_worker() {
+    let site = Site::new(3, 1);
+    let client = site.configure().await;
+    submit(&client, job("a", 1, 8)).await;
+    site.wait_for_running("a", 1).await;
+    let worker = site.record("a").unwrap().members[0].worker.clone();
+    let mut vms = site.vms();
+    for vm in &mut vms {
+        if vm.name == worker {
+            vm.state = VmState::Leaving;
+        }
+    }
+    site.platform.set_vms(vms);
+    site::eventually("the job runs elsewhere", async || {
+        let record = site.record("a").unwrap();
+        let elsewhere = record.members.first().is_some_and(|m| m.worker != worker);
+        (elsewhere && record.phase == Phase::Running).then_some(())
+    })
+    .await;
+    site.wait_for_running("a", 1).await;
+    history::check(&site, &[]);
+}
+
+/// Guards against final records that pile up, or that are removed while somebody may ask.
+#[ntex::test]
+async fn final_records_are_removed_after_their_retention() {
+    let mut site = Site::new(1, 0);
+    site.add_sched(|cfg| cfg.jobs.keep_ms = Millis(2_500));
+    let client = site.configure().await;
+    submit(&client, job("a", 1, 1)).await;
+    submit(&client, job("b", 1, 1)).await;
+    client.call(&cancel("a")).await.unwrap();
+    site.wait_for_phase("a", Phase::Cancelled).await;
+    let reply = client.call(&site::status("a")).await;
+    assert!(matches!(reply, Ok(Reply::Job { .. })), "{reply:?}");
+    site::eventually("the row is removed", async || {
+        site.record("a").is_none().then_some(())
+    })
+    .await;
+    let reply = client.call(&site::status("a")).await;
+    assert!(matches!(reply, Ok(Reply::Failed { code, .. }) if code == "unknown_job"));
+    assert_eq!(site.running("b"), 1);
+    submit(&client, job("a", 1, 1)).await;
+    site.wait_for_running("a", 1).await;
+}
+
 /// Guards against a process that does not tell its state.
 #[ntex::test]
 async fn state_is_served_over_http() {
