--- a/crates/sched/tests/path.rs
+++ b/crates/sched/tests/path.rs
@@ -4,7 +4,7 @@
 
 use base::clock::{self, Millis};
 use schema::job::Phase;
-use site::{Site, cancel, history, job, submit};
+use site::{Site, cancel, history, job, relay::Relay, submit};
 use store::vm::VmState;
 use wire::message::{Effect, Reply, Request};
 
@@ -84,6 +84,26 @@
     history::check(&site, &cancelled);
 }
 
+/// Guards against a start that reaches a worker after the cancellation was answered.
+#[ntex::test]
+async fn a_start_under_way_delays_the_answer_to_a_cancellation() {
+    let site = Site::new(1, 1);
+    let relay = Relay::new(site.workers.addr());
+    let mut vms = site.vms();
+    vms[0].address = relay.addr;
+    site.platform.set_vms(vms);
+    let client = site.configure().await;
+    relay.slow();
+    submit(&client, job("a", 1, 1)).await;
+    site.wait_for_phase("a", Phase::Running).await;
+    assert_eq!(site.running("a"), 0);
+    let reply = client.call(&cancel("a")).await;
+    let answered = clock::now();
+    assert!(matches!(reply, Ok(Reply::Job { .. })), "{reply:?}");
+    site.wait_for_phase("a", Phase::Cancelled).await;
+    history::check(&site, &[("a", answered)]);
+}
+
 /// Guards against work that is left on a worker which is about to go.
 #[ntex::test]
 async fn gangs_move_off_a_leaving_worker() {
--- a/crates/sched/tests/site/relay.rs
+++ b/crates/sched/tests/site/relay.rs
@@ -15,6 +15,10 @@
 const CUT: u8 = 1;
 const LOSE_ANSWERS: u8 = 2;
 const ENDED: u8 = 3;
+const SLOW: u8 = 4;
+
+/// Delay of requests on a slow relay.
+pub const DELAY: Duration = Duration::from_millis(300);
 
 /// A relay in front of `target`; dropping it ends its connections.
 pub struct Relay {
@@ -44,6 +48,11 @@
         self.mode.store(PASS, Ordering::SeqCst);
     }
 
+    /// Delivers each part of a request late.
+    pub fn slow(&self) {
+        self.mode.store(SLOW, Ordering::SeqCst);
+    }
+
     /// Closes all connections and every new one.
     pub fn cut(&self) {
         self.mode.store(CUT, Ordering::SeqCst);
@@ -80,6 +89,9 @@
         let read = from.read(&mut buf);
         let mode = mode.load(Ordering::SeqCst);
         let stop = mode == CUT || mode == ENDED;
+        if mode == SLOW && !answers && matches!(read, Ok(n) if n > 0) {
+            thread::sleep(DELAY);
+        }
         match read {
             Err(e) if !stop && e.kind() == std::io::ErrorKind::WouldBlock => continue,
             Ok(n)
