--- a/crates/plan/examples/bench.rs
+++ b/crates/plan/examples/bench.rs
@@ -1,142 +1,103 @@
 //! Benchmark of the plan: seeded arrivals, a fake clock and fake workers that only answer orders.
 //!
-//! `bench today [seeds]` compares the policies at both deployments; `bench size` measures the
+//! `bench today SEEDS` compares the policies at both deployments; `bench size` measures the
 //! decision time at up to 890 workers and 5,000 waiting jobs.
 
-mod bench {
-    pub mod fakes;
-    pub mod measure;
-    pub mod site;
-}
+#[path = "bench/fakes.rs"]
+mod fakes;
+#[path = "bench/site.rs"]
+mod site;
 
-use std::{env, time::Instant};
+use std::env;
 
 use base::clock::Millis;
-use bench::{
-    fakes::Fakes,
-    measure::{Result, percentile, spread},
-    site::{AKARIHON, Site, TULEGENOV, sized},
-};
+use fakes::{Fakes, Figure, percentile};
 use plan::plan_cfg::Policy;
+use site::{AKARIHON, Site, TULEGENOV, sized};
 
 fn main() {
     let args: Vec<String> = env::args().collect();
-    let seeds = args.get(2).and_then(|s| s.parse().ok()).unwrap_or(5);
     if args.get(1).is_some_and(|a| a == "size") {
         return size();
     }
+    let seeds = args.get(2).and_then(|s| s.parse().ok()).unwrap_or(5);
     today(&TULEGENOV, seeds);
     today(&AKARIHON, seeds);
 }
 
 fn today(site: &Site, seeds: u64) {
-    println!("## {}", site.name);
-    let first = compare(site, Policy::FirstFit, seeds);
-    compare(site, Policy::BestFit, seeds);
-    let full = compare(site, Policy::Full, seeds);
-    let ratio = |of: fn(&Result) -> f64| {
-        let pairs = full.iter().zip(&first);
-        spread(&pairs.map(|(a, b)| of(a) / of(b)).collect::<Vec<_>>())
-    };
-    println!("full/first fit, per seed, min median max:");
-    println!("  p95 wait of large gangs  {}", ratio(|r| r.large_wait_p95));
-    println!("  share of time fragmented {}", ratio(|r| r.fragmented));
-    println!("  largest adjacent gang    {}", ratio(|r| r.largest));
-    println!("  mean completion of live  {}", ratio(|r| r.live_mean));
-    println!("  mean completion of all   {}", ratio(|r| r.all_mean));
+    println!("## {}: {seeds} seeds, min median max", site.name);
+    let policies = [Policy::FirstFit, Policy::BestFit, Policy::Full];
+    let all = policies.map(|policy| {
+        let runs: Vec<Vec<Figure>> = (1..=seeds).map(|seed| run(site, policy, seed)).collect();
+        for (i, figure) in runs[0].iter().enumerate() {
+            let spread = spread(runs.iter().map(|r| r[i].value));
+            println!("{policy:?} {:32} {spread}", figure.name);
+        }
+        runs
+    });
+    for (i, figure) in all[0][0].iter().enumerate().take(5) {
+        let ratios = all[2].iter().zip(&all[0]);
+        let spread = spread(ratios.map(|(full, first)| full[i].value / first[i].value));
+        println!("Full/FirstFit {:26} {spread}", figure.name);
+    }
 }
 
-fn compare(site: &Site, policy: Policy, seeds: u64) -> Vec<Result> {
-    let results: Vec<Result> = (1..=seeds).map(|seed| run(site, policy, seed)).collect();
-    let column = |of: fn(&Result) -> f64| spread(&results.iter().map(of).collect::<Vec<_>>());
-    println!("{policy:?}, {seeds} seeds, min median max:");
-    println!(
-        "  wait of large gangs, s, mean  {}",
-        column(|r| r.large_wait_mean)
-    );
-    println!(
-        "  wait of large gangs, s, p95   {}",
-        column(|r| r.large_wait_p95)
-    );
-    println!(
-        "  share of time fragmented      {}",
-        column(|r| r.fragmented)
-    );
-    println!("  largest adjacent gang, mean   {}", column(|r| r.largest));
-    println!(
-        "  mean completion of live, s    {}",
-        column(|r| r.live_mean)
-    );
-    println!(
-        "  urgent start p99, s           {}",
-        column(|r| r.urgent_p99)
-    );
-    println!(
-        "  utilisation                   {}",
-        column(|r| r.utilisation)
-    );
-    println!("  stops of running jobs         {}", column(|r| r.stops));
-    println!(
-        "  decision p99, us              {}",
-        column(|r| r.decision_p99)
-    );
-    for line in &results[0].table {
-        println!("  seed 1: {line}");
-    }
-    results
+fn spread(values: impl Iterator<Item = f64>) -> String {
+    let values: Vec<f64> = values.collect();
+    let q = |q| percentile(&values, q);
+    format!("{:10.3} {:10.3} {:10.3}", q(0.0), q(0.5), q(1.0))
 }
 
-fn run(site: &Site, policy: Policy, seed: u64) -> Result {
+fn run(site: &Site, policy: Policy, seed: u64) -> Vec<Figure> {
     let mut fakes = Fakes::new(site, policy, seed);
     while fakes.now < site.arrivals_end {
         fakes.step();
     }
-    fakes.stop_arrivals();
+    fakes.arriving = false;
     let drain_end = site.arrivals_end + Millis::from_secs(48 * 3_600);
-    while fakes.open() > 0 && fakes.now < drain_end {
+    while fakes.open > 0 && fakes.now < drain_end {
         fakes.step();
     }
-    fakes.result()
+    fakes.figures()
 }
 
 fn size() {
-    println!("workers waiting running | p50 us p99 us max us | submit p99, tick p99");
-    for (workers, waiting) in [
-        (50, 500),
-        (200, 500),
-        (445, 500),
-        (890, 500),
-        (890, 1_500),
-        (890, 5_000),
-    ] {
+    println!("workers waiting tasks | all p50 p99 max | ticks p99, us");
+    let mut p99 = Vec::new();
+    for (workers, waiting) in [(50, 500), (200, 500), (445, 500), (890, 500), (890, 5_000)] {
         let site = sized(workers);
         let mut fakes = Fakes::new(&site, Policy::Full, 1);
-        let start = Instant::now();
-        while fakes.waiting() < waiting {
+        while fakes.waiting.len() < waiting {
             fakes.arrive();
             fakes.step();
         }
-        fakes.decisions.clear();
-        fakes.ticks.clear();
-        fakes.submits.clear();
+        fakes.times.clear();
         let end = fakes.now + Millis::from_secs(300);
         while fakes.now < end {
-            if fakes.waiting() < waiting {
+            if fakes.waiting.len() < waiting {
                 fakes.arrive();
             }
             fakes.step();
         }
-        let p = |list: &[u64], q| percentile(list.iter().map(|n| *n as f64).collect(), q) / 1e3;
+        let of = |tick: bool| fakes.times.iter().filter(move |t| t.0 || !tick);
+        let p = |tick, q| percentile(&of(tick).map(|t| t.1).collect::<Vec<f64>>(), q);
         println!(
-            "{workers:7} {:7} {:7} | {:6.1} {:6.1} {:6.1} | {:6.1} {:6.1}  ({} s)",
-            fakes.waiting(),
-            fakes.running_tasks(),
-            p(&fakes.decisions, 0.5),
-            p(&fakes.decisions, 0.99),
-            p(&fakes.decisions, 1.0),
-            p(&fakes.submits, 0.99),
-            p(&fakes.ticks, 0.99),
-            start.elapsed().as_secs(),
+            "{workers:7} {waiting:7} {:5} | {:6.1} {:6.1} {:6.1} | {:6.1}",
+            fakes.tasks(),
+            p(false, 0.5),
+            p(false, 0.99),
+            p(false, 1.0),
+            p(true, 0.99)
         );
+        p99.push(p(true, 0.99));
     }
+    println!(
+        "slope of the tick p99: {:.2} us a worker",
+        (p99[3] - p99[0]) / 840.0
+    );
+    println!(
+        "slope of the tick p99: {:.2} us a waiting job",
+        (p99[4] - p99[3]) / 4_500.0
+    );
 }
--- a/crates/plan/examples/bench/fakes.rs
+++ b/crates/plan/examples/bench/fakes.rs
@@ -1,25 +1,22 @@
 //! The plan with a fake clock and fake workers that only answer orders.
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     time::Instant,
 };
 
 use base::{clock::Millis, name::Name};
 use plan::{
+    check,
     event::{Event, Report, WorkerInfo},
     order::{Action, Attempt, Order},
     plan_cfg::{PlanCfg, Policy},
     record::{JobKey, JobRecord},
     state::Plan,
 };
-use schema::job::Phase;
+use schema::job::{Job, Phase};
 
-use super::{
-    measure::{Result, mean, percentile},
-    site::Site,
-};
+use super::site::Site;
 
 /// Time until a worker answers an order.
 const ANSWER: Millis = Millis(20);
@@ -35,31 +32,35 @@
 
 struct Seen {
     rec: JobRecord,
-    run_time: Millis,
     left: Millis,
     first_start: Option<Millis>,
 }
 
+/// One figure of a run.
+pub struct Figure {
+    pub name: String,
+    pub value: f64,
+}
+
 pub struct Fakes<'a> {
     pub now: Millis,
-    pub decisions: Vec<u64>,
-    pub submits: Vec<u64>,
-    pub ticks: Vec<u64>,
+    /// Whether it was a tick, and the time of the decision in microseconds.
+    pub times: Vec<(bool, f64)>,
+    pub arriving: bool,
+    pub waiting: HashSet<JobKey>,
+    pub open: usize,
     plan: Plan,
     site: &'a Site,
     fleet: Vec<WorkerInfo>,
     rng: fastrand::Rng,
-    heap: BinaryHeap<Reverse<(Millis, u64)>>,
-    due: HashMap<u64, Due>,
-    next: u64,
-    arriving: bool,
+    due: BTreeMap<(Millis, usize), Due>,
+    next: usize,
     arrived: usize,
     jobs: HashMap<JobKey, Seen>,
-    waiting: HashSet<JobKey>,
-    open: usize,
-    used: BTreeMap<Name, u32>,
-    samples: Vec<(f64, f64, bool)>,
-    stops: usize,
+    used: HashMap<Name, u32>,
+    /// Utilisation, largest adjacent gang, and whether a waiting gang lacks only adjacency.
+    samples: Vec<[f64; 3]>,
+    stops: f64,
 }
 
 impl<'a> Fakes<'a> {
@@ -70,91 +71,75 @@
         };
         let mut fakes = Self {
             now: Millis::from_secs(1),
-            decisions: Vec::new(),
-            submits: Vec::new(),
-            ticks: Vec::new(),
+            times: Vec::new(),
+            arriving: true,
+            waiting: HashSet::new(),
+            open: 0,
             plan: Plan::new(cfg),
             site,
             fleet: site.fleet(),
             rng: fastrand::Rng::with_seed(seed),
-            heap: BinaryHeap::new(),
-            due: HashMap::new(),
+            due: BTreeMap::new(),
             next: 0,
-            arriving: true,
             arrived: 0,
             jobs: HashMap::new(),
-            waiting: HashSet::new(),
-            open: 0,
-            used: BTreeMap::new(),
+            used: HashMap::new(),
             samples: Vec::new(),
-            stops: 0,
+            stops: 0.0,
         };
-        plan::check::check_config(&site.config(), &fakes.fleet).expect("the guarantees fit");
+        let config = site.config();
+        check::check_config(&config, &fakes.fleet).expect("the guarantees fit");
         for worker in fakes.fleet.clone() {
             fakes.handle(Event::WorkerUp { worker });
         }
-        let config = site.config();
         fakes.handle(Event::Configured { config });
         fakes.at(Millis(0), Due::Tick);
         fakes.at(Millis(0), Due::Arrive);
         fakes
     }
 
-    pub fn stop_arrivals(&mut self) {
-        self.arriving = false;
-    }
-
-    pub fn open(&self) -> usize {
-        self.open
-    }
-
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-
-    pub fn running_tasks(&self) -> usize {
+    pub fn tasks(&self) -> usize {
         let running = self.jobs.values().filter(|s| s.rec.phase == Phase::Running);
         running.map(|s| s.rec.members.len()).sum()
     }
 
     fn at(&mut self, after: Millis, due: Due) {
-        self.heap.push(Reverse((self.now + after, self.next)));
-        self.due.insert(self.next, due);
         self.next += 1;
+        self.due.insert((self.now + after, self.next), due);
     }
 
     pub fn step(&mut self) {
-        let Some(Reverse((time, id))) = self.heap.pop() else {
+        let Some(((time, _), due)) = self.due.pop_first() else {
             return;
         };
         self.now = time;
-        match self.due.remove(&id) {
-            Some(Due::Tick) => {
+        match due {
+            Due::Tick => {
                 self.handle(Event::Tick);
                 self.at(Millis::from_secs(1), Due::Tick);
-                if (self.now.0 / 1_000).is_multiple_of(60) && self.arriving {
+                if self.arriving && (time.0 / 1_000).is_multiple_of(60) {
                     self.sample();
                 }
             }
-            Some(Due::Arrive) if self.arriving => {
+            Due::Arrive if self.arriving => {
                 self.arrive();
-                let wait = -self.site.interval() * (1.0 - self.rng.f64()).ln();
+                let rate: f64 = self.site.rates().iter().sum();
+                let wait = -(1.0 - self.rng.f64()).ln() / rate;
                 self.at(Millis(wait as u64), Due::Arrive);
             }
-            Some(Due::Answer(event)) => self.handle(event),
-            Some(Due::End(attempt)) => self.end(&attempt),
-            _ => {}
+            Due::Arrive => {}
+            Due::Answer(event) => self.handle(event),
+            Due::End(attempt) => self.end(&attempt),
         }
     }
 
     pub fn arrive(&mut self) {
-        let (job, run_time) = self.site.job(&mut self.rng, self.arrived);
+        let (job, left) = self.site.job(&mut self.rng, self.arrived);
         self.arrived += 1;
-        let rec = JobRecord::submitted(job.clone(), self.now);
+        self.open += 1;
         let seen = Seen {
-            rec,
-            run_time,
-            left: run_time,
+            rec: JobRecord::submitted(job.clone(), self.now),
+            left,
             first_start: None,
         };
         self.jobs.insert(seen.rec.key(), seen);
@@ -162,20 +147,11 @@
     }
 
     fn handle(&mut self, event: Event) {
-        let (submit, tick) = (
-            matches!(event, Event::Submitted { .. }),
-            event == Event::Tick,
-        );
+        let tick = event == Event::Tick;
         let start = Instant::now();
         let decision = self.plan.handle(self.now, event);
-        let took = start.elapsed().as_nanos() as u64;
-        self.decisions.push(took);
-        if submit {
-            self.submits.push(took);
-        }
-        if tick {
-            self.ticks.push(took);
-        }
+        self.times
+            .push((tick, start.elapsed().as_nanos() as f64 / 1e3));
         for rec in decision.records {
             self.note(rec);
         }
@@ -193,21 +169,16 @@
             *self.used.entry(member.worker.clone()).or_default() |= member.accelerators;
         }
         self.waiting.remove(&rec.key());
-        let was_open = seen.rec.attempt > 0 || seen.rec.phase != Phase::Waiting;
         match rec.phase {
             Phase::Waiting => drop(self.waiting.insert(rec.key())),
             Phase::Running => drop(seen.first_start.get_or_insert(self.now)),
             Phase::Stopping => {
-                self.stops += 1;
+                self.stops += 1.0;
                 seen.left = seen.left.since(self.now.since(rec.started_at));
             }
+            phase if phase.is_final() => self.open -= 1,
             _ => {}
         }
-        if rec.phase.is_final() {
-            self.open -= 1;
-        } else if !was_open && rec.submitted_at == self.now {
-            self.open += 1;
-        }
         seen.rec = rec;
     }
 
@@ -218,10 +189,9 @@
             Action::Stop { checkpoint } => (STOP, Report::Stopped { checkpoint }),
             Action::Release | Action::Throttle => return,
         };
-        let first = self.jobs[&order.attempt.job].rec.members.first().cloned();
-        if order.action == Action::Go && first.as_ref() == Some(&order.member) {
-            let left = self.jobs[&order.attempt.job].left;
-            self.at(left, Due::End(order.attempt.clone()));
+        let seen = &self.jobs[&order.attempt.job];
+        if order.action == Action::Go && seen.rec.members.first() == Some(&order.member) {
+            self.at(seen.left, Due::End(order.attempt.clone()));
         }
         let event = Event::Member {
             attempt: order.attempt,
@@ -247,8 +217,7 @@
         }
     }
 
-    /// Notes utilisation, the largest adjacent gang of whole workers, and whether a waiting gang
-    /// had enough free accelerators but no adjacent ones.
+    /// Notes the state once a minute; the largest adjacent gang is counted in whole workers.
     fn sample(&mut self) {
         let mut racks: BTreeMap<&Name, u32> = BTreeMap::new();
         let mut free = 0;
@@ -265,68 +234,73 @@
         let fragmented = gangs
             .filter(|s| s.accelerators == 8)
             .any(|s| s.total_accelerators() <= free && u32::from(s.members) > largest);
-        let all = 8.0 * self.fleet.len() as f64;
-        let sample = (
-            1.0 - f64::from(free) / all,
-            f64::from(largest * 8),
-            fragmented,
-        );
-        self.samples.push(sample);
+        let used = 1.0 - f64::from(free) / (8.0 * self.fleet.len() as f64);
+        let lacks = f64::from(u8::from(fragmented));
+        self.samples.push([used, f64::from(largest * 8), lacks]);
     }
 
-    pub fn result(&self) -> Result {
-        let jobs: Vec<&Seen> = self.jobs.values().collect();
-        let of = |kind: &'static str| jobs.iter().filter(move |s| s.rec.job.kind.as_str() == kind);
-        let secs = |ms: Millis| ms.0 as f64 / 1e3;
-        let wait = |s: &&&Seen| {
-            let start = s.first_start.unwrap_or(self.now);
-            secs(start.since(s.rec.submitted_at))
-        };
+    pub fn figures(&self) -> Vec<Figure> {
+        let wait = |s: &Seen| s.first_start.unwrap_or(self.now).since(s.rec.submitted_at);
         let took = |s: &Seen| {
-            let end = if s.rec.phase.is_final() {
-                s.rec.ended_at
-            } else {
-                self.now
-            };
-            secs(end.since(s.rec.submitted_at))
+            let ended = s.rec.phase.is_final();
+            let end = if ended { s.rec.ended_at } else { self.now };
+            end.since(s.rec.submitted_at)
         };
-        let large: Vec<f64> = of("large").map(|s| wait(&s)).collect();
-        let urgent: Vec<f64> = of("live").map(|s| wait(&s)).collect();
-        let live: Vec<f64> = of("live").map(|s| took(s)).collect();
-        let all: Vec<f64> = jobs.iter().map(|s| took(s)).collect();
-        let samples = &self.samples;
-        let share = samples.iter().map(|s| f64::from(u8::from(s.2)));
-        let mut table = Vec::new();
-        for kind in ["live", "batch", "large"] {
-            for org in ["org0", "org1", "org2", "org3"] {
-                let own = of(kind).filter(|s| s.rec.job.organisation.as_str() == org);
-                let list: Vec<f64> = own.clone().map(|s| took(s)).collect();
-                let ran: Vec<f64> = own.map(|s| secs(s.run_time)).collect();
-                table.push(format!(
-                    "{kind:5} {org} {:5} jobs, run {:7.0}, completion mean {:8.0} p50 {:8.0} p95 {:8.0}",
-                    list.len(),
-                    mean(&ran),
-                    mean(&list),
-                    percentile(list.clone(), 0.5),
-                    percentile(list.clone(), 0.95),
-                ));
-            }
-        }
-        Result {
-            large_wait_mean: mean(&large),
-            large_wait_p95: percentile(large, 0.95),
-            fragmented: mean(&share.collect::<Vec<_>>()),
-            largest: mean(&samples.iter().map(|s| s.1).collect::<Vec<_>>()),
-            live_mean: mean(&live),
-            all_mean: mean(&all),
-            urgent_p99: percentile(urgent, 0.99),
-            utilisation: mean(&samples.iter().map(|s| s.0).collect::<Vec<_>>()),
-            stops: self.stops as f64,
-            decision_p99: percentile(
-                self.decisions.iter().map(|n| *n as f64 / 1e3).collect(),
-                0.99,
-            ),
-            table,
+        let list = |which: &dyn Fn(&Job) -> bool, of: &dyn Fn(&Seen) -> Millis| -> Vec<f64> {
+            let jobs = self.jobs.values().filter(|s| which(&s.rec.job));
+            jobs.map(|s| of(s).0 as f64 / 1e3).collect()
+        };
+        let large = list(&|j| j.kind.as_str() == "large", &wait);
+        let urgent = list(&|j| j.urgent, &wait);
+        let sampled = |i: usize| mean(&self.samples.iter().map(|s| s[i]).collect::<Vec<_>>());
+        let times: Vec<f64> = self.times.iter().map(|t| t.1).collect();
+        let mut figures = Vec::new();
+        let mut add = |name: &str, value| {
+            let name = name.to_owned();
+            figures.push(Figure { name, value });
+        };
+        add("wait of large gangs p95, s", percentile(&large, 0.95));
+        add("share of time fragmented", sampled(2));
+        add("largest adjacent gang, mean", sampled(1));
+        add(
+            "completion of live mean, s",
+            mean(&list(&|j| j.urgent, &took)),
+        );
+        add("completion of all mean, s", mean(&list(&|_| true, &took)));
+        add("wait of large gangs mean, s", mean(&large));
+        add("urgent start p99, s", percentile(&urgent, 0.99));
+        add("urgent start max, s", percentile(&urgent, 1.0));
+        add("utilisation", sampled(0));
+        add("stops of running jobs", self.stops);
+        add("decision p50, us", percentile(&times, 0.5));
+        add("decision p99, us", percentile(&times, 0.99));
+        for (kind, org) in ["live", "batch", "large"]
+            .iter()
+            .flat_map(|k| ["org0", "org1", "org2", "org3"].map(|o| (*k, o)))
+        {
+            let own = |j: &Job| j.kind.as_str() == kind && j.organisation.as_str() == org;
+            let list = list(&own, &took);
+            add(&format!("{kind} {org} completion mean, s"), mean(&list));
+            add(
+                &format!("{kind} {org} completion p50, s"),
+                percentile(&list, 0.5),
+            );
+            add(
+                &format!("{kind} {org} completion p95, s"),
+                percentile(&list, 0.95),
+            );
         }
+        figures
     }
 }
+
+fn mean(list: &[f64]) -> f64 {
+    list.iter().sum::<f64>() / (list.len() as f64).max(1.0)
+}
+
+pub fn percentile(list: &[f64], q: f64) -> f64 {
+    let mut list = list.to_vec();
+    list.sort_unstable_by(f64::total_cmp);
+    let i = ((list.len() as f64 * q) as usize).min(list.len().saturating_sub(1));
+    list.get(i).copied().unwrap_or(0.0)
+}
--- a/crates/plan/examples/bench/site.rs
+++ b/crates/plan/examples/bench/site.rs
@@ -9,7 +9,7 @@
     shape::{Adjacency, Shape},
 };
 
-/// A deployment. Loads are shares of all accelerators.
+/// A deployment; loads of live, batch and large work are shares of all accelerators.
 pub struct Site {
     pub name: &'static str,
     pub workers: usize,
@@ -17,9 +17,7 @@
     pub data_centres: usize,
     pub cores: u16,
     pub fragmentation_percent: u8,
-    pub live_load: f64,
-    pub batch_load: f64,
-    pub large_load: f64,
+    pub loads: [f64; 3],
     pub arrivals_end: Millis,
 }
 
@@ -30,9 +28,7 @@
     data_centres: 3,
     cores: 64,
     fragmentation_percent: 30,
-    live_load: 0.20,
-    batch_load: 0.35,
-    large_load: 0.30,
+    loads: [0.20, 0.35, 0.30],
     arrivals_end: Millis::from_secs(24 * 3_600),
 };
 
@@ -42,22 +38,19 @@
     data_centres: 4,
     cores: 128,
     fragmentation_percent: 80,
-    live_load: 0.15,
-    batch_load: 0.30,
-    large_load: 0.40,
+    loads: [0.15, 0.30, 0.40],
     ..TULEGENOV
 };
 
 pub fn sized(workers: usize) -> Site {
     Site {
-        name: "sized",
         workers,
         data_centres: 6,
         ..TULEGENOV
     }
 }
 
-pub fn name(text: &str) -> Name {
+fn name(text: &str) -> Name {
     text.parse().expect("the text is a name")
 }
 
@@ -74,25 +67,22 @@
         (0..self.workers).map(worker).collect()
     }
 
+    /// Four organisations, each with guarantees of a pair of workers and four pairs of
+    /// accelerators for every 50 workers.
     pub fn config(&self) -> Config {
         let mut config = Config::default();
         config.placement.fragmentation_percent = self.fragmentation_percent;
         let gangs = (self.workers / 50) as u16;
         for (i, weight) in [4, 3, 2, 1].into_iter().enumerate() {
-            let guarantees = vec![
-                Guarantee {
-                    gangs,
-                    shape: shape(2, 8, Adjacency::Rack),
-                },
-                Guarantee {
-                    gangs: gangs * 4,
-                    shape: shape(1, 2, Adjacency::Worker),
-                },
-            ];
+            let pair = shape(2, 8, Adjacency::Rack);
+            let small = shape(1, 2, Adjacency::Worker);
+            let guarantees = [(gangs, pair), (gangs * 4, small)];
             let organisation = Organisation {
                 name: name(&format!("org{i}")),
                 token_hashes: Vec::new(),
-                guarantees,
+                guarantees: guarantees
+                    .map(|(gangs, shape)| Guarantee { gangs, shape })
+                    .into(),
                 weight,
             };
             config
@@ -102,56 +92,45 @@
         config
     }
 
-    /// Mean time between arrivals, in milliseconds, over all kinds.
-    pub fn interval(&self) -> f64 {
-        1.0 / self.rates().iter().sum::<f64>()
-    }
-
     /// Arrivals of each kind in a millisecond: load over mean accelerator time.
-    fn rates(&self) -> [f64; 3] {
-        let all = self.workers as f64 * 8.0;
-        [
-            self.live_load * all / (1.2 * 165_000.0),
-            self.batch_load * all / (2.2 * 2_700_000.0),
-            self.large_load * all / (28.0 * 6_300_000.0),
-        ]
+    pub fn rates(&self) -> [f64; 3] {
+        let work = [1.2 * 165_000.0, 2.0 * 2_700_000.0, 28.0 * 6_300_000.0];
+        [0, 1, 2].map(|i| self.loads[i] * self.workers as f64 * 8.0 / work[i])
     }
 
-    /// Returns a job and its true run time.
+    /// Returns a job and its true run time. The declared one is off by a factor of 0.5 to 2.
     pub fn job(&self, rng: &mut fastrand::Rng, i: usize) -> (Job, Millis) {
         let rates = self.rates();
-        let mut at = rng.f64() * rates.iter().sum::<f64>();
-        let kind = rates.iter().position(|r| {
-            at -= r;
-            at < 0.0
-        });
-        let largest = self.per_rack.min(6) as u16;
-        let (kind, shape, run_time) = match kind.unwrap_or(0) {
-            0 => (
+        let at = rng.f64() * rates.iter().sum::<f64>();
+        let (kind, shape, run_time) = if at < rates[0] {
+            let accelerators = [1, 1, 1, 1, 2][rng.usize(..5)];
+            (
                 "live",
-                shape(1, [1, 1, 1, 1, 2][rng.usize(..5)], Adjacency::Worker),
+                shape(1, accelerators, Adjacency::Worker),
                 rng.u64(30..300),
-            ),
-            1 => (
+            )
+        } else if at < rates[0] + rates[1] {
+            let accelerators = [1, 1, 2, 2, 2, 4][rng.usize(..6)];
+            (
                 "batch",
-                shape(1, [1, 1, 2, 2, 2, 4][rng.usize(..6)], Adjacency::Worker),
+                shape(1, accelerators, Adjacency::Worker),
                 rng.u64(600..4_800),
-            ),
-            _ => (
+            )
+        } else {
+            (
                 "large",
-                shape(rng.u16(2..largest), 8, Adjacency::Rack),
+                shape(rng.u16(2..6), 8, Adjacency::Rack),
                 rng.u64(1_800..10_800),
-            ),
+            )
         };
         let organisation = [0, 0, 0, 0, 1, 1, 1, 2, 2, 3][rng.usize(..10)];
-        let declared = run_time as f64 * (0.5 + 1.5 * rng.f64());
         let job = Job {
             organisation: name(&format!("org{organisation}")),
             team: name(&format!("team{}", rng.usize(..35))),
             name: name(&format!("j{i}")),
             kind: name(kind),
             shape,
-            run_time_ms: Millis::from_secs(declared as u64),
+            run_time_ms: Millis((run_time as f64 * (500.0 + 1_500.0 * rng.f64())) as u64),
             urgent: kind == "live",
             stop: StopMode::Checkpoint,
         };
