plan: urgent work uses held back workers where there are no others

The histories also check that a start has all its holds and that claims are never stopped for other work; mutations: start when one holds, claims as victims, reports of earlier attempts accepted.

--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -31,16 +31,20 @@
         if job.stop == StopMode::Never {
             return None;
         }
-        let sites = self.borrow_sites(step, id);
         let prefer = match self.cfg.policy {
             Policy::FirstFit => Prefer::First,
             Policy::BestFit | Policy::Full => Prefer::Tightest,
         };
-        let workers = sites::choose(&sites, job.shape.members, job.shape.adjacency, prefer)?;
+        let choose = |held_too: bool| {
+            let sites = self.borrow_sites(step, id, held_too);
+            sites::choose(&sites, job.shape.members, job.shape.adjacency, prefer)
+        };
+        // Urgent work waits for nobody: it uses held back workers where there are no others.
+        let workers = choose(false).or_else(|| job.urgent.then(|| choose(true)).flatten())?;
         Some(self.members_at(id, &workers))
     }
 
-    fn borrow_sites(&self, step: &Step, id: JobId) -> Vec<Site> {
+    fn borrow_sites(&self, step: &Step, id: JobId, held_too: bool) -> Vec<Site> {
         let (need, members) = self.gang_of(id);
         let end = self.expected_end(step.now, id);
         let least = need.accelerators;
@@ -55,7 +59,7 @@
             if room == 0 || !w.is_open(step.now) || self.avoids(id, &w.info.name) {
                 continue;
             }
-            if Self::is_held_back(w, id, end) {
+            if !held_too && Self::is_held_back(w, id, end) {
                 continue;
             }
             total += u32::from(room);
--- a/crates/plan/src/starve.rs
+++ b/crates/plan/src/starve.rs
@@ -12,7 +12,7 @@
 };
 
 /// Racks for each starving gang that may have workers held back at the same time.
-const RACKS_PER_GANG: usize = 8;
+const RACKS_PER_GANG: usize = 4;
 /// Accelerators from which a gang counts as large.
 const LARGE: u32 = 8;
 
--- a/crates/plan/tests/fleet/world.rs
+++ b/crates/plan/tests/fleet/world.rs
@@ -1,13 +1,13 @@
 //! A plan with its durable records, fake workers and messages in flight.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use base::{clock::Millis, name::Name};
 use plan::{
     event::{Decision, Event, Report, WorkerInfo},
     order::{Action, Attempt, Order},
     plan_cfg::PlanCfg,
-    record::{Claim, JobKey, JobRecord},
+    record::{Claim, JobKey, JobRecord, Member},
     state::Plan,
 };
 use quickcheck::{Arbitrary, Gen};
@@ -84,6 +84,8 @@
     pub now: Millis,
     pub error: Option<String>,
     submitted: Vec<JobKey>,
+    /// Workers whose holds the plan knows.
+    held: BTreeSet<(Attempt, Name)>,
     orders: VecDeque<Order>,
     reports: VecDeque<Event>,
     crash: Option<Crash>,
@@ -101,6 +103,7 @@
             now: Millis(1_000),
             error: None,
             submitted: Vec::new(),
+            held: BTreeSet::new(),
             orders: VecDeque::new(),
             reports: VecDeque::new(),
             crash: None,
@@ -157,6 +160,14 @@
             Event::WorkerLost { worker } => Some(worker.clone()),
             _ => None,
         };
+        if let Event::Member {
+            attempt,
+            worker,
+            report: Report::Held,
+        } = &event
+        {
+            self.held.insert((attempt.clone(), worker.clone()));
+        }
         let decision = self.plan.handle(self.now, event);
         match self.crash.take() {
             Some(Crash::BeforeCommit) => self.restore(),
@@ -183,8 +194,9 @@
     fn commit(&mut self, lost: Option<&Name>, decision: &Decision) {
         for rec in &decision.records {
             let old = self.db.insert(rec.key(), rec.clone());
-            if old.is_some_and(|old| old.phase.is_final()) {
-                self.fail(format!("a final record changes: {rec:?}"));
+            let old = old.map_or((Phase::Waiting, false), |r| (r.phase, !r.borrowed));
+            if let Some(fault) = self.fault(old, rec) {
+                self.fail(format!("{fault}: {rec:?}"));
             }
         }
         self.check_orders(decision);
@@ -195,6 +207,25 @@
         }
     }
 
+    /// Returns what is wrong with a change of a record; `old` is the phase and whether the job ran
+    /// on guaranteed capacity.
+    fn fault(&self, old: (Phase, bool), rec: &JobRecord) -> Option<&'static str> {
+        let attempt = Attempt {
+            job: rec.key(),
+            attempt: rec.attempt,
+        };
+        let holds = |m: &Member| self.held.contains(&(attempt.clone(), m.worker.clone()));
+        let started = old.0 == Phase::Holding && rec.phase == Phase::Running;
+        let kept = old == (Phase::Running, true) && !rec.borrowed;
+        let reclaimed = kept && rec.reason.starts_with("stopped for");
+        match rec {
+            _ if old.0.is_final() => Some("a final record changes"),
+            _ if started && !rec.members.iter().all(holds) => Some("a start without all holds"),
+            _ if reclaimed => Some("guaranteed work is stopped for other work"),
+            _ => None,
+        }
+    }
+
     /// An order must follow from the durable record of its attempt.
     fn check_orders(&mut self, decision: &Decision) {
         let allowed = |order: &Order| {
@@ -307,7 +338,7 @@
                 job: rec.key(),
                 attempt: rec.attempt,
             };
-            let runs = |m: &&plan::record::Member| {
+            let runs = |m: &&Member| {
                 let tasks = self.fleet.workers.get(&m.worker).map(|w| &w.tasks);
                 let task = tasks.and_then(|t| t.get(&attempt));
                 task.is_some_and(|(_, task)| {
--- a/crates/plan/tests/gang.rs
+++ b/crates/plan/tests/gang.rs
@@ -145,3 +145,19 @@
     assert_eq!(phase(&plan, "a"), Phase::Cancelled);
     assert_ne!(phase(&plan, "b"), Phase::Waiting);
 }
+
+/// Guards against a late report of an earlier attempt that ends the present one.
+#[test]
+fn a_report_of_an_earlier_attempt_changes_nothing() {
+    let (mut plan, mut fleet) = (plan_with(1), Fleet::default());
+    submit(&mut plan, "a", 1, 8);
+    let decision = plan.handle(Millis(11), reported("a", 1, "w0", Report::NotHeld));
+    assert!(decision.orders.iter().all(|o| o.action == Action::Release));
+    let decision = plan.handle(Millis(3_000), Event::Tick);
+    carry_out(&mut plan, &mut fleet, decision, Millis(3_010));
+    for report in [Report::Done, Report::Failed, Report::NotHeld] {
+        plan.handle(Millis(3_020), reported("a", 1, "w0", report));
+        let rec = plan.job(&key("a")).unwrap();
+        assert_eq!((rec.phase, rec.attempt), (Phase::Running, 2));
+    }
+}
