--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -2,10 +2,13 @@
 
 mod common;
 
-use std::net;
+use std::{net, time::Duration};
 
 use base::clock::{self, Millis};
-use ntex::http::{Method, StatusCode};
+use ntex::{
+    http::{Method, StatusCode},
+    time,
+};
 use standin::faults::Faults;
 use store::{
     client::{Settled, Table},
@@ -145,6 +148,31 @@
     assert!(result.is_err(), "{result:?}");
 }
 
+/// Guards against calling a commit unknown because its connection hangs while it opens.
+#[ntex::test]
+async fn connections_that_hang_while_opening_are_not_done() {
+    // Connections beyond the backlog of a listener that accepts none never open.
+    let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = ntex::server::create_tcp_listener(any, 1).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let opened = |_| net::TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok();
+    let _queued: Vec<_> = (0..64).map_while(opened).collect();
+    let mut cfg = common::quick();
+    cfg.connect_ms = Millis(300);
+    let table = HttpTable::new(&format!("http://{addr}"), cfg)
+        .await
+        .unwrap();
+    let (table, txn) = (&table, &insert("a", "w1"));
+    let calls = (0..16).map(|i| async move {
+        // Later calls wait for the first connection before they open their own.
+        time::sleep(time::Millis(20 * i)).await;
+        table.commit(txn).await
+    });
+    for result in futures_util::future::join_all(calls).await {
+        assert_eq!(class(&result), Class::NotDone, "{result:?}");
+    }
+}
+
 /// Guards against calls that wait for a connection without limit and are then called unknown.
 #[ntex::test]
 async fn a_call_without_a_connection_is_not_done() {
--- a/crates/store/src/http_cfg.rs
+++ b/crates/store/src/http_cfg.rs
@@ -15,6 +15,10 @@
     /// Longest wait for a new connection. Reaching it means that nothing was sent.
     pub connect_ms: Millis,
     /// Longest wait for a whole answer, from the time when a connection is free.
+    ///
+    /// It includes the opening of the connection and must exceed twice `connect_ms`: a call may
+    /// wait for the connection of another call to fail before it opens its own, and a call that
+    /// reaches this limit counts as unknown.
     pub call_ms: Millis,
     /// Largest answer, in bytes.
     pub answer_bytes: usize,
--- a/crates/store/src/objects.rs
+++ b/crates/store/src/objects.rs
@@ -80,7 +80,9 @@
 fn read_write(answer: &Answer) -> Result<(), StoreError> {
     match answer.status {
         StatusCode::NO_CONTENT => Ok(()),
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::PAYLOAD_TOO_LARGE => Err(refused(answer)),
+        StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::BAD_REQUEST
+        | StatusCode::PAYLOAD_TOO_LARGE => Err(refused(answer)),
         status => Err(StoreError::Unknown {
             reason: format!("status {status}"),
         }),
