Test a late copy of a settled commit and add examples to the clients and settings

A slow table service may apply the first copy of a transaction after settle has sent a second one. The check on the row that both write makes the late copy conflict; the test shows it.

--- a/crates/standin/src/backend_cfg.rs
+++ b/crates/standin/src/backend_cfg.rs
@@ -6,6 +6,12 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings of one or more backend servers that share a thread.
+///
+/// ```
+/// let text = r#"{"servers":50,"operations":[{"operation":"score","time":{"mean_ms":40}}]}"#;
+/// let cfg: standin::backend_cfg::BackendCfg = serde_json::from_str(text).unwrap();
+/// assert_eq!((cfg.servers, cfg.slots, cfg.operations[0].time.mean_ms.0), (50, 8, 40));
+/// ```
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct BackendCfg {
--- a/crates/standin/src/platform_cfg.rs
+++ b/crates/standin/src/platform_cfg.rs
@@ -8,6 +8,12 @@
 use crate::faults::Faults;
 
 /// Settings of the platform stand-in.
+///
+/// ```
+/// let text = r#"{"listen":"127.0.0.1:7000","faults":{"read_lag_ms":200}}"#;
+/// let cfg: standin::platform_cfg::PlatformCfg = serde_json::from_str(text).unwrap();
+/// assert_eq!((cfg.listen.port(), cfg.faults.read_lag_ms.0), (7_000, 200));
+/// ```
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformCfg {
--- a/crates/standin/src/worker_cfg.rs
+++ b/crates/standin/src/worker_cfg.rs
@@ -7,6 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings of one worker.
+///
+/// ```
+/// let text = r#"{"hold_ms":500,"behaviour":{"run_ms":50}}"#;
+/// let cfg: standin::worker_cfg::WorkerCfg = serde_json::from_str(text).unwrap();
+/// assert_eq!((cfg.hold_ms.0, cfg.info.accelerators), (500, 8));
+/// ```
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WorkerCfg {
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -293,6 +293,25 @@
     }
 }
 
+/// Guards against a copy of a settled commit that is applied late, and thus a second time.
+#[ntex::test]
+async fn a_late_copy_of_a_settled_commit_conflicts() {
+    let (platform, table) = common::platform_with(Faults {
+        slow_ms: Millis(2_000),
+        ..none()
+    })
+    .await;
+    let txn = insert("a", "w1");
+    assert_eq!(class(&table.commit(&txn).await), Class::Unknown);
+    platform.set_faults(none());
+    let table = Table::from(table);
+    let settled = table.settle(&txn, "a", |v| v == "\"w1\"").await;
+    assert_eq!(settled, Ok(Settled::Applied { version: 1 }));
+    common::until("the late copy", || platform.stats().commits == 2).await;
+    let stats = platform.stats();
+    assert_eq!((stats.applied, stats.conflicts), (1, 1));
+}
+
 /// Counts the check-only transactions with which two calls of `settle` confirm a lost race.
 fn check_commits(settled: &Result<Settled, ()>) -> u64 {
     match settled {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -49,6 +49,18 @@
 
 impl Table {
     /// Applies all writes of `txn` if every check holds.
+    ///
+    /// Returns `NotDone` only if nothing is applied, and `Unknown` if the writes may be applied.
+    ///
+    /// ```
+    /// use store::{client::Table, mem::MemTable, table::{Commit, Txn}};
+    ///
+    /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
+    /// let table = Table::from(MemTable::default());
+    /// let txn = Txn::default().check("rev", 0).put("rev", "1".into());
+    /// assert_eq!(table.commit(&txn).await, Ok(Commit::Done { version: 1 }));
+    /// # });
+    /// ```
     pub async fn commit(&self, txn: &Txn) -> Result<Commit, StoreError> {
         match self {
             Self::Http(table) => table.commit(txn).await,
@@ -57,6 +69,15 @@
     }
 
     /// Reads one row; the row may be stale.
+    ///
+    /// ```
+    /// use store::{client::Table, mem::MemTable};
+    ///
+    /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
+    /// let table = Table::from(MemTable::default());
+    /// assert_eq!(table.get("rev").await, Ok(None));
+    /// # });
+    /// ```
     pub async fn get(&self, key: &str) -> Result<Option<Row>, StoreError> {
         match self {
             Self::Http(table) => table.get(key).await,
@@ -64,7 +85,19 @@
         }
     }
 
-    /// Reads up to `limit` rows whose keys start with `prefix` and follow `after`, in key order.
+    /// Reads up to `limit` rows, and at most [`SCAN_ROWS`], whose keys start with `prefix` and
+    /// follow `after`, in key order.
+    ///
+    /// ```
+    /// use store::{client::Table, mem::MemTable, table::Txn};
+    ///
+    /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
+    /// let table = Table::from(MemTable::default());
+    /// let txn = Txn::default().put("job/a", "1".into()).put("job/b", "2".into());
+    /// table.commit(&txn).await.unwrap();
+    /// assert_eq!(table.scan("job/", "job/a", 10).await.unwrap().len(), 1);
+    /// # });
+    /// ```
     pub async fn scan(
         &self,
         prefix: &str,
@@ -80,6 +113,15 @@
     /// Reads all rows whose keys start with `prefix`, in key order and in as many calls as needed.
     ///
     /// The calls are separate reads: rows that change meanwhile may be seen in either state.
+    ///
+    /// ```
+    /// use store::{client::Table, mem::MemTable};
+    ///
+    /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
+    /// let table = Table::from(MemTable::default());
+    /// assert_eq!(table.scan_all("job/").await, Ok(vec![]));
+    /// # });
+    /// ```
     pub async fn scan_all(&self, prefix: &str) -> Result<Vec<Row>, StoreError> {
         let mut rows = Vec::new();
         let mut after: Key = "".into();
@@ -98,6 +140,17 @@
     ///
     /// A row proves that the write was applied. `None` proves nothing, because the read may be
     /// stale and the write may still be under way.
+    ///
+    /// ```
+    /// use store::{client::Table, mem::MemTable, table::Txn};
+    ///
+    /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
+    /// let table = Table::from(MemTable::default());
+    /// table.commit(&Txn::default().put("a", r#"{"id":"x7"}"#.into())).await.unwrap();
+    /// let row = table.read_back("a", |value| value.contains("x7")).await.unwrap();
+    /// assert_eq!(row.unwrap().version, 1);
+    /// # });
+    /// ```
     pub async fn read_back(
         &self,
         key: &str,
--- a/crates/store/src/http_cfg.rs
+++ b/crates/store/src/http_cfg.rs
@@ -5,6 +5,13 @@
 
 /// Settings of [`HttpTable`](crate::http::HttpTable), [`Objects`](crate::objects::Objects) and
 /// [`Vms`](crate::vms::Vms).
+///
+/// ```
+/// use store::http_cfg::HttpCfg;
+///
+/// let cfg: HttpCfg = serde_json::from_str(r#"{"connections":4}"#).unwrap();
+/// assert_eq!((cfg.connections, cfg.connect_ms.0), (4, 500));
+/// ```
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HttpCfg {
