--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use base::{clock, clock::Millis, limits, name::Name};
+use base::{clock, limits, name::Name};
 use ntex::{
     http::{HeaderMap, StatusCode},
     web::HttpResponse,
@@ -21,6 +21,7 @@
     auth::Identity,
     input::{self, Body},
     refusal::{Code, Outcome, Refusal},
+    settle,
     state::Entry,
 };
 
@@ -44,6 +45,8 @@
     Apply(Body),
     /// Shows the configuration.
     Config,
+    /// Settles the claim in the body.
+    Settle(Body),
 }
 
 /// Body of `POST /config`.
@@ -144,6 +147,7 @@
             job_response(reply, StatusCode::OK)
         }
         Ask::Apply(body) => apply(cx, operator(identity)?, &body).await,
+        Ask::Settle(body) => settle::run(cx, &operator(identity)?, &body).await,
         Ask::Config => {
             operator(identity)?;
             show_config(cx).await
@@ -298,8 +302,3 @@
     let message = format!("the scheduler sent an unexpected answer: {reply:?}");
     Refusal::unknown(Code::DecisionUnknown, message)
 }
-
-/// Longest time from the arrival of a request to its answer, for the end of a planned stop.
-pub const fn longest(scheduler_timeout: Millis) -> Millis {
-    Millis(scheduler_timeout.0 + 5_000)
-}
--- a/crates/plan/src/plan_cfg.rs
+++ b/crates/plan/src/plan_cfg.rs
@@ -51,9 +51,9 @@
             absent_limit: Millis(45_000),
             hold_backoff: Millis(2_000),
             max_records: 200,
-            max_tries: 64,
+            max_tries: 32,
             reclaim_after: Millis(10_000),
-            starve_after: Millis(120_000),
+            starve_after: Millis(60_000),
             throttle_limit: Millis(10_000),
             fleet_grace: Millis(10_000),
         }
