--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -9,7 +9,10 @@
     sorted::SortedMap,
 };
 use ntex::rt;
-use plan::event::Event;
+use plan::{
+    check,
+    event::{Event, WorkerInfo},
+};
 use schema::config::Config;
 use store::table::{StoreError, Txn};
 use tokio::sync::{Mutex, Notify, oneshot};
@@ -61,15 +64,17 @@
     changes: SortedMap<u64, u64>,
     /// Time of the last commit, or of the takeover.
     committed: Millis,
-    /// Entries by incarnation id; `None` before the first reading.
-    members: Option<Vec<Entry>>,
+    /// All other members, entries and schedulers; `None` before the first reading.
+    members: Option<Vec<Member>>,
+    /// Members to which a push is under way.
+    pushing: Vec<u64>,
     /// Revision that each member has in force.
     acks: SortedMap<u64, u64>,
 }
 
-/// An entry process.
+/// Another member.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Entry {
+pub(crate) struct Member {
     pub(crate) id: u64,
     pub(crate) address: net::SocketAddr,
 }
@@ -83,8 +88,8 @@
         inner.changes = audits.iter().map(|a| (a.change, a.revision)).collect();
     }
 
-    /// Takes the entries that have a membership row.
-    pub(crate) fn set_members(&self, members: Vec<Entry>) {
+    /// Takes the other members that have a membership row.
+    pub(crate) fn set_members(&self, members: Vec<Member>) {
         let mut inner = self.inner.borrow_mut();
         inner
             .acks
@@ -113,14 +118,16 @@
         let Some(members) = &inner.members else {
             return Verdict::Wait { until: now + lease };
         };
-        let acked = |m: &Entry| inner.acks.get(&m.id).is_some_and(|r| *r >= revision);
-        let acked: Vec<bool> = members.iter().map(acked).collect();
+        let acked = |m: &Member| inner.acks.get(&m.id).is_some_and(|r| *r >= revision);
+        // A cut-off entry asks entries and schedulers alike, so the majority is one of all members.
+        let mut acked: Vec<bool> = members.iter().map(acked).collect();
+        acked.push(true);
         accept::verdict(now, inner.committed, lease, &acked)
     }
 
-    fn missing(&self, revision: u64) -> Vec<Entry> {
+    fn missing(&self, revision: u64) -> Vec<Member> {
         let inner = self.inner.borrow();
-        let behind = |m: &&Entry| inner.acks.get(&m.id).is_none_or(|r| *r < revision);
+        let behind = |m: &&Member| inner.acks.get(&m.id).is_none_or(|r| *r < revision);
         let members = inner.members.iter().flatten();
         members.filter(behind).copied().collect()
     }
@@ -195,6 +202,7 @@
     }
     let old = leader.with(|s| s.config.clone()).unwrap_or_default();
     let next = next(&old, &change)?;
+    check_guarantees(leader, &old, &next)?;
     let txn = transaction(cx, leader, &old, &next, &change);
     match executor::settle(cx, leader, &txn).await {
         Ok(version) => {
@@ -225,6 +233,30 @@
         .map_err(|e| answer::failed("bad_record", e.to_string(), Effect::None))
 }
 
+/// Refuses guarantees that can't all hold together with any one worker lost.
+///
+/// Other changes pass also when the loss of workers has made the present guarantees impossible.
+fn check_guarantees(leader: &Leader, old: &Config, next: &Config) -> Result<(), Reply> {
+    let guarantees = |config: &Config| -> Vec<_> {
+        let all = config.organisations.values();
+        all.map(|o| (o.name.clone(), o.guarantees.clone()))
+            .filter(|(_, guarantees)| !guarantees.is_empty())
+            .collect()
+    };
+    if guarantees(old) == guarantees(next) {
+        return Ok(());
+    }
+    let workers: Option<Option<Vec<WorkerInfo>>> = leader.with(|s| {
+        let listed = s.contacts.values().filter(|c| c.listed);
+        listed.map(|c| c.link.info().cloned()).collect()
+    });
+    let Some(Some(workers)) = workers else {
+        return Err(answer::unavailable("some workers have not answered yet"));
+    };
+    check::check_config(next, &workers)
+        .map_err(|e| answer::failed("impossible_guarantee", e.to_string(), Effect::None))
+}
+
 fn transaction(cx: &Cx, leader: &Leader, old: &Config, next: &Config, change: &Change) -> Txn {
     let revision = next.revision;
     let audit = AuditRow {
@@ -253,29 +285,45 @@
         inner.committed = clock::now();
         inner.changes.insert(change, revision);
     }
-    cx.revision.set(cx.revision.get().max(revision));
+    cx.note_revision(revision);
     leader.with(|s| s.config = config.clone());
     leader.event(cx, Event::Configured { config });
     log::info!("config: revision {revision} is committed");
-    for entry in leader.config.missing(revision) {
+    push_missing(cx, leader);
+}
+
+/// Tells all members that have not acknowledged the revision in force about it.
+pub(crate) fn push_missing(cx: &Cx, leader: &Rc<Leader>) {
+    let revision = leader.with(|s| s.config.revision).unwrap_or_default();
+    for member in leader.config.missing(revision) {
+        if leader.config.inner.borrow().pushing.contains(&member.id) {
+            continue;
+        }
+        leader.config.inner.borrow_mut().pushing.push(member.id);
         let (cx, leader) = (cx.clone(), leader.clone());
-        rt::spawn(async move { push(&cx, &leader, entry, revision).await }).detach();
+        rt::spawn(async move {
+            push(&cx, &leader, member).await;
+            let mut inner = leader.config.inner.borrow_mut();
+            inner.pushing.retain(|id| *id != member.id);
+        })
+        .detach();
     }
 }
 
-/// Tells a member about a revision until it has it in force.
-async fn push(cx: &Cx, leader: &Leader, entry: Entry, revision: u64) {
-    let client = Client::new(entry.address).with_timeout(PUSH_TIMEOUT);
-    let request = Request::Current {
-        member: cx.id,
-        known_revision: revision,
-    };
-    while leader.is_alive() && cx.revision.get() == revision {
-        if !leader.config.missing(revision).contains(&entry) {
+/// Tells a member about the revision in force until it has it or is gone.
+async fn push(cx: &Cx, leader: &Leader, member: Member) {
+    let client = Client::new(member.address).with_timeout(PUSH_TIMEOUT);
+    while leader.is_alive() {
+        let revision = leader.with(|s| s.config.revision).unwrap_or_default();
+        if !leader.config.missing(revision).contains(&member) {
             return;
         }
+        let request = Request::Current {
+            member: cx.id,
+            known_revision: revision,
+        };
         if let Ok(Reply::Current { revision: has, .. }) = client.call(&request).await {
-            leader.config.ack(entry.id, has);
+            leader.config.ack(member.id, has);
         }
         ctx::sleep(cx.cfg.config.push_ms).await;
     }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -46,8 +46,8 @@
     pub(crate) config: Config,
     /// Whether a transaction has been open for longer than usual.
     pub(crate) stuck: bool,
-    /// Whether the backlog of an outage is being written.
-    pub(crate) recovering: bool,
+    /// Time until which the backlog of an outage is taken to be written.
+    pub(crate) recover_until: Millis,
     workers_cfg: WorkersCfg,
 }
 
@@ -60,7 +60,7 @@
             contacts: SortedMap::default(),
             config: Config::default(),
             stuck: false,
-            recovering: false,
+            recover_until: Millis::ZERO,
             workers_cfg,
         }
     }
@@ -156,6 +156,22 @@
         }
     }
 
+    /// Returns up to `limit` final records that ended at least `keep` ago and are settled.
+    pub(crate) fn outdated(&self, now: Millis, keep: Millis, limit: usize) -> Vec<(JobKey, u64)> {
+        let old = |s: &&Stored| s.record.phase.is_final() && now.since(s.record.ended_at) >= keep;
+        let stored = self.committed.values().filter(old);
+        let keys = stored.map(|s| (s.record.key(), s.version));
+        keys.take(limit).collect()
+    }
+
+    /// Forgets jobs whose rows are removed.
+    pub(crate) fn forget(&mut self, jobs: &[(JobKey, u64)]) {
+        for (job, _) in jobs {
+            self.committed.remove(job);
+            self.plan.forget(job);
+        }
+    }
+
     /// Returns whether a start of the job may still reach one of its workers.
     pub(crate) fn may_start(&self, job: &JobKey) -> bool {
         self.contacts.values().any(|c| c.link.may_start(job))
