--- a/crates/claim/src/fingerprint.rs
+++ b/crates/claim/src/fingerprint.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::Digest;
 
+use crate::canonical;
+
 /// SHA-256 over service, operation and body, as hexadecimal digits.
 #[derive(Clone, Debug, Display, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(transparent)]
@@ -35,10 +37,9 @@
     hash.update("\n");
     hash.update(operation.as_str());
     hash.update("\n");
-    if let Ok(value) = serde_json::from_slice::<serde_json::Value>(body) {
-        // The map type of serde_json keeps its keys in order.
+    if let Some(text) = canonical::canonical(body) {
         hash.update("json\n");
-        hash.update(value.to_string());
+        hash.update(text);
     } else {
         hash.update("bytes\n");
         hash.update(body);
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -4,6 +4,7 @@
 //! claims of one entry go through one [`driver::Driver`], which commits them in groups.
 
 mod batch;
+pub mod canonical;
 pub mod claim_cfg;
 pub mod claims;
 pub mod driver;
--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -453,6 +453,17 @@
         budget: true,
     };
     if std::env::args().any(|a| a == "overload") {
+        for policy in policies {
+            for load in [1.0, 3.0] {
+                let fault = AllSound;
+                report(Setup {
+                    policy,
+                    load,
+                    fault,
+                    ..sound
+                });
+            }
+        }
         for policy in policies {
             for (early_refusal, budget) in [(true, true), (true, false), (false, true)] {
                 println!("early refusal {early_refusal}, retry budget {budget}:");
--- a/crates/route/src/limits_cfg.rs
+++ b/crates/route/src/limits_cfg.rs
@@ -28,7 +28,7 @@
 impl Default for LimitsCfg {
     fn default() -> Self {
         Self {
-            policy: Policy::TwoChoices,
+            policy: Policy::ReportedLoad,
             slots: 8,
             connections: 60,
             entries: 9,
