--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -455,13 +455,13 @@
     if std::env::args().any(|a| a == "overload") {
         for policy in policies {
             for load in [1.0, 3.0] {
-                let fault = AllSound;
-                report(Setup {
+                let setup = Setup {
                     policy,
+                    fault: AllSound,
                     load,
-                    fault,
                     ..sound
-                });
+                };
+                report(setup);
             }
         }
         for policy in policies {
