--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -101,8 +101,7 @@
     setup: Setup,
     rng: fastrand::Rng,
     now_us: u64,
-    seq: u64,
-    events: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: BinaryHeap<Reverse<(u64, usize)>>,
     pending: Vec<Event>,
     requests: Vec<Request>,
     servers: Vec<Server>,
@@ -122,7 +121,6 @@
             setup,
             rng: fastrand::Rng::with_seed(seed),
             now_us: 0,
-            seq: 0,
             events: BinaryHeap::new(),
             pending: Vec::new(),
             requests: Vec::new(),
@@ -143,7 +141,7 @@
         self.after(0, Event::Arrive);
         self.after(0, Event::Exchange);
         self.after(0, Event::Tick);
-        while let Some(Reverse((at, _, i))) = self.events.pop() {
+        while let Some(Reverse((at, i))) = self.events.pop() {
             if at > END_US {
                 break;
             }
@@ -166,9 +164,8 @@
     }
 
     fn after(&mut self, us: u64, event: Event) {
-        self.seq += 1;
-        self.events
-            .push(Reverse((self.now_us + us, self.seq, self.pending.len())));
+        let at = self.now_us + us;
+        self.events.push(Reverse((at, self.pending.len())));
         self.pending.push(event);
     }
 
@@ -240,11 +237,8 @@
     /// open.
     fn send_again(&mut self, id: usize) -> bool {
         let now = self.now();
-        let Request {
-            entry, deadline, ..
-        } = self.requests[id];
-        let e = &mut self.entries[entry];
-        if now >= deadline {
+        let e = &mut self.entries[self.requests[id].entry];
+        if now >= self.requests[id].deadline {
             e.again.pop_front();
             e.admit.finished(None);
             self.totals.failed += u64::from(self.is_measured(id));
@@ -298,12 +292,8 @@
         let index = self.requests[id].server;
         let used = self.servers[index].busy as u16;
         self.servers[index].busy -= 1;
-        let poison = self.requests[id].poison;
-        let outcome = if poison {
-            Outcome::ServerError
-        } else {
-            Outcome::Answered
-        };
+        let failed = usize::from(self.requests[id].poison);
+        let outcome = [Outcome::Answered, Outcome::ServerError][failed];
         self.after(ONE_WAY_US, Event::Answer(id, outcome, used));
         if let Some(next) = self.servers[index].queue.pop_front() {
             self.serve(next, index);
@@ -323,10 +313,8 @@
         let deadline = request.deadline;
         let latency = self.now_us - request.arrived_us;
         let e = &mut self.entries[entry];
-        let load = used.map(|used| Load {
-            used,
-            slots: SLOTS as u16,
-        });
+        let slots = SLOTS as u16;
+        let load = used.map(|used| Load { used, slots });
         let server = self.requests[id].tried.last().unwrap();
         e.limits.finished(now, server, outcome, took, load);
         let attempt = Attempt {
@@ -438,43 +426,34 @@
 }
 
 fn main() {
-    use Fault::{AllSound, OneFailsFast, OneSlow, StaleMembers, UnevenLoad};
+    use Fault::{AllSound, OneFailsFast, OneSlow, PoisonRequests, StaleMembers, UnevenLoad};
     use Policy::{Exchange, ReportedLoad, StaticDivision, TwoChoices};
     let policies = [StaticDivision, TwoChoices, ReportedLoad, Exchange];
     println!(
         "| case | load | policy | p50 ms | p99 ms | refused % | failed % | overruns % | goodput % |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
-    let sound = Setup {
-        policy: TwoChoices,
-        fault: Fault::PoisonRequests,
-        load: 1.0,
+    let sound = |policy, load| Setup {
+        policy,
+        fault: AllSound,
+        load,
         early_refusal: true,
         budget: true,
     };
     if std::env::args().any(|a| a == "overload") {
         for policy in policies {
-            for load in [1.0, 3.0] {
-                let setup = Setup {
-                    policy,
-                    fault: AllSound,
-                    load,
-                    ..sound
-                };
-                report(setup);
-            }
+            report(sound(policy, 1.0));
+            report(sound(policy, 3.0));
         }
         for policy in policies {
             for (early_refusal, budget) in [(true, true), (true, false), (false, true)] {
                 println!("early refusal {early_refusal}, retry budget {budget}:");
                 for load in [1.0, 3.0] {
-                    report(Setup {
-                        policy,
-                        load,
-                        early_refusal,
-                        budget,
-                        ..sound
-                    });
+                    let mut setup = sound(policy, load);
+                    setup.fault = PoisonRequests;
+                    setup.early_refusal = early_refusal;
+                    setup.budget = budget;
+                    report(setup);
                 }
             }
         }
@@ -483,12 +462,9 @@
     for fault in [AllSound, OneSlow, OneFailsFast, UnevenLoad, StaleMembers] {
         for load in [0.5, 0.8, 0.95, 3.0] {
             for policy in policies {
-                report(Setup {
-                    policy,
-                    fault,
-                    load,
-                    ..sound
-                });
+                let mut setup = sound(policy, load);
+                setup.fault = fault;
+                report(setup);
             }
         }
     }
