claim, route: Test the read-back of mixed groups and the score of a failing server

Mutations seen to fail: reading back a claim of an earlier group (the one that no test caught before), counting a failure by its real time, never ejecting.

--- a/crates/claim/tests/at_most_once.rs
+++ b/crates/claim/tests/at_most_once.rs
@@ -272,3 +272,39 @@
         drop(taken);
     });
 }
+
+/// Guards against taking a row of an earlier group for proof of the present one: the first claim
+/// takes effect late and its row is read stale, and then the answer to a group of two is lost.
+#[test]
+fn read_back_uses_a_claim_of_the_same_group() {
+    for seed in 0..40 {
+        run(async move {
+            let store = Faulty::new(MemTable::default(), seed, Faults::default());
+            let claims = start(&store, 1);
+            let none = Faults::default();
+            let late = Faults {
+                late_write: 100,
+                ..none
+            };
+            let stale = Faults {
+                stale_read: 100,
+                ..none
+            };
+            store.set_script([late, stale, none, stale, late, none]);
+            let first = claims.clone();
+            let first = task::spawn_local(async move { begin(&first, "a").await });
+            for _ in 0..3 {
+                task::yield_now().await;
+            }
+            let second = begin(&claims, "b").await;
+            if matches!(second, Begun::Run(_)) {
+                assert_eq!(
+                    row(&store.table, "b").state,
+                    State::InProgress,
+                    "seed {seed}"
+                );
+            }
+            drop((first.await, second));
+        });
+    }
+}
--- a/crates/claim/tests/common/mod.rs
+++ b/crates/claim/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Table in memory with outages, lost answers, late writes and stale reads.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, collections::VecDeque, rc::Rc};
 
 use claim::store::Store;
 use store::{
@@ -30,6 +30,7 @@
 struct Shared {
     rng: fastrand::Rng,
     faults: Faults,
+    script: VecDeque<Faults>,
     late: Vec<Txn>,
     transactions: usize,
     rows: usize,
@@ -40,6 +41,7 @@
         let shared = Shared {
             rng: fastrand::Rng::with_seed(seed),
             faults,
+            script: VecDeque::new(),
             late: Vec::new(),
             transactions: 0,
             rows: 0,
@@ -52,6 +54,11 @@
         self.shared.borrow_mut().faults = faults;
     }
 
+    /// Sets the faults of each of the next calls.
+    pub fn set_script(&self, script: impl IntoIterator<Item = Faults>) {
+        self.shared.borrow_mut().script.extend(script);
+    }
+
     /// Transactions and rows that were sent.
     pub fn sent(&self) -> (usize, usize) {
         let shared = self.shared.borrow();
@@ -74,6 +81,9 @@
 
     fn write_late(&self) {
         let mut shared = self.shared.borrow_mut();
+        if let Some(faults) = shared.script.pop_front() {
+            shared.faults = faults;
+        }
         if shared.rng.bool()
             && let Some(txn) = shared.late.pop()
         {
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -26,9 +26,13 @@
     format!("s{i}").parse().unwrap()
 }
 
-fn limits(policy: Policy, servers: usize) -> Limits {
+fn limits(policy: Policy, servers: usize, eject_after: u32) -> Limits {
     let cfg = LimitsCfg {
         policy,
+        health: HealthCfg {
+            eject_after,
+            ..HealthCfg::default()
+        },
         ..LimitsCfg::default()
     };
     let mut limits = Limits::new(cfg, 1, 7);
@@ -57,7 +61,7 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let policy = POLICIES[rng.usize(..4)];
         let health = HealthCfg::default();
-        let mut limits = limits(policy, 6);
+        let mut limits = limits(policy, 6, health.eject_after);
         let mut models = vec![Model::default(); 6];
         let mut now = Millis(0);
         for _ in 0..400 {
@@ -129,11 +133,13 @@
     assert_eq!(total, 400);
 }
 
-/// Guards against a server that fails at once drawing the traffic of the sound ones.
+/// Guards against a server that fails at once drawing the traffic of the sound ones, with
+/// ejection and by its score alone.
 #[test]
 fn fast_failing_server_gets_little_traffic() {
-    for policy in POLICIES {
-        let mut limits = limits(policy, 10);
+    let ejection = [HealthCfg::default().eject_after, u32::MAX];
+    for (policy, eject_after) in POLICIES.iter().flat_map(|p| ejection.map(|e| (*p, e))) {
+        let mut limits = limits(policy, 10, eject_after);
         let mut failed = 0;
         for i in 0..5_000 {
             let now = Millis(i * 10);
@@ -154,7 +160,7 @@
 /// Guards against a server that stays out, or is overloaded by probes, after it has recovered.
 #[test]
 fn ejected_server_is_probed_one_at_a_time_and_taken_back() {
-    let mut limits = limits(Policy::TwoChoices, 1);
+    let mut limits = limits(Policy::TwoChoices, 1, HealthCfg::default().eject_after);
     let cfg = HealthCfg::default();
     for _ in 0..cfg.eject_after {
         limits.started(Millis(0), &id(0));
@@ -182,7 +188,7 @@
 /// Guards against lost counts when a server is removed, and returns, with requests in flight.
 #[test]
 fn removed_server_keeps_its_requests_in_flight() {
-    let mut limits = limits(Policy::TwoChoices, 1);
+    let mut limits = limits(Policy::TwoChoices, 1, HealthCfg::default().eject_after);
     limits.started(Millis(0), &id(0));
     limits.remove_server(&id(0));
     assert_eq!(limits.pick(Millis(0), &[]), None);
