--- a/crates/plan/src/gang.rs
+++ b/crates/plan/src/gang.rs
@@ -25,6 +25,7 @@
         let need = need(job);
         self.workers.take(id, &self.jobs.get(id).rec.members, need);
         self.count_usage(id, true);
+        self.jobs.get_mut(id).expected = self.expected_run_time(id);
         self.note_end(step, id);
         self.enter(step, id, Phase::Holding);
         self.send_outstanding(step, id);
@@ -172,6 +173,10 @@
         job.rec.phase = phase;
         job.since = step.now;
         step.changed.push(id);
+        match phase {
+            Phase::Holding | Phase::Running | Phase::Stopping => self.active.insert(id),
+            _ => self.active.remove(&id),
+        };
         if phase.is_final() {
             job.rec.ended_at = step.now;
             let rec = job.rec.clone();
--- a/crates/plan/src/jobs.rs
+++ b/crates/plan/src/jobs.rs
@@ -1,7 +1,6 @@
 //! Table of jobs.
 
 use base::{clock::Millis, sorted::SortedMap};
-use schema::job::Phase;
 
 use crate::{
     order::Attempt,
@@ -46,6 +45,8 @@
     pub checkpointed: bool,
     /// Time since which a member uses more memory than it is charged with, and the member.
     pub over_by: Option<(Millis, usize)>,
+    /// Expected run time of the whole job, computed when it was placed.
+    pub expected: Millis,
     /// Class of a waiting job in the queue.
     pub class: Option<ClassId>,
     /// Slot of a claim.
@@ -68,6 +69,7 @@
             sent_at: now,
             checkpointed: true,
             over_by: None,
+            expected: Millis::ZERO,
             class: None,
             slot: None,
             boxes: Vec::new(),
@@ -145,11 +147,4 @@
             .enumerate()
             .filter_map(|(id, job)| Some((id, job.as_mut()?)))
     }
-
-    /// Returns the jobs in `phase`.
-    pub fn in_phase(&self, phase: Phase) -> impl Iterator<Item = JobId> {
-        self.iter()
-            .filter(move |(_, job)| job.rec.phase == phase)
-            .map(|(id, _)| id)
-    }
 }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -1,5 +1,7 @@
 //! The plan: all jobs and workers, and the decisions about them.
 
+use std::collections::BTreeSet;
+
 use base::{clock::Millis, name::Name, sorted::SortedMap};
 use schema::{config::Config, job::Phase};
 
@@ -37,6 +39,8 @@
     pub(crate) cfg: PlanCfg,
     pub(crate) config: Config,
     pub(crate) jobs: Jobs,
+    /// Jobs that hold, run or stop.
+    pub(crate) active: BTreeSet<JobId>,
     pub(crate) workers: Workers,
     pub(crate) slots: Slots,
     /// Jobs with a claim that wait until borrowed work is stopped.
@@ -46,6 +50,8 @@
     pub(crate) corrections: SortedMap<KindKey, Correction>,
     /// Raised whenever capacity becomes free or changes.
     pub(crate) generation: u64,
+    /// Turn of the starving gangs whose held back workers are chosen anew.
+    pub(crate) hold_turn: usize,
     /// Generation in which all classes of waiting jobs were tried.
     pub(crate) tried_at: u64,
     /// Sum of the weights of all organisations.
@@ -85,6 +91,7 @@
             cfg,
             config: Config::default(),
             jobs: Jobs::default(),
+            active: BTreeSet::new(),
             workers: Workers::default(),
             slots: Slots::default(),
             pending: Vec::new(),
@@ -92,6 +99,7 @@
             usage: Usage::default(),
             corrections: SortedMap::default(),
             generation: 1,
+            hold_turn: 0,
             tried_at: 0,
             total_weight: 0.0,
             total_accelerators: 0.0,
@@ -134,7 +142,9 @@
             return self.queue_add(id);
         }
         if !job.rec.members.is_empty() {
+            self.active.insert(id);
             self.workers.take(id, &job.rec.members, need(job));
+            self.jobs.get_mut(id).expected = self.expected_run_time(id);
             self.count_usage(id, true);
             self.count_stopping(id, true);
         }
