--- a/crates/cli/tests/config.rs
+++ b/crates/cli/tests/config.rs
@@ -185,8 +185,7 @@
         "two changes have the same revision"
     );
     for (change, revision) in &accepted_changes {
-        let row = system.platform.row(&format!("audit/{revision:020}"));
-        let row = row.or_else(|| system.platform.row(&format!("audit/{revision}")));
+        let row = system.platform.row(&format!("audit/{revision:012}"));
         let value = row.expect("every accepted change has its audit row").value;
         assert!(
             value.contains(&change.to_string()),
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -8,6 +8,7 @@
     name::Name,
     sorted::SortedMap,
 };
+use member::rows::{MEMBERS_KEY, RevRow};
 use ntex::rt;
 use plan::{
     check,
@@ -28,12 +29,14 @@
     executor::{self, Abandoned},
     leader::Leader,
     lease_task::to_json,
-    records,
-    rows::{self, AuditRow, RevRow},
+    members, records,
+    rows::{self, AuditRow},
 };
 
 /// Changes that are remembered, so that a repetition gets the same answer.
 const REMEMBERED: u64 = 1_000;
+/// Tries to commit a change while members come and go.
+const MEMBERS_TRIES: usize = 50;
 /// Longest wait for the answer to a push.
 const PUSH_TIMEOUT: Millis = Millis(500);
 
@@ -68,6 +71,8 @@
     members: Option<Vec<Member>>,
     /// Members to which a push is under way.
     pushing: Vec<u64>,
+    /// Version of the row from which the members were read.
+    members_version: u64,
     /// Revision that each member has in force.
     acks: SortedMap<u64, u64>,
 }
@@ -88,9 +93,13 @@
         inner.changes = audits.iter().map(|a| (a.change, a.revision)).collect();
     }
 
-    /// Takes the other members that have a membership row.
-    pub(crate) fn set_members(&self, members: Vec<Member>) {
+    /// Takes the other members on the list of this version, unless a newer one is known.
+    pub(crate) fn set_members(&self, version: u64, members: Vec<Member>) {
         let mut inner = self.inner.borrow_mut();
+        if inner.members.is_some() && version < inner.members_version {
+            return;
+        }
+        inner.members_version = version;
         inner
             .acks
             .retain(|id, _| members.iter().any(|m| m.id == *id));
@@ -203,15 +212,17 @@
     let old = leader.with(|s| s.config.clone()).unwrap_or_default();
     let next = next(&old, &change)?;
     check_guarantees(leader, &old, &next)?;
-    let txn = transaction(cx, leader, &old, &next, &change);
-    match executor::settle(cx, leader, &txn).await {
+    match settle(cx, leader, &old, &next, &change).await {
         Ok(version) => {
             in_force(cx, leader, change.id, version, next);
             Ok(leader.with(|s| s.config.revision).unwrap_or_default())
         }
         Err(Abandoned::Lost { maybe: true }) => Err(open("the lease was lost")),
         Err(Abandoned::Lost { maybe: false }) => Err(answer::unavailable("the lease was lost")),
-        Err(Abandoned::Conflict) => {
+        Err(Abandoned::Conflict { keys }) if keys == [MEMBERS_KEY.into()] => {
+            Err(answer::unavailable("members come and go, try again"))
+        }
+        Err(Abandoned::Conflict { .. }) => {
             cx.end_leadership("the revision is not as expected, the state is rebuilt");
             let message = "another change came first".to_owned();
             Err(answer::failed("revision_conflict", message, Effect::None))
@@ -219,6 +230,32 @@
     }
 }
 
+/// Commits a change together with a check of the list of members, so that every member either is
+/// waited for or registers after the commit and finds the new revision.
+async fn settle(
+    cx: &Cx,
+    leader: &Rc<Leader>,
+    old: &Config,
+    next: &Config,
+    change: &Change,
+) -> Result<u64, Abandoned> {
+    for _ in 0..MEMBERS_TRIES {
+        let txn = transaction(cx, leader, old, next, change);
+        match executor::settle(cx, leader, &txn).await {
+            Err(Abandoned::Conflict { keys }) if keys.iter().all(|k| **k == *MEMBERS_KEY) => {}
+            settled => return settled,
+        }
+        // A read may be stale, so the next try may come too early.
+        if let Err(e) = members::read_list(cx, leader).await {
+            log::debug!("config: the list of members is not available: {e}");
+        }
+        ctx::sleep(cx.cfg.commit.retry_ms).await;
+    }
+    Err(Abandoned::Conflict {
+        keys: vec![MEMBERS_KEY.into()],
+    })
+}
+
 fn next(old: &Config, change: &Change) -> Result<Config, Reply> {
     if let Some(expected) = change.expected
         && expected != old.revision
@@ -266,10 +303,14 @@
         at: clock::wall(),
         records: change.records.clone(),
     };
-    let rev = leader.config.inner.borrow().rev;
+    let (rev, members) = {
+        let inner = leader.config.inner.borrow();
+        (inner.rev, inner.members_version)
+    };
     let txn = Txn::default()
         .check(cx.lease_key(), leader.held.version)
-        .check("rev", rev);
+        .check("rev", rev)
+        .check(MEMBERS_KEY, members);
     // The audit row comes last: it is the one that is read back when the answer is lost.
     records::writes(txn, old, next)
         .put("rev", to_json(&RevRow { revision }))
--- a/crates/sched/src/ctx.rs
+++ b/crates/sched/src/ctx.rs
@@ -7,6 +7,7 @@
 };
 
 use base::clock::{self, Millis};
+use member::{own::Own, rows::MemberRole};
 use store::{
     client::Table,
     http::HttpTable,
@@ -31,6 +32,8 @@
     pub(crate) id: u64,
     /// Address of the wire listener.
     pub(crate) addr: net::SocketAddr,
+    /// Membership of this process.
+    pub(crate) own: Own,
     pub(crate) table: Table,
     /// The lease has its own connections, so that a full pool does not delay a renewal.
     pub(crate) lease_table: Table,
@@ -63,6 +66,7 @@
         Ok(Self {
             id,
             addr,
+            own: Own::new(id, addr, MemberRole::Scheduler),
             table: HttpTable::new(&url, http.clone()).await?.into(),
             lease_table: HttpTable::new(&url, lease_http).await?.into(),
             vms: Vms::new(&url, http).await?,
--- a/crates/sched/src/executor.rs
+++ b/crates/sched/src/executor.rs
@@ -26,12 +26,12 @@
 const RECOVERY_REST: Millis = Millis(1_000);
 
 /// Why a transaction has no result.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Abandoned {
     /// The lease is lost; `maybe` tells whether the transaction may be applied.
     Lost { maybe: bool },
-    /// A row is not as expected, though the lease is held.
-    Conflict,
+    /// Rows are not as expected, though the lease is held.
+    Conflict { keys: Vec<Key> },
 }
 
 /// Commits decisions until the leadership ends.
@@ -65,7 +65,7 @@
                 Settled::Dropped
             });
         }
-        Err(Abandoned::Conflict) => {
+        Err(Abandoned::Conflict { .. }) => {
             batch.settle(Settled::Unknown);
             cx.end_leadership("a job record is not as expected, the state is rebuilt");
         }
@@ -177,19 +177,27 @@
         return Err(Abandoned::Lost { maybe });
     }
     if !maybe {
-        return Err(Abandoned::Conflict);
+        return Err(Abandoned::Conflict {
+            keys: keys.to_vec(),
+        });
     }
     // The cause may be an earlier copy of this transaction.
     for _ in 0..SETTLE_TRIES {
         wait_acting(cx, leader, maybe).await?;
         match find_own(cx, txn).await {
             Ok(Some(version)) => return Ok(version),
-            Ok(None) => return Err(Abandoned::Conflict),
+            Ok(None) => {
+                return Err(Abandoned::Conflict {
+                    keys: keys.to_vec(),
+                });
+            }
             Err(reason) => log::debug!("sched: {reason}"),
         }
         ctx::sleep(cx.cfg.commit.retry_ms).await;
     }
-    Err(Abandoned::Conflict)
+    Err(Abandoned::Conflict {
+        keys: keys.to_vec(),
+    })
 }
 
 /// Reads the last written row back; `None` if it is certainly not as the transaction writes it.
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -6,7 +6,8 @@
     clock::{self, Millis},
     sorted::SortedMap,
 };
-use store::table::{Key, Row, Txn};
+use member::rows::{MEMBER_PREFIX, MEMBERS_KEY, MemberList, MemberRow, RevRow};
+use store::table::{Commit, Key, Row, StoreError, Txn};
 
 use crate::{
     config::{self, Member},
@@ -14,26 +15,24 @@
     leader::Leader,
     lease_task::to_json,
     restore,
-    rows::{self, MemberRole, MemberRow, RevRow},
 };
 
+/// Pause between two tries to register.
+const REGISTER_PAUSE: Millis = Millis(100);
+
 /// Renews the own row; it never returns.
 pub(crate) async fn run_own(cx: Cx) {
-    let mut renewed = 0;
     loop {
-        renewed += 1;
-        let row = MemberRow {
-            id: cx.id,
-            address: cx.addr,
-            role: MemberRole::Scheduler,
-            renewed,
-        };
-        let txn = Txn::default().put(rows::member_key(cx.id), to_json(&row));
-        if let Err(e) = cx.table.commit(&txn).await {
+        if let Err(e) = cx.own.renew(&cx.table, None).await {
             log::debug!("sched: the membership row is not renewed: {e}");
         }
         learn_revision(&cx).await;
-        ctx::sleep(cx.cfg.members.renew_ms).await;
+        let pause = if cx.own.is_registered() {
+            cx.cfg.members.renew_ms
+        } else {
+            REGISTER_PAUSE
+        };
+        ctx::sleep(pause).await;
     }
 }
 
@@ -52,8 +51,7 @@
 
 /// Removes the own row at a planned stop.
 pub(crate) async fn remove_own(cx: &Cx) {
-    let txn = Txn::default().delete(rows::member_key(cx.id));
-    if let Err(e) = cx.table.commit(&txn).await {
+    if let Err(e) = cx.own.leave(&cx.table).await {
         log::debug!("sched: the membership row is not removed: {e}");
     }
 }
@@ -65,52 +63,82 @@
     since: Millis,
 }
 
-/// Reads all rows and removes those that are not renewed.
+/// Reads the list of members, and removes those whose rows are not renewed.
 pub(crate) async fn run_leader(cx: &Cx, leader: &Rc<Leader>) {
     let mut seen: SortedMap<Key, Seen> = SortedMap::default();
     while leader.is_alive() {
-        match restore::scan(cx, "member/").await {
-            Ok(rows) => take(cx, leader, &mut seen, &rows).await,
-            Err(e) => log::debug!("sched: the membership rows are not available: {e}"),
+        if let Err(e) = look(cx, leader, &mut seen).await {
+            log::debug!("sched: the membership rows are not available: {e}");
         }
         ctx::sleep(cx.cfg.members.list_ms).await;
     }
 }
 
-async fn take(cx: &Cx, leader: &Rc<Leader>, seen: &mut SortedMap<Key, Seen>, rows: &[Row]) {
+/// Reads the list of all members.
+pub(crate) async fn read_list(cx: &Cx, leader: &Rc<Leader>) -> Result<Listed, StoreError> {
+    let row = cx.table.get(MEMBERS_KEY).await?;
+    let version = row.as_ref().map_or(0, |row| row.version);
+    let list = MemberList::read(row.as_ref());
+    let others = list.members.iter().filter(|m| m.id != cx.id);
+    let others = others
+        .map(|m| Member {
+            id: m.id,
+            address: m.address,
+        })
+        .collect();
+    leader.config.set_members(version, others);
+    config::push_missing(cx, leader);
+    Ok(Listed { version, list })
+}
+
+/// The list of members with the version of its row.
+pub(crate) struct Listed {
+    version: u64,
+    list: MemberList,
+}
+
+async fn look(
+    cx: &Cx,
+    leader: &Rc<Leader>,
+    seen: &mut SortedMap<Key, Seen>,
+) -> Result<(), StoreError> {
+    let listed = read_list(cx, leader).await?;
+    let rows = restore::scan(cx, MEMBER_PREFIX).await?;
     let now = clock::now();
     seen.retain(|key, _| rows.iter().any(|r| r.key == *key));
-    let mut members = Vec::new();
     for row in rows {
         let known = seen.get(&row.key).filter(|s| s.version == row.version);
         let since = known.map_or(now, |s| s.since);
-        let version = row.version;
-        seen.insert(row.key.clone(), Seen { version, since });
+        seen.insert(
+            row.key.clone(),
+            Seen {
+                version: row.version,
+                since,
+            },
+        );
         if now.since(since) >= cx.cfg.members.remove_ms {
-            remove(cx, leader, row).await;
-        } else {
-            members.extend(member(row).filter(|m| m.id != cx.id));
+            // One removal at a time: it changes the list that the next one has to check.
+            return remove(cx, leader, listed, &row).await;
         }
     }
-    leader.config.set_members(members);
-    config::push_missing(cx, leader);
+    Ok(())
 }
 
-fn member(row: &Row) -> Option<Member> {
-    let member: MemberRow = serde_json::from_str(&row.value).ok()?;
-    Some(Member {
-        id: member.id,
-        address: member.address,
-    })
-}
-
-async fn remove(cx: &Cx, leader: &Leader, row: &Row) {
+async fn remove(cx: &Cx, leader: &Leader, listed: Listed, row: &Row) -> Result<(), StoreError> {
+    let Ok(member) = serde_json::from_str::<MemberRow>(&row.value) else {
+        log::error!("sched: the row {} is not readable", row.key);
+        return Ok(());
+    };
+    let list = listed.list.without(&[member.id]);
     let txn = Txn::default()
         .check(cx.lease_key(), leader.held.version)
         .check(row.key.clone(), row.version)
+        .check(MEMBERS_KEY, listed.version)
+        .put(MEMBERS_KEY, to_json(&list))
         .delete(row.key.clone());
-    match cx.table.commit(&txn).await {
-        Ok(_) => log::info!("sched: {} is removed or was renewed", row.key),
-        Err(e) => log::debug!("sched: {} is not removed: {e}", row.key),
+    match cx.table.commit(&txn).await? {
+        Commit::Done { .. } => log::info!("sched: {} is removed", row.key),
+        Commit::Conflict { .. } => log::debug!("sched: {} was renewed", row.key),
     }
+    Ok(())
 }
--- a/crates/sched/src/restore.rs
+++ b/crates/sched/src/restore.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use derive_more::{Display, Error, From};
+use member::rows::RevRow;
 use plan::record::JobRecord;
 use schema::config::Config;
 use store::table::{Check, Commit, Key, Row, StoreError, Txn};
@@ -12,7 +13,6 @@
     ctx::Cx,
     leader::Leader,
     records,
-    rows::RevRow,
     state::{State, Stored},
 };
 
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -27,37 +27,6 @@
     pub count: u64,
 }
 
-/// Content of `member/{id}`.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct MemberRow {
-    /// Random incarnation id of the process.
-    pub id: u64,
-    /// Address of its wire listener.
-    pub address: net::SocketAddr,
-    /// What the process does.
-    pub role: MemberRole,
-    /// Number of renewals, which makes each renewal change the row.
-    #[serde(default)]
-    pub renewed: u64,
-}
-
-/// What a member does.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberRole {
-    /// It serves callers and operators.
-    Entry,
-    /// It competes for the lease.
-    Scheduler,
-}
-
-/// Content of `rev`.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
-pub struct RevRow {
-    /// Revision of the configuration.
-    pub revision: u64,
-}
-
 /// Content of `audit/{rev}`.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct AuditRow {
@@ -92,12 +61,3 @@
 pub fn audit_key(revision: u64) -> Key {
     format!("audit/{revision:012}").into()
 }
-
-/// Key of the membership row of an incarnation.
-///
-/// ```
-/// assert_eq!(&*sched::rows::member_key(255), "member/00000000000000ff");
-/// ```
-pub fn member_key(id: u64) -> Key {
-    format!("member/{id:016x}").into()
-}
--- a/crates/sched/src/server.rs
+++ b/crates/sched/src/server.rs
@@ -61,6 +61,7 @@
     Reply::Current {
         revision: cx.revision.get().unwrap_or_default(),
         config: None,
+        listed: false,
     }
 }
 
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -5,10 +5,13 @@
 use std::cell::Cell;
 
 use base::clock::{self, Millis};
-use sched::rows::{MemberRole, MemberRow, member_key};
+use member::{
+    own::{Own, Renewal},
+    rows::{MemberRole, member_key},
+};
 use site::{Site, apply, fast_lease};
 use standin::faults::Faults;
-use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::Txn};
+use store::{client::Table, http::HttpTable, http_cfg::HttpCfg};
 use wire::{
     client::Client,
     message::{Effect, Reply, Request},
@@ -40,15 +43,12 @@
         let url = site.platform.url();
         let table = HttpTable::new(&url, HttpCfg::default()).await.unwrap();
         let table = Table::from(table);
-        let row = MemberRow {
-            id,
-            address: "127.0.0.1:1".parse().unwrap(),
-            role: MemberRole::Entry,
-            renewed: 1,
-        };
-        let value = serde_json::to_string(&row).unwrap();
-        let txn = Txn::default().put(member_key(id), value);
-        table.commit(&txn).await.unwrap();
+        let own = Own::new(id, "127.0.0.1:1".parse().unwrap(), MemberRole::Entry);
+        site::eventually("the member is registered", async || {
+            let renewed = own.renew(&table, None).await.unwrap();
+            (renewed == Renewal::Renewed).then_some(())
+        })
+        .await;
         let known = Cell::new(0);
         Self { id, known }
     }
