claim: Answer requests with one key alike while its claim is under way

Requests that arrived on one entry while the first was claiming waited for a result. When the key was in progress elsewhere, they were told unknown or not run and the first was told in_progress (entry test simultaneous_requests_with_one_key_run_once).

The test of settlements puts the owner's member row, because a claim whose owner is gone can be settled since, and it checks both cases. Mutations seen to fail: other answers for waiting requests, no settlement for a dead owner.

--- a/crates/claim/src/claims.rs
+++ b/crates/claim/src/claims.rs
@@ -34,6 +34,19 @@
     NotRunStoreDown,
 }
 
+impl Begun {
+    /// The same answer for another request with the same key and fingerprint.
+    pub(crate) fn copy(&self) -> Self {
+        match self {
+            Self::Replay(answer) => Self::Replay(answer.clone()),
+            Self::Conflict => Self::Conflict,
+            Self::InProgressElsewhere => Self::InProgressElsewhere,
+            Self::NotRunStoreDown => Self::NotRunStoreDown,
+            Self::Run(_) | Self::Wait(_) | Self::Unknown => Self::Unknown,
+        }
+    }
+}
+
 /// Claims of one entry; clones share the same claims.
 ///
 /// ```
@@ -80,7 +93,20 @@
 #[derive(Debug)]
 pub(crate) struct Local {
     pub(crate) fingerprint: Fingerprint,
-    pub(crate) result: watch::Sender<Option<Settled>>,
+    pub(crate) progress: watch::Sender<Progress>,
+}
+
+/// How far a claim of this entry has come.
+#[derive(Debug)]
+pub(crate) enum Progress {
+    /// The claim is not in the table yet.
+    Claiming,
+    /// The claim holds and the request runs.
+    Held,
+    /// The claim was not made, for this reason.
+    Refused(Begun),
+    /// The request ended; the row still says `in_progress`.
+    Settled(Settled),
 }
 
 /// A claim that waits for its transaction.
@@ -126,30 +152,22 @@
     /// The future may be dropped at any time: a claim that nobody takes is set to `not_run`.
     pub async fn begin(&self, organisation: &Name, key: &str, fingerprint: &Fingerprint) -> Begun {
         let key = record::row_key(organisation, key);
-        let (reply, answer) = oneshot::channel();
-        {
-            let mut inner = self.shared.cell.borrow_mut();
-            if let Some(local) = inner.local.get(&*key) {
-                return local.begin(fingerprint);
+        while let Some((same, mut progress)) = self.local(&key, fingerprint) {
+            if !same {
+                return Begun::Conflict;
+            }
+            let decided = progress
+                .wait_for(|p| !matches!(p, Progress::Claiming))
+                .await;
+            let begun = decided.ok().map(|p| p.begun());
+            match begun {
+                Some(Some(begun)) => return begun,
+                Some(None) => return Begun::Wait(Waiter::new(progress)),
+                // The caller that was claiming the key went away.
+                None => {}
             }
-            inner.next_nonce += 1;
-            let nonce = inner.next_nonce;
-            let local = Local {
-                fingerprint: fingerprint.clone(),
-                result: watch::Sender::new(None),
-            };
-            inner.local.insert(key.clone(), local);
-            inner.asks.push(Ask {
-                key,
-                fingerprint: fingerprint.clone(),
-                nonce,
-                version: 0,
-                tries: 0,
-                uncertain: false,
-                reply,
-            });
         }
-        self.shared.work.notify_one();
+        let answer = self.ask(key, fingerprint);
         match answer.await {
             Ok(Begun::Run(ticket)) => Begun::Run(ticket.delivered()),
             Ok(begun) => begun,
@@ -158,23 +176,59 @@
         }
     }
 
+    /// Progress of the claim that this entry has for `key`, and whether it has this fingerprint.
+    fn local(
+        &self,
+        key: &Key,
+        fingerprint: &Fingerprint,
+    ) -> Option<(bool, watch::Receiver<Progress>)> {
+        let inner = self.shared.cell.borrow();
+        let local = inner.local.get(&**key)?;
+        let same = local.fingerprint == *fingerprint;
+        Some((same, local.progress.subscribe()))
+    }
+
+    /// Queues a claim for the next transaction.
+    fn ask(&self, key: Key, fingerprint: &Fingerprint) -> oneshot::Receiver<Begun> {
+        let (reply, answer) = oneshot::channel();
+        let mut inner = self.shared.cell.borrow_mut();
+        inner.next_nonce += 1;
+        let nonce = inner.next_nonce;
+        let local = Local {
+            fingerprint: fingerprint.clone(),
+            progress: watch::Sender::new(Progress::Claiming),
+        };
+        inner.local.insert(key.clone(), local);
+        inner.asks.push(Ask {
+            key,
+            fingerprint: fingerprint.clone(),
+            nonce,
+            version: 0,
+            tries: 0,
+            uncertain: false,
+            reply,
+        });
+        drop(inner);
+        self.shared.work.notify_one();
+        answer
+    }
+
     /// Number of claims whose settlement is not yet in the table.
     pub fn unsettled(&self) -> usize {
         self.shared.cell.borrow().local.len()
     }
 }
 
-impl Local {
-    fn begin(&self, fingerprint: &Fingerprint) -> Begun {
-        if self.fingerprint != *fingerprint {
-            return Begun::Conflict;
-        }
-        match &*self.result.borrow() {
-            None => Begun::Wait(Waiter::new(self.result.subscribe())),
-            Some(Settled::Completed(answer)) => Begun::Replay(answer.clone()),
-            Some(Settled::Unknown) => Begun::Unknown,
+impl Progress {
+    /// What a further request with the same key and fingerprint is told; `None` to wait.
+    fn begun(&self) -> Option<Begun> {
+        match self {
+            Self::Claiming | Self::Held => None,
+            Self::Refused(begun) => Some(begun.copy()),
+            Self::Settled(Settled::Completed(answer)) => Some(Begun::Replay(answer.clone())),
+            Self::Settled(Settled::Unknown) => Some(Begun::Unknown),
             // The row still says `in_progress`, so the key can't be claimed yet.
-            Some(Settled::NotRun) => Begun::NotRunStoreDown,
+            Self::Settled(Settled::NotRun) => Some(Begun::NotRunStoreDown),
         }
     }
 }
--- a/crates/claim/src/driver.rs
+++ b/crates/claim/src/driver.rs
@@ -8,7 +8,7 @@
 use crate::{
     batch::{Batch, Found, Item},
     claim_cfg::ClaimCfg,
-    claims::{Ask, Begun, Settle, Shared},
+    claims::{Ask, Begun, Progress, Settle, Shared},
     record::{self, Record, State},
     store::Store,
     ticket::{Settled, Ticket},
@@ -232,7 +232,12 @@
                 settle.version = row.version;
                 self.again(settle);
             }
-            _ => self.forget(&settle.key),
+            state => {
+                if state != settle.settled.into_state() {
+                    log::warn!("claim: row {} was settled by an operator", settle.key);
+                }
+                self.forget(&settle.key);
+            }
         }
     }
 
@@ -257,6 +262,11 @@
             ask.nonce,
             version,
         );
+        let inner = self.shared.cell.borrow();
+        if let Some(local) = inner.local.get(ticket.key()) {
+            local.progress.send_replace(Progress::Held);
+        }
+        drop(inner);
         // A ticket that can't be delivered sets its claim to `not_run` when it is dropped.
         let undelivered = ask.reply.send(Begun::Run(ticket));
         mem::drop(undelivered);
@@ -279,11 +289,10 @@
     }
 
     fn reply(&self, ask: Ask, begun: Begun) {
-        let mut inner = self.shared.cell.borrow_mut();
-        if let Some(local) = inner.local.remove(&*ask.key) {
-            local.result.send_replace(Some(waiters_result(&begun)));
+        let local = self.shared.cell.borrow_mut().local.remove(&*ask.key);
+        if let Some(local) = local {
+            local.progress.send_replace(Progress::Refused(begun.copy()));
         }
-        drop(inner);
         let _ = ask.reply.send(begun);
     }
 
@@ -292,15 +301,6 @@
     }
 }
 
-/// What requests with the same key and fingerprint are told that wait for this claim.
-fn waiters_result(begun: &Begun) -> Settled {
-    match begun {
-        Begun::Replay(answer) => Settled::Completed(answer.clone()),
-        Begun::Unknown | Begun::InProgressElsewhere => Settled::Unknown,
-        _ => Settled::NotRun,
-    }
-}
-
 /// Builds the transaction of a batch.
 impl Batch {
     fn txn(&self, owner: u64) -> Txn {
--- a/crates/claim/src/ticket.rs
+++ b/crates/claim/src/ticket.rs
@@ -6,7 +6,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    claims::{Settle, Shared},
+    claims::{Progress, Settle, Shared},
     fingerprint::Fingerprint,
     record::{Answer, State},
 };
@@ -66,6 +66,10 @@
         }
     }
 
+    pub(crate) fn key(&self) -> &str {
+        &self.key
+    }
+
     pub(crate) fn delivered(mut self) -> Self {
         self.delivered = true;
         self
@@ -117,7 +121,8 @@
     pub(crate) fn settle(&self, settle: Settle) {
         let mut inner = self.cell.borrow_mut();
         if let Some(local) = inner.local.get(&*settle.key) {
-            local.result.send_replace(Some(settle.settled.clone()));
+            let settled = Progress::Settled(settle.settled.clone());
+            local.progress.send_replace(settled);
         }
         inner.settles.push(settle);
         drop(inner);
@@ -128,21 +133,21 @@
 /// Waits for the result of a request that runs on this entry.
 #[derive(Debug)]
 pub struct Waiter {
-    result: watch::Receiver<Option<Settled>>,
+    progress: watch::Receiver<Progress>,
 }
 
 impl Waiter {
-    pub(crate) fn new(result: watch::Receiver<Option<Settled>>) -> Self {
-        Self { result }
+    pub(crate) fn new(progress: watch::Receiver<Progress>) -> Self {
+        Self { progress }
     }
 
     /// Returns how the running request ended.
     pub async fn wait(mut self) -> Settled {
-        let settled = self.result.wait_for(Option::is_some).await;
-        settled
-            .ok()
-            .and_then(|s| s.clone())
-            // The claim was dropped before it held, so nothing was sent.
-            .unwrap_or(Settled::NotRun)
+        let ended = |p: &Progress| matches!(p, Progress::Settled(_));
+        match self.progress.wait_for(ended).await.as_deref() {
+            Ok(Progress::Settled(settled)) => settled.clone(),
+            // The entry stops: the request may have run.
+            _ => Settled::Unknown,
+        }
     }
 }
--- a/crates/claim/tests/at_most_once.rs
+++ b/crates/claim/tests/at_most_once.rs
@@ -231,6 +231,9 @@
             panic!("keys of organisations are separate");
         };
         other.not_run();
+        let twice = tokio::join!(begin(&b, "k"), begin(&b, "k"));
+        let elsewhere = |begun: &Begun| matches!(begun, Begun::InProgressElsewhere);
+        assert!(elsewhere(&twice.0) && elsewhere(&twice.1), "{twice:?}");
         table.commit(&Txn::default().delete(record::member_key(1)));
         assert!(matches!(begin(&b, "k").await, Begun::Unknown));
         ticket.complete(answer("paid"));
--- a/crates/claim/tests/rows.rs
+++ b/crates/claim/tests/rows.rs
@@ -111,8 +111,12 @@
     block_on(async {
         let table = MemTable::default();
         let org = "org".parse().unwrap();
+        table.commit(&Txn::default().put(record::member_key(1), "{}".into()));
         put(&table, "runs", &record(1, State::InProgress));
+        put(&table, "dead", &record(2, State::InProgress));
         put(&table, "lost", &record(1, State::Unknown));
+        let gone = settle::settle(&table, &org, "dead", Settled::NotRun).await;
+        assert_eq!(gone, Ok(Settlement::Done), "the owner has no member row");
         let refused = settle::settle(&table, &org, "runs", Settled::NotRun).await;
         assert_eq!(refused, Ok(Settlement::NotUnknown(State::InProgress)));
         let missing = settle::settle(&table, &org, "none", Settled::NotRun).await;
