plan: urgent work takes the place of borrowed work that is not urgent

Urgent work stops one borrowed job where that makes room, up to 1.5 times the fair share of its organisation.

--- a/crates/plan/src/claim.rs
+++ b/crates/plan/src/claim.rs
@@ -166,19 +166,24 @@
         let Some(fit) = self.find_reclaim(step, id) else {
             return false;
         };
-        let need = need(self.jobs.get(id));
         self.attach(id, fit.slot, fit.boxes);
-        let job = self.jobs.get_mut(id);
-        job.pending = true;
-        job.awaits.clone_from(&fit.workers);
-        for worker in &fit.workers {
+        self.await_room(id, fit.workers);
+        self.stop_victims(step, id);
+        true
+    }
+
+    /// Makes a job wait for resources on these workers, one for each member.
+    pub(crate) fn await_room(&mut self, id: JobId, workers: Vec<WorkerId>) {
+        let need = need(self.jobs.get(id));
+        for worker in &workers {
             let worker = &mut self.workers.list[*worker];
             worker.awaited = worker.awaited.plus(need);
         }
+        let job = self.jobs.get_mut(id);
+        job.pending = true;
+        job.awaits = workers;
         self.pending.push(id);
         self.queue_remove(id);
-        self.stop_victims(step, id);
-        true
     }
 
     fn find_reclaim(&mut self, step: &Step, id: JobId) -> Option<Fit> {
@@ -302,7 +307,9 @@
 
     /// Starts the pending claims that have their room, and stops more victims for the others.
     pub(crate) fn serve_pending(&mut self, step: &mut Step) {
-        for id in self.pending.clone() {
+        let mut pending = self.pending.clone();
+        pending.sort_by_key(|id| self.jobs.get(*id).slot.is_none());
+        for id in pending {
             let workers = self.jobs.get(id).awaits.clone();
             let sound = |w: &WorkerId| self.workers.list[*w].is_sound();
             if !workers.iter().all(sound) {
@@ -313,17 +320,28 @@
                 self.jobs.get_mut(id).pending = false;
                 self.pending.retain(|p| *p != id);
                 self.hold_claim(step, id, &workers);
-            } else {
+            } else if self.jobs.get(id).slot.is_some() {
                 self.stop_victims(step, id);
+            } else if !self.is_room_coming(&workers) {
+                self.unclaim(id);
+                self.queue_add(id);
             }
         }
     }
 
+    /// Whether what stops on the workers leaves enough for all that wait for it.
+    fn is_room_coming(&self, workers: &[WorkerId]) -> bool {
+        workers.iter().all(|w| {
+            let w = &self.workers.list[*w];
+            w.awaited.fits_in(w.free().plus(w.stopping))
+        })
+    }
+
     fn hold_claim(&mut self, step: &mut Step, id: JobId, workers: &[WorkerId]) {
         let members = self.members_at(id, workers);
         let slot = self.jobs.get(id).slot.map(|s| self.slots.list[s].claim);
         let rec = &mut self.jobs.get_mut(id).rec;
-        rec.borrowed = false;
+        rec.borrowed = slot.is_none();
         rec.claim = slot.flatten();
         self.hold(step, id, members);
         self.count_claim(id, true);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -23,4 +23,5 @@
 mod slots;
 mod starve;
 pub mod state;
+mod urgent;
 mod workers;
--- a/crates/plan/src/plan_cfg.rs
+++ b/crates/plan/src/plan_cfg.rs
@@ -53,7 +53,7 @@
             max_records: 200,
             max_tries: 32,
             reclaim_after: Millis(10_000),
-            starve_after: Millis(60_000),
+            starve_after: Millis(120_000),
             throttle_limit: Millis(10_000),
             fleet_grace: Millis(10_000),
         }
--- a/crates/plan/src/queue.rs
+++ b/crates/plan/src/queue.rs
@@ -323,7 +323,7 @@
     }
 
     /// Part of its fair share that an organisation uses, at most 4.
-    fn share_used(&self, organisation: &Name) -> f64 {
+    pub(crate) fn share_used(&self, organisation: &Name) -> f64 {
         let weight = |w: u32| f64::from(w.max(1));
         let own = self.config.organisations.get(organisation);
         let share = weight(own.map_or(1, |o| o.weight)) / self.total_weight.max(1.0);
@@ -401,6 +401,9 @@
         if (job.rec.job.urgent || waited) && self.reclaim(step, id) {
             return Outcome::Placed;
         }
+        if self.preempt(step, id) {
+            return Outcome::Placed;
+        }
         Outcome::NoPlace
     }
 
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -73,6 +73,8 @@
     pub(crate) now: Millis,
     pub(crate) changed: Vec<JobId>,
     pub(crate) orders: Vec<Order>,
+    /// Searches for work to stop for urgent jobs.
+    pub(crate) searches: usize,
 }
 
 impl Step {
--- a/crates/plan/tests/fleet/mod.rs
+++ b/crates/plan/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Fake workers that only answer orders, and builders of jobs and workers.
 #![allow(dead_code)]
 
+pub mod packing;
 pub mod world;
 
 use std::collections::BTreeMap;
--- a/crates/plan/tests/guarantee.rs
+++ b/crates/plan/tests/guarantee.rs
@@ -170,3 +170,29 @@
     assert_eq!((kept.phase, claim.phase), (Phase::Running, Phase::Running));
     assert_ne!(kept.members[0].worker, claim.members[0].worker);
 }
+
+/// Guards against urgent work that waits behind work that stops when told, beyond guarantees.
+#[test]
+fn urgent_work_takes_the_place_of_borrowed_work() {
+    let mut plan = plan_with(config(1, &[("a", 0, shape(1, 1, Adjacency::Worker))]), 1);
+    run(
+        &mut plan,
+        10,
+        job("b", "batch", shape(1, 8, Adjacency::Worker)),
+    );
+    let mut urgent = job("a", "urgent", shape(1, 1, Adjacency::Worker));
+    urgent.urgent = true;
+    let decision = run(&mut plan, 1_000, urgent);
+    assert_eq!(stopped(&decision), ["batch"]);
+    let event = Event::Member {
+        attempt: Attempt {
+            job: key("b", "batch"),
+            attempt: 1,
+        },
+        worker: name("w0"),
+        report: Report::Stopped { checkpoint: true },
+    };
+    plan.handle(Millis(2_000), event);
+    let urgent = plan.job(&key("a", "urgent")).unwrap();
+    assert_eq!((urgent.phase, urgent.borrowed), (Phase::Holding, true));
+}
