--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -67,6 +67,22 @@
     history::check(&site, &[]);
 }
 
+/// Guards against a takeover that takes longer than the silence of six seconds needs.
+#[ntex::test]
+async fn a_takeover_with_the_default_settings_takes_seven_seconds() {
+    let mut site = Site::new(1, 2);
+    let leader = site.leader().await;
+    let start = clock::now();
+    site.scheds[leader].kill();
+    site.leader().await;
+    let took = clock::now().since(start);
+    println!("takeover after a kill: {took}");
+    assert!(
+        took > clock::Millis(4_000) && took < clock::Millis(8_000),
+        "{took}"
+    );
+}
+
 /// Guards against a gang that stays in part when its scheduler dies between hold and go.
 #[ntex::test]
 async fn gangs_start_whole_when_the_scheduler_dies_on_the_way() {
