--- a/crates/sched/tests/path.rs
+++ b/crates/sched/tests/path.rs
@@ -93,7 +93,7 @@
     vms[0].address = relay.addr;
     site.platform.set_vms(vms);
     let client = site.configure().await;
-    relay.slow();
+    relay.slow(300);
     submit(&client, job("a", 1, 1)).await;
     site.wait_for_phase("a", Phase::Running).await;
     assert_eq!(site.running("a"), 0);
--- a/crates/sched/tests/site/relay.rs
+++ b/crates/sched/tests/site/relay.rs
@@ -5,7 +5,7 @@
     net,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicU64, Ordering},
     },
     thread,
     time::Duration,
@@ -17,13 +17,11 @@
 const ENDED: u8 = 3;
 const SLOW: u8 = 4;
 
-/// Delay of requests on a slow relay.
-pub const DELAY: Duration = Duration::from_millis(300);
-
 /// A relay in front of `target`; dropping it ends its connections.
 pub struct Relay {
     pub addr: net::SocketAddr,
     mode: Arc<AtomicU8>,
+    delay: Arc<AtomicU64>,
 }
 
 impl Relay {
@@ -31,17 +29,18 @@
         let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
         let mode = Arc::new(AtomicU8::new(PASS));
-        let shared = mode.clone();
+        let delay = Arc::new(AtomicU64::new(0));
+        let (shared, late) = (mode.clone(), delay.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 match shared.load(Ordering::SeqCst) {
                     ENDED => return,
                     CUT => {}
-                    _ => connect(stream, target, &shared),
+                    _ => connect(stream, target, &shared, &late),
                 }
             }
         });
-        Self { addr, mode }
+        Self { addr, mode, delay }
     }
 
     pub fn pass(&self) {
@@ -49,7 +48,8 @@
     }
 
     /// Delivers each part of a request late.
-    pub fn slow(&self) {
+    pub fn slow(&self, ms: u64) {
+        self.delay.store(ms, Ordering::SeqCst);
         self.mode.store(SLOW, Ordering::SeqCst);
     }
 
@@ -71,18 +71,29 @@
     }
 }
 
-fn connect(client: net::TcpStream, target: net::SocketAddr, mode: &Arc<AtomicU8>) {
+fn connect(
+    client: net::TcpStream,
+    target: net::SocketAddr,
+    mode: &Arc<AtomicU8>,
+    delay: &Arc<AtomicU64>,
+) {
     let Ok(server) = net::TcpStream::connect(target) else {
         return;
     };
     for (from, to, answers) in [(&client, &server, false), (&server, &client, true)] {
         let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
-        let mode = mode.clone();
-        thread::spawn(move || copy(from, to, &mode, answers));
+        let (mode, delay) = (mode.clone(), delay.clone());
+        thread::spawn(move || copy(from, to, &mode, &delay, answers));
     }
 }
 
-fn copy(mut from: net::TcpStream, mut to: net::TcpStream, mode: &AtomicU8, answers: bool) {
+fn copy(
+    mut from: net::TcpStream,
+    mut to: net::TcpStream,
+    mode: &AtomicU8,
+    delay: &AtomicU64,
+    answers: bool,
+) {
     let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
     let mut buf = vec![0; 64 << 10];
     loop {
@@ -90,7 +101,7 @@
         let mode = mode.load(Ordering::SeqCst);
         let stop = mode == CUT || mode == ENDED;
         if mode == SLOW && !answers && matches!(read, Ok(n) if n > 0) {
-            thread::sleep(DELAY);
+            thread::sleep(Duration::from_millis(delay.load(Ordering::SeqCst)));
         }
         match read {
             Err(e) if !stop && e.kind() == std::io::ErrorKind::WouldBlock => continue,
--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -204,6 +204,40 @@
     history::check(&site, &[]);
 }
 
+/// Guards against a copy of a transaction that reaches the table after a later one and undoes it.
+#[ntex::test]
+async fn a_late_copy_does_not_undo_a_later_decision() {
+    let mut site = Site::new(1, 0);
+    let relay = Relay::new(site.platform.addr());
+    let addr = relay.addr;
+    site.add_sched(|cfg| cfg.platform = addr);
+    let client = site.configure().await;
+    // Longer than the wait of the table's client, which then sends the transaction again.
+    relay.slow(3_200);
+    let request = Request::Submit {
+        job: job("a", 1, 1),
+    };
+    let (answer, ()) = tokio::join!(client.call(&request), async {
+        site::pause(100).await;
+        relay.pass();
+    });
+    assert!(matches!(answer, Ok(Reply::Job { .. })), "{answer:?}");
+    client.call(&site::cancel("a")).await.unwrap();
+    site.wait_for_phase("a", Phase::Cancelled).await;
+    let before = site.platform.stats().commits;
+    assert_eq!(
+        site.platform.stats().conflicts,
+        0,
+        "the copy came too early"
+    );
+    site::eventually("the late copy arrives", async || {
+        let stats = site.platform.stats();
+        (stats.conflicts > 0 || stats.commits > before + 4).then_some(())
+    })
+    .await;
+    assert_eq!(site.record("a").unwrap().phase, Phase::Cancelled);
+}
+
 /// Guards against a planned stop that cuts off requests or leaves the lease to lapse.
 #[ntex::test]
 async fn a_planned_stop_hands_over_at_once() {
