sched: charge the first batch after an outage and write the backlog in small batches

Cause of 215 rows in a second after an outage: batches of 100 records half a second apart, so a late one brought three into a second, and the batch that had waited through the outage was not charged.

--- a/crates/sched/src/cfg.rs
+++ b/crates/sched/src/cfg.rs
@@ -61,7 +61,8 @@
     pub backlog: usize,
     /// Most records written in one second.
     pub writes_per_s: u32,
-    /// Most records written in one second after an outage, until the backlog is written.
+    /// Most records written in one second after an outage, until the backlog is written; it leaves
+    /// room for lease and membership rows within 200 writes a second.
     pub recovery_writes_per_s: u32,
     /// Time after which a transaction that is not settled counts as an outage.
     pub stuck_ms: Millis,
@@ -153,7 +154,7 @@
             batch: 100,
             backlog: 20_000,
             writes_per_s: 600,
-            recovery_writes_per_s: 200,
+            recovery_writes_per_s: 180,
             stuck_ms: Millis(1_000),
             retry_ms: Millis(100),
         }
--- a/crates/sched/src/executor.rs
+++ b/crates/sched/src/executor.rs
@@ -22,6 +22,8 @@
 /// entries do not all start at once.
 const RECOVERY_JITTER_MS: u64 = 500;
 
+/// Most records of one transaction during a recovery.
+const RECOVERY_BATCH: usize = 20;
 /// Time without a backlog after which a recovery is over.
 const RECOVERY_REST: Millis = Millis(1_000);
 
@@ -38,8 +40,11 @@
 pub(crate) async fn run(cx: &Cx, leader: &Rc<Leader>) {
     let mut pace = Pace::default();
     while leader.is_alive() {
-        let limit = cx.cfg.commit.batch;
-        match leader.with(|s| s.queue.next_batch(limit)).flatten() {
+        let batch = leader.with(|s| {
+            let limit = batch_limit(cx, s.is_recovering(clock::now()));
+            s.queue.next_batch(limit)
+        });
+        match batch.flatten() {
             Some(batch) => commit(cx, leader, batch, &mut pace).await,
             None => leader.work.notified().await,
         }
@@ -53,10 +58,11 @@
     match write(cx, leader, &mut batch).await {
         Ok(version) => {
             let records = std::mem::take(&mut batch.records);
+            let written = records.len();
             leader.with(|s| s.committed(version, records));
             let orders = batch.settle(Settled::Committed);
             leader.with(|s| s.send(orders));
-            after_outage(leader).await;
+            after_outage(cx, leader, written, pace).await;
         }
         Err(Abandoned::Lost { maybe }) => {
             batch.settle(if maybe {
@@ -72,9 +78,19 @@
     }
 }
 
+/// Returns the most records of one transaction.
+fn batch_limit(cx: &Cx, recovering: bool) -> usize {
+    if recovering {
+        // Large batches would exceed the limit of a second whenever one of them is late.
+        cx.cfg.commit.batch.min(RECOVERY_BATCH)
+    } else {
+        cx.cfg.commit.batch
+    }
+}
+
 async fn wait_for_pace(cx: &Cx, leader: &Leader, records: usize, pace: &mut Pace) {
     let (commit, now) = (&cx.cfg.commit, clock::now());
-    let recovering = leader.with(|s| now < s.recover_until).unwrap_or(false);
+    let recovering = leader.with(|s| s.is_recovering(now)).unwrap_or(false);
     let wait = if recovering {
         // A delayed batch does not entitle the next ones to a burst.
         pace.empty(now);
@@ -88,7 +104,7 @@
 }
 
 /// Ends the mark of an outage; the backlog is written at the pace of a recovery.
-async fn after_outage(leader: &Leader) {
+async fn after_outage(cx: &Cx, leader: &Leader, records: usize, pace: &mut Pace) {
     let now = clock::now();
     let ended = leader.with(|s| {
         let ended = std::mem::take(&mut s.stuck);
@@ -98,6 +114,9 @@
         ended
     });
     if ended == Some(true) {
+        // The first batch was paid for before the outage, but is written now.
+        pace.empty(now);
+        pace.wait(now, records, cx.cfg.commit.recovery_writes_per_s);
         log::info!("sched: the table takes transactions again");
         ctx::sleep(Millis(fastrand::u64(..RECOVERY_JITTER_MS))).await;
     }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns whether the backlog of an outage is being written.
+    pub(crate) fn is_recovering(&self, now: Millis) -> bool {
+        now < self.recover_until
+    }
+
     /// Rebuilds the state from the rows of the table.
     pub(crate) fn restore(&mut self, config: Config, jobs: Vec<Stored>, now: Millis) {
         let records = jobs.iter().map(|s| s.record.clone()).collect();
--- a/crates/sched/tests/outage.rs
+++ b/crates/sched/tests/outage.rs
@@ -192,8 +192,8 @@
         most = most.max(later.map_or(0, |s| s.1 - before));
     }
     println!("backlog of {JOBS} records: at most {most} rows in a second");
-    // Lease and membership rows are written beside the backlog.
-    assert!(most <= 210, "{most} rows in a second");
+    // Lease and membership rows, which are written beside the backlog, count as well.
+    assert!(most <= 200, "{most} rows in a second");
 }
 
 /// Guards against a slow table that makes a gang start in part, or before its record says so.
