--- a/crates/entry/examples/latency.rs
+++ b/crates/entry/examples/latency.rs
@@ -164,15 +164,14 @@
         }
         Kind::Entry => call("score"),
         Kind::Claimed => call("pay").header("idempotency-key", format!("k{n}")),
-        Kind::Ready => {
-            let read = client.get(format!("http://{entry}/ready")).send().await;
-            return match read {
-                Ok(r) => r.status().is_success() && r.body().await.is_ok(),
-                Err(_) => false,
-            };
-        }
+        Kind::Ready => client.get(format!("http://{entry}/ready")),
+    };
+    let body = if kind == Kind::Ready {
+        ""
+    } else {
+        "{\"claim\":1}"
     };
-    match req.send_body("{\"claim\":1}").await {
+    match req.send_body(body).await {
         Ok(r) => r.status().is_success() && r.body().await.is_ok(),
         Err(_) => false,
     }
@@ -191,11 +190,6 @@
             .copied()
             .unwrap_or_default()
     };
-    println!(
-        "{kind:?}: {} requests, p50 {:?}, p90 {:?}, p99 {:?}",
-        times.len(),
-        at(50),
-        at(90),
-        at(99)
-    );
+    let (n, p50, p90, p99) = (times.len(), at(50), at(90), at(99));
+    println!("{kind:?}: {n} requests, p50 {p50:?}, p90 {p90:?}, p99 {p99:?}");
 }
--- a/crates/entry/tests/entry/claims.rs
+++ b/crates/entry/tests/entry/claims.rs
@@ -82,10 +82,7 @@
 #[test]
 fn a_store_that_is_down_refuses_only_what_may_not_be_repeated() {
     let system = setup::system().start();
-    let outage = Faults {
-        outage: true,
-        ..Faults::default()
-    };
+    let outage = setup::table_faults(|f| f.outage = true);
     system.platform.set_faults(outage);
     let got = system.pay("k1");
     assert_eq!(got.refusal(), ("store_down".into(), "not_run".into()));
@@ -101,19 +98,12 @@
 fn lost_answers_of_the_store_lead_to_one_run_at_most() {
     let system = setup::system().start();
     for (i, faults) in [
-        Faults {
-            lost_answers: 1.0,
-            ..Faults::default()
-        },
-        Faults {
-            lost_requests: 1.0,
-            ..Faults::default()
-        },
-        Faults {
-            lost_answers: 0.5,
-            lost_requests: 0.3,
-            ..Faults::default()
-        },
+        setup::table_faults(|f| f.lost_answers = 1.0),
+        setup::table_faults(|f| f.lost_requests = 1.0),
+        setup::table_faults(|f| {
+            f.lost_answers = 0.5;
+            f.lost_requests = 0.3;
+        }),
     ]
     .into_iter()
     .enumerate()
@@ -146,10 +136,7 @@
 #[test]
 fn an_unknown_outcome_stays_unknown_on_every_entry() {
     let system = setup::system().entries(2).start();
-    let cut = BackendFaults {
-        cut_after: 1.0,
-        ..BackendFaults::default()
-    };
+    let cut = setup::server_faults(|f| f.cut_after = 1.0);
     system.set_faults(&cut);
     assert_eq!(system.pay("k1").field("outcome"), "unknown");
     system.set_faults(&BackendFaults::default());
@@ -212,10 +199,7 @@
     let system = setup::system()
         .set("platform_timeout_ms", json!(3_000))
         .start();
-    let slow = Faults {
-        slow_ms: Millis(600),
-        ..Faults::default()
-    };
+    let slow = setup::table_faults(|f| f.slow_ms = Millis(600));
     system.platform.set_faults(slow);
     let headers = [("idempotency-key", "k1"), ("x-deadline-ms", "200")];
     let got = setup::call(system.addr(), "pay", &headers, br#"{"key":"k1"}"#);
--- a/crates/entry/tests/entry/faults.rs
+++ b/crates/entry/tests/entry/faults.rs
@@ -27,7 +27,6 @@
 }
 
 fn cases() -> Vec<Case> {
-    let none = BackendFaults::default;
     let unknown = |name, faults, runs| Case {
         name,
         faults,
@@ -39,10 +38,7 @@
     vec![
         Case {
             name: "500 without a run",
-            faults: BackendFaults {
-                fail: 1.0,
-                ..none()
-            },
+            faults: setup::server_faults(|f| f.fail = 1.0),
             status: 500,
             code: "",
             outcome: "",
@@ -50,10 +46,7 @@
         },
         Case {
             name: "not run",
-            faults: BackendFaults {
-                not_run: 1.0,
-                ..none()
-            },
+            faults: setup::server_faults(|f| f.not_run = 1.0),
             status: 503,
             code: "server_refused",
             outcome: "not_run",
@@ -61,60 +54,23 @@
         },
         unknown(
             "cut before the run",
-            BackendFaults {
-                cut_before: 1.0,
-                ..none()
-            },
+            setup::server_faults(|f| f.cut_before = 1.0),
             0,
         ),
         unknown(
             "cut after the run",
-            BackendFaults {
-                cut_after: 1.0,
-                ..none()
-            },
+            setup::server_faults(|f| f.cut_after = 1.0),
             1,
         ),
         unknown(
             "late",
-            BackendFaults {
-                late_ms: Millis(3_000),
-                ..none()
-            },
-            1,
-        ),
-        unknown(
-            "silent",
-            BackendFaults {
-                silent: true,
-                ..none()
-            },
-            0,
-        ),
-        unknown(
-            "crossed",
-            BackendFaults {
-                crossed: 1.0,
-                ..none()
-            },
-            1,
-        ),
-        unknown(
-            "truncated",
-            BackendFaults {
-                truncated: 1.0,
-                ..none()
-            },
-            1,
-        ),
-        unknown(
-            "oversized",
-            BackendFaults {
-                oversized: 1.0,
-                ..none()
-            },
+            setup::server_faults(|f| f.late_ms = Millis(3_000)),
             1,
         ),
+        unknown("silent", setup::server_faults(|f| f.silent = true), 0),
+        unknown("crossed", setup::server_faults(|f| f.crossed = 1.0), 1),
+        unknown("truncated", setup::server_faults(|f| f.truncated = 1.0), 1),
+        unknown("oversized", setup::server_faults(|f| f.oversized = 1.0), 1),
     ]
 }
 
@@ -175,10 +131,7 @@
     let system = setup::system().servers(2).start();
     for failing in 0..2 {
         system.set_faults(&BackendFaults::default());
-        let refuse = BackendFaults {
-            not_run: 1.0,
-            ..BackendFaults::default()
-        };
+        let refuse = setup::server_faults(|f| f.not_run = 1.0);
         system.backends.server(failing).set_faults(refuse);
         let key = format!("k{failing}");
         assert_eq!(system.pay(&key).status, 200);
@@ -190,20 +143,14 @@
 #[test]
 fn an_unknown_first_attempt_stays_unknown() {
     let system = setup::system().servers(2).service_ms(300).start();
-    let cut = BackendFaults {
-        cut_after: 1.0,
-        ..BackendFaults::default()
-    };
+    let cut = setup::server_faults(|f| f.cut_after = 1.0);
     system.set_faults(&cut);
     let addr = system.addr();
     let running = thread::spawn(move || setup::call(addr, "score", &[], b"{}"));
     setup::eventually("the first attempt runs", || system.runs() == 1);
     let mut servers = system.backends.servers().iter();
     let other = servers.find(|s| s.history().is_empty()).unwrap();
-    other.set_faults(BackendFaults {
-        not_run: 1.0,
-        ..BackendFaults::default()
-    });
+    other.set_faults(setup::server_faults(|f| f.not_run = 1.0));
     let got = running.join().unwrap();
     assert_eq!(got.refusal(), ("outcome_unknown".into(), "unknown".into()));
     assert_eq!((system.runs(), other.stats().not_run), (1, 1));
--- a/crates/entry/tests/entry/lease.rs
+++ b/crates/entry/tests/entry/lease.rs
@@ -8,10 +8,7 @@
 use crate::setup::{self, Scheduler};
 
 fn outage() -> Faults {
-    Faults {
-        outage: true,
-        ..Faults::default()
-    }
+    setup::table_faults(|f| f.outage = true)
 }
 
 /// Lists other members, each of which answers everything with its reply.
@@ -92,10 +89,7 @@
 #[test]
 fn a_new_entry_does_not_serve_the_revision_of_a_stale_read() {
     let system = setup::system().start();
-    let lag = Faults {
-        read_lag_ms: Millis(1_500),
-        ..Faults::default()
-    };
+    let lag = setup::table_faults(|f| f.read_lag_ms = Millis(1_500));
     system.platform.set_faults(lag);
     setup::put_config(system.platform.addr(), 2, &["new-org"]);
     let addr = system.platform.addr();
--- a/crates/entry/tests/entry/leaving.rs
+++ b/crates/entry/tests/entry/leaving.rs
@@ -4,7 +4,6 @@
 
 use base::clock::{self, Millis};
 use serde_json::json;
-use standin::{backend_cfg::BackendFaults, faults::Faults};
 use store::vm::VmState;
 
 use crate::setup;
@@ -27,10 +26,9 @@
         .servers(2)
         .set("vm_poll_ms", json!(500))
         .start();
-    system.platform.set_faults(Faults {
-        vm_lag_ms: lag,
-        ..Faults::default()
-    });
+    system
+        .platform
+        .set_faults(setup::table_faults(|f| f.vm_lag_ms = lag));
     for _ in 0..20 {
         assert_eq!(system.score().status, 200);
     }
@@ -60,14 +58,10 @@
 #[test]
 fn a_servers_own_mark_counts_while_the_list_is_down() {
     let system = setup::system().servers(2).start();
-    system.platform.set_faults(Faults {
-        vm_outage: true,
-        ..Faults::default()
-    });
-    let leaving = BackendFaults {
-        leaving: true,
-        ..BackendFaults::default()
-    };
+    system
+        .platform
+        .set_faults(setup::table_faults(|f| f.vm_outage = true));
+    let leaving = setup::server_faults(|f| f.leaving = true);
     system.backends.server(0).set_faults(leaving);
     setup::eventually("the mark was seen", || {
         assert_eq!(system.score().status, 200);
@@ -84,10 +78,7 @@
 #[test]
 fn a_servers_own_mark_outlives_reads_of_the_list() {
     let system = setup::system().servers(2).start();
-    let leaving = BackendFaults {
-        leaving: true,
-        ..BackendFaults::default()
-    };
+    let leaving = setup::server_faults(|f| f.leaving = true);
     system.backends.server(0).set_faults(leaving);
     setup::eventually("the mark was seen", || {
         system.score();
--- a/crates/entry/tests/entry/path.rs
+++ b/crates/entry/tests/entry/path.rs
@@ -68,10 +68,7 @@
 #[test]
 fn the_exported_metrics_are_the_documented_ones() {
     let system = setup::system().servers(2).start();
-    let refusing = BackendFaults {
-        not_run: 1.0,
-        ..BackendFaults::default()
-    };
+    let refusing = setup::server_faults(|f| f.not_run = 1.0);
     system.set_faults(&refusing);
     system.score();
     system.set_faults(&BackendFaults::default());
--- a/crates/entry/tests/entry/setup.rs
+++ b/crates/entry/tests/entry/setup.rs
@@ -14,6 +14,7 @@
 use standin::{
     backend,
     backend_cfg::{BackendCfg, BackendFaults, ServiceTime},
+    faults::Faults,
     platform,
     platform_cfg::PlatformCfg,
 };
@@ -128,6 +129,20 @@
     }
 }
 
+/// Makes faults of a server.
+pub fn server_faults(change: impl FnOnce(&mut BackendFaults)) -> BackendFaults {
+    let mut faults = BackendFaults::default();
+    change(&mut faults);
+    faults
+}
+
+/// Makes faults of the platform.
+pub fn table_faults(change: impl FnOnce(&mut Faults)) -> Faults {
+    let mut faults = Faults::default();
+    change(&mut faults);
+    faults
+}
+
 /// An entry, or several, with stand-ins.
 pub struct System {
     pub platform: platform::Handle,
