--- a/crates/plan/examples/bench.rs
+++ b/crates/plan/examples/bench.rs
@@ -8,11 +8,11 @@
 #[path = "bench/site.rs"]
 mod site;
 
-use std::env;
+use std::{env, time::Instant};
 
 use base::clock::Millis;
 use fakes::{Fakes, Figure, percentile};
-use plan::plan_cfg::Policy;
+use plan::{check::check_config, plan_cfg::Policy};
 use site::{AKARIHON, Site, TULEGENOV, sized};
 
 fn main() {
@@ -67,6 +67,12 @@
     let mut p99 = Vec::new();
     for (workers, waiting) in [(50, 500), (200, 500), (445, 500), (890, 500), (890, 5_000)] {
         let site = sized(workers);
+        let start = Instant::now();
+        check_config(&site.config(), &site.fleet()).expect("the guarantees fit");
+        println!(
+            "check of the configuration: {} ms",
+            start.elapsed().as_millis()
+        );
         let mut fakes = Fakes::new(&site, Policy::Full, 1);
         while fakes.waiting.len() < waiting {
             fakes.arrive();
--- a/crates/plan/src/guarantee.rs
+++ b/crates/plan/src/guarantee.rs
@@ -257,6 +257,13 @@
     ///
     /// It is above zero only while the workers that are up can't hold all guarantees, or while
     /// the search does not find a packing.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use plan::{event::Event, plan_cfg::PlanCfg, state::Plan};
+    /// # use schema::config::Config;
+    /// assert_eq!(Plan::new(PlanCfg::default()).unlocated(), 0);
+    /// ```
     pub fn unlocated(&self) -> usize {
         self.slots.list.iter().filter(|s| !s.is_located()).count()
     }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -88,6 +88,13 @@
 
 impl Plan {
     /// Returns a plan without jobs, workers and configuration.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use plan::{event::Event, plan_cfg::PlanCfg, state::Plan};
+    /// # use schema::config::Config;
+    /// assert_eq!(Plan::new(PlanCfg::default()).records().count(), 0);
+    /// ```
     pub fn new(cfg: PlanCfg) -> Self {
         Self {
             cfg,
@@ -117,6 +124,14 @@
     /// The workers are reported by [`Event::WorkerUp`] afterwards; the outstanding orders of a
     /// worker are sent again when it is reported. A worker that is in use by a record and is not
     /// reported within [`PlanCfg::absent_limit`] counts as lost.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use plan::{event::Event, plan_cfg::PlanCfg, state::Plan};
+    /// # use schema::config::Config;
+    /// let plan = Plan::restore(PlanCfg::default(), Config::default(), Vec::new(), Millis(1));
+    /// assert_eq!(plan.records().count(), 0);
+    /// ```
     pub fn restore(cfg: PlanCfg, config: Config, records: Vec<JobRecord>, now: Millis) -> Self {
         let mut plan = Self::new(cfg);
         plan.config = config;
@@ -155,6 +170,15 @@
     /// Handles an event. `now` is the wall clock; only differences and order matter.
     ///
     /// The records of the decision must be durable before any of its orders is sent.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use plan::{event::Event, plan_cfg::PlanCfg, state::Plan};
+    /// # use schema::config::Config;
+    /// let mut plan = Plan::new(PlanCfg::default());
+    /// let config = Config::default();
+    /// assert!(plan.handle(Millis(1), Event::Configured { config }).orders.is_empty());
+    /// ```
     pub fn handle(&mut self, now: Millis, event: Event) -> Decision {
         let mut step = Step::at(now);
         step.changed.append(&mut self.unsaved);
@@ -205,18 +229,44 @@
         rec.is_some_and(|rec| rec.phase == phase && rec.attempt == order.attempt.attempt)
     }
 
-    /// Returns the record of a job.
+    /// Returns the record of a job; it may be newer than the durable one until the last decision
+    /// is committed.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use plan::{event::Event, plan_cfg::PlanCfg, state::Plan};
+    /// # use schema::config::Config;
+    /// # use plan::record::JobKey;
+    /// let key = JobKey { organisation: "a".parse().unwrap(), name: "b".parse().unwrap() };
+    /// assert!(Plan::new(PlanCfg::default()).job(&key).is_none());
+    /// ```
     pub fn job(&self, key: &JobKey) -> Option<&JobRecord> {
         self.jobs.find(key).map(|id| &self.jobs.get(id).rec)
     }
 
     /// Returns the records of all jobs.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use plan::{event::Event, plan_cfg::PlanCfg, state::Plan};
+    /// # use schema::config::Config;
+    /// assert!(Plan::new(PlanCfg::default()).records().next().is_none());
+    /// ```
     pub fn records(&self) -> impl Iterator<Item = &JobRecord> {
         self.jobs.iter().map(|(_, job)| &job.rec)
     }
 
     /// Removes a job in a final phase, so that its record can be deleted and its name be used
     /// again.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use plan::{event::Event, plan_cfg::PlanCfg, state::Plan};
+    /// # use schema::config::Config;
+    /// # use plan::record::JobKey;
+    /// let key = JobKey { organisation: "a".parse().unwrap(), name: "b".parse().unwrap() };
+    /// Plan::new(PlanCfg::default()).forget(&key);
+    /// ```
     pub fn forget(&mut self, key: &JobKey) {
         let phase = self.job(key).map(|rec| rec.phase);
         if phase.is_some_and(Phase::is_final) {
