--- a/crates/plan/src/starve.rs
+++ b/crates/plan/src/starve.rs
@@ -16,8 +16,8 @@
 /// Accelerators from which a gang counts as large.
 const LARGE: u32 = 8;
 
-/// Gangs for which workers are chosen in one tick.
-const CHOICES: usize = 2;
+/// Gangs for which workers are chosen in one tick; each choice looks at all running tasks.
+const CHOICES: usize = 1;
 
 /// Workers on which a gang can start, and when.
 struct Drain {
--- a/crates/plan/src/urgent.rs
+++ b/crates/plan/src/urgent.rs
@@ -11,10 +11,18 @@
 };
 
 /// Searches for work to stop in one decision; each looks at all running tasks.
-const MOST_SEARCHES: usize = 4;
+const MOST_SEARCHES: usize = 3;
 /// Part of its fair share beyond which an organisation's urgent work waits like other work.
 const MOST_SHARE: f64 = 1.5;
 
+impl Step {
+    /// Counts a search for work to stop; returns whether it is within the limit.
+    pub(crate) fn may_search(&mut self) -> bool {
+        self.searches += 1;
+        self.searches <= MOST_SEARCHES
+    }
+}
+
 impl Plan {
     /// Starts to stop one borrowed job for an urgent one that found no place. Returns whether it
     /// did.
