--- a/crates/plan/src/claim.rs
+++ b/crates/plan/src/claim.rs
@@ -186,8 +186,11 @@
         self.queue_remove(id);
     }
 
-    fn find_reclaim(&mut self, step: &Step, id: JobId) -> Option<Fit> {
+    fn find_reclaim(&mut self, step: &mut Step, id: JobId) -> Option<Fit> {
         let fits = self.fits(id);
+        if fits.is_empty() || !step.may_search() {
+            return None;
+        }
         let empty = fits.iter().find(|f| self.slots.list[f.slot].is_empty());
         if let Some(slot) = empty.map(|f| f.slot) {
             let moved = self.relocate_to_cheap(step, id, slot);
--- a/crates/plan/src/plan_cfg.rs
+++ b/crates/plan/src/plan_cfg.rs
@@ -51,7 +51,7 @@
             absent_limit: Millis(45_000),
             hold_backoff: Millis(2_000),
             max_records: 200,
-            max_tries: 32,
+            max_tries: 16,
             reclaim_after: Millis(10_000),
             starve_after: Millis(120_000),
             throttle_limit: Millis(10_000),
--- a/crates/plan/src/urgent.rs
+++ b/crates/plan/src/urgent.rs
@@ -32,13 +32,10 @@
     pub(crate) fn preempt(&mut self, step: &mut Step, id: JobId) -> bool {
         let job = &self.jobs.get(id).rec.job;
         let allowed = job.urgent && job.stop != StopMode::Never && self.cfg.policy == Policy::Full;
-        if !allowed
-            || step.searches >= MOST_SEARCHES
-            || self.share_used(&job.organisation) >= MOST_SHARE
-        {
+        let within = self.share_used(&job.organisation) < MOST_SHARE;
+        if !allowed || !within || !step.may_search() {
             return false;
         }
-        step.searches += 1;
         let Some((worker, victim)) = self.cheapest_exchange(step, id) else {
             return false;
         };
