--- a/crates/plan/src/urgent.rs
+++ b/crates/plan/src/urgent.rs
@@ -11,10 +11,18 @@
 };
 
 /// Searches for work to stop in one decision; each looks at all running tasks.
-const MOST_SEARCHES: usize = 4;
+const MOST_SEARCHES: usize = 3;
 /// Part of its fair share beyond which an organisation's urgent work waits like other work.
 const MOST_SHARE: f64 = 1.5;
 
+impl Step {
+    /// Counts a search for work to stop; returns whether it is within the limit.
+    pub(crate) fn may_search(&mut self) -> bool {
+        self.searches += 1;
+        self.searches <= MOST_SEARCHES
+    }
+}
+
 impl Plan {
     /// Starts to stop one borrowed job for an urgent one that found no place. Returns whether it
     /// did.
@@ -24,13 +32,10 @@
     pub(crate) fn preempt(&mut self, step: &mut Step, id: JobId) -> bool {
         let job = &self.jobs.get(id).rec.job;
         let allowed = job.urgent && job.stop != StopMode::Never && self.cfg.policy == Policy::Full;
-        if !allowed
-            || step.searches >= MOST_SEARCHES
-            || self.share_used(&job.organisation) >= MOST_SHARE
-        {
+        let within = self.share_used(&job.organisation) < MOST_SHARE;
+        if !allowed || !within || !step.may_search() {
             return false;
         }
-        step.searches += 1;
         let Some((worker, victim)) = self.cheapest_exchange(step, id) else {
             return false;
         };
