--- a/crates/sched/src/cfg.rs
+++ b/crates/sched/src/cfg.rs
@@ -319,6 +319,12 @@
         "workers.task_lease_ms",
         workers.task_lease_ms,
     )?;
+    less(
+        "members.list_ms",
+        cfg.members.list_ms,
+        "half of members.remove_ms",
+        Millis(cfg.members.remove_ms.0 / 2),
+    )?;
     for (path, value) in [
         ("commit.batch", commit.batch as u64),
         ("commit.backlog", commit.backlog as u64),
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -113,6 +113,13 @@
         inner.members.iter().flatten().any(|m| m.id == member)
     }
 
+    /// Returns the ids of all other members; `None` before the list was read.
+    pub(crate) fn member_ids(&self) -> Option<Vec<u64>> {
+        let inner = self.inner.borrow();
+        let members = inner.members.as_ref()?;
+        Some(members.iter().map(|m| m.id).collect())
+    }
+
     fn ack(&self, member: u64, revision: u64) {
         let mut inner = self.inner.borrow_mut();
         let known = inner.acks.entry(member);
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -131,6 +131,7 @@
         workers::run(&cx, &leader),
         members::run_leader(&cx, &leader),
         retention::run(&cx, &leader),
+        retention::run_claims(&cx, &leader),
         tick(&cx, &leader),
     );
 }
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -63,11 +63,30 @@
     since: Millis,
 }
 
+/// What the leader has seen of the membership rows.
+#[derive(Clone, Debug, Default)]
+struct Sight {
+    seen: SortedMap<Key, Seen>,
+    /// Time of the last successful look.
+    looked: Millis,
+}
+
+impl Sight {
+    /// Forgets everything after a time without sight: nobody can renew while the table is down,
+    /// so that time does not count.
+    fn look(&mut self, now: Millis, remove_ms: Millis) {
+        if now.since(self.looked).0 > remove_ms.0 / 2 {
+            self.seen = SortedMap::default();
+        }
+        self.looked = now;
+    }
+}
+
 /// Reads the list of members, and removes those whose rows are not renewed.
 pub(crate) async fn run_leader(cx: &Cx, leader: &Rc<Leader>) {
-    let mut seen: SortedMap<Key, Seen> = SortedMap::default();
+    let mut sight = Sight::default();
     while leader.is_alive() {
-        if let Err(e) = look(cx, leader, &mut seen).await {
+        if let Err(e) = look(cx, leader, &mut sight).await {
             log::debug!("sched: the membership rows are not available: {e}");
         }
         ctx::sleep(cx.cfg.members.list_ms).await;
@@ -97,14 +116,12 @@
     list: MemberList,
 }
 
-async fn look(
-    cx: &Cx,
-    leader: &Rc<Leader>,
-    seen: &mut SortedMap<Key, Seen>,
-) -> Result<(), StoreError> {
+async fn look(cx: &Cx, leader: &Rc<Leader>, sight: &mut Sight) -> Result<(), StoreError> {
     let listed = read_list(cx, leader).await?;
     let rows = restore::scan(cx, MEMBER_PREFIX).await?;
     let now = clock::now();
+    sight.look(now, cx.cfg.members.remove_ms);
+    let seen = &mut sight.seen;
     seen.retain(|key, _| rows.iter().any(|r| r.key == *key));
     for row in rows {
         let known = seen.get(&row.key).filter(|s| s.version == row.version);
--- a/crates/sched/src/retention.rs
+++ b/crates/sched/src/retention.rs
@@ -1,8 +1,9 @@
-//! Removal of the records of jobs that ended long ago, so that a takeover does not read them.
+//! Retention: records of jobs that ended long ago, so that a takeover does not read them, and claims.
 
 use std::rc::Rc;
 
-use base::clock::Millis;
+use base::clock::{self, Millis};
+use claim::retention;
 use store::table::Txn;
 
 use crate::{
@@ -15,6 +16,28 @@
 /// Time between two sweeps.
 const SWEEP: Millis = Millis(1_000);
 
+/// Most claims read, and so most changed, in one second.
+const CLAIMS: usize = 50;
+
+/// Applies the retention of claims until the leadership ends.
+pub(crate) async fn run_claims(cx: &Cx, leader: &Rc<Leader>) {
+    let mut after = String::new();
+    while leader.is_alive() {
+        ctx::sleep(SWEEP).await;
+        let stuck = leader.with(|s| s.stuck).unwrap_or(true);
+        let Some(members) = leader.config.member_ids() else {
+            continue;
+        };
+        if stuck || !cx.is_acting(leader) {
+            continue;
+        }
+        match retention::sweep(&cx.table, &after, CLAIMS, clock::wall(), &members).await {
+            Ok(step) => after = step.next.unwrap_or_default(),
+            Err(e) => log::debug!("claim: the sweep is not done: {e}"),
+        }
+    }
+}
+
 /// Removes outdated records until the leadership ends.
 pub(crate) async fn run(cx: &Cx, leader: &Rc<Leader>) {
     while leader.is_alive() {
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -282,4 +282,48 @@
     })
     .await;
     assert_eq!(site.platform.rows("member/").len(), 1);
+    // Nobody renews while the table is down, so nobody is removed for it.
+    Entry::join(&site, 8).await;
+    site::pause(500).await;
+    site.platform.set_faults(Faults {
+        outage: true,
+        ..Faults::default()
+    });
+    site::pause(2_500).await;
+    site.platform.set_faults(Faults::default());
+    site::pause(700).await;
+    assert!(site.platform.row(&member_key(8)).is_some());
+}
+
+/// Guards against claims of an entry that is gone and stay in progress for ever.
+#[ntex::test]
+async fn claims_without_an_owner_become_unknown() {
+    use claim::{fingerprint, record};
+    let (site, _) = site(1).await;
+    Entry::join(&site, 7).await;
+    read_members(&site).await;
+    let url = site.platform.url();
+    let table = HttpTable::new(&url, HttpCfg::default()).await.unwrap();
+    for (owner, key) in [(7, "alive"), (9, "gone")] {
+        let row = record::Record {
+            fingerprint: fingerprint::of(&site::name("a"), &site::name("b"), b""),
+            owner,
+            nonce: 1,
+            written_ms: clock::wall(),
+            state: record::State::InProgress,
+        };
+        let value = serde_json::to_string(&row).unwrap();
+        let txn = store::table::Txn::default().put(record::row_key(&site::name("org"), key), value);
+        table.commit(&txn).await.unwrap();
+    }
+    let value = |key| {
+        let key = record::row_key(&site::name("org"), key);
+        site.platform.row(&key).unwrap().value
+    };
+    let before = value("alive");
+    site::eventually("the claim is unknown", async || {
+        value("gone").contains("unknown").then_some(())
+    })
+    .await;
+    assert_eq!(value("alive"), before);
 }
