--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -144,11 +144,16 @@
     /// Returns whether the load balancer should send requests here.
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
-            && self.config.revision() > 0
+            && self.has_config()
             && self.config.is_confirmed(self.cfg.config_lease)
             && self.vms.age().is_some()
     }
 
+    /// Returns whether any configuration is in force.
+    pub fn has_config(&self) -> bool {
+        self.config.revision() > 0
+    }
+
     /// Returns who sent a request.
     pub fn identify(&self, headers: &HeaderMap) -> Result<Identity, Refusal> {
         let force = self.config.get();
--- a/crates/entry/tests/entry/lease.rs
+++ b/crates/entry/tests/entry/lease.rs
@@ -1,5 +1,6 @@
 //! Serving lease of the configuration.
 
+use base::clock::Millis;
 use serde_json::{Value, json};
 use standin::faults::Faults;
 use wire::message::Reply;
@@ -86,3 +87,29 @@
     }
     assert!(asked() > 3);
 }
+
+/// Guards against an entry that has just started and serves the old revision of a stale read.
+#[test]
+fn a_new_entry_does_not_serve_the_revision_of_a_stale_read() {
+    let system = setup::system().start();
+    let lag = Faults {
+        read_lag_ms: Millis(1_500),
+        ..Faults::default()
+    };
+    system.platform.set_faults(lag);
+    setup::put_config(system.platform.addr(), 2, &["new-org"]);
+    let addr = system.platform.addr();
+    let cfg = json!({ "table": addr, "vm_list": addr, "config_poll_ms": 50 });
+    let cfg = entry::entry_cfg::EntryCfg::from_value(cfg).unwrap();
+    let second = entry::start(cfg).unwrap();
+    let get = |path: &str| setup::send(second.addr(), "GET", path, &[], b"");
+    let mut saw_old = false;
+    setup::eventually("the new entry is ready", || {
+        let is_ready = get("/ready").status == 200;
+        let revision = get("/dump").json()["config_revision"].clone();
+        saw_old |= revision == 1;
+        assert!(!is_ready || revision == 2, "ready with revision {revision}");
+        is_ready
+    });
+    assert!(saw_old, "the read was not stale");
+}
