--- a/crates/plan/tests/guarantee.rs
+++ b/crates/plan/tests/guarantee.rs
@@ -196,3 +196,61 @@
     let urgent = plan.job(&key("a", "urgent")).unwrap();
     assert_eq!((urgent.phase, urgent.borrowed), (Phase::Holding, true));
 }
+
+fn report(plan: &mut Plan, now: u64, title: &str, report: Report) {
+    let rec = plan.job(&key("b", title)).unwrap().clone();
+    let event = Event::Member {
+        attempt: Attempt {
+            job: rec.key(),
+            attempt: rec.attempt,
+        },
+        worker: rec.members[0].worker.clone(),
+        report,
+    };
+    plan.handle(Millis(now), event);
+}
+
+/// Guards against a gang that waits for small jobs although these fit elsewhere.
+#[test]
+fn a_small_job_moves_for_a_starving_gang() {
+    let mut plan = plan_with(Config::default(), 4);
+    let single = |title, accelerators| {
+        let mut job = job("b", title, shape(1, accelerators, Adjacency::Worker));
+        job.run_time_ms = Millis::from_secs(10_000);
+        job
+    };
+    for title in ["w", "x", "y", "z"] {
+        run(&mut plan, 10, single(title, 8));
+    }
+    let racks = |plan: &Plan, title| {
+        plan.job(&key("b", title)).unwrap().members[0]
+            .worker
+            .clone()
+    };
+    let (first, other) = (racks(&plan, "w"), racks(&plan, "y"));
+    report(&mut plan, 20, "w", Report::Done);
+    run(&mut plan, 20, single("four", 4));
+    report(&mut plan, 20, "y", Report::Done);
+    run(&mut plan, 20, single("five", 5));
+    assert_eq!((racks(&plan, "four"), racks(&plan, "five")), (first, other));
+    report(&mut plan, 30, "x", Report::Done);
+    report(&mut plan, 30, "z", Report::Done);
+    run(
+        &mut plan,
+        40,
+        job("b", "gang", shape(2, 8, Adjacency::Rack)),
+    );
+    assert_eq!(plan.job(&key("b", "gang")).unwrap().phase, Phase::Waiting);
+    let decision = plan.handle(Millis(100_000), Event::Tick);
+    assert_eq!(stopped(&decision).len(), 1, "one of the small jobs moves");
+    let moved = stopped(&decision).remove(0);
+    report(
+        &mut plan,
+        101_000,
+        &moved,
+        Report::Stopped { checkpoint: true },
+    );
+    let gang = plan.job(&key("b", "gang")).unwrap();
+    assert_eq!(gang.phase, Phase::Holding);
+    assert_eq!(plan.job(&key("b", &moved)).unwrap().phase, Phase::Holding);
+}
