--- a/crates/plan/tests/guarantee.rs
+++ b/crates/plan/tests/guarantee.rs
@@ -129,6 +129,21 @@
     assert_eq!((claim.phase, claim.borrowed), (Phase::Holding, false));
 }
 
+/// Guards against a claim that stops the dearer of two jobs on one worker.
+#[test]
+fn a_claim_stops_the_cheaper_job_of_a_worker() {
+    let half = shape(1, 4, Adjacency::Worker);
+    let mut plan = plan_with(config(1, &[("a", 1, half)]), 1);
+    let mut restart = job("b", "restart", half);
+    restart.stop = StopMode::Restart;
+    run(&mut plan, 10, restart);
+    run(&mut plan, 20, job("b", "checkpoint", half));
+    let mut claim = job("a", "claim", half);
+    claim.urgent = true;
+    let decision = run(&mut plan, 600_000, claim);
+    assert_eq!(stopped(&decision), ["checkpoint"]);
+}
+
 /// Guards against work in the way of a guarantee that can't be moved out of it.
 #[test]
 fn work_that_must_not_stop_needs_a_guarantee() {
@@ -244,6 +259,9 @@
     let decision = plan.handle(Millis(100_000), Event::Tick);
     assert_eq!(stopped(&decision).len(), 1, "one of the small jobs moves");
     let moved = stopped(&decision).remove(0);
+    let held = racks(&plan, &moved);
+    run(&mut plan, 100_500, single("late", 4));
+    assert_ne!(racks(&plan, "late"), held, "the worker is held back");
     report(
         &mut plan,
         101_000,
--- a/crates/plan/tests/limits.rs
+++ b/crates/plan/tests/limits.rs
@@ -177,6 +177,19 @@
     assert_eq!(rec(&plan, "a").phase, Phase::Failed);
 }
 
+/// Guards against a bad job that runs for ever on the only worker.
+#[test]
+fn a_job_that_fails_again_and_again_on_one_worker_ends() {
+    let mut plan = plan_with(1);
+    submit(&mut plan, 10, single("a"));
+    for i in 0..6 {
+        assert_eq!(rec(&plan, "a").phase, Phase::Holding, "after {i} failures");
+        report(&mut plan, 20 + i, "a", Report::Held);
+        report(&mut plan, 20 + i, "a", Report::Failed);
+    }
+    assert_eq!(rec(&plan, "a").phase, Phase::Failed);
+}
+
 /// Guards against work that takes the memory of other work on its worker.
 #[test]
 fn work_beyond_its_memory_is_throttled_then_stopped_then_charged() {
