Keep old claims, stale member lists and restarted members from causing a second run

Three faults, found with a test that freezes an entry between its claim and the dispatch (a_thawed_entry_does_not_use_an_old_claim):

- A thawed entry sent a request whose claim an operator had settled meanwhile.
A request is now sent only within 5 s of the start of its claim; the member row of a frozen entry stays for at least 10 s.
The transaction now checks that the owner has no member row.
- A process started again at the address of another could vouch for a revision in its place.
Questions for vouching now name the member, and a process that knows no revision abstains; this one was found by reading, without a test of the entry's side yet.

The budget of retries counts dispatched requests only, as crate route asks for.

--- a/crates/claim/src/retention.rs
+++ b/crates/claim/src/retention.rs
@@ -1,7 +1,7 @@
 //! How long claim rows are kept, and the sweep that applies it.
 
 use base::clock::Millis;
-use store::table::{Commit, StoreError, Txn};
+use store::table::{Commit, Key, Row, StoreError, Txn, Write};
 
 use crate::{
     record::{self, Record, State},
@@ -62,10 +62,22 @@
     pub marked: usize,
 }
 
+/// A change of one row.
+#[derive(Debug)]
+struct Change {
+    key: Key,
+    version: u64,
+    /// New content; `None` deletes the row.
+    value: Option<String>,
+    /// Row of the owner, which must be absent when the claim is set to `unknown`.
+    owner: Option<Key>,
+}
+
 /// Applies the retention rules to at most `limit` rows after the key `after`, in one transaction.
 ///
-/// `members` are the owners whose member rows exist. Rows that changed since they were read are
-/// left to the next sweep. A failed step can be repeated.
+/// `members` are the owners whose member rows exist. The list may be older than the claims, so the
+/// transaction checks that the owner of a claim that is set to `unknown` has no member row. Rows
+/// that changed since they were read are left to the next sweep. A failed step can be repeated.
 pub async fn sweep<S: Store>(
     store: &S,
     after: &str,
@@ -79,34 +91,66 @@
         next: next.map(|row| row.key.to_string()),
         ..Step::default()
     };
-    let mut txn = Txn::default();
-    for row in rows {
-        let Some(mut found) = record::parse(&row.value) else {
-            log::error!("claim: row {} is not a claim", row.key);
-            continue;
-        };
-        match fate(&found, now, members.contains(&found.owner)) {
-            Fate::Keep => {}
-            Fate::Delete => txn = txn.check(row.key.clone(), row.version).delete(row.key),
-            Fate::MarkUnknown => {
-                found.state = State::Unknown;
-                found.written_ms = now;
-                txn = txn
-                    .check(row.key.clone(), row.version)
-                    .put(row.key, record::to_json(&found));
-            }
-        }
-    }
-    while !txn.writes.is_empty() {
-        match store.commit(&txn).await? {
+    let mut changes: Vec<Change> = rows
+        .into_iter()
+        .filter_map(|row| change(row, now, members))
+        .collect();
+    while !changes.is_empty() {
+        match store.commit(&transaction(&changes)).await? {
             Commit::Done { .. } => break,
-            Commit::Conflict { keys } => {
-                txn.checks.retain(|c| !keys.contains(&c.key));
-                txn.writes.retain(|w| !keys.contains(&w.key));
-            }
+            Commit::Conflict { keys } => changes.retain(|c| !c.is_in(&keys)),
         }
     }
-    step.deleted = txn.writes.iter().filter(|w| w.value.is_none()).count();
-    step.marked = txn.writes.len() - step.deleted;
+    step.deleted = changes.iter().filter(|c| c.value.is_none()).count();
+    step.marked = changes.len() - step.deleted;
     Ok(step)
 }
+
+fn change(row: Row, now: Millis, members: &[u64]) -> Option<Change> {
+    let Some(mut found) = record::parse(&row.value) else {
+        log::error!("claim: row {} is not a claim", row.key);
+        return None;
+    };
+    let (key, version) = (row.key, row.version);
+    match fate(&found, now, members.contains(&found.owner)) {
+        Fate::Keep => None,
+        Fate::Delete => Some(Change {
+            key,
+            version,
+            value: None,
+            owner: None,
+        }),
+        Fate::MarkUnknown => {
+            found.state = State::Unknown;
+            found.written_ms = now;
+            let owner = Some(record::member_key(found.owner).into());
+            Some(Change {
+                key,
+                version,
+                value: Some(record::to_json(&found)),
+                owner,
+            })
+        }
+    }
+}
+
+fn transaction(changes: &[Change]) -> Txn {
+    let mut txn = Txn::default();
+    for change in changes {
+        txn = txn.check(change.key.clone(), change.version);
+        if let Some(owner) = &change.owner {
+            txn = txn.check(owner.clone(), 0);
+        }
+        txn.writes.push(Write {
+            key: change.key.clone(),
+            value: change.value.clone(),
+        });
+    }
+    txn
+}
+
+impl Change {
+    fn is_in(&self, keys: &[Key]) -> bool {
+        keys.contains(&self.key) || self.owner.as_ref().is_some_and(|o| keys.contains(o))
+    }
+}
--- a/crates/claim/src/settle.rs
+++ b/crates/claim/src/settle.rs
@@ -55,9 +55,13 @@
         written_ms: clock::wall(),
         ..found
     };
-    let txn = Txn::default()
+    let mut txn = Txn::default()
         .check(key.clone(), row.version)
         .put(key, record::to_json(&record));
+    if owner_gone {
+        // The read may be stale, the check is not.
+        txn = txn.check(record::member_key(record.owner), 0);
+    }
     match store.commit(&txn).await? {
         Commit::Done { .. } => Ok(Settlement::Done),
         Commit::Conflict { .. } => Ok(Settlement::Changed),
--- a/crates/claim/tests/rows.rs
+++ b/crates/claim/tests/rows.rs
@@ -105,6 +105,24 @@
     });
 }
 
+/// Guards against a list of members that is older than a claim: the claim of an entry that has just
+/// started was set to `unknown` while the entry was about to send the request.
+#[test]
+fn sweep_marks_no_claim_of_an_owner_with_a_member_row() {
+    block_on(async {
+        let table = MemTable::default();
+        table.commit(&Txn::default().put(record::member_key(1), "{}".into()));
+        put(&table, "runs", &record(1, State::InProgress));
+        put(&table, "lost", &record(2, State::InProgress));
+        let step = retention::sweep(&table, "", 10, hours(0), &[])
+            .await
+            .unwrap();
+        assert_eq!(step.marked, 1);
+        assert_eq!(state(&table, "runs"), Some(State::InProgress));
+        assert_eq!(state(&table, "lost"), Some(State::Unknown));
+    });
+}
+
 /// Guards against an operator settling a claim whose owner may still send the request.
 #[test]
 fn only_unknown_claims_are_settled() {
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -357,7 +357,8 @@
                 "max_gpus": 512}),
             json!({"version": 1, "type": "backend", "backend": "refund", "calls": [
                 {"call": "score", "interactive": true, "retry": true, "timeout_s": 5},
-                {"call": "payout", "interactive": true, "retry": false, "timeout_s": 5}]}),
+                {"call": "payout", "interactive": true, "retry": false, "timeout_s": 5},
+                {"call": "transfer", "interactive": true, "retry": false, "timeout_s": 60}]}),
         ];
         let records: Vec<String> = records.iter().map(Value::to_string).collect();
         until("first configuration", LIMIT, || {
--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -148,6 +148,49 @@
     assert_eq!(system.executions("once"), 1);
 }
 
+/// Guards against a second run when an entry is frozen between its claim and the dispatch, an
+/// operator settles the claim and the key is used again, and the entry is thawed before the
+/// deadline.
+#[test]
+fn a_thawed_entry_does_not_use_an_old_claim() {
+    let system = Builder::default().start("old-claim");
+    // The claim takes effect 600 ms after it was sent, and the entry is frozen in between.
+    let slow = Faults {
+        slow_ms: Millis(600),
+        ..Faults::default()
+    };
+    system.platform.set_faults(slow);
+    let frozen = system.entries[0].http;
+    let first = thread::spawn(move || common::call(frozen, "transfer", Some("twice")));
+    sleep(300);
+    system.entries[0].freeze();
+    until("the claim is written", common::LIMIT, || {
+        system.platform.row("claim/weddings/twice")
+    });
+    system.platform.set_faults(Faults::default());
+    assert_eq!(
+        system.executions("twice"),
+        0,
+        "the entry was frozen too late to show anything"
+    );
+    until("outcome unknown", 2 * common::LIMIT, || {
+        system
+            .call(1, "transfer", Some("twice"))
+            .filter(|a| a.status == 504)
+    });
+    let settle = r#"{"organisation":"weddings","key":"twice","outcome":"not_run"}"#;
+    let settled = system.operate(1, "POST", "/claims", settle).unwrap();
+    assert_eq!(settled.status, 200, "{settled:?}");
+    let again = system.call(1, "transfer", Some("twice")).unwrap();
+    assert_eq!(again.status, 200, "{again:?}");
+    system.entries[0].thaw();
+    let late = first.join().unwrap();
+    assert_eq!(system.executions("twice"), 1, "{late:?}");
+    let late = late.expect("an answer of the thawed entry");
+    let replayed = late.head.contains("x-replayed: 1");
+    assert!(late.status != 200 || replayed, "{late:?}");
+}
+
 /// Guards against duplicates and untrue refusals while calls of the table service are lost before
 /// or after they took effect, and callers send each payout to two entries at once.
 #[test]
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -57,6 +57,12 @@
     pub body: Body,
 }
 
+/// Time from the start of a claim in which its request may be sent.
+///
+/// It is shorter than the 10 s after which the member row of a frozen entry is removed, because an
+/// operator may then settle the claim and let the key be used again.
+const CLAIM_USE: Millis = Millis(5_000);
+
 /// Whole answer to a caller.
 #[derive(Debug)]
 enum Reply {
@@ -110,7 +116,8 @@
         let slot = dispatch::Slot::new(lane.clone(), server);
         let key = call.key.as_deref();
         let Some(key) = key.filter(|_| !call.target.operation.repeatable) else {
-            let answer = dispatch::run(cx, call, order(cx, call), slot).await?;
+            let latest = call.deadline;
+            let answer = dispatch::run(cx, call, latest, order(cx, call), slot).await?;
             return Ok(Reply::Fresh(answer));
         };
         if let Some(reply) = claimed(cx, call, key, slot).await? {
@@ -144,6 +151,7 @@
 ) -> Result<Option<Reply>, Refusal> {
     let (service, operation) = (&call.target.service.name, &call.target.operation.name);
     let print = fingerprint::of(service, operation, &call.body.bytes);
+    let latest = clock::now() + CLAIM_USE;
     let begin = cx.claims.begin(&call.organisation, key, &print);
     let left = call.deadline.since(clock::now());
     let Ok(begun) = time::timeout(left.to_duration(), begin).await else {
@@ -155,7 +163,7 @@
     match begun {
         Begun::Run(ticket) => {
             cx.metrics.claim("run");
-            let result = dispatch::run(cx, call, order(cx, call), slot).await;
+            let result = dispatch::run(cx, call, latest, order(cx, call), slot).await;
             settle(ticket, &result);
             result.map(Reply::Fresh).map(Some)
         }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -78,9 +78,12 @@
 }
 
 /// Sends `order` to servers until there is a whole answer or no further attempt is allowed.
+///
+/// No attempt starts after `latest`.
 pub async fn run(
     cx: &Entry,
     call: &Call,
+    latest: Millis,
     mut order: Order,
     mut slot: Slot,
 ) -> Result<Answer, Refusal> {
@@ -92,9 +95,10 @@
             let refusal = Refusal::not_run(Code::NoServer, message);
             return Err(unknown.unwrap_or(refusal));
         };
-        let left = call.deadline.since(clock::now());
-        if left == Millis::ZERO {
-            let refusal = Refusal::not_run(Code::Deadline, "the deadline passed before dispatch");
+        let now = clock::now();
+        let left = call.deadline.since(now);
+        if now >= call.deadline.min(latest) {
+            let refusal = Refusal::not_run(Code::Deadline, "the time for the dispatch is over");
             return Err(unknown.unwrap_or(refusal));
         }
         let start = clock::now();
--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -143,7 +143,6 @@
         let now = clock::now();
         let (tx, grant) = oneshot::channel();
         let mut inner = self.inner.borrow_mut();
-        inner.budget.request(now);
         inner.next_id += 1;
         let id = inner.next_id;
         let waiting = Waiting {
@@ -183,6 +182,8 @@
                 return;
             };
             inner.limits.started(now, &server);
+            // Refused requests don't add to the budget: overload would multiply the retries.
+            inner.budget.request(now);
             let waiter = inner.waiters.remove(&next.id);
             if waiter.is_none_or(|w| w.send(Ok(server.clone())).is_err()) {
                 let Ended { outcome, took, .. } = Ended::CANCELLED;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -67,12 +67,12 @@
         if known_revision == 0 {
             return;
         }
-        let others: Vec<net::SocketAddr> = {
+        let others: Vec<MemberRow> = {
             let last = self.last.borrow();
             let others = last.iter().filter(|m| m.id != self.own.id());
-            others.map(|m| m.address).collect()
+            others.cloned().collect()
         };
-        let answers = future::join_all(others.iter().map(|a| ask(*a, known_revision))).await;
+        let answers = future::join_all(others.iter().map(|m| ask(m, known_revision))).await;
         let vouching = answers.iter().filter(|a| **a == Vote::For).count() + 1;
         let is_opposed = answers.contains(&Vote::Against);
         if !is_opposed && 2 * vouching > others.len() + 1 {
@@ -92,9 +92,13 @@
     Silent,
 }
 
-async fn ask(address: net::SocketAddr, known_revision: u64) -> Vote {
-    let client = Client::new(address).with_timeout(VOUCH_TIMEOUT);
-    match client.call(&Request::Vouch { known_revision }).await {
+async fn ask(member: &MemberRow, known_revision: u64) -> Vote {
+    let client = Client::new(member.address).with_timeout(VOUCH_TIMEOUT);
+    let req = Request::Vouch {
+        member: member.id,
+        known_revision,
+    };
+    match client.call(&req).await {
         Ok(Reply::Vouch {
             revision,
             table_reached,
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -37,10 +37,7 @@
 fn answer_member(cx: &Entry, req: Request) -> Reply {
     match req {
         Request::Ping => Reply::Pong,
-        Request::Vouch { .. } => Reply::Vouch {
-            revision: cx.config.revision(),
-            table_reached: cx.table_reached.get(),
-        },
+        Request::Vouch { member, .. } => vouch(cx, member),
         Request::Current { known_revision, .. } => {
             let force = cx.config.get();
             let revision = force.config.revision;
@@ -59,6 +56,23 @@
     }
 }
 
+/// Answers a question for vouching; a process that was not asked itself, or that knows no revision,
+/// can't tell what a majority has acknowledged and abstains.
+fn vouch(cx: &Entry, member: u64) -> Reply {
+    let revision = cx.config.revision();
+    if member != cx.id || revision == 0 {
+        return Reply::Failed {
+            code: "abstains".into(),
+            message: "this process is another member or knows no revision yet".into(),
+            done: Effect::None,
+        };
+    }
+    Reply::Vouch {
+        revision,
+        table_reached: cx.table_reached.get(),
+    }
+}
+
 async fn poll_config(cx: Rc<Entry>) {
     loop {
         let start = clock::now();
--- a/crates/sched/src/server.rs
+++ b/crates/sched/src/server.rs
@@ -21,7 +21,7 @@
 pub(crate) async fn handle(cx: Cx, req: Request) -> Reply {
     match req {
         Request::Ping => return Reply::Pong,
-        Request::Vouch { .. } => return vouch(&cx),
+        Request::Vouch { member, .. } => return vouch(&cx, member),
         Request::Hello { .. } => {
             return answer::failed("unexpected_hello", "the connection is open", Effect::None);
         }
@@ -40,9 +40,10 @@
     }
 }
 
-fn vouch(cx: &Cx) -> Reply {
+fn vouch(cx: &Cx, member: u64) -> Reply {
     // A process that has just started would vouch for what its predecessor at this address knew.
-    let Some(revision) = cx.revision.get() else {
+    let revision = cx.revision.get().filter(|_| member == cx.id);
+    let Some(revision) = revision else {
         return answer::failed("no_revision", "no revision is known yet", Effect::None);
     };
     let age = clock::now().since(cx.table_seen.get());
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -7,7 +7,7 @@
 use base::clock::{self, Millis};
 use member::{
     own::{Own, Renewal},
-    rows::{MemberRole, member_key},
+    rows::{MEMBERS_KEY, MemberList, MemberRole, member_key},
 };
 use site::{Site, apply, fast_lease};
 use standin::faults::Faults;
@@ -152,9 +152,20 @@
         ..Faults::default()
     });
     site.add_sched(|_| {});
+    let list = MemberList::read(site.platform.row(MEMBERS_KEY).as_ref());
+    let id = |addr| {
+        list.members
+            .iter()
+            .find(|m| m.address == addr)
+            .map_or(0, |m| m.id)
+    };
     let mut known = Vec::new();
     for sched in &site.scheds {
-        let request = Request::Vouch { known_revision: 1 };
+        let member = id(sched.addr());
+        let request = Request::Vouch {
+            member,
+            known_revision: 1,
+        };
         match Client::new(sched.addr()).call(&request).await.unwrap() {
             Reply::Vouch { revision, .. } => known.push(revision),
             Reply::Failed { code, .. } => assert_eq!(code, "no_revision"),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -68,6 +68,9 @@
     },
     /// Asks whether the receiver can vouch for a revision.
     Vouch {
+        /// Incarnation id of the member that is asked. A process that was started again at the same
+        /// address does not know what its predecessor acknowledged, so it must not answer.
+        member: u64,
         /// Revision in force at the sender.
         known_revision: u64,
     },
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -17,7 +17,7 @@
 async fn handle(req: Request) -> Reply {
     match req {
         Request::Ping => Reply::Pong,
-        Request::Vouch { known_revision } => {
+        Request::Vouch { known_revision, .. } => {
             tokio::time::sleep(time::Duration::from_millis(known_revision)).await;
             Reply::Vouch {
                 revision: known_revision,
@@ -42,8 +42,14 @@
 #[ntex::test]
 async fn answers_out_of_order_reach_their_calls() {
     let (_server, client) = start();
-    let slow = Request::Vouch { known_revision: 60 };
-    let fast = Request::Vouch { known_revision: 1 };
+    let slow = Request::Vouch {
+        member: 1,
+        known_revision: 60,
+    };
+    let fast = Request::Vouch {
+        member: 1,
+        known_revision: 1,
+    };
     let (slow, fast) = tokio::join!(client.call(&slow), client.call(&fast));
     assert_eq!(
         slow,
@@ -76,6 +82,7 @@
     let client = client.with_timeout(Millis(50));
     let reply = client
         .call(&Request::Vouch {
+            member: 1,
             known_revision: 60_000,
         })
         .await;
@@ -97,7 +104,10 @@
 #[ntex::test]
 async fn shutdown_lets_exchanges_end() {
     let (server, client) = start();
-    let call = client.call(&Request::Vouch { known_revision: 80 });
+    let call = client.call(&Request::Vouch {
+        member: 1,
+        known_revision: 80,
+    });
     let stop = async {
         tokio::time::sleep(time::Duration::from_millis(20)).await;
         server.shutdown().await;
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -24,6 +24,7 @@
 fn a_truncated_frame_is_refused() {
     fn prop(revision: u64, cut: usize) -> bool {
         let bytes = frame::encode(&Request::Vouch {
+            member: 1,
             known_revision: revision,
         })
         .unwrap();
