Share the shape fields of schema version 1, drop a second store wrapper, test abstention

The abstention of a process that is asked in place of another was built without a test; the test passes, and fails when the member id is not compared.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod auth;
 pub mod backend;
 pub mod call;
-pub mod claim_store;
 pub mod config;
 pub mod decisions;
 pub mod dispatch;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -20,7 +20,6 @@
 use crate::{
     auth::Identity,
     backend::Backends,
-    claim_store::ClaimStore,
     config::{self, Current},
     entry_cfg::EntryCfg,
     input::BodyMemory,
@@ -98,7 +97,7 @@
     pub async fn new(
         cfg: EntryCfg,
         wire: net::SocketAddr,
-    ) -> Result<(Rc<Self>, Driver<ClaimStore>), StoreError> {
+    ) -> Result<(Rc<Self>, Driver<Table>), StoreError> {
         let http = HttpCfg {
             call_ms: cfg.platform_timeout,
             ..HttpCfg::default()
@@ -107,7 +106,7 @@
         let table = Table::from(table);
         let vms = Vms::new(&format!("http://{}", cfg.vm_list), http).await?;
         let id = fastrand::u64(1..);
-        let (claims, driver) = Claims::new(ClaimCfg::default(), ClaimStore(table.clone()), id);
+        let (claims, driver) = Claims::new(ClaimCfg::default(), table.clone(), id);
         let entry = Self {
             id,
             phase: Cell::new(Phase::Serving),
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -5,16 +5,17 @@
 use base::{clock, clock::Millis};
 use claim::driver::Driver;
 use ntex::rt;
+use store::client::Table;
 use tokio::time;
 use wire::message::{Effect, Reply, Request};
 
-use crate::{claim_store::ClaimStore, state::Entry};
+use crate::state::Entry;
 
 /// Time between two looks at waiting requests, for late ones and for probes that become due.
 const PUMP_PERIOD: Millis = Millis(20);
 
 /// Starts all tasks.
-pub fn start(cx: &Rc<Entry>, driver: Driver<ClaimStore>) {
+pub fn start(cx: &Rc<Entry>, driver: Driver<Table>) {
     rt::spawn(driver.run());
     rt::spawn(poll_config(cx.clone()));
     rt::spawn(poll_leader(cx.clone()));
--- a/crates/entry/tests/entry/lease.rs
+++ b/crates/entry/tests/entry/lease.rs
@@ -3,7 +3,7 @@
 use base::clock::Millis;
 use serde_json::{Value, json};
 use standin::faults::Faults;
-use wire::message::Reply;
+use wire::message::{Reply, Request};
 
 use crate::setup::{self, Scheduler};
 
@@ -107,3 +107,31 @@
     });
     assert!(saw_old, "the read was not stale");
 }
+
+/// Guards against a process that votes in place of its predecessor at the same address, of which it
+/// does not know what it acknowledged.
+#[test]
+fn a_question_for_another_member_gets_no_vote() {
+    let system = setup::system().start();
+    let row = system.platform.row("members").unwrap();
+    let list: Value = serde_json::from_str(&row.value).unwrap();
+    let me = &list["members"][0];
+    let addr = me["address"].as_str().unwrap().parse().unwrap();
+    let id = me["id"].as_u64().unwrap();
+    let ask = |member| {
+        let runtime = ntex::rt::System::new("asker", ntex::rt::DefaultRuntime);
+        runtime.block_on(async move {
+            let req = Request::Vouch {
+                member,
+                known_revision: 1,
+            };
+            wire::client::Client::new(addr).call(&req).await.unwrap()
+        })
+    };
+    assert!(matches!(ask(id), Reply::Vouch { revision: 1, .. }));
+    let other = ask(id ^ 1);
+    assert!(
+        matches!(&other, Reply::Failed { code, .. } if code == "abstains"),
+        "{other:?}"
+    );
+}
--- a/crates/schema/src/v1.rs
+++ b/crates/schema/src/v1.rs
@@ -193,19 +193,17 @@
 }
 
 fn guarantee(text: &str, old: &Reserved) -> Result<Guarantee, ReadError> {
-    let shape = Shape {
-        members: members(text, old.gpus, old.gpus_per_node)?,
-        accelerators: old.gpus_per_node,
-        cores: old.cpus_per_node,
-        memory_mb: memory(text, old.mem_gb_per_node)?,
-        adjacency: adjacency(
-            text,
-            old.same_node,
-            old.same_rack,
-            old.gpus,
-            old.gpus_per_node,
-        )?,
-    };
+    let shape = shape(
+        text,
+        &Flat {
+            gpus: old.gpus,
+            gpus_per_node: old.gpus_per_node,
+            cpus_per_node: old.cpus_per_node,
+            mem_gb_per_node: old.mem_gb_per_node,
+            same_rack: old.same_rack,
+            same_node: old.same_node,
+        },
+    )?;
     Ok(Guarantee {
         gangs: old.count,
         shape,
@@ -258,19 +256,17 @@
 }
 
 fn job(text: &str, old: OldJob) -> Result<Record, ReadError> {
-    let shape = Shape {
-        members: members(text, old.gpus, old.gpus_per_node)?,
-        accelerators: old.gpus_per_node,
-        cores: old.cpus_per_node,
-        memory_mb: memory(text, old.mem_gb_per_node)?,
-        adjacency: adjacency(
-            text,
-            old.same_node,
-            old.same_rack,
-            old.gpus,
-            old.gpus_per_node,
-        )?,
-    };
+    let shape = shape(
+        text,
+        &Flat {
+            gpus: old.gpus,
+            gpus_per_node: old.gpus_per_node,
+            cpus_per_node: old.cpus_per_node,
+            mem_gb_per_node: old.mem_gb_per_node,
+            same_rack: old.same_rack,
+            same_node: old.same_node,
+        },
+    )?;
     Ok(Record::Job(Job {
         organisation: old.tenant,
         team: old.group,
@@ -287,6 +283,26 @@
     }))
 }
 
+/// The shape fields that guarantees and jobs have in common.
+struct Flat {
+    gpus: u16,
+    gpus_per_node: u16,
+    cpus_per_node: u16,
+    mem_gb_per_node: u32,
+    same_rack: bool,
+    same_node: bool,
+}
+
+fn shape(text: &str, flat: &Flat) -> Result<Shape, ReadError> {
+    Ok(Shape {
+        members: members(text, flat.gpus, flat.gpus_per_node)?,
+        accelerators: flat.gpus_per_node,
+        cores: flat.cpus_per_node,
+        memory_mb: memory(text, flat.mem_gb_per_node)?,
+        adjacency: adjacency(text, flat)?,
+    })
+}
+
 /// Splits the merged field `gpus` into members of `gpus_per_node` each.
 fn members(text: &str, gpus: u16, per_node: u16) -> Result<u16, ReadError> {
     if per_node == 0 || !gpus.is_multiple_of(per_node) {
@@ -301,18 +317,15 @@
         .ok_or_else(|| ReadError::in_field(text, "mem_gb_per_node", "too large"))
 }
 
-fn adjacency(
-    text: &str,
-    same_node: bool,
-    same_rack: bool,
-    gpus: u16,
-    per_node: u16,
-) -> Result<Adjacency, ReadError> {
-    if same_node && gpus != per_node {
-        let problem = format!("one node has {per_node} of the {gpus} gpus");
+fn adjacency(text: &str, flat: &Flat) -> Result<Adjacency, ReadError> {
+    if flat.same_node && flat.gpus != flat.gpus_per_node {
+        let problem = format!(
+            "one node has {} of the {} gpus",
+            flat.gpus_per_node, flat.gpus
+        );
         return Err(ReadError::in_field(text, "same_node", problem));
     }
-    Ok(match (same_node, same_rack) {
+    Ok(match (flat.same_node, flat.same_rack) {
         (true, _) => Adjacency::Worker,
         (false, true) => Adjacency::Rack,
         (false, false) => Adjacency::DataCentre,
