--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         rustix::process::kill_process(pid, signal).unwrap();
