--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -61,6 +61,9 @@
         let ran = run(&["check", &repo(dir)]);
         assert_eq!(ran.code, 0, "{dir}: {}", ran.err);
     }
+    let (entry, scheduler) = (repo("examples/entry.json"), repo("examples/scheduler.json"));
+    let ran = run(&["check", "--entry", &entry, "--scheduler", &scheduler]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
 }
 
 /// Guards against errors without a place, and against a check that stops at the first one.
--- a/crates/entry/tests/entry/input.rs
+++ b/crates/entry/tests/entry/input.rs
@@ -142,7 +142,10 @@
 /// Guards against a reader that uses up its stack, which would end the process.
 #[test]
 fn deeply_nested_json_is_refused() {
-    let system = setup::system().start();
+    // No scheduler leads here, so the default of 10 s would end only when the test gives up.
+    let system = setup::system()
+        .set("scheduler_timeout_ms", json!(500))
+        .start();
     let deep = "[".repeat(500_000);
     let record = format!(r#"{{"records":["{{a:{deep}"]}}"#);
     let cases = [
