sched: export metrics through opentelemetry, with guarantees that have no place

The metrics were written by hand. Phases without jobs are shown with 0, since a gauge would keep its last value. The exporter's scope labels are switched off in both processes, because they are not part of the documented names.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -74,6 +74,7 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .without_target_info()
+            .scope_info_enabled(false)
             .build()
             .expect("a new registry takes the exporter");
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
--- a/crates/sched/src/http.rs
+++ b/crates/sched/src/http.rs
@@ -1,8 +1,8 @@
 //! `/ready`, `/dump` and `/metrics` over HTTP, on the thread of the scheduler.
 
-use std::{io, net};
+use std::{io, net, rc::Rc};
 
-use base::clock;
+use base::clock::{self, Millis};
 use ntex::{
     Pipeline, ServiceFactory, SharedCfg, fn_service,
     http::{HttpService, Request, Response, StatusCode, error::HttpError},
@@ -12,31 +12,33 @@
 use schema::job::Phase;
 use serde::Serialize;
 
-use crate::ctx::Cx;
+use crate::{ctx::Cx, metrics::Metrics};
 
 /// Pause after a failed accept, so that a shortage of file descriptors does not use up the core.
 const ACCEPT_PAUSE: time::Millis = time::Millis(50);
 
 /// State of the process as shown on `/dump`.
 #[derive(Debug, Default, Serialize)]
-struct Dump {
+pub(crate) struct Dump {
     id: u64,
     shard: String,
-    leading: bool,
-    fence: u64,
-    revision: u64,
-    stuck: bool,
-    records_waiting: usize,
-    workers: usize,
-    workers_up: usize,
-    workers_silent: usize,
-    jobs: Vec<JobCount>,
+    pub(crate) leading: bool,
+    pub(crate) fence: u64,
+    pub(crate) revision: u64,
+    pub(crate) stuck: bool,
+    pub(crate) table_age_ms: Millis,
+    pub(crate) records_waiting: usize,
+    pub(crate) workers: usize,
+    pub(crate) workers_up: usize,
+    pub(crate) workers_silent: usize,
+    pub(crate) guarantees_unlocated: usize,
+    pub(crate) jobs: Vec<JobCount>,
 }
 
 #[derive(Debug, Serialize)]
-struct JobCount {
-    phase: Phase,
-    jobs: usize,
+pub(crate) struct JobCount {
+    pub(crate) phase: Phase,
+    pub(crate) jobs: usize,
 }
 
 /// Serves `listener`; it returns only if that is not possible.
@@ -50,8 +52,9 @@
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let cfg: SharedCfg = SharedCfg::new("sched-http").into();
+    let metrics = Rc::new(Metrics::default());
     let http = HttpService::new(fn_service(move |req: Request| {
-        let resp = respond(&cx, &req);
+        let resp = respond(&cx, &metrics, &req);
         async move { Ok::<_, HttpError>(resp) }
     }));
     let http = ServiceFactory::<Io, SharedCfg>::create(&http, cfg.clone()).await;
@@ -74,14 +77,16 @@
     }
 }
 
-fn respond(cx: &Cx, req: &Request) -> Response {
+fn respond(cx: &Cx, metrics: &Metrics, req: &Request) -> Response {
     match req.path() {
         "/ready" if is_ready(cx) => Response::Ok().body("ready"),
         "/ready" => Response::ServiceUnavailable().body("not ready"),
         "/dump" => Response::Ok()
             .content_type("application/json")
             .body(serde_json::to_vec(&dump(cx)).unwrap_or_default()),
-        "/metrics" => Response::Ok().content_type("text/plain").body(metrics(cx)),
+        "/metrics" => Response::Ok()
+            .content_type("text/plain")
+            .body(metrics.text(&dump(cx))),
         _ => Response::new(StatusCode::NOT_FOUND),
     }
 }
@@ -97,6 +102,7 @@
         id: cx.id,
         shard: cx.cfg.shard.to_string(),
         revision: cx.revision.get().unwrap_or_default(),
+        table_age_ms: clock::now().since(cx.table_seen.get()),
         ..Dump::default()
     };
     let Some(leader) = cx.leader.borrow().clone() else {
@@ -107,6 +113,7 @@
     leader.with(|s| {
         dump.stuck = s.stuck;
         dump.records_waiting = s.queue.records();
+        dump.guarantees_unlocated = s.plan.unlocated();
         dump.workers = s.contacts.len();
         let up = s.contacts.values().filter(|c| !c.link.needs_info());
         dump.workers_up = up.count();
@@ -127,28 +134,3 @@
     });
     dump
 }
-
-fn metrics(cx: &Cx) -> String {
-    let dump = dump(cx);
-    let mut lines = vec![
-        format!("sched_leading {}", u8::from(dump.leading)),
-        format!("sched_fence {}", dump.fence),
-        format!("sched_revision {}", dump.revision),
-        format!("sched_table_stuck {}", u8::from(dump.stuck)),
-        format!("sched_records_waiting {}", dump.records_waiting),
-        format!("sched_workers {}", dump.workers),
-        format!("sched_workers_up {}", dump.workers_up),
-        format!("sched_workers_silent {}", dump.workers_silent),
-        format!(
-            "sched_table_age_ms {}",
-            clock::now().since(cx.table_seen.get()).0
-        ),
-    ];
-    for count in dump.jobs {
-        lines.push(format!(
-            "sched_jobs{{phase=\"{}\"}} {}",
-            count.phase, count.jobs
-        ));
-    }
-    lines.join("\n") + "\n"
-}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,6 +13,7 @@
 mod lease_task;
 pub mod link;
 mod members;
+mod metrics;
 pub mod pace;
 pub mod process;
 pub mod queue;
