--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/balancer.rs
@@ -19,7 +19,7 @@
 
 /// Admission, limits and retry budget of one service.
 #[derive(Debug)]
-pub struct Lane {
+pub struct Balancer {
     inner: RefCell<Inner>,
     cap: usize,
 }
@@ -34,7 +34,7 @@
     next_id: u64,
 }
 
-/// A server as the limits of the lane know it.
+/// A server as the limits of the balancer know it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Known {
     address: net::SocketAddr,
@@ -64,13 +64,13 @@
 /// A place in the queue; dropping it gives up the place.
 #[derive(Debug)]
 pub struct Place<'a> {
-    lane: &'a Lane,
+    balancer: &'a Balancer,
     id: u64,
     grant: oneshot::Receiver<Result<ServerId, Refused>>,
 }
 
-impl Lane {
-    /// Creates a lane without servers for the entry with member id `me`.
+impl Balancer {
+    /// Creates a balancer without servers for the entry with member id `me`.
     pub fn new(limits: LimitsCfg, me: u64) -> Self {
         let cap = usize::from(limits.connection_cap());
         let inner = Inner {
@@ -157,7 +157,7 @@
         drop(inner);
         self.pump();
         Ok(Place {
-            lane: self,
+            balancer: self,
             id,
             grant,
         })
@@ -266,14 +266,14 @@
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        let mut inner = self.lane.inner.borrow_mut();
+        let mut inner = self.balancer.inner.borrow_mut();
         inner.admit.cancel(self.id);
         inner.waiters.remove(&self.id);
         drop(inner);
         // A server that was granted and not taken would count as in use for ever.
         if let Ok(Ok(server)) = self.grant.try_recv() {
-            self.lane.ended(&server, Ended::CANCELLED);
-            self.lane.finished(None);
+            self.balancer.ended(&server, Ended::CANCELLED);
+            self.balancer.finished(None);
         }
     }
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -19,9 +19,9 @@
 use crate::{
     auth::Identity,
     backend::{Answer, DEADLINE, Order},
+    balancer::Balancer,
     dispatch,
     input::Body,
-    lane::Lane,
     refusal::{Code, Outcome, Refusal},
     state::Entry,
 };
@@ -111,9 +111,9 @@
     loop {
         confirm_config(cx).await?;
         find_server(cx, &call.target.service.name).await?;
-        let lane = cx.lane(&call.target.service);
-        let server = admitted(&lane, call).await?;
-        let slot = dispatch::Slot::new(lane.clone(), server);
+        let balancer = cx.balancer(&call.target.service);
+        let server = admitted(&balancer, call).await?;
+        let slot = dispatch::Slot::new(balancer.clone(), server);
         let key = call.key.as_deref();
         let Some(key) = key.filter(|_| !call.target.operation.repeatable) else {
             let latest = call.deadline;
@@ -252,9 +252,9 @@
 }
 
 /// Waits for a server; the server counts as in use from then on.
-async fn admitted(lane: &Rc<Lane>, call: &Call) -> Result<outcome::ServerId, Refusal> {
+async fn admitted(balancer: &Rc<Balancer>, call: &Call) -> Result<outcome::ServerId, Refusal> {
     let class = call.target.operation.class;
-    let place = lane
+    let place = balancer
         .queue(&call.organisation, class, call.deadline)
         .map_err(not_admitted)?;
     let left = call.deadline.since(clock::now());
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     backend::{Answer, Fault, Order},
+    balancer::{Balancer, Ended},
     call::Call,
-    lane::{Ended, Lane},
     refusal::{Code, Refusal},
     state::Entry,
 };
@@ -21,17 +21,17 @@
 /// Room at a server for one request; dropping it before an attempt gives the room back.
 #[derive(Debug)]
 pub struct Slot {
-    lane: Rc<Lane>,
+    balancer: Rc<Balancer>,
     server: Option<ServerId>,
     tried: Vec<ServerId>,
     took: Option<Millis>,
 }
 
 impl Slot {
-    /// Takes over a server that the lane has granted.
-    pub fn new(lane: Rc<Lane>, server: ServerId) -> Self {
+    /// Takes over a server that the balancer has granted.
+    pub fn new(balancer: Rc<Balancer>, server: ServerId) -> Self {
         Self {
-            lane,
+            balancer,
             server: Some(server),
             tried: Vec::new(),
             took: None,
@@ -42,7 +42,7 @@
     fn replace_leaving(&mut self) -> Option<(ServerId, std::net::SocketAddr)> {
         loop {
             let server = self.server.clone()?;
-            if let Some(address) = self.lane.open_address(&server) {
+            if let Some(address) = self.balancer.open_address(&server) {
                 return Some((server, address));
             }
             self.end(Ended::CANCELLED);
@@ -52,14 +52,14 @@
 
     fn end(&mut self, ended: Ended) {
         if let Some(server) = self.server.take() {
-            self.lane.ended(&server, ended);
+            self.balancer.ended(&server, ended);
             self.tried.push(server);
         }
     }
 
     /// Takes another server than those that were tried.
     fn next(&mut self) -> bool {
-        self.server = self.lane.pick_again(&self.tried);
+        self.server = self.balancer.pick_again(&self.tried);
         self.server.is_some()
     }
 }
@@ -67,7 +67,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         self.end(Ended::CANCELLED);
-        self.lane.finished(self.took);
+        self.balancer.finished(self.took);
     }
 }
 
@@ -102,12 +102,12 @@
             return Err(unknown.unwrap_or(refusal));
         }
         let start = clock::now();
-        let limit = slot.lane.connection_cap();
+        let limit = slot.balancer.connection_cap();
         let result = cx.backends.run(address, &order, left, limit).await;
         let took = clock::now().since(start);
         if result.as_ref().is_ok_and(|a| a.leaving) {
             cx.vms.mark_leaving(&server);
-            slot.lane.set_leaving(&server);
+            slot.balancer.set_leaving(&server);
         }
         let load = result.as_ref().ok().and_then(|a| a.load);
         let load = load.map(|l| Load {
@@ -132,7 +132,7 @@
                 if unknown.is_none() && !outcome.is_not_run() {
                     unknown = Some(refusal.clone());
                 }
-                let is_allowed = slot.lane.may_retry(repeatable, outcome, call.deadline);
+                let is_allowed = slot.balancer.may_retry(repeatable, outcome, call.deadline);
                 if !is_allowed || !slot.next() {
                     return Err(unknown.unwrap_or(refusal));
                 }
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -54,11 +54,11 @@
     /// Collects the state.
     pub fn of(cx: &Entry) -> Self {
         let (backend_busy, backend_idle) = cx.backends.counts();
-        let lanes = cx.lanes();
-        let services = lanes.into_iter().map(|(name, lane)| ServiceDump {
+        let balancers = cx.balancers();
+        let services = balancers.into_iter().map(|(name, balancer)| ServiceDump {
             name,
-            queued: lane.queued(),
-            in_flight: lane
+            queued: balancer.queued(),
+            in_flight: balancer
                 .in_flight()
                 .into_iter()
                 .map(|(server, requests)| InFlightDump { server, requests })
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod auth;
 pub mod backend;
+pub mod balancer;
 pub mod call;
 pub mod config;
 pub mod decisions;
@@ -14,7 +15,6 @@
 pub mod fields;
 pub mod http;
 pub mod input;
-pub mod lane;
 pub mod members;
 pub mod metrics;
 pub mod refusal;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -1,4 +1,4 @@
-//! Members of the system: the row of this entry, the other members, and their vouching.
+//! Members of the system: the row of this entry, the other members, and reads from a quorum of them.
 
 use std::{cell::RefCell, net};
 
@@ -17,7 +17,7 @@
 use crate::state::Entry;
 
 /// Longest wait for a member's answer.
-const VOUCH_TIMEOUT: Millis = Millis(500);
+const QUORUM_READ_TIMEOUT: Millis = Millis(500);
 
 /// The membership of this entry, and all members as last read from the table.
 #[derive(Debug)]
@@ -62,7 +62,7 @@
     /// An accepted revision is known to a majority, so any majority contains a member that knows
     /// the newest one. A member that reaches the table service makes this entry wait for its own
     /// read instead.
-    pub async fn vouch(&self, cx: &Entry, start: Millis) {
+    pub async fn quorum_read(&self, cx: &Entry, start: Millis) {
         let known_revision = cx.config.revision();
         if known_revision == 0 {
             return;
@@ -73,9 +73,9 @@
             others.cloned().collect()
         };
         let answers = future::join_all(others.iter().map(|m| ask(m, known_revision))).await;
-        let vouching = answers.iter().filter(|a| **a == Vote::For).count() + 1;
+        let agreeing = answers.iter().filter(|a| **a == Vote::For).count() + 1;
         let is_opposed = answers.contains(&Vote::Against);
-        if !is_opposed && 2 * vouching > others.len() + 1 {
+        if !is_opposed && 2 * agreeing > others.len() + 1 {
             cx.config.confirm(start);
         }
     }
@@ -93,17 +93,17 @@
 }
 
 async fn ask(member: &MemberRow, known_revision: u64) -> Vote {
-    let client = Client::new(member.address).with_timeout(VOUCH_TIMEOUT);
-    let req = Request::Vouch {
+    let client = Client::new(member.address).with_timeout(QUORUM_READ_TIMEOUT);
+    let req = Request::QuorumRead {
         member: member.id,
         known_revision,
     };
     match client.call(&req).await {
-        Ok(Reply::Vouch {
+        Ok(Reply::QuorumRead {
             revision,
             table_reached,
         }) if revision <= known_revision && !table_reached => Vote::For,
-        Ok(Reply::Vouch { .. }) => Vote::Against,
+        Ok(Reply::QuorumRead { .. }) => Vote::Against,
         _ => Vote::Silent,
     }
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -20,10 +20,10 @@
 use crate::{
     auth::Identity,
     backend::Backends,
+    balancer::Balancer,
     config::{self, Current},
     entry_cfg::EntryCfg,
     input::BodyMemory,
-    lane::Lane,
     members::Members,
     metrics::{Levels, Metrics},
     refusal::{Code, Refusal},
@@ -84,7 +84,7 @@
     pub table: Table,
     /// Metrics.
     pub metrics: Metrics,
-    lanes: RefCell<SortedMap<Name, Rc<Lane>>>,
+    balancers: RefCell<SortedMap<Name, Rc<Balancer>>>,
     next_request: Cell<u64>,
 }
 
@@ -123,7 +123,7 @@
             schedulers: Schedulers::new(cfg.schedulers.clone()),
             table,
             metrics: Metrics::default(),
-            lanes: RefCell::default(),
+            balancers: RefCell::default(),
             next_request: Cell::new(0),
             cfg,
         };
@@ -165,10 +165,10 @@
         format!("{:016x}-{}", self.id, self.next_request.get())
     }
 
-    /// Returns the lane of a service.
-    pub fn lane(&self, service: &Service) -> Rc<Lane> {
-        if let Some(lane) = self.lanes.borrow().get(&service.name) {
-            return lane.clone();
+    /// Returns the balancer of a service.
+    pub fn balancer(&self, service: &Service) -> Rc<Balancer> {
+        if let Some(balancer) = self.balancers.borrow().get(&service.name) {
+            return balancer.clone();
         }
         let limits = LimitsCfg {
             slots: service.slots,
@@ -176,24 +176,27 @@
             entries: self.cfg.expected_entries as u16,
             ..LimitsCfg::default()
         };
-        let lane = Rc::new(Lane::new(limits, self.id));
-        self.fill_lane(&service.name, &lane);
-        self.lanes
+        let balancer = Rc::new(Balancer::new(limits, self.id));
+        self.fill_balancer(&service.name, &balancer);
+        self.balancers
             .borrow_mut()
-            .insert(service.name.clone(), lane.clone());
-        lane
+            .insert(service.name.clone(), balancer.clone());
+        balancer
     }
 
-    /// Returns all lanes by service.
-    pub fn lanes(&self) -> Vec<(Name, Rc<Lane>)> {
-        let lanes = self.lanes.borrow();
-        lanes.iter().map(|(k, v)| (k.clone(), v.clone())).collect()
+    /// Returns all balancers by service.
+    pub fn balancers(&self) -> Vec<(Name, Rc<Balancer>)> {
+        let balancers = self.balancers.borrow();
+        balancers
+            .iter()
+            .map(|(k, v)| (k.clone(), v.clone()))
+            .collect()
     }
 
-    /// Gives every lane the servers of the VM list and closes connections to servers that are gone.
+    /// Gives every balancer the servers of the VM list and closes connections to servers that are gone.
     pub fn spread_servers(&self) {
-        for (service, lane) in self.lanes() {
-            self.fill_lane(&service, &lane);
+        for (service, balancer) in self.balancers() {
+            self.fill_balancer(&service, &balancer);
         }
         let servers = self.vms.servers();
         self.backends
@@ -238,7 +241,7 @@
         log::error!("config: alarm: the configuration was not confirmed: {problem}");
         self.metrics.alarm("config");
         self.table_reached.set(false);
-        self.members.vouch(self, clock::now()).await;
+        self.members.quorum_read(self, clock::now()).await;
     }
 
     /// Reads the newest configuration and renews the member row, which confirms that the
@@ -265,7 +268,11 @@
     /// Returns the levels that the metrics show.
     pub fn levels(&self) -> Levels {
         let (busy, idle) = self.backends.counts();
-        let queued: usize = self.lanes().iter().map(|(_, lane)| lane.queued()).sum();
+        let queued: usize = self
+            .balancers()
+            .iter()
+            .map(|(_, balancer)| balancer.queued())
+            .sum();
         Levels {
             in_flight: self.in_flight.get() as u64,
             queued: queued as u64,
@@ -280,10 +287,10 @@
         }
     }
 
-    fn fill_lane(&self, service: &Name, lane: &Lane) {
+    fn fill_balancer(&self, service: &Name, balancer: &Balancer) {
         let servers = self.vms.servers();
         let mine = servers.iter().filter(|(_, s)| s.service == *service);
-        lane.set_servers(mine, self.members.entries());
+        balancer.set_servers(mine, self.members.entries());
     }
 }
 
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -41,7 +41,7 @@
 async fn answer_member(cx: &Entry, req: Request) -> Reply {
     match req {
         Request::Ping => Reply::Pong,
-        Request::Vouch { member, .. } => vouch(cx, member),
+        Request::QuorumRead { member, .. } => quorum_read(cx, member),
         Request::Current { known_revision, .. } => {
             catch_up(cx, known_revision).await;
             let force = cx.config.get();
@@ -70,9 +70,9 @@
     }
 }
 
-/// Answers a question for vouching; a process that was not asked itself, or that knows no revision,
+/// Answers a quorum read; a process that was not asked itself, or that knows no revision,
 /// can't tell what a majority has acknowledged and abstains.
-fn vouch(cx: &Entry, member: u64) -> Reply {
+fn quorum_read(cx: &Entry, member: u64) -> Reply {
     let revision = cx.config.revision();
     if member != cx.id || revision == 0 {
         return Reply::Failed {
@@ -81,7 +81,7 @@
             done: Effect::None,
         };
     }
-    Reply::Vouch {
+    Reply::QuorumRead {
         revision,
         table_reached: cx.table_reached.get(),
     }
@@ -146,9 +146,9 @@
 async fn pump(cx: Rc<Entry>) {
     loop {
         time::sleep(PUMP_PERIOD.to_duration()).await;
-        for (_, lane) in cx.lanes() {
-            if lane.queued() > 0 {
-                lane.pump();
+        for (_, balancer) in cx.balancers() {
+            if balancer.queued() > 0 {
+                balancer.pump();
             }
         }
     }
--- a/crates/entry/tests/entry/lease.rs
+++ b/crates/entry/tests/entry/lease.rs
@@ -26,8 +26,8 @@
     members
 }
 
-fn vouch(revision: u64, table_reached: bool) -> Reply {
-    Reply::Vouch {
+fn quorum_read(revision: u64, table_reached: bool) -> Reply {
+    Reply::QuorumRead {
         revision,
         table_reached,
     }
@@ -46,12 +46,15 @@
 
 /// Guards against a cut-off minority that serves an old configuration.
 #[test]
-fn an_entry_without_a_vouching_majority_stops_serving() {
+fn an_entry_without_a_quorum_stops_serving() {
     let cases = [
-        ("a higher revision", vec![vouch(2, false), vouch(1, false)]),
+        (
+            "a higher revision",
+            vec![quorum_read(2, false), quorum_read(1, false)],
+        ),
         (
             "a member that reaches the table",
-            vec![vouch(1, true), vouch(1, false)],
+            vec![quorum_read(1, true), quorum_read(1, false)],
         ),
         ("silent members", vec![Reply::Pong, Reply::Pong]),
     ];
@@ -70,10 +73,15 @@
     }
 }
 
-/// Guards against an outage of the table service that ends live work although a majority vouches.
+/// Guards against an outage of the table service that ends live work although a majority agrees on the revision.
 #[test]
-fn a_vouching_majority_keeps_serving_while_the_table_is_down() {
-    let (system, members) = start(&[vouch(1, false), vouch(0, false), Reply::Pong, Reply::Pong]);
+fn a_quorum_keeps_serving_while_the_table_is_down() {
+    let (system, members) = start(&[
+        quorum_read(1, false),
+        quorum_read(0, false),
+        Reply::Pong,
+        Reply::Pong,
+    ]);
     system.platform.set_faults(outage());
     let asked = || members[0].asked.lock().unwrap().len();
     // The lease of 500 ms lapses several times in the time of these questions.
@@ -121,14 +129,14 @@
     let ask = |member| {
         let runtime = ntex::rt::System::new("asker", ntex::rt::DefaultRuntime);
         runtime.block_on(async move {
-            let req = Request::Vouch {
+            let req = Request::QuorumRead {
                 member,
                 known_revision: 1,
             };
             wire::client::Client::new(addr).call(&req).await.unwrap()
         })
     };
-    assert!(matches!(ask(id), Reply::Vouch { revision: 1, .. }));
+    assert!(matches!(ask(id), Reply::QuorumRead { revision: 1, .. }));
     let other = ask(id ^ 1);
     assert!(
         matches!(&other, Reply::Failed { code, .. } if code == "abstains"),
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -36,7 +36,7 @@
     }
 }
 
-/// Reads the revision, which a standby needs in order to vouch for it.
+/// Reads the revision, which a standby needs in order to answer quorum reads.
 async fn learn_revision(cx: &Cx) {
     let Ok(row) = cx.table.get("rev").await else {
         return;
--- a/crates/sched/src/server.rs
+++ b/crates/sched/src/server.rs
@@ -21,7 +21,7 @@
 pub(crate) async fn handle(cx: Cx, req: Request) -> Reply {
     match req {
         Request::Ping => return Reply::Pong,
-        Request::Vouch { member, .. } => return vouch(&cx, member),
+        Request::QuorumRead { member, .. } => return quorum_read(&cx, member),
         Request::Hello { .. } => {
             return answer::failed("unexpected_hello", "the connection is open", Effect::None);
         }
@@ -40,14 +40,14 @@
     }
 }
 
-fn vouch(cx: &Cx, member: u64) -> Reply {
-    // A process that has just started would vouch for what its predecessor at this address knew.
+fn quorum_read(cx: &Cx, member: u64) -> Reply {
+    // A process that has just started would answer for what its predecessor at this address knew.
     let revision = cx.revision.get().filter(|_| member == cx.id);
     let Some(revision) = revision else {
         return answer::failed("no_revision", "no revision is known yet", Effect::None);
     };
     let age = clock::now().since(cx.table_seen.get());
-    Reply::Vouch {
+    Reply::QuorumRead {
         revision,
         table_reached: age < TABLE_REACHED,
     }
@@ -114,6 +114,6 @@
             member,
             known_revision,
         } => config::current(leader, member, known_revision),
-        Request::Hello { .. } | Request::Vouch { .. } | Request::Ping => Reply::Pong,
+        Request::Hello { .. } | Request::QuorumRead { .. } | Request::Ping => Reply::Pong,
     }
 }
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -162,12 +162,12 @@
     let mut known = Vec::new();
     for sched in &site.scheds {
         let member = id(sched.addr());
-        let request = Request::Vouch {
+        let request = Request::QuorumRead {
             member,
             known_revision: 1,
         };
         match Client::new(sched.addr()).call(&request).await.unwrap() {
-            Reply::Vouch { revision, .. } => known.push(revision),
+            Reply::QuorumRead { revision, .. } => known.push(revision),
             Reply::Failed { code, .. } => assert_eq!(code, "no_revision"),
             other => panic!("{other:?}"),
         }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -66,8 +66,8 @@
         /// Revision in force at the sender.
         known_revision: u64,
     },
-    /// Asks whether the receiver can vouch for a revision.
-    Vouch {
+    /// Asks whether the receiver knows no higher revision, as part of a quorum read.
+    QuorumRead {
         /// Incarnation id of the member that is asked. A process that was started again at the same
         /// address does not know what its predecessor acknowledged, so it must not answer.
         member: u64,
@@ -111,8 +111,8 @@
         /// configuration.
         listed: bool,
     },
-    /// Answer to `Vouch`.
-    Vouch {
+    /// Answer to `QuorumRead`.
+    QuorumRead {
         /// Revision in force at the sender.
         revision: u64,
         /// Whether the sender reaches the table service.
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -13,13 +13,13 @@
     net::TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
-/// Answers `Ping` at once and `Vouch` with `known_revision` after that many milliseconds.
+/// Answers `Ping` at once and `QuorumRead` with `known_revision` after that many milliseconds.
 async fn handle(req: Request) -> Reply {
     match req {
         Request::Ping => Reply::Pong,
-        Request::Vouch { known_revision, .. } => {
+        Request::QuorumRead { known_revision, .. } => {
             tokio::time::sleep(time::Duration::from_millis(known_revision)).await;
-            Reply::Vouch {
+            Reply::QuorumRead {
                 revision: known_revision,
                 table_reached: true,
             }
@@ -42,25 +42,25 @@
 #[ntex::test]
 async fn answers_out_of_order_reach_their_calls() {
     let (_server, client) = start();
-    let slow = Request::Vouch {
+    let slow = Request::QuorumRead {
         member: 1,
         known_revision: 60,
     };
-    let fast = Request::Vouch {
+    let fast = Request::QuorumRead {
         member: 1,
         known_revision: 1,
     };
     let (slow, fast) = tokio::join!(client.call(&slow), client.call(&fast));
     assert_eq!(
         slow,
-        Ok(Reply::Vouch {
+        Ok(Reply::QuorumRead {
             revision: 60,
             table_reached: true
         })
     );
     assert_eq!(
         fast,
-        Ok(Reply::Vouch {
+        Ok(Reply::QuorumRead {
             revision: 1,
             table_reached: true
         })
@@ -81,7 +81,7 @@
     let (_server, client) = start();
     let client = client.with_timeout(Millis(50));
     let reply = client
-        .call(&Request::Vouch {
+        .call(&Request::QuorumRead {
             member: 1,
             known_revision: 60_000,
         })
@@ -104,7 +104,7 @@
 #[ntex::test]
 async fn shutdown_lets_exchanges_end() {
     let (server, client) = start();
-    let call = client.call(&Request::Vouch {
+    let call = client.call(&Request::QuorumRead {
         member: 1,
         known_revision: 80,
     });
@@ -115,7 +115,7 @@
     let (reply, ()) = tokio::join!(call, stop);
     assert_eq!(
         reply,
-        Ok(Reply::Vouch {
+        Ok(Reply::QuorumRead {
             revision: 80,
             table_reached: true
         })
--- a/crates/wire/tests/frame.rs
+++ b/crates/wire/tests/frame.rs
@@ -23,7 +23,7 @@
 #[test]
 fn a_truncated_frame_is_refused() {
     fn prop(revision: u64, cut: usize) -> bool {
-        let bytes = frame::encode(&Request::Vouch {
+        let bytes = frame::encode(&Request::QuorumRead {
             member: 1,
             known_revision: revision,
         })
