Replace remaining figurative names

farewell is flush_and_leave, the blind cap is the cap without load reports, a connection is opened rather than greeted. No behaviour changes.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -34,7 +34,7 @@
 /// Time for which an entry without requests under way still answers callers that arrive late.
 const LINGER: Millis = Millis(100);
 /// Longest wait for the table service during a planned stop.
-const FAREWELL: Millis = Millis(2_000);
+const FLUSH_TIMEOUT: Millis = Millis(2_000);
 
 /// Why an entry could not start or run.
 #[derive(Debug, Display, Error, From)]
@@ -288,19 +288,19 @@
         );
     }
     time::sleep(LINGER.to_duration()).await;
-    farewell(cx).await;
+    flush_and_leave(cx).await;
 }
 
 /// Writes what is left to write to the table service.
-async fn farewell(cx: &Entry) {
-    let end = clock::now() + FAREWELL;
+async fn flush_and_leave(cx: &Entry) {
+    let end = clock::now() + FLUSH_TIMEOUT;
     while cx.claims.unsettled() > 0 && clock::now() < end {
         time::sleep(DRAIN_PERIOD.to_duration()).await;
     }
     let leaving = cx.members.own.leave(&cx.table);
-    match time::timeout(FAREWELL.to_duration(), leaving).await {
+    match time::timeout(FLUSH_TIMEOUT.to_duration(), leaving).await {
         Ok(Ok(())) => {}
         Ok(Err(e)) => log::warn!("entry: the member row was not deleted: {e}"),
-        Err(_) => log::warn!("entry: the member row was not deleted: no answer in {FAREWELL}"),
+        Err(_) => log::warn!("entry: the member row was not deleted: no answer in {FLUSH_TIMEOUT}"),
     }
 }
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -152,8 +152,8 @@
     pub fn expired(&mut self, now: Millis) -> Vec<Waiting> {
         let mut expired = std::mem::take(&mut self.skipped);
         let until = now + self.service();
-        let blind = !self.cfg.early_refusal || self.in_flight == 0;
-        let mut late = |w: &Waiting| w.deadline <= if blind { now } else { until };
+        let no_estimate = !self.cfg.early_refusal || self.in_flight == 0;
+        let mut late = |w: &Waiting| w.deadline <= if no_estimate { now } else { until };
         expired.extend(self.live.take(&mut late));
         expired.extend(self.deferrable.take(&mut late));
         expired
--- a/crates/route/src/limits.rs
+++ b/crates/route/src/limits.rs
@@ -246,10 +246,10 @@
         }
         match self.cfg.policy {
             Policy::StaticDivision => own < server.own_slots,
-            Policy::TwoChoices => own < self.cfg.blind_cap(),
-            // The blind cap is always open, since reports lag; free slots may be borrowed.
+            Policy::TwoChoices => own < self.cfg.unreported_cap(),
+            // The cap without reports is always open, since reports lag; free slots may be borrowed.
             Policy::ReportedLoad | Policy::Exchange => {
-                own < self.cfg.blind_cap() || self.has_free_slot(now, id, server)
+                own < self.cfg.unreported_cap() || self.has_free_slot(now, id, server)
             }
         }
     }
--- a/crates/route/src/limits_cfg.rs
+++ b/crates/route/src/limits_cfg.rs
@@ -53,9 +53,9 @@
     /// other entries put on it.
     ///
     /// ```
-    /// assert_eq!(route::limits_cfg::LimitsCfg::default().blind_cap(), 2);
+    /// assert_eq!(route::limits_cfg::LimitsCfg::default().unreported_cap(), 2);
     /// ```
-    pub fn blind_cap(&self) -> u16 {
+    pub fn unreported_cap(&self) -> u16 {
         let share = self.slots * self.overcommit;
         share
             .div_ceil(self.entries.max(1))
--- a/crates/sched/src/lease.rs
+++ b/crates/sched/src/lease.rs
@@ -315,12 +315,12 @@
             return State::Watching(w);
         };
         w.lease = lease;
-        // While this candidate sees nothing, as in an outage of the table, the holder may be as
-        // blind; its silence does not count.
-        let blind = now.since(w.looked) > self.cfg.hold_ms;
+        // While this candidate sees nothing, as in an outage of the table, the holder may not reach
+        // the table either, so its silence does not count.
+        let unobserved = now.since(w.looked) > self.cfg.hold_ms;
         w.looked = now;
         let since = match w.seen {
-            Some((seen, since)) if seen == beat && !blind => since,
+            Some((seen, since)) if seen == beat && !unobserved => since,
             _ => now,
         };
         w.seen = Some((beat, since));
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -88,7 +88,7 @@
     let Ok(mut connection) = builder.handshake::<_, Bytes>(tcp).await else {
         return;
     };
-    let greeted = Rc::new(Cell::new(false));
+    let opened = Rc::new(Cell::new(false));
     let mut stopping = false;
     loop {
         let accepted = tokio::select! {
@@ -105,7 +105,7 @@
         let Some(Ok((req, respond))) = accepted else {
             return;
         };
-        let exchange = exchange(req.into_body(), respond, handler.clone(), greeted.clone());
+        let exchange = exchange(req.into_body(), respond, handler.clone(), opened.clone());
         rt::spawn(exchange);
     }
 }
@@ -114,13 +114,13 @@
     mut body: RecvStream,
     mut respond: SendResponse<Bytes>,
     handler: H,
-    greeted: Rc<Cell<bool>>,
+    opened: Rc<Cell<bool>>,
 ) where
     H: Fn(Request) -> F,
     F: Future<Output = Reply>,
 {
     let reply = match frame::receive(&mut body).await {
-        Ok(req) => answer(req, &handler, &greeted).await,
+        Ok(req) => answer(req, &handler, &opened).await,
         Err(FrameError::Stream { .. }) => return,
         Err(e) => refuse("bad_message", e.to_string()),
     };
@@ -141,21 +141,21 @@
     }
 }
 
-async fn answer<H, F>(req: Request, handler: &H, greeted: &Cell<bool>) -> Reply
+async fn answer<H, F>(req: Request, handler: &H, opened: &Cell<bool>) -> Reply
 where
     H: Fn(Request) -> F,
     F: Future<Output = Reply>,
 {
     match req {
         Request::Hello { protocol: PROTOCOL } => {
-            greeted.set(true);
+            opened.set(true);
             Reply::Hello { protocol: PROTOCOL }
         }
         Request::Hello { protocol } => refuse(
             "unknown_protocol",
             format!("this process speaks protocol {PROTOCOL}, the peer speaks {protocol}"),
         ),
-        _ if !greeted.get() => refuse("no_hello", "the connection must open with Hello".into()),
+        _ if !opened.get() => refuse("no_hello", "the connection must open with Hello".into()),
         req => handler(req).await,
     }
 }
