--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -388,6 +388,52 @@
     assert_eq!(system.phase(0, "long"), "running");
 }
 
+/// Guards against a replacement of VMs that loses a job, a claim or the configuration: first all
+/// one by one as planned, then half of them at once without warning.
+#[test]
+fn nothing_is_lost_while_all_processes_are_replaced() {
+    let builder = Builder {
+        behaviour: long_jobs(),
+        ..Builder::default()
+    };
+    let mut system = builder.start("replacement");
+    assert_eq!(system.submit(0, "long", 2).unwrap().status, 202);
+    system.until_phase("long", "running", common::LIMIT);
+    let paid = system.call(0, "payout", Some("kept")).unwrap();
+    assert_eq!(paid.status, 200, "{paid:?}");
+    for i in 0..2 {
+        for proc in [&mut system.entries[i], &mut system.schedulers[i]] {
+            proc.terminate();
+            assert_eq!(proc.wait(), Some(0));
+            proc.restart();
+        }
+        until("the entry is ready", common::LIMIT, || {
+            system.entries[i].is_ready().then_some(())
+        });
+    }
+    system.entries[0].kill();
+    system.schedulers[0].kill();
+    system.entries[0].restart();
+    system.schedulers[0].restart();
+    until("the entry is ready", common::LIMIT, || {
+        system.entries[0].is_ready().then_some(())
+    });
+    until("jobs are taken", 2 * TAKEOVER, || {
+        system.submit(0, "after", 1).filter(|a| a.status == 202)
+    });
+    system.until_phase("after", "running", TAKEOVER);
+    assert_eq!(system.phase(1, "long"), "running");
+    assert_eq!(check_runs(&system)["long"], 2);
+    let again = system.call(0, "payout", Some("kept")).unwrap();
+    assert!(
+        again.status == 200 && again.head.contains("x-replayed: 1"),
+        "{again:?}"
+    );
+    assert_eq!(system.executions("kept"), 1);
+    let config = system.operate(0, "GET", "/config", "").unwrap();
+    assert_eq!(config.body["revision"], 1, "{config:?}");
+}
+
 /// Returns the index of the scheduler that holds the lease.
 fn leader(system: &System) -> usize {
     until("a leader", common::LIMIT, || {
