Give each test process a loopback address of its own

Cause: a test tried a port, released it and handed it to a process that bound it later. Between the two, a process of another test run on the same machine could take the port: the second scheduler then ended with 'Address already in use' and the set-up went on without it, so that a_planned_stop_of_the_leader_hands_over_at_once failed once with 'the next job is taken: not within 20s'.

Ruled out: outgoing connections. Their source address on loopback is 127.0.0.1 (checked with a connection to 127.77.3.9), and the ports lay below the ephemeral range. What held the port then was not found; with an address derived from the process id no other process can hold it.

After: no port is tried and released any more, and a process that ends at its start fails the set-up at once with its log.

Conclusion: names of addresses come from what the kernel keeps unique, the process id.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -24,22 +24,21 @@
 /// Longest wait for a condition, unless a test states a bound of its own.
 pub const LIMIT: time::Duration = time::Duration::from_secs(20);
 
-/// Next port to try. Ports below the ephemeral range can't be taken by outgoing connections.
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-const FIRST_PORT: u16 = 12_000;
-const PORTS: u16 = 18_000;
-
-/// Returns an address on which nothing listens.
+/// Next port to hand out.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+const FIRST_PORT: u16 = 10_000;
+
+/// Returns an address that no other call returns.
+///
+/// Each test process has a loopback address of its own, derived from its process id. Outgoing
+/// loopback connections start from 127.0.0.1, so neither they nor another run on this machine
+/// can take a port between its choice and its use.
 pub fn free_addr() -> net::SocketAddr {
-    let start = (process::id() as u16).wrapping_mul(97) % PORTS;
-    loop {
-        let n = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + start.wrapping_add(n) % PORTS;
-        let addr = net::SocketAddr::from(([127, 0, 0, 1], port));
-        if net::TcpListener::bind(addr).is_ok() {
-            return addr;
-        }
-    }
+    let [_, high, mid, low] = process::id().to_be_bytes();
+    let ip = net::Ipv4Addr::new(127, 64 | (high & 0x3f), mid, low);
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    assert!(port >= FIRST_PORT, "all ports are used");
+    net::SocketAddr::from((ip, port))
 }
 
 /// Waits until `f` returns a value; panics with `what` after the limit.
@@ -73,7 +72,7 @@
         let child = process::Command::new(env!("CARGO_BIN_EXE_buckthorncove"))
             .arg(role)
             .arg(&settings)
-            .stdout(process::Stdio::null())
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
             .unwrap();
@@ -134,6 +133,14 @@
         get(self.http, "/ready").is_some_and(|a| a.status == 200)
     }
 
+    /// Panics with the log if the process has ended.
+    pub fn assert_running(&mut self) {
+        if let Some(status) = self.child.try_wait().unwrap() {
+            let (role, http, log) = (self.role, self.http, self.log());
+            panic!("{role} {http} ended with {status}\n{log}");
+        }
+    }
+
     /// Returns the log so far.
     pub fn log(&self) -> String {
         fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
@@ -300,7 +307,7 @@
             Proc::start("entry", write(&dir, &format!("entry-{i}"), &cfg), http)
         });
         let entries = entries.collect();
-        let system = System {
+        let mut system = System {
             entries,
             schedulers,
             backends,
@@ -308,6 +315,7 @@
             vms,
             platform,
         };
+        system.until_started();
         system.configure();
         system
     }
@@ -352,6 +360,16 @@
 }
 
 impl System {
+    /// Waits until all processes listen; a process that ends at its start fails the test at once.
+    fn until_started(&mut self) {
+        for proc in self.entries.iter_mut().chain(&mut self.schedulers) {
+            until(&format!("start of {}", proc.http), LIMIT, || {
+                proc.assert_running();
+                get(proc.http, "/ready").map(drop)
+            });
+        }
+    }
+
     fn configure(&self) {
         let records = [
             json!({"schema": 2, "kind": "organisation", "spec": {
