Run on the users' platform: nodes, an adapter and decisions on jobs of several steps

Cause: the platform fixes how callers, operators and workers talk, has no machine for control and no disks. The product lacked jobs of several steps, attempts and budgets, checkpoints and occurrences.

- platform/ holds names, formats and calls and decides nothing.
- crates/batch decides on jobs, without I/O: order, placement, preemption, attempts, ends.
- crates/node is the process of a VM: entry for jobs and candidate for the scheduler's lease.
- crates/lease, crates/settings and crates/serve hold what scheduler and node share; they were parts of crates/sched.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -2,6 +2,8 @@
 
 use argh::FromArgs;
 
+use crate::logs;
+
 /// Schedules multi-accelerator jobs under guarantees for organisations.
 ///
 /// Exit codes: 0 done; 1 refused or failed without effect; 2 wrong command line, settings or
@@ -26,6 +28,7 @@
 pub enum Command {
     Entry(Entry),
     Scheduler(Scheduler),
+    Node(Node),
     Local(Local),
     Standin(Standin),
     Check(Check),
@@ -58,6 +61,25 @@
     pub settings: String,
 }
 
+impl Command {
+    /// Returns the form of the log: processes that run until they are stopped write JSON.
+    pub const fn log_form(&self) -> logs::Form {
+        match self {
+            Self::Entry(_) | Self::Scheduler(_) | Self::Node(_) => logs::Form::Json,
+            _ => logs::Form::Text,
+        }
+    }
+}
+
+/// Run the process of a VM on the users' platform: entry for jobs and candidate for the lease.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "node")]
+pub struct Node {
+    /// settings file, JSON with comments; without it, `BUCKTHORNCOVE_SETTINGS` names the file
+    #[argh(positional)]
+    pub settings: Option<String>,
+}
+
 /// Run the whole system in this process on stand-ins, submit a gang job, send a claim score and
 /// print what happened.
 #[derive(Debug, FromArgs)]
@@ -93,6 +115,9 @@
     /// settings file of a scheduler
     #[argh(option)]
     pub scheduler: Option<String>,
+    /// settings file of a node
+    #[argh(option)]
+    pub node: Option<String>,
 }
 
 /// Rewrite record files of schema version 1 in version 2.
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -17,6 +17,9 @@
     if let Some(path) = &args.scheduler {
         settings(path, |text| sched::cfg::read(text).map(drop))?;
     }
+    if let Some(path) = &args.node {
+        settings(path, |text| node::node_cfg::read(text).map(drop))?;
+    }
     if !args.paths.is_empty() {
         records(&args.paths)?;
     }
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -32,6 +32,7 @@
         Command::Settle(args) => jobs::settle(api()?, &args),
         Command::Entry(args) => roles::entry(&args),
         Command::Scheduler(args) => roles::scheduler(&args),
+        Command::Node(args) => roles::node(&args),
         Command::Local(args) => local::run(&args),
         Command::Standin(args) => standin::run(&args),
         Command::Bench(args) => match args.kind.as_str() {
--- a/crates/cli/src/command/roles.rs
+++ b/crates/cli/src/command/roles.rs
@@ -1,6 +1,6 @@
-//! `entry` and `scheduler`: run one process until it is told to stop.
+//! `entry`, `scheduler` and `node`: run one process until it is told to stop.
 
-use std::fs;
+use std::{env, fs};
 
 use crate::{args, exit::Failure};
 
@@ -20,6 +20,22 @@
     Ok(sched::run(cfg)?)
 }
 
+/// Variable that names the settings file of a node on the users' platform.
+const SETTINGS_VAR: &str = "BUCKTHORNCOVE_SETTINGS";
+
+/// Runs a node.
+pub fn node(args: &args::Node) -> eyre::Result<()> {
+    let path = match &args.settings {
+        Some(path) => path.clone(),
+        None => env::var(SETTINGS_VAR).map_err(|e| {
+            Failure::bad_input(format!("no settings file is given and {SETTINGS_VAR}: {e}"))
+        })?,
+    };
+    let cfg = node::node_cfg::read(&read(&path)?)
+        .map_err(|e| Failure::bad_input(format!("{path}: {e}")))?;
+    Ok(node::process::run(cfg)?)
+}
+
 fn read(path: &str) -> eyre::Result<String> {
     fs::read_to_string(path).map_err(|e| Failure::bad_input(format!("{path}: {e}")))
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod bench;
 mod command;
 mod exit;
+mod log_out;
 mod logs;
 mod world;
 
@@ -12,6 +13,6 @@
 
 fn main() -> process::ExitCode {
     let args: args::Args = argh::from_env();
-    logs::init();
+    logs::init(args.command.log_form());
     exit::report(command::run(args))
 }
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,5 @@
+//! The lease that one process of several holds: a state machine without I/O.
+
+pub mod lease_cfg;
+pub mod machine;
+pub mod table;
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -7,7 +7,7 @@
 
 use base::clock::Millis;
 
-use crate::cfg::LeaseCfg;
+use crate::lease_cfg::LeaseCfg;
 
 /// The next thing to do for the lease.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -132,7 +132,7 @@
 ///
 /// ```
 /// use base::clock::Millis;
-/// use sched::{cfg::LeaseCfg, lease::{Lease, Outcome, Step}};
+/// use lease::{lease_cfg::LeaseCfg, machine::{Lease, Outcome, Step}};
 ///
 /// let mut lease = Lease::new(1, LeaseCfg::default());
 /// assert_eq!(lease.step(Millis(0)), Step::Look);
@@ -155,7 +155,7 @@
     /// Creates the lease of incarnation `id`, which holds nothing yet.
     ///
     /// ```
-    /// let lease = sched::lease::Lease::new(1, sched::cfg::LeaseCfg::default());
+    /// let lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
     /// assert!(lease.held().is_none());
     /// ```
     pub fn new(id: u64, cfg: LeaseCfg) -> Self {
@@ -172,7 +172,7 @@
     ///
     /// ```
     /// # use base::clock::Millis;
-    /// let lease = sched::lease::Lease::new(1, sched::cfg::LeaseCfg::default());
+    /// let lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
     /// assert!(lease.acting(Millis(0)).is_none());
     /// ```
     pub fn acting(&self, now: Millis) -> Option<Held> {
@@ -185,7 +185,7 @@
     /// Returns the lease if nobody else is known to have taken it, however old the renewal is.
     ///
     /// ```
-    /// let lease = sched::lease::Lease::new(1, sched::cfg::LeaseCfg::default());
+    /// let lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
     /// assert!(lease.held().is_none());
     /// ```
     pub fn held(&self) -> Option<Held> {
@@ -198,7 +198,7 @@
     /// Returns the incarnation id of the holder that was last seen.
     ///
     /// ```
-    /// let lease = sched::lease::Lease::new(1, sched::cfg::LeaseCfg::default());
+    /// let lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
     /// assert_eq!(lease.holder(), None);
     /// ```
     pub fn holder(&self) -> Option<u64> {
@@ -213,9 +213,9 @@
     ///
     /// ```
     /// # use base::clock::Millis;
-    /// let mut lease = sched::lease::Lease::new(1, sched::cfg::LeaseCfg::default());
+    /// let mut lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
     /// lease.stop();
-    /// assert_eq!(lease.step(Millis(0)), sched::lease::Step::Ended);
+    /// assert_eq!(lease.step(Millis(0)), lease::machine::Step::Ended);
     /// ```
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -224,7 +224,7 @@
     /// Ends the leadership because a higher fencing number was seen.
     ///
     /// ```
-    /// let mut lease = sched::lease::Lease::new(1, sched::cfg::LeaseCfg::default());
+    /// let mut lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
     /// lease.lost();
     /// assert!(lease.held().is_none());
     /// ```
@@ -238,8 +238,8 @@
     ///
     /// ```
     /// # use base::clock::Millis;
-    /// let mut lease = sched::lease::Lease::new(1, sched::cfg::LeaseCfg::default());
-    /// assert_eq!(lease.step(Millis(0)), sched::lease::Step::Look);
+    /// let mut lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
+    /// assert_eq!(lease.step(Millis(0)), lease::machine::Step::Look);
     /// ```
     pub fn step(&mut self, now: Millis) -> Step {
         if self.stopping {
@@ -269,8 +269,8 @@
     ///
     /// ```
     /// # use base::clock::Millis;
-    /// # use sched::lease::{Lease, Outcome, Step};
-    /// let mut lease = Lease::new(1, sched::cfg::LeaseCfg::default());
+    /// # use lease::machine::{Lease, Outcome, Step};
+    /// let mut lease = Lease::new(1, lease::lease_cfg::LeaseCfg::default());
     /// lease.step(Millis(0));
     /// lease.done(Millis(9), Outcome::NotDone);
     /// assert!(matches!(lease.step(Millis(9)), Step::Wait { .. }));
--- /dev/null
+++ b/crates/node/src/dump.rs
@@ -0,0 +1,50 @@
+//! State of a node on request.
+
+use base::clock::{self, Millis};
+use serde::Serialize;
+
+use crate::cx::Cx;
+
+#[derive(Serialize)]
+struct Dump<'a> {
+    name: &'a str,
+    id: u64,
+    config_version: u64,
+    config_age_ms: Option<Millis>,
+    requests: usize,
+    stopping: bool,
+    leading: Option<Leading>,
+}
+
+#[derive(Serialize)]
+struct Leading {
+    fence: u64,
+    acting: bool,
+    loaded: bool,
+    since_ms: Millis,
+    commits: u64,
+    counts: batch::book::Counts,
+}
+
+/// Returns the state as JSON.
+pub(crate) fn of(cx: &Cx) -> Vec<u8> {
+    let leader = cx.leader.borrow().clone();
+    let leading = leader.map(|l| Leading {
+        fence: l.held.fence,
+        acting: cx.acting().is_some(),
+        loaded: l.loaded.get(),
+        since_ms: clock::now().since(l.since),
+        commits: l.chain.get().1,
+        counts: l.book.borrow().counts(),
+    });
+    let dump = Dump {
+        name: &cx.cfg.name,
+        id: cx.who.id,
+        config_version: cx.rules().version,
+        config_age_ms: cx.config_age(),
+        requests: cx.requests.get(),
+        stopping: cx.stopping.get(),
+        leading,
+    };
+    serde_json::to_vec(&dump).expect("plain data has a JSON form")
+}
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,144 @@
+//! Requests of callers, the readiness check, and the operators' address.
+
+use base::clock::{self, Millis};
+use ntex::http::{ConnectionType, Method, Request, Response, StatusCode};
+use platform::paths;
+use serve::BodyError;
+
+use crate::{
+    accept,
+    authorise::{self, Authorised},
+    cx::Cx,
+    dump,
+    refusal::Refusal,
+};
+
+/// Largest body before a configuration says otherwise, in bytes.
+const BODY_BYTES: usize = 256 << 10;
+/// Longest work on a request whose caller does not say how long it waits.
+const WAITS: Millis = Millis(3_000);
+/// Time before a caller gives up at which it gets its answer: the way back takes up to 10 ms.
+const WAY_BACK: Millis = Millis(150);
+
+/// Serves a request of a caller.
+pub(crate) async fn serve(cx: Cx, req: Request) -> Response {
+    let guard = Guard::new(&cx);
+    let mut response = answer(&cx, req).await;
+    drop(guard);
+    if cx.stopping.get() {
+        // The caller's next request goes to another entry.
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+async fn answer(cx: &Cx, mut req: Request) -> Response {
+    let arrived = clock::now();
+    let body = match read_body(cx, &mut req).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(cx, &req, refusal),
+    };
+    let passed = match authorise::pass(cx, &req) {
+        Ok(passed) => passed,
+        Err(refusal) => return refuse(cx, &req, refusal),
+    };
+    let until = arrived + waits(&req).since(WAY_BACK);
+    let result = act(cx, &req, passed, &body, until).await;
+    result.unwrap_or_else(|refusal| refuse(cx, &req, refusal))
+}
+
+async fn act(
+    cx: &Cx,
+    req: &Request,
+    passed: Authorised,
+    body: &[u8],
+    until: Millis,
+) -> Result<Response, Refusal> {
+    if passed.rest.is_empty() {
+        return match *req.method() {
+            Method::GET => accept::pending(cx, &passed).await,
+            _ => Err(Refusal::Method),
+        };
+    }
+    let is_id =
+        passed.rest.len() == ID_DIGITS && passed.rest.bytes().all(|b| b.is_ascii_hexdigit());
+    match *req.method() {
+        Method::POST if is_id => accept::submit(cx, req, &passed, body, until).await,
+        Method::GET if is_id => accept::phase(cx, &passed).await,
+        Method::DELETE if is_id => accept::cancel(cx, &passed, until).await,
+        Method::POST => Err(Refusal::Invalid),
+        Method::GET | Method::DELETE => Err(Refusal::NoJob),
+        _ => Err(Refusal::Method),
+    }
+}
+
+/// Hexadecimal digits of the id of a job.
+const ID_DIGITS: usize = 16;
+
+async fn read_body(cx: &Cx, req: &mut Request) -> Result<ntex::util::Bytes, Refusal> {
+    let limit = match cx.rules().body_bytes {
+        0 => BODY_BYTES,
+        limit => limit,
+    };
+    let body = serve::read_body(req.take_payload(), limit).await;
+    body.map_err(|e| match e {
+        BodyError::TooLarge => Refusal::TooLarge,
+        BodyError::Broken => Refusal::Invalid,
+    })
+}
+
+fn waits(req: &Request) -> Millis {
+    let value = req.headers().get(paths::WAITS_MS);
+    let ms = value
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.parse().ok());
+    ms.map_or(WAITS, Millis)
+}
+
+fn refuse(cx: &Cx, req: &Request, refusal: Refusal) -> Response {
+    let age = cx.config_age().map(|a| a.0);
+    log::info!(
+        method:% = req.method(), path = req.path(), reason:? = refusal,
+        config = cx.rules().version, age_ms:? = age;
+        "front: refused"
+    );
+    refusal.response()
+}
+
+/// Serves the readiness check of the balancer.
+pub(crate) fn ready(cx: &Cx, req: &Request) -> Response {
+    let is_ready = !cx.stopping.get() && cx.config_age().is_some();
+    match (req.path() == paths::READY, is_ready) {
+        (true, true) => Response::Ok().finish(),
+        (true, false) => Response::ServiceUnavailable().finish(),
+        (false, _) => Response::new(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Serves the operators' address.
+pub(crate) fn operate(cx: &Cx, req: &Request) -> Response {
+    match req.path() {
+        "/dump" => Response::Ok()
+            .content_type("application/json")
+            .body(dump::of(cx)),
+        _ => Response::new(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Counts a request until it is answered.
+struct Guard(Cx);
+
+impl Guard {
+    fn new(cx: &Cx) -> Self {
+        cx.requests.set(cx.requests.get() + 1);
+        Self(cx.clone())
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.requests.set(self.0.requests.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/node/src/load.rs
@@ -0,0 +1,88 @@
+//! Reads the state of all jobs at the begin of a leadership.
+
+use base::sorted::SortedMap;
+use batch::{
+    job::{Accepted, Text},
+    progress::Progress,
+};
+use store::table::{Row, StoreError};
+
+use crate::{
+    cx::Cx,
+    leader::Leader,
+    rows::{self, ChainRow, Intake, PhaseRow},
+};
+
+/// Fills the book and returns the version from which the intake continues.
+pub(crate) async fn load(cx: &Cx, leader: &Leader) -> Result<u64, StoreError> {
+    let (_, chain) = rows::CHAIN.split_once('/').unwrap_or_default();
+    let chain = cx.table.get_row(rows::CONTROL, chain).await?;
+    let count = chain.as_ref().and_then(rows::from_json::<ChainRow>);
+    let version = chain.map_or(0, |r| r.version);
+    leader.chain.set((version, count.map_or(0, |c| c.count)));
+    // The jobs are read first: a job that is accepted meanwhile comes by the intake.
+    let (jobs, from) = read_all(cx, rows::JOBS).await?;
+    let (progress, _) = read_all(cx, rows::PROGRESS).await?;
+    let (phases, _) = read_all(cx, rows::PHASES).await?;
+    let progress: SortedMap<Text, Progress> = decode(&progress);
+    let phases: SortedMap<Text, PhaseRow> = decode(&phases);
+    let mut book = leader.book.borrow_mut();
+    *book = batch::book::Book::default();
+    let mut cancels: Vec<&str> = Vec::new();
+    for row in &jobs {
+        let Some((id, kind)) = rows::intake(&row.key) else {
+            continue;
+        };
+        if kind == Intake::Cancel {
+            cancels.push(id);
+            continue;
+        }
+        let Some(rec) = rows::from_json::<Accepted>(row) else {
+            continue;
+        };
+        let phase = phases.get(id).map(|p| p.phase).filter(|p| p.is_final());
+        let ended = phase.map(|phase| Progress {
+            phase,
+            queue: rec.queue.clone(),
+            at: rec.at,
+            occurrences: Vec::new(),
+        });
+        book.restore(rec, progress.get(id).cloned().or(ended));
+    }
+    let (now, wall) = (base::clock::now(), base::clock::wall());
+    for id in cancels {
+        book.cancel(id, now, wall);
+    }
+    *leader.phases.borrow_mut() = phases.iter().map(|(id, p)| (id.clone(), p.phase)).collect();
+    log::info!(
+        fence = leader.held.fence, jobs = jobs.len(), open = progress.len(), version = from;
+        "leader: loaded"
+    );
+    Ok(from)
+}
+
+fn decode<T: for<'a> serde::Deserialize<'a>>(rows: &[Row]) -> SortedMap<Text, T> {
+    let entry = |row: &Row| {
+        let (_, id) = row.key.split_once('/')?;
+        Some((Text::from(id), rows::from_json(row)?))
+    };
+    rows.iter().filter_map(entry).collect()
+}
+
+/// Reads all rows of a table and the version of the first page.
+pub(crate) async fn read_all(cx: &Cx, table: &str) -> Result<(Vec<Row>, u64), StoreError> {
+    let mut rows: Vec<Row> = Vec::new();
+    let mut version = None;
+    let mut from = String::new();
+    loop {
+        let page = cx.table.read(table, &from, "").await?;
+        version.get_or_insert(page.version);
+        let last = page.rows.last().map(|r| r.key.clone());
+        rows.extend(page.rows);
+        let Some(last) = last.filter(|_| page.more) else {
+            return Ok((rows, version.unwrap_or_default()));
+        };
+        let (_, key) = last.split_once('/').unwrap_or_default();
+        from = format!("{key} ");
+    }
+}
--- /dev/null
+++ b/crates/node/src/node_cfg.rs
@@ -0,0 +1,100 @@
+//! Settings of a node.
+
+use std::net;
+
+use base::clock::Millis;
+use lease::lease_cfg::LeaseCfg;
+use serde::{Deserialize, Serialize};
+use settings::CfgError;
+
+/// Settings of a node, as JSON with comments.
+///
+/// ```
+/// let cfg = node::node_cfg::read("{ name: 'n1' /* any text */ }").unwrap();
+/// assert_eq!(cfg.name, "n1");
+/// let e = node::node_cfg::read("{ nmae: 'n1' }").unwrap_err();
+/// assert!(e.to_string().contains("nmae: found \"n1\", expected no such setting"));
+/// ```
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct NodeCfg {
+    /// Name of the VM.
+    pub name: String,
+    /// Data centre of the VM.
+    pub zone: String,
+    /// Address at which callers are served.
+    pub listen: net::SocketAddr,
+    /// Address of the readiness check.
+    pub listen_ready: net::SocketAddr,
+    /// Address of the metrics and of the state dump.
+    pub listen_metrics: net::SocketAddr,
+    /// Address of the platform's store.
+    pub store: net::SocketAddr,
+    /// Most open connections of callers. An idle one takes about 10 KB.
+    pub connections: usize,
+    /// Longest lease of what runs on a worker.
+    pub worker_lease_ms: Millis,
+    /// Time after which a removed key is refused everywhere.
+    pub revoke_ms: Millis,
+    /// Time for which a job that has ended can be read.
+    pub keep_ms: Millis,
+    /// Time from SIGTERM to the end of the process.
+    pub grace_ms: Millis,
+    /// Settings of the scheduler's lease.
+    pub lease: LeaseCfg,
+}
+
+impl Default for NodeCfg {
+    fn default() -> Self {
+        let any = net::SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            name: "node".into(),
+            zone: String::new(),
+            listen: any,
+            listen_ready: any,
+            listen_metrics: any,
+            store: any,
+            connections: 2_000,
+            worker_lease_ms: Millis(6_000),
+            revoke_ms: Millis(5_000),
+            keep_ms: Millis::from_secs(120),
+            grace_ms: Millis(6_000),
+            // A takeover takes 2.5 s at most, well inside the 6 s for which workers hold leases;
+            // a store that is 60 times slower than usual (0.5 s) does not end a leadership.
+            lease: LeaseCfg {
+                renew_ms: Millis(500),
+                hold_ms: Millis(1_700),
+                take_ms: Millis(2_000),
+                look_ms: Millis(500),
+            },
+        }
+    }
+}
+
+/// Reads settings; values that are left out have their defaults.
+///
+/// # Errors
+///
+/// Returns the path, the value and what was expected for the first value that is not acceptable.
+pub fn read(text: &str) -> Result<NodeCfg, CfgError> {
+    let cfg: NodeCfg = settings::read(text)?;
+    let lease = &cfg.lease;
+    settings::less(
+        "lease.renew_ms",
+        lease.renew_ms,
+        "lease.hold_ms",
+        lease.hold_ms,
+    )?;
+    settings::less(
+        "lease.hold_ms",
+        lease.hold_ms,
+        "lease.take_ms",
+        lease.take_ms,
+    )?;
+    settings::less(
+        "lease.take_ms",
+        lease.take_ms,
+        "half of worker_lease_ms",
+        Millis(cfg.worker_lease_ms.0 / 2),
+    )?;
+    Ok(cfg)
+}
--- /dev/null
+++ b/crates/node/src/orders.rs
@@ -0,0 +1,75 @@
+//! Sends orders to workers.
+
+use std::rc::Rc;
+
+use base::clock;
+use batch::worker::{Action, Order, Refusal, StartReply};
+use ntex::rt;
+use platform::workers::{Reply, Start};
+
+use crate::{contact, cx::Cx, leader::Leader};
+
+/// Sends orders, each on its own; the answers go to the book.
+pub(crate) fn send(cx: &Cx, leader: &Rc<Leader>, orders: Vec<Order>) {
+    for order in orders {
+        rt::spawn(carry_out(cx.clone(), leader.clone(), order)).detach();
+    }
+}
+
+async fn carry_out(cx: Cx, leader: Rc<Leader>, order: Order) {
+    if leader.ended.get() || cx.acting().is_none() {
+        // The next leader, or this one after its next renewal, orders it again.
+        log::info!(task:% = order.task; "orders: not sent without a valid lease");
+        return unsent(&leader, &order);
+    }
+    let Some(target) = contact::target(&leader, &order.worker) else {
+        log::warn!(task:% = order.task, worker:% = order.worker; "orders: no address");
+        return unsent(&leader, &order);
+    };
+    match &order.action {
+        Action::Start { text, checkpoint } => {
+            let Some(lease_end) = contact::grant(&cx, &leader, &order.worker) else {
+                return unsent(&leader, &order);
+            };
+            let start = Start {
+                task: order.task.clone(),
+                attempt: order.attempt,
+                text: text.clone(),
+                checkpoint: checkpoint.clone(),
+                lease_end,
+            };
+            let (reply, clock) = cx.workers.start(&target, &start).await;
+            if let Some(clock) = clock {
+                contact::heard(&leader, &order.worker, clock);
+            }
+            answered(&leader, &order, reply);
+            if reply == StartReply::Refused(Refusal::Fenced) {
+                cx.lease.borrow_mut().lost();
+                cx.lease_changed.notify_one();
+            }
+        }
+        Action::Stop => {
+            let reply = cx.workers.stop(&target, &order.task, order.attempt).await;
+            log::info!(task:% = order.task, attempt = order.attempt, worker:% = order.worker, reply:?; "orders: stop");
+            if reply == Reply::Done(()) {
+                let mut book = leader.book.borrow_mut();
+                book.stop_answered(&order.task, order.attempt, clock::now());
+            }
+        }
+    }
+}
+
+/// A start that was not sent counts as one without an answer: it is repeated or stopped.
+fn unsent(leader: &Leader, order: &Order) {
+    if matches!(order.action, Action::Start { .. }) {
+        answered(leader, order, StartReply::Unknown);
+    }
+}
+
+fn answered(leader: &Leader, order: &Order, reply: StartReply) {
+    log::info!(task:% = order.task, attempt = order.attempt, worker:% = order.worker, reply:?; "orders: start");
+    let mut book = leader.book.borrow_mut();
+    book.start_answered(&order.task, order.attempt, reply, clock::now());
+    drop(book);
+    leader.changed.notify_one();
+}
--- /dev/null
+++ b/crates/node/src/refusal.rs
@@ -0,0 +1,55 @@
+//! Answers to requests that are not carried out.
+
+use ntex::http::{Response, StatusCode};
+use platform::paths;
+
+/// Why a request is not carried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Refusal {
+    /// No queue has this host and path.
+    NoQueue,
+    /// The key is not known.
+    Key,
+    /// The body is no job.
+    Invalid,
+    /// The body is too large.
+    TooLarge,
+    /// The method is not served here.
+    Method,
+    /// The configuration is missing or too old.
+    ConfigAge,
+    /// The store does not serve this VM now; nothing was stored.
+    Store,
+    /// There is no such job.
+    NoJob,
+    /// The outcome is not known: the request may have been carried out.
+    Unknown,
+}
+
+/// When a caller may come back after the store refused this VM, in seconds. Outages for single VMs
+/// last seconds, and the balancer may choose another entry for the next try.
+const RETRY_S: u16 = 1;
+
+impl Refusal {
+    /// Returns the answer.
+    pub(crate) fn response(self) -> Response {
+        let mut builder = Response::build(self.status());
+        if matches!(self, Self::ConfigAge | Self::Store) {
+            builder.header(paths::RETRY_AFTER, RETRY_S.to_string());
+        }
+        builder.finish()
+    }
+
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::NoQueue => StatusCode::NOT_FOUND,
+            Self::Key => StatusCode::UNAUTHORIZED,
+            Self::Invalid => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Self::ConfigAge | Self::Store => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoJob => StatusCode::GONE,
+            Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/rows.rs
@@ -0,0 +1,85 @@
+//! Rows of the system in the store.
+
+use base::sorted::SortedMap;
+use batch::{job::Text, progress::Phase};
+use serde::{Deserialize, Serialize};
+use store::table::Key;
+
+/// Table of accepted jobs and their cancellations; entries write it and the leader follows it.
+pub(crate) const JOBS: &str = "jobs";
+/// Table of the progress of jobs; only the leader writes and reads it.
+pub(crate) const PROGRESS: &str = "progress";
+/// Table of the phases of jobs, as callers ask for them.
+pub(crate) const PHASES: &str = "phases";
+/// Table of the rows of the leadership.
+pub(crate) const CONTROL: &str = "control";
+/// Row with the number of the leader's last commit.
+pub(crate) const CHAIN: &str = "control/chain";
+/// Row with the numbers of waiting jobs.
+pub(crate) const PENDING: &str = "control/pending";
+/// Row of the scheduler's lease.
+pub(crate) const LEASE: &str = "control/lease";
+/// Row of the renewals of the lease; it sorts before the lease.
+pub(crate) const BEAT: &str = "control/beat";
+
+/// Key of the row of an accepted job.
+pub(crate) fn job(id: &str) -> Key {
+    format!("{JOBS}/{id}.job").into()
+}
+
+/// Key of the row of a cancellation; it sorts before that of the job.
+pub(crate) fn cancel(id: &str) -> Key {
+    format!("{JOBS}/{id}.cancel").into()
+}
+
+/// What a row of [`JOBS`] says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Intake {
+    Job,
+    Cancel,
+}
+
+/// Splits the key of a row of [`JOBS`] into the id and what the row says.
+pub(crate) fn intake(key: &str) -> Option<(&str, Intake)> {
+    let (_, key) = key.split_once('/')?;
+    let (id, kind) = key.rsplit_once('.')?;
+    match kind {
+        "job" => Some((id, Intake::Job)),
+        "cancel" => Some((id, Intake::Cancel)),
+        _ => None,
+    }
+}
+
+/// Content of a row of [`CHAIN`]. Each commit checks the row and writes it, so that a commit whose
+/// answer was lost can't be carried out after a later one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub(crate) struct ChainRow {
+    pub(crate) fence: u64,
+    pub(crate) count: u64,
+}
+
+/// Content of a row of [`PHASES`].
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub(crate) struct PhaseRow {
+    pub(crate) phase: Phase,
+    pub(crate) organisation: Option<Text>,
+}
+
+/// Content of [`PENDING`]: waiting jobs by queue.
+pub(crate) type PendingRow = SortedMap<Text, u64>;
+
+/// Writes the content of a row; rows are plain data and always have a JSON form.
+pub(crate) fn to_json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("rows are plain data")
+}
+
+/// Reads the content of a row; one that is not readable is logged and left out.
+pub(crate) fn from_json<T: for<'a> Deserialize<'a>>(row: &store::table::Row) -> Option<T> {
+    match serde_json::from_str(&row.value) {
+        Ok(value) => Some(value),
+        Err(e) => {
+            log::error!("node: row {} is not readable: {e}", row.key);
+            None
+        }
+    }
+}
--- a/crates/sched/src/cfg.rs
+++ b/crates/sched/src/cfg.rs
@@ -3,9 +3,9 @@
 use std::net;
 
 use base::{clock::Millis, name::Name};
-use derive_more::{Display, Error};
+use lease::lease_cfg::LeaseCfg;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use settings::{CfgError, less, wrong};
 
 /// Settings of the scheduler process.
 ///
@@ -39,19 +39,6 @@
     pub members: MembersCfg,
 }
 
-/// Settings of the lease.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct LeaseCfg {
-    /// Time between two renewals by the holder.
-    pub renew_ms: Millis,
-    /// Time after the start of the last successful renewal during which the holder acts.
-    pub hold_ms: Millis,
-    /// Time without a renewal after which a candidate takes over.
-    pub take_ms: Millis,
-    /// Time between two looks of a candidate.
-    pub look_ms: Millis,
-}
-
 /// Settings of commits of decisions.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct CommitCfg {
@@ -137,17 +124,6 @@
     }
 }
 
-impl Default for LeaseCfg {
-    fn default() -> Self {
-        Self {
-            renew_ms: Millis(1_000),
-            hold_ms: Millis(4_000),
-            take_ms: Millis(6_000),
-            look_ms: Millis(500),
-        }
-    }
-}
-
 impl Default for CommitCfg {
     fn default() -> Self {
         Self {
@@ -203,27 +179,6 @@
     }
 }
 
-/// Why settings are refused.
-#[derive(Clone, Debug, Display, Eq, PartialEq, Error)]
-pub enum CfgError {
-    /// The text is no JSON with comments.
-    #[display("settings: not JSON with comments: {reason}")]
-    Syntax {
-        /// Where and why.
-        reason: String,
-    },
-    /// One value is not acceptable.
-    #[display("settings: {path}: found {value}, expected {expected}")]
-    Value {
-        /// Path of the value, such as `lease.hold_ms`.
-        path: String,
-        /// The value as JSON.
-        value: String,
-        /// What is accepted.
-        expected: String,
-    },
-}
-
 /// Reads settings from JSON with comments; values that are left out have their defaults.
 ///
 /// # Errors
@@ -235,63 +190,11 @@
 /// assert!(e.to_string().contains("lease.hold_ms: found 9000, expected less than"));
 /// ```
 pub fn read(text: &str) -> Result<Settings, CfgError> {
-    let given: Value = json5::from_str(text).map_err(|e| CfgError::Syntax {
-        reason: e.to_string(),
-    })?;
-    let mut all = serde_json::to_value(Settings::default()).expect("defaults are JSON");
-    merge(&mut all, &given, "")?;
-    let cfg = parse(&all).map_err(|expected| wrong("", &given, expected))?;
+    let cfg: Settings = settings::read(text)?;
     check(&cfg)?;
     Ok(cfg)
 }
 
-/// Sets every leaf of `given` in `all` and checks that the result is still of the right type.
-fn merge(all: &mut Value, given: &Value, path: &str) -> Result<(), CfgError> {
-    let Value::Object(fields) = given else {
-        return Err(wrong(path, given, "an object".into()));
-    };
-    for (name, value) in fields {
-        let path = if path.is_empty() {
-            name.clone()
-        } else {
-            format!("{path}.{name}")
-        };
-        let Some(slot) = all.get_mut(name) else {
-            return Err(wrong(&path, value, "no such setting".into()));
-        };
-        if slot.is_object() {
-            merge(slot, value, &path)?;
-            continue;
-        }
-        leaf(&path, value)?;
-        *slot = value.clone();
-    }
-    Ok(())
-}
-
-/// Checks one value by putting it into the defaults.
-fn leaf(path: &str, value: &Value) -> Result<(), CfgError> {
-    let mut probe = serde_json::to_value(Settings::default()).expect("defaults are JSON");
-    let pointer = format!("/{}", path.replace('.', "/"));
-    if let Some(slot) = probe.pointer_mut(&pointer) {
-        *slot = value.clone();
-    }
-    parse(&probe).map_err(|expected| wrong(path, value, expected))?;
-    Ok(())
-}
-
-fn parse(value: &Value) -> Result<Settings, String> {
-    serde_json::from_value(value.clone()).map_err(|e| e.to_string())
-}
-
-fn wrong(path: &str, value: &Value, expected: String) -> CfgError {
-    CfgError::Value {
-        path: path.into(),
-        value: value.to_string(),
-        expected,
-    }
-}
-
 fn check(cfg: &Settings) -> Result<(), CfgError> {
     let (lease, commit) = (&cfg.lease, &cfg.commit);
     less(
@@ -347,11 +250,3 @@
     }
     Ok(())
 }
-
-fn less(path: &str, value: Millis, than: &str, limit: Millis) -> Result<(), CfgError> {
-    if value < limit {
-        return Ok(());
-    }
-    let expected = format!("less than {than} ({})", limit.0);
-    Err(wrong(path, &value.0.into(), expected))
-}
--- a/crates/sched/src/ctx.rs
+++ b/crates/sched/src/ctx.rs
@@ -7,6 +7,7 @@
 };
 
 use base::clock::{self, Millis};
+use lease::machine::Lease;
 use member::{own::Own, rows::MemberRole};
 use store::{
     client::Table,
@@ -17,7 +18,7 @@
 };
 use tokio::sync::Notify;
 
-use crate::{cfg::Settings, leader::Leader, lease::Lease, worker_client::WorkerClient};
+use crate::{cfg::Settings, leader::Leader, worker_client::WorkerClient};
 
 /// Longest call for a lease renewal; several fit into the time for which the holder acts.
 const LEASE_CALL: Millis = Millis(1_000);
--- a/crates/sched/src/http.rs
+++ b/crates/sched/src/http.rs
@@ -1,22 +1,14 @@
 //! `/ready`, `/dump` and `/metrics` over HTTP, on the thread of the scheduler.
 
-use std::{io, net, rc::Rc};
+use std::{future, net};
 
 use base::clock::{self, Millis};
-use ntex::{
-    Pipeline, ServiceFactory, SharedCfg, fn_service,
-    http::{HttpService, Request, Response, StatusCode, error::HttpError},
-    io::Io,
-    rt, time,
-};
+use ntex::http::{Request, Response, StatusCode};
 use schema::job::Phase;
 use serde::Serialize;
 
 use crate::{ctx::Cx, metrics::Metrics};
 
-/// Pause after a failed accept, so that a shortage of file descriptors does not use up the core.
-const ACCEPT_PAUSE: time::Millis = time::Millis(50);
-
 /// State of the process as shown on `/dump`.
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct Dump {
@@ -43,40 +35,14 @@
 
 /// Serves `listener`; it returns only if that is not possible.
 pub(crate) async fn serve(cx: Cx, listener: net::TcpListener) {
-    if let Err(e) = accept(cx, listener).await {
+    let metrics = Metrics::default();
+    let handler = move |req: Request| future::ready(respond(&cx, &metrics, &req));
+    let served = serve::listen("sched-http", listener, serve::Limits::default(), handler);
+    if let Err(e) = served.await {
         log::error!("sched: /ready, /dump and /metrics are not served: {e}");
     }
 }
 
-async fn accept(cx: Cx, listener: net::TcpListener) -> io::Result<()> {
-    listener.set_nonblocking(true)?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
-    let cfg: SharedCfg = SharedCfg::new("sched-http").into();
-    let metrics = Rc::new(Metrics::default());
-    let http = HttpService::new(fn_service(move |req: Request| {
-        let resp = respond(&cx, &metrics, &req);
-        async move { Ok::<_, HttpError>(resp) }
-    }));
-    let http = ServiceFactory::<Io, SharedCfg>::create(&http, cfg.clone()).await;
-    let http = Pipeline::new(http.map_err(|()| io::Error::other("no HTTP service"))?);
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let io = stream.into_std();
-        let Ok(io) = io.and_then(|s| rt::from_tcp_stream(s, cfg.clone())) else {
-            continue;
-        };
-        let http = http.clone();
-        rt::spawn(async move {
-            // The error tells about one connection only.
-            let _ = http.call(io).await;
-        })
-        .detach();
-    }
-}
-
 fn respond(cx: &Cx, metrics: &Metrics, req: &Request) -> Response {
     match req.path() {
         "/ready" if is_ready(cx) => Response::Ok().body("ready"),
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -6,6 +6,7 @@
 };
 
 use base::clock::Millis;
+use lease::machine::Held;
 use ntex::rt;
 use plan::event::Event;
 use tokio::sync::{Notify, oneshot};
@@ -13,9 +14,7 @@
 use crate::{
     config::ConfigState,
     ctx::{self, Cx},
-    executor,
-    lease::Held,
-    members,
+    executor, members,
     queue::Settled,
     restore, retention,
     state::State,
--- a/crates/sched/src/lease_task.rs
+++ b/crates/sched/src/lease_task.rs
@@ -3,15 +3,13 @@
 use std::rc::Rc;
 
 use base::clock::{self, Millis};
-use store::table::{Commit, StoreError, Txn};
-
-use crate::{
-    ctx::Cx,
-    leader::Leader,
-    lease::{LeaseSeen, Outcome, Step},
-    rows::{BeatRow, LeaseRow},
+use lease::{
+    machine::{Outcome, Step},
+    table::{self, Candidate},
 };
 
+use crate::{ctx::Cx, leader::Leader};
+
 /// Runs the lease until it is handed over.
 pub(crate) async fn run(cx: Cx) {
     let mut count = 0;
@@ -56,88 +54,20 @@
 }
 
 async fn carry_out(cx: &Cx, step: Step, count: u64) -> Outcome {
-    let beat = to_json(&BeatRow {
-        holder: cx.id,
-        count,
-    });
-    match step {
-        Step::Take {
-            lease,
-            beat: seen,
-            fence,
-        } => {
-            let row = LeaseRow {
-                holder: cx.id,
-                fence,
-                address: cx.addr,
-            };
-            let txn = Txn::default()
-                .check(cx.lease_key(), lease)
-                .check(cx.beat_key(), seen)
-                .put(cx.lease_key(), to_json(&row))
-                .put(cx.beat_key(), beat);
-            commit(cx, &txn).await
-        }
-        Step::Renew { lease } => {
-            let txn = Txn::default().check(cx.lease_key(), lease);
-            commit(cx, &txn.put(cx.beat_key(), beat)).await
-        }
-        Step::Release { lease } => {
-            let txn = Txn::default().check(cx.lease_key(), lease);
-            commit(cx, &txn.delete(cx.beat_key())).await
-        }
-        Step::Look | Step::Wait { .. } | Step::Ended => look(cx).await,
-    }
-}
-
-async fn commit(cx: &Cx, txn: &Txn) -> Outcome {
-    let outcome = match cx.lease_table.commit(txn).await {
-        Ok(Commit::Done { version }) => Outcome::Done { version },
-        Ok(Commit::Conflict { keys }) => Outcome::Conflict {
-            lease: keys.contains(&cx.lease_key()),
-        },
-        Err(StoreError::NotDone { reason }) => {
-            log::debug!("lease: {reason}");
-            return Outcome::NotDone;
-        }
-        Err(StoreError::Unknown { reason }) => {
-            log::debug!("lease: {reason}");
-            return Outcome::Unknown;
-        }
-    };
-    cx.table_seen.set(clock::now());
-    outcome
-}
-
-async fn look(cx: &Cx) -> Outcome {
-    let (lease, beat) = (cx.lease_key(), cx.beat_key());
-    let (lease, beat) = tokio::join!(cx.lease_table.get(&lease), cx.lease_table.get(&beat));
-    let (Ok(lease), Ok(beat)) = (lease, beat) else {
-        return Outcome::NotDone;
+    let who = Candidate {
+        id: cx.id,
+        address: cx.addr,
+        lease_key: cx.lease_key(),
+        beat_key: cx.beat_key(),
     };
-    cx.table_seen.set(clock::now());
-    let Some(row) = lease else {
-        return Outcome::Rows {
-            lease: None,
-            beat: beat.map_or(0, |r| r.version),
-        };
-    };
-    let value: LeaseRow = match serde_json::from_str(&row.value) {
-        Ok(value) => value,
-        Err(e) => {
-            log::error!("lease: the row {} is not readable: {e}", row.key);
-            return Outcome::NotDone;
-        }
-    };
-    cx.holder.set(Some(value.address));
-    Outcome::Rows {
-        lease: Some(LeaseSeen {
-            version: row.version,
-            holder: value.holder,
-            fence: value.fence,
-        }),
-        beat: beat.map_or(0, |r| r.version),
+    let carried = table::carry_out(&cx.lease_table, &who, step, count).await;
+    if carried.is_answered() {
+        cx.table_seen.set(clock::now());
+    }
+    if carried.holder.is_some() {
+        cx.holder.set(carried.holder);
     }
+    carried.outcome
 }
 
 /// Writes a row's content; the rows of this crate are plain data and always have a JSON form.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -9,7 +9,6 @@
 mod http;
 mod jobs;
 mod leader;
-pub mod lease;
 mod lease_task;
 pub mod link;
 mod members;
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -1,32 +1,10 @@
 //! Rows that the scheduler writes beside job records.
 
-use std::net;
-
 use base::{clock::Millis, name::Name};
 use plan::record::JobKey;
 use serde::{Deserialize, Serialize};
 use store::table::Key;
 
-/// Content of `lease/{shard}`; it changes only on takeover.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct LeaseRow {
-    /// Incarnation id of the holder.
-    pub holder: u64,
-    /// Fencing number; every takeover raises it.
-    pub fence: u64,
-    /// Address of the holder's wire listener.
-    pub address: net::SocketAddr,
-}
-
-/// Content of `beat/{shard}`.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct BeatRow {
-    /// Incarnation id of the holder.
-    pub holder: u64,
-    /// Number of the renewal.
-    pub count: u64,
-}
-
 /// Content of `audit/{rev}`.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct AuditRow {
--- a/crates/sched/tests/lease.rs
+++ b/crates/sched/tests/lease.rs
@@ -1,12 +1,12 @@
 //! The lease as a state machine, over a table model with lost, late and reordered calls.
 
 use base::clock::Millis;
-use quickcheck::{Gen, QuickCheck};
-use sched::{
-    cfg::LeaseCfg,
-    lease::{Lease, LeaseSeen, Outcome, Step},
-    rows::{BeatRow, LeaseRow},
+use lease::{
+    lease_cfg::LeaseCfg,
+    machine::{Lease, LeaseSeen, Outcome, Step},
+    table::{BeatRow, LeaseRow},
 };
+use quickcheck::{Gen, QuickCheck};
 use store::{
     mem::MemTable,
     table::{Commit, Txn},
--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -24,7 +24,7 @@
 
 fn fence(site: &Site) -> u64 {
     let row = site.platform.row("lease/main").unwrap();
-    let row: sched::rows::LeaseRow = serde_json::from_str(&row.value).unwrap();
+    let row: lease::table::LeaseRow = serde_json::from_str(&row.value).unwrap();
     row.fence
 }
 
--- a/crates/store/src/caller.rs
+++ b/crates/store/src/caller.rs
@@ -2,6 +2,7 @@
 
 use std::{net, rc};
 
+use base::clock::Millis;
 use ntex::{
     client::{
         Client, ClientRequest, Connector,
@@ -21,8 +22,20 @@
 const IDLE_SECS: u16 = 10;
 
 /// Client for one base URL; clones share its connections.
+///
+/// ```no_run
+/// use ntex::{http::Method, util::Bytes};
+/// use store::{caller::Caller, http_cfg::HttpCfg};
+///
+/// # async fn run() -> Result<(), store::table::StoreError> {
+/// let caller = Caller::new("http://127.0.0.1:7000", HttpCfg::default()).await?;
+/// let req = caller.request(Method::GET, "/vms");
+/// println!("{:?}", caller.call(req, Bytes::new()).await);
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Clone, Debug)]
-pub(crate) struct Caller {
+pub struct Caller {
     inner: rc::Rc<Inner>,
 }
 
@@ -37,14 +50,16 @@
 
 /// A whole answer.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) body: Bytes,
+pub struct Answer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Its whole body.
+    pub body: Bytes,
 }
 
 /// A call that got no whole answer.
-#[derive(Debug)]
-pub(crate) enum Failure {
+#[derive(Clone, Debug)]
+pub enum Failure {
     /// No byte was sent.
     NotSent(String),
     /// Something may have been sent.
@@ -53,7 +68,7 @@
 
 impl Failure {
     /// Classifies a failed call that changes state.
-    pub(crate) fn of_write(self) -> StoreError {
+    pub fn of_write(self) -> StoreError {
         match self {
             Self::NotSent(reason) => StoreError::NotDone { reason },
             Self::NoAnswer(reason) => StoreError::Unknown { reason },
@@ -61,7 +76,7 @@
     }
 
     /// Classifies a failed read, which has no effect in any case.
-    pub(crate) fn of_read(self) -> StoreError {
+    pub fn of_read(self) -> StoreError {
         match self {
             Self::NotSent(reason) | Self::NoAnswer(reason) => StoreError::NotDone { reason },
         }
@@ -69,7 +84,8 @@
 }
 
 impl Caller {
-    pub(crate) async fn new(base: &str, cfg: HttpCfg) -> Result<Self, StoreError> {
+    /// Makes a client; no connection is opened yet.
+    pub async fn new(base: &str, cfg: HttpCfg) -> Result<Self, StoreError> {
         let base = base.trim_end_matches('/').to_owned();
         let io = IoConfig::new().set_connect_timeout(time::Millis(cfg.connect_ms.0 as u32));
         let shared: SharedCfg = SharedCfg::new("store").add(io).into();
@@ -102,7 +118,8 @@
         })
     }
 
-    pub(crate) fn request(&self, method: Method, path: &str) -> ClientRequest {
+    /// Begins a request to the base URL.
+    pub fn request(&self, method: Method, path: &str) -> ClientRequest {
         let url = format!("{}{path}", self.inner.base);
         let req = self.inner.client.request(method, url);
         match self.inner.address {
@@ -111,17 +128,38 @@
         }
     }
 
+    /// Begins a request to another server.
+    pub fn request_to(
+        &self,
+        address: net::SocketAddr,
+        method: Method,
+        path: &str,
+    ) -> ClientRequest {
+        let url = format!("http://{address}{path}");
+        self.inner.client.request(method, url).address(address)
+    }
+
     /// Sends the request and reads the whole answer.
-    pub(crate) async fn call(&self, req: ClientRequest, body: Bytes) -> Result<Answer, Failure> {
+    pub async fn call(&self, req: ClientRequest, body: Bytes) -> Result<Answer, Failure> {
+        self.call_within(req, body, self.inner.cfg.call_ms).await
+    }
+
+    /// Sends the request and reads the whole answer within `limit`.
+    pub async fn call_within(
+        &self,
+        req: ClientRequest,
+        body: Bytes,
+        limit: Millis,
+    ) -> Result<Answer, Failure> {
         let cfg = &self.inner.cfg;
         let permit = self.inner.permits.acquire();
         let Ok(Ok(_permit)) = time::timeout(to_ntex(cfg.queue_ms), permit).await else {
             return Err(Failure::NotSent("no connection got free in time".into()));
         };
-        let exchange = time::timeout(to_ntex(cfg.call_ms), exchange(req, body));
+        let exchange = time::timeout(to_ntex(limit), exchange(req, body));
         match exchange.await {
             Ok(result) => result,
-            Err(()) => Err(Failure::NoAnswer(format!("no answer in {}", cfg.call_ms))),
+            Err(()) => Err(Failure::NoAnswer(format!("no answer in {limit}"))),
         }
     }
 }
@@ -154,6 +192,6 @@
     }
 }
 
-fn to_ntex(t: base::clock::Millis) -> time::Millis {
+fn to_ntex(t: Millis) -> time::Millis {
     time::Millis(t.0 as u32)
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -137,7 +137,11 @@
 }
 
 /// Percent-encodes a key for use in a query or a path segment.
-pub(crate) fn encode(s: &str) -> String {
+///
+/// ```
+/// assert_eq!(store::http::encode("a b"), "a%20b");
+/// ```
+pub fn encode(s: &str) -> String {
     let mut out = String::with_capacity(s.len());
     for b in s.bytes() {
         if b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~' | b'/') {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's table service, object store and VM list.
 
-mod caller;
+pub mod caller;
 pub mod client;
 pub mod http;
 pub mod http_cfg;
