Keep runs apart from refused repeats, silent workers and repeated stops

Tests that failed first: a_refused_repeat_does_not_free_a_subtask, a_repeated_stop_does_not_delay_the_end_of_a_run; a_silent_worker_gets_no_more_time and nothing_is_placed_on_a_silent_worker guard new code.

Also: work on leaving workers is stopped in time, deferrable work ranks by what it can still earn and leaves a reserve for urgent work, the fullest worker is chosen by all its resources.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -23,6 +23,8 @@
 pub(crate) struct Job {
     pub(crate) rec: Accepted,
     pub(crate) progress: Progress,
+    /// When it was last logged why the job waits.
+    pub(crate) noted: Millis,
 }
 
 /// Changes since the last commit.
@@ -80,7 +82,11 @@
     /// ```
     pub fn restore(&mut self, rec: Accepted, progress: Option<Progress>) {
         let progress = progress.unwrap_or_else(|| Progress::new(&rec));
-        let job = Job { rec, progress };
+        let job = Job {
+            rec,
+            progress,
+            noted: Millis::ZERO,
+        };
         for (task, run) in job.runs() {
             let need = job.step(&task).reserved();
             let worker = self.workers.entry(run.worker.clone());
@@ -239,6 +245,15 @@
         ids.filter(|id| self.is_used(id)).cloned().collect()
     }
 
+    /// Returns the number of runs that may exist on a worker.
+    ///
+    /// ```
+    /// assert_eq!(batch::book::Book::default().runs_on("w"), 0);
+    /// ```
+    pub fn runs_on(&self, worker: &str) -> usize {
+        self.workers.get(worker).map_or(0, |w| w.runs.len())
+    }
+
     /// Returns the organisation of a job.
     ///
     /// ```
@@ -274,13 +289,25 @@
         self.workers.get(worker).is_some_and(used)
     }
 
+    /// Notes whether a worker answers; one that does not gets no new work.
+    ///
+    /// ```
+    /// batch::book::Book::default().answers("w", false);
+    /// ```
+    pub fn answers(&mut self, worker: &str, answers: bool) {
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.silent = !answers;
+        }
+    }
+
     /// Replaces the list of workers. One that is no longer listed gets no new work; its runs
     /// stay until the worker says otherwise or its lease is over.
     ///
     /// ```
-    /// batch::book::Book::default().list(Vec::new());
+    /// use base::clock::Millis;
+    /// batch::book::Book::default().list(Vec::new(), Millis(1));
     /// ```
-    pub fn list(&mut self, infos: Vec<Info>) {
+    pub fn list(&mut self, infos: Vec<Info>, now: Millis) {
         let ids: Vec<Text> = self.workers.iter().map(|(id, _)| id.clone()).collect();
         for id in ids {
             let Some(worker) = self.workers.get_mut(&id) else {
@@ -295,7 +322,9 @@
                 known.processed = 0;
                 known.acked = 0;
             }
+            let id = info.id.clone();
             known.info = Some(info);
+            self.note_leaving(&id, now);
         }
         let unused = |w: &Worker| w.info.is_none() && w.runs.is_empty();
         let gone = self.workers.iter().filter(|(_, w)| unused(w));
--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -29,6 +29,10 @@
     pub(crate) acked: u64,
     /// Until when it gets no work.
     pub(crate) avoid_until: Millis,
+    /// When a draining worker leaves.
+    pub(crate) leaves_at: Option<Millis>,
+    /// Whether it does not answer.
+    pub(crate) silent: bool,
     /// Failed runs since the last success.
     pub(crate) fails: u32,
 }
@@ -56,7 +60,7 @@
 
     /// Returns whether the worker takes new work.
     pub(crate) fn is_open(&self, now: Millis) -> bool {
-        now >= self.avoid_until && self.info.as_ref().is_some_and(|i| !i.draining)
+        !self.silent && now >= self.avoid_until && self.info.as_ref().is_some_and(|i| !i.draining)
     }
 
     pub(crate) fn has_label(&self, label: &str) -> bool {
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -64,6 +64,14 @@
             .min(times(self.accelerators, room.accelerators))
     }
 
+    /// Returns the sum of the shares of `whole`, in thousandths.
+    pub(crate) fn share_of(self, whole: Self) -> u64 {
+        let share = |part: u64, whole: u64| (part * 1_000).checked_div(whole).unwrap_or(0);
+        share(self.cpu, whole.cpu)
+            + share(self.memory_mb, whole.memory_mb)
+            + share(self.accelerators, whole.accelerators)
+    }
+
     /// Returns the weight in thousandths of a core, accelerators included.
     pub(crate) const fn weight(self) -> u64 {
         self.cpu + self.accelerators * CORES_PER_ACCELERATOR * 1_000
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod book;
 mod capacity;
+mod evacuate;
+pub mod grant;
 pub mod job;
 mod order;
 mod place;
--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -181,10 +181,8 @@
         let mut ends: Vec<Millis> = Vec::new();
         for (step, tasks) in self.rec.spec.steps.iter().zip(&occurrence.steps) {
             let before = step.after.iter().map(|a| ends[*a]).max();
-            let left = match tasks.iter().all(|t| t.done) {
-                true => Millis::ZERO,
-                false => step.estimate,
-            };
+            let is_done = tasks.iter().all(|t| t.done);
+            let left = if is_done { Millis::ZERO } else { step.estimate };
             ends.push(before.unwrap_or_default() + left);
         }
         ends.into_iter().max().unwrap_or_default()
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -18,6 +18,11 @@
 /// Other work waits this share of its estimate, in percent: elsewhere it takes a multiple of it.
 const PATIENCE_PERCENT: u64 = 150;
 
+/// Waiting time from which the reason is logged.
+const LONG_WAIT: Millis = Millis(3_000);
+/// Time between two log lines about the same job.
+const NOTE_EVERY: Millis = Millis(5_000);
+
 /// Room on the workers during one pass.
 #[derive(Clone, Debug)]
 pub(crate) struct Rooms {
@@ -44,6 +49,8 @@
     pub(crate) free: Need,
     /// What is free once the ordered stops have taken effect.
     pub(crate) later: Need,
+    /// What the worker has.
+    pub(crate) capacity: Need,
 }
 
 /// Which room a search counts.
@@ -61,7 +68,7 @@
         }
     }
 
-    fn take(&mut self, need: Need) {
+    pub(crate) fn take(&mut self, need: Need) {
         self.free = self.free.minus(need);
         self.later = self.later.minus(need);
     }
@@ -115,13 +122,39 @@
             rooms.rooms[*room].take(step.reserved());
             self.start(id, worker, now, wall);
         }
-        if found.len() == unit.tasks.len() || unit.priority != 0 {
+        if found.len() == unit.tasks.len() {
+            return;
+        }
+        self.note_waiting(unit, found.len(), rooms, now);
+        if unit.priority != 0 {
             return;
         }
         let may_stop = unit.waited >= PREEMPT_AFTER;
         let mut rest = unit.clone();
         rest.tasks.drain(..found.len());
-        self.make_room(&rest, &step, &service, rooms, may_stop.then_some(now));
+        self.make_room(&rest, &step, &service, rooms, may_stop, now);
+    }
+
+    /// Logs now and then why a unit waits.
+    fn note_waiting(&mut self, unit: &Unit, placed: usize, rooms: &Rooms, now: Millis) {
+        if unit.waited < LONG_WAIT {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&unit.job) else {
+            return;
+        };
+        if now.since(job.noted) < NOTE_EVERY {
+            return;
+        }
+        job.noted = now;
+        let free: u64 = rooms.rooms.iter().map(|r| r.free.accelerators).sum();
+        let need = job.rec.spec.steps[unit.step].need;
+        log::info!(
+            job:% = unit.job, step = unit.step, tasks = unit.tasks.len(), placed, priority = unit.priority,
+            accelerators = need.accelerators, waited_ms = unit.waited.0, free, reserve = rooms.reserve,
+            workers = rooms.rooms.len();
+            "batch: waits for room"
+        );
     }
 
     pub(crate) fn rooms(&self, now: Millis) -> Rooms {
@@ -145,6 +178,7 @@
                     .unwrap_or_default(),
                 free,
                 later,
+                capacity: w.info.as_ref().map(|i| i.capacity).unwrap_or_default(),
             }
         };
         Rooms {
@@ -183,6 +217,7 @@
             placed: now,
             answered: None,
             ordered: now,
+            percent: 0,
             unanswered: 0,
         });
         w.add(id.clone(), need);
@@ -272,15 +307,15 @@
     fn fill(&self, rooms: &Rooms, among: &[usize], when: When) -> Vec<usize> {
         let need = self.step.reserved();
         let wanted = self.unit.tasks.len();
-        let mut fitting: Vec<(Need, usize, u64)> = Vec::new();
+        let mut fitting: Vec<(u64, usize, u64)> = Vec::new();
         for i in among {
             let room = &rooms.rooms[*i];
             let count = need.count_in(room.at(when)).min(self.limit(&room.worker));
             if count > 0 {
-                fitting.push((room.at(when), *i, count));
+                fitting.push((room.at(when).share_of(room.capacity), *i, count));
             }
         }
-        fitting.sort_by_key(|(room, ..)| (room.accelerators, room.cpu));
+        fitting.sort_by_key(|(free, ..)| *free);
         let mut found = Vec::with_capacity(wanted);
         for (_, i, count) in fitting {
             let rest = (wanted - found.len()) as u64;
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -23,15 +23,16 @@
 }
 
 impl Book {
-    /// Keeps room that becomes free for the unit, or stops other work to make it. `may_stop` is the
-    /// present time if the unit has waited long enough for that.
+    /// Keeps room that becomes free for the unit, or stops other work to make it. `may_stop`
+    /// tells whether the unit has waited long enough for that.
     pub(crate) fn make_room(
         &mut self,
         unit: &Unit,
         step: &Step,
         service: &Text,
         rooms: &mut Rooms,
-        may_stop: Option<Millis>,
+        may_stop: bool,
+        now: Millis,
     ) {
         let search = Search {
             book: self,
@@ -42,23 +43,22 @@
         let mut found = search.find(rooms, When::AfterStops);
         let mut stops = Vec::new();
         if found.len() < unit.tasks.len() {
-            let Some(now) = may_stop else {
-                return;
-            };
             let Some(plan) = search.stop_others(rooms, now) else {
                 return;
             };
             (found, stops) = plan;
         }
+        // A unit that waits keeps the room that it is going to use, so that nothing is started
+        // there which would have to be stopped for it.
         for (id, room, need) in stops {
             rooms.rooms[room].later.add(need, 1);
-            log::info!(task:% = id, for_job:% = unit.job; "batch: preempted");
-            self.stop(&id, may_stop.unwrap_or_default());
+            if may_stop {
+                log::info!(task:% = id, for_job:% = unit.job; "batch: preempted");
+                self.stop(&id, now);
+            }
         }
         for room in found {
-            let room = &mut rooms.rooms[room];
-            room.later = room.later.minus(step.reserved());
-            room.free = room.free.minus(step.reserved());
+            rooms.rooms[room].take(step.reserved());
         }
     }
 
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -75,6 +75,9 @@
     /// When the last order about the run was issued.
     #[serde(skip)]
     pub(crate) ordered: Millis,
+    /// Progress in percent, as last reported.
+    #[serde(skip)]
+    pub(crate) percent: u32,
     /// Starts sent without an answer.
     #[serde(skip)]
     pub(crate) unanswered: u32,
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -31,7 +31,7 @@
         };
         match reply {
             StartReply::Taken | StartReply::Refused(Refusal::Old) => {
-                run.answered = Some(now);
+                run.answered.get_or_insert(now);
                 if matches!(run.state, RunState::Ordered | RunState::Adopted) {
                     run.state = RunState::Running;
                 }
@@ -62,6 +62,11 @@
         {
             worker.refused(now);
         }
+        // An earlier start without an answer may still be carried out. The run is over when the
+        // worker has taken a stop and shows nothing.
+        if run.unanswered > 0 {
+            return self.stop_unit(id, now);
+        }
         self.drop_run(id);
         self.stop_unit(id, now);
     }
@@ -77,7 +82,8 @@
     pub fn stop_answered(&mut self, id: &TaskId, attempt: u32, now: Millis) {
         let task = self.task_mut(id).filter(|t| t.attempt == attempt);
         if let Some(run) = task.and_then(|t| t.run.as_mut()) {
-            run.answered = Some(now);
+            // The first answer counts: from then on the run can't begin any more.
+            run.answered.get_or_insert(now);
         }
     }
 
@@ -127,10 +133,14 @@
         if !running.checkpoint.is_empty() {
             task.checkpoint = running.checkpoint.clone();
         }
+        let percent = running.percent;
         let is_done = task.done;
         let Some(run) = &mut task.run else {
             return;
         };
+        run.percent = percent;
+        // A report to a later call that does not list the run shows that it is gone.
+        run.answered.get_or_insert(now);
         match run.state {
             RunState::Adopted | RunState::Ordered => run.state = RunState::Running,
             RunState::Running => {}
@@ -301,6 +311,10 @@
         let Some(run) = &mut task.run else {
             return;
         };
+        if run.state == RunState::Adopted {
+            // The leader before may have sent the start.
+            run.unanswered += 1;
+        }
         run.state = RunState::Ordered;
         run.ordered = now;
         let worker = run.worker.clone();
--- /dev/null
+++ b/crates/batch/tests/fleet/mod.rs
@@ -0,0 +1,200 @@
+//! A book with workers that a test answers for.
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::rc::Rc;
+
+use base::clock::Millis;
+use batch::{
+    book::{Batch, Book},
+    job::{Accepted, Need, Spec, Step, TaskId, Text},
+    rules::{Organisation, Queue, Rules},
+    worker::{Action, End, How, Info, Order, Report, Running},
+};
+
+/// Wall-clock time at which tests begin.
+pub const START: Millis = Millis(1_000_000);
+
+/// A fleet of equal workers of 64 cores, 256 GB and 8 accelerators, 4 in a rack.
+pub struct Fleet {
+    pub book: Book,
+    pub now: Millis,
+    pub infos: Vec<Info>,
+}
+
+impl Fleet {
+    pub fn new(workers: usize) -> Self {
+        let mut fleet = Self {
+            book: Book::default(),
+            now: Millis(1_000),
+            infos: (0..workers).map(info).collect(),
+        };
+        fleet.book.configure(&Rc::new(rules()));
+        fleet.book.list(fleet.infos.clone(), fleet.now);
+        fleet
+    }
+
+    pub fn wall(&self) -> Millis {
+        START + self.now
+    }
+
+    /// Submits a job of one step to a queue of the priority.
+    pub fn submit(&mut self, id: &str, priority: u32, step: Step) {
+        let spec = Spec {
+            text: "spec".into(),
+            steps: vec![step],
+            repeat: None,
+        };
+        self.submit_spec(id, priority, "org-a", spec);
+    }
+
+    pub fn submit_spec(&mut self, id: &str, priority: u32, organisation: &str, spec: Spec) {
+        let rec = Accepted {
+            id: id.into(),
+            queue: format!("q{priority}").into(),
+            service: "svc".into(),
+            organisation: Some(organisation.into()),
+            at: self.wall(),
+            spec,
+        };
+        assert!(self.book.accept(rec), "{id} is new");
+    }
+
+    /// Plans once and returns what was decided.
+    pub fn plan(&mut self) -> Batch {
+        let wall = self.wall();
+        self.book.open_due(wall);
+        self.book.place(self.now, wall);
+        let batch = self.book.take();
+        self.book.committed(&batch.seen);
+        batch
+    }
+
+    pub fn after(&mut self, ms: u64) -> &mut Self {
+        self.now += Millis(ms);
+        self
+    }
+
+    /// Reports of a worker: what runs and what has ended.
+    pub fn report(&mut self, worker: &str, running: &[&Order], ends: Vec<End>) {
+        self.report_to(self.now, worker, running, ends);
+    }
+
+    /// Reports of a worker to a call that was sent at `sent`.
+    pub fn report_to(&mut self, sent: Millis, worker: &str, running: &[&Order], ends: Vec<End>) {
+        let report = Report {
+            clock: self.now,
+            born: 1,
+            running: running.iter().map(|o| run(o)).collect(),
+            ends,
+        };
+        let (now, wall) = (self.now, self.wall());
+        self.book.reported(worker, &report, sent, now, wall);
+    }
+
+    /// Ends the run of an order.
+    pub fn end(&mut self, order: &Order, seq: u64, how: How) {
+        self.end_with(order, seq, how, "");
+    }
+
+    pub fn end_with(&mut self, order: &Order, seq: u64, how: How, checkpoint: &str) {
+        let end = End {
+            seq,
+            task: order.task.clone(),
+            attempt: order.attempt,
+            how,
+            checkpoint: checkpoint.into(),
+        };
+        self.report(&order.worker.clone(), &[], vec![end]);
+    }
+}
+
+pub fn run(order: &Order) -> Running {
+    Running {
+        task: order.task.clone(),
+        attempt: order.attempt,
+        checkpoint: Text::default(),
+        percent: 10,
+    }
+}
+
+pub fn starts(batch: &Batch) -> Vec<Order> {
+    let is_start = |o: &&Order| matches!(o.action, Action::Start { .. });
+    batch.orders.iter().filter(is_start).cloned().collect()
+}
+
+pub fn stops(batch: &Batch) -> Vec<Order> {
+    let is_stop = |o: &&Order| o.action == Action::Stop;
+    batch.orders.iter().filter(is_stop).cloned().collect()
+}
+
+/// A step of `count` subtasks with `accelerators` each.
+pub fn step(count: u32, accelerators: u64) -> Step {
+    Step {
+        count,
+        need: Need {
+            cpu: 1_000,
+            memory_mb: 1_000,
+            accelerators,
+        },
+        estimate: Millis(5_000),
+        ..Step::default()
+    }
+}
+
+pub fn gang(count: u32, accelerators: u64) -> Step {
+    Step {
+        gang: true,
+        ..step(count, accelerators)
+    }
+}
+
+pub fn task(id: &str) -> TaskId {
+    TaskId::parse(id).unwrap()
+}
+
+pub fn info(i: usize) -> Info {
+    Info {
+        id: format!("w{i:02}").into(),
+        service: "svc".into(),
+        address: "127.0.0.1:1".into(),
+        zone: "z".into(),
+        draining: false,
+        remaining: None,
+        capacity: Need {
+            cpu: 64_000,
+            memory_mb: 262_144,
+            accelerators: 8,
+        },
+        labels: vec!["a".into(), format!("r{}", i / 4).into()],
+        born: 1,
+        clock: Millis(1),
+    }
+}
+
+/// Three queues of priorities 0 to 2, and two organisations with guarantees.
+pub fn rules() -> Rules {
+    let queue = |priority: u32| Queue {
+        name: format!("q{priority}").into(),
+        host: "h".into(),
+        prefix: format!("/q{priority}/").into(),
+        service: "svc".into(),
+        priority,
+        max_attempts: 2,
+        slack: 3.0,
+        target: Millis(1_000),
+        public: false,
+        advised: false,
+    };
+    let organisation = |name: &str| Organisation {
+        name: name.into(),
+        keys: vec![format!("key-{name}").into()],
+        guaranteed: 16,
+    };
+    Rules {
+        version: 1,
+        queues: (0..3).map(queue).collect(),
+        organisations: vec![organisation("org-a"), organisation("org-b")],
+        unguarded: Vec::new(),
+        body_bytes: 1_000,
+    }
+}
--- a/crates/node/src/contact.rs
+++ b/crates/node/src/contact.rs
@@ -4,6 +4,7 @@
 
 use base::clock::{self, Millis};
 use batch::{
+    grant::{self, Grants},
     job::Text,
     worker::{Info, Report},
 };
@@ -23,54 +24,33 @@
 const RETRY: Millis = Millis(200);
 /// Longest wait for the commit of reported ends before the lease is renewed again.
 const COMMIT: Millis = Millis(500);
-/// Clocks of workers may be this much slower than ours, in percent.
-const SLOW_PERCENT: u64 = 2;
-/// Added to the computed end of a lease for rounding and for the way of an order.
-const MARGIN: Millis = Millis(150);
+/// Time after the begin of a leadership up to which an order of the leader before may still have
+/// been sent: it checks its lease before each order, and a frozen process may wake in between.
+const LAST_ORDER: Millis = Millis(150);
 
 /// Contact to one worker.
 #[derive(Debug, Default)]
 pub(crate) struct Contact {
     address: Option<net::SocketAddr>,
-    /// A time on the worker's clock and the time here at which it was reached for certain.
-    clock: Option<(Millis, Millis)>,
-    /// Latest end of a lease granted here, on the worker's clock.
-    granted: Millis,
-    /// Start of the worker's life and the number up to which it forgot its ends.
+    /// Leases granted here.
+    grants: Grants,
+    /// Start of the worker's life as last reported.
+    life: u64,
+    /// Life of the worker and the number up to which it forgot its ends.
     forgotten: (u64, u64),
     /// Whether a task keeps the contact.
     kept: bool,
 }
 
 impl Contact {
-    fn heard(&mut self, clock: Millis, now: Millis) {
-        if clock.0 > 0 {
-            self.clock = Some((clock, now));
-        }
-    }
-
-    /// Returns a lease end on the worker's clock; it is not later than `lease` from now there.
-    fn grant(&mut self, lease: Millis, now: Millis) -> Option<Millis> {
-        let (clock, at) = self.clock?;
-        let end = clock + now.since(at) + lease;
-        self.granted = self.granted.max(end);
-        Some(end)
-    }
-
-    /// Returns when all leases granted here are over for certain.
-    fn over_at(&self) -> Millis {
-        let Some((clock, at)) = self.clock else {
-            return Millis::ZERO;
-        };
-        at + slow(self.granted.since(clock)) + MARGIN
+    /// Takes another life of the worker, whose clock may have begun anew.
+    fn restarted(&mut self, life: u64, clock: Millis, now: Millis) {
+        self.life = life;
+        self.forgotten = (life, 0);
+        self.grants.restarted(clock, now);
     }
 }
 
-/// Returns the longest time here in which a worker's clock advances by `span`.
-fn slow(span: Millis) -> Millis {
-    Millis(span.0 * 100 / (100 - SLOW_PERCENT) + 1)
-}
-
 /// Takes the addresses and clocks of the list.
 pub(crate) fn listed(leader: &Leader, infos: &[Info]) {
     let now = clock::now();
@@ -83,11 +63,8 @@
                 log::warn!(worker:% = info.id, address:% = info.address, reason:% = e; "workers: no address");
             }
         }
-        let restarted = contact.forgotten.0 != 0 && info.born != contact.forgotten.0;
-        if contact.clock.is_none() || restarted {
-            contact.heard(info.clock, now);
-            contact.forgotten = (info.born, 0);
-            contact.granted = contact.granted.min(info.clock);
+        if contact.life != info.born {
+            contact.restarted(info.born, info.clock, now);
         }
     }
 }
@@ -105,15 +82,20 @@
 /// Returns the lease end for an order.
 pub(crate) fn grant(cx: &Cx, leader: &Leader, worker: &Text) -> Option<Millis> {
     let mut contacts = leader.contacts.borrow_mut();
-    contacts
-        .get_mut(worker)?
-        .grant(cx.cfg.worker_lease_ms, clock::now())
+    let contact = contacts.get_mut(worker)?;
+    contact.grants.grant(cx.cfg.worker_lease_ms, clock::now())
+}
+
+fn renewal(cx: &Cx, leader: &Leader, worker: &Text) -> Option<Millis> {
+    let mut contacts = leader.contacts.borrow_mut();
+    let contact = contacts.get_mut(worker)?;
+    contact.grants.renewal(cx.cfg.worker_lease_ms, clock::now())
 }
 
 /// Notes the clock in an answer.
 pub(crate) fn heard(leader: &Leader, worker: &Text, clock: Millis) {
     if let Some(contact) = leader.contacts.borrow_mut().get_mut(worker) {
-        contact.heard(clock, clock::now());
+        contact.grants.heard(clock, clock::now());
     }
 }
 
@@ -131,10 +113,11 @@
     }
 }
 
-/// Keeps the contact to a worker while something may run there.
+/// Keeps the contact to a worker while something may run there, and until it knows which ends it
+/// may forget.
 async fn run(cx: Cx, leader: Rc<Leader>, worker: Text) {
     let mut silent = false;
-    while !leader.ended.get() && leader.book.borrow().is_used(&worker) {
+    while !leader.ended.get() && is_needed(&leader, &worker, silent) {
         if cx.acting().is_none() {
             cx::sleep(RETRY).await;
             continue;
@@ -143,17 +126,13 @@
             Some(target) => renew(&cx, &leader, &target).await,
             None => Some(String::from("no address")),
         };
-        let Some(reason) = failure else {
-            if silent {
-                log::info!(worker:%; "workers: answers again");
-            }
-            silent = false;
+        if silent != failure.is_some() {
+            silent = failure.is_some();
+            note(&leader, &worker, failure.as_deref());
+        }
+        if failure.is_none() {
             continue;
-        };
-        if !silent {
-            log::warn!(worker:%, reason; "workers: no answer");
         }
-        silent = true;
         if clock::now() > over_at(&cx, &leader, &worker) {
             leader.book.borrow_mut().lapsed(&worker, clock::now());
             leader.changed.notify_one();
@@ -162,17 +141,35 @@
     }
     if let Some(contact) = leader.contacts.borrow_mut().get_mut(&worker) {
         contact.kept = false;
+        contact.grants.answers(true);
     }
+    leader.book.borrow_mut().answers(&worker, true);
+}
+
+fn is_needed(leader: &Leader, worker: &Text, silent: bool) -> bool {
+    leader.book.borrow().is_used(worker) || (!silent && unforgotten(leader, worker).is_some())
+}
+
+/// Notes that a worker stopped answering, or answers again.
+fn note(leader: &Leader, worker: &Text, failure: Option<&str>) {
+    match failure {
+        Some(reason) => log::warn!(worker:%, reason; "workers: no answer"),
+        None => log::info!(worker:%; "workers: answers again"),
+    }
+    leader.book.borrow_mut().answers(worker, failure.is_none());
+    if let Some(contact) = leader.contacts.borrow_mut().get_mut(worker) {
+        contact.grants.answers(failure.is_none());
+    }
+    leader.changed.notify_one();
 }
 
 /// Returns when nothing runs on a silent worker any more. An earlier leader may have granted
 /// leases until this leadership began.
 fn over_at(cx: &Cx, leader: &Leader, worker: &Text) -> Millis {
-    let before = leader.since + slow(cx.cfg.worker_lease_ms) + MARGIN;
+    let before = leader.since + grant::longest(cx.cfg.worker_lease_ms) + LAST_ORDER;
     let contacts = leader.contacts.borrow();
-    contacts
-        .get(worker)
-        .map_or(before, |c| c.over_at().max(before))
+    let granted = contacts.get(worker).map(|c| c.grants.over_at());
+    granted.unwrap_or_default().max(before)
 }
 
 /// Renews the lease once; returns why it failed.
@@ -180,10 +177,11 @@
     let worker = &target.id;
     let sent = clock::now();
     let acked = unforgotten(leader, worker);
+    let waits = leader.book.borrow().runs_on(worker) > 0;
     let call = Renew {
-        lease_end: grant(cx, leader, worker),
+        lease_end: renewal(cx, leader, worker),
         acked: acked.map_or(0, |(_, seq)| seq),
-        wait: WAIT,
+        wait: if waits { WAIT } else { Millis::ZERO },
     };
     match cx.workers.renew(target, call, WAIT + ANSWER).await {
         Reply::Done(report) => {
@@ -224,7 +222,10 @@
 ) {
     let now = clock::now();
     if let Some(contact) = leader.contacts.borrow_mut().get_mut(worker) {
-        contact.heard(report.clock, now);
+        if contact.life != report.born {
+            contact.restarted(report.born, report.clock, now);
+        }
+        contact.grants.heard(report.clock, now);
         if let Some(acked) = acked {
             contact.forgotten = acked;
         }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -123,6 +123,7 @@
     let next = book.open_due(wall);
     // Without a valid lease nothing new is decided: it could not be committed.
     if cx.acting().is_some() {
+        book.evacuate(now);
         book.place(now, wall);
     }
     let has_changes = book.has_changes();
--- a/crates/node/src/worker_list.rs
+++ b/crates/node/src/worker_list.rs
@@ -2,7 +2,10 @@
 
 use std::rc::Rc;
 
-use base::{clock::Millis, sorted::SortedMap};
+use base::{
+    clock::{self, Millis},
+    sorted::SortedMap,
+};
 use batch::job::Text;
 use platform::servers;
 use store::table::Row;
@@ -50,6 +53,6 @@
         }
     }
     contact::listed(leader, &infos);
-    leader.book.borrow_mut().list(infos);
+    leader.book.borrow_mut().list(infos, clock::now());
     leader.changed.notify_one();
 }
