--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -41,6 +41,13 @@
     due: Millis,
 }
 
+impl Rank {
+    /// Returns whether the job can end within its objective.
+    pub(crate) fn is_in_time(self) -> bool {
+        self.outlook == Outlook::InTime
+    }
+}
+
 /// What a job can still earn.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Outlook {
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -14,10 +14,15 @@
 const URGENT_PATIENCE: Millis = Millis(1_500);
 /// Urgent work waits this long for room before it stops others: urgent runs are short, and one of
 /// them often ends in that time.
-const PREEMPT_AFTER: Millis = Millis(250);
+const PREEMPT_AFTER: Millis = Millis(100);
 /// Other work waits this share of its estimate, in percent: elsewhere it takes a multiple of it.
 const PATIENCE_PERCENT: u64 = 150;
 
+/// Runs that are expected to end within this time count for gangs that wait. It is half of a
+/// typical deferrable run, so that the room that is kept does not stay unused for long.
+const SOON: Millis = Millis(4_000);
+/// Most gangs that keep room in one pass; each keeps accelerators unused until all are free.
+const KEEPING_UNITS: usize = 2;
 /// Waiting time from which the reason is logged.
 const LONG_WAIT: Millis = Millis(3_000);
 /// Time between two log lines about the same job.
@@ -29,13 +34,33 @@
     pub(crate) rooms: Vec<Room>,
     /// Accelerators that deferrable work leaves free.
     pub(crate) reserve: u64,
+    /// Units that wait and keep room in this pass.
+    waiting: usize,
 }
 
 impl Rooms {
-    /// Returns the free accelerators that deferrable work may take.
-    fn spare(&self) -> u64 {
-        let free: u64 = self.rooms.iter().map(|r| r.free.accelerators).sum();
-        free.saturating_sub(self.reserve)
+    /// Keeps empty workers for urgent work: it often needs all accelerators of several workers of
+    /// one rack, and scattered free ones are of no use to it.
+    fn protect(&mut self) {
+        let mut empty: Vec<(usize, usize)> = Vec::new();
+        for (i, room) in self.rooms.iter().enumerate() {
+            let neighbours = self
+                .rooms
+                .iter()
+                .filter(|r| r.rack == room.rack && r.is_empty());
+            if room.is_empty() {
+                empty.push((usize::MAX - neighbours.count(), i));
+            }
+        }
+        empty.sort_by(|a, b| (a.0, &self.rooms[a.1].rack).cmp(&(b.0, &self.rooms[b.1].rack)));
+        let mut kept = 0;
+        for (_, i) in empty {
+            if kept >= self.reserve {
+                return;
+            }
+            self.rooms[i].protected = true;
+            kept += self.rooms[i].capacity.accelerators;
+        }
     }
 }
 
@@ -49,8 +74,12 @@
     pub(crate) free: Need,
     /// What is free once the ordered stops have taken effect.
     pub(crate) later: Need,
+    /// What is free once the runs that end soon have ended.
+    pub(crate) soon: Need,
     /// What the worker has.
     pub(crate) capacity: Need,
+    /// Whether it is kept for urgent work.
+    pub(crate) protected: bool,
 }
 
 /// Which room a search counts.
@@ -58,6 +87,7 @@
 pub(crate) enum When {
     Now,
     AfterStops,
+    Soon,
 }
 
 impl Room {
@@ -65,12 +95,18 @@
         match when {
             When::Now => self.free,
             When::AfterStops => self.later,
+            When::Soon => self.soon,
         }
     }
 
     pub(crate) fn take(&mut self, need: Need) {
         self.free = self.free.minus(need);
         self.later = self.later.minus(need);
+        self.soon = self.soon.minus(need);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.free == self.capacity
     }
 }
 
@@ -89,6 +125,7 @@
         }
         let mut rooms = self.rooms(now);
         rooms.reserve = self.reserve(now);
+        rooms.protect();
         for unit in units {
             self.place_unit(&unit, &mut rooms, now, wall);
         }
@@ -107,16 +144,7 @@
             step: &step,
             service: &service,
         };
-        let mut found = search.find(rooms, When::Now);
-        if unit.priority != 0 {
-            let allowed = rooms.spare() / step.reserved().accelerators.max(1);
-            let few = (found.len() as u64) > allowed;
-            found.truncate(if few && unit.whole {
-                0
-            } else {
-                allowed as usize
-            });
-        }
+        let found = search.find(rooms, When::Now);
         for (id, room) in unit.tasks.iter().zip(&found) {
             let worker = rooms.rooms[*room].worker.clone();
             rooms.rooms[*room].take(step.reserved());
@@ -127,7 +155,7 @@
         }
         self.note_waiting(unit, found.len(), rooms, now);
         if unit.priority != 0 {
-            return;
+            return self.keep_room(unit, &step, &service, rooms);
         }
         let may_stop = unit.waited >= PREEMPT_AFTER;
         let mut rest = unit.clone();
@@ -135,6 +163,25 @@
         self.make_room(&rest, &step, &service, rooms, may_stop, now);
     }
 
+    /// Keeps room for a gang that waits for runs that end soon. Without it, small work takes each
+    /// accelerator that becomes free, and the room for a gang never comes together.
+    fn keep_room(&self, unit: &Unit, step: &Step, service: &Text, rooms: &mut Rooms) {
+        if !unit.whole || !unit.rank.is_in_time() || rooms.waiting >= KEEPING_UNITS {
+            return;
+        }
+        let search = Search {
+            book: self,
+            unit,
+            step,
+            service,
+        };
+        let found = search.find(rooms, When::Soon);
+        rooms.waiting += usize::from(!found.is_empty());
+        for room in found {
+            rooms.rooms[room].take(step.reserved());
+        }
+    }
+
     /// Logs now and then why a unit waits.
     fn note_waiting(&mut self, unit: &Unit, placed: usize, rooms: &Rooms, now: Millis) {
         if unit.waited < LONG_WAIT {
@@ -161,12 +208,19 @@
         let open = self.workers.iter().filter(|(_, w)| w.is_open(now));
         let room = |(id, w): (&Text, &crate::capacity::Worker)| {
             let free = w.free();
-            let mut later = free;
+            let (mut later, mut soon) = (free, free);
             for (task, need) in &w.runs {
                 let run = self.task(task).and_then(|t| t.run.as_ref());
-                if run.is_some_and(|r| r.state == RunState::Stopping) {
+                let (Some(run), Some(step)) = (run, self.step_of(task)) else {
+                    continue;
+                };
+                let stops = run.state == RunState::Stopping;
+                if stops {
                     later.add(*need, 1);
                 }
+                if stops || (!step.endless && run.expected_left(step, now) <= SOON) {
+                    soon.add(*need, 1);
+                }
             }
             Room {
                 worker: id.clone(),
@@ -178,12 +232,15 @@
                     .unwrap_or_default(),
                 free,
                 later,
+                soon,
+                protected: false,
                 capacity: w.info.as_ref().map(|i| i.capacity).unwrap_or_default(),
             }
         };
         Rooms {
             rooms: open.map(room).collect(),
             reserve: 0,
+            waiting: 0,
         }
     }
 
@@ -262,7 +319,8 @@
         let worker = self.book.workers.get(&room.worker);
         let label = self.step.label.as_deref();
         let fits = |l: &str| worker.is_some_and(|w| w.has_label(l));
-        room.service == *self.service && label.is_none_or(fits)
+        let is_kept = room.protected && self.unit.priority != 0;
+        !is_kept && room.service == *self.service && label.is_none_or(fits)
     }
 
     /// Returns whether the unit has waited long enough to run far from its data or on more racks.
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -14,6 +14,12 @@
 /// checkpoint and the restore.
 const CHECKPOINT_LOSS: Millis = Millis(1_600);
 
+/// Added to the loss of urgent work, so that it is stopped only where nothing else makes room.
+const URGENT_LOSS: u64 = 1 << 40;
+/// A claim of a guarantee waits this long before it stops urgent work of an organisation that uses
+/// more than its guarantee: that work usually ends within seconds.
+const STOP_URGENT_AFTER: Millis = Millis(900);
+
 /// A run that may be stopped, with all that ends with it.
 #[derive(Clone, Debug)]
 struct Victim {
@@ -98,7 +104,14 @@
             .map_or(u32::MAX, |q| q.priority);
         let org = job.rec.organisation.as_deref();
         let within = org.is_some_and(|o| self.is_within_guarantee(o));
-        priority > unit.priority || (unit.guaranteed && !within)
+        let claims = unit.guaranteed && unit.waited >= STOP_URGENT_AFTER;
+        priority > unit.priority || (claims && !within)
+    }
+
+    fn is_urgent(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let queue = job.and_then(|j| self.rules.queue(&j.rec.queue));
+        queue.is_some_and(|q| q.priority == 0)
     }
 
     fn victim(&self, members: &[TaskId], rooms: &Rooms, now: Millis) -> Victim {
@@ -113,11 +126,15 @@
             let Some(step) = self.step_of(id) else {
                 continue;
             };
+            let urgent = self.is_urgent(id);
             let mut lost = now.since(run.placed);
             if step.checkpoints {
                 lost = lost.min(CHECKPOINT_LOSS);
             }
             victim.loss += step.need.weight() * lost.0 / 1_000;
+            if urgent {
+                victim.loss += URGENT_LOSS;
+            }
             let at = |r: &crate::place::Room| r.worker == run.worker;
             if let Some(room) = rooms.rooms.iter().position(at) {
                 victim.tasks.push((id.clone(), room, step.reserved()));
--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -9,11 +9,15 @@
 
 /// Time constant of the mean and the spread of urgent load; urgent runs take about 2.5 s, so it
 /// covers several generations of them.
-const MEMORY: Millis = Millis(8_000);
+const MEMORY: Millis = Millis(5_000);
 /// Spreads above the mean that are kept free. Urgent jobs are gangs that come at random, so their
 /// load is often one spread above its mean, seldom two.
 const SPREADS: f64 = 1.0;
 
+/// Most accelerators that are kept free, in percent of all. After a burst the mean is high for some
+/// seconds; deferrable work must not wait for all of that time.
+const MOST_PERCENT: u64 = 25;
+
 /// Load of urgent work, in accelerators.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct UrgentLoad {
@@ -40,11 +44,27 @@
 }
 
 impl Book {
-    /// Returns the accelerators that deferrable work leaves free now.
+    /// Returns the accelerators that deferrable work leaves free now; none while half of all are
+    /// free, since a burst then finds room.
     pub(crate) fn reserve(&mut self, now: Millis) -> u64 {
         let load = self.urgent_load();
         self.urgent.observe(load, now);
-        (self.urgent.expected() - load).max(0.0) as u64
+        let (all, free) = self.accelerators();
+        if free > all / 2 {
+            return 0;
+        }
+        let most = all * MOST_PERCENT / 100;
+        ((self.urgent.expected() - load).max(0.0) as u64).min(most)
+    }
+
+    /// Returns the accelerators of all listed workers, and those that are free.
+    fn accelerators(&self) -> (u64, u64) {
+        let (mut all, mut free) = (0, 0);
+        for (_, worker) in self.workers.iter() {
+            all += worker.info.as_ref().map_or(0, |i| i.capacity.accelerators);
+            free += worker.free().accelerators;
+        }
+        (all, free)
     }
 
     /// Returns the accelerators that urgent runs use.
