--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -20,9 +20,9 @@
 
 /// Runs that are expected to end within this time count for gangs that wait. It is half of a
 /// typical deferrable run, so that the room that is kept does not stay unused for long.
-const SOON: Millis = Millis(4_000);
+const SOON: Millis = Millis(6_000);
 /// Most gangs that keep room in one pass; each keeps accelerators unused until all are free.
-const KEEPING_UNITS: usize = 2;
+const KEEPING_UNITS: usize = 5;
 /// Waiting time from which the reason is logged.
 const LONG_WAIT: Millis = Millis(3_000);
 /// Time between two log lines about the same job.
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -108,6 +108,16 @@
         priority > unit.priority || (claims && !within)
     }
 
+    /// Work of a higher priority is worth about twice as much for the same use of workers.
+    fn loss_factor(&self, task: &TaskId) -> u64 {
+        let job = self.jobs.get(&task.job);
+        let queue = job.and_then(|j| self.rules.queue(&j.rec.queue));
+        match queue.map(|q| q.priority) {
+            Some(0 | 1) => 2,
+            _ => 1,
+        }
+    }
+
     fn is_urgent(&self, task: &TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         let queue = job.and_then(|j| self.rules.queue(&j.rec.queue));
@@ -131,7 +141,8 @@
             if step.checkpoints {
                 lost = lost.min(CHECKPOINT_LOSS);
             }
-            victim.loss += step.need.weight() * lost.0 / 1_000;
+            let weight = step.need.weight() * self.loss_factor(id);
+            victim.loss += weight * lost.0 / 1_000;
             if urgent {
                 victim.loss += URGENT_LOSS;
             }
