Serve metrics of a node; share the set-up of metrics; keep filling work from serving work

Cause: entry and scheduler each set up the exporter, and a node had no metrics. Lasting work needs its response times kept: work that fills gaps is never placed beside it, so that it can't slow it down.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -36,10 +36,12 @@
     pub orders: Vec<Order>,
     /// Ends that may be acknowledged once the records are stored: worker, life, number.
     pub seen: Vec<(Text, u64, u64)>,
+    /// Jobs of which a first subtask was placed: priority of the queue and time since submission.
+    pub started: Vec<(u32, Millis)>,
 }
 
 /// Numbers that describe a book.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Counts {
     /// Jobs, ended ones included.
     pub jobs: usize,
@@ -66,6 +68,7 @@
     pub(crate) orders: Vec<Order>,
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
+    pub(crate) started: Vec<(u32, Millis)>,
 }
 
 impl Book {
@@ -201,6 +204,7 @@
             records,
             seen: seen.collect(),
             orders: std::mem::take(&mut self.orders),
+            started: std::mem::take(&mut self.started),
         }
     }
 
--- a/crates/batch/src/evacuate.rs
+++ b/crates/batch/src/evacuate.rs
@@ -51,7 +51,8 @@
         let Some(step) = self.step_of(id) else {
             return false;
         };
-        if run.state != RunState::Running {
+        // An order that interrupts lasting work counts as a miss; the end of its worker does not.
+        if run.state != RunState::Running || step.endless {
             return false;
         }
         let left = leaves_at.since(now);
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     book::Book,
+    capacity::Worker,
     job::{Need, Step, TaskId, Text},
     order::Unit,
     progress::{Phase, Run, RunState},
@@ -206,7 +207,7 @@
 
     pub(crate) fn rooms(&self, now: Millis) -> Rooms {
         let open = self.workers.iter().filter(|(_, w)| w.is_open(now));
-        let room = |(id, w): (&Text, &crate::capacity::Worker)| {
+        let room = |(id, w): (&Text, &Worker)| {
             let free = w.free();
             let (mut later, mut soon) = (free, free);
             for (task, need) in &w.runs {
@@ -281,6 +282,11 @@
         if job.progress.phase == Phase::Queued {
             job.progress.phase = Phase::Running;
             job.progress.at = wall;
+            let priority = self
+                .rules
+                .queue(&job.rec.queue)
+                .map_or(u32::MAX, |q| q.priority);
+            self.started.push((priority, wall.since(job.rec.at)));
         }
         let waited = wall.since(job.rec.at);
         log::info!(task:% = id, attempt, worker:%, waited_ms = waited.0; "batch: placed");
@@ -320,7 +326,20 @@
         let label = self.step.label.as_deref();
         let fits = |l: &str| worker.is_some_and(|w| w.has_label(l));
         let is_kept = room.protected && self.unit.priority != 0;
-        !is_kept && room.service == *self.service && label.is_none_or(fits)
+        let disturbs = worker.is_some_and(|w| self.disturbs(w));
+        !is_kept && !disturbs && room.service == *self.service && label.is_none_or(fits)
+    }
+
+    /// Returns whether the unit and a run on the worker would be work that fills and work with a
+    /// response time to keep: the former slows the latter by amounts that change within seconds.
+    fn disturbs(&self, worker: &Worker) -> bool {
+        let steps = worker.runs.iter().filter_map(|(t, _)| self.book.step_of(t));
+        let mut steps = steps.into_iter();
+        match (self.step.fills, self.step.target.is_some()) {
+            (true, _) => steps.any(|s| s.target.is_some()),
+            (false, true) => steps.any(|s| s.fills),
+            (false, false) => false,
+        }
     }
 
     /// Returns whether the unit has waited long enough to run far from its data or on more racks.
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -221,6 +221,7 @@
         }
         self.drop_run(id);
         match end.how {
+            How::Done if self.step_of(id).is_some_and(|s| s.endless) => {}
             How::Done => self.done(worker, id, now, wall),
             How::Failed => self.failed(worker, id, now, wall),
             How::Stopped | How::Lapsed | How::Broken | How::Alone => self.stop_unit(id, now),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,17 +1,11 @@
 //! Metrics of an entry, listed in docs/metrics.md.
 
 use base::clock::Millis;
+use meter::Export;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
-
-/// Bounds of the latency histograms, in seconds.
-const LATENCY_BOUNDS: [f64; 14] = [
-    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
-];
 
 /// Values that are read when the metrics are collected.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,9 +35,7 @@
 /// Instruments of an entry.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
-    // Dropping the provider would end the collection.
-    _provider: SdkMeterProvider,
+    export: Export,
     requests: Counter<u64>,
     seconds: Histogram<f64>,
     backend_seconds: Histogram<f64>,
@@ -63,28 +55,15 @@
     ready: Gauge<u64>,
 }
 
-fn histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
-    let builder = meter.f64_histogram(name);
-    builder.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
-}
-
 impl Default for Metrics {
     fn default() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("entry");
-        let gauge = |name: &'static str| meter.u64_gauge(name).build();
-        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let export = Export::new("entry");
+        let gauge = |name| export.gauge(name);
+        let counter = |name| export.counter(name);
         Self {
             requests: counter("entry_requests"),
-            seconds: histogram(&meter, "entry_request_seconds"),
-            backend_seconds: histogram(&meter, "entry_backend_seconds"),
+            seconds: export.seconds("entry_request_seconds"),
+            backend_seconds: export.seconds("entry_backend_seconds"),
             backend_answers: counter("entry_backend_answers"),
             retries: counter("entry_retries"),
             claims: counter("entry_claims"),
@@ -99,8 +78,7 @@
             vm_list_age: gauge("entry_vm_list_age_ms"),
             body_bytes: gauge("entry_body_bytes"),
             ready: gauge("entry_ready"),
-            registry,
-            _provider: provider,
+            export,
         }
     }
 }
@@ -147,11 +125,7 @@
         self.vm_list_age.record(levels.vm_list_age.0, &[]);
         self.body_bytes.record(levels.body_bytes, &[]);
         self.ready.record(levels.ready, &[]);
-        let mut text = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::error!("entry: metrics can't be encoded: {e}");
-        }
-        text
+        self.export.text()
     }
 }
 
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -73,6 +73,9 @@
     batch: Batch,
     pending: &mut Pending,
 ) -> Result<(), Deposed> {
+    for (priority, waited) in &batch.started {
+        cx.metrics.job_started(*priority, *waited);
+    }
     let mut records = batch.records.into_iter().peekable();
     let mut forgotten = std::mem::take(&mut *leader.forgotten.borrow_mut());
     let mut counts = pending.due(leader);
@@ -165,7 +168,16 @@
     let mut tries = 0;
     while !leader.ended.get() {
         tries += 1;
-        match cx.table.commit(&txn).await {
+        let sent = clock::now();
+        let result = cx.table.commit(&txn).await;
+        let outcome = match &result {
+            Ok(Commit::Done { .. }) => "done",
+            Ok(Commit::Conflict { .. }) => "conflict",
+            Err(StoreError::NotDone { .. }) => "not_done",
+            Err(StoreError::Unknown { .. }) => "unknown",
+        };
+        cx.metrics.commit(outcome, clock::now().since(sent));
+        match result {
             Ok(Commit::Done { version }) => {
                 leader.chain.set((version, link.count));
                 let ms = clock::now().since(started).0;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -35,6 +35,7 @@
             }
             Err(e) => {
                 if !lost {
+                    cx.metrics.store_lost();
                     let age = cx.config_age().map(|a| a.0);
                     log::warn!(store = "lost", age_ms:? = age, reason:% = e; "config: no answer from the store");
                 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -36,19 +36,21 @@
 
 async fn answer(cx: &Cx, mut req: Request) -> Response {
     let arrived = clock::now();
-    let body = match read_body(cx, &mut req).await {
-        Ok(body) => body,
-        Err(refusal) => return refuse(cx, &req, refusal),
-    };
-    let passed = match authorise::pass(cx, &req) {
-        Ok(passed) => passed,
-        Err(refusal) => return refuse(cx, &req, refusal),
-    };
-    let until = arrived + waits(&req).since(WAY_BACK);
-    let result = act(cx, &req, passed, &body, until).await;
+    let result = carry_out(cx, &mut req, arrived).await;
+    let name = result
+        .as_ref()
+        .map_or_else(|refusal| refusal.name(), |_| "done");
+    cx.metrics.request(name, clock::now().since(arrived));
     result.unwrap_or_else(|refusal| refuse(cx, &req, refusal))
 }
 
+async fn carry_out(cx: &Cx, req: &mut Request, arrived: Millis) -> Result<Response, Refusal> {
+    let body = read_body(cx, req).await?;
+    let passed = authorise::pass(cx, req)?;
+    let until = arrived + waits(req).since(WAY_BACK);
+    act(cx, req, passed, &body, until).await
+}
+
 async fn act(
     cx: &Cx,
     req: &Request,
@@ -120,6 +122,9 @@
 /// Serves the operators' address.
 pub(crate) fn operate(cx: &Cx, req: &Request) -> Response {
     match req.path() {
+        "/metrics" => Response::Ok()
+            .content_type("text/plain")
+            .body(cx.metrics.text(cx)),
         "/dump" => Response::Ok()
             .content_type("application/json")
             .body(dump::of(cx)),
--- a/crates/node/src/lease_task.rs
+++ b/crates/node/src/lease_task.rs
@@ -50,6 +50,7 @@
         leader.end("the lease is lost or handed over");
     }
     if let Some(held) = held {
+        cx.metrics.takeover();
         let leader = Rc::new(Leader::new(held));
         cx.leader.replace(Some(leader.clone()));
         rt::spawn(leader::run(cx.clone(), leader)).detach();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod leader;
 mod lease_task;
 mod load;
+mod metrics;
 pub mod node_cfg;
 mod orders;
 pub mod process;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,110 @@
+//! Metrics of a node, listed in docs/metrics.md.
+
+use base::clock::Millis;
+use meter::Export;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram},
+};
+
+use crate::cx::Ctx;
+
+/// Instruments of a node.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    export: Export,
+    requests: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    commits: Counter<u64>,
+    commit_seconds: Histogram<f64>,
+    orders: Counter<u64>,
+    start_seconds: Histogram<f64>,
+    takeovers: Counter<u64>,
+    store_losses: Counter<u64>,
+    config_version: Gauge<u64>,
+    config_age: Gauge<u64>,
+    leading: Gauge<u64>,
+    open_jobs: Gauge<u64>,
+    runs: Gauge<u64>,
+    workers: Gauge<u64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let export = Export::new("node");
+        Self {
+            requests: export.counter("node_requests"),
+            request_seconds: export.seconds("node_request_seconds"),
+            commits: export.counter("node_commits"),
+            commit_seconds: export.seconds("node_commit_seconds"),
+            orders: export.counter("node_orders"),
+            start_seconds: export.seconds("node_job_start_seconds"),
+            takeovers: export.counter("node_takeovers"),
+            store_losses: export.counter("node_store_losses"),
+            config_version: export.gauge("node_config_version"),
+            config_age: export.gauge("node_config_age_ms"),
+            leading: export.gauge("node_leading"),
+            open_jobs: export.gauge("node_open_jobs"),
+            runs: export.gauge("node_runs"),
+            workers: export.gauge("node_workers"),
+            export,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request of a caller with its result.
+    pub(crate) fn request(&self, result: &'static str, took: Millis) {
+        self.requests.add(1, &[KeyValue::new("result", result)]);
+        self.request_seconds.record(seconds(took), &[]);
+    }
+
+    /// Counts a try of a commit with its outcome.
+    pub(crate) fn commit(&self, outcome: &'static str, took: Millis) {
+        self.commits.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.commit_seconds.record(seconds(took), &[]);
+    }
+
+    /// Counts an order with its kind and outcome.
+    pub(crate) fn order(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.orders.add(1, &labels);
+    }
+
+    /// Records the time from the submission of a job to the first start of a subtask.
+    pub(crate) fn job_started(&self, priority: u32, waited: Millis) {
+        let label = [KeyValue::new("priority", i64::from(priority))];
+        self.start_seconds.record(seconds(waited), &label);
+    }
+
+    /// Counts the begin of a leadership.
+    pub(crate) fn takeover(&self) {
+        self.takeovers.add(1, &[]);
+    }
+
+    /// Counts a loss of the contact to the store.
+    pub(crate) fn store_lost(&self) {
+        self.store_losses.add(1, &[]);
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self, cx: &Ctx) -> Vec<u8> {
+        let age = cx.config_age().unwrap_or_default();
+        self.config_version.record(cx.rules().version, &[]);
+        self.config_age.record(age.0, &[]);
+        let leader = cx.leader.borrow().clone();
+        self.leading.record(u64::from(leader.is_some()), &[]);
+        let counts = leader.map(|l| l.book.borrow().counts()).unwrap_or_default();
+        self.open_jobs.record(counts.open as u64, &[]);
+        self.runs.record(counts.runs as u64, &[]);
+        self.workers.record(counts.workers as u64, &[]);
+        self.export.text()
+    }
+}
+
+fn seconds(span: Millis) -> f64 {
+    span.to_duration().as_secs_f64()
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -42,6 +42,7 @@
             if let Some(clock) = clock {
                 contact::heard(&leader, &order.worker, clock);
             }
+            cx.metrics.order("start", outcome(reply));
             answered(&leader, &order, reply);
             if reply == StartReply::Refused(Refusal::Fenced) {
                 cx.lease.borrow_mut().lost();
@@ -51,6 +52,12 @@
         Action::Stop => {
             let reply = cx.workers.stop(&target, &order.task, order.attempt).await;
             log::info!(task:% = order.task, attempt = order.attempt, worker:% = order.worker, reply:?; "orders: stop");
+            let outcome = if reply == Reply::Done(()) {
+                "taken"
+            } else {
+                "unknown"
+            };
+            cx.metrics.order("stop", outcome);
             if reply == Reply::Done(()) {
                 let mut book = leader.book.borrow_mut();
                 book.stop_answered(&order.task, order.attempt, clock::now());
@@ -59,6 +66,23 @@
     }
 }
 
+const fn outcome(reply: StartReply) -> &'static str {
+    match reply {
+        StartReply::Taken => "taken",
+        StartReply::Unknown => "unknown",
+        StartReply::Refused(refusal) => match refusal {
+            Refusal::Fenced => "fenced",
+            Refusal::Old => "old",
+            Refusal::Late => "late",
+            Refusal::Room => "room",
+            Refusal::Ticket => "ticket",
+            Refusal::OtherLife => "other_worker",
+            Refusal::Unhealthy => "unhealthy",
+            Refusal::Invalid => "invalid",
+        },
+    }
+}
+
 /// A start that was not sent counts as one without an answer: it is repeated or stopped.
 fn unsent(leader: &Leader, order: &Order) {
     if matches!(order.action, Action::Start { .. }) {
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -40,6 +40,21 @@
         builder.finish()
     }
 
+    /// Returns the name under which refusals are counted.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::NoQueue => "no_queue",
+            Self::Key => "key",
+            Self::Invalid => "invalid",
+            Self::TooLarge => "too_large",
+            Self::Method => "method",
+            Self::ConfigAge => "config_age",
+            Self::Store => "store",
+            Self::NoJob => "no_job",
+            Self::Unknown => "unknown",
+        }
+    }
+
     const fn status(self) -> StatusCode {
         match self {
             Self::NoQueue => StatusCode::NOT_FOUND,
--- a/crates/sched/src/metrics.rs
+++ b/crates/sched/src/metrics.rs
@@ -1,11 +1,7 @@
 //! Metrics of a scheduler, listed in docs/metrics.md.
 
-use opentelemetry::{
-    KeyValue,
-    metrics::{Gauge, MeterProvider},
-};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use meter::Export;
+use opentelemetry::{KeyValue, metrics::Gauge};
 use schema::job::Phase;
 
 use crate::http::Dump;
@@ -25,9 +21,7 @@
 /// Instruments of a scheduler.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    // Dropping the provider would end the collection.
-    _provider: SdkMeterProvider,
+    export: Export,
     leading: Gauge<u64>,
     fence: Gauge<u64>,
     revision: Gauge<u64>,
@@ -43,16 +37,8 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sched");
-        let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let export = Export::new("sched");
+        let gauge = |name| export.gauge(name);
         Self {
             leading: gauge("sched_leading"),
             fence: gauge("sched_fence"),
@@ -65,8 +51,7 @@
             workers_silent: gauge("sched_workers_silent"),
             unlocated: gauge("sched_guarantees_unlocated"),
             jobs: gauge("sched_jobs"),
-            registry,
-            _provider: provider,
+            export,
         }
     }
 }
@@ -94,10 +79,6 @@
             let label = [KeyValue::new("phase", phase.to_string())];
             self.jobs.record(count as u64, &label);
         }
-        let mut text = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::error!("sched: metrics can't be encoded: {e}");
-        }
-        text
+        self.export.text()
     }
 }
