Store submissions in parts of their own; ask other schedulers before passing on a refusal

Submissions and cancellations now stand in 16 parts, found by the id of the job.

Test that failed first: a_former_leader_does_not_refuse_for_the_present_one.

Its row now goes first, and ended jobs are not taken again.

Tests: 8 process tests of nodes on a stand-in of the platform.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -63,7 +63,8 @@
 }
 
 impl Proc {
-    fn start(role: &'static str, settings: path::PathBuf, http: net::SocketAddr) -> Self {
+    /// Starts a process; `http` is the address at which it is reached.
+    pub fn start(role: &'static str, settings: path::PathBuf, http: net::SocketAddr) -> Self {
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -179,10 +180,22 @@
     path: &str,
     headers: &[(&str, &str)],
     body: &str,
+) -> Option<Answer> {
+    send_as(&addr.to_string(), addr, method, path, headers, body)
+}
+
+/// Sends one request to a host that differs from the address.
+pub fn send_as(
+    host: &str,
+    addr: net::SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
 ) -> Option<Answer> {
     let mut tcp = net::TcpStream::connect_timeout(&addr, time::Duration::from_secs(2)).ok()?;
     tcp.set_read_timeout(Some(LIMIT)).ok()?;
-    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n");
+    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n");
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
     }
@@ -331,7 +344,8 @@
     }
 }
 
-fn write(dir: &path::Path, name: &str, cfg: &Value) -> path::PathBuf {
+/// Writes a settings file.
+pub fn write(dir: &path::Path, name: &str, cfg: &Value) -> path::PathBuf {
     let file = dir.join(name).with_extension("json");
     fs::write(&file, cfg.to_string()).unwrap();
     file
--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,326 @@
+//! Nodes as real processes on a stand-in of the users' platform. What counts is what callers and
+//! workers see.
+
+mod common;
+
+use std::{
+    collections::BTreeMap,
+    fs, net, path,
+    sync::{Arc, atomic::AtomicBool},
+    time,
+};
+
+use common::{Answer, Proc, until};
+use platform_standin::{
+    store::{Fault, Store},
+    worker::Worker,
+};
+use serde_json::{Value, json};
+
+/// Longest wait for a takeover and the end of a job; a takeover takes up to 2.5 s.
+const LIMIT: time::Duration = time::Duration::from_secs(15);
+const KEY: &str = "key-one";
+
+/// Nodes, a store and workers.
+struct Site {
+    nodes: Vec<Proc>,
+    /// Addresses of the nodes for operators, which the row of the lease names.
+    operators: Vec<net::SocketAddr>,
+    store: Store,
+    workers: Vec<Worker>,
+    _stop: Arc<AtomicBool>,
+}
+
+impl Site {
+    fn start(test: &str, nodes: usize, workers: usize, run_ms: u64) -> Self {
+        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+        // The folder of an earlier run may not be there.
+        let _ = fs::remove_dir_all(&dir);
+        fs::create_dir_all(&dir).unwrap();
+        let stop = Arc::new(AtomicBool::new(false));
+        let store = Store::start(&stop).unwrap();
+        store.put("op", "config", &config(1, &[KEY]));
+        let run_time = time::Duration::from_millis(run_ms);
+        let start = |_| Worker::start(&stop, run_time).unwrap();
+        let workers: Vec<Worker> = (0..workers).map(start).collect();
+        for (i, worker) in workers.iter().enumerate() {
+            store.put("servers", &format!("i-{i}"), &worker.entry("r1", "ready"));
+        }
+        let operators: Vec<_> = (0..nodes).map(|_| common::free_addr()).collect();
+        let node = |i: usize| {
+            let (front, ready) = (common::free_addr(), common::free_addr());
+            let cfg = json!({"name": format!("n{i}"), "zone": "z", "listen": front,
+                "listen_ready": ready, "listen_metrics": operators[i],
+                "store": store.addr()});
+            Proc::start(
+                "node",
+                common::write(&dir, &format!("node-{i}"), &cfg),
+                front,
+            )
+        };
+        let mut site = Self {
+            nodes: (0..nodes).map(node).collect(),
+            operators: operators.clone(),
+            store,
+            workers,
+            _stop: stop,
+        };
+        for i in 0..nodes {
+            until("node is ready", LIMIT, || {
+                site.nodes[i].assert_running();
+                site.get(i, "/q/").filter(|a| a.status == 200)
+            });
+        }
+        site
+    }
+
+    fn call(&self, node: usize, method: &str, path: &str, key: &str, body: &str) -> Option<Answer> {
+        let bearer = format!("Bearer {key}");
+        let headers = [("authorization", bearer.as_str())];
+        common::send_as(
+            "callers.example",
+            self.nodes[node].http,
+            method,
+            path,
+            &headers,
+            body,
+        )
+    }
+
+    fn get(&self, node: usize, path: &str) -> Option<Answer> {
+        self.call(node, "GET", path, KEY, "")
+    }
+
+    fn submit(&self, node: usize, id: u64, count: u64, gang: bool) -> Option<Answer> {
+        let step = json!({"count": count, "cpu": 1_000, "mem-mb": 100, "gpu": 8,
+            "estimated-ms": 500, "gang": gang});
+        let body = json!({"spec": "work", "steps": [step]}).to_string();
+        self.call(node, "POST", &format!("/q/{id:016x}"), KEY, &body)
+    }
+
+    fn state(&self, node: usize, id: u64) -> String {
+        let answer = self.get(node, &format!("/q/{id:016x}"));
+        answer.map_or_else(String::new, |a| a.text("state").to_owned())
+    }
+
+    fn until_state(&self, node: usize, id: u64, state: &str) {
+        until(&format!("job {id} is {state}"), LIMIT, || {
+            (self.state(node, id) == state).then_some(())
+        });
+    }
+
+    /// Checks that no subtask ran twice at a time or again after it was done; returns the number
+    /// of runs by job.
+    fn check_runs(&self) -> BTreeMap<String, usize> {
+        let mut tasks: BTreeMap<String, Vec<_>> = BTreeMap::new();
+        for run in self.workers.iter().flat_map(Worker::runs) {
+            tasks.entry(run.task.clone()).or_default().push(run);
+        }
+        let mut jobs: BTreeMap<String, usize> = BTreeMap::new();
+        for (task, mut runs) in tasks {
+            runs.sort_by_key(|r| r.begun);
+            for pair in runs.windows(2) {
+                let ended = pair[0].ended;
+                assert!(
+                    ended.is_some_and(|(t, _)| t <= pair[1].begun),
+                    "{task} ran twice: {runs:?}"
+                );
+                assert!(
+                    ended.is_none_or(|(_, how)| how != "done"),
+                    "{task} ran again: {runs:?}"
+                );
+            }
+            let job = task.split('.').next().unwrap_or_default().to_owned();
+            *jobs.entry(job).or_default() += runs.len();
+        }
+        jobs
+    }
+
+    /// Returns the index of the node that holds the lease.
+    fn leader(&self) -> usize {
+        until("a node leads", LIMIT, || {
+            let row = self.store.get("control", "lease")?;
+            let address = row["address"].as_str()?.to_owned();
+            self.operators.iter().position(|a| a.to_string() == address)
+        })
+    }
+}
+
+fn config(version: u64, keys: &[&str]) -> Value {
+    json!({"version": version,
+        "routes": [{"name": "q", "host": "callers.example", "path-prefix": "/q/",
+            "service": "svc", "priority": 1, "max-attempts": 2, "slack-factor": 3.0,
+            "target-latency-ms": 1_000}],
+        "services": [{"name": "svc", "admission-check": true}],
+        "limits": {"max-body-bytes": 20_000},
+        "tenants": [{"name": "org", "api-keys": keys, "guaranteed": {"gpu": 8}}]})
+}
+
+/// Guards against a break anywhere on the way from a caller to a worker and back.
+#[test]
+fn a_job_runs_and_every_node_says_so() {
+    let site = Site::start("node-job", 2, 3, 300);
+    assert_eq!(site.submit(0, 1, 3, true).unwrap().status, 200);
+    // The same job again, at another node, remains one job.
+    assert_eq!(site.submit(1, 1, 3, true).unwrap().status, 200);
+    site.until_state(0, 1, "completed");
+    assert_eq!(site.state(1, 1), "completed");
+    assert_eq!(site.check_runs().values().copied().collect::<Vec<_>>(), [3]);
+    assert_eq!(site.get(1, &format!("/q/{:016x}", 2)).unwrap().status, 410);
+}
+
+/// Guards against bad input that is taken, lost or answered with something else than the interface
+/// states.
+#[test]
+fn bad_input_gets_the_stated_answer() {
+    let site = Site::start("node-input", 1, 1, 100);
+    let id = format!("/q/{:016x}", 7);
+    let cases: [(&str, &str, &str, &str, u16); 9] = [
+        ("POST", "/q/zz", KEY, "{}", 400),
+        ("POST", &id, KEY, "not json", 400),
+        ("POST", &id, KEY, r#"{"spec":"x","steps":[]}"#, 400),
+        (
+            "POST",
+            &id,
+            KEY,
+            r#"{"spec":"x","steps":[{"count":4000000000}]}"#,
+            400,
+        ),
+        (
+            "POST",
+            &id,
+            KEY,
+            r#"{"spec":"x","steps":[{"count":1,"after":[0]}]}"#,
+            400,
+        ),
+        (
+            "POST",
+            &id,
+            "other",
+            r#"{"spec":"x","steps":[{"count":1}]}"#,
+            401,
+        ),
+        ("GET", "/elsewhere/", KEY, "", 404),
+        ("GET", &id, KEY, "", 410),
+        ("DELETE", &id, KEY, "", 410),
+    ];
+    for (method, path, key, body, status) in cases {
+        let answer = site.call(0, method, path, key, body);
+        assert_eq!(
+            answer.map(|a| a.status),
+            Some(status),
+            "{method} {path} {body}"
+        );
+    }
+    let large = "x".repeat(30_000);
+    assert_eq!(site.call(0, "POST", &id, KEY, &large).unwrap().status, 413);
+    assert!(site.check_runs().is_empty());
+}
+
+/// Guards against a job that runs on after its cancellation, and one that is lost by it.
+#[test]
+fn a_cancelled_job_is_stopped() {
+    let site = Site::start("node-cancel", 1, 2, 60_000);
+    assert_eq!(site.submit(0, 1, 2, true).unwrap().status, 200);
+    site.until_state(0, 1, "running");
+    let path = format!("/q/{:016x}", 1);
+    assert_eq!(site.call(0, "DELETE", &path, KEY, "").unwrap().status, 200);
+    site.until_state(0, 1, "cancelled");
+    until("all runs are stopped", LIMIT, || {
+        let mut runs = site.workers.iter().flat_map(Worker::runs);
+        runs.all(|r| r.ended.is_some()).then_some(())
+    });
+    assert_eq!(site.call(0, "DELETE", &path, KEY, "").unwrap().status, 200);
+}
+
+/// Guards against a removed key that is still taken, and a new one that is refused.
+#[test]
+fn a_change_of_keys_is_in_force_at_once() {
+    let site = Site::start("node-keys", 2, 1, 100);
+    site.store.put("op", "config", &config(2, &["key-two"]));
+    // A submission checks the newest configuration in its own transaction.
+    assert_eq!(site.submit(0, 1, 1, false).unwrap().status, 401);
+    let bound = time::Duration::from_secs(2);
+    for node in 0..2 {
+        until("the new key is known", bound, || {
+            let answer = site.call(node, "GET", "/q/", "key-two", "")?;
+            (answer.status == 200).then_some(())
+        });
+        assert_eq!(site.get(node, "/q/").unwrap().status, 401);
+    }
+}
+
+/// Guards against an entry that has lost the store and goes on with the keys that it knows.
+#[test]
+fn a_node_without_the_store_refuses_before_its_configuration_is_too_old() {
+    let site = Site::start("node-age", 1, 1, 100);
+    site.store.set_fault(Fault::Refuses);
+    let start = time::Instant::now();
+    let answer = site.submit(0, 1, 1, false).unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.head.contains("retry-after: "), "{}", answer.head);
+    // It is refused at once, not held until the caller gives up.
+    assert!(start.elapsed() < time::Duration::from_secs(1));
+    std::thread::sleep(time::Duration::from_secs(5));
+    assert_eq!(site.get(0, "/q/").unwrap().status, 503);
+    site.store.set_fault(Fault::None);
+    until("it serves again", LIMIT, || {
+        site.submit(0, 2, 1, false).filter(|a| a.status == 200)
+    });
+    site.until_state(0, 2, "completed");
+    assert_eq!(site.check_runs().len(), 1, "the refused job never runs");
+}
+
+/// Guards against a submission that is reported as refused although it was stored.
+#[test]
+fn a_lost_answer_of_the_store_is_settled() {
+    let site = Site::start("node-lost", 1, 1, 100);
+    site.store.set_fault(Fault::LosesAnswers);
+    let answer = site.submit(0, 1, 1, false);
+    let status = answer.map_or(0, |a| a.status);
+    assert!(status != 429 && status != 503, "{status}");
+    assert!(site.store.lost() > 0);
+    site.store.set_fault(Fault::None);
+    assert_eq!(site.submit(0, 1, 1, false).unwrap().status, 200);
+    site.until_state(0, 1, "completed");
+    assert_eq!(site.check_runs().len(), 1);
+}
+
+/// Guards against lost or doubled work when the process that leads is killed, again and again.
+#[test]
+fn jobs_survive_the_leaders_that_run_them() {
+    let mut site = Site::start("node-kill", 3, 3, 1_500);
+    for round in 0..3_u64 {
+        for job in 0..3 {
+            let id = round * 10 + job;
+            assert_eq!(site.submit(0, id, 2, job == 0).map(|a| a.status), Some(200));
+        }
+        let leader = site.leader();
+        // The node that takes the submissions stays, so that each is answered.
+        if leader != 0 {
+            site.nodes[leader].kill();
+            site.nodes[leader].restart();
+        }
+    }
+    for round in 0..3_u64 {
+        for job in 0..3 {
+            site.until_state(0, round * 10 + job, "completed");
+        }
+    }
+    assert_eq!(site.check_runs().len(), 9);
+}
+
+/// Guards against a planned stop that cuts requests or takes the leadership with it.
+#[test]
+fn a_planned_stop_hands_over_and_ends_with_0() {
+    let mut site = Site::start("node-stop", 2, 2, 1_000);
+    assert_eq!(site.submit(0, 1, 1, false).unwrap().status, 200);
+    site.until_state(0, 1, "running");
+    site.nodes[0].terminate();
+    // It still serves while the balancer takes notice.
+    assert_eq!(site.submit(0, 2, 1, false).unwrap().status, 200);
+    assert_eq!(site.nodes[0].wait(), Some(0));
+    site.until_state(1, 1, "completed");
+    site.until_state(1, 2, "completed");
+    assert_eq!(site.check_runs().len(), 2);
+}
--- a/crates/entry/src/schedulers.rs
+++ b/crates/entry/src/schedulers.rs
@@ -89,6 +89,7 @@
         waiting.reverse();
         waiting.extend(self.leader.get());
         let mut asked = Vec::new();
+        let mut unavailable = None;
         while let Some(addr) = waiting.pop() {
             if asked.contains(&addr) || clock::now() >= end {
                 continue;
@@ -99,6 +100,8 @@
                     round.reason = format!("{addr} does not lead");
                     waiting.extend(leader);
                 }
+                // A former leader that was frozen may believe that it leads; another one may.
+                Ok(reply) if reply.is_unavailable() => unavailable = Some(reply),
                 Ok(reply) => {
                     self.leader.set(Some(addr));
                     return Some(reply);
@@ -110,7 +113,7 @@
             }
         }
         self.leader.set(None);
-        None
+        unavailable
     }
 
     fn client(&self, addr: net::SocketAddr) -> Client {
--- a/crates/entry/tests/entry/decisions.rs
+++ b/crates/entry/tests/entry/decisions.rs
@@ -163,3 +163,25 @@
         (503, ("no_leader".into(), "not_run".into()))
     );
 }
+
+/// Guards against a refusal by a scheduler that was frozen and still believes that it leads, while
+/// another one leads and would take the job.
+#[test]
+fn a_former_leader_does_not_refuse_for_the_present_one() {
+    let former = Scheduler::start(vec![failed("unavailable", Effect::None)]);
+    let present = Scheduler::start(vec![Reply::Job { status: status() }]);
+    let both = json!([former.addr, present.addr]);
+    let system = setup::system().set("schedulers", both).start();
+    let got = system.decide("POST", "/jobs", TOKEN, &job_of(ORG));
+    assert_eq!(got.status, 202, "{got:?}");
+    assert_eq!(former.asked.lock().unwrap().len(), 1);
+    // A refusal that nobody contradicts is passed on at once.
+    let lone = Scheduler::start(vec![failed("unavailable", Effect::None)]);
+    let system = setup::system()
+        .set("schedulers", json!([lone.addr]))
+        .start();
+    let start = std::time::Instant::now();
+    let got = system.decide("POST", "/jobs", TOKEN, &job_of(ORG));
+    assert_eq!((got.status, &*got.field("code")), (503, "unavailable"));
+    assert!(start.elapsed().as_millis() < 500);
+}
--- a/crates/entry/tests/entry/setup.rs
+++ b/crates/entry/tests/entry/setup.rs
@@ -233,7 +233,9 @@
         let mut cfg = self.cfg;
         cfg["table"] = json!(platform.addr());
         cfg["vm_list"] = json!(platform.addr());
-        cfg["schedulers"] = json!([scheduler.addr]);
+        if cfg.get("schedulers").is_none() {
+            cfg["schedulers"] = json!([scheduler.addr]);
+        }
         let hash = TokenHash::of(OPERATOR_TOKEN).to_string();
         cfg["operators"] = json!([{ "name": "aigerim", "token_hash": hash }]);
         let mut system = System {
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -5,13 +5,12 @@
     job::{Accepted, Text},
     progress::Phase,
 };
-use ntex::http::{Request, Response};
-use platform::{config, job};
+use ntex::http::Response;
+use platform::job;
 use store::table::{Commit, Row, StoreError, Txn};
 
 use crate::{
-    authorise::{self, Authorised},
-    config as in_force,
+    authorise::Authorised,
     cx::{self, Cx},
     refusal::Refusal,
     rows::{self, Intake},
@@ -26,7 +25,6 @@
 /// Stores a job. It is accepted once it is stored; a repeated submission is the same job.
 pub(crate) async fn submit(
     cx: &Cx,
-    req: &Request,
     passed: &Authorised,
     body: &[u8],
     until: Millis,
@@ -35,7 +33,7 @@
         log::info!(job = passed.rest, reason; "accept: not a job");
         Refusal::Invalid
     })?;
-    let mut rec = Accepted {
+    let rec = Accepted {
         id: passed.rest.as_str().into(),
         queue: passed.queue.name.clone(),
         service: passed.queue.service.clone(),
@@ -45,27 +43,12 @@
     };
     let started = clock::now();
     let mut write = Write::new(until);
-    loop {
-        let row = cx.in_force.borrow().row;
-        let key = rows::job(&rec.id);
-        // The check of the configuration makes the admission and the key's validity one decision.
-        let txn = Txn::default()
-            .check(key.clone(), 0)
-            .check(config::KEY, row)
-            .put(key.clone(), rows::to_json(&rec));
-        match write.commit(cx, &txn).await? {
-            Commit::Done { .. } => break,
-            Commit::Conflict { keys } if keys.contains(&key) => break,
-            Commit::Conflict { .. } => {
-                let read = in_force::read(cx).await;
-                read.map_err(|_| write.refusal())?;
-                let again = authorise::pass(cx, req)?;
-                rec.queue = again.queue.name;
-                rec.service = again.queue.service;
-                rec.organisation = again.organisation;
-            }
-        }
-    }
+    let key = rows::job(&rec.id);
+    let txn = Txn::default()
+        .check(key.clone(), 0)
+        .put(key, rows::to_json(&rec));
+    // A conflict shows that the job is stored already.
+    write.commit(cx, &txn).await?;
     log::info!(
         job:% = rec.id, queue:% = rec.queue, organisation:? = rec.organisation,
         config = cx.rules().version, tries = write.tries, ms = clock::now().since(started).0;
@@ -171,9 +154,10 @@
 
 /// Reads the row of an accepted job and whether a cancellation is stored.
 async fn intake(cx: &Cx, id: &str) -> Result<(Option<Row>, bool), Refusal> {
+    let table = rows::job_table(id);
     let page = cx
         .table
-        .read(rows::JOBS, &format!("{id}."), &format!("{id}/"))
+        .read(&table, &format!("{id}."), &format!("{id}/"))
         .await;
     let page = page.map_err(|e| unread(id, &e))?;
     let (mut stored, mut cancelled) = (None, false);
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -77,7 +77,8 @@
         cx.metrics.job_started(*priority, *waited);
     }
     let mut records = batch.records.into_iter().peekable();
-    let mut forgotten = std::mem::take(&mut *leader.forgotten.borrow_mut());
+    let forgotten = std::mem::take(&mut *leader.forgotten.borrow_mut());
+    let mut forgotten = forget(cx, forgotten).await;
     let mut counts = pending.due(leader);
     while records.peek().is_some() || !forgotten.is_empty() || counts.is_some() {
         let mut txn = Txn::default();
@@ -92,7 +93,9 @@
         }
         if jobs < JOBS / 2 {
             for id in forgotten.drain(..) {
-                txn = forget(txn, &id);
+                txn = txn
+                    .delete(format!("{}/{id}", rows::PROGRESS))
+                    .delete(format!("{}/{id}", rows::PHASES));
             }
         }
         let written = counts.take();
@@ -146,11 +149,21 @@
     bytes
 }
 
-fn forget(txn: Txn, id: &str) -> Txn {
-    txn.delete(rows::job(id))
-        .delete(rows::cancel(id))
-        .delete(format!("{}/{id}", rows::PROGRESS))
-        .delete(format!("{}/{id}", rows::PHASES))
+/// Deletes the rows of jobs that ended long ago and returns those whose rows of the leader may go
+/// as well. The row of the job goes first: without a phase it would count as a new job.
+async fn forget(cx: &Cx, ids: Vec<Text>) -> Vec<Text> {
+    let mut gone = Vec::with_capacity(ids.len());
+    for id in ids {
+        let txn = Txn::default()
+            .delete(rows::job(&id))
+            .delete(rows::cancel(&id));
+        match cx.table.commit(&txn).await {
+            Ok(_) => gone.push(id),
+            // The next leader finds the job and forgets it.
+            Err(e) => log::info!(job:% = id, reason:% = e; "commit: the job is not forgotten"),
+        }
+    }
+    gone
 }
 
 /// Commits one transaction as a link of the chain, however often that has to be tried.
--- a/crates/node/src/contact.rs
+++ b/crates/node/src/contact.rs
@@ -166,7 +166,8 @@
 /// Returns when nothing runs on a silent worker any more. An earlier leader may have granted
 /// leases until this leadership began.
 fn over_at(cx: &Cx, leader: &Leader, worker: &Text) -> Millis {
-    let before = leader.since + grant::longest(cx.cfg.worker_lease_ms) + LAST_ORDER;
+    let lease = grant::longest(cx.cfg.worker_lease_ms);
+    let before = leader.since + lease + LAST_ORDER;
     let contacts = leader.contacts.borrow();
     let granted = contacts.get(worker).map(|c| c.grants.over_at());
     granted.unwrap_or_default().max(before)
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -20,8 +20,8 @@
 /// Longest opening of a connection; one way between data centres takes about 1 ms, and a packet
 /// that is lost when a queue is full is sent again after a second.
 const CONNECT: Millis = Millis(400);
-/// Longest call for the lease; several fit into the time for which the holder acts.
-const LEASE_CALL: Millis = Millis(800);
+/// Longest call for the lease. A renewal counts from its start, so a later answer is of no use.
+const LEASE_CALL: Millis = Millis(1_600);
 /// Longest call with an order; three fit into the time that members of a gang wait for others.
 const ORDER_CALL: Millis = Millis(700);
 /// Connections to the store for callers' requests and decisions.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -67,7 +67,7 @@
     let is_id =
         passed.rest.len() == ID_DIGITS && passed.rest.bytes().all(|b| b.is_ascii_hexdigit());
     match *req.method() {
-        Method::POST if is_id => accept::submit(cx, req, &passed, body, until).await,
+        Method::POST if is_id => accept::submit(cx, &passed, body, until).await,
         Method::GET if is_id => accept::phase(cx, &passed).await,
         Method::DELETE if is_id => accept::cancel(cx, &passed, until).await,
         Method::POST => Err(Refusal::Invalid),
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -21,7 +21,7 @@
 /// Pause after a failed read.
 const RETRY: Millis = Millis(100);
 /// Time between two whole reads, in case the feed misses a change.
-const SWEEP: Millis = Millis(10_000);
+const SWEEP: Millis = Millis(20_000);
 
 /// Follows the table of jobs from `version` until the leadership ends.
 pub(crate) async fn follow(cx: Cx, leader: Rc<Leader>, mut version: u64) {
@@ -58,19 +58,22 @@
 
 /// Reads the whole table and returns its version.
 async fn sweep(cx: &Cx, leader: &Leader) -> Option<u64> {
-    let (rows, version) = load::read_all(cx, rows::JOBS).await.ok()?;
+    let (rows, version) = load::read_jobs(cx).await.ok()?;
     take(leader, rows.iter());
     Some(version)
 }
 
 fn take<'a>(leader: &Leader, rows: impl Iterator<Item = &'a Row>) {
     let mut book = leader.book.borrow_mut();
+    let phases = leader.phases.borrow();
+    let is_over = |id: &str| phases.get(id).is_some_and(|p| p.is_final());
     let mut cancels = Vec::new();
     let mut changed = false;
     for row in rows {
         match rows::intake(&row.key) {
-            // A job that is known is not decoded again.
-            Some((id, Intake::Job)) if book.phase(id).is_none() => {
+            // A job that is known is not decoded again, and one that ended and was forgotten does
+            // not begin again.
+            Some((id, Intake::Job)) if book.phase(id).is_none() && !is_over(id) => {
                 let Some(rec) = rows::from_json::<Accepted>(row) else {
                     continue;
                 };
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -21,7 +21,7 @@
     let version = chain.map_or(0, |r| r.version);
     leader.chain.set((version, count.map_or(0, |c| c.count)));
     // The jobs are read first: a job that is accepted meanwhile comes by the intake.
-    let (jobs, from) = read_all(cx, rows::JOBS).await?;
+    let (jobs, from) = read_jobs(cx).await?;
     let (progress, _) = read_all(cx, rows::PROGRESS).await?;
     let (phases, _) = read_all(cx, rows::PHASES).await?;
     let progress: SortedMap<Text, Progress> = decode(&progress);
@@ -69,6 +69,26 @@
     rows.iter().filter_map(entry).collect()
 }
 
+/// Reads all accepted jobs and cancellations, and the version from which changes follow.
+pub(crate) async fn read_jobs(cx: &Cx) -> Result<(Vec<Row>, u64), StoreError> {
+    // The parts are read at the same time: a slow store takes as long for all as for one.
+    let reads = rows::job_tables().map(|table| {
+        let cx = cx.clone();
+        ntex::rt::spawn(async move { read_all(&cx, &table).await })
+    });
+    let reads: Vec<_> = reads.collect();
+    let mut all = Vec::new();
+    let mut from = u64::MAX;
+    for read in reads {
+        let (rows, version) = read.await.map_err(|e| StoreError::NotDone {
+            reason: e.to_string(),
+        })??;
+        all.extend(rows);
+        from = from.min(version);
+    }
+    Ok((all, from))
+}
+
 /// Reads all rows of a table and the version of the first page.
 pub(crate) async fn read_all(cx: &Cx, table: &str) -> Result<(Vec<Row>, u64), StoreError> {
     let mut rows: Vec<Row> = Vec::new();
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -22,14 +22,32 @@
 /// Row of the renewals of the lease; it sorts before the lease.
 pub(crate) const BEAT: &str = "control/beat";
 
+/// Parts of [`JOBS`]. The store carries out the transactions of a part one after another, so a
+/// slow store (0.5 s for each) still stores this many submissions at a time, and none of them
+/// waits for the commits of the leader or holds up its lease.
+const JOB_PARTS: u8 = 16;
+
+/// Returns all parts of [`JOBS`].
+pub(crate) fn job_tables() -> impl Iterator<Item = String> {
+    (0..JOB_PARTS).map(|part| format!("{JOBS}:{part}"))
+}
+
+/// Returns the part of [`JOBS`] in which a job stands.
+pub(crate) fn job_table(id: &str) -> String {
+    let sum = id
+        .bytes()
+        .fold(0_u8, |sum, b| sum.wrapping_mul(31).wrapping_add(b));
+    format!("{JOBS}:{}", sum % JOB_PARTS)
+}
+
 /// Key of the row of an accepted job.
 pub(crate) fn job(id: &str) -> Key {
-    format!("{JOBS}/{id}.job").into()
+    format!("{}/{id}.job", job_table(id)).into()
 }
 
 /// Key of the row of a cancellation; it sorts before that of the job.
 pub(crate) fn cancel(id: &str) -> Key {
-    format!("{JOBS}/{id}.cancel").into()
+    format!("{}/{id}.cancel", job_table(id)).into()
 }
 
 /// What a row of [`JOBS`] says.
--- a/crates/sched/src/answer.rs
+++ b/crates/sched/src/answer.rs
@@ -1,6 +1,6 @@
 //! Answers that several controllers give.
 
-use wire::message::{Effect, Reply};
+use wire::message::{self, Effect, Reply};
 
 /// Returns the answer to a request that failed.
 pub(crate) fn failed(code: &str, message: impl Into<String>, done: Effect) -> Reply {
@@ -12,6 +12,6 @@
 }
 
 /// Returns the answer to a request that was not begun because something is down.
-pub(crate) fn unavailable(message: &str) -> Reply {
-    failed("unavailable", message, Effect::None)
+pub(crate) fn unavailable(reason: &str) -> Reply {
+    failed(message::UNAVAILABLE, reason, Effect::None)
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -136,6 +136,20 @@
     },
 }
 
+/// Code of a failure whose cause is that something the scheduler needs is down.
+pub const UNAVAILABLE: &str = "unavailable";
+
+impl Reply {
+    /// Returns whether the request was not begun because something is down.
+    ///
+    /// ```
+    /// assert!(!wire::message::Reply::Pong.is_unavailable());
+    /// ```
+    pub fn is_unavailable(&self) -> bool {
+        matches!(self, Self::Failed { code, done: Effect::None, .. } if code == UNAVAILABLE)
+    }
+}
+
 /// Whether a failed request had an effect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
