--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -97,6 +97,7 @@
         }
         cx::sleep(LOAD_RETRY).await;
     };
+    worker_list::read(&cx, &leader).await;
     leader.loaded.set(true);
     rt::spawn(intake::follow(cx.clone(), leader.clone(), version)).detach();
     rt::spawn(worker_list::poll(cx.clone(), leader.clone())).detach();
--- a/crates/node/src/worker_list.rs
+++ b/crates/node/src/worker_list.rs
@@ -22,6 +22,14 @@
 /// Pause after a failed reading.
 const RETRY: Millis = Millis(200);
 
+/// Reads the list once, so that the first pass knows where the workers are.
+pub(crate) async fn read(cx: &Cx, leader: &Leader) {
+    match load::read_all(cx, servers::TABLE).await {
+        Ok((rows, _)) => take(leader, &rows, &mut SortedMap::default()),
+        Err(e) => log::info!(reason:% = e; "workers: the list can't be read"),
+    }
+}
+
 /// Reads the list until the leadership ends.
 pub(crate) async fn poll(cx: Cx, leader: Rc<Leader>) {
     let mut malformed = SortedMap::default();
