Don't let a gang wait for one rack that no rack could hold

Test that failed first: a_gang_wider_than_any_rack_does_not_wait_for_one. Kept, since other deployments may have smaller racks.

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -310,7 +310,9 @@
         let usable = |i: &usize| self.is_usable(&rooms.rooms[*i]);
         let all: Vec<usize> = (0..rooms.rooms.len()).filter(usable).collect();
         let near = self.near(rooms, &all, when);
-        if near.len() == self.unit.tasks.len() || !self.may_spread() {
+        if near.len() == self.unit.tasks.len()
+            || !(self.may_spread() || self.must_spread(rooms, &all))
+        {
             return near;
         }
         let spread = self.fill(rooms, &all, when);
@@ -351,6 +353,28 @@
         self.unit.waited >= patience
     }
 
+    /// Returns whether a gang is wider than any rack, so that waiting for one is of no use.
+    fn must_spread(&self, rooms: &Rooms, all: &[usize]) -> bool {
+        if !(self.step.gang && self.step.same_rack) {
+            return false;
+        }
+        let need = self.step.reserved();
+        let most = match self.step.max_per_worker {
+            0 => u64::MAX,
+            most => most,
+        };
+        let mut racks: Vec<(&Text, u64)> = Vec::new();
+        for room in all.iter().map(|i| &rooms.rooms[*i]) {
+            let count = need.count_in(room.capacity).min(most);
+            match racks.binary_search_by(|(rack, _)| (*rack).cmp(&room.rack)) {
+                Ok(at) => racks[at].1 = racks[at].1.saturating_add(count),
+                Err(at) => racks.insert(at, (&room.rack, count)),
+            }
+        }
+        let wanted = self.unit.tasks.len() as u64;
+        racks.iter().all(|(_, count)| *count < wanted)
+    }
+
     /// Searches on the rack that is best for the unit; all racks if it has no preference.
     fn near(&self, rooms: &Rooms, all: &[usize], when: When) -> Vec<usize> {
         let on_rack = |rack: &Text| -> Vec<usize> {
--- a/crates/batch/tests/urgent.rs
+++ b/crates/batch/tests/urgent.rs
@@ -2,7 +2,10 @@
 
 mod fleet;
 
-use batch::worker::{How, StartReply};
+use batch::{
+    job::Step,
+    worker::{How, StartReply},
+};
 use fleet::{Fleet, gang, starts, step, stops};
 
 /// Guards against room that becomes free for a waiting urgent job and is taken by work of lower
@@ -67,3 +70,21 @@
     }
     assert_eq!(placed, 2);
 }
+
+/// Guards against a gang that waits for one rack although no rack could ever hold it.
+#[test]
+fn a_gang_wider_than_any_rack_does_not_wait_for_one() {
+    let mut fleet = Fleet::new(8);
+    let wide = |count| Step {
+        same_rack: true,
+        ..gang(count, 8)
+    };
+    // A rack has four workers of 8 accelerators.
+    fleet.submit("wide", 1, wide(5));
+    assert_eq!(starts(&fleet.plan()).len(), 5);
+    fleet.after(10).submit("fits", 1, wide(4));
+    assert!(
+        starts(&fleet.plan()).is_empty(),
+        "it waits for a whole rack"
+    );
+}
