--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -19,11 +19,11 @@
 /// Other work waits this share of its estimate, in percent: elsewhere it takes a multiple of it.
 const PATIENCE_PERCENT: u64 = 150;
 
-/// Runs that are expected to end within this time count for gangs that wait. It is half of a
-/// typical deferrable run, so that the room that is kept does not stay unused for long.
-const SOON: Millis = Millis(6_000);
+/// Runs that are expected to end within this time count for gangs that wait. It is the length of a
+/// typical deferrable run: what is kept is used within about one generation of runs.
+const SOON: Millis = Millis(8_000);
 /// Most gangs that keep room in one pass; each keeps accelerators unused until all are free.
-const KEEPING_UNITS: usize = 5;
+const KEEPING_UNITS: usize = 10;
 /// Waiting time from which the reason is logged.
 const LONG_WAIT: Millis = Millis(3_000);
 /// Time between two log lines about the same job.
