--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -394,6 +394,12 @@
         self.jobs.get(&id.job)?.task(id)
     }
 
+    /// Returns the run of a subtask, with its step.
+    pub(crate) fn run_of(&self, id: &TaskId) -> Option<(&Run, &Step)> {
+        let job = self.jobs.get(&id.job)?;
+        Some((job.task(id)?.run.as_ref()?, job.step(id)))
+    }
+
     /// Returns the step of a subtask of a known job.
     pub(crate) fn step_of(&self, id: &TaskId) -> Option<&Step> {
         self.jobs.get(&id.job)?.rec.spec.steps.get(id.step)
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -14,5 +14,8 @@
 pub mod progress;
 mod reports;
 mod reserve;
+mod rooms;
 pub mod rules;
+mod search;
+mod victims;
 pub mod worker;
--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -1,12 +1,11 @@
 //! Which subtasks may start, and in which order they are placed.
 
-use base::clock::Millis;
+use base::{clock::Millis, sorted::SortedMap};
 
 use crate::{
     book::{Book, Job},
     job::{Step, TaskId, Text},
     progress::{Occurrence, Progress},
-    rules,
 };
 
 /// A job earns nothing later than this multiple of its objective.
@@ -63,16 +62,12 @@
     /// Opens the occurrences that are due and returns the time of the next one.
     ///
     /// ```
-    /// use base::clock::Millis;
+    /// use base::{clock::Millis, sorted::SortedMap};
     /// assert!(batch::book::Book::default().open_due(Millis(1)).is_none());
     /// ```
     pub fn open_due(&mut self, wall: Millis) -> Option<Millis> {
         let mut next: Option<Millis> = None;
-        let ids: Vec<Text> = self.jobs.iter().map(|(id, _)| id.clone()).collect();
-        for id in ids {
-            let Some(job) = self.jobs.get_mut(&id) else {
-                continue;
-            };
+        for (_, job) in self.jobs.iter_mut() {
             if job.progress.phase.is_final() {
                 continue;
             }
@@ -89,15 +84,11 @@
     }
 
     /// Returns the units that may start, first come first.
-    pub(crate) fn units(&self, wall: Millis) -> Vec<Unit> {
-        let claims = self.claims();
+    pub(crate) fn units(&self, claims: &[Text], wall: Millis) -> Vec<Unit> {
         let mut units = Vec::new();
-        for (_, job) in self.jobs.iter() {
-            if job.progress.phase.is_final() {
-                continue;
-            }
-            let org = job.rec.organisation.as_deref();
-            let guaranteed = org.is_some_and(|o| claims.iter().any(|c| &**c == o));
+        for job in self.jobs.values().filter(|j| !j.progress.phase.is_final()) {
+            let org = job.rec.organisation.as_ref();
+            let guaranteed = org.is_some_and(|o| claims.binary_search(o).is_ok());
             self.units_of(job, guaranteed, wall, &mut units);
         }
         units.sort_by_key(|u| u.rank);
@@ -144,23 +135,25 @@
         }
     }
 
-    /// Returns the organisations whose open jobs of priority 0 fit into their guarantee.
-    fn claims(&self) -> Vec<Text> {
-        let claims = self.rules.organisations.iter().map(|o| &o.name);
+    /// Returns the organisations whose open jobs of priority 0 fit into their guarantee, sorted.
+    pub(crate) fn claims(&self) -> Vec<Text> {
+        let mut used: SortedMap<Text, u64> = SortedMap::default();
+        for job in self.jobs.values().filter(|j| !j.progress.phase.is_final()) {
+            let queue = self.rules.queue(&job.rec.queue);
+            if let Some(org) = &job.rec.organisation
+                && queue.is_some_and(|q| q.priority == 0)
+            {
+                *used.entry(org.clone()) += job.accelerators();
+            }
+        }
+        let organisations = self.rules.organisations.iter();
+        let within = organisations.filter(|o| {
+            let used = used.get(&o.name).copied().unwrap_or(0);
+            used <= o.guaranteed
+        });
+        let mut claims: Vec<Text> = within.map(|o| o.name.clone()).collect();
+        claims.sort_unstable();
         claims
-            .filter(|o| self.is_within_guarantee(o))
-            .cloned()
-            .collect()
-    }
-
-    /// Returns whether the open jobs of priority 0 of an organisation fit into its guarantee.
-    pub(crate) fn is_within_guarantee(&self, org: &str) -> bool {
-        let jobs = self.jobs.iter().map(|(_, job)| job);
-        let open = jobs
-            .filter(|j| j.rec.organisation.as_deref() == Some(org) && !j.progress.phase.is_final());
-        let first = |q: &rules::Queue| q.priority == 0;
-        let urgent = open.filter(|j| self.rules.queue(&j.rec.queue).is_some_and(first));
-        urgent.map(Job::accelerators).sum::<u64>() <= self.rules.guaranteed(org)
     }
 }
 
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -1,33 +1,17 @@
 //! Room for urgent work: what is stopped for it, with the least work lost.
 
-use base::clock::Millis;
+use std::{cmp::Reverse, collections::BinaryHeap};
 
 use crate::{
     book::Book,
-    job::{Need, Step, TaskId, Text},
+    job::{Need, Step, Text},
     order::Unit,
-    place::{Rooms, Search, When},
-    progress::RunState,
+    place::Pass,
+    rooms::{Rooms, When},
+    search::Search,
+    victims::{Victim, Victims},
 };
 
-/// Work that a stopped subtask loses although it saves its progress: the time since the last
-/// checkpoint and the restore.
-const CHECKPOINT_LOSS: Millis = Millis(1_600);
-
-/// Added to the loss of urgent work, so that it is stopped only where nothing else makes room.
-const URGENT_LOSS: u64 = 1 << 40;
-/// A claim of a guarantee waits this long before it stops urgent work of an organisation that uses
-/// more than its guarantee: that work usually ends within seconds.
-const STOP_URGENT_AFTER: Millis = Millis(900);
-
-/// A run that may be stopped, with all that ends with it.
-#[derive(Clone, Debug)]
-struct Victim {
-    tasks: Vec<(TaskId, usize, Need)>,
-    /// Lost work in core milliseconds.
-    loss: u64,
-}
-
 impl Book {
     /// Keeps room that becomes free for the unit, or stops other work to make it. `may_stop`
     /// tells whether the unit has waited long enough for that.
@@ -36,9 +20,8 @@
         unit: &Unit,
         step: &Step,
         service: &Text,
-        rooms: &mut Rooms,
+        pass: &mut Pass,
         may_stop: bool,
-        now: Millis,
     ) {
         let search = Search {
             book: self,
@@ -46,159 +29,212 @@
             step,
             service,
         };
-        let mut found = search.find(rooms, When::AfterStops);
+        let mut found = search.find(&mut pass.rooms, When::AfterStops);
         let mut stops = Vec::new();
         if found.len() < unit.tasks.len() {
-            let Some(plan) = search.stop_others(rooms, now) else {
+            let mut victims = match pass.victims.take() {
+                Some(victims) => victims,
+                None => self.victims(pass),
+            };
+            let plan = search.stop_others(&pass.rooms, &victims);
+            for index in plan.iter().flat_map(|p| &p.stops) {
+                let victim = &mut victims.all[*index];
+                victim.chosen = true;
+                stops.push(victim.clone());
+            }
+            pass.victims = Some(victims);
+            let Some(plan) = plan else {
                 return;
             };
-            (found, stops) = plan;
+            found = plan.rooms;
+            pass.rooms.note_stops();
         }
         // A unit that waits keeps the room that it is going to use, so that nothing is started
         // there which would have to be stopped for it.
-        for (id, room, need) in stops {
-            rooms.rooms[room].later.add(need, 1);
+        for victim in stops {
+            for (room, need) in victim.frees {
+                pass.rooms.rooms[room].later.add(need, 1);
+            }
             if may_stop {
-                log::info!(task:% = id, for_job:% = unit.job; "batch: preempted");
-                self.stop(&id, now);
+                let tasks = victim.tasks.len();
+                log::info!(task:% = victim.tasks[0], tasks, loss = victim.loss, for_job:% = unit.job; "batch: preempted");
+                for id in &victim.tasks {
+                    self.stop(id, pass.now);
+                }
             }
         }
         for room in found {
-            rooms.rooms[room].take(step.reserved());
+            pass.rooms.rooms[room].take(step.reserved());
         }
     }
+}
 
-    /// Returns the runs that may be stopped for the unit, by what they lose.
-    fn victims(&self, unit: &Unit, rooms: &Rooms, now: Millis) -> Vec<Victim> {
-        let mut victims: Vec<Victim> = Vec::new();
-        let mut taken: Vec<TaskId> = Vec::new();
-        for room in &rooms.rooms {
-            let Some(worker) = self.workers.get(&room.worker) else {
-                continue;
+/// Rooms for the subtasks of a unit, and the runs to stop.
+#[derive(Debug, Default)]
+struct Plan {
+    rooms: Vec<usize>,
+    /// Indices of victims.
+    stops: Vec<usize>,
+    loss: u64,
+}
+
+/// Victims of one room that together make room for more subtasks there.
+#[derive(Debug)]
+struct Offer {
+    room: usize,
+    gained: u64,
+    /// Indices of victims.
+    stops: Vec<usize>,
+    loss: u64,
+}
+
+impl Search<'_> {
+    /// Returns the plan that loses least; none if no stops make enough room.
+    fn stop_others(&self, rooms: &Rooms, victims: &Victims) -> Option<Plan> {
+        let sets = self.sets(rooms);
+        let plans = sets.iter().filter_map(|set| self.plan(rooms, victims, set));
+        let missing = |p: &Plan| self.unit.tasks.len() - p.rooms.len();
+        plans.min_by_key(|p| (missing(p), p.loss))
+    }
+
+    /// Takes the cheapest offers of the rooms of one set until the unit fits, then leaves out the
+    /// stops that it does not need.
+    fn plan(&self, rooms: &Rooms, victims: &Victims, set: &[usize]) -> Option<Plan> {
+        let wanted = self.unit.tasks.len() as u64;
+        let mut fits: Vec<(usize, u64)> = Vec::new();
+        let mut total = 0;
+        for room in set {
+            let count = self.count(rooms, *room, Need::default()).min(wanted);
+            if count > 0 {
+                fits.push((*room, count));
+            }
+            total += count;
+        }
+        let mut plan = Plan::default();
+        let mut offers: Vec<Offer> = Vec::new();
+        if total < wanted {
+            for room in set {
+                self.offers(rooms, victims, *room, &mut offers);
+            }
+        }
+        // Offers of one room build on each other, so each enters once the one before is taken.
+        let price = |i: usize| Reverse((offers[i].loss / offers[i].gained, i));
+        let is_first = |i: &usize| *i == 0 || offers[*i - 1].room != offers[*i].room;
+        let firsts = (0..offers.len()).filter(is_first);
+        let mut heap: BinaryHeap<_> = firsts.map(price).collect();
+        while total < wanted {
+            let Some(Reverse((_, i))) = heap.pop() else {
+                break;
             };
-            for (task, _) in &worker.runs {
-                if taken.contains(task) || !self.may_stop_for(task, unit) {
-                    continue;
-                }
-                let gang = self.step_of(task).is_some_and(|s| s.gang);
-                let members = self.members(task, gang);
-                taken.extend(members.iter().cloned());
-                victims.push(self.victim(&members, rooms, now));
+            let offer = &offers[i];
+            total += offer.gained;
+            match fits.binary_search_by_key(&offer.room, |(room, _)| *room) {
+                Ok(at) => fits[at].1 += offer.gained,
+                Err(at) => fits.insert(at, (offer.room, offer.gained)),
+            }
+            let new = offer.stops.iter().filter(|v| !plan.stops.contains(v));
+            let new: Vec<usize> = new.copied().collect();
+            plan.stops.extend(new);
+            if offers.get(i + 1).is_some_and(|o| o.room == offer.room) {
+                heap.push(price(i + 1));
             }
         }
-        victims.sort_by_key(|v| v.loss);
-        victims
-    }
-
-    fn may_stop_for(&self, task: &TaskId, unit: &Unit) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return false;
-        };
-        let state = job.task(task).and_then(|t| t.run.as_ref()).map(|r| r.state);
-        if state.is_none_or(|s| s == RunState::Stopping) || job.step(task).endless {
-            return false;
+        if total == 0 || (self.unit.whole && total < wanted) {
+            return None;
         }
-        let priority = self
-            .rules
-            .queue(&job.rec.queue)
-            .map_or(u32::MAX, |q| q.priority);
-        let org = job.rec.organisation.as_deref();
-        let within = org.is_some_and(|o| self.is_within_guarantee(o));
-        let claims = unit.guaranteed && unit.waited >= STOP_URGENT_AFTER;
-        priority > unit.priority || (claims && !within)
-    }
-
-    /// Work of a higher priority is worth about twice as much for the same use of workers.
-    fn loss_factor(&self, task: &TaskId) -> u64 {
-        let job = self.jobs.get(&task.job);
-        let queue = job.and_then(|j| self.rules.queue(&j.rec.queue));
-        match queue.map(|q| q.priority) {
-            Some(0 | 1) => 2,
-            _ => 1,
+        // What is used of rooms that are free anyway comes first.
+        fits.sort_by_key(|(room, _)| plan.frees(victims, *room).weight());
+        for (room, count) in fits {
+            let rest = wanted - plan.rooms.len() as u64;
+            let used = count.min(rest) as usize;
+            plan.rooms.extend(std::iter::repeat_n(room, used));
         }
+        self.leave_out(rooms, victims, &mut plan);
+        Some(plan)
     }
 
-    fn is_urgent(&self, task: &TaskId) -> bool {
-        let job = self.jobs.get(&task.job);
-        let queue = job.and_then(|j| self.rules.queue(&j.rec.queue));
-        queue.is_some_and(|q| q.priority == 0)
+    /// Returns how many subtasks of the unit fit into a room once the stops there have taken
+    /// effect and `freed` is free as well.
+    fn count(&self, rooms: &Rooms, room: usize, freed: Need) -> u64 {
+        let room = &rooms.rooms[room];
+        let mut free = room.later;
+        free.add(freed, 1);
+        let count = self.step.reserved().count_in(free);
+        if count == 0 {
+            return 0;
+        }
+        count.min(self.limit(&room.worker))
     }
 
-    fn victim(&self, members: &[TaskId], rooms: &Rooms, now: Millis) -> Victim {
-        let mut victim = Victim {
-            tasks: Vec::new(),
-            loss: 0,
-        };
-        for id in members {
-            let Some(run) = self.task(id).and_then(|t| t.run.as_ref()) else {
-                continue;
-            };
-            let Some(step) = self.step_of(id) else {
-                continue;
-            };
-            let urgent = self.is_urgent(id);
-            let mut lost = now.since(run.placed);
-            if step.checkpoints {
-                lost = lost.min(CHECKPOINT_LOSS);
+    /// Adds the offers of one room, the smallest loss first.
+    fn offers(&self, rooms: &Rooms, victims: &Victims, room: usize, offers: &mut Vec<Offer>) {
+        let wanted = self.unit.tasks.len() as u64;
+        let mut freed = Need::default();
+        let mut fits = self.count(rooms, room, freed);
+        let (mut stops, mut loss) = (Vec::new(), 0);
+        for index in &victims.by_room[room] {
+            if fits >= wanted {
+                return;
             }
-            let weight = step.need.weight() * self.loss_factor(id);
-            victim.loss += weight * lost.0 / 1_000;
-            if urgent {
-                victim.loss += URGENT_LOSS;
+            let victim = &victims.all[*index];
+            if !victim.may_stop_for(self.unit) {
+                continue;
             }
-            let at = |r: &crate::place::Room| r.worker == run.worker;
-            if let Some(room) = rooms.rooms.iter().position(at) {
-                victim.tasks.push((id.clone(), room, step.reserved()));
+            freed.add(victim.frees_in(room), 1);
+            stops.push(*index);
+            loss += victim.loss;
+            let now = self.count(rooms, room, freed);
+            if now > fits {
+                offers.push(Offer {
+                    room,
+                    gained: now - fits,
+                    stops: std::mem::take(&mut stops),
+                    loss: std::mem::take(&mut loss),
+                });
+                fits = now;
             }
         }
-        victim
     }
-}
 
-/// Rooms for the subtasks of a unit, and the runs to stop.
-type Plan = (Vec<usize>, Vec<(TaskId, usize, Need)>);
-
-impl Search<'_> {
-    /// Adds the cheapest victims until the unit fits, then leaves out those it does not need.
-    fn stop_others(&self, rooms: &Rooms, now: Millis) -> Option<Plan> {
-        let usable = |v: &Victim| {
-            v.tasks
-                .iter()
-                .any(|(_, r, _)| self.is_usable(&rooms.rooms[*r]))
-        };
-        let mut victims = self.book.victims(self.unit, rooms, now);
-        victims.retain(usable);
-        let mut trial = rooms.clone();
-        let mut chosen: Vec<Victim> = Vec::new();
-        let mut found = self.find(&trial, When::AfterStops);
-        for victim in victims {
-            if found.len() == self.unit.tasks.len() {
-                break;
+    /// Leaves out the stops that the plan does not need. The dearest first: a cheap victim that is
+    /// not needed costs less than a dear one.
+    fn leave_out(&self, rooms: &Rooms, victims: &Victims, plan: &mut Plan) {
+        let loss = |v: &usize| victims.all[*v].loss;
+        plan.stops.sort_by_key(loss);
+        for i in (0..plan.stops.len()).rev() {
+            let victim = &victims.all[plan.stops[i]];
+            let is_needed = victim.frees.iter().any(|(room, _)| {
+                let used = plan.rooms.iter().filter(|r| *r == room).count() as u64;
+                let freed = plan.frees(victims, *room).minus(victim.frees_in(*room));
+                used > 0 && self.count(rooms, *room, freed) < used
+            });
+            if !is_needed {
+                plan.stops.remove(i);
             }
-            for (_, room, need) in &victim.tasks {
-                trial.rooms[*room].later.add(*need, 1);
-            }
-            chosen.push(victim);
-            found = self.find(&trial, When::AfterStops);
         }
-        if found.len() < self.unit.tasks.len() && (self.unit.whole || found.is_empty()) {
-            return None;
+        plan.loss = plan.stops.iter().map(loss).sum();
+    }
+}
+
+impl Plan {
+    /// Returns what the stops of the plan free in a room.
+    fn frees(&self, victims: &Victims, room: usize) -> Need {
+        let mut freed = Need::default();
+        for index in &self.stops {
+            freed.add(victims.all[*index].frees_in(room), 1);
         }
-        // The dearest first: a cheap victim that is not needed costs less than a dear one.
-        for i in (0..chosen.len()).rev() {
-            let mut without = trial.clone();
-            for (_, room, need) in &chosen[i].tasks {
-                let room = &mut without.rooms[*room];
-                room.later = room.later.minus(*need);
-            }
-            let still = self.find(&without, When::AfterStops);
-            if still.len() == found.len() {
-                trial = without;
-                found = still;
-                chosen.remove(i);
-            }
+        freed
+    }
+}
+
+impl Victim {
+    /// Returns what its stop frees in a room.
+    fn frees_in(&self, room: usize) -> Need {
+        let mut freed = Need::default();
+        let first = self.frees.partition_point(|(r, _)| *r < room);
+        for (_, need) in self.frees[first..].iter().take_while(|(r, _)| *r == room) {
+            freed.add(*need, 1);
         }
-        let stops = chosen.into_iter().flat_map(|v| v.tasks).collect();
-        Some((found, stops))
+        freed
     }
 }
--- a/crates/batch/src/rules.rs
+++ b/crates/batch/src/rules.rs
@@ -83,10 +83,4 @@
         let holds = |o: &&Organisation| o.keys.iter().any(|k| &**k == key);
         self.organisations.iter().find(holds)
     }
-
-    /// Returns the accelerators guaranteed to an organisation.
-    pub(crate) fn guaranteed(&self, name: &str) -> u64 {
-        let found = self.organisations.iter().find(|o| &*o.name == name);
-        found.map_or(0, |o| o.guaranteed)
-    }
 }
