--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -293,14 +293,15 @@
         self.workers.get(worker).is_some_and(used)
     }
 
-    /// Notes whether a worker answers; one that does not gets no new work.
+    /// Notes whether a worker answers; one that does not gets no new work, and for a while after.
     ///
     /// ```
-    /// batch::book::Book::default().answers("w", false);
+    /// use base::clock::Millis;
+    /// batch::book::Book::default().answers("w", false, Millis(1));
     /// ```
-    pub fn answers(&mut self, worker: &str, answers: bool) {
+    pub fn answers(&mut self, worker: &str, answers: bool, now: Millis) {
         if let Some(w) = self.workers.get_mut(worker) {
-            w.silent = !answers;
+            w.answers(answers, now);
         }
     }
 
--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -14,6 +14,15 @@
 /// Fails in a row after which a worker is avoided: a single one may be the subtask's own fault.
 const FAILS_IN_ROW: u32 = 2;
 
+/// A worker that was silent twice gets no work for this time after it answers again, and twice as
+/// long after each further silence: one that goes down and up by turns does so within a second or
+/// two. A single silence may be the fault of the way to it.
+const PROBATION: Millis = Millis(500);
+/// Most doublings of [`PROBATION`].
+const PROBATION_DOUBLINGS: u32 = 4;
+/// A silence that is this long ago does not count any more.
+const SILENCE_MEMORY: Millis = Millis(20_000);
+
 /// A worker with the runs that may exist on it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Worker {
@@ -33,6 +42,9 @@
     pub(crate) leaves_at: Option<Millis>,
     /// Whether it does not answer.
     pub(crate) silent: bool,
+    /// Silences of late, and when the last one ended.
+    silences: u32,
+    spoke: Millis,
     /// Failed runs since the last success.
     pub(crate) fails: u32,
 }
@@ -88,4 +100,22 @@
     pub(crate) fn succeeded(&mut self) {
         self.fails = 0;
     }
+
+    /// Notes whether it answers.
+    pub(crate) fn answers(&mut self, answers: bool, now: Millis) {
+        let again = self.silent && answers;
+        self.silent = !answers;
+        if !again {
+            return;
+        }
+        if now.since(self.spoke) > SILENCE_MEMORY {
+            self.silences = 0;
+        }
+        self.spoke = now;
+        self.silences += 1;
+        if self.silences > 1 {
+            let doublings = (self.silences - 2).min(PROBATION_DOUBLINGS);
+            self.avoid_until = self.avoid_until.max(now + Millis(PROBATION.0 << doublings));
+        }
+    }
 }
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -74,10 +74,21 @@
         };
         let (rooms, now) = (&mut pass.rooms, pass.now);
         let found = search.find(rooms, When::Now);
+        let mut placed = Vec::with_capacity(found.len());
         for (id, room) in unit.tasks.iter().zip(&found) {
             let worker = rooms.rooms[*room].worker.clone();
             rooms.rooms[*room].take(step.reserved());
-            self.start(id, worker, now, wall);
+            if let Some(attempt) = self.start(id, worker.clone(), now, wall) {
+                placed.push(format!("{}#{attempt}@{worker}", id.index));
+            }
+        }
+        if !placed.is_empty() {
+            // One line for all: a line for each subtask of a wide step would fill the log.
+            log::info!(
+                job:% = unit.job, occurrence = unit.tasks[0].occurrence, step = unit.step,
+                waited_ms = unit.waited.0, tasks = placed.join(" ");
+                "batch: placed"
+            );
         }
         if found.len() == unit.tasks.len() {
             return;
@@ -133,10 +144,9 @@
         );
     }
 
-    fn start(&mut self, id: &TaskId, worker: Text, now: Millis, wall: Millis) {
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
+    /// Starts a subtask and returns the number of the start.
+    fn start(&mut self, id: &TaskId, worker: Text, now: Millis, wall: Millis) -> Option<u32> {
+        let job = self.jobs.get_mut(&id.job)?;
         let step = &job.rec.spec.steps[id.step];
         let need = step.reserved();
         let tasks = &mut job.progress.occurrences[id.occurrence as usize].steps[id.step];
@@ -150,9 +160,7 @@
                 task.checkpoint = checkpoint.clone();
             }
         }
-        let Some(w) = self.workers.get_mut(&worker) else {
-            return;
-        };
+        let w = self.workers.get_mut(&worker)?;
         let task = &mut tasks[id.index];
         task.attempt += 1;
         let attempt = task.attempt;
@@ -165,6 +173,7 @@
             ordered: now,
             percent: 0,
             unanswered: 0,
+            listed: false,
         });
         w.add(id.clone(), need);
         if job.progress.phase == Phase::Queued {
@@ -176,9 +185,8 @@
                 .map_or(u32::MAX, |q| q.priority);
             self.started.push((priority, wall.since(job.rec.at)));
         }
-        let waited = wall.since(job.rec.at);
-        log::info!(task:% = id, attempt, worker:%, waited_ms = waited.0; "batch: placed");
         self.dirty.push(id.job.clone());
         self.order_start(id, now);
+        Some(attempt)
     }
 }
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -81,6 +81,9 @@
     /// Starts sent without an answer.
     #[serde(skip)]
     pub(crate) unanswered: u32,
+    /// Whether the worker has listed it as running.
+    #[serde(skip)]
+    pub(crate) listed: bool,
 }
 
 /// State of one subtask; the field names are short because a row holds hundreds.
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -71,20 +71,23 @@
         self.stop_unit(id, now);
     }
 
-    /// Handles the answer of a worker to a stop.
+    /// Handles the answer of a worker to a stop. Returns whether only a later report can tell
+    /// that the run is gone: the worker never listed it, so it may list no end either.
     ///
     /// ```
     /// use base::clock::Millis;
     /// use batch::{book::Book, job::TaskId};
     /// let task = TaskId::parse("1.0.0.0").unwrap();
-    /// Book::default().stop_answered(&task, 1, Millis(1));
+    /// assert!(!Book::default().stop_answered(&task, 1, Millis(1)));
     /// ```
-    pub fn stop_answered(&mut self, id: &TaskId, attempt: u32, now: Millis) {
+    pub fn stop_answered(&mut self, id: &TaskId, attempt: u32, now: Millis) -> bool {
         let task = self.task_mut(id).filter(|t| t.attempt == attempt);
-        if let Some(run) = task.and_then(|t| t.run.as_mut()) {
-            // The first answer counts: from then on the run can't begin any more.
-            run.answered.get_or_insert(now);
-        }
+        let Some(run) = task.and_then(|t| t.run.as_mut()) else {
+            return false;
+        };
+        // The first answer counts: from then on the run can't begin any more.
+        run.answered.get_or_insert(now);
+        !run.listed
     }
 
     /// Handles a report that a worker gave to a call sent at `sent`.
@@ -139,6 +142,7 @@
             return;
         };
         run.percent = percent;
+        run.listed = true;
         // A report to a later call that does not list the run shows that it is gone.
         run.answered.get_or_insert(now);
         match run.state {
--- a/crates/batch/tests/answers.rs
+++ b/crates/batch/tests/answers.rs
@@ -66,15 +66,50 @@
     assert!(over > Millis(7_122), "{over}");
 }
 
-/// Guards against work on a worker that does not answer.
+/// Guards against work on a worker that does not answer, or that answers only now and then: from
+/// the second silence within 20 s on, a time without work follows that doubles with each.
 #[test]
-fn nothing_is_placed_on_a_silent_worker() {
+fn a_silent_worker_gets_no_work_until_its_probation_is_over() {
     let mut fleet = Fleet::new(1);
-    fleet.book.answers("w00", false);
-    fleet.submit("1", 1, step(1, 1));
-    assert!(starts(&fleet.plan()).is_empty());
-    fleet.book.answers("w00", true);
-    assert_eq!(starts(&fleet.plan()).len(), 1);
+    for (round, probation) in [0, 500, 1_000].into_iter().enumerate() {
+        let now = fleet.now;
+        fleet.book.answers("w00", false, now);
+        let id = format!("{round}");
+        fleet.submit(&id, 1, step(1, 1));
+        assert!(starts(&fleet.plan()).is_empty(), "silent, round {round}");
+        let now = fleet.after(100).now;
+        fleet.book.answers("w00", true, now);
+        if probation > 0 {
+            fleet.after(probation - 1);
+            assert!(starts(&fleet.plan()).is_empty(), "probation, round {round}");
+            fleet.after(1);
+        }
+        assert_eq!(starts(&fleet.plan()).len(), 1, "round {round}");
+    }
+    let now = fleet.after(21_000).now;
+    fleet.book.answers("w00", false, now);
+    fleet.book.answers("w00", true, now);
+    fleet.submit("later", 1, step(1, 1));
+    assert_eq!(starts(&fleet.plan()).len(), 1, "old silences count");
+}
+
+/// Guards against a gang that waits for seconds for a member that never ran: a stop of a run that
+/// was never listed may end without a line in any report, so a report has to be asked for.
+#[test]
+fn a_stop_of_an_unlisted_run_asks_for_a_report() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("1", 1, gang(2, 8));
+    let members = starts(&fleet.plan());
+    let [listed, unlisted] = &members[..] else {
+        panic!("{members:?}");
+    };
+    fleet.report(&listed.worker.clone(), &[listed], vec![]);
+    let now = fleet.after(10).now;
+    assert!(!fleet.book.stop_answered(&listed.task, 1, now));
+    assert!(fleet.book.stop_answered(&unlisted.task, 1, now));
+    let sent = fleet.after(5).now;
+    fleet.report_to(sent, &unlisted.worker.clone(), &[], vec![]);
+    assert_eq!(fleet.book.runs_on(&unlisted.worker), 0);
 }
 
 /// Guards against a job that never ends because its worker vanished.
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -33,7 +33,8 @@
 
 /// Writes a file for one test and returns its path.
 fn file(name: &str, content: &str) -> String {
-    let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("commands");
+    let folder = format!("commands-{}", std::process::id());
+    let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder);
     fs::create_dir_all(&dir).unwrap();
     let file = dir.join(name);
     fs::write(&file, content).unwrap();
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -41,6 +41,17 @@
     net::SocketAddr::from((ip, port))
 }
 
+/// Returns an empty folder for one test of this process; two runs of a test on one machine must
+/// not replace each other's settings.
+pub fn scratch(test: &str) -> path::PathBuf {
+    let name = format!("{test}-{}", process::id());
+    let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // A process with the same id may have left one.
+    let _ = fs::remove_dir_all(&dir);
+    fs::create_dir_all(&dir).unwrap();
+    dir
+}
+
 /// Waits until `f` returns a value; panics with `what` after the limit.
 pub fn until<T>(what: &str, limit: time::Duration, mut f: impl FnMut() -> Option<T>) -> T {
     let start = time::Instant::now();
@@ -202,8 +213,17 @@
     text += &format!("content-length: {}\r\n\r\n{body}", body.len());
     tcp.write_all(text.as_bytes()).ok()?;
     let mut answer = Vec::new();
-    tcp.read_to_end(&mut answer).ok()?;
-    parse(&String::from_utf8_lossy(&answer))
+    if let Err(e) = tcp.read_to_end(&mut answer) {
+        let bytes = answer.len();
+        eprintln!("{method} {path} to {addr}: no whole answer, {bytes} bytes read: {e}");
+        return None;
+    }
+    let text = String::from_utf8_lossy(&answer);
+    let parsed = parse(&text);
+    if parsed.is_none() {
+        eprintln!("{method} {path} to {addr}: connection closed after {text:?}");
+    }
+    parsed
 }
 
 fn parse(text: &str) -> Option<Answer> {
@@ -289,9 +309,7 @@
 impl Builder {
     /// Starts the system and applies the configuration.
     pub fn start(&self, test: &str) -> System {
-        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
-        let _ = fs::remove_dir_all(&dir);
-        fs::create_dir_all(&dir).unwrap();
+        let dir = scratch(test);
         let platform = platform::start(platform_cfg::PlatformCfg::default()).unwrap();
         let workers = worker::start_all(self.worker_cfgs()).unwrap();
         let backends = backend::start(self.backends.clone()).unwrap();
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::BTreeMap,
-    fs, net, path,
+    net,
     sync::{Arc, atomic::AtomicBool},
     time,
 };
@@ -33,10 +33,7 @@
 
 impl Site {
     fn start(test: &str, nodes: usize, workers: usize, run_ms: u64) -> Self {
-        let dir = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
-        // The folder of an earlier run may not be there.
-        let _ = fs::remove_dir_all(&dir);
-        fs::create_dir_all(&dir).unwrap();
+        let dir = common::scratch(test);
         let stop = Arc::new(AtomicBool::new(false));
         let store = Store::start(&stop).unwrap();
         store.put("op", "config", &config(1, &[KEY]));
--- a/crates/node/src/contact.rs
+++ b/crates/node/src/contact.rs
@@ -143,7 +143,8 @@
         contact.kept = false;
         contact.grants.answers(true);
     }
-    leader.book.borrow_mut().answers(&worker, true);
+    let mut book = leader.book.borrow_mut();
+    book.answers(&worker, true, clock::now());
 }
 
 fn is_needed(leader: &Leader, worker: &Text, silent: bool) -> bool {
@@ -156,7 +157,9 @@
         Some(reason) => log::warn!(worker:%, reason; "workers: no answer"),
         None => log::info!(worker:%; "workers: answers again"),
     }
-    leader.book.borrow_mut().answers(worker, failure.is_none());
+    let mut book = leader.book.borrow_mut();
+    book.answers(worker, failure.is_none(), clock::now());
+    drop(book);
     if let Some(contact) = leader.contacts.borrow_mut().get_mut(worker) {
         contact.grants.answers(failure.is_none());
     }
@@ -205,6 +208,24 @@
     }
 }
 
+/// Asks once what runs on a worker, without a wait. The lease and the ends that the worker may
+/// forget are left to the renewals, which come one after another.
+pub(crate) async fn ask(cx: &Cx, leader: &Rc<Leader>, target: &Target) {
+    if leader.ended.get() || cx.acting().is_none() {
+        return;
+    }
+    let sent = clock::now();
+    let call = Renew {
+        lease_end: None,
+        acked: 0,
+        wait: Millis::ZERO,
+    };
+    match cx.workers.renew(target, call, ANSWER).await {
+        Reply::Done(report) => reported(leader, &target.id, &report, sent, None),
+        reply => log::debug!(worker:% = target.id, reply:?; "workers: no report after a stop"),
+    }
+}
+
 /// Returns the ends that the worker may forget and was not told so. A number is sent once only:
 /// after a restart under the same id it would name other ends.
 fn unforgotten(leader: &Leader, worker: &Text) -> Option<(u64, u64)> {
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -2,12 +2,20 @@
 
 use std::rc::Rc;
 
-use base::clock;
+use base::clock::{self, Millis};
 use batch::worker::{Action, Order, Refusal, StartReply};
 use ntex::rt;
 use platform::workers::{Reply, Start};
 
-use crate::{contact, cx::Cx, leader::Leader};
+use crate::{
+    contact,
+    cx::{self, Cx},
+    leader::Leader,
+};
+
+/// Time from a stop to the question whether the run is there. Clocks here count milliseconds, and
+/// only a report to a call that was sent later than the answer counts.
+const SETTLE: Millis = Millis(5);
 
 /// Sends orders, each on its own; the answers go to the book.
 pub(crate) fn send(cx: &Cx, leader: &Rc<Leader>, orders: Vec<Order>) {
@@ -58,9 +66,14 @@
                 "unknown"
             };
             cx.metrics.order("stop", outcome);
-            if reply == Reply::Done(()) {
-                let mut book = leader.book.borrow_mut();
-                book.stop_answered(&order.task, order.attempt, clock::now());
+            if reply != Reply::Done(()) {
+                return;
+            }
+            let (task, attempt, now) = (&order.task, order.attempt, clock::now());
+            let open = leader.book.borrow_mut().stop_answered(task, attempt, now);
+            if open {
+                cx::sleep(SETTLE).await;
+                contact::ask(&cx, &leader, &target).await;
             }
         }
     }
@@ -91,7 +104,10 @@
 }
 
 fn answered(leader: &Leader, order: &Order, reply: StartReply) {
-    log::info!(task:% = order.task, attempt = order.attempt, worker:% = order.worker, reply:?; "orders: start");
+    // A start that is taken shows in the end of its run.
+    if reply != StartReply::Taken {
+        log::info!(task:% = order.task, attempt = order.attempt, worker:% = order.worker, reply:?; "orders: start");
+    }
     let mut book = leader.book.borrow_mut();
     book.start_answered(&order.task, order.attempt, reply, clock::now());
     drop(book);
--- a/crates/store/src/caller.rs
+++ b/crates/store/src/caller.rs
@@ -62,6 +62,9 @@
 pub enum Failure {
     /// No byte was sent.
     NotSent(String),
+    /// Something may have been sent, and the connection was closed or reset without an answer. An
+    /// idle connection that the server has left behind fails so.
+    Closed(String),
     /// Something may have been sent.
     NoAnswer(String),
 }
@@ -71,14 +74,16 @@
     pub fn of_write(self) -> StoreError {
         match self {
             Self::NotSent(reason) => StoreError::NotDone { reason },
-            Self::NoAnswer(reason) => StoreError::Unknown { reason },
+            Self::Closed(reason) | Self::NoAnswer(reason) => StoreError::Unknown { reason },
         }
     }
 
     /// Classifies a failed read, which has no effect in any case.
     pub fn of_read(self) -> StoreError {
         match self {
-            Self::NotSent(reason) | Self::NoAnswer(reason) => StoreError::NotDone { reason },
+            Self::NotSent(reason) | Self::Closed(reason) | Self::NoAnswer(reason) => {
+                StoreError::NotDone { reason }
+            }
         }
     }
 }
@@ -185,8 +190,9 @@
 fn classify(err: &ClientError) -> Failure {
     match err {
         ClientError::Connect(ConnectError::Disconnected(None)) => {
-            Failure::NoAnswer("connection closed without an answer".into())
+            Failure::Closed("connection closed without an answer".into())
         }
+        ClientError::Send(_) => Failure::Closed(err.to_string()),
         ClientError::Connect(_) | ClientError::Url(_) => Failure::NotSent(err.to_string()),
         _ => Failure::NoAnswer(err.to_string()),
     }
