Leave callers to nodes that the store serves

A node that the store does not serve asks three others. If one is served, the node is not ready for the balancer and its refusals let callers come back at once; else it stays, and callers wait 1 s as before.

Test: a_node_that_is_refused_alone_leaves_callers_to_others (new; before, the node stays ready and says 1 s). Conclusion: refused callers are told where service is.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -6,7 +6,10 @@
 use std::{
     collections::BTreeMap,
     net,
-    sync::{Arc, atomic::AtomicBool},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time,
 };
 
@@ -26,6 +29,10 @@
     nodes: Vec<Proc>,
     /// Addresses of the nodes for operators, which the row of the lease names.
     operators: Vec<net::SocketAddr>,
+    /// Addresses of the nodes for the balancer.
+    ready: Vec<net::SocketAddr>,
+    /// Whether the store refuses the first node.
+    first_refused: Arc<AtomicBool>,
     store: Store,
     workers: Vec<Worker>,
     _stop: Arc<AtomicBool>,
@@ -43,12 +50,16 @@
         for (i, worker) in workers.iter().enumerate() {
             store.put("servers", &format!("i-{i}"), &worker.entry("r1", "ready"));
         }
+        let first_refused: Arc<AtomicBool> = Arc::default();
+        let entrance = store.entrance(&stop, &first_refused).unwrap();
         let operators: Vec<_> = (0..nodes).map(|_| common::free_addr()).collect();
+        let ready: Vec<_> = (0..nodes).map(|_| common::free_addr()).collect();
         let node = |i: usize| {
-            let (front, ready) = (common::free_addr(), common::free_addr());
+            let front = common::free_addr();
+            let entrance = if i == 0 { entrance } else { store.addr() };
             let cfg = json!({"name": format!("n{i}"), "zone": "z", "listen": front,
-                "listen_ready": ready, "listen_metrics": operators[i],
-                "store": store.addr()});
+                "listen_ready": ready[i], "listen_metrics": operators[i],
+                "store": entrance});
             Proc::start(
                 "node",
                 common::write(&dir, &format!("node-{i}"), &cfg),
@@ -58,6 +69,8 @@
         let mut site = Self {
             nodes: (0..nodes).map(node).collect(),
             operators: operators.clone(),
+            ready: ready.clone(),
+            first_refused,
             store,
             workers,
             _stop: stop,
@@ -268,6 +281,49 @@
     assert_eq!(site.check_runs().len(), 1, "the refused job never runs");
 }
 
+/// Guards against callers that are kept at a node which the store does not serve while others are
+/// served: the balancer leaves it out, and its refusals say that the next try may come at once. If
+/// the store serves nobody, all nodes stay and callers are told to wait.
+#[test]
+fn a_node_that_is_refused_alone_leaves_callers_to_others() {
+    let site = Site::start("node-alone", 3, 1, 100);
+    let is_ready =
+        |i: usize| common::get(site.ready[i], "/-/readiness").is_some_and(|a| a.status == 200);
+    site.first_refused.store(true, Ordering::Relaxed);
+    let retry_at_once = || {
+        let answer = site.submit(0, 1, 1, false)?;
+        assert_eq!(answer.status, 503, "{answer:?}");
+        answer.head.contains("retry-after: 0\r\n").then_some(())
+    };
+    until("callers are sent elsewhere", LIMIT, retry_at_once);
+    until("the node is left out", LIMIT, || {
+        (!is_ready(0)).then_some(())
+    });
+    assert!(is_ready(1) && is_ready(2));
+    assert_eq!(site.submit(1, 1, 1, false).unwrap().status, 200);
+
+    site.store.set_fault(Fault::Refuses);
+    until("all nodes stay", LIMIT, || {
+        (is_ready(0) && is_ready(1) && is_ready(2)).then_some(())
+    });
+    for i in 0..3 {
+        let answer = site.submit(i, 2, 1, false).unwrap();
+        assert_eq!(answer.status, 503);
+        assert!(
+            answer.head.contains("retry-after: 1\r\n"),
+            "{}",
+            answer.head
+        );
+    }
+
+    site.first_refused.store(false, Ordering::Relaxed);
+    site.store.set_fault(Fault::None);
+    until("the node serves again", LIMIT, || {
+        site.submit(0, 3, 1, false).filter(|a| a.status == 200)
+    });
+    until("the node is in again", LIMIT, || is_ready(0).then_some(()));
+}
+
 /// Guards against a submission that is reported as refused although it was stored.
 #[test]
 fn a_lost_answer_of_the_store_is_settled() {
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -88,6 +88,10 @@
             match &error {
                 StoreError::Unknown { .. } => self.unknown = true,
                 StoreError::NotDone { .. } => {
+                    if cx.peers.store_answers(false) {
+                        cx.metrics.store_lost();
+                        log::warn!(store = "lost", reason:% = error; "accept: the store does not serve this node");
+                    }
                     let since = *self.refused_since.get_or_insert(now);
                     if !self.unknown && now.since(since) >= REFUSED_FOR {
                         log::info!(tries = self.tries, reason:% = error; "accept: the store refuses");
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -19,7 +19,6 @@
 /// Follows the configuration for the life of the process.
 pub(crate) async fn follow(cx: Cx) {
     let mut version = None;
-    let mut lost = false;
     loop {
         let result = match version {
             None => read(&cx).await,
@@ -27,19 +26,17 @@
         };
         match result {
             Ok(next) => {
-                if lost {
+                if cx.peers.store_answers(true) {
                     log::info!(store = "regained"; "config: the store answers again");
                 }
-                lost = false;
                 version = next;
             }
             Err(e) => {
-                if !lost {
+                if cx.peers.store_answers(false) {
                     cx.metrics.store_lost();
                     let age = cx.config_age().map(|a| a.0);
                     log::warn!(store = "lost", age_ms:? = age, reason:% = e; "config: no answer from the store");
                 }
-                lost = true;
                 cx::sleep(RETRY).await;
             }
         }
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -12,7 +12,7 @@
 use store::{http_cfg::HttpCfg, table::StoreError};
 use tokio::sync::Notify;
 
-use crate::{leader::Leader, metrics::Metrics, node_cfg::NodeCfg, rows};
+use crate::{leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, rows};
 
 /// Longest call to the store for a caller or a decision. A store that is 60 times slower than
 /// usual answers in 0.5 s.
@@ -60,6 +60,7 @@
     pub(crate) lease: RefCell<Lease>,
     pub(crate) lease_changed: Notify,
     pub(crate) leader: RefCell<Option<Rc<Leader>>>,
+    pub(crate) peers: Peers,
     pub(crate) metrics: Metrics,
     pub(crate) stopping: Cell<bool>,
     /// Requests of callers under way.
@@ -92,6 +93,7 @@
             lease: RefCell::new(Lease::new(who.id, cfg.lease)),
             lease_changed: Notify::new(),
             leader: RefCell::default(),
+            peers: Peers::new().await?,
             metrics: Metrics::default(),
             stopping: Cell::new(false),
             requests: Cell::new(0),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,7 +9,7 @@
     accept,
     authorise::{self, Authorised},
     cx::Cx,
-    dump,
+    dump, peers,
     refusal::Refusal,
 };
 
@@ -20,6 +20,13 @@
 /// Time before a caller gives up at which it gets its answer: the way back takes up to 10 ms.
 const WAY_BACK: Millis = Millis(150);
 
+/// When a caller may come back after the store refused this node and others are served, in
+/// seconds: the balancer chooses another node for the next try.
+const RETRY_ELSEWHERE_S: u16 = 0;
+/// When a caller may come back after the store refused this node and perhaps all, in seconds.
+/// Outages last seconds, and a caller has a few tries only.
+const RETRY_S: u16 = 1;
+
 /// Serves a request of a caller.
 pub(crate) async fn serve(cx: Cx, req: Request) -> Response {
     let guard = Guard::new(&cx);
@@ -106,12 +113,18 @@
         config = cx.rules().version, age_ms:? = age;
         "front: refused"
     );
-    refusal.response()
+    let retry_after = if cx.peers.are_served_alone() {
+        RETRY_ELSEWHERE_S
+    } else {
+        RETRY_S
+    };
+    refusal.response(retry_after)
 }
 
-/// Serves the readiness check of the balancer.
+/// Serves the readiness check of the balancer. A node that the store does not serve leaves callers
+/// to others if these are served; if none is, it stays, because its refusals are true and early.
 pub(crate) fn ready(cx: &Cx, req: &Request) -> Response {
-    let is_ready = !cx.stopping.get() && cx.config_age().is_some();
+    let is_ready = !cx.stopping.get() && cx.config_age().is_some() && !cx.peers.are_served_alone();
     match (req.path() == paths::READY, is_ready) {
         (true, true) => Response::Ok().finish(),
         (true, false) => Response::ServiceUnavailable().finish(),
@@ -125,6 +138,8 @@
         "/metrics" => Response::Ok()
             .content_type("text/plain")
             .body(cx.metrics.text(cx)),
+        peers::PATH if peers::is_served(cx) => Response::Ok().finish(),
+        peers::PATH => Response::ServiceUnavailable().finish(),
         "/dump" => Response::Ok()
             .content_type("application/json")
             .body(dump::of(cx)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 pub mod node_cfg;
 mod orders;
+mod peers;
 pub mod process;
 mod refusal;
 mod rows;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -13,6 +13,7 @@
     cx::{self, Ctx, Cx},
     front, lease_task,
     node_cfg::NodeCfg,
+    peers,
 };
 
 /// Time after SIGTERM in which new connections are still served: the balancer asks once a second
@@ -54,6 +55,7 @@
             future::ready(front::operate(&cx, &req))
         });
         rt::spawn(config::follow(cx.clone())).detach();
+        rt::spawn(peers::follow(cx.clone())).detach();
         let lease = rt::spawn(lease_task::run(cx.clone()));
         let stopped = wait_for_signal().await?;
         cx.stopping.set(true);
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -26,16 +26,12 @@
     Unknown,
 }
 
-/// When a caller may come back after the store refused this VM, in seconds. Outages for single VMs
-/// last seconds, and the balancer may choose another entry for the next try.
-const RETRY_S: u16 = 1;
-
 impl Refusal {
-    /// Returns the answer.
-    pub(crate) fn response(self) -> Response {
+    /// Returns the answer; `retry_after` tells in seconds when the caller may come back.
+    pub(crate) fn response(self, retry_after: u16) -> Response {
         let mut builder = Response::build(self.status());
         if matches!(self, Self::ConfigAge | Self::Store) {
-            builder.header(paths::RETRY_AFTER, RETRY_S.to_string());
+            builder.header(paths::RETRY_AFTER, retry_after.to_string());
         }
         builder.finish()
     }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -13,6 +13,8 @@
 pub(crate) const PHASES: &str = "phases";
 /// Table of the rows of the leadership.
 pub(crate) const CONTROL: &str = "control";
+/// Table of all nodes, by name; each writes its own row at its start.
+pub(crate) const NODES: &str = "nodes";
 /// Row with the number of the leader's last commit.
 pub(crate) const CHAIN: &str = "control/chain";
 /// Row with the numbers of waiting jobs.
