Stop deferrable work before work of priority 1

A stop of priority 1 now counts five times its loss, twice before. Test: deferrable_work_is_stopped_before_work_of_priority_1 (failed first).

--- a/crates/batch/src/victims.rs
+++ b/crates/batch/src/victims.rs
@@ -19,9 +19,9 @@
 /// A claim of a guarantee waits this long before it stops urgent work of an organisation that uses
 /// more than its guarantee: that work usually ends within seconds.
 const STOP_URGENT_AFTER: Millis = Millis(900);
-/// Work of priority 0 or 1 is worth about this many times as much as other work for the same use
-/// of workers.
-const HIGH_PRIORITY_FACTOR: u64 = 2;
+/// A stop of work of priority 0 or 1 counts this many times its loss: such work is worth about
+/// twice as much for the same use of workers, and waits for room on several workers again.
+const HIGH_PRIORITY_FACTOR: u64 = 5;
 
 /// A run that may be stopped, with all that ends with it.
 #[derive(Clone, Debug)]
--- a/crates/batch/tests/urgent.rs
+++ b/crates/batch/tests/urgent.rs
@@ -88,3 +88,21 @@
         "it waits for a whole rack"
     );
 }
+
+/// Guards against wide work of priority 1 that never ends under bursts of urgent work: it waits for
+/// whole workers after each stop, so deferrable work is stopped in its place even if that loses a
+/// few times as much.
+#[test]
+fn deferrable_work_is_stopped_before_work_of_priority_1() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("deferrable", 2, step(8, 1));
+    assert_eq!(starts(&fleet.plan()).len(), 8);
+    fleet.after(4_000).submit("wide", 1, step(1, 8));
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+    fleet.after(4_000).submit("urgent", 0, step(1, 8));
+    fleet.plan();
+    fleet.after(300);
+    let stopped = stops(&fleet.plan());
+    assert_eq!(stopped.len(), 8, "{stopped:?}");
+    assert!(stopped.iter().all(|o| &*o.task.job == "deferrable"));
+}
