--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -145,6 +145,11 @@
         get(self.http, "/ready").is_some_and(|a| a.status == 200)
     }
 
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     /// Panics with the log if the process has ended.
     pub fn assert_running(&mut self) {
         if let Some(status) = self.child.try_wait().unwrap() {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod lease_cfg;
 pub mod machine;
 pub mod table;
+pub mod task;
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -77,8 +77,7 @@
         cx.metrics.job_started(*priority, *waited);
     }
     let mut records = batch.records.into_iter().peekable();
-    let forgotten = std::mem::take(&mut *leader.forgotten.borrow_mut());
-    let mut forgotten = forget(cx, forgotten).await;
+    let mut forgotten = std::mem::take(&mut *leader.forgotten.borrow_mut());
     let mut counts = pending.due(leader);
     while records.peek().is_some() || !forgotten.is_empty() || counts.is_some() {
         let mut txn = Txn::default();
@@ -149,23 +148,6 @@
     bytes
 }
 
-/// Deletes the rows of jobs that ended long ago and returns those whose rows of the leader may go
-/// as well. The row of the job goes first: without a phase it would count as a new job.
-async fn forget(cx: &Cx, ids: Vec<Text>) -> Vec<Text> {
-    let mut gone = Vec::with_capacity(ids.len());
-    for id in ids {
-        let txn = Txn::default()
-            .delete(rows::job(&id))
-            .delete(rows::cancel(&id));
-        match cx.table.commit(&txn).await {
-            Ok(_) => gone.push(id),
-            // The next leader finds the job and forgets it.
-            Err(e) => log::info!(job:% = id, reason:% = e; "commit: the job is not forgotten"),
-        }
-    }
-    gone
-}
-
 /// Commits one transaction as a link of the chain, however often that has to be tried.
 async fn store(cx: &Cx, leader: &Leader, txn: Txn) -> Result<(), Deposed> {
     let (version, count) = leader.chain.get();
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -18,7 +18,7 @@
     advice, commit,
     contact::{self, Contact},
     cx::{self, Cx},
-    intake, load, worker_list,
+    forget, intake, load, worker_list,
 };
 
 /// Longest time between two passes; repeats of orders and patience are decided in passes.
@@ -27,10 +27,6 @@
 const GATHER: Millis = Millis(4);
 /// Pause before a failed load is repeated.
 const LOAD_RETRY: Millis = Millis(100);
-/// Time between two removals of jobs that ended long ago.
-const FORGET_EVERY: Millis = Millis(5_000);
-/// Most jobs removed at once; their deletions share a transaction with other records.
-const FORGET_MOST: usize = 10;
 
 /// What the holder of the lease knows.
 #[derive(Debug)]
@@ -42,7 +38,7 @@
     pub(crate) contacts: RefCell<SortedMap<Text, Contact>>,
     /// Phases as stored.
     pub(crate) phases: RefCell<SortedMap<Text, Phase>>,
-    /// Jobs whose rows are to be deleted.
+    /// Jobs whose other rows are deleted and whose rows of the leader may go.
     pub(crate) forgotten: RefCell<Vec<Text>>,
     /// Version and number of the last commit.
     pub(crate) chain: Cell<(u64, u64)>,
@@ -102,13 +98,9 @@
     rt::spawn(intake::follow(cx.clone(), leader.clone(), version)).detach();
     rt::spawn(worker_list::poll(cx.clone(), leader.clone())).detach();
     rt::spawn(commit::run(cx.clone(), leader.clone())).detach();
-    let mut forgot = clock::now();
+    rt::spawn(forget::run(cx.clone(), leader.clone())).detach();
     while !leader.ended.get() {
         let wait = pass(&cx, &leader);
-        if clock::now().since(forgot) >= FORGET_EVERY {
-            forgot = clock::now();
-            forget(&cx, &leader);
-        }
         tokio::select! {
             () = leader.changed.notified() => cx::sleep(GATHER).await,
             () = cx::sleep(wait) => {}
@@ -136,12 +128,3 @@
     contact::keep(cx, leader);
     next.map_or(TICK, |due| TICK.min(due.since(wall)).max(Millis(1)))
 }
-
-fn forget(cx: &Cx, leader: &Leader) {
-    let before = Millis(clock::wall().0.saturating_sub(cx.cfg.keep_ms.0));
-    let ids = leader.book.borrow_mut().forget(before, FORGET_MOST);
-    if !ids.is_empty() {
-        leader.forgotten.borrow_mut().extend(ids);
-        leader.dirty.notify_one();
-    }
-}
--- a/crates/node/src/lease_task.rs
+++ b/crates/node/src/lease_task.rs
@@ -2,8 +2,7 @@
 
 use std::rc::Rc;
 
-use base::clock::{self, Millis};
-use lease::{machine::Step, table};
+use lease::task;
 use ntex::rt;
 
 use crate::{
@@ -13,30 +12,16 @@
 
 /// Runs the lease until it is handed over.
 pub(crate) async fn run(cx: Cx) {
-    let mut count = 0;
-    loop {
-        let step = cx.lease.borrow_mut().step(clock::now());
-        match step {
-            Step::Ended => {
-                follow(&cx);
-                return;
-            }
-            Step::Wait { until } => pause(&cx, until.since(clock::now())).await,
-            step => {
-                count += 1;
-                let carried = table::carry_out(&cx.lease_table, &cx.who, step, count).await;
-                cx.lease.borrow_mut().done(clock::now(), carried.outcome);
-            }
-        }
-        follow(&cx);
-    }
-}
-
-async fn pause(cx: &Cx, span: Millis) {
-    tokio::select! {
-        () = cx.lease_changed.notified() => {}
-        () = tokio::time::sleep(span.to_duration()) => {}
-    }
+    let (lease, changed) = (&cx.lease, &cx.lease_changed);
+    task::run(
+        lease,
+        changed,
+        &cx.lease_table,
+        &cx.who,
+        |_| {},
+        || follow(&cx),
+    )
+    .await;
 }
 
 /// Begins or ends the leadership as the lease says.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod contact;
 mod cx;
 mod dump;
+mod forget;
 mod front;
 mod intake;
 mod leader;
--- a/crates/node/src/node_cfg.rs
+++ b/crates/node/src/node_cfg.rs
@@ -51,8 +51,8 @@
     pub lease: LeaseCfg,
 }
 
-/// Processor below which a VM leaves the lease to others, in cores. On a site with 350 workers the
-/// leader needs up to 0.2 of a core in a burst.
+/// Processor below which a VM leaves the lease to others, in cores. The leader of 3,000 workers used
+/// 0.24 of a core (docs/CAPACITY.md).
 const LEADER_CORES: f64 = 0.25;
 /// Time for which a smaller VM leaves the lease to others: a larger one looks every 0.5 s.
 const YIELD: Millis = Millis(700);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -28,8 +28,12 @@
     load, rows,
 };
 
-/// Time between two readings of the list of nodes; it changes when VMs are added or replaced.
+/// Longest time between two readings of the list of nodes; it changes when VMs are added or
+/// replaced.
 const LIST_EVERY: Millis = Millis(10_000);
+/// Time between the first two readings; it doubles with each. All nodes start within 0.3 s, so the
+/// first reading misses some.
+const LIST_FIRST: Millis = Millis(400);
 /// Time between two rounds of questions while the store does not serve this node.
 const ASK_EVERY: Millis = Millis(400);
 /// Nodes asked in a round: with a third of all nodes not served, one of three is served in 96% of
@@ -80,6 +84,11 @@
         })
     }
 
+    /// Returns how many other nodes are known.
+    pub(crate) fn count(&self) -> usize {
+        self.others.borrow().len()
+    }
+
     /// Notes whether the store serves this node; returns whether that is a change.
     pub(crate) fn store_answers(&self, answers: bool) -> bool {
         let changed = self.lost.replace(!answers) == answers;
@@ -111,7 +120,7 @@
 /// Keeps the list of nodes, and asks them while the store does not serve this one.
 pub(crate) async fn follow(cx: Cx) {
     let mut registered = false;
-    let mut listed: Option<Millis> = None;
+    let mut pause = LIST_FIRST;
     loop {
         if cx.peers.lost.get() {
             ask(&cx).await;
@@ -121,17 +130,12 @@
         if !registered {
             registered = register(&cx).await;
         }
-        if listed.is_none_or(|t| clock::now().since(t) >= LIST_EVERY) && list(&cx).await {
-            listed = Some(clock::now());
+        if registered && list(&cx).await {
+            pause = LIST_EVERY.min(Millis(2 * pause.0));
         }
-        let wait = if registered && listed.is_some() {
-            LIST_EVERY
-        } else {
-            ASK_EVERY
-        };
         tokio::select! {
             () = cx.peers.lost_changed.notified() => {}
-            () = cx::sleep(wait) => {}
+            () = cx::sleep(pause) => {}
         }
     }
 }
--- a/crates/sched/src/lease_task.rs
+++ b/crates/sched/src/lease_task.rs
@@ -2,37 +2,35 @@
 
 use std::rc::Rc;
 
-use base::clock::{self, Millis};
+use base::clock;
 use lease::{
-    machine::{Outcome, Step},
-    table::{self, Candidate},
+    table::{Candidate, Carried},
+    task,
 };
 
 use crate::{ctx::Cx, leader::Leader};
 
 /// Runs the lease until it is handed over.
 pub(crate) async fn run(cx: Cx) {
-    let mut count = 0;
-    loop {
-        let step = cx.lease.borrow_mut().step(clock::now());
-        match step {
-            Step::Ended => return,
-            Step::Wait { until } => pause(&cx, until.since(clock::now())).await,
-            step => {
-                count += 1;
-                let outcome = carry_out(&cx, step, count).await;
-                cx.lease.borrow_mut().done(clock::now(), outcome);
-            }
+    let who = Candidate {
+        id: cx.id,
+        address: cx.addr,
+        lease_key: cx.lease_key(),
+        beat_key: cx.beat_key(),
+    };
+    let carried = |carried: Carried| {
+        if carried.is_answered() {
+            cx.table_seen.set(clock::now());
         }
+        if carried.holder.is_some() {
+            cx.holder.set(carried.holder);
+        }
+    };
+    let (lease, changed) = (&cx.lease, &cx.lease_changed);
+    task::run(lease, changed, &cx.lease_table, &who, carried, || {
         follow(&cx);
-    }
-}
-
-async fn pause(cx: &Cx, span: Millis) {
-    tokio::select! {
-        () = cx.lease_changed.notified() => {}
-        () = tokio::time::sleep(span.to_duration()) => {}
-    }
+    })
+    .await;
 }
 
 /// Starts or ends the leadership as the lease says.
@@ -53,23 +51,6 @@
     }
 }
 
-async fn carry_out(cx: &Cx, step: Step, count: u64) -> Outcome {
-    let who = Candidate {
-        id: cx.id,
-        address: cx.addr,
-        lease_key: cx.lease_key(),
-        beat_key: cx.beat_key(),
-    };
-    let carried = table::carry_out(&cx.lease_table, &who, step, count).await;
-    if carried.is_answered() {
-        cx.table_seen.set(clock::now());
-    }
-    if carried.holder.is_some() {
-        cx.holder.set(carried.holder);
-    }
-    carried.outcome
-}
-
 /// Writes a row's content; the rows of this crate are plain data and always have a JSON form.
 pub(crate) fn to_json<T: serde::Serialize>(value: &T) -> String {
     serde_json::to_string(value).expect("rows are plain data")
