End a demonstration that stays, and stand-ins, with 0 on SIGTERM

Cause: they waited for SIGINT only, so SIGTERM ended the process with 143 and nothing was stopped as planned. Test: a_demonstration_that_stays_ends_with_0_on_sigterm (failed first).

--- a/crates/cli/src/command/local.rs
+++ b/crates/cli/src/command/local.rs
@@ -54,8 +54,8 @@
         bail!("expected 2 executions: one score, and one payout for two requests");
     }
     if args.stay {
-        println!("token of the operator: {OPERATOR}; press Ctrl-C to stop");
-        standin_command::wait()?;
+        let token = format!("token of the operator: {OPERATOR}; press Ctrl-C to stop");
+        standin_command::wait(token)?;
     }
     Ok(())
 }
--- a/crates/cli/src/command/standin.rs
+++ b/crates/cli/src/command/standin.rs
@@ -4,6 +4,7 @@
 
 use serde::de::DeserializeOwned;
 use standin::{backend, platform, worker};
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{api, args, exit::Failure};
 
@@ -12,19 +13,16 @@
     match args.kind.as_str() {
         "platform" => {
             let handle = platform::start(settings(args)?)?;
-            println!("standin: platform on {}", handle.addr());
-            wait()
+            wait(format!("standin: platform on {}", handle.addr()))
         }
         "worker" => {
             let handle = worker::start(settings(args)?)?;
-            println!("standin: worker on {}", handle.addr());
-            wait()
+            wait(format!("standin: worker on {}", handle.addr()))
         }
         "backend" => {
             let handle = backend::start(settings(args)?)?;
             let addrs: Vec<String> = handle.addrs().iter().map(ToString::to_string).collect();
-            println!("standin: backend on {}", addrs.join(" "));
-            wait()
+            wait(format!("standin: backend on {}", addrs.join(" ")))
         }
         kind => {
             let expected = "expected platform, worker or backend";
@@ -41,7 +39,17 @@
     json5::from_str(&text).map_err(|e| Failure::bad_input(format!("{path}: {e}")))
 }
 
-/// Waits for an interrupt.
-pub fn wait() -> eyre::Result<()> {
-    api::block_on(async { Ok(tokio::signal::ctrl_c().await?) })
+/// Prints `message` and waits for SIGINT or SIGTERM; what runs is then stopped as planned. A signal
+/// that follows the message is not missed.
+pub fn wait(message: String) -> eyre::Result<()> {
+    api::block_on(async move {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        println!("{message}");
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        Ok(())
+    })
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -2,9 +2,14 @@
 
 mod common;
 
-use std::{fs, path, process};
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    path, process,
+};
 
 use common::{Builder, System};
+use rustix::process::{Pid, Signal};
 use serde_json::Value;
 
 /// What a command printed, and its exit code.
@@ -200,3 +205,21 @@
     assert_eq!(run(&["--entry", &refused, "cancel", "no-slash"]).code, 2);
     assert_ne!(run(&["no-such-command"]).code, 0);
 }
+
+/// Guards against a demonstration that is torn down by SIGTERM: it stops as planned and ends with 0.
+#[test]
+fn a_demonstration_that_stays_ends_with_0_on_sigterm() {
+    let mut child = process::Command::new(env!("CARGO_BIN_EXE_buckthorncove"))
+        .args(["local", "--stay"])
+        .stdout(process::Stdio::piped())
+        .stderr(process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let out = BufReader::new(child.stdout.take().unwrap());
+    let mut lines = out.lines().map_while(Result::ok);
+    assert!(lines.any(|l| l.contains("press Ctrl-C to stop")));
+    rustix::process::kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    // The rest of the output is read, so that the process does not wait for it.
+    lines.for_each(drop);
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
