Count conflicts of the late copy from the time when it is made late

Trace: the one conflict is that of the first configuration with the row of a member, before any copy is late (409 before "revision 1 is committed").

--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -212,9 +212,10 @@
     let addr = relay.addr;
     site.add_sched(|cfg| cfg.platform = addr);
     let client = site.configure().await;
-    // Twice the wait of the table's client (3 s), which then sends the transaction again: the rest is
-    // for the cancellation, which has to come before the copy on a busy machine too.
-    relay.slow(6_000);
+    // The first configuration may have met a conflict with the row of a member.
+    let conflicts = site.platform.stats().conflicts;
+    // Longer than the wait of the table's client, which then sends the transaction again.
+    relay.slow(3_200);
     let request = Request::Submit {
         job: job("a", 1, 1),
     };
@@ -228,12 +229,12 @@
     let before = site.platform.stats().commits;
     assert_eq!(
         site.platform.stats().conflicts,
-        0,
+        conflicts,
         "the copy came too early"
     );
     site::eventually("the late copy arrives", async || {
         let stats = site.platform.stats();
-        (stats.conflicts > 0 || stats.commits > before + 4).then_some(())
+        (stats.conflicts > conflicts || stats.commits > before + 4).then_some(())
     })
     .await;
     assert_eq!(site.record("a").unwrap().phase, Phase::Cancelled);
