--- a/crates/cli/src/log_out.rs
+++ b/crates/cli/src/log_out.rs
@@ -5,8 +5,9 @@
 use base::clock::{self, Millis};
 use rustix::{fs, stdio};
 
-/// Most lines a second. A busy day of a leader writes about 100; the bound keeps a fault that logs
-/// at every event from taking the processor.
+/// Most lines a second. The leader of 48 workers writes about 100 on a busy day; with 350 workers a
+/// burst exceeds the bound for some seconds, and the dropped lines are counted. Writing takes
+/// processor time.
 const LINES_PER_S: u32 = 600;
 /// Most bytes kept for a slow reader.
 const KEPT_BYTES: usize = 256 << 10;
