--- a/crates/batch/src/advice.rs
+++ b/crates/batch/src/advice.rs
@@ -22,8 +22,8 @@
 const UNDER_WAY: usize = 8;
 /// Pause after a question without an answer.
 const RETRY: Millis = Millis(300);
-/// A ticket is not used when less than this is left: a start and its repeats take up to 2.1 s, but
-/// a start whose ticket is refused costs only a new question, so one try is enough.
+/// A ticket with less time left is not used. The way of a start takes some milliseconds, and a refused
+/// one costs only a new question.
 const MARGIN: Millis = Millis(250);
 
 /// Names one step of one occurrence.
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,15 +1,16 @@
 //! A system of real processes on stand-ins, which tests can kill, freeze and stop.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod http;
+
 use std::{
-    fs,
-    io::{Read, Write},
-    net, path, process,
+    fs, net, path, process,
     sync::atomic::{AtomicU16, Ordering},
     thread, time,
 };
 
 use base::clock::{self, Millis};
+pub use http::{Answer, get, send};
 use rustix::process::{Pid, Signal};
 use serde_json::{Value, json};
 use standin::{backend, backend_cfg, platform, platform_cfg, worker, worker_cfg};
@@ -174,102 +175,6 @@
     }
 }
 
-/// A whole answer.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub head: String,
-    pub body: Value,
-}
-
-impl Answer {
-    /// Returns a field of the body as text.
-    pub fn text(&self, field: &str) -> &str {
-        self.body[field].as_str().unwrap_or_default()
-    }
-}
-
-/// Sends one request on a connection of its own; `None` if there is no whole answer.
-pub fn send(
-    addr: net::SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Option<Answer> {
-    send_as(&addr.to_string(), addr, method, path, headers, body)
-}
-
-/// Sends one request to a host that differs from the address.
-pub fn send_as(
-    host: &str,
-    addr: net::SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Option<Answer> {
-    let mut tcp = net::TcpStream::connect_timeout(&addr, time::Duration::from_secs(2)).ok()?;
-    tcp.set_read_timeout(Some(LIMIT)).ok()?;
-    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n");
-    for (name, value) in headers {
-        text += &format!("{name}: {value}\r\n");
-    }
-    text += &format!("content-length: {}\r\n\r\n{body}", body.len());
-    tcp.write_all(text.as_bytes()).ok()?;
-    let mut answer = Vec::new();
-    if let Err(e) = tcp.read_to_end(&mut answer) {
-        let bytes = answer.len();
-        eprintln!("{method} {path} to {addr}: no whole answer, {bytes} bytes read: {e}");
-        return None;
-    }
-    let text = String::from_utf8_lossy(&answer);
-    let parsed = parse(&text);
-    if parsed.is_none() {
-        eprintln!("{method} {path} to {addr}: connection closed after {text:?}");
-    }
-    parsed
-}
-
-fn parse(text: &str) -> Option<Answer> {
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    let head = head.to_ascii_lowercase();
-    let length = head
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length: "));
-    let body = match length {
-        Some(length) if body.len() != length.trim().parse::<usize>().ok()? => return None,
-        Some(_) => body.to_owned(),
-        None => chunks(body)?,
-    };
-    let value = serde_json::from_str(&body).unwrap_or(Value::String(body));
-    Some(Answer {
-        status,
-        head,
-        body: value,
-    })
-}
-
-/// Joins the chunks of a body; `None` if the last chunk is missing.
-fn chunks(mut rest: &str) -> Option<String> {
-    let mut body = String::new();
-    loop {
-        let (length, after) = rest.split_once("\r\n")?;
-        let length = usize::from_str_radix(length.trim(), 16).ok()?;
-        if length == 0 {
-            return Some(body);
-        }
-        body += after.get(..length)?;
-        rest = after.get(length + 2..)?;
-    }
-}
-
-/// Sends a `GET` without a token.
-pub fn get(addr: net::SocketAddr, path: &str) -> Option<Answer> {
-    send(addr, "GET", path, &[], "")
-}
-
 /// Sizes and settings of a system.
 #[derive(Clone, Debug)]
 pub struct Builder {
--- a/crates/cli/tests/site/mod.rs
+++ b/crates/cli/tests/site/mod.rs
@@ -123,7 +123,7 @@
     ) -> Option<Answer> {
         let bearer = format!("Bearer {key}");
         let headers = [("authorization", bearer.as_str())];
-        common::send_as(
+        common::http::send_as(
             "callers.example",
             self.nodes[node].http,
             method,
