--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -113,7 +113,7 @@
         config = cx.rules().version, age_ms:? = age;
         "front: refused"
     );
-    let retry_after = if cx.peers.are_served_alone() {
+    let retry_after = if cx.peers.others_are_served() {
         RETRY_ELSEWHERE_S
     } else {
         RETRY_S
@@ -124,7 +124,7 @@
 /// Serves the readiness check of the balancer. A node that the store does not serve leaves callers
 /// to others if these are served; if none is, it stays, because its refusals are true and early.
 pub(crate) fn ready(cx: &Cx, req: &Request) -> Response {
-    let is_ready = !cx.stopping.get() && cx.config_age().is_some() && !cx.peers.are_served_alone();
+    let is_ready = !cx.stopping.get() && cx.config_age().is_some() && !cx.peers.others_are_served();
     match (req.path() == paths::READY, is_ready) {
         (true, true) => Response::Ok().finish(),
         (true, false) => Response::ServiceUnavailable().finish(),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -99,8 +99,8 @@
         changed
     }
 
-    /// Returns whether the store serves other nodes but not this one.
-    pub(crate) fn are_served_alone(&self) -> bool {
+    /// Returns whether the store serves other nodes and not this one.
+    pub(crate) fn others_are_served(&self) -> bool {
         let said = self.served.get();
         self.lost.get() && said.is_some_and(|t| clock::now().since(t) < COUNTS_FOR)
     }
@@ -181,7 +181,7 @@
             if !cx.peers.is_served(address).await {
                 return;
             }
-            if !cx.peers.are_served_alone() {
+            if !cx.peers.others_are_served() {
                 log::info!(node:% = address; "peers: the store serves another node");
             }
             cx.peers.served.set(Some(clock::now()));
