One place for the sets of rooms of a unit and for the reason of a failed call

The search for room and the search for stops each chose the racks of a unit; both use one function now. Units of queues without a policy no longer count questions under way. Behaviour is the same.

--- a/crates/batch/src/advice.rs
+++ b/crates/batch/src/advice.rs
@@ -113,11 +113,12 @@
         now: Millis,
     ) {
         let queue = self.jobs.get(&unit.job).map(|j| &j.rec.queue);
-        let policy = queue.and_then(|q| self.rules.queue(q)?.policy);
-        let under_way = self.advice.values().filter(|a| a.asked).count();
-        let (Some(policy), true) = (policy, under_way < UNDER_WAY) else {
+        let Some(policy) = queue.and_then(|q| self.rules.queue(q)?.policy) else {
             return;
         };
+        if self.advice.values().filter(|a| a.asked).count() >= UNDER_WAY {
+            return;
+        }
         let id = StepId::from(&unit.tasks[0]);
         let known = self.advice.entry(id.clone()).clone();
         if known.asked || now < known.retry_at {
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -126,12 +126,18 @@
         if self.may_spread() || self.must_spread(rooms, &all) {
             return vec![all];
         }
+        self.near_sets(rooms, &all)
+    }
+
+    /// Returns the sets of rooms that are best for the unit, out of `all`: the rack of its data,
+    /// each rack for a gang that wants one, else all.
+    fn near_sets(&self, rooms: &Rooms, all: &[usize]) -> Vec<Vec<usize>> {
         let usable = |i: &usize| all.binary_search(i).is_ok();
         let of = |rack: &[usize]| rack.iter().copied().filter(usable).collect();
         match &self.step.data_rack {
             Some(rack) => vec![of(rooms.rack(rack))],
             None if self.wants_one_rack() => rooms.by_rack().iter().map(|r| of(r)).collect(),
-            None => vec![all],
+            None => vec![all.to_vec()],
         }
     }
 
@@ -196,18 +202,13 @@
 
     /// Searches on the rack that is best for the unit; all racks if it has no preference.
     fn near(&self, rooms: &Rooms, all: &[usize], when: When) -> Vec<usize> {
-        let usable = |i: &usize| all.binary_search(i).is_ok();
-        let on = |rack: &[usize]| -> Vec<usize> { rack.iter().copied().filter(usable).collect() };
-        if let Some(rack) = &self.step.data_rack {
-            return self.fill(rooms, &on(rooms.rack(rack)), when);
-        }
-        if !self.wants_one_rack() {
-            return self.fill(rooms, all, when);
+        let sets = self.near_sets(rooms, all);
+        if let [set] = &sets[..] {
+            return self.fill(rooms, set, when);
         }
-        let fitting = rooms.by_rack().iter().filter_map(|rack| {
-            let here = on(rack);
-            let found = self.fill(rooms, &here, when);
-            let free = here.iter().map(|i| rooms.rooms[*i].at(when).accelerators);
+        let fitting = sets.iter().filter_map(|set| {
+            let found = self.fill(rooms, set, when);
+            let free = set.iter().map(|i| rooms.rooms[*i].at(when).accelerators);
             let free: u64 = free.sum();
             (found.len() == self.unit.tasks.len()).then_some((free, found))
         });
--- a/crates/store/src/caller.rs
+++ b/crates/store/src/caller.rs
@@ -70,6 +70,18 @@
 }
 
 impl Failure {
+    /// Returns why there is no whole answer.
+    ///
+    /// ```
+    /// use store::caller::Failure;
+    /// assert_eq!(Failure::Closed("reset".into()).reason(), "reset");
+    /// ```
+    pub fn reason(self) -> String {
+        match self {
+            Self::NotSent(reason) | Self::Closed(reason) | Self::NoAnswer(reason) => reason,
+        }
+    }
+
     /// Classifies a failed call that changes state.
     pub fn of_write(self) -> StoreError {
         match self {
@@ -80,10 +92,8 @@
 
     /// Classifies a failed read, which has no effect in any case.
     pub fn of_read(self) -> StoreError {
-        match self {
-            Self::NotSent(reason) | Self::Closed(reason) | Self::NoAnswer(reason) => {
-                StoreError::NotDone { reason }
-            }
+        StoreError::NotDone {
+            reason: self.reason(),
         }
     }
 }
