--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -11,6 +11,9 @@
 
 use crate::lease_cfg::LeaseCfg;
 
+/// Number of ranks of candidates; ids are random, so few candidates share a rank.
+const RANKS: u64 = 1_000;
+
 /// Next action of the state machine, carried out by its caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -118,6 +121,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Acquisition {
+    /// State to return to if the lease turns out to be taken, or the transaction is refused.
+    watch: Watch,
     lease_version: u64,
     heartbeat_version: u64,
     fence: u64,
@@ -156,6 +161,8 @@
     id: u64,
     cfg: LeaseCfg,
     state: State,
+    /// Time over which the takeovers of all candidates are spread.
+    spread: Millis,
     step_started: Millis,
     stopping: bool,
 }
@@ -172,11 +179,25 @@
             id,
             cfg,
             state: State::Watching(Watch::default()),
+            spread: Millis::ZERO,
             step_started: Millis::ZERO,
             stopping: false,
         }
     }
 
+    /// Sets the time over which the takeovers of all candidates are spread, by their ids. Otherwise
+    /// all of them send a transaction at the same moment, and a store that applies those one after
+    /// another keeps the new holder waiting.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// let mut lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
+    /// lease.set_spread(Millis(500));
+    /// ```
+    pub fn set_spread(&mut self, spread: Millis) {
+        self.spread = spread;
+    }
+
     /// Returns the lease if the scheduler may act at `now`: its last renewal started less than
     /// `hold_ms` ago.
     ///
@@ -362,15 +383,20 @@
             _ => now,
         };
         w.heartbeat = Some((heartbeat_version, since));
-        let takeover_delay = if heartbeat_version == 0 || lease.is_some_and(|l| l.holder_ended) {
-            Millis::ZERO
-        } else {
-            self.cfg.take_ms
+        let is_own = lease.is_some_and(|l| l.holder_ended);
+        let takeover_delay = match heartbeat_version {
+            _ if is_own => Millis::ZERO,
+            0 => self.rank_delay(),
+            _ => self.cfg.take_ms + self.rank_delay(),
         };
-        if now.since(since) < takeover_delay + self.cfg.yield_ms {
+        let delay = takeover_delay + self.cfg.yield_ms;
+        if now.since(since) < delay {
+            let remaining = delay.since(now.since(since));
+            w.next = w.next.min(now + remaining);
             return State::Watching(w);
         }
         State::Acquiring(Acquisition {
+            watch: w,
             lease_version: lease.map_or(0, |l| l.version),
             heartbeat_version,
             fence: lease.map_or(0, |l| l.fence) + 1,
@@ -397,6 +423,14 @@
                 a.next = now + self.retry_delay();
                 State::Acquiring(a)
             }
+            // The rows are read again first: a store that refuses transactions may have too many of
+            // them from other candidates, one of which has taken over.
+            Outcome::NotDone | Outcome::Rows { .. } if a.first_unknown.is_none() => {
+                State::Watching(Watch {
+                    next: now + self.retry_delay(),
+                    ..a.watch
+                })
+            }
             Outcome::NotDone | Outcome::Rows { .. } => {
                 a.next = now + self.retry_delay();
                 State::Acquiring(a)
@@ -482,6 +516,11 @@
         }
     }
 
+    /// Returns the time by which this candidate leaves a free lease to those of lower rank.
+    fn rank_delay(&self) -> Millis {
+        Millis(self.spread.0 * (self.id % RANKS) / RANKS)
+    }
+
     fn retry_delay(&self) -> Millis {
         Millis(self.cfg.renew_ms.0 / 4)
     }
--- a/crates/lease/src/task.rs
+++ b/crates/lease/src/task.rs
@@ -10,14 +10,14 @@
     table::{self, Candidate, LeaseTable, StepResult},
 };
 
-/// Runs `lease` until it is released. `wake` ends a wait early. `on_result` gets the result of
-/// each step on the table, and `on_change` is called whenever the lease may have been won or lost.
+/// Runs `lease` until it is released. `wake` ends a wait early. `on_result` gets each
+/// step on the table and its result, and `on_change` is called whenever the lease may have been won or lost.
 pub async fn run<T: LeaseTable>(
     lease: &RefCell<Lease>,
     wake: &Notify,
     table: &T,
     candidate: &Candidate,
-    mut on_result: impl FnMut(StepResult),
+    mut on_result: impl FnMut(Step, StepResult),
     mut on_change: impl FnMut(),
 ) {
     let mut count = 0;
@@ -36,7 +36,7 @@
                 count += 1;
                 let result = table::execute(table, candidate, step, count).await;
                 lease.borrow_mut().complete(clock::now(), result.outcome);
-                on_result(result);
+                on_result(step, result);
             }
         }
         on_change();
--- a/crates/lease/tests/takeover_delay.rs
+++ b/crates/lease/tests/takeover_delay.rs
@@ -56,6 +56,68 @@
     }
 }
 
+/// Returns the time until each of 40 candidates sends its first transaction for a lease that was
+/// released.
+fn first_transactions(spread: Millis) -> Vec<u64> {
+    let candidate = |i: u64| {
+        let mut lease = Lease::new(i.wrapping_mul(0x9e37_79b9_7f4a_7c15), LeaseCfg::default());
+        lease.set_spread(spread);
+        let start = Millis(10_000);
+        let mut now = start;
+        loop {
+            match lease.next_step(now) {
+                Step::Read => lease.complete(
+                    now,
+                    Outcome::Rows {
+                        lease: None,
+                        heartbeat_version: 0,
+                    },
+                ),
+                Step::Wait { until } => now = until,
+                Step::Acquire { .. } => return now.since(start).0,
+                step => panic!("{step:?}"),
+            }
+        }
+    };
+    (1..=40).map(candidate).collect()
+}
+
+/// All nodes see that a lease is released. Guards against transactions of all of them at once: a
+/// store that applies one after another, in 0.4 s each, refused the commits of the new holder.
+#[test]
+fn candidates_do_not_send_their_transactions_at_once() {
+    let txn = 400;
+    let mut times = first_transactions(Millis(40 * txn / 2));
+    times.sort_unstable();
+    let first = times[0];
+    assert!(first <= txn, "{first}");
+    let meanwhile = times.iter().filter(|t| **t < first + txn).count();
+    assert!(meanwhile <= 5, "{times:?}");
+    assert!(first_transactions(Millis::ZERO).iter().all(|t| *t == 0));
+}
+
+/// Guards against a candidate that sends its transaction again and again to a store which refuses
+/// it because it has too many: the rows are read first.
+#[test]
+fn a_refused_takeover_reads_the_rows_again() {
+    let mut lease = Lease::new(1, LeaseCfg::default());
+    let free = Outcome::Rows {
+        lease: None,
+        heartbeat_version: 0,
+    };
+    let now = Millis(10_000);
+    lease.next_step(now);
+    lease.complete(now, free);
+    assert!(matches!(lease.next_step(now), Step::Acquire { .. }));
+    lease.complete(now, Outcome::NotDone);
+    let Step::Wait { until } = lease.next_step(now) else {
+        panic!("no pause");
+    };
+    assert_eq!(lease.next_step(until), Step::Read);
+    lease.complete(until, free);
+    assert!(matches!(lease.next_step(until), Step::Acquire { .. }));
+}
+
 /// Returns a process that holds the lease since `now`.
 fn holder(now: Millis) -> (Lease, Held) {
     let mut lease = Lease::new(1, LeaseCfg::default());
@@ -100,6 +162,19 @@
     assert!(lease.acting(committed + cfg.hold_ms).is_none());
 }
 
+/// Guards against commits of a process that is releasing its lease: they would make the other
+/// candidates wait until the heartbeat is old.
+#[test]
+fn a_process_that_releases_the_lease_does_not_hold_it() {
+    let start = Millis(10_000);
+    let (mut lease, held) = holder(start);
+    lease.stop();
+    assert!(matches!(lease.next_step(start), Step::Release { .. }));
+    assert!(lease.held().is_none());
+    lease.record_renewal(held, start + Millis(10));
+    assert!(lease.held().is_none() && lease.acting(start).is_none());
+}
+
 /// Guards against a renewal that started before the last commit and shortens the lease.
 #[test]
 fn a_late_answer_to_a_renewal_does_not_shorten_the_lease() {
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -94,10 +94,7 @@
             let result = tokio::time::timeout(remaining, cx.table.commit(txn)).await;
             let error = match result {
                 Ok(Ok(commit)) => return Ok(commit),
-                Ok(Err(e)) => {
-                    peers::record_loss(cx, "accept");
-                    e
-                }
+                Ok(Err(e)) => e,
                 Err(_) => StoreError::Unknown {
                     reason: "the time of the caller is over".into(),
                 },
@@ -106,6 +103,7 @@
             match &error {
                 StoreError::Unknown { .. } => self.unknown = true,
                 StoreError::NotDone { .. } => {
+                    peers::record_loss(cx, "accept");
                     let since = *self.refused_since.get_or_insert(now);
                     if !self.unknown && now.since(since) >= MAX_REFUSED_TIME {
                         log::info!(tries = self.tries, reason:% = error; "accept: the store refuses");
@@ -135,7 +133,7 @@
 pub(crate) async fn phase(cx: &Cx, authorised: &Authorised) -> Result<Response, Refusal> {
     let id = &authorised.path_suffix;
     let row = cx.table.get_row(rows::PHASES, id).await;
-    let row = row.map_err(|e| read_failure(id, &e))?;
+    let row = row.map_err(|e| read_failure(cx, id, &e))?;
     if let Some(row) = row.as_ref().and_then(rows::from_json::<rows::PhaseRow>) {
         check_owner(authorised, row.organisation.as_ref())?;
         return Ok(phase_response(row.phase));
@@ -165,7 +163,8 @@
     Err(Refusal::NoJob)
 }
 
-fn read_failure(id: &str, error: &StoreError) -> Refusal {
+fn read_failure(cx: &Cx, id: &str, error: &StoreError) -> Refusal {
+    peers::record_loss(cx, "accept");
     log::info!(job = id, reason:% = error; "accept: failed to read from the store");
     Refusal::Store
 }
@@ -177,7 +176,7 @@
         .table
         .read(&table, &format!("{id}."), &format!("{id}/"))
         .await;
-    let page = page.map_err(|e| read_failure(id, &e))?;
+    let page = page.map_err(|e| read_failure(cx, id, &e))?;
     let (mut stored, mut cancelled) = (None, false);
     for row in page.rows {
         match rows::parse_job_key(&row.key) {
@@ -221,7 +220,7 @@
 pub(crate) async fn pending(cx: &Cx, authorised: &Authorised) -> Result<Response, Refusal> {
     let (_, key) = rows::PENDING.split_once('/').unwrap_or_default();
     let row = cx.table.get_row(rows::CONTROL, key).await;
-    let row = row.map_err(|e| read_failure(&authorised.queue.name, &e))?;
+    let row = row.map_err(|e| read_failure(cx, &authorised.queue.name, &e))?;
     let counts = row.as_ref().and_then(rows::from_json::<rows::PendingRow>);
     let count = counts.and_then(|c| c.get(&authorised.queue.name).copied());
     Ok(Response::Ok()
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -254,6 +254,11 @@
     let started = clock::now();
     let mut tries = 0;
     while !leader.ended.get() {
+        // A commit after the release of the lease would write the heartbeat row again, and the other
+        // candidates would wait until it is old.
+        if cx.lease.borrow().held() != Some(leader.held) {
+            break;
+        }
         tries += 1;
         let sent = clock::now();
         let result = cx.table.commit(&txn).await;
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -63,6 +63,8 @@
     /// Client with separate connections for change feeds, because each feed call waits for a
     /// change.
     pub(crate) feed_table: Table,
+    /// Latency of the calls to the store.
+    pub(crate) pace: Rc<Pace>,
     pub(crate) workers: Workers,
     pub(crate) policy: Option<PolicyClient>,
     pub(crate) active_config: RefCell<ActiveConfig>,
@@ -107,6 +109,7 @@
             table: table(STORE_CONNECTIONS, STORE_TIMEOUT).await?,
             lease_table: table(LEASE_CONNECTIONS, LEASE_TIMEOUT).await?,
             feed_table: table(FEED_CONNECTIONS, STORE_TIMEOUT).await?,
+            pace,
             policy,
             workers: Workers::new(http(WORKER_CONNECTIONS, ORDER_TIMEOUT)).await?,
             active_config: RefCell::default(),
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -91,9 +91,10 @@
 /// leadership ends.
 pub(crate) async fn run(cx: Cx, leader: Rc<Leader>) {
     log::info!(fence = leader.held.fence; "leader: started");
-    let version = loop {
-        match load::load(&cx, &leader).await {
-            Ok(version) => break version,
+    let (version, workers) = loop {
+        let (loaded, workers) = tokio::join!(load::load(&cx, &leader), worker_list::fetch(&cx));
+        match loaded {
+            Ok(version) => break (version, workers),
             Err(e) => log::warn!(reason:% = e; "leader: failed to load the state"),
         }
         if leader.ended.get() {
@@ -101,7 +102,9 @@
         }
         cx::sleep(LOAD_RETRY_DELAY).await;
     };
-    worker_list::read(&cx, &leader).await;
+    if let Some(workers) = workers {
+        worker_list::apply_first(&leader, &workers);
+    }
     leader.loaded.set(true);
     rt::spawn(intake::watch(cx.clone(), leader.clone(), version)).detach();
     rt::spawn(worker_list::poll(cx.clone(), leader.clone())).detach();
--- a/crates/node/src/lease_task.rs
+++ b/crates/node/src/lease_task.rs
@@ -2,7 +2,12 @@
 
 use std::rc::Rc;
 
-use lease::{machine::Outcome, table::StepResult, task};
+use base::clock::Millis;
+use lease::{
+    machine::{Outcome, Step},
+    table::StepResult,
+    task,
+};
 use ntex::rt;
 
 use crate::{
@@ -19,18 +24,32 @@
         wake,
         &cx.lease_table,
         &cx.candidate,
-        |result| record_result(&cx, result),
+        |step, result| {
+            record_result(&cx, step, result);
+            spread_takeovers(&cx);
+        },
         || update_leader(&cx),
     )
     .await;
 }
 
-fn record_result(cx: &Cx, result: StepResult) {
-    match result.outcome {
-        Outcome::Rows { .. } | Outcome::Done { .. } | Outcome::Conflict { .. } => {
+/// Spreads the takeovers of all nodes so that few of them send a transaction in the time that one
+/// takes, which is about twice as long as a read.
+fn spread_takeovers(cx: &Cx) {
+    let read = cx.pace.mean_read().unwrap_or_default();
+    let nodes = cx.peers.count() as u64 + 1;
+    cx.lease.borrow_mut().set_spread(Millis(read.0 * nodes));
+}
+
+/// Records whether the store answers. Only a failed read shows that it does not: a part of a slow
+/// store refuses transactions while it has too many.
+fn record_result(cx: &Cx, step: Step, result: StepResult) {
+    match (step, result.outcome) {
+        (_, Outcome::Rows { .. } | Outcome::Done { .. } | Outcome::Conflict { .. }) => {
             peers::record_answer(cx);
         }
-        Outcome::NotDone | Outcome::Unknown => peers::record_loss(cx, "lease"),
+        (Step::Read, Outcome::NotDone | Outcome::Unknown) => peers::record_loss(cx, "lease"),
+        _ => {}
     }
 }
 
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -19,14 +19,18 @@
 /// Loads the state of the scheduler, and returns the version from which to watch the table of jobs.
 pub(crate) async fn load(cx: &Cx, leader: &Leader) -> Result<u64, StoreError> {
     let (_, chain) = rows::CHAIN.split_once('/').unwrap_or_default();
-    let chain = cx.table.get_row(rows::CONTROL, chain).await?;
+    // Only the table of jobs still changes: all other rows are written in transactions that check
+    // the lease. The feed reports the jobs that are accepted after the read.
+    let (chain, jobs, progress, phases) = tokio::try_join!(
+        cx.table.get_row(rows::CONTROL, chain),
+        read_jobs(cx),
+        read_all(cx, rows::PROGRESS),
+        read_all(cx, rows::PHASES),
+    )?;
+    let ((jobs, from), (progress, _), (phases, _)) = (jobs, progress, phases);
     let count = chain.as_ref().and_then(rows::from_json::<ChainRow>);
     let version = chain.map_or(0, |r| r.version);
     leader.chain.set((version, count.map_or(0, |c| c.count)));
-    // The jobs are read first: the feed reports the jobs that are accepted in the meantime.
-    let (jobs, from) = read_jobs(cx).await?;
-    let (progress, _) = read_all(cx, rows::PROGRESS).await?;
-    let (phases, _) = read_all(cx, rows::PHASES).await?;
     let progress = long_row::join(progress);
     *leader.progress_rows.borrow_mut() = progress
         .iter()
--- a/crates/node/src/worker_list.rs
+++ b/crates/node/src/worker_list.rs
@@ -21,28 +21,32 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Millis = Millis(200);
 
-/// Reads the list once, so that the first pass knows the workers.
-pub(crate) async fn read(cx: &Cx, leader: &Leader) {
+/// Reads the list once; `None` if that fails.
+pub(crate) async fn fetch(cx: &Cx) -> Option<Vec<Row>> {
     match load::read_all(cx, servers::TABLE).await {
-        Ok((rows, _)) => update(leader, &rows, &mut SortedMap::default()),
-        Err(e) => log::info!(reason:% = e; "workers: failed to read the VM list"),
+        Ok((rows, _)) => Some(rows),
+        Err(e) => {
+            log::info!(reason:% = e; "workers: failed to read the VM list");
+            None
+        }
     }
 }
 
+/// Applies the first list of a leadership, so that the first pass knows the workers.
+pub(crate) fn apply_first(leader: &Leader, rows: &[Row]) {
+    update(leader, rows, &mut SortedMap::default());
+}
+
 /// Reads the list until the leadership ends.
 pub(crate) async fn poll(cx: Cx, leader: Rc<Leader>) {
     let mut malformed = SortedMap::default();
     while !leader.ended.get() {
-        match load::read_all(&cx, servers::TABLE).await {
-            Ok((rows, _)) => {
-                update(&leader, &rows, &mut malformed);
-                cx::sleep(READ_INTERVAL).await;
-            }
-            Err(e) => {
-                log::info!(reason:% = e; "workers: failed to read the VM list");
-                cx::sleep(RETRY_DELAY).await;
-            }
-        }
+        let Some(rows) = fetch(&cx).await else {
+            cx::sleep(RETRY_DELAY).await;
+            continue;
+        };
+        update(&leader, &rows, &mut malformed);
+        cx::sleep(READ_INTERVAL).await;
     }
 }
 
--- a/crates/store/src/latency.rs
+++ b/crates/store/src/latency.rs
@@ -108,6 +108,20 @@
         }
     }
 
+    /// Returns the mean latency, or `None` before the first answered call.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use store::latency::{Latency, LatencyCfg};
+    /// # let cfg = LatencyCfg { min_ms: Millis(50), max_ms: Millis(900) };
+    /// let mut latency = Latency::new(cfg);
+    /// latency.record(Millis(8));
+    /// assert_eq!(latency.mean(), Some(Millis(8)));
+    /// ```
+    pub fn mean(&self) -> Option<Millis> {
+        self.averages.map(|(mean, _)| Millis(mean / SCALE))
+    }
+
     /// Returns the time after which an outstanding call is unusually late.
     ///
     /// ```
--- a/crates/store/src/pace.rs
+++ b/crates/store/src/pace.rs
@@ -21,6 +21,9 @@
 /// Number of limits after which a transaction is given up. Until then each read-back shows whether
 /// it was applied, and a repeated transaction would only add to the load of a slow store.
 const WRITE_LIMITS: u64 = 5;
+/// Minimum time after which a transaction is given up. A store that has just become slow would
+/// otherwise get each transaction several times, and applies those of a part one after another.
+const MIN_WRITE_LIMIT: Millis = Millis(1_000);
 
 /// Latency of the calls to the store, shared by all its clients in a process.
 ///
@@ -87,6 +90,15 @@
         update(&self.writes, Latency::record_timeout);
     }
 
+    /// Returns the mean latency of reads, or `None` before the first one.
+    ///
+    /// ```
+    /// assert_eq!(store::pace::Pace::default().mean_read(), None);
+    /// ```
+    pub fn mean_read(&self) -> Option<Millis> {
+        self.reads.get().mean()
+    }
+
     /// Returns the time after which a read is sent again on another connection.
     ///
     /// ```
@@ -123,10 +135,12 @@
     /// # use base::clock::Millis;
     /// let pace = store::pace::Pace::default();
     /// pace.record_write(Millis(8));
-    /// assert_eq!(pace.write_limit(Millis(1_000)), Millis(400));
+    /// assert_eq!(pace.write_limit(Millis(3_000)), Millis(1_000));
+    /// assert_eq!(pace.write_limit(Millis(500)), Millis(500));
     /// ```
     pub fn write_limit(&self, max: Millis) -> Millis {
-        Millis(self.read_back_after().0 * WRITE_LIMITS).min(max)
+        let limit = Millis(self.read_back_after().0 * WRITE_LIMITS);
+        limit.max(MIN_WRITE_LIMIT).min(max)
     }
 }
 
