batch: losses of runs that an earlier leader placed, and of runs with checkpoints

Cause: the loss of 2,309,477,767 in the logs is the time since the start of the VM's clock: placed_at is not stored, so after a takeover every adopted run seemed to have run for ever. Nothing of it was stopped while work with far more to lose was, and its remaining time was out of all proportion for gangs that wait and for leaving workers. Runs with checkpoints counted as 1,600 ms although a stop writes a checkpoint and only the restore (250 or 600 ms, a setting now) is lost.

Tests: two in preemption.rs, both fail with the losses as before.

--- a/crates/batch/src/evacuation.rs
+++ b/crates/batch/src/evacuation.rs
@@ -81,9 +81,19 @@
 }
 
 impl Run {
+    /// Returns for how long the run has been working. If an earlier leader placed it, this follows
+    /// from its progress and the estimate; half of the estimate if it has not reported any progress.
+    pub(crate) fn elapsed(&self, step: &Step, now: Millis) -> Millis {
+        match (self.placed_at, self.percent) {
+            (Some(placed_at), _) => now.since(placed_at),
+            (None, 0) => Millis(step.estimate.0 / 2),
+            (None, percent) => Millis(step.estimate.0 * u64::from(percent.min(100)) / 100),
+        }
+    }
+
     /// Returns the expected remaining run time.
     pub(crate) fn expected_remaining(&self, step: &Step, now: Millis) -> Millis {
-        let elapsed = now.since(self.placed_at);
+        let elapsed = self.elapsed(step, now);
         match self.percent {
             p if p >= MIN_EXTRAPOLATION_PERCENT => {
                 Millis(elapsed.0 * u64::from(100 - p.min(100)) / u64::from(p))
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -176,7 +176,7 @@
             worker: worker.clone(),
             incarnation: w.incarnation,
             state: RunState::Ordered,
-            placed_at: now,
+            placed_at: Some(now),
             answered_at: None,
             ordered_at: now,
             percent: 0,
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -66,9 +66,9 @@
     pub incarnation: u64,
     #[serde(skip)]
     pub(crate) state: RunState,
-    /// Time when the run was placed.
+    /// Time when the run was placed; `None` if an earlier leader placed it.
     #[serde(skip)]
-    pub(crate) placed_at: Millis,
+    pub(crate) placed_at: Option<Millis>,
     /// Time when the worker first answered an order about the run or listed it.
     #[serde(skip)]
     pub(crate) answered_at: Option<Millis>,
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -185,7 +185,7 @@
             };
             let is_settled = run.answered_at.is_some_and(|t| t < sent);
             let is_other_incarnation =
-                run.incarnation != report.incarnation && run.placed_at < sent;
+                run.incarnation != report.incarnation && run.placed_at.is_none_or(|t| t < sent);
             let is_gone = is_settled || (is_other_incarnation && run.state != RunState::Ordered);
             match run.state {
                 _ if is_gone => {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -72,12 +72,29 @@
     /// Ids of the jobs whose progress changed since the last commit.
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
+    /// Time that a run needs to continue from a checkpoint.
+    pub(crate) restore_time: Millis,
     pub(crate) started_jobs: Vec<(u32, Millis)>,
     pub(crate) step_tickets: SortedMap<StepId, StepTickets>,
     pub(crate) policy_requests: Vec<PolicyRequest>,
 }
 
 impl JobScheduler {
+    /// Creates a scheduler without jobs and workers. A run takes `restore_time` to continue from a
+    /// checkpoint.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// let scheduler = batch::scheduler::JobScheduler::new(Millis(600));
+    /// assert!(scheduler.phase("1").is_none());
+    /// ```
+    pub fn new(restore_time: Millis) -> Self {
+        Self {
+            restore_time,
+            ..Self::default()
+        }
+    }
+
     /// Restores a job with its stored progress. Reports of the workers then show which of its runs
     /// exist.
     ///
--- a/crates/batch/src/victims.rs
+++ b/crates/batch/src/victims.rs
@@ -12,9 +12,6 @@
     scheduler::{Job, JobScheduler},
 };
 
-/// Work that a subtask with checkpoints loses when stopped: the time since the last checkpoint plus
-/// the time to restore it.
-const CHECKPOINT_LOSS: Millis = Millis(1_600);
 /// Added to the loss of urgent work, so that it is stopped only if nothing else frees enough
 /// resources.
 const URGENT_PENALTY: u64 = 1 << 40;
@@ -81,7 +78,7 @@
                     priority,
                     within_guarantee: within,
                 };
-                job.compute_loss(&mut victim, &pass.candidates, pass.now);
+                job.compute_loss(&mut victim, &pass.candidates, self.restore_time, pass.now);
                 victims.add(victim);
             }
         }
@@ -127,7 +124,13 @@
     }
 
     /// Computes the loss of a victim and the resources that it frees.
-    fn compute_loss(&self, victim: &mut Victim, candidates: &Candidates, now: Millis) {
+    fn compute_loss(
+        &self,
+        victim: &mut Victim,
+        candidates: &Candidates,
+        restore: Millis,
+        now: Millis,
+    ) {
         let factor = match victim.priority {
             0 | 1 => HIGH_PRIORITY_FACTOR,
             _ => 1,
@@ -137,9 +140,10 @@
                 continue;
             };
             let step = self.step(id);
-            let mut lost = now.since(run.placed_at);
+            let mut lost = run.elapsed(step, now);
+            // A stop writes a checkpoint, so that only the restore has to be made up for.
             if step.checkpoints {
-                lost = lost.min(CHECKPOINT_LOSS);
+                lost = lost.min(restore);
             }
             victim.loss += step.need.weight() * factor * lost.0 / 1_000;
             if victim.priority == URGENT_PRIORITY {
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -1,12 +1,13 @@
 //! A job scheduler with workers whose replies and reports a test provides.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
-use std::rc::Rc;
+use std::{collections::BTreeMap, rc::Rc};
 
 use base::clock::Millis;
 use batch::{
     config::{Config, Organisation, Queue},
     job::{AcceptedJob, Resources, Spec, Step, SubtaskId, Text},
+    progress::Progress,
     scheduler::{JobScheduler, PendingChanges},
     worker::{Action, FinishedRun, Order, Outcome, Report, Running, WorkerInfo},
 };
@@ -20,6 +21,9 @@
     pub scheduler: JobScheduler,
     pub now: Millis,
     pub infos: Vec<WorkerInfo>,
+    accepted: Vec<AcceptedJob>,
+    /// Records of the jobs' progress as committed.
+    stored: BTreeMap<Text, String>,
 }
 
 impl Fleet {
@@ -28,14 +32,31 @@
             scheduler: JobScheduler::default(),
             now: Millis(1_000),
             infos: (0..workers).map(info).collect(),
+            accepted: Vec::new(),
+            stored: BTreeMap::new(),
         };
-        fleet.scheduler.configure(&Rc::new(config()));
-        fleet
-            .scheduler
-            .replace_vm_list(fleet.infos.clone(), fleet.now);
+        fleet.set_up();
         fleet
     }
 
+    /// Gives a new scheduler the configuration and the VM list.
+    pub fn set_up(&mut self) {
+        self.scheduler.configure(&Rc::new(config()));
+        self.scheduler.replace_vm_list(self.infos.clone(), self.now);
+    }
+
+    /// Replaces the scheduler by one that knows only what was committed.
+    pub fn restart(&mut self) {
+        self.scheduler = JobScheduler::default();
+        for accepted in &self.accepted {
+            let progress = self.stored.get(&accepted.id);
+            let progress: Option<Progress> =
+                progress.map(|p| serde_json::from_str(p).expect("a valid record"));
+            self.scheduler.restore(accepted.clone(), progress);
+        }
+        self.set_up();
+    }
+
     pub fn wall(&self) -> Millis {
         START + self.now
     }
@@ -59,6 +80,7 @@
             at: self.wall(),
             spec,
         };
+        self.accepted.push(accepted.clone());
         assert!(self.scheduler.accept(accepted), "{id} is new");
     }
 
@@ -69,6 +91,11 @@
         self.scheduler.place(self.now, wall_now);
         let changes = self.scheduler.take_changes();
         self.scheduler.mark_committed(&changes.acks);
+        let record = |(id, progress): &(Text, Progress)| {
+            let record = serde_json::to_string(progress).expect("plain data");
+            (id.clone(), record)
+        };
+        self.stored.extend(changes.records.iter().map(record));
         changes
     }
 
@@ -101,6 +128,22 @@
             .handle_report(worker, &report, sent, now, wall_now);
     }
 
+    /// Reports the run of an order with its progress in percent.
+    pub fn report_running(&mut self, order: &Order, incarnation: u64, percent: u32) {
+        let report = Report {
+            clock: self.now,
+            incarnation,
+            running: vec![Running {
+                percent,
+                ..run(order)
+            }],
+            finished: Vec::new(),
+        };
+        let (now, wall_now) = (self.now, self.wall());
+        self.scheduler
+            .handle_report(&order.worker, &report, now, now, wall_now);
+    }
+
     /// Reports the run of an order as finished.
     pub fn finish(&mut self, order: &Order, seq: u64, outcome: Outcome) {
         self.finish_with(order, seq, outcome, "");
--- a/crates/batch/tests/preemption.rs
+++ b/crates/batch/tests/preemption.rs
@@ -2,8 +2,10 @@
 
 mod fleet;
 
+use base::clock::Millis;
 use batch::{
     job::Step,
+    scheduler::JobScheduler,
     worker::{Outcome, StartReply},
 };
 use fleet::{Fleet, gang, starts, step, stops};
@@ -55,6 +57,54 @@
     assert_eq!(&*stopped[0].task.job, "new");
 }
 
+/// A new leader does not know when its predecessor placed a run. Guards against a loss of years for
+/// such runs, so that work was stopped that loses far more.
+#[test]
+fn a_run_of_an_earlier_leader_loses_what_its_progress_shows() {
+    let mut fleet = Fleet::new(2);
+    let long = Step {
+        estimate: Millis(10_000),
+        ..step(1, 8)
+    };
+    fleet.submit("old", 1, long.clone());
+    let old = starts(&fleet.plan()).remove(0);
+    fleet.advance(500);
+    fleet.restart();
+    fleet.report_running(&old, 1, 5);
+    fleet.submit("new", 1, long);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+    fleet.advance(4_000).report_running(&old, 1, 6);
+    fleet.submit("urgent", 0, step(1, 8));
+    fleet.plan();
+    fleet.advance(300);
+    let stopped = stops(&fleet.plan());
+    assert_eq!(stopped.len(), 1);
+    assert_eq!(&*stopped[0].task.job, "old", "6% of 10 s are lost, not 4 s");
+}
+
+/// A stop writes a checkpoint. Guards against a stop of work without checkpoints that loses more
+/// than it takes to restore one.
+#[test]
+fn a_run_with_checkpoints_loses_only_the_restore() {
+    let mut fleet = Fleet::new(2);
+    fleet.scheduler = JobScheduler::new(Millis(250));
+    fleet.set_up();
+    let saving = Step {
+        checkpoints: true,
+        ..step(1, 8)
+    };
+    fleet.submit("saving", 1, saving);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+    fleet.advance(1_000).submit("plain", 1, step(1, 8));
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+    fleet.advance(500).submit("urgent", 0, step(1, 8));
+    fleet.plan();
+    fleet.advance(300);
+    let stopped = stops(&fleet.plan());
+    assert_eq!(stopped.len(), 1);
+    assert_eq!(&*stopped[0].task.job, "saving");
+}
+
 /// Guards against accelerators that stay reserved for urgent work after the urgent load has ended.
 #[test]
 fn the_reserve_ends_with_the_urgent_load() {
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -4,6 +4,7 @@
 use batch::{
     job::{AcceptedJob, Text},
     progress::Progress,
+    scheduler::JobScheduler,
 };
 use store::{
     long_row,
@@ -40,7 +41,7 @@
     let progress: SortedMap<Text, Progress> = decode(&progress);
     let phases: SortedMap<Text, PhaseRow> = decode(&phases);
     let mut scheduler = leader.scheduler.borrow_mut();
-    *scheduler = batch::scheduler::JobScheduler::default();
+    *scheduler = JobScheduler::new(cx.cfg.restore_ms);
     let mut cancels: Vec<&str> = Vec::new();
     for row in &jobs {
         let Some((id, kind)) = rows::parse_job_key(&row.key) else {
--- a/crates/node/src/node_cfg.rs
+++ b/crates/node/src/node_cfg.rs
@@ -43,6 +43,8 @@
     pub worker_lease_ms: Millis,
     /// Time after which every node refuses a removed API key.
     pub revoke_ms: Millis,
+    /// Time that a run needs to continue from a checkpoint.
+    pub restore_ms: Millis,
     /// Time for which the phase of a job can be read after its end.
     pub keep_ms: Millis,
     /// Maximum time from SIGTERM to the exit of the process.
@@ -79,6 +81,7 @@
             connections: 2_000,
             worker_lease_ms: Millis(6_000),
             revoke_ms: Millis(5_000),
+            restore_ms: Millis(600),
             keep_ms: Millis::from_secs(120),
             grace_ms: Millis(6_000),
             // A takeover takes at most 2.5 s, well below the 6 s leases of workers. A store that is
