node: a commit renews the lease from the start of its first attempt; docs

All attempts of a commit write the same heartbeat. If the first one was applied and its answer lost, the other candidates count from then, so the holder must not count from the second one.

--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -266,8 +266,9 @@
         }
     }
 
-    /// Records that a transaction of the holder, sent at `started`, checked the lease row and rewrote
-    /// the heartbeat row: it has the effect of a renewal.
+    /// Records that a transaction of the holder checked the lease row and rewrote the heartbeat row:
+    /// it has the effect of a renewal. `started` is the start of its first attempt, because that one
+    /// may have been applied and seen by the other candidates.
     ///
     /// ```
     /// # use base::clock::Millis;
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -272,7 +272,8 @@
         match result {
             Ok(Commit::Done { version }) => {
                 leader.chain.set((version, link.count));
-                cx.lease.borrow_mut().record_renewal(leader.held, sent);
+                // All attempts write the same heartbeat, and the first one may have been applied.
+                cx.lease.borrow_mut().record_renewal(leader.held, started);
                 let ms = clock::now().since(started).0;
                 log::debug!(count = link.count, tries, ms; "commit: done");
                 return Ok(());
