--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -12,6 +12,7 @@
 mod evacuation;
 pub mod grant;
 pub mod job;
+mod open_job;
 pub mod outbox;
 mod placement;
 pub mod policy;
--- a/crates/batch/src/policy.rs
+++ b/crates/batch/src/policy.rs
@@ -9,6 +9,7 @@
 use crate::{
     candidates::{Candidates, FreeAt},
     job::{Step, SubtaskId, Text},
+    open_job::Job,
     ranking::Unit,
     scheduler::JobScheduler,
     search::Search,
@@ -192,7 +193,7 @@
         sent: Millis,
         now: Millis,
     ) {
-        let is_open = |j: &crate::scheduler::Job| !j.progress.phase.is_final();
+        let is_open = |j: &Job| !j.progress.phase.is_final();
         if !self.jobs.get(&request.step.job).is_some_and(is_open) {
             self.step_tickets.remove(&request.step);
             return;
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -5,8 +5,9 @@
 use crate::{
     config::URGENT_PRIORITY,
     job::{Step, SubtaskId, Text},
+    open_job::Job,
     progress::{Occurrence, Progress},
-    scheduler::{Job, JobScheduler},
+    scheduler::JobScheduler,
 };
 
 /// A job that takes longer than this multiple of its completion objective is of no value.
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     job::{SubtaskId, Text},
+    open_job::Job,
     progress::{Phase, RunState},
     scheduler::JobScheduler,
     worker::{Action, FinishedRun, Order, Outcome, Refusal, Report, Running, StartReply},
@@ -266,7 +267,7 @@
                 task.done = true;
             }
         }
-        let all_done = |j: &crate::scheduler::Job| !j.progress.phase.is_final() && j.is_done();
+        let all_done = |j: &Job| !j.progress.phase.is_final() && j.is_done();
         if self.jobs.get(&id.job).is_some_and(all_done) {
             self.finish(&id.job, Phase::Completed, now, wall_now);
         }
--- a/crates/batch/src/victims.rs
+++ b/crates/batch/src/victims.rs
@@ -6,10 +6,11 @@
     candidates::Candidates,
     config::URGENT_PRIORITY,
     job::{Resources, SubtaskId},
+    open_job::Job,
     placement::Pass,
     progress::RunState,
     ranking::Unit,
-    scheduler::{Job, JobScheduler},
+    scheduler::JobScheduler,
 };
 
 /// Added to the loss of urgent work, so that it is stopped only if nothing else frees enough
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod lease_cfg;
 pub mod machine;
+mod state;
 pub mod table;
 pub mod task;
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -9,7 +9,10 @@
 
 use base::clock::Millis;
 
-use crate::lease_cfg::LeaseCfg;
+use crate::{
+    lease_cfg::LeaseCfg,
+    state::{self, Acquisition, Hold, State, Watch},
+};
 
 /// Number of ranks of candidates; ids are random, so few candidates share a rank.
 const RANKS: u64 = 1_000;
@@ -96,51 +99,6 @@
     pub version: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum State {
-    /// Reads the rows at intervals until the lease can be taken over.
-    Watching(Watch),
-    Acquiring(Acquisition),
-    /// Reads the rows to find out whether an attempt with an unknown outcome was applied.
-    Verifying(Acquisition),
-    Holding(Hold),
-    /// Releases the lease and gives up at the given time.
-    Releasing(Hold, Millis),
-    Ended,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Watch {
-    /// Version of the heartbeat row and when it was first seen; `None` before the first read.
-    heartbeat: Option<(u64, Millis)>,
-    lease: Option<ObservedLease>,
-    /// Time of the last successful read.
-    last_read: Millis,
-    next: Millis,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Acquisition {
-    /// State to return to if the lease turns out to be taken, or the transaction is refused.
-    watch: Watch,
-    lease_version: u64,
-    heartbeat_version: u64,
-    fence: u64,
-    /// Start of the first attempt whose outcome is unknown.
-    first_unknown: Option<Millis>,
-    next: Millis,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Hold {
-    held: Held,
-    /// Start of the last successful renewal.
-    renewed_at: Millis,
-    next: Millis,
-    /// Whether a read has succeeded since the holder stopped acting.
-    read_succeeded: bool,
-}
-
 /// State machine of the lease, as one scheduler sees it.
 ///
 /// ```
@@ -495,7 +453,7 @@
                 h.next = now + self.retry_delay();
                 State::Holding(h)
             }
-            Outcome::Rows { lease, .. } if is_newer(lease, h.held) => {
+            Outcome::Rows { lease, .. } if state::is_newer(lease, h.held) => {
                 State::Watching(Watch::default())
             }
             Outcome::Rows { .. } => {
@@ -526,18 +484,3 @@
         Millis(self.cfg.renew_ms.0 / 4)
     }
 }
-
-/// Returns whether the row was written by a takeover after `held`; an older row is a stale read.
-fn is_newer(lease: Option<ObservedLease>, held: Held) -> bool {
-    lease.is_some_and(|l| l.version > held.version)
-}
-
-impl Acquisition {
-    fn step(&self) -> Step {
-        Step::Acquire {
-            lease_version: self.lease_version,
-            heartbeat_version: self.heartbeat_version,
-            fence: self.fence,
-        }
-    }
-}
