tests: a record at and above the size of a row; nodes with short rows

The nodes of the process tests get rows of 16 KB, so that the progress of large jobs takes several rows, and a job whose record is longer is refused with 413 where the code before the limits took the refusal of the store for an outage.

--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -18,6 +18,9 @@
 
 /// Time limit for a condition, such as a takeover or the end of a job; a takeover takes up to 1.7 s.
 pub const TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Maximum size of a row in the settings of the nodes. It is below the limit of the store, so that
+/// the progress of a job with hundreds of subtasks takes several rows.
+pub const ROW_BYTES: usize = 16 << 10;
 /// API key of the organisation in the first configuration.
 pub const API_KEY: &str = "key-one";
 
@@ -87,7 +90,7 @@
             let callers_addr = common::free_addr();
             let cfg = json!({"name": format!("n{i}"), "zone": "z", "listen": callers_addr,
                 "listen_ready": ready_addrs[i], "listen_metrics": operator_addrs[i],
-                "store": stores[i]});
+                "store": stores[i], "row_bytes": ROW_BYTES});
             Process::start(
                 "node",
                 common::write_settings(&dir, &format!("node-{i}"), &cfg),
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::atomic::Ordering, time};
 
-use cluster::{API_KEY, Cluster, TIMEOUT, config};
+use cluster::{API_KEY, Cluster, ROW_BYTES, TIMEOUT, config};
 use common::wait_until;
 use platform_standin::{store::Fault, worker::Worker};
 use serde_json::json;
@@ -107,6 +107,27 @@
     cluster.wait_for_state(1 - leader, 2, "completed");
 }
 
+/// Guards against a job whose record does not fit in a row: the store refuses it for ever, which
+/// looked like a store that does not serve the node.
+#[test]
+fn a_record_longer_than_a_row_is_refused_for_good() {
+    let cluster = Cluster::start("node-record", 1, 1, 50);
+    let submit = |id: u64, steps: usize| {
+        let body = json!({"spec": "work", "steps": vec![json!({"count": 1, "cpu": 1}); steps]});
+        let path = format!("/q/{id:016x}");
+        cluster.call(0, "POST", &path, API_KEY, &body.to_string())
+    };
+    let status = |id, steps| submit(id, steps).map(|a| a.status);
+    // A step takes about 70 bytes of the record.
+    assert_eq!(status(1, ROW_BYTES / 100), Some(200));
+    assert_eq!(status(2, ROW_BYTES / 50), Some(413));
+    cluster.wait_for_state(0, 1, "completed");
+    assert_eq!(
+        cluster.get(0, &format!("/q/{:016x}", 2)).unwrap().status,
+        410
+    );
+}
+
 /// Guards against a job that runs on after its cancellation, or whose cancellation loses it.
 #[test]
 fn a_cancelled_job_is_stopped() {
