node, store: log and count why a worker does not answer, and what it ran

Logs could not tell whether the scheduler misses the end of a worker (H1) or mistakes it for a refused start (H2): only the first failure of an outage was logged, and nothing about its runs. The kind of failure is now part of the line, a change of it is logged again, and the end of a lease says whether the run was answered. Refused connections have an error of their own. Counters: node_worker_outages, node_worker_ends, node_lost_runs. No decision changes.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -25,4 +25,5 @@
 mod search;
 mod victims;
 pub mod worker;
+pub mod worker_end;
 mod worker_state;
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -8,6 +8,7 @@
     progress::{Phase, RunState},
     scheduler::JobScheduler,
     worker::{Action, FinishedRun, Order, Outcome, Refusal, Report, Running, StartReply},
+    worker_end::{EndCause, WorkerEnd},
 };
 
 /// Number of unanswered starts after which the run is stopped. The second start makes up for a lost
@@ -119,7 +120,12 @@
         };
         if worker.incarnation != report.incarnation {
             if worker.incarnation != 0 {
-                log::warn!(worker = id, life = report.incarnation, before = worker.incarnation; "batch: worker restarted");
+                let runs = worker.runs.len();
+                log::warn!(worker = id, life = report.incarnation, before = worker.incarnation, runs; "batch: worker restarted");
+                self.worker_ends.push(WorkerEnd {
+                    cause: EndCause::Restarted,
+                    runs,
+                });
             }
             worker.incarnation = report.incarnation;
             worker.processed_seq = 0;
@@ -215,8 +221,16 @@
         };
         w.back_off(now);
         let tasks: Vec<SubtaskId> = w.runs.iter().map(|(t, _)| t.clone()).collect();
+        self.worker_ends.push(WorkerEnd {
+            cause: EndCause::LeaseExpired,
+            runs: tasks.len(),
+        });
         for id in tasks {
-            log::warn!(task:% = id, worker; "batch: lease of the run is over");
+            let attempt = self.subtask(&id).map_or(0, |t| t.attempt);
+            let run = self.subtask(&id).and_then(|t| t.run.as_ref());
+            let answered_at = run.and_then(|r| r.answered_at);
+            let age_ms = answered_at.map_or(0, |t| now.since(t).0);
+            log::warn!(task:% = id, attempt, worker, answered = answered_at.is_some(), age_ms; "batch: lease of the run is over");
             self.remove_run(&id);
             self.stop_gang(&id, now);
         }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -13,6 +13,7 @@
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
     worker::{Action, Order, WorkerInfo},
+    worker_end::WorkerEnd,
     worker_state::Worker,
 };
 
@@ -33,6 +34,8 @@
     pub acks: Vec<(Text, u64, u64)>,
     /// Queue priority and time since submission of each job whose first subtask was placed.
     pub started_jobs: Vec<(u32, Millis)>,
+    /// Ends of workers that had runs.
+    pub worker_ends: Vec<WorkerEnd>,
 }
 
 /// Numbers of jobs, runs and workers of a [`JobScheduler`].
@@ -67,6 +70,7 @@
     /// Time that a run needs to continue from a checkpoint.
     pub(crate) restore_time: Millis,
     pub(crate) started_jobs: Vec<(u32, Millis)>,
+    pub(crate) worker_ends: Vec<WorkerEnd>,
     pub(crate) step_tickets: SortedMap<StepId, StepTickets>,
     pub(crate) policy_requests: Vec<PolicyRequest>,
 }
@@ -227,6 +231,7 @@
             acks: acks.collect(),
             orders: std::mem::take(&mut self.orders),
             started_jobs: std::mem::take(&mut self.started_jobs),
+            worker_ends: std::mem::take(&mut self.worker_ends),
         }
     }
 
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -48,6 +48,9 @@
         for (priority, waited) in &changes.started_jobs {
             cx.metrics.record_job_start(*priority, *waited);
         }
+        for end in &changes.worker_ends {
+            cx.metrics.count_worker_end(*end);
+        }
         release(&cx, &leader, outbox.add(changes));
         if let Err(LeadershipLost) = commit_next(&cx, &leader, &mut outbox, &mut pending).await {
             cx.lease.borrow_mut().mark_lost();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a node, listed in docs/metrics.md.
 
 use base::clock::Millis;
+use batch::worker_end::WorkerEnd;
 use meter::Exporter;
 use opentelemetry::{
     KeyValue,
@@ -19,6 +20,9 @@
     commit_seconds: Histogram<f64>,
     orders: Counter<u64>,
     start_seconds: Histogram<f64>,
+    worker_outages: Counter<u64>,
+    worker_ends: Counter<u64>,
+    lost_runs: Counter<u64>,
     takeovers: Counter<u64>,
     store_losses: Counter<u64>,
     config_version: Gauge<u64>,
@@ -39,6 +43,9 @@
             commit_seconds: exporter.latency_histogram("node_commit_seconds"),
             orders: exporter.counter("node_orders"),
             start_seconds: exporter.latency_histogram("node_job_start_seconds"),
+            worker_outages: exporter.counter("node_worker_outages"),
+            worker_ends: exporter.counter("node_worker_ends"),
+            lost_runs: exporter.counter("node_lost_runs"),
             takeovers: exporter.counter("node_takeovers"),
             store_losses: exporter.counter("node_store_losses"),
             config_version: exporter.gauge("node_config_version"),
@@ -80,6 +87,18 @@
         self.start_seconds.record(seconds(waited), &label);
     }
 
+    /// Counts an outage of a worker that had runs, or another kind of the same outage.
+    pub(crate) fn count_worker_outage(&self, kind: &'static str) {
+        self.worker_outages.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts the end of a worker that had runs.
+    pub(crate) fn count_worker_end(&self, end: WorkerEnd) {
+        let label = [KeyValue::new("cause", end.cause.name())];
+        self.worker_ends.add(1, &label);
+        self.lost_runs.add(end.runs as u64, &label);
+    }
+
     /// Counts a takeover of the leadership.
     pub(crate) fn count_takeover(&self) {
         self.takeovers.add(1, &[]);
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -8,6 +8,7 @@
     job::Text,
     worker::{Report, WorkerInfo},
 };
+use derive_more::Display;
 use ntex::rt;
 use platform::workers::{Renewal, Reply, Target};
 
@@ -29,6 +30,33 @@
 /// send.
 const MAX_ORDER_DELAY: Millis = Millis(150);
 
+/// Reason why a renewal failed.
+#[derive(Debug, Display)]
+enum Failure {
+    #[display("no known address")]
+    NoAddress,
+    #[display("the worker has seen a higher fencing token")]
+    Fenced,
+    /// A worker with another id answered at the address.
+    #[display("another worker answers")]
+    Replaced,
+    Closed(String),
+    NoAnswer(String),
+}
+
+impl Failure {
+    /// Returns the name of the kind, a label of metrics and log lines.
+    const fn kind(&self) -> &'static str {
+        match self {
+            Self::NoAddress => "no_address",
+            Self::Fenced => "fenced",
+            Self::Replaced => "replaced",
+            Self::Closed(_) => "closed",
+            Self::NoAnswer(_) => "silent",
+        }
+    }
+}
+
 /// Session with one worker.
 #[derive(Debug, Default)]
 pub(crate) struct WorkerSession {
@@ -117,22 +145,33 @@
 /// Renews the lease of a worker while a run may exist there, and until its finished runs are
 /// acknowledged to it.
 async fn run(cx: Cx, leader: Rc<Leader>, worker: Text) {
-    let mut unresponsive = false;
-    while !leader.ended.get() && is_needed(&leader, &worker, unresponsive) {
+    let mut outage: Option<&'static str> = None;
+    let mut answered_at = clock::now();
+    while !leader.ended.get() && is_needed(&leader, &worker, outage.is_some()) {
         if cx.acting().is_none() {
             cx::sleep(RETRY_DELAY).await;
             continue;
         }
         let failure = match target(&leader, &worker) {
-            Some(target) => renew(&cx, &leader, &target).await,
-            None => Some(String::from("no known address")),
+            Some(target) => renew(&cx, &leader, &target).await.err(),
+            None => Some(Failure::NoAddress),
         };
-        if unresponsive != failure.is_some() {
-            unresponsive = failure.is_some();
-            set_responding(&leader, &worker, failure.as_deref());
-        }
-        if failure.is_none() {
+        let Some(failure) = failure else {
+            answered_at = clock::now();
+            if outage.take().is_some() {
+                log::info!(worker:%; "workers: answers again");
+                set_responding(&leader, &worker, true);
+            }
             continue;
+        };
+        if outage != Some(failure.kind()) {
+            let runs = leader.scheduler.borrow().runs_on(&worker);
+            let silent_ms = clock::now().since(answered_at).0;
+            log::warn!(worker:%, kind = failure.kind(), reason:% = failure, runs, silent_ms; "workers: no answer");
+            cx.metrics.count_worker_outage(failure.kind());
+            if outage.replace(failure.kind()).is_none() {
+                set_responding(&leader, &worker, false);
+            }
         }
         if clock::now() > leases_expire_at(&cx, &leader, &worker) {
             leader
@@ -157,16 +196,12 @@
 }
 
 /// Records that a worker stopped answering, or answers again.
-fn set_responding(leader: &Leader, worker: &Text, failure: Option<&str>) {
-    match failure {
-        Some(reason) => log::warn!(worker:%, reason; "workers: no answer"),
-        None => log::info!(worker:%; "workers: answers again"),
-    }
+fn set_responding(leader: &Leader, worker: &Text, responding: bool) {
     let mut scheduler = leader.scheduler.borrow_mut();
-    scheduler.set_responding(worker, failure.is_none(), clock::now());
+    scheduler.set_responding(worker, responding, clock::now());
     drop(scheduler);
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
-        session.grants.set_responding(failure.is_none());
+        session.grants.set_responding(responding);
     }
     leader.changed.notify_one();
 }
@@ -181,8 +216,8 @@
     granted.unwrap_or_default().max(before)
 }
 
-/// Renews the lease once; returns the reason if it failed.
-async fn renew(cx: &Cx, leader: &Rc<Leader>, target: &Target) -> Option<String> {
+/// Renews the lease once.
+async fn renew(cx: &Cx, leader: &Rc<Leader>, target: &Target) -> Result<(), Failure> {
     let worker = &target.id;
     let sent = clock::now();
     let acked = unsent_ack(leader, worker);
@@ -204,16 +239,17 @@
                 let committed = leader.committed.notified();
                 let _ = tokio::time::timeout(MAX_COMMIT_WAIT.to_duration(), committed).await;
             }
-            None
+            Ok(())
         }
         Reply::Fenced => {
             log::warn!(worker:%; "workers: the worker has seen a higher fencing token");
             cx.lease.borrow_mut().mark_lost();
             cx.wake_lease_task.notify_one();
-            Some("fenced".into())
+            Err(Failure::Fenced)
         }
-        Reply::OtherWorker => Some("another worker answers".into()),
-        Reply::Failed(reason) => Some(reason),
+        Reply::OtherWorker => Err(Failure::Replaced),
+        Reply::Closed(reason) => Err(Failure::Closed(reason)),
+        Reply::Failed(reason) => Err(Failure::NoAnswer(reason)),
     }
 }
 
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -1,6 +1,6 @@
 //! HTTP client whose errors tell whether anything may have been sent.
 
-use std::{net, rc};
+use std::{io, net, rc};
 
 use base::clock::Millis;
 use ntex::{
@@ -63,6 +63,8 @@
 pub enum CallError {
     /// Nothing was sent.
     NotSent(String),
+    /// Nothing was sent, because the server refused the connection: no process listens there.
+    Refused(String),
     /// The request may have been sent, and the connection was closed or reset without an answer.
     ///
     /// This happens on an idle connection that the server has dropped, for example in a restart.
@@ -80,14 +82,17 @@
     /// ```
     pub fn reason(self) -> String {
         match self {
-            Self::NotSent(reason) | Self::Closed(reason) | Self::NoAnswer(reason) => reason,
+            Self::NotSent(reason)
+            | Self::Refused(reason)
+            | Self::Closed(reason)
+            | Self::NoAnswer(reason) => reason,
         }
     }
 
     /// Converts the failure of a call that changes state.
     pub fn into_write_error(self) -> StoreError {
         match self {
-            Self::NotSent(reason) => StoreError::NotDone { reason },
+            Self::NotSent(reason) | Self::Refused(reason) => StoreError::NotDone { reason },
             Self::Closed(reason) | Self::NoAnswer(reason) => StoreError::Unknown { reason },
         }
     }
@@ -212,6 +217,11 @@
         ClientError::Connect(ConnectError::Disconnected(None)) => {
             CallError::Closed("connection closed without an answer".into())
         }
+        ClientError::Connect(ConnectError::Disconnected(Some(e)))
+            if e.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            CallError::Refused(err.to_string())
+        }
         ClientError::Send(_) => CallError::Closed(err.to_string()),
         ClientError::Connect(_) | ClientError::Url(_) => CallError::NotSent(err.to_string()),
         _ => CallError::NoAnswer(err.to_string()),
