--- a/crates/batch/src/candidates.rs
+++ b/crates/batch/src/candidates.rs
@@ -3,9 +3,11 @@
 use base::clock::Millis;
 
 use crate::{
+    isolation::{Isolation, IsolationState},
     job::{Resources, Text},
     progress::RunState,
     scheduler::JobScheduler,
+    worker_end::PROVING_TIME,
 };
 
 /// Runs that are expected to end within this time count as free for waiting gangs. It is the length
@@ -33,6 +35,7 @@
     pub(crate) has_latency_target: bool,
     /// Whether a run on the worker uses only leftover processor time.
     pub(crate) has_filler: bool,
+    pub(crate) isolation: IsolationState,
 }
 
 /// Point in time whose free resources a search considers.
@@ -205,6 +208,7 @@
                 reserved_for_urgent: false,
                 has_latency_target: false,
                 has_filler: false,
+                isolation: IsolationState::default(),
             };
             for (task, need) in &worker.runs {
                 let Some((run, step)) = self.run_of(task) else {
@@ -220,6 +224,10 @@
                 }
                 candidate.has_latency_target |= step.target.is_some();
                 candidate.has_filler |= step.fills;
+                let crashes = self.subtask(task).map_or(0, |t| t.crashes);
+                let proven = run.known_age(now) >= PROVING_TIME;
+                let isolation = Isolation::of(crashes);
+                candidate.isolation.add_run(isolation, proven, step.endless);
             }
             Some((worker.rack().cloned().unwrap_or_default(), candidate))
         });
--- /dev/null
+++ b/crates/batch/src/crash.rs
@@ -0,0 +1,182 @@
+//! Attribution of crashes of workers to the subtasks that ran there.
+//!
+//! A crash is counted for each run on the worker. Most of them are innocent, so a subtask with a
+//! crash is started again where nothing else has just started: the next crash then shows whether it
+//! is the cause. A subtask is given up only after such a crash.
+
+use base::clock::Millis;
+
+use crate::{
+    job::Text,
+    progress::Phase,
+    scheduler::JobScheduler,
+    worker_end::{EndCause, Explanation, LostRun, LostWorker, Outage, WorkerEnd},
+};
+
+/// Number of crashes after which a subtask is given up if the last one came right after its start,
+/// on a worker where nothing else had just started and while no other worker went away.
+const MAX_CRASHES: u32 = 2;
+/// The same if another worker went away at about the same time.
+const MAX_CRASHES_AMONG_OTHERS: u32 = 3;
+/// The same if the crash seems to have a cause outside of the worker.
+const MAX_CRASHES_IN_OUTAGE: u32 = 5;
+/// Number of crashes after which a subtask runs alone on a worker.
+pub(crate) const MAX_SHARED_CRASHES: u32 = 3;
+/// Number of crashes after which a subtask is given up if the last one came while it ran alone, long
+/// after its start.
+const MAX_LATE_CRASHES: u32 = MAX_SHARED_CRASHES + 1;
+/// Time span that endless work has to last for its earlier crashes to be forgotten.
+const FORGET_AFTER: Millis = Millis(60_000);
+/// Maximum time between two outages that count as simultaneous.
+const SIMULTANEOUS: Millis = Millis(200);
+/// Time for which outages are kept for comparison, and unexplained losses for an explanation.
+const OUTAGE_MEMORY: Millis = Millis(60_000);
+
+impl Outage {
+    fn is_simultaneous(&self, other: &Self) -> bool {
+        self.worker != other.worker
+            && self.from <= other.to + SIMULTANEOUS
+            && other.from <= self.to + SIMULTANEOUS
+    }
+
+    /// Returns whether `other`, which happened at the same time, shows a cause outside of the worker:
+    /// a worker that went away without a reason of its own, or one of the same rack.
+    fn has_common_cause(&self, other: &Self) -> bool {
+        match other.explanation {
+            Explanation::None => true,
+            Explanation::FreshRun => self.rack.is_some() && self.rack == other.rack,
+            Explanation::Suspect => false,
+        }
+    }
+}
+
+impl JobScheduler {
+    /// Decides why a worker has ended, counts a crash for its runs and gives up the job that caused
+    /// it, if that is certain.
+    pub(crate) fn judge(&mut self, lost: &LostWorker, now: Millis, wall_now: Millis) {
+        let others = self
+            .outages
+            .iter()
+            .filter(|o| o.is_simultaneous(&lost.outage));
+        let others: Vec<&Outage> = others.collect();
+        let with_others = others.len();
+        let common_cause = others.iter().any(|o| lost.outage.has_common_cause(o));
+        let cause = match lost {
+            lost if lost.was_leaving => EndCause::Left,
+            lost if common_cause && lost.outage.explanation == Explanation::None => {
+                EndCause::Outage
+            }
+            _ => EndCause::Crashed,
+        };
+        log::warn!(
+            worker:% = lost.id, life = lost.incarnation, cause = cause.name(), runs = lost.runs.len(),
+            with_others, common_cause, silent_ms = now.since(lost.outage.from).0;
+            "batch: worker ended"
+        );
+        let gave_up = cause == EndCause::Crashed
+            && self.count_crash(lost, with_others, common_cause, now, wall_now);
+        self.worker_ends.push(WorkerEnd {
+            cause,
+            runs: lost.runs.len(),
+            gave_up,
+        });
+        self.outages.retain(|o| now.since(o.to) <= OUTAGE_MEMORY);
+    }
+
+    /// Returns whether a job was given up.
+    fn count_crash(
+        &mut self,
+        lost: &LostWorker,
+        with_others: usize,
+        common_cause: bool,
+        now: Millis,
+        wall_now: Millis,
+    ) -> bool {
+        let may_be_cause = |r: &&LostRun| r.existed && (r.fresh || !common_cause);
+        let suspects = lost.runs.iter().filter(may_be_cause);
+        let suspects: Vec<&LostRun> = suspects.collect();
+        for run in &suspects {
+            let endless = self.step_of(&run.task).is_some_and(|s| s.endless);
+            let Some(task) = self.subtask_mut(&run.task).filter(|t| !t.done) else {
+                continue;
+            };
+            if endless && run.age >= FORGET_AFTER {
+                task.crashes = 0;
+            }
+            task.crashes += 1;
+            let crashes = task.crashes;
+            self.dirty.push(run.task.job.clone());
+            log::warn!(
+                task:% = run.task, attempt = run.attempt, worker:% = lost.id, crashes,
+                fresh = run.fresh, age_ms = run.age.0;
+                "batch: worker crashed under the run"
+            );
+        }
+        let limit = match (lost.outage.explanation, with_others) {
+            (Explanation::None, _) => MAX_LATE_CRASHES,
+            _ if common_cause => MAX_CRASHES_IN_OUTAGE,
+            (_, 0) => MAX_CRASHES,
+            _ => MAX_CRASHES_AMONG_OTHERS,
+        };
+        let Some(job) = culprit(lost) else {
+            return false;
+        };
+        let of_job = suspects.iter().filter(|r| r.task.job == job);
+        let crashes = |r: &&LostRun| self.subtask(&r.task).map_or(0, |t| t.crashes);
+        let Some(worst) = of_job.copied().max_by_key(crashes) else {
+            return false;
+        };
+        let crashes = crashes(&worst);
+        let open = self.phase(&job).is_some_and(|p| !p.is_final());
+        if crashes < limit || !open {
+            return false;
+        }
+        log::error!(task:% = worst.task, crashes, limit, worker:% = lost.id; "batch: given up, it crashes its workers");
+        self.finish(&job, Phase::Failed, now, wall_now);
+        true
+    }
+
+    /// Finds the losses that the VM list explains.
+    pub(crate) fn explain_losses(&mut self, now: Millis, wall_now: Millis) {
+        let losses = std::mem::take(&mut self.unexplained_losses);
+        for lost in losses {
+            match self.fate(&lost) {
+                Fate::Survived => {}
+                Fate::Ended => self.judge(&lost, now, wall_now),
+                Fate::Unknown if now.since(lost.outage.to) > OUTAGE_MEMORY => {}
+                Fate::Unknown => self.unexplained_losses.push(lost),
+            }
+        }
+    }
+
+    fn fate(&self, lost: &LostWorker) -> Fate {
+        let infos = self.workers.values().filter_map(|w| w.info.as_ref());
+        let fates = infos.map(|i| match i.id == lost.id {
+            true if i.incarnation != lost.incarnation => Fate::Ended,
+            true if lost.listed_at.is_none_or(|t| i.clock > t) => Fate::Survived,
+            false if i.address == lost.address => Fate::Ended,
+            _ => Fate::Unknown,
+        });
+        fates.max().unwrap_or_default()
+    }
+}
+
+/// What became of a worker whose lease expired.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+enum Fate {
+    #[default]
+    Unknown,
+    /// A worker of another incarnation has its id or its address.
+    Ended,
+    /// It is still there.
+    Survived,
+}
+
+/// Returns the job whose subtask crashed the worker, or `None` if runs of several jobs may be the
+/// cause.
+fn culprit(lost: &LostWorker) -> Option<Text> {
+    let has_no_fresh_run = lost.outage.explanation == Explanation::None;
+    let mut runs = lost.runs.iter().filter(|r| r.fresh || has_no_fresh_run);
+    let job = &runs.next()?.task.job;
+    runs.all(|r| r.task.job == *job).then(|| job.clone())
+}
--- a/crates/batch/src/evacuation.rs
+++ b/crates/batch/src/evacuation.rs
@@ -69,7 +69,11 @@
             return;
         };
         let Some(info) = worker.info.as_ref().filter(|i| i.draining) else {
-            worker.shutdown_at = None;
+            // The entry of the next incarnation may be read before the end of this one is noticed.
+            let incarnation = worker.info.as_ref().map(|i| i.incarnation);
+            if incarnation == Some(worker.incarnation) {
+                worker.shutdown_at = None;
+            }
             return;
         };
         let remaining = info.remaining.unwrap_or_default();
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -9,8 +9,10 @@
 
 mod candidates;
 pub mod config;
+mod crash;
 mod evacuation;
 pub mod grant;
+mod isolation;
 pub mod job;
 mod open_job;
 pub mod outbox;
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -5,6 +5,7 @@
 use crate::{
     candidates::{Candidates, FreeAt},
     config::URGENT_PRIORITY,
+    isolation::Isolation,
     job::{Step, SubtaskId, Text},
     progress::{Phase, Run, RunState},
     ranking::Unit,
@@ -42,6 +43,7 @@
     /// batch::scheduler::JobScheduler::default().place(Millis(1), Millis(1));
     /// ```
     pub fn place(&mut self, now: Millis, wall_now: Millis) {
+        self.explain_losses(now, wall_now);
         let within_guarantee = self.organisations_within_guarantee();
         let units = self.units(&within_guarantee, wall_now);
         if units.is_empty() {
@@ -74,6 +76,10 @@
         for (id, candidate) in unit.tasks.iter().zip(&found) {
             let worker = candidates.all[*candidate].worker.clone();
             candidates.all[*candidate].take(step.reserved());
+            let isolation = Isolation::of(self.subtask(id).map_or(0, |t| t.crashes));
+            candidates.all[*candidate]
+                .isolation
+                .add_run(isolation, false, step.endless);
             if let Some(attempt) = self.start(id, worker.clone(), now, wall_now) {
                 placed.push(format!("{}#{attempt}@{worker}", id.index));
             }
@@ -89,6 +95,13 @@
         if found.len() == unit.tasks.len() {
             return;
         }
+        if unit.isolation == Isolation::Alone
+            && let Some(i) = self
+                .search(unit, &step, &service, now)
+                .find_worker_to_empty(candidates)
+        {
+            candidates.all[i].isolation.hold();
+        }
         self.log_waiting(unit, found.len(), candidates, now);
         self.request_tickets(unit, &step, &service, candidates, now);
         if unit.priority != URGENT_PRIORITY {
@@ -178,6 +191,8 @@
             state: RunState::Ordered,
             placed_at: Some(now),
             answered_at: None,
+            taken_at: None,
+            stop_ordered_at: None,
             ordered_at: now,
             percent: 0,
             unanswered_starts: 0,
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -1,6 +1,6 @@
 //! Progress of a job, the part of its state that is stored.
 
-use base::clock::Millis;
+use base::{clock::Millis, sorted::SortedMap};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -72,6 +72,12 @@
     /// Time when the worker first answered an order about the run or listed it.
     #[serde(skip)]
     pub(crate) answered_at: Option<Millis>,
+    /// Time when the worker first confirmed that the run exists there.
+    #[serde(skip)]
+    pub(crate) taken_at: Option<Millis>,
+    /// Time of the first stop order.
+    #[serde(skip)]
+    pub(crate) stop_ordered_at: Option<Millis>,
     /// Time of the last order about the run.
     #[serde(skip)]
     pub(crate) ordered_at: Millis,
@@ -96,6 +102,9 @@
     /// Number of failed runs.
     #[serde(rename = "f", skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// Number of workers that crashed under the subtask.
+    #[serde(rename = "x", skip_serializing_if = "is_zero")]
+    pub crashes: u32,
     /// Whether the subtask is done.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
@@ -136,6 +145,10 @@
     pub at: Millis,
     /// Occurrences that have become due.
     pub occurrences: Vec<Occurrence>,
+    /// Addresses of the workers that may have a run, by worker id. The next leader asks there whether
+    /// a worker that is no longer listed has ended.
+    #[serde(skip_serializing_if = "SortedMap::is_empty")]
+    pub addresses: SortedMap<Text, Text>,
 }
 
 impl Progress {
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::URGENT_PRIORITY,
+    isolation::Isolation,
     job::{Step, SubtaskId, Text},
     open_job::Job,
     progress::{Occurrence, Progress},
@@ -27,6 +28,8 @@
     pub(crate) guaranteed: bool,
     /// How long the unit has waited.
     pub(crate) waited: Millis,
+    /// How far its subtasks have to be kept apart from other work.
+    pub(crate) isolation: Isolation,
 }
 
 /// Sort key of a unit; lower ranks are placed first.
@@ -127,16 +130,19 @@
                 if tasks.is_empty() || !job.dependencies_done(occurrence, s) {
                     continue;
                 }
-                units.push(Unit {
-                    rank,
-                    job: job.accepted.id.clone(),
-                    step: s,
-                    tasks,
-                    all_or_nothing: step.gang,
-                    priority,
-                    guaranteed,
-                    waited: wall_now.since(start),
-                });
+                for (isolation, tasks) in job.by_isolation(tasks, step) {
+                    units.push(Unit {
+                        rank,
+                        job: job.accepted.id.clone(),
+                        step: s,
+                        tasks,
+                        all_or_nothing: step.gang,
+                        priority,
+                        guaranteed,
+                        waited: wall_now.since(start),
+                        isolation,
+                    });
+                }
             }
         }
     }
@@ -207,6 +213,28 @@
             .unwrap_or(0)
     }
 
+    /// Splits the subtasks of a step by their isolation; a gang stays whole.
+    fn by_isolation(
+        &self,
+        tasks: Vec<SubtaskId>,
+        step: &Step,
+    ) -> impl Iterator<Item = (Isolation, Vec<SubtaskId>)> {
+        let isolation = |id: &SubtaskId| {
+            let crashes = self.subtask(id).map_or(0, |t| t.crashes);
+            Isolation::of(crashes)
+        };
+        let mut parts: [Vec<SubtaskId>; 3] = Default::default();
+        let strictest = tasks.iter().map(isolation).max().unwrap_or_default();
+        for id in tasks {
+            let part = if step.gang { strictest } else { isolation(&id) };
+            parts[part as usize].push(id);
+        }
+        let all = [Isolation::None, Isolation::Start, Isolation::Alone];
+        all.into_iter()
+            .zip(parts)
+            .filter(|(_, ids)| !ids.is_empty())
+    }
+
     /// Returns the subtasks of a step that have no run and are not done. A gang is returned whole
     /// or not at all.
     fn startable(&self, k: usize, s: usize, step: &Step) -> Vec<SubtaskId> {
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -8,7 +8,6 @@
     progress::{Phase, RunState},
     scheduler::JobScheduler,
     worker::{Action, FinishedRun, Order, Outcome, Refusal, Report, Running, StartReply},
-    worker_end::{EndCause, WorkerEnd},
 };
 
 /// Number of unanswered starts after which the run is stopped. The second start makes up for a lost
@@ -31,15 +30,24 @@
         reply: StartReply,
         now: Millis,
     ) {
-        let Some(task) = self.subtask_mut(id).filter(|t| t.attempt == attempt) else {
+        let task = self.subtask(id).filter(|t| t.attempt == attempt);
+        let Some(worker) = task.and_then(|t| Some(t.run.as_ref()?.worker.clone())) else {
             return;
         };
-        let Some(run) = &mut task.run else {
+        if reply == StartReply::Taken
+            && let Some(worker) = self.workers.get_mut(&worker)
+        {
+            worker.alive_until = now;
+        }
+        let Some(run) = self.run_mut(id) else {
             return;
         };
         match reply {
             StartReply::Taken | StartReply::Refused(Refusal::Old) => {
                 run.answered_at.get_or_insert(now);
+                if reply == StartReply::Taken {
+                    run.taken_at.get_or_insert(now);
+                }
                 if matches!(run.state, RunState::Ordered | RunState::Adopted) {
                     run.state = RunState::Running;
                 }
@@ -119,18 +127,28 @@
             return;
         };
         if worker.incarnation != report.incarnation {
-            if worker.incarnation != 0 {
-                let runs = worker.runs.len();
-                log::warn!(worker = id, life = report.incarnation, before = worker.incarnation, runs; "batch: worker restarted");
-                self.worker_ends.push(WorkerEnd {
-                    cause: EndCause::Restarted,
-                    runs,
-                });
+            let before = worker.incarnation;
+            if before != 0 {
+                log::warn!(worker = id, life = report.incarnation, before; "batch: worker restarted");
+                let lost = self.lost_worker(id, sent, now);
+                if let Some(lost) = lost.filter(|l| !l.runs.is_empty()) {
+                    self.judge(&lost, now, wall_now);
+                }
+            }
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.start_life(report.incarnation);
             }
-            worker.incarnation = report.incarnation;
-            worker.processed_seq = 0;
-            worker.stored_seq = 0;
         }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.alive_until = now;
+        let life = worker.incarnation;
+        self.unexplained_losses
+            .retain(|l| &*l.id != id || l.incarnation != life);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         let processed = worker.processed_seq;
         for finished in report.finished.iter().filter(|f| f.seq > processed) {
             self.handle_finished(id, finished, now, wall_now);
@@ -165,6 +183,7 @@
         };
         run.percent = percent;
         run.listed = true;
+        run.taken_at.get_or_insert(now);
         // If the report to a later request does not list the run, the run is gone.
         run.answered_at.get_or_insert(now);
         match run.state {
@@ -209,33 +228,6 @@
         }
     }
 
-    /// Handles the expiry of a worker's lease, after which none of its runs exists any more.
-    ///
-    /// ```
-    /// use base::clock::Millis;
-    /// batch::scheduler::JobScheduler::default().handle_lease_expiry("w", Millis(1));
-    /// ```
-    pub fn handle_lease_expiry(&mut self, worker: &str, now: Millis) {
-        let Some(w) = self.workers.get_mut(worker) else {
-            return;
-        };
-        w.back_off(now);
-        let tasks: Vec<SubtaskId> = w.runs.iter().map(|(t, _)| t.clone()).collect();
-        self.worker_ends.push(WorkerEnd {
-            cause: EndCause::LeaseExpired,
-            runs: tasks.len(),
-        });
-        for id in tasks {
-            let attempt = self.subtask(&id).map_or(0, |t| t.attempt);
-            let run = self.subtask(&id).and_then(|t| t.run.as_ref());
-            let answered_at = run.and_then(|r| r.answered_at);
-            let age_ms = answered_at.map_or(0, |t| now.since(t).0);
-            log::warn!(task:% = id, attempt, worker, answered = answered_at.is_some(), age_ms; "batch: lease of the run is over");
-            self.remove_run(&id);
-            self.stop_gang(&id, now);
-        }
-    }
-
     fn handle_finished(
         &mut self,
         worker: &str,
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -13,7 +13,7 @@
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
     worker::{Action, Order, WorkerInfo},
-    worker_end::WorkerEnd,
+    worker_end::{LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
 };
 
@@ -71,6 +71,10 @@
     pub(crate) restore_time: Millis,
     pub(crate) started_jobs: Vec<(u32, Millis)>,
     pub(crate) worker_ends: Vec<WorkerEnd>,
+    /// Recent outages of workers.
+    pub(crate) outages: Vec<Outage>,
+    /// Workers whose lease expired for an unknown reason.
+    pub(crate) unexplained_losses: Vec<LostWorker>,
     pub(crate) step_tickets: SortedMap<StepId, StepTickets>,
     pub(crate) policy_requests: Vec<PolicyRequest>,
 }
@@ -114,6 +118,9 @@
             let need = job.step(&task).reserved();
             let worker = self.workers.get_or_default(run.worker.clone());
             worker.incarnation = run.incarnation;
+            if let Some(address) = job.progress.addresses.get(&*run.worker) {
+                worker.address = address.clone();
+            }
             worker.add_run(task, need);
         }
         self.jobs.insert(job.accepted.id.clone(), job);
@@ -217,7 +224,9 @@
         self.dirty.dedup();
         let dirty = std::mem::take(&mut self.dirty);
         let record = |id: Text| {
-            let progress = self.jobs.get(&id)?.progress.clone();
+            let job = self.jobs.get(&id)?;
+            let mut progress = job.progress.clone();
+            progress.addresses = self.addresses_of(job);
             Some((id, progress))
         };
         let records = dirty.into_iter().filter_map(record).collect();
@@ -235,6 +244,30 @@
         }
     }
 
+    /// Returns the addresses of the workers that may have a run of the job.
+    fn addresses_of(&self, job: &Job) -> SortedMap<Text, Text> {
+        let mut addresses = SortedMap::default();
+        for (_, run) in job.runs() {
+            let address = self.workers.get(&run.worker).map(|w| &w.address);
+            if let Some(address) = address.filter(|a| !a.is_empty()) {
+                addresses.insert(run.worker.clone(), address.clone());
+            }
+        }
+        addresses
+    }
+
+    /// Returns id, incarnation and last known address of the workers that may have runs and are not
+    /// listed.
+    ///
+    /// ```
+    /// assert!(batch::scheduler::JobScheduler::default().unlisted_workers().is_empty());
+    /// ```
+    pub fn unlisted_workers(&self) -> Vec<(Text, u64, Text)> {
+        let unlisted = self.workers.iter().filter(|(_, w)| w.info.is_none());
+        let entry = |(id, w): (&Text, &Worker)| (id.clone(), w.incarnation, w.address.clone());
+        unlisted.map(entry).collect()
+    }
+
     /// Returns the requests to the policy service since the last call. They change no stored state,
     /// so they need no commit.
     ///
@@ -372,10 +405,9 @@
             if worker.incarnation == 0
                 || worker.runs.is_empty() && worker.incarnation != info.incarnation
             {
-                worker.incarnation = info.incarnation;
-                worker.processed_seq = 0;
-                worker.stored_seq = 0;
+                worker.start_life(info.incarnation);
             }
+            worker.address = info.address.clone();
             let id = info.id.clone();
             worker.info = Some(info);
             self.update_shutdown_time(&id, now);
@@ -424,6 +456,7 @@
             return;
         }
         run.state = RunState::Stopping;
+        run.stop_ordered_at.get_or_insert(now);
         run.ordered_at = now;
         let worker = run.worker.clone();
         self.order_stop(worker, task.clone(), attempt);
@@ -448,6 +481,10 @@
         self.jobs.get(&id.job)?.subtask(id)
     }
 
+    pub(crate) fn run_mut(&mut self, id: &SubtaskId) -> Option<&mut Run> {
+        self.subtask_mut(id)?.run.as_mut()
+    }
+
     /// Returns the run of a subtask and its step.
     pub(crate) fn run_of(&self, id: &SubtaskId) -> Option<(&Run, &Step)> {
         let job = self.jobs.get(&id.job)?;
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -6,6 +6,7 @@
 use crate::{
     candidates::{Candidate, Candidates, FreeAt, SearchRequest},
     config::URGENT_PRIORITY,
+    isolation::Isolation,
     job::{Step, SubtaskId, Text},
     policy::{StepId, StepTickets},
     ranking::Unit,
@@ -92,6 +93,7 @@
             && self.step.data_rack.is_none()
             && self.step.max_per_worker == 0
             && !self.step.fills
+            && self.unit.isolation == Isolation::None
             && self.step.target.is_none()
             && self.tickets.is_none();
         if found.is_empty() && is_unrestricted {
@@ -151,6 +153,11 @@
     }
 
     fn is_usable(&self, candidate: &Candidate) -> bool {
+        candidate.isolation.admits(self.unit.isolation) && self.is_suitable(candidate)
+    }
+
+    /// Returns whether the unit may run on a candidate, whatever else has just started there.
+    fn is_suitable(&self, candidate: &Candidate) -> bool {
         if (candidate.reserved_for_urgent && self.unit.priority != URGENT_PRIORITY)
             || self.interferes_with(candidate)
         {
@@ -266,6 +273,10 @@
             return Vec::new();
         }
         fitting.sort_by_key(|(free, ..)| *free);
+        if self.unit.isolation > Isolation::None {
+            // A crash of an emptier worker hits fewer others.
+            fitting.reverse();
+        }
         let mut found = Vec::with_capacity(wanted);
         for (_, i, count) in fitting {
             let rest = (wanted - found.len()) as u64;
@@ -274,6 +285,18 @@
         found
     }
 
+    /// Returns the candidate to keep free of new work for a unit that has to run alone: the emptiest
+    /// one that becomes idle.
+    pub(crate) fn find_worker_to_empty(&self, candidates: &Candidates) -> Option<usize> {
+        let all = candidates.all.iter().enumerate();
+        let fitting = all.filter(|(_, c)| {
+            let fits = self.step.reserved().fits_in(c.capacity);
+            fits && c.isolation.can_be_emptied() && self.is_suitable(c)
+        });
+        let free = |c: &Candidate| c.free.share_of(c.capacity);
+        fitting.max_by_key(|(_, c)| free(c)).map(|(i, _)| i)
+    }
+
     /// Returns how many more subtasks of the step may run on the worker.
     pub(crate) fn remaining_limit(&self, worker: &Text) -> u64 {
         if self.step.max_per_worker == 0 {
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -1,16 +1,36 @@
 //! Ends of workers that had runs.
 
+use base::clock::Millis;
+
+use crate::{
+    job::{SubtaskId, Text},
+    progress::{Run, RunState},
+    scheduler::JobScheduler,
+};
+
+/// Time that a run has to last before a crash of its worker is no longer attributed to its start.
+pub(crate) const PROVING_TIME: Millis = Millis(500);
+
+/// Time from a crash until its connections are found closed. The other members of a gang may report
+/// their end before that, and the gang is stopped.
+const NOTICE_DELAY: Millis = Millis(50);
+
 /// What ended a worker, or the trust in it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndCause {
+    /// It crashed.
+    Crashed,
+    /// It ended together with others for a reason that lies outside of its runs, such as a loss of
+    /// power.
+    Outage,
+    /// It shut down as announced.
+    Left,
     /// It did not answer until its lease expired; it may have crashed or be unreachable.
     LeaseExpired,
-    /// It answers as another incarnation.
-    Restarted,
 }
 
 impl EndCause {
-    /// Returns the name, a label of metrics.
+    /// Returns the name, a label of metrics and a field of log lines.
     ///
     /// ```
     /// use batch::worker_end::EndCause;
@@ -18,8 +38,10 @@
     /// ```
     pub const fn name(self) -> &'static str {
         match self {
+            Self::Crashed => "crashed",
+            Self::Outage => "outage",
+            Self::Left => "left",
             Self::LeaseExpired => "lease_expired",
-            Self::Restarted => "restarted",
         }
     }
 }
@@ -31,4 +53,230 @@
     pub cause: EndCause,
     /// Number of its runs.
     pub runs: usize,
+    /// Whether a job was given up because of it.
+    pub gave_up: bool,
+}
+
+/// A worker that ended, with what ran on it.
+#[derive(Clone, Debug)]
+pub(crate) struct LostWorker {
+    pub(crate) id: Text,
+    pub(crate) address: Text,
+    pub(crate) incarnation: u64,
+    /// Time on the worker's clock when it last wrote its entry in the VM list.
+    pub(crate) listed_at: Option<Millis>,
+    pub(crate) outage: Outage,
+    /// Whether it had announced its shutdown.
+    pub(crate) was_leaving: bool,
+    pub(crate) runs: Vec<LostRun>,
+}
+
+/// A run on a worker that ended.
+#[derive(Clone, Debug)]
+pub(crate) struct LostRun {
+    pub(crate) task: SubtaskId,
+    pub(crate) attempt: u32,
+    /// Time that the run is known to have lasted.
+    pub(crate) age: Millis,
+    /// Whether the worker may have ended because the run started.
+    pub(crate) fresh: bool,
+    /// Whether the run certainly existed. A start that the worker has not answered may not have been
+    /// carried out, and a run that was stopped may have ended before.
+    pub(crate) existed: bool,
+}
+
+/// Time span in which a worker went away.
+#[derive(Clone, Debug)]
+pub(crate) struct Outage {
+    pub(crate) worker: Text,
+    pub(crate) rack: Option<Text>,
+    /// Last time at which it was alive.
+    pub(crate) from: Millis,
+    /// Time at which it was first found missing.
+    pub(crate) to: Millis,
+    pub(crate) explanation: Explanation,
+}
+
+/// What on a worker may explain that it went away.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Explanation {
+    #[default]
+    None,
+    /// A run had just started.
+    FreshRun,
+    /// A run had just started whose subtask has crashed a worker before.
+    Suspect,
+}
+
+impl Run {
+    /// Returns for how long the run is known to have lasted at `at`.
+    pub(crate) fn known_age(&self, at: Millis) -> Millis {
+        self.taken_at.map_or(Millis::ZERO, |t| at.since(t))
+    }
+
+    /// Returns whether the run existed when its worker, which was alive until `at`, crashed. An
+    /// unanswered start counts if the worker crashed right after the order.
+    fn existed(&self, at: Millis) -> bool {
+        let crashed_after = self.ordered_at <= at && at.since(self.ordered_at) < PROVING_TIME;
+        match self.state {
+            RunState::Running => self.taken_at.is_some(),
+            RunState::Ordered => self.taken_at.is_some() || crashed_after,
+            RunState::Stopping => {
+                let was_running = |t: Millis| t + NOTICE_DELAY >= at;
+                let was_running = self.stop_ordered_at.is_none_or(was_running);
+                self.taken_at.is_some() && was_running
+            }
+            RunState::Adopted => false,
+        }
+    }
+
+    /// Returns whether a crash at `at` may be due to the start of the run. Of a run that an earlier
+    /// leader started the time of the start is unknown.
+    pub(crate) fn is_fresh(&self, at: Millis) -> bool {
+        let started_here = self.placed_at.is_some() || self.state == RunState::Ordered;
+        started_here && self.known_age(at) < PROVING_TIME
+    }
+}
+
+impl JobScheduler {
+    /// Handles the first failed call of an outage of a worker: it was alive at `alive_until`, or at
+    /// any time before if that is unknown (0), and is missing at `now`.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// let mut scheduler = batch::scheduler::JobScheduler::default();
+    /// scheduler.handle_outage("w", Millis(1), Millis(2));
+    /// ```
+    pub fn handle_outage(&mut self, worker: &str, alive_until: Millis, now: Millis) {
+        let known = self.workers.get(worker).map(|w| w.alive_until);
+        let explanation = self.explanation(worker, alive_until.max(known.unwrap_or_default()));
+        let Some(w) = self.workers.get_mut(worker) else {
+            return;
+        };
+        w.set_responding(false, now);
+        w.alive_until = w.alive_until.max(alive_until);
+        let outage = Outage {
+            worker: worker.into(),
+            rack: w.rack().cloned(),
+            from: w.alive_until,
+            to: now,
+            explanation,
+        };
+        w.outage.get_or_insert_with(|| outage.clone());
+        self.outages.push(outage);
+    }
+
+    fn explanation(&self, worker: &str, at: Millis) -> Explanation {
+        let runs = self.workers.get(worker).map(|w| &w.runs);
+        let tasks = runs
+            .into_iter()
+            .flatten()
+            .filter_map(|(t, _)| self.subtask(t));
+        let explanations = tasks.map(|t| match &t.run {
+            Some(run) if !run.is_fresh(at) => Explanation::None,
+            Some(_) if t.crashes > 0 => Explanation::Suspect,
+            Some(_) => Explanation::FreshRun,
+            None => Explanation::None,
+        });
+        explanations.max().unwrap_or_default()
+    }
+
+    /// Handles an answer of another worker at the address of `worker`: its incarnation has ended,
+    /// and its runs are gone.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// let mut scheduler = batch::scheduler::JobScheduler::default();
+    /// scheduler.handle_replaced("w", Millis(1), Millis(1));
+    /// ```
+    pub fn handle_replaced(&mut self, worker: &str, now: Millis, wall_now: Millis) {
+        let Some(lost) = self.lost_worker(worker, now, now) else {
+            return;
+        };
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.replaced = true;
+        }
+        self.remove_lost_runs(&lost, now);
+        self.judge(&lost, now, wall_now);
+    }
+
+    /// Handles the expiry of a worker's lease, after which none of its runs exists any more.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// batch::scheduler::JobScheduler::default().handle_lease_expiry("w", Millis(1));
+    /// ```
+    pub fn handle_lease_expiry(&mut self, worker: &str, now: Millis) {
+        let Some(lost) = self.lost_worker(worker, now, now) else {
+            return;
+        };
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.back_off(now);
+        }
+        for run in &lost.runs {
+            log::warn!(
+                task:% = run.task, attempt = run.attempt, worker, age_ms = run.age.0;
+                "batch: lease of the run is over"
+            );
+        }
+        self.worker_ends.push(WorkerEnd {
+            cause: EndCause::LeaseExpired,
+            runs: lost.runs.len(),
+            gave_up: false,
+        });
+        self.remove_lost_runs(&lost, now);
+        self.unexplained_losses.push(lost);
+    }
+
+    fn remove_lost_runs(&mut self, lost: &LostWorker, now: Millis) {
+        for run in &lost.runs {
+            self.remove_run(&run.task);
+            self.stop_gang(&run.task, now);
+        }
+    }
+
+    /// Returns a worker that has ended, with its runs that were placed up to `placed_until`.
+    pub(crate) fn lost_worker(
+        &self,
+        id: &str,
+        placed_until: Millis,
+        now: Millis,
+    ) -> Option<LostWorker> {
+        let worker = self.workers.get(id)?;
+        let id: Text = id.into();
+        let found_now = || Outage {
+            worker: id.clone(),
+            rack: worker.rack().cloned(),
+            from: worker.alive_until,
+            to: now,
+            explanation: Explanation::None,
+        };
+        let mut outage = worker.outage.clone().unwrap_or_else(found_now);
+        let from = outage.from;
+        let runs = worker.runs.iter().filter_map(|(task, _)| {
+            let subtask = self.subtask(task)?;
+            let run = subtask.run.as_ref()?;
+            if run.placed_at.is_some_and(|t| t > placed_until) {
+                return None;
+            }
+            Some(LostRun {
+                task: task.clone(),
+                attempt: subtask.attempt,
+                age: run.known_age(from),
+                fresh: run.is_fresh(from),
+                existed: run.existed(from),
+            })
+        });
+        let runs: Vec<LostRun> = runs.collect();
+        outage.explanation = self.explanation(&id, from);
+        Some(LostWorker {
+            id: id.clone(),
+            address: worker.address.clone(),
+            incarnation: worker.incarnation,
+            listed_at: worker.info.as_ref().map(|i| i.clock),
+            outage,
+            was_leaving: worker.shutdown_at.is_some(),
+            runs,
+        })
+    }
 }
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -5,6 +5,7 @@
 use crate::{
     job::{Resources, SubtaskId, Text},
     worker::WorkerInfo,
+    worker_end::Outage,
 };
 
 /// Time without new work after a worker refused a start or failed runs; doubles with each further
@@ -31,8 +32,16 @@
 pub(crate) struct Worker {
     /// Entry in the VM list; none if it is not listed.
     pub(crate) info: Option<WorkerInfo>,
+    /// Last known address; empty if unknown.
+    pub(crate) address: Text,
     /// Current incarnation; 0 if unknown.
     pub(crate) incarnation: u64,
+    /// Whether another worker answers at its address, so that this one is gone.
+    pub(crate) replaced: bool,
+    /// Time of the last answer.
+    pub(crate) alive_until: Millis,
+    /// The current outage.
+    pub(crate) outage: Option<Outage>,
     /// Runs that may exist, with the resources that they reserve.
     pub(crate) runs: Vec<(SubtaskId, Resources)>,
     /// Highest sequence number of a finished run that was processed.
@@ -77,10 +86,20 @@
     /// Returns whether new work may be placed on the worker.
     pub(crate) fn accepts_work(&self, now: Millis) -> bool {
         !self.unresponsive
+            && !self.replaced
             && now >= self.no_work_until
             && self.info.as_ref().is_some_and(|i| !i.draining)
     }
 
+    /// Starts another incarnation, whose finished runs are numbered anew.
+    pub(crate) fn start_life(&mut self, incarnation: u64) {
+        self.incarnation = incarnation;
+        self.processed_seq = 0;
+        self.stored_seq = 0;
+        self.replaced = false;
+        self.outage = None;
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let labels = self.info.iter().flat_map(|i| &i.labels);
         labels.into_iter().any(|l| &**l == label)
@@ -111,6 +130,9 @@
     pub(crate) fn set_responding(&mut self, responding: bool, now: Millis) {
         let recovered = self.unresponsive && responding;
         self.unresponsive = !responding;
+        if responding {
+            self.outage = None;
+        }
         if !recovered {
             return;
         }
--- /dev/null
+++ b/crates/batch/tests/crashes.rs
@@ -0,0 +1,498 @@
+//! Crashes of workers: which subtasks they count for, and which jobs are given up.
+
+mod fleet;
+
+use base::clock::Millis;
+use batch::{
+    job::{Repeat, Spec, Step, Text},
+    progress::Phase,
+    worker::{Action, FinishedRun, Order, Outcome, StartReply},
+};
+use fleet::{Fleet, gang, starts, step};
+use quickcheck::{Gen, QuickCheck};
+
+/// Time after a start at which a deadly subtask crashes its worker.
+const CRASH_DELAY: u64 = 10;
+
+/// Starts everything that waits, lets the first subtask of job `deadly` crash its worker, and
+/// returns whether it was started.
+fn play_deadly_start(fleet: &mut Fleet) -> bool {
+    let placed = starts(&fleet.plan());
+    for order in &placed {
+        fleet.take(order);
+    }
+    let is_deadly = |o: &&Order| &*o.task.job == "deadly" && o.task.index == 0;
+    let Some(order) = placed.iter().find(is_deadly) else {
+        return false;
+    };
+    let now = fleet.advance(CRASH_DELAY).now;
+    fleet.lose(&order.worker, now);
+    // The other members of a gang end at once, and what is left of it is stopped.
+    for (seq, other) in placed.iter().enumerate() {
+        if other.task.job == order.task.job && other.worker != order.worker {
+            let seq = fleet.now.0 * 100 + seq as u64;
+            fleet.finish(other, seq, Outcome::Broken);
+        }
+    }
+    fleet.plan();
+    fleet.advance(3_000).replace(&order.worker);
+    true
+}
+
+/// Returns the number of workers that the job crashes until it is given up.
+fn crashes_until_given_up(spec: Spec) -> u32 {
+    let mut fleet = Fleet::new(8);
+    fleet.submit_spec("deadly", 1, "org-a", spec);
+    let mut crashes = 0;
+    while fleet.scheduler.phase("deadly") != Some(Phase::Failed) {
+        crashes += u32::from(play_deadly_start(&mut fleet));
+        fleet.advance(1_000);
+        assert!(crashes < 10, "not given up");
+    }
+    assert!(starts(&fleet.advance(1_000).plan()).is_empty());
+    crashes
+}
+
+fn spec(step: Step) -> Spec {
+    Spec {
+        text: "spec".into(),
+        steps: vec![step],
+        repeat: None,
+    }
+}
+
+/// Guards against a subtask that crashes worker after worker in any kind of job.
+#[test]
+fn every_kind_of_deadly_job_is_given_up_after_two_crashes() {
+    let repeat = Repeat {
+        count: 2,
+        first: Millis(0),
+        interval: Millis(60_000_000),
+    };
+    let endless = Step {
+        endless: true,
+        ..step(2, 1)
+    };
+    let jobs = [
+        spec(step(1, 1)),
+        spec(step(5, 1)),
+        spec(gang(3, 8)),
+        spec(gang(4, 2)),
+        spec(endless),
+        Spec {
+            repeat: Some(repeat),
+            ..spec(step(1, 1))
+        },
+    ];
+    for job in jobs {
+        assert_eq!(crashes_until_given_up(job.clone()), 2, "{job:?}");
+    }
+}
+
+/// Guards against giving up work that twice shared a worker with a deadly subtask.
+#[test]
+fn a_neighbour_of_two_deadly_subtasks_is_not_given_up() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("neighbour", 1, step(1, 4));
+    let mut neighbour = starts(&fleet.plan()).remove(0);
+    fleet.take(&neighbour);
+    for round in 0..4 {
+        fleet.advance(2_000);
+        let deadly = format!("deadly-{round}");
+        fleet.submit(&deadly, 0, step(1, 4));
+        let start = starts(&fleet.plan()).remove(0);
+        if round < 3 {
+            assert_eq!(start.worker, neighbour.worker, "the fuller worker");
+        } else {
+            assert_ne!(start.worker, neighbour.worker, "it runs alone");
+        }
+        fleet.take(&start);
+        fleet.advance(CRASH_DELAY).crash(&start.worker.clone());
+        let (now, wall_now) = (fleet.now, fleet.wall());
+        fleet.scheduler.cancel(&deadly, now, wall_now);
+        if let Some(again) = starts(&fleet.plan()).pop() {
+            neighbour = again;
+            fleet.take(&neighbour);
+        }
+    }
+    assert_eq!(fleet.scheduler.phase("neighbour"), Some(Phase::Running));
+    fleet.advance(1_000).finish(&neighbour, 1, Outcome::Done);
+    assert_eq!(fleet.scheduler.phase("neighbour"), Some(Phase::Completed));
+}
+
+/// Guards against a second crash that says nothing because several subtasks had just started.
+#[test]
+fn a_suspect_starts_apart_from_other_starts() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("suspect", 1, step(1, 1));
+    let first = starts(&fleet.plan()).remove(0);
+    fleet.take(&first);
+    fleet.advance(CRASH_DELAY).crash(&first.worker);
+    fleet.submit("other", 0, step(2, 1));
+    let placed = starts(&fleet.plan());
+    assert_eq!(placed.len(), 3);
+    let worker = |job: &str| placed.iter().find(|o| &*o.task.job == job).unwrap();
+    assert_ne!(worker("suspect").worker, worker("other").worker);
+    for order in &placed {
+        fleet.take(order);
+    }
+    // Nothing else starts beside it at first.
+    let beside = |fleet: &mut Fleet, id: &str| {
+        fleet.submit(id, 0, step(16, 1));
+        let placed = starts(&fleet.plan());
+        let suspect = &worker("suspect").worker;
+        placed.iter().filter(|o| o.worker == *suspect).count()
+    };
+    assert_eq!(beside(&mut fleet, "early"), 0);
+    fleet.advance(499);
+    assert_eq!(beside(&mut fleet, "early-2"), 0);
+    fleet.advance(1);
+    assert!(beside(&mut fleet, "late") > 0);
+}
+
+/// Guards against giving up, or isolating, all work of a rack that lost power, however often.
+#[test]
+fn a_rack_without_power_counts_for_none_of_its_runs() {
+    let mut fleet = Fleet::new(8);
+    fleet.submit("job", 1, step(8, 4));
+    for round in 0..5 {
+        let placed = starts(&fleet.plan());
+        assert_eq!(placed.len(), 8, "round {round}");
+        for order in &placed {
+            fleet.take(order);
+        }
+        let mut rack: Vec<_> = placed.iter().map(|o| o.worker.clone()).collect();
+        rack.dedup();
+        let alive_until = fleet.advance(1_000).now;
+        fleet.advance(1_500);
+        for worker in &rack {
+            fleet.lose(worker, alive_until);
+        }
+        fleet.advance(3_000);
+        for worker in &rack {
+            fleet.replace(worker);
+        }
+    }
+    fleet.submit("other", 0, step(4, 1));
+    assert_eq!(starts(&fleet.plan()).len(), 12);
+    assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Running));
+}
+
+/// Guards against counting a lapsed lease, a silent worker or a shutdown as a crash.
+#[test]
+fn only_the_end_of_a_worker_is_a_crash() {
+    let mut fleet = Fleet::new(3);
+    fleet.submit("job", 1, step(1, 8));
+    let restart = |fleet: &mut Fleet| {
+        let order = starts(&fleet.plan()).remove(0);
+        fleet.take(&order);
+        fleet.advance(CRASH_DELAY);
+        order
+    };
+    for _ in 0..4 {
+        // Silence up to the end of the lease; the worker answers again later.
+        let order = restart(&mut fleet);
+        let alive_until = fleet.now;
+        fleet.advance(2_000).lose(&order.worker, alive_until);
+        let now = fleet.advance(6_300).now;
+        fleet.scheduler.handle_lease_expiry(&order.worker, now);
+        fleet.advance(1_000).report(&order.worker, &[], Vec::new());
+        fleet.scheduler.set_responding(&order.worker, true, now);
+        // An announced shutdown.
+        let order = restart(&mut fleet);
+        for info in fleet.infos.iter_mut().filter(|i| i.id == order.worker) {
+            info.draining = true;
+            info.remaining = Some(Millis(2_000));
+        }
+        let (infos, now) = (fleet.infos.clone(), fleet.now);
+        fleet.scheduler.replace_vm_list(infos, now);
+        fleet.advance(2_000).crash(&order.worker);
+        fleet.advance(20_000);
+    }
+    // The first crash is the first that counts.
+    let order = restart(&mut fleet);
+    fleet.crash(&order.worker);
+    assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Running));
+    let order = restart(&mut fleet);
+    fleet.crash(&order.worker);
+    assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Failed));
+}
+
+/// Guards against crashes that are forgotten because the worker is back only after its lease.
+#[test]
+fn a_worker_that_returns_after_its_lease_explains_the_loss() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("job", 1, step(1, 1));
+    for crashes in 1..=2 {
+        let order = starts(&fleet.plan()).remove(0);
+        fleet.take(&order);
+        let now = fleet.advance(CRASH_DELAY).now;
+        fleet.lose(&order.worker, now);
+        let now = fleet.advance(6_300).now;
+        fleet.scheduler.handle_lease_expiry(&order.worker, now);
+        fleet.advance(2_000).register_successor(&order.worker);
+        if crashes == 1 {
+            assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Running));
+        }
+    }
+    fleet.plan();
+    assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Failed));
+}
+
+/// Guards against a takeover that starts the count anew.
+#[test]
+fn the_count_survives_a_takeover() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("deadly", 1, step(1, 1));
+    assert!(play_deadly_start(&mut fleet));
+    fleet.plan();
+    fleet.restart();
+    // The next leader knows where to ask for a run, though the worker may not be listed any more.
+    fleet.advance(1_000);
+    let mut crashes = 1;
+    while fleet.scheduler.phase("deadly") != Some(Phase::Failed) {
+        let (now, wall_now) = (fleet.now, fleet.wall());
+        let adopted = fleet.scheduler.workers_in_use();
+        for worker in adopted {
+            fleet.scheduler.handle_replaced(&worker, now, wall_now);
+        }
+        crashes += u32::from(play_deadly_start(&mut fleet));
+        fleet.advance(1_000);
+        assert!(crashes <= 3, "{crashes} crashes");
+    }
+}
+
+/// Guards against a leader that can't ask for the run of an earlier one because the list no longer
+/// names its worker.
+#[test]
+fn the_address_of_a_run_is_stored_with_it() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    let address = fleet.infos.remove(0).address;
+    fleet.restart();
+    assert_eq!(
+        fleet.scheduler.unlisted_workers(),
+        [(order.worker, 1, address)]
+    );
+}
+
+/// Guards against crashes that count for a start that the worker never carried out.
+#[test]
+fn an_unanswered_start_has_no_crash() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("job", 1, step(1, 1));
+    for round in 0..4 {
+        let order = starts(&fleet.plan()).remove(0);
+        let now = fleet.advance(700).now;
+        let unknown = StartReply::Unknown;
+        fleet
+            .scheduler
+            .handle_start_reply(&order.task, order.attempt, unknown, now);
+        fleet.plan();
+        let now = fleet.advance(1_000).now;
+        fleet.report_to(now, &order.worker.clone(), &[], Vec::new());
+        fleet.crash(&order.worker);
+        assert_eq!(
+            fleet.scheduler.phase("job"),
+            Some(Phase::Running),
+            "round {round}"
+        );
+    }
+}
+
+/// Guards against crashes that go unnoticed because the worker comes back under the same id.
+#[test]
+fn a_restart_under_the_same_id_is_a_crash() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("deadly", 1, step(1, 1));
+    for life in 2..=3 {
+        let order = starts(&fleet.plan()).remove(0);
+        fleet.take(&order);
+        let now = fleet.advance(CRASH_DELAY).now;
+        fleet.lose("w00", now);
+        fleet.infos[0].incarnation = life;
+        let (infos, now) = (fleet.infos.clone(), fleet.advance(3_000).now);
+        fleet.scheduler.replace_vm_list(infos, now);
+        fleet.scheduler.set_responding("w00", true, now);
+        fleet.report_life("w00", life);
+        fleet.advance(2_000);
+    }
+    assert_eq!(fleet.scheduler.phase("deadly"), Some(Phase::Failed));
+}
+
+/// Workers that run what they are told to, with crashes and losses of power.
+struct Workers {
+    fleet: Fleet,
+    /// Orders of the existing runs with the times of their starts.
+    running: Vec<(Order, Millis)>,
+    last_seq: u64,
+    crashes: usize,
+}
+
+impl Workers {
+    fn new(count: usize) -> Self {
+        Self {
+            fleet: Fleet::new(count),
+            running: Vec::new(),
+            last_seq: 0,
+            crashes: 0,
+        }
+    }
+
+    /// Runs a pass and carries out its orders.
+    fn step(&mut self) {
+        let orders = self.fleet.plan().orders;
+        for order in orders {
+            if let Action::Start { .. } = order.action {
+                self.fleet.take(&order);
+                self.running.push((order, self.fleet.now));
+                continue;
+            }
+            let same =
+                |(o, _): &(Order, Millis)| o.task == order.task && o.attempt == order.attempt;
+            let stopped: Vec<_> = self.running.extract_if(.., |r| same(r)).collect();
+            for (order, _) in stopped {
+                self.end(&order, Outcome::Stopped);
+            }
+        }
+    }
+
+    /// Reports the end of a run that is no longer in [`Self::running`].
+    fn end(&mut self, order: &Order, outcome: Outcome) {
+        self.last_seq += 1;
+        let finished = FinishedRun {
+            seq: self.last_seq,
+            task: order.task.clone(),
+            attempt: order.attempt,
+            outcome,
+            checkpoint: "".into(),
+        };
+        let here = self.running.iter().map(|(o, _)| o);
+        let here: Vec<&Order> = here.filter(|o| o.worker == order.worker).collect();
+        let worker = order.worker.clone();
+        self.fleet.report(&worker, &here, vec![finished]);
+    }
+
+    /// Ends the members of gangs that lost one, and work that has lasted long enough.
+    fn end_runs(&mut self, gone: &[(Order, Millis)], is_gang: impl Fn(&Order) -> bool) {
+        let now = self.fleet.now;
+        let is_broken =
+            |o: &Order| is_gang(o) && gone.iter().any(|(g, _)| g.task.job == o.task.job);
+        let is_done = |since: Millis| now.since(since) > Millis(5_000);
+        let ended = |(o, since): &mut (Order, Millis)| is_broken(o) || is_done(*since);
+        let ended: Vec<_> = self.running.extract_if(.., ended).collect();
+        for (order, _) in ended {
+            let outcome = if is_broken(&order) {
+                Outcome::Broken
+            } else {
+                Outcome::Done
+            };
+            self.end(&order, outcome);
+        }
+    }
+
+    /// Crashes the workers with fresh runs of deadly subtasks, and cuts the power of a rack. Returns
+    /// the runs that are gone.
+    fn crash(
+        &mut self,
+        is_deadly: impl Fn(&Order, Millis) -> bool,
+        rack: Option<&str>,
+    ) -> Vec<(Order, Millis)> {
+        let now = self.fleet.now;
+        let deadly = self.running.iter();
+        let deadly = deadly.filter(|(o, since)| is_deadly(o, now.since(*since)));
+        let mut lost: Vec<Text> = deadly.map(|(o, _)| o.worker.clone()).collect();
+        lost.sort();
+        lost.dedup();
+        self.crashes += lost.len();
+        let of_rack = self
+            .fleet
+            .infos
+            .iter()
+            .filter(|i| Some(&*i.labels[1]) == rack);
+        lost.extend(of_rack.map(|i| i.id.clone()));
+        lost.sort();
+        lost.dedup();
+        for worker in &lost {
+            self.fleet.lose(worker, now);
+        }
+        self.fleet.advance(3_000);
+        for worker in &lost {
+            self.fleet.replace(worker);
+        }
+        let gone = |(o, _): &mut (Order, Millis)| lost.contains(&o.worker);
+        self.running.extract_if(.., gone).collect()
+    }
+}
+
+/// Plays jobs of random shapes, the first three of them deadly, on workers whose racks also lose
+/// power.
+fn deadly_jobs_fail_and_others_complete(seed: u64) -> bool {
+    const JOBS: usize = 12;
+    const DEADLY: usize = 3;
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut workers = Workers::new(12);
+    let gangs: Vec<bool> = (0..JOBS).map(|_| rng.bool()).collect();
+    for (i, is_gang) in gangs.iter().enumerate() {
+        let (count, size) = (rng.u32(1..5), [1, 2, 4, 8][rng.usize(..4)]);
+        let step = if *is_gang {
+            gang(count, size)
+        } else {
+            step(count, size)
+        };
+        workers
+            .fleet
+            .submit(&format!("{i:02}"), rng.u32(0..3), step);
+    }
+    let index = |o: &Order| o.task.job.parse::<usize>().unwrap();
+    let is_deadly = |o: &Order, _| o.task.index == 0 && index(o) < DEADLY;
+    for round in 0..400 {
+        workers.step();
+        workers.fleet.advance(CRASH_DELAY);
+        let rack = (round % 5 == 2).then(|| format!("r{}", rng.u8(..3)));
+        let gone = workers.crash(is_deadly, rack.as_deref());
+        workers.end_runs(&gone, |o| gangs[index(o)]);
+        let phase = |i: usize| workers.fleet.scheduler.phase(&format!("{i:02}")).unwrap();
+        if (0..JOBS).all(|i| phase(i).is_final()) {
+            let failed = (0..JOBS).filter(|i| phase(*i) == Phase::Failed);
+            assert_eq!(failed.collect::<Vec<_>>(), [0, 1, 2], "seed {seed}");
+            let crashes = workers.crashes;
+            assert!(crashes <= DEADLY * 5, "seed {seed}: {crashes} crashes");
+            return true;
+        }
+    }
+    panic!("seed {seed}: jobs are still open");
+}
+
+/// Guards against deadly jobs that stay, and against others that are given up, in random mixes.
+#[test]
+fn deadly_jobs_fail_and_all_others_complete() {
+    let property: fn(u64) -> bool = deadly_jobs_fail_and_others_complete;
+    QuickCheck::new()
+        .tests(60)
+        .rng(Gen::from_size_and_seed(100, 24))
+        .quickcheck(property);
+}
+
+/// Guards against a subtask that crashes its workers long after its start, beside others that have
+/// just started.
+#[test]
+fn a_subtask_that_crashes_workers_late_is_found_alone() {
+    let mut workers = Workers::new(3);
+    workers.fleet.submit("late", 1, step(1, 1));
+    let is_deadly = |o: &Order, age| &*o.task.job == "late" && age >= Millis(4_000);
+    for round in 0..200 {
+        workers.fleet.submit(&format!("{round}"), 1, step(3, 1));
+        workers.step();
+        workers.fleet.advance(500);
+        let gone = workers.crash(is_deadly, None);
+        workers.end_runs(&gone, |_| false);
+        if workers.fleet.scheduler.phase("late") == Some(Phase::Failed) {
+            // Two more starts after the third crash are the most that is allowed.
+            assert!(workers.crashes <= 5, "{} crashes", workers.crashes);
+            return;
+        }
+    }
+    panic!("{} crashes", workers.crashes);
+}
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -9,7 +9,7 @@
     job::{AcceptedJob, Resources, Spec, Step, SubtaskId, Text},
     progress::Progress,
     scheduler::{JobScheduler, PendingChanges},
-    worker::{Action, FinishedRun, Order, Outcome, Report, Running, WorkerInfo},
+    worker::{Action, FinishedRun, Order, Outcome, Report, Running, StartReply, WorkerInfo},
 };
 
 /// Wall-clock time at the start of the local clock.
@@ -117,9 +117,10 @@
         running: &[&Order],
         finished: Vec<FinishedRun>,
     ) {
+        let info = self.infos.iter().find(|i| &*i.id == worker);
         let report = Report {
             clock: self.now,
-            incarnation: 1,
+            incarnation: info.map_or(1, |i| i.incarnation),
             running: running.iter().map(|o| run(o)).collect(),
             finished,
         };
@@ -128,6 +129,18 @@
             .handle_report(worker, &report, sent, now, wall_now);
     }
 
+    /// Delivers an empty report of another incarnation of a worker.
+    pub fn report_life(&mut self, worker: &str, incarnation: u64) {
+        let report = Report {
+            clock: self.now,
+            incarnation,
+            ..Report::default()
+        };
+        let (now, wall_now) = (self.now, self.wall());
+        self.scheduler
+            .handle_report(worker, &report, now, now, wall_now);
+    }
+
     /// Reports the run of an order with its progress in percent.
     pub fn report_running(&mut self, order: &Order, incarnation: u64, percent: u32) {
         let report = Report {
@@ -144,6 +157,45 @@
             .handle_report(&order.worker, &report, now, now, wall_now);
     }
 
+    /// Delivers the worker's confirmation of a start.
+    pub fn take(&mut self, order: &Order) {
+        let now = self.now;
+        let taken = StartReply::Taken;
+        self.scheduler
+            .handle_start_reply(&order.task, order.attempt, taken, now);
+    }
+
+    /// Crashes a worker: its connection closes, and 3 s later another worker answers at its address.
+    pub fn crash(&mut self, worker: &str) {
+        self.lose(worker, self.now);
+        self.advance(3_000).replace(worker);
+    }
+
+    /// Lets a worker stop answering after `alive_until`.
+    pub fn lose(&mut self, worker: &str, alive_until: Millis) {
+        let now = self.now;
+        self.scheduler.handle_outage(worker, alive_until, now);
+    }
+
+    /// Lets another worker register at the address of `worker` and answer there.
+    pub fn replace(&mut self, worker: &str) {
+        self.register_successor(worker);
+        let (now, wall_now) = (self.now, self.wall());
+        self.scheduler.handle_replaced(worker, now, wall_now);
+    }
+
+    /// Replaces a worker in the VM list by another one at the same address.
+    pub fn register_successor(&mut self, worker: &str) {
+        for info in self.infos.iter_mut().filter(|i| &*i.id == worker) {
+            info.id = format!("{}'", info.id).into();
+            info.incarnation += 1;
+            info.draining = false;
+        }
+        self.infos.sort_by(|a, b| a.id.cmp(&b.id));
+        let (infos, now) = (self.infos.clone(), self.now);
+        self.scheduler.replace_vm_list(infos, now);
+    }
+
     /// Reports the run of an order as finished.
     pub fn finish(&mut self, order: &Order, seq: u64, outcome: Outcome) {
         self.finish_with(order, seq, outcome, "");
@@ -209,7 +261,7 @@
     WorkerInfo {
         id: format!("w{i:02}").into(),
         service: "svc".into(),
-        address: "127.0.0.1:1".into(),
+        address: format!("127.0.0.1:{}", i + 1).into(),
         zone: "z".into(),
         draining: false,
         remaining: None,
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -105,6 +105,7 @@
     if let Some(workers) = workers {
         worker_list::apply_first(&leader, &workers);
     }
+    worker_session::adopt_addresses(&leader);
     leader.loaded.set(true);
     rt::spawn(intake::watch(cx.clone(), leader.clone(), version)).detach();
     rt::spawn(worker_list::poll(cx.clone(), leader.clone())).detach();
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -59,7 +59,7 @@
             phase,
             queue: accepted.queue.clone(),
             at: accepted.at,
-            occurrences: Vec::new(),
+            ..Progress::default()
         });
         scheduler.restore(accepted, progress.get(id).cloned().or(ended));
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -23,6 +23,7 @@
     worker_outages: Counter<u64>,
     worker_ends: Counter<u64>,
     lost_runs: Counter<u64>,
+    given_up_jobs: Counter<u64>,
     takeovers: Counter<u64>,
     store_losses: Counter<u64>,
     config_version: Gauge<u64>,
@@ -46,6 +47,7 @@
             worker_outages: exporter.counter("node_worker_outages"),
             worker_ends: exporter.counter("node_worker_ends"),
             lost_runs: exporter.counter("node_lost_runs"),
+            given_up_jobs: exporter.counter("node_given_up_jobs"),
             takeovers: exporter.counter("node_takeovers"),
             store_losses: exporter.counter("node_store_losses"),
             config_version: exporter.gauge("node_config_version"),
@@ -97,6 +99,7 @@
         let label = [KeyValue::new("cause", end.cause.name())];
         self.worker_ends.add(1, &label);
         self.lost_runs.add(end.runs as u64, &label);
+        self.given_up_jobs.add(u64::from(end.gave_up), &[]);
     }
 
     /// Counts a takeover of the leadership.
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -98,6 +98,21 @@
     }
 }
 
+/// Adopts the addresses of workers that have runs of an earlier leader and are no longer listed.
+pub(crate) fn adopt_addresses(leader: &Leader) {
+    let unlisted = leader.scheduler.borrow().unlisted_workers();
+    let mut sessions = leader.sessions.borrow_mut();
+    for (id, incarnation, address) in unlisted {
+        let Ok(address) = address.parse() else {
+            log::warn!(worker:% = id, address:%; "workers: unlisted, with runs at an unknown address");
+            continue;
+        };
+        let session = sessions.get_or_default(id);
+        session.address.get_or_insert(address);
+        session.incarnation = incarnation;
+    }
+}
+
 /// Returns the destination of orders to a worker, or `None` if its address is unknown.
 pub(crate) fn target(leader: &Leader, worker: &Text) -> Option<Target> {
     let address = leader.sessions.borrow().get(worker)?.address?;
@@ -146,33 +161,50 @@
 /// acknowledged to it.
 async fn run(cx: Cx, leader: Rc<Leader>, worker: Text) {
     let mut outage: Option<&'static str> = None;
-    let mut answered_at = clock::now();
+    let mut answered_at: Option<Millis> = None;
     while !leader.ended.get() && is_needed(&leader, &worker, outage.is_some()) {
         if cx.acting().is_none() {
             cx::sleep(RETRY_DELAY).await;
             continue;
         }
-        let failure = match target(&leader, &worker) {
-            Some(target) => renew(&cx, &leader, &target).await.err(),
+        let to = target(&leader, &worker);
+        let failure = match &to {
+            Some(target) => renew(&cx, &leader, target).await.err(),
             None => Some(Failure::NoAddress),
         };
         let Some(failure) = failure else {
-            answered_at = clock::now();
+            answered_at = Some(clock::now());
             if outage.take().is_some() {
                 log::info!(worker:%; "workers: answers again");
-                set_responding(&leader, &worker, true);
+                end_outage(&leader, &worker);
             }
             continue;
         };
         if outage != Some(failure.kind()) {
             let runs = leader.scheduler.borrow().runs_on(&worker);
-            let silent_ms = clock::now().since(answered_at).0;
+            let silent_ms = answered_at.map_or(0, |t| clock::now().since(t).0);
             log::warn!(worker:%, kind = failure.kind(), reason:% = failure, runs, silent_ms; "workers: no answer");
             cx.metrics.count_worker_outage(failure.kind());
             if outage.replace(failure.kind()).is_none() {
-                set_responding(&leader, &worker, false);
+                // A renewal waits at the worker for most of the time, so a crash closes its connection.
+                let alive_until = match failure {
+                    Failure::Closed(_) if answered_at.is_some() => clock::now(),
+                    _ => answered_at.unwrap_or_default(),
+                };
+                begin_outage(&leader, &worker, alive_until);
             }
         }
+        let is_current =
+            |to: &Target| target(&leader, &worker).is_some_and(|t| t.address == to.address);
+        if matches!(failure, Failure::Replaced) && to.as_ref().is_some_and(is_current) {
+            let (now, wall_now) = (clock::now(), clock::wall());
+            let mut scheduler = leader.scheduler.borrow_mut();
+            scheduler.handle_replaced(&worker, now, wall_now);
+            drop(scheduler);
+            leader.changed.notify_one();
+            leader.dirty.notify_one();
+            continue;
+        }
         if clock::now() > leases_expire_at(&cx, &leader, &worker) {
             leader
                 .scheduler
@@ -195,13 +227,22 @@
         || (!unresponsive && unsent_ack(leader, worker).is_some())
 }
 
-/// Records that a worker stopped answering, or answers again.
-fn set_responding(leader: &Leader, worker: &Text, responding: bool) {
+fn begin_outage(leader: &Leader, worker: &Text, alive_until: Millis) {
     let mut scheduler = leader.scheduler.borrow_mut();
-    scheduler.set_responding(worker, responding, clock::now());
+    scheduler.handle_outage(worker, alive_until, clock::now());
     drop(scheduler);
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
-        session.grants.set_responding(responding);
+        session.grants.set_responding(false);
+    }
+    leader.changed.notify_one();
+}
+
+fn end_outage(leader: &Leader, worker: &Text) {
+    let mut scheduler = leader.scheduler.borrow_mut();
+    scheduler.set_responding(worker, true, clock::now());
+    drop(scheduler);
+    if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
+        session.grants.set_responding(true);
     }
     leader.changed.notify_one();
 }
