platform, batch: a start whose connection closes is unknown, not refused

Callers could see a run twice at the same time, or a job given up late: a worker that reads a start and closes the connection, in a crash or because the connection is reset, refuses the next try. The client then reported the last try, "nothing was sent", as a refusal of the start, so the subtask was placed elsewhere at once.

A subtask that crashes its worker before the answer is counted through it.

--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -75,6 +75,9 @@
     /// Time when the worker first confirmed that the run exists there.
     #[serde(skip)]
     pub(crate) taken_at: Option<Millis>,
+    /// Time when the connection closed on a start order.
+    #[serde(skip)]
+    pub(crate) closed_at: Option<Millis>,
     /// Time of the first stop order.
     #[serde(skip)]
     pub(crate) stop_ordered_at: Option<Millis>,
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -34,7 +34,7 @@
         let Some(worker) = task.and_then(|t| Some(t.run.as_ref()?.worker.clone())) else {
             return;
         };
-        if reply == StartReply::Taken
+        if matches!(reply, StartReply::Taken | StartReply::Closed)
             && let Some(worker) = self.workers.get_mut(&worker)
         {
             worker.alive_until = now;
@@ -53,7 +53,10 @@
                 }
             }
             StartReply::Refused(refusal) => self.handle_refusal(id, refusal, now),
-            StartReply::Unknown => {
+            StartReply::Unknown | StartReply::Closed => {
+                if reply == StartReply::Closed {
+                    run.closed_at = Some(now);
+                }
                 run.unanswered_starts += 1;
                 if run.state == RunState::Stopping {
                     return;
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -97,6 +97,9 @@
     Refused(Refusal),
     /// No reply: the order may still be carried out.
     Unknown,
+    /// The connection closed without a reply: the order may have been carried out, and the worker may
+    /// have crashed on it.
+    Closed,
 }
 
 /// Reason why a worker refused a start.
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -115,18 +115,15 @@
     }
 
     /// Returns whether the run existed when its worker, which was alive until `at`, crashed. An
-    /// unanswered start counts if the worker crashed right after the order.
+    /// unanswered start counts if its connection closed in the crash.
     fn existed(&self, at: Millis) -> bool {
-        let crashed_after = self.ordered_at <= at && at.since(self.ordered_at) < PROVING_TIME;
+        let is_near = |t: Millis| t <= at + NOTICE_DELAY && at <= t + NOTICE_DELAY;
+        let had_started = self.taken_at.is_some() || self.closed_at.is_some_and(is_near);
+        let was_stopped = |t: Millis| t + NOTICE_DELAY < at;
         match self.state {
-            RunState::Running => self.taken_at.is_some(),
-            RunState::Ordered => self.taken_at.is_some() || crashed_after,
-            RunState::Stopping => {
-                let was_running = |t: Millis| t + NOTICE_DELAY >= at;
-                let was_running = self.stop_ordered_at.is_none_or(was_running);
-                self.taken_at.is_some() && was_running
-            }
             RunState::Adopted => false,
+            RunState::Ordered | RunState::Running => had_started,
+            RunState::Stopping => had_started && !self.stop_ordered_at.is_some_and(was_stopped),
         }
     }
 
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -6,7 +6,7 @@
 use batch::{
     job::{Repeat, Spec, Step, Text},
     progress::Phase,
-    worker::{Action, FinishedRun, Order, Outcome, StartReply},
+    worker::{Action, FinishedRun, Order, Outcome, Refusal, StartReply},
 };
 use fleet::{Fleet, gang, starts, step};
 use quickcheck::{Gen, QuickCheck};
@@ -475,6 +475,35 @@
         .quickcheck(property);
 }
 
+/// Guards against a subtask that is not found because it crashes its workers before they answer the
+/// start.
+#[test]
+fn a_start_that_closes_its_connection_has_a_crash() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("deadly", 1, step(1, 1));
+    for _ in 0..2 {
+        assert_eq!(
+            fleet.scheduler.phase("deadly").map(Phase::is_final),
+            Some(false)
+        );
+        let order = starts(&fleet.plan()).remove(0);
+        let now = fleet.advance(700).now;
+        let closed = StartReply::Closed;
+        fleet
+            .scheduler
+            .handle_start_reply(&order.task, order.attempt, closed, now);
+        fleet.plan();
+        let refused = StartReply::Refused(Refusal::Unhealthy);
+        fleet
+            .scheduler
+            .handle_start_reply(&order.task, order.attempt, refused, now);
+        // The worker was idle before, so that nothing else shows how long it lived.
+        fleet.lose(&order.worker, Millis::ZERO);
+        fleet.advance(3_000).replace(&order.worker);
+    }
+    assert_eq!(fleet.scheduler.phase("deadly"), Some(Phase::Failed));
+}
+
 /// Guards against a subtask that crashes its workers long after its start, beside others that have
 /// just started.
 #[test]
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -90,7 +90,7 @@
 const fn outcome(reply: StartReply) -> &'static str {
     match reply {
         StartReply::Taken => "taken",
-        StartReply::Unknown => "unknown",
+        StartReply::Unknown | StartReply::Closed => "unknown",
         StartReply::Refused(refusal) => match refusal {
             Refusal::Fenced => "fenced",
             Refusal::Old => "old",
