batch, node: starts follow a capacity that shrinks, unexpected runs count

The capacity comes with the worker's entry and was used as read, but: - a start that waits for its commit was sent although the worker had shrunk meanwhile (slow store: seconds). It is checked again when it is sent; what no longer fits is not sent and placed anew. - an entry of any age counted. A worker of a service without admission check gets work only if its entry changed within 3 s (it is written every 1.5 s, read every 0.8 s; a shrunk capacity counts after 4.5 s). - runs that a worker lists and the scheduler has given up counted as free room. They count until a report no longer lists them, and the worker is asked until then. - over a shrunk worker, preemption took each stop for free room and stopped too little. Each change of a capacity is logged with what is in use.

--- a/crates/batch/src/candidates.rs
+++ b/crates/batch/src/candidates.rs
@@ -29,6 +29,9 @@
     pub(crate) free_soon: Resources,
     /// Total resources of the worker.
     pub(crate) capacity: Resources,
+    /// Resources by which runs exceed a capacity that has shrunk, once the ordered stops have taken
+    /// effect.
+    pub(crate) excess: Resources,
     /// Whether only urgent work may be placed here.
     pub(crate) reserved_for_urgent: bool,
     /// Whether a run on the worker has a response time target.
@@ -61,6 +64,13 @@
         self.free_soon = self.free_soon.saturating_sub(need);
     }
 
+    /// Adds resources that a further stop frees.
+    pub(crate) fn free_after_stop(&mut self, freed: Resources) {
+        self.free_after_stops
+            .add(freed.saturating_sub(self.excess), 1);
+        self.excess = self.excess.saturating_sub(freed);
+    }
+
     fn is_idle(&self) -> bool {
         self.free == self.capacity
     }
@@ -193,7 +203,10 @@
 impl JobScheduler {
     /// Returns all workers that take new work, with their free resources.
     pub(crate) fn candidates(&self, now: Millis) -> Candidates {
-        let open = self.workers.iter().filter(|(_, w)| w.accepts_work(now));
+        let open = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.accepts_work(now) && self.is_capacity_known(w, now));
         let candidates = open.filter_map(|(id, worker)| {
             let info = worker.info.as_ref()?;
             let free = worker.free();
@@ -205,22 +218,24 @@
                 free_after_stops: free,
                 free_soon: free,
                 capacity: info.capacity,
+                excess: Resources::default(),
                 reserved_for_urgent: false,
                 has_latency_target: false,
                 has_filler: false,
                 isolation: IsolationState::default(),
             };
+            let (mut stopping, mut ending) = (Resources::default(), Resources::default());
             for (task, need) in &worker.runs {
                 let Some((run, step)) = self.run_of(task) else {
                     continue;
                 };
                 let is_stopping = run.state == RunState::Stopping;
                 if is_stopping {
-                    candidate.free_after_stops.add(*need, 1);
+                    stopping.add(*need, 1);
                 }
                 if is_stopping || (!step.endless && run.expected_remaining(step, now) <= SOON_LIMIT)
                 {
-                    candidate.free_soon.add(*need, 1);
+                    ending.add(*need, 1);
                 }
                 candidate.has_latency_target |= step.target.is_some();
                 candidate.has_filler |= step.fills;
@@ -229,6 +244,11 @@
                 let isolation = Isolation::of(crashes);
                 candidate.isolation.add_run(isolation, proven, step.endless);
             }
+            let used = worker.used();
+            let after_stops = used.saturating_sub(stopping);
+            candidate.free_after_stops = info.capacity.saturating_sub(after_stops);
+            candidate.excess = after_stops.saturating_sub(info.capacity);
+            candidate.free_soon = info.capacity.saturating_sub(used.saturating_sub(ending));
             Some((worker.rack().cloned().unwrap_or_default(), candidate))
         });
         Candidates::new(candidates.collect())
--- /dev/null
+++ b/crates/batch/src/capacity.rs
@@ -0,0 +1,89 @@
+//! Capacity of workers, which may shrink and grow while they run.
+
+use base::clock::Millis;
+
+use crate::{
+    job::{Resources, SubtaskId, Text},
+    scheduler::JobScheduler,
+    worker::WorkerInfo,
+    worker_state::Worker,
+};
+
+/// Maximum age of the entry of a worker that starts whatever it is told to. The worker writes an
+/// entry every 1.5 s, and an older one may name a capacity that has shrunk since.
+const MAX_ENTRY_AGE: Millis = Millis(3_000);
+
+impl Worker {
+    /// Returns the resources of all runs that may exist.
+    pub(crate) fn used(&self) -> Resources {
+        let mut used = self.unexpected;
+        for (_, need) in &self.runs {
+            used.add(*need, 1);
+        }
+        used
+    }
+
+    /// Returns the resources that no possibly existing run reserves.
+    pub(crate) fn free(&self) -> Resources {
+        let capacity = self.info.as_ref().map(|i| i.capacity);
+        capacity.unwrap_or_default().saturating_sub(self.used())
+    }
+
+    /// Replaces the entry of the VM list.
+    pub(crate) fn update_entry(&mut self, info: WorkerInfo, now: Millis) {
+        if let Some(capacity) = self.last_capacity.replace(info.capacity)
+            && capacity != info.capacity
+        {
+            log::info!(
+                worker:% = info.id, before:? = capacity, after:? = info.capacity, used:? = self.used();
+                "batch: capacity changed"
+            );
+        }
+        if self.entry_clock != Some(info.clock) {
+            self.entry_clock = Some(info.clock);
+            self.entry_changed_at = now;
+        }
+        self.address = info.address.clone();
+        self.info = Some(info);
+    }
+}
+
+impl JobScheduler {
+    /// Returns whether the capacity of the worker is known well enough to start work there. A worker
+    /// that checks it itself refuses what does not fit.
+    pub(crate) fn is_capacity_known(&self, worker: &Worker, now: Millis) -> bool {
+        let Some(info) = &worker.info else {
+            return false;
+        };
+        let unchecked = &self.config.services_without_admission_check;
+        !unchecked.contains(&info.service) || now.since(worker.entry_changed_at) <= MAX_ENTRY_AGE
+    }
+
+    /// Returns whether a start order still fits on its worker. The capacity may have shrunk while the
+    /// decision was being stored.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use batch::{job::SubtaskId, scheduler::JobScheduler};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// assert!(!JobScheduler::default().admits_start(&task, &"w".into(), Millis(1)));
+    /// ```
+    pub fn admits_start(&self, task: &SubtaskId, worker: &Text, now: Millis) -> bool {
+        let Some(w) = self.workers.get(worker) else {
+            return false;
+        };
+        // A run of an earlier leader may be on a worker whose entry has not been read yet.
+        let Some(info) = &w.info else {
+            return true;
+        };
+        let fits = w.used().fits_in(info.capacity) && self.is_capacity_known(w, now);
+        if !fits {
+            log::info!(
+                task:%, worker:%, capacity:? = info.capacity, used:? = w.used(),
+                entry_age_ms = now.since(w.entry_changed_at).0;
+                "batch: start no longer fits"
+            );
+        }
+        fits
+    }
+}
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,6 +8,7 @@
 //! Fields and variables named `task` refer to subtasks.
 
 mod candidates;
+mod capacity;
 pub mod config;
 mod crash;
 mod evacuation;
--- a/crates/batch/src/preemption.rs
+++ b/crates/batch/src/preemption.rs
@@ -48,7 +48,7 @@
         // started there that would have to be stopped again.
         for victim in stops {
             for (candidate, need) in victim.frees {
-                pass.candidates.all[candidate].free_after_stops.add(need, 1);
+                pass.candidates.all[candidate].free_after_stop(need);
             }
             if may_stop {
                 let tasks = victim.tasks.len();
@@ -164,7 +164,7 @@
     fn fitting_count(&self, candidates: &Candidates, candidate: usize, freed: Resources) -> u64 {
         let candidate = &candidates.all[candidate];
         let mut free = candidate.free_after_stops;
-        free.add(freed, 1);
+        free.add(freed.saturating_sub(candidate.excess), 1);
         let count = self.step.reserved().count_in(free);
         if count == 0 {
             return 0;
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -3,7 +3,7 @@
 use base::clock::Millis;
 
 use crate::{
-    job::{SubtaskId, Text},
+    job::{Resources, Step, SubtaskId, Text},
     open_job::Job,
     progress::{Phase, RunState},
     scheduler::JobScheduler,
@@ -162,6 +162,7 @@
         for running in &report.running {
             self.handle_running(id, running, now);
         }
+        self.count_unexpected_runs(id, report);
         self.resolve_missing_runs(id, report, sent, now);
     }
 
@@ -200,6 +201,25 @@
         }
     }
 
+    /// Counts the resources of listed runs that should not exist. They are in use until a report no
+    /// longer lists them.
+    fn count_unexpected_runs(&mut self, worker: &str, report: &Report) {
+        let Some(w) = self.workers.get(worker) else {
+            return;
+        };
+        let is_known = |t: &SubtaskId| w.runs.iter().any(|(known, _)| known == t);
+        let mut unexpected = Resources::default();
+        for running in report.running.iter().filter(|r| !is_known(&r.task)) {
+            let capacity = w.info.as_ref().map(|i| i.capacity).unwrap_or_default();
+            // Of an unknown job nothing tells what its run needs.
+            let need = self.step_of(&running.task).map_or(capacity, Step::reserved);
+            unexpected.add(need, 1);
+        }
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.unexpected = unexpected;
+        }
+    }
+
     /// Handles the runs that the report lists neither as running nor as finished.
     fn resolve_missing_runs(&mut self, worker: &str, report: &Report, sent: Millis, now: Millis) {
         let Some(w) = self.workers.get(worker) else {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     config::Config,
-    job::{AcceptedJob, Step, SubtaskId, Text},
+    job::{AcceptedJob, Resources, Step, SubtaskId, Text},
     open_job::Job,
     policy::{PolicyRequest, StepId, StepTickets},
     progress::{Phase, Progress, Run, RunState, Subtask},
@@ -361,14 +361,16 @@
         }
     }
 
-    /// Returns whether a run may exist on the worker or the outcome of a finished run is not
+    /// Returns whether a run exists or may exist on the worker, or the outcome of a finished run is not
     /// stored.
     ///
     /// ```
     /// assert!(!batch::scheduler::JobScheduler::default().is_in_use("w"));
     /// ```
     pub fn is_in_use(&self, worker: &str) -> bool {
-        let used = |w: &Worker| !w.runs.is_empty() || w.processed_seq > w.stored_seq;
+        let has_unexpected = |w: &Worker| w.unexpected != Resources::default();
+        let used =
+            |w: &Worker| !w.runs.is_empty() || has_unexpected(w) || w.processed_seq > w.stored_seq;
         self.workers.get(worker).is_some_and(used)
     }
 
@@ -407,9 +409,8 @@
             {
                 worker.start_life(info.incarnation);
             }
-            worker.address = info.address.clone();
             let id = info.id.clone();
-            worker.info = Some(info);
+            worker.update_entry(info, now);
             self.update_shutdown_time(&id, now);
         }
         let unused = |w: &Worker| w.info.is_none() && w.runs.is_empty();
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -3,7 +3,7 @@
 use base::clock::Millis;
 
 use crate::{
-    job::{SubtaskId, Text},
+    job::{Resources, SubtaskId, Text},
     progress::{Run, RunState},
     scheduler::JobScheduler,
 };
@@ -192,6 +192,7 @@
         };
         if let Some(w) = self.workers.get_mut(worker) {
             w.replaced = true;
+            w.unexpected = Resources::default();
         }
         self.remove_lost_runs(&lost, now);
         self.judge(&lost, now, wall_now);
@@ -209,6 +210,7 @@
         };
         if let Some(w) = self.workers.get_mut(worker) {
             w.back_off(now);
+            w.unexpected = Resources::default();
         }
         for run in &lost.runs {
             log::warn!(
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -34,6 +34,14 @@
     pub(crate) info: Option<WorkerInfo>,
     /// Last known address; empty if unknown.
     pub(crate) address: Text,
+    /// Last listed capacity.
+    pub(crate) last_capacity: Option<Resources>,
+    /// Time on the worker's clock when it wrote its entry.
+    pub(crate) entry_clock: Option<Millis>,
+    /// Time when another entry was first read.
+    pub(crate) entry_changed_at: Millis,
+    /// Resources of listed runs that should not exist and are being stopped.
+    pub(crate) unexpected: Resources,
     /// Current incarnation; 0 if unknown.
     pub(crate) incarnation: u64,
     /// Whether another worker answers at its address, so that this one is gone.
@@ -71,18 +79,6 @@
         self.runs.retain(|(t, _)| t != task);
     }
 
-    /// Returns the resources that no possibly existing run reserves.
-    pub(crate) fn free(&self) -> Resources {
-        let Some(info) = &self.info else {
-            return Resources::default();
-        };
-        let mut used = Resources::default();
-        for (_, need) in &self.runs {
-            used.add(*need, 1);
-        }
-        info.capacity.saturating_sub(used)
-    }
-
     /// Returns whether new work may be placed on the worker.
     pub(crate) fn accepts_work(&self, now: Millis) -> bool {
         !self.unresponsive
@@ -97,6 +93,7 @@
         self.processed_seq = 0;
         self.stored_seq = 0;
         self.replaced = false;
+        self.unexpected = Resources::default();
         self.outage = None;
     }
 
--- /dev/null
+++ b/crates/batch/tests/capacity.rs
@@ -0,0 +1,134 @@
+//! Starts on workers whose capacity changes while they run.
+
+mod fleet;
+
+use std::rc::Rc;
+
+use batch::{config::Config, worker::Outcome};
+use fleet::{Fleet, config, gang, starts, step, stops};
+
+/// Returns a fleet whose workers start whatever they are told to.
+fn unchecked_fleet(workers: usize) -> Fleet {
+    let mut fleet = Fleet::new(workers);
+    let config = Config {
+        services_without_admission_check: vec!["svc".into()],
+        ..config()
+    };
+    fleet.scheduler.configure(&Rc::new(config));
+    fleet
+}
+
+/// Guards against a start on a worker that has shrunk below what runs there or is being stopped.
+#[test]
+fn a_worker_that_shrinks_gets_no_start_until_it_has_room() {
+    let mut fleet = unchecked_fleet(1);
+    fleet.submit("1", 1, step(6, 1));
+    let running = starts(&fleet.plan());
+    assert_eq!(running.len(), 6);
+    for order in &running {
+        fleet.take(order);
+    }
+    fleet.resize("w00", 4);
+    fleet.submit("2", 1, step(1, 1));
+    assert!(starts(&fleet.plan()).is_empty());
+    // Two that end and two that are being stopped leave no room yet.
+    let rest: Vec<_> = running[2..].iter().collect();
+    for (seq, order) in running[..2].iter().enumerate() {
+        let finished = fleet::finished(order, seq as u64 + 1, Outcome::Done);
+        fleet.report("w00", &rest, vec![finished]);
+    }
+    assert!(starts(&fleet.plan()).is_empty());
+    let (now, wall_now) = (fleet.now, fleet.wall());
+    fleet.scheduler.cancel("1", now, wall_now);
+    assert!(starts(&fleet.plan()).is_empty(), "stops still count");
+    let finished = fleet::finished(rest[0], 3, Outcome::Stopped);
+    fleet.report("w00", &rest[1..], vec![finished]);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+    // It grows again.
+    fleet.submit("3", 1, step(4, 1));
+    assert!(starts(&fleet.plan()).is_empty());
+    fleet.resize("w00", 8);
+    assert_eq!(starts(&fleet.plan()).len(), 4);
+}
+
+/// Guards against a start that was decided before the worker shrank and is sent afterwards, when a
+/// slow store has stored the decision.
+#[test]
+fn a_start_that_no_longer_fits_is_not_sent() {
+    let mut fleet = unchecked_fleet(1);
+    fleet.submit("1", 1, step(2, 4));
+    let orders = starts(&fleet.plan());
+    let admits = |fleet: &Fleet, i: usize| {
+        let order = &orders[i];
+        fleet
+            .scheduler
+            .admits_start(&order.task, &order.worker, fleet.now)
+    };
+    assert!(admits(&fleet, 0) && admits(&fleet, 1));
+    fleet.resize("w00", 7);
+    assert!(!admits(&fleet, 0) && !admits(&fleet, 1));
+    fleet.resize("w00", 8);
+    assert!(admits(&fleet, 0));
+    // During an outage of the store nobody knows whether the worker has shrunk.
+    fleet.advance(3_001);
+    assert!(!admits(&fleet, 0));
+}
+
+/// Guards against starts on workers without an admission check whose entry is out of date.
+#[test]
+fn an_unchecked_worker_gets_work_only_with_a_recent_entry() {
+    let mut fleet = unchecked_fleet(1);
+    fleet.submit("1", 1, step(1, 1));
+    fleet.advance(3_001);
+    assert!(starts(&fleet.plan()).is_empty());
+    // The list is read again, but the worker has not written its entry.
+    let (infos, now) = (fleet.infos.clone(), fleet.now);
+    fleet.scheduler.replace_vm_list(infos, now);
+    assert!(starts(&fleet.plan()).is_empty());
+    fleet.resize("w00", 8);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+    // Workers that check it themselves take work during an outage of the store.
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    fleet.advance(60_000);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+}
+
+/// Guards against a start beside a run that the scheduler has given up but the worker still lists.
+#[test]
+fn an_unexpected_run_counts_until_it_is_gone() {
+    let mut fleet = unchecked_fleet(1);
+    fleet.submit("1", 1, step(1, 8));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.take(&order);
+    let now = fleet.advance(7_000).now;
+    fleet.scheduler.handle_lease_expiry("w00", now);
+    let (now, wall_now) = (fleet.now, fleet.wall());
+    fleet.scheduler.cancel("1", now, wall_now);
+    fleet.report("w00", &[&order], Vec::new());
+    fleet.submit("2", 1, step(1, 1));
+    fleet.advance(2_000).resize("w00", 8);
+    let changes = fleet.plan();
+    assert!(starts(&changes).is_empty(), "{changes:?}");
+    assert_eq!(stops(&changes).len(), 1);
+    assert!(fleet.scheduler.is_in_use("w00"), "its end has to be seen");
+    fleet.report("w00", &[], Vec::new());
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+}
+
+/// Guards against stops that free nothing for urgent work because the worker had shrunk below what
+/// runs there.
+#[test]
+fn preemption_makes_up_for_a_shrunk_capacity() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("low", 2, step(8, 1));
+    let running = starts(&fleet.plan());
+    for order in &running {
+        fleet.take(order);
+    }
+    fleet.resize("w00", 6);
+    fleet.submit("urgent", 0, gang(2, 1));
+    fleet.advance(300);
+    // Two stops make up for the lost capacity, two free the room.
+    assert_eq!(stops(&fleet.plan()).len(), 4);
+}
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -6,7 +6,7 @@
 use batch::{
     job::{Repeat, Spec, Step, Text},
     progress::Phase,
-    worker::{Action, FinishedRun, Order, Outcome, Refusal, StartReply},
+    worker::{Action, Order, Outcome, Refusal, StartReply},
 };
 use fleet::{Fleet, gang, starts, step};
 use quickcheck::{Gen, QuickCheck};
@@ -361,13 +361,7 @@
     /// Reports the end of a run that is no longer in [`Self::running`].
     fn end(&mut self, order: &Order, outcome: Outcome) {
         self.last_seq += 1;
-        let finished = FinishedRun {
-            seq: self.last_seq,
-            task: order.task.clone(),
-            attempt: order.attempt,
-            outcome,
-            checkpoint: "".into(),
-        };
+        let finished = fleet::finished(order, self.last_seq, outcome);
         let here = self.running.iter().map(|(o, _)| o);
         let here: Vec<&Order> = here.filter(|o| o.worker == order.worker).collect();
         let worker = order.worker.clone();
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -157,6 +157,16 @@
             .handle_report(&order.worker, &report, now, now, wall_now);
     }
 
+    /// Changes the number of accelerators of a worker, whose clock shows the current time.
+    pub fn resize(&mut self, worker: &str, accelerators: u64) {
+        let now = self.now;
+        for info in self.infos.iter_mut().filter(|i| &*i.id == worker) {
+            info.capacity.accelerators = accelerators;
+            info.clock = now;
+        }
+        self.scheduler.replace_vm_list(self.infos.clone(), now);
+    }
+
     /// Delivers the worker's confirmation of a start.
     pub fn take(&mut self, order: &Order) {
         let now = self.now;
@@ -203,11 +213,8 @@
 
     pub fn finish_with(&mut self, order: &Order, seq: u64, outcome: Outcome, checkpoint: &str) {
         let finished = FinishedRun {
-            seq,
-            task: order.task.clone(),
-            attempt: order.attempt,
-            outcome,
             checkpoint: checkpoint.into(),
+            ..finished(order, seq, outcome)
         };
         self.report(&order.worker.clone(), &[], vec![finished]);
     }
@@ -222,6 +229,17 @@
     }
 }
 
+/// Returns the entry of a report for the end of an order's run.
+pub fn finished(order: &Order, seq: u64, outcome: Outcome) -> FinishedRun {
+    FinishedRun {
+        seq,
+        task: order.task.clone(),
+        attempt: order.attempt,
+        outcome,
+        checkpoint: Text::default(),
+    }
+}
+
 pub fn starts(changes: &PendingChanges) -> Vec<Order> {
     let is_start = |o: &&Order| matches!(o.action, Action::Start { .. });
     changes.orders.iter().filter(is_start).cloned().collect()
--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -27,8 +27,8 @@
 /// Maximum size of a row in the settings of the nodes. It is below the limit of the store, so that
 /// the progress of a job with hundreds of subtasks takes several rows.
 pub const ROW_BYTES: usize = 16 << 10;
-/// Interval at which workers check whether they have to register again.
-const REGISTER_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Interval at which workers write their entries in the VM list.
+const REGISTER_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// API key of the organisation in the first configuration.
 pub const API_KEY: &str = "key-one";
 
@@ -223,8 +223,8 @@
     worker: Worker,
     /// Address that the entry names, which may be that of a proxy.
     address: net::SocketAddr,
-    /// Id and incarnation in the list; `None` while the worker is not listed.
-    listed: Option<(String, Value)>,
+    /// Id in the list; `None` while the worker is not listed.
+    listed: Option<String>,
 }
 
 impl Registration {
@@ -237,18 +237,17 @@
         }
     }
 
-    /// Registers a new life of the worker, and removes the entry of the one before.
+    /// Writes the worker's entry, and removes the one of its life before.
     fn update(&mut self, store: &Store) {
         let Some((id, mut entry)) = self.worker.entry("r1", "ready") else {
             return;
         };
-        let life = Some((id.clone(), entry["born"].clone()));
-        if life == self.listed {
+        if store.is_out() {
             return;
         }
         entry["address"] = json!(self.address);
         store.put("servers", &id, &entry);
-        if let Some((old, _)) = std::mem::replace(&mut self.listed, life)
+        if let Some(old) = self.listed.replace(id.clone())
             && old != id
         {
             store.delete("servers", &old);
@@ -256,7 +255,7 @@
     }
 }
 
-/// Registers workers again after they have crashed, until `stop` is set.
+/// Keeps the entries of the workers up to date until `stop` is set.
 fn keep_registered(mut registrations: Vec<Registration>, store: Store, stop: Arc<AtomicBool>) {
     thread::spawn(move || {
         while !stop.load(Ordering::Relaxed) {
--- a/crates/cli/tests/crashes.rs
+++ b/crates/cli/tests/crashes.rs
@@ -1,13 +1,16 @@
-//! Tests of nodes as real processes whose workers are crashed by a subtask.
+//! Tests of nodes as real processes whose workers crash or lose capacity.
 
 mod cluster;
 mod common;
 
 use std::{thread, time};
 
-use cluster::Cluster;
+use cluster::{API_KEY, Cluster, TIMEOUT, config};
 use common::wait_until;
-use platform_standin::worker::{DEADLY, Worker};
+use platform_standin::{
+    store::Fault,
+    worker::{DEADLY, Worker},
+};
 use serde_json::json;
 
 /// Time limit for giving up a deadly subtask: three crashes, each with a start that waits for the
@@ -46,3 +49,42 @@
     assert_eq!(crashes(&cluster), lost);
     cluster.check_runs();
 }
+
+/// Guards against starts on workers that have less capacity than before, also while the store that
+/// would tell so is out.
+#[test]
+fn workers_that_shrink_are_not_overloaded() {
+    let cluster = Cluster::start("node-shrink", 2, 3, 300);
+    let mut unchecked = config(2, &[API_KEY]);
+    unchecked["services"][0]["admission-check"] = json!(false);
+    cluster.store.put("op", "config", &unchecked);
+    let step = json!({"count": 12, "cpu": 1_000, "mem-mb": 100, "gpu": 1, "estimated-ms": 300});
+    let mut accepted = Vec::new();
+    let start = time::Instant::now();
+    for id in 1_u64.. {
+        let ms = start.elapsed().as_millis();
+        if ms > 12_000 {
+            break;
+        }
+        cluster.workers[0].resize(if ms < 1_000 { 8 } else { 1 });
+        cluster.workers[1].resize(if (3_000..8_000).contains(&ms) { 2 } else { 8 });
+        let is_out = (2_500..6_500).contains(&ms);
+        let fault = if is_out { Fault::Refuses } else { Fault::None };
+        cluster.store.set_fault(fault);
+        let answer = cluster.submit_step(0, id, "work", &step);
+        if answer.is_some_and(|a| a.status == 200) {
+            accepted.push(id);
+        }
+        thread::sleep(time::Duration::from_millis(150));
+    }
+    for id in &accepted {
+        cluster.wait_for_state(0, *id, "completed");
+    }
+    assert!(accepted.len() > 20, "{} jobs", accepted.len());
+    let overloads: Vec<usize> = cluster.workers.iter().map(Worker::overloads).collect();
+    assert_eq!(overloads, [0, 0, 0]);
+    wait_until("the shrunk worker is in use", TIMEOUT, || {
+        (!cluster.workers[0].runs().is_empty()).then_some(())
+    });
+    cluster.check_runs();
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -40,6 +40,16 @@
             checkpoint,
             ticket,
         } => {
+            let fits =
+                leader
+                    .scheduler
+                    .borrow()
+                    .admits_start(&order.task, &order.worker, clock::now());
+            if !fits {
+                let refused = StartReply::Refused(Refusal::Room);
+                cx.metrics.count_order("start", "not_sent");
+                return handle_start_reply(&leader, &order, refused);
+            }
             let Some(lease_end) = worker_session::grant_lease(&cx, &leader, &order.worker) else {
                 return handle_unsent(&leader, &order);
             };
