platform, batch: a worker on the same hardware explains a lost one

A worker that comes back at another address, after the lease of the one before, left the crash uncounted: the old address answers nothing, and only id and address were compared. Entries name the hardware ("machine"). Test: a_worker_that_returns_after_its_lease_explains_the_loss, now with another address (failed before).

--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -44,6 +44,7 @@
             self.entry_changed_at = now;
         }
         self.address = info.address.clone();
+        self.machine.clone_from(&info.machine);
         self.info = Some(info);
     }
 }
--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -155,6 +155,7 @@
             true if i.incarnation != lost.incarnation => Fate::Ended,
             true if lost.listed_at.is_none_or(|t| i.clock > t) => Fate::Survived,
             false if i.address == lost.address => Fate::Ended,
+            false if i.machine.is_some() && i.machine == lost.machine => Fate::Ended,
             _ => Fate::Unknown,
         });
         fates.max().unwrap_or_default()
@@ -166,7 +167,7 @@
 enum Fate {
     #[default]
     Unknown,
-    /// A worker of another incarnation has its id or its address.
+    /// A worker of another incarnation has its id, its address or its hardware.
     Ended,
     /// It is still there.
     Survived,
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -13,6 +13,8 @@
     pub service: Text,
     /// Network address of the worker.
     pub address: Text,
+    /// Hardware that the worker runs on; the next worker on it has another id or incarnation.
+    pub machine: Option<Text>,
     /// Data centre of the worker.
     pub zone: Text,
     /// Whether the worker is about to shut down.
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -62,6 +62,7 @@
 pub(crate) struct LostWorker {
     pub(crate) id: Text,
     pub(crate) address: Text,
+    pub(crate) machine: Option<Text>,
     pub(crate) incarnation: u64,
     /// Time on the worker's clock when it last wrote its entry in the VM list.
     pub(crate) listed_at: Option<Millis>,
@@ -271,6 +272,7 @@
         Some(LostWorker {
             id: id.clone(),
             address: worker.address.clone(),
+            machine: worker.machine.clone(),
             incarnation: worker.incarnation,
             listed_at: worker.info.as_ref().map(|i| i.clock),
             outage,
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -34,6 +34,8 @@
     pub(crate) info: Option<WorkerInfo>,
     /// Last known address; empty if unknown.
     pub(crate) address: Text,
+    /// Last listed hardware.
+    pub(crate) machine: Option<Text>,
     /// Last listed capacity.
     pub(crate) last_capacity: Option<Resources>,
     /// Time on the worker's clock when it wrote its entry.
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -218,7 +218,8 @@
     assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Failed));
 }
 
-/// Guards against crashes that are forgotten because the worker is back only after its lease.
+/// Guards against crashes that are forgotten because the worker is back only after its lease, or at
+/// another address.
 #[test]
 fn a_worker_that_returns_after_its_lease_explains_the_loss() {
     let mut fleet = Fleet::new(4);
@@ -230,6 +231,9 @@
         fleet.lose(&order.worker, now);
         let now = fleet.advance(6_300).now;
         fleet.scheduler.handle_lease_expiry(&order.worker, now);
+        for info in fleet.infos.iter_mut().filter(|i| i.id == order.worker) {
+            info.address = format!("127.0.0.1:20{crashes}").into();
+        }
         fleet.advance(2_000).register_successor(&order.worker);
         if crashes == 1 {
             assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Running));
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -280,6 +280,7 @@
         id: format!("w{i:02}").into(),
         service: "svc".into(),
         address: format!("127.0.0.1:{}", i + 1).into(),
+        machine: Some(format!("m{i}").into()),
         zone: "z".into(),
         draining: false,
         remaining: None,
