plan, sched: a job of the own interface that crashes its workers fails

The plan took each of them for a member that stopped by itself, queued its job again without counting anything, and a job that crashes its workers went on for ever (process interrupted only by the loss of a worker, which is no attempt either).

Change: the link tells the plan when a worker has lost all tasks that ran (WorkerRestarted, with the time of its last answer). Stored with the job; old records are read.

--- a/crates/plan/src/event.rs
+++ b/crates/plan/src/event.rs
@@ -1,6 +1,6 @@
 //! Events that the scheduler passes to the plan, and the resulting decisions.
 
-use base::name::Name;
+use base::{clock::Millis, name::Name};
 use schema::{config::Config, job::Job};
 use serde::{Deserialize, Serialize};
 
@@ -49,6 +49,13 @@
         /// Name of the worker.
         worker: Name,
     },
+    /// A worker answers but has lost all tasks that it ran.
+    WorkerRestarted {
+        /// Name of the worker.
+        worker: Name,
+        /// Time of its last answer before.
+        alive_until: Millis,
+    },
     /// A job was submitted.
     Submitted {
         /// The job.
--- a/crates/plan/src/gang.rs
+++ b/crates/plan/src/gang.rs
@@ -4,6 +4,7 @@
 use schema::job::{Phase, StopMode};
 
 use crate::{
+    crash,
     jobs::{JobId, Progress},
     order::{Action, Order},
     record::{JobKey, Member},
@@ -117,6 +118,10 @@
             return Phase::Done;
         }
         if self.is_job_at_fault(id) {
+            let rec = &mut self.jobs.get_mut(id).rec;
+            if crash::is_at_fault(rec) {
+                rec.reason = "it crashes its workers".into();
+            }
             return Phase::Failed;
         }
         match self.refusal(id) {
--- a/crates/plan/src/health.rs
+++ b/crates/plan/src/health.rs
@@ -5,6 +5,7 @@
 use schema::job::Phase;
 
 use crate::{
+    crash,
     jobs::JobId,
     state::{Plan, Step},
 };
@@ -147,11 +148,11 @@
     }
 
     /// Returns whether the job is faulty: it failed on enough workers that are not at fault, failed
-    /// too often, or exceeded the maximum correction of its declared memory.
+    /// too often, crashed workers, or exceeded the maximum correction of its declared memory.
     pub(crate) fn is_job_at_fault(&self, id: JobId) -> bool {
         let rec = &self.jobs.get(id).rec;
         let failed = rec.failed_on.len() >= DISTINCT_FAILURE_LIMIT || rec.failures >= FAILURE_LIMIT;
-        failed || self.exceeds_max_correction(id)
+        failed || crash::is_at_fault(rec) || self.exceeds_max_correction(id)
     }
 
     /// Returns whether the job must not run on the worker because it failed there. A job that
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -9,6 +9,7 @@
 mod claim;
 mod compact;
 mod corrections;
+mod crash;
 pub mod event;
 mod gang;
 mod guarantee;
--- a/crates/plan/src/record.rs
+++ b/crates/plan/src/record.rs
@@ -50,6 +50,9 @@
     /// Number of failures on workers that were not found at fault.
     #[serde(default)]
     pub failures: u32,
+    /// Sum of the weights of the crashes of workers that the job may have caused.
+    #[serde(default)]
+    pub crash_weight: u32,
     /// Human-readable reason for the phase; empty if there is none.
     pub reason: String,
     /// Memory charged to each member of the current attempt, in MiB: at least the declared memory,
@@ -92,6 +95,7 @@
             completed_ms: Millis::ZERO,
             failed_on: Vec::new(),
             failures: 0,
+            crash_weight: 0,
             reason: String::new(),
             charged_memory_mb: 0,
             peak_memory_mb: 0,
--- a/crates/sched/src/worker_link.rs
+++ b/crates/sched/src/worker_link.rs
@@ -297,15 +297,22 @@
 
     /// Processes the answer to a call and returns the events for the plan.
     pub fn on_answer(&mut self, now: Millis, tasks: Vec<TaskReport>) -> Vec<Event> {
-        self.last_answer = now;
+        let alive_until = std::mem::replace(&mut self.last_answer, now);
         let ordered = std::mem::take(&mut self.in_flight);
         let renewed = std::mem::take(&mut self.in_flight_renew);
         self.tasks = tasks;
+        let has_restarted = self.has_lost_its_tasks(&renewed);
         let mut attempts: Vec<Attempt> = self.tasks.iter().map(|t| t.attempt.clone()).collect();
         attempts.extend(renewed);
         attempts.sort();
         attempts.dedup();
         let mut events = Vec::new();
+        if has_restarted {
+            events.push(Event::WorkerRestarted {
+                worker: self.name.clone(),
+                alive_until,
+            });
+        }
         for attempt in &attempts {
             let had_order = ordered.iter().any(|o| o.attempt == *attempt);
             events.extend(self.event_for(attempt, had_order));
@@ -320,6 +327,12 @@
         events
     }
 
+    /// Returns whether the last answer lists none of the tasks that ran before.
+    fn has_lost_its_tasks(&self, renewed: &[Attempt]) -> bool {
+        let ran = |a: &&Attempt| matches!(self.reported.get(*a), Some(Report::Running { .. }));
+        self.tasks.is_empty() && renewed.iter().any(|a| ran(&a))
+    }
+
     fn update_poll_interval(&mut self) {
         self.poll_interval = if self.awaited.is_empty() {
             self.cfg.renew_ms
--- a/crates/sched/tests/worker_link.rs
+++ b/crates/sched/tests/worker_link.rs
@@ -68,10 +68,11 @@
     link.start_call(Millis(now), 1);
     let events = link.on_answer(Millis(now), tasks.to_vec());
     let report = |e: Event| match e {
-        Event::Member { report, .. } => report,
+        Event::Member { report, .. } => Some(report),
+        Event::WorkerRestarted { .. } => None,
         other => panic!("{other:?}"),
     };
-    events.into_iter().map(report).collect()
+    events.into_iter().filter_map(report).collect()
 }
 
 /// Guards against a start that is sent, or sent again, after the stop of its attempt was queued.
@@ -175,3 +176,32 @@
     );
     assert_eq!(link.next_call_at(), Millis(6_150));
 }
+
+/// Guards against a crash of a worker that goes unnoticed because the worker answers again.
+#[test]
+fn a_worker_that_lost_its_tasks_has_restarted() {
+    let mut link = link();
+    exchange(&mut link, 5, &[task(1, RUNNING)]);
+    link.start_call(Millis(2_000), 1);
+    let events = link.on_answer(Millis(2_000), Vec::new());
+    let restarted = Event::WorkerRestarted {
+        worker: "w".parse().unwrap(),
+        alive_until: Millis(5),
+    };
+    assert_eq!(events[0], restarted);
+    assert!(matches!(
+        events[1],
+        Event::Member {
+            report: Report::NotHeld,
+            ..
+        }
+    ));
+    // A task that ends is listed until its attempt is no longer renewed.
+    let mut link = self::link();
+    exchange(&mut link, 5, &[task(1, RUNNING)]);
+    assert_eq!(
+        exchange(&mut link, 9, &[task(1, Report::Done)]),
+        [Report::Done]
+    );
+    assert_eq!(exchange(&mut link, 12, &[]), [Report::NotHeld]);
+}
