route, entry: a request that breaks two servers is not sent to a third

The budget bounds the load of retries, not what one request breaks.

Change: an attempt that ends broken counts for its request; after two (max_broken) the caller gets the outcome as unknown. Refused and unsent attempts don't count. A log line names request and servers.

Test: a_request_that_breaks_its_servers_is_sent_to_two (5 servers that cut the connection: 4 runs before, 2 now).

--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -220,16 +220,10 @@
         self.dispatch_queued();
     }
 
-    /// Returns whether a failed attempt may be retried, and charges the retry to the budget.
-    pub fn may_retry(&self, repeatable: bool, outcome: Outcome, deadline: Millis) -> bool {
-        let attempt = FailedAttempt {
-            repeatable,
-            outcome,
-            deadline,
-            expected: Millis(1),
-        };
+    /// Decides whether a failed attempt is retried, and charges the retry to the budget.
+    pub fn decide_retry(&self, attempt: FailedAttempt) -> RetryDecision {
         let mut inner = self.inner.borrow_mut();
-        inner.retry_budget.decide(clock::now(), attempt) == RetryDecision::Retry
+        inner.retry_budget.decide(clock::now(), attempt)
     }
 
     /// Stops sending new requests to a server that marked itself as leaving.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,7 +3,10 @@
 use std::rc::Rc;
 
 use base::{clock, clock::Millis};
-use route::outcome::{Load, Outcome, ServerId};
+use route::{
+    outcome::{Load, Outcome, ServerId},
+    retry::{FailedAttempt, RetryDecision},
+};
 
 use crate::{
     backend::{Answer, BackendError, BackendRequest},
@@ -89,6 +92,7 @@
     mut slot: Slot,
 ) -> Result<Answer, Refusal> {
     let mut unknown: Option<Refusal> = None;
+    let mut broken = 0;
     loop {
         cx.refresh_vm_list(cx.cfg.vm_max_age).await;
         let Some((server, address)) = slot.available_server() else {
@@ -131,13 +135,22 @@
                 return Ok(answer);
             }
             Attempt::Failed(outcome, refusal) => {
-                let repeatable = call.target.operation.repeatable;
+                broken += u32::from(outcome == Outcome::Broken);
                 // Once an attempt may have run, a later one can't change the outcome to `not_run`.
                 if unknown.is_none() && !outcome.is_not_run() {
                     unknown = Some(refusal.clone());
                 }
-                let is_allowed = slot.balancer.may_retry(repeatable, outcome, call.deadline);
-                if !is_allowed || !slot.pick_next() {
+                let decision = slot.balancer.decide_retry(FailedAttempt {
+                    repeatable: call.target.operation.repeatable,
+                    outcome,
+                    broken,
+                    deadline: call.deadline,
+                    expected: Millis(1),
+                });
+                if decision == RetryDecision::TooManyBroken {
+                    log::warn!(request:% = request.id, servers:? = slot.tried, broken; "entry: the request may break its servers, not sent again");
+                }
+                if decision != RetryDecision::Retry || !slot.pick_next() {
                     return Err(unknown.unwrap_or(refusal));
                 }
                 cx.metrics.retry();
--- a/crates/entry/tests/entry/faults.rs
+++ b/crates/entry/tests/entry/faults.rs
@@ -156,6 +156,16 @@
     assert_eq!((system.runs(), other.stats().not_run), (1, 1));
 }
 
+/// Guards against a repeatable request that crashes one server after another.
+#[test]
+fn a_request_that_breaks_its_servers_is_sent_to_two() {
+    let system = setup::system().servers(5).start();
+    system.set_faults(&setup::server_faults(|f| f.cut_after = 1.0));
+    let got = setup::call(system.addr(), "score", &[], b"{}");
+    assert_eq!(got.refusal(), ("outcome_unknown".into(), "unknown".into()));
+    assert_eq!(system.runs(), 2);
+}
+
 /// Returns the bytes that a server sends for a request id.
 type Answer = fn(&str) -> Vec<u8>;
 
--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -332,6 +332,7 @@
         let attempt = FailedAttempt {
             repeatable: true,
             outcome,
+            broken: 0,
             deadline,
             expected: e.queue.slow_service_time(),
         };
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -24,6 +24,7 @@
 /// let attempt = FailedAttempt {
 ///     repeatable: true,
 ///     outcome: Outcome::Broken,
+///     broken: 1,
 ///     deadline: Millis(1_000),
 ///     expected: Millis(50),
 /// };
@@ -50,6 +51,8 @@
     pub repeatable: bool,
     /// How the attempt ended.
     pub outcome: Outcome,
+    /// Number of attempts of the request that ended broken, including this one.
+    pub broken: u32,
     /// Time by which the caller needs the answer.
     pub deadline: Millis,
     /// Expected service time of the next attempt.
@@ -65,6 +68,8 @@
     Final,
     /// The request may have been run and must not be repeated.
     NotRepeatable,
+    /// The request may be what breaks the servers.
+    TooManyBroken,
     /// The answer would arrive after the deadline.
     PastDeadline,
     /// The budget is used up.
@@ -96,6 +101,9 @@
             Outcome::Broken if !attempt.repeatable => return RetryDecision::NotRepeatable,
             _ => {}
         }
+        if attempt.broken >= self.cfg.max_broken {
+            return RetryDecision::TooManyBroken;
+        }
         if now + attempt.expected >= attempt.deadline {
             return RetryDecision::PastDeadline;
         }
--- a/crates/route/src/retry_cfg.rs
+++ b/crates/route/src/retry_cfg.rs
@@ -11,6 +11,9 @@
     pub percent: u32,
     /// Retries allowed in the window even if there are few requests.
     pub at_least: u32,
+    /// Attempts of one request that may end broken. A request that crashes its server would otherwise
+    /// crash one after another.
+    pub max_broken: u32,
     /// Length of the sliding window over requests and retries.
     pub window_ms: Millis,
 }
@@ -20,6 +23,7 @@
         Self {
             percent: 10,
             at_least: 3,
+            max_broken: 2,
             window_ms: Millis::from_secs(10),
         }
     }
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -187,6 +187,7 @@
             let attempt = FailedAttempt {
                 repeatable: true,
                 outcome: Outcome::Broken,
+                broken: 1,
                 deadline: DISTANT_DEADLINE,
                 expected: Millis(1),
             };
@@ -215,6 +216,7 @@
         let attempt = FailedAttempt {
             repeatable,
             outcome,
+            broken: u32::from(outcome == Outcome::Broken),
             deadline: Millis(deadline),
             expected,
         };
