batch, node: a stored record that can't be read sets its job aside

Progress that does not fit the job's specification (other numbers of steps or subtasks, an invalid specification) made the pass of each leader panic: index out of bounds in ranking.rs. A progress or phase row that can't be decoded was worse: its job counted as new, and work that had run, or still ran, was started again.

Change: progress is checked against the specification on load. A job whose records don't fit or can't be decoded is set aside: not run, not taken for a new job, shown as last stored, logged by id and counted in the dump. All other jobs go on.

--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -4,7 +4,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::job::{AcceptedJob, Text};
+use crate::job::{AcceptedJob, Spec, SpecError, Text};
 
 /// Phase of a job.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Deserialize, Serialize)]
@@ -154,7 +154,62 @@
     pub addresses: SortedMap<Text, Text>,
 }
 
+/// Reason why the progress of a job does not fit its specification.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum RecordError {
+    /// The specification is invalid.
+    #[display("invalid specification: {_0}")]
+    Spec(SpecError),
+    /// There are more occurrences than specified.
+    #[display("progress of {_0} occurrences")]
+    Occurrences(usize),
+    /// An occurrence has another number of steps.
+    #[display("progress of {found} steps, {expected} are specified")]
+    Steps {
+        /// Number of steps of the progress.
+        found: usize,
+        /// Number of specified steps.
+        expected: usize,
+    },
+    /// A step has another number of subtasks.
+    #[display("progress of {found} subtasks in step {step}, {expected} are specified")]
+    Subtasks {
+        /// Index of the step.
+        step: usize,
+        /// Number of subtasks of the progress.
+        found: usize,
+        /// Specified number of subtasks.
+        expected: usize,
+    },
+}
+
 impl Progress {
+    /// Checks that the progress is one of a job with the given specification.
+    pub(crate) fn check(&self, spec: &Spec) -> Result<(), RecordError> {
+        spec.check().map_err(RecordError::Spec)?;
+        let occurrences = self.occurrences.len();
+        if occurrences > spec.repeat.map_or(1, |r| r.count as usize) {
+            return Err(RecordError::Occurrences(occurrences));
+        }
+        for occurrence in &self.occurrences {
+            let (found, expected) = (occurrence.steps.len(), spec.steps.len());
+            if found != expected {
+                return Err(RecordError::Steps { found, expected });
+            }
+            for (step, (tasks, specified)) in occurrence.steps.iter().zip(&spec.steps).enumerate() {
+                let (found, expected) = (tasks.len(), specified.count as usize);
+                if found != expected {
+                    return Err(RecordError::Subtasks {
+                        step,
+                        found,
+                        expected,
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Returns whether any run may exist.
     ///
     /// ```
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -10,7 +10,7 @@
     job::{AcceptedJob, Resources, Step, SubtaskId, Text},
     open_job::Job,
     policy::{PolicyRequest, StepId, StepTickets},
-    progress::{Phase, Progress, Run, RunState, Subtask},
+    progress::{Phase, Progress, RecordError, Run, RunState, Subtask},
     reserve::UrgentLoad,
     worker::{Action, Order, WorkerInfo},
     worker_end::{LostWorker, Outage, WorkerEnd},
@@ -45,6 +45,8 @@
     pub jobs: usize,
     /// Number of jobs that have not ended.
     pub open: usize,
+    /// Number of jobs whose records can't be read.
+    pub set_aside: usize,
     /// Number of runs that may exist: they were placed and are not known to have ended.
     pub runs: usize,
     /// Number of workers in the VM list.
@@ -61,6 +63,8 @@
 #[derive(Debug, Default)]
 pub struct JobScheduler {
     pub(crate) jobs: SortedMap<Text, Job>,
+    /// Ids of the jobs whose records can't be read.
+    set_aside: SortedMap<Text, ()>,
     pub(crate) workers: SortedMap<Text, Worker>,
     pub(crate) config: rc::Rc<Config>,
     pub(crate) orders: Vec<Order>,
@@ -98,17 +102,29 @@
     /// Restores a job with its stored progress. Reports of the workers then show which of its runs
     /// exist.
     ///
+    /// # Errors
+    ///
+    /// Returns why the records do not fit together. The job is [set aside](Self::set_aside) then.
+    ///
     /// ```
     /// # use batch::{scheduler::JobScheduler, job::AcceptedJob, progress::Phase};
     /// # let accepted: AcceptedJob = serde_json::from_str(
     /// #     r#"{"id":"1","queue":"q","service":"s","organisation":null,"at":1,
     /// #     "spec":{"text":"","steps":[{"count":1}],"repeat":null}}"#).unwrap();
     /// let mut scheduler = JobScheduler::default();
-    /// scheduler.restore(accepted, None);
+    /// assert_eq!(scheduler.restore(accepted, None), Ok(()));
     /// assert_eq!(scheduler.phase("1"), Some(Phase::Queued));
     /// ```
-    pub fn restore(&mut self, accepted: AcceptedJob, progress: Option<Progress>) {
+    pub fn restore(
+        &mut self,
+        accepted: AcceptedJob,
+        progress: Option<Progress>,
+    ) -> Result<(), RecordError> {
         let progress = progress.unwrap_or_else(|| Progress::new(&accepted));
+        if let Err(e) = progress.check(&accepted.spec) {
+            self.set_aside(accepted.id);
+            return Err(e);
+        }
         let job = Job {
             accepted,
             progress,
@@ -124,6 +140,28 @@
             worker.add_run(task, need);
         }
         self.jobs.insert(job.accepted.id.clone(), job);
+        Ok(())
+    }
+
+    /// Sets aside a job whose records can't be read: it is neither run nor taken for a new job,
+    /// because runs of it may exist.
+    ///
+    /// ```
+    /// let mut scheduler = batch::scheduler::JobScheduler::default();
+    /// scheduler.set_aside("1".into());
+    /// assert!(scheduler.knows("1") && scheduler.phase("1").is_none());
+    /// ```
+    pub fn set_aside(&mut self, id: Text) {
+        self.set_aside.insert(id, ());
+    }
+
+    /// Returns whether a job is known, even if it is [set aside](Self::set_aside).
+    ///
+    /// ```
+    /// assert!(!batch::scheduler::JobScheduler::default().knows("1"));
+    /// ```
+    pub fn knows(&self, id: &str) -> bool {
+        self.jobs.get(id).is_some() || self.set_aside.get(id).is_some()
     }
 
     /// Adds a job. Returns `false` and changes nothing if its id is known.
@@ -138,11 +176,17 @@
     /// assert!(!scheduler.accept(accepted));
     /// ```
     pub fn accept(&mut self, accepted: AcceptedJob) -> bool {
-        if self.jobs.get(&*accepted.id).is_some() {
+        if self.knows(&accepted.id) {
             return false;
         }
-        self.restore(accepted, None);
-        true
+        let id = accepted.id.clone();
+        match self.restore(accepted, None) {
+            Ok(()) => true,
+            Err(e) => {
+                log::error!(job:% = id, reason:% = e; "batch: job set aside");
+                false
+            }
+        }
     }
 
     /// Returns the phase of a job.
@@ -356,6 +400,7 @@
         Counts {
             jobs: self.jobs.len(),
             open: jobs().filter(|j| !j.progress.phase.is_final()).count(),
+            set_aside: self.set_aside.len(),
             runs: workers().map(|w| w.runs.len()).sum(),
             workers: workers().filter(|w| w.info.is_some()).count(),
         }
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -52,7 +52,8 @@
             let progress = self.stored.get(&accepted.id);
             let progress: Option<Progress> =
                 progress.map(|p| serde_json::from_str(p).expect("a valid record"));
-            self.scheduler.restore(accepted.clone(), progress);
+            let restored = self.scheduler.restore(accepted.clone(), progress);
+            assert_eq!(restored, Ok(()));
         }
         self.set_up();
     }
--- a/crates/cli/tests/crashes.rs
+++ b/crates/cli/tests/crashes.rs
@@ -1,4 +1,5 @@
-//! Tests of nodes as real processes whose workers crash or lose capacity.
+//! Tests of nodes as real processes: workers that crash or lose capacity, and records that can't be
+//! read.
 
 mod cluster;
 mod common;
@@ -88,3 +89,40 @@
     });
     cluster.check_runs();
 }
+
+/// Guards against a record that stops each leader that loads it, and against work that runs again
+/// because the record of its progress can't be read.
+#[test]
+fn a_malformed_record_stops_only_its_own_job() {
+    let mut cluster = Cluster::start("node-record-fault", 2, 2, 3_000);
+    let step = json!({"count": 2, "cpu": 1_000, "mem-mb": 100, "gpu": 1, "estimated-ms": 3_000});
+    for id in 1..=3 {
+        let answer = cluster.submit_step(0, id, "work", &step).unwrap();
+        assert_eq!(answer.status, 200);
+        cluster.wait_for_state(0, id, "running");
+    }
+    for node in &mut cluster.nodes {
+        node.kill();
+    }
+    let misfit = json!({"phase": "running", "occurrences": [{"steps": []}]});
+    for (id, record) in [(1, json!("not a record")), (2, misfit)] {
+        cluster
+            .store
+            .put("progress", &format!("{id:016x}"), &record);
+    }
+    for node in &mut cluster.nodes {
+        node.restart();
+    }
+    cluster.wait_for_state(0, 3, "completed");
+    assert_eq!(cluster.submit(1, 4, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(1, 4, "completed");
+    let runs = cluster.check_runs();
+    for id in 1..=2 {
+        assert_eq!(
+            runs[&format!("{id:016x}")],
+            2,
+            "each subtask of job {id} ran once"
+        );
+        assert_eq!(cluster.state(0, id), "running");
+    }
+}
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -76,7 +76,7 @@
         match rows::parse_job_key(&row.key) {
             // A known job is not decoded again, and a job that has ended and was removed from the
             // scheduler does not start again.
-            Some((id, JobRowKind::Job)) if scheduler.phase(id).is_none() && !has_ended(id) => {
+            Some((id, JobRowKind::Job)) if !scheduler.knows(id) && !has_ended(id) => {
                 let Some(accepted) = rows::from_json::<AcceptedJob>(row) else {
                     continue;
                 };
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -38,10 +38,16 @@
         .filter_map(|(row, rows)| Some((job_id(row)?, *rows)))
         .collect();
     let progress: Vec<Row> = progress.into_iter().map(|(row, _)| row).collect();
-    let progress: SortedMap<Text, Progress> = decode(&progress);
-    let phases: SortedMap<Text, PhaseRow> = decode(&phases);
+    let mut unreadable = Vec::new();
+    let progress: SortedMap<Text, Progress> = decode(&progress, &mut unreadable);
+    let phases: SortedMap<Text, PhaseRow> = decode(&phases, &mut unreadable);
     let mut scheduler = leader.scheduler.borrow_mut();
     *scheduler = JobScheduler::new(cx.cfg.restore_ms);
+    // Without its progress or phase, a job would count as new and run again.
+    for id in unreadable {
+        log::error!(job:% = id, reason = "malformed row"; "leader: job set aside");
+        scheduler.set_aside(id);
+    }
     let mut cancels: Vec<&str> = Vec::new();
     for row in &jobs {
         let Some((id, kind)) = rows::parse_job_key(&row.key) else {
@@ -51,7 +57,8 @@
             cancels.push(id);
             continue;
         }
-        let Some(accepted) = rows::from_json::<AcceptedJob>(row) else {
+        let Some(accepted) = rows::from_json::<AcceptedJob>(row).filter(|_| !scheduler.knows(id))
+        else {
             continue;
         };
         let phase = phases.get(id).map(|p| p.phase).filter(|p| p.is_final());
@@ -61,7 +68,9 @@
             at: accepted.at,
             ..Progress::default()
         });
-        scheduler.restore(accepted, progress.get(id).cloned().or(ended));
+        if let Err(e) = scheduler.restore(accepted, progress.get(id).cloned().or(ended)) {
+            log::error!(job = id, reason:% = e; "leader: job set aside");
+        }
     }
     let (now, wall_now) = (base::clock::now(), base::clock::wall());
     for id in cancels {
@@ -76,9 +85,20 @@
     Ok(from)
 }
 
-fn decode<T: for<'a> serde::Deserialize<'a>>(rows: &[Row]) -> SortedMap<Text, T> {
-    let entry = |row: &Row| Some((job_id(row)?, rows::from_json(row)?));
-    rows.iter().filter_map(entry).collect()
+/// Decodes rows by job id, and adds the ids of those that are malformed to `unreadable`.
+fn decode<T: for<'a> serde::Deserialize<'a>>(
+    rows: &[Row],
+    unreadable: &mut Vec<Text>,
+) -> SortedMap<Text, T> {
+    let mut entry = |row: &Row| {
+        let id = job_id(row)?;
+        let value = rows::from_json(row);
+        if value.is_none() {
+            unreadable.push(id.clone());
+        }
+        Some((id, value?))
+    };
+    rows.iter().filter_map(&mut entry).collect()
 }
 
 /// Returns the id of the job that a row written by a leader belongs to.
