sched: a malformed job record ends no leadership

Change: the job is set aside: logged by its key, not restored, its name refused to submissions (job_unreadable). All other jobs go on. A malformed configuration record still ends the restore, since placing without it could break a guarantee.

--- a/crates/sched/src/jobs.rs
+++ b/crates/sched/src/jobs.rs
@@ -22,6 +22,7 @@
     ctx::{self, Cx},
     leader::Leader,
     queue::CommitOutcome,
+    rows,
 };
 
 /// Maximum wait for the commit of a decision; shorter than the timeout of a client.
@@ -46,6 +47,11 @@
     {
         return reply;
     }
+    let row = rows::job_key(&key);
+    if leader.with_state(|s| s.set_aside.binary_search(&row).is_ok()) == Some(true) {
+        let message = format!("the stored record of {key} can't be read");
+        return answer::failed("job_unreadable", message, Effect::None);
+    }
     let known = leader
         .with_state(|s| s.plan.job(&key).map(|r| r.job.clone()))
         .flatten();
--- a/crates/sched/src/restore.rs
+++ b/crates/sched/src/restore.rs
@@ -47,8 +47,9 @@
     check_takeover(cx, leader).await?;
     let (config, rev) = read_config(cx).await?;
     let audits = config::read_audits(cx, config.revision).await?;
-    let jobs = read_jobs(cx).await?;
+    let (jobs, set_aside) = read_jobs(cx).await?;
     let mut state = State::new(cx.cfg.workers);
+    state.set_aside = set_aside;
     cx.raise_revision(config.revision);
     leader.config.restore(rev, audits);
     state.restore(config, jobs, cx.plan_now());
@@ -91,19 +92,26 @@
     Ok((config, rev.version))
 }
 
-async fn read_jobs(cx: &Cx) -> Result<Vec<StoredRecord>, RestoreError> {
+/// Reads the jobs, and returns the sorted keys of malformed rows apart: if they failed the restore,
+/// one of them would end the leadership of every process.
+async fn read_jobs(cx: &Cx) -> Result<(Vec<StoredRecord>, Vec<Key>), RestoreError> {
     let rows = scan(cx, "job/").await?;
     confirm(cx, &checks(&rows)).await?;
     let mut jobs = Vec::with_capacity(rows.len());
+    let mut set_aside = Vec::new();
     for row in rows {
-        let record: JobRecord =
-            serde_json::from_str(&row.value).map_err(|e| unreadable(&row, &e))?;
-        jobs.push(StoredRecord {
-            version: row.version,
-            record,
-        });
+        match serde_json::from_str::<JobRecord>(&row.value) {
+            Ok(record) => jobs.push(StoredRecord {
+                version: row.version,
+                record,
+            }),
+            Err(e) => {
+                log::error!(row:% = row.key, reason:% = e; "sched: job set aside");
+                set_aside.push(row.key);
+            }
+        }
     }
-    Ok(jobs)
+    Ok((jobs, set_aside))
 }
 
 /// Reads all rows whose keys have the prefix, page by page.
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -15,6 +15,7 @@
     state::Plan,
 };
 use schema::{config::Config, job::Phase};
+use store::table::Key;
 use tokio::sync::Notify;
 
 use crate::{cfg::WorkersCfg, queue::Queue, worker_link::WorkerLink};
@@ -45,6 +46,8 @@
     pub(crate) queue: Queue,
     /// Committed records, from which answers and renewals are derived.
     pub(crate) committed: SortedMap<JobKey, StoredRecord>,
+    /// Sorted keys of the job rows that can't be read.
+    pub(crate) set_aside: Vec<Key>,
     pub(crate) workers: SortedMap<Name, Worker>,
     pub(crate) config: Config,
     /// Whether a transaction has been open for longer than `commit.stuck_ms`.
@@ -60,6 +63,7 @@
             plan: Plan::new(PlanCfg::default()),
             queue: Queue::default(),
             committed: SortedMap::default(),
+            set_aside: Vec::new(),
             workers: SortedMap::default(),
             config: Config::default(),
             stuck: false,
--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -8,6 +8,7 @@
 use cluster::{Cluster, fast_lease, history, job, relay::Relay, submit};
 use schema::job::Phase;
 use standin::faults::Faults;
+use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::Txn};
 use wire::{
     client::Client,
     message::{Reply, Request},
@@ -269,3 +270,30 @@
     }
     assert!(cluster.platform.rows("member/").len() == 1);
 }
+
+/// Guards against a job record that ends the leadership of each scheduler that loads it.
+#[ntex::test]
+async fn a_malformed_job_record_ends_no_leadership() {
+    let (mut cluster, client) = cluster(2, 2).await;
+    submit(&client, job("a", 1, 8)).await;
+    cluster.wait_for_running("a", 1).await;
+    let url = cluster.platform.url();
+    let table = HttpTable::new(&url, HttpCfg::default()).await.unwrap();
+    let txn = Txn::default().put("job/org/b", r#"{"job":null}"#.into());
+    Table::from(table).commit(&txn).await.unwrap();
+    let leader = cluster.leader().await;
+    cluster.schedulers[leader].kill();
+    let client = cluster.client().await;
+    submit(&client, job("c", 1, 8)).await;
+    cluster.wait_for_running("c", 1).await;
+    assert_eq!((cluster.running("a"), cluster.running("c")), (1, 1));
+    let reply = client
+        .call(&Request::Submit {
+            job: job("b", 1, 1),
+        })
+        .await;
+    let Ok(Reply::Failed { code, .. }) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(&*code, "job_unreadable");
+}
