soak: workers crash, at random and by a subtask

Random crashes of workers, and jobs whose subtask crashes each worker that starts it, beside the kills, freezes, faults of the store and cuts that were played before. A deadly job has to end as failed, all others as before.

A worker that never answered the leader is logged with silent_ms 0 instead of the time since boot.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -68,9 +68,16 @@
             }
             _ => EndCause::Crashed,
         };
+        let alive_until = lost.outage.from;
+        // Of a worker that never answered this leader nothing is known.
+        let silent_ms = if alive_until == Millis::ZERO {
+            0
+        } else {
+            now.since(alive_until).0
+        };
         log::warn!(
             worker:% = lost.id, life = lost.incarnation, cause = cause.name(), runs = lost.runs.len(),
-            with_others, common_cause, silent_ms = now.since(lost.outage.from).0;
+            with_others, common_cause, silent_ms;
             "batch: worker ended"
         );
         let gave_up = cause == EndCause::Crashed
--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -154,9 +154,21 @@
 
     /// Submits a job with one step of `count` subtasks that take a whole worker each.
     pub fn submit(&self, node: usize, id: u64, count: u64, gang: bool) -> Option<Answer> {
+        self.submit_text(node, id, "work", count, gang)
+    }
+
+    /// Submits such a job with a text, which tells the workers what it does.
+    pub fn submit_text(
+        &self,
+        node: usize,
+        id: u64,
+        text: &str,
+        count: u64,
+        gang: bool,
+    ) -> Option<Answer> {
         let step = json!({"count": count, "cpu": 1_000, "mem-mb": 100, "gpu": 8,
             "estimated-ms": 500, "gang": gang});
-        self.submit_step(node, id, "work", &step)
+        self.submit_step(node, id, text, &step)
     }
 
     /// Submits a job with one step.
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -1,5 +1,5 @@
-//! Tests of nodes as real processes under random process and network faults, judged by what callers
-//! and workers see.
+//! Tests of nodes as real processes under random process and network faults, on workers that crash,
+//! judged by what callers and workers see.
 //!
 //! `SOAK_SEEDS=1-50` selects other seeds and `SOAK_SECONDS` another duration. A seed that has ever
 //! failed stays in [`REGRESSIONS`] with its cause.
@@ -12,7 +12,7 @@
 use cluster::{API_KEY, Cluster, proxy::Mode};
 use common::wait_until;
 use fastrand::Rng;
-use platform_standin::store::Fault;
+use platform_standin::{store::Fault, worker::DEADLY};
 
 /// Number of nodes in a run.
 const NODES: usize = 3;
@@ -34,6 +34,8 @@
 enum Expectation {
     /// It runs.
     Accepted,
+    /// It crashes its workers and is given up.
+    GivenUp,
     /// It never runs: every answer refused it.
     Refused,
     /// It may run.
@@ -84,6 +86,7 @@
                     .refuse_first_node
                     .store(refused, Ordering::Relaxed);
             }
+            18 => self.cluster.workers[self.rng.usize(..WORKERS)].crash(),
             16 | 17 => self.cluster.store_proxies[node].set(Mode::ALL[self.rng.usize(..5)]),
             _ => {
                 let mode = Mode::ALL[self.rng.usize(..5)];
@@ -96,15 +99,23 @@
     fn submit(&mut self) {
         let id = self.jobs.len() as u64;
         let (count, gang) = (self.rng.u64(1..3), self.rng.bool());
+        // The stand-in does not break a gang that loses a member, so a deadly one could complete.
+        let is_deadly = self.rng.u8(..8) == 0 && !gang;
         let mut expected = Expectation::Refused;
         for _ in 0..3 {
             let node = self.rng.usize(..NODES);
             if self.frozen[node] {
                 continue;
             }
-            match self.cluster.submit(node, id, count, gang).map(|a| a.status) {
+            let (text, accepted) = if is_deadly {
+                (DEADLY, Expectation::GivenUp)
+            } else {
+                ("work", Expectation::Accepted)
+            };
+            let answer = self.cluster.submit_text(node, id, text, count, gang);
+            match answer.map(|a| a.status) {
                 Some(200) => {
-                    expected = Expectation::Accepted;
+                    expected = accepted;
                     break;
                 }
                 Some(429 | 503) => {}
@@ -195,6 +206,7 @@
                 let state = cluster.state(id % NODES, id as u64);
                 let end_states: &[&str] = match expected {
                     Expectation::Accepted => &["completed"],
+                    Expectation::GivenUp => &["failed"],
                     Expectation::Cancelled => &["cancelled", "completed"],
                     Expectation::Refused | Expectation::Unknown => return Some(()),
                 };
@@ -206,7 +218,9 @@
             let count = runs.get(&format!("{id:016x}")).copied().unwrap_or(0);
             match expected {
                 Expectation::Refused => assert_eq!(count, 0, "seed {seed}: refused job {id} ran"),
-                Expectation::Accepted => assert!(count > 0, "seed {seed}: job {id} never ran"),
+                Expectation::Accepted | Expectation::GivenUp => {
+                    assert!(count > 0, "seed {seed}: job {id} never ran");
+                }
                 Expectation::Unknown | Expectation::Cancelled => {}
             }
         }
