batch: outages are forgotten, losses are compared once for each list

Outages are dropped when the next one comes, and losses compared by sorted keys when a new list was read.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -30,7 +30,7 @@
 /// Maximum time between two outages that count as simultaneous.
 const SIMULTANEOUS: Millis = Millis(200);
 /// Time for which outages are kept for comparison, and unexplained losses for an explanation.
-const OUTAGE_MEMORY: Millis = Millis(60_000);
+pub(crate) const OUTAGE_MEMORY: Millis = Millis(60_000);
 
 impl Outage {
     fn is_simultaneous(&self, other: &Self) -> bool {
@@ -87,7 +87,6 @@
             runs: lost.runs.len(),
             gave_up,
         });
-        self.outages.retain(|o| now.since(o.to) <= OUTAGE_MEMORY);
     }
 
     /// Returns whether a job was given up.
@@ -143,11 +142,15 @@
         true
     }
 
-    /// Finds the losses that the VM list explains.
+    /// Finds the losses that a new VM list explains.
     pub(crate) fn explain_losses(&mut self, now: Millis, wall_now: Millis) {
+        if !std::mem::take(&mut self.has_new_list) || self.unexplained_losses.is_empty() {
+            return;
+        }
         let losses = std::mem::take(&mut self.unexplained_losses);
-        for lost in losses {
-            match self.fate(&lost) {
+        let fates = self.fates(&losses);
+        for (lost, fate) in losses.into_iter().zip(fates) {
+            match fate {
                 Fate::Survived => {}
                 Fate::Ended => self.judge(&lost, now, wall_now),
                 Fate::Unknown if now.since(lost.outage.to) > OUTAGE_MEMORY => {}
@@ -156,23 +159,36 @@
         }
     }
 
-    fn fate(&self, lost: &LostWorker) -> Fate {
-        let infos = self.workers.values().filter_map(|w| w.info.as_ref());
-        let fates = infos.map(|i| match i.id == lost.id {
-            true if i.incarnation != lost.incarnation => Fate::Ended,
-            true if lost.listed_at.is_none_or(|t| i.clock > t) => Fate::Survived,
-            false if i.address == lost.address => Fate::Ended,
-            false if i.machine.is_some() && i.machine == lost.machine => Fate::Ended,
-            _ => Fate::Unknown,
-        });
-        fates.max().unwrap_or_default()
+    fn fates(&self, losses: &[LostWorker]) -> Vec<Fate> {
+        let infos = || self.workers.values().filter_map(|w| w.info.as_ref());
+        let mut addresses: Vec<&Text> = infos().map(|i| &i.address).collect();
+        let mut machines: Vec<&Text> = infos().filter_map(|i| i.machine.as_ref()).collect();
+        addresses.sort_unstable();
+        machines.sort_unstable();
+        let fate = |lost: &LostWorker| {
+            let same_id = self.workers.get(&lost.id).and_then(|w| w.info.as_ref());
+            let is_listed = |all: &[&Text], key: &Text| all.binary_search(&key).is_ok();
+            match same_id {
+                Some(i) if i.incarnation != lost.incarnation => Fate::Ended,
+                Some(i) if lost.listed_at.is_none_or(|t| i.clock > t) => Fate::Survived,
+                None if is_listed(&addresses, &lost.address) => Fate::Ended,
+                None if lost
+                    .machine
+                    .as_ref()
+                    .is_some_and(|m| is_listed(&machines, m)) =>
+                {
+                    Fate::Ended
+                }
+                _ => Fate::Unknown,
+            }
+        };
+        losses.iter().map(fate).collect()
     }
 }
 
 /// What became of a worker whose lease expired.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Fate {
-    #[default]
     Unknown,
     /// A worker of another incarnation has its id, its address or its hardware.
     Ended,
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -79,6 +79,8 @@
     pub(crate) outages: Vec<Outage>,
     /// Workers whose lease expired for an unknown reason.
     pub(crate) unexplained_losses: Vec<LostWorker>,
+    /// Whether a VM list was read that has not been compared with these losses.
+    pub(crate) has_new_list: bool,
     pub(crate) step_tickets: SortedMap<StepId, StepTickets>,
     pub(crate) policy_requests: Vec<PolicyRequest>,
 }
@@ -458,6 +460,7 @@
             worker.update_entry(info, now);
             self.update_shutdown_time(&id, now);
         }
+        self.has_new_list = true;
         let unused = |w: &Worker| w.info.is_none() && w.runs.is_empty();
         let unlisted = self.workers.iter().filter(|(_, w)| unused(w));
         let unlisted: Vec<Text> = unlisted.map(|(id, _)| id.clone()).collect();
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -3,6 +3,7 @@
 use base::clock::Millis;
 
 use crate::{
+    crash::OUTAGE_MEMORY,
     job::{Resources, SubtaskId, Text},
     progress::{Run, RunState},
     scheduler::JobScheduler,
@@ -161,6 +162,7 @@
             explanation,
         };
         w.outage.get_or_insert_with(|| outage.clone());
+        self.outages.retain(|o| now.since(o.to) <= OUTAGE_MEMORY);
         self.outages.push(outage);
     }
 
