batch: crashes around a takeover count, and outages compare what is known

In an outage a job is given up after four crashes instead of five, which leaves one for a crash that no leader saw.

Tests: a_crash_before_a_takeover_counts (failed before), a_start_that_closes_its_connection_has_a_crash with both orders (failed before), a_late_start_that_closes_its_connection_has_no_crash.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -19,7 +19,7 @@
 /// The same if another worker went away at about the same time.
 const MAX_CRASHES_AMONG_OTHERS: u32 = 3;
 /// The same if the crash seems to have a cause outside of the worker.
-const MAX_CRASHES_IN_OUTAGE: u32 = 5;
+const MAX_CRASHES_IN_OUTAGE: u32 = 4;
 /// Number of crashes after which a subtask runs alone on a worker.
 pub(crate) const MAX_SHARED_CRASHES: u32 = 3;
 /// Number of crashes after which a subtask is given up if the last one came while it ran alone, long
@@ -33,10 +33,19 @@
 pub(crate) const OUTAGE_MEMORY: Millis = Millis(60_000);
 
 impl Outage {
+    /// Returns whether both workers went away at about the same time. Of workers that were missing
+    /// when this leader first called them, only those of one rack count, because nothing tells when
+    /// they went away.
     fn is_simultaneous(&self, other: &Self) -> bool {
+        let overlaps = self.from <= other.to + SIMULTANEOUS && other.from <= self.to + SIMULTANEOUS;
         self.worker != other.worker
-            && self.from <= other.to + SIMULTANEOUS
-            && other.from <= self.to + SIMULTANEOUS
+            && overlaps
+            && self.was_in_contact == other.was_in_contact
+            && (self.was_in_contact || self.is_same_rack(other))
+    }
+
+    fn is_same_rack(&self, other: &Self) -> bool {
+        self.rack.is_some() && self.rack == other.rack
     }
 
     /// Returns whether `other`, which happened at the same time, shows a cause outside of the worker:
@@ -44,7 +53,7 @@
     fn has_common_cause(&self, other: &Self) -> bool {
         match other.explanation {
             Explanation::None => true,
-            Explanation::FreshRun => self.rack.is_some() && self.rack == other.rack,
+            Explanation::FreshRun => self.is_same_rack(other),
             Explanation::Suspect => false,
         }
     }
@@ -68,16 +77,9 @@
             }
             _ => EndCause::Crashed,
         };
-        let alive_until = lost.outage.from;
-        // Of a worker that never answered this leader nothing is known.
-        let silent_ms = if alive_until == Millis::ZERO {
-            0
-        } else {
-            now.since(alive_until).0
-        };
         log::warn!(
             worker:% = lost.id, life = lost.incarnation, cause = cause.name(), runs = lost.runs.len(),
-            with_others, common_cause, silent_ms;
+            with_others, common_cause, silent_ms = now.since(lost.outage.from).0;
             "batch: worker ended"
         );
         let gave_up = cause == EndCause::Crashed
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -8,6 +8,7 @@
     progress::{Phase, RunState},
     scheduler::JobScheduler,
     worker::{Action, FinishedRun, Order, Outcome, Refusal, Report, Running, StartReply},
+    worker_end::PROVING_TIME,
 };
 
 /// Number of unanswered starts after which the run is stopped. The second start makes up for a lost
@@ -54,7 +55,9 @@
             }
             StartReply::Refused(refusal) => self.handle_refusal(id, refusal, now),
             StartReply::Unknown | StartReply::Closed => {
-                if reply == StartReply::Closed {
+                // A start that has been under way for longer may not have been carried out when the
+                // worker crashed for another reason.
+                if reply == StartReply::Closed && now.since(run.ordered_at) < PROVING_TIME {
                     run.closed_at = Some(now);
                 }
                 run.unanswered_starts += 1;
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -7,6 +7,7 @@
     job::{Resources, SubtaskId, Text},
     progress::{Run, RunState},
     scheduler::JobScheduler,
+    worker_state::Worker,
 };
 
 /// Time that a run has to last before a crash of its worker is no longer attributed to its start.
@@ -16,6 +17,9 @@
 /// their end before that, and the gang is stopped.
 const NOTICE_DELAY: Millis = Millis(50);
 
+/// Maximum time between two answers of a worker that is in contact.
+const MAX_REPORT_GAP: Millis = Millis(3_000);
+
 /// What ended a worker, or the trust in it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndCause {
@@ -82,7 +86,7 @@
     pub(crate) age: Millis,
     /// Whether the worker may have ended because the run started.
     pub(crate) fresh: bool,
-    /// Whether the run certainly existed. A start that the worker has not answered may not have been
+    /// Whether the run existed. A start that the worker has not answered may not have been
     /// carried out, and a run that was stopped may have ended before.
     pub(crate) existed: bool,
 }
@@ -96,6 +100,8 @@
     pub(crate) from: Millis,
     /// Time at which it was first found missing.
     pub(crate) to: Millis,
+    /// Whether it was in contact with this leader before.
+    pub(crate) was_in_contact: bool,
     pub(crate) explanation: Explanation,
 }
 
@@ -110,6 +116,17 @@
     Suspect,
 }
 
+impl Worker {
+    /// Returns the time until which the worker was alive, or `now` if it was not in contact. Then
+    /// only the time at which it was found missing can be compared with other outages.
+    fn last_seen(&self, now: Millis) -> Millis {
+        if now.since(self.alive_until) > MAX_REPORT_GAP {
+            return now;
+        }
+        self.alive_until
+    }
+}
+
 impl Run {
     /// Returns for how long the run is known to have lasted at `at`.
     pub(crate) fn known_age(&self, at: Millis) -> Millis {
@@ -117,15 +134,19 @@
     }
 
     /// Returns whether the run existed when its worker, which was alive until `at`, crashed. An
-    /// unanswered start counts if its connection closed in the crash.
+    /// unanswered start counts if its connection closed in the crash. An earlier leader sent its
+    /// starts right after it had stored them.
     fn existed(&self, at: Millis) -> bool {
         let is_near = |t: Millis| t <= at + NOTICE_DELAY && at <= t + NOTICE_DELAY;
         let had_started = self.taken_at.is_some() || self.closed_at.is_some_and(is_near);
         let was_stopped = |t: Millis| t + NOTICE_DELAY < at;
         match self.state {
-            RunState::Adopted => false,
+            RunState::Adopted => true,
             RunState::Ordered | RunState::Running => had_started,
-            RunState::Stopping => had_started && !self.stop_ordered_at.is_some_and(was_stopped),
+            RunState::Stopping => {
+                let had_started = had_started || self.placed_at.is_none();
+                had_started && !self.stop_ordered_at.is_some_and(was_stopped)
+            }
         }
     }
 
@@ -147,18 +168,22 @@
     /// scheduler.handle_outage("w", Millis(1), Millis(2));
     /// ```
     pub fn handle_outage(&mut self, worker: &str, alive_until: Millis, now: Millis) {
-        let known = self.workers.get(worker).map(|w| w.alive_until);
-        let explanation = self.explanation(worker, alive_until.max(known.unwrap_or_default()));
         let Some(w) = self.workers.get_mut(worker) else {
             return;
         };
         w.set_responding(false, now);
         w.alive_until = w.alive_until.max(alive_until);
+        let from = w.last_seen(now);
+        let explanation = self.explanation(worker, from);
+        let Some(w) = self.workers.get_mut(worker) else {
+            return;
+        };
         let outage = Outage {
             worker: worker.into(),
             rack: w.rack().cloned(),
-            from: w.alive_until,
+            from,
             to: now,
+            was_in_contact: from < now || alive_until == now,
             explanation,
         };
         w.outage.get_or_insert_with(|| outage.clone());
@@ -249,11 +274,14 @@
         let found_now = || Outage {
             worker: id.clone(),
             rack: worker.rack().cloned(),
-            from: worker.alive_until,
+            from: worker.last_seen(now),
             to: now,
+            was_in_contact: worker.last_seen(now) < now,
             explanation: Explanation::None,
         };
         let mut outage = worker.outage.clone().unwrap_or_else(found_now);
+        // The answer to a start may arrive after the first failure of another call.
+        outage.from = outage.from.max(worker.alive_until);
         let from = outage.from;
         let runs = worker.runs.iter().filter_map(|(task, _)| {
             let subtask = self.subtask(task)?;
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -266,6 +266,21 @@
     }
 }
 
+/// Guards against a crash that no leader counts because the next one takes over before the worker's
+/// end is known.
+#[test]
+fn a_crash_before_a_takeover_counts() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("deadly", 1, step(1, 1));
+    let first = starts(&fleet.plan()).remove(0);
+    fleet.advance(CRASH_DELAY).restart();
+    fleet.lose(&first.worker, Millis::ZERO);
+    fleet.advance(3_000).replace(&first.worker);
+    assert_eq!(fleet.scheduler.phase("deadly"), Some(Phase::Running));
+    assert!(play_deadly_start(&mut fleet));
+    assert_eq!(fleet.scheduler.phase("deadly"), Some(Phase::Failed));
+}
+
 /// Guards against a leader that can't ask for the run of an earlier one because the list no longer
 /// names its worker.
 #[test]
@@ -479,13 +494,17 @@
 fn a_start_that_closes_its_connection_has_a_crash() {
     let mut fleet = Fleet::new(4);
     fleet.submit("deadly", 1, step(1, 1));
-    for _ in 0..2 {
+    for outage_comes_first in [false, true] {
         assert_eq!(
             fleet.scheduler.phase("deadly").map(Phase::is_final),
             Some(false)
         );
         let order = starts(&fleet.plan()).remove(0);
-        let now = fleet.advance(700).now;
+        let now = fleet.advance(CRASH_DELAY).now;
+        // The worker was idle before, so that nothing else shows how long it lived.
+        if outage_comes_first {
+            fleet.lose(&order.worker, Millis::ZERO);
+        }
         let closed = StartReply::Closed;
         fleet
             .scheduler
@@ -495,13 +514,32 @@
         fleet
             .scheduler
             .handle_start_reply(&order.task, order.attempt, refused, now);
-        // The worker was idle before, so that nothing else shows how long it lived.
-        fleet.lose(&order.worker, Millis::ZERO);
+        if !outage_comes_first {
+            fleet.lose(&order.worker, Millis::ZERO);
+        }
         fleet.advance(3_000).replace(&order.worker);
     }
     assert_eq!(fleet.scheduler.phase("deadly"), Some(Phase::Failed));
 }
 
+/// Guards against a crash that counts for a start which was still under way, because the worker
+/// answers orders late.
+#[test]
+fn a_late_start_that_closes_its_connection_has_no_crash() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("job", 1, step(1, 1));
+    for _ in 0..4 {
+        let order = starts(&fleet.plan()).remove(0);
+        let now = fleet.advance(600).now;
+        fleet
+            .scheduler
+            .handle_start_reply(&order.task, order.attempt, StartReply::Closed, now);
+        fleet.plan();
+        fleet.crash(&order.worker);
+    }
+    assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Running));
+}
+
 /// Guards against a subtask that crashes its workers long after its start, beside others that have
 /// just started.
 #[test]
