batch: a takeover tells two crashes of a rack from its loss

The next leader found both workers missing, took that for the loss of their rack and did not count it, twice: six workers were lost to each.

Change: of workers that were missing when a leader first called them, at least three of a rack show its loss. A worker that never answered counts as not in contact however short the time since boot.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -27,6 +27,9 @@
 const MAX_LATE_CRASHES: u32 = MAX_SHARED_CRASHES + 1;
 /// Time span that endless work has to last for its earlier crashes to be forgotten.
 const FORGET_AFTER: Millis = Millis(60_000);
+/// Number of other workers of a rack that show its loss, if all were missing when this leader first
+/// called them. Two of them may have crashed by themselves at different times before.
+const MIN_MISSING_OF_RACK: usize = 2;
 /// Maximum time between two outages that count as simultaneous.
 const SIMULTANEOUS: Millis = Millis(200);
 /// Time for which outages are kept for comparison, and unexplained losses for an explanation.
@@ -69,7 +72,13 @@
             .filter(|o| o.is_simultaneous(&lost.outage));
         let others: Vec<&Outage> = others.collect();
         let with_others = others.len();
-        let common_cause = others.iter().any(|o| lost.outage.has_common_cause(o));
+        let common = others.iter().filter(|o| lost.outage.has_common_cause(o));
+        let min_common = if lost.outage.was_in_contact {
+            1
+        } else {
+            MIN_MISSING_OF_RACK
+        };
+        let common_cause = common.count() >= min_common;
         let cause = match lost {
             lost if lost.was_leaving => EndCause::Left,
             lost if common_cause && lost.outage.explanation == Explanation::None => {
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -120,7 +120,7 @@
     /// Returns the time until which the worker was alive, or `now` if it was not in contact. Then
     /// only the time at which it was found missing can be compared with other outages.
     fn last_seen(&self, now: Millis) -> Millis {
-        if now.since(self.alive_until) > MAX_REPORT_GAP {
+        if self.alive_until == Millis::ZERO || now.since(self.alive_until) > MAX_REPORT_GAP {
             return now;
         }
         self.alive_until
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -281,6 +281,30 @@
     assert_eq!(fleet.scheduler.phase("deadly"), Some(Phase::Failed));
 }
 
+/// Guards against taking the crashes of two deadly subtasks in one rack for an outage because both
+/// were noticed at a takeover, and against counting the loss of a whole rack.
+#[test]
+fn a_takeover_tells_two_crashes_from_the_loss_of_a_rack() {
+    for (lost, counted) in [(2, true), (4, false)] {
+        let mut fleet = Fleet::new(8);
+        for job in 0..4 {
+            fleet.submit(&format!("{job}"), 1, step(1, 8));
+        }
+        let placed = starts(&fleet.plan());
+        fleet.advance(CRASH_DELAY).restart();
+        for order in &placed[..lost] {
+            fleet.lose(&order.worker, Millis::ZERO);
+        }
+        fleet.advance(3_000);
+        for order in &placed[..lost] {
+            fleet.replace(&order.worker);
+        }
+        fleet.plan();
+        let crashes = fleet.crashes(&placed[0].task.job);
+        assert_eq!(crashes > 0, counted, "{lost} workers lost");
+    }
+}
+
 /// Guards against a leader that can't ask for the run of an earlier one because the list no longer
 /// names its worker.
 #[test]
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -168,6 +168,16 @@
         self.scheduler.replace_vm_list(self.infos.clone(), now);
     }
 
+    /// Returns the number of crashes that the stored progress of a job counts.
+    pub fn crashes(&self, job: &str) -> u32 {
+        let Some(record) = self.stored.get(job) else {
+            return 0;
+        };
+        let progress: Progress = serde_json::from_str(record).expect("a valid record");
+        let steps = progress.occurrences.iter().flat_map(|o| &o.steps);
+        steps.flatten().map(|t| t.crashes).sum()
+    }
+
     /// Delivers the worker's confirmation of a start.
     pub fn take(&mut self, order: &Order) {
         let now = self.now;
