--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -178,7 +178,8 @@
         machines.sort_unstable();
         let fate = |lost: &LostWorker| {
             let same_id = self.workers.get(&lost.id).and_then(|w| w.info.as_ref());
-            let is_listed = |all: &[&Text], key: &Text| all.binary_search(&key).is_ok();
+            let is_listed =
+                |all: &[&Text], key: &Text| !key.is_empty() && all.binary_search(&key).is_ok();
             match same_id {
                 Some(i) if i.incarnation != lost.incarnation => Fate::Ended,
                 Some(i) if lost.listed_at.is_none_or(|t| i.clock > t) => Fate::Survived,
