--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -7,10 +7,10 @@
 
 use crate::{
     config::Config,
-    job::{AcceptedJob, Resources, Step, SubtaskId, Text},
+    job::{Resources, Step, SubtaskId, Text},
     open_job::Job,
     policy::{PolicyRequest, StepId, StepTickets},
-    progress::{Phase, Progress, RecordError, Run, RunState, Subtask},
+    progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
     worker::{Action, Order, WorkerInfo},
     worker_end::{LostWorker, Outage, WorkerEnd},
@@ -64,7 +64,7 @@
 pub struct JobScheduler {
     pub(crate) jobs: SortedMap<Text, Job>,
     /// Ids of the jobs whose records can't be read.
-    set_aside: SortedMap<Text, ()>,
+    pub(crate) set_aside: SortedMap<Text, ()>,
     pub(crate) workers: SortedMap<Text, Worker>,
     pub(crate) config: rc::Rc<Config>,
     pub(crate) orders: Vec<Order>,
@@ -101,96 +101,6 @@
         }
     }
 
-    /// Restores a job with its stored progress. Reports of the workers then show which of its runs
-    /// exist.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the records do not fit together. The job is [set aside](Self::set_aside) then.
-    ///
-    /// ```
-    /// # use batch::{scheduler::JobScheduler, job::AcceptedJob, progress::Phase};
-    /// # let accepted: AcceptedJob = serde_json::from_str(
-    /// #     r#"{"id":"1","queue":"q","service":"s","organisation":null,"at":1,
-    /// #     "spec":{"text":"","steps":[{"count":1}],"repeat":null}}"#).unwrap();
-    /// let mut scheduler = JobScheduler::default();
-    /// assert_eq!(scheduler.restore(accepted, None), Ok(()));
-    /// assert_eq!(scheduler.phase("1"), Some(Phase::Queued));
-    /// ```
-    pub fn restore(
-        &mut self,
-        accepted: AcceptedJob,
-        progress: Option<Progress>,
-    ) -> Result<(), RecordError> {
-        let progress = progress.unwrap_or_else(|| Progress::new(&accepted));
-        if let Err(e) = progress.check(&accepted.spec) {
-            self.set_aside(accepted.id);
-            return Err(e);
-        }
-        let job = Job {
-            accepted,
-            progress,
-            wait_logged_at: Millis::ZERO,
-        };
-        for (task, run) in job.runs() {
-            let need = job.step(&task).reserved();
-            let worker = self.workers.get_or_default(run.worker.clone());
-            worker.incarnation = run.incarnation;
-            if let Some(address) = job.progress.addresses.get(&*run.worker) {
-                worker.address = address.clone();
-            }
-            worker.add_run(task, need);
-        }
-        self.jobs.insert(job.accepted.id.clone(), job);
-        Ok(())
-    }
-
-    /// Sets aside a job whose records can't be read: it is neither run nor taken for a new job,
-    /// because runs of it may exist.
-    ///
-    /// ```
-    /// let mut scheduler = batch::scheduler::JobScheduler::default();
-    /// scheduler.set_aside("1".into());
-    /// assert!(scheduler.knows("1") && scheduler.phase("1").is_none());
-    /// ```
-    pub fn set_aside(&mut self, id: Text) {
-        self.set_aside.insert(id, ());
-    }
-
-    /// Returns whether a job is known, even if it is [set aside](Self::set_aside).
-    ///
-    /// ```
-    /// assert!(!batch::scheduler::JobScheduler::default().knows("1"));
-    /// ```
-    pub fn knows(&self, id: &str) -> bool {
-        self.jobs.get(id).is_some() || self.set_aside.get(id).is_some()
-    }
-
-    /// Adds a job. Returns `false` and changes nothing if its id is known.
-    ///
-    /// ```
-    /// # use batch::{scheduler::JobScheduler, job::AcceptedJob};
-    /// # let accepted: AcceptedJob = serde_json::from_str(
-    /// #     r#"{"id":"1","queue":"q","service":"s","organisation":null,"at":1,
-    /// #     "spec":{"text":"","steps":[{"count":1}],"repeat":null}}"#).unwrap();
-    /// let mut scheduler = JobScheduler::default();
-    /// assert!(scheduler.accept(accepted.clone()));
-    /// assert!(!scheduler.accept(accepted));
-    /// ```
-    pub fn accept(&mut self, accepted: AcceptedJob) -> bool {
-        if self.knows(&accepted.id) {
-            return false;
-        }
-        let id = accepted.id.clone();
-        match self.restore(accepted, None) {
-            Ok(()) => true,
-            Err(e) => {
-                log::error!(job:% = id, reason:% = e; "batch: job set aside");
-                false
-            }
-        }
-    }
-
     /// Returns the phase of a job.
     ///
     /// ```
@@ -240,25 +150,6 @@
         true
     }
 
-    /// Removes up to `limit` jobs that have no runs and ended before the wall-clock time
-    /// `ended_before`, and returns their ids.
-    ///
-    /// ```
-    /// use base::clock::Millis;
-    /// assert!(batch::scheduler::JobScheduler::default().remove_ended(Millis(1), 10).is_empty());
-    /// ```
-    pub fn remove_ended(&mut self, ended_before: Millis, limit: usize) -> Vec<Text> {
-        let old = |j: &Job| {
-            j.progress.phase.is_final() && j.progress.at < ended_before && j.runs().next().is_none()
-        };
-        let ids = self.jobs.iter().filter(|(_, j)| old(j));
-        let ids: Vec<Text> = ids.map(|(id, _)| id.clone()).take(limit).collect();
-        for id in &ids {
-            self.jobs.remove(id);
-        }
-        ids
-    }
-
     /// Returns the changes since the last call, which the caller has to commit. Each call returns all
     /// `acks` that were not yet passed to [`mark_committed`](Self::mark_committed).
     ///
