batch, node: the age of an unchecked worker's entry follows the heartbeat

3 s stood for two heartbeats of 1.5 s, which the settings of the deployment name (heartbeat-ms). worker_heartbeat_ms is a setting now; an entry without a clock counts as new whenever the list is read, since an unchecked worker would never get work otherwise.

--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -9,9 +9,11 @@
     worker_state::Worker,
 };
 
-/// Maximum age of the entry of a worker that starts whatever it is told to. The worker writes an
-/// entry every 1.5 s, and an older one may name a capacity that has shrunk since.
-const MAX_ENTRY_AGE: Millis = Millis(3_000);
+/// Interval at which workers write their entries if the settings do not name another one.
+const DEFAULT_HEARTBEAT: Millis = Millis(1_500);
+/// Maximum age of the entry of a worker that starts whatever it is told to, in heartbeats. An older
+/// one may name a capacity that has shrunk since.
+const MAX_ENTRY_AGE: u64 = 2;
 
 impl Worker {
     /// Returns the resources of all runs that may exist.
@@ -39,7 +41,8 @@
                 "batch: capacity changed"
             );
         }
-        if self.entry_clock != Some(info.clock) {
+        // An entry without a clock counts as new whenever the list is read.
+        if info.clock == Millis::ZERO || self.entry_clock != Some(info.clock) {
             self.entry_clock = Some(info.clock);
             self.entry_changed_at = now;
         }
@@ -50,6 +53,16 @@
 }
 
 impl JobScheduler {
+    /// Sets the interval at which workers write their entries in the VM list.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// batch::scheduler::JobScheduler::default().set_worker_heartbeat(Millis(1_500));
+    /// ```
+    pub fn set_worker_heartbeat(&mut self, interval: Millis) {
+        self.worker_heartbeat = Some(interval);
+    }
+
     /// Returns whether the capacity of the worker is known well enough to start work there. A worker
     /// that checks it itself refuses what does not fit.
     pub(crate) fn is_capacity_known(&self, worker: &Worker, now: Millis) -> bool {
@@ -57,7 +70,9 @@
             return false;
         };
         let unchecked = &self.config.services_without_admission_check;
-        !unchecked.contains(&info.service) || now.since(worker.entry_changed_at) <= MAX_ENTRY_AGE
+        let heartbeat = self.worker_heartbeat.unwrap_or(DEFAULT_HEARTBEAT);
+        let max_age = Millis(heartbeat.0 * MAX_ENTRY_AGE);
+        !unchecked.contains(&info.service) || now.since(worker.entry_changed_at) <= max_age
     }
 
     /// Returns whether a start order still fits on its worker. The capacity may have shrunk while the
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -73,6 +73,8 @@
     pub(crate) urgent: UrgentLoad,
     /// Time that a run needs to continue from a checkpoint.
     pub(crate) restore_time: Millis,
+    /// Interval at which workers write their entries in the VM list.
+    pub(crate) worker_heartbeat: Option<Millis>,
     pub(crate) started_jobs: Vec<(u32, Millis)>,
     pub(crate) worker_ends: Vec<WorkerEnd>,
     /// Recent outages of workers.
--- a/crates/batch/tests/capacity.rs
+++ b/crates/batch/tests/capacity.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 
+use base::clock::Millis;
 use batch::{config::Config, worker::Outcome};
 use fleet::{Fleet, config, gang, starts, step, stops};
 
@@ -87,6 +88,15 @@
     assert!(starts(&fleet.plan()).is_empty());
     fleet.resize("w00", 8);
     assert_eq!(starts(&fleet.plan()).len(), 1);
+    // Without a clock in its entry, a worker has to be believed whenever the list is read.
+    let mut fleet = unchecked_fleet(1);
+    fleet.infos[0].clock = Millis::ZERO;
+    let (infos, now) = (fleet.infos.clone(), fleet.advance(60_000).now);
+    fleet.scheduler.replace_vm_list(infos.clone(), now);
+    let now = fleet.advance(60_000).now;
+    fleet.scheduler.replace_vm_list(infos, now);
+    fleet.submit("1", 1, step(1, 1));
+    assert_eq!(starts(&fleet.plan()).len(), 1);
     // Workers that check it themselves take work during an outage of the store.
     let mut fleet = Fleet::new(1);
     fleet.submit("1", 1, step(1, 1));
