batch: the reserve for urgent work ends with the urgent load

Callers of deferrable work waited while workers stood idle: of 8 workers, two were kept free for 13 s and one for 27 s after the last urgent run (the new test without its limits).

Cause: the reserve is mean and mean deviation of the urgent load. While the load falls, the deviation grows by what the mean loses, and the tail of both keeps a whole worker for each fraction of its accelerators.

Evidence: 'deferrable_work_does_not_wait_for_an_urgent_load_that_has_ended' failed before: 6 of 8 runs started within 8.5 s.

Change: without any urgent run for 5 s, the time constant of the means, which is several generations of urgent runs, they start anew.

--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -26,11 +26,24 @@
     /// Mean absolute deviation from the mean.
     deviation: f64,
     updated_at: Millis,
+    /// Last time at which an urgent run existed.
+    last_load_at: Millis,
 }
 
 impl UrgentLoad {
-    /// Updates the averages with the load since the last call.
+    /// Updates the averages with the load since the last call. Without any load for
+    /// [`TIME_CONSTANT`] they start anew, because their tail would keep resources free for urgent
+    /// work that no longer comes.
     fn observe(&mut self, load: f64, now: Millis) {
+        if load > 0.0 {
+            self.last_load_at = now;
+        } else if now.since(self.last_load_at) >= TIME_CONSTANT {
+            *self = Self {
+                updated_at: now,
+                ..Self::default()
+            };
+            return;
+        }
         let elapsed = now.since(self.updated_at).0 as f64 / TIME_CONSTANT.0 as f64;
         self.updated_at = now;
         let weight = 1.0 - (-elapsed).exp();
