node: log removals, and what an answer that a job does not exist rests on

Callers got 410 for jobs that were accepted and had ended less than the retention time ago. Nothing logged a removal, so the hypotheses could not be told apart.

Change: 'retention: job removed' with the time that the retention counts from, 'accept: no row of the job', 'accept: job of another organisation', and the number of ended jobs whose end a new leader does not know. Removals decide as before.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -139,8 +139,7 @@
         return Ok(phase_response(row.phase));
     }
     let (stored, cancelled) = read_job(cx, id).await?;
-    let accepted = stored.as_ref().and_then(rows::from_json::<AcceptedJob>);
-    let accepted = accepted.ok_or(Refusal::NoJob)?;
+    let accepted = accepted_job(id, stored.as_ref())?;
     check_owner(authorised, accepted.organisation.as_ref())?;
     Ok(phase_response(if cancelled {
         Phase::Cancelled
@@ -160,9 +159,19 @@
     if authorised.organisation.as_ref() == owner {
         return Ok(());
     }
+    log::info!(job = authorised.path_suffix, organisation:? = authorised.organisation; "accept: job of another organisation");
     Err(Refusal::NoJob)
 }
 
+/// Decodes the row of an accepted job.
+fn accepted_job(id: &str, row: Option<&Row>) -> Result<AcceptedJob, Refusal> {
+    let Some(row) = row else {
+        log::info!(job = id; "accept: no row of the job");
+        return Err(Refusal::NoJob);
+    };
+    rows::from_json(row).ok_or(Refusal::NoJob)
+}
+
 fn read_failure(cx: &Cx, id: &str, error: &StoreError) -> Refusal {
     peers::record_loss(cx, "accept");
     log::info!(job = id, reason:% = error; "accept: failed to read from the store");
@@ -198,10 +207,8 @@
     let mut write = RetriedWrite::new(deadline);
     loop {
         let (stored, cancelled) = read_job(cx, id).await?;
-        let Some(row) = stored else {
-            return Err(Refusal::NoJob);
-        };
-        let accepted = rows::from_json::<AcceptedJob>(&row).ok_or(Refusal::NoJob)?;
+        let accepted = accepted_job(id, stored.as_ref())?;
+        let row = stored.ok_or(Refusal::NoJob)?;
         check_owner(authorised, accepted.organisation.as_ref())?;
         if cancelled {
             return Ok(Response::Ok().finish());
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -50,6 +50,7 @@
         scheduler.set_aside(id);
     }
     let mut cancels: Vec<&str> = Vec::new();
+    let mut ends_unknown = 0;
     for row in &jobs {
         let Some((id, kind)) = rows::parse_job_key(&row.key) else {
             continue;
@@ -63,6 +64,7 @@
             continue;
         };
         let phase = phases.get(id).map(|p| p.phase).filter(|p| p.is_final());
+        ends_unknown += usize::from(phase.is_some() && progress.get(id).is_none());
         let ended = phase.map(|phase| Progress {
             phase,
             queue: accepted.queue.clone(),
@@ -80,7 +82,8 @@
     *leader.stored_phases.borrow_mut() =
         phases.iter().map(|(id, p)| (id.clone(), p.phase)).collect();
     log::info!(
-        fence = leader.held.fence, jobs = jobs.len(), open = progress.len(), version = from;
+        fence = leader.held.fence, jobs = jobs.len(), open = progress.len(), ends_unknown,
+        version = from;
         "leader: loaded"
     );
     Ok(from)
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -22,11 +22,13 @@
     while !leader.ended.get() {
         cx::sleep(INTERVAL).await;
         let ended_before = Millis(clock::wall().0.saturating_sub(cx.cfg.keep_ms.0));
-        let ids = leader
+        let ended = leader
             .scheduler
             .borrow_mut()
             .remove_ended(ended_before, MAX_JOBS);
-        for id in ids {
+        for (id, since) in ended {
+            let age_ms = clock::wall().since(since).0;
+            log::info!(job:% = id, since = since.0, age_ms, keep_ms = cx.cfg.keep_ms.0; "retention: job removed");
             // The row of the job is deleted first: without a phase it would count as a new job.
             let txn = Txn::default()
                 .delete(rows::job_key(&id))
