--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -64,13 +64,31 @@
         run_ms: u64,
         reborn: Reborn,
     ) -> Self {
-        Self::build(test, nodes, workers, run_ms, reborn, |addr| (addr, None))
+        let settings = json!({});
+        Self::build(test, nodes, workers, run_ms, reborn, &settings, |addr| {
+            (addr, None)
+        })
+    }
+
+    /// Starts nodes with further settings.
+    pub fn start_with_settings(
+        test: &str,
+        nodes: usize,
+        workers: usize,
+        run_ms: u64,
+        settings: &Value,
+    ) -> Self {
+        let reborn = Reborn::OtherId;
+        Self::build(test, nodes, workers, run_ms, reborn, settings, |addr| {
+            (addr, None)
+        })
     }
 
     /// Starts nodes that connect to the store and the workers through proxies, one for each node
     /// and each worker.
     pub fn start_behind_proxies(test: &str, nodes: usize, workers: usize, run_ms: u64) -> Self {
-        Self::build(test, nodes, workers, run_ms, Reborn::OtherId, |addr| {
+        let (reborn, settings) = (Reborn::OtherId, json!({}));
+        Self::build(test, nodes, workers, run_ms, reborn, &settings, |addr| {
             let proxy = Proxy::start(addr).unwrap();
             (proxy.addr(), Some(proxy))
         })
@@ -82,6 +100,7 @@
         workers: usize,
         run_ms: u64,
         reborn: Reborn,
+        settings: &Value,
         connect: impl Fn(net::SocketAddr) -> (net::SocketAddr, Option<Proxy>),
     ) -> Self {
         let dir = common::temp_dir(test);
@@ -109,9 +128,12 @@
         let ready_addrs: Vec<_> = (0..nodes).map(|_| common::free_addr()).collect();
         let node = |i: usize| {
             let callers_addr = common::free_addr();
-            let cfg = json!({"name": format!("n{i}"), "zone": "z", "listen": callers_addr,
+            let mut cfg = json!({"name": format!("n{i}"), "zone": "z", "listen": callers_addr,
                 "listen_ready": ready_addrs[i], "listen_metrics": operator_addrs[i],
                 "store": stores[i], "row_bytes": ROW_BYTES});
+            for (name, value) in settings.as_object().into_iter().flatten() {
+                cfg[name] = value.clone();
+            }
             Process::start(
                 "node",
                 common::write_settings(&dir, &format!("node-{i}"), &cfg),
--- /dev/null
+++ b/crates/cli/tests/retention.rs
@@ -0,0 +1,102 @@
+//! Tests of how long the rows of a job are kept after its end.
+
+mod cluster;
+mod common;
+
+use std::{thread, time};
+
+use cluster::Cluster;
+use common::wait_until;
+use serde_json::json;
+
+/// Time for which the phase of a job can be read after its end, in ms.
+const KEEP_MS: u64 = 12_000;
+/// Time limit for the removal of rows after that: the margin for late commits, a takeover and a few
+/// rounds.
+const REMOVAL_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+fn start(test: &str, nodes: usize, run_ms: u64, keep_ms: u64) -> Cluster {
+    Cluster::start_with_settings(test, nodes, 2, run_ms, &json!({"keep_ms": keep_ms}))
+}
+
+/// Kills the leader and waits for the next one, which is asked through `node`.
+fn replace_leader(cluster: &mut Cluster, node: usize) {
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    cluster.nodes[leader].restart();
+    wait_until("the node answers", cluster::TIMEOUT, || {
+        cluster.get(node, "/q/").filter(|a| a.status == 200)
+    });
+}
+
+fn assert_kept(cluster: &Cluster, node: usize, id: u64, until: time::Instant) {
+    while time::Instant::now() < until {
+        let state = cluster.state(node, id);
+        assert!(state == "completed" || state.is_empty(), "{state}");
+        let status = cluster
+            .get(node, &format!("/q/{id:016x}"))
+            .map(|a| a.status);
+        assert_ne!(status, Some(410), "the job is kept for {KEEP_MS} ms");
+        thread::sleep(time::Duration::from_millis(200));
+    }
+}
+
+fn wait_until_removed(cluster: &Cluster) {
+    wait_until("all rows of jobs are removed", REMOVAL_TIMEOUT, || {
+        let tables = ["jobs", "phases", "progress"];
+        let rows: usize = tables.iter().map(|t| cluster.store.count(t)).sum();
+        (rows == 0).then_some(())
+    });
+}
+
+/// Guards against a new leader that counts the retention time of an ended job from its acceptance.
+#[test]
+fn an_ended_job_is_kept_for_its_retention_time_across_leaders() {
+    let mut cluster = start("retention-takeover", 2, KEEP_MS * 3 / 4, KEEP_MS);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+    let until = time::Instant::now() + time::Duration::from_millis(KEEP_MS);
+    replace_leader(&mut cluster, 0);
+    assert_kept(&cluster, 0, 1, until);
+    wait_until_removed(&cluster);
+}
+
+/// Guards against rows without the time of the end, as earlier versions wrote them, that are removed
+/// by the age of the job, and against rows that each new leader keeps for another retention time.
+#[test]
+fn an_ended_job_without_a_stored_end_is_kept_once_for_its_retention_time() {
+    let mut cluster = start("retention-old-rows", 2, 100, KEEP_MS);
+    // An earlier version deleted the progress of an ended job. The part of the job's row is a hash of
+    // its id, which a job that was submitted before has shown.
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+    let key = format!("{:016x}", 1);
+    cluster.store.delete("progress", &key);
+    thread::sleep(time::Duration::from_millis(KEEP_MS * 3 / 4));
+    replace_leader(&mut cluster, 0);
+    let replaced = time::Instant::now();
+    assert_kept(
+        &cluster,
+        0,
+        1,
+        replaced + time::Duration::from_millis(KEEP_MS),
+    );
+    replace_leader(&mut cluster, 0);
+    wait_until_removed(&cluster);
+}
+
+/// Guards against jobs that end faster than their rows are removed.
+#[test]
+fn rows_of_ended_jobs_are_removed_as_fast_as_jobs_end() {
+    let cluster = start("retention-rate", 1, 1, 1_000);
+    for id in 0..150 {
+        assert_eq!(cluster.submit(0, id, 1, false).unwrap().status, 200);
+    }
+    for id in 0..150 {
+        wait_until("the job is completed", cluster::TIMEOUT, || {
+            let status = cluster.get(0, &format!("/q/{id:016x}"))?.status;
+            (status == 410 || cluster.state(0, id) == "completed").then_some(())
+        });
+    }
+    wait_until_removed(&cluster);
+}
