node, batch: the retention of a job counts from its stored end

Cause: the progress of a job, with the time of its end, was deleted with the end, and the row of its phase holds no time. A new leader took the time of the acceptance in its place, so the rows were deleted up to the run time of the job too early. The removal compared wall clocks of different VMs besides.

Change: an ended job keeps a progress row with its phase, the wall-clock time of the end and 'ended_at', the time by the store's steady clock, which all nodes share. A removal compares that with the store's clock. A time that is missing (rows of earlier versions) or lies in the future is replaced by the current time, once. Earlier versions read the wall-clock time from the same row, so a leader of theirs keeps the job as well during a rolling restart. 10 s are added for the commit of an end.

Ruled out: the time in the row of the phase; earlier versions would not read it and go on removing early.

--- a/crates/batch/src/known_jobs.rs
+++ b/crates/batch/src/known_jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs that a scheduler knows: accepted, restored, set aside or removed.
+//! Jobs that a scheduler knows: accepted, restored or set aside.
 
 use base::clock::Millis;
 
@@ -99,24 +99,4 @@
             }
         }
     }
-
-    /// Removes up to `limit` jobs that have no runs and ended before the wall-clock time
-    /// `ended_before`, and returns their ids, each with the time from which its retention counts.
-    ///
-    /// ```
-    /// use base::clock::Millis;
-    /// assert!(batch::scheduler::JobScheduler::default().remove_ended(Millis(1), 10).is_empty());
-    /// ```
-    pub fn remove_ended(&mut self, ended_before: Millis, limit: usize) -> Vec<(Text, Millis)> {
-        let old = |j: &Job| {
-            j.progress.phase.is_final() && j.progress.at < ended_before && j.runs().next().is_none()
-        };
-        let ids = self.jobs.iter().filter(|(_, j)| old(j));
-        let entry = |(id, j): (&Text, &Job)| (id.clone(), j.progress.at);
-        let ended: Vec<(Text, Millis)> = ids.map(entry).take(limit).collect();
-        for (id, _) in &ended {
-            self.jobs.remove(id);
-        }
-        ended
-    }
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -25,6 +25,7 @@
 mod ranking;
 mod reports;
 mod reserve;
+mod retention;
 pub mod scheduler;
 mod search;
 mod victims;
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -146,6 +146,10 @@
     pub queue: Text,
     /// Wall-clock time when the current phase began.
     pub at: Millis,
+    /// Time of the end by the clock of the store; `None` before the end is stored, and in rows of
+    /// earlier versions.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ended_at: Option<Millis>,
     /// Occurrences that have become due.
     pub occurrences: Vec<Occurrence>,
     /// Addresses of the workers that may have a run, by worker id. The next leader asks there whether
--- /dev/null
+++ b/crates/batch/src/retention.rs
@@ -0,0 +1,127 @@
+//! When ended jobs are removed. A job is kept for a time that counts from its stored end, by the
+//! clock of the store, which all leaders share.
+
+use base::clock::Millis;
+
+use crate::{job::Text, open_job::Job, progress::Progress, scheduler::JobScheduler};
+
+/// Time that the commit of an end may take. The stored time is that before the commit, and callers
+/// see the end after it.
+const COMMIT_TIME: Millis = Millis(10_000);
+
+/// What the retention does with an ended job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Action {
+    /// The job is kept.
+    Keep,
+    /// The job is removed.
+    Remove,
+    /// The time of the end is not known, so the current time is stored in its place.
+    StoreEnd,
+}
+
+/// Returns the action on an ended job at `now`.
+fn action(ended_at: Option<Millis>, now: Millis, keep: Millis) -> Action {
+    match ended_at {
+        // A time in the future is not one of this clock.
+        Some(at) if at > now + COMMIT_TIME => Action::StoreEnd,
+        Some(at) if now.since(at) >= keep + COMMIT_TIME => Action::Remove,
+        Some(_) => Action::Keep,
+        None => Action::StoreEnd,
+    }
+}
+
+impl Progress {
+    /// Returns the form in which the progress of an ended job is stored at the time `now` of the
+    /// store's clock. Without runs, only the end is stored.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use batch::progress::{Phase, Progress};
+    /// let progress = Progress { phase: Phase::Failed, ..Progress::default() };
+    /// assert_eq!(progress.of_ended_job(Some(Millis(5))).ended_at, Some(Millis(5)));
+    /// ```
+    #[must_use]
+    pub fn of_ended_job(&self, now: Option<Millis>) -> Self {
+        let ended_at = self.ended_at.or(now);
+        if self.has_runs() {
+            return Self {
+                ended_at,
+                ..self.clone()
+            };
+        }
+        Self {
+            phase: self.phase,
+            queue: self.queue.clone(),
+            at: self.at,
+            ended_at,
+            ..Self::default()
+        }
+    }
+}
+
+impl JobScheduler {
+    /// Records that the ends of jobs are stored at the time `now` of the store's clock.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// batch::scheduler::JobScheduler::default().record_stored_ends(&[], Millis(1));
+    /// ```
+    pub fn record_stored_ends(&mut self, ids: &[Text], now: Millis) {
+        for id in ids {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.progress.ended_at.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Marks up to `limit` ended jobs as changed whose time of the end is not known, so that it is
+    /// stored. Returns their number. `now` is the time of the store's clock.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// let mut scheduler = batch::scheduler::JobScheduler::default();
+    /// assert_eq!(scheduler.mark_unknown_ends(Millis(1), 10), 0);
+    /// ```
+    pub fn mark_unknown_ends(&mut self, now: Millis, limit: usize) -> usize {
+        // The retention time has no effect on whether the end is known.
+        let ids = self.ended_jobs(Action::StoreEnd, now, Millis::ZERO, limit);
+        for id in &ids {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.progress.ended_at = None;
+            }
+        }
+        let count = ids.len();
+        self.dirty.extend(ids);
+        count
+    }
+
+    /// Removes up to `limit` jobs that have no runs and ended at least `keep` ago, and returns their
+    /// ids, each with the time of its end. `now` is the time of the store's clock.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// let mut scheduler = batch::scheduler::JobScheduler::default();
+    /// assert!(scheduler.remove_ended(Millis(500), Millis(100), 10).is_empty());
+    /// ```
+    pub fn remove_ended(&mut self, now: Millis, keep: Millis, limit: usize) -> Vec<(Text, Millis)> {
+        let ids = self.ended_jobs(Action::Remove, now, keep, limit);
+        let mut remove = |id: Text| {
+            let job = self.jobs.remove(&id)?;
+            Some((id, job.progress.ended_at?))
+        };
+        ids.into_iter().filter_map(&mut remove).collect()
+    }
+
+    /// Returns the ids of up to `limit` ended jobs without runs for which the retention has the given
+    /// action.
+    fn ended_jobs(&self, wanted: Action, now: Millis, keep: Millis, limit: usize) -> Vec<Text> {
+        let is_wanted = |job: &Job| {
+            job.progress.phase.is_final()
+                && action(job.progress.ended_at, now, keep) == wanted
+                && job.runs().next().is_none()
+        };
+        let jobs = self.jobs.iter().filter(|(_, j)| is_wanted(j));
+        jobs.map(|(id, _)| id.clone()).take(limit).collect()
+    }
+}
--- a/crates/batch/tests/stored_records.rs
+++ b/crates/batch/tests/stored_records.rs
@@ -49,7 +49,12 @@
     }
     let (now, wall_now) = (fleet.now, fleet.wall());
     fleet.scheduler.cancel(&job.id, now, wall_now);
-    fleet.scheduler.remove_ended(wall_now + Millis(1), 10);
+    fleet
+        .scheduler
+        .record_stored_ends(std::slice::from_ref(&job.id), Millis::ZERO);
+    fleet
+        .scheduler
+        .remove_ended(Millis(u64::MAX), Millis::ZERO, 10);
     let valid = fleet.scheduler.phase("valid");
     assert!(valid.is_some(), "the valid job is kept");
     fleet.scheduler.phase(&job.id)
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -123,6 +123,14 @@
         return Ok(());
     }
     commit_txn(cx, leader, txn).await?;
+    let ended = batch.changes.iter().filter(|c| c.ended);
+    let ended: Vec<Text> = ended.map(|c| c.id.clone()).collect();
+    if let Some(now) = cx.store_clock.now() {
+        leader
+            .scheduler
+            .borrow_mut()
+            .record_stored_ends(&ended, now);
+    }
     for change in batch.changes {
         change.mark_stored(leader);
     }
@@ -167,18 +175,22 @@
     phase: Option<Phase>,
     /// Number of rows that hold the progress after the writes.
     rows: usize,
+    /// Whether the progress is that of an ended job.
+    ended: bool,
 }
 
 impl Change {
     fn of_progress(cx: &Cx, leader: &Leader, id: Text, progress: &Progress) -> Self {
         let key = format!("{}/{id}", rows::PROGRESS);
         let stored = stored_rows(leader, &id);
-        let (mut txn, count) = if progress.phase.is_final() && !progress.has_runs() {
-            (long_row::delete(Txn::default(), &key, 0..stored.max(1)), 0)
+        let ended = progress.phase.is_final();
+        let value = if ended {
+            rows::to_json(&progress.of_ended_job(cx.store_clock.now()))
         } else {
-            let value = rows::to_json(progress);
-            long_row::put(Txn::default(), &key, &value, cx.cfg.row_bytes, stored)
+            rows::to_json(progress)
         };
+        let (mut txn, count) =
+            long_row::put(Txn::default(), &key, &value, cx.cfg.row_bytes, stored);
         let phase = Some(progress.phase);
         let phase = phase.filter(|p| leader.stored_phases.borrow().get(&id) != Some(p));
         if let Some(phase) = phase {
@@ -194,6 +206,7 @@
             txn,
             phase,
             rows: count,
+            ended,
         }
     }
 
@@ -206,6 +219,7 @@
             id,
             phase: None,
             rows: 0,
+            ended: false,
         }
     }
 
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -9,7 +9,7 @@
 use batch::config::Config;
 use lease::{machine::Lease, table::Candidate};
 use platform::{advice::PolicyClient, table::Table, workers::Workers};
-use store::{http_cfg::HttpCfg, pace::Pace, table::StoreError};
+use store::{http_cfg::HttpCfg, pace::Pace, store_clock::StoreClock, table::StoreError};
 use tokio::sync::Notify;
 
 use crate::{leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, rows};
@@ -65,6 +65,8 @@
     pub(crate) feed_table: Table,
     /// Latency of the calls to the store.
     pub(crate) pace: Rc<Pace>,
+    /// Clock of the store, from the answers to all clients.
+    pub(crate) store_clock: Rc<StoreClock>,
     pub(crate) workers: Workers,
     pub(crate) policy: Option<PolicyClient>,
     pub(crate) active_config: RefCell<ActiveConfig>,
@@ -103,13 +105,17 @@
             None => None,
         };
         let pace: Rc<Pace> = Rc::default();
-        let table =
-            |connections, timeout| Table::new(store, http(connections, timeout), pace.clone());
+        let store_clock: Rc<StoreClock> = Rc::default();
+        let table = |connections, timeout| {
+            let http = http(connections, timeout);
+            Table::new(store, http, pace.clone(), store_clock.clone())
+        };
         Ok(Self {
             table: table(STORE_CONNECTIONS, STORE_TIMEOUT).await?,
             lease_table: table(LEASE_CONNECTIONS, LEASE_TIMEOUT).await?,
             feed_table: table(FEED_CONNECTIONS, STORE_TIMEOUT).await?,
             pace,
+            store_clock,
             policy,
             workers: Workers::new(http(WORKER_CONNECTIONS, ORDER_TIMEOUT)).await?,
             active_config: RefCell::default(),
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -51,6 +51,7 @@
     }
     let mut cancels: Vec<&str> = Vec::new();
     let mut ends_unknown = 0;
+    let (now, wall_now) = (base::clock::now(), base::clock::wall());
     for row in &jobs {
         let Some((id, kind)) = rows::parse_job_key(&row.key) else {
             continue;
@@ -65,24 +66,24 @@
         };
         let phase = phases.get(id).map(|p| p.phase).filter(|p| p.is_final());
         ends_unknown += usize::from(phase.is_some() && progress.get(id).is_none());
+        // Earlier versions store nothing else about the end.
         let ended = phase.map(|phase| Progress {
             phase,
             queue: accepted.queue.clone(),
-            at: accepted.at,
+            at: wall_now,
             ..Progress::default()
         });
         if let Err(e) = scheduler.restore(accepted, progress.get(id).cloned().or(ended)) {
             log::error!(job = id, reason:% = e; "leader: job set aside");
         }
     }
-    let (now, wall_now) = (base::clock::now(), base::clock::wall());
     for id in cancels {
         scheduler.cancel(id, now, wall_now);
     }
     *leader.stored_phases.borrow_mut() =
         phases.iter().map(|(id, p)| (id.clone(), p.phase)).collect();
     log::info!(
-        fence = leader.held.fence, jobs = jobs.len(), open = progress.len(), ends_unknown,
+        fence = leader.held.fence, jobs = jobs.len(), open = scheduler.counts().open, ends_unknown,
         version = from;
         "leader: loaded"
     );
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod objects;
 pub mod pace;
 pub mod reach;
+pub mod store_clock;
 pub mod table;
 pub mod vm;
 pub mod vms;
