node: ended jobs are removed as fast as they end

Nobody saw it yet: rows and memory grew without end on a deployment with more than two jobs a second, and each takeover read all of them.

Cause: a round of the retention deleted at most 10 jobs, one transaction each, every 5 s. A job whose deletion failed was forgotten until the next leader.

A job is removed from memory after its row is deleted, so a failed deletion is repeated. Nothing is deleted without the lease, nor while the store is slow.

--- a/crates/batch/src/retention.rs
+++ b/crates/batch/src/retention.rs
@@ -96,21 +96,25 @@
         count
     }
 
-    /// Removes up to `limit` jobs that have no runs and ended at least `keep` ago, and returns their
-    /// ids, each with the time of its end. `now` is the time of the store's clock.
+    /// Returns the ids of up to `limit` jobs that have no runs and ended at least `keep` ago. `now` is
+    /// the time of the store's clock.
     ///
     /// ```
     /// use base::clock::Millis;
-    /// let mut scheduler = batch::scheduler::JobScheduler::default();
-    /// assert!(scheduler.remove_ended(Millis(500), Millis(100), 10).is_empty());
+    /// let scheduler = batch::scheduler::JobScheduler::default();
+    /// assert!(scheduler.expired_jobs(Millis(500), Millis(100), 10).is_empty());
     /// ```
-    pub fn remove_ended(&mut self, now: Millis, keep: Millis, limit: usize) -> Vec<(Text, Millis)> {
-        let ids = self.ended_jobs(Action::Remove, now, keep, limit);
-        let mut remove = |id: Text| {
-            let job = self.jobs.remove(&id)?;
-            Some((id, job.progress.ended_at?))
-        };
-        ids.into_iter().filter_map(&mut remove).collect()
+    pub fn expired_jobs(&self, now: Millis, keep: Millis, limit: usize) -> Vec<Text> {
+        self.ended_jobs(Action::Remove, now, keep, limit)
+    }
+
+    /// Removes a job whose row is deleted. Returns the time of its end by the store's clock.
+    ///
+    /// ```
+    /// assert_eq!(batch::scheduler::JobScheduler::default().remove_job("1"), None);
+    /// ```
+    pub fn remove_job(&mut self, id: &str) -> Option<Millis> {
+        self.jobs.remove(id)?.progress.ended_at
     }
 
     /// Returns the ids of up to `limit` ended jobs without runs for which the retention has the given
--- a/crates/batch/tests/retention.rs
+++ b/crates/batch/tests/retention.rs
@@ -51,7 +51,7 @@
         scheduler.take_changes();
         scheduler.record_stored_ends(&["job".into()], now);
     }
-    !scheduler.remove_ended(now, KEEP, 10).is_empty()
+    !scheduler.expired_jobs(now, KEEP, 10).is_empty()
 }
 
 /// Guards against a job that is removed before its retention time is over, or is never removed.
--- a/crates/batch/tests/stored_records.rs
+++ b/crates/batch/tests/stored_records.rs
@@ -52,9 +52,12 @@
     fleet
         .scheduler
         .record_stored_ends(std::slice::from_ref(&job.id), Millis::ZERO);
-    fleet
+    let expired = fleet
         .scheduler
-        .remove_ended(Millis(u64::MAX), Millis::ZERO, 10);
+        .expired_jobs(Millis(u64::MAX), Millis::ZERO, 10);
+    for id in expired {
+        fleet.scheduler.remove_job(&id);
+    }
     let valid = fleet.scheduler.phase("valid");
     assert!(valid.is_some(), "the valid job is kept");
     fleet.scheduler.phase(&job.id)
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -13,8 +13,14 @@
 
 /// Interval between two rounds.
 const INTERVAL: Millis = Millis(5_000);
-/// Maximum number of jobs in a round. One commit deletes the leader's rows of all of them.
-const MAX_JOBS: usize = 10;
+/// Delay before the next round if a round left jobs over.
+const FULL_ROUND_DELAY: Millis = Millis(200);
+/// Maximum number of jobs in a round. Twelve commits delete the leader's rows of all of them.
+const MAX_JOBS: usize = 500;
+/// Latency of transactions above which nothing is removed, so that decisions do not wait for it.
+const MAX_LATENCY: Millis = Millis(500);
+/// Maximum number of jobs in a transaction, which has at most 100 entries.
+const MAX_TXN_JOBS: usize = 45;
 /// Maximum number of jobs in a round whose time of the end is stored later. One commit stores all of
 /// them.
 const MAX_UNKNOWN_ENDS: usize = 90;
@@ -22,8 +28,9 @@
 /// Deletes ended jobs until the leadership ends. It runs concurrently with the commits, so that no
 /// decision waits for a deletion.
 pub(crate) async fn run(cx: Cx, leader: Rc<Leader>) {
+    let mut has_more = false;
     while !leader.ended.get() {
-        cx::sleep(INTERVAL).await;
+        cx::sleep(if has_more { FULL_ROUND_DELAY } else { INTERVAL }).await;
         let Some(now) = cx.store_clock.now() else {
             log::warn!("retention: no answer of the store tells the time, nothing is removed");
             continue;
@@ -35,7 +42,7 @@
         if unknown > 0 {
             log::info!(jobs = unknown; "retention: the time of an end is not known and counts from now");
         }
-        remove(&cx, &leader, now).await;
+        has_more = remove(&cx, &leader, now).await;
         if unknown > 0 || !leader.deleted_jobs.borrow().is_empty() {
             leader.dirty.notify_one();
         }
@@ -43,23 +50,35 @@
 }
 
 /// Deletes the rows of the jobs whose retention time is over at the time `now` of the store's clock.
-async fn remove(cx: &Cx, leader: &Leader, now: Millis) {
+/// Returns whether there may be more of them.
+async fn remove(cx: &Cx, leader: &Leader, now: Millis) -> bool {
+    if cx.pace.read_back_after() >= MAX_LATENCY {
+        return false;
+    }
     let keep = cx.cfg.keep_ms;
-    let ended = leader
-        .scheduler
-        .borrow_mut()
-        .remove_ended(now, keep, MAX_JOBS);
-    for (id, ended_at) in ended {
-        let age_ms = now.since(ended_at).0;
-        log::info!(job:% = id, ended_at = ended_at.0, age_ms, keep_ms = keep.0; "retention: job removed");
-        // The row of the job is deleted first: without a phase it would count as a new job.
-        let txn = Txn::default()
-            .delete(rows::job_key(&id))
-            .delete(rows::cancel_key(&id));
-        match cx.table.commit(&txn).await {
-            Ok(_) => leader.deleted_jobs.borrow_mut().push(id),
-            // The next leader finds the job and deletes it.
-            Err(e) => log::info!(job:% = id, reason:% = e; "retention: failed to delete a job"),
+    let mut expired = leader.scheduler.borrow().expired_jobs(now, keep, MAX_JOBS);
+    let has_more = expired.len() == MAX_JOBS;
+    // A transaction can't span the parts of the table of jobs.
+    expired.sort_by_cached_key(|id| rows::job_table(id));
+    let parts = expired.chunk_by(|a, b| rows::job_table(a) == rows::job_table(b));
+    for jobs in parts.flat_map(|part| part.chunks(MAX_TXN_JOBS)) {
+        if cx.acting().is_none() {
+            return false;
+        }
+        // The rows of the jobs are deleted first: without a phase they would count as new jobs.
+        let txn = jobs.iter().fold(Txn::default(), |txn, id| {
+            txn.delete(rows::job_key(id)).delete(rows::cancel_key(id))
+        });
+        if let Err(e) = cx.table.commit(&txn).await {
+            log::info!(jobs = jobs.len(), reason:% = e; "retention: failed to delete jobs, trying again later");
+            return false;
+        }
+        for id in jobs {
+            let ended_at = leader.scheduler.borrow_mut().remove_job(id);
+            let age_ms = ended_at.map_or(0, |at| now.since(at).0);
+            log::info!(job:% = id, age_ms, keep_ms = keep.0; "retention: job removed");
         }
+        leader.deleted_jobs.borrow_mut().extend_from_slice(jobs);
     }
+    has_more
 }
