node: the id of a removed job can be used again

A caller that submitted a job under the id of one that had been removed got 200, and the job never ran until the next change of leader.

Cause: the leader kept the stored phases of removed jobs for ever, and took a row of a job with a final phase for a late read of the removed one. The phases were also memory that only grew.

Evidence: 'an_id_can_be_used_again_after_the_removal_of_its_job' failed before (not completed within 15 s).

Change: the phase is forgotten when its row is deleted. A row that was read before the deletion is told by its version; such versions are kept until no read of that time is under way.

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -100,3 +100,14 @@
     }
     wait_until_removed(&cluster);
 }
+
+/// Guards against a job that is accepted and never runs because an earlier one had the same id.
+#[test]
+fn an_id_can_be_used_again_after_the_removal_of_its_job() {
+    let cluster = start("retention-reuse", 1, 100, 1_000);
+    for _ in 0..2 {
+        assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+        cluster.wait_for_state(0, 1, "completed");
+        wait_until_removed(&cluster);
+    }
+}
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -123,7 +123,7 @@
         return Ok(());
     }
     commit_txn(cx, leader, txn).await?;
-    let ended = batch.changes.iter().filter(|c| c.ended);
+    let ended = batch.changes.iter().filter(|c| c.kind == ChangeKind::End);
     let ended: Vec<Text> = ended.map(|c| c.id.clone()).collect();
     if let Some(now) = cx.store_clock.now() {
         leader
@@ -167,6 +167,17 @@
     }
 }
 
+/// What a change stores about a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ChangeKind {
+    /// The progress of an open job.
+    Progress,
+    /// The end of a job.
+    End,
+    /// That the job is removed.
+    Removal,
+}
+
 /// Writes for one job, which belong into one transaction.
 struct Change {
     id: Text,
@@ -175,19 +186,18 @@
     phase: Option<Phase>,
     /// Number of rows that hold the progress after the writes.
     rows: usize,
-    /// Whether the progress is that of an ended job.
-    ended: bool,
+    kind: ChangeKind,
 }
 
 impl Change {
     fn of_progress(cx: &Cx, leader: &Leader, id: Text, progress: &Progress) -> Self {
         let key = format!("{}/{id}", rows::PROGRESS);
         let stored = stored_rows(leader, &id);
-        let ended = progress.phase.is_final();
-        let value = if ended {
-            rows::to_json(&progress.of_ended_job(cx.store_clock.now()))
+        let (kind, value) = if progress.phase.is_final() {
+            let end = progress.of_ended_job(cx.store_clock.now());
+            (ChangeKind::End, rows::to_json(&end))
         } else {
-            rows::to_json(progress)
+            (ChangeKind::Progress, rows::to_json(progress))
         };
         let (mut txn, count) =
             long_row::put(Txn::default(), &key, &value, cx.cfg.row_bytes, stored);
@@ -206,7 +216,7 @@
             txn,
             phase,
             rows: count,
-            ended,
+            kind,
         }
     }
 
@@ -219,7 +229,7 @@
             id,
             phase: None,
             rows: 0,
-            ended: false,
+            kind: ChangeKind::Removal,
         }
     }
 
@@ -229,15 +239,15 @@
     }
 
     fn mark_stored(self, leader: &Leader) {
-        let mut rows = leader.progress_rows.borrow_mut();
-        match self.rows {
-            0 => {
-                rows.remove(&self.id);
-            }
-            count => {
-                rows.insert(self.id.clone(), count);
-            }
+        if self.kind == ChangeKind::Removal {
+            leader.progress_rows.borrow_mut().remove(&self.id);
+            leader.stored_phases.borrow_mut().remove(&self.id);
+            return;
         }
+        leader
+            .progress_rows
+            .borrow_mut()
+            .insert(self.id.clone(), self.rows);
         if let Some(phase) = self.phase {
             leader.stored_phases.borrow_mut().insert(self.id, phase);
         }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -27,6 +27,8 @@
 pub(crate) async fn watch(cx: Cx, leader: Rc<Leader>, mut version: u64) {
     let mut last_full_read = clock::now();
     while !leader.ended.get() {
+        // No read is under way, and later ones return no older row.
+        leader.removed_jobs.borrow_mut().retain(|_, v| *v > version);
         if clock::now().since(last_full_read) >= FULL_READ_INTERVAL {
             last_full_read = clock::now();
             read_all(&cx, &leader).await;
@@ -69,14 +71,18 @@
 fn apply<'a>(leader: &Leader, rows: impl Iterator<Item = &'a Row>) {
     let mut scheduler = leader.scheduler.borrow_mut();
     let phases = leader.stored_phases.borrow();
+    let removed = leader.removed_jobs.borrow();
     let has_ended = |id: &str| phases.get(id).is_some_and(|p| p.is_final());
+    let is_removed = |id: &str, row: &Row| removed.get(id).is_some_and(|v| row.version <= *v);
     let mut cancels = Vec::new();
     let mut changed = false;
     for row in rows {
         match rows::parse_job_key(&row.key) {
-            // A known job is not decoded again, and a job that has ended and was removed from the
-            // scheduler does not start again.
-            Some((id, JobRowKind::Job)) if !scheduler.knows(id) && !has_ended(id) => {
+            // A known job is not decoded again. A removed job does not start again, and a new one
+            // with its id waits for a full read after the rows of its progress are deleted.
+            Some((id, JobRowKind::Job))
+                if !scheduler.knows(id) && !has_ended(id) && !is_removed(id, row) =>
+            {
                 let Some(accepted) = rows::from_json::<AcceptedJob>(row) else {
                     continue;
                 };
@@ -91,7 +97,7 @@
     for id in cancels {
         changed |= scheduler.cancel(id, clock::now(), clock::wall());
     }
-    drop(scheduler);
+    drop((scheduler, phases, removed));
     if changed {
         leader.changed.notify_one();
     }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -45,6 +45,9 @@
     /// Jobs whose rows in the table of jobs are deleted and whose rows written by the leader are to
     /// be deleted.
     pub(crate) deleted_jobs: RefCell<Vec<Text>>,
+    /// Jobs whose rows in the table of jobs were deleted since the last read of that table, with the
+    /// version of the deletion.
+    pub(crate) removed_jobs: RefCell<SortedMap<Text, u64>>,
     /// Version and sequence number of the last commit.
     pub(crate) chain: Cell<(u64, u64)>,
     /// Notified when something changed that requires a pass.
@@ -68,6 +71,7 @@
             stored_phases: RefCell::default(),
             progress_rows: RefCell::default(),
             deleted_jobs: RefCell::default(),
+            removed_jobs: RefCell::default(),
             chain: Cell::default(),
             changed: Notify::new(),
             dirty: Notify::new(),
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use base::clock::Millis;
-use store::table::Txn;
+use store::table::{Commit, Txn};
 
 use crate::{
     cx::{self, Cx},
@@ -69,13 +69,18 @@
         let txn = jobs.iter().fold(Txn::default(), |txn, id| {
             txn.delete(rows::job_key(id)).delete(rows::cancel_key(id))
         });
-        if let Err(e) = cx.table.commit(&txn).await {
-            log::info!(jobs = jobs.len(), reason:% = e; "retention: failed to delete jobs, trying again later");
-            return false;
-        }
+        let version = match cx.table.commit(&txn).await {
+            Ok(Commit::Done { version }) => version,
+            Ok(Commit::Conflict { .. }) => return false,
+            Err(e) => {
+                log::info!(jobs = jobs.len(), reason:% = e; "retention: failed to delete jobs, trying again later");
+                return false;
+            }
+        };
         for id in jobs {
             let ended_at = leader.scheduler.borrow_mut().remove_job(id);
             let age_ms = ended_at.map_or(0, |at| now.since(at).0);
+            leader.removed_jobs.borrow_mut().insert(id.clone(), version);
             log::info!(job:% = id, age_ms, keep_ms = keep.0; "retention: job removed");
         }
         leader.deleted_jobs.borrow_mut().extend_from_slice(jobs);
