node: the next leader removes the rest of a partly removed job

A job is removed in two transactions, because its rows are in two parts of the store. When a leader ended between them, the row of the phase stayed for ever: a caller was told an outdated state for good, and a job submitted under the same id was accepted and never ran.

Evidence: 'rows_of_a_partly_removed_job_are_removed_by_the_next_leader' failed before (rows left after 30 s).

Change: a leader that loads an ended job without its row in the table of jobs deletes the other rows.

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -111,3 +111,21 @@
         wait_until_removed(&cluster);
     }
 }
+
+/// Guards against rows that stay for ever because a leader ended between the two transactions that
+/// remove a job.
+#[test]
+fn rows_of_a_partly_removed_job_are_removed_by_the_next_leader() {
+    let mut cluster = start("retention-orphans", 2, 100, 1_000);
+    let phase = json!({"phase": "completed", "organisation": "org"});
+    cluster.store.put("phases", &format!("{:016x}", 1), &phase);
+    let progress = json!({"phase": "completed", "queue": "q", "at": 1, "ended_at": 1});
+    for id in 1..3 {
+        let key = format!("{id:016x}");
+        cluster.store.put("progress", &key, &progress);
+    }
+    replace_leader(&mut cluster, 0);
+    wait_until_removed(&cluster);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+}
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -41,6 +41,11 @@
     let mut unreadable = Vec::new();
     let progress: SortedMap<Text, Progress> = decode(&progress, &mut unreadable);
     let phases: SortedMap<Text, PhaseRow> = decode(&phases, &mut unreadable);
+    let partly_removed = partly_removed(&jobs, &progress, &phases);
+    for id in &partly_removed {
+        log::info!(job:% = id; "leader: removing the rest of a removed job");
+    }
+    *leader.deleted_jobs.borrow_mut() = partly_removed;
     let mut scheduler = leader.scheduler.borrow_mut();
     *scheduler = JobScheduler::new(cx.cfg.restore_ms);
     scheduler.set_worker_heartbeat(cx.cfg.worker_heartbeat_ms);
@@ -90,6 +95,25 @@
     Ok(from)
 }
 
+/// Returns the ids of ended jobs whose rows in the table of jobs are deleted and whose other rows are
+/// not. A leader writes the latter after it has read the former, so the former once existed.
+fn partly_removed(
+    jobs: &[Row],
+    progress: &SortedMap<Text, Progress>,
+    phases: &SortedMap<Text, PhaseRow>,
+) -> Vec<Text> {
+    let ids = jobs.iter().filter_map(|r| rows::parse_job_key(&r.key));
+    let ids: SortedMap<&str, ()> = ids.map(|(id, _)| (id, ())).collect();
+    let ended = phases.iter().filter(|(_, p)| p.phase.is_final());
+    let ended = ended.map(|(id, _)| id.clone());
+    let ends = progress.iter().filter(|(_, p)| p.phase.is_final());
+    let mut all: Vec<Text> = ended.chain(ends.map(|(id, _)| id.clone())).collect();
+    all.sort_unstable();
+    all.dedup();
+    all.retain(|id| ids.get(&**id).is_none());
+    all
+}
+
 /// Decodes rows by job id, and adds the ids of those that are malformed to `unreadable`.
 fn decode<T: for<'a> serde::Deserialize<'a>>(
     rows: &[Row],
