sched, claim: no wall clock decides on the removal of a claim

What callers would see: a payout or reservation runs twice. A claim that is removed while its caller still retries leaves the key free, and the repetition is claimed and sent again.

Change: a row carries the version of the transaction that wrote it, and the table's versions only increase. The leader stores every 60 s (`jobs.ages_ms`) in `ages/{shard}` which version the table has reached, on a scale that counts only time measured by leaders on their clocks since boot. A row is as old as the first mark that is not below its version. Everything unknown makes rows younger: a change of leader, time without a leader, marks that are left out (an eighth of the age), a missing or malformed row. `written_ms` stays in the rows for operators.

--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -18,7 +18,7 @@
     pub owner: u64,
     /// Number that the owner assigned to this claim, by which it recognises its own write.
     pub nonce: u64,
-    /// Wall-clock time of the last write, for retention only.
+    /// Wall-clock time of the last write, for operators; retention does not depend on it.
     pub written_ms: Millis,
     /// What is known about the execution.
     pub state: State,
--- a/crates/claim/src/retention.rs
+++ b/crates/claim/src/retention.rs
@@ -1,6 +1,6 @@
 //! Retention rules of claim rows, and the sweep that applies them.
 
-use base::clock::Millis;
+use base::clock::{self, Millis};
 use store::table::{Commit, Key, Row, StoreError, Txn, Write};
 
 use crate::{
@@ -25,7 +25,7 @@
     MarkUnknown,
 }
 
-/// Returns the action on a claim row at wall-clock time `now`.
+/// Returns the action on a claim row that was last written at least `age` ago.
 ///
 /// A claim in progress does not expire by age.
 ///
@@ -40,8 +40,7 @@
 /// assert_eq!(retention::action(&row, late, true), Action::Keep);
 /// assert_eq!(retention::action(&row, late, false), Action::MarkUnknown);
 /// ```
-pub fn action(row: &Record, now: Millis, owner_alive: bool) -> Action {
-    let age = now.since(row.written_ms);
+pub fn action(row: &Record, age: Millis, owner_alive: bool) -> Action {
     match row.state {
         State::InProgress if owner_alive => Action::Keep,
         State::InProgress => Action::MarkUnknown,
@@ -75,6 +74,9 @@
 
 /// Applies the retention rules to at most `limit` rows after the key `after`, in one transaction.
 ///
+/// `age` returns the minimum age of a row. It must not be derived from wall clocks: a row that is
+/// deleted too early lets a repeated request run again.
+///
 /// `members` are the ids of the members that have a row. The list may be older than the claims, so
 /// the transaction checks that the owner of each claim that it sets to `unknown` has no member row.
 /// Rows that changed after they were read are left to the next sweep. A failed step can be
@@ -83,7 +85,7 @@
     store: &S,
     after: &str,
     limit: usize,
-    now: Millis,
+    age: impl Fn(&Row) -> Millis,
     members: &[u64],
 ) -> Result<Step, StoreError> {
     let rows = store.scan(record::PREFIX, after, limit).await?;
@@ -94,7 +96,7 @@
     };
     let mut changes: Vec<Change> = rows
         .into_iter()
-        .filter_map(|row| change(row, now, members))
+        .filter_map(|row| change(age(&row), row, members))
         .collect();
     while !changes.is_empty() {
         match store.commit(&transaction(&changes)).await? {
@@ -107,13 +109,13 @@
     Ok(step)
 }
 
-fn change(row: Row, now: Millis, members: &[u64]) -> Option<Change> {
+fn change(age: Millis, row: Row, members: &[u64]) -> Option<Change> {
     let Some(mut found) = record::parse(&row.value) else {
         log::error!("claim: row {} is not a valid claim record", row.key);
         return None;
     };
     let (key, version) = (row.key, row.version);
-    match action(&found, now, members.contains(&found.owner)) {
+    match action(&found, age, members.contains(&found.owner)) {
         Action::Keep => None,
         Action::Delete => Some(Change {
             key,
@@ -123,7 +125,7 @@
         }),
         Action::MarkUnknown => {
             found.state = State::Unknown;
-            found.written_ms = now;
+            found.written_ms = clock::wall();
             let owner = Some(record::member_key(found.owner).into());
             Some(Change {
                 key,
--- a/crates/claim/tests/rows.rs
+++ b/crates/claim/tests/rows.rs
@@ -93,7 +93,7 @@
         put(&table, "runs", &record(1, State::InProgress));
         let (mut after, mut steps, mut deleted) = (String::new(), 0, 0);
         loop {
-            let step = retention::sweep(&table, &after, 4, hours(48), &[1])
+            let step = retention::sweep(&table, &after, 4, |_| hours(48), &[1])
                 .await
                 .unwrap();
             assert!(step.deleted + step.marked <= 4);
@@ -119,7 +119,7 @@
         table.commit(&Txn::default().put(record::member_key(1), "{}".into()));
         put(&table, "runs", &record(1, State::InProgress));
         put(&table, "lost", &record(2, State::InProgress));
-        let step = retention::sweep(&table, "", 10, hours(0), &[])
+        let step = retention::sweep(&table, "", 10, |_| hours(0), &[])
             .await
             .unwrap();
         assert_eq!(step.marked, 1);
--- a/crates/sched/src/cfg.rs
+++ b/crates/sched/src/cfg.rs
@@ -64,6 +64,9 @@
     pub keep_ms: Millis,
     /// Maximum number of records removed per second.
     pub removals_per_s: usize,
+    /// Interval at which the leader stores the ages of rows. A change of leader makes all rows, also
+    /// claims, appear younger by up to this time.
+    pub ages_ms: Millis,
 }
 
 /// Settings of the communication with workers.
@@ -142,6 +145,7 @@
         Self {
             keep_ms: Millis::from_secs(7 * 24 * 3_600),
             removals_per_s: 20,
+            ages_ms: Millis(60_000),
         }
     }
 }
@@ -240,6 +244,7 @@
         ("lease.look_ms", lease.look_ms.0),
         ("workers.list_ms", workers.list_ms.0),
         ("workers.renew_ms", workers.renew_ms.0),
+        ("jobs.ages_ms", cfg.jobs.ages_ms.0),
         ("members.renew_ms", cfg.members.renew_ms.0),
         ("members.list_ms", cfg.members.list_ms.0),
         ("config.push_ms", cfg.config.push_ms.0),
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -133,6 +133,7 @@
         members::run_leader(&cx, &leader),
         retention::run(&cx, &leader),
         retention::run_claims(&cx, &leader),
+        retention::run_ages(&cx, &leader),
         tick(&cx, &leader),
     );
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -18,6 +18,7 @@
 mod restore;
 mod retention;
 pub mod rollout;
+pub mod row_ages;
 pub mod rows;
 mod server;
 mod state;
--- a/crates/sched/src/restore.rs
+++ b/crates/sched/src/restore.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use base::clock;
 use derive_more::{Display, Error, From};
 use member::rows::RevisionRow;
 use plan::record::JobRecord;
@@ -13,6 +14,8 @@
     ctx::Cx,
     leader::Leader,
     records,
+    row_ages::RowAges,
+    rows,
     state::{State, StoredRecord},
 };
 
@@ -49,6 +52,7 @@
     let audits = config::read_audits(cx, config.revision).await?;
     let (jobs, set_aside) = read_jobs(cx).await?;
     let mut state = State::new(cx.cfg.workers);
+    state.ages = read_ages(cx).await?;
     state.set_aside = set_aside;
     cx.raise_revision(config.revision);
     leader.config.restore(rev, audits);
@@ -114,6 +118,15 @@
     Ok((jobs, set_aside))
 }
 
+/// Reads the ages of rows that earlier leaders measured.
+async fn read_ages(cx: &Cx) -> Result<RowAges, RestoreError> {
+    let key = rows::ages_key(&cx.cfg.shard);
+    let row = cx.table.get(&key).await?;
+    let version = row.as_ref().map_or(0, |r| r.version);
+    confirm(cx, &[Check { key, version }]).await?;
+    Ok(RowAges::read(row.as_ref(), clock::now()))
+}
+
 /// Reads all rows whose keys have the prefix, page by page.
 pub(crate) async fn scan(cx: &Cx, prefix: &str) -> Result<Vec<Row>, StoreError> {
     let mut rows: Vec<Row> = Vec::new();
--- a/crates/sched/src/retention.rs
+++ b/crates/sched/src/retention.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 
 use base::clock::{self, Millis};
-use claim::retention;
-use store::table::Txn;
+use claim::retention::{self, Step};
+use store::table::{Row, Txn};
 
 use crate::{
     ctx::{self, Cx},
-    executor,
+    executor::{self, CommitError},
     leader::Leader,
+    lease_task::to_json,
     rows,
 };
 
@@ -31,13 +32,58 @@
         if stuck || !cx.is_acting(leader) {
             continue;
         }
-        match retention::sweep(&cx.table, &after, CLAIMS_PER_SWEEP, clock::wall(), &members).await {
-            Ok(step) => after = step.next.unwrap_or_default(),
+        let Some(ages) = leader.with_state(|s| s.ages.clone()) else {
+            continue;
+        };
+        let age = |row: &Row| ages.age(clock::now(), row.version);
+        match retention::sweep(&cx.table, &after, CLAIMS_PER_SWEEP, age, &members).await {
+            Ok(step) => {
+                log_sweep(&step);
+                after = step.next.unwrap_or_default();
+            }
             Err(e) => log::debug!("claim: the sweep failed: {e}"),
         }
     }
 }
 
+fn log_sweep(step: &Step) {
+    if step.deleted + step.marked > 0 {
+        log::info!(deleted = step.deleted, unknown = step.marked; "claim: swept");
+    }
+}
+
+/// Measures the ages of rows until the leadership ends.
+pub(crate) async fn run_ages(cx: &Cx, leader: &Rc<Leader>) {
+    while leader.is_alive() {
+        ctx::sleep(cx.cfg.jobs.ages_ms).await;
+        let stuck = leader.with_state(|s| s.stuck).unwrap_or(true);
+        if !stuck && cx.is_acting(leader) {
+            mark_version(cx, leader).await;
+        }
+    }
+}
+
+async fn mark_version(cx: &Cx, leader: &Leader) {
+    let now = clock::now();
+    let Some((row, version)) = leader.with_state(|s| (s.ages.row(now), s.ages.version())) else {
+        return;
+    };
+    let key = rows::ages_key(&cx.cfg.shard);
+    let txn = Txn::default()
+        .check(cx.lease_key(), leader.held.version)
+        .check(key.clone(), version)
+        .put(key, to_json(&row));
+    match executor::commit_txn(cx, leader, &txn).await {
+        Ok(version) => {
+            leader.with_state(|s| s.ages.mark(clock::now(), version));
+        }
+        Err(CommitError::Conflict { .. }) => {
+            cx.end_leadership("the ages of rows have an unexpected version, the state is rebuilt");
+        }
+        Err(CommitError::Lost { .. }) => {}
+    }
+}
+
 /// Removes expired job records until the leadership ends.
 pub(crate) async fn run(cx: &Cx, leader: &Rc<Leader>) {
     while leader.is_alive() {
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -31,6 +31,15 @@
     format!("job/{job}").into()
 }
 
+/// Returns the key of the row with the ages of rows that the leader of a shard measures.
+///
+/// ```
+/// assert_eq!(&*sched::rows::ages_key(&"main".parse().unwrap()), "ages/main");
+/// ```
+pub fn ages_key(shard: &Name) -> Key {
+    format!("ages/{shard}").into()
+}
+
 /// Returns the key of the audit row of a revision; the padding sorts the keys by revision.
 ///
 /// ```
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -18,7 +18,7 @@
 use store::table::Key;
 use tokio::sync::Notify;
 
-use crate::{cfg::WorkersCfg, queue::Queue, worker_link::WorkerLink};
+use crate::{cfg::WorkersCfg, queue::Queue, row_ages::RowAges, worker_link::WorkerLink};
 
 /// A job record with the version of its row in the table.
 #[derive(Clone, Debug)]
@@ -44,6 +44,8 @@
 pub(crate) struct State {
     pub(crate) plan: Plan,
     pub(crate) queue: Queue,
+    /// Ages of the rows of the table.
+    pub(crate) ages: RowAges,
     /// Committed records, from which answers and renewals are derived.
     pub(crate) committed: SortedMap<JobKey, StoredRecord>,
     /// Sorted keys of the job rows that can't be read.
@@ -62,6 +64,7 @@
         Self {
             plan: Plan::new(PlanCfg::default()),
             queue: Queue::default(),
+            ages: RowAges::new(clock::now()),
             committed: SortedMap::default(),
             set_aside: Vec::new(),
             workers: SortedMap::default(),
