sched: the retention of ended jobs does not depend on when they are dated

What callers would see: "there is no job" for a job that ended seconds ago, and a job that runs twice: a submission is idempotent by its name only while the record exists.

Cause: the age of an ended job was `ended_at`, by the wall clock of the VM that led when it ended, against the wall clock of the VM that leads now, as each read it at the start of its process. A leader whose clock had been 7 days behind (`jobs.keep_ms`) or a successor whose clock is 7 days ahead removed all ended jobs at 20 a second. In rows of a version without the field it reads as 0, so they were removed at once after an update.

Evidence: `ended_jobs_are_kept_whatever_their_end_is_dated` stores two ended jobs, one dated 8 days back and one without the field, and starts a scheduler that keeps records for 4 s.

An ended job is not written again, so its row is as old as its end. Each removal is logged with the job and the version of its row; nothing showed removals before.

`ended_at` stays in the rows: corrections of run times use it.

--- a/crates/plan/src/record.rs
+++ b/crates/plan/src/record.rs
@@ -62,7 +62,8 @@
     /// Highest memory usage reported by a member, in MiB; 0 before the first report.
     #[serde(default)]
     pub peak_memory_mb: u32,
-    /// End of the job, wall clock; zero before.
+    /// End of the job, wall clock, for corrections of run times; zero before. Retention does not
+    /// depend on it.
     #[serde(default)]
     pub ended_at: Millis,
     /// Guaranteed gang whose capacity the current attempt uses; `None` if it runs on borrowed
--- a/crates/sched/src/restore.rs
+++ b/crates/sched/src/restore.rs
@@ -50,9 +50,10 @@
     check_takeover(cx, leader).await?;
     let (config, rev) = read_config(cx).await?;
     let audits = config::read_audits(cx, config.revision).await?;
-    let (jobs, set_aside) = read_jobs(cx).await?;
+    let ages = read_ages(cx).await?;
+    let (jobs, set_aside) = read_jobs(cx, &ages).await?;
     let mut state = State::new(cx.cfg.workers);
-    state.ages = read_ages(cx).await?;
+    state.ages = ages;
     state.set_aside = set_aside;
     cx.raise_revision(config.revision);
     leader.config.restore(rev, audits);
@@ -98,7 +99,7 @@
 
 /// Reads the jobs, and returns the sorted keys of malformed rows apart: if they failed the restore,
 /// one of them would end the leadership of every process.
-async fn read_jobs(cx: &Cx) -> Result<(Vec<StoredRecord>, Vec<Key>), RestoreError> {
+async fn read_jobs(cx: &Cx, ages: &RowAges) -> Result<(Vec<StoredRecord>, Vec<Key>), RestoreError> {
     let rows = scan(cx, "job/").await?;
     confirm(cx, &checks(&rows)).await?;
     let mut jobs = Vec::with_capacity(rows.len());
@@ -107,6 +108,7 @@
         match serde_json::from_str::<JobRecord>(&row.value) {
             Ok(record) => jobs.push(StoredRecord {
                 version: row.version,
+                written_by: ages.written_by(clock::now(), row.version),
                 record,
             }),
             Err(e) => {
--- a/crates/sched/src/retention.rs
+++ b/crates/sched/src/retention.rs
@@ -96,8 +96,8 @@
 }
 
 async fn remove_expired(cx: &Cx, leader: &Leader) {
-    let (cfg, now) = (&cx.cfg.jobs, cx.plan_now());
-    let jobs = leader.with_state(|s| s.expired(now, cfg.keep_ms, cfg.removals_per_s));
+    let cfg = &cx.cfg.jobs;
+    let jobs = leader.with_state(|s| s.expired(clock::now(), cfg.keep_ms, cfg.removals_per_s));
     let jobs = jobs.unwrap_or_default();
     if jobs.is_empty() {
         return;
@@ -109,6 +109,9 @@
     }
     match executor::commit_txn(cx, leader, &txn).await {
         Ok(_) => {
+            for (job, version) in &jobs {
+                log::info!(job:%, version; "sched: expired job record removed");
+            }
             leader.with_state(|s| s.forget(&jobs));
         }
         Err(e) => log::warn!("sched: removal of expired job records failed: {e:?}"),
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -24,6 +24,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StoredRecord {
     pub(crate) version: u64,
+    /// Time by which the row was written, on the scale of [`RowAges`]. An ended job is not written
+    /// again, so it is not earlier than the job's end.
+    pub(crate) written_by: Millis,
     pub(crate) record: JobRecord,
 }
 
@@ -151,6 +154,7 @@
 
     /// Updates the committed records and the attempts of their workers after a commit.
     pub(crate) fn record_commit(&mut self, version: u64, records: Vec<JobRecord>) {
+        let written_by = self.ages.time(clock::now());
         for record in records {
             let key = record.key();
             let before = self.committed.get(&key).map(|s| s.record.clone());
@@ -158,7 +162,12 @@
                 self.assign(&before, false);
             }
             self.assign(&record, true);
-            self.committed.insert(key, StoredRecord { version, record });
+            let stored = StoredRecord {
+                version,
+                written_by,
+                record,
+            };
+            self.committed.insert(key, stored);
         }
     }
 
@@ -174,11 +183,11 @@
         }
     }
 
-    /// Returns up to `limit` jobs whose committed records are final and ended at least `keep` ago,
-    /// with the versions of their rows.
+    /// Returns up to `limit` jobs that ended at least `keep` before `now`, a time since boot, with
+    /// the versions of their rows.
     pub(crate) fn expired(&self, now: Millis, keep: Millis, limit: usize) -> Vec<(JobKey, u64)> {
-        let old =
-            |s: &&StoredRecord| s.record.phase.is_final() && now.since(s.record.ended_at) >= keep;
+        let time = self.ages.time(now);
+        let old = |s: &&StoredRecord| s.record.phase.is_final() && time.since(s.written_by) >= keep;
         let stored = self.committed.values().filter(old);
         let keys = stored.map(|s| (s.record.key(), s.version));
         keys.take(limit).collect()
--- a/crates/sched/tests/retention.rs
+++ b/crates/sched/tests/retention.rs
@@ -7,7 +7,10 @@
     fingerprint,
     record::{Answer, Record, State, claim_key},
 };
-use cluster::{Cluster, name};
+use cluster::{Cluster, job, name};
+use plan::record::{JobKey, JobRecord};
+use sched::rows;
+use schema::job::Phase;
 use serde::Serialize;
 use store::{
     client::Table,
@@ -87,3 +90,36 @@
     .await;
     assert!(after >= before, "{after} < {before}");
 }
+
+/// Guards against ended jobs that are unknown to callers, and so run again when they are submitted
+/// again, because their end is dated by a slow clock or by a version without the field `ended_at`.
+#[ntex::test]
+async fn ended_jobs_are_kept_whatever_their_end_is_dated() {
+    let mut cluster = Cluster::new(0, 0);
+    let behind = Millis(clock::wall().0 - 8 * DAY.0);
+    for (title, ended_at) in [("slow-clock", Some(behind)), ("old-version", None)] {
+        let mut record = JobRecord::submitted(job(title, 1, 1), behind);
+        record.phase = Phase::Done;
+        let mut row = serde_json::to_value(&record).unwrap();
+        match ended_at {
+            Some(at) => row["ended_at"] = at.0.into(),
+            None => drop(row.as_object_mut().unwrap().remove("ended_at")),
+        }
+        put(&cluster, rows::job_key(&key(title)), &row).await;
+    }
+    let (start, keep) = (clock::now(), Millis(4_000));
+    cluster.add_scheduler(|cfg| cfg.jobs.keep_ms = keep);
+    cluster::eventually("both are removed", async || {
+        let rows = cluster.platform.rows("job/").len();
+        assert!(rows == 2 || clock::now().since(start) >= keep);
+        (rows == 0).then_some(())
+    })
+    .await;
+}
+
+fn key(job: &str) -> JobKey {
+    JobKey {
+        organisation: name("org"),
+        name: name(job),
+    }
+}
