member, entry, sched: an unreadable list of members is not an empty one

What callers would see: a withdrawn access token or an old limit that stays in force after the change was answered as accepted. In a mix of versions one member with a field or role that an earlier version can't read was enough.

Cause: `MemberList::read` derived an empty list from a row that it could not parse. A process that registered or left then replaced the list by one with at most itself; the leader waited for nobody and answered "applied" at once; an entry took itself for all members and confirmed its configuration alone during an outage of the table service. An entry that had not read the list since its start did the last as well.

Change: a malformed row is an error (not done) for everyone who reads it. An entry counts the list as known only after a successful read, and no longer once its row is malformed; without it there is no quorum. The log lines of the leader that name the row are warnings now.

What it costs: with such a row no entry registers and no change is accepted until the versions agree, and members that stop are not removed. Each is refused and logged.

--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -1,6 +1,9 @@
 //! Membership: the row of this entry, the list of all members, and quorum reads.
 
-use std::{cell::RefCell, net};
+use std::{
+    cell::{Cell, RefCell},
+    net,
+};
 
 use base::clock::Millis;
 use futures_util::future;
@@ -25,6 +28,8 @@
     /// Registration and renewal of this entry.
     pub own: Membership,
     last_read: RefCell<Vec<MemberRow>>,
+    /// Whether `last_read` has all members: the list was read, and its row was not malformed since.
+    is_known: Cell<bool>,
 }
 
 impl Members {
@@ -32,7 +37,11 @@
     pub fn new(id: u64, address: net::SocketAddr) -> Self {
         let own = Membership::new(id, address, MemberRole::Entry);
         let last_read = RefCell::new(vec![own.row()]);
-        Self { own, last_read }
+        Self {
+            own,
+            last_read,
+            is_known: Cell::new(false),
+        }
     }
 
     /// Returns the ids of all entries.
@@ -50,7 +59,9 @@
     /// Reads the list of all members from the table service.
     pub async fn read(&self, table: &Table) -> Result<(), StoreError> {
         let row = table.get(MEMBERS_KEY).await?;
-        let mut list = MemberList::read(row.as_ref()).without(&[self.own.id()]);
+        let read = MemberList::read(row.as_ref());
+        self.is_known.set(read.is_ok());
+        let mut list = read?.without(&[self.own.id()]);
         list.members.push(self.own.row());
         *self.last_read.borrow_mut() = list.members;
         Ok(())
@@ -60,11 +71,11 @@
     /// this one, has no higher revision and does not reach the table service either.
     ///
     /// A majority has acknowledged every accepted revision, so any majority contains a member that
-    /// knows the newest one. If any member reaches the table service, the configuration is not
+    /// knows the newest one. Without the list of members there is no majority. If any member reaches the table service, the configuration is not
     /// confirmed, and this entry waits for its own read instead.
     pub async fn quorum_read(&self, cx: &Entry, start: Millis) {
         let known_revision = cx.config.revision();
-        if known_revision == 0 {
+        if known_revision == 0 || !self.is_known.get() {
             return;
         }
         let others: Vec<MemberRow> = {
--- a/crates/entry/tests/entry/config_lease.rs
+++ b/crates/entry/tests/entry/config_lease.rs
@@ -75,6 +75,24 @@
     }
 }
 
+/// Guards against an entry that confirms an old configuration alone because it can't read the list
+/// of members.
+#[test]
+fn an_entry_without_a_readable_member_list_is_no_quorum() {
+    let system = setup::system()
+        .set("member_poll_ms", json!(50))
+        .set("config_lease_ms", json!(500))
+        .start();
+    let unknown = json!({ "id": 1, "address": "127.0.0.1:1", "role": "of a later version" });
+    let rows = [("members".into(), json!({ "members": [unknown] }))];
+    setup::put_rows(system.platform.addr(), &rows);
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    system.platform.set_faults(outage());
+    setup::eventually("the entry stops serving", || {
+        system.get(0, "/ready").status == 503
+    });
+}
+
 /// Guards against an outage of the table service that stops entries although a majority agrees on
 /// the revision.
 #[test]
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -111,7 +111,7 @@
     pub async fn leave(&self, table: &Table) -> Result<(), StoreError> {
         let row = table.get(MEMBERS_KEY).await?;
         let version = row.as_ref().map_or(0, |row| row.version);
-        let list = MemberList::read(row.as_ref()).without(&[self.id]);
+        let list = MemberList::read(row.as_ref())?.without(&[self.id]);
         let txn = Txn::default()
             .check(MEMBERS_KEY, version)
             .put(MEMBERS_KEY, rows::to_json(&list))
@@ -127,7 +127,7 @@
         }
         let row = table.get(MEMBERS_KEY).await?;
         let version = row.as_ref().map_or(0, |row| row.version);
-        let mut list = MemberList::read(row.as_ref()).without(&[self.id]);
+        let mut list = MemberList::read(row.as_ref())?.without(&[self.id]);
         let value = self.next_row();
         list.members.push(self.row());
         let txn = Txn::default()
--- a/crates/member/src/rows.rs
+++ b/crates/member/src/rows.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use serde::{Deserialize, Serialize};
-use store::table::{Key, Row};
+use store::table::{Key, Row, StoreError};
 
 /// Key of the list of all members.
 pub const MEMBERS_KEY: &str = "members";
@@ -51,14 +51,23 @@
 }
 
 impl MemberList {
-    /// Reads the list from its row; an absent or unreadable row counts as an empty list.
+    /// Reads the list from its row; an absent row counts as an empty list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the row is malformed. It must not be replaced then, because it may list
+    /// members that a later version registered.
     ///
     /// ```
-    /// assert!(member::rows::MemberList::read(None).members.is_empty());
+    /// assert!(member::rows::MemberList::read(None).unwrap().members.is_empty());
     /// ```
-    pub fn read(row: Option<&Row>) -> Self {
-        row.and_then(|row| serde_json::from_str(&row.value).ok())
-            .unwrap_or_default()
+    pub fn read(row: Option<&Row>) -> Result<Self, StoreError> {
+        let Some(row) = row else {
+            return Ok(Self::default());
+        };
+        serde_json::from_str(&row.value).map_err(|e| StoreError::NotDone {
+            reason: format!("the row {} is malformed: {e}", row.key),
+        })
     }
 
     /// Returns the list without the members with these ids.
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -11,7 +11,7 @@
 }
 
 fn listed_ids(mem: &MemTable) -> Vec<u64> {
-    let list = MemberList::read(mem.get(MEMBERS_KEY).as_ref());
+    let list = MemberList::read(mem.get(MEMBERS_KEY).as_ref()).unwrap();
     list.members.iter().map(|m| m.id).collect()
 }
 
@@ -73,3 +73,17 @@
     assert_eq!(listed_ids(&mem), [2]);
     assert!(mem.get(&rows::member_key(1)).is_none());
 }
+
+/// Guards against a registration that replaces a list with members of a later version by one with
+/// only itself, so that changes no longer wait for the others.
+#[ntex::test]
+async fn an_unreadable_list_is_not_replaced() {
+    let (mem, table) = table();
+    let later = r#"{"members":[{"id":1,"address":"127.0.0.1:1","role":"of a later version"}]}"#;
+    mem.commit(&Txn::default().put(MEMBERS_KEY, later.into()));
+    let registered = membership(2).renew(&table, Some(1)).await;
+    assert!(registered.is_err(), "{registered:?}");
+    let left = membership(3).leave(&table).await;
+    assert!(left.is_err(), "{left:?}");
+    assert_eq!(mem.get(MEMBERS_KEY).unwrap().value, later);
+}
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -260,7 +260,7 @@
         }
         // The read may be stale, and then the next attempt also meets a conflict.
         if let Err(e) = members::read_list(cx, leader).await {
-            log::debug!("config: the member list is unavailable: {e}");
+            log::warn!("config: the member list is unavailable: {e}");
         }
         ctx::sleep(cx.cfg.commit.retry_ms).await;
     }
--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -89,7 +89,7 @@
     let mut history = RowHistory::default();
     while leader.is_alive() {
         if let Err(e) = read_rows(cx, leader, &mut history).await {
-            log::debug!("sched: the membership rows are unavailable: {e}");
+            log::warn!("sched: the membership rows are unavailable: {e}");
         }
         ctx::sleep(cx.cfg.members.list_ms).await;
     }
@@ -99,7 +99,7 @@
 pub(crate) async fn read_list(cx: &Cx, leader: &Rc<Leader>) -> Result<VersionedList, StoreError> {
     let row = cx.table.get(MEMBERS_KEY).await?;
     let version = row.as_ref().map_or(0, |row| row.version);
-    let list = MemberList::read(row.as_ref());
+    let list = MemberList::read(row.as_ref())?;
     let others = list.members.iter().filter(|m| m.id != cx.id);
     let others = others
         .map(|m| Member {
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -143,6 +143,24 @@
     assert_eq!((code.as_str(), done), ("outcome_unknown", Effect::Maybe));
 }
 
+/// Guards against a change that is answered without waiting for members that the leader can't read.
+#[ntex::test]
+async fn a_change_is_not_accepted_without_a_readable_member_list() {
+    let mut cluster = Cluster::new(1, 0);
+    cluster.add_scheduler(|cfg| {
+        fast_lease(cfg);
+        cfg.config.accept_ms = Millis(2_000);
+    });
+    let client = cluster.configure().await;
+    let url = cluster.platform.url();
+    let table = HttpTable::new(&url, HttpCfg::default()).await.unwrap();
+    let later = r#"{"members":[{"id":1,"address":"127.0.0.1:1","role":"of a later version"}]}"#;
+    let txn = store::table::Txn::default().put(MEMBERS_KEY, later.into());
+    table.commit(&txn).await.unwrap();
+    let reply = client.call(&apply(2, None, &placement(30))).await.unwrap();
+    assert!(matches!(reply, Reply::Failed { .. }), "{reply:?}");
+}
+
 /// Guards against a partitioned entry that finds a majority without a newer revision. Standby
 /// schedulers count as members and know the revision; one that has not read it yet gives no answer.
 #[ntex::test]
@@ -156,7 +174,7 @@
         ..Faults::default()
     });
     cluster.add_scheduler(|_| {});
-    let list = MemberList::read(cluster.platform.row(MEMBERS_KEY).as_ref());
+    let list = MemberList::read(cluster.platform.row(MEMBERS_KEY).as_ref()).unwrap();
     let id = |addr| {
         list.members
             .iter()
