sched, plan: the time of a crash is on the clock of the plan

What callers would see: a job that ran for hours fails with "it crashes its workers" after three crashes of its workers that it did not cause, where six are allowed; beside others it fails after six, where none counts.

Cause: the plan compared the time at which a crashed worker was last alive with the start of its jobs. The first is a time since boot, the second a wall clock, so the run time of every job came out as zero and every job counted as just started.

Evidence: `a_crash_under_a_long_job_has_little_weight` passes the events of a `WorkerLink` whose clock starts at 0 to a plan on a wall clock. After an hour of run time the crash weighed 2 instead of 1. The tests of the plan had one clock for both.

Change: the event carries the time since the last answer, a span, which the plan subtracts from its own clock. The tests of the link and the plan that named the time name the span with the same value.

--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -26,13 +26,14 @@
 impl Plan {
     /// Handles a worker that has lost the tasks that it ran: it has crashed. Jobs that ran beside
     /// others that had just started are not suspected.
-    pub(crate) fn worker_restarted(&mut self, step: &mut Step, name: &Name, alive_until: Millis) {
+    pub(crate) fn worker_restarted(&mut self, step: &mut Step, name: &Name, silent: Millis) {
         let Some(worker) = self.workers.find(name) else {
             return;
         };
         let running = |id: &JobId| self.jobs.get(*id).rec.phase == Phase::Running;
         let jobs: Vec<JobId> = self.workers.jobs_on(worker);
         let jobs: Vec<JobId> = jobs.into_iter().filter(running).collect();
+        let alive_until = step.now.since(silent);
         let age = |id: &JobId| alive_until.since(self.jobs.get(*id).phase_since);
         let fresh = jobs.iter().copied().filter(|id| age(id) < PROVING_TIME);
         let fresh: Vec<JobId> = fresh.collect();
--- a/crates/plan/src/event.rs
+++ b/crates/plan/src/event.rs
@@ -53,8 +53,9 @@
     WorkerRestarted {
         /// Name of the worker.
         worker: Name,
-        /// Time of its last answer before.
-        alive_until: Millis,
+        /// Time since its last answer before. A span, because the clock of the answers is not that
+        /// of the plan.
+        silent: Millis,
     },
     /// A job was submitted.
     Submitted {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -189,10 +189,9 @@
             Event::WorkerUp { worker } => self.worker_up(&mut step, worker),
             Event::WorkerLeaving { worker } => self.worker_leaving(&mut step, &worker),
             Event::WorkerLost { worker } => self.worker_lost(&mut step, &worker),
-            Event::WorkerRestarted {
-                worker,
-                alive_until,
-            } => self.worker_restarted(&mut step, &worker, alive_until),
+            Event::WorkerRestarted { worker, silent } => {
+                self.worker_restarted(&mut step, &worker, silent);
+            }
             Event::Submitted { job } => self.submitted(&mut step, job),
             // Cancellations do not place other jobs, so that a batch of them frees all its capacity
             // before any of it is used again. The next event of another kind places jobs.
--- a/crates/plan/tests/crashes.rs
+++ b/crates/plan/tests/crashes.rs
@@ -81,7 +81,7 @@
             .collect();
         let crash = Event::WorkerRestarted {
             worker: worker.clone(),
-            alive_until,
+            silent: self.now.since(alive_until),
         };
         self.handle(crash);
         for attempt in running {
--- a/crates/sched/src/worker_link.rs
+++ b/crates/sched/src/worker_link.rs
@@ -297,7 +297,7 @@
 
     /// Processes the answer to a call and returns the events for the plan.
     pub fn on_answer(&mut self, now: Millis, tasks: Vec<TaskReport>) -> Vec<Event> {
-        let alive_until = std::mem::replace(&mut self.last_answer, now);
+        let silent = now.since(std::mem::replace(&mut self.last_answer, now));
         let ordered = std::mem::take(&mut self.in_flight);
         let renewed = std::mem::take(&mut self.in_flight_renew);
         self.tasks = tasks;
@@ -310,7 +310,7 @@
         if has_restarted {
             events.push(Event::WorkerRestarted {
                 worker: self.name.clone(),
-                alive_until,
+                silent,
             });
         }
         for attempt in &attempts {
--- a/crates/sched/tests/worker_link.rs
+++ b/crates/sched/tests/worker_link.rs
@@ -4,12 +4,18 @@
 use plan::{
     event::{Event, Report, WorkerInfo},
     order::{Action, Attempt, Order},
+    plan_cfg::PlanCfg,
     record::{JobKey, Member},
+    state::Plan,
 };
 use sched::{
     cfg::WorkersCfg,
     worker_link::{TaskReport, WorkerLink},
 };
+use schema::{
+    job::{Job, StopMode},
+    shape::{Adjacency, Shape},
+};
 
 const HOLD: Action = Action::Hold {
     cores: 1,
@@ -186,7 +192,7 @@
     let events = link.on_answer(Millis(2_000), Vec::new());
     let restarted = Event::WorkerRestarted {
         worker: "w".parse().unwrap(),
-        alive_until: Millis(5),
+        silent: Millis(1_995),
     };
     assert_eq!(events[0], restarted);
     assert!(matches!(
@@ -205,3 +211,47 @@
     );
     assert_eq!(exchange(&mut link, 12, &[]), [Report::NotHeld]);
 }
+
+/// Guards against a long job that is blamed for a crash as if it had just started, because the time
+/// since boot at which its worker was last alive is compared with the wall clock of the plan.
+#[test]
+fn a_crash_under_a_long_job_has_little_weight() {
+    const WALL: Millis = Millis(1_700_000_000_000);
+    const HOUR: u64 = 3_600_000;
+    let mut link = link();
+    let mut plan = Plan::new(PlanCfg::default());
+    let worker = link.info().unwrap().clone();
+    plan.handle(WALL, Event::WorkerUp { worker });
+    plan.handle(WALL, Event::Submitted { job: job() });
+    for (at, report) in [(5, Report::Held), (10, RUNNING), (HOUR, RUNNING)] {
+        link.start_call(Millis(at), 1);
+        for event in link.on_answer(Millis(at), vec![task(1, report)]) {
+            plan.handle(WALL + Millis(at), event);
+        }
+    }
+    let restarted = HOUR + 5_000;
+    link.start_call(Millis(restarted), 1);
+    let crash = link.on_answer(Millis(restarted), Vec::new()).remove(0);
+    plan.handle(WALL + Millis(restarted), crash);
+    let record = plan.job(&attempt(1).job).unwrap();
+    assert_eq!((record.attempt, record.crash_weight), (1, 1));
+}
+
+fn job() -> Job {
+    Job {
+        organisation: "org".parse().unwrap(),
+        team: "team".parse().unwrap(),
+        name: "job".parse().unwrap(),
+        kind: "test".parse().unwrap(),
+        shape: Shape {
+            members: 1,
+            accelerators: 1,
+            cores: 1,
+            memory_mb: 1,
+            adjacency: Adjacency::Worker,
+        },
+        run_time_ms: Millis(7_200_000),
+        urgent: false,
+        stop: StopMode::Checkpoint,
+    }
+}
