plan: a crash after a change of leader counts the run time before it

What callers would see: a job that ran for hours collects the weight of one that had just started when a worker crashes within 2 s after a takeover, as when both lose their power together. Three such crashes end it with "it crashes its workers".

Cause: the run time was derived from the start of the phase in memory, which after a restore is the time of the restore. The start of the attempt is in the record.

Evidence: `a_crash_after_a_restore_counts_the_run_time_before_it` failed with weight 2 instead of 1.

Change: the earlier of the two counts. A start that another leader dated ahead then falls back to the time of the restore.

--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -34,7 +34,12 @@
         let jobs: Vec<JobId> = self.workers.jobs_on(worker);
         let jobs: Vec<JobId> = jobs.into_iter().filter(running).collect();
         let alive_until = step.now.since(silent);
-        let age = |id: &JobId| alive_until.since(self.jobs.get(*id).phase_since);
+        // After a restore the phase began before `phase_since`, and `started_at` is by the wall clock
+        // of another leader, which may be ahead.
+        let age = |id: &JobId| {
+            let job = self.jobs.get(*id);
+            alive_until.since(job.phase_since.min(job.rec.started_at))
+        };
         let fresh = jobs.iter().copied().filter(|id| age(id) < PROVING_TIME);
         let fresh: Vec<JobId> = fresh.collect();
         let (suspects, weight) = match (&fresh[..], &jobs[..]) {
--- a/crates/plan/tests/crashes.rs
+++ b/crates/plan/tests/crashes.rs
@@ -11,7 +11,7 @@
     record::{JobKey, JobRecord},
     state::Plan,
 };
-use schema::{job::Phase, shape::Adjacency};
+use schema::{config::Config, job::Phase, shape::Adjacency};
 
 /// A plan with workers that carry out all orders.
 struct Site {
@@ -140,3 +140,21 @@
         assert_eq!(site.job("long").phase, Phase::Running);
     }
 }
+
+/// Guards against a long job that is blamed for a crash right after a change of leader as if it had
+/// just started.
+#[test]
+fn a_crash_after_a_restore_counts_the_run_time_before_it() {
+    let mut site = Site::new(4);
+    site.submit("long", 8);
+    site.advance(3_600_000);
+    let records: Vec<JobRecord> = site.plan.records().cloned().collect();
+    site.plan = Plan::restore(PlanCfg::default(), Config::default(), records, site.now);
+    for i in 0..4 {
+        let worker = worker(i, 4);
+        site.handle(Event::WorkerUp { worker });
+    }
+    site.advance(500);
+    site.crash_worker_of("long");
+    assert_eq!(site.job("long").crash_weight, 1);
+}
