plan: time does not go back with a change of leader

What callers would see: guaranteed capacity that can't be claimed, and a job that waits behind all others, for as long as the clock of the VM that leads now is behind that of the VM that led when the job was accepted: hours, if an earlier clock was hours ahead.

Cause: waits were derived from `submitted_at`, by the wall clock of an earlier leader, against that of the new one. A job dated ahead had waited for zero, so that a claim that is not urgent never reached `reclaim_after`, its rank did not grow, and a large gang never counted as starving.

Evidence: `a_claim_that_was_dated_ahead_is_reclaimed_after_a_restore` restores a claim accepted by a leader whose clock was an hour ahead.

Change: a restored plan adds to its clock the time by which it is behind the latest time in the records, so that the waits go on and the order stays.

A new leader whose clock is ahead is not covered: waits then appear longer, so claims reclaim up to `reclaim_after` earlier, and run times of that takeover's jobs are learned up to 4 times too long.

--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -60,6 +60,9 @@
     /// Sum of the accelerators of all workers.
     pub(crate) total_accelerators: f64,
     pub(crate) restored_at: Millis,
+    /// Time by which the clock of the leader is behind that of an earlier one. The plan adds it, so
+    /// that its time never goes back.
+    pub(crate) clock_lag: Millis,
     /// Whether all workers have had time to be reported since the restore.
     pub(crate) fleet_known: bool,
     /// Whether the waiting jobs must be checked against the limits again.
@@ -114,6 +117,7 @@
             total_weight: 0.0,
             total_accelerators: 0.0,
             restored_at: Millis::ZERO,
+            clock_lag: Millis::ZERO,
             fleet_known: true,
             recheck_limits: false,
             unsaved: Vec::new(),
@@ -136,6 +140,8 @@
     pub fn restore(cfg: PlanCfg, config: Config, records: Vec<JobRecord>, now: Millis) -> Self {
         let mut plan = Self::new(cfg);
         plan.config = config;
+        plan.clock_lag = latest_time(&records).since(now);
+        let now = now + plan.clock_lag;
         plan.restored_at = now;
         plan.fleet_known = false;
         let mut ended: Vec<&JobRecord> = records.iter().filter(|r| r.phase.is_final()).collect();
@@ -182,7 +188,7 @@
     /// assert!(plan.handle(Millis(1), Event::Configured { config }).orders.is_empty());
     /// ```
     pub fn handle(&mut self, now: Millis, event: Event) -> Decision {
-        let mut step = Step::at(now);
+        let mut step = Step::at(now + self.clock_lag);
         step.changed.append(&mut self.unsaved);
         match event {
             Event::Configured { config } => self.configured(&mut step, config),
@@ -318,6 +324,12 @@
     }
 }
 
+/// Returns the latest time in the records, by the clocks of the leaders that wrote them.
+fn latest_time(records: &[JobRecord]) -> Millis {
+    let times = |r: &JobRecord| r.submitted_at.max(r.started_at).max(r.ended_at);
+    records.iter().map(times).max().unwrap_or_default()
+}
+
 /// Returns the resources of each member of the job.
 pub(crate) fn member_need(job: &JobState) -> Resources {
     Resources {
--- a/crates/plan/tests/guarantee.rs
+++ b/crates/plan/tests/guarantee.rs
@@ -282,3 +282,30 @@
     assert_eq!(gang.phase, Phase::Holding);
     assert_eq!(plan.job(&key("b", &moved)).unwrap().phase, Phase::Holding);
 }
+
+/// Guards against a guarantee that can't be reclaimed until the clock of a new leader has reached
+/// the time at which an earlier leader, whose clock was ahead, accepted the job.
+#[test]
+fn a_claim_that_was_dated_ahead_is_reclaimed_after_a_restore() {
+    const HOUR: u64 = 3_600_000;
+    let guarantee = shape(1, 8, Adjacency::Worker);
+    let config = config(1, &[("owner", 1, guarantee), ("other", 0, guarantee)]);
+    let mut ahead = plan_with(config.clone(), 2);
+    for title in ["a", "b"] {
+        submit_and_hold(&mut ahead, HOUR, job("other", title, guarantee));
+    }
+    let claim = job("owner", "claim", guarantee);
+    ahead.handle(Millis(HOUR), Event::Submitted { job: claim });
+    let records = ahead.records().cloned().collect();
+    let mut plan = Plan::restore(PlanCfg::default(), config, records, Millis(1));
+    for worker in workers(2) {
+        plan.handle(Millis(1), Event::WorkerUp { worker });
+    }
+    let reclaim_after = PlanCfg::default().reclaim_after.0;
+    let ticks = (1..=reclaim_after / 500 + 2).map(|i| Millis(1 + i * 500));
+    let stops = ticks.flat_map(|now| stopped_jobs(&plan.handle(now, Event::Tick)));
+    let mut stopped: Vec<String> = stops.collect();
+    // A stop without an answer is sent again.
+    stopped.dedup();
+    assert_eq!(stopped.len(), 1, "{stopped:?}");
+}
