claim: a stale read does not end a settlement

What callers would see: 504 `outcome_unknown`, or 409 `in_progress` at other entries for as long as the entry lives, for a key whose request was answered or certainly not run; an operator has to settle it by hand.

Cause: when a settlement met a conflict, the entry read the row and dropped the settlement if the row belonged to another claim. A read may be stale: it can show the `not_run` row that this claim replaced, and the entry derived from it that its claim never took effect.

The row stayed `Unknown` instead of `Completed`.

Change: versions of rows only increase, and the settlement met a conflict at its version, so a row that is not newer is stale; the settlement is tried again after the usual pause.

--- a/crates/claim/src/driver.rs
+++ b/crates/claim/src/driver.rs
@@ -213,8 +213,8 @@
     /// `found`.
     async fn outcome_for_claim_in_progress(&self, found: &Record) -> ClaimOutcome {
         if found.owner == self.shared.owner {
-            // The other claim is no longer a local claim: either it has been settled and this read
-            // is stale, or `resolve_settlement` discarded its settlement after a stale read.
+            // The other claim is no longer a local claim: it has been settled and this read is
+            // stale.
             return ClaimOutcome::Unknown;
         }
         match self.store.get(&record::member_key(found.owner)).await {
@@ -228,6 +228,11 @@
             self.pause_settlements();
             return self.requeue_settlement(settlement);
         };
+        if row.version <= settlement.version {
+            // The row has changed since it had the version of the settlement: the read is stale.
+            self.pause_settlements();
+            return self.requeue_settlement(settlement);
+        }
         let Some(found) = record::parse(&row.value) else {
             log::error!("claim: row {} is not a valid claim record", settlement.key);
             return self.remove_local_claim(&settlement.key);
--- a/crates/claim/tests/at_most_once.rs
+++ b/crates/claim/tests/at_most_once.rs
@@ -338,3 +338,41 @@
         });
     }
 }
+
+/// Guards against a lost answer: a settlement that is dropped because a stale read shows the row of
+/// an earlier claim on the key.
+#[test]
+fn a_settlement_outlives_a_stale_read() {
+    run(async {
+        let store = FaultyTable::new(MemTable::default(), 1, Faults::default());
+        let key = record::claim_key(&name("org"), "k");
+        let put = |record: &Record| {
+            let value = serde_json::to_string(record).unwrap();
+            store.table.commit(&Txn::default().put(key.clone(), value));
+        };
+        put(&Record {
+            fingerprint: fingerprint_of(b"k"),
+            owner: 9,
+            nonce: 1,
+            written_ms: Millis::ZERO,
+            state: State::NotRun,
+        });
+        let before = store.table.get(&key).unwrap();
+        let claims = start(&store, 1);
+        let ClaimOutcome::Run(ticket) = begin(&claims, "k").await else {
+            panic!("the key is free");
+        };
+        // The sweep takes the owner for dead, so that the settlement meets a conflict.
+        put(&Record {
+            state: State::Unknown,
+            ..row(&store.table, "k")
+        });
+        store.set_stale_row(before);
+        ticket.complete(answer("paid"));
+        settled(&claims).await;
+        assert_eq!(
+            row(&store.table, "k").state,
+            State::Completed(answer("paid"))
+        );
+    });
+}
--- a/crates/claim/tests/common/mod.rs
+++ b/crates/claim/tests/common/mod.rs
@@ -36,6 +36,8 @@
     script: VecDeque<Faults>,
     /// Transactions without an answer that have not taken effect yet.
     late: Vec<Txn>,
+    /// Answer of the next read of one row.
+    stale_row: Option<Row>,
     transactions: usize,
     rows: usize,
 }
@@ -47,6 +49,7 @@
             faults,
             script: VecDeque::new(),
             late: Vec::new(),
+            stale_row: None,
             transactions: 0,
             rows: 0,
         };
@@ -63,6 +66,11 @@
         self.shared.borrow_mut().script.extend(script);
     }
 
+    /// Lets the next read of one row return this older version of it.
+    pub fn set_stale_row(&self, row: Row) {
+        self.shared.borrow_mut().stale_row = Some(row);
+    }
+
     /// Number of transactions and of rows sent.
     pub fn sent(&self) -> (usize, usize) {
         let shared = self.shared.borrow();
@@ -133,6 +141,9 @@
         if self.injects(|f| f.stale_read) {
             return Ok(None);
         }
+        if let Some(row) = self.shared.borrow_mut().stale_row.take() {
+            return Ok(Some(row));
+        }
         Ok(self.table.get(key))
     }
 
