--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -26,14 +26,20 @@
 impl Plan {
     /// Handles a worker that has lost the tasks that it ran: it has crashed. Jobs that ran beside
     /// others that had just started are not suspected.
-    pub(crate) fn worker_restarted(&mut self, step: &mut Step, name: &Name, alive_until: Millis) {
+    pub(crate) fn worker_restarted(&mut self, step: &mut Step, name: &Name, silent: Millis) {
         let Some(worker) = self.workers.find(name) else {
             return;
         };
         let running = |id: &JobId| self.jobs.get(*id).rec.phase == Phase::Running;
         let jobs: Vec<JobId> = self.workers.jobs_on(worker);
         let jobs: Vec<JobId> = jobs.into_iter().filter(running).collect();
-        let age = |id: &JobId| alive_until.since(self.jobs.get(*id).phase_since);
+        let alive_until = step.now.since(silent);
+        // After a restore the phase began before `phase_since`, and `started_at` is by the wall clock
+        // of another leader, which may be ahead.
+        let age = |id: &JobId| {
+            let job = self.jobs.get(*id);
+            alive_until.since(job.phase_since.min(job.rec.started_at))
+        };
         let fresh = jobs.iter().copied().filter(|id| age(id) < PROVING_TIME);
         let fresh: Vec<JobId> = fresh.collect();
         let (suspects, weight) = match (&fresh[..], &jobs[..]) {
--- a/crates/sched/src/restore.rs
+++ b/crates/sched/src/restore.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use base::clock;
 use derive_more::{Display, Error, From};
 use member::rows::RevisionRow;
 use plan::record::JobRecord;
@@ -13,6 +14,8 @@
     ctx::Cx,
     leader::Leader,
     records,
+    row_ages::RowAges,
+    rows,
     state::{State, StoredRecord},
 };
 
@@ -47,8 +50,10 @@
     check_takeover(cx, leader).await?;
     let (config, rev) = read_config(cx).await?;
     let audits = config::read_audits(cx, config.revision).await?;
-    let (jobs, set_aside) = read_jobs(cx).await?;
+    let ages = read_ages(cx).await?;
+    let (jobs, set_aside) = read_jobs(cx, &ages).await?;
     let mut state = State::new(cx.cfg.workers);
+    state.ages = ages;
     state.set_aside = set_aside;
     cx.raise_revision(config.revision);
     leader.config.restore(rev, audits);
@@ -94,7 +99,7 @@
 
 /// Reads the jobs, and returns the sorted keys of malformed rows apart: if they failed the restore,
 /// one of them would end the leadership of every process.
-async fn read_jobs(cx: &Cx) -> Result<(Vec<StoredRecord>, Vec<Key>), RestoreError> {
+async fn read_jobs(cx: &Cx, ages: &RowAges) -> Result<(Vec<StoredRecord>, Vec<Key>), RestoreError> {
     let rows = scan(cx, "job/").await?;
     confirm(cx, &checks(&rows)).await?;
     let mut jobs = Vec::with_capacity(rows.len());
@@ -103,6 +108,7 @@
         match serde_json::from_str::<JobRecord>(&row.value) {
             Ok(record) => jobs.push(StoredRecord {
                 version: row.version,
+                written_by: ages.written_by(clock::now(), row.version),
                 record,
             }),
             Err(e) => {
@@ -114,6 +120,15 @@
     Ok((jobs, set_aside))
 }
 
+/// Reads the ages of rows that earlier leaders measured.
+async fn read_ages(cx: &Cx) -> Result<RowAges, RestoreError> {
+    let key = rows::ages_key(&cx.cfg.shard);
+    let row = cx.table.get(&key).await?;
+    let version = row.as_ref().map_or(0, |r| r.version);
+    confirm(cx, &[Check { key, version }]).await?;
+    Ok(RowAges::read(row.as_ref(), clock::now()))
+}
+
 /// Reads all rows whose keys have the prefix, page by page.
 pub(crate) async fn scan(cx: &Cx, prefix: &str) -> Result<Vec<Row>, StoreError> {
     let mut rows: Vec<Row> = Vec::new();
