batch: a draining worker's remaining time counts from its entry, not from the read

What callers would see: work on a draining worker that saves checkpoints is lost and done again, because the stop comes after the worker has left. `remaining-ms` holds for the moment when the worker wrote its entry. The scheduler counted it from the moment when it first read the entry. A leader that has followed the list is late by one read of 0.8 s, which the lead time of 2 s allows for. A new leader is late by the age of the entry as well: up to a heartbeat, and by as long as the workers can't reach the store.

Cause: a time that a new leader derives from its own start instead of reading it.

Evidence: a_new_leader_stops_work_on_a_draining_worker_in_time failed before (0 stops 2.0 s before the shutdown, entry 1.5 s old at the takeover).

Change: each report shows the worker's clock, and the entry names the time on it at which it was written, so the age of the entry is known. The shutdown time is the earliest that an entry and its age give. Without a clock it is counted as before.

--- a/crates/batch/src/evacuation.rs
+++ b/crates/batch/src/evacuation.rs
@@ -63,7 +63,8 @@
         !ends_in_time && (is_late || !step.checkpoints)
     }
 
-    /// Updates the shutdown time of a worker, counted from when it was first seen draining.
+    /// Updates the shutdown time of a worker. The remaining time in its entry counts from when the
+    /// worker wrote the entry; until a report shows its clock, from when the entry was first read.
     pub(crate) fn update_shutdown_time(&mut self, id: &Text, now: Millis) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -77,10 +78,19 @@
             return;
         };
         let remaining = info.remaining.unwrap_or_default();
+        let age = worker.entry_age(now).unwrap_or_default();
+        let shutdown_at = now + remaining.since(age);
         if worker.shutdown_at.is_none() {
-            log::info!(worker:% = id, remaining_ms = remaining.0; "batch: worker is draining");
-            worker.shutdown_at = Some(now + remaining);
+            log::info!(
+                worker:% = id, remaining_ms = remaining.0, entry_age_ms = age.0;
+                "batch: worker is draining"
+            );
         }
+        worker.shutdown_at = Some(
+            worker
+                .shutdown_at
+                .map_or(shutdown_at, |t| t.min(shutdown_at)),
+        );
     }
 }
 
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -149,6 +149,7 @@
             return;
         };
         worker.alive_until = now;
+        worker.clock = (report.clock > Millis::ZERO).then_some((report.clock, now));
         let life = worker.incarnation;
         self.unexplained_losses
             .retain(|l| &*l.id != id || l.incarnation != life);
@@ -167,6 +168,7 @@
         }
         self.count_unexpected_runs(id, report);
         self.resolve_missing_runs(id, report, sent, now);
+        self.update_shutdown_time(&id.into(), now);
     }
 
     fn handle_running(&mut self, worker: &str, running: &Running, now: Millis) {
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -62,6 +62,8 @@
     pub(crate) no_work_until: Millis,
     /// Time at which a draining worker shuts down.
     pub(crate) shutdown_at: Option<Millis>,
+    /// A time on the worker's clock, and the local time when the worker reported it.
+    pub(crate) clock: Option<(Millis, Millis)>,
     /// Whether the worker currently fails to answer.
     pub(crate) unresponsive: bool,
     /// Number of outages that are at most [`OUTAGE_MEMORY`] apart.
@@ -97,6 +99,15 @@
         self.replaced = false;
         self.unexpected = Resources::default();
         self.outage = None;
+        self.clock = None;
+    }
+
+    /// Returns how old the worker's entry is by the worker's own clock; `None` if a clock is unknown.
+    pub(crate) fn entry_age(&self, now: Millis) -> Option<Millis> {
+        let (clock, at) = self.clock?;
+        let info = self.info.as_ref().filter(|i| i.clock > Millis::ZERO)?;
+        let is_current = info.incarnation == self.incarnation;
+        is_current.then(|| (clock + now.since(at)).since(info.clock))
     }
 
     pub(crate) fn has_label(&self, label: &str) -> bool {
