batch: the wait of urgent work also counts on the leader's own clock

What callers would see (RECLAIM): a job of priority 0 within its organisation's guarantee doesn't begin within `reclaim-ms` (2.9 s), although nothing near is impaired. Urgent work stops other runs once it has waited 100 ms, and urgent runs of an organisation beyond its guarantee after 900 ms. The wait was the leader's wall clock less the time of acceptance, which is the wall clock of the VM that accepted the job. If that clock is 5 s ahead, or the leader's clock steps back, the wait counts as 0 for 5 s and nothing is stopped for the job until then.

Cause: a span is derived from the wall clocks of two VMs.

Evidence: urgent_work_from_an_entry_whose_clock_is_ahead_preempts_in_time failed before (no stop 250 ms after the first pass, the accepting clock 5 s ahead).

Change: the leader notes when a pass first considered an occurrence, on the clock that counts the time since boot, and the wait is the longer of the two. A new leader starts this measure anew, so it waits 100 ms or 900 ms again at most. The order of jobs still follows the wall clock.

--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -45,7 +45,8 @@
     pub fn place(&mut self, now: Millis, wall_now: Millis) {
         self.explain_losses(now, wall_now);
         let within_guarantee = self.organisations_within_guarantee();
-        let units = self.units(&within_guarantee, wall_now);
+        self.mark_considered(now);
+        let units = self.units(&within_guarantee, now, wall_now);
         if units.is_empty() {
             return;
         }
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -128,12 +128,23 @@
 pub struct Occurrence {
     /// Subtasks by step and index.
     pub steps: Vec<Vec<Subtask>>,
+    /// Time of the first pass of this leader that considered the occurrence.
+    #[serde(skip)]
+    pub(crate) considered_at: Option<Millis>,
 }
 
 impl Occurrence {
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().flatten().all(|t| t.done)
     }
+
+    /// Returns how long the occurrence, which began at the wall-clock time `start`, has waited. The
+    /// wall clock of the entry that accepted the job may be ahead, so the time that the leader has
+    /// measured itself counts too.
+    pub(crate) fn waited(&self, start: Millis, now: Millis, wall_now: Millis) -> Millis {
+        let measured = self.considered_at.map_or(Millis::ZERO, |t| now.since(t));
+        wall_now.since(start).max(measured)
+    }
 }
 
 /// Stored progress of a job.
@@ -232,6 +243,9 @@
     pub(crate) fn new_occurrence(accepted: &AcceptedJob) -> Occurrence {
         let tasks = |count: u32| vec![Subtask::default(); count as usize];
         let steps = accepted.spec.steps.iter().map(|s| tasks(s.count)).collect();
-        Occurrence { steps }
+        Occurrence {
+            steps,
+            considered_at: None,
+        }
     }
 }
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -88,19 +88,43 @@
         next
     }
 
+    /// Records that a pass considers the open occurrences, whose wait is measured from then on.
+    pub(crate) fn mark_considered(&mut self, now: Millis) {
+        for (_, job) in self.jobs.iter_mut() {
+            if job.progress.phase.is_final() {
+                continue;
+            }
+            for occurrence in &mut job.progress.occurrences {
+                occurrence.considered_at.get_or_insert(now);
+            }
+        }
+    }
+
     /// Returns the units that may start, in order of rank.
-    pub(crate) fn units(&self, within_guarantee: &[Text], wall_now: Millis) -> Vec<Unit> {
+    pub(crate) fn units(
+        &self,
+        within_guarantee: &[Text],
+        now: Millis,
+        wall_now: Millis,
+    ) -> Vec<Unit> {
         let mut units = Vec::new();
         for job in self.jobs.values().filter(|j| !j.progress.phase.is_final()) {
             let org = job.accepted.organisation.as_ref();
             let guaranteed = org.is_some_and(|o| within_guarantee.binary_search(o).is_ok());
-            self.units_of(job, guaranteed, wall_now, &mut units);
+            self.units_of(job, guaranteed, now, wall_now, &mut units);
         }
         units.sort_by_key(|u| u.rank);
         units
     }
 
-    fn units_of(&self, job: &Job, guaranteed: bool, wall_now: Millis, units: &mut Vec<Unit>) {
+    fn units_of(
+        &self,
+        job: &Job,
+        guaranteed: bool,
+        now: Millis,
+        wall_now: Millis,
+        units: &mut Vec<Unit>,
+    ) {
         let queue = self.config.queue(&job.accepted.queue);
         let priority = queue.map_or(u32::MAX, |q| q.priority);
         let slack = queue.map_or(1.0, |q| q.slack_factor);
@@ -139,7 +163,7 @@
                         all_or_nothing: step.gang,
                         priority,
                         guaranteed,
-                        waited: wall_now.since(start),
+                        waited: occurrence.waited(start, now, wall_now),
                         isolation,
                     });
                 }
