batch, platform: a report of 500 ends doesn't show that other runs are gone

A worker returns ends that were not acknowledged 500 at a time. A run that the report lists neither as running nor as finished counted as gone, so the subtask was started again, while its end was the 501st of the list. Ends pile up while nothing can be committed: during an outage of the store, or between two leaders.

Cause: the end of a run is derived from its absence in a list that may be cut off.

Evidence: a_run_that_an_incomplete_report_leaves_out_is_not_taken_for_gone failed before (the second subtask was started again).

Change: a report says whether it is complete. One that is not settles no run of the worker's current life and repeats no start.

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -225,7 +225,8 @@
         }
     }
 
-    /// Handles the runs that the report lists neither as running nor as finished.
+    /// Handles the runs that the report lists neither as running nor as finished. The end of a run of
+    /// the worker's current life may be missing from a report that is not complete.
     fn resolve_missing_runs(&mut self, worker: &str, report: &Report, sent: Millis, now: Millis) {
         let Some(w) = self.workers.get(worker) else {
             return;
@@ -237,7 +238,7 @@
             let Some(run) = self.subtask(&id).and_then(|t| t.run.as_ref()) else {
                 continue;
             };
-            let is_settled = run.answered_at.is_some_and(|t| t < sent);
+            let is_settled = report.is_complete && run.answered_at.is_some_and(|t| t < sent);
             let is_other_incarnation =
                 run.incarnation != report.incarnation && run.placed_at.is_none_or(|t| t < sent);
             let is_gone = is_settled || (is_other_incarnation && run.state != RunState::Ordered);
@@ -247,6 +248,7 @@
                     self.remove_run(&id);
                     self.stop_gang(&id, now);
                 }
+                RunState::Adopted if !report.is_complete => {}
                 RunState::Adopted if self.phase(&id.job).is_some_and(|p| !p.is_final()) => {
                     self.order_start(&id, now);
                 }
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -78,7 +78,7 @@
 }
 
 /// Reply of a worker to a lease renewal.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Report {
     /// Time on the worker's clock.
     pub clock: Millis,
@@ -88,6 +88,21 @@
     pub running: Vec<Running>,
     /// Finished runs that were not acknowledged, by sequence number.
     pub finished: Vec<FinishedRun>,
+    /// Whether the report names all finished runs that were not acknowledged. A worker returns a
+    /// limited number of them at a time.
+    pub is_complete: bool,
+}
+
+impl Default for Report {
+    fn default() -> Self {
+        Self {
+            clock: Millis::ZERO,
+            incarnation: 0,
+            running: Vec::new(),
+            finished: Vec::new(),
+            is_complete: true,
+        }
+    }
 }
 
 /// Reply of a worker to a start order.
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -124,6 +124,7 @@
             incarnation: info.map_or(1, |i| i.incarnation),
             running: running.iter().map(|o| run(o)).collect(),
             finished,
+            ..Report::default()
         };
         let (now, wall_now) = (self.now, self.wall());
         self.scheduler
@@ -151,7 +152,7 @@
                 percent,
                 ..run(order)
             }],
-            finished: Vec::new(),
+            ..Report::default()
         };
         let (now, wall_now) = (self.now, self.wall());
         self.scheduler
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -3,8 +3,12 @@
 mod fleet;
 
 use base::clock::Millis;
-use batch::job::{AcceptedJob, Spec, Step};
-use fleet::{Fleet, START, gang, starts, step, stops};
+use batch::{
+    job::{AcceptedJob, Spec, Step},
+    progress::Phase,
+    worker::{Outcome, Report},
+};
+use fleet::{Fleet, START, finished, gang, starts, step, stops};
 
 /// Guards against work that is lost with a draining worker because the new leader counts the
 /// remaining time of the worker from its own start.
@@ -54,3 +58,33 @@
     fleet.advance(250);
     assert_eq!(stops(&fleet.plan()).len(), 1);
 }
+
+/// Guards against a second run of a subtask whose end is not in the report, because a worker lists
+/// only the first ends that were not acknowledged.
+#[test]
+fn a_run_that_an_incomplete_report_leaves_out_is_not_taken_for_gone() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(2, 1));
+    let orders = starts(&fleet.plan());
+    for order in &orders {
+        fleet.take(order);
+    }
+    let (now, wall_now) = (fleet.advance(100).now, fleet.wall());
+    let report = |is_complete, ends| Report {
+        clock: now,
+        incarnation: 1,
+        running: Vec::new(),
+        finished: ends,
+        is_complete,
+    };
+    let first = report(false, vec![finished(&orders[0], 1, Outcome::Done)]);
+    fleet
+        .scheduler
+        .handle_report("w00", &first, now, now, wall_now);
+    assert!(starts(&fleet.plan()).is_empty());
+    let second = report(true, vec![finished(&orders[1], 2, Outcome::Done)]);
+    fleet
+        .scheduler
+        .handle_report("w00", &second, now, now, wall_now);
+    assert_eq!(fleet.scheduler.phase("1"), Some(Phase::Completed));
+}
