batch: the limit of attempts stays in force when the queue is removed

The limit was looked up in the configuration of the moment. For a job whose queue the operator has removed there was none, so failures counted for nothing.

Cause: a limit is derived from the newest configuration instead of being kept with the job. A leader that loads the job later can't know it at all.

Evidence: a_job_of_a_removed_queue_keeps_its_limit_of_attempts failed before (a third start after two failures of two allowed, under a new leader with a configuration without the queue).

Change: the progress of a job holds the limit that was in force at its last start. It is used only if the queue is not configured.

--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -201,13 +201,14 @@
             listed: false,
         });
         w.add_run(id.clone(), need);
+        let queue = self.config.queue(&job.accepted.queue);
+        if let Some(queue) = queue {
+            job.progress.max_attempts = Some(queue.max_attempts);
+        }
         if job.progress.phase == Phase::Queued {
             job.progress.phase = Phase::Running;
             job.progress.at = wall_now;
-            let priority = self
-                .config
-                .queue(&job.accepted.queue)
-                .map_or(u32::MAX, |q| q.priority);
+            let priority = queue.map_or(u32::MAX, |q| q.priority);
             self.started_jobs
                 .push((priority, wall_now.since(job.accepted.at)));
         }
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -159,6 +159,10 @@
     pub at: Millis,
     /// Occurrences that have become due.
     pub occurrences: Vec<Occurrence>,
+    /// Maximum number of failed runs of a subtask when one was last started. It stays in force after
+    /// the queue is removed from the configuration.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_attempts: Option<u32>,
     /// Addresses of the workers that may have a run, by worker id. The next leader asks there whether
     /// a worker that is no longer listed has ended.
     #[serde(skip_serializing_if = "SortedMap::is_empty")]
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -320,7 +320,8 @@
         let limit = self
             .config
             .queue(&job.accepted.queue)
-            .map(|q| q.max_attempts);
+            .map(|q| q.max_attempts)
+            .or(job.progress.max_attempts);
         let is_final = job.progress.phase.is_final();
         let Some(task) = self.subtask_mut(id) else {
             return;
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -2,13 +2,16 @@
 
 mod fleet;
 
+use std::rc::Rc;
+
 use base::clock::Millis;
 use batch::{
+    config::Config,
     job::{AcceptedJob, Spec, Step},
     progress::Phase,
     worker::{Outcome, Report},
 };
-use fleet::{Fleet, START, finished, gang, starts, step, stops};
+use fleet::{Fleet, START, config, finished, gang, starts, step, stops};
 
 /// Guards against work that is lost with a draining worker because the new leader counts the
 /// remaining time of the worker from its own start.
@@ -88,3 +91,25 @@
         .handle_report("w00", &second, now, now, wall_now);
     assert_eq!(fleet.scheduler.phase("1"), Some(Phase::Completed));
 }
+
+/// Guards against starts beyond the allowed number of failures because the queue of the job is no
+/// longer configured.
+#[test]
+fn a_job_of_a_removed_queue_keeps_its_limit_of_attempts() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    let first = starts(&fleet.plan()).remove(0);
+    fleet.take(&first);
+    fleet.advance(100).finish(&first, 1, Outcome::Failed);
+    let second = starts(&fleet.plan()).remove(0);
+    fleet.restart();
+    let config = Config {
+        queues: Vec::new(),
+        ..config()
+    };
+    fleet.scheduler.configure(&Rc::new(config));
+    fleet.advance(100).report_running(&second, 1, 10);
+    fleet.finish(&second, 2, Outcome::Failed);
+    assert!(starts(&fleet.advance(5_000).plan()).is_empty());
+    assert_eq!(fleet.scheduler.phase("1"), Some(Phase::Failed));
+}
