node: a leader places nothing before it has read the configuration

What callers would see: a process that restarts at its own address takes the lease over at once, and loads the jobs beside its first read of the configuration.

Cause: what a queue may do is derived from a default while it has not been read.

Evidence: a_leader_without_the_configuration_starts_nothing failed before (a second job started while the configuration was missing).

Change: no unit is placed until the configuration has been read. Leases are renewed and ends are stored all the same, so running work goes on. A pass follows each change of the configuration at once.

--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -115,6 +115,7 @@
         let wait = pass(&cx, &leader);
         tokio::select! {
             () = leader.changed.notified() => cx::sleep(PASS_DELAY).await,
+            () = cx.config_changed.notified() => {}
             () = cx::sleep(wait) => {}
         }
     }
@@ -129,7 +130,11 @@
     // Without a valid lease no new decisions are made, because they could not be committed.
     if cx.acting().is_some() {
         scheduler.evacuate(now);
-        scheduler.place(now, wall_now);
+        // Without the configuration no queue has a priority, and each worker seems to check its
+        // capacity itself.
+        if cx.config_age().is_some() {
+            scheduler.place(now, wall_now);
+        }
     }
     let has_changes = scheduler.has_changes();
     drop(scheduler);
