node: a new leader asks at once whether the runs of its predecessor exist

What callers would see: after a change of leader, subtasks whose start was stored and not carried out begin 1.5 s later than they could. Subtasks of a job that ended or was cancelled run on for as long, if the stop was stored and not sent. Members of a gang that did start wait for the others for 3 s, the takeover itself takes up to 1.7 s of that, and then they end `alone`. Checkpoints newer than the stored ones reach the new leader late as well, so they are lost with a worker that crashes in that time.

Cause: a new leader assumes that a stored run exists until a report shows otherwise, and lets the worker delay the first report until a run ends, for up to 1.5 s, as it does with its own runs.

Evidence: a_new_leader_repeats_lost_starts_at_once failed before: started 1.510 s and 1.508 s after the first call of the new leader.

Change: the worker may not delay a report while the leader has runs there that it has adopted and not yet found in a report. This takes one more call for each worker in use and change of leader.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -275,6 +275,20 @@
         self.workers.get(worker).map_or(0, |w| w.runs.len())
     }
 
+    /// Returns whether an earlier leader placed runs on a worker that has not reported since.
+    ///
+    /// ```
+    /// assert!(!batch::scheduler::JobScheduler::default().has_adopted_runs("w"));
+    /// ```
+    pub fn has_adopted_runs(&self, worker: &str) -> bool {
+        let runs = self.workers.get(worker).map(|w| &w.runs);
+        let mut tasks = runs.into_iter().flatten().map(|(task, _)| task);
+        tasks.any(|t| {
+            self.run_of(t)
+                .is_some_and(|(r, _)| r.state == RunState::Adopted)
+        })
+    }
+
     /// Returns the organisation of a job.
     ///
     /// ```
--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use cluster::{API_KEY, Cluster, TIMEOUT, config};
+use cluster::{API_KEY, Cluster, TIMEOUT, config, proxy::Mode};
 use common::wait_until;
 
 /// Guards against decisions by a restarted leader that has not read the configuration: it would
@@ -34,3 +34,21 @@
     cluster.store.put("op", "config", &config(2, &[API_KEY]));
     cluster.wait_for_state(0, 2, "completed");
 }
+
+/// Guards against a start that was stored and not carried out, and that the next leader repeats only
+/// after the worker has delayed its first report.
+#[test]
+fn a_new_leader_repeats_lost_starts_at_once() {
+    let mut cluster = Cluster::start_behind_proxies("takeover-starts", 2, 1, 500);
+    cluster.worker_proxies[0].set(Mode::DropAll);
+    let leader = cluster.leader();
+    assert_eq!(cluster.submit(1 - leader, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(1 - leader, 1, "running");
+    cluster.nodes[leader].kill();
+    cluster.worker_proxies[0].set(Mode::Forward);
+    cluster.wait_for_state(1 - leader, 1, "completed");
+    let worker = &cluster.workers[0];
+    let runs = worker.runs();
+    let delay = runs[0].started.duration_since(worker.led_since());
+    assert!(delay < Duration::from_secs(1), "started after {delay:?}");
+}
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -257,16 +257,27 @@
     granted.unwrap_or_default().max(before)
 }
 
+/// Returns for how long the worker may delay its reply to a renewal. Of runs that an earlier leader
+/// placed, only a report tells whether they have started.
+fn report_delay(leader: &Leader, worker: &Text) -> Millis {
+    let scheduler = leader.scheduler.borrow();
+    if scheduler.runs_on(worker) > 0 && !scheduler.has_adopted_runs(worker) {
+        HOLD_TIME
+    } else {
+        Millis::ZERO
+    }
+}
+
 /// Renews the lease once.
 async fn renew(cx: &Cx, leader: &Rc<Leader>, target: &Target) -> Result<(), Failure> {
     let worker = &target.id;
     let sent = clock::now();
     let acked = unsent_ack(leader, worker);
-    let has_runs = leader.scheduler.borrow().runs_on(worker) > 0;
+    let wait = report_delay(leader, worker);
     let call = Renewal {
         lease_end: renewed_lease_end(cx, leader, worker),
         acked: acked.map_or(0, |(_, seq)| seq),
-        wait: if has_runs { HOLD_TIME } else { Millis::ZERO },
+        wait,
     };
     match cx
         .workers
