batch: an entry that a new leader reads first is not recent for that reason

What callers would see (LIMIT): a worker that starts whatever it is told to gets work beyond its capacity. Such a worker gets work only while its entry in the VM list is at most two heartbeats old, because an older one may name a capacity that has shrunk since. The age was counted from the time when the leader first read the entry, so after each change of leader all entries counted as recent for 3 s, also those that were as old as an outage of the store.

Cause: an age that a new leader derives from its own start.

Evidence: a_new_leader_does_not_take_an_old_entry_for_a_recent_one failed before (a start at the first pass, 60 s after the entry was written).

Change: the age counts from the time when the leader saw the entry change, or from the read before if the worker was not in that list. Of an entry of the leader's first list only the clock in a report tells the age. Services whose workers check their capacity are not affected; the others get new work one heartbeat and one read of the list after a change of leader. In tests/capacity.rs the fleet of unchecked workers now writes each entry a second time before the tests begin; the checks are the same.

--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -31,8 +31,21 @@
         capacity.unwrap_or_default().saturating_sub(self.used())
     }
 
-    /// Replaces the entry of the VM list.
-    pub(crate) fn update_entry(&mut self, info: WorkerInfo, now: Millis) {
+    /// Returns the age of the entry. Of an entry that this leader has not seen change, only a report
+    /// tells it.
+    fn known_entry_age(&self, now: Millis) -> Option<Millis> {
+        let since_change = self.entry_changed_at.map(|t| now.since(t));
+        since_change.or_else(|| self.entry_age(now))
+    }
+
+    /// Replaces the entry of the VM list. The list before was read at `last_read`; it did not name a
+    /// worker that is new in this one.
+    pub(crate) fn update_entry(
+        &mut self,
+        info: WorkerInfo,
+        last_read: Option<Millis>,
+        now: Millis,
+    ) {
         if let Some(capacity) = self.last_capacity.replace(info.capacity)
             && capacity != info.capacity
         {
@@ -42,9 +55,11 @@
             );
         }
         // An entry without a clock counts as new whenever the list is read.
-        if info.clock == Millis::ZERO || self.entry_clock != Some(info.clock) {
-            self.entry_clock = Some(info.clock);
-            self.entry_changed_at = now;
+        let before = self.entry_clock.replace(info.clock);
+        if info.clock == Millis::ZERO || before.is_some_and(|t| t != info.clock) {
+            self.entry_changed_at = Some(now);
+        } else if before.is_none() {
+            self.entry_changed_at = last_read;
         }
         self.address = info.address.clone();
         self.machine.clone_from(&info.machine);
@@ -72,7 +87,10 @@
         let unchecked = &self.config.services_without_admission_check;
         let heartbeat = self.worker_heartbeat.unwrap_or(DEFAULT_HEARTBEAT);
         let max_age = Millis(heartbeat.0 * MAX_ENTRY_AGE);
-        !unchecked.contains(&info.service) || now.since(worker.entry_changed_at) <= max_age
+        !unchecked.contains(&info.service)
+            || worker
+                .known_entry_age(now)
+                .is_some_and(|age| age <= max_age)
     }
 
     /// Returns whether a start order still fits on its worker. The capacity may have shrunk while the
@@ -96,7 +114,7 @@
         if !fits {
             log::info!(
                 task:%, worker:%, capacity:? = info.capacity, used:? = w.used(),
-                entry_age_ms = now.since(w.entry_changed_at).0;
+                entry_age_ms = w.known_entry_age(now).map(|a| a.0);
                 "batch: start no longer fits"
             );
         }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -81,6 +81,8 @@
     pub(crate) outages: Vec<Outage>,
     /// Workers whose lease expired for an unknown reason.
     pub(crate) unexplained_losses: Vec<LostWorker>,
+    /// Time when the VM list was last read.
+    pub(crate) list_read_at: Option<Millis>,
     /// Whether a VM list was read that has not been compared with these losses.
     pub(crate) has_new_list: bool,
     pub(crate) step_tickets: SortedMap<StepId, StepTickets>,
@@ -356,6 +358,7 @@
             };
             worker.info = None;
         }
+        let last_read = self.list_read_at.replace(now);
         for info in infos {
             let worker = self.workers.get_or_default(info.id.clone());
             if worker.incarnation == 0
@@ -364,7 +367,7 @@
                 worker.start_life(info.incarnation);
             }
             let id = info.id.clone();
-            worker.update_entry(info, now);
+            worker.update_entry(info, last_read, now);
             self.update_shutdown_time(&id, now);
         }
         self.has_new_list = true;
--- a/crates/batch/tests/capacity.rs
+++ b/crates/batch/tests/capacity.rs
@@ -16,6 +16,11 @@
         ..config()
     };
     fleet.scheduler.configure(&Rc::new(config));
+    // Each worker writes another entry after the first read of the list.
+    for i in 0..workers {
+        let worker = fleet.infos[i].id.clone();
+        fleet.resize(&worker, 8);
+    }
     fleet
 }
 
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -113,3 +113,20 @@
     assert!(starts(&fleet.advance(5_000).plan()).is_empty());
     assert_eq!(fleet.scheduler.phase("1"), Some(Phase::Failed));
 }
+
+/// Guards against a start beyond the capacity of a worker without an admission check whose entry
+/// was old before the new leader read it.
+#[test]
+fn a_new_leader_does_not_take_an_old_entry_for_a_recent_one() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    fleet.advance(60_000).restart();
+    let config = Config {
+        services_without_admission_check: vec!["svc".into()],
+        ..config()
+    };
+    fleet.scheduler.configure(&Rc::new(config));
+    assert!(starts(&fleet.plan()).is_empty());
+    fleet.advance(800).resize("w00", 8);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+}
