batch: a new leader doesn't take running urgent work for a burst

What callers would see: after a change of leader on full racks, deferrable jobs wait for some seconds beside idle accelerators, up to a quarter of all. The reserve for bursts follows the mean and the deviation of the urgent load. Both began at 0, so the first look at the load counted as a deviation as large as the load, which fades with a time constant of 5 s.

Cause: an average that a new leader derives from a load of 0 that it never saw.

Evidence: a_new_leader_reserves_nothing_for_a_steady_load failed before (an idle worker was kept free for a load that had not changed for 60 s).

Change: the first look sets the mean and leaves the deviation at 0.

--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -25,14 +25,18 @@
     mean: f64,
     /// Mean absolute deviation from the mean.
     deviation: f64,
-    updated_at: Millis,
+    /// Time of the last update; `None` before the first one of this leader.
+    updated_at: Option<Millis>,
 }
 
 impl UrgentLoad {
     /// Updates the averages with the load since the last call.
     fn observe(&mut self, load: f64, now: Millis) {
-        let elapsed = now.since(self.updated_at).0 as f64 / TIME_CONSTANT.0 as f64;
-        self.updated_at = now;
+        let Some(updated_at) = self.updated_at.replace(now) else {
+            self.mean = load;
+            return;
+        };
+        let elapsed = now.since(updated_at).0 as f64 / TIME_CONSTANT.0 as f64;
         let weight = 1.0 - (-elapsed).exp();
         self.deviation += weight * ((load - self.mean).abs() - self.deviation);
         self.mean += weight * (load - self.mean);
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -130,3 +130,19 @@
     fleet.advance(800).resize("w00", 8);
     assert_eq!(starts(&fleet.plan()).len(), 1);
 }
+
+/// Guards against accelerators that a new leader keeps free because it takes the urgent work that
+/// runs already for a burst.
+#[test]
+fn a_new_leader_reserves_nothing_for_a_steady_load() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("urgent", 0, gang(3, 8));
+    let urgent = starts(&fleet.plan());
+    assert_eq!(urgent.len(), 3);
+    fleet.advance(60_000).restart();
+    for order in &urgent {
+        fleet.report_running(order, 1, 10);
+    }
+    fleet.submit("low", 1, step(1, 8));
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+}
