--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -45,7 +45,8 @@
     pub fn place(&mut self, now: Millis, wall_now: Millis) {
         self.explain_losses(now, wall_now);
         let within_guarantee = self.organisations_within_guarantee();
-        let units = self.units(&within_guarantee, wall_now);
+        self.mark_considered(now);
+        let units = self.units(&within_guarantee, now, wall_now);
         if units.is_empty() {
             return;
         }
@@ -200,13 +201,14 @@
             listed: false,
         });
         w.add_run(id.clone(), need);
+        let queue = self.config.queue(&job.accepted.queue);
+        if let Some(queue) = queue {
+            job.progress.max_attempts = Some(queue.max_attempts);
+        }
         if job.progress.phase == Phase::Queued {
             job.progress.phase = Phase::Running;
             job.progress.at = wall_now;
-            let priority = self
-                .config
-                .queue(&job.accepted.queue)
-                .map_or(u32::MAX, |q| q.priority);
+            let priority = queue.map_or(u32::MAX, |q| q.priority);
             self.started_jobs
                 .push((priority, wall_now.since(job.accepted.at)));
         }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -81,6 +81,8 @@
     pub(crate) outages: Vec<Outage>,
     /// Workers whose lease expired for an unknown reason.
     pub(crate) unexplained_losses: Vec<LostWorker>,
+    /// Time when the VM list was last read.
+    pub(crate) list_read_at: Option<Millis>,
     /// Whether a VM list was read that has not been compared with these losses.
     pub(crate) has_new_list: bool,
     pub(crate) step_tickets: SortedMap<StepId, StepTickets>,
@@ -275,6 +277,20 @@
         self.workers.get(worker).map_or(0, |w| w.runs.len())
     }
 
+    /// Returns whether an earlier leader placed runs on a worker that has not reported since.
+    ///
+    /// ```
+    /// assert!(!batch::scheduler::JobScheduler::default().has_adopted_runs("w"));
+    /// ```
+    pub fn has_adopted_runs(&self, worker: &str) -> bool {
+        let runs = self.workers.get(worker).map(|w| &w.runs);
+        let mut tasks = runs.into_iter().flatten().map(|(task, _)| task);
+        tasks.any(|t| {
+            self.run_of(t)
+                .is_some_and(|(r, _)| r.state == RunState::Adopted)
+        })
+    }
+
     /// Returns the organisation of a job.
     ///
     /// ```
@@ -342,6 +358,7 @@
             };
             worker.info = None;
         }
+        let last_read = self.list_read_at.replace(now);
         for info in infos {
             let worker = self.workers.get_or_default(info.id.clone());
             if worker.incarnation == 0
@@ -350,7 +367,7 @@
                 worker.start_life(info.incarnation);
             }
             let id = info.id.clone();
-            worker.update_entry(info, now);
+            worker.update_entry(info, last_read, now);
             self.update_shutdown_time(&id, now);
         }
         self.has_new_list = true;
