--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -128,12 +128,23 @@
 pub struct Occurrence {
     /// Subtasks by step and index.
     pub steps: Vec<Vec<Subtask>>,
+    /// Time of the first pass of this leader that considered the occurrence.
+    #[serde(skip)]
+    pub(crate) considered_at: Option<Millis>,
 }
 
 impl Occurrence {
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().flatten().all(|t| t.done)
     }
+
+    /// Returns how long the occurrence, which began at the wall-clock time `start`, has waited. The
+    /// wall clock of the entry that accepted the job may be ahead, so the time that the leader has
+    /// measured itself counts too.
+    pub(crate) fn waited(&self, start: Millis, now: Millis, wall_now: Millis) -> Millis {
+        let measured = self.considered_at.map_or(Millis::ZERO, |t| now.since(t));
+        wall_now.since(start).max(measured)
+    }
 }
 
 /// Stored progress of a job.
@@ -146,8 +157,16 @@
     pub queue: Text,
     /// Wall-clock time when the current phase began.
     pub at: Millis,
+    /// Time of the end by the clock of the store; `None` before the end is stored, and in rows of
+    /// earlier versions.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ended_at: Option<Millis>,
     /// Occurrences that have become due.
     pub occurrences: Vec<Occurrence>,
+    /// Maximum number of failed runs of a subtask when one was last started. It stays in force after
+    /// the queue is removed from the configuration.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_attempts: Option<u32>,
     /// Addresses of the workers that may have a run, by worker id. The next leader asks there whether
     /// a worker that is no longer listed has ended.
     #[serde(skip_serializing_if = "SortedMap::is_empty")]
@@ -232,6 +251,9 @@
     pub(crate) fn new_occurrence(accepted: &AcceptedJob) -> Occurrence {
         let tasks = |count: u32| vec![Subtask::default(); count as usize];
         let steps = accepted.spec.steps.iter().map(|s| tasks(s.count)).collect();
-        Occurrence { steps }
+        Occurrence {
+            steps,
+            considered_at: None,
+        }
     }
 }
--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -25,7 +25,8 @@
     mean: f64,
     /// Mean absolute deviation from the mean.
     deviation: f64,
-    updated_at: Millis,
+    /// Time of the last update; `None` before the first one of this leader.
+    updated_at: Option<Millis>,
     /// Last time at which an urgent run existed.
     last_load_at: Millis,
 }
@@ -39,13 +40,16 @@
             self.last_load_at = now;
         } else if now.since(self.last_load_at) >= TIME_CONSTANT {
             *self = Self {
-                updated_at: now,
+                updated_at: Some(now),
                 ..Self::default()
             };
             return;
         }
-        let elapsed = now.since(self.updated_at).0 as f64 / TIME_CONSTANT.0 as f64;
-        self.updated_at = now;
+        let Some(updated_at) = self.updated_at.replace(now) else {
+            self.mean = load;
+            return;
+        };
+        let elapsed = now.since(updated_at).0 as f64 / TIME_CONSTANT.0 as f64;
         let weight = 1.0 - (-elapsed).exp();
         self.deviation += weight * ((load - self.mean).abs() - self.deviation);
         self.mean += weight * (load - self.mean);
--- /dev/null
+++ b/crates/cli/tests/takeover.rs
@@ -0,0 +1,54 @@
+//! Takeovers by real nodes: what a new leader reads before it decides.
+
+mod cluster;
+mod common;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use cluster::{API_KEY, Cluster, TIMEOUT, config, proxy::Mode};
+use common::wait_until;
+
+/// Guards against decisions by a restarted leader that has not read the configuration: it would
+/// know neither the priorities of the queues nor which workers check their capacity.
+#[test]
+fn a_leader_without_the_configuration_starts_nothing() {
+    let mut cluster = Cluster::start("takeover-config", 1, 1, 1_500);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "running");
+    assert_eq!(cluster.submit(0, 2, 1, false).unwrap().status, 200);
+    cluster.nodes[0].kill();
+    cluster.store.delete("op", "config");
+    cluster.nodes[0].restart();
+    wait_until("the first job is done", TIMEOUT, || {
+        let row = cluster.store.get("phases", &format!("{:016x}", 1))?;
+        (row["phase"] == "completed").then_some(())
+    });
+    let until = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < until {
+        assert_eq!(cluster.workers[0].runs().len(), 1, "nothing else starts");
+        thread::sleep(Duration::from_millis(20));
+    }
+    cluster.store.put("op", "config", &config(2, &[API_KEY]));
+    cluster.wait_for_state(0, 2, "completed");
+}
+
+/// Guards against a start that was stored and not carried out, and that the next leader repeats only
+/// after the worker has delayed its first report.
+#[test]
+fn a_new_leader_repeats_lost_starts_at_once() {
+    let mut cluster = Cluster::start_behind_proxies("takeover-starts", 2, 1, 500);
+    cluster.worker_proxies[0].set(Mode::DropAll);
+    let leader = cluster.leader();
+    assert_eq!(cluster.submit(1 - leader, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(1 - leader, 1, "running");
+    cluster.nodes[leader].kill();
+    cluster.worker_proxies[0].set(Mode::Forward);
+    cluster.wait_for_state(1 - leader, 1, "completed");
+    let worker = &cluster.workers[0];
+    let runs = worker.runs();
+    let delay = runs[0].started.duration_since(worker.led_since());
+    assert!(delay < Duration::from_secs(1), "started after {delay:?}");
+}
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -45,6 +45,9 @@
     /// Jobs whose rows in the table of jobs are deleted and whose rows written by the leader are to
     /// be deleted.
     pub(crate) deleted_jobs: RefCell<Vec<Text>>,
+    /// Jobs whose rows in the table of jobs were deleted since the last read of that table, with the
+    /// version of the deletion.
+    pub(crate) removed_jobs: RefCell<SortedMap<Text, u64>>,
     /// Version and sequence number of the last commit.
     pub(crate) chain: Cell<(u64, u64)>,
     /// Notified when something changed that requires a pass.
@@ -68,6 +71,7 @@
             stored_phases: RefCell::default(),
             progress_rows: RefCell::default(),
             deleted_jobs: RefCell::default(),
+            removed_jobs: RefCell::default(),
             chain: Cell::default(),
             changed: Notify::new(),
             dirty: Notify::new(),
@@ -115,6 +119,7 @@
         let wait = pass(&cx, &leader);
         tokio::select! {
             () = leader.changed.notified() => cx::sleep(PASS_DELAY).await,
+            () = cx.config_changed.notified() => {}
             () = cx::sleep(wait) => {}
         }
     }
@@ -129,7 +134,11 @@
     // Without a valid lease no new decisions are made, because they could not be committed.
     if cx.acting().is_some() {
         scheduler.evacuate(now);
-        scheduler.place(now, wall_now);
+        // Without the configuration no queue has a priority, and each worker seems to check its
+        // capacity itself.
+        if cx.config_age().is_some() {
+            scheduler.place(now, wall_now);
+        }
     }
     let has_changes = scheduler.has_changes();
     drop(scheduler);
