node: sums of ends, passes and gaps of the lease

Change: leader: activity, at most once a second, with the ends by outcome and the longest pass; leader: valid lease again with the length of the gap; node_run_ends_total, node_pass_seconds, node_lease_gap_seconds.

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -273,6 +273,7 @@
         if !current {
             return;
         }
+        self.run_ends.push(finished.outcome);
         if let Some(task) = self.subtask_mut(id)
             && !finished.checkpoint.is_empty()
         {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -12,7 +12,7 @@
     policy::{PolicyRequest, StepId, StepTickets},
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
-    worker::{Action, Order, WorkerInfo},
+    worker::{Action, Order, Outcome, WorkerInfo},
     worker_end::{LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
 };
@@ -77,6 +77,8 @@
     pub(crate) worker_heartbeat: Option<Millis>,
     pub(crate) started_jobs: Vec<(u32, Millis)>,
     pub(crate) worker_ends: Vec<WorkerEnd>,
+    /// Outcomes of the runs that workers reported as finished.
+    pub(crate) run_ends: Vec<Outcome>,
     /// Recent outages of workers.
     pub(crate) outages: Vec<Outage>,
     /// Workers whose lease expired for an unknown reason.
@@ -207,6 +209,15 @@
         unlisted.map(entry).collect()
     }
 
+    /// Returns the outcomes of the runs that workers reported as finished since the last call.
+    ///
+    /// ```
+    /// assert!(batch::scheduler::JobScheduler::default().take_run_ends().is_empty());
+    /// ```
+    pub fn take_run_ends(&mut self) -> Vec<Outcome> {
+        std::mem::take(&mut self.run_ends)
+    }
+
     /// Returns the requests to the policy service since the last call. They change no stored state,
     /// so they need no commit.
     ///
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -49,6 +49,24 @@
     Alone,
 }
 
+impl Outcome {
+    /// Returns the name, a label of metrics and a field of log lines.
+    ///
+    /// ```
+    /// assert_eq!(batch::worker::Outcome::Lapsed.name(), "lapsed");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+        }
+    }
+}
+
 /// A run that a worker reports as running.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Running {
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    activity::Activity,
     commit,
     cx::{self, Cx},
     intake, load, policy, retention, worker_list,
@@ -111,8 +112,11 @@
     rt::spawn(worker_list::poll(cx.clone(), leader.clone())).detach();
     rt::spawn(commit::run(cx.clone(), leader.clone())).detach();
     rt::spawn(retention::run(cx.clone(), leader.clone())).detach();
+    let mut activity = Activity::default();
     while !leader.ended.get() {
+        let started = clock::now();
         let wait = pass(&cx, &leader);
+        activity.record(&cx, &leader, started);
         tokio::select! {
             () = leader.changed.notified() => cx::sleep(PASS_DELAY).await,
             () = cx::sleep(wait) => {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! store.
 
 mod accept;
+mod activity;
 mod authorise;
 mod commit;
 mod config;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of a node, listed in docs/metrics.md.
 
 use base::clock::Millis;
-use batch::worker_end::WorkerEnd;
+use batch::{worker::Outcome, worker_end::WorkerEnd};
 use meter::Exporter;
 use opentelemetry::{
     KeyValue,
@@ -24,6 +24,9 @@
     worker_ends: Counter<u64>,
     lost_runs: Counter<u64>,
     given_up_jobs: Counter<u64>,
+    run_ends: Counter<u64>,
+    pass_seconds: Histogram<f64>,
+    lease_gap_seconds: Histogram<f64>,
     takeovers: Counter<u64>,
     store_losses: Counter<u64>,
     config_version: Gauge<u64>,
@@ -48,6 +51,9 @@
             worker_ends: exporter.counter("node_worker_ends"),
             lost_runs: exporter.counter("node_lost_runs"),
             given_up_jobs: exporter.counter("node_given_up_jobs"),
+            run_ends: exporter.counter("node_run_ends"),
+            pass_seconds: exporter.latency_histogram("node_pass_seconds"),
+            lease_gap_seconds: exporter.latency_histogram("node_lease_gap_seconds"),
             takeovers: exporter.counter("node_takeovers"),
             store_losses: exporter.counter("node_store_losses"),
             config_version: exporter.gauge("node_config_version"),
@@ -102,6 +108,22 @@
         self.given_up_jobs.add(u64::from(end.gave_up), &[]);
     }
 
+    /// Counts the end of a run that its worker reported.
+    pub(crate) fn count_run_end(&self, outcome: Outcome) {
+        let label = [KeyValue::new("outcome", outcome.name())];
+        self.run_ends.add(1, &label);
+    }
+
+    /// Records the duration of a scheduling pass.
+    pub(crate) fn record_pass(&self, took: Millis) {
+        self.pass_seconds.record(seconds(took), &[]);
+    }
+
+    /// Records a time in which the leader had no valid lease.
+    pub(crate) fn record_lease_gap(&self, gap: Millis) {
+        self.lease_gap_seconds.record(seconds(gap), &[]);
+    }
+
     /// Counts a takeover of the leadership.
     pub(crate) fn count_takeover(&self) {
         self.takeovers.add(1, &[]);
