lease: small VMs come after the ranks of larger ones

Cause: the takeovers of all candidates are spread by rank over the time of a read for each node (0.6 s and more with 148 nodes). A small VM yields by 0.7 s, so one of low rank came before larger ones of high rank.

Change: a small VM waits for the whole spread besides.

Test: a_small_vm_of_low_rank_comes_after_a_large_one_of_high_rank (failed before).

--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -348,7 +348,12 @@
             0 => self.rank_delay(),
             _ => self.cfg.take_ms + self.rank_delay(),
         };
-        let delay = takeover_delay + self.cfg.yield_ms;
+        // The candidates that do not yield come first, whatever their ranks.
+        let yielding = match self.cfg.yield_ms {
+            Millis::ZERO => Millis::ZERO,
+            yield_ms => yield_ms + self.spread,
+        };
+        let delay = takeover_delay + yielding;
         if now.since(since) < delay {
             let remaining = delay.since(now.since(since));
             w.next = w.next.min(now + remaining);
--- a/crates/lease/tests/takeover_delay.rs
+++ b/crates/lease/tests/takeover_delay.rs
@@ -56,28 +56,54 @@
     }
 }
 
+/// Guards against a leader on a small VM while larger ones are available: with the takeovers of
+/// hundreds of candidates spread over a second, a small VM of low rank came before a large one of
+/// high rank.
+#[test]
+fn a_small_vm_of_low_rank_comes_after_a_large_one_of_high_rank() {
+    let time_to_acquire = |id: u64, yield_ms: Millis| {
+        let cfg = LeaseCfg {
+            yield_ms,
+            ..LeaseCfg::default()
+        };
+        let mut lease = Lease::new(id, cfg);
+        lease.set_spread(Millis(1_500));
+        first_transaction(&mut lease)
+    };
+    let (small, large) = (
+        time_to_acquire(0, YIELD),
+        time_to_acquire(999, Millis::ZERO),
+    );
+    assert!(large < small, "{large} {small}");
+}
+
+/// Returns the time until a candidate sends its first transaction for a lease that was released.
+fn first_transaction(lease: &mut Lease) -> u64 {
+    let start = Millis(10_000);
+    let mut now = start;
+    loop {
+        match lease.next_step(now) {
+            Step::Read => lease.complete(
+                now,
+                Outcome::Rows {
+                    lease: None,
+                    heartbeat_version: 0,
+                },
+            ),
+            Step::Wait { until } => now = until,
+            Step::Acquire { .. } => return now.since(start).0,
+            step => panic!("{step:?}"),
+        }
+    }
+}
+
 /// Returns the time until each of 40 candidates sends its first transaction for a lease that was
 /// released.
 fn first_transactions(spread: Millis) -> Vec<u64> {
     let candidate = |i: u64| {
         let mut lease = Lease::new(i.wrapping_mul(0x9e37_79b9_7f4a_7c15), LeaseCfg::default());
         lease.set_spread(spread);
-        let start = Millis(10_000);
-        let mut now = start;
-        loop {
-            match lease.next_step(now) {
-                Step::Read => lease.complete(
-                    now,
-                    Outcome::Rows {
-                        lease: None,
-                        heartbeat_version: 0,
-                    },
-                ),
-                Step::Wait { until } => now = until,
-                Step::Acquire { .. } => return now.since(start).0,
-                step => panic!("{step:?}"),
-            }
-        }
+        first_transaction(&mut lease)
     };
     (1..=40).map(candidate).collect()
 }
