store, node: pages of whole tables are not read several times at once

Cause: a read is sent again after 120 ms and given up after 480 ms, limits that follow the latency of single rows. Pages of some hundred KB share the link, so each was requested up to four times, which took the link from the first answers, and then all were dropped.

Class: a retry in parallel that adds to the load which delays the first try.

Change: pages of whole tables are sent again after 1 s and given up after 2 s, and don't count for the latency of reads.

--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -135,7 +135,7 @@
     let mut version = None;
     let mut from = String::new();
     loop {
-        let page = cx.table.read(table, &from, "").await?;
+        let page = cx.table.read_page(table, &from).await?;
         version.get_or_insert(page.version);
         let last = page.rows.last().map(|r| r.key.clone());
         rows.extend(page.rows);
--- a/crates/store/src/hedge.rs
+++ b/crates/store/src/hedge.rs
@@ -15,6 +15,12 @@
     table::{Commit, Row, StoreError, Txn, Write},
 };
 
+/// Time after which a read of many rows is sent again.
+const SECOND_PAGE_AFTER: Millis = Millis(1_000);
+/// Time after which a read of many rows is given up. An answer of 1 MB takes 0.4 s on a link of 20
+/// Mbit/s, and a leader reads several tables at once.
+const MAX_PAGE_TIME: Millis = Millis(2_000);
+
 /// Single calls to the store, each with a timeout of its own.
 pub trait Calls {
     /// Sends a transaction once and waits for the answer up to `limit`.
@@ -99,10 +105,27 @@
         }
         result
     };
-    let limit = pace.read_limit();
+    let again = || pace.second_read_after();
+    repeat(again, pace.read_limit(), || pace.record_late_read(), timed).await
+}
+
+/// Reads many rows with `attempt`, like [`read`]. How long that takes depends on the link of the VM,
+/// and a second answer on it would delay the first, so the latency of other reads limits neither.
+pub async fn read_page<T, F: Future<Output = Result<T, StoreError>>>(
+    attempt: impl Fn() -> F,
+) -> Result<T, StoreError> {
+    repeat(|| SECOND_PAGE_AFTER, MAX_PAGE_TIME, || {}, attempt).await
+}
+
+async fn repeat<T, F: Future<Output = Result<T, StoreError>>>(
+    again: impl Fn() -> Millis,
+    limit: Millis,
+    record_late: impl Fn(),
+    attempt: impl Fn() -> F,
+) -> Result<T, StoreError> {
     let mut given_up = pin::pin!(time::sleep(limit.to_duration()));
     let mut attempts = FuturesUnordered::new();
-    attempts.push(timed());
+    attempts.push(attempt());
     loop {
         tokio::select! {
             Some(result) = attempts.next() => match result {
@@ -115,11 +138,11 @@
                 let reason = format!("no complete answer in {limit}");
                 return Err(StoreError::NotDone { reason });
             }
-            () = time::sleep(pace.second_read_after().to_duration()) => {
+            () = time::sleep(again().to_duration()) => {
                 if attempts.len() == 1 {
-                    pace.record_late_read();
+                    record_late();
                 }
-                attempts.push(timed());
+                attempts.push(attempt());
             }
         }
     }
