node: the feed of jobs starts anew when the store answers again

Cause: a call of the feed that was sent during the outage is never answered, and was waited for until its timeout. The watch of the configuration ends its call when the store is lost or regained; the feed of jobs did not.

Test: jobs_start_soon_after_an_outage_of_the_store (failed before).

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::atomic::Ordering, time};
 
-use cluster::{API_KEY, Cluster, ROW_BYTES, TIMEOUT, config};
+use cluster::{API_KEY, Cluster, ROW_BYTES, TIMEOUT, config, proxy::Mode};
 use common::wait_until;
 use platform_standin::{store::Fault, worker::Worker};
 use serde_json::json;
@@ -280,6 +280,27 @@
     assert_eq!(cluster.check_runs().len(), 1);
 }
 
+/// Guards against jobs that are accepted after an outage of the store and not found by the leader
+/// until a call from before its end has timed out.
+#[test]
+fn jobs_start_soon_after_an_outage_of_the_store() {
+    let cluster = Cluster::start_behind_proxies("node-regained", 1, 2, 100);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+    cluster.store_proxies[0].set(Mode::DropAll);
+    // The feed of jobs, which answers after 2 s at the latest, is sent again during the outage.
+    std::thread::sleep(time::Duration::from_millis(3_300));
+    cluster.store_proxies[0].set(Mode::Forward);
+    wait_until("the node serves again", TIMEOUT, || {
+        cluster.submit(0, 2, 1, false).filter(|a| a.status == 200)
+    });
+    let bound = time::Duration::from_secs(1);
+    wait_until("the job starts", bound, || {
+        let runs: usize = cluster.workers.iter().map(|w| w.runs().len()).sum();
+        (runs >= 2).then_some(())
+    });
+}
+
 /// Guards against lost or duplicate work when the leader is killed repeatedly.
 #[test]
 fn jobs_survive_the_loss_of_leaders() {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -33,8 +33,12 @@
         }
         let feed = cx
             .feed_table
-            .changes(rows::JOBS, version, FEED_WAIT, FEED_TIMEOUT)
-            .await;
+            .changes(rows::JOBS, version, FEED_WAIT, FEED_TIMEOUT);
+        let feed = tokio::select! {
+            feed = feed => feed,
+            // A call that was sent before is not answered after an outage of the store.
+            () = cx.peers.changed() => continue,
+        };
         match feed {
             Ok(Changes::Rows {
                 rows,
