node: orders to one worker share a connection

Cause: each order to a worker was sent at once on a connection of its own, which stayed open for 10 s: with 1,100 workers some 5,300 descriptors. A small VM has 4,100.

Change: orders to one worker follow each other, for which each waits at most 0.1 s, so that a worker that does not answer holds up no gang. Two connections a worker are the rule: one for the renewal, one for orders.

Test: the_runs_of_a_worker_share_its_connections (failed before: 41 connections for 40 runs).

--- a/crates/cli/tests/cluster/proxy.rs
+++ b/crates/cli/tests/cluster/proxy.rs
@@ -5,7 +5,7 @@
     net,
     sync::{
         Arc,
-        atomic::{AtomicU8, Ordering},
+        atomic::{AtomicU8, AtomicUsize, Ordering},
     },
     thread, time,
 };
@@ -46,6 +46,7 @@
 pub struct Proxy {
     addr: net::SocketAddr,
     mode: Arc<AtomicU8>,
+    accepted: Arc<AtomicUsize>,
 }
 
 impl Proxy {
@@ -54,14 +55,25 @@
         let listener = net::TcpListener::bind(("127.0.0.1", 0))?;
         let addr = listener.local_addr()?;
         let mode: Arc<AtomicU8> = Arc::default();
-        let thread_mode = mode.clone();
+        let accepted: Arc<AtomicUsize> = Arc::default();
+        let (thread_mode, count) = (mode.clone(), accepted.clone());
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
+                count.fetch_add(1, Ordering::Relaxed);
                 // A connection that can't be forwarded is closed.
                 let _ = forward(&client, target, &thread_mode);
             }
         });
-        Ok(Self { addr, mode })
+        Ok(Self {
+            addr,
+            mode,
+            accepted,
+        })
+    }
+
+    /// Returns the number of connections that were opened so far.
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
     }
 
     pub fn addr(&self) -> net::SocketAddr {
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -280,6 +280,21 @@
     assert_eq!(cluster.check_runs().len(), 1);
 }
 
+/// Guards against a leader that runs out of descriptors: each run of a worker had a connection.
+#[test]
+fn the_runs_of_a_worker_share_its_connections() {
+    let cluster = Cluster::start_behind_proxies("node-connections", 1, 1, 60_000);
+    let step = json!({"count": 40, "cpu": 10, "mem-mb": 1});
+    let answer = cluster.submit_step(0, 1, "work", &step).unwrap();
+    assert_eq!(answer.status, 200);
+    wait_until("all runs start", TIMEOUT, || {
+        (cluster.workers[0].runs().len() == 40).then_some(())
+    });
+    // One renews the lease, one carries orders; a call may find the one before it still open.
+    let opened = cluster.worker_proxies[0].accepted();
+    assert!(opened <= 4, "{opened}");
+}
+
 /// Guards against jobs that are accepted after an outage of the store and not found by the leader
 /// until a call from before its end has timed out.
 #[test]
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -25,6 +25,7 @@
 }
 
 async fn send_one(cx: Cx, leader: Rc<Leader>, order: Order) {
+    let slot = worker_session::acquire_slot(&leader, &order.worker).await;
     if leader.ended.get() || cx.acting().is_none() {
         // This leader repeats the order after its next renewal, or the next leader does.
         log::info!(task:% = order.task; "orders: not sent without a valid lease");
@@ -90,6 +91,7 @@
                 .borrow_mut()
                 .handle_stop_reply(task, attempt, now);
             if open {
+                drop(slot);
                 cx::sleep(REPORT_DELAY).await;
                 worker_session::request_report(&cx, &leader, &target).await;
             }
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -1,6 +1,6 @@
 //! Sessions with workers: lease renewals, reports, and the expiry of leases.
 
-use std::{net, rc::Rc};
+use std::{net, rc::Rc, sync::Arc};
 
 use base::clock::{self, Millis};
 use batch::{
@@ -11,6 +11,7 @@
 use derive_more::Display;
 use ntex::rt;
 use platform::workers::{Renewal, Reply, Target};
+use tokio::{sync, time};
 
 use crate::{
     cx::{self, Cx},
@@ -30,6 +31,11 @@
 /// send.
 const MAX_ORDER_DELAY: Millis = Millis(150);
 
+/// Maximum time for which a call waits for the one before it to the same worker. A worker that does
+/// not answer delays its other orders by no more, so that three tries of a start still fit into the
+/// time that the members of a gang wait for each other.
+const MAX_SLOT_WAIT: Millis = Millis(100);
+
 /// Reason why a renewal failed.
 #[derive(Debug, Display)]
 enum Failure {
@@ -69,6 +75,18 @@
     acked: (u64, u64),
     /// Whether a task renews the lease.
     is_active: bool,
+    slot: Slot,
+}
+
+/// Right to send a call to a worker beside the sequential renewal. The connections of calls at the
+/// same time stay open, and a VM has no room for one for each run of all workers.
+#[derive(Clone, Debug)]
+struct Slot(Arc<sync::Semaphore>);
+
+impl Default for Slot {
+    fn default() -> Self {
+        Self(Arc::new(sync::Semaphore::new(1)))
+    }
 }
 
 impl WorkerSession {
@@ -123,6 +141,17 @@
     })
 }
 
+/// Waits until no other order is under way to the worker, or for [`MAX_SLOT_WAIT`]. The order ends
+/// when the result is dropped.
+pub(crate) async fn acquire_slot(
+    leader: &Leader,
+    worker: &Text,
+) -> Option<sync::OwnedSemaphorePermit> {
+    let slot = leader.sessions.borrow().get(worker)?.slot.clone();
+    let permit = time::timeout(MAX_SLOT_WAIT.to_duration(), slot.0.acquire_owned());
+    permit.await.ok()?.ok()
+}
+
 /// Returns the end of the lease for a start order, or `None` if the worker's clock is unknown.
 pub(crate) fn grant_lease(cx: &Cx, leader: &Leader, worker: &Text) -> Option<Millis> {
     let mut sessions = leader.sessions.borrow_mut();
@@ -278,7 +307,7 @@
             if !report.finished.is_empty() {
                 // The worker replies at once while finished runs are not acknowledged.
                 let committed = leader.committed.notified();
-                let _ = tokio::time::timeout(MAX_COMMIT_WAIT.to_duration(), committed).await;
+                let _ = time::timeout(MAX_COMMIT_WAIT.to_duration(), committed).await;
             }
             Ok(())
         }
@@ -297,6 +326,7 @@
 /// Requests one report of a worker without a delay. It neither extends the lease nor acknowledges
 /// finished runs, which is left to the sequential renewals.
 pub(crate) async fn request_report(cx: &Cx, leader: &Rc<Leader>, target: &Target) {
+    let _slot = acquire_slot(leader, &target.id).await;
     if leader.ended.get() || cx.acting().is_none() {
         return;
     }
