node, lease: workers' leases are extended before the leader's lapses

Callers lose all work that runs when an outage of the store and a takeover together outlast the leases of the workers (6 s).

Cause: each renewal waits at its worker for up to 1.5 s. When the store stops answering, the leader acts for 0.9 s at most; some workers were last renewed 1.5 s before its end, so that up to 0.9 s of their leases were gone before the outage began.

Nothing is granted beyond what the leader's own lease allows; an end on the worker's clock never shortens a lease.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -277,6 +277,17 @@
         ids.filter(|id| self.is_in_use(id)).cloned().collect()
     }
 
+    /// Returns the ids of the workers that answer and on which runs may exist.
+    ///
+    /// ```
+    /// assert!(batch::scheduler::JobScheduler::default().workers_with_runs().is_empty());
+    /// ```
+    pub fn workers_with_runs(&self) -> Vec<Text> {
+        let with_runs = |w: &Worker| !w.runs.is_empty() && !w.unresponsive;
+        let workers = self.workers.iter().filter(|(_, w)| with_runs(w));
+        workers.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns the number of runs that may exist on a worker.
     ///
     /// ```
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -280,6 +280,31 @@
     assert_eq!(cluster.check_runs().len(), 1);
 }
 
+/// Guards against runs that end during an outage of the store sooner than a lease lasts, so that
+/// nothing is left for a takeover after it.
+#[test]
+fn no_run_lapses_within_a_lease_of_the_loss_of_the_store() {
+    const WORKERS: u64 = 6;
+    let lease = time::Duration::from_secs(6);
+    let cluster = Cluster::start_behind_proxies("node-outage", 1, WORKERS as usize, 60_000);
+    // The renewals of the workers are spread over the 1.5 s for which each waits at its worker.
+    for id in 0..WORKERS {
+        assert_eq!(cluster.submit(0, id, 1, false).unwrap().status, 200);
+        cluster.wait_for_state(0, id, "running");
+        std::thread::sleep(time::Duration::from_millis(250));
+    }
+    let lost = time::Instant::now();
+    cluster.store_proxies[0].set(Mode::DropAll);
+    std::thread::sleep(lease);
+    let runs: Vec<_> = cluster.workers.iter().flat_map(Worker::runs).collect();
+    assert_eq!(runs.len() as u64, WORKERS);
+    let ended = runs.iter().filter_map(|r| r.ended);
+    let ended: Vec<_> = ended
+        .map(|(t, how)| (t.duration_since(lost), how))
+        .collect();
+    assert!(ended.is_empty(), "{ended:?}");
+}
+
 /// Guards against a leader that runs out of descriptors: each run of a worker had a connection.
 #[test]
 fn the_runs_of_a_worker_share_its_connections() {
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -171,6 +171,24 @@
         }
     }
 
+    /// Returns the time from which the lease `held` may lapse: a renewal is late by a whole
+    /// interval. Returns `None` if it is not held any more.
+    ///
+    /// ```
+    /// # use lease::machine::{Held, Lease};
+    /// let lease = Lease::new(1, lease::lease_cfg::LeaseCfg::default());
+    /// assert!(lease.at_risk_from(Held { fence: 1, version: 1 }).is_none());
+    /// ```
+    pub fn at_risk_from(&self, held: Held) -> Option<Millis> {
+        match &self.state {
+            State::Holding(h) if h.held == held => {
+                let late = Millis(2 * self.cfg.renew_ms.0);
+                Some(h.renewed_at + late.min(self.cfg.hold_ms))
+            }
+            _ => None,
+        }
+    }
+
     /// Returns the lease if no other holder is known, regardless of the age of the last renewal.
     ///
     /// ```
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -18,7 +18,7 @@
     activity::Activity,
     commit,
     cx::{self, Cx},
-    intake, load, policy, retention, worker_list,
+    extension, intake, load, policy, retention, worker_list,
     worker_session::{self, WorkerSession},
 };
 
@@ -111,6 +111,7 @@
     rt::spawn(intake::watch(cx.clone(), leader.clone(), version)).detach();
     rt::spawn(worker_list::poll(cx.clone(), leader.clone())).detach();
     rt::spawn(commit::run(cx.clone(), leader.clone())).detach();
+    rt::spawn(extension::run(cx.clone(), leader.clone())).detach();
     rt::spawn(retention::run(cx.clone(), leader.clone())).detach();
     let mut activity = Activity::default();
     while !leader.ended.get() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod config;
 mod cx;
 mod dump;
+mod extension;
 mod front;
 mod intake;
 mod leader;
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -19,7 +19,7 @@
 };
 
 /// Time for which a worker delays its reply to a renewal while no run finishes there.
-const HOLD_TIME: Millis = Millis(1_500);
+pub(crate) const HOLD_TIME: Millis = Millis(1_500);
 /// Time allowed for the reply in addition to the requested delay.
 const ANSWER_TIME: Millis = Millis(700);
 /// Delay after a failed renewal.
@@ -323,6 +323,30 @@
     }
 }
 
+/// Extends the lease of a worker at once, beside the sequential renewal, if the worker answers.
+pub(crate) async fn extend_lease(cx: &Cx, leader: &Rc<Leader>, worker: &Text) {
+    let _slot = acquire_slot(leader, worker).await;
+    if leader.ended.get() || cx.acting().is_none() {
+        return;
+    }
+    let (Some(target), Some(end)) = (
+        target(leader, worker),
+        renewed_lease_end(cx, leader, worker),
+    ) else {
+        return;
+    };
+    let sent = clock::now();
+    let call = Renewal {
+        lease_end: Some(end),
+        acked: 0,
+        wait: Millis::ZERO,
+    };
+    match cx.workers.renew(&target, call, ANSWER_TIME).await {
+        Reply::Done(report) => handle_report(leader, worker, &report, sent, None),
+        reply => log::debug!(worker:%, reply:?; "workers: lease not extended"),
+    }
+}
+
 /// Requests one report of a worker without a delay. It neither extends the lease nor acknowledges
 /// finished runs, which is left to the sequential renewals.
 pub(crate) async fn request_report(cx: &Cx, leader: &Rc<Leader>, target: &Target) {
