--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::atomic::Ordering, time};
 
-use cluster::{API_KEY, Cluster, ROW_BYTES, TIMEOUT, config};
+use cluster::{API_KEY, Cluster, ROW_BYTES, TIMEOUT, config, proxy::Mode};
 use common::wait_until;
 use platform_standin::{store::Fault, worker::Worker};
 use serde_json::json;
@@ -280,6 +280,67 @@
     assert_eq!(cluster.check_runs().len(), 1);
 }
 
+/// Guards against runs that end during an outage of the store sooner than a lease lasts, so that
+/// nothing is left for a takeover after it.
+#[test]
+fn no_run_lapses_within_a_lease_of_the_loss_of_the_store() {
+    const WORKERS: u64 = 6;
+    let lease = time::Duration::from_secs(6);
+    let cluster = Cluster::start_behind_proxies("node-outage", 1, WORKERS as usize, 60_000);
+    // The renewals of the workers are spread over the 1.5 s for which each waits at its worker.
+    for id in 0..WORKERS {
+        assert_eq!(cluster.submit(0, id, 1, false).unwrap().status, 200);
+        cluster.wait_for_state(0, id, "running");
+        std::thread::sleep(time::Duration::from_millis(250));
+    }
+    let lost = time::Instant::now();
+    cluster.store_proxies[0].set(Mode::DropAll);
+    std::thread::sleep(lease);
+    let runs: Vec<_> = cluster.workers.iter().flat_map(Worker::runs).collect();
+    assert_eq!(runs.len() as u64, WORKERS);
+    let ended = runs.iter().filter_map(|r| r.ended);
+    let ended: Vec<_> = ended
+        .map(|(t, how)| (t.duration_since(lost), how))
+        .collect();
+    assert!(ended.is_empty(), "{ended:?}");
+}
+
+/// Guards against a leader that runs out of descriptors: each run of a worker had a connection.
+#[test]
+fn the_runs_of_a_worker_share_its_connections() {
+    let cluster = Cluster::start_behind_proxies("node-connections", 1, 1, 60_000);
+    let step = json!({"count": 40, "cpu": 10, "mem-mb": 1});
+    let answer = cluster.submit_step(0, 1, "work", &step).unwrap();
+    assert_eq!(answer.status, 200);
+    wait_until("all runs start", TIMEOUT, || {
+        (cluster.workers[0].runs().len() == 40).then_some(())
+    });
+    // One renews the lease, one carries orders; a call may find the one before it still open.
+    let opened = cluster.worker_proxies[0].accepted();
+    assert!(opened <= 4, "{opened}");
+}
+
+/// Guards against jobs that are accepted after an outage of the store and not found by the leader
+/// until a call from before its end has timed out.
+#[test]
+fn jobs_start_soon_after_an_outage_of_the_store() {
+    let cluster = Cluster::start_behind_proxies("node-regained", 1, 2, 100);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+    cluster.store_proxies[0].set(Mode::DropAll);
+    // The feed of jobs, which answers after 2 s at the latest, is sent again during the outage.
+    std::thread::sleep(time::Duration::from_millis(3_300));
+    cluster.store_proxies[0].set(Mode::Forward);
+    wait_until("the node serves again", TIMEOUT, || {
+        cluster.submit(0, 2, 1, false).filter(|a| a.status == 200)
+    });
+    let bound = time::Duration::from_secs(1);
+    wait_until("the job starts", bound, || {
+        let runs: usize = cluster.workers.iter().map(|w| w.runs().len()).sum();
+        (runs >= 2).then_some(())
+    });
+}
+
 /// Guards against lost or duplicate work when the leader is killed repeatedly.
 #[test]
 fn jobs_survive_the_loss_of_leaders() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,11 +5,13 @@
 //! store.
 
 mod accept;
+mod activity;
 mod authorise;
 mod commit;
 mod config;
 mod cx;
 mod dump;
+mod extension;
 mod front;
 mod intake;
 mod leader;
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -1,6 +1,6 @@
 //! Sessions with workers: lease renewals, reports, and the expiry of leases.
 
-use std::{net, rc::Rc};
+use std::{net, rc::Rc, sync::Arc};
 
 use base::clock::{self, Millis};
 use batch::{
@@ -11,6 +11,7 @@
 use derive_more::Display;
 use ntex::rt;
 use platform::workers::{Renewal, Reply, Target};
+use tokio::{sync, time};
 
 use crate::{
     cx::{self, Cx},
@@ -18,7 +19,7 @@
 };
 
 /// Time for which a worker delays its reply to a renewal while no run finishes there.
-const HOLD_TIME: Millis = Millis(1_500);
+pub(crate) const HOLD_TIME: Millis = Millis(1_500);
 /// Time allowed for the reply in addition to the requested delay.
 const ANSWER_TIME: Millis = Millis(700);
 /// Delay after a failed renewal.
@@ -30,6 +31,11 @@
 /// send.
 const MAX_ORDER_DELAY: Millis = Millis(150);
 
+/// Maximum time for which a call waits for the one before it to the same worker. A worker that does
+/// not answer delays its other orders by no more, so that three tries of a start still fit into the
+/// time that the members of a gang wait for each other.
+const MAX_SLOT_WAIT: Millis = Millis(100);
+
 /// Reason why a renewal failed.
 #[derive(Debug, Display)]
 enum Failure {
@@ -69,6 +75,18 @@
     acked: (u64, u64),
     /// Whether a task renews the lease.
     is_active: bool,
+    slot: Slot,
+}
+
+/// Right to send a call to a worker beside the sequential renewal. The connections of calls at the
+/// same time stay open, and a VM has no room for one for each run of all workers.
+#[derive(Clone, Debug)]
+struct Slot(Arc<sync::Semaphore>);
+
+impl Default for Slot {
+    fn default() -> Self {
+        Self(Arc::new(sync::Semaphore::new(1)))
+    }
 }
 
 impl WorkerSession {
@@ -123,6 +141,17 @@
     })
 }
 
+/// Waits until no other order is under way to the worker, or for [`MAX_SLOT_WAIT`]. The order ends
+/// when the result is dropped.
+pub(crate) async fn acquire_slot(
+    leader: &Leader,
+    worker: &Text,
+) -> Option<sync::OwnedSemaphorePermit> {
+    let slot = leader.sessions.borrow().get(worker)?.slot.clone();
+    let permit = time::timeout(MAX_SLOT_WAIT.to_duration(), slot.0.acquire_owned());
+    permit.await.ok()?.ok()
+}
+
 /// Returns the end of the lease for a start order, or `None` if the worker's clock is unknown.
 pub(crate) fn grant_lease(cx: &Cx, leader: &Leader, worker: &Text) -> Option<Millis> {
     let mut sessions = leader.sessions.borrow_mut();
@@ -289,7 +318,7 @@
             if !report.finished.is_empty() {
                 // The worker replies at once while finished runs are not acknowledged.
                 let committed = leader.committed.notified();
-                let _ = tokio::time::timeout(MAX_COMMIT_WAIT.to_duration(), committed).await;
+                let _ = time::timeout(MAX_COMMIT_WAIT.to_duration(), committed).await;
             }
             Ok(())
         }
@@ -305,9 +334,34 @@
     }
 }
 
+/// Extends the lease of a worker at once, beside the sequential renewal, if the worker answers.
+pub(crate) async fn extend_lease(cx: &Cx, leader: &Rc<Leader>, worker: &Text) {
+    let _slot = acquire_slot(leader, worker).await;
+    if leader.ended.get() || cx.acting().is_none() {
+        return;
+    }
+    let (Some(target), Some(end)) = (
+        target(leader, worker),
+        renewed_lease_end(cx, leader, worker),
+    ) else {
+        return;
+    };
+    let sent = clock::now();
+    let call = Renewal {
+        lease_end: Some(end),
+        acked: 0,
+        wait: Millis::ZERO,
+    };
+    match cx.workers.renew(&target, call, ANSWER_TIME).await {
+        Reply::Done(report) => handle_report(leader, worker, &report, sent, None),
+        reply => log::debug!(worker:%, reply:?; "workers: lease not extended"),
+    }
+}
+
 /// Requests one report of a worker without a delay. It neither extends the lease nor acknowledges
 /// finished runs, which is left to the sequential renewals.
 pub(crate) async fn request_report(cx: &Cx, leader: &Rc<Leader>, target: &Target) {
+    let _slot = acquire_slot(leader, &target.id).await;
     if leader.ended.get() || cx.acting().is_none() {
         return;
     }
