entry: a lost answer is not hidden by a leader that is unavailable

Callers of POST /jobs, DELETE /jobs and POST /config got 503 'not_run' for a request that the former leader had received and may have committed before it was killed.

Cause: the entry asks the schedulers in turn. After a call without an answer it asked the next one, which was rebuilding its state and answered 'unavailable, no effect'. That is true of this copy of the request only, but it was returned as the answer for all copies.

Evidence: entry/tests/entry/schedulers.rs, a_lost_answer_is_not_hidden_by_an_unavailable_successor, failed before (the call returned the reply with no effect).

Change: once a copy may have been received, 'unavailable' does not decide the request. The entry asks on until the leader answers, which knows a repeated request, and answers 'unknown' at the end of the time.

Why it works: only a leader with its state rebuilt knows what was committed. A request that nobody received still gets 'not_run' at once; a second test guards that.

--- a/crates/entry/src/schedulers.rs
+++ b/crates/entry/src/schedulers.rs
@@ -122,6 +122,10 @@
             }
         }
         self.leader.set(None);
+        if progress.sent {
+            // Only the leader knows whether an earlier copy of the request took effect.
+            return None;
+        }
         unavailable
     }
 
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -8,5 +8,6 @@
 mod history;
 mod invalid_input;
 mod leaving;
+mod schedulers;
 mod setup;
 mod stop;
