claim: a claim whose row was removed neither conflicts nor stays for ever

A caller whose key has a 'not_run' row that retention removes while the key is claimed got 503 'store down' although the store answers. A settlement whose row was removed was tried for ever: the entry answered 503 for that key until its restart.

Cause: both keep the version of the row that they read, and a missing row was always taken for a stale read.

Evidence: a_key_whose_row_is_removed_during_the_claim_is_free and a_settlement_ends_when_its_row_was_removed failed before (NotRunStoreDown; 1 claim not settled after 5 s).

Change: a transaction without writes checks that the row is absent. Then the claim or settlement is an insert.

Why it works: the check is not stale. Versions only grow, so once the row is absent no copy of a write that checks its old version can take effect.

--- a/crates/claim/src/driver.rs
+++ b/crates/claim/src/driver.rs
@@ -177,7 +177,9 @@
             return self.refuse_store_unavailable(claim);
         };
         let Some(row) = row else {
-            // The read is stale, or the row has been deleted since.
+            if claim.version > 0 && self.is_absent(&claim.key).await {
+                claim.version = 0;
+            }
             return self.retry_claim(claim);
         };
         let Some(found) = record::parse(&row.value) else {
@@ -224,7 +226,14 @@
     }
 
     async fn resolve_settlement(&mut self, mut settlement: PendingSettlement) {
-        let Ok(Some(row)) = self.store.get(&settlement.key).await else {
+        let Ok(row) = self.store.get(&settlement.key).await else {
+            self.pause_settlements();
+            return self.requeue_settlement(settlement);
+        };
+        let Some(row) = row else {
+            if settlement.version > 0 && self.is_absent(&settlement.key).await {
+                settlement.version = 0;
+            }
             self.pause_settlements();
             return self.requeue_settlement(settlement);
         };
@@ -267,6 +276,13 @@
         }
     }
 
+    /// Returns whether the row of a claim is certainly absent, so that no write that checks an
+    /// earlier version of it can take effect any more. A read may be stale, a check is not.
+    async fn is_absent(&self, key: &Key) -> bool {
+        let txn = Txn::default().check(key.clone(), 0);
+        matches!(self.store.commit(&txn).await, Ok(Commit::Done { .. }))
+    }
+
     /// Queues a claim for the next transaction, or refuses it after the last try.
     fn retry_claim(&self, mut claim: PendingClaim) {
         claim.tries += 1;
--- a/crates/claim/tests/at_most_once.rs
+++ b/crates/claim/tests/at_most_once.rs
@@ -14,7 +14,10 @@
 };
 use common::{Faults, FaultyTable};
 use quickcheck::{Gen, QuickCheck};
-use store::{mem::MemTable, table::Txn};
+use store::{
+    mem::MemTable,
+    table::{Row, Txn},
+};
 use tokio::{runtime, task};
 
 const MIXED_FAULTS: Faults = Faults {
@@ -376,3 +379,58 @@
         );
     });
 }
+
+/// Writes a row of an earlier claim on `k` that was not run, and returns it.
+fn put_not_run(store: &FaultyTable) -> Row {
+    let key = record::claim_key(&name("org"), "k");
+    let record = Record {
+        fingerprint: fingerprint_of(b"k"),
+        owner: 9,
+        nonce: 1,
+        written_ms: Millis::ZERO,
+        state: State::NotRun,
+    };
+    let value = serde_json::to_string(&record).unwrap();
+    store.table.commit(&Txn::default().put(key.clone(), value));
+    store.table.get(&key).unwrap()
+}
+
+/// Guards against "store down" for a free key whose `not_run` row is removed during the claim.
+#[test]
+fn a_key_whose_row_is_removed_during_the_claim_is_free() {
+    run(async {
+        let store = FaultyTable::new(MemTable::default(), 1, Faults::default());
+        let removed = put_not_run(&store);
+        let claims = start(&store, 1);
+        let claiming = task::spawn_local(async move { begin(&claims, "k").await });
+        while store.sent().0 == 0 {
+            task::yield_now().await;
+        }
+        let key = removed.key.clone();
+        store.set_stale_row(removed);
+        store.table.commit(&Txn::default().delete(key));
+        let outcome = claiming.await.unwrap();
+        assert!(matches!(outcome, ClaimOutcome::Run(_)), "{outcome:?}");
+    });
+}
+
+/// Guards against a settlement that is tried for ever, and so blocks its key, after its row was
+/// removed.
+#[test]
+fn a_settlement_ends_when_its_row_was_removed() {
+    run(async {
+        let store = FaultyTable::new(MemTable::default(), 1, Faults::default());
+        let claims = start(&store, 1);
+        let ClaimOutcome::Run(ticket) = begin(&claims, "k").await else {
+            panic!("the key is free");
+        };
+        let key = record::claim_key(&name("org"), "k");
+        store.table.commit(&Txn::default().delete(key));
+        ticket.complete(answer("paid"));
+        settled(&claims).await;
+        assert_eq!(
+            row(&store.table, "k").state,
+            State::Completed(answer("paid"))
+        );
+    });
+}
