plan, sched: a new leader refuses no job before it knows the sizes of all workers

An accepted gang that waits for large workers was refused for good ('a worker has at most ...') 10 s after a change of leader if those workers had not answered the new leader by then, for example because their rack was cut off.

Cause: a new leader derived from the time since its restore that it knows all workers (fleet_grace, 10 s). An older leader keeps the sizes of workers that it no longer reaches; a new one has never seen them.

Change: the scheduler tells the plan when it has the description of every worker in the VM list (Event::FleetKnown), and when a worker of unknown size was listed. fleet_grace is gone.

Why it works: the refusal rests on sizes that were read. A job that no worker can hold is still refused (a_job_larger_than_every_worker_is_refused), within a read of the VM list instead of 10 s. The price: while a listed worker has never answered, a job that is too large for the others waits.

--- a/crates/plan/src/event.rs
+++ b/crates/plan/src/event.rs
@@ -57,6 +57,12 @@
         /// of the plan.
         silent: Millis,
     },
+    /// The scheduler has learned the sizes of all listed workers, or a worker of unknown size was
+    /// listed.
+    FleetKnown {
+        /// Whether the sizes of all listed workers are known.
+        known: bool,
+    },
     /// A job was submitted.
     Submitted {
         /// The job.
--- a/crates/plan/src/plan_cfg.rs
+++ b/crates/plan/src/plan_cfg.rs
@@ -39,9 +39,6 @@
     pub starve_after: Millis,
     /// Time for which a member may use more than its charged memory before its job is stopped.
     pub throttle_limit: Millis,
-    /// Time after a restore until jobs are checked against the known workers, which are reported
-    /// one by one.
-    pub fleet_grace: Millis,
 }
 
 impl Default for PlanCfg {
@@ -58,7 +55,6 @@
             reclaim_after: Millis(10_000),
             starve_after: Millis(120_000),
             throttle_limit: Millis(10_000),
-            fleet_grace: Millis(10_000),
         }
     }
 }
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -162,7 +162,7 @@
     pub(crate) fn tick(&mut self, step: &mut Step) {
         self.declare_absent_lost(step);
         self.tick_health(step.now);
-        self.check_fleet_known(step);
+        self.recheck_limits(step);
         let jobs: Vec<JobId> = self.active.iter().copied().collect();
         for id in jobs {
             self.tick_job(step, id);
@@ -175,13 +175,14 @@
         }
     }
 
-    /// Checks the waiting jobs against the known workers once all workers had time to be reported.
-    fn check_fleet_known(&mut self, step: &mut Step) {
-        let grace_over = step.now.since(self.restored_at) >= self.cfg.fleet_grace;
-        if grace_over && !self.fleet_known {
-            self.fleet_known = true;
-            self.recheck_limits = true;
-        }
+    /// Sets whether the sizes of all listed workers are known. Once they are, the next tick checks
+    /// the waiting jobs against them.
+    pub(crate) fn set_fleet_known(&mut self, known: bool) {
+        self.recheck_limits |= known && !self.fleet_known;
+        self.fleet_known = known;
+    }
+
+    fn recheck_limits(&mut self, step: &mut Step) {
         if std::mem::take(&mut self.recheck_limits) {
             self.refuse_impossible(step);
         }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -63,7 +63,7 @@
     /// Time by which the clock of the leader is behind that of an earlier one. The plan adds it, so
     /// that its time never goes back.
     pub(crate) clock_lag: Millis,
-    /// Whether all workers have had time to be reported since the restore.
+    /// Whether the sizes of all listed workers are known. No job is refused for its size before.
     pub(crate) fleet_known: bool,
     /// Whether the waiting jobs must be checked against the limits again.
     pub(crate) recheck_limits: bool,
@@ -128,7 +128,8 @@
     ///
     /// The workers are reported with [`Event::WorkerUp`] afterwards, whereupon the outstanding
     /// orders of each worker are sent again. A worker that is used by a record and not reported
-    /// within [`PlanCfg::absent_limit`] counts as lost.
+    /// within [`PlanCfg::absent_limit`] counts as lost. No job is refused for its size before
+    /// [`Event::FleetKnown`].
     ///
     /// ```
     /// # use base::clock::Millis;
@@ -198,6 +199,7 @@
             Event::WorkerRestarted { worker, silent } => {
                 self.worker_restarted(&mut step, &worker, silent);
             }
+            Event::FleetKnown { known } => self.set_fleet_known(known),
             Event::Submitted { job } => self.submitted(&mut step, job),
             // Cancellations do not place other jobs, so that a batch of them frees all its capacity
             // before any of it is used again. The next event of another kind places jobs.
--- a/crates/plan/tests/fleet/simulation.rs
+++ b/crates/plan/tests/fleet/simulation.rs
@@ -192,6 +192,7 @@
         for worker in workers {
             self.handle(Event::WorkerUp { worker });
         }
+        self.handle(Event::FleetKnown { known: true });
     }
 
     fn commit(&mut self, lost: Option<&Name>, decision: &Decision) {
--- a/crates/plan/tests/limits.rs
+++ b/crates/plan/tests/limits.rs
@@ -5,7 +5,7 @@
 use base::clock::Millis;
 use fleet::{job, name, shape, worker};
 use plan::{
-    event::{Decision, Event, Report},
+    event::{Decision, Event, Report, WorkerInfo},
     order::{Action, Attempt},
     plan_cfg::PlanCfg,
     record::{JobKey, JobRecord},
@@ -270,3 +270,22 @@
             .all(|r| r.phase == Phase::Cancelled && r.members.is_empty())
     );
 }
+
+/// Guards against the refusal of an accepted gang because the large workers have not yet answered
+/// the new leader.
+#[test]
+fn a_new_leader_refuses_no_job_before_it_knows_all_workers() {
+    let large = job("org", "large", shape(1, 8, Adjacency::Worker));
+    let accepted = vec![JobRecord::submitted(large, Millis(2))];
+    let mut plan = Plan::restore(PlanCfg::default(), Config::default(), accepted, Millis(10));
+    let small = WorkerInfo {
+        accelerators: 4,
+        ..worker(1, 4)
+    };
+    plan.handle(Millis(11), Event::WorkerUp { worker: small });
+    plan.handle(Millis(60_000), Event::Tick);
+    assert_eq!(rec(&plan, "large").phase, Phase::Waiting);
+    plan.handle(Millis(61_000), Event::FleetKnown { known: true });
+    plan.handle(Millis(62_000), Event::Tick);
+    assert_eq!(rec(&plan, "large").phase, Phase::Refused);
+}
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -10,10 +10,7 @@
 };
 use member::rows::{MEMBERS_KEY, RevisionRow};
 use ntex::rt;
-use plan::{
-    check,
-    event::{Event, WorkerInfo},
-};
+use plan::{check, event::Event};
 use schema::config::Config;
 use store::table::{StoreError, Txn};
 use tokio::sync::{Mutex, Notify, oneshot};
@@ -297,11 +294,7 @@
     if guarantees(old) == guarantees(next) {
         return Ok(());
     }
-    let workers: Option<Option<Vec<WorkerInfo>>> = leader.with_state(|s| {
-        let listed = s.workers.values().filter(|w| w.listed);
-        listed.map(|w| w.link.info().cloned()).collect()
-    });
-    let Some(Some(workers)) = workers else {
+    let Some(workers) = leader.with_state(|s| s.listed_workers()).flatten() else {
         return Err(answer::unavailable(
             "not all listed workers have been reached yet",
         ));
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -8,7 +8,7 @@
     sorted::SortedMap,
 };
 use plan::{
-    event::{Decision, Event},
+    event::{Decision, Event, WorkerInfo},
     order::{Attempt, Order},
     plan_cfg::PlanCfg,
     record::{JobKey, JobRecord},
@@ -54,6 +54,8 @@
     /// Sorted keys of the job rows that can't be read.
     pub(crate) set_aside: Vec<Key>,
     pub(crate) workers: SortedMap<Name, Worker>,
+    /// Whether the sizes of all listed workers are known, as last told to the plan.
+    fleet_known: bool,
     pub(crate) config: Config,
     /// Whether a transaction has been open for longer than `commit.stuck_ms`.
     pub(crate) stuck: bool,
@@ -71,6 +73,7 @@
             committed: SortedMap::default(),
             set_aside: Vec::new(),
             workers: SortedMap::default(),
+            fleet_known: false,
             config: Config::default(),
             stuck: false,
             recover_until: Millis::ZERO,
@@ -124,6 +127,21 @@
         self.workers.get_mut(name).expect("inserted above")
     }
 
+    /// Returns the descriptions of all listed workers; `None` if some have not been received yet.
+    pub(crate) fn listed_workers(&self) -> Option<Vec<WorkerInfo>> {
+        let listed = self.workers.values().filter(|w| w.listed);
+        listed.map(|w| w.link.info().cloned()).collect()
+    }
+
+    /// Returns the event for the plan if the sizes of all listed workers have become known or one
+    /// has become unknown. The workers must have been listed since the state was rebuilt.
+    pub(crate) fn check_fleet_known(&mut self) -> Option<Event> {
+        let mut listed = self.workers.values().filter(|w| w.listed);
+        let known = listed.all(|w| w.link.info().is_some());
+        let before = std::mem::replace(&mut self.fleet_known, known);
+        (known != before).then_some(Event::FleetKnown { known })
+    }
+
     /// Passes an event to the plan and returns its decision.
     ///
     /// While a transaction is stuck, stop orders are sent at once instead of after the commit.
--- a/crates/sched/src/workers.rs
+++ b/crates/sched/src/workers.rs
@@ -17,6 +17,7 @@
 use crate::{
     ctx::{self, Cx},
     leader::Leader,
+    state::State,
     worker_client::WorkerReply,
 };
 
@@ -47,6 +48,10 @@
             update_worker(cx, leader, vm);
         }
     }
+    let event = leader.with_state(State::check_fleet_known).flatten();
+    if let Some(event) = event {
+        leader.handle_event(cx, event);
+    }
 }
 
 fn update_worker(cx: &Cx, leader: &Rc<Leader>, vm: Vm) {
--- a/crates/sched/tests/end_to_end.rs
+++ b/crates/sched/tests/end_to_end.rs
@@ -179,3 +179,13 @@
         "{metrics}"
     );
 }
+
+/// Guards against an impossible job that waits for ever because the plan never learns that the
+/// sizes of all workers are known.
+#[ntex::test]
+async fn a_job_larger_than_every_worker_is_refused() {
+    let cluster = Cluster::new(2, 1);
+    let client = cluster.configure().await;
+    submit(&client, job("large", 1, 9)).await;
+    cluster.wait_for_phase("large", Phase::Refused).await;
+}
