cli: a change whose answer can't be read exits with 'unknown'

A command that changes something and got an answer that it can't parse exited with 1, 'refused or failed, and had no effect'.

Cause: only a missing answer counted as unknown; the parse error and the error of the later GET had no exit code and got the default.

Evidence: a_malformed_answer_to_a_change_means_unknown and a_submitted_job_that_is_not_followed_means_unknown failed before (exit code 1, expected 3).

Change: one function decides what a request without a usable answer means.

Why it works: only a GET certainly has no effect; repeating a submission under the same name is safe.

--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -1,6 +1,6 @@
 //! HTTP client for an entry.
 
-use std::{fs, future::Future};
+use std::{fmt::Display, fs, future::Future};
 
 use eyre::WrapErr;
 use ntex::{client, http, rt};
@@ -112,13 +112,9 @@
             Some(body) => req.content_type("application/json").send_body(body).await,
             None => req.send().await,
         };
-        let no_answer = |e: &dyn std::fmt::Display| {
+        let no_answer = |e: &dyn Display| {
             let message = format!("no complete answer from {}: {e}", self.base_url);
-            if method == http::Method::GET {
-                Failure::refused(message)
-            } else {
-                Failure::unknown(message)
-            }
+            without_answer(&method, message)
         };
         let answer = sent.map_err(|e| no_answer(&e))?;
         let status = answer.status();
@@ -137,8 +133,21 @@
         path: &str,
         body: Option<String>,
     ) -> eyre::Result<T> {
-        let text = self.send(method, path, body, None).await?;
-        serde_json::from_str(&text).wrap_err("the entry's answer is malformed")
+        let text = self.send(method.clone(), path, body, None).await?;
+        serde_json::from_str(&text).map_err(|e| {
+            let message = format!("the entry's answer is malformed: {e}");
+            without_answer(&method, message)
+        })
+    }
+}
+
+/// Returns the failure of a request whose answer was lost or can't be read. Only a `GET` certainly
+/// had no effect.
+fn without_answer(method: &http::Method, message: String) -> eyre::Report {
+    if *method == http::Method::GET {
+        Failure::refused(message)
+    } else {
+        Failure::unknown(message)
     }
 }
 
--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -37,7 +37,10 @@
         while args.wait && !status.phase.is_final() {
             time::sleep(POLL_INTERVAL).await;
             let path = format!("/jobs/{}/{}", status.organisation, status.name);
-            let next: JobStatus = api.send_json(Method::GET, &path, None).await?;
+            let next: eyre::Result<JobStatus> = api.send_json(Method::GET, &path, None).await;
+            let next = next.map_err(|e| {
+                Failure::unknown(format!("the job is submitted, its end is not known: {e:#}"))
+            })?;
             if next != status {
                 print_status(&next, api.json)?;
             }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -4,8 +4,8 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader},
-    path, process,
+    io::{BufRead, BufReader, Read, Write},
+    net, path, process, thread,
 };
 
 use common::{Builder, System};
@@ -211,6 +211,51 @@
     assert_ne!(run(&["no-such-command"]).code, 0);
 }
 
+/// Answers one request after the other with the given bodies, then closes the listener.
+fn fake_entry(answers: &'static [&'static str]) -> String {
+    let listener = net::TcpListener::bind(common::free_addr()).unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for body in answers {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut buf = [0; 4 << 10];
+            let _ = stream.read(&mut buf);
+            let length = body.len();
+            let head = format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}");
+            stream
+                .write_all(format!("{head}\r\n\r\n{body}").as_bytes())
+                .unwrap();
+        }
+    });
+    addr.to_string()
+}
+
+/// Guards against the exit code of "no effect" after a change whose answer can't be read.
+#[test]
+fn a_malformed_answer_to_a_change_means_unknown() {
+    let entry = fake_entry(&["{}"]);
+    assert_eq!(run(&["--entry", &entry, "cancel", "org/job"]).code, 3);
+    let entry = fake_entry(&["{}"]);
+    assert_eq!(run(&["--entry", &entry, "status", "org/job"]).code, 1);
+}
+
+/// Guards against the exit code of "no effect" for a job that was submitted and then not followed
+/// to its end.
+#[test]
+fn a_submitted_job_that_is_not_followed_means_unknown() {
+    let entry = fake_entry(&[
+        r#"{"organisation":"org","name":"job","phase":"waiting","attempt":0,"workers":[],"reason":""}"#,
+    ]);
+    let job = write_file(
+        "followed.json",
+        "{schema: 2, kind: 'job', spec: {organisation: 'org', team: 'team', name: 'job',
+        kind: 'test', shape: {members: 1, accelerators: 1, cores: 1, memory_mb: 1},
+        run_time_ms: 1000}}",
+    );
+    let output = run(&["--entry", &entry, "submit", "--wait", &job]);
+    assert_eq!(output.code, 3, "{}{}", output.stdout, output.stderr);
+}
+
 /// Guards against a demonstration that SIGTERM kills instead of stopping it.
 #[test]
 fn a_demonstration_that_stays_ends_with_0_on_sigterm() {
