--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -71,8 +71,9 @@
     /// this one, has no higher revision and does not reach the table service either.
     ///
     /// A majority has acknowledged every accepted revision, so any majority contains a member that
-    /// knows the newest one. Without the list of members there is no majority. If any member reaches the table service, the configuration is not
-    /// confirmed, and this entry waits for its own read instead.
+    /// knows the newest one. Without the list of members there is no majority. If any member reaches
+    /// the table service, the configuration is not confirmed, and this entry waits for its own read
+    /// instead.
     pub async fn quorum_read(&self, cx: &Entry, start: Millis) {
         let known_revision = cx.config.revision();
         if known_revision == 0 || !self.is_known.get() {
