--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -6,9 +6,10 @@
 
 use base::clock;
 use cluster::{Cluster, fast_lease, history, job, relay::Relay, submit};
+use sched::cfg::Settings;
 use schema::job::Phase;
-use standin::faults::Faults;
-use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::Txn};
+use standin::{faults::Faults, worker};
+use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::Txn, vm::Vm};
 use wire::{
     client::Client,
     message::{Reply, Request},
@@ -297,3 +298,45 @@
     };
     assert_eq!(&*code, "job_unreadable");
 }
+
+/// Guards against a gang that a former leader keeps running behind a partition while the next
+/// leader starts it again elsewhere.
+#[ntex::test]
+async fn a_gang_cut_off_together_with_its_leader_does_not_run_twice() {
+    let short = |cfg: &mut Settings| {
+        fast_lease(cfg);
+        cfg.workers.task_lease_ms = clock::Millis(2_000);
+    };
+    let mut cluster = Cluster::new(1, 0);
+    let table = Relay::new(cluster.platform.addr());
+    cluster.add_scheduler(|cfg| {
+        short(cfg);
+        cfg.platform = table.addr;
+    });
+    let client = cluster.configure().await;
+    submit(&client, job("a", 1, 8)).await;
+    cluster.wait_for_running("a", 1).await;
+    let other = worker::start_all(vec![cluster::worker_cfg(1)]).unwrap();
+    let cut_off = Relay::new(cluster.workers.addrs()[0]);
+    cut_off.cut();
+    table.cut();
+    let mut vms = cluster.vms();
+    vms[0].address = cut_off.addr;
+    vms.push(Vm {
+        name: cluster::worker_cfg(1).info.name,
+        address: other.addrs()[0],
+        ..vms[0].clone()
+    });
+    cluster.platform.set_vms(vms);
+    cluster.add_scheduler(short);
+    cluster::eventually("the gang runs on the other worker", async || {
+        let runs = other.workers()[0].history();
+        runs.iter().any(|r| r.ended_at.is_none()).then_some(())
+    })
+    .await;
+    assert_eq!(
+        cluster.running("a"),
+        0,
+        "the gang also runs on its first worker"
+    );
+}
