batch: a run that its worker lists is not stopped for an unanswered start

Callers saw work that ran being stopped and started again when a worker answered reports but left start orders unanswered, as in an outage of one connection.

Cause: an unanswered start was repeated even if a report had listed the run in the meantime; the repeat made it count as ordered only, and the third one without an answer stopped the run, with all of its gang.

Evidence: a_listed_run_with_an_unanswered_start_goes_on failed before (the start was repeated at the first unanswered call).

A report that lists the run confirms it, so there is nothing to repeat. The unanswered start still counts, because it may be carried out late if the run ends.

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -61,7 +61,8 @@
                     run.closed_at = Some(now);
                 }
                 run.unanswered_starts += 1;
-                if run.state == RunState::Stopping {
+                // A run that the worker has confirmed needs no further start.
+                if matches!(run.state, RunState::Running | RunState::Stopping) {
                     return;
                 }
                 if run.unanswered_starts < MAX_UNANSWERED_STARTS {
--- a/crates/batch/tests/worker_replies.rs
+++ b/crates/batch/tests/worker_replies.rs
@@ -275,3 +275,22 @@
     fleet.advance(1_500).report_to(sent, "w00", &[], Vec::new());
     assert_eq!(starts(&fleet.plan())[0].attempt, 2);
 }
+
+/// Guards against a stop of work that runs, because the worker lists the run and leaves the start
+/// without an answer.
+#[test]
+fn a_listed_run_with_an_unanswered_start_goes_on() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.advance(500).report_running(&order, 1, 10);
+    for _ in 0..3 {
+        let now = fleet.advance(200).now;
+        let unknown = StartReply::Unknown;
+        fleet
+            .scheduler
+            .handle_start_reply(&order.task, 1, unknown, now);
+        let orders = fleet.plan().orders;
+        assert!(orders.is_empty(), "{orders:?}");
+    }
+}
