node, batch: a start order is sent only while its run is still ordered

Callers may see work start after its cancellation, and a subtask run twice: a start order waits until its decision is stored and for its turn at the worker. Meanwhile the job may have been cancelled, or a report may have shown that the worker restarted and the run is gone; its next run is then placed on another worker while the old order starts the first one in the new life of the worker, which has seen no stop.

The node now asks right before it sends. A dropped start needs no reply: its run is gone, or a stop of it has been ordered.

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -371,6 +371,20 @@
         self.dirty.push(id.job.clone());
     }
 
+    /// Returns whether a start order is still to be sent. While the decision was being stored, the run
+    /// may have been stopped, confirmed or removed.
+    ///
+    /// ```
+    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// assert!(!JobScheduler::default().is_start_wanted(&task, 1));
+    /// ```
+    pub fn is_start_wanted(&self, task: &SubtaskId, attempt: u32) -> bool {
+        let subtask = self.subtask(task).filter(|t| t.attempt == attempt);
+        let run = subtask.and_then(|t| t.run.as_ref());
+        run.is_some_and(|r| r.state == RunState::Ordered)
+    }
+
     /// Orders a start of the subtask's current run, or repeats the order.
     pub(crate) fn order_start(&mut self, id: &SubtaskId, now: Millis) {
         let Some(text) = self.jobs.get(&id.job).map(|j| j.accepted.spec.text.clone()) else {
--- a/crates/batch/tests/worker_replies.rs
+++ b/crates/batch/tests/worker_replies.rs
@@ -294,3 +294,29 @@
         assert!(orders.is_empty(), "{orders:?}");
     }
 }
+
+/// Guards against a start of work that was cancelled or given up while its decision was stored.
+#[test]
+fn a_start_is_wanted_until_its_run_is_stopped_or_gone() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    fleet.submit("2", 1, step(1, 1));
+    let orders = starts(&fleet.plan());
+    let is_wanted = |fleet: &Fleet, i: usize| {
+        fleet
+            .scheduler
+            .is_start_wanted(&orders[i].task, orders[i].attempt)
+    };
+    assert!(is_wanted(&fleet, 0) && is_wanted(&fleet, 1));
+    let (now, wall_now) = (fleet.now, fleet.wall());
+    assert!(fleet.scheduler.cancel("1", now, wall_now));
+    assert!(!is_wanted(&fleet, 0), "its run is being stopped");
+    let refused = StartReply::Refused(Refusal::Unhealthy);
+    fleet
+        .scheduler
+        .handle_start_reply(&orders[1].task, 1, refused, now);
+    assert!(!is_wanted(&fleet, 1), "its run is gone");
+    fleet.advance(2_000);
+    assert_eq!(starts(&fleet.plan())[0].attempt, 2);
+    assert!(!is_wanted(&fleet, 1), "another run has been ordered");
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -41,6 +41,15 @@
             checkpoint,
             ticket,
         } => {
+            let wanted = leader
+                .scheduler
+                .borrow()
+                .is_start_wanted(&order.task, order.attempt);
+            if !wanted {
+                log::info!(task:% = order.task, attempt = order.attempt; "orders: start not sent, its run was stopped or is known");
+                cx.metrics.count_order("start", "not_sent");
+                return;
+            }
             let fits =
                 leader
                     .scheduler
