--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -61,7 +61,8 @@
                     run.closed_at = Some(now);
                 }
                 run.unanswered_starts += 1;
-                if run.state == RunState::Stopping {
+                // A run that the worker has confirmed needs no further start.
+                if matches!(run.state, RunState::Running | RunState::Stopping) {
                     return;
                 }
                 if run.unanswered_starts < MAX_UNANSWERED_STARTS {
@@ -370,6 +371,20 @@
         self.dirty.push(id.job.clone());
     }
 
+    /// Returns whether a start order is still to be sent. While the decision was being stored, the run
+    /// may have been stopped, confirmed or removed.
+    ///
+    /// ```
+    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// assert!(!JobScheduler::default().is_start_wanted(&task, 1));
+    /// ```
+    pub fn is_start_wanted(&self, task: &SubtaskId, attempt: u32) -> bool {
+        let subtask = self.subtask(task).filter(|t| t.attempt == attempt);
+        let run = subtask.and_then(|t| t.run.as_ref());
+        run.is_some_and(|r| r.state == RunState::Ordered)
+    }
+
     /// Orders a start of the subtask's current run, or repeats the order.
     pub(crate) fn order_start(&mut self, id: &SubtaskId, now: Millis) {
         let Some(text) = self.jobs.get(&id.job).map(|j| j.accepted.spec.text.clone()) else {
