batch: a test of an end whose commit outlasts an outage

The end of a job carries the time before its commit, and a commit may wait for the whole of an outage of the store. No test held that such an end is stored again: the retention marks an ended job whose end is not stored, and after the commit the record has the time at which the commit was done.

--- a/crates/batch/tests/retention.rs
+++ b/crates/batch/tests/retention.rs
@@ -91,6 +91,19 @@
     assert!(round(&mut next, Millis(500_000) + KEEP + MAX_MARGIN));
 }
 
+/// Guards against an end that counts from before an outage of the store, in which callers saw none.
+#[test]
+fn an_end_is_stored_again_after_a_long_commit() {
+    let mut scheduler = JobScheduler::default();
+    assert!(scheduler.accept(accepted()));
+    assert!(scheduler.cancel("job", Millis(7), Millis(8)));
+    assert_eq!(scheduler.take_changes().records.len(), 1);
+    assert_eq!(scheduler.mark_unknown_ends(Millis(505_000), 10), 1);
+    scheduler.record_stored_ends(&["job".into()], Millis(520_000));
+    let (_, progress) = &scheduler.take_changes().records[0];
+    assert_eq!(progress.ended_at, Some(Millis(520_000)));
+}
+
 /// Guards against a leader of an earlier version that removes a job early during a rolling restart:
 /// it reads the wall-clock time of the end from the progress, and knows no other field.
 #[test]
