node: a removal checks the versions of the rows that it deletes

What callers see: a job that was accepted is never run and its state answers 410, if its id is used again just after the removal of an earlier job with that id.

Cause: the deletion of the rows of an ended job had no condition. Its answer may be lost, and then it is sent again 5 s later; the store may also carry out the first attempt seconds later. Whatever row has the key by then is deleted.

Change: the leader keeps the version of the row of each job, and a deletion checks it. A conflict shows that the row is gone: the rest of that job is removed as usual, up to the version of a read after the conflict. 33 jobs fit into a transaction, 45 before, as a check is an entry too.

Why it works: a version is never used twice, so an attempt that is carried out late or again meets either the row that it was meant for or a conflict.

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -7,6 +7,7 @@
 
 use cluster::Cluster;
 use common::wait_until;
+use platform_standin::store::Fault;
 use serde_json::json;
 
 /// Time for which the phase of a job can be read after its end, in ms.
@@ -129,3 +130,34 @@
     assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
     cluster.wait_for_state(0, 1, "completed");
 }
+
+/// Guards against a deletion that is sent again after its answer was lost, and hits a later job.
+#[test]
+fn a_repeated_removal_spares_later_jobs_with_the_same_ids() {
+    let cluster = start("retention-repeated", 1, 1, 1_000);
+    let jobs = 40;
+    for id in 0..jobs {
+        assert_eq!(cluster.submit(0, id, 1, false).unwrap().status, 200);
+    }
+    let is_job = |(table, _): &(String, String)| table == "jobs";
+    let left = || cluster.store.keys().into_iter().filter(is_job);
+    // The answers are lost from the second deletion on.
+    let deadline = time::Instant::now() + REMOVAL_TIMEOUT;
+    while left().count() == jobs as usize {
+        assert!(time::Instant::now() < deadline, "no job is removed");
+        thread::yield_now();
+    }
+    cluster.store.set_fault(Fault::LosesAnswers);
+    thread::sleep(time::Duration::from_millis(300));
+    let left: Vec<String> = left().map(|(_, key)| key).collect();
+    let is_left = |id: &u64| left.contains(&format!("{id:016x}.job"));
+    let again: Vec<u64> = (0..jobs).filter(|id| !is_left(id)).collect();
+    cluster.store.set_fault(Fault::None);
+    for id in &again {
+        assert_eq!(cluster.submit(0, *id, 1, false).unwrap().status, 200);
+    }
+    wait_until("the later jobs have run", REMOVAL_TIMEOUT, || {
+        let runs: usize = cluster.workers.iter().map(|w| w.runs().len()).sum();
+        (runs == jobs as usize + again.len()).then_some(())
+    });
+}
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -76,6 +76,7 @@
     let mut scheduler = leader.scheduler.borrow_mut();
     let phases = leader.stored_phases.borrow();
     let removed = leader.removed_jobs.borrow();
+    let mut versions = leader.job_versions.borrow_mut();
     let has_ended = |id: &str| phases.get(id).is_some_and(|p| p.is_final());
     let is_removed = |id: &str, row: &Row| removed.get(id).is_some_and(|v| row.version <= *v);
     let mut cancels = Vec::new();
@@ -91,6 +92,7 @@
                     continue;
                 };
                 log::info!(job:% = accepted.id, queue:% = accepted.queue, version = row.version; "intake: job");
+                versions.insert(accepted.id.clone(), row.version);
                 changed |= scheduler.accept(accepted);
             }
             Some((id, JobRowKind::Cancel)) => cancels.push(id),
@@ -101,7 +103,7 @@
     for id in cancels {
         changed |= scheduler.cancel(id, clock::now(), clock::wall());
     }
-    drop((scheduler, phases, removed));
+    drop((scheduler, phases, removed, versions));
     if changed {
         leader.changed.notify_one();
     }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -46,6 +46,8 @@
     /// Jobs whose rows in the table of jobs are deleted and whose rows written by the leader are to
     /// be deleted.
     pub(crate) deleted_jobs: RefCell<Vec<Text>>,
+    /// Versions of the rows of the known jobs in the table of jobs.
+    pub(crate) job_versions: RefCell<SortedMap<Text, u64>>,
     /// Jobs whose rows in the table of jobs were deleted since the last read of that table, with the
     /// version of the deletion.
     pub(crate) removed_jobs: RefCell<SortedMap<Text, u64>>,
@@ -72,6 +74,7 @@
             stored_phases: RefCell::default(),
             progress_rows: RefCell::default(),
             deleted_jobs: RefCell::default(),
+            job_versions: RefCell::default(),
             removed_jobs: RefCell::default(),
             chain: Cell::default(),
             changed: Notify::new(),
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -55,6 +55,7 @@
         scheduler.set_aside(id);
     }
     let mut cancels: Vec<&str> = Vec::new();
+    let mut versions = SortedMap::default();
     let mut ends_unknown = 0;
     let (now, wall_now) = (base::clock::now(), base::clock::wall());
     for row in &jobs {
@@ -69,6 +70,7 @@
         else {
             continue;
         };
+        versions.insert(accepted.id.clone(), row.version);
         let phase = phases.get(id).map(|p| p.phase).filter(|p| p.is_final());
         ends_unknown += usize::from(phase.is_some() && progress.get(id).is_none());
         // Earlier versions store nothing else about the end.
@@ -85,6 +87,7 @@
     for id in cancels {
         scheduler.cancel(id, now, wall_now);
     }
+    *leader.job_versions.borrow_mut() = versions;
     *leader.stored_phases.borrow_mut() =
         phases.iter().map(|(id, p)| (id.clone(), p.phase)).collect();
     log::info!(
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use base::clock::Millis;
+use batch::job::Text;
 use store::table::{Commit, Txn};
 
 use crate::{
@@ -19,8 +20,9 @@
 const MAX_JOBS: usize = 500;
 /// Latency of transactions above which nothing is removed, so that decisions do not wait for it.
 const MAX_LATENCY: Millis = Millis(500);
-/// Maximum number of jobs in a transaction, which has at most 100 entries.
-const MAX_TXN_JOBS: usize = 45;
+/// Maximum number of jobs in a transaction, which has at most 100 entries: one check and two writes
+/// for each job.
+const MAX_TXN_JOBS: usize = 33;
 /// Maximum number of jobs in a round whose time of the end is stored later. One commit stores all of
 /// them.
 const MAX_UNKNOWN_ENDS: usize = 90;
@@ -57,7 +59,7 @@
     }
     let keep = cx.cfg.keep_ms;
     let mut expired = leader.scheduler.borrow().expired_jobs(now, keep, MAX_JOBS);
-    let has_more = expired.len() == MAX_JOBS;
+    let mut has_more = expired.len() == MAX_JOBS;
     // A transaction can't span the parts of the table of jobs.
     expired.sort_by_cached_key(|id| rows::job_table(id));
     let parts = expired.chunk_by(|a, b| rows::job_table(a) == rows::job_table(b));
@@ -66,24 +68,50 @@
             return false;
         }
         // The rows of the jobs are deleted first: without a phase they would count as new jobs.
-        let txn = jobs.iter().fold(Txn::default(), |txn, id| {
-            txn.delete(rows::job_key(id)).delete(rows::cancel_key(id))
-        });
-        let version = match cx.table.commit(&txn).await {
-            Ok(Commit::Done { version }) => version,
-            Ok(Commit::Conflict { .. }) => return false,
+        let (removed, version) = match cx.table.commit(&deletion(leader, jobs)).await {
+            Ok(Commit::Done { version }) => (jobs.to_vec(), version),
+            Ok(Commit::Conflict { keys }) => {
+                // An earlier attempt was applied. The other jobs are deleted in the next round.
+                let is_gone = |id: &&Text| keys.contains(&rows::job_key(id));
+                let gone: Vec<Text> = jobs.iter().filter(is_gone).cloned().collect();
+                let Some(version) = current_version(cx, &jobs[0]).await else {
+                    return false;
+                };
+                has_more = true;
+                (gone, version)
+            }
             Err(e) => {
                 log::info!(jobs = jobs.len(), reason:% = e; "retention: failed to delete jobs, trying again later");
                 return false;
             }
         };
-        for id in jobs {
+        for id in &removed {
             let ended_at = leader.scheduler.borrow_mut().remove_job(id);
             let age_ms = ended_at.map_or(0, |at| now.since(at).0);
+            leader.job_versions.borrow_mut().remove(id);
             leader.removed_jobs.borrow_mut().insert(id.clone(), version);
             log::info!(job:% = id, age_ms, keep_ms = keep.0; "retention: job removed");
         }
-        leader.deleted_jobs.borrow_mut().extend_from_slice(jobs);
+        leader.deleted_jobs.borrow_mut().extend(removed);
     }
     has_more
 }
+
+/// Returns a transaction that deletes the rows of jobs. An attempt without an answer may be applied
+/// later, and callers may use the ids again once a row is deleted, so it checks the versions.
+fn deletion(leader: &Leader, jobs: &[Text]) -> Txn {
+    let versions = leader.job_versions.borrow();
+    jobs.iter().fold(Txn::default(), |txn, id| {
+        let version = versions.get(id).copied().unwrap_or_default();
+        txn.check(rows::job_key(id), version)
+            .delete(rows::job_key(id))
+            .delete(rows::cancel_key(id))
+    })
+}
+
+/// Returns the newest version of the store, which is that of the deletion of the row or later.
+async fn current_version(cx: &Cx, id: &str) -> Option<u64> {
+    let (from, to) = (format!("{id}."), format!("{id}/"));
+    let page = cx.table.read(&rows::job_table(id), &from, &to).await;
+    page.ok().map(|p| p.version)
+}
