--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod lease_cfg;
 pub mod machine;
+mod rights;
 mod state;
 pub mod table;
 pub mod task;
