sched: the ids of applied changes are confirmed by a new leader

An operator who repeated a change with the same id after a takeover could have it applied a second time, as a further revision; with the expected revision of the first try the answer was 'conflict, no effect' although it was applied.

Cause: a new leader confirms the configuration and the jobs that it has read with a transaction, but not the audit rows, from which it derives which changes were applied. A stale read lacks the newest of them.

Evidence: a_repeated_change_is_known_after_a_takeover_with_stale_reads failed before (revision 3, expected 2). The stand-in of the platform can let the reads of one prefix lag (read_lag_prefix).

Change: the version of the newest audit row is confirmed, or its absence; if the read is stale, the state is read afresh. A row that can't be read is logged.

Why it works: the audit row of the revision in force was written in the transaction that raised the revision, so a read that has it has all before it.

--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -12,7 +12,7 @@
 use ntex::rt;
 use plan::{check, event::Event};
 use schema::config::Config;
-use store::table::{StoreError, Txn};
+use store::table::{Row, StoreError, Txn};
 use tokio::sync::{Mutex, Notify, oneshot};
 use wire::{
     client::Client,
@@ -151,14 +151,10 @@
 }
 
 /// Reads the audit rows of the newest changes.
-pub(crate) async fn read_audits(cx: &Cx, revision: u64) -> Result<Vec<AuditRow>, StoreError> {
+pub(crate) async fn read_audits(cx: &Cx, revision: u64) -> Result<Vec<Row>, StoreError> {
     let after = rows::audit_key(revision.saturating_sub(REMEMBERED_CHANGES));
-    let page = cx
-        .table
-        .scan("audit/", &after, REMEMBERED_CHANGES as usize)
-        .await?;
-    let read = |row: &store::table::Row| serde_json::from_str(&row.value).ok();
-    Ok(page.iter().filter_map(read).collect())
+    let scan = cx.table.scan("audit/", &after, REMEMBERED_CHANGES as usize);
+    scan.await
 }
 
 /// Answers a member's request for the configuration, which also acknowledges the revision in force
--- a/crates/sched/src/restore.rs
+++ b/crates/sched/src/restore.rs
@@ -15,7 +15,7 @@
     leader::Leader,
     records,
     row_ages::RowAges,
-    rows,
+    rows::{self, AuditRow},
     state::{State, StoredRecord},
 };
 
@@ -49,7 +49,7 @@
 pub(crate) async fn run(cx: &Cx, leader: &Rc<Leader>) -> Result<(), RestoreError> {
     check_takeover(cx, leader).await?;
     let (config, rev) = read_config(cx).await?;
-    let audits = config::read_audits(cx, config.revision).await?;
+    let audits = read_audits(cx, config.revision).await?;
     let ages = read_ages(cx).await?;
     let (jobs, set_aside) = read_jobs(cx, &ages).await?;
     let mut state = State::new(cx.cfg.workers);
@@ -97,6 +97,24 @@
     Ok((config, rev.version))
 }
 
+/// Reads the audit rows of the remembered changes. The newest one was written together with the
+/// revision, so a read that has it has all.
+async fn read_audits(cx: &Cx, revision: u64) -> Result<Vec<AuditRow>, RestoreError> {
+    let rows = config::read_audits(cx, revision).await?;
+    let key = rows::audit_key(revision);
+    let newest = rows.iter().find(|r| r.key == key);
+    let version = newest.map_or(0, |r| r.version);
+    confirm(cx, &[Check { key, version }]).await?;
+    let read = |row: &Row| {
+        let read = serde_json::from_str(&row.value);
+        read.inspect_err(
+            |e| log::error!(row:% = row.key, reason:% = e; "config: the audit row can't be read"),
+        )
+        .ok()
+    };
+    Ok(rows.iter().filter_map(read).collect())
+}
+
 /// Reads the jobs, and returns the sorted keys of malformed rows apart: if they failed the restore,
 /// one of them would end the leadership of every process.
 async fn read_jobs(cx: &Cx, ages: &RowAges) -> Result<(Vec<StoredRecord>, Vec<Key>), RestoreError> {
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -244,6 +244,24 @@
     assert!(row.value.contains("40"), "{}", row.value);
 }
 
+/// Guards against a change that is made twice, because a stale read hides it from the new leader.
+#[ntex::test]
+async fn a_repeated_change_is_known_after_a_takeover_with_stale_reads() {
+    let (mut cluster, client) = cluster(3).await;
+    cluster.platform.set_faults(Faults {
+        read_lag_ms: Millis(4_000),
+        read_lag_prefix: "audit/".into(),
+        ..Faults::default()
+    });
+    let change = apply(7, None, &placement(40));
+    let reply = client.call(&change).await.unwrap();
+    assert_eq!(reply, Reply::Applied { revision: 2 });
+    let leader = cluster.leader().await;
+    cluster.schedulers[leader].kill();
+    let reply = cluster.client().await.call(&change).await.unwrap();
+    assert_eq!(reply, Reply::Applied { revision: 2 });
+}
+
 /// Guards against a change that is lost or applied twice when an answer from the table is lost.
 #[ntex::test]
 async fn lost_answers_from_the_table_are_resolved() {
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -30,6 +30,8 @@
     pub cut_answers: f64,
     /// Age of the state that reads of the table return.
     pub read_lag_ms: Millis,
+    /// Prefix of the keys whose reads lag; empty for all.
+    pub read_lag_prefix: String,
     /// Age of the VM list that is returned.
     pub vm_lag_ms: Millis,
     /// Reads of the VM list are answered with 503.
--- a/crates/standin/src/platform_state.rs
+++ b/crates/standin/src/platform_state.rs
@@ -87,7 +87,7 @@
     pub(crate) fn get(&mut self, now: Millis, key: &str) -> Option<Row> {
         self.catch_up(now);
         self.stats.gets += 1;
-        let row = self.replica.get(key);
+        let row = self.table_for_reads(key).get(key);
         self.stats.rows_read += u64::from(row.is_some());
         row
     }
@@ -102,11 +102,20 @@
     ) -> Vec<Row> {
         self.catch_up(now);
         self.stats.scans += 1;
-        let rows = self.replica.scan(prefix, after, limit);
+        let rows = self.table_for_reads(prefix).scan(prefix, after, limit);
         self.stats.rows_read += rows.len() as u64;
         rows
     }
 
+    /// Returns the table that reads of keys with this prefix see.
+    fn table_for_reads(&self, prefix: &str) -> &MemTable {
+        if prefix.starts_with(&self.faults.read_lag_prefix) {
+            &self.replica
+        } else {
+            &self.table
+        }
+    }
+
     /// Reads a row from the table, without lag.
     pub(crate) fn row(&self, key: &str) -> Option<Row> {
         self.table.get(key)
