sched: an unreadable member row does not keep dead members

While one row under member/ could not be read, for example one of a later version in a rolling restart, members whose rows come after it in key order were never removed after their death: their claims stayed in progress and changes went on to wait for them.

Cause: the leader removes one member per read of the rows, and an old row that it can't parse counted as that one.

Evidence: an_unreadable_member_row_does_not_keep_dead_members failed before (not removed within 15 s, remove_ms 1.5 s).

Change: such a row is logged and the next one is looked at. It stays, because its process may be alive.

Why it works: only a removal changes the list that the next removal checks.

--- a/crates/sched/src/members.rs
+++ b/crates/sched/src/members.rs
@@ -139,9 +139,13 @@
                 first_seen,
             },
         );
-        if now.since(first_seen) >= cx.cfg.members.remove_ms {
+        if now.since(first_seen) < cx.cfg.members.remove_ms {
+            continue;
+        }
+        match serde_json::from_str::<MemberRow>(&row.value) {
             // One removal per read, because it changes the list that the next one has to check.
-            return remove(cx, leader, listed, &row).await;
+            Ok(member) => return remove(cx, leader, listed, &row, member.id).await,
+            Err(e) => log::error!("sched: the row {} is malformed: {e}", row.key),
         }
     }
     Ok(())
@@ -152,12 +156,9 @@
     leader: &Leader,
     listed: VersionedList,
     row: &Row,
+    member: u64,
 ) -> Result<(), StoreError> {
-    let Ok(member) = serde_json::from_str::<MemberRow>(&row.value) else {
-        log::error!("sched: the row {} is malformed", row.key);
-        return Ok(());
-    };
-    let list = listed.list.without(&[member.id]);
+    let list = listed.list.without(&[member]);
     let txn = Txn::default()
         .check(cx.lease_key(), leader.held.version)
         .check(row.key.clone(), row.version)
--- a/crates/sched/tests/config.rs
+++ b/crates/sched/tests/config.rs
@@ -10,8 +10,9 @@
     membership::{Membership, Renewal},
     rows::{MEMBERS_KEY, MemberList, MemberRole, member_key},
 };
+use sched::cfg::Settings;
 use standin::faults::Faults;
-use store::{client::Table, http::HttpTable, http_cfg::HttpCfg};
+use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::Txn};
 use wire::{
     client::Client,
     message::{Effect, Reply, Request},
@@ -318,15 +319,36 @@
     assert_eq!(cluster.platform.rows("audit/").len(), 1);
 }
 
+/// Shortens the time after which a member is removed.
+fn short_membership(cfg: &mut Settings) {
+    cfg.members.remove_ms = Millis(1_500);
+    cfg.members.renew_ms = Millis(300);
+    cfg.members.list_ms = Millis(100);
+}
+
+/// Guards against dead members that stay because the row of another member can't be read.
+#[ntex::test]
+async fn an_unreadable_member_row_does_not_keep_dead_members() {
+    let mut cluster = Cluster::new(1, 0);
+    cluster.add_scheduler(short_membership);
+    cluster.leader().await;
+    let url = cluster.platform.url();
+    let table = HttpTable::new(&url, HttpCfg::default()).await.unwrap();
+    let unreadable = Txn::default().put(member_key(0), "{}".into());
+    table.commit(&unreadable).await.unwrap();
+    Entry::join(&cluster, 7).await;
+    cluster::eventually("the dead member is removed", async || {
+        cluster.platform.row(&member_key(7)).is_none().then_some(())
+    })
+    .await;
+    assert!(cluster.platform.row(&member_key(0)).is_some());
+}
+
 /// Guards against members that stay in the list after their process has exited.
 #[ntex::test]
 async fn rows_that_are_not_renewed_are_removed() {
     let mut cluster = Cluster::new(1, 0);
-    cluster.add_scheduler(|cfg| {
-        cfg.members.remove_ms = Millis(1_500);
-        cfg.members.renew_ms = Millis(300);
-        cfg.members.list_ms = Millis(100);
-    });
+    cluster.add_scheduler(short_membership);
     cluster.leader().await;
     Entry::join(&cluster, 7).await;
     cluster::eventually("the row is removed", async || {
@@ -365,8 +387,7 @@
             state: record::State::InProgress,
         };
         let value = serde_json::to_string(&row).unwrap();
-        let txn =
-            store::table::Txn::default().put(record::claim_key(&cluster::name("org"), key), value);
+        let txn = Txn::default().put(record::claim_key(&cluster::name("org"), key), value);
         table.commit(&txn).await.unwrap();
     }
     let value = |key| {
