sched: marks of another table make no row old

After the rows of a table were copied into one whose versions start anew, the leader would have taken new claims and ended jobs for as old as marks of the earlier table, and removed them: a repeated request could have run again.

Cause: a mark counts for all rows of lower versions, and nothing checks that the mark is of this table. The marks were also no longer sorted then.

Evidence: marks_of_another_table_count_for_no_row failed before (age 86,399,100 ms, expected 100 ms).

Change: a mark whose version is not below that of the row that holds it, or that is dated after it, is dropped.

Why it works: within one table the row is written after all of its marks. A second test shows that an earlier row that is put back only makes rows appear younger; it passed before.

--- a/crates/sched/src/row_ages.rs
+++ b/crates/sched/src/row_ages.rs
@@ -74,11 +74,13 @@
             log::error!(row:% = row.key, reason:% = e; "sched: ages of rows can't be read");
             RowAgesRow::default()
         });
+        // A later mark is not of this table: its versions started anew after the mark was made.
+        let is_earlier = |m: &Mark| m.version < row.version && m.at_ms <= content.elapsed_ms;
         let mut ages = Self {
             elapsed: content.elapsed_ms,
             started_at: now,
             version: 0,
-            marks: content.marks,
+            marks: content.marks.into_iter().filter(is_earlier).collect(),
         };
         ages.marks.sort_by_key(|m| m.version);
         ages.mark(now, row.version);
--- a/crates/sched/tests/row_ages.rs
+++ b/crates/sched/tests/row_ages.rs
@@ -69,3 +69,28 @@
         );
     }
 }
+
+/// Guards against deletions after rows were copied into a table whose versions start anew.
+#[test]
+fn marks_of_another_table_count_for_no_row() {
+    let mut ages = RowAges::new(Millis(0));
+    ages.mark(Millis(1_000), 5_000);
+    let ages = hand_over(&ages, Millis(DAY * MINUTE.0), 50, Millis(70));
+    assert_eq!(ages.age(Millis(170), 40), Millis(100));
+    assert_eq!(ages.age(Millis(170), 60), Millis(0));
+}
+
+/// Guards against rows that appear older than they are after an earlier row of the ages was put
+/// back.
+#[test]
+fn an_earlier_row_of_the_ages_only_makes_rows_appear_younger() {
+    let mut ages = RowAges::new(Millis(0));
+    ages.mark(Millis(0), 10);
+    let earlier = ages.clone();
+    ages.mark(MINUTE, 20);
+    let restored = hand_over(&earlier, Millis(0), 30, Millis(70));
+    for version in [10, 15, 20, 30] {
+        let real = ages.age(MINUTE, version);
+        assert!(restored.age(Millis(70), version) <= real, "{version}");
+    }
+}
