batch: a start under way to a restarted worker is stopped before the next one

Callers may see a subtask run twice when a worker restarts under its id while a start is on its way or unanswered: the start reaches the next life of the worker, which carries it out late, and the subtask has been started elsewhere meanwhile.

Cause: a run counted as gone as soon as a report came from another incarnation than the one noted when it was placed. That incarnation is derived from the last report or list and may be old, and the id in the call does not tell one life from the next. A new leader took any run of its predecessor for gone in this way.

Evidence: a_start_under_way_to_a_restarted_worker_is_stopped_before_the_next_one failed before in both forms (the leader itself, and the next one).

A run is gone only after an answer of this life or of an earlier one to all of its starts. With a start that is unanswered or under way, answers of the earlier life are forgotten and a stop settles it. Runs whose starts were answered are still gone at once.

--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -197,6 +197,7 @@
             stop_ordered_at: None,
             ordered_at: now,
             percent: 0,
+            awaits_reply: false,
             unanswered_starts: 0,
             listed: false,
         });
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -87,6 +87,9 @@
     /// Last reported progress in percent.
     #[serde(skip)]
     pub(crate) percent: u32,
+    /// Whether a start was ordered whose reply is not known yet.
+    #[serde(skip)]
+    pub(crate) awaits_reply: bool,
     /// Number of start orders without an answer.
     #[serde(skip)]
     pub(crate) unanswered_starts: u32,
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -43,6 +43,7 @@
         let Some(run) = self.run_mut(id) else {
             return;
         };
+        run.awaits_reply = false;
         match reply {
             StartReply::Taken | StartReply::Refused(Refusal::Old) => {
                 run.answered_at.get_or_insert(now);
@@ -141,6 +142,7 @@
                 if let Some(lost) = lost.filter(|l| !l.runs.is_empty()) {
                     self.judge(&lost, now, wall_now);
                 }
+                self.forget_answers(id);
             }
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.start_life(report.incarnation);
@@ -226,8 +228,24 @@
         }
     }
 
-    /// Handles the runs that the report lists neither as running nor as finished. The end of a run of
-    /// the worker's current life may be missing from a report that is not complete.
+    /// Forgets the answers of an earlier life of the worker about runs of which a start may still be
+    /// under way: its next life may carry it out, and only a stop there prevents that.
+    fn forget_answers(&mut self, worker: &str) {
+        let runs = self.workers.get(worker).map(|w| &w.runs);
+        let tasks = runs.into_iter().flatten().map(|(t, _)| t.clone());
+        let tasks: Vec<SubtaskId> = tasks.collect();
+        for id in tasks {
+            if let Some(run) = self.run_mut(&id)
+                && (run.awaits_reply || run.unanswered_starts > 0)
+            {
+                run.answered_at = None;
+                run.listed = false;
+            }
+        }
+    }
+
+    /// Handles the runs that the report lists neither as running nor as finished. The end of a run
+    /// may be missing from a report that is not complete.
     fn resolve_missing_runs(&mut self, worker: &str, report: &Report, sent: Millis, now: Millis) {
         let Some(w) = self.workers.get(worker) else {
             return;
@@ -239,16 +257,17 @@
             let Some(run) = self.subtask(&id).and_then(|t| t.run.as_ref()) else {
                 continue;
             };
-            let is_settled = report.is_complete && run.answered_at.is_some_and(|t| t < sent);
-            let is_other_incarnation =
-                run.incarnation != report.incarnation && run.placed_at.is_none_or(|t| t < sent);
-            let is_gone = is_settled || (is_other_incarnation && run.state != RunState::Ordered);
+            let is_gone = report.is_complete && run.answered_at.is_some_and(|t| t < sent);
+            let is_unanswered = run.answered_at.is_none();
+            let is_other_incarnation = run.incarnation != report.incarnation;
             match run.state {
                 _ if is_gone => {
                     log::info!(task:% = id, worker; "batch: run is gone");
                     self.remove_run(&id);
                     self.stop_gang(&id, now);
                 }
+                RunState::Adopted if is_other_incarnation => self.stop(&id, now),
+                RunState::Running if is_unanswered => self.stop(&id, now),
                 RunState::Adopted if !report.is_complete => {}
                 RunState::Adopted if self.phase(&id.job).is_some_and(|p| !p.is_final()) => {
                     self.order_start(&id, now);
@@ -405,6 +424,7 @@
             run.unanswered_starts += 1;
         }
         run.state = RunState::Ordered;
+        run.awaits_reply = true;
         run.ordered_at = now;
         let worker = run.worker.clone();
         self.orders.push(Order {
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -9,7 +9,7 @@
     config::Config,
     job::{AcceptedJob, Spec, Step},
     progress::Phase,
-    worker::{Outcome, Report},
+    worker::{Outcome, Report, StartReply},
 };
 use fleet::{Fleet, START, config, finished, gang, starts, step, stops};
 
@@ -146,3 +146,33 @@
     fleet.submit("low", 1, step(1, 8));
     assert_eq!(starts(&fleet.plan()).len(), 1);
 }
+
+/// Guards against a second run of a subtask whose start is carried out in the next life of its
+/// worker, after a report of that life did not list it.
+#[test]
+fn a_start_under_way_to_a_restarted_worker_is_stopped_before_the_next_one() {
+    for takeover in [false, true] {
+        let mut fleet = Fleet::new(2);
+        fleet.submit("1", 1, step(1, 1));
+        let first = starts(&fleet.plan()).remove(0);
+        if takeover {
+            fleet.advance(100).restart();
+        } else {
+            for _ in 0..3 {
+                let (now, unknown) = (fleet.now, StartReply::Unknown);
+                fleet
+                    .scheduler
+                    .handle_start_reply(&first.task, 1, unknown, now);
+            }
+            assert_eq!(stops(&fleet.plan()).len(), 1);
+        }
+        fleet.advance(500).report_life(&first.worker, 2);
+        let changes = fleet.plan();
+        assert!(starts(&changes).is_empty(), "takeover {takeover}");
+        assert_eq!(stops(&changes).len(), 1, "takeover {takeover}");
+        let now = fleet.now;
+        fleet.scheduler.handle_stop_reply(&first.task, 1, now);
+        fleet.advance(10).report_life(&first.worker, 2);
+        assert_eq!(starts(&fleet.plan())[0].attempt, 2);
+    }
+}
