node, batch: an old entry of a restarted worker does not end its leases

Callers may see a subtask run twice: a worker restarts under its id, the leader starts runs there and leases them, and the VM list still names the incarnation before, because the worker's new entry waits for a slow store. If the worker is cut off then, its leases count as over at once, and the runs are started elsewhere while they go on.

Cause: the session of a worker took each incarnation in the list that differs from the last known one for a new one, and forgot the granted leases.

Evidence: read in the code; an_old_entry_of_a_restarted_worker_does_not_end_its_leases fails if the incarnation that has ended is taken for a new one, as before.

The incarnation is now part of the record of the leases. An entry with the incarnation that a later report or entry has ended changes nothing; a report always counts, because it comes from the worker itself. Wall clocks, from which incarnations derive, are not compared.

--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -32,6 +32,10 @@
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Grants {
+    /// Incarnation of the worker that has the leases; 0 if unknown.
+    incarnation: u64,
+    /// Incarnation before that one.
+    ended_incarnation: u64,
     /// A time on the worker's clock, and a local time by which the worker's clock had reached it.
     clock: Option<(Millis, Millis)>,
     /// Latest end of all granted leases, on the worker's clock.
@@ -106,18 +110,44 @@
         Some(end)
     }
 
-    /// Discards the leases granted to an earlier incarnation of the worker.
+    /// Records the incarnation and the clock in the worker's entry in the VM list. Returns whether it
+    /// is another incarnation, which has no leases yet. The entry of a restarted worker may name the
+    /// incarnation before for some time.
     ///
     /// ```
     /// # use base::clock::Millis;
     /// let mut grants = batch::grant::Grants::default();
-    /// grants.reset(Millis(5), Millis(10));
-    /// assert!(grants.expires_at() <= Millis(200));
+    /// assert!(grants.observe_entry(1, Millis(5), Millis(10)));
+    /// assert!(!grants.observe_entry(1, Millis(5), Millis(10)));
     /// ```
-    pub const fn reset(&mut self, clock: Millis, now: Millis) {
-        self.latest = Millis::ZERO;
-        self.clock = None;
+    pub fn observe_entry(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
+        incarnation != self.ended_incarnation && self.observe(incarnation, clock, now)
+    }
+
+    /// Records the incarnation and the clock in a report of the worker. Returns whether it is another
+    /// incarnation, which has no leases yet.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// let mut grants = batch::grant::Grants::default();
+    /// grants.observe_entry(1, Millis(5), Millis(10));
+    /// assert!(grants.observe_report(2, Millis(1), Millis(20)));
+    /// ```
+    pub fn observe_report(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
+        let is_new = self.observe(incarnation, clock, now);
         self.observe_clock(clock, now);
+        is_new
+    }
+
+    fn observe(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
+        let is_new = incarnation != self.incarnation;
+        if is_new {
+            self.ended_incarnation = std::mem::replace(&mut self.incarnation, incarnation);
+            self.latest = Millis::ZERO;
+            self.clock = None;
+            self.observe_clock(clock, now);
+        }
+        is_new
     }
 
     /// Returns the local time when all granted leases have certainly expired.
--- a/crates/batch/tests/worker_replies.rs
+++ b/crates/batch/tests/worker_replies.rs
@@ -320,3 +320,17 @@
     assert_eq!(starts(&fleet.plan())[0].attempt, 2);
     assert!(!is_wanted(&fleet, 1), "another run has been ordered");
 }
+
+/// Guards against runs that are started again while their lease is valid, because the VM list still
+/// names the incarnation of the worker that has ended.
+#[test]
+fn an_old_entry_of_a_restarted_worker_does_not_end_its_leases() {
+    let mut grants = Grants::default();
+    grants.observe_entry(1, Millis(500_000), Millis(1_000));
+    assert!(grants.observe_report(2, Millis(100), Millis(1_500)));
+    grants.grant(Millis(6_000), Millis(1_500));
+    let over = grants.expires_at();
+    assert!(!grants.observe_entry(1, Millis(500_000), Millis(1_600)));
+    assert_eq!(grants.expires_at(), over);
+    assert!(grants.observe_entry(3, Millis(100), Millis(9_000)));
+}
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -69,8 +69,6 @@
     address: Option<net::SocketAddr>,
     /// Leases granted by this leader.
     grants: Grants,
-    /// Last reported incarnation of the worker.
-    incarnation: u64,
     /// Incarnation of the worker and the last sequence number that was acknowledged to it.
     acked: (u64, u64),
     /// Whether a task renews the lease.
@@ -89,15 +87,6 @@
     }
 }
 
-impl WorkerSession {
-    /// Resets the session for another incarnation of the worker, whose clock may have restarted.
-    fn reset(&mut self, incarnation: u64, clock: Millis, now: Millis) {
-        self.incarnation = incarnation;
-        self.acked = (incarnation, 0);
-        self.grants.reset(clock, now);
-    }
-}
-
 /// Updates the addresses and clocks of the sessions from the VM list.
 pub(crate) fn update_addresses(leader: &Leader, infos: &[WorkerInfo]) {
     let now = clock::now();
@@ -110,8 +99,11 @@
                 log::warn!(worker:% = info.id, address:% = info.address, reason:% = e; "workers: invalid address");
             }
         }
-        if session.incarnation != info.incarnation {
-            session.reset(info.incarnation, info.clock, now);
+        if session
+            .grants
+            .observe_entry(info.incarnation, info.clock, now)
+        {
+            session.acked = (info.incarnation, 0);
         }
     }
 }
@@ -127,7 +119,9 @@
         };
         let session = sessions.get_or_default(id);
         session.address.get_or_insert(address);
-        session.incarnation = incarnation;
+        session
+            .grants
+            .observe_entry(incarnation, Millis::ZERO, clock::now());
     }
 }
 
@@ -396,10 +390,13 @@
 ) {
     let now = clock::now();
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
-        if session.incarnation != report.incarnation {
-            session.reset(report.incarnation, report.clock, now);
+        let incarnation = report.incarnation;
+        if session
+            .grants
+            .observe_report(incarnation, report.clock, now)
+        {
+            session.acked = (incarnation, 0);
         }
-        session.grants.observe_clock(report.clock, now);
         if let Some(acked) = acked {
             session.acked = acked;
         }
