batch: a restarted worker gets no start by its entry from before

Callers may see a worker without an admission check start more than it has room for: it restarts under its id with less capacity, reports its new life, and work is placed by the entry of the life before, which the VM list still has and which is recent. The run is also stored with the wrong incarnation then.

Cause: the entry and the reported incarnation were not compared, and an idle worker took over the incarnation of any entry, also of an older one.

Evidence: a_restarted_worker_gets_no_start_by_its_entry_from_before fails without the comparison. A first form, which also ignored reports of an incarnation known to have ended, was found by the random histories to leave jobs without an end: the list may be the older source, so only reports say what has ended.

A worker takes work only if its entry is one of its current incarnation. An entry with an incarnation whose end a report has shown is ignored for 9 s.

--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -34,8 +34,8 @@
 pub struct Grants {
     /// Incarnation of the worker that has the leases; 0 if unknown.
     incarnation: u64,
-    /// Incarnation before that one.
-    ended_incarnation: u64,
+    /// Incarnation whose end a report has shown.
+    ended_incarnation: Option<u64>,
     /// A time on the worker's clock, and a local time by which the worker's clock had reached it.
     clock: Option<(Millis, Millis)>,
     /// Latest end of all granted leases, on the worker's clock.
@@ -121,7 +121,7 @@
     /// assert!(!grants.observe_entry(1, Millis(5), Millis(10)));
     /// ```
     pub fn observe_entry(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
-        incarnation != self.ended_incarnation && self.observe(incarnation, clock, now)
+        self.ended_incarnation != Some(incarnation) && self.observe(incarnation, clock, now)
     }
 
     /// Records the incarnation and the clock in a report of the worker. Returns whether it is another
@@ -134,7 +134,11 @@
     /// assert!(grants.observe_report(2, Millis(1), Millis(20)));
     /// ```
     pub fn observe_report(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
+        let before = self.incarnation;
         let is_new = self.observe(incarnation, clock, now);
+        if is_new {
+            self.ended_incarnation = Some(before);
+        }
         self.observe_clock(clock, now);
         is_new
     }
@@ -142,7 +146,7 @@
     fn observe(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
         let is_new = incarnation != self.incarnation;
         if is_new {
-            self.ended_incarnation = std::mem::replace(&mut self.incarnation, incarnation);
+            self.incarnation = incarnation;
             self.latest = Millis::ZERO;
             self.clock = None;
             self.observe_clock(clock, now);
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -145,7 +145,7 @@
                 self.forget_answers(id);
             }
             if let Some(worker) = self.workers.get_mut(id) {
-                worker.start_life(report.incarnation);
+                worker.start_reported_life(report.incarnation, now);
             }
         }
         let Some(worker) = self.workers.get_mut(id) else {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -383,9 +383,8 @@
         let last_read = self.list_read_at.replace(now);
         for info in infos {
             let worker = self.workers.get_or_default(info.id.clone());
-            if worker.incarnation == 0
-                || worker.runs.is_empty() && worker.incarnation != info.incarnation
-            {
+            let is_idle = worker.incarnation == 0 || worker.runs.is_empty();
+            if is_idle && worker.is_new_life(info.incarnation, now) {
                 worker.start_life(info.incarnation);
             }
             let id = info.id.clone();
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -18,6 +18,10 @@
 /// caused by the subtask itself.
 const BACKOFF_FAILURES: u32 = 2;
 
+/// Maximum time for which the VM list has the entry of an incarnation that has ended: three intervals
+/// of 1.5 s, and as much again while the store is slow.
+const OLD_ENTRY_TIME: Millis = Millis(9_000);
+
 /// Time without new work after a worker answers again from its second recent outage; doubles with
 /// each further outage. A flapping worker goes down and up within a second or two. A single outage
 /// may be caused by the network.
@@ -46,6 +50,8 @@
     pub(crate) unexpected: Resources,
     /// Current incarnation; 0 if unknown.
     pub(crate) incarnation: u64,
+    /// Incarnation whose end a report has shown, and when.
+    ended: Option<(u64, Millis)>,
     /// Whether another worker answers at its address, so that this one is gone.
     pub(crate) replaced: bool,
     /// Time of the last answer.
@@ -88,9 +94,32 @@
         !self.unresponsive
             && !self.replaced
             && now >= self.no_work_until
+            && self.has_current_entry()
             && self.info.as_ref().is_some_and(|i| !i.draining)
     }
 
+    /// Returns whether the entry in the VM list is one of the current incarnation. Another one may
+    /// have other resources.
+    fn has_current_entry(&self) -> bool {
+        let entry = self.info.as_ref();
+        entry.is_some_and(|i| i.incarnation == self.incarnation)
+    }
+
+    /// Returns whether an entry in the VM list shows that the worker has another incarnation. The
+    /// entry of a restarted worker may name the incarnation before for some time.
+    pub(crate) fn is_new_life(&self, incarnation: u64, now: Millis) -> bool {
+        let has_ended = self
+            .ended
+            .is_some_and(|(ended, at)| ended == incarnation && now.since(at) < OLD_ENTRY_TIME);
+        incarnation != self.incarnation && !has_ended
+    }
+
+    /// Starts the incarnation that a report names.
+    pub(crate) fn start_reported_life(&mut self, incarnation: u64, now: Millis) {
+        self.ended = Some((self.incarnation, now));
+        self.start_life(incarnation);
+    }
+
     /// Starts another incarnation, whose finished runs are numbered anew.
     pub(crate) fn start_life(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
--- a/crates/batch/tests/capacity.rs
+++ b/crates/batch/tests/capacity.rs
@@ -147,3 +147,33 @@
     // Two stops make up for the lost capacity, two free the room.
     assert_eq!(stops(&fleet.plan()).len(), 4);
 }
+
+/// Guards against a start beyond the capacity of a worker that restarted with less, while the VM list
+/// still shows its entry from before.
+#[test]
+fn a_restarted_worker_gets_no_start_by_its_entry_from_before() {
+    let mut fleet = unchecked_fleet(1);
+    fleet.report_life("w00", 2);
+    fleet.submit("1", 1, step(8, 1));
+    assert!(starts(&fleet.plan()).is_empty());
+    // The list is read again before the worker has written its entry.
+    fleet.advance(100).resize("w00", 8);
+    assert!(starts(&fleet.plan()).is_empty());
+    fleet.infos[0].incarnation = 2;
+    fleet.advance(100).resize("w00", 4);
+    assert_eq!(starts(&fleet.plan()).len(), 4);
+}
+
+/// Guards against a worker that gets no more work because an answer of its earlier life arrives after
+/// one of the next life.
+#[test]
+fn a_late_report_of_an_earlier_life_costs_a_worker_little_time() {
+    let mut fleet = unchecked_fleet(1);
+    fleet.report_life("w00", 2);
+    fleet.report_life("w00", 1);
+    fleet.infos[0].incarnation = 2;
+    fleet.advance(100).resize("w00", 8);
+    fleet.submit("1", 1, step(8, 1));
+    fleet.advance(10_000).resize("w00", 8);
+    assert_eq!(starts(&fleet.plan()).len(), 8);
+}
