batch: a new leader counts no crash for runs of the current life of a worker

Callers may see jobs slowed down, and in the end given up, although they crashed nothing: a run of an earlier life of a worker still waits for its stop there when the leader changes, beside runs of the current life. The new leader took the incarnation of the run that it read last for that of the worker, found another one in the next report, and counted a crash for all runs there.

Evidence: a_new_leader_counts_no_crash_for_a_run_of_the_current_life failed before (one crash counted, none happened). Fleet::restart reads the jobs in the order of their ids, as a leader does.

The newest incarnation of all runs counts until a report tells it, and a restart counts for the runs of the life that ended only, so that a wall clock that was set back, from which the incarnation derives, does not count either.

--- a/crates/batch/src/known_jobs.rs
+++ b/crates/batch/src/known_jobs.rs
@@ -44,7 +44,8 @@
         for (task, run) in job.runs() {
             let need = job.step(&task).reserved();
             let worker = self.workers.get_or_default(run.worker.clone());
-            worker.incarnation = run.incarnation;
+            // Runs of an earlier life may wait for a stop there. A report tells the current one.
+            worker.incarnation = worker.incarnation.max(run.incarnation);
             if let Some(address) = job.progress.addresses.get(&*run.worker) {
                 worker.address = address.clone();
             }
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -138,7 +138,14 @@
             let before = worker.incarnation;
             if before != 0 {
                 log::warn!(worker = id, life = report.incarnation, before; "batch: worker restarted");
-                let lost = self.lost_worker(id, sent, now);
+                let mut lost = self.lost_worker(id, sent, now);
+                if let Some(lost) = &mut lost {
+                    let is_of_life = |task: &SubtaskId| {
+                        let run = self.subtask(task).and_then(|t| t.run.as_ref());
+                        run.is_some_and(|r| r.incarnation == before)
+                    };
+                    lost.runs.retain(|r| is_of_life(&r.task));
+                }
                 if let Some(lost) = lost.filter(|l| !l.runs.is_empty()) {
                     self.judge(&lost, now, wall_now);
                 }
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -48,6 +48,8 @@
     /// Replaces the scheduler by one that knows only what was committed.
     pub fn restart(&mut self) {
         self.scheduler = JobScheduler::default();
+        // A leader reads the jobs in the order of their ids.
+        self.accepted.sort_by(|a, b| a.id.cmp(&b.id));
         for accepted in &self.accepted {
             let progress = self.stored.get(&accepted.id);
             let progress: Option<Progress> =
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -176,3 +176,31 @@
         assert_eq!(starts(&fleet.plan())[0].attempt, 2);
     }
 }
+
+/// Guards against a crash that is counted for a run of the current life of a worker, because another
+/// run there was placed in an earlier life.
+#[test]
+fn a_new_leader_counts_no_crash_for_a_run_of_the_current_life() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("2", 1, step(1, 1));
+    let old = starts(&fleet.plan()).remove(0);
+    let now = fleet.now;
+    let unknown = StartReply::Unknown;
+    fleet
+        .scheduler
+        .handle_start_reply(&old.task, 1, unknown, now);
+    fleet.plan();
+    // The worker restarts, and the start that is not answered is repeated in its next life.
+    fleet.report_life("w00", 2);
+    fleet.infos[0].incarnation = 2;
+    fleet.advance(100).resize("w00", 8);
+    fleet.submit("1", 1, step(1, 1));
+    let new = starts(&fleet.plan()).remove(0);
+    assert_eq!(&*new.task.job, "1");
+    fleet.take(&new);
+    let before = fleet.crashes("1");
+    fleet.advance(600).restart();
+    fleet.report_running(&new, 2, 10);
+    fleet.plan();
+    assert_eq!(fleet.crashes("1"), before);
+}
