--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -9,7 +9,7 @@
     config::Config,
     job::{AcceptedJob, Spec, Step},
     progress::Phase,
-    worker::{Outcome, Report},
+    worker::{Outcome, Report, StartReply},
 };
 use fleet::{Fleet, START, config, finished, gang, starts, step, stops};
 
@@ -146,3 +146,61 @@
     fleet.submit("low", 1, step(1, 8));
     assert_eq!(starts(&fleet.plan()).len(), 1);
 }
+
+/// Guards against a second run of a subtask whose start is carried out in the next life of its
+/// worker, after a report of that life did not list it.
+#[test]
+fn a_start_under_way_to_a_restarted_worker_is_stopped_before_the_next_one() {
+    for takeover in [false, true] {
+        let mut fleet = Fleet::new(2);
+        fleet.submit("1", 1, step(1, 1));
+        let first = starts(&fleet.plan()).remove(0);
+        if takeover {
+            fleet.advance(100).restart();
+        } else {
+            for _ in 0..3 {
+                let (now, unknown) = (fleet.now, StartReply::Unknown);
+                fleet
+                    .scheduler
+                    .handle_start_reply(&first.task, 1, unknown, now);
+            }
+            assert_eq!(stops(&fleet.plan()).len(), 1);
+        }
+        fleet.advance(500).report_life(&first.worker, 2);
+        let changes = fleet.plan();
+        assert!(starts(&changes).is_empty(), "takeover {takeover}");
+        assert_eq!(stops(&changes).len(), 1, "takeover {takeover}");
+        let now = fleet.now;
+        fleet.scheduler.handle_stop_reply(&first.task, 1, now);
+        fleet.advance(10).report_life(&first.worker, 2);
+        assert_eq!(starts(&fleet.plan())[0].attempt, 2);
+    }
+}
+
+/// Guards against a crash that is counted for a run of the current life of a worker, because another
+/// run there was placed in an earlier life.
+#[test]
+fn a_new_leader_counts_no_crash_for_a_run_of_the_current_life() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("2", 1, step(1, 1));
+    let old = starts(&fleet.plan()).remove(0);
+    let now = fleet.now;
+    let unknown = StartReply::Unknown;
+    fleet
+        .scheduler
+        .handle_start_reply(&old.task, 1, unknown, now);
+    fleet.plan();
+    // The worker restarts, and the start that is not answered is repeated in its next life.
+    fleet.report_life("w00", 2);
+    fleet.infos[0].incarnation = 2;
+    fleet.advance(100).resize("w00", 8);
+    fleet.submit("1", 1, step(1, 1));
+    let new = starts(&fleet.plan()).remove(0);
+    assert_eq!(&*new.task.job, "1");
+    fleet.take(&new);
+    let before = fleet.crashes("1");
+    fleet.advance(600).restart();
+    fleet.report_running(&new, 2, 10);
+    fleet.plan();
+    assert_eq!(fleet.crashes("1"), before);
+}
