node: a new job does not inherit the end of a removed one

What callers see: a job that was accepted is shown as completed, never runs, and answers 410 soon after, if its id is used again before the removal of an earlier job is complete and the leader changes in between.

Cause: the row of a job is deleted before those of its progress and phase. A leader that ends between the two leaves these, and callers can use the id again. The next leader took the rows for those of the new job and, as their end was long ago, removed it.

Evidence: a_job_does_not_inherit_the_end_of_a_removed_one puts such rows into the store before it submits the job and replaces the leader; before, the state was not queued within 15 s, and the log had "retention: job removed" for the new job.

Change: at the load, rows of progress and phases that are older than the row of the job with their id are left out, and the job is stored again as a new one.

Why it works: versions come from one counter, and a leader writes the rows of a job only after it has read the job, so those of the job itself are newer.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -156,6 +156,17 @@
         true
     }
 
+    /// Marks a job as changed, so that its progress is stored.
+    ///
+    /// ```
+    /// let mut scheduler = batch::scheduler::JobScheduler::default();
+    /// scheduler.mark_changed(&"1".into());
+    /// assert!(scheduler.take_changes().records.is_empty(), "the job is not known");
+    /// ```
+    pub fn mark_changed(&mut self, id: &Text) {
+        self.dirty.push(id.clone());
+    }
+
     /// Returns the changes since the last call, which the caller has to commit. Each call returns all
     /// `acks` that were not yet passed to [`mark_committed`](Self::mark_committed).
     ///
--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -161,3 +161,26 @@
         (runs == jobs as usize + again.len()).then_some(())
     });
 }
+
+/// Guards against rows of a partly removed job that are taken for those of a later job with its id.
+#[test]
+fn a_job_does_not_inherit_the_end_of_a_removed_one() {
+    let mut cluster = start("retention-inherited", 2, 100, 1_000);
+    let phase = json!({"phase": "completed", "organisation": "org"});
+    let progress = json!({"phase": "completed", "queue": "q", "at": 1, "ended_at": 1});
+    let key = format!("{:016x}", 1);
+    cluster.store.put("phases", &key, &phase);
+    cluster.store.put("progress", &key, &progress);
+    // No worker has the label, so that the job waits for one.
+    let step = json!({"count": 1, "cpu": 1_000, "requirements": "other"});
+    let answer = cluster.submit_step(0, 1, "work", &step).unwrap();
+    assert_eq!(answer.status, 200);
+    replace_leader(&mut cluster, 0);
+    cluster.wait_for_state(0, 1, "queued");
+    let until = time::Instant::now() + REMOVAL_TIMEOUT / 2;
+    while time::Instant::now() < until {
+        let state = cluster.state(0, 1);
+        assert!(state == "queued" || state.is_empty(), "{state}");
+        thread::sleep(time::Duration::from_millis(200));
+    }
+}
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -28,7 +28,7 @@
         read_all(cx, rows::PROGRESS),
         read_all(cx, rows::PHASES),
     )?;
-    let ((jobs, from), (progress, _), (phases, _)) = (jobs, progress, phases);
+    let ((jobs, from), (progress, _), (mut phases, _)) = (jobs, progress, phases);
     let count = chain.as_ref().and_then(rows::from_json::<ChainRow>);
     let version = chain.map_or(0, |r| r.version);
     leader.chain.set((version, count.map_or(0, |c| c.count)));
@@ -37,7 +37,10 @@
         .iter()
         .filter_map(|(row, rows)| Some((job_id(row)?, *rows)))
         .collect();
-    let progress: Vec<Row> = progress.into_iter().map(|(row, _)| row).collect();
+    let mut progress: Vec<Row> = progress.into_iter().map(|(row, _)| row).collect();
+    let versions = job_versions(&jobs);
+    let mut reused = remove_older(&versions, &mut progress);
+    reused.extend(remove_older(&versions, &mut phases));
     let mut unreadable = Vec::new();
     let progress: SortedMap<Text, Progress> = decode(&progress, &mut unreadable);
     let phases: SortedMap<Text, PhaseRow> = decode(&phases, &mut unreadable);
@@ -55,7 +58,6 @@
         scheduler.set_aside(id);
     }
     let mut cancels: Vec<&str> = Vec::new();
-    let mut versions = SortedMap::default();
     let mut ends_unknown = 0;
     let (now, wall_now) = (base::clock::now(), base::clock::wall());
     for row in &jobs {
@@ -70,7 +72,6 @@
         else {
             continue;
         };
-        versions.insert(accepted.id.clone(), row.version);
         let phase = phases.get(id).map(|p| p.phase).filter(|p| p.is_final());
         ends_unknown += usize::from(phase.is_some() && progress.get(id).is_none());
         // Earlier versions store nothing else about the end.
@@ -87,6 +88,10 @@
     for id in cancels {
         scheduler.cancel(id, now, wall_now);
     }
+    for id in &reused {
+        log::info!(job:% = id; "leader: the id of a partly removed job is in use again");
+        scheduler.mark_changed(id);
+    }
     *leader.job_versions.borrow_mut() = versions;
     *leader.stored_phases.borrow_mut() =
         phases.iter().map(|(id, p)| (id.clone(), p.phase)).collect();
@@ -98,6 +103,30 @@
     Ok(from)
 }
 
+/// Returns the versions of the rows of accepted jobs by job id.
+fn job_versions(jobs: &[Row]) -> SortedMap<Text, u64> {
+    let version = |row: &Row| match rows::parse_job_key(&row.key)? {
+        (id, JobRowKind::Job) => Some((id.into(), row.version)),
+        (_, JobRowKind::Cancel) => None,
+    };
+    jobs.iter().filter_map(version).collect()
+}
+
+/// Removes the rows that are older than the row of the job with their id, and returns the ids. They
+/// belong to an earlier job that is partly removed, because a leader writes the rows of a job after
+/// it has read the job.
+fn remove_older(versions: &SortedMap<Text, u64>, rows: &mut Vec<Row>) -> Vec<Text> {
+    let mut ids = Vec::new();
+    rows.retain(|row| {
+        let id = job_id(row);
+        let version = id.as_deref().and_then(|id| versions.get(id));
+        let is_older = version.is_some_and(|v| row.version < *v);
+        ids.extend(id.filter(|_| is_older));
+        !is_older
+    });
+    ids
+}
+
 /// Returns the ids of ended jobs whose rows in the table of jobs are deleted and whose other rows are
 /// not. A leader writes the latter after it has read the former, so the former once existed.
 fn partly_removed(
