node: an end that is not stored yet is not logged as unknown

Cause: an ended job has no time of its end until the end is stored. The retention marks such a job, which is wanted: if the commit outlasts an outage, the time after it is stored as well. The log did not tell the two apart.

Change: only jobs whose final phase is stored are logged and counted.

Evidence: an_end_that_is_not_stored_yet_is_not_logged_as_unknown ends a job just after the store goes out, for 7 s; before, the line came with one job.

Why it works: the final phase and the time of the end are stored in one transaction and recorded together, so a job with the one and without the other is one whose time is not known.

--- a/crates/batch/src/retention.rs
+++ b/crates/batch/src/retention.rs
@@ -76,14 +76,15 @@
     }
 
     /// Marks up to `limit` ended jobs as changed whose time of the end is not known, so that it is
-    /// stored. Returns their number. `now` is the time of the store's clock.
+    /// stored, and returns their ids. They include jobs whose end is being stored: if that takes
+    /// long, the time after it is stored as well. `now` is the time of the store's clock.
     ///
     /// ```
     /// use base::clock::Millis;
     /// let mut scheduler = batch::scheduler::JobScheduler::default();
-    /// assert_eq!(scheduler.mark_unknown_ends(Millis(1), 10), 0);
+    /// assert!(scheduler.mark_unknown_ends(Millis(1), 10).is_empty());
     /// ```
-    pub fn mark_unknown_ends(&mut self, now: Millis, limit: usize) -> usize {
+    pub fn mark_unknown_ends(&mut self, now: Millis, limit: usize) -> Vec<Text> {
         // The retention time has no effect on whether the end is known.
         let ids = self.ended_jobs(Action::StoreEnd, now, Millis::ZERO, limit);
         for id in &ids {
@@ -91,9 +92,8 @@
                 job.progress.ended_at = None;
             }
         }
-        let count = ids.len();
-        self.dirty.extend(ids);
-        count
+        self.dirty.extend(ids.iter().cloned());
+        ids
     }
 
     /// Returns the ids of up to `limit` jobs that have no runs and ended at least `keep` ago. `now` is
--- a/crates/batch/tests/retention.rs
+++ b/crates/batch/tests/retention.rs
@@ -47,7 +47,7 @@
 
 /// Runs a round of the retention as a leader does, and returns whether the job was removed.
 fn round(scheduler: &mut JobScheduler, now: Millis) -> bool {
-    if scheduler.mark_unknown_ends(now, 10) > 0 {
+    if !scheduler.mark_unknown_ends(now, 10).is_empty() {
         scheduler.take_changes();
         scheduler.record_stored_ends(&["job".into()], now);
     }
@@ -98,7 +98,7 @@
     assert!(scheduler.accept(accepted()));
     assert!(scheduler.cancel("job", Millis(7), Millis(8)));
     assert_eq!(scheduler.take_changes().records.len(), 1);
-    assert_eq!(scheduler.mark_unknown_ends(Millis(505_000), 10), 1);
+    assert_eq!(scheduler.mark_unknown_ends(Millis(505_000), 10).len(), 1);
     scheduler.record_stored_ends(&["job".into()], Millis(520_000));
     let (_, progress) = &scheduler.take_changes().records[0];
     assert_eq!(progress.ended_at, Some(Millis(520_000)));
--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -7,7 +7,7 @@
 
 use cluster::Cluster;
 use common::wait_until;
-use platform_standin::store::Fault;
+use platform_standin::{store::Fault, worker::Worker};
 use serde_json::json;
 
 /// Time for which the phase of a job can be read after its end, in ms.
@@ -184,3 +184,25 @@
         thread::sleep(time::Duration::from_millis(200));
     }
 }
+
+/// Guards against ends that count as lost in the log because an outage of the store delays them.
+#[test]
+fn an_end_that_is_not_stored_yet_is_not_logged_as_unknown() {
+    let cluster = start("retention-outage", 1, 2_000, KEEP_MS);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    wait_until("the job runs", cluster::TIMEOUT, || {
+        let is_running = |w: &Worker| !w.runs().is_empty();
+        cluster.workers.iter().any(is_running).then_some(())
+    });
+    // The leader learns of the end before its lease lapses, and stores it after the outage.
+    thread::sleep(time::Duration::from_millis(1_700));
+    cluster.store.set_fault(Fault::Refuses);
+    thread::sleep(time::Duration::from_secs(7));
+    cluster.store.set_fault(Fault::None);
+    cluster.wait_for_state(0, 1, "completed");
+    let log = wait_until("the leader acts again", cluster::TIMEOUT, || {
+        let log = cluster.nodes[0].log();
+        log.contains("leader: valid lease again").then_some(log)
+    });
+    assert!(!log.contains("the time of an end is not known"), "{log}");
+}
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -37,20 +37,29 @@
             log::warn!("retention: no answer of the store tells the time, nothing is removed");
             continue;
         };
-        let unknown = leader
+        let marked = leader
             .scheduler
             .borrow_mut()
             .mark_unknown_ends(now, MAX_UNKNOWN_ENDS);
-        if unknown > 0 {
-            log::info!(jobs = unknown; "retention: the time of an end is not known and counts from now");
+        let jobs = marked
+            .iter()
+            .filter(|id| is_end_stored(&leader, id))
+            .count();
+        if jobs > 0 {
+            log::info!(jobs; "retention: the time of an end is not known and counts from now");
         }
         has_more = remove(&cx, &leader, now).await;
-        if unknown > 0 || !leader.deleted_jobs.borrow().is_empty() {
+        if !marked.is_empty() || !leader.deleted_jobs.borrow().is_empty() {
             leader.dirty.notify_one();
         }
     }
 }
 
+fn is_end_stored(leader: &Leader, id: &str) -> bool {
+    let phases = leader.stored_phases.borrow();
+    phases.get(id).is_some_and(|p| p.is_final())
+}
+
 /// Deletes the rows of the jobs whose retention time is over at the time `now` of the store's clock.
 /// Returns whether there may be more of them.
 async fn remove(cx: &Cx, leader: &Leader, now: Millis) -> bool {
