batch: a start is not sent to an unlisted worker that may have shrunk

What callers would see (LIMIT): a worker that starts whatever it is told to gets work beyond its capacity. A start that is stored and not carried out, by a slow store or a leader that is replaced, was sent to a worker that is no longer in the VM list without a look at its capacity. Entries expire while the store is out, and the worker may have shrunk meanwhile.

Cause: what is unknown was taken for what is not checked.

Change: without an entry, a start is sent only if the workers of all services check their capacity. Otherwise the start counts as refused, and the subtask is placed on a worker whose capacity is known.

--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -106,9 +106,9 @@
         let Some(w) = self.workers.get(worker) else {
             return false;
         };
-        // A run of an earlier leader may be on a worker whose entry has not been read yet.
+        // Without an entry, nobody knows whether the worker checks its capacity.
         let Some(info) = &w.info else {
-            return true;
+            return self.config.services_without_admission_check.is_empty();
         };
         let fits = w.used().fits_in(info.capacity) && self.is_capacity_known(w, now);
         if !fits {
--- a/crates/batch/tests/capacity.rs
+++ b/crates/batch/tests/capacity.rs
@@ -80,6 +80,24 @@
     assert!(!admits(&fleet, 0));
 }
 
+/// Guards against a start on a worker that may have shrunk since its entry left the list.
+#[test]
+fn an_unchecked_worker_without_an_entry_gets_no_start() {
+    let mut fleet = unchecked_fleet(1);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    let now = fleet.now;
+    fleet.scheduler.replace_vm_list(Vec::new(), now);
+    let admits = |fleet: &Fleet| {
+        fleet
+            .scheduler
+            .admits_start(&order.task, &order.worker, fleet.now)
+    };
+    assert!(!admits(&fleet));
+    fleet.scheduler.configure(&Rc::new(config()));
+    assert!(admits(&fleet), "a worker that checks it refuses the start");
+}
+
 /// Guards against starts on workers without an admission check whose entry is out of date.
 #[test]
 fn an_unchecked_worker_gets_work_only_with_a_recent_entry() {
