batch: an entry from before a gap in reading the list is not recent

The age of an entry of a worker that starts whatever it is told to was counted from the read that first showed it. When the list could not be read for some seconds, an entry that was written at the beginning of that time counted as new at its end, although the worker may have shrunk since and could not write it down either.

Evidence: an_entry_from_before_a_gap_in_reading_is_not_recent failed before (a start 5.5 s after the entry was written).

Change: what is kept is the time after which the entry was written: the begin of the last read that did not show it, or the same bound of the entry before and the difference of their clocks, whichever is later. The second one does not grow with a gap. The age that a report tells is used where it is smaller. The list is applied with the time when its reading began, because a read of many pages from a slow store takes long.

--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -31,11 +31,11 @@
         capacity.unwrap_or_default().saturating_sub(self.used())
     }
 
-    /// Returns the age of the entry. Of an entry that this leader has not seen change, only a report
-    /// tells it.
-    fn known_entry_age(&self, now: Millis) -> Option<Millis> {
-        let since_change = self.entry_changed_at.map(|t| now.since(t));
-        since_change.or_else(|| self.entry_age(now))
+    /// Returns how old the entry is at most; `None` if that is unknown, as for an entry of the first
+    /// list that this leader read before the worker reports.
+    fn max_entry_age(&self, now: Millis) -> Option<Millis> {
+        let by_list = self.entry_written_after.map(|t| now.since(t));
+        by_list.into_iter().chain(self.entry_age(now)).min()
     }
 
     /// Replaces the entry of the VM list. The list before was read at `last_read`; it did not name a
@@ -54,13 +54,19 @@
                 "batch: capacity changed"
             );
         }
-        // An entry without a clock counts as new whenever the list is read.
         let before = self.entry_clock.replace(info.clock);
-        if info.clock == Millis::ZERO || before.is_some_and(|t| t != info.clock) {
-            self.entry_changed_at = Some(now);
-        } else if before.is_none() {
-            self.entry_changed_at = last_read;
-        }
+        self.entry_written_after = match before {
+            // An entry without a clock counts as new whenever the list is read.
+            _ if info.clock == Millis::ZERO => Some(now),
+            Some(clock) if clock == info.clock => self.entry_written_after,
+            // The list before did not contain the entry. The two entries are as far apart as their
+            // clocks, however long the list was not read.
+            Some(clock) => {
+                let by_clock = self.entry_written_after;
+                last_read.max(by_clock.map(|t| t + info.clock.since(clock)))
+            }
+            None => last_read,
+        };
         self.address = info.address.clone();
         self.machine.clone_from(&info.machine);
         self.info = Some(info);
@@ -88,9 +94,7 @@
         let heartbeat = self.worker_heartbeat.unwrap_or(DEFAULT_HEARTBEAT);
         let max_age = Millis(heartbeat.0 * MAX_ENTRY_AGE);
         !unchecked.contains(&info.service)
-            || worker
-                .known_entry_age(now)
-                .is_some_and(|age| age <= max_age)
+            || worker.max_entry_age(now).is_some_and(|age| age <= max_age)
     }
 
     /// Returns whether a start order still fits on its worker. The capacity may have shrunk while the
@@ -114,7 +118,7 @@
         if !fits {
             log::info!(
                 task:%, worker:%, capacity:? = info.capacity, used:? = w.used(),
-                entry_age_ms = w.known_entry_age(now).map(|a| a.0);
+                entry_age_ms = w.max_entry_age(now).map(|a| a.0);
                 "batch: start no longer fits"
             );
         }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -83,7 +83,7 @@
     pub(crate) outages: Vec<Outage>,
     /// Workers whose lease expired for an unknown reason.
     pub(crate) unexplained_losses: Vec<LostWorker>,
-    /// Time when the VM list was last read.
+    /// Time when the last reading of the VM list began.
     pub(crate) list_read_at: Option<Millis>,
     /// Whether a VM list was read that has not been compared with these losses.
     pub(crate) has_new_list: bool,
@@ -365,14 +365,26 @@
         }
     }
 
-    /// Replaces the VM list. A worker that is no longer listed gets no new work. Its runs are kept
-    /// until a report shows that they are gone or the worker's lease expires.
+    /// Replaces the VM list by one that was read at `now`, see [`apply_vm_list`](Self::apply_vm_list).
     ///
     /// ```
     /// use base::clock::Millis;
     /// batch::scheduler::JobScheduler::default().replace_vm_list(Vec::new(), Millis(1));
     /// ```
     pub fn replace_vm_list(&mut self, infos: Vec<WorkerInfo>, now: Millis) {
+        self.apply_vm_list(infos, now, now);
+    }
+
+    /// Replaces the VM list by one whose reading began at `read_at`. A worker that is no longer
+    /// listed gets no new work. Its runs are kept until a report shows that they are gone or the
+    /// worker's lease expires.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// let (read_at, now) = (Millis(1), Millis(9));
+    /// batch::scheduler::JobScheduler::default().apply_vm_list(Vec::new(), read_at, now);
+    /// ```
+    pub fn apply_vm_list(&mut self, infos: Vec<WorkerInfo>, read_at: Millis, now: Millis) {
         let ids: Vec<Text> = self.workers.iter().map(|(id, _)| id.clone()).collect();
         for id in ids {
             let Some(worker) = self.workers.get_mut(&id) else {
@@ -380,7 +392,7 @@
             };
             worker.info = None;
         }
-        let last_read = self.list_read_at.replace(now);
+        let last_read = self.list_read_at.replace(read_at);
         for info in infos {
             let worker = self.workers.get_or_default(info.id.clone());
             if worker.incarnation == 0
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -40,8 +40,9 @@
     pub(crate) last_capacity: Option<Resources>,
     /// Time on the worker's clock when it wrote its entry.
     pub(crate) entry_clock: Option<Millis>,
-    /// Time when the entry was new; `None` if it was in the first list that this leader read.
-    pub(crate) entry_changed_at: Option<Millis>,
+    /// Time after which the entry was written; `None` if it was in the first list that this leader
+    /// read.
+    pub(crate) entry_written_after: Option<Millis>,
     /// Resources of listed runs that should not exist and are being stopped.
     pub(crate) unexpected: Resources,
     /// Current incarnation; 0 if unknown.
--- a/crates/batch/tests/capacity.rs
+++ b/crates/batch/tests/capacity.rs
@@ -127,6 +127,34 @@
     assert_eq!(starts(&fleet.plan()).len(), 1);
 }
 
+/// Guards against starts on the word of an entry that was written before a gap between two reads of
+/// the list and is new in the second one.
+#[test]
+fn an_entry_from_before_a_gap_in_reading_is_not_recent() {
+    let read_list = |fleet: &mut Fleet, written_at: Millis| {
+        fleet.infos[0].clock = written_at;
+        let (infos, now) = (fleet.infos.clone(), fleet.now);
+        fleet.scheduler.replace_vm_list(infos, now);
+    };
+    let mut fleet = unchecked_fleet(1);
+    let written_at = fleet.now + Millis(500);
+    read_list(fleet.advance(6_000), written_at);
+    fleet.submit("1", 1, step(1, 1));
+    assert!(starts(&fleet.plan()).is_empty());
+    // The next entry was written shortly before the next read.
+    let written_at = fleet.now + Millis(300);
+    read_list(fleet.advance(800), written_at);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+    // An entry may have been written after its row was read, while the rest of the list was.
+    let mut fleet = unchecked_fleet(1);
+    let (infos, read_at) = (fleet.infos.clone(), fleet.now);
+    let now = fleet.advance(6_000).now;
+    fleet.scheduler.apply_vm_list(infos, read_at, now);
+    read_list(fleet.advance(800), read_at + Millis(300));
+    fleet.submit("1", 1, step(1, 1));
+    assert!(starts(&fleet.plan()).is_empty());
+}
+
 /// Guards against a start beside a run that the scheduler has given up but the worker still lists.
 #[test]
 fn an_unexpected_run_counts_until_it_is_gone() {
--- a/crates/node/src/worker_list.rs
+++ b/crates/node/src/worker_list.rs
@@ -21,10 +21,19 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Millis = Millis(200);
 
+/// The rows of the VM list.
+#[derive(Debug)]
+pub(crate) struct VmList {
+    rows: Vec<Row>,
+    /// Time when the reading began.
+    read_at: Millis,
+}
+
 /// Reads the list once; `None` if that fails.
-pub(crate) async fn fetch(cx: &Cx) -> Option<Vec<Row>> {
+pub(crate) async fn fetch(cx: &Cx) -> Option<VmList> {
+    let read_at = clock::now();
     match load::read_all(cx, servers::TABLE).await {
-        Ok((rows, _)) => Some(rows),
+        Ok((rows, _)) => Some(VmList { rows, read_at }),
         Err(e) => {
             log::info!(reason:% = e; "workers: failed to read the VM list");
             None
@@ -33,27 +42,27 @@
 }
 
 /// Applies the first list of a leadership, so that the first pass knows the workers.
-pub(crate) fn apply_first(leader: &Leader, rows: &[Row]) {
-    update(leader, rows, &mut SortedMap::default());
+pub(crate) fn apply_first(leader: &Leader, list: &VmList) {
+    update(leader, list, &mut SortedMap::default());
 }
 
 /// Reads the list until the leadership ends.
 pub(crate) async fn poll(cx: Cx, leader: Rc<Leader>) {
     let mut malformed = SortedMap::default();
     while !leader.ended.get() {
-        let Some(rows) = fetch(&cx).await else {
+        let Some(list) = fetch(&cx).await else {
             cx::sleep(RETRY_DELAY).await;
             continue;
         };
-        update(&leader, &rows, &mut malformed);
+        update(&leader, &list, &mut malformed);
         cx::sleep(READ_INTERVAL).await;
     }
 }
 
 /// Applies the list. A malformed entry is skipped, and logged once unless its error changes.
-fn update(leader: &Leader, rows: &[Row], malformed: &mut SortedMap<Text, String>) {
-    let mut infos = Vec::with_capacity(rows.len());
-    for row in rows {
+fn update(leader: &Leader, list: &VmList, malformed: &mut SortedMap<Text, String>) {
+    let mut infos = Vec::with_capacity(list.rows.len());
+    for row in &list.rows {
         match servers::decode(row) {
             Ok(info) => infos.push(info),
             Err(reason) if malformed.get(&row.key) == Some(&reason) => {}
@@ -67,6 +76,6 @@
     leader
         .scheduler
         .borrow_mut()
-        .replace_vm_list(infos, clock::now());
+        .apply_vm_list(infos, list.read_at, clock::now());
     leader.changed.notify_one();
 }
