node: no stored start is sent before the configuration is read

Change: a start waits until the configuration has been read, and is checked against the newest one. Stops and leases don't wait.

--- a/crates/cli/tests/capacity.rs
+++ b/crates/cli/tests/capacity.rs
@@ -8,7 +8,7 @@
 
 use cluster::{API_KEY, Cluster, config, proxy::Mode};
 use platform_standin::worker::Worker;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Time after which a start beyond a capacity that has shrunk counts as an overload.
 const SHRINK_GRACE: time::Duration = time::Duration::from_secs(5);
@@ -28,12 +28,16 @@
 
 fn start(test: &str, nodes: usize, workers: usize) -> Cluster {
     let cluster = Cluster::start_behind_proxies(test, nodes, workers, 300);
-    let mut unchecked = config(2, &[API_KEY]);
-    unchecked["services"][0]["admission-check"] = json!(false);
-    cluster.store.put("op", "config", &unchecked);
+    cluster.store.put("op", "config", &unchecked_config(2));
     cluster
 }
 
+fn unchecked_config(version: u64) -> Value {
+    let mut config = config(version, &[API_KEY]);
+    config["services"][0]["admission-check"] = json!(false);
+    config
+}
+
 fn submit(cluster: &Cluster, node: usize, id: u64, count: u64) -> bool {
     let step = json!({"count": count, "cpu": 1_000, "mem-mb": 100, "gpu": 1, "estimated-ms": 300});
     let answer = cluster.submit_step(node, id, "work", &step);
@@ -58,8 +62,30 @@
     play_stored_starts(Entry::Missing);
 }
 
+/// Guards against such a start by a leader that has not read the configuration: each worker seems to
+/// check its capacity itself.
+#[test]
+fn a_stored_start_is_not_sent_before_the_configuration_is_read() {
+    let mut cluster = lose_starts("shrink-config", Entry::Old);
+    cluster.store.delete("op", "config");
+    cluster.nodes[0].restart();
+    thread::sleep(WATCH_TIME);
+    assert_eq!(cluster.workers[0].overloads(), 0);
+    cluster.store.put("op", "config", &unchecked_config(3));
+    assert_nothing_overloaded(&cluster);
+}
+
 fn play_stored_starts(entry: Entry) {
-    let mut cluster = start(&format!("shrink-stored-{entry:?}"), 1, 1);
+    let mut cluster = lose_starts(&format!("shrink-stored-{entry:?}"), entry);
+    cluster.nodes[0].restart();
+    thread::sleep(WATCH_TIME);
+    assert_nothing_overloaded(&cluster);
+}
+
+/// Stores a job of 8 starts that don't reach the worker, kills the leader, and lets the worker
+/// shrink to the size of one start.
+fn lose_starts(test: &str, entry: Entry) -> Cluster {
+    let mut cluster = start(test, 1, 1);
     // The first job shows that the configuration is in force.
     assert!(submit(&cluster, 0, 1, 1));
     cluster.wait_for_state(0, 1, "completed");
@@ -75,13 +101,16 @@
     }
     thread::sleep(SHRINK_GRACE);
     cluster.worker_proxies[0].set(Mode::Forward);
-    cluster.nodes[0].restart();
-    thread::sleep(WATCH_TIME);
+    cluster
+}
+
+/// Asserts that the worker has not been overloaded, nor is once it writes its entry again.
+fn assert_nothing_overloaded(cluster: &Cluster) {
     let worker = &cluster.workers[0];
     assert_eq!(worker.overloads(), 0, "{:?}", worker.runs());
     worker.set_silent(false);
     cluster.wait_for_state(0, 2, "completed");
-    assert_eq!(cluster.workers[0].overloads(), 0);
+    assert_eq!(worker.overloads(), 0);
     cluster.check_runs();
 }
 
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -17,6 +17,9 @@
 /// only a report that was requested later than the reply shows whether the run still exists.
 const REPORT_DELAY: Millis = Millis(5);
 
+/// Interval at which a start that waits for the configuration looks for it.
+const CONFIG_POLL_INTERVAL: Millis = Millis(20);
+
 /// Sends orders concurrently and hands the replies to the scheduler.
 pub(crate) fn send(cx: &Cx, leader: &Rc<Leader>, orders: Vec<Order>) {
     for order in orders {
@@ -25,6 +28,9 @@
 }
 
 async fn send_one(cx: Cx, leader: Rc<Leader>, order: Order) {
+    if matches!(order.action, Action::Start { .. }) {
+        wait_for_config(&cx, &leader).await;
+    }
     let slot = worker_session::acquire_slot(&leader, &order.worker).await;
     if leader.ended.get() || cx.acting().is_none() {
         // This leader repeats the order after its next renewal, or the next leader does.
@@ -50,11 +56,12 @@
                 cx.metrics.count_order("start", "not_sent");
                 return;
             }
-            let fits =
-                leader
-                    .scheduler
-                    .borrow()
-                    .admits_start(&order.task, &order.worker, clock::now());
+            let fits = {
+                let mut scheduler = leader.scheduler.borrow_mut();
+                // The configuration may have been read after the last pass.
+                scheduler.configure(&cx.config());
+                scheduler.admits_start(&order.task, &order.worker, clock::now())
+            };
             if !fits {
                 let refused = StartReply::Refused(Refusal::Room);
                 cx.metrics.count_order("start", "not_sent");
@@ -108,6 +115,14 @@
     }
 }
 
+/// Waits until the configuration has been read. Without it, each worker seems to check its capacity
+/// itself.
+async fn wait_for_config(cx: &Cx, leader: &Leader) {
+    while cx.config_age().is_none() && !leader.ended.get() {
+        cx::sleep(CONFIG_POLL_INTERVAL).await;
+    }
+}
+
 const fn outcome(reply: StartReply) -> &'static str {
     match reply {
         StartReply::Taken => "taken",
