node: a row that can't be read does not show that a job is gone

Evidence: 'a_job_whose_rows_cannot_be_read_is_neither_gone_nor_queued' failed before at the first question.

Change: such a question or cancellation gets 503, as when the store does not answer; nothing is stored.

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -206,3 +206,28 @@
     });
     assert!(!log.contains("the time of an end is not known"), "{log}");
 }
+
+/// Guards against "there is no such job" for an accepted job whose rows can't be read, as those of a
+/// later version.
+#[test]
+fn a_job_whose_rows_cannot_be_read_is_neither_gone_nor_queued() {
+    let cluster = start("retention-unreadable", 1, 100, KEEP_MS);
+    let path = format!("/q/{:016x}", 1);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+    let status = |method| {
+        let answer = cluster.call(0, method, &path, cluster::API_KEY, "");
+        answer.unwrap().status
+    };
+    let unreadable = json!({"phase": "of a later version"});
+    cluster
+        .store
+        .replace("phases", &format!("{:016x}", 1), &unreadable);
+    assert_eq!(status("GET"), 503);
+    cluster.store.delete("phases", &format!("{:016x}", 1));
+    cluster
+        .store
+        .replace("jobs", &format!("{:016x}.job", 1), &unreadable);
+    assert_eq!(status("GET"), 503);
+    assert_eq!(status("DELETE"), 503);
+}
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -7,6 +7,7 @@
 };
 use ntex::http::Response;
 use platform::job;
+use serde::Deserialize;
 use store::table::{Commit, Row, StoreError, Txn};
 
 use crate::{
@@ -134,7 +135,8 @@
     let id = &authorised.path_suffix;
     let row = cx.table.get_row(rows::PHASES, id).await;
     let row = row.map_err(|e| read_failure(cx, id, &e))?;
-    if let Some(row) = row.as_ref().and_then(rows::from_json::<rows::PhaseRow>) {
+    if let Some(row) = row {
+        let row: rows::PhaseRow = decode(&row)?;
         check_owner(authorised, row.organisation.as_ref())?;
         return Ok(phase_response(row.phase));
     }
@@ -169,7 +171,13 @@
         log::info!(job = id; "accept: no row of the job");
         return Err(Refusal::NoJob);
     };
-    rows::from_json(row).ok_or(Refusal::NoJob)
+    decode(row)
+}
+
+/// Decodes a row of a job. A malformed one does not show that the job is gone: a later version may
+/// have written it.
+fn decode<T: for<'a> Deserialize<'a>>(row: &Row) -> Result<T, Refusal> {
+    rows::from_json(row).ok_or(Refusal::Store)
 }
 
 fn read_failure(cx: &Cx, id: &str, error: &StoreError) -> Refusal {
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -18,7 +18,7 @@
     Method,
     /// The configuration is missing or too old.
     ConfigAge,
-    /// The store does not serve this node; nothing was stored.
+    /// The store does not serve this node, or a row of the job is malformed; nothing was stored.
     Store,
     /// The job does not exist or belongs to another organisation.
     NoJob,
