batch: no start is sent to a worker that has announced its shutdown

Callers may see work start on a worker that is about to leave and be lost with it: a start that waited for its decision to be stored, or that a new leader repeats for its predecessor, was sent although the worker has been draining since.

Evidence: a_new_leader_repeats_no_start_on_a_draining_worker failed before.

Such a start is refused like one that no longer fits, and the work is placed elsewhere.

--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -97,8 +97,8 @@
             || worker.max_entry_age(now).is_some_and(|age| age <= max_age)
     }
 
-    /// Returns whether a start order still fits on its worker. The capacity may have shrunk while the
-    /// decision was being stored.
+    /// Returns whether a start order still fits on its worker. While the decision was being stored, the
+    /// capacity may have shrunk or the worker may have announced its shutdown.
     ///
     /// ```
     /// use base::clock::Millis;
@@ -114,10 +114,11 @@
         let Some(info) = &w.info else {
             return self.config.services_without_admission_check.is_empty();
         };
-        let fits = w.used().fits_in(info.capacity) && self.is_capacity_known(w, now);
+        let fits =
+            !info.draining && w.used().fits_in(info.capacity) && self.is_capacity_known(w, now);
         if !fits {
             log::info!(
-                task:%, worker:%, capacity:? = info.capacity, used:? = w.used(),
+                task:%, worker:%, draining = info.draining, capacity:? = info.capacity, used:? = w.used(),
                 entry_age_ms = w.max_entry_age(now).map(|a| a.0);
                 "batch: start no longer fits"
             );
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -204,3 +204,20 @@
     fleet.plan();
     assert_eq!(fleet.crashes("1"), before);
 }
+
+/// Guards against a start on a worker that has announced its shutdown since the start was decided.
+#[test]
+fn a_new_leader_repeats_no_start_on_a_draining_worker() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.infos[0].draining = true;
+    fleet.infos[0].remaining = Some(Millis(4_000));
+    fleet.restart();
+    let now = fleet.now;
+    assert!(
+        !fleet
+            .scheduler
+            .admits_start(&order.task, &order.worker, now)
+    );
+}
