--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -396,11 +396,7 @@
     /// batch::scheduler::JobScheduler::default().apply_vm_list(Vec::new(), read_at, now);
     /// ```
     pub fn apply_vm_list(&mut self, infos: Vec<WorkerInfo>, read_at: Millis, now: Millis) {
-        let ids: Vec<Text> = self.workers.iter().map(|(id, _)| id.clone()).collect();
-        for id in ids {
-            let Some(worker) = self.workers.get_mut(&id) else {
-                continue;
-            };
+        for (_, worker) in self.workers.iter_mut() {
             worker.info = None;
         }
         let last_read = self.list_read_at.replace(read_at);
