lease: a lease that ended in an outage is taken over soon after it

Callers lose the work that runs when the leader is lost in an outage of the store: outage and takeover outlast the leases of the workers (6 s).

Cause: after a gap in its reads a candidate waited for a whole take_ms (1.15 s) again, so that a holder that could not renew keeps the lease. But the lease of that holder has ended long before, by the candidate's own clock; the holder only needs time for one renewal.

Change: the time of an outage counts for take_ms. After it the holder has two intervals of renewal (0.6 s). The transaction checks the version of the heartbeat as before, so a holder that did renew is not replaced.

--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -5,6 +5,7 @@
 //! that checks the version of the lease row. The holder acts only for `hold_ms` after the *start*
 //! of its last successful renewal. A candidate takes over once the version of the heartbeat row has
 //! not changed for `take_ms` on the candidate's own clock, in a transaction that checks both rows.
+//! The time of an outage of the store counts, but the holder has two intervals of renewal after it.
 //! Clocks of different VMs are never compared.
 
 use base::clock::Millis;
@@ -290,31 +291,25 @@
         else {
             return State::Watching(w);
         };
-        w.lease = lease;
-        // After a gap in this candidate's reads, as in an outage of the table service, the wait
-        // starts again: the holder may have been unable to renew during the outage.
-        let had_gap = now.since(w.last_read) > self.cfg.hold_ms;
-        w.last_read = now;
-        let since = match w.heartbeat {
-            Some((version, since)) if version == heartbeat_version && !had_gap => since,
-            _ => now,
-        };
-        w.heartbeat = Some((heartbeat_version, since));
+        let since = w.record_read(lease, heartbeat_version, now, self.cfg.hold_ms);
         let is_own = lease.is_some_and(|l| l.holder_ended);
-        let takeover_delay = match heartbeat_version {
-            _ if is_own => Millis::ZERO,
-            0 => self.rank_delay(),
-            _ => self.cfg.take_ms + self.rank_delay(),
+        let rank = self.rank_delay();
+        let takeover_at = match heartbeat_version {
+            _ if is_own => since,
+            0 => since.max(w.resumed_at) + rank,
+            _ => {
+                let renewal_at = w.resumed_at + Millis(2 * self.cfg.renew_ms.0);
+                renewal_at.max(since + self.cfg.take_ms) + rank
+            }
         };
         // The candidates that do not yield come first, whatever their ranks.
         let yielding = match self.cfg.yield_ms {
             Millis::ZERO => Millis::ZERO,
             yield_ms => yield_ms + self.spread,
         };
-        let delay = takeover_delay + yielding;
-        if now.since(since) < delay {
-            let remaining = delay.since(now.since(since));
-            w.next = w.next.min(now + remaining);
+        let takeover_at = takeover_at + yielding;
+        if now < takeover_at {
+            w.next = w.next.min(takeover_at);
             return State::Watching(w);
         }
         State::Acquiring(Acquisition {
--- a/crates/lease/src/state.rs
+++ b/crates/lease/src/state.rs
@@ -26,6 +26,8 @@
     pub(crate) lease: Option<ObservedLease>,
     /// Time of the last successful read.
     pub(crate) last_read: Millis,
+    /// Time of the first successful read after the last gap between reads.
+    pub(crate) resumed_at: Millis,
     pub(crate) next: Millis,
 }
 
@@ -53,6 +55,31 @@
     pub(crate) read_succeeded: bool,
 }
 
+impl Watch {
+    /// Records the rows as read, and returns since when the heartbeat has not changed. After a gap
+    /// between reads of more than `max_gap`, as in an outage of the table service, the holder gets
+    /// time for a renewal: it may have been unable to renew during the outage.
+    pub(crate) fn record_read(
+        &mut self,
+        lease: Option<ObservedLease>,
+        heartbeat_version: u64,
+        now: Millis,
+        max_gap: Millis,
+    ) -> Millis {
+        if now.since(self.last_read) > max_gap {
+            self.resumed_at = now;
+        }
+        self.lease = lease;
+        self.last_read = now;
+        let since = match self.heartbeat {
+            Some((version, since)) if version == heartbeat_version => since,
+            _ => now,
+        };
+        self.heartbeat = Some((heartbeat_version, since));
+        since
+    }
+}
+
 impl Acquisition {
     pub(crate) fn step(&self) -> Step {
         Step::Acquire {
--- a/crates/lease/tests/takeover_delay.rs
+++ b/crates/lease/tests/takeover_delay.rs
@@ -232,3 +232,59 @@
         "the delay of a small VM still applies"
     );
 }
+
+/// Returns the time from the end of an outage of the store until a candidate takes over. The
+/// heartbeat was first seen `seen_before` the outage, and is still the same after it.
+fn time_to_acquire_after_outage(cfg: LeaseCfg, seen_before: Millis, outage: Millis) -> Millis {
+    let rows = Outcome::Rows {
+        lease: Some(ObservedLease {
+            version: 3,
+            holder: 9,
+            fence: 2,
+            holder_ended: false,
+        }),
+        heartbeat_version: 4,
+    };
+    let mut candidate = Lease::new(0, cfg);
+    let mut now = Millis(10_000);
+    let start = now + seen_before;
+    let end = start + outage;
+    loop {
+        match candidate.next_step(now) {
+            Step::Read if now < start || now >= end => candidate.complete(now, rows),
+            Step::Read => {
+                now = (now + Millis(50)).min(end);
+                candidate.complete(now, Outcome::NotDone);
+            }
+            Step::Wait { until } => now = until,
+            Step::Acquire { .. } => return now.since(end),
+            step => panic!("{step:?}"),
+        }
+    }
+}
+
+/// Guards against runs that lapse because the leader was lost in an outage of the store: candidates
+/// waited for a whole lease after it, although its lease had ended long before.
+#[test]
+fn a_lease_that_ended_during_an_outage_is_taken_over_soon_after_it() {
+    let cfg = LeaseCfg::default();
+    let seen_before = Millis(10);
+    let outage = Millis(2 * cfg.take_ms.0);
+    let delay = time_to_acquire_after_outage(cfg, seen_before, outage);
+    let bound = Millis(2 * cfg.renew_ms.0) + cfg.look_ms;
+    assert!(delay <= bound, "{delay}");
+    assert!(
+        delay >= Millis(2 * cfg.renew_ms.0),
+        "the holder renews first: {delay}"
+    );
+}
+
+/// Guards against a takeover from a holder that may still act, after an outage that is shorter than
+/// its lease.
+#[test]
+fn a_short_outage_does_not_shorten_the_wait_for_the_holder() {
+    let cfg = LeaseCfg::default();
+    let (seen_before, outage) = (Millis(10), cfg.hold_ms + Millis(100));
+    let delay = time_to_acquire_after_outage(cfg, seen_before, outage);
+    assert!(seen_before + outage + delay >= cfg.take_ms, "{delay}");
+}
