batch: a new leader keeps room for a burst of urgent work

What callers would see: after a change of leader in a burst urgent work waits for stops of deferrable work, which got all free accelerators.

Cause: since a new leader takes the urgent load that it finds for steady and keeps nothing free.

Evidence: a_new_leader_keeps_room_for_a_burst failed before. The test restarts the leader 6 s after the load began, as after an outage.

Change: the first deviation is the load of the urgent work that is not older than 30 s. Older work is steady, so a_new_leader_reserves_nothing_for_a_steady_load holds as it is.

--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -50,7 +50,7 @@
         if units.is_empty() {
             return;
         }
-        let reserve = self.reserve(now);
+        let reserve = self.reserve(now, wall_now);
         let mut pass = Pass {
             candidates: self.candidates(now),
             within_guarantee,
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -131,11 +131,7 @@
         let target = queue.map_or(Millis::ZERO, |q| q.target_latency);
         let objective = Millis((job.critical_path().0 as f64 * slack) as u64) + target;
         for (k, occurrence) in job.progress.occurrences.iter().enumerate() {
-            let start = job
-                .accepted
-                .spec
-                .repeat
-                .map_or(job.accepted.at, |r| r.due(k as u32));
+            let start = job.occurrence_start(k as u32);
             let guaranteed = guaranteed && priority == URGENT_PRIORITY;
             let end = wall_now + job.remaining_critical_path(occurrence);
             let rank = Rank {
@@ -195,6 +191,12 @@
 }
 
 impl Job {
+    /// Returns the wall-clock time at which occurrence `k` began.
+    pub(crate) fn occurrence_start(&self, k: u32) -> Millis {
+        let repeat = self.accepted.spec.repeat;
+        repeat.map_or(self.accepted.at, |r| r.due(k))
+    }
+
     fn next_due(&self) -> Option<Millis> {
         let opened = self.progress.occurrences.len() as u32;
         match self.accepted.spec.repeat {
--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -15,6 +15,10 @@
 /// at random, so their load is often one deviation above the mean, but rarely two.
 const DEVIATIONS: f64 = 1.0;
 
+/// Age from which urgent work counts as a steady load. It covers several generations of urgent runs
+/// and an outage that they survive.
+const STEADY_AFTER: Millis = Millis(30_000);
+
 /// Maximum share of accelerators that are kept free, in percent. After a burst the mean stays high
 /// for some seconds, and deferrable work must not wait all that time.
 const MAX_PERCENT: u64 = 25;
@@ -32,10 +36,11 @@
 }
 
 impl UrgentLoad {
-    /// Updates the averages with the load since the last call. Without any load for
-    /// [`TIME_CONSTANT`] they start anew, because their tail would keep resources free for urgent
-    /// work that no longer comes.
-    fn observe(&mut self, load: f64, now: Millis) {
+    /// Updates the averages with the load since the last call. In the first call, `recent` is the
+    /// part of work that is not older than [`STEADY_AFTER`]. Without any load for [`TIME_CONSTANT`]
+    /// the averages start anew, because their tail would keep resources free for urgent work that
+    /// no longer comes.
+    fn observe(&mut self, load: f64, recent: f64, now: Millis) {
         if load > 0.0 {
             self.last_load_at = now;
         } else if now.since(self.last_load_at) >= TIME_CONSTANT {
@@ -46,7 +51,9 @@
             return;
         }
         let Some(updated_at) = self.updated_at.replace(now) else {
+            // A new leader does not know the load before. What came lately may be a burst that goes on.
             self.mean = load;
+            self.deviation = recent;
             return;
         };
         let elapsed = now.since(updated_at).0 as f64 / TIME_CONSTANT.0 as f64;
@@ -64,9 +71,13 @@
 impl JobScheduler {
     /// Returns the number of accelerators that deferrable work has to leave free now. It is 0 while
     /// more than half of all are free, because a burst then fits without a reserve.
-    pub(crate) fn reserve(&mut self, now: Millis) -> u64 {
-        let load = self.urgent_load();
-        self.urgent.observe(load, now);
+    pub(crate) fn reserve(&mut self, now: Millis, wall_now: Millis) -> u64 {
+        let load = self.urgent_load(wall_now, None);
+        let recent = match self.urgent.updated_at {
+            None => self.urgent_load(wall_now, Some(STEADY_AFTER)),
+            Some(_) => 0.0,
+        };
+        self.urgent.observe(load, recent, now);
         let (all, free) = self.accelerators();
         if free > all / 2 {
             return 0;
@@ -85,8 +96,9 @@
         (all, free)
     }
 
-    /// Returns the number of accelerators that urgent runs use.
-    fn urgent_load(&self) -> f64 {
+    /// Returns the number of accelerators that urgent runs use, or those of work that is not older
+    /// than `max_age`.
+    fn urgent_load(&self, wall_now: Millis, max_age: Option<Millis>) -> f64 {
         let mut load = 0;
         for (_, worker) in self.workers.iter() {
             for (task, need) in &worker.runs {
@@ -96,6 +108,10 @@
                 let queue = self.config.queue(&job.accepted.queue);
                 let run = job.subtask(task).and_then(|t| t.run.as_ref());
                 let is_stopping = run.is_some_and(|r| r.state == RunState::Stopping);
+                let age = wall_now.since(job.occurrence_start(task.occurrence));
+                if max_age.is_some_and(|max| age > max) {
+                    continue;
+                }
                 if !is_stopping && queue.is_some_and(|q| q.priority == URGENT_PRIORITY) {
                     load += need.accelerators;
                 }
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -204,3 +204,24 @@
     fleet.plan();
     assert_eq!(fleet.crashes("1"), before);
 }
+
+/// Guards against urgent work that waits for stops during a burst, because a new leader has given
+/// the free accelerators to deferrable work.
+#[test]
+fn a_new_leader_keeps_room_for_a_burst() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("urgent-0", 0, gang(3, 8));
+    let urgent = starts(&fleet.plan());
+    assert_eq!(urgent.len(), 3);
+    // Outage and takeover took as long as the leases of the workers.
+    fleet.advance(6_000).restart();
+    for order in &urgent {
+        fleet.report_running(order, 1, 10);
+    }
+    fleet.submit("low", 1, step(1, 8));
+    assert!(starts(&fleet.plan()).is_empty(), "room for a burst");
+    fleet.advance(500).submit("urgent-1", 0, gang(1, 8));
+    let begun = starts(&fleet.plan());
+    assert_eq!(begun.len(), 1);
+    assert_eq!(&*begun[0].task.job, "urgent-1");
+}
