platform, node: a run whose row in a report is malformed is not gone

What callers see: a subtask runs twice, or again after it was done, if one row of a worker's report can't be read, or if a reply with status 200 lacks a list of runs.

Cause: a malformed row was left out of the report, and the report still counted as complete. A run that a complete report does not list is gone, so it was started again. A reply of `{}` was a report of a restarted worker without any run.

Why it works: only a complete report shows that a run is gone. While rows stay malformed, runs that are neither listed nor ended keep their place until the worker's lease is over.

--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -106,8 +106,8 @@
     pub running: Vec<Running>,
     /// Finished runs that were not acknowledged, by sequence number.
     pub finished: Vec<FinishedRun>,
-    /// Whether the report names all finished runs that were not acknowledged. A worker returns a
-    /// limited number of them at a time.
+    /// Whether the report names all running runs and all finished ones that were not acknowledged. A
+    /// worker returns a limited number of them at a time, and a row may be malformed.
     pub is_complete: bool,
 }
 
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -313,6 +313,9 @@
                 // The worker replies at once while finished runs are not acknowledged.
                 let committed = leader.committed.notified();
                 let _ = time::timeout(MAX_COMMIT_WAIT.to_duration(), committed).await;
+            } else if !report.is_complete {
+                // So it does while a finished run whose row is malformed is not acknowledged.
+                cx::sleep(RETRY_DELAY).await;
             }
             Ok(())
         }
