node: an acknowledgement is not repeated to the next life of a worker

What callers see: a subtask can run again after it was done, if a worker restarts under its id, carries out a start that was still under way, and the run ends before the worker's first report.

Cause: ends are acknowledged by sequence number, which starts anew in each life. A number is sent only once for this reason. When the VM list named the next life before a report did, the session forgot what it had sent while the scheduler still had the number of the life before, and the number was sent again, to the next life, which drops its ends up to there unread.

The random histories did not show it, because their model applies an acknowledgement only to the life that it was meant for.

Change: an end is acknowledged only while the session and the scheduler know the same incarnation.

What remains: a number that is sent for the first time can still meet a life that began after the last report; a call names the id of the worker only.

--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -59,6 +59,15 @@
         }
     }
 
+    /// Returns the incarnation of the worker; 0 if unknown.
+    ///
+    /// ```
+    /// assert_eq!(batch::grant::Grants::default().incarnation(), 0);
+    /// ```
+    pub const fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Returns whether the worker's clock is known.
     ///
     /// ```
--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -87,7 +87,18 @@
     /// Starts nodes that connect to the store and the workers through proxies, one for each node
     /// and each worker.
     pub fn start_behind_proxies(test: &str, nodes: usize, workers: usize, run_ms: u64) -> Self {
-        let (reborn, settings) = (Reborn::OtherId, json!({}));
+        Self::start_reborn_behind_proxies(test, nodes, workers, run_ms, Reborn::OtherId)
+    }
+
+    /// Starts such nodes; `reborn` tells under which id a crashed worker comes back.
+    pub fn start_reborn_behind_proxies(
+        test: &str,
+        nodes: usize,
+        workers: usize,
+        run_ms: u64,
+        reborn: Reborn,
+    ) -> Self {
+        let settings = json!({});
         Self::build(test, nodes, workers, run_ms, reborn, &settings, |addr| {
             let proxy = Proxy::start(addr).unwrap();
             (proxy.addr(), Some(proxy))
--- a/crates/cli/tests/crashes.rs
+++ b/crates/cli/tests/crashes.rs
@@ -6,7 +6,7 @@
 
 use std::{thread, time};
 
-use cluster::{API_KEY, Cluster, TIMEOUT, config};
+use cluster::{API_KEY, Cluster, TIMEOUT, config, proxy::Mode};
 use common::wait_until;
 use platform_standin::{
     store::Fault,
@@ -17,6 +17,8 @@
 /// Time limit for giving up a deadly subtask: three crashes, each with a start that waits for the
 /// worker's lease (6.3 s).
 const GIVE_UP_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Time in which a worker restarts and is listed, below its lease.
+const RESTART_TIME: time::Duration = time::Duration::from_secs(2);
 /// Maximum number of workers that a deadly subtask may crash.
 const MAX_CRASHES: u64 = 5;
 
@@ -57,6 +59,34 @@
     cluster.check_runs();
 }
 
+/// Guards against ends in the next life of a worker that are acknowledged, and so forgotten, before
+/// they are read.
+#[test]
+fn an_acknowledgement_is_not_repeated_to_the_next_life_of_a_worker() {
+    let run = 1_500;
+    let cluster = Cluster::start_reborn_behind_proxies("node-acks", 1, 1, run, Reborn::SameId);
+    let worker = &cluster.workers[0];
+    let step = json!({"count": 1, "cpu": 1_000, "mem-mb": 100, "gpu": 1, "estimated-ms": run});
+    let submit = |id| cluster.submit_step(0, id, "work", &step).unwrap().status;
+    assert_eq!(submit(1), 200);
+    thread::sleep(time::Duration::from_millis(run / 2));
+    assert_eq!(submit(2), 200);
+    wait_until("the first end is acknowledged", TIMEOUT, || {
+        (!worker.acks().is_empty()).then_some(())
+    });
+    // The VM list names the next life before a report does.
+    cluster.worker_proxies[0].set(Mode::Close);
+    worker.crash();
+    thread::sleep(RESTART_TIME);
+    cluster.worker_proxies[0].set(Mode::Forward);
+    wait_until("the second job runs again", TIMEOUT, || {
+        (worker.runs().len() > 2).then_some(())
+    });
+    assert_eq!(worker.acks(), [1]);
+    cluster.wait_for_state(0, 2, "completed");
+    cluster.check_runs();
+}
+
 /// Guards against starts on workers that have less capacity than before, also while the store that
 /// would tell so is out.
 #[test]
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -375,13 +375,14 @@
 }
 
 /// Returns the incarnation and sequence number up to which finished runs may be acknowledged,
-/// unless that was already sent. A sequence number is sent only once: after a restart under the
-/// same id it would refer to other runs.
+/// unless that was already sent. A sequence number is sent only once, and not after the VM list has
+/// named another incarnation: after a restart under the same id it would refer to other runs.
 fn unsent_ack(leader: &Leader, worker: &Text) -> Option<(u64, u64)> {
     let stored = leader.scheduler.borrow().stored_seq(worker)?;
     let sessions = leader.sessions.borrow();
-    let acked = sessions.get(worker)?.acked;
-    (stored.1 > 0 && stored != acked).then_some(stored)
+    let session = sessions.get(worker)?;
+    let is_current = stored.0 == session.grants.incarnation();
+    (is_current && stored.1 > 0 && stored != session.acked).then_some(stored)
 }
 
 fn handle_report(
