node, batch: a worker has at most two calls beside its renewal

Cause: each order waited at most 100 ms for all of those before it, not for one that is not answered. With 40 orders and answers that take longer than 2.5 ms, the rest was sent at once, each on a connection of its own; a silent worker got all of its orders after 100 ms.

Change: batch::call_queue decides, node::calls waits. At most two calls are under way to a worker beside the renewal (3,300 connections with 1,100 workers). The second one goes if the first is not answered within 10 ms. While the worker answers, the others wait in order for as long as it takes. If it answers none for 700 ms, those that wait count as unanswered like those that were sent; a wait for a silent worker and the call after it take at most 0.8 s, so that three tries of a start take 2.4 s (gang-timeout-ms 3,000). An extension of leases goes before the orders. One report after several stops is requested once, if the others' request still waits.

Orders for the same run: a start whose run was stopped while it waited is not sent (as before). A stop of a run that has ended is sent, also because a stop of an unexpected run names the same attempt; it forbids only attempts that are over. A stop that overtakes a start under way makes the worker refuse the start. Reports are requested only if runs are left, of the worker's address at that time.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Fields and variables named `task` refer to subtasks.
 
+pub mod call_queue;
 mod candidates;
 mod capacity;
 pub mod config;
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -320,6 +320,21 @@
     assert!(opened <= 4, "{opened}");
 }
 
+/// Guards against a slow worker that gets all of its orders at once, each on a connection of its own.
+#[test]
+fn the_orders_to_a_slow_worker_follow_each_other() {
+    let cluster = Cluster::start_behind_proxies("node-slow-worker", 1, 1, 60_000);
+    cluster.worker_proxies[0].set(Mode::Slow);
+    let step = json!({"count": 20, "cpu": 10, "mem-mb": 1});
+    let answer = cluster.submit_step(0, 1, "work", &step).unwrap();
+    assert_eq!(answer.status, 200);
+    wait_until("all runs start", TIMEOUT, || {
+        (cluster.workers[0].runs().len() == 20).then_some(())
+    });
+    let opened = cluster.worker_proxies[0].accepted();
+    assert!(opened <= 4, "{opened}");
+}
+
 /// Guards against jobs that are accepted after an outage of the store and not found by the leader
 /// until a call from before its end has timed out.
 #[test]
--- /dev/null
+++ b/crates/node/src/calls.rs
@@ -0,0 +1,116 @@
+//! Calls to one worker beside the sequential renewal of its lease, in the order of a [`CallQueue`].
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use base::{
+    clock::{self, Millis},
+    sorted::SortedMap,
+};
+use batch::call_queue::{CallQueue, Place, Turn};
+use ntex::rt;
+use tokio::sync::{self, oneshot};
+
+use crate::cx;
+
+/// Calls to one worker; clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Calls(Rc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    queue: RefCell<CallQueue>,
+    waiting: RefCell<SortedMap<u64, oneshot::Sender<Permit>>>,
+    /// Notified when the time of the next turn may have changed.
+    changed: sync::Notify,
+    has_timer: Cell<bool>,
+    /// Whether a report is requested whose call waits for its turn.
+    is_report_due: Cell<bool>,
+}
+
+/// Right to send a call; the call ends when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    calls: Calls,
+    id: u64,
+    /// Time limit for the answer.
+    pub(crate) limit: Millis,
+    answered: bool,
+}
+
+impl Permit {
+    /// Records that the worker has answered the call.
+    pub(crate) fn set_answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut queue = self.calls.0.queue.borrow_mut();
+        queue.end(self.id, self.answered, clock::now());
+        drop(queue);
+        self.calls.advance();
+    }
+}
+
+impl Calls {
+    /// Waits for the turn of a call. Returns `None` if it is not to be sent, because the worker
+    /// answers no call.
+    pub(crate) async fn acquire(&self, place: Place) -> Option<Permit> {
+        let (tx, rx) = oneshot::channel();
+        let id = self.0.queue.borrow_mut().add(place, clock::now());
+        self.0.waiting.borrow_mut().insert(id, tx);
+        self.advance();
+        rx.await.ok()
+    }
+
+    /// Waits for the turn of a request for a report. Returns `None` also if another one waits,
+    /// which will be sent later than now.
+    pub(crate) async fn acquire_for_report(&self) -> Option<Permit> {
+        if self.0.is_report_due.replace(true) {
+            return None;
+        }
+        let permit = self.acquire(Place::Last).await;
+        self.0.is_report_due.set(false);
+        permit
+    }
+
+    fn advance(&self) {
+        let turns = self.0.queue.borrow_mut().advance(clock::now());
+        for (id, turn) in turns {
+            let tx = self.0.waiting.borrow_mut().remove(&id);
+            if let Turn::Send(limit) = turn {
+                let permit = Permit {
+                    calls: self.clone(),
+                    id,
+                    limit,
+                    answered: false,
+                };
+                // If nobody waits any more, the permit comes back and the call ends.
+                drop(tx.map(|tx| tx.send(permit)));
+            }
+        }
+        self.0.changed.notify_one();
+        if self.0.queue.borrow().next_at().is_some() && !self.0.has_timer.replace(true) {
+            rt::spawn(run_timer(self.clone())).detach();
+        }
+    }
+}
+
+/// Advances the queue at the times of its next turns while calls wait.
+async fn run_timer(calls: Calls) {
+    loop {
+        let next = calls.0.queue.borrow().next_at();
+        let Some(at) = next else {
+            break;
+        };
+        tokio::select! {
+            () = cx::sleep(at.since(clock::now())) => calls.advance(),
+            () = calls.0.changed.notified() => {}
+        }
+    }
+    calls.0.has_timer.set(false);
+}
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -22,9 +22,8 @@
 /// Timeout of store calls for the lease. A renewal counts from its start, so a later answer is
 /// useless.
 const LEASE_TIMEOUT: Millis = Millis(1_600);
-/// Timeout of an order. Three attempts fit into the time that the members of a gang wait for each
-/// other.
-const ORDER_TIMEOUT: Millis = Millis(700);
+/// Timeout of a call to the policy service. Calls to workers have limits of their own.
+const CALL_TIMEOUT: Millis = Millis(700);
 /// Maximum number of connections to the store for callers' requests and decisions.
 const STORE_CONNECTIONS: usize = 24;
 /// Maximum number of connections to the store for the lease: a transaction and four reads.
@@ -100,7 +99,7 @@
         };
         let policy = match cfg.policy {
             Some(address) => {
-                Some(PolicyClient::new(address, http(POLICY_CONNECTIONS, ORDER_TIMEOUT)).await?)
+                Some(PolicyClient::new(address, http(POLICY_CONNECTIONS, CALL_TIMEOUT)).await?)
             }
             None => None,
         };
@@ -117,7 +116,7 @@
             pace,
             store_clock,
             policy,
-            workers: Workers::new(http(WORKER_CONNECTIONS, ORDER_TIMEOUT)).await?,
+            workers: Workers::new(http(WORKER_CONNECTIONS, CALL_TIMEOUT)).await?,
             active_config: RefCell::default(),
             config_changed: Notify::new(),
             lease: RefCell::new(Lease::new(candidate.id, cfg.lease)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod accept;
 mod activity;
 mod authorise;
+mod calls;
 mod commit;
 mod config;
 mod cx;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -3,7 +3,10 @@
 use std::rc::Rc;
 
 use base::clock::{self, Millis};
-use batch::worker::{Action, Order, Refusal, StartReply};
+use batch::{
+    call_queue::Place,
+    worker::{Action, Order, Refusal, StartReply},
+};
 use ntex::rt;
 use platform::workers::{Reply, Start};
 
@@ -31,7 +34,14 @@
     if matches!(order.action, Action::Start { .. }) {
         wait_for_config(&cx, &leader).await;
     }
-    let slot = worker_session::acquire_slot(&leader, &order.worker).await;
+    let Some(calls) = worker_session::calls(&leader, &order.worker) else {
+        log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
+        return handle_unsent(&leader, &order);
+    };
+    let Some(mut permit) = calls.acquire(Place::Last).await else {
+        log::info!(task:% = order.task, worker:% = order.worker; "orders: not sent to a silent worker");
+        return handle_unsent(&leader, &order);
+    };
     if leader.ended.get() || cx.acting().is_none() {
         // This leader repeats the order after its next renewal, or the next leader does.
         log::info!(task:% = order.task; "orders: not sent without a valid lease");
@@ -78,8 +88,9 @@
                 ticket: ticket.clone(),
                 lease_end,
             };
-            let (reply, clock) = cx.workers.start(&target, &start).await;
+            let (reply, clock) = cx.workers.start(&target, &start, permit.limit).await;
             if let Some(clock) = clock {
+                permit.set_answered();
                 worker_session::observe_clock(&leader, &order.worker, clock);
             }
             cx.metrics.count_order("start", outcome(reply));
@@ -90,8 +101,10 @@
             }
         }
         Action::Stop => {
-            let reply = cx.workers.stop(&target, &order.task, order.attempt).await;
-            log::info!(task:% = order.task, attempt = order.attempt, worker:% = order.worker, reply:?; "orders: stop");
+            // A run that has ended meanwhile can be stopped as well: its number is not used again.
+            let (task, attempt) = (&order.task, order.attempt);
+            let reply = cx.workers.stop(&target, task, attempt, permit.limit).await;
+            log::info!(task:%, attempt, worker:% = order.worker, reply:?; "orders: stop");
             let outcome = if reply == Reply::Done(()) {
                 "taken"
             } else {
@@ -101,15 +114,15 @@
             if reply != Reply::Done(()) {
                 return;
             }
-            let (task, attempt, now) = (&order.task, order.attempt, clock::now());
+            permit.set_answered();
+            drop(permit);
             let open = leader
                 .scheduler
                 .borrow_mut()
-                .handle_stop_reply(task, attempt, now);
+                .handle_stop_reply(task, attempt, clock::now());
             if open {
-                drop(slot);
                 cx::sleep(REPORT_DELAY).await;
-                worker_session::request_report(&cx, &leader, &target).await;
+                worker_session::request_report(&cx, &leader, &order.worker).await;
             }
         }
     }
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -1,9 +1,10 @@
 //! Sessions with workers: lease renewals, reports, and the expiry of leases.
 
-use std::{net, rc::Rc, sync::Arc};
+use std::{net, rc::Rc};
 
 use base::clock::{self, Millis};
 use batch::{
+    call_queue::Place,
     grant::{self, Grants},
     job::Text,
     worker::{Report, WorkerInfo},
@@ -11,9 +12,10 @@
 use derive_more::Display;
 use ntex::rt;
 use platform::workers::{Renewal, Reply, Target};
-use tokio::{sync, time};
+use tokio::time;
 
 use crate::{
+    calls::{Calls, Permit},
     cx::{self, Cx},
     leader::Leader,
 };
@@ -31,11 +33,6 @@
 /// send.
 const MAX_ORDER_DELAY: Millis = Millis(150);
 
-/// Maximum time for which a call waits for the one before it to the same worker. A worker that does
-/// not answer delays its other orders by no more, so that three tries of a start still fit into the
-/// time that the members of a gang wait for each other.
-const MAX_SLOT_WAIT: Millis = Millis(100);
-
 /// Reason why a renewal failed.
 #[derive(Debug, Display)]
 enum Failure {
@@ -73,18 +70,7 @@
     acked: (u64, u64),
     /// Whether a task renews the lease.
     is_active: bool,
-    slot: Slot,
-}
-
-/// Right to send a call to a worker beside the sequential renewal. The connections of calls at the
-/// same time stay open, and a VM has no room for one for each run of all workers.
-#[derive(Clone, Debug)]
-struct Slot(Arc<sync::Semaphore>);
-
-impl Default for Slot {
-    fn default() -> Self {
-        Self(Arc::new(sync::Semaphore::new(1)))
-    }
+    calls: Calls,
 }
 
 /// Updates the addresses and clocks of the sessions from the VM list.
@@ -135,15 +121,10 @@
     })
 }
 
-/// Waits until no other order is under way to the worker, or for [`MAX_SLOT_WAIT`]. The order ends
-/// when the result is dropped.
-pub(crate) async fn acquire_slot(
-    leader: &Leader,
-    worker: &Text,
-) -> Option<sync::OwnedSemaphorePermit> {
-    let slot = leader.sessions.borrow().get(worker)?.slot.clone();
-    let permit = time::timeout(MAX_SLOT_WAIT.to_duration(), slot.0.acquire_owned());
-    permit.await.ok()?.ok()
+/// Returns the calls to a worker beside its renewals, or `None` if the worker is unknown.
+pub(crate) fn calls(leader: &Leader, worker: &Text) -> Option<Calls> {
+    let sessions = leader.sessions.borrow();
+    sessions.get(worker).map(|s| s.calls.clone())
 }
 
 /// Returns the end of the lease for a start order, or `None` if the worker's clock is unknown.
@@ -330,44 +311,57 @@
 
 /// Extends the lease of a worker at once, beside the sequential renewal, if the worker answers.
 pub(crate) async fn extend_lease(cx: &Cx, leader: &Rc<Leader>, worker: &Text) {
-    let _slot = acquire_slot(leader, worker).await;
-    if leader.ended.get() || cx.acting().is_none() {
-        return;
-    }
-    let (Some(target), Some(end)) = (
-        target(leader, worker),
-        renewed_lease_end(cx, leader, worker),
-    ) else {
+    let Some(calls) = calls(leader, worker) else {
         return;
     };
-    let sent = clock::now();
-    let call = Renewal {
-        lease_end: Some(end),
-        acked: 0,
-        wait: Millis::ZERO,
+    let Some(permit) = calls.acquire(Place::First).await else {
+        return;
     };
-    match cx.workers.renew(&target, call, ANSWER_TIME).await {
-        Reply::Done(report) => handle_report(leader, worker, &report, sent, None),
-        reply => log::debug!(worker:%, reply:?; "workers: lease not extended"),
+    let end = renewed_lease_end(cx, leader, worker);
+    if end.is_some() {
+        fetch_report(cx, leader, worker, end, permit).await;
     }
 }
 
 /// Requests one report of a worker without a delay. It neither extends the lease nor acknowledges
 /// finished runs, which is left to the sequential renewals.
-pub(crate) async fn request_report(cx: &Cx, leader: &Rc<Leader>, target: &Target) {
-    let _slot = acquire_slot(leader, &target.id).await;
+pub(crate) async fn request_report(cx: &Cx, leader: &Rc<Leader>, worker: &Text) {
+    let Some(calls) = calls(leader, worker) else {
+        return;
+    };
+    let Some(permit) = calls.acquire_for_report().await else {
+        return;
+    };
+    if leader.scheduler.borrow().runs_on(worker) > 0 {
+        fetch_report(cx, leader, worker, None, permit).await;
+    }
+}
+
+async fn fetch_report(
+    cx: &Cx,
+    leader: &Rc<Leader>,
+    worker: &Text,
+    lease_end: Option<Millis>,
+    mut permit: Permit,
+) {
+    let Some(target) = target(leader, worker) else {
+        return;
+    };
     if leader.ended.get() || cx.acting().is_none() {
         return;
     }
     let sent = clock::now();
     let call = Renewal {
-        lease_end: None,
+        lease_end,
         acked: 0,
         wait: Millis::ZERO,
     };
-    match cx.workers.renew(target, call, ANSWER_TIME).await {
-        Reply::Done(report) => handle_report(leader, &target.id, &report, sent, None),
-        reply => log::debug!(worker:% = target.id, reply:?; "workers: no report after a stop"),
+    match cx.workers.renew(&target, call, permit.limit).await {
+        Reply::Done(report) => {
+            permit.set_answered();
+            handle_report(leader, worker, &report, sent, None);
+        }
+        reply => log::debug!(worker:%, reply:?; "workers: no report beside the renewals"),
     }
 }
 
