node: the end of a job counts from the attempt that stored it

Cause: the transaction with the end of a job is built once and repeated until it is applied. In an outage of the store the time in it is that from before the outage, and callers see the end after it. The leader writes a later time in a second commit; if it is killed between the two, the next leader counts from the earlier time. By reading: the job is then kept `keep_ms` + 10 s (the margin) - the length of the outage from its visible end, which falls below `keep_ms` for any outage of more than 10 s.

Change: each further attempt writes the current time into the ends of its batch; the changes and the link in the chain stay the same. Whichever attempt is applied, its time is that of its sending, at most one call before callers can see the end, and the margin covers a call.

Evidence: cli `an_end_that_waited_for_an_outage_counts_from_its_commit` fails on: the first stored end is 3602040 on the clock of the store, the beginning of an outage of 7 s.

The clock of the stand-in of the store starts at an hour, not at zero.

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -15,6 +15,8 @@
 /// Time limit for the removal of rows after that: the margin for late commits, a takeover and a few
 /// rounds.
 const REMOVAL_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// Time by which a node's estimate of the store's clock is late at most, on a local connection.
+const MAX_CLOCK_LAG_MS: u64 = 100;
 /// Time limit for the start of a job whose id was that of a removed one. A round of the retention
 /// takes 5 s.
 const REUSE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -191,10 +193,9 @@
     }
 }
 
-/// Guards against ends that count as lost in the log because an outage of the store delays them.
-#[test]
-fn an_end_that_is_not_stored_yet_is_not_logged_as_unknown() {
-    let cluster = start("retention-outage", 1, 2_000, KEEP_MS);
+/// Lets a job end in an outage of the store, at the end of which its end is stored. Returns the time
+/// at which the outage ended, by the store's clock.
+fn end_in_outage(cluster: &Cluster) -> u64 {
     assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
     wait_until("the job runs", cluster::TIMEOUT, || {
         let is_running = |w: &Worker| !w.runs().is_empty();
@@ -204,8 +205,17 @@
     thread::sleep(time::Duration::from_millis(1_700));
     cluster.store.set_fault(Fault::Refuses);
     thread::sleep(time::Duration::from_secs(7));
+    let until = cluster.store.clock_ms();
     cluster.store.set_fault(Fault::None);
     cluster.wait_for_state(0, 1, "completed");
+    until
+}
+
+/// Guards against ends that count as lost in the log because an outage of the store delays them.
+#[test]
+fn an_end_that_is_not_stored_yet_is_not_logged_as_unknown() {
+    let cluster = start("retention-outage", 1, 2_000, KEEP_MS);
+    end_in_outage(&cluster);
     let log = wait_until("the leader acts again", cluster::TIMEOUT, || {
         let log = cluster.nodes[0].log();
         log.contains("leader: valid lease again").then_some(log)
@@ -213,6 +223,20 @@
     assert!(!log.contains("the time of an end is not known"), "{log}");
 }
 
+/// Guards against a retention time that counts from before the end could be seen: a leader that is
+/// killed after the commit of the end leaves no other time.
+#[test]
+fn an_end_that_waited_for_an_outage_counts_from_its_commit() {
+    let cluster = start("retention-late-commit", 1, 2_000, KEEP_MS);
+    let until = end_in_outage(&cluster);
+    let rows = cluster.store.history("progress", &format!("{:016x}", 1));
+    let end = rows.iter().find(|r| r["phase"] == "completed").unwrap();
+    assert!(
+        end["ended_at"].as_u64().unwrap() + MAX_CLOCK_LAG_MS >= until,
+        "{end}"
+    );
+}
+
 /// Guards against "there is no such job" for an accepted job whose rows can't be read, as those of a
 /// later version.
 #[test]
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -6,7 +6,7 @@
 use batch::{
     job::Text,
     outbox::{Outbox, Released},
-    progress::{Phase, Progress},
+    progress::Progress,
 };
 use lease::table::HeartbeatRow;
 use store::{
@@ -114,15 +114,11 @@
         }
         removed += 1;
     }
-    let counts = pending.to_write(leader);
-    let mut txn = batch.txn;
-    if let Some(counts) = &counts {
-        txn = txn.put(rows::PENDING, rows::to_json(counts));
-    }
-    if txn.writes.is_empty() {
+    batch.counts = pending.to_write(leader);
+    if batch.is_empty() {
         return Ok(());
     }
-    commit_txn(cx, leader, txn).await?;
+    commit_txn(cx, leader, &mut batch).await?;
     let ended = batch.changes.iter().filter(|c| c.kind == ChangeKind::End);
     let ended: Vec<Text> = ended.map(|c| c.id.clone()).collect();
     if let Some(now) = cx.store_clock.now() {
@@ -135,19 +131,22 @@
         change.mark_stored(leader);
     }
     leader.deleted_jobs.borrow_mut().drain(..removed);
-    if counts.is_some() {
-        pending.written = counts;
+    if batch.counts.is_some() {
+        pending.written = batch.counts;
         pending.written_at = clock::now();
     }
     release(cx, leader, outbox.mark_stored(&stored));
     Ok(())
 }
 
-/// Changes of several jobs for one transaction.
+/// What one transaction stores.
 #[derive(Default)]
 struct Batch {
-    txn: Txn,
+    /// Changes of several jobs.
     changes: Vec<Change>,
+    /// The pending counts, if they are to be written.
+    counts: Option<PendingRow>,
+    writes: usize,
     bytes: usize,
 }
 
@@ -155,16 +154,44 @@
     /// Adds a change if the transaction has room for it, and returns whether it was added. The
     /// first change is always added.
     fn add(&mut self, change: Change) -> bool {
-        let writes = self.txn.writes.len() + change.txn.writes.len();
+        let writes = self.writes + change.txn.writes.len();
         let bytes = self.bytes + change.bytes();
         if !self.changes.is_empty() && (writes > MAX_WRITES || bytes > MAX_BYTES) {
             return false;
         }
-        self.bytes = bytes;
-        self.txn.writes.extend(change.txn.writes.iter().cloned());
+        (self.writes, self.bytes) = (writes, bytes);
         self.changes.push(change);
         true
     }
+
+    const fn is_empty(&self) -> bool {
+        self.changes.is_empty() && self.counts.is_none()
+    }
+
+    fn txn(&self) -> Txn {
+        let mut txn = Txn::default();
+        for change in &self.changes {
+            txn.writes.extend(change.txn.writes.iter().cloned());
+        }
+        if let Some(counts) = &self.counts {
+            txn = txn.put(rows::PENDING, rows::to_json(counts));
+        }
+        txn
+    }
+
+    fn has_ends(&self) -> bool {
+        self.changes.iter().any(|c| c.kind == ChangeKind::End)
+    }
+
+    /// Sets the times of the ends to the current one. Callers see an end once it is stored, which may
+    /// be the effect of any attempt.
+    fn update_ends(&mut self, cx: &Cx, leader: &Leader) {
+        for change in &mut self.changes {
+            if let Some(end) = change.end.take() {
+                change.write_end(cx, leader, end);
+            }
+        }
+    }
 }
 
 /// What a change stores about a job.
@@ -182,8 +209,10 @@
 struct Change {
     id: Text,
     txn: Txn,
-    /// Phase that is stored with the writes, if it changes.
-    phase: Option<Phase>,
+    /// Row of the phase, if the phase changes.
+    phase: Option<PhaseRow>,
+    /// Progress of an ended job, without the time of the end unless it was known before.
+    end: Option<Progress>,
     /// Number of rows that hold the progress after the writes.
     rows: usize,
     kind: ChangeKind,
@@ -191,33 +220,45 @@
 
 impl Change {
     fn of_progress(cx: &Cx, leader: &Leader, id: Text, progress: &Progress) -> Self {
-        let key = format!("{}/{id}", rows::PROGRESS);
-        let stored = stored_rows(leader, &id);
-        let (kind, value) = if progress.phase.is_final() {
-            let end = progress.of_ended_job(cx.store_clock.now());
-            (ChangeKind::End, rows::to_json(&end))
-        } else {
-            (ChangeKind::Progress, rows::to_json(progress))
-        };
-        let (mut txn, count) =
-            long_row::put(Txn::default(), &key, &value, cx.cfg.row_bytes, stored);
         let phase = Some(progress.phase);
         let phase = phase.filter(|p| leader.stored_phases.borrow().get(&id) != Some(p));
-        if let Some(phase) = phase {
-            let organisation = leader.scheduler.borrow().organisation(&id);
-            let row = PhaseRow {
-                phase,
-                organisation,
-            };
-            txn = txn.put(format!("{}/{id}", rows::PHASES), rows::to_json(&row));
-        }
-        Self {
+        let phase = phase.map(|phase| PhaseRow {
+            phase,
+            organisation: leader.scheduler.borrow().organisation(&id),
+        });
+        let mut change = Self {
             id,
-            txn,
+            txn: Txn::default(),
             phase,
-            rows: count,
-            kind,
+            end: None,
+            rows: 0,
+            kind: ChangeKind::Progress,
+        };
+        if progress.phase.is_final() {
+            change.kind = ChangeKind::End;
+            change.write_end(cx, leader, progress.of_ended_job(None));
+        } else {
+            change.write(cx, leader, progress);
         }
+        change
+    }
+
+    /// Writes the end of a job with the current time, unless its time was known before.
+    fn write_end(&mut self, cx: &Cx, leader: &Leader, end: Progress) {
+        self.write(cx, leader, &end.of_ended_job(cx.store_clock.now()));
+        self.end = Some(end);
+    }
+
+    fn write(&mut self, cx: &Cx, leader: &Leader, progress: &Progress) {
+        let key = format!("{}/{}", rows::PROGRESS, self.id);
+        let stored = stored_rows(leader, &self.id);
+        let (value, max) = (rows::to_json(progress), cx.cfg.row_bytes);
+        let (mut txn, count) = long_row::put(Txn::default(), &key, &value, max, stored);
+        if let Some(row) = &self.phase {
+            txn = txn.put(format!("{}/{}", rows::PHASES, self.id), rows::to_json(row));
+        }
+        self.txn = txn;
+        self.rows = count;
     }
 
     fn of_removal(leader: &Leader, id: Text) -> Self {
@@ -228,6 +269,7 @@
             txn: txn.delete(format!("{}/{id}", rows::PHASES)),
             id,
             phase: None,
+            end: None,
             rows: 0,
             kind: ChangeKind::Removal,
         }
@@ -251,8 +293,8 @@
             .progress_rows
             .borrow_mut()
             .insert(self.id.clone(), self.rows);
-        if let Some(phase) = self.phase {
-            leader.stored_phases.borrow_mut().insert(self.id, phase);
+        if let Some(row) = self.phase {
+            leader.stored_phases.borrow_mut().insert(self.id, row.phase);
         }
     }
 }
@@ -264,7 +306,7 @@
 
 /// Commits one transaction as the next link of the commit chain, and retries until it is applied or
 /// the leadership ends.
-async fn commit_txn(cx: &Cx, leader: &Leader, txn: Txn) -> Result<(), LeadershipLost> {
+async fn commit_txn(cx: &Cx, leader: &Leader, batch: &mut Batch) -> Result<(), LeadershipLost> {
     let (version, count) = leader.chain.get();
     let link = ChainRow {
         fence: leader.held.fence,
@@ -276,11 +318,13 @@
         holder: cx.candidate.id,
         count: COMMIT_COUNTS + link.count,
     };
-    let txn = txn
-        .check(rows::LEASE, leader.held.version)
-        .check(rows::CHAIN, version)
-        .put(rows::HEARTBEAT, rows::to_json(&heartbeat))
-        .put(rows::CHAIN, rows::to_json(&link));
+    let link_txn = |txn: Txn| {
+        txn.check(rows::LEASE, leader.held.version)
+            .check(rows::CHAIN, version)
+            .put(rows::HEARTBEAT, rows::to_json(&heartbeat))
+            .put(rows::CHAIN, rows::to_json(&link))
+    };
+    let mut txn = link_txn(batch.txn());
     let started = clock::now();
     let mut tries = 0;
     while !leader.ended.get() {
@@ -290,6 +334,10 @@
             break;
         }
         tries += 1;
+        if tries > 1 && batch.has_ends() {
+            batch.update_ends(cx, leader);
+            txn = link_txn(batch.txn());
+        }
         let sent = clock::now();
         let result = cx.table.commit(&txn).await;
         let outcome = match &result {
