cli: a test of the time for which a new leader waits for leases

A new leader must not start a run again while a worker that it can't reach may hold a lease of the leader before.

While the worker is listed the test passes either way, because the new leader extends the lease itself; the worker of the test has no entry.

--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -52,3 +52,27 @@
     let delay = runs[0].started.duration_since(worker.led_since());
     assert!(delay < Duration::from_secs(1), "started after {delay:?}");
 }
+
+/// Guards against a second run of a subtask that a cut-off worker still runs: the leader before may
+/// have extended its lease until the takeover.
+#[test]
+fn a_new_leader_waits_for_the_leases_that_it_has_not_granted() {
+    let mut cluster = Cluster::start_behind_proxies("takeover-leases", 2, 2, 60_000);
+    let leader = cluster.leader();
+    assert_eq!(cluster.submit(1 - leader, 1, 1, false).unwrap().status, 200);
+    let runs = |cluster: &Cluster, i: usize| cluster.workers[i].runs().len();
+    let used = wait_until("the job runs", TIMEOUT, || {
+        (0..2).find(|i| runs(&cluster, *i) == 1)
+    });
+    let (id, _) = cluster.workers[used].entry("r1", "ready").unwrap();
+    cluster.worker_proxies[used].set(Mode::DropAll);
+    // Without an entry the new leader can't extend the lease itself, which would hide a start too early.
+    cluster.workers[used].set_silent(true);
+    thread::sleep(Duration::from_millis(50));
+    cluster.store.delete("servers", &id);
+    cluster.nodes[leader].kill();
+    wait_until("the job runs elsewhere", TIMEOUT, || {
+        (runs(&cluster, 1 - used) == 1).then_some(())
+    });
+    cluster.check_runs();
+}
