sched: a leader without the table renews task leases only with its voters

Cause: a leader that lost its lease renewed task leases until it saw a higher fencing token. Cut off together with a worker it never sees one, and the next leader, which took the worker for lost a task lease after the takeover, started the gang again elsewhere: two executions.

Change: the leader stores all members in the row voters/{shard}. Without a valid lease it calls workers only for 3 s after the start of a round in which a majority of the voters had heard of no higher fencing token, and for an hour at most. The next leader tells its token to the voters in the row; a worker that has not answered to it is lost no earlier than 3 s after no majority is left that was not told, plus the task lease and 2 s. Two such sets of members always have one in common, and a told member denies the former leader, so this holds for a cut-off majority, a frozen leader and a third leader as well. Both lists count while the row is written. New message Fence; a member of the version before refuses it and is asked with QuorumRead. New row voters/{shard}; the version before ignores it.

They are stored at the first read of the member list now.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -9,7 +9,7 @@
 use base::{clock, clock::Millis, name::Name, sorted::SortedMap};
 use claim::{claim_cfg::ClaimCfg, claims::Claims, driver::Driver};
 use derive_more::Display;
-use member::membership::Renewal;
+use member::{fences::Fences, membership::Renewal};
 use ntex::http::HeaderMap;
 use route::limits_cfg::LimitsCfg;
 use schema::service::Service;
@@ -72,6 +72,8 @@
     pub table_reached: Cell<bool>,
     /// Member row of this entry, and the members as last read.
     pub members: Members,
+    /// Fencing tokens of the leaders that this entry has heard of.
+    pub fences: RefCell<Fences>,
     /// VM list.
     pub vm_list: VmList,
     /// Connections to backend servers.
@@ -119,6 +121,7 @@
             config_read_lock: Mutex::new(()),
             table_reached: Cell::new(false),
             members: Members::new(id, members_addr),
+            fences: RefCell::default(),
             vm_list: VmList::new(vms, cfg.platform_timeout),
             backends: Backends::new(cfg.connect_timeout, cfg.backend_idle),
             claims,
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -43,6 +43,13 @@
     match req {
         Request::Ping => Reply::Pong,
         Request::QuorumRead { member, .. } => answer_quorum_read(cx, member),
+        Request::Fence {
+            member,
+            shard,
+            fence,
+        } if member == cx.id => Reply::Fence {
+            highest: cx.fences.borrow_mut().raise(&shard, fence),
+        },
         Request::Current { known_revision, .. } => {
             catch_up(cx, known_revision).await;
             let active = cx.config.get();
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -5,5 +5,6 @@
 //! configuration checks the version of `members`, so the set of members that it has to wait for is
 //! exact: a member that registers later finds the new revision when it checks `rev`.
 
+pub mod fences;
 pub mod membership;
 pub mod rows;
--- a/crates/sched/src/config.rs
+++ b/crates/sched/src/config.rs
@@ -107,6 +107,16 @@
         self.acked.notify_waiters();
     }
 
+    /// Waits for an acknowledgement or a read of the member list.
+    pub(crate) fn changed(&self) -> impl Future<Output = ()> {
+        self.acked.notified()
+    }
+
+    /// Returns all other members; `None` before the first read of the list.
+    pub(crate) fn members(&self) -> Option<Vec<Member>> {
+        self.inner.borrow().members.clone()
+    }
+
     fn is_listed(&self, member: u64) -> bool {
         let inner = self.inner.borrow();
         inner.members.iter().flatten().any(|m| m.id == member)
--- a/crates/sched/src/ctx.rs
+++ b/crates/sched/src/ctx.rs
@@ -8,7 +8,7 @@
 
 use base::clock::{self, Millis};
 use lease::machine::Lease;
-use member::{membership::Membership, rows::MemberRole};
+use member::{fences::Fences, membership::Membership, rows::MemberRole};
 use store::{
     client::Table,
     http::HttpTable,
@@ -52,6 +52,8 @@
     pub(crate) lease_changed: Notify,
     /// Time of the last answer from the table.
     pub(crate) table_answered_at: Cell<Millis>,
+    /// Fencing tokens that this process has heard of.
+    pub(crate) fences: RefCell<Fences>,
     /// Highest known revision of the configuration; `None` before the first one was read.
     pub(crate) revision: Cell<Option<u64>>,
     /// Wall clock minus the clock since boot at the start of the process.
@@ -82,6 +84,7 @@
             stopping: Cell::new(false),
             lease_changed: Notify::new(),
             table_answered_at: Cell::new(Millis::ZERO),
+            fences: RefCell::default(),
             revision: Cell::new(None),
             wall_offset: clock::wall().since(clock::now()),
             cfg,
@@ -118,6 +121,13 @@
         leader.is_alive() && held.is_some_and(|h| h.fence == leader.held.fence)
     }
 
+    /// Returns whether the leadership may renew task leases at `now`: its own lease is valid, or a
+    /// majority of the voters confirms it while the table does not answer.
+    pub(crate) fn may_renew_tasks(&self, leader: &Leader, now: Millis) -> bool {
+        let lapsed = self.lease.borrow().at_risk_from(leader.held);
+        self.is_acting(leader) || lapsed.is_some_and(|at| leader.voters.borrow().may_renew(now, at))
+    }
+
     /// Ends the leadership and drops all uncommitted decisions.
     pub(crate) fn end_leadership(&self, why: &str) {
         if let Some(leader) = self.leader.take() {
--- a/crates/sched/src/leader.rs
+++ b/crates/sched/src/leader.rs
@@ -18,7 +18,8 @@
     queue::CommitOutcome,
     restore, retention,
     state::State,
-    workers,
+    voters::Voters,
+    voting, workers,
 };
 
 /// Interval of [`Event::Tick`].
@@ -34,6 +35,8 @@
     /// State; `None` before it is rebuilt.
     pub(crate) state: RefCell<Option<State>>,
     pub(crate) config: ConfigState,
+    /// Voters that confirm this leadership while the table does not answer.
+    pub(crate) voters: RefCell<Voters>,
     /// Notified when decisions are queued.
     pub(crate) wake_executor: Notify,
     /// Notified at the end of the leadership.
@@ -48,6 +51,7 @@
             ready: Cell::new(false),
             state: RefCell::new(None),
             config: ConfigState::default(),
+            voters: RefCell::default(),
             wake_executor: Notify::new(),
             ended: Notify::new(),
         }
@@ -131,6 +135,8 @@
         executor::run(&cx, &leader),
         workers::run(&cx, &leader),
         members::run_leader(&cx, &leader),
+        voting::run_store(&cx, &leader),
+        voting::run_confirm(&cx, &leader),
         retention::run(&cx, &leader),
         retention::run_claims(&cx, &leader),
         retention::run_ages(&cx, &leader),
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod rows;
 mod server;
 mod state;
+pub mod voters;
+mod voting;
 mod worker_client;
 pub mod worker_link;
 mod workers;
--- a/crates/sched/src/process.rs
+++ b/crates/sched/src/process.rs
@@ -12,7 +12,7 @@
 use crate::{
     cfg::Settings,
     ctx::{self, Ctx, Cx},
-    http, lease_task, members, server as requests,
+    http, lease_task, members, server as requests, voting,
 };
 
 /// Maximum wait for open decisions and exchanges at a planned stop.
@@ -192,6 +192,7 @@
     // Open exchanges may wait for decisions, so both are drained together.
     let drained = tokio::time::timeout(DRAIN_LIMIT.to_duration(), server.shutdown());
     let _ = tokio::join!(drained, drain(&cx));
+    voting::withdraw(&cx).await;
     cx.lease.borrow_mut().stop();
     cx.lease_changed.notify_one();
     let _ = lease.await;
--- a/crates/sched/src/restore.rs
+++ b/crates/sched/src/restore.rs
@@ -17,6 +17,7 @@
     row_ages::RowAges,
     rows::{self, AuditRow},
     state::{State, StoredRecord},
+    voters::{Former, Voters},
 };
 
 /// Number of rows in one page of a scan.
@@ -52,11 +53,14 @@
     let audits = read_audits(cx, config.revision).await?;
     let ages = read_ages(cx).await?;
     let (jobs, set_aside) = read_jobs(cx, &ages).await?;
+    let (former, voters_version) = read_former(cx).await?;
     let mut state = State::new(cx.cfg.workers);
+    state.former = former;
     state.ages = ages;
     state.set_aside = set_aside;
     cx.raise_revision(config.revision);
     leader.config.restore(rev, audits);
+    leader.voters.replace(Voters::new(voters_version));
     state.restore(config, jobs, cx.plan_now());
     leader.state.replace(Some(state));
     Ok(())
@@ -147,6 +151,15 @@
     Ok(RowAges::read(row.as_ref(), clock::now()))
 }
 
+/// Reads the voters of the leader before, and the version of their row.
+async fn read_former(cx: &Cx) -> Result<(Former, u64), RestoreError> {
+    let key = rows::voters_key(&cx.cfg.shard);
+    let row = cx.table.get(&key).await?;
+    let version = row.as_ref().map_or(0, |r| r.version);
+    confirm(cx, &[Check { key, version }]).await?;
+    Ok((Former::read(row.as_ref(), clock::now()), version))
+}
+
 /// Reads all rows whose keys have the prefix, page by page.
 pub(crate) async fn scan(cx: &Cx, prefix: &str) -> Result<Vec<Row>, StoreError> {
     let mut rows: Vec<Row> = Vec::new();
--- a/crates/sched/src/rows.rs
+++ b/crates/sched/src/rows.rs
@@ -40,6 +40,15 @@
     format!("ages/{shard}").into()
 }
 
+/// Returns the key of the row with the voters of the leader of a shard.
+///
+/// ```
+/// assert_eq!(&*sched::rows::voters_key(&"main".parse().unwrap()), "voters/main");
+/// ```
+pub fn voters_key(shard: &Name) -> Key {
+    format!("voters/{shard}").into()
+}
+
 /// Returns the key of the audit row of a revision; the padding sorts the keys by revision.
 ///
 /// ```
--- a/crates/sched/src/server.rs
+++ b/crates/sched/src/server.rs
@@ -12,6 +12,7 @@
     ctx::Cx,
     jobs,
     leader::Leader,
+    voting,
 };
 
 /// Maximum age of the table's last answer at which the table counts as reachable.
@@ -22,6 +23,11 @@
     match req {
         Request::Ping => return Reply::Pong,
         Request::QuorumRead { member, .. } => return quorum_read(&cx, member),
+        Request::Fence {
+            member,
+            shard,
+            fence,
+        } => return voting::answer(&cx, member, &shard, fence),
         Request::Hello { .. } => {
             return answer::failed(
                 "unexpected_hello",
@@ -119,6 +125,9 @@
             member,
             known_revision,
         } => config::current(leader, member, known_revision),
-        Request::Hello { .. } | Request::QuorumRead { .. } | Request::Ping => Reply::Pong,
+        Request::Hello { .. }
+        | Request::QuorumRead { .. }
+        | Request::Fence { .. }
+        | Request::Ping => Reply::Pong,
     }
 }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -18,7 +18,23 @@
 use store::table::Key;
 use tokio::sync::Notify;
 
-use crate::{cfg::WorkersCfg, queue::Queue, row_ages::RowAges, worker_link::WorkerLink};
+use crate::{
+    cfg::WorkersCfg,
+    queue::Queue,
+    row_ages::RowAges,
+    voters::{self, Former},
+    worker_link::WorkerLink,
+};
+
+/// Settings of the plan. The workers controller reports lost workers, also after it had to wait for
+/// a former leader, so the plan's own limit comes later.
+fn plan_cfg() -> PlanCfg {
+    let cfg = PlanCfg::default();
+    PlanCfg {
+        absent_limit: voters::FORMER_LIMIT + cfg.absent_limit,
+        ..cfg
+    }
+}
 
 /// A job record with the version of its row in the table.
 #[derive(Clone, Debug)]
@@ -61,13 +77,15 @@
     pub(crate) stuck: bool,
     /// Time until which commits are limited to the recovery rate after an outage.
     pub(crate) recover_until: Millis,
+    /// Former leaders, which may renew task leases.
+    pub(crate) former: Former,
     workers_cfg: WorkersCfg,
 }
 
 impl State {
     pub(crate) fn new(workers_cfg: WorkersCfg) -> Self {
         Self {
-            plan: Plan::new(PlanCfg::default()),
+            plan: Plan::new(plan_cfg()),
             queue: Queue::default(),
             ages: RowAges::new(clock::now()),
             committed: SortedMap::default(),
@@ -77,6 +95,7 @@
             config: Config::default(),
             stuck: false,
             recover_until: Millis::ZERO,
+            former: Former::default(),
             workers_cfg,
         }
     }
@@ -89,7 +108,7 @@
     /// Rebuilds the state from the configuration and the job records in the table.
     pub(crate) fn restore(&mut self, config: Config, jobs: Vec<StoredRecord>, now: Millis) {
         let records = jobs.iter().map(|s| s.record.clone()).collect();
-        self.plan = Plan::restore(PlanCfg::default(), config.clone(), records, now);
+        self.plan = Plan::restore(plan_cfg(), config.clone(), records, now);
         self.config = config;
         self.committed = jobs.into_iter().map(|s| (s.record.key(), s)).collect();
         let workers: Vec<Name> = self.workers_in_use();
@@ -116,6 +135,7 @@
                     link.assign(&attempt, true);
                 }
             }
+            link.set_former_end(self.former.ends_at());
             let worker = Worker {
                 link,
                 address: None,
@@ -127,6 +147,16 @@
         self.workers.get_mut(name).expect("inserted above")
     }
 
+    /// Records which members have heard of this leadership and returns the time until which a former
+    /// leader may renew task leases.
+    pub(crate) fn record_agreed(&mut self, now: Millis, agreed: &[u64]) -> Millis {
+        self.former.record_agreed(now, agreed);
+        let end = self.former.ends_at();
+        let links = self.workers.iter_mut().map(|(_, w)| &mut w.link);
+        links.for_each(|l| l.set_former_end(end));
+        end
+    }
+
     /// Returns the descriptions of all listed workers; `None` if some have not been received yet.
     pub(crate) fn listed_workers(&self) -> Option<Vec<WorkerInfo>> {
         let listed = self.workers.values().filter(|w| w.listed);
--- a/crates/sched/src/worker_link.rs
+++ b/crates/sched/src/worker_link.rs
@@ -89,6 +89,11 @@
     last_answer: Millis,
     /// Start of the last call that renewed task leases.
     last_renewal: Millis,
+    /// Time until which a former leader may renew task leases.
+    former_end: Millis,
+    /// Whether the worker has seen the fencing token of this leadership, so that it accepts no
+    /// renewals of a former one.
+    is_fenced: bool,
     liveness: Liveness,
     leaving: bool,
 }
@@ -118,6 +123,8 @@
             last_call: Millis::ZERO,
             last_answer: now,
             last_renewal: now,
+            former_end: Millis::ZERO,
+            is_fenced: false,
             liveness: Liveness::Alive,
             leaving: false,
         }
@@ -129,6 +136,17 @@
         self.liveness != Liveness::Alive
     }
 
+    /// Sets the time until which a former leader may renew task leases. It does not count once the
+    /// worker has answered to orders.
+    pub fn set_former_end(&mut self, at: Millis) {
+        self.former_end = at;
+    }
+
+    /// Discounts the silence until `now`, because the worker was not called.
+    pub fn on_pause(&mut self, now: Millis) {
+        self.last_answer = now;
+    }
+
     /// Returns whether the worker has been silent until all of its task leases lapsed.
     pub fn is_lost(&self) -> bool {
         self.liveness == Liveness::Lost
@@ -277,7 +295,7 @@
                 self.liveness = Liveness::Suspected;
                 Some(self.leaving_event())
             }
-            Liveness::Suspected if now.since(self.last_renewal) >= self.lost_after() => {
+            Liveness::Suspected if now >= self.lost_at() => {
                 self.liveness = Liveness::Lost;
                 self.outbox.clear();
                 self.awaited = SortedMap::default();
@@ -290,14 +308,20 @@
         }
     }
 
-    /// Returns the time between the last renewal and the loss of the worker.
-    fn lost_after(&self) -> Millis {
-        self.cfg.task_lease_ms + LEASE_MARGIN
+    /// Returns the time at which all leases of a silent worker have certainly lapsed.
+    fn lost_at(&self) -> Millis {
+        let former = if self.is_fenced {
+            Millis::ZERO
+        } else {
+            self.former_end
+        };
+        self.last_renewal.max(former) + self.cfg.task_lease_ms + LEASE_MARGIN
     }
 
     /// Processes the answer to a call and returns the events for the plan.
     pub fn on_answer(&mut self, now: Millis, tasks: Vec<TaskReport>) -> Vec<Event> {
         let silent = now.since(std::mem::replace(&mut self.last_answer, now));
+        self.is_fenced = true;
         let ordered = std::mem::take(&mut self.in_flight);
         let renewed = std::mem::take(&mut self.in_flight_renew);
         self.tasks = tasks;
--- a/crates/sched/src/workers.rs
+++ b/crates/sched/src/workers.rs
@@ -2,7 +2,7 @@
 //! converts reports to events.
 //!
 //! Renewals of task leases need no table write, so they continue while the table is down. A holder
-//! that can't renew its own lease also continues them until it sees a higher fencing token.
+//! that can't renew its own lease calls workers only while a majority of its voters confirms it.
 
 use std::rc::Rc;
 
@@ -23,6 +23,8 @@
 
 /// Maximum pause between two checks of a worker.
 const MAX_PAUSE: Millis = Millis(500);
+/// Pause between two checks whether a holder without a valid lease may call workers.
+const SUSPENDED_PAUSE: Millis = Millis(50);
 
 /// Contacts all known workers and polls the VM list until the leadership ends.
 pub(crate) async fn run(cx: &Cx, leader: &Rc<Leader>) {
@@ -90,6 +92,11 @@
             return;
         };
         let now = clock::now();
+        if !cx.may_renew_tasks(leader, now) {
+            leader.with_state(|s| s.workers.get_mut(name).map(|w| w.link.on_pause(now)));
+            ctx::sleep(SUSPENDED_PAUSE).await;
+            continue;
+        }
         if due > now {
             pause(&wake, due.since(now).min(MAX_PAUSE)).await;
         } else {
--- a/crates/sched/tests/takeover.rs
+++ b/crates/sched/tests/takeover.rs
@@ -2,13 +2,13 @@
 
 mod cluster;
 
-use std::{thread, time::Duration};
+use std::{net, thread, time::Duration};
 
 use base::clock;
 use cluster::{Cluster, fast_lease, history, job, relay::Relay, submit};
 use sched::cfg::Settings;
 use schema::job::Phase;
-use standin::{faults::Faults, worker};
+use standin::{faults::Faults, worker, worker_cfg::Behaviour};
 use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::Txn, vm::Vm};
 use wire::{
     client::Client,
@@ -340,3 +340,94 @@
         "the gang also runs on its first worker"
     );
 }
+
+/// Guards against a gang that waits for the end of a former leader although the members know that
+/// it has been replaced.
+#[ntex::test]
+async fn a_gang_lost_together_with_its_leader_starts_again() {
+    let mut cluster = Cluster::new(2, 0);
+    for _ in 0..3 {
+        cluster.add_scheduler(|cfg| {
+            fast_lease(cfg);
+            cfg.workers.task_lease_ms = clock::Millis(2_000);
+        });
+    }
+    let client = cluster.configure().await;
+    submit(&client, job("a", 1, 8)).await;
+    cluster.wait_for_running("a", 1).await;
+    wait_for_voters(&cluster, 3).await;
+    let worker = &cluster.record("a").unwrap().members[0].worker;
+    let lost = usize::from(*worker != cluster::worker_cfg(0).info.name);
+    let silent = Behaviour {
+        silent: true,
+        ..Behaviour::default()
+    };
+    cluster.workers.worker(lost).set_behaviour(silent);
+    let leader = cluster.leader().await;
+    cluster.schedulers[leader].kill();
+    cluster::eventually("the gang runs on the other worker", async || {
+        let runs = cluster.workers.worker(1 - lost).history();
+        runs.iter().any(|r| r.ended_at.is_none()).then_some(())
+    })
+    .await;
+    assert_eq!(cluster.running("a"), 1);
+    history::check(&cluster, &[]);
+}
+
+/// Guards against a leader that was frozen during a takeover, is thawed without the table and keeps
+/// a gang running that the next leader starts again elsewhere.
+#[ntex::test]
+async fn a_leader_thawed_without_the_table_renews_no_task_leases() {
+    let short = |cfg: &mut Settings| {
+        fast_lease(cfg);
+        cfg.workers.task_lease_ms = clock::Millis(4_000);
+        // Otherwise the thawed leader takes the worker for silent and stops the gang itself.
+        cfg.workers.suspect_ms = clock::Millis(5_000);
+    };
+    let mut cluster = Cluster::new(1, 0);
+    let table = Relay::new(cluster.platform.addr());
+    cluster.add_scheduler(|cfg| {
+        short(cfg);
+        cfg.platform = table.addr;
+    });
+    let client = cluster.configure().await;
+    submit(&client, job("a", 1, 8)).await;
+    cluster.wait_for_running("a", 1).await;
+    cluster.add_scheduler(short);
+    cluster.add_scheduler(short);
+    wait_for_voters(&cluster, 3).await;
+    let other = worker::start_all(vec![cluster::worker_cfg(1)]).unwrap();
+    let cut_off = Relay::new(cluster.workers.addrs()[0]);
+    cut_off.cut();
+    table.cut();
+    // Longer than a takeover and shorter than a task lease.
+    cluster.schedulers[0].exec(|| thread::sleep(Duration::from_millis(2_500)));
+    set_vms(&cluster, cut_off.addr, &other);
+    cluster::eventually("the gang runs on the other worker", async || {
+        let runs = other.workers()[0].history();
+        runs.iter().any(|r| r.ended_at.is_none()).then_some(())
+    })
+    .await;
+    assert_eq!(cluster.running("a"), 0);
+}
+
+async fn wait_for_voters(cluster: &Cluster, count: usize) {
+    cluster::eventually("the voters are stored", async || {
+        let row = cluster.platform.row("voters/main")?;
+        let row: sched::voters::VotersRow = serde_json::from_str(&row.value).unwrap();
+        (row.voters.len() == count).then_some(())
+    })
+    .await;
+}
+
+/// Lists the first worker at another address, and a second worker.
+fn set_vms(cluster: &Cluster, first: net::SocketAddr, second: &worker::Handle) {
+    let mut vms = cluster.vms();
+    vms[0].address = first;
+    vms.push(Vm {
+        name: cluster::worker_cfg(1).info.name,
+        address: second.addrs()[0],
+        ..vms[0].clone()
+    });
+    cluster.platform.set_vms(vms);
+}
--- a/crates/sched/tests/worker_link.rs
+++ b/crates/sched/tests/worker_link.rs
@@ -255,3 +255,25 @@
         stop: StopMode::Checkpoint,
     }
 }
+
+/// Guards against a worker that counts as lost while a former leader may renew its task leases.
+#[test]
+fn a_silent_worker_is_not_lost_before_the_end_of_a_former_leader() {
+    let mut link = link();
+    link.set_former_end(Millis(50_000));
+    assert!(link.check_silence(Millis(3_000)).is_some());
+    assert_eq!(link.check_silence(Millis(81_999)), None);
+    let lost = link.check_silence(Millis(82_000));
+    assert!(matches!(lost, Some(Event::WorkerLost { .. })), "{lost:?}");
+}
+
+/// Guards against a wait for a former leader whose renewals the worker refuses.
+#[test]
+fn a_worker_that_answered_is_lost_after_its_own_leases() {
+    let mut link = link();
+    link.set_former_end(Millis(50_000));
+    exchange(&mut link, 1_000, &[task(1, RUNNING)]);
+    assert!(link.check_silence(Millis(4_000)).is_some());
+    assert_eq!(link.check_silence(Millis(32_999)), None);
+    assert!(link.check_silence(Millis(33_000)).is_some());
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -76,6 +76,16 @@
     },
     /// Checks that the process answers.
     Ping,
+    /// Tells the fencing token of a leader and asks for the highest one that the receiver has heard
+    /// of. A process of the version before does not answer.
+    Fence {
+        /// Incarnation id of the member that is asked; another process must not answer.
+        member: u64,
+        /// Shard of the leader.
+        shard: Name,
+        /// Fencing token of the leader.
+        fence: u64,
+    },
 }
 
 /// Answer to a request.
@@ -134,6 +144,11 @@
         /// Whether the request may have had an effect.
         done: Effect,
     },
+    /// Answer to `Fence`.
+    Fence {
+        /// Highest fencing token of the shard that the member has heard of.
+        highest: u64,
+    },
 }
 
 /// Code of a failure that is caused by the outage of a service that the scheduler needs.
