batch: a late report of an earlier life of a worker has no effect

What callers see: a subtask is stopped and started again for nothing after its worker has restarted under its id, on links that lose packets. With a start that is still under way to the next life, it can run twice.

Cause: a report of another incarnation than the last one counted as a restart in any order. Two calls to a worker use two connections, so the last report of a life may arrive after the first one of the next life. Then the answers of the current life were forgotten and its leases dropped, and runs that the old report lists counted as confirmed.

Evidence: a_late_report_of_an_earlier_life_has_no_effect failed before, with a stop of the run on the current life.

Change: a report of the incarnation whose end a report has shown is logged and left out, for the runs and for the leases.

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -136,6 +136,10 @@
         };
         if worker.incarnation != report.incarnation {
             let before = worker.incarnation;
+            if worker.has_ended(report.incarnation) {
+                log::info!(worker = id, life = report.incarnation, current = before; "batch: late report of an earlier life");
+                return;
+            }
             if before != 0 {
                 log::warn!(worker = id, life = report.incarnation, before; "batch: worker restarted");
                 let mut lost = self.lost_worker(id, sent, now);
--- a/crates/batch/tests/worker_replies.rs
+++ b/crates/batch/tests/worker_replies.rs
@@ -334,3 +334,31 @@
     assert_eq!(grants.expires_at(), over);
     assert!(grants.observe_entry(3, Millis(100), Millis(9_000)));
 }
+
+/// Guards against work that is stopped, and leases that are forgotten, because a report of the life
+/// before arrives after one of the current life.
+#[test]
+fn a_late_report_of_an_earlier_life_has_no_effect() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    let first = starts(&fleet.plan()).remove(0);
+    let sent = fleet.now;
+    fleet
+        .scheduler
+        .handle_start_reply(&first.task, 1, StartReply::Unknown, sent);
+    fleet.advance(600).report_life("w00", 2);
+    let repeated = starts(&fleet.plan()).remove(0);
+    fleet.advance(5).take(&repeated);
+    fleet.advance(5).report_to(sent, "w00", &[], vec![]);
+    assert!(stops(&fleet.plan()).is_empty());
+    fleet.advance(5).report_running(&repeated, 2, 10);
+    assert_eq!(fleet.scheduler.runs_on("w00"), 1);
+
+    let mut grants = Grants::default();
+    grants.observe_report(1, Millis(9_000), Millis(1_000));
+    grants.observe_report(2, Millis(10), Millis(2_000));
+    assert!(grants.grant(Millis(6_000), Millis(2_000)).is_some());
+    let end = grants.expires_at();
+    assert!(!grants.observe_report(1, Millis(9_500), Millis(2_005)));
+    assert_eq!(grants.expires_at(), end);
+}
