node: a job with the id of a job whose removal is not complete is found at once

What callers see: an accepted job whose id was used before waits up to 20 s, if the answer to the deletion of the earlier job is late or lost.

Cause: the leader leaves out the row of a known job. It also left out a later row with the same id, as long as the answer to the deletion was missing, and the version that it noted for the removal then was that of its next read, which covers the later row. Neither case asked for another read of the table.

Evidence: a_repeated_removal_spares_later_jobs_with_the_same_ids was to show that the wait is over, and passed because the read of the whole table, every 20 s, came just then. With a retention time by which the removals fall between two of these reads it failed before, and passes now; what it checks and its limits are the same.

Change: a row that is newer than that of the known job counts as left out, and a removed job is told from a later one by the version of its own row.

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -138,7 +138,8 @@
 /// against a later job that waits for the next read of the whole table.
 #[test]
 fn a_repeated_removal_spares_later_jobs_with_the_same_ids() {
-    let cluster = start("retention-repeated", 1, 1, 1_000);
+    // The removals come 25 and 30 s after the start, and the whole table is read after 20 and 40 s.
+    let cluster = start("retention-repeated", 1, 1, 10_000);
     let jobs = 40;
     let step = json!({"count": 1, "cpu": 100});
     let submit = |id| cluster.submit_step(0, id, "work", &step).unwrap().status;
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -28,7 +28,10 @@
     let mut last_full_read = clock::now();
     while !leader.ended.get() {
         // No read is under way, and later ones return no older row.
-        leader.removed_jobs.borrow_mut().retain(|_, v| *v > version);
+        leader
+            .removed_jobs
+            .borrow_mut()
+            .retain(|_, job| job.deleted > version);
         if clock::now().since(last_full_read) >= FULL_READ_INTERVAL {
             last_full_read = clock::now();
             read_all(&cx, &leader).await;
@@ -82,14 +85,20 @@
     let removed = leader.removed_jobs.borrow();
     let mut versions = leader.job_versions.borrow_mut();
     let has_ended = |id: &str| phases.get(id).is_some_and(|p| p.is_final());
-    let is_removed = |id: &str, row: &Row| removed.get(id).is_some_and(|v| row.version <= *v);
+    let is_removed = |id: &str, row: &Row| removed.get(id).is_some_and(|j| row.version <= j.row);
     let mut cancels = Vec::new();
     let mut changed = false;
     for row in rows {
         match rows::parse_job_key(&row.key) {
-            // A known job is not decoded again, and a removed one does not start again.
-            Some((id, JobRowKind::Job)) if scheduler.knows(id) || is_removed(id, row) => {}
-            // A new job with its id waits until the rows of the removed one's progress are deleted.
+            // A removed job does not start again.
+            Some((id, JobRowKind::Job)) if is_removed(id, row) => {}
+            // A known job is not decoded again. A later one with its id waits for its removal.
+            Some((id, JobRowKind::Job)) if scheduler.knows(id) => {
+                if versions.get(id).is_some_and(|v| row.version > *v) {
+                    leader.has_skipped_jobs.set(true);
+                }
+            }
+            // So does one whose predecessor has left rows of its progress.
             Some((id, JobRowKind::Job)) if has_ended(id) => leader.has_skipped_jobs.set(true),
             Some((_, JobRowKind::Job)) => {
                 let Some(accepted) = rows::from_json::<AcceptedJob>(row) else {
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -48,10 +48,9 @@
     pub(crate) deleted_jobs: RefCell<Vec<Text>>,
     /// Versions of the rows of the known jobs in the table of jobs.
     pub(crate) job_versions: RefCell<SortedMap<Text, u64>>,
-    /// Jobs whose rows in the table of jobs were deleted since the last read of that table, with the
-    /// version of the deletion.
-    pub(crate) removed_jobs: RefCell<SortedMap<Text, u64>>,
-    /// Whether a job was left out because the rows of a removed one with its id are not deleted yet.
+    /// Jobs whose rows in the table of jobs were deleted since the last read of that table.
+    pub(crate) removed_jobs: RefCell<SortedMap<Text, RemovedJob>>,
+    /// Whether a job was left out because the removal of an earlier one with its id is not complete.
     pub(crate) has_skipped_jobs: Cell<bool>,
     /// Notified when such a job can be read.
     pub(crate) read_again: Notify,
@@ -68,6 +67,15 @@
     pub(crate) loaded: Cell<bool>,
 }
 
+/// A job whose row in the table of jobs was deleted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RemovedJob {
+    /// Version of the row.
+    pub(crate) row: u64,
+    /// Version by which it was deleted.
+    pub(crate) deleted: u64,
+}
+
 impl Leader {
     pub(crate) fn new(held: Held) -> Self {
         Self {
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     cx::{self, Cx},
-    leader::Leader,
+    leader::{Leader, RemovedJob},
     rows,
 };
 
@@ -97,8 +97,12 @@
         for id in &removed {
             let ended_at = leader.scheduler.borrow_mut().remove_job(id);
             let age_ms = ended_at.map_or(0, |at| now.since(at).0);
-            leader.job_versions.borrow_mut().remove(id);
-            leader.removed_jobs.borrow_mut().insert(id.clone(), version);
+            let row = leader.job_versions.borrow_mut().remove(id);
+            let removed = RemovedJob {
+                row: row.unwrap_or(version),
+                deleted: version,
+            };
+            leader.removed_jobs.borrow_mut().insert(id.clone(), removed);
             log::info!(job:% = id, age_ms, keep_ms = keep.0; "retention: job removed");
         }
         leader.deleted_jobs.borrow_mut().extend(removed);
