sched: a poll for a stop adds at most a quarter to its time

The pause between polls doubled from 20 ms, so a stop was seen up to twice as late as it ended, and one of 1.3 s a second late.

Change: the pause is a quarter of the time since the order, 10 ms at least and a renewal interval at most: 19 polls in the first second instead of 6. the_wait_for_a_poll_adds_at_most_a_quarter_to_a_stop failed before ("a stop of 5 ms is seen after 20 ms").

--- a/crates/sched/src/worker_link.rs
+++ b/crates/sched/src/worker_link.rs
@@ -10,9 +10,11 @@
 
 use crate::cfg::WorkersCfg;
 
-/// Pause before the first poll for the result of an order; it doubles with each poll up to the
-/// renewal interval.
-const FIRST_POLL: Millis = Millis(10);
+/// Minimum pause before a poll for the result of an order.
+const MIN_POLL: Millis = Millis(10);
+/// Reciprocal of the maximum pause before a poll, up to the renewal interval, as a part of the time
+/// since the order: the wait for a poll adds at most this part to the time that a stop takes.
+const POLLS_PER_WAIT: u64 = 4;
 /// Time after the end of the task leases at which the tasks of a silent worker count as stopped.
 const LEASE_MARGIN: Millis = Millis(2_000);
 
@@ -84,6 +86,8 @@
     tasks: Vec<TaskReport>,
     /// Time between two calls if no orders are queued.
     poll_interval: Millis,
+    /// Start of the last call with orders.
+    ordered_at: Millis,
     /// Start of the last call.
     last_call: Millis,
     last_answer: Millis,
@@ -120,6 +124,7 @@
             reported: SortedMap::default(),
             tasks: Vec::new(),
             poll_interval: cfg.renew_ms,
+            ordered_at: Millis::ZERO,
             last_call: Millis::ZERO,
             last_answer: now,
             last_renewal: now,
@@ -190,7 +195,7 @@
                 self.outbox.push(order);
             }
         }
-        self.poll_interval = FIRST_POLL;
+        self.poll_interval = MIN_POLL;
     }
 
     /// Replaces an order without accelerators, which is for an attempt that has no record, by one
@@ -224,6 +229,9 @@
         self.last_call = now;
         self.in_flight = std::mem::take(&mut self.outbox);
         self.in_flight_renew.clone_from(&self.assigned);
+        if !self.in_flight.is_empty() {
+            self.ordered_at = now;
+        }
         if !self.assigned.is_empty() {
             self.last_renewal = now;
         }
@@ -347,7 +355,7 @@
         self.awaited.retain(|a, _| {
             attempts.binary_search(a).is_ok() || queued.iter().any(|o| o.attempt == *a)
         });
-        self.update_poll_interval();
+        self.update_poll_interval(now);
         events
     }
 
@@ -357,11 +365,12 @@
         self.tasks.is_empty() && renewed.iter().any(|a| ran(&a))
     }
 
-    fn update_poll_interval(&mut self) {
+    fn update_poll_interval(&mut self, now: Millis) {
         self.poll_interval = if self.awaited.is_empty() {
             self.cfg.renew_ms
         } else {
-            Millis(self.poll_interval.0 * 2).min(self.cfg.renew_ms)
+            let part = Millis(now.since(self.ordered_at).0 / POLLS_PER_WAIT);
+            part.max(MIN_POLL).min(self.cfg.renew_ms)
         };
     }
 
--- a/crates/sched/tests/worker_link.rs
+++ b/crates/sched/tests/worker_link.rs
@@ -183,6 +183,27 @@
     assert_eq!(link.next_call_at(), Millis(6_150));
 }
 
+/// Guards against urgent work that waits for a poll after the work before it has stopped.
+#[test]
+fn the_wait_for_a_poll_adds_at_most_a_quarter_to_a_stop() {
+    for stop_ms in [5, 20, 21, 100, 400, 700, 1_280] {
+        let mut link = link();
+        exchange(&mut link, 5_000, &[task(1, RUNNING)]);
+        link.push(order(1, STOP));
+        exchange(&mut link, 5_100, &[task(1, RUNNING)]);
+        let mut polls = 0;
+        while link.next_call_at() < Millis(5_100 + stop_ms) {
+            let poll = link.next_call_at().0;
+            exchange(&mut link, poll, &[task(1, RUNNING)]);
+            polls += 1;
+        }
+        let seen = link.next_call_at().since(Millis(5_100));
+        let limit = Millis(stop_ms + stop_ms / 4 + 10);
+        assert!(seen <= limit, "a stop of {stop_ms} ms is seen after {seen}");
+        assert!(polls < 25, "{polls} polls in {stop_ms} ms");
+    }
+}
+
 /// Guards against a crash of a worker that goes unnoticed because the worker answers again.
 #[test]
 fn a_worker_that_lost_its_tasks_has_restarted() {
