entry: a claimed request is sent only while the member row can't be gone

Cause: a request was sent up to 5 s after the start of its claim, whatever the age of the entry's member row. The row is removed 10 s after its last renewal, and the claim may then be settled by an operator and used again. An entry that is confirmed by the leader or a quorum and can't renew its row (here: `rev` can't be read) went on to claim and send.

Change: a claimed request is sent at most 9 s after the start of the last renewal that is known to be applied, as it was when the claim began, and at most 5 s after that. Afterwards it is refused as not run.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -62,6 +62,9 @@
 /// Shorter than the 10 s after which the member row of a frozen entry is removed: from then on an
 /// operator may settle the claim and make the key usable again.
 const CLAIM_SEND_LIMIT: Millis = Millis(5_000);
+/// Time after the last renewal of the member row within which a claimed request may be sent, with a
+/// margin before the removal of the row.
+const MEMBER_SEND_LIMIT: Millis = Millis(9_000);
 
 /// Complete answer to a caller.
 #[derive(Debug)]
@@ -70,6 +73,23 @@
     Replayed(record::Answer),
 }
 
+/// Returns the time before which a request has to be sent whose claim starts at `now`. The member
+/// row of this entry was last renewed at `renewed_at`, or never.
+///
+/// ```
+/// use base::clock::Millis;
+/// use entry::call::latest_claimed_start;
+///
+/// let now = Millis(60_000);
+/// assert_eq!(latest_claimed_start(now, Some(Millis(59_500))), Millis(65_000));
+/// assert_eq!(latest_claimed_start(now, Some(Millis(53_000))), Millis(62_000));
+/// assert_eq!(latest_claimed_start(now, None), Millis(0));
+/// ```
+pub fn latest_claimed_start(now: Millis, renewed_at: Option<Millis>) -> Millis {
+    let by_member_row = renewed_at.map_or(Millis::ZERO, |at| at + MEMBER_SEND_LIMIT);
+    (now + CLAIM_SEND_LIMIT).min(by_member_row)
+}
+
 /// Runs the checks of a request that need no body.
 ///
 /// Returns the organisation, the target, the idempotency key and the time allowed for the answer.
@@ -154,7 +174,7 @@
 ) -> Result<Option<Reply>, Refusal> {
     let (service, operation) = (&call.target.service.name, &call.target.operation.name);
     let fingerprint = fingerprint::of(service, operation, &call.body.bytes);
-    let latest_start = clock::now() + CLAIM_SEND_LIMIT;
+    let latest_start = latest_claimed_start(clock::now(), cx.members.own.renewed_at());
     let claiming = cx.claims.begin(&call.organisation, key, &fingerprint);
     let left = call.deadline.since(clock::now());
     let Ok(claimed) = time::timeout(left.to_duration(), claiming).await else {
--- a/crates/entry/tests/entry/config_lease.rs
+++ b/crates/entry/tests/entry/config_lease.rs
@@ -164,3 +164,21 @@
         "{other:?}"
     );
 }
+
+/// Guards against a second run: an entry that claims keys although its member row is not renewed,
+/// is taken for dead after 10 s, and its claims may then be settled and used again.
+#[test]
+fn an_entry_that_does_not_renew_its_member_row_sends_no_claimed_request() {
+    let (system, _members) = start(&[quorum_read(1, false), quorum_read(1, false)]);
+    assert_eq!(system.pay("before").status, 200);
+    // The quorum confirms the configuration, and the table still takes claims.
+    setup::put_rows(
+        system.platform.addr(),
+        &[("rev".into(), json!("unreadable"))],
+    );
+    std::thread::sleep(std::time::Duration::from_millis(9_500));
+    assert_eq!(system.call_repeatable().status, 200);
+    let got = system.pay("late");
+    assert_eq!(got.refusal().1, "not_run", "{got:?}");
+    assert_eq!(system.runs_of("late"), 0);
+}
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, net};
 
+use base::clock::{self, Millis};
 use store::{
     client::Table,
     table::{Commit, StoreError, Txn},
@@ -25,6 +26,8 @@
     /// Version of this member's row; `None` before the registration and after a write with an
     /// unknown outcome or a conflict.
     version: Cell<Option<u64>>,
+    /// Start of the last write of this member's row that is known to be applied.
+    renewed_at: Cell<Option<Millis>>,
 }
 
 /// Result of a renewal.
@@ -47,6 +50,7 @@
             role,
             renewals: Cell::new(0),
             version: Cell::new(None),
+            renewed_at: Cell::new(None),
         }
     }
 
@@ -60,6 +64,12 @@
         self.version.get().is_some()
     }
 
+    /// Returns the start of the last write of this member's row that is known to be applied. The row
+    /// is not older than that.
+    pub fn renewed_at(&self) -> Option<Millis> {
+        self.renewed_at.get()
+    }
+
     /// Returns this member's row as it was last written.
     pub fn row(&self) -> MemberRow {
         MemberRow {
@@ -150,9 +160,13 @@
     /// Commits a write of this member's row and records its version. If the outcome is unknown, the
     /// next renewal reads the row again.
     async fn commit(&self, table: &Table, txn: &Txn) -> Result<Commit, StoreError> {
+        let started = clock::now();
         let result = table.commit(txn).await;
         match &result {
-            Ok(Commit::Done { version }) => self.version.set(Some(*version)),
+            Ok(Commit::Done { version }) => {
+                self.version.set(Some(*version));
+                self.renewed_at.set(Some(started));
+            }
             Ok(Commit::Conflict { .. }) | Err(StoreError::NotDone { .. }) => {}
             Err(StoreError::Unknown { .. }) => self.version.set(None),
         }
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -1,5 +1,6 @@
 //! Registration and renewal with an in-memory table.
 
+use base::clock;
 use member::{
     membership::{Membership, Renewal},
     rows::{self, MEMBERS_KEY, MemberList, MemberRole},
@@ -87,3 +88,19 @@
     assert!(left.is_err(), "{left:?}");
     assert_eq!(mem.get(MEMBERS_KEY).unwrap().value, later);
 }
+
+/// Guards against a member that takes its row for newer than it is, because a renewal failed.
+#[ntex::test]
+async fn only_an_applied_write_counts_as_a_renewal() {
+    let (mem, table) = table();
+    let a = membership(1);
+    assert_eq!(a.renewed_at(), None);
+    let before = clock::now();
+    a.renew(&table, None).await.unwrap();
+    let first = a.renewed_at().unwrap();
+    assert!(first >= before && first <= clock::now());
+    ntex::time::sleep(ntex::time::Millis(20)).await;
+    mem.commit(&Txn::default().delete(rows::member_key(1)));
+    assert_eq!(a.renew(&table, None).await, Ok(Renewal::Retry));
+    assert_eq!(a.renewed_at(), Some(first));
+}
