batch: the next leader knows on which workers run after run fails

Cause: the failures of a worker since its last success were in memory only. Each new leader took a worker on which everything fails for a healthy one and sent it several runs at once; their ends count as attempts of the jobs (`max-attempts`), so that changes of leader could cost jobs their attempts.

A new leader backs off from its load and then tries a single subtask. Workers without runs and entry are no longer returned as "unlisted with runs".

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 mod crash;
 mod evacuation;
+mod failing;
 pub mod grant;
 mod isolation;
 pub mod job;
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -217,7 +217,8 @@
     /// assert!(batch::scheduler::JobScheduler::default().unlisted_workers().is_empty());
     /// ```
     pub fn unlisted_workers(&self) -> Vec<(Text, u64, Text)> {
-        let unlisted = self.workers.iter().filter(|(_, w)| w.info.is_none());
+        let is_unlisted = |w: &Worker| w.info.is_none() && !w.runs.is_empty();
+        let unlisted = self.workers.iter().filter(|(_, w)| is_unlisted(w));
         let entry = |(id, w): (&Text, &Worker)| (id.clone(), w.incarnation, w.address.clone());
         unlisted.map(entry).collect()
     }
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -155,13 +155,24 @@
     }
 
     pub(crate) fn record_failure(&mut self, now: Millis) {
-        self.failures += 1;
-        if self.failures >= BACKOFF_FAILURES {
+        self.failures = self.failures.saturating_add(1);
+        if self.is_failing() {
             let doublings = (self.failures - BACKOFF_FAILURES).min(MAX_BACKOFF_DOUBLINGS);
             self.no_work_until = self.no_work_until.max(now + Millis(BACKOFF.0 << doublings));
         }
     }
 
+    /// Returns whether the worker gets less work because runs have failed there.
+    pub(crate) const fn is_failing(&self) -> bool {
+        self.failures >= BACKOFF_FAILURES
+    }
+
+    /// Sets the number of failures that an earlier leader has counted.
+    pub(crate) fn restore_failures(&mut self, failures: u32, now: Millis) {
+        self.failures = failures.saturating_sub(1);
+        self.record_failure(now);
+    }
+
     pub(crate) fn record_success(&mut self) {
         self.failures = 0;
     }
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -47,7 +47,9 @@
 
     /// Replaces the scheduler by one that knows only what was committed.
     pub fn restart(&mut self) {
+        let failing = self.scheduler.failing_workers();
         self.scheduler = JobScheduler::default();
+        self.scheduler.restore_failing_workers(&failing, self.now);
         // A leader reads the jobs in the order of their ids.
         self.accepted.sort_by(|a, b| a.id.cmp(&b.id));
         for accepted in &self.accepted {
--- a/crates/batch/tests/takeover.rs
+++ b/crates/batch/tests/takeover.rs
@@ -242,3 +242,24 @@
     assert_eq!(begun.len(), 1);
     assert_eq!(&*begun[0].task.job, "urgent-1");
 }
+
+/// Guards against failures that count against jobs because each new leader takes a worker on which
+/// everything fails for a healthy one.
+#[test]
+fn a_new_leader_knows_on_which_workers_runs_fail() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    for seq in 1..3 {
+        let order = starts(&fleet.plan()).remove(0);
+        fleet.take(&order);
+        fleet.advance(10).finish(&order, seq, Outcome::Failed);
+    }
+    fleet.submit("2", 1, step(1, 1));
+    fleet.plan();
+    fleet.restart();
+    assert!(starts(&fleet.plan()).is_empty());
+    let order = starts(&fleet.advance(1_000).plan()).remove(0);
+    fleet.take(&order);
+    fleet.advance(10).finish(&order, 3, Outcome::Done);
+    assert!(fleet.scheduler.failing_workers().is_empty());
+}
--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -10,6 +10,7 @@
 
 use cluster::{API_KEY, Cluster, TIMEOUT, config, proxy::Mode};
 use common::wait_until;
+use serde_json::json;
 
 /// Guards against decisions by a restarted leader that has not read the configuration: it would
 /// know neither the priorities of the queues nor which workers check their capacity.
@@ -76,3 +77,26 @@
     });
     cluster.check_runs();
 }
+
+/// Guards against runs at the expense of jobs on a worker on which everything fails, because only the
+/// leader before knew it.
+#[test]
+fn a_new_leader_reads_on_which_workers_runs_fail() {
+    let mut cluster = Cluster::start("takeover-failing", 2, 1, 100);
+    let (worker, _) = cluster.workers[0].entry("r1", "ready").unwrap();
+    cluster
+        .store
+        .put("control", "workers", &json!([[worker, 4]]));
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    assert_eq!(cluster.submit(1 - leader, 1, 1, false).unwrap().status, 200);
+    wait_until("a node leads", TIMEOUT, || {
+        (cluster.leader() != leader).then_some(())
+    });
+    let led = Instant::now();
+    cluster.wait_for_state(1 - leader, 1, "completed");
+    let delay = cluster.workers[0].runs()[0].started - led;
+    assert!(delay > Duration::from_secs(3), "after {delay:?}");
+    let row = cluster.store.get("control", "workers");
+    assert_eq!(row, Some(json!([])));
+}
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -18,11 +18,11 @@
     cx::{self, Cx},
     leader::Leader,
     orders,
-    rows::{self, ChainRow, PendingRow, PhaseRow},
+    rows::{self, ChainRow, FailingRow, PendingRow, PhaseRow},
 };
 
-/// Maximum number of writes in one transaction besides those of [`commit_txn`] and the pending
-/// counts. The store limits a transaction to 100 entries, and checks count as well.
+/// Maximum number of writes in one transaction besides those of [`commit_txn`], the pending counts and
+/// the failing workers. The store limits a transaction to 100 entries, and checks count as well.
 const MAX_WRITES: usize = 94;
 /// Maximum size of the values in one transaction, in bytes. The JSON form of a transaction may have
 /// 1 MB, and base64 makes the values a third larger.
@@ -115,6 +115,7 @@
         removed += 1;
     }
     batch.counts = pending.to_write(leader);
+    batch.failing = failing_to_write(leader);
     if batch.is_empty() {
         return Ok(());
     }
@@ -135,10 +136,19 @@
         pending.written = batch.counts;
         pending.written_at = clock::now();
     }
+    if let Some(failing) = batch.failing {
+        *leader.stored_failing.borrow_mut() = failing;
+    }
     release(cx, leader, outbox.mark_stored(&stored));
     Ok(())
 }
 
+/// Returns the failing workers if they are not stored as they are.
+fn failing_to_write(leader: &Leader) -> Option<FailingRow> {
+    let failing = leader.scheduler.borrow().failing_workers();
+    (*leader.stored_failing.borrow() != failing).then_some(failing)
+}
+
 /// What one transaction stores.
 #[derive(Default)]
 struct Batch {
@@ -146,6 +156,8 @@
     changes: Vec<Change>,
     /// The pending counts, if they are to be written.
     counts: Option<PendingRow>,
+    /// The failing workers, if they are to be written.
+    failing: Option<FailingRow>,
     writes: usize,
     bytes: usize,
 }
@@ -165,7 +177,7 @@
     }
 
     const fn is_empty(&self) -> bool {
-        self.changes.is_empty() && self.counts.is_none()
+        self.changes.is_empty() && self.counts.is_none() && self.failing.is_none()
     }
 
     fn txn(&self) -> Txn {
@@ -176,6 +188,9 @@
         if let Some(counts) = &self.counts {
             txn = txn.put(rows::PENDING, rows::to_json(counts));
         }
+        if let Some(failing) = &self.failing {
+            txn = txn.put(rows::FAILING, rows::to_json(failing));
+        }
         txn
     }
 
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -18,7 +18,9 @@
     activity::Activity,
     commit,
     cx::{self, Cx},
-    extension, intake, load, policy, retention, worker_list,
+    extension, intake, load, policy, retention,
+    rows::FailingRow,
+    worker_list,
     worker_session::{self, WorkerSession},
 };
 
@@ -46,6 +48,8 @@
     /// Jobs whose rows in the table of jobs are deleted and whose rows written by the leader are to
     /// be deleted.
     pub(crate) deleted_jobs: RefCell<Vec<Text>>,
+    /// Failing workers as last stored.
+    pub(crate) stored_failing: RefCell<FailingRow>,
     /// Versions of the rows of the known jobs in the table of jobs.
     pub(crate) job_versions: RefCell<SortedMap<Text, u64>>,
     /// Jobs whose rows in the table of jobs were deleted since the last read of that table, with the
@@ -78,6 +82,7 @@
             stored_phases: RefCell::default(),
             progress_rows: RefCell::default(),
             deleted_jobs: RefCell::default(),
+            stored_failing: RefCell::default(),
             job_versions: RefCell::default(),
             removed_jobs: RefCell::default(),
             has_skipped_jobs: Cell::default(),
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -14,7 +14,7 @@
 use crate::{
     cx::Cx,
     leader::Leader,
-    rows::{self, ChainRow, JobRowKind, PhaseRow},
+    rows::{self, ChainRow, FailingRow, JobRowKind, PhaseRow},
 };
 
 /// Loads the state of the scheduler, and returns the version from which to watch the table of jobs.
@@ -22,8 +22,10 @@
     let (_, chain) = rows::CHAIN.split_once('/').unwrap_or_default();
     // Only the table of jobs still changes: all other rows are written in transactions that check
     // the lease. The feed reports the jobs that are accepted after the read.
-    let (chain, jobs, progress, phases) = tokio::try_join!(
+    let (_, failing) = rows::FAILING.split_once('/').unwrap_or_default();
+    let (chain, failing, jobs, progress, phases) = tokio::try_join!(
         cx.table.get_row(rows::CONTROL, chain),
+        cx.table.get_row(rows::CONTROL, failing),
         read_jobs(cx),
         read_all(cx, rows::PROGRESS),
         read_all(cx, rows::PHASES),
@@ -85,6 +87,10 @@
             log::error!(job = id, reason:% = e; "leader: job set aside");
         }
     }
+    let failing = failing.as_ref().and_then(rows::from_json::<FailingRow>);
+    let failing = failing.unwrap_or_default();
+    scheduler.restore_failing_workers(&failing, now);
+    *leader.stored_failing.borrow_mut() = failing;
     for id in cancels {
         scheduler.cancel(id, now, wall_now);
     }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -19,6 +19,8 @@
 pub(crate) const CHAIN: &str = "control/chain";
 /// Row with the number of pending jobs of each queue: those in phase [`Phase::Queued`].
 pub(crate) const PENDING: &str = "control/pending";
+/// Row with the workers on which run after run fails; it sorts after the lease row.
+pub(crate) const FAILING: &str = "control/workers";
 /// Row of the leader lease.
 pub(crate) const LEASE: &str = "control/lease";
 /// Heartbeat row of the lease; it sorts before the lease row.
@@ -87,6 +89,9 @@
     pub(crate) organisation: Option<Text>,
 }
 
+/// Content of [`FAILING`]: the number of failures by worker id.
+pub(crate) type FailingRow = SortedMap<Text, u32>;
+
 /// Content of [`PENDING`]: the number of pending jobs by queue.
 pub(crate) type PendingRow = SortedMap<Text, u64>;
 
