node: the wait of a job is measured by the store's clock

Cause: the row of a job held the wall clock of the entry that accepted it, and the leader compared it with its own. With an entry whose clock is behind, a job seemed to have waited for longer: a guarantee is claimed too early, at the expense of other work, and the job ranks as late or too late.

Change: the row also holds the time by the store's clock, which all nodes share (`stored_at`); the leader translates it to its own wall clock when it reads the row. Rows without it, as the version before writes them, count as before; the version before ignores it.

The row of a job that can't be read is logged now and the job set aside, at the load and in the feed, instead of being skipped without a line.

Evidence: cli `the_wait_of_a_job_does_not_depend_on_the_clock_of_its_entry` fails on (a job whose entry is an hour behind runs last instead of second) and passes now.

--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -100,3 +100,25 @@
     let row = cluster.store.get("control", "workers");
     assert_eq!(row, Some(json!([])));
 }
+
+/// Guards against ranks and claims by the clock of the node that accepted a job.
+#[test]
+fn the_wait_of_a_job_does_not_depend_on_the_clock_of_its_entry() {
+    let mut cluster = Cluster::start("takeover-clocks", 2, 1, 3_000);
+    for id in 1..4 {
+        assert_eq!(cluster.submit(0, id, 1, false).unwrap().status, 200);
+    }
+    // The clock of the entry of the second job is an hour behind, so that it seems too late.
+    let key = format!("{:016x}.job", 2);
+    let mut row = cluster.store.history("jobs", &key).remove(0);
+    row["at"] = json!(row["at"].as_u64().unwrap() - 3_600_000);
+    cluster.store.replace("jobs", &key, &row);
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    cluster.nodes[leader].restart();
+    wait_until("three runs", TIMEOUT, || {
+        (cluster.workers[0].runs().len() == 3).then_some(())
+    });
+    let runs = cluster.workers[0].runs();
+    assert!(runs[1].task.starts_with(&format!("{:016x}", 2)), "{runs:?}");
+}
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -15,7 +15,7 @@
     cx::{self, Cx},
     peers,
     refusal::Refusal,
-    rows::{self, JobRowKind},
+    rows::{self, JobRow, JobRowKind},
 };
 
 /// Delay before a refused or unanswered write is sent again.
@@ -43,7 +43,10 @@
         at: clock::wall(),
         spec,
     };
-    let record = rows::to_json(&accepted);
+    let record = rows::to_json(&JobRow {
+        job: &accepted,
+        stored_at: cx.store_clock.now(),
+    });
     if record.len() > cx.cfg.row_bytes {
         let (bytes, max) = (record.len(), cx.cfg.row_bytes);
         let reason = SpecError::Record { bytes, max };
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use base::clock::{self, Millis};
-use batch::job::AcceptedJob;
 use platform::table::Changes;
 use store::table::Row;
 
@@ -51,7 +50,7 @@
                 version: next,
             }) => {
                 let rows = rows.iter().filter(|(_, deleted)| !deleted);
-                apply(&leader, rows.map(|(row, _)| row));
+                apply(&cx, &leader, rows.map(|(row, _)| row));
                 version = next;
             }
             Ok(Changes::HistoryGone) => {
@@ -72,17 +71,18 @@
 /// Reads the whole table and returns its version.
 async fn read_all(cx: &Cx, leader: &Leader) -> Option<u64> {
     let (rows, version) = load::read_jobs(cx).await.ok()?;
-    apply(leader, rows.iter());
+    apply(cx, leader, rows.iter());
     Some(version)
 }
 
-fn apply<'a>(leader: &Leader, rows: impl Iterator<Item = &'a Row>) {
+fn apply<'a>(cx: &Cx, leader: &Leader, rows: impl Iterator<Item = &'a Row>) {
     let mut scheduler = leader.scheduler.borrow_mut();
     let phases = leader.stored_phases.borrow();
     let removed = leader.removed_jobs.borrow();
     let mut versions = leader.job_versions.borrow_mut();
     let has_ended = |id: &str| phases.get(id).is_some_and(|p| p.is_final());
     let is_removed = |id: &str, row: &Row| removed.get(id).is_some_and(|v| row.version <= *v);
+    let store_now = cx.store_clock.now();
     let mut cancels = Vec::new();
     let mut changed = false;
     for row in rows {
@@ -91,8 +91,10 @@
             Some((id, JobRowKind::Job)) if scheduler.knows(id) || is_removed(id, row) => {}
             // A new job with its id waits until the rows of the removed one's progress are deleted.
             Some((id, JobRowKind::Job)) if has_ended(id) => leader.has_skipped_jobs.set(true),
-            Some((_, JobRowKind::Job)) => {
-                let Some(accepted) = rows::from_json::<AcceptedJob>(row) else {
+            Some((id, JobRowKind::Job)) => {
+                let Some(accepted) = rows::accepted_job(row, store_now, clock::wall()) else {
+                    log::error!(job = id, reason = "malformed row of the job"; "intake: job set aside");
+                    scheduler.set_aside(id.into());
                     continue;
                 };
                 log::info!(job:% = accepted.id, queue:% = accepted.queue, version = row.version; "intake: job");
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -1,11 +1,7 @@
 //! Loads the state of all jobs at the start of a leadership.
 
 use base::sorted::SortedMap;
-use batch::{
-    job::{AcceptedJob, Text},
-    progress::Progress,
-    scheduler::JobScheduler,
-};
+use batch::{job::Text, progress::Progress, scheduler::JobScheduler};
 use store::{
     long_row,
     table::{Row, StoreError},
@@ -62,6 +58,7 @@
     let mut cancels: Vec<&str> = Vec::new();
     let mut ends_unknown = 0;
     let (now, wall_now) = (base::clock::now(), base::clock::wall());
+    let store_now = cx.store_clock.now();
     for row in &jobs {
         let Some((id, kind)) = rows::parse_job_key(&row.key) else {
             continue;
@@ -70,8 +67,12 @@
             cancels.push(id);
             continue;
         }
-        let Some(accepted) = rows::from_json::<AcceptedJob>(row).filter(|_| !scheduler.knows(id))
-        else {
+        if scheduler.knows(id) {
+            continue;
+        }
+        let Some(accepted) = rows::accepted_job(row, store_now, wall_now) else {
+            log::error!(job = id, reason = "malformed row of the job"; "leader: job set aside");
+            scheduler.set_aside(id.into());
             continue;
         };
         let phase = phases.get(id).map(|p| p.phase).filter(|p| p.is_final());
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,9 +1,12 @@
 //! Tables, keys and content of the rows that the system stores.
 
-use base::sorted::SortedMap;
-use batch::{job::Text, progress::Phase};
+use base::{clock::Millis, sorted::SortedMap};
+use batch::{
+    job::{AcceptedJob, Text},
+    progress::Phase,
+};
 use serde::{Deserialize, Serialize};
-use store::table::Key;
+use store::table::{Key, Row};
 
 /// Table of accepted jobs and their cancellations. Entries write it, and the leader watches it.
 pub(crate) const JOBS: &str = "jobs";
@@ -82,6 +85,37 @@
     pub(crate) count: u64,
 }
 
+/// Content of the row of an accepted job.
+#[derive(Debug, Serialize)]
+pub(crate) struct JobRow<'a> {
+    #[serde(flatten)]
+    pub(crate) job: &'a AcceptedJob,
+    /// Time of the acceptance by the store's clock, which all nodes share.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) stored_at: Option<Millis>,
+}
+
+/// Time of the acceptance in the row of a job; earlier versions wrote none.
+#[derive(Deserialize)]
+struct AcceptanceTime {
+    stored_at: Option<Millis>,
+}
+
+/// Decodes the row of an accepted job. The time of its submission is translated from the wall clock of
+/// the node that accepted it to the local one, if `store_now`, the time of the store's clock, is known.
+pub(crate) fn accepted_job(
+    row: &Row,
+    store_now: Option<Millis>,
+    wall_now: Millis,
+) -> Option<AcceptedJob> {
+    let mut job: AcceptedJob = from_json(row)?;
+    let stored_at = from_json::<AcceptanceTime>(row).and_then(|t| t.stored_at);
+    if let (Some(stored_at), Some(store_now)) = (stored_at, store_now) {
+        job.at = Millis(wall_now.since(store_now.since(stored_at)).0);
+    }
+    Some(job)
+}
+
 /// Content of a row of [`PHASES`].
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub(crate) struct PhaseRow {
@@ -101,7 +135,7 @@
 }
 
 /// Decodes the content of a row; returns `None` and logs an error if it is malformed.
-pub(crate) fn from_json<T: for<'a> Deserialize<'a>>(row: &store::table::Row) -> Option<T> {
+pub(crate) fn from_json<T: for<'a> Deserialize<'a>>(row: &Row) -> Option<T> {
     match serde_json::from_str(&row.value) {
         Ok(value) => Some(value),
         Err(e) => {
