node: ends that the version before left without a time get one at once

Cause: in a rolling restart a leader of the version before deletes the progress of an ended job, and with it the time of the end. A leader of this version stores the time of its load instead, but in its first round of removals, 5 s after the load, and 90 jobs every 5 s. If the version before leads again until then, it counts from the acceptance and removes the jobs early. It counts from `at`, which in a row that waited for an outage was the time before the outage.

Change: the first round comes 0.2 s after the load and the next ones follow while there are more such ends and the store is fast; removals begin 5 s after the load, as before. The version before begins its own 5 s after its takeover. `at` of an end is the time of the attempt that stored it.

Evidence: cli `ends_without_a_time_get_one_soon_after_a_takeover` (150 jobs) fails on: not within 5 s.

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -15,8 +15,11 @@
 /// Time limit for the removal of rows after that: the margin for late commits, a takeover and a few
 /// rounds.
 const REMOVAL_TIMEOUT: time::Duration = time::Duration::from_secs(30);
-/// Time by which a node's estimate of the store's clock is late at most, on a local connection.
+/// Time by which a node's estimate of the store's clock is late at most, on a local connection, and
+/// for which an attempt of a commit may be under way.
 const MAX_CLOCK_LAG_MS: u64 = 100;
+/// Time from the takeover of a leader of the version before to its first removals.
+const OLD_ROUND: time::Duration = time::Duration::from_secs(5);
 /// Time limit for the start of a job whose id was that of a removed one. A round of the retention
 /// takes 5 s.
 const REUSE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -91,6 +94,33 @@
     wait_until_removed(&cluster);
 }
 
+/// Guards against ends that have no time when a leader of the version before takes over again in a
+/// rolling restart, and that it removes by the age of the jobs in its first round.
+#[test]
+fn ends_without_a_time_get_one_soon_after_a_takeover() {
+    let jobs = 150;
+    let mut cluster = start("retention-unknown", 2, 1, KEEP_MS);
+    let step = json!({"count": 1, "cpu": 100});
+    for id in 0..jobs {
+        let answer = cluster.submit_step(0, id, "work", &step).unwrap();
+        assert_eq!(answer.status, 200);
+    }
+    for id in 0..jobs {
+        cluster.wait_for_state(0, id, "completed");
+    }
+    for id in 0..jobs {
+        cluster.store.delete("progress", &format!("{id:016x}"));
+    }
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    wait_until("the other node leads", cluster::TIMEOUT, || {
+        (cluster.leader() != leader).then_some(())
+    });
+    wait_until("all ends have a time", OLD_ROUND, || {
+        (cluster.store.count("progress") == jobs as usize).then_some(())
+    });
+}
+
 /// Guards against jobs that end faster than their rows are removed.
 #[test]
 fn rows_of_ended_jobs_are_removed_as_fast_as_jobs_end() {
@@ -194,8 +224,8 @@
 }
 
 /// Lets a job end in an outage of the store, at the end of which its end is stored. Returns the time
-/// at which the outage ended, by the store's clock.
-fn end_in_outage(cluster: &Cluster) -> u64 {
+/// at which the outage ended, by the store's clock and by the wall clock.
+fn end_in_outage(cluster: &Cluster) -> (u64, u64) {
     assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
     wait_until("the job runs", cluster::TIMEOUT, || {
         let is_running = |w: &Worker| !w.runs().is_empty();
@@ -205,7 +235,7 @@
     thread::sleep(time::Duration::from_millis(1_700));
     cluster.store.set_fault(Fault::Refuses);
     thread::sleep(time::Duration::from_secs(7));
-    let until = cluster.store.clock_ms();
+    let until = (cluster.store.clock_ms(), base::clock::wall().0);
     cluster.store.set_fault(Fault::None);
     cluster.wait_for_state(0, 1, "completed");
     until
@@ -228,13 +258,18 @@
 #[test]
 fn an_end_that_waited_for_an_outage_counts_from_its_commit() {
     let cluster = start("retention-late-commit", 1, 2_000, KEEP_MS);
-    let until = end_in_outage(&cluster);
+    let (until, wall_until) = end_in_outage(&cluster);
     let rows = cluster.store.history("progress", &format!("{:016x}", 1));
     let end = rows.iter().find(|r| r["phase"] == "completed").unwrap();
     assert!(
         end["ended_at"].as_u64().unwrap() + MAX_CLOCK_LAG_MS >= until,
         "{end}"
     );
+    // A leader of the version before counts from this time.
+    assert!(
+        end["at"].as_u64().unwrap() + MAX_CLOCK_LAG_MS >= wall_until,
+        "{end}"
+    );
 }
 
 /// Guards against "there is no such job" for an accepted job whose rows can't be read, as those of a
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -260,7 +260,12 @@
 
     /// Writes the end of a job with the current time, unless its time was known before.
     fn write_end(&mut self, cx: &Cx, leader: &Leader, end: Progress) {
-        self.write(cx, leader, &end.of_ended_job(cx.store_clock.now()));
+        let mut stored = end.of_ended_job(cx.store_clock.now());
+        if end.ended_at.is_none() {
+            // A leader of the version before counts from this time.
+            stored.at = clock::wall();
+        }
+        self.write(cx, leader, &stored);
         self.end = Some(end);
     }
 
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use base::clock::Millis;
+use base::clock::{self, Millis};
 use batch::job::Text;
 use store::table::{Commit, Txn};
 
@@ -18,7 +18,7 @@
 const FULL_ROUND_DELAY: Millis = Millis(200);
 /// Maximum number of jobs in a round. Twelve commits delete the leader's rows of all of them.
 const MAX_JOBS: usize = 500;
-/// Latency of transactions above which nothing is removed, so that decisions do not wait for it.
+/// Latency of transactions above which nothing is removed and rounds do not follow at once, so that decisions do not wait for it.
 const MAX_LATENCY: Millis = Millis(500);
 /// Maximum number of jobs in a transaction, which has at most 100 entries: one check and two writes
 /// for each job.
@@ -30,7 +30,9 @@
 /// Deletes ended jobs until the leadership ends. It runs concurrently with the commits, so that no
 /// decision waits for a deletion.
 pub(crate) async fn run(cx: Cx, leader: Rc<Leader>) {
-    let mut has_more = false;
+    // The first round stores the times of ends that the version before has left without one, because
+    // it removes such jobs too early if it leads again.
+    let mut has_more = true;
     while !leader.ended.get() {
         cx::sleep(if has_more { FULL_ROUND_DELAY } else { INTERVAL }).await;
         let Some(now) = cx.store_clock.now() else {
@@ -48,13 +50,20 @@
         if jobs > 0 {
             log::info!(jobs; "retention: the time of an end is not known and counts from now");
         }
-        has_more = remove(&cx, &leader, now).await;
+        has_more = marked.len() == MAX_UNKNOWN_ENDS && is_store_fast(&cx);
+        if clock::now().since(leader.started_at) >= INTERVAL {
+            has_more |= remove(&cx, &leader, now).await;
+        }
         if !marked.is_empty() || !leader.deleted_jobs.borrow().is_empty() {
             leader.dirty.notify_one();
         }
     }
 }
 
+fn is_store_fast(cx: &Cx) -> bool {
+    cx.pace.read_back_after() < MAX_LATENCY
+}
+
 fn is_end_stored(leader: &Leader, id: &str) -> bool {
     let phases = leader.stored_phases.borrow();
     phases.get(id).is_some_and(|p| p.is_final())
@@ -63,7 +72,7 @@
 /// Deletes the rows of the jobs whose retention time is over at the time `now` of the store's clock.
 /// Returns whether there may be more of them.
 async fn remove(cx: &Cx, leader: &Leader, now: Millis) -> bool {
-    if cx.pace.read_back_after() >= MAX_LATENCY {
+    if !is_store_fast(cx) {
         return false;
     }
     let keep = cx.cfg.keep_ms;
