batch: a new leader repeats no start for which it has no ticket

Cause: tickets are not stored. A new leader that repeats a start which may not have been sent has none; the worker refuses it, and the run is stopped and its subtask placed again with a new ticket: a refused start for each.

Change: such a run is stopped at once. Starts of queues without a policy are repeated as before.

Evidence: batch `a_new_leader_repeats_no_start_without_a_ticket` fails without the change (a start without a ticket).

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -277,7 +277,7 @@
                 RunState::Running if is_unanswered => self.stop(&id, now),
                 RunState::Adopted if !report.is_complete => {}
                 RunState::Adopted if self.phase(&id.job).is_some_and(|p| !p.is_final()) => {
-                    self.order_start(&id, now);
+                    self.repeat_start(&id, now);
                 }
                 RunState::Adopted | RunState::Stopping => self.stop(&id, now),
                 RunState::Ordered | RunState::Running => {}
@@ -285,6 +285,18 @@
         }
     }
 
+    /// Repeats a start that an earlier leader may not have sent. Its ticket is not known, and the worker
+    /// refuses a start without one, so that the subtask is placed again with a new ticket.
+    fn repeat_start(&mut self, id: &SubtaskId, now: Millis) {
+        let worker = self.subtask(id).and_then(|t| t.run.as_ref());
+        let worker = worker.map(|r| r.worker.clone()).unwrap_or_default();
+        if !self.needs_tickets(&id.job) || self.ticket(id, &worker, now).is_some() {
+            return self.order_start(id, now);
+        }
+        log::info!(task:% = id, worker:%; "batch: start of an earlier leader not repeated without a ticket");
+        self.stop_gang(id, now);
+    }
+
     fn handle_finished(
         &mut self,
         worker: &str,
--- a/crates/batch/tests/policy.rs
+++ b/crates/batch/tests/policy.rs
@@ -6,16 +6,21 @@
 
 use base::clock::Millis;
 use batch::{
-    config::Policy,
+    config::{Config, Policy},
     job::Text,
     policy::PolicyRequest,
     worker::{Action, Order, Refusal, StartReply},
 };
-use fleet::{Fleet, config, gang, starts, step};
+use fleet::{Fleet, config, gang, starts, step, stops};
 
 /// Returns a fleet whose queues all require tickets.
 fn fleet_with_policy(workers: usize) -> Fleet {
     let mut fleet = Fleet::new(workers);
+    fleet.scheduler.configure(&Rc::new(policy_config()));
+    fleet
+}
+
+fn policy_config() -> Config {
     let mut config = config();
     for queue in &mut config.queues {
         queue.policy = Some(Policy {
@@ -24,8 +29,7 @@
             ticket_validity: Millis(3_000),
         });
     }
-    fleet.scheduler.configure(&Rc::new(config));
-    fleet
+    config
 }
 
 /// Answers a request with tickets for the workers for which `is_allowed` returns true.
@@ -126,3 +130,28 @@
     answer(&mut fleet, &request, |_| true);
     assert_eq!(starts(&fleet.plan()).len(), 1);
 }
+
+/// Guards against starts that workers refuse because the new leader has no ticket for them.
+#[test]
+fn a_new_leader_repeats_no_start_without_a_ticket() {
+    let mut fleet = fleet_with_policy(1);
+    let config = Rc::new(policy_config());
+    fleet.submit("1", 1, step(1, 8));
+    fleet.plan();
+    let request = fleet.scheduler.take_policy_requests().remove(0);
+    answer(&mut fleet, &request, |_| true);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+    fleet.restart();
+    fleet.scheduler.configure(&config);
+    fleet.advance(20).report("w00", &[], Vec::new());
+    let changes = fleet.plan();
+    assert!(starts(&changes).is_empty());
+    let order = stops(&changes).remove(0);
+    let now = fleet.now;
+    fleet.scheduler.handle_stop_reply(&order.task, 1, now);
+    fleet.advance(20).report("w00", &[], Vec::new());
+    fleet.plan();
+    let request = fleet.scheduler.take_policy_requests().remove(0);
+    answer(&mut fleet, &request, |_| true);
+    assert_eq!(ticket(&starts(&fleet.plan())[0]), Some("t-w00"));
+}
