node: rows of nodes that left are removed

Cause: each node wrote its row in the list of nodes once, without a time, and nothing removed it. With VMs that are replaced under other names the list grows: takeovers are spread over a time that grows with it, and nodes that are gone are asked in an outage whether the store serves them.

Change: a node writes its row every 10 to 15 minutes, with the time of the store's clock, and again if it misses it. A row of over 30 minutes is left out, and the leader deletes it with a check of its version. Nothing is deleted or left out by a node whose own row is not current, as after a long outage. Rows without a time (the version before) count as before and stay.

--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -12,6 +12,10 @@
 use common::wait_until;
 use serde_json::json;
 
+/// Time limit for changes of the list of nodes, which is read every 10 s; a leader changes it from the
+/// second read on.
+const LIST_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Guards against decisions by a restarted leader that has not read the configuration: it would
 /// know neither the priorities of the queues nor which workers check their capacity.
 #[test]
@@ -122,3 +126,25 @@
     let runs = cluster.workers[0].runs();
     assert!(runs[1].task.starts_with(&format!("{:016x}", 2)), "{runs:?}");
 }
+
+/// Guards against a list of nodes that grows for ever, and against the removal of a node that runs.
+#[test]
+fn nodes_that_are_gone_leave_the_list() {
+    let cluster = Cluster::start("takeover-nodes", 2, 0, 100);
+    let row = |written_at: u64| json!({"address": "127.0.0.1:1", "written_at": written_at});
+    let now = cluster.store.clock_ms();
+    cluster.store.put("nodes", "gone", &row(now - 1_900_000));
+    cluster.store.put("nodes", "quiet", &row(now - 1_700_000));
+    // A node of the version before writes no time, and only at its start.
+    let old = json!({"address": "127.0.0.1:1"});
+    cluster.store.put("nodes", "old", &old);
+    let follower = 1 - cluster.leader();
+    cluster.store.delete("nodes", &format!("n{follower}"));
+    let names = || -> Vec<String> {
+        let keys = cluster.store.keys().into_iter();
+        keys.filter(|(t, _)| t == "nodes").map(|(_, k)| k).collect()
+    };
+    wait_until("the node that is gone is removed", LIST_TIMEOUT, || {
+        (names() == ["n0", "n1", "old", "quiet"]).then_some(())
+    });
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -20,7 +20,7 @@
     http_cfg::HttpCfg,
     http_client::HttpClient,
     reach::Reach,
-    table::{StoreError, Txn},
+    table::{Row, StoreError, Txn},
 };
 use tokio::sync::Notify;
 
@@ -35,6 +35,14 @@
 /// Interval between the first two reads; it doubles after each. All nodes start within 0.3 s, so
 /// the first read misses some.
 const FIRST_LIST_INTERVAL: Millis = Millis(400);
+/// Time after which a node writes its row in the list of nodes again.
+const REGISTER_INTERVAL: Millis = Millis(600_000);
+/// Time over which these writes of all nodes are spread.
+const REGISTER_SPREAD: Millis = Millis(300_000);
+/// Age of a row from which on its node counts as gone: twice the longest time between two writes.
+const MAX_ROW_AGE: Millis = Millis(1_800_000);
+/// Maximum number of rows of nodes that are gone which one transaction deletes.
+const MAX_REMOVED: usize = 40;
 /// Interval between two rounds of queries while the store does not serve this node.
 const QUERY_INTERVAL: Millis = Millis(400);
 /// Number of nodes queried in a round. If a third of all nodes is not served, at least one of three
@@ -65,6 +73,17 @@
 struct NodeRow {
     /// Address for operators and other nodes.
     address: net::SocketAddr,
+    /// Time of the write by the store's clock; earlier versions write none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    written_at: Option<Millis>,
+}
+
+impl NodeRow {
+    /// Returns the age of the row; zero for a row without a time, which tells nothing.
+    fn age(&self, store_now: Option<Millis>) -> Millis {
+        let age = |at| store_now.unwrap_or_default().since(at);
+        self.written_at.map_or(Millis::ZERO, age)
+    }
 }
 
 impl Peers {
@@ -159,8 +178,9 @@
         if !registered {
             registered = register(&cx).await;
         }
-        if registered && read_list(&cx).await {
+        if registered && let Some(is_current) = read_list(&cx).await {
             interval = MAX_LIST_INTERVAL.min(Millis(2 * interval.0));
+            registered = is_current;
         }
         tokio::select! {
             () = cx.peers.changed() => {}
@@ -172,6 +192,7 @@
 async fn register(cx: &Cx) -> bool {
     let row = NodeRow {
         address: cx.cfg.listen_metrics,
+        written_at: cx.store_clock.now(),
     };
     let key = format!("{}/{}", rows::NODES, cx.cfg.name);
     let txn = Txn::default().put(key, rows::to_json(&row));
@@ -184,20 +205,63 @@
     }
 }
 
-async fn read_list(cx: &Cx) -> bool {
+/// Reads the list of nodes, and removes the nodes that are gone if this one leads. Returns whether the
+/// row of this node is there and current, or `None` without an answer.
+async fn read_list(cx: &Cx) -> Option<bool> {
     let read = load::read_all(cx, rows::NODES).await;
     let rows = match read {
         Ok((rows, _)) => rows,
         Err(e) => {
             log::info!(reason:% = e; "peers: failed to read the list of nodes");
-            return false;
+            return None;
         }
     };
-    let nodes = rows.iter().filter_map(rows::from_json::<NodeRow>);
-    let others = nodes.map(|n| n.address);
-    let others = others.filter(|a| *a != cx.cfg.listen_metrics);
-    *cx.peers.others.borrow_mut() = others.collect();
-    true
+    let now = cx.store_clock.now();
+    let own_key = format!("{}/{}", rows::NODES, cx.cfg.name);
+    let spread = Millis(cx.candidate.id % REGISTER_SPREAD.0);
+    let max_own_age = REGISTER_INTERVAL + spread;
+    let mut others = Vec::new();
+    let mut gone = Vec::new();
+    let mut own_age = None;
+    for row in &rows {
+        let Some(node) = rows::from_json::<NodeRow>(row) else {
+            continue;
+        };
+        if *row.key == *own_key {
+            // A row without a time is that of the version before, under the same name.
+            own_age = node.written_at.map(|_| node.age(now));
+        } else if node.age(now) > MAX_ROW_AGE {
+            gone.push((row, node));
+        } else if node.address != cx.cfg.listen_metrics {
+            others.push(node.address);
+        }
+    }
+    let is_current = own_age.is_some_and(|age| age < max_own_age);
+    if !is_current {
+        // After a long outage of the store the rows of all nodes are old.
+        others.extend(gone.iter().map(|(_, node)| node.address));
+    }
+    *cx.peers.others.borrow_mut() = others;
+    // All nodes that run have read the list since this row was written, and have written theirs.
+    let had_time = own_age.is_some_and(|age| age > MAX_LIST_INTERVAL);
+    if is_current && had_time && !gone.is_empty() && cx.acting().is_some() {
+        remove(cx, &gone, now).await;
+    }
+    Some(is_current)
+}
+
+/// Removes rows of nodes that are gone, unless they have changed.
+async fn remove(cx: &Cx, gone: &[(&Row, NodeRow)], now: Option<Millis>) {
+    let gone = gone.iter().take(MAX_REMOVED);
+    let txn = gone.clone().fold(Txn::default(), |txn, (row, _)| {
+        txn.check(row.key.clone(), row.version)
+            .delete(row.key.clone())
+    });
+    let outcome = cx.table.commit(&txn).await;
+    for (row, node) in gone {
+        let age_ms = node.age(now).0;
+        log::info!(node:% = row.key, age_ms, outcome:?; "peers: removing the row of a node that is gone");
+    }
 }
 
 /// Asks some other nodes concurrently whether the store serves them.
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -16,7 +16,7 @@
 pub(crate) const PHASES: &str = "phases";
 /// Table of the control rows: the lease, the commit chain and the pending counts.
 pub(crate) const CONTROL: &str = "control";
-/// Table of all nodes by name. Each node writes its own row at its start.
+/// Table of all nodes by name. Each node writes its own row at its start and at intervals.
 pub(crate) const NODES: &str = "nodes";
 /// Row with the sequence number of the leader's last commit.
 pub(crate) const CHAIN: &str = "control/chain";
