--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -10,6 +10,11 @@
 
 use cluster::{API_KEY, Cluster, TIMEOUT, config, proxy::Mode};
 use common::wait_until;
+use serde_json::json;
+
+/// Time limit for changes of the list of nodes, which is read every 10 s; a leader changes it from the
+/// second read on.
+const LIST_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Guards against decisions by a restarted leader that has not read the configuration: it would
 /// know neither the priorities of the queues nor which workers check their capacity.
@@ -76,3 +81,70 @@
     });
     cluster.check_runs();
 }
+
+/// Guards against runs at the expense of jobs on a worker on which everything fails, because only the
+/// leader before knew it.
+#[test]
+fn a_new_leader_reads_on_which_workers_runs_fail() {
+    let mut cluster = Cluster::start("takeover-failing", 2, 1, 100);
+    let (worker, _) = cluster.workers[0].entry("r1", "ready").unwrap();
+    cluster
+        .store
+        .put("control", "workers", &json!([[worker, 4]]));
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    assert_eq!(cluster.submit(1 - leader, 1, 1, false).unwrap().status, 200);
+    wait_until("a node leads", TIMEOUT, || {
+        (cluster.leader() != leader).then_some(())
+    });
+    let led = Instant::now();
+    cluster.wait_for_state(1 - leader, 1, "completed");
+    let delay = cluster.workers[0].runs()[0].started - led;
+    assert!(delay > Duration::from_secs(3), "after {delay:?}");
+    let row = cluster.store.get("control", "workers");
+    assert_eq!(row, Some(json!([])));
+}
+
+/// Guards against ranks and claims by the clock of the node that accepted a job.
+#[test]
+fn the_wait_of_a_job_does_not_depend_on_the_clock_of_its_entry() {
+    let mut cluster = Cluster::start("takeover-clocks", 2, 1, 3_000);
+    for id in 1..4 {
+        assert_eq!(cluster.submit(0, id, 1, false).unwrap().status, 200);
+    }
+    // The clock of the entry of the second job is an hour behind, so that it seems too late.
+    let key = format!("{:016x}.job", 2);
+    let mut row = cluster.store.history("jobs", &key).remove(0);
+    row["at"] = json!(row["at"].as_u64().unwrap() - 3_600_000);
+    cluster.store.replace("jobs", &key, &row);
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    cluster.nodes[leader].restart();
+    wait_until("three runs", TIMEOUT, || {
+        (cluster.workers[0].runs().len() == 3).then_some(())
+    });
+    let runs = cluster.workers[0].runs();
+    assert!(runs[1].task.starts_with(&format!("{:016x}", 2)), "{runs:?}");
+}
+
+/// Guards against a list of nodes that grows for ever, and against the removal of a node that runs.
+#[test]
+fn nodes_that_are_gone_leave_the_list() {
+    let cluster = Cluster::start("takeover-nodes", 2, 0, 100);
+    let row = |written_at: u64| json!({"address": "127.0.0.1:1", "written_at": written_at});
+    let now = cluster.store.clock_ms();
+    cluster.store.put("nodes", "gone", &row(now - 1_900_000));
+    cluster.store.put("nodes", "quiet", &row(now - 1_700_000));
+    // A node of the version before writes no time, and only at its start.
+    let old = json!({"address": "127.0.0.1:1"});
+    cluster.store.put("nodes", "old", &old);
+    let follower = 1 - cluster.leader();
+    cluster.store.delete("nodes", &format!("n{follower}"));
+    let names = || -> Vec<String> {
+        let keys = cluster.store.keys().into_iter();
+        keys.filter(|(t, _)| t == "nodes").map(|(_, k)| k).collect()
+    };
+    wait_until("the node that is gone is removed", LIST_TIMEOUT, || {
+        (names() == ["n0", "n1", "old", "quiet"]).then_some(())
+    });
+}
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -1,11 +1,7 @@
 //! Loads the state of all jobs at the start of a leadership.
 
 use base::sorted::SortedMap;
-use batch::{
-    job::{AcceptedJob, Text},
-    progress::Progress,
-    scheduler::JobScheduler,
-};
+use batch::{job::Text, progress::Progress, scheduler::JobScheduler};
 use store::{
     long_row,
     table::{Row, StoreError},
@@ -14,7 +10,7 @@
 use crate::{
     cx::Cx,
     leader::Leader,
-    rows::{self, ChainRow, JobRowKind, PhaseRow},
+    rows::{self, ChainRow, FailingRow, JobRowKind, PhaseRow},
 };
 
 /// Loads the state of the scheduler, and returns the version from which to watch the table of jobs.
@@ -22,8 +18,10 @@
     let (_, chain) = rows::CHAIN.split_once('/').unwrap_or_default();
     // Only the table of jobs still changes: all other rows are written in transactions that check
     // the lease. The feed reports the jobs that are accepted after the read.
-    let (chain, jobs, progress, phases) = tokio::try_join!(
+    let (_, failing) = rows::FAILING.split_once('/').unwrap_or_default();
+    let (chain, failing, jobs, progress, phases) = tokio::try_join!(
         cx.table.get_row(rows::CONTROL, chain),
+        cx.table.get_row(rows::CONTROL, failing),
         read_jobs(cx),
         read_all(cx, rows::PROGRESS),
         read_all(cx, rows::PHASES),
@@ -60,6 +58,7 @@
     let mut cancels: Vec<&str> = Vec::new();
     let mut ends_unknown = 0;
     let (now, wall_now) = (base::clock::now(), base::clock::wall());
+    let store_now = cx.store_clock.now();
     for row in &jobs {
         let Some((id, kind)) = rows::parse_job_key(&row.key) else {
             continue;
@@ -68,8 +67,12 @@
             cancels.push(id);
             continue;
         }
-        let Some(accepted) = rows::from_json::<AcceptedJob>(row).filter(|_| !scheduler.knows(id))
-        else {
+        if scheduler.knows(id) {
+            continue;
+        }
+        let Some(accepted) = rows::accepted_job(row, store_now, wall_now) else {
+            log::error!(job = id, reason = "malformed row of the job"; "leader: job set aside");
+            scheduler.set_aside(id.into());
             continue;
         };
         let phase = phases.get(id).map(|p| p.phase).filter(|p| p.is_final());
@@ -85,6 +88,10 @@
             log::error!(job = id, reason:% = e; "leader: job set aside");
         }
     }
+    let failing = failing.as_ref().and_then(rows::from_json::<FailingRow>);
+    let failing = failing.unwrap_or_default();
+    scheduler.restore_failing_workers(&failing, now);
+    *leader.stored_failing.borrow_mut() = failing;
     for id in cancels {
         scheduler.cancel(id, now, wall_now);
     }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -1,9 +1,12 @@
 //! Tables, keys and content of the rows that the system stores.
 
-use base::sorted::SortedMap;
-use batch::{job::Text, progress::Phase};
+use base::{clock::Millis, sorted::SortedMap};
+use batch::{
+    job::{AcceptedJob, Text},
+    progress::Phase,
+};
 use serde::{Deserialize, Serialize};
-use store::table::Key;
+use store::table::{Key, Row};
 
 /// Table of accepted jobs and their cancellations. Entries write it, and the leader watches it.
 pub(crate) const JOBS: &str = "jobs";
@@ -13,12 +16,14 @@
 pub(crate) const PHASES: &str = "phases";
 /// Table of the control rows: the lease, the commit chain and the pending counts.
 pub(crate) const CONTROL: &str = "control";
-/// Table of all nodes by name. Each node writes its own row at its start.
+/// Table of all nodes by name. Each node writes its own row at its start and at intervals.
 pub(crate) const NODES: &str = "nodes";
 /// Row with the sequence number of the leader's last commit.
 pub(crate) const CHAIN: &str = "control/chain";
 /// Row with the number of pending jobs of each queue: those in phase [`Phase::Queued`].
 pub(crate) const PENDING: &str = "control/pending";
+/// Row with the workers on which run after run fails; it sorts after the lease row.
+pub(crate) const FAILING: &str = "control/workers";
 /// Row of the leader lease.
 pub(crate) const LEASE: &str = "control/lease";
 /// Heartbeat row of the lease; it sorts before the lease row.
@@ -80,6 +85,37 @@
     pub(crate) count: u64,
 }
 
+/// Content of the row of an accepted job.
+#[derive(Debug, Serialize)]
+pub(crate) struct JobRow<'a> {
+    #[serde(flatten)]
+    pub(crate) job: &'a AcceptedJob,
+    /// Time of the acceptance by the store's clock, which all nodes share.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) stored_at: Option<Millis>,
+}
+
+/// Time of the acceptance in the row of a job; earlier versions wrote none.
+#[derive(Deserialize)]
+struct AcceptanceTime {
+    stored_at: Option<Millis>,
+}
+
+/// Decodes the row of an accepted job. The time of its submission is translated from the wall clock of
+/// the node that accepted it to the local one, if `store_now`, the time of the store's clock, is known.
+pub(crate) fn accepted_job(
+    row: &Row,
+    store_now: Option<Millis>,
+    wall_now: Millis,
+) -> Option<AcceptedJob> {
+    let mut job: AcceptedJob = from_json(row)?;
+    let stored_at = from_json::<AcceptanceTime>(row).and_then(|t| t.stored_at);
+    if let (Some(stored_at), Some(store_now)) = (stored_at, store_now) {
+        job.at = Millis(wall_now.since(store_now.since(stored_at)).0);
+    }
+    Some(job)
+}
+
 /// Content of a row of [`PHASES`].
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub(crate) struct PhaseRow {
@@ -87,6 +123,9 @@
     pub(crate) organisation: Option<Text>,
 }
 
+/// Content of [`FAILING`]: the number of failures by worker id.
+pub(crate) type FailingRow = SortedMap<Text, u32>;
+
 /// Content of [`PENDING`]: the number of pending jobs by queue.
 pub(crate) type PendingRow = SortedMap<Text, u64>;
 
@@ -96,7 +135,7 @@
 }
 
 /// Decodes the content of a row; returns `None` and logs an error if it is malformed.
-pub(crate) fn from_json<T: for<'a> Deserialize<'a>>(row: &store::table::Row) -> Option<T> {
+pub(crate) fn from_json<T: for<'a> Deserialize<'a>>(row: &Row) -> Option<T> {
     match serde_json::from_str(&row.value) {
         Ok(value) => Some(value),
         Err(e) => {
