batch: searches compare indices instead of names

Cause: each search of a pass compared the name of the service with that of each of 1,100 workers, looked a worker up by its id for each label, ticket and limit, and looked each member of a rack up in the list of usable workers. The rank of each open occurrence was computed even if nothing of it can start.

Change: candidates hold the index of their service and the position of their worker. Racks are filled in one go over the usable workers. Room is checked by comparison before it is divided. Ranks are computed when a unit is found.

--- a/crates/base/src/sorted.rs
+++ b/crates/base/src/sorted.rs
@@ -138,6 +138,17 @@
         self.items.iter().map(|(k, v)| (k, v))
     }
 
+    /// Returns the entry at a position in key order.
+    ///
+    /// ```
+    /// let map = base::sorted::SortedMap::from_iter([(1, 'a'), (2, 'b')]);
+    /// assert_eq!(map.nth(1), Some((&2, &'b')));
+    /// assert_eq!(map.nth(2), None);
+    /// ```
+    pub fn nth(&self, position: usize) -> Option<(&K, &V)> {
+        self.items.get(position).map(|(k, v)| (k, v))
+    }
+
     /// Iterates over the entries in key order, with mutable references to the values.
     ///
     /// ```
--- a/crates/batch/src/candidates.rs
+++ b/crates/batch/src/candidates.rs
@@ -19,9 +19,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
     pub(crate) worker: Text,
+    /// Position of the worker in the list of all workers.
+    pub(crate) position: usize,
     /// Index of the rack in [`Candidates::by_rack`].
     pub(crate) rack: usize,
-    pub(crate) service: Text,
+    /// Index of the service in [`Candidates::services`].
+    pub(crate) service: usize,
     /// Resources that are free now and not held for a unit of higher rank.
     pub(crate) free: Resources,
     /// Resources that are free once the ordered stops have taken effect.
@@ -110,6 +113,8 @@
 pub(crate) struct Candidates {
     /// Candidates, sorted by worker id.
     pub(crate) all: Vec<Candidate>,
+    /// Names of the services.
+    services: Vec<Text>,
     /// Names of the racks, sorted.
     racks: Vec<Text>,
     /// Indices of the candidates of each rack, in the order of `racks`.
@@ -123,7 +128,7 @@
 }
 
 impl Candidates {
-    fn new(mut candidates: Vec<(Text, Candidate)>) -> Self {
+    fn new(mut candidates: Vec<(Text, Candidate)>, services: Vec<Text>) -> Self {
         // Neighbours are often in the same rack.
         let mut racks: Vec<Text> = Vec::new();
         for (rack, _) in &candidates {
@@ -148,6 +153,7 @@
                 .into_iter()
                 .map(|(_, candidate)| candidate)
                 .collect(),
+            services,
             racks,
             rack_members,
             ..Self::default()
@@ -160,6 +166,11 @@
         found.ok()
     }
 
+    /// Returns the index of a service, if a candidate belongs to it.
+    pub(crate) fn service(&self, name: &Text) -> Option<usize> {
+        self.services.iter().position(|s| s == name)
+    }
+
     /// Returns the indices of the candidates of each rack.
     pub(crate) fn by_rack(&self) -> &[Vec<usize>] {
         &self.rack_members
@@ -217,16 +228,24 @@
         let open = self
             .workers
             .iter()
-            .filter(|(_, w)| w.accepts_work(now) && self.is_capacity_known(w, now));
+            .enumerate()
+            .filter(|(_, (_, w))| w.accepts_work(now) && self.is_capacity_known(w, now));
         // Neighbouring runs often belong to the same job.
         let mut last: Option<&Job> = None;
-        let candidates = open.filter_map(|(id, worker)| {
+        let mut services: Vec<Text> = Vec::new();
+        let candidates = open.filter_map(|(position, (id, worker))| {
             let info = worker.info.as_ref()?;
+            let known = services.iter().position(|s| *s == info.service);
+            let service = known.unwrap_or_else(|| {
+                services.push(info.service.clone());
+                services.len() - 1
+            });
             let free = worker.free();
             let mut candidate = Candidate {
                 worker: id.clone(),
                 rack: 0,
-                service: info.service.clone(),
+                position,
+                service,
                 free,
                 free_after_stops: free,
                 free_soon: free,
@@ -272,6 +291,7 @@
             candidate.free_soon = info.capacity.saturating_sub(used.saturating_sub(ending));
             Some((worker.rack().cloned().unwrap_or_default(), candidate))
         });
-        Candidates::new(candidates.collect())
+        let candidates = candidates.collect();
+        Candidates::new(candidates, services)
     }
 }
--- a/crates/batch/src/preemption.rs
+++ b/crates/batch/src/preemption.rs
@@ -165,11 +165,12 @@
         let candidate = &candidates.all[candidate];
         let mut free = candidate.free_after_stops;
         free.add(freed.saturating_sub(candidate.excess), 1);
-        let count = self.step.reserved().count_in(free);
-        if count == 0 {
+        let need = self.step.reserved();
+        if !need.fits_in(free) {
             return 0;
         }
-        count.min(self.remaining_limit(&candidate.worker))
+        let count = need.count_in(free);
+        count.min(self.remaining_limit(candidate))
     }
 
     /// Adds the victim groups of one candidate, starting with the victims of smallest loss.
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -123,12 +123,11 @@
         let priority = queue.map_or(u32::MAX, |q| q.priority);
         let slack = queue.map_or(1.0, |q| q.slack_factor);
         let target = queue.map_or(Millis::ZERO, |q| q.target_latency);
+        let guaranteed = guaranteed && priority == URGENT_PRIORITY;
         let objective = Millis((job.critical_path().0 as f64 * slack) as u64) + target;
-        for (k, occurrence) in job.progress.occurrences.iter().enumerate() {
-            let start = job.occurrence_start(k as u32);
-            let guaranteed = guaranteed && priority == URGENT_PRIORITY;
+        let rank_of = |occurrence, start| {
             let end = wall_now + job.remaining_critical_path(occurrence);
-            let rank = Rank {
+            Rank {
                 unguaranteed: !guaranteed,
                 deferrable: priority > URGENT_PRIORITY,
                 timeliness: match end.since(start) {
@@ -138,12 +137,20 @@
                 },
                 priority,
                 due: start + objective,
-            };
+            }
+        };
+        for (k, occurrence) in job.progress.occurrences.iter().enumerate() {
+            let start = job.occurrence_start(k as u32);
+            let mut rank = None;
             for (s, step) in job.accepted.spec.steps.iter().enumerate() {
+                if !job.dependencies_done(occurrence, s) {
+                    continue;
+                }
                 let tasks = job.startable(k, s, step);
-                if tasks.is_empty() || !job.dependencies_done(occurrence, s) {
+                if tasks.is_empty() {
                     continue;
                 }
+                let rank = *rank.get_or_insert_with(|| rank_of(occurrence, start));
                 for (isolation, tasks) in job.by_isolation(tasks, step) {
                     units.push(Unit {
                         rank,
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -11,6 +11,7 @@
     policy::{StepId, StepTickets},
     ranking::Unit,
     scheduler::JobScheduler,
+    worker_state::Worker,
 };
 
 /// Time that urgent work waits for its data rack, or for one rack that holds its whole gang. It
@@ -124,9 +125,18 @@
     /// Returns the candidates that the unit may use, whether or not they have enough free
     /// resources.
     pub(crate) fn usable(&self, candidates: &Candidates) -> Vec<usize> {
-        let all = 0..candidates.all.len();
-        all.filter(|i| self.is_usable(&candidates.all[*i]))
-            .collect()
+        let Some(service) = candidates.service(self.service) else {
+            return Vec::new();
+        };
+        let mut usable = Vec::with_capacity(candidates.all.len());
+        for (i, candidate) in candidates.all.iter().enumerate() {
+            let is_usable = candidate.isolation.admits(self.unit.isolation)
+                && self.is_suitable(candidate, service);
+            if is_usable {
+                usable.push(i);
+            }
+        }
+        usable
     }
 
     /// Returns sets of usable candidates; the whole unit has to be placed within one of them.
@@ -138,46 +148,53 @@
         self.preferred_sets(candidates, &all)
     }
 
+    fn worker(&self, candidate: &Candidate) -> Option<&Worker> {
+        let workers = &self.scheduler.workers;
+        let (_, worker) = workers
+            .nth(candidate.position)
+            .filter(|(id, _)| **id == candidate.worker)?;
+        Some(worker)
+    }
+
     /// Returns the preferred subsets of `all`: the data rack, each single rack for a gang that
     /// needs one rack, otherwise all candidates.
     fn preferred_sets(&self, candidates: &Candidates, all: &[usize]) -> Vec<Vec<usize>> {
-        let usable = |i: &usize| all.binary_search(i).is_ok();
-        let usable_in = |rack: &[usize]| rack.iter().copied().filter(usable).collect();
         match &self.step.data_rack {
-            Some(rack) => vec![usable_in(candidates.rack(rack))],
+            Some(rack) => {
+                let usable = |i: &usize| all.binary_search(i).is_ok();
+                let rack = candidates.rack(rack).iter().copied();
+                vec![rack.filter(usable).collect()]
+            }
             None if self.needs_one_rack() => {
-                candidates.by_rack().iter().map(|r| usable_in(r)).collect()
+                let mut sets = vec![Vec::new(); candidates.by_rack().len()];
+                for i in all {
+                    sets[candidates.all[*i].rack].push(*i);
+                }
+                sets
             }
             None => vec![all.to_vec()],
         }
     }
 
-    fn is_usable(&self, candidate: &Candidate) -> bool {
-        candidate.isolation.admits(self.unit.isolation) && self.is_suitable(candidate)
-    }
-
-    /// Returns whether the unit may run on a candidate, whatever else has just started there.
-    fn is_suitable(&self, candidate: &Candidate) -> bool {
+    /// Returns whether the unit, which needs the service with the given index, may run on a candidate,
+    /// whatever else has just started there.
+    fn is_suitable(&self, candidate: &Candidate, service: usize) -> bool {
         if (candidate.reserved_for_urgent && self.unit.priority != URGENT_PRIORITY)
             || self.interferes_with(candidate)
         {
             return false;
         }
         let has_label = |label: &Text| {
-            let worker = self.scheduler.workers.get(&candidate.worker);
+            let worker = self.worker(candidate);
             worker.is_some_and(|w| w.has_label(label))
         };
-        candidate.service == *self.service
+        candidate.service == service
             && self.tickets.is_none_or(|t| self.has_ticket(t, candidate))
             && self.step.label.as_ref().is_none_or(has_label)
     }
 
     fn has_ticket(&self, tickets: TicketCheck, candidate: &Candidate) -> bool {
-        let incarnation = self
-            .scheduler
-            .workers
-            .get(&candidate.worker)
-            .map(|w| w.incarnation);
+        let incarnation = self.worker(candidate).map(|w| w.incarnation);
         let (Some(known), Some(incarnation)) = (tickets.known, incarnation) else {
             return false;
         };
@@ -254,18 +271,13 @@
         let mut fitting: Vec<(u64, usize, u64)> = Vec::new();
         for i in indices {
             let candidate = &candidates.all[*i];
-            let count = need.count_in(candidate.free_at(when));
-            let count = if count > 0 {
-                count.min(self.remaining_limit(&candidate.worker))
-            } else {
-                0
-            };
+            let free = candidate.free_at(when);
+            if !need.fits_in(free) {
+                continue;
+            }
+            let count = need.count_in(free).min(self.remaining_limit(candidate));
             if count > 0 {
-                fitting.push((
-                    candidate.free_at(when).share_of(candidate.capacity),
-                    *i,
-                    count,
-                ));
+                fitting.push((free.share_of(candidate.capacity), *i, count));
             }
         }
         let total = fitting.iter().map(|(.., n)| (*n).min(wanted as u64));
@@ -288,17 +300,18 @@
     /// Returns the candidate to keep free of new work for a unit that has to run alone: the emptiest
     /// one that becomes idle.
     pub(crate) fn find_worker_to_empty(&self, candidates: &Candidates) -> Option<usize> {
+        let service = candidates.service(self.service)?;
         let all = candidates.all.iter().enumerate();
         let fitting = all.filter(|(_, c)| {
             let fits = self.step.reserved().fits_in(c.capacity);
-            fits && c.isolation.can_be_emptied() && self.is_suitable(c)
+            fits && c.isolation.can_be_emptied() && self.is_suitable(c, service)
         });
         let free = |c: &Candidate| c.free.share_of(c.capacity);
         fitting.max_by_key(|(_, c)| free(c)).map(|(i, _)| i)
     }
 
     /// Returns how many more subtasks of the step may run on the worker.
-    pub(crate) fn remaining_limit(&self, worker: &Text) -> u64 {
+    pub(crate) fn remaining_limit(&self, candidate: &Candidate) -> u64 {
         if self.step.max_per_worker == 0 {
             return u64::MAX;
         }
@@ -306,7 +319,7 @@
             let first = &self.unit.tasks[0];
             t.job == first.job && t.occurrence == first.occurrence && t.step == first.step
         };
-        let runs = self.scheduler.workers.get(worker).map(|w| &w.runs);
+        let runs = self.worker(candidate).map(|w| &w.runs);
         let used = runs.into_iter().flatten().filter(|(t, _)| same(t)).count();
         self.step.max_per_worker.saturating_sub(used as u64)
     }
