node, batch: commits of a large job leave time for the replies to its orders

Callers wait longer for a job of 1,800 subtasks on a busy machine: a_job_with_thousands_of_subtasks_runs, "job 1 is completed: not within 15s".

Each commit encodes the whole progress of the job, and the next one followed at once: 363 commits of 1,800 subtasks, five ends each, 45% of the leader's processor time (perf: 31 of 69%). The replies to orders wait meanwhile, so that each commit covers few of them.

Change: after a commit whose changes took a whole millisecond or more to encode, the next one waits for four times that, at most 50 ms. Small commits follow each other as before.

Test: commits_leave_most_of_the_time_to_other_work.

--- a/crates/batch/src/outbox.rs
+++ b/crates/batch/src/outbox.rs
@@ -4,10 +4,15 @@
 //! Jobs with orders are therefore stored first, and the orders of a job are sent as soon as the job
 //! is stored.
 
-use base::sorted::SortedMap;
+use base::{clock::Millis, sorted::SortedMap};
 
 use crate::{job::Text, progress::Progress, scheduler::PendingChanges, worker::Order};
 
+/// Pause after a commit, as a multiple of the time for encoding its changes.
+const PAUSE_FACTOR: u64 = 4;
+/// Maximum pause after a commit, by which orders of other jobs are delayed.
+const MAX_PAUSE: Millis = Millis(50);
+
 /// Acknowledgement of finished runs: worker id, incarnation and highest sequence number.
 pub type Ack = (Text, u64, u64);
 
@@ -142,3 +147,16 @@
         released.acks.extend(complete.flat_map(|a| a.acks));
     }
 }
+
+/// Returns the pause after a commit whose changes were encoded in some time.
+///
+/// Each commit encodes the whole progress of its jobs. If the commits of a large job followed each
+/// other at once, the replies to orders would wait for them, and each would cover few subtasks.
+///
+/// ```
+/// use base::clock::Millis;
+/// assert_eq!(batch::outbox::pause_after(Millis(3)), Millis(12));
+/// ```
+pub fn pause_after(encoded_in: Millis) -> Millis {
+    Millis(PAUSE_FACTOR * encoded_in.0).min(MAX_PAUSE)
+}
--- a/crates/batch/tests/outbox.rs
+++ b/crates/batch/tests/outbox.rs
@@ -1,9 +1,10 @@
 //! The order in which changes are stored, and what is sent when, on a store that applies one small
 //! transaction after another.
 
+use base::clock::Millis;
 use batch::{
     job::{SubtaskId, Text},
-    outbox::Outbox,
+    outbox::{self, Outbox},
     progress::{Phase, Progress},
     scheduler::PendingChanges,
     worker::{Action, Order},
@@ -109,3 +110,19 @@
     };
     assert_eq!(outbox.add(repeated).orders, [stop("a")]);
 }
+
+/// Guards against a leader that does little else than to encode a large job again and again: the
+/// replies to its orders wait, so that each commit covers few of them.
+#[test]
+fn commits_leave_most_of_the_time_to_other_work() {
+    for encoded_in in [1, 5, 12] {
+        let pause = outbox::pause_after(Millis(encoded_in));
+        assert!(
+            5 * encoded_in <= encoded_in + pause.0,
+            "{encoded_in}: {pause}"
+        );
+    }
+    // Small commits follow each other at once, and no other job waits for long.
+    assert_eq!(outbox::pause_after(Millis(0)), Millis(0));
+    assert!(outbox::pause_after(Millis(1_000)) <= Millis(50));
+}
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -5,7 +5,7 @@
 use base::clock::{self, Millis};
 use batch::{
     job::Text,
-    outbox::{Outbox, Released},
+    outbox::{self, Outbox, Released},
     progress::{Phase, Progress},
 };
 use lease::table::HeartbeatRow;
@@ -52,10 +52,14 @@
             cx.metrics.count_worker_end(*end);
         }
         release(&cx, &leader, outbox.add(changes));
-        if let Err(LeadershipLost) = commit_next(&cx, &leader, &mut outbox, &mut pending).await {
+        let result = commit_next(&cx, &leader, &mut outbox, &mut pending).await;
+        let Ok(pause) = result else {
             cx.lease.borrow_mut().mark_lost();
             cx.wake_lease_task.notify_one();
             return;
+        };
+        if pause > Millis::ZERO {
+            cx::sleep(pause).await;
         }
         let has_more = !outbox.is_empty() || !leader.deleted_jobs.borrow().is_empty();
         if has_more || leader.scheduler.borrow().has_changes() {
@@ -93,13 +97,14 @@
     }
 }
 
-/// Commits as many changes as one transaction holds.
+/// Commits as many changes as one transaction holds. Returns the pause before the next commit.
 async fn commit_next(
     cx: &Cx,
     leader: &Rc<Leader>,
     outbox: &mut Outbox,
     pending: &mut PendingCounts,
-) -> Result<(), LeadershipLost> {
+) -> Result<Millis, LeadershipLost> {
+    let started = clock::now();
     let mut batch = Batch::default();
     for (id, progress) in outbox.in_order() {
         if !batch.add(Change::of_progress(cx, leader, id.clone(), progress)) {
@@ -120,8 +125,9 @@
         txn = txn.put(rows::PENDING, rows::to_json(counts));
     }
     if txn.writes.is_empty() {
-        return Ok(());
+        return Ok(Millis::ZERO);
     }
+    let encoded_in = clock::now().since(started);
     commit_txn(cx, leader, txn).await?;
     let ended = batch.changes.iter().filter(|c| c.kind == ChangeKind::End);
     let ended: Vec<Text> = ended.map(|c| c.id.clone()).collect();
@@ -140,7 +146,7 @@
         pending.written_at = clock::now();
     }
     release(cx, leader, outbox.mark_stored(&stored));
-    Ok(())
+    Ok(outbox::pause_after(encoded_in))
 }
 
 /// Changes of several jobs for one transaction.
