batch: a late report of an earlier life does not hide the current one

What callers see: work on a worker stands still, and the worker gets no more of it, until the leader changes, if the VM list names the next life of the worker before a report does and a report of the life before arrives after that.

Cause: leaves out reports of the incarnation whose end a report has shown. A late report of the life before was taken for that of a restart, if only the list had named the next life, so the current life counted as ended and its reports were left out from then on.

Evidence: a_late_report_does_not_hide_the_current_life failed before.

Change: a later entry in the list ends the incarnation before as a report does, and only a report of a lower incarnation than the current one is left out, so that a mistake is put right by the next report.

--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -34,7 +34,7 @@
 pub struct Grants {
     /// Incarnation of the worker that has the leases; 0 if unknown.
     incarnation: u64,
-    /// Incarnation whose end a report has shown.
+    /// Incarnation whose end a report or a later entry has shown.
     ended_incarnation: Option<u64>,
     /// A time on the worker's clock, and a local time by which the worker's clock had reached it.
     clock: Option<(Millis, Millis)>,
@@ -130,7 +130,13 @@
     /// assert!(!grants.observe_entry(1, Millis(5), Millis(10)));
     /// ```
     pub fn observe_entry(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
-        self.ended_incarnation != Some(incarnation) && self.observe(incarnation, clock, now)
+        let before = self.incarnation;
+        let is_new =
+            self.ended_incarnation != Some(incarnation) && self.observe(incarnation, clock, now);
+        if is_new && incarnation > before {
+            self.ended_incarnation = Some(before);
+        }
+        is_new
     }
 
     /// Records the incarnation and the clock in a report of the worker. Returns whether it is another
@@ -143,10 +149,11 @@
     /// assert!(grants.observe_report(2, Millis(1), Millis(20)));
     /// ```
     pub fn observe_report(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
-        if self.ended_incarnation == Some(incarnation) {
+        let before = self.incarnation;
+        // A late report that was taken for that of a restart must not hide the current incarnation.
+        if incarnation < before && self.ended_incarnation == Some(incarnation) {
             return false;
         }
-        let before = self.incarnation;
         let is_new = self.observe(incarnation, clock, now);
         if is_new {
             self.ended_incarnation = Some(before);
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -402,7 +402,7 @@
             let worker = self.workers.get_or_default(info.id.clone());
             let is_idle = worker.incarnation == 0 || worker.runs.is_empty();
             if is_idle && worker.is_new_life(info.incarnation, now) {
-                worker.start_life(info.incarnation);
+                worker.start_listed_life(info.incarnation, now);
             }
             let id = info.id.clone();
             worker.update_entry(info, last_read, now);
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -51,7 +51,7 @@
     pub(crate) unexpected: Resources,
     /// Current incarnation; 0 if unknown.
     pub(crate) incarnation: u64,
-    /// Incarnation whose end a report has shown, and when.
+    /// Incarnation whose end a report or a later entry has shown, and when.
     ended: Option<(u64, Millis)>,
     /// Whether another worker answers at its address, so that this one is gone.
     pub(crate) replaced: bool,
@@ -134,9 +134,20 @@
         incarnation != self.incarnation && !has_ended
     }
 
-    /// Returns whether a later incarnation has reported already.
+    /// Returns whether a later incarnation is known to have begun.
     pub(crate) fn has_ended(&self, incarnation: u64) -> bool {
-        self.ended.is_some_and(|(ended, _)| ended == incarnation)
+        let has_ended = self.ended.is_some_and(|(ended, _)| ended == incarnation);
+        // A late report that was taken for that of a restart must not hide the current incarnation.
+        incarnation < self.incarnation && has_ended
+    }
+
+    /// Starts the incarnation that the entry in the VM list names. That of a new leader's first list
+    /// may be older than the one in the stored runs.
+    pub(crate) fn start_listed_life(&mut self, incarnation: u64, now: Millis) {
+        if incarnation > self.incarnation {
+            self.ended = Some((self.incarnation, now));
+        }
+        self.start_life(incarnation);
     }
 
     /// Starts the incarnation that a report names.
@@ -146,7 +157,7 @@
     }
 
     /// Starts another incarnation, whose finished runs are numbered anew.
-    pub(crate) fn start_life(&mut self, incarnation: u64) {
+    fn start_life(&mut self, incarnation: u64) {
         self.incarnation = incarnation;
         self.processed_seq = 0;
         self.stored_seq = 0;
--- a/crates/batch/tests/worker_replies.rs
+++ b/crates/batch/tests/worker_replies.rs
@@ -362,3 +362,36 @@
     assert!(!grants.observe_report(1, Millis(9_500), Millis(2_005)));
     assert_eq!(grants.expires_at(), end);
 }
+
+/// Guards against a worker whose reports are left out for good, because a late one of the life before
+/// counted as that of a restart.
+#[test]
+fn a_late_report_does_not_hide_the_current_life() {
+    let mut grants = Grants::default();
+    grants.observe_report(1, Millis(9_000), Millis(1_000));
+    assert!(grants.observe_entry(2, Millis(10), Millis(2_000)));
+    assert!(grants.grant(Millis(6_000), Millis(2_000)).is_some());
+    let end = grants.expires_at();
+    assert!(!grants.observe_report(1, Millis(9_500), Millis(2_005)));
+    assert_eq!(grants.expires_at(), end);
+    // A leader that knows no earlier life can't tell that the report is late.
+    let mut grants = Grants::default();
+    grants.observe_entry(2, Millis(10), Millis(2_000));
+    grants.observe_report(1, Millis(9_500), Millis(2_005));
+    assert!(grants.observe_report(2, Millis(20), Millis(2_010)));
+
+    let mut fleet = Fleet::new(1);
+    fleet.report_life("w00", 1);
+    fleet.infos[0].incarnation = 2;
+    let (infos, now) = (fleet.infos.clone(), fleet.now);
+    fleet.scheduler.replace_vm_list(infos, now);
+    fleet.advance(5).report_life("w00", 1);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.take(&order);
+    fleet.advance(5).report_running(&order, 2, 10);
+    fleet.advance(5).report_life("w00", 1);
+    fleet.advance(5).report_running(&order, 2, 20);
+    assert!(stops(&fleet.plan()).is_empty());
+    assert_eq!(fleet.scheduler.runs_on("w00"), 1);
+}
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -18,7 +18,8 @@
 const FULL_ROUND_DELAY: Millis = Millis(200);
 /// Maximum number of jobs in a round. Twelve commits delete the leader's rows of all of them.
 const MAX_JOBS: usize = 500;
-/// Latency of transactions above which nothing is removed and rounds do not follow at once, so that decisions do not wait for it.
+/// Latency of transactions above which nothing is removed and rounds do not follow at once, so that
+/// decisions do not wait for them.
 const MAX_LATENCY: Millis = Millis(500);
 /// Maximum number of jobs in a transaction, which has at most 100 entries: one check and two writes
 /// for each job.
