sched: the end of a former leader covers the leader before it

But the right of the leader before it lasts up to 3 s after its voters were told; if the one in between stores its own voters, or stops as planned, and is told at once by a third leader, that third one took the first for ended too early.

Change: the end is always 3 s after the voters, or the former leader, were told, and 3 s after a takeover without a row. A worker that is silent since such a takeover is lost 3 s later than before.

--- a/crates/sched/src/voters.rs
+++ b/crates/sched/src/voters.rs
@@ -149,7 +149,7 @@
 /// use sched::voters::Former;
 ///
 /// let former = Former::read(None, Millis(5));
-/// assert_eq!(former.ends_at(), Millis(0));
+/// assert!(former.is_over(Millis(5)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Former {
@@ -163,11 +163,13 @@
 
 impl Former {
     /// Reads the row of the leader before at `now`, after the takeover. Without a row there was no
-    /// leader with voters; one that can't be read leaves only the time limit.
+    /// leader with voters, or it has stopped as planned; one that can't be read leaves only the time
+    /// limit.
     pub fn read(row: Option<&Row>, now: Millis) -> Self {
         let Some(row) = row else {
             return Self {
                 is_superseded: true,
+                ends_at: now + RIGHT,
                 ..Self::default()
             };
         };
@@ -202,19 +204,14 @@
         if self.is_superseded || self.row.voters.is_empty() {
             return;
         }
-        if self.agreed.contains(&self.row.holder) {
-            // The former leader itself has ended its leadership.
-            self.end(now);
-        } else if self.is_majority_lost() {
-            self.end(now + RIGHT);
+        // A former leader that was told has ended, but the right of one before it may have lost its
+        // majority just before that one stored its own voters.
+        if self.agreed.contains(&self.row.holder) || self.is_majority_lost() {
+            self.is_superseded = true;
+            self.ends_at = self.ends_at.min(now + RIGHT);
         }
     }
 
-    fn end(&mut self, at: Millis) {
-        self.is_superseded = true;
-        self.ends_at = self.ends_at.min(at);
-    }
-
     /// Returns whether those who have not heard of a later leader are no majority.
     fn is_majority_lost(&self) -> bool {
         let left = |v: &&Voter| !self.agreed.contains(&v.id);
