sched: agreeing voters are asked once a second, suspended workers checked less often

A leader whose renewals are late asked all voters four times a second, and each worker's task checked 20 times a second whether it may call. A right lasts 3 s, and a task lease much longer.

--- a/crates/sched/src/voting.rs
+++ b/crates/sched/src/voting.rs
@@ -26,6 +26,8 @@
 
 /// Pause between two checks whether voters have to be asked or stored.
 const PAUSE: Millis = Millis(250);
+/// Pause after a round in which the voters agreed; shorter than their right by two rounds.
+const AGREED_PAUSE: Millis = Millis(1_000);
 /// Time limit for a voter's answer.
 const VOTE_TIMEOUT: Millis = Millis(500);
 /// Code with which a member refuses a message that its version does not know.
@@ -142,7 +144,11 @@
             Some(lapsed) => confirm(cx, leader, lapsed, &mut was_granted).await,
             None => was_granted = None,
         }
-        ctx::sleep(PAUSE).await;
+        let pause = match was_granted {
+            Some(true) => AGREED_PAUSE,
+            _ => PAUSE,
+        };
+        ctx::sleep(pause).await;
     }
 }
 
--- a/crates/sched/src/workers.rs
+++ b/crates/sched/src/workers.rs
@@ -24,7 +24,7 @@
 /// Maximum pause between two checks of a worker.
 const MAX_PAUSE: Millis = Millis(500);
 /// Pause between two checks whether a holder without a valid lease may call workers.
-const SUSPENDED_PAUSE: Millis = Millis(50);
+const SUSPENDED_PAUSE: Millis = Millis(200);
 
 /// Contacts all known workers and polls the VM list until the leadership ends.
 pub(crate) async fn run(cx: &Cx, leader: &Rc<Leader>) {
