batch: rows without a limit of attempts get that of their queue

Cause: the version before rewrites the progress of a job without its limit of attempts. If the queue of a job that it placed is removed from the configuration after a takeover by this version, nothing bounds the starts.

Change: when the configuration is set or changes, open jobs without a limit get that of their queue; it is stored with their next change.

Evidence: batch `a_row_without_a_limit_of_attempts_gets_that_of_its_queue` (a literal row of the version before) fails without the change: the job is still running after two failures of two.

--- a/crates/batch/src/config.rs
+++ b/crates/batch/src/config.rs
@@ -1,8 +1,10 @@
 //! The configuration in force: queues, organisations and services.
 
+use std::rc::Rc;
+
 use base::clock::Millis;
 
-use crate::job::Text;
+use crate::{job::Text, progress::Progress, scheduler::JobScheduler};
 
 /// Priority of the queues whose jobs are urgent.
 pub(crate) const URGENT_PRIORITY: u32 = 0;
@@ -99,3 +101,25 @@
         self.organisations.iter().find(holds)
     }
 }
+
+impl JobScheduler {
+    /// Replaces the configuration. Jobs whose progress holds no limit of attempts, as that of earlier
+    /// versions, get the one of their queue, which stays in force after the queue is removed.
+    ///
+    /// ```
+    /// batch::scheduler::JobScheduler::default().configure(&Default::default());
+    /// ```
+    pub fn configure(&mut self, config: &Rc<Config>) {
+        if Rc::ptr_eq(&self.config, config) {
+            return;
+        }
+        self.config = config.clone();
+        let without_limit = |p: &Progress| !p.phase.is_final() && p.max_attempts.is_none();
+        for (_, job) in self.jobs.iter_mut() {
+            if without_limit(&job.progress) {
+                let queue = config.queue(&job.accepted.queue);
+                job.progress.max_attempts = queue.map(|q| q.max_attempts);
+            }
+        }
+    }
+}
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -131,15 +131,6 @@
         queued
     }
 
-    /// Replaces the configuration.
-    ///
-    /// ```
-    /// batch::scheduler::JobScheduler::default().configure(&Default::default());
-    /// ```
-    pub fn configure(&mut self, config: &rc::Rc<Config>) {
-        self.config = config.clone();
-    }
-
     /// Cancels a job: stops its runs and starts no more of them. Returns `false` if the job is
     /// unknown or has ended.
     ///
--- a/crates/batch/tests/stored_records.rs
+++ b/crates/batch/tests/stored_records.rs
@@ -2,13 +2,17 @@
 
 mod fleet;
 
+use std::rc::Rc;
+
 use base::clock::Millis;
 use batch::{
+    config::Config,
     job::{AcceptedJob, Spec, Step},
     progress::{Phase, Progress},
     scheduler::JobScheduler,
+    worker::{Action, Order, Outcome},
 };
-use fleet::{Fleet, starts, step};
+use fleet::{Fleet, config, starts, step, subtask};
 
 fn accepted(id: &str, steps: Vec<Step>) -> AcceptedJob {
     AcceptedJob {
@@ -125,3 +129,29 @@
     assert_eq!(scheduler.restore(job, Some(stored)), Ok(()));
     assert_eq!(scheduler.phase("job"), Some(Phase::Running));
 }
+
+/// Guards against starts without end of a job whose row the version before wrote, and whose queue is
+/// removed then.
+#[test]
+fn a_row_without_a_limit_of_attempts_gets_that_of_its_queue() {
+    let mut fleet = Fleet::new(1);
+    let record = r#"{"phase":"running","queue":"q1","at":1,"occurrences":[{"steps":[[
+        {"a":2,"f":1,"r":{"w":"w00","b":1}}]]}]}"#;
+    let job = accepted("1", vec![step(1, 1)]);
+    let restored = fleet.scheduler.restore(job, Some(progress(record)));
+    assert_eq!(restored, Ok(()));
+    fleet.set_up();
+    let config = Config {
+        queues: Vec::new(),
+        ..config()
+    };
+    fleet.scheduler.configure(&Rc::new(config));
+    let order = Order {
+        worker: "w00".into(),
+        task: subtask("1.0.0.0"),
+        attempt: 2,
+        action: Action::Stop,
+    };
+    fleet.finish(&order, 1, Outcome::Failed);
+    assert_eq!(fleet.scheduler.phase("1"), Some(Phase::Failed));
+}
