node: the phase of a removed job is not shown for a later one

Cause: a removal deletes the row of the job first and that of its phase in the next commit. If the leader ends in between and a caller uses the id again, entries show the later job as completed until the next leader has written its phase: a wrong state after a change of leader.

Change: the row of an ended phase holds the time of the end by the store's clock. From `keep_ms` on, when it may be left of a removed job, an entry also reads the row of the job: a job that is newer than the phase is shown by its own rows. A question within the retention time costs one read, as before. Rows without a time (the version before) count as before.

Evidence: cli `the_phase_of_a_removed_job_is_not_shown_for_a_later_one` fails without the change ("completed" for "queued").

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -296,3 +296,19 @@
     assert_eq!(status("GET"), 503);
     assert_eq!(status("DELETE"), 503);
 }
+
+/// Guards against the phase of a removed job that is shown for an accepted one with its id, while no
+/// leader has deleted the row.
+#[test]
+fn the_phase_of_a_removed_job_is_not_shown_for_a_later_one() {
+    let mut cluster = start("retention-phase", 2, 100, KEEP_MS);
+    let phase = json!({"phase": "completed", "organisation": "org", "ended_at": 1});
+    cluster.store.put("phases", &format!("{:016x}", 1), &phase);
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    let node = 1 - leader;
+    assert_eq!(cluster.state(node, 1), "completed", "it is not removed");
+    assert_eq!(cluster.submit(node, 1, 1, false).unwrap().status, 200);
+    assert_eq!(cluster.state(node, 1), "queued");
+    cluster.wait_for_state(node, 1, "completed");
+}
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -15,7 +15,7 @@
     cx::{self, Cx},
     peers,
     refusal::Refusal,
-    rows::{self, JobRow, JobRowKind},
+    rows::{self, JobRow, JobRowKind, PhaseRow},
 };
 
 /// Delay before a refused or unanswered write is sent again.
@@ -138,12 +138,22 @@
     let id = &authorised.path_suffix;
     let row = cx.table.get_row(rows::PHASES, id).await;
     let row = row.map_err(|e| read_failure(cx, id, &e))?;
-    if let Some(row) = row {
-        let row: rows::PhaseRow = decode(&row)?;
-        check_owner(authorised, row.organisation.as_ref())?;
-        return Ok(phase_response(row.phase));
+    let phase: Option<PhaseRow> = row.as_ref().map(decode).transpose()?;
+    if let Some(phase) = &phase
+        && !phase.is_expired(cx.store_clock.now(), cx.cfg.keep_ms)
+    {
+        check_owner(authorised, phase.organisation.as_ref())?;
+        return Ok(phase_response(phase.phase));
     }
     let (stored, cancelled) = read_job(cx, id).await?;
+    // The row of an expired end may be left of a removed job. The leader writes the phase of a job after
+    // it has read the job.
+    if let (Some(row), Some(phase)) = (&row, &phase)
+        && stored.as_ref().is_none_or(|job| job.version < row.version)
+    {
+        check_owner(authorised, phase.organisation.as_ref())?;
+        return Ok(phase_response(phase.phase));
+    }
     let accepted = accepted_job(id, stored.as_ref())?;
     check_owner(authorised, accepted.organisation.as_ref())?;
     Ok(phase_response(if cancelled {
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -240,6 +240,7 @@
         let phase = phase.map(|phase| PhaseRow {
             phase,
             organisation: leader.scheduler.borrow().organisation(&id),
+            ended_at: None,
         });
         let mut change = Self {
             id,
@@ -265,6 +266,9 @@
             // A leader of the version before counts from this time.
             stored.at = clock::wall();
         }
+        if let Some(row) = &mut self.phase {
+            row.ended_at = stored.ended_at;
+        }
         self.write(cx, leader, &stored);
         self.end = Some(end);
     }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -121,6 +121,17 @@
 pub(crate) struct PhaseRow {
     pub(crate) phase: Phase,
     pub(crate) organisation: Option<Text>,
+    /// Time of the end by the store's clock; earlier versions write none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) ended_at: Option<Millis>,
+}
+
+impl PhaseRow {
+    /// Returns whether the row may be that of a removed job, whose id another one may have.
+    pub(crate) fn is_expired(&self, store_now: Option<Millis>, keep: Millis) -> bool {
+        let age = self.ended_at.zip(store_now).map(|(at, now)| now.since(at));
+        age.is_some_and(|age| age >= keep)
+    }
 }
 
 /// Content of [`FAILING`]: the number of failures by worker id.
