batch: a burst of orders opens no second connections

Change: a call holds up the next one for at most 100 ms, as on, and less if more than ten wait: then the queue is to be sent within a second, because the members of a gang wait for 3 s.

--- a/crates/batch/src/call_queue.rs
+++ b/crates/batch/src/call_queue.rs
@@ -12,9 +12,12 @@
 /// Maximum number of calls under way to a worker. With the renewal of its lease that makes three
 /// connections, for which a VM has room with the 1,100 workers of a large site.
 const MAX_CALLS: usize = 2;
-/// Time after which a call does not hold up the next one. An answer of a worker that is not busy
-/// takes a few milliseconds.
-const MAX_HOLD_UP: Millis = Millis(10);
+/// Maximum time for which a call holds up the next one. It is longer than a burst of orders to all
+/// workers takes on the link of a small VM, so that a burst opens no second connections.
+const MAX_HOLD_UP: Millis = Millis(100);
+/// Time in which the calls that wait should be sent; the more there are, the shorter one holds up
+/// the next one. The members of a gang wait for each other for at least 3 s.
+const QUEUE_TIME: Millis = Millis(1_000);
 /// Time for which a call waits for a worker that answers no call.
 const MAX_SILENCE: Millis = Millis(700);
 /// Maximum time for the answer to a call.
@@ -147,7 +150,9 @@
 
     /// Returns the time from which one more call may be sent.
     fn free_at(&self) -> Option<Millis> {
-        let last = self.under_way.last().map(|(_, sent)| *sent + MAX_HOLD_UP);
+        let waiting = self.waiting.len().max(1) as u64;
+        let hold_up = Millis(QUEUE_TIME.0 / waiting).min(MAX_HOLD_UP);
+        let last = self.under_way.last().map(|(_, sent)| *sent + hold_up);
         (self.under_way.len() < MAX_CALLS).then(|| last.unwrap_or_default())
     }
 }
