batch, node: a late report is told by when it was requested

Cause: the late report counted as one of the next life, so that the current one counted as ended, and all its reports were left out.

Change: a report of another incarnation is left out if it was requested before the last report arrived, whatever incarnation it names. Leases are covered by the same rule. An acknowledgement counts as sent even so.

Why it works: a call that is sent after an answer of a life meets that life or a later one, so a late report was always requested before the last one arrived, and the next call shows a new life.

--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -134,7 +134,7 @@
     }
 
     /// Records the incarnation and the clock in a report of the worker. Returns whether it is another
-    /// incarnation, which has no leases yet. A late report of an earlier one has no effect.
+    /// incarnation, which has no leases yet.
     ///
     /// ```
     /// # use base::clock::Millis;
@@ -143,9 +143,6 @@
     /// assert!(grants.observe_report(2, Millis(1), Millis(20)));
     /// ```
     pub fn observe_report(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
-        if self.ended_incarnation == Some(incarnation) {
-            return false;
-        }
         let before = self.incarnation;
         let is_new = self.observe(incarnation, clock, now);
         if is_new {
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -131,15 +131,15 @@
         now: Millis,
         wall_now: Millis,
     ) {
+        if self.is_outdated(id, report, sent) {
+            log::info!(worker = id, life = report.incarnation; "batch: late report of an earlier life");
+            return;
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         if worker.incarnation != report.incarnation {
             let before = worker.incarnation;
-            if worker.has_ended(report.incarnation) {
-                log::info!(worker = id, life = report.incarnation, current = before; "batch: late report of an earlier life");
-                return;
-            }
             if before != 0 {
                 log::warn!(worker = id, life = report.incarnation, before; "batch: worker restarted");
                 let mut lost = self.lost_worker(id, sent, now);
@@ -185,6 +185,20 @@
         self.update_shutdown_time(&id.into(), now);
     }
 
+    /// Returns whether a report may come from an earlier incarnation than the last one: it names
+    /// another one and was requested at `sent`, before the last one arrived. Calls overtake each other.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use batch::{scheduler::JobScheduler, worker::Report};
+    /// assert!(!JobScheduler::default().is_outdated("w", &Report::default(), Millis(1)));
+    /// ```
+    pub fn is_outdated(&self, worker: &str, report: &Report, sent: Millis) -> bool {
+        self.workers.get(worker).is_some_and(|w| {
+            w.incarnation != report.incarnation && w.clock.is_some_and(|(_, at)| sent < at)
+        })
+    }
+
     fn handle_running(&mut self, worker: &str, running: &Running, now: Millis) {
         let task = self.subtask_mut(&running.task);
         let current = task.filter(|t| {
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -115,11 +115,6 @@
         incarnation != self.incarnation && !has_ended
     }
 
-    /// Returns whether a later incarnation has reported already.
-    pub(crate) fn has_ended(&self, incarnation: u64) -> bool {
-        self.ended.is_some_and(|(ended, _)| ended == incarnation)
-    }
-
     /// Starts the incarnation that a report names.
     pub(crate) fn start_reported_life(&mut self, incarnation: u64, now: Millis) {
         self.ended = Some((self.incarnation, now));
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -392,6 +392,16 @@
     sent: Millis,
     acked: Option<(u64, u64)>,
 ) {
+    if let (Some(acked), Some(session)) = (acked, leader.sessions.borrow_mut().get_mut(worker)) {
+        session.acked = acked;
+    }
+    let scheduler = leader.scheduler.borrow();
+    let is_outdated = scheduler.is_outdated(worker, report, sent);
+    drop(scheduler);
+    if is_outdated {
+        log::info!(worker:%, life = report.incarnation; "workers: late report of an earlier life");
+        return;
+    }
     let now = clock::now();
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
         let incarnation = report.incarnation;
@@ -401,9 +411,6 @@
         {
             session.acked = (incarnation, 0);
         }
-        if let Some(acked) = acked {
-            session.acked = acked;
-        }
     }
     let mut scheduler = leader.scheduler.borrow_mut();
     scheduler.handle_report(worker, report, sent, now, clock::wall());
