--- a/crates/batch/src/config.rs
+++ b/crates/batch/src/config.rs
@@ -4,7 +4,7 @@
 
 use base::clock::Millis;
 
-use crate::{job::Text, progress::Progress, scheduler::JobScheduler};
+use crate::{job::Text, scheduler::JobScheduler};
 
 /// Priority of the queues whose jobs are urgent.
 pub(crate) const URGENT_PRIORITY: u32 = 0;
@@ -114,9 +114,8 @@
             return;
         }
         self.config = config.clone();
-        let without_limit = |p: &Progress| !p.phase.is_final() && p.max_attempts.is_none();
-        for (_, job) in self.jobs.iter_mut() {
-            if without_limit(&job.progress) {
+        for job in self.jobs.open_mut() {
+            if job.progress.max_attempts.is_none() {
                 let queue = config.queue(&job.accepted.queue);
                 job.progress.max_attempts = queue.map(|q| q.max_attempts);
             }
--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -140,7 +140,7 @@
     }
 
     /// Records the incarnation and the clock in a report of the worker. Returns whether it is another
-    /// incarnation, which has no leases yet. A late report of an earlier one has no effect.
+    /// incarnation, which has no leases yet.
     ///
     /// ```
     /// # use base::clock::Millis;
