standin: an execution is never shorter than its service time

Cause: the stand-in slept with the timers of the HTTP library, which count from a time with a resolution of 5 ms (read in its source), so that a sleep ends some milliseconds early.

Change: timers of the runtime, which end no earlier than asked for, for service times and for the wait for a slot.

--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -8,11 +8,13 @@
 };
 use ntex::{
     http::{Method, StatusCode},
-    time,
     util::Bytes,
 };
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::{
+    sync::{Semaphore, SemaphorePermit},
+    time,
+};
 
 use crate::{
     backend_cfg::{BackendCfg, BackendFaults, OVERSIZED_ANSWER_BYTES, ServiceTime},
@@ -271,11 +273,9 @@
         }
         let _waiting = WaitingGuard::new(self)?;
         let acquire = self.slots.acquire();
-        let deadline = request.header("x-deadline-ms").parse::<u32>();
+        let deadline = request.header("x-deadline-ms").parse().map(Millis);
         let permit = match deadline {
-            Ok(remaining_ms) => time::timeout(time::Millis(remaining_ms), acquire)
-                .await
-                .ok()?,
+            Ok(remaining) => time::timeout(remaining.to_duration(), acquire).await.ok()?,
             Err(_) => acquire.await,
         };
         permit.ok()
@@ -438,8 +438,10 @@
     }
 }
 
+/// Sleeps for at least the given time. Timers of the HTTP library count from a time that may have been
+/// read some milliseconds before.
 async fn sleep(duration: Millis) {
     if duration > Millis::ZERO {
-        time::sleep(time::Millis(duration.0 as u32)).await;
+        time::sleep(duration.to_duration()).await;
     }
 }
