batch, lease, node: names that a reader would take for something else

The retention decides (it shared the name Action with the orders of workers), and dates an end; a holder has ended; older rows are left out of a read, not removed from the store. No behaviour changes.

--- a/crates/batch/src/retention.rs
+++ b/crates/batch/src/retention.rs
@@ -11,23 +11,23 @@
 
 /// What the retention does with an ended job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Action {
+enum Decision {
     /// The job is kept.
     Keep,
     /// The job is removed.
     Remove,
     /// The time of the end is not known, so the current time is stored in its place.
-    StoreEnd,
+    DateEnd,
 }
 
-/// Returns the action on an ended job at `now`.
-fn action(ended_at: Option<Millis>, now: Millis, keep: Millis) -> Action {
+/// Decides on an ended job at `now`.
+fn decide(ended_at: Option<Millis>, now: Millis, keep: Millis) -> Decision {
     match ended_at {
         // A time in the future is not one of this clock.
-        Some(at) if at > now + COMMIT_TIME => Action::StoreEnd,
-        Some(at) if now.since(at) >= keep + COMMIT_TIME => Action::Remove,
-        Some(_) => Action::Keep,
-        None => Action::StoreEnd,
+        Some(at) if at > now + COMMIT_TIME => Decision::DateEnd,
+        Some(at) if now.since(at) >= keep + COMMIT_TIME => Decision::Remove,
+        Some(_) => Decision::Keep,
+        None => Decision::DateEnd,
     }
 }
 
@@ -86,7 +86,7 @@
     /// ```
     pub fn mark_unknown_ends(&mut self, now: Millis, limit: usize) -> Vec<Text> {
         // The retention time has no effect on whether the end is known.
-        let ids = self.ended_jobs(Action::StoreEnd, now, Millis::ZERO, limit);
+        let ids = self.ended_jobs(Decision::DateEnd, now, Millis::ZERO, limit);
         for id in &ids {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.progress.ended_at = None;
@@ -105,7 +105,7 @@
     /// assert!(scheduler.expired_jobs(Millis(500), Millis(100), 10).is_empty());
     /// ```
     pub fn expired_jobs(&self, now: Millis, keep: Millis, limit: usize) -> Vec<Text> {
-        self.ended_jobs(Action::Remove, now, keep, limit)
+        self.ended_jobs(Decision::Remove, now, keep, limit)
     }
 
     /// Removes a job whose row is deleted. Returns the time of its end by the store's clock.
@@ -117,10 +117,10 @@
         self.jobs.remove(id)?.progress.ended_at
     }
 
-    /// Returns the ids of up to `limit` ended jobs without runs for which the retention has the given
-    /// action.
-    fn ended_jobs(&self, wanted: Action, now: Millis, keep: Millis, limit: usize) -> Vec<Text> {
-        let is_wanted = |job: &&Job| action(job.progress.ended_at, now, keep) == wanted;
+    /// Returns the ids of up to `limit` ended jobs without runs on which the retention takes the given
+    /// decision.
+    fn ended_jobs(&self, wanted: Decision, now: Millis, keep: Millis, limit: usize) -> Vec<Text> {
+        let is_wanted = |job: &&Job| decide(job.progress.ended_at, now, keep) == wanted;
         let jobs = self.jobs.ended().filter(is_wanted);
         jobs.map(|j| j.accepted.id.clone()).take(limit).collect()
     }
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -292,10 +292,10 @@
             return State::Watching(w);
         };
         let since = w.record_read(lease, heartbeat_version, now, self.cfg.hold_ms);
-        let is_own = lease.is_some_and(|l| l.holder_ended);
+        let has_holder_ended = lease.is_some_and(|l| l.holder_ended);
         let rank = self.rank_delay();
         let takeover_at = match heartbeat_version {
-            _ if is_own => since,
+            _ if has_holder_ended => since,
             0 => since.max(w.resumed_at) + rank,
             _ => {
                 let renewal_at = w.resumed_at + Millis(2 * self.cfg.renew_ms.0);
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -37,8 +37,8 @@
         .collect();
     let mut progress: Vec<Row> = progress.into_iter().map(|(row, _)| row).collect();
     let versions = job_versions(&jobs);
-    let mut reused = remove_older(&versions, &mut progress);
-    reused.extend(remove_older(&versions, &mut phases));
+    let mut reused = leave_out_older(&versions, &mut progress);
+    reused.extend(leave_out_older(&versions, &mut phases));
     let mut unreadable = Vec::new();
     let progress: SortedMap<Text, Progress> = decode(&progress, &mut unreadable);
     let phases: SortedMap<Text, PhaseRow> = decode(&phases, &mut unreadable);
@@ -119,10 +119,10 @@
     jobs.iter().filter_map(version).collect()
 }
 
-/// Removes the rows that are older than the row of the job with their id, and returns the ids. They
+/// Leaves out the rows that are older than the row of the job with their id, and returns the ids. They
 /// belong to an earlier job that is partly removed, because a leader writes the rows of a job after
 /// it has read the job.
-fn remove_older(versions: &SortedMap<Text, u64>, rows: &mut Vec<Row>) -> Vec<Text> {
+fn leave_out_older(versions: &SortedMap<Text, u64>, rows: &mut Vec<Row>) -> Vec<Text> {
     let mut ids = Vec::new();
     rows.retain(|row| {
         let id = job_id(row);
