batch, platform: a refusal to a repeated start frees no subtask

Cause: the client of the workers sends a call again whose connection closes, and returned the answer to the last try as that to the call. A worker that carried out the first try and then refused with 503 was taken for one that had done nothing, and the subtask was placed elsewhere 4 ms later.

Evidence: 'workers: answer to a repeated call' (added before), tries 2, status 503, right before 'orders: start' Refused(Unhealthy) and the second 'batch: placed'. Ruled out: a refusal to the only try, a report that ended the run.

Change: the client tells that an earlier try has no answer. The scheduler marks the run, so that a refusal orders a stop, and the subtask is free when the worker has acknowledged it and does not list the run. The mark also counts when the worker restarts under its id after the start was taken on its second try.

--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -199,6 +199,7 @@
             percent: 0,
             awaits_reply: false,
             unanswered_starts: 0,
+            has_lost_start: false,
             listed: false,
         });
         w.add_run(id.clone(), need);
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -93,11 +93,22 @@
     /// Number of start orders without an answer.
     #[serde(skip)]
     pub(crate) unanswered_starts: u32,
+    /// Whether a start order was answered only after it had been sent again: the first try has no
+    /// answer.
+    #[serde(skip)]
+    pub(crate) has_lost_start: bool,
     /// Whether the worker has listed it as running.
     #[serde(skip)]
     pub(crate) listed: bool,
 }
 
+impl Run {
+    /// Returns whether a start without an answer was sent, which may still be carried out.
+    pub(crate) const fn may_start_late(&self) -> bool {
+        self.unanswered_starts > 0 || self.has_lost_start
+    }
+}
+
 /// State of one subtask. The stored field names are short because a row holds hundreds of subtasks.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 #[serde(default)]
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -76,6 +76,22 @@
         }
     }
 
+    /// Records that a try of a start order has no answer, although the order was answered when it was
+    /// sent again. It is called before the reply is handled.
+    ///
+    /// ```
+    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// JobScheduler::default().handle_lost_start(&task, 1);
+    /// ```
+    pub fn handle_lost_start(&mut self, id: &SubtaskId, attempt: u32) {
+        let task = self.subtask_mut(id).filter(|t| t.attempt == attempt);
+        if let Some(run) = task.and_then(|t| t.run.as_mut()) {
+            log::info!(task:% = id, attempt, worker:% = run.worker; "batch: a try of the start has no answer");
+            run.has_lost_start = true;
+        }
+    }
+
     fn handle_refusal(&mut self, id: &SubtaskId, refusal: Refusal, now: Millis) {
         let Some(run) = self.subtask(id).and_then(|t| t.run.clone()) else {
             return;
@@ -90,7 +106,7 @@
         }
         // An earlier, unanswered start may still be carried out. The run is over only when the
         // worker has acknowledged a stop and a later report does not list the run.
-        if run.unanswered_starts > 0 {
+        if run.may_start_late() {
             return self.stop_gang(id, now);
         }
         self.remove_run(id);
@@ -263,7 +279,7 @@
         let tasks: Vec<SubtaskId> = tasks.collect();
         for id in tasks {
             if let Some(run) = self.run_mut(&id)
-                && (run.awaits_reply || run.unanswered_starts > 0)
+                && (run.awaits_reply || run.may_start_late())
             {
                 run.answered_at = None;
                 run.listed = false;
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -128,7 +128,9 @@
 pub enum StartReply {
     /// The run exists.
     Taken,
-    /// The order did not start a run and will not start one later.
+    /// The try that was answered did not start a run and will not start one later. An earlier one
+    /// without an answer may, see
+    /// [`handle_lost_start`](crate::scheduler::JobScheduler::handle_lost_start).
     Refused(Refusal),
     /// No reply: the order may still be carried out.
     Unknown,
--- a/crates/batch/tests/worker_replies.rs
+++ b/crates/batch/tests/worker_replies.rs
@@ -36,6 +36,30 @@
     assert_eq!(starts(&fleet.plan())[0].attempt, 2);
 }
 
+/// Guards against two concurrent runs of a subtask: a start whose first try has no answer is refused
+/// or taken when it is sent again, and the first try is still carried out, also by the next life of
+/// the worker.
+#[test]
+fn a_start_with_a_lost_try_needs_a_stop() {
+    let refused = StartReply::Refused(Refusal::Unhealthy);
+    for reply in [refused, StartReply::Taken] {
+        let mut fleet = Fleet::new(2);
+        fleet.submit("1", 1, step(1, 1));
+        let first = starts(&fleet.plan()).remove(0);
+        let now = fleet.now;
+        fleet.scheduler.handle_lost_start(&first.task, 1);
+        fleet
+            .scheduler
+            .handle_start_reply(&first.task, 1, reply, now);
+        if reply == StartReply::Taken {
+            fleet.advance(10).report_life(&first.worker, 2);
+        }
+        let changes = fleet.plan();
+        assert!(starts(&changes).is_empty(), "{reply:?}: {changes:?}");
+        assert_eq!(stops(&changes).len(), 1, "{reply:?}");
+    }
+}
+
 /// Guards against waiting for a report of a worker that refused the only start it got.
 #[test]
 fn a_refused_first_start_is_placed_again_immediately() {
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -88,11 +88,16 @@
                 ticket: ticket.clone(),
                 lease_end,
             };
-            let (reply, clock) = cx.workers.start(&target, &start, permit.limit).await;
-            if let Some(clock) = clock {
+            let answer = cx.workers.start(&target, &start, permit.limit).await;
+            if let Some(clock) = answer.clock {
                 permit.set_answered();
                 worker_session::observe_clock(&leader, &order.worker, clock);
             }
+            if answer.has_lost_try {
+                let mut scheduler = leader.scheduler.borrow_mut();
+                scheduler.handle_lost_start(&order.task, order.attempt);
+            }
+            let reply = answer.reply;
             cx.metrics.count_order("start", outcome(reply));
             handle_start_reply(&leader, &order, reply);
             if reply == StartReply::Refused(Refusal::Fenced) {
