node, platform: an acknowledgement is not sent again after a closed connection

A worker that restarts under its id numbers its ends from 1, so that the repeated acknowledgement makes it forget ends that nobody has read: done work runs again.

The repeat leaves the number out, and after a failed renewal the number waits for a report of the same incarnation. An acknowledgement that the worker got twice within one life had no effect, nor has one that comes a renewal later.

Test: cli an_acknowledgement_without_an_answer_is_not_repeated failed before (one acknowledgement that the new life took for its own) and passes. What stays open: the first acknowledgement of a number can still meet a new life, because calls name the worker's id only.

--- a/crates/cli/tests/crashes.rs
+++ b/crates/cli/tests/crashes.rs
@@ -87,6 +87,35 @@
     cluster.check_runs();
 }
 
+/// Guards against ends in the next life of a worker that are forgotten unread, because a renewal whose
+/// connection closed in the crash is sent again with the acknowledgement for the life before.
+#[test]
+fn an_acknowledgement_without_an_answer_is_not_repeated() {
+    let run = 1_500;
+    for id in [1, 11, 21] {
+        let test = format!("node-repeated-ack-{id}");
+        let cluster = Cluster::start_reborn(&test, 1, 1, run, Reborn::SameId);
+        let worker = &cluster.workers[0];
+        let step = json!({"count": 1, "cpu": 1_000, "mem-mb": 100, "gpu": 1, "estimated-ms": run});
+        let submit = |id| cluster.submit_step(0, id, "work", &step).unwrap().status;
+        worker.crash_on_ack();
+        assert_eq!(submit(id), 200);
+        thread::sleep(time::Duration::from_millis(run / 2));
+        assert_eq!(submit(id + 1), 200);
+        for id in [id, id + 1] {
+            cluster.wait_for_state(0, id, "completed");
+        }
+        assert_eq!(worker.crashes(), 1);
+        assert_eq!(worker.unknown_acks(), 0);
+        wait_until(
+            "the ends of the next life are acknowledged",
+            TIMEOUT,
+            || (worker.acks().len() > 1).then_some(()),
+        );
+        cluster.check_runs();
+    }
+}
+
 /// Guards against starts on workers that have less capacity than before, also while the store that
 /// would tell so is out.
 #[test]
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -68,6 +68,8 @@
     grants: Grants,
     /// Incarnation of the worker and the last sequence number that was acknowledged to it.
     acked: (u64, u64),
+    /// Whether the worker may have restarted since its last report, because a renewal failed.
+    may_have_restarted: bool,
     /// Whether a task renews the lease.
     is_active: bool,
     calls: Calls,
@@ -292,11 +294,15 @@
         acked: acked.map_or(0, |(_, seq)| seq),
         wait,
     };
-    match cx
-        .workers
-        .renew(target, call, HOLD_TIME + ANSWER_TIME)
-        .await
+    let limit = HOLD_TIME + ANSWER_TIME;
+    let answer = cx.workers.renew(target, call, limit).await;
+    let acked = acked.filter(|_| answer.has_acked);
+    if !matches!(answer.reply, Reply::Done(_))
+        && let Some(session) = leader.sessions.borrow_mut().get_mut(worker)
     {
+        session.may_have_restarted = true;
+    }
+    match answer.reply {
         Reply::Done(report) => {
             handle_report(leader, worker, &report, sent, acked);
             if !report.finished.is_empty() {
@@ -368,7 +374,7 @@
         acked: 0,
         wait: Millis::ZERO,
     };
-    match cx.workers.renew(&target, call, permit.limit).await {
+    match cx.workers.renew(&target, call, permit.limit).await.reply {
         Reply::Done(report) => {
             permit.set_answered();
             handle_report(leader, worker, &report, sent, None);
@@ -378,13 +384,13 @@
 }
 
 /// Returns the incarnation and sequence number up to which finished runs may be acknowledged,
-/// unless that was already sent. A sequence number is sent only once, and not after the VM list has
-/// named another incarnation: after a restart under the same id it would refer to other runs.
+/// unless that was already sent. It is sent right after a report of that incarnation, and not once the
+/// VM list has named another one: after a restart under the same id it would refer to other runs.
 fn unsent_ack(leader: &Leader, worker: &Text) -> Option<(u64, u64)> {
     let stored = leader.scheduler.borrow().stored_seq(worker)?;
     let sessions = leader.sessions.borrow();
     let session = sessions.get(worker)?;
-    let is_current = stored.0 == session.grants.incarnation();
+    let is_current = stored.0 == session.grants.incarnation() && !session.may_have_restarted;
     (is_current && stored.1 > 0 && stored != session.acked).then_some(stored)
 }
 
@@ -408,6 +414,7 @@
     let now = clock::now();
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
         let incarnation = report.incarnation;
+        session.may_have_restarted = false;
         if session
             .grants
             .observe_report(incarnation, report.clock, now)
