cli: the test of malformed records waits for the starts before it kills the nodes

a_malformed_record_stops_only_its_own_job failed once in six runs of its file today: 'each subtask of job 1 ran once', 1 of 2. Traced in the log of that run: the nodes were killed 13 ms after the first placement, between two starts. A job is shown as running once its placement is stored; its starts are sent after that, to one worker one after the other.

The test waits until both subtasks of each job run, and then asserts what it did before.

--- a/crates/cli/tests/crashes.rs
+++ b/crates/cli/tests/crashes.rs
@@ -198,6 +198,13 @@
         let answer = cluster.submit_step(0, id, "work", &step).unwrap();
         assert_eq!(answer.status, 200);
         cluster.wait_for_state(0, id, "running");
+        // The state is stored before the starts are sent.
+        let job = format!("{id:016x}");
+        wait_until("both subtasks run", TIMEOUT, || {
+            let runs = cluster.workers.iter().flat_map(Worker::runs);
+            let started = runs.filter(|r| r.task.starts_with(&job)).count();
+            (started == 2).then_some(())
+        });
     }
     for node in &mut cluster.nodes {
         node.kill();
