node: a cancellation of an unknown job bars its submission

Cause: 410 was derived from a read that found no row, and nothing in the store said that it had been given. The submission, whose answer the store had lost, was conditional on the absence of the job only, and was applied 3 s later. Besides, a leader ignored a cancellation that it read before the job.

Change: a cancellation is stored before it is answered, with the organisation of the caller; a submission checks that there is none, and is answered 410 if there is. A leader remembers cancellations without a job and cancels a job that an entry of the version before stores later. The rows are removed after keep_ms.

--- a/crates/cli/tests/retention.rs
+++ b/crates/cli/tests/retention.rs
@@ -58,6 +58,29 @@
     });
 }
 
+/// Guards against rows of cancelled ids that are kept for good, because no job was ever stored for them,
+/// or that are removed while their submission may still be applied.
+#[test]
+fn a_cancellation_without_a_job_is_kept_for_the_retention_time() {
+    let mut cluster = start("node-keep-cancel", 2, 300, KEEP_MS);
+    for id in [1, 2] {
+        let path = format!("/q/{id:016x}");
+        let answer = cluster.call(0, "DELETE", &path, cluster::API_KEY, "");
+        assert_eq!(answer.unwrap().status, 410);
+        if id == 1 {
+            replace_leader(&mut cluster, 0);
+        }
+    }
+    let until = time::Instant::now() + time::Duration::from_millis(KEEP_MS / 2);
+    while time::Instant::now() < until {
+        assert_eq!(cluster.store.count("jobs"), 2);
+        thread::sleep(time::Duration::from_millis(200));
+    }
+    wait_until_removed(&cluster);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+}
+
 /// Guards against a new leader that counts the retention time of an ended job from its acceptance.
 #[test]
 fn an_ended_job_is_kept_for_its_retention_time_across_leaders() {
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -15,7 +15,7 @@
     cx::{self, Cx},
     peers,
     refusal::Refusal,
-    rows::{self, JobRow, JobRowKind, PhaseRow},
+    rows::{self, CancelRow, JobRow, JobRowKind, PhaseRow},
 };
 
 /// Delay before a refused or unanswered write is sent again.
@@ -55,10 +55,7 @@
     }
     let started = clock::now();
     let mut write = RetriedWrite::new(deadline);
-    let key = rows::job_key(&accepted.id);
-    let txn = Txn::default().check(key.clone(), 0).put(key, record);
-    // A conflict means that the job is already stored.
-    write.commit(cx, &txn).await?;
+    store_job(cx, &mut write, &accepted, &record).await?;
     log::info!(
         job:% = accepted.id, queue:% = accepted.queue, organisation:? = accepted.organisation,
         config = cx.config().version, tries = write.tries, ms = clock::now().since(started).0;
@@ -67,6 +64,39 @@
     Ok(Response::Ok().finish())
 }
 
+/// Stores the row of a job, unless the job is already stored or its id is cancelled.
+///
+/// An attempt without an answer may be applied later. It checks that there is no cancellation, so that
+/// it has no effect after one was answered.
+async fn store_job(
+    cx: &Cx,
+    write: &mut RetriedWrite,
+    accepted: &AcceptedJob,
+    record: &str,
+) -> Result<(), Refusal> {
+    let (job, cancel) = (rows::job_key(&accepted.id), rows::cancel_key(&accepted.id));
+    let mut cancel_version = 0;
+    loop {
+        let txn = Txn::default()
+            .check(job.clone(), 0)
+            .check(cancel.clone(), cancel_version)
+            .put(job.clone(), record.to_owned());
+        let Commit::Conflict { .. } = write.commit(cx, &txn).await? else {
+            return Ok(());
+        };
+        let stored = read_job(cx, &accepted.id).await;
+        let stored = stored.map_err(|_| write.refusal())?;
+        if stored.job.is_some() {
+            return Ok(());
+        }
+        if stored.is_cancelled_for(accepted.organisation.as_ref()) {
+            log::info!(job:% = accepted.id, organisation:? = accepted.organisation; "accept: the id was cancelled before");
+            return Err(Refusal::Cancelled);
+        }
+        cancel_version = stored.cancel.map_or(0, |(_, version)| version);
+    }
+}
+
 /// A write that is repeated until its outcome is known or the deadline passes.
 struct RetriedWrite {
     deadline: Millis,
@@ -145,7 +175,9 @@
         check_owner(authorised, phase.organisation.as_ref())?;
         return Ok(phase_response(phase.phase));
     }
-    let (stored, cancelled) = read_job(cx, id).await?;
+    let stored = read_job(cx, id).await?;
+    let cancelled = stored.is_cancelled_for(authorised.organisation.as_ref());
+    let stored = stored.job;
     // The row of an expired end may be left of a removed job. The leader writes the phase of a job after
     // it has read the job.
     if let (Some(row), Some(phase)) = (&row, &phase)
@@ -199,26 +231,46 @@
     Refusal::Store
 }
 
-/// Reads the row of an accepted job, and whether its cancellation is stored.
-async fn read_job(cx: &Cx, id: &str) -> Result<(Option<Row>, bool), Refusal> {
+/// What the table of jobs holds about an id.
+#[derive(Default)]
+struct StoredJob {
+    /// Row of the accepted job.
+    job: Option<Row>,
+    /// Cancellation and the version of its row.
+    cancel: Option<(CancelRow, u64)>,
+}
+
+impl StoredJob {
+    fn is_cancelled_for(&self, organisation: Option<&Text>) -> bool {
+        let cancel = self.cancel.as_ref();
+        cancel.is_some_and(|(row, _)| row.applies_to(organisation))
+    }
+}
+
+/// Reads the rows of a job.
+async fn read_job(cx: &Cx, id: &str) -> Result<StoredJob, Refusal> {
     let table = rows::job_table(id);
     let page = cx
         .table
         .read(&table, &format!("{id}."), &format!("{id}/"))
         .await;
     let page = page.map_err(|e| read_failure(cx, id, &e))?;
-    let (mut stored, mut cancelled) = (None, false);
+    let mut stored = StoredJob::default();
     for row in page.rows {
         match rows::parse_job_key(&row.key) {
-            Some((_, JobRowKind::Job)) => stored = Some(row),
-            Some((_, JobRowKind::Cancel)) => cancelled = true,
+            Some((_, JobRowKind::Job)) => stored.job = Some(row),
+            Some((_, JobRowKind::Cancel)) => {
+                let version = row.version;
+                stored.cancel = Some((rows::from_json(&row).unwrap_or_default(), version));
+            }
             None => log::error!(row:% = row.key; "accept: unknown kind of row"),
         }
     }
-    Ok((stored, cancelled))
+    Ok(stored)
 }
 
-/// Stores the cancellation of a job, which the leader carries out.
+/// Stores the cancellation of a job, which the leader carries out. That of a job that is not known is
+/// stored too: its submission may be under way, and must not run after the answer.
 pub(crate) async fn cancel(
     cx: &Cx,
     authorised: &Authorised,
@@ -227,19 +279,29 @@
     let id = &authorised.path_suffix;
     let mut write = RetriedWrite::new(deadline);
     loop {
-        let (stored, cancelled) = read_job(cx, id).await?;
-        let accepted = accepted_job(id, stored.as_ref())?;
-        let row = stored.ok_or(Refusal::NoJob)?;
-        check_owner(authorised, accepted.organisation.as_ref())?;
-        if cancelled {
-            return Ok(Response::Ok().finish());
+        let stored = read_job(cx, id).await?;
+        if let Some(row) = &stored.job {
+            check_owner(
+                authorised,
+                decode::<AcceptedJob>(row)?.organisation.as_ref(),
+            )?;
+        }
+        let known = stored.job.is_some();
+        let answer = || known.then(|| Response::Ok().finish()).ok_or(Refusal::NoJob);
+        let organisation = authorised.organisation.as_ref();
+        if stored.is_cancelled_for(organisation) {
+            return answer();
         }
+        let (before, version) = stored.cancel.unwrap_or_default();
+        let row = before.and(organisation, cx.store_clock.now());
+        let key = rows::cancel_key(id);
         let txn = Txn::default()
-            .check(row.key.clone(), row.version)
-            .put(rows::cancel_key(id), String::from("{}"));
+            .check(rows::job_key(id), stored.job.map_or(0, |row| row.version))
+            .check(key.clone(), version)
+            .put(key, rows::to_json(&row));
         if let Commit::Done { .. } = write.commit(cx, &txn).await? {
-            log::info!(job = id, tries = write.tries; "accept: cancellation stored");
-            return Ok(Response::Ok().finish());
+            log::info!(job = id, known, tries = write.tries; "accept: cancellation stored");
+            return answer();
         }
     }
 }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -86,6 +86,7 @@
     let has_ended = |id: &str| phases.get(id).is_some_and(|p| p.is_final());
     let is_removed = |id: &str, row: &Row| removed.get(id).is_some_and(|j| row.version <= j.row);
     let store_now = cx.store_clock.now();
+    let mut cancellations = leader.cancellations.borrow_mut();
     let mut cancels = Vec::new();
     let mut changed = false;
     for row in rows {
@@ -109,15 +110,16 @@
                 log::info!(job:% = accepted.id, queue:% = accepted.queue, version = row.version; "intake: job");
                 versions.insert(accepted.id.clone(), row.version);
                 changed |= scheduler.accept(accepted);
+                cancellations.apply_to_new(&mut scheduler, id);
             }
-            Some((id, JobRowKind::Cancel)) => cancels.push(id),
+            Some((id, JobRowKind::Cancel)) => cancels.push((id, row)),
             None => log::error!(row:% = row.key; "intake: unknown kind of row"),
         }
     }
-    for id in cancels {
-        changed |= scheduler.cancel(id, clock::now(), clock::wall());
+    for (id, row) in cancels {
+        changed |= cancellations.apply(&mut scheduler, id, row, store_now);
     }
-    drop((scheduler, phases, removed, versions));
+    drop((scheduler, phases, removed, versions, cancellations));
     if changed {
         leader.changed.notify_one();
     }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     activity::Activity,
+    cancellations::Cancellations,
     commit,
     cx::{self, Cx},
     extension, intake, load, policy, retention,
@@ -47,6 +48,8 @@
     pub(crate) deleted_jobs: RefCell<Vec<Text>>,
     /// Failing workers as last stored.
     pub(crate) stored_failing: RefCell<FailingRow>,
+    /// Cancellations of ids whose jobs are not known.
+    pub(crate) cancellations: RefCell<Cancellations>,
     /// Versions of the rows of the known jobs in the table of jobs.
     pub(crate) job_versions: RefCell<SortedMap<Text, u64>>,
     /// Jobs whose rows in the table of jobs were deleted since the last read of that table.
@@ -88,6 +91,7 @@
             progress_rows: RefCell::default(),
             deleted_jobs: RefCell::default(),
             stored_failing: RefCell::default(),
+            cancellations: RefCell::default(),
             job_versions: RefCell::default(),
             removed_jobs: RefCell::default(),
             has_skipped_jobs: Cell::default(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod activity;
 mod authorise;
 mod calls;
+mod cancellations;
 mod commit;
 mod config;
 mod cx;
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::{
+    cancellations::Cancellations,
     cx::Cx,
     leader::Leader,
     rows::{self, ChainRow, FailingRow, JobRowKind, PhaseRow},
@@ -55,7 +56,7 @@
         log::error!(job:% = id, reason = "malformed row"; "leader: job set aside");
         scheduler.set_aside(id);
     }
-    let mut cancels: Vec<&str> = Vec::new();
+    let mut cancels: Vec<(&str, &Row)> = Vec::new();
     let mut ends_unknown = 0;
     let (now, wall_now) = (base::clock::now(), base::clock::wall());
     let store_now = cx.store_clock.now();
@@ -64,7 +65,7 @@
             continue;
         };
         if kind == JobRowKind::Cancel {
-            cancels.push(id);
+            cancels.push((id, row));
             continue;
         }
         if scheduler.knows(id) {
@@ -92,9 +93,11 @@
     let failing = failing.unwrap_or_default();
     scheduler.restore_failing_workers(&failing, now);
     *leader.stored_failing.borrow_mut() = failing;
-    for id in cancels {
-        scheduler.cancel(id, now, wall_now);
+    let mut cancellations = Cancellations::default();
+    for (id, row) in cancels {
+        cancellations.apply(&mut scheduler, id, row, store_now);
     }
+    *leader.cancellations.borrow_mut() = cancellations;
     for id in &reused {
         log::info!(job:% = id; "leader: the id of a partly removed job is in use again");
         scheduler.mark_changed(id);
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -22,6 +22,8 @@
     Store,
     /// The job does not exist or belongs to another organisation.
     NoJob,
+    /// The caller's organisation has cancelled the id before; no job with it runs.
+    Cancelled,
     /// The outcome is unknown: the request may have been carried out.
     Unknown,
 }
@@ -47,6 +49,7 @@
             Self::ConfigAge => "config_age",
             Self::Store => "store",
             Self::NoJob => "no_job",
+            Self::Cancelled => "cancelled",
             Self::Unknown => "unknown",
         }
     }
@@ -59,7 +62,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Method => StatusCode::METHOD_NOT_ALLOWED,
             Self::ConfigAge | Self::Store => StatusCode::SERVICE_UNAVAILABLE,
-            Self::NoJob => StatusCode::GONE,
+            Self::NoJob | Self::Cancelled => StatusCode::GONE,
             Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -4,7 +4,7 @@
 
 use base::clock::{self, Millis};
 use batch::job::Text;
-use store::table::{Commit, Txn};
+use store::table::{Commit, Key, Txn};
 
 use crate::{
     cx::{self, Cx},
@@ -54,6 +54,7 @@
         has_more = marked.len() == MAX_UNKNOWN_ENDS && is_store_fast(&cx);
         if clock::now().since(leader.started_at) >= INTERVAL {
             has_more |= remove(&cx, &leader, now).await;
+            remove_cancellations(&cx, &leader, now).await;
         }
         if !marked.is_empty() || !leader.deleted_jobs.borrow().is_empty() {
             leader.dirty.notify_one();
@@ -120,6 +121,47 @@
     has_more
 }
 
+/// Deletes the cancellations of ids whose jobs were never known, once no submission from before can be
+/// under way any more. What is left over is deleted in later rounds.
+async fn remove_cancellations(cx: &Cx, leader: &Leader, now: Millis) {
+    if !is_store_fast(cx) {
+        return;
+    }
+    let keep = cx.cfg.keep_ms;
+    let mut expired = leader.cancellations.borrow().expired(now, keep, MAX_JOBS);
+    expired.sort_by_cached_key(|(id, _)| rows::job_table(id));
+    let parts = expired.chunk_by(|(a, _), (b, _)| rows::job_table(a) == rows::job_table(b));
+    for part in parts.flat_map(|part| part.chunks(MAX_TXN_JOBS)) {
+        if cx.acting().is_none() {
+            return;
+        }
+        let txn = part.iter().fold(Txn::default(), |txn, (id, version)| {
+            txn.check(rows::job_key(id), 0)
+                .check(rows::cancel_key(id), *version)
+                .delete(rows::cancel_key(id))
+        });
+        let changed = match cx.table.commit(&txn).await {
+            Ok(Commit::Done { .. }) => None,
+            // The id was cancelled again, a job has it now, or an earlier attempt was applied. What is
+            // still stored is deleted with the job, or known again with the next change or leader.
+            Ok(Commit::Conflict { keys }) => Some(keys),
+            Err(e) => {
+                log::info!(reason:% = e; "retention: failed to delete cancellations, trying again later");
+                return;
+            }
+        };
+        let is_changed = |keys: &Vec<Key>, id: &Text| {
+            keys.contains(&rows::cancel_key(id)) || keys.contains(&rows::job_key(id))
+        };
+        let is_gone = |id: &Text| changed.as_ref().is_none_or(|keys| is_changed(keys, id));
+        let mut cancellations = leader.cancellations.borrow_mut();
+        for (id, version) in part.iter().filter(|(id, _)| is_gone(id)) {
+            cancellations.forget(id, *version);
+        }
+        log::info!(ids = part.len(), complete = changed.is_none(); "retention: cancellations of unknown jobs removed");
+    }
+}
+
 /// Returns a transaction that deletes the rows of jobs. An attempt without an answer may be applied
 /// later, and callers may use the ids again once a row is deleted, so it checks the versions.
 fn deletion(leader: &Leader, jobs: &[Text]) -> Txn {
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -116,6 +116,42 @@
     Some(job)
 }
 
+/// Content of the row of a cancellation. A cancellation of a job that is not known bars the id, because
+/// its submission may still be applied. Earlier versions write an empty object, and only beside the row
+/// of a job.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(default)]
+pub(crate) struct CancelRow {
+    /// Organisations whose callers have cancelled the id; empty means that of the job.
+    organisations: Vec<Option<Text>>,
+    /// Time of the last of these cancellations by the store's clock.
+    pub(crate) stored_at: Option<Millis>,
+}
+
+impl CancelRow {
+    /// Returns the content after a further cancellation at `now` of the store's clock.
+    #[must_use]
+    pub(crate) fn and(&self, organisation: Option<&Text>, now: Option<Millis>) -> Self {
+        let mut organisations = self.organisations.clone();
+        organisations.push(organisation.cloned());
+        organisations.sort_unstable();
+        organisations.dedup();
+        Self {
+            organisations,
+            stored_at: now,
+        }
+    }
+
+    /// Returns whether a job of an organisation is cancelled.
+    pub(crate) fn applies_to(&self, organisation: Option<&Text>) -> bool {
+        self.organisations.is_empty()
+            || self
+                .organisations
+                .binary_search_by(|o| o.as_ref().cmp(&organisation))
+                .is_ok()
+    }
+}
+
 /// Content of a row of [`PHASES`].
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub(crate) struct PhaseRow {
