--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -6,7 +6,7 @@
     http::{Method, StatusCode},
     util::Bytes,
 };
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::Deserialize;
 
 use crate::{
     http_cfg::HttpCfg,
@@ -129,7 +129,7 @@
     }
 }
 
-pub(crate) fn parse<T: DeserializeOwned>(answer: &Answer) -> Result<T, StoreError> {
+pub(crate) fn parse<'a, T: Deserialize<'a>>(answer: &'a Answer) -> Result<T, StoreError> {
     serde_json::from_slice(&answer.body).map_err(|e| StoreError::NotDone {
         reason: format!("invalid body of the answer: {e}"),
     })
--- a/crates/store/src/vms.rs
+++ b/crates/store/src/vms.rs
@@ -5,6 +5,7 @@
     util::Bytes,
 };
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::{
     http::{not_done, parse},
@@ -21,6 +22,14 @@
     pub vms: Vec<Vm>,
 }
 
+/// The same body with entries that are decoded one by one: one of another writer or version must not
+/// hide the others, however long a number in it is or however deep it is nested.
+#[derive(Deserialize)]
+struct RawVmList<'a> {
+    #[serde(borrow)]
+    vms: Vec<&'a RawValue>,
+}
+
 /// Client of the VM list; clones share its connections.
 ///
 /// ```no_run
@@ -44,14 +53,24 @@
         Ok(Self { client })
     }
 
-    /// Reads the list, which may lag behind the actual state of the VMs.
+    /// Reads the list, which may lag behind the actual state of the VMs. An entry that can't be decoded
+    /// is left out and logged.
     pub async fn list(&self) -> Result<Vec<Vm>, StoreError> {
         let req = self.client.request(Method::GET, "/vms");
         let answer = self.client.call(req, Bytes::new()).await;
         let answer = answer.map_err(CallError::into_read_error)?;
         match answer.status {
-            StatusCode::OK => parse::<VmList>(&answer).map(|l| l.vms),
+            StatusCode::OK => {
+                let list: RawVmList<'_> = parse(&answer)?;
+                Ok(list.vms.into_iter().filter_map(decode).collect())
+            }
             _ => Err(not_done(&answer)),
         }
     }
 }
+
+fn decode(entry: &RawValue) -> Option<Vm> {
+    let vm = serde_json::from_str(entry.get());
+    vm.inspect_err(|e| log::warn!(reason:% = e; "store: malformed entry in the VM list"))
+        .ok()
+}
