--- a/crates/batch/tests/takeover_histories.rs
+++ b/crates/batch/tests/takeover_histories.rs
@@ -169,15 +169,18 @@
             return;
         }
         let worker = self.index(&order.worker);
+        let is_repeated = is_start && !self.calm && self.chance(5);
+        if is_repeated {
+            self.lose_try(worker, order);
+        }
+        let is_refused = is_start && !self.calm && self.chance(if is_repeated { 2 } else { 20 });
         let is_late = !self.calm && worker == self.slow && !self.chance(4);
-        let is_lost = is_late || (!self.calm && self.chance(8));
+        let is_lost = !is_refused && (is_late || (!self.calm && self.chance(8)));
         let mut reply = StartReply::Unknown;
-        if is_late {
-            self.late.push(Late {
-                order: order.clone(),
-                fence: self.fence,
-                incarnation: self.lives[worker].incarnation,
-            });
+        if is_refused {
+            reply = StartReply::Refused(Refusal::Unhealthy);
+        } else if is_late {
+            self.late.push(self.under_way(worker, order));
         } else {
             reply = self.carry_out(worker, order, self.fence);
         }
@@ -198,6 +201,26 @@
         }
     }
 
+    fn under_way(&self, worker: usize, order: &Order) -> Late {
+        Late {
+            order: order.clone(),
+            fence: self.fence,
+            incarnation: self.lives[worker].incarnation,
+        }
+    }
+
+    /// Sends a try of a start that gets no answer before it is sent again at once: it is carried out
+    /// now, later or never.
+    fn lose_try(&mut self, worker: usize, order: &Order) {
+        match self.rng.u8(0..3) {
+            0 => drop(self.carry_out(worker, order, self.fence)),
+            1 => self.late.push(self.under_way(worker, order)),
+            _ => {}
+        }
+        let scheduler = &mut self.fleet.scheduler;
+        scheduler.handle_lost_start(&order.task, order.attempt);
+    }
+
     fn carry_out_late(&mut self) {
         let lives = &self.lives;
         let infos = &self.fleet.infos;
@@ -366,7 +389,8 @@
 }
 
 /// Guards against concurrent runs of a subtask, runs after its end and jobs that never end, when
-/// leaders change and workers restart under the same id.
+/// leaders change, workers restart under the same id, and starts are refused or taken on a second try
+/// while the first one is still under way.
 #[test]
 fn takeovers_and_restarts_of_workers_cause_no_second_run() {
     fn property(seed: u64) {
