--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod authorise;
 mod calls;
 mod cancellations;
+mod changes;
 mod commit;
 mod config;
 mod cx;
