node: a job whose progress is too long stops no commit of other jobs

Cause: a batch took its first change whatever its size. The store refuses a transaction beyond 1 MB for good, which was taken for a refusal that passes, so it was repeated unchanged and everything else waited behind it.

Change: no transaction is built beyond the limits. Where a job's progress does not fit with its checkpoints, these get rows of their own, written with the room that other changes leave and read by the next leader. A rejection for good is an error of its own: the items of the transaction are then stored one by one, the culprit's job is held back and tried again every 5 s, and a caller whose write is rejected gets 413. The pending counts and the failing workers are bounded by the size of a row.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -218,9 +218,9 @@
     },
 }
 
-/// Maximum number of subtasks of a job, in all steps and occurrences. The progress of a subtask takes
-/// up to 110 bytes, and one transaction of the table service stores the progress of a whole job in
-/// 1 MB of base64.
+/// Maximum number of subtasks of a job, in all steps and occurrences. Without its checkpoint, the
+/// progress of a subtask takes up to 110 bytes, and one transaction of the table service stores the
+/// progress of a whole job in 1 MB of base64.
 pub const MAX_SUBTASKS: u64 = 6_000;
 /// Maximum amount of a resource, and maximum time in milliseconds. Sums over all subtasks of all
 /// jobs, in thousandths, stay within 64 bits.
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -255,6 +255,53 @@
         Ok(())
     }
 
+    /// Returns the progress without its checkpoints.
+    ///
+    /// ```
+    /// let progress = batch::progress::Progress::default();
+    /// assert_eq!(progress.without_checkpoints(), progress);
+    /// ```
+    #[must_use]
+    pub fn without_checkpoints(&self) -> Self {
+        let mut progress = self.clone();
+        for (_, task) in progress.subtasks_mut() {
+            task.checkpoint = Text::default();
+        }
+        progress
+    }
+
+    /// Returns all subtasks with their positions: occurrence, step and index.
+    ///
+    /// ```
+    /// assert!(batch::progress::Progress::default().subtasks().next().is_none());
+    /// ```
+    pub fn subtasks(&self) -> impl Iterator<Item = ((u32, usize, usize), &Subtask)> {
+        let occurrences = (0..).zip(&self.occurrences);
+        occurrences.flat_map(|(occurrence, o)| {
+            let steps = o.steps.iter().enumerate();
+            steps.flat_map(move |(step, tasks)| {
+                let tasks = tasks.iter().enumerate();
+                tasks.map(move |(index, task)| ((occurrence, step, index), task))
+            })
+        })
+    }
+
+    /// Like [`subtasks`](Self::subtasks), to change them.
+    ///
+    /// ```
+    /// assert!(batch::progress::Progress::default().subtasks_mut().next().is_none());
+    /// ```
+    pub fn subtasks_mut(&mut self) -> impl Iterator<Item = ((u32, usize, usize), &mut Subtask)> {
+        let occurrences = (0..).zip(&mut self.occurrences);
+        occurrences.flat_map(|(occurrence, o)| {
+            let steps = o.steps.iter_mut().enumerate();
+            steps.flat_map(move |(step, tasks)| {
+                let tasks = tasks.iter_mut().enumerate();
+                tasks.map(move |(index, task)| ((occurrence, step, index), task))
+            })
+        })
+    }
+
     /// Returns whether any run may exist.
     ///
     /// ```
--- a/crates/claim/src/driver.rs
+++ b/crates/claim/src/driver.rs
@@ -100,7 +100,9 @@
                         self.resolve_conflict(item).await;
                     }
                 }
-                Err(StoreError::NotDone { .. }) => return self.defer(batch),
+                Err(StoreError::NotDone { .. } | StoreError::Rejected { .. }) => {
+                    return self.defer(batch);
+                }
                 Err(StoreError::Unknown { .. }) => {
                     batch.mark_uncertain();
                     tries += 1;
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -148,7 +148,7 @@
         Ok(Commit::Conflict { keys }) => Outcome::Conflict {
             lease_changed: keys.contains(&candidate.lease_key),
         },
-        Err(StoreError::NotDone { reason }) => {
+        Err(StoreError::NotDone { reason } | StoreError::Rejected { reason }) => {
             log::debug!("lease: the transaction failed: {reason}");
             Outcome::NotDone
         }
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -167,7 +167,8 @@
                 self.version.set(Some(*version));
                 self.renewed_at.set(Some(started));
             }
-            Ok(Commit::Conflict { .. }) | Err(StoreError::NotDone { .. }) => {}
+            Ok(Commit::Conflict { .. })
+            | Err(StoreError::NotDone { .. } | StoreError::Rejected { .. }) => {}
             Err(StoreError::Unknown { .. }) => self.version.set(None),
         }
         result
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -136,6 +136,10 @@
             let now = clock::now();
             match &error {
                 StoreError::Unknown { .. } => self.unknown = true,
+                StoreError::Rejected { .. } => {
+                    log::error!(tries = self.tries, unknown = self.unknown, reason:% = error; "accept: the store rejects the write");
+                    return Err(self.rejection());
+                }
                 StoreError::NotDone { .. } => {
                     peers::record_loss(cx, "accept");
                     let since = *self.refused_since.get_or_insert(now);
@@ -153,6 +157,15 @@
         }
     }
 
+    /// Returns the refusal to report for a write that never succeeds.
+    const fn rejection(&self) -> Refusal {
+        if self.unknown {
+            Refusal::Unknown
+        } else {
+            Refusal::TooLarge
+        }
+    }
+
     /// Returns the refusal to report: a write that may have been applied must not count as refused.
     const fn refusal(&self) -> Refusal {
         if self.unknown {
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -11,7 +11,7 @@
 use store::table::{Commit, StoreError, Txn};
 
 use crate::{
-    changes::{Batch, Change, ChangeKind},
+    changes::{Batch, Change, ChangeKind, Content},
     cx::{self, Cx},
     leader::Leader,
     orders,
@@ -21,19 +21,30 @@
 /// First sequence number of the heartbeats that commits write. Those of the lease task are lower, so
 /// that no two heartbeats of a process are equal.
 const COMMIT_COUNTS: u64 = 1 << 40;
+/// Time for which the progress of a job is not stored after it turned out to be too long.
+const HOLD_BACK_TIME: Millis = Millis(5_000);
+/// Pause after a commit that stored only checkpoints.
+const CHECKPOINT_PAUSE: Millis = Millis(50);
 /// Delay before a transaction is sent again.
 const RETRY_DELAY: Millis = Millis(60);
 /// Minimum interval between two writes of the pending counts.
 const PENDING_INTERVAL: Millis = Millis(400);
 
-/// Error: the transaction can no longer be committed, because the leadership has ended.
-struct LeadershipLost;
+/// Reason why a transaction was not committed.
+enum CommitError {
+    /// It can no longer be committed, because the leadership has ended.
+    LeadershipLost,
+    /// The store rejects it for good.
+    Rejected,
+}
 
 /// Commits changes until the leadership ends. New changes are taken after each transaction, so that
 /// orders do not wait until everything that was decided before is stored.
 pub(crate) async fn run(cx: Cx, leader: Rc<Leader>) {
     let mut outbox = Outbox::default();
     let mut pending = PendingCounts::default();
+    // Number of items to store one by one, to find the one that the store rejects.
+    let mut singles: usize = 0;
     while !leader.ended.get() {
         let changes = leader.scheduler.borrow_mut().take_changes();
         for (priority, waited) in &changes.started_jobs {
@@ -43,18 +54,39 @@
             cx.metrics.count_worker_end(*end);
         }
         release(&cx, &leader, outbox.add(changes));
-        let result = commit_next(&cx, &leader, &mut outbox, &mut pending).await;
-        let Ok(pause) = result else {
-            cx.lease.borrow_mut().mark_lost();
-            cx.wake_lease_task.notify_one();
-            return;
+        let content = if singles > 0 {
+            Content::One
+        } else {
+            Content::Many
         };
-        if pause > Millis::ZERO {
-            cx::sleep(pause).await;
-        }
-        let has_more = !outbox.is_empty() || !leader.deleted_jobs.borrow().is_empty();
-        if has_more || leader.scheduler.borrow().has_changes() {
-            continue;
+        let mut batch = fill(&cx, &leader, &outbox, &pending, content);
+        if !batch.is_empty() {
+            let pause = match commit_txn(&cx, &leader, &mut batch).await {
+                Ok(()) => {
+                    singles = singles.saturating_sub(1);
+                    record_stored(&cx, &leader, &mut outbox, &mut pending, batch)
+                }
+                Err(CommitError::Rejected) if batch.is_single() => {
+                    singles = 0;
+                    give_up(&cx, &leader, &mut pending, batch);
+                    Millis::ZERO
+                }
+                Err(CommitError::Rejected) => {
+                    singles = batch.len();
+                    Millis::ZERO
+                }
+                Err(CommitError::LeadershipLost) => {
+                    cx.lease.borrow_mut().mark_lost();
+                    cx.wake_lease_task.notify_one();
+                    return;
+                }
+            };
+            if pause > Millis::ZERO {
+                cx::sleep(pause).await;
+            }
+            if has_more(&leader, &outbox) {
+                continue;
+            }
         }
         tokio::select! {
             () = leader.dirty.notified() => {}
@@ -63,6 +95,14 @@
     }
 }
 
+/// Returns whether more is to be stored at once.
+fn has_more(leader: &Leader, outbox: &Outbox) -> bool {
+    !outbox.is_empty()
+        || !leader.deleted_jobs.borrow().is_empty()
+        || leader.scheduler.borrow().has_changes()
+        || leader.checkpoints.borrow().has_due(clock::now())
+}
+
 /// Sends orders and allows acknowledgements whose jobs are stored.
 fn release(cx: &Cx, leader: &Rc<Leader>, released: Released) {
     leader.scheduler.borrow_mut().mark_committed(&released.acks);
@@ -86,58 +126,132 @@
         let counts = leader.scheduler.borrow().queued_jobs_by_queue();
         (self.written.as_ref() != Some(&counts)).then_some(counts)
     }
+
+    fn mark_written(&mut self, counts: Option<PendingRow>) {
+        if counts.is_some() {
+            self.written = counts;
+            self.written_at = clock::now();
+        }
+    }
 }
 
-/// Commits as many changes as one transaction holds. Returns the pause before the next commit.
-async fn commit_next(
+/// Returns as many changes as one transaction holds, or one if `content` says so.
+fn fill(
     cx: &Cx,
-    leader: &Rc<Leader>,
-    outbox: &mut Outbox,
-    pending: &mut PendingCounts,
-) -> Result<Millis, LeadershipLost> {
-    let started = clock::now();
-    let mut batch = Batch::default();
+    leader: &Leader,
+    outbox: &Outbox,
+    pending: &PendingCounts,
+    content: Content,
+) -> Batch {
+    let mut batch = Batch::new(content);
     for (id, progress) in outbox.in_order() {
-        if !batch.add(Change::of_progress(cx, leader, id.clone(), progress)) {
+        if is_held_back(leader, id) {
+            continue;
+        }
+        let change = Change::of_progress(cx, leader, id.clone(), progress);
+        let bytes = change.bytes();
+        if batch.add(change) {
+            continue;
+        }
+        if batch.has_changes() {
             break;
         }
+        hold_back(cx, leader, id, bytes);
     }
-    let stored: Vec<Text> = batch.changes.iter().map(|c| c.id.clone()).collect();
-    let mut removed = 0;
     for id in leader.deleted_jobs.borrow().iter() {
         if !batch.add(Change::of_removal(leader, id.clone())) {
             break;
         }
-        removed += 1;
     }
-    batch.counts = pending.to_write(leader);
-    batch.failing = failing_to_write(leader);
-    if batch.is_empty() {
-        return Ok(Millis::ZERO);
+    batch.add_counts(pending.to_write(leader), cx.cfg.row_bytes);
+    batch.add_failing(failing_to_write(leader), cx.cfg.row_bytes);
+    batch.add_checkpoints(leader);
+    batch
+}
+
+/// Returns whether the progress of a job is not to be stored for now.
+fn is_held_back(leader: &Leader, id: &str) -> bool {
+    let held_back = leader.held_back.borrow();
+    held_back.get(id).is_some_and(|until| clock::now() < *until)
+}
+
+/// Holds back the progress of a job that can't be stored. The job's orders wait for it, and those of
+/// other jobs do not. It gets shorter when runs of the job end.
+fn hold_back(cx: &Cx, leader: &Leader, id: &Text, bytes: usize) {
+    let retry_ms = HOLD_BACK_TIME.0;
+    log::error!(job:% = id, bytes, retry_ms; "commit: the progress of the job can't be stored");
+    cx.metrics.count_unstored("progress", 1);
+    let until = clock::now() + HOLD_BACK_TIME;
+    leader.held_back.borrow_mut().insert(id.clone(), until);
+}
+
+/// Records that a batch is stored, and sends what waited for it. Returns the pause before the next
+/// commit.
+fn record_stored(
+    cx: &Cx,
+    leader: &Rc<Leader>,
+    outbox: &mut Outbox,
+    pending: &mut PendingCounts,
+    batch: Batch,
+) -> Millis {
+    let (mut ended, mut stored, mut removed) = (Vec::new(), Vec::new(), 0);
+    for change in &batch.changes {
+        match change.kind {
+            ChangeKind::Progress => stored.push(change.id.clone()),
+            ChangeKind::End => {
+                stored.push(change.id.clone());
+                ended.push(change.id.clone());
+            }
+            ChangeKind::Removal => removed += 1,
+        }
     }
-    let encoded_in = clock::now().since(started);
-    commit_txn(cx, leader, &mut batch).await?;
-    let ended = batch.changes.iter().filter(|c| c.kind == ChangeKind::End);
-    let ended: Vec<Text> = ended.map(|c| c.id.clone()).collect();
     if let Some(now) = cx.store_clock.now() {
         leader
             .scheduler
             .borrow_mut()
             .record_stored_ends(&ended, now);
     }
+    let pause = if batch.has_changes() {
+        outbox::pause_after(batch.encoded_in)
+    } else {
+        CHECKPOINT_PAUSE
+    };
     for change in batch.changes {
         change.mark_stored(leader);
     }
     leader.deleted_jobs.borrow_mut().drain(..removed);
-    if batch.counts.is_some() {
-        pending.written = batch.counts;
-        pending.written_at = clock::now();
-    }
+    let mut checkpoints = leader.checkpoints.borrow_mut();
+    checkpoints.mark_stored(&batch.checkpoints, clock::now());
+    drop(checkpoints);
+    pending.mark_written(batch.counts);
     if let Some(failing) = batch.failing {
         *leader.stored_failing.borrow_mut() = failing;
     }
     release(cx, leader, outbox.mark_stored(&stored));
-    Ok(outbox::pause_after(encoded_in))
+    pause
+}
+
+/// Handles a transaction of one item that the store rejects for good, so that it holds up no other one.
+fn give_up(cx: &Cx, leader: &Leader, pending: &mut PendingCounts, batch: Batch) {
+    for change in &batch.changes {
+        match change.kind {
+            ChangeKind::Progress | ChangeKind::End => {
+                hold_back(cx, leader, &change.id, change.bytes());
+            }
+            ChangeKind::Removal => {
+                log::error!(job:% = change.id; "commit: the rows of the job can't be deleted");
+                leader.deleted_jobs.borrow_mut().remove(0);
+            }
+        }
+    }
+    let mut checkpoints = leader.checkpoints.borrow_mut();
+    checkpoints.mark_stored(&batch.checkpoints, clock::now());
+    cx.metrics
+        .count_unstored("checkpoint", batch.checkpoints.len());
+    pending.mark_written(batch.counts);
+    if let Some(failing) = batch.failing {
+        *leader.stored_failing.borrow_mut() = failing;
+    }
 }
 
 /// Returns the failing workers if they are not stored as they are.
@@ -148,7 +262,7 @@
 
 /// Commits one transaction as the next link of the commit chain, and retries until it is applied or
 /// the leadership ends.
-async fn commit_txn(cx: &Cx, leader: &Leader, batch: &mut Batch) -> Result<(), LeadershipLost> {
+async fn commit_txn(cx: &Cx, leader: &Leader, batch: &mut Batch) -> Result<(), CommitError> {
     let (version, count) = leader.chain.get();
     let link = ChainRow {
         fence: leader.held.fence,
@@ -186,6 +300,7 @@
             Ok(Commit::Done { .. }) => "done",
             Ok(Commit::Conflict { .. }) => "conflict",
             Err(StoreError::NotDone { .. }) => "not_done",
+            Err(StoreError::Rejected { .. }) => "rejected",
             Err(StoreError::Unknown { .. }) => "unknown",
         };
         cx.metrics.record_commit(outcome, clock::now().since(sent));
@@ -200,7 +315,7 @@
             }
             Ok(Commit::Conflict { keys }) => {
                 if keys.iter().any(|k| &**k == rows::LEASE) {
-                    return Err(LeadershipLost);
+                    return Err(CommitError::LeadershipLost);
                 }
                 // An earlier attempt may have been applied although its answer was lost.
                 if let Some(version) = read_back(cx, link).await? {
@@ -209,18 +324,23 @@
                     return Ok(());
                 }
             }
+            Err(StoreError::Rejected { reason }) => {
+                let items = batch.len();
+                log::error!(count = link.count, tries, items, reason; "commit: the store rejects the transaction");
+                return Err(CommitError::Rejected);
+            }
             Err(e @ (StoreError::NotDone { .. } | StoreError::Unknown { .. })) => {
                 log::info!(count = link.count, tries, reason:% = e; "commit: attempt failed");
             }
         }
         cx::sleep(RETRY_DELAY).await;
     }
-    Err(LeadershipLost)
+    Err(CommitError::LeadershipLost)
 }
 
 /// Returns the version of the chain row if its content is `link`, or `None` if the row can't be
 /// read.
-async fn read_back(cx: &Cx, link: ChainRow) -> Result<Option<u64>, LeadershipLost> {
+async fn read_back(cx: &Cx, link: ChainRow) -> Result<Option<u64>, CommitError> {
     let (_, key) = rows::CHAIN.split_once('/').unwrap_or_default();
     let row = match cx.table.get_row(rows::CONTROL, key).await {
         Ok(row) => row,
@@ -234,5 +354,5 @@
         return Ok(row.map(|r| r.version));
     }
     log::warn!(expected:? = link, found:?; "commit: another process has committed");
-    Err(LeadershipLost)
+    Err(CommitError::LeadershipLost)
 }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -17,6 +17,7 @@
 use crate::{
     activity::Activity,
     cancellations::Cancellations,
+    checkpoints::Checkpoints,
     commit,
     cx::{self, Cx},
     extension, intake, load, policy, retention,
@@ -43,6 +44,10 @@
     pub(crate) stored_phases: RefCell<SortedMap<Text, Phase>>,
     /// Number of rows that hold the stored progress of each job.
     pub(crate) progress_rows: RefCell<SortedMap<Text, usize>>,
+    /// Jobs whose progress can't be stored, with the time of the next attempt.
+    pub(crate) held_back: RefCell<SortedMap<Text, Millis>>,
+    /// Checkpoints that are stored apart from the progress of their job.
+    pub(crate) checkpoints: RefCell<Checkpoints>,
     /// Jobs whose rows in the table of jobs are deleted and whose rows written by the leader are to
     /// be deleted.
     pub(crate) deleted_jobs: RefCell<Vec<Text>>,
@@ -89,6 +94,8 @@
             sessions: RefCell::default(),
             stored_phases: RefCell::default(),
             progress_rows: RefCell::default(),
+            held_back: RefCell::default(),
+            checkpoints: RefCell::default(),
             deleted_jobs: RefCell::default(),
             stored_failing: RefCell::default(),
             cancellations: RefCell::default(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod calls;
 mod cancellations;
 mod changes;
+mod checkpoints;
 mod commit;
 mod config;
 mod cx;
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     cancellations::Cancellations,
+    checkpoints::Checkpoints,
     cx::Cx,
     leader::Leader,
     rows::{self, ChainRow, FailingRow, JobRowKind, PhaseRow},
@@ -20,12 +21,13 @@
     // Only the table of jobs still changes: all other rows are written in transactions that check
     // the lease. The feed reports the jobs that are accepted after the read.
     let (_, failing) = rows::FAILING.split_once('/').unwrap_or_default();
-    let (chain, failing, jobs, progress, phases) = tokio::try_join!(
+    let (chain, failing, jobs, progress, phases, checkpoints) = tokio::try_join!(
         cx.table.get_row(rows::CONTROL, chain),
         cx.table.get_row(rows::CONTROL, failing),
         read_jobs(cx),
         read_all(cx, rows::PROGRESS),
         read_all(cx, rows::PHASES),
+        read_all(cx, rows::CHECKPOINTS),
     )?;
     let ((jobs, from), (progress, _), (mut phases, _)) = (jobs, progress, phases);
     let count = chain.as_ref().and_then(rows::from_json::<ChainRow>);
@@ -41,7 +43,8 @@
     let mut reused = leave_out_older(&versions, &mut progress);
     reused.extend(leave_out_older(&versions, &mut phases));
     let mut unreadable = Vec::new();
-    let progress: SortedMap<Text, Progress> = decode(&progress, &mut unreadable);
+    let mut progress: SortedMap<Text, Progress> = decode(&progress, &mut unreadable);
+    restore_checkpoints(leader, &checkpoints.0, &versions, &mut progress);
     let phases: SortedMap<Text, PhaseRow> = decode(&phases, &mut unreadable);
     let partly_removed = partly_removed(&jobs, &progress, &phases);
     for id in &partly_removed {
@@ -113,6 +116,23 @@
     Ok(from)
 }
 
+/// Gives the progress of open jobs the checkpoints that are stored apart.
+fn restore_checkpoints(
+    leader: &Leader,
+    stored: &[Row],
+    versions: &SortedMap<Text, u64>,
+    progress: &mut SortedMap<Text, Progress>,
+) {
+    let checkpoints = Checkpoints::restore(stored, |id, version| {
+        let is_open = |p: &Progress| !p.phase.is_final();
+        progress.get(id).is_some_and(is_open) && versions.get(id).is_some_and(|v| version > *v)
+    });
+    for (id, progress) in progress.iter_mut() {
+        checkpoints.fill(id, progress);
+    }
+    *leader.checkpoints.borrow_mut() = checkpoints;
+}
+
 /// Returns the versions of the rows of accepted jobs by job id.
 fn job_versions(jobs: &[Row]) -> SortedMap<Text, u64> {
     let version = |row: &Row| match rows::parse_job_key(&row.key)? {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,6 +29,7 @@
     lease_gap_seconds: Histogram<f64>,
     takeovers: Counter<u64>,
     store_losses: Counter<u64>,
+    unstored: Counter<u64>,
     config_version: Gauge<u64>,
     config_age: Gauge<u64>,
     leading: Gauge<u64>,
@@ -56,6 +57,7 @@
             lease_gap_seconds: exporter.latency_histogram("node_lease_gap_seconds"),
             takeovers: exporter.counter("node_takeovers"),
             store_losses: exporter.counter("node_store_losses"),
+            unstored: exporter.counter("node_unstored"),
             config_version: exporter.gauge("node_config_version"),
             config_age: exporter.gauge("node_config_age_ms"),
             leading: exporter.gauge("node_leading"),
@@ -134,6 +136,12 @@
         self.store_losses.add(1, &[]);
     }
 
+    /// Counts something that can't be stored because of its size: checkpoints, or the progress of a job.
+    pub(crate) fn count_unstored(&self, what: &'static str, count: usize) {
+        self.unstored
+            .add(count as u64, &[KeyValue::new("what", what)]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self, cx: &Ctx) -> Vec<u8> {
         let age = cx.config_age().unwrap_or_default();
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -12,6 +12,8 @@
 pub(crate) const JOBS: &str = "jobs";
 /// Table of the progress of jobs; only the leader writes and reads it.
 pub(crate) const PROGRESS: &str = "progress";
+/// Table of the checkpoints that are stored apart from the progress of their job, by subtask.
+pub(crate) const CHECKPOINTS: &str = "checkpoints";
 /// Table of the phases of jobs, which entries read for callers.
 pub(crate) const PHASES: &str = "phases";
 /// Table of the control rows: the lease, the commit chain and the pending counts.
@@ -170,6 +172,13 @@
     }
 }
 
+/// Content of a row of [`CHECKPOINTS`].
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub(crate) struct CheckpointRow {
+    #[serde(rename = "c")]
+    pub(crate) checkpoint: Text,
+}
+
 /// Content of [`FAILING`]: the number of failures by worker id.
 pub(crate) type FailingRow = SortedMap<Text, u32>;
 
--- a/crates/sched/src/executor.rs
+++ b/crates/sched/src/executor.rs
@@ -181,7 +181,7 @@
             Ok(Commit::Conflict { keys }) => {
                 return resolve_conflict(cx, leader, txn, &keys, maybe).await;
             }
-            Err(StoreError::NotDone { reason }) => {
+            Err(StoreError::NotDone { reason } | StoreError::Rejected { reason }) => {
                 log::debug!("sched: a transaction was not applied: {reason}");
             }
             Err(StoreError::Unknown { reason }) => {
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -32,7 +32,7 @@
     match result {
         Ok(Commit::Done { .. }) => Class::Done,
         Ok(Commit::Conflict { .. }) => Class::Conflict,
-        Err(StoreError::NotDone { .. }) => Class::NotDone,
+        Err(StoreError::NotDone { .. } | StoreError::Rejected { .. }) => Class::NotDone,
         Err(StoreError::Unknown { .. }) => Class::Unknown,
     }
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -253,8 +253,8 @@
 /// not known, even if the attempt itself had no effect.
 fn outcome_unknown(err: StoreError) -> StoreError {
     match err {
-        StoreError::NotDone { reason } | StoreError::Unknown { reason } => {
-            StoreError::Unknown { reason }
-        }
+        StoreError::NotDone { reason }
+        | StoreError::Rejected { reason }
+        | StoreError::Unknown { reason } => StoreError::Unknown { reason },
     }
 }
--- a/crates/store/src/hedge.rs
+++ b/crates/store/src/hedge.rs
@@ -86,7 +86,7 @@
         Ok(_) => pace.record_write(clock::now().since(sent)),
         Err(StoreError::Unknown { .. }) => pace.record_lost_write(),
         // A refusal does not show how long a transaction takes.
-        Err(StoreError::NotDone { .. }) => {}
+        Err(StoreError::NotDone { .. } | StoreError::Rejected { .. }) => {}
     }
 }
 
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -128,6 +128,12 @@
         /// Description of the failure.
         reason: String,
     },
+    /// The call has had no effect and never will: it is invalid or too large.
+    #[display("rejected: {reason}")]
+    Rejected {
+        /// Description of the failure.
+        reason: String,
+    },
     /// The call may have taken effect; read the rows back to find out.
     #[display("outcome unknown: {reason}")]
     Unknown {
