batch: the isolation of a suspect has an end

Cause: from three crashes on a subtask may run alone only, and a worker is kept free for it only if it becomes idle by itself. Nothing bounded the wait, and crashes of work that is not lasting were never forgotten.

Change: the wait ends after 2 s if no worker will become idle, after 15 s if one is kept free; then the subtask shares a worker and still starts apart from other starts. A subtask is given up at its fifth crash in any case, so that a culprit that shares is found. Crashes before a run of a minute are forgotten for all work.

--- a/crates/batch/src/candidates.rs
+++ b/crates/batch/src/candidates.rs
@@ -3,7 +3,7 @@
 use base::clock::Millis;
 
 use crate::{
-    isolation::{Isolation, IsolationState},
+    isolation::IsolationState,
     job::{Resources, Text},
     open_job::Job,
     progress::RunState,
@@ -281,7 +281,7 @@
                 candidate.has_latency_target |= step.target.is_some();
                 candidate.has_filler |= step.fills;
                 let proven = run.known_age(now) >= PROVING_TIME;
-                let isolation = Isolation::of(subtask.crashes);
+                let isolation = subtask.isolation(now);
                 candidate.isolation.add_run(isolation, proven, step.endless);
             }
             let used = worker.used();
--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -4,6 +4,8 @@
 //! crash is started again where nothing else has just started: the next crash then shows whether it
 //! is the cause. A subtask is given up only after such a crash.
 
+use std::cmp::Reverse;
+
 use base::clock::Millis;
 
 use crate::{
@@ -25,7 +27,9 @@
 /// Number of crashes after which a subtask is given up if the last one came while it ran alone, long
 /// after its start.
 const MAX_LATE_CRASHES: u32 = MAX_SHARED_CRASHES + 1;
-/// Time span that endless work has to last for its earlier crashes to be forgotten.
+/// Number of crashes after which a subtask is given up in any case.
+const MAX_CRASHES_IN_ALL: u32 = MAX_SHARED_CRASHES + 2;
+/// Time span that a run has to last for the earlier crashes of its subtask to be forgotten.
 const FORGET_AFTER: Millis = Millis(60_000);
 /// Number of other workers of a rack that show its loss, if all were missing when this leader first
 /// called them. Two of them may have crashed by themselves at different times before.
@@ -113,14 +117,14 @@
         let suspects = lost.runs.iter().filter(may_be_cause);
         let suspects: Vec<&LostRun> = suspects.collect();
         for run in &suspects {
-            let endless = self.step_of(&run.task).is_some_and(|s| s.endless);
             let Some(task) = self.subtask_mut(&run.task).filter(|t| !t.done) else {
                 continue;
             };
-            if endless && run.age >= FORGET_AFTER {
+            if run.age >= FORGET_AFTER {
                 task.crashes = 0;
             }
             task.crashes += 1;
+            task.alone_wait = None;
             let crashes = task.crashes;
             self.dirty.push(run.task.job.clone());
             log::warn!(
@@ -146,22 +150,29 @@
             (_, 0) => MAX_CRASHES,
             _ => MAX_CRASHES_AMONG_OTHERS,
         };
-        let Some(job) = culprit(lost) else {
-            return false;
-        };
-        let of_job = suspects.iter().filter(|r| r.task.job == job);
-        let crashes = |r: &&LostRun| self.subtask(&r.task).map_or(0, |t| t.crashes);
-        let Some(worst) = of_job.copied().max_by_key(crashes) else {
-            return false;
+        let crashes = |r: &LostRun| self.subtask(&r.task).map_or(0, |t| t.crashes);
+        let culprit = culprit(lost);
+        let is_at_fault = |r: &&&LostRun| {
+            let limit = match &culprit {
+                Some(job) if r.task.job == *job => limit.min(MAX_CRASHES_IN_ALL),
+                _ => MAX_CRASHES_IN_ALL,
+            };
+            crashes(r) >= limit
         };
-        let crashes = crashes(&worst);
-        let open = self.phase(&job).is_some_and(|p| !p.is_final());
-        if crashes < limit || !open {
-            return false;
+        let mut at_fault: Vec<&LostRun> = suspects.iter().filter(is_at_fault).copied().collect();
+        at_fault.sort_by_key(|r| (&r.task.job, Reverse(crashes(r))));
+        at_fault.dedup_by_key(|r| &r.task.job);
+        let at_fault = at_fault.into_iter().map(|r| (r.task.clone(), crashes(r)));
+        let mut gave_up = false;
+        for (task, crashes) in at_fault.collect::<Vec<_>>() {
+            if self.phase(&task.job).is_none_or(Phase::is_final) {
+                continue;
+            }
+            log::error!(task:%, crashes, limit, worker:% = lost.id; "batch: given up, it crashes its workers");
+            self.finish(&task.job, Phase::Failed, now, wall_now);
+            gave_up = true;
         }
-        log::error!(task:% = worst.task, crashes, limit, worker:% = lost.id; "batch: given up, it crashes its workers");
-        self.finish(&job, Phase::Failed, now, wall_now);
-        true
+        gave_up
     }
 
     /// Returns whether a worker has to answer another call right before a start of the subtask. If it
--- a/crates/batch/src/isolation.rs
+++ b/crates/batch/src/isolation.rs
@@ -1,7 +1,14 @@
 //! Isolation of subtasks under which workers have crashed, so that the next crash shows its cause
 //! and hits few others.
 
-use crate::crash::MAX_SHARED_CRASHES;
+use base::clock::Millis;
+
+use crate::{crash::MAX_SHARED_CRASHES, progress::Subtask};
+
+/// Time for which a subtask waits for a worker of its own while none will become idle.
+const MAX_WAIT: Millis = Millis(2_000);
+/// The same while a worker is kept free of new work for it.
+const MAX_HOLD: Millis = Millis(15_000);
 
 /// How far a subtask has to be kept apart from other work.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -27,6 +34,37 @@
     }
 }
 
+/// Wait of a subtask for a worker of its own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct AloneWait {
+    /// Beginning of the wait.
+    since: Millis,
+    /// Whether a worker is kept free of new work for it.
+    is_held: bool,
+}
+
+impl Subtask {
+    /// Returns the isolation of the subtask. One that has waited long enough for a worker of its own
+    /// shares one, but still starts apart.
+    pub(crate) fn isolation(&self, now: Millis) -> Isolation {
+        let isolation = Isolation::of(self.crashes);
+        let is_over = |wait: AloneWait| {
+            let max = if wait.is_held { MAX_HOLD } else { MAX_WAIT };
+            now.since(wait.since) >= max
+        };
+        if isolation == Isolation::Alone && self.alone_wait.is_some_and(is_over) {
+            return Isolation::Start;
+        }
+        isolation
+    }
+
+    /// Records that there is no worker for the subtask alone, and whether one is kept free for it.
+    pub(crate) fn wait_alone(&mut self, is_held: bool, now: Millis) {
+        let since = self.alone_wait.map_or(now, |w| w.since);
+        self.alone_wait = Some(AloneWait { since, is_held });
+    }
+}
+
 /// Runs that have not yet lasted for a while on a worker.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 enum Starting {
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -77,7 +77,8 @@
         for (id, candidate) in unit.tasks.iter().zip(&found) {
             let worker = candidates.all[*candidate].worker.clone();
             candidates.all[*candidate].take(step.reserved());
-            let isolation = Isolation::of(self.subtask(id).map_or(0, |t| t.crashes));
+            let subtask = self.subtask(id);
+            let isolation = subtask.map_or(Isolation::None, |t| t.isolation(now));
             candidates.all[*candidate]
                 .isolation
                 .add_run(isolation, false, step.endless);
@@ -96,12 +97,8 @@
         if found.len() == unit.tasks.len() {
             return;
         }
-        if unit.isolation == Isolation::Alone
-            && let Some(i) = self
-                .search(unit, &step, &service, now)
-                .find_worker_to_empty(candidates)
-        {
-            candidates.all[i].isolation.hold();
+        if unit.isolation == Isolation::Alone {
+            self.wait_alone(unit, &step, &service, candidates, now);
         }
         self.log_waiting(unit, found.len(), candidates, now);
         self.request_tickets(unit, &step, &service, candidates, now);
@@ -114,6 +111,32 @@
         self.preempt_for(&rest, &step, &service, pass, may_stop);
     }
 
+    /// Keeps a worker free of new work for a unit that has to run alone, if one will become idle.
+    fn wait_alone(
+        &mut self,
+        unit: &Unit,
+        step: &Step,
+        service: &Text,
+        candidates: &mut Candidates,
+        now: Millis,
+    ) {
+        let search = self.search(unit, step, service, now);
+        let to_empty = search.find_worker_to_empty(candidates);
+        if let Some(i) = to_empty {
+            candidates.all[i].isolation.hold();
+        }
+        for id in &unit.tasks {
+            let worker = to_empty.map(|i| candidates.all[i].worker.clone());
+            let Some(task) = self.subtask_mut(id).filter(|t| t.run.is_none()) else {
+                continue;
+            };
+            if task.alone_wait.is_none() {
+                log::info!(task:% = id, crashes = task.crashes, held = worker.as_deref().unwrap_or_default(); "batch: waits for a worker of its own");
+            }
+            task.wait_alone(worker.is_some(), now);
+        }
+    }
+
     /// Holds resources for a gang that waits for runs to end soon. Otherwise small units would take
     /// each accelerator that becomes free, and the gang would never start.
     fn hold_capacity(
@@ -186,6 +209,12 @@
         let task = &mut tasks[id.index];
         task.attempt += 1;
         let attempt = task.attempt;
+        // One that shares a worker after its wait keeps sharing it.
+        if task.isolation(now) == Isolation::Alone {
+            task.alone_wait = None;
+        } else if task.alone_wait.is_some() {
+            log::info!(task:% = id, crashes = task.crashes, worker:%; "batch: shares a worker after its wait");
+        }
         task.run = Some(Run {
             worker: worker.clone(),
             incarnation: w.incarnation,
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -4,7 +4,10 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::job::{AcceptedJob, Spec, SpecError, Text};
+use crate::{
+    isolation::AloneWait,
+    job::{AcceptedJob, Spec, SpecError, Text},
+};
 
 /// Phase of a job.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Deserialize, Serialize)]
@@ -137,6 +140,9 @@
     /// Whether the subtask is done.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
+    /// Wait for a worker of its own. It is not stored: the wait begins anew with the next leader.
+    #[serde(skip)]
+    pub(crate) alone_wait: Option<AloneWait>,
     /// Newest checkpoint.
     #[serde(rename = "c", skip_serializing_if = "str::is_empty")]
     pub checkpoint: Text,
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -151,7 +151,7 @@
                     continue;
                 }
                 let rank = *rank.get_or_insert_with(|| rank_of(occurrence, start));
-                for (isolation, tasks) in job.by_isolation(tasks, step) {
+                for (isolation, tasks) in job.by_isolation(tasks, step, now) {
                     units.push(Unit {
                         rank,
                         job: job.accepted.id.clone(),
@@ -245,10 +245,11 @@
         &self,
         tasks: Vec<SubtaskId>,
         step: &Step,
+        now: Millis,
     ) -> impl Iterator<Item = (Isolation, Vec<SubtaskId>)> {
         let isolation = |id: &SubtaskId| {
-            let crashes = self.subtask(id).map_or(0, |t| t.crashes);
-            Isolation::of(crashes)
+            let subtask = self.subtask(id);
+            subtask.map_or(Isolation::None, |t| t.isolation(now))
         };
         let mut parts: [Vec<SubtaskId>; 3] = Default::default();
         let strictest = tasks.iter().map(isolation).max().unwrap_or_default();
