batch: failures of endless work are not counted against its worker

Cause: failures count since the last success, and endless work never ends with one, so that eight failures of one moment put a sound worker into its longest backoff.

Change: such a failure only keeps the step from that worker for 2 s, so that it tries another one first.

--- a/crates/batch/src/policy.rs
+++ b/crates/batch/src/policy.rs
@@ -131,6 +131,7 @@
             unit,
             step,
             service,
+            now,
             tickets: None,
         };
         let need = step.reserved();
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -393,13 +393,15 @@
     }
 
     fn handle_failure(&mut self, worker: &str, id: &SubtaskId, now: Millis, wall_now: Millis) {
-        if let Some(w) = self.workers.get_mut(worker) {
-            w.record_failure(now);
-        }
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
         let endless = job.step(id).endless;
+        match self.workers.get_mut(worker) {
+            Some(w) if endless => w.record_endless_failure(id, now),
+            Some(w) => w.record_failure(now),
+            None => {}
+        }
         let limit = self
             .config
             .queue(&job.accepted.queue)
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -27,6 +27,7 @@
     pub(crate) unit: &'a Unit,
     pub(crate) step: &'a Step,
     pub(crate) service: &'a Text,
+    pub(crate) now: Millis,
     /// Check for tickets, if the queue requires them.
     pub(crate) tickets: Option<TicketCheck<'a>>,
 }
@@ -57,6 +58,7 @@
             unit,
             step,
             service,
+            now,
             tickets,
         }
     }
@@ -93,6 +95,7 @@
         let is_unrestricted = self.step.label.is_none()
             && self.step.data_rack.is_none()
             && self.step.max_per_worker == 0
+            && !self.step.endless
             && !self.step.fills
             && self.unit.isolation == Isolation::None
             && self.step.target.is_none()
@@ -181,6 +184,7 @@
     fn is_suitable(&self, candidate: &Candidate, service: usize) -> bool {
         if (candidate.reserved_for_urgent && self.unit.priority != URGENT_PRIORITY)
             || self.interferes_with(candidate)
+            || (self.step.endless && self.has_just_failed(candidate))
         {
             return false;
         }
@@ -193,6 +197,13 @@
             && self.step.label.as_ref().is_none_or(has_label)
     }
 
+    /// Returns whether a run of the step, which is endless, has just failed on the candidate.
+    fn has_just_failed(&self, candidate: &Candidate) -> bool {
+        let (job, step) = (&self.unit.job, self.unit.step);
+        let worker = self.worker(candidate);
+        worker.is_some_and(|w| w.has_failed_endless(job, step, self.now))
+    }
+
     fn has_ticket(&self, tickets: TicketCheck, candidate: &Candidate) -> bool {
         let incarnation = self.worker(candidate).map(|w| w.incarnation);
         let (Some(known), Some(incarnation)) = (tickets.known, incarnation) else {
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -28,6 +28,9 @@
 const PROBATION: Millis = Millis(500);
 /// Maximum number of doublings of [`PROBATION`].
 const MAX_PROBATION_DOUBLINGS: u32 = 4;
+/// Time for which a step of endless work is not started again on a worker where a run of it failed.
+/// Such work is to be back within 6 s of its last run.
+const ENDLESS_RETRY_DELAY: Millis = Millis(2_000);
 /// Time after which an outage no longer counts as recent.
 const OUTAGE_MEMORY: Millis = Millis(20_000);
 
@@ -83,6 +86,8 @@
     responding_since: Millis,
     /// Failed runs since the last success.
     pub(crate) failures: u32,
+    /// Steps of endless work, by job and index, of which a run has failed here, with the time.
+    failed_endless: Vec<(Text, usize, Millis)>,
 }
 
 impl Worker {
@@ -205,6 +210,25 @@
         }
     }
 
+    /// Records that a run of endless work has failed. Such work may fail at any time and never ends
+    /// with a success, so that it says nothing about the worker.
+    pub(crate) fn record_endless_failure(&mut self, task: &SubtaskId, now: Millis) {
+        self.failed_endless.retain(|(job, step, at)| {
+            let is_same = *job == task.job && *step == task.step;
+            !is_same && now.since(*at) < ENDLESS_RETRY_DELAY
+        });
+        let failure = (task.job.clone(), task.step, now);
+        self.failed_endless.push(failure);
+    }
+
+    /// Returns whether a run of a step of endless work has just failed here.
+    pub(crate) fn has_failed_endless(&self, job: &str, step: usize, now: Millis) -> bool {
+        self.failed_endless.iter().any(|(of_job, of_step, at)| {
+            let is_same = **of_job == *job && *of_step == step;
+            is_same && now.since(*at) < ENDLESS_RETRY_DELAY
+        })
+    }
+
     /// Returns whether the worker gets less work because runs have failed there.
     pub(crate) const fn is_failing(&self) -> bool {
         self.failures >= BACKOFF_FAILURES
--- a/crates/batch/tests/endless.rs
+++ b/crates/batch/tests/endless.rs
@@ -136,3 +136,48 @@
     let second = stops(&fleet.plan());
     assert!(second.iter().any(|o| &*o.task.job == "saves"), "{second:?}");
 }
+
+/// Guards against sound workers without work, because all endless runs there failed at the same moment:
+/// such work ends in no other way.
+#[test]
+fn failures_of_endless_work_do_not_spoil_their_workers() {
+    let mut fleet = Fleet::new(2);
+    let lasting = Step {
+        endless: true,
+        ..step(14, 1)
+    };
+    fleet.submit("lasting", 1, lasting);
+    let placed = starts(&fleet.plan());
+    assert_eq!(placed.len(), 14);
+    for order in &placed {
+        fleet.take(order);
+    }
+    fleet.advance(10_000);
+    for worker in ["w00", "w01"] {
+        let here = placed.iter().filter(|o| &*o.worker == worker);
+        let ends = here
+            .zip(1..)
+            .map(|(o, seq)| fleet::finished(o, seq, Outcome::Failed));
+        let ends = ends.collect();
+        fleet.report(worker, &[], ends);
+    }
+    fleet.submit("other", 1, step(2, 1));
+    let other = starts(&fleet.plan());
+    assert_eq!(other.len(), 2, "other work starts at once: {other:?}");
+    assert!(other.iter().all(|o| &*o.task.job == "other"));
+    assert!(fleet.scheduler.failing_workers().iter().next().is_none());
+    // 9 s after its last run endless work has to be back, wherever it fits.
+    fleet.advance(2_000);
+    assert_eq!(starts(&fleet.plan()).len(), 14);
+}
+
+/// Guards against endless work that is started again and again on a worker that fails all of it.
+#[test]
+fn endless_work_moves_away_from_where_it_fails() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("1", 1, serving());
+    let first = starts(&fleet.plan()).remove(0);
+    fleet.advance(500).finish(&first, 1, Outcome::Failed);
+    let second = starts(&fleet.plan()).remove(0);
+    assert_ne!(second.worker, first.worker);
+}
