node: an id belongs to one job

Cause: a submission that finds its row taken was answered 200, whatever the row held. An organisation's own second job under a used id was dropped in the same way.

Decision: the scope of an id is the whole deployment, because workers know subtasks by the id of the job and a position (docs/design.md, section 6). Change: on a conflict the stored job is compared; a repetition gets 200, another job 409. What earlier versions may have left out of a row is not compared.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -290,6 +290,30 @@
     pub spec: Spec,
 }
 
+impl AcceptedJob {
+    /// Returns whether this is a repeated submission of `other`. Of the steps only what each version
+    /// stores is compared: an earlier one may have left out the rest.
+    ///
+    /// ```
+    /// # let job = |text: &str| -> batch::job::AcceptedJob { serde_json::from_str(&format!(
+    /// #     r#"{{"id":"1","queue":"q","service":"s","organisation":null,"at":1,
+    /// #     "spec":{{"text":"{text}","steps":[{{"count":1}}],"repeat":null}}}}"#)).unwrap() };
+    /// assert!(job("a").is_repetition_of(&job("a")));
+    /// assert!(!job("a").is_repetition_of(&job("b")));
+    /// ```
+    pub fn is_repetition_of(&self, other: &Self) -> bool {
+        let shape = |job: &Self| -> Vec<(u32, Resources)> {
+            let steps = job.spec.steps.iter();
+            steps.map(|s| (s.count, s.need)).collect()
+        };
+        self.id == other.id
+            && self.organisation == other.organisation
+            && self.queue == other.queue
+            && self.spec.text == other.spec.text
+            && shape(self) == shape(other)
+    }
+}
+
 /// Identifies one subtask.
 #[derive(Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[display("{job}.{occurrence}.{step}.{index}")]
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -64,7 +64,8 @@
     Ok(Response::Ok().finish())
 }
 
-/// Stores the row of a job, unless the job is already stored or its id is cancelled.
+/// Stores the row of a job, unless the job is already stored, another job has its id or the id is
+/// cancelled.
 ///
 /// An attempt without an answer may be applied later. It checks that there is no cancellation, so that
 /// it has no effect after one was answered.
@@ -86,8 +87,8 @@
         };
         let stored = read_job(cx, &accepted.id).await;
         let stored = stored.map_err(|_| write.refusal())?;
-        if stored.job.is_some() {
-            return Ok(());
+        if let Some(row) = &stored.job {
+            return check_same(accepted, row);
         }
         if stored.is_cancelled_for(accepted.organisation.as_ref()) {
             log::info!(job:% = accepted.id, organisation:? = accepted.organisation; "accept: the id was cancelled before");
@@ -97,6 +98,23 @@
     }
 }
 
+/// Checks that a stored job is the one that was submitted, by its organisation, queue and work. An id
+/// belongs to one job of the whole deployment, because workers know subtasks by it.
+fn check_same(accepted: &AcceptedJob, row: &Row) -> Result<(), Refusal> {
+    let Some(known) = rows::from_json::<AcceptedJob>(row) else {
+        return Err(Refusal::Unknown);
+    };
+    if accepted.is_repetition_of(&known) {
+        return Ok(());
+    }
+    log::info!(
+        job:% = accepted.id, queue:% = accepted.queue, organisation:? = accepted.organisation,
+        stored_queue:% = known.queue, stored_version = row.version;
+        "accept: another job has the id"
+    );
+    Err(Refusal::IdInUse)
+}
+
 /// A write that is repeated until its outcome is known or the deadline passes.
 struct RetriedWrite {
     deadline: Millis,
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -24,6 +24,8 @@
     NoJob,
     /// The caller's organisation has cancelled the id before; no job with it runs.
     Cancelled,
+    /// Another job has the id.
+    IdInUse,
     /// The outcome is unknown: the request may have been carried out.
     Unknown,
 }
@@ -50,6 +52,7 @@
             Self::Store => "store",
             Self::NoJob => "no_job",
             Self::Cancelled => "cancelled",
+            Self::IdInUse => "id_in_use",
             Self::Unknown => "unknown",
         }
     }
@@ -63,6 +66,7 @@
             Self::Method => StatusCode::METHOD_NOT_ALLOWED,
             Self::ConfigAge | Self::Store => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoJob | Self::Cancelled => StatusCode::GONE,
+            Self::IdInUse => StatusCode::CONFLICT,
             Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
         }
     }
