--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -30,6 +30,7 @@
 mod reports;
 mod reserve;
 mod retention;
+mod run_end;
 pub mod scheduler;
 mod search;
 mod victims;
