batch: a run that was done before its lease was over counts

Cause: a run whose lease is over is removed, and an end of it that is listed later was dropped, acknowledged, and the subtask started again. Trace: 'lease of the run is over' at 18.1 s, the end Done, current false, at 20.2 s, the second run at 29.5 s. Ruled out: a lease taken for over too early (the worker lists another run as lapsed).

Other late ends are ignored as before.

Tests: batch a_run_that_was_done_before_its_lease_was_over_counts and a_gang_that_was_done_before_its_lease_was_over_counts failed before. the_end_of_a_superseded_run_is_ignored asked that a late Done be ignored, which is the fault; it now asks that of the five other outcomes, three times each, and that Done counts is asserted in its place.

--- a/crates/batch/src/run_end.rs
+++ b/crates/batch/src/run_end.rs
@@ -29,7 +29,7 @@
             "batch: end"
         );
         if !current {
-            return;
+            return self.handle_late_end(worker, finished, now, wall_now);
         }
         self.run_ends.push(finished.outcome);
         if let Some(task) = self.subtask_mut(id)
@@ -38,6 +38,10 @@
             task.checkpoint = finished.checkpoint.clone();
         }
         self.remove_run(id);
+        // An earlier run was done after all.
+        if self.subtask(id).is_some_and(|t| t.done) && finished.outcome != Outcome::Done {
+            return;
+        }
         match finished.outcome {
             Outcome::Done if self.step_of(id).is_some_and(|s| s.endless) => {}
             Outcome::Done => self.handle_done(worker, id, now, wall_now),
@@ -48,6 +52,29 @@
         }
     }
 
+    /// Handles the end of a run that is not the current one of its subtask. One that was done before its
+    /// lease was over, on a worker that could not tell, counts: a later run is stopped.
+    fn handle_late_end(
+        &mut self,
+        worker: &str,
+        finished: &FinishedRun,
+        now: Millis,
+        wall_now: Millis,
+    ) {
+        let id = &finished.task;
+        let was_lapsed = self.take_lapsed_run(worker, finished);
+        let is_open = self.phase(&id.job).is_some_and(|p| !p.is_final());
+        let is_endless = self.step_of(id).is_some_and(|s| s.endless);
+        let is_done = self.subtask(id).is_none_or(|t| t.done);
+        if !was_lapsed || finished.outcome != Outcome::Done || !is_open || is_endless || is_done {
+            return;
+        }
+        log::info!(task:% = id, attempt = finished.attempt, worker; "batch: done before its lease was over");
+        self.stop_gang(id, now);
+        self.handle_done(worker, id, now, wall_now);
+        self.dirty.push(id.job.clone());
+    }
+
     fn handle_done(&mut self, worker: &str, id: &SubtaskId, now: Millis, wall_now: Millis) {
         if let Some(w) = self.workers.get_mut(worker) {
             w.record_success();
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -14,7 +14,7 @@
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
     worker::{Action, Order, Outcome, WorkerInfo},
-    worker_end::{LostWorker, Outage, WorkerEnd},
+    worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
 };
 
@@ -82,6 +82,8 @@
     pub(crate) run_ends: Vec<Outcome>,
     /// Recent outages of workers.
     pub(crate) outages: Vec<Outage>,
+    /// Runs whose lease expired, which may have ended before that.
+    pub(crate) lapsed_runs: Vec<LapsedRun>,
     /// Workers whose lease expired for an unknown reason.
     pub(crate) unexplained_losses: Vec<LostWorker>,
     /// Time when the last reading of the VM list began.
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -7,6 +7,7 @@
     job::{Resources, SubtaskId, Text},
     progress::{ClosedStart, Run, RunState},
     scheduler::JobScheduler,
+    worker::FinishedRun,
     worker_state::Worker,
 };
 
@@ -93,6 +94,16 @@
     pub(crate) is_unproven: bool,
 }
 
+/// A run on a worker that did not answer until its lease was over.
+#[derive(Clone, Debug)]
+pub(crate) struct LapsedRun {
+    worker: Text,
+    incarnation: u64,
+    task: SubtaskId,
+    attempt: u32,
+    expired_at: Millis,
+}
+
 /// Time span in which a worker went away.
 #[derive(Clone, Debug)]
 pub(crate) struct Outage {
@@ -267,9 +278,32 @@
             gave_up: false,
         });
         self.remove_lost_runs(&lost, now);
+        self.lapsed_runs
+            .retain(|r| now.since(r.expired_at) <= OUTAGE_MEMORY);
+        self.lapsed_runs
+            .extend(lost.runs.iter().map(|run| LapsedRun {
+                worker: lost.id.clone(),
+                incarnation: lost.incarnation,
+                task: run.task.clone(),
+                attempt: run.attempt,
+                expired_at: now,
+            }));
         self.unexplained_losses.push(lost);
     }
 
+    /// Returns whether a finished run is one whose lease expired before its worker reported the end, and
+    /// forgets it.
+    pub(crate) fn take_lapsed_run(&mut self, worker: &str, finished: &FinishedRun) -> bool {
+        let incarnation = self.workers.get(worker).map(|w| w.incarnation);
+        let position = self.lapsed_runs.iter().position(|r| {
+            *r.worker == *worker
+                && Some(r.incarnation) == incarnation
+                && r.task == finished.task
+                && r.attempt == finished.attempt
+        });
+        position.map(|i| self.lapsed_runs.swap_remove(i)).is_some()
+    }
+
     fn remove_lost_runs(&mut self, lost: &LostWorker, now: Millis) {
         for run in &lost.runs {
             self.remove_run(&run.task);
