node: a leader waits for the end of an unexpected run

Cause: a renewal is answered without a delay where no known run exists, so that ends are acknowledged at once; a run that is only being stopped was not thought of. Change: it is waited for like a known one (1.5 s at most, and at once when a run ends there).

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     config::Config,
-    job::{Step, SubtaskId, Text},
+    job::{Resources, Step, SubtaskId, Text},
     jobs::Jobs,
     open_job::Job,
     policy::{PolicyRequest, StepId, StepTickets},
@@ -305,6 +305,16 @@
         self.workers.get(worker).map_or(0, |w| w.runs.len())
     }
 
+    /// Returns whether a worker has listed runs that should not exist and are being stopped.
+    ///
+    /// ```
+    /// assert!(!batch::scheduler::JobScheduler::default().has_unexpected_runs("w"));
+    /// ```
+    pub fn has_unexpected_runs(&self, worker: &str) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|w| w.unexpected != Resources::default())
+    }
+
     /// Returns whether an earlier leader placed runs on a worker that has not reported since.
     ///
     /// ```
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -276,7 +276,9 @@
 /// placed, only a report tells whether they have started.
 fn report_delay(leader: &Leader, worker: &Text) -> Millis {
     let scheduler = leader.scheduler.borrow();
-    if scheduler.runs_on(worker) > 0 && !scheduler.has_adopted_runs(worker) {
+    // Of an unexpected run only the end is waited for.
+    let has_runs = scheduler.runs_on(worker) > 0 || scheduler.has_unexpected_runs(worker);
+    if has_runs && !scheduler.has_adopted_runs(worker) {
         HOLD_TIME
     } else {
         Millis::ZERO
