--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -133,11 +133,11 @@
                 "batch: worker crashed under the run"
             );
         }
-        for run in lost.runs.iter().filter(|r| r.is_unproven) {
+        for run in lost.runs.iter().filter(|r| r.may_have_existed) {
             let Some(task) = self.subtask_mut(&run.task).filter(|t| !t.done) else {
                 continue;
             };
-            task.is_unproven = true;
+            task.has_unproven_crash = true;
             self.dirty.push(run.task.job.clone());
             log::info!(
                 task:% = run.task, attempt = run.attempt, worker:% = lost.id;
@@ -185,7 +185,7 @@
     /// ```
     pub fn needs_contact(&self, task: &SubtaskId) -> bool {
         self.subtask(task)
-            .is_some_and(|t| t.is_unproven || t.crashes > 0)
+            .is_some_and(|t| t.has_unproven_crash || t.crashes > 0)
     }
 
     /// Finds the losses that a new VM list explains.
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -136,7 +136,7 @@
     pub crashes: u32,
     /// Whether a worker ended after a start that it had not answered, which may not have reached it.
     #[serde(rename = "u", skip_serializing_if = "std::ops::Not::not")]
-    pub is_unproven: bool,
+    pub has_unproven_crash: bool,
     /// Whether the subtask is done.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -91,7 +91,7 @@
     /// carried out, and a run that was stopped may have ended before.
     pub(crate) existed: bool,
     /// Whether a start of it was sent right before the worker went away, and may have reached it.
-    pub(crate) is_unproven: bool,
+    pub(crate) may_have_existed: bool,
 }
 
 /// A run on a worker that did not answer until its lease was over.
@@ -345,7 +345,7 @@
                 age: run.known_age(from),
                 fresh: run.is_fresh(from),
                 existed,
-                is_unproven: !existed && run.start_closed_at(from).is_some(),
+                may_have_existed: !existed && run.start_closed_at(from).is_some(),
             })
         });
         let runs: Vec<LostRun> = runs.collect();
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -59,7 +59,7 @@
         } else {
             Content::Many
         };
-        let mut batch = fill(&cx, &leader, &outbox, &pending, content);
+        let mut batch = next_batch(&cx, &leader, &outbox, &pending, content);
         if !batch.is_empty() {
             let pause = match commit_txn(&cx, &leader, &mut batch).await {
                 Ok(()) => {
@@ -68,7 +68,7 @@
                 }
                 Err(CommitError::Rejected) if batch.is_single() => {
                     singles = 0;
-                    give_up(&cx, &leader, &mut pending, batch);
+                    skip_rejected(&cx, &leader, &mut pending, batch);
                     Millis::ZERO
                 }
                 Err(CommitError::Rejected) => {
@@ -136,7 +136,7 @@
 }
 
 /// Returns as many changes as one transaction holds, or one if `content` says so.
-fn fill(
+fn next_batch(
     cx: &Cx,
     leader: &Leader,
     outbox: &Outbox,
@@ -232,7 +232,7 @@
 }
 
 /// Handles a transaction of one item that the store rejects for good, so that it holds up no other one.
-fn give_up(cx: &Cx, leader: &Leader, pending: &mut PendingCounts, batch: Batch) {
+fn skip_rejected(cx: &Cx, leader: &Leader, pending: &mut PendingCounts, batch: Batch) {
     for change in &batch.changes {
         match change.kind {
             ChangeKind::Progress | ChangeKind::End => {
