cli: tests of frozen and lost schedulers wait for the starts that they count

Traced: the phase of a job is shown once it is committed, its starts are sent after that, and the test read the workers' histories in between.

The two tests that read a history right after 'running' wait until a task of the job has started, and then assert what they did before.

--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -326,6 +326,7 @@
     });
     system.wait_for_phase("second", "running", MAX_TAKEOVER_TIME);
     assert_eq!(system.phase(0, "first"), "running");
+    wait_for_start(&system, "second");
     let starts = check_runs(&system);
     assert_eq!((starts["first"], starts["second"]), (2, 1));
 }
@@ -350,6 +351,7 @@
     system.schedulers[old].thaw();
     assert_eq!(system.submit(0, "third", 1).unwrap().status, 202);
     system.wait_for_phase("third", "running", MAX_TAKEOVER_TIME);
+    wait_for_start(&system, "third");
     let starts = check_runs(&system);
     assert_eq!(
         (starts["first"], starts["second"], starts["third"]),
@@ -460,6 +462,16 @@
     })
 }
 
+/// Waits until a task of a job has started. The phase is stored before the starts are sent.
+fn wait_for_start(system: &System, job: &str) {
+    wait_until("a task starts", MAX_TAKEOVER_TIME, || {
+        let workers = system.workers.workers();
+        let mut runs = workers.iter().flat_map(worker::Worker::history);
+        runs.any(|run| run.attempt.job.name.to_string() == job)
+            .then_some(())
+    });
+}
+
 /// Asserts that no accelerator was used by two tasks at the same time; returns the number of task
 /// starts by job.
 fn check_runs(system: &System) -> BTreeMap<String, usize> {
