--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -152,19 +152,19 @@
         };
         let crashes = |r: &LostRun| self.subtask(&r.task).map_or(0, |t| t.crashes);
         let culprit = culprit(lost);
-        let is_at_fault = |r: &&&LostRun| {
-            let limit = match &culprit {
-                Some(job) if r.task.job == *job => limit.min(MAX_CRASHES_IN_ALL),
-                _ => MAX_CRASHES_IN_ALL,
-            };
-            crashes(r) >= limit
+        let limit_of = |r: &LostRun| match &culprit {
+            Some(job) if r.task.job == *job => limit.min(MAX_CRASHES_IN_ALL),
+            _ => MAX_CRASHES_IN_ALL,
         };
-        let mut at_fault: Vec<&LostRun> = suspects.iter().filter(is_at_fault).copied().collect();
+        let at_fault = suspects.iter().filter(|r| crashes(r) >= limit_of(r));
+        let mut at_fault: Vec<&LostRun> = at_fault.copied().collect();
         at_fault.sort_by_key(|r| (&r.task.job, Reverse(crashes(r))));
         at_fault.dedup_by_key(|r| &r.task.job);
-        let at_fault = at_fault.into_iter().map(|r| (r.task.clone(), crashes(r)));
+        let at_fault = at_fault
+            .into_iter()
+            .map(|r| (r.task.clone(), crashes(r), limit_of(r)));
         let mut gave_up = false;
-        for (task, crashes) in at_fault.collect::<Vec<_>>() {
+        for (task, crashes, limit) in at_fault.collect::<Vec<_>>() {
             if self.phase(&task.job).is_none_or(Phase::is_final) {
                 continue;
             }
