batch, node: a stop is not repeated while it may be answered or take effect

Cause: a report that lists a run being stopped orders another stop 400 ms after the last order, counted from the decision: while the first one still waits for its commit or its turn, while its answer is on the way, and while it takes effect, which may last 0.9 s there. The more runs are stopped at once, the longer each stop takes, and the more are sent.

Now a stop is under way until it is answered or given up. After an answer it is repeated once the time that a stop may take (worker_stop_ms, from the platform's settings) has passed, without an answer after 400 ms. A stop that is not sent counts as unanswered; such a one was forgotten before.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -33,6 +33,7 @@
 mod run_end;
 pub mod scheduler;
 mod search;
+mod stop_order;
 mod victims;
 pub mod worker;
 pub mod worker_end;
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -224,6 +224,7 @@
             taken_at: None,
             closed_start: None,
             stop_ordered_at: None,
+            stop_order: None,
             ordered_at: now,
             percent: 0,
             awaits_reply: false,
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -7,6 +7,7 @@
 use crate::{
     isolation::AloneWait,
     job::{AcceptedJob, Spec, SpecError, Text},
+    stop_order::StopOrder,
 };
 
 /// Phase of a job.
@@ -93,6 +94,9 @@
     /// Time of the first stop order.
     #[serde(skip)]
     pub(crate) stop_ordered_at: Option<Millis>,
+    /// What became of the last stop order; `None` before the first one of this leader.
+    #[serde(skip)]
+    pub(crate) stop_order: Option<StopOrder>,
     /// Time of the last order about the run.
     #[serde(skip)]
     pub(crate) ordered_at: Millis,
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -6,6 +6,7 @@
     job::{Resources, Step, SubtaskId, Text},
     progress::{ClosedStart, Phase, RunState},
     scheduler::JobScheduler,
+    stop_order::StopOrder,
     worker::{Action, Order, Refusal, Report, Running, StartReply},
     worker_end::PROVING_TIME,
 };
@@ -135,9 +136,26 @@
         };
         // The time of the first reply counts: the run can't start after it.
         run.answered_at.get_or_insert(now);
+        run.stop_order = Some(StopOrder::Answered(now));
         !run.listed
     }
 
+    /// Records that a stop order was given up without an answer, so that the next report that lists
+    /// the run repeats it.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// JobScheduler::default().handle_unanswered_stop(&task, 1, Millis(1));
+    /// ```
+    pub fn handle_unanswered_stop(&mut self, id: &SubtaskId, attempt: u32, now: Millis) {
+        let task = self.subtask_mut(id).filter(|t| t.attempt == attempt);
+        if let Some(run) = task.and_then(|t| t.run.as_mut()) {
+            run.stop_order = Some(StopOrder::Unanswered(now));
+        }
+    }
+
     /// Handles a worker's report. `sent` is the time when the request for it was sent.
     ///
     /// ```
@@ -289,6 +307,7 @@
             {
                 run.answered_at = None;
                 run.listed = false;
+                run.stop_order = None;
             }
         }
     }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -13,15 +13,12 @@
     policy::{PolicyRequest, StepId, StepTickets},
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
+    stop_order::{DEFAULT_STOP_TIME, StopOrder},
     worker::{Action, Order, Outcome, WorkerInfo},
     worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
 };
 
-/// Time after which a stop without effect is sent again. A worker answers within milliseconds, and
-/// an unresponsive connection has been replaced by then.
-const STOP_RETRY: Millis = Millis(400);
-
 /// Changes to commit.
 #[derive(Debug, Default)]
 pub struct PendingChanges {
@@ -76,6 +73,8 @@
     pub(crate) restore_time: Millis,
     /// Interval at which workers write their entries in the VM list.
     pub(crate) worker_heartbeat: Option<Millis>,
+    /// Maximum time that a stop takes at a worker.
+    pub(crate) stop_time: Option<Millis>,
     pub(crate) started_jobs: Vec<(u32, Millis)>,
     pub(crate) worker_ends: Vec<WorkerEnd>,
     /// Outcomes of the runs that workers reported as finished.
@@ -110,6 +109,16 @@
         }
     }
 
+    /// Sets the maximum time that a stop takes at a worker.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// batch::scheduler::JobScheduler::default().set_stop_time(Millis(900));
+    /// ```
+    pub fn set_stop_time(&mut self, time: Millis) {
+        self.stop_time = Some(time);
+    }
+
     /// Returns the phase of a job.
     ///
     /// ```
@@ -444,8 +453,9 @@
     }
 
     /// Orders a stop of the subtask's run, if it has one. A stop that was ordered before is
-    /// repeated after [`STOP_RETRY`].
+    /// repeated once its worker has not answered it, or has answered it and still lists the run.
     pub(crate) fn stop(&mut self, task: &SubtaskId, now: Millis) {
+        let stop_time = self.stop_time.unwrap_or(DEFAULT_STOP_TIME);
         let Some(t) = self.subtask_mut(task) else {
             return;
         };
@@ -453,10 +463,16 @@
         let Some(run) = &mut t.run else {
             return;
         };
-        if run.state == RunState::Stopping && now.since(run.ordered_at) < STOP_RETRY {
+        let is_ordered = run.state == RunState::Stopping;
+        if is_ordered
+            && run
+                .stop_order
+                .is_some_and(|o| !o.is_due_again(stop_time, now))
+        {
             return;
         }
         run.state = RunState::Stopping;
+        run.stop_order = Some(StopOrder::UnderWay);
         run.stop_ordered_at.get_or_insert(now);
         run.ordered_at = now;
         let worker = run.worker.clone();
--- a/crates/batch/tests/takeover_histories.rs
+++ b/crates/batch/tests/takeover_histories.rs
@@ -197,7 +197,7 @@
                     self.report(worker);
                 }
             }
-            Action::Stop => {}
+            Action::Stop => scheduler.handle_unanswered_stop(task, attempt, now),
         }
     }
 
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -54,6 +54,7 @@
     let mut scheduler = leader.scheduler.borrow_mut();
     *scheduler = JobScheduler::new(cx.cfg.restore_ms);
     scheduler.set_worker_heartbeat(cx.cfg.worker_heartbeat_ms);
+    scheduler.set_stop_time(cx.cfg.worker_stop_ms);
     // Without its progress or phase, a job would count as new and run again.
     for id in unreadable {
         log::error!(job:% = id, reason = "malformed row"; "leader: job set aside");
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -147,7 +147,7 @@
     };
     cx.metrics.count_order("stop", outcome);
     if reply != Reply::Done(()) {
-        return;
+        return handle_unanswered_stop(leader, order);
     }
     permit.set_answered();
     drop(permit);
@@ -203,13 +203,19 @@
     handle_unsent(leader, order);
 }
 
-/// Handles a start that was not sent like one without a reply: it is repeated or stopped.
+/// Handles an order that was not sent like one without a reply: it is repeated, or a start is stopped.
 fn handle_unsent(leader: &Leader, order: &Order) {
-    if matches!(order.action, Action::Start { .. }) {
-        handle_start_reply(leader, order, StartReply::Unknown);
+    match order.action {
+        Action::Start { .. } => handle_start_reply(leader, order, StartReply::Unknown),
+        Action::Stop => handle_unanswered_stop(leader, order),
     }
 }
 
+fn handle_unanswered_stop(leader: &Leader, order: &Order) {
+    let mut scheduler = leader.scheduler.borrow_mut();
+    scheduler.handle_unanswered_stop(&order.task, order.attempt, clock::now());
+}
+
 fn handle_start_reply(leader: &Leader, order: &Order, reply: StartReply) {
     // An accepted start is not logged, because the end of its run is.
     if reply != StartReply::Taken {
