batch, node: stops of runs that are gone are not sent, those of unexpected runs not with each report

Each report that lists a run which should not exist ordered another stop of it.

A stop is now sent only if its run may exist or its worker lists it, and the stops of unexpected runs have the same rule of repetition as others.

Tests: batch stops, the_stop_of_an_unexpected_run_is_repeated_like_others (before: a stop with each report), a_stop_of_a_run_that_is_gone_is_not_wanted (new rule).

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -132,6 +132,7 @@
     pub fn handle_stop_reply(&mut self, id: &SubtaskId, attempt: u32, now: Millis) -> bool {
         let task = self.subtask_mut(id).filter(|t| t.attempt == attempt);
         let Some(run) = task.and_then(|t| t.run.as_mut()) else {
+            self.record_unexpected_stop(id, attempt, StopOrder::Answered(now));
             return false;
         };
         // The time of the first reply counts: the run can't start after it.
@@ -151,8 +152,9 @@
     /// ```
     pub fn handle_unanswered_stop(&mut self, id: &SubtaskId, attempt: u32, now: Millis) {
         let task = self.subtask_mut(id).filter(|t| t.attempt == attempt);
-        if let Some(run) = task.and_then(|t| t.run.as_mut()) {
-            run.stop_order = Some(StopOrder::Unanswered(now));
+        match task.and_then(|t| t.run.as_mut()) {
+            Some(run) => run.stop_order = Some(StopOrder::Unanswered(now)),
+            None => self.record_unexpected_stop(id, attempt, StopOrder::Unanswered(now)),
         }
     }
 
@@ -248,9 +250,7 @@
             t.attempt == running.attempt && here
         });
         let Some(task) = current else {
-            log::info!(task:% = running.task, attempt = running.attempt, worker; "batch: unexpected run, stopping");
-            self.order_stop(worker.into(), running.task.clone(), running.attempt);
-            return;
+            return self.stop_unexpected(worker, &running.task, running.attempt, now);
         };
         if !running.checkpoint.is_empty() {
             task.checkpoint = running.checkpoint.clone();
@@ -290,8 +290,14 @@
             let need = self.step_of(&running.task).map_or(capacity, Step::reserved);
             unexpected.add(need, 1);
         }
+        let is_listed = |task: &SubtaskId, attempt: u32| {
+            let mut running = report.running.iter();
+            running.any(|r| r.task == *task && r.attempt == attempt)
+        };
         if let Some(w) = self.workers.get_mut(worker) {
             w.unexpected = unexpected;
+            w.unexpected_stops
+                .retain(|(task, attempt, _)| is_listed(task, *attempt));
         }
     }
 
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -13,7 +13,7 @@
     policy::{PolicyRequest, StepId, StepTickets},
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
-    stop_order::{DEFAULT_STOP_TIME, StopOrder},
+    stop_order::StopOrder,
     worker::{Action, Order, Outcome, WorkerInfo},
     worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
@@ -455,7 +455,7 @@
     /// Orders a stop of the subtask's run, if it has one. A stop that was ordered before is
     /// repeated once its worker has not answered it, or has answered it and still lists the run.
     pub(crate) fn stop(&mut self, task: &SubtaskId, now: Millis) {
-        let stop_time = self.stop_time.unwrap_or(DEFAULT_STOP_TIME);
+        let stop_time = self.stop_time();
         let Some(t) = self.subtask_mut(task) else {
             return;
         };
--- a/crates/batch/src/stop_order.rs
+++ b/crates/batch/src/stop_order.rs
@@ -6,6 +6,11 @@
 
 use base::clock::Millis;
 
+use crate::{
+    job::{SubtaskId, Text},
+    scheduler::JobScheduler,
+};
+
 /// Maximum time that a stop takes at a worker, if the settings don't tell.
 pub(crate) const DEFAULT_STOP_TIME: Millis = Millis(1_000);
 /// Time after which an order that failed, or one without effect, is sent again.
@@ -33,3 +38,67 @@
         }
     }
 }
+
+impl JobScheduler {
+    /// Returns whether a stop order is still to be sent: the run may exist, or the worker lists it
+    /// although it should not exist.
+    ///
+    /// ```
+    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// assert!(!JobScheduler::default().is_stop_wanted(&"w".into(), &task, 1));
+    /// ```
+    pub fn is_stop_wanted(&self, worker: &Text, task: &SubtaskId, attempt: u32) -> bool {
+        let subtask = self.subtask(task).filter(|t| t.attempt == attempt);
+        let run = subtask.and_then(|t| t.run.as_ref());
+        run.is_some_and(|r| r.worker == *worker)
+            || self.workers.get(worker).is_some_and(|w| {
+                let mut stops = w.unexpected_stops.iter();
+                stops.any(|(t, a, _)| t == task && *a == attempt)
+            })
+    }
+
+    /// Orders a stop of a listed run that should not exist, unless one is still to take effect.
+    pub(crate) fn stop_unexpected(
+        &mut self,
+        worker: &str,
+        task: &SubtaskId,
+        attempt: u32,
+        now: Millis,
+    ) {
+        let stop_time = self.stop_time();
+        let Some(w) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let stops = &mut w.unexpected_stops;
+        match stops
+            .iter_mut()
+            .find(|(t, a, _)| t == task && *a == attempt)
+        {
+            Some((.., order)) if !order.is_due_again(stop_time, now) => return,
+            Some((.., order)) => *order = StopOrder::UnderWay,
+            None => stops.push((task.clone(), attempt, StopOrder::UnderWay)),
+        }
+        log::info!(task:%, attempt, worker; "batch: unexpected run, stopping");
+        self.order_stop(worker.into(), task.clone(), attempt);
+    }
+
+    /// Records what became of the stop of a run that should not exist.
+    pub(crate) fn record_unexpected_stop(
+        &mut self,
+        task: &SubtaskId,
+        attempt: u32,
+        order: StopOrder,
+    ) {
+        for (_, worker) in self.workers.iter_mut() {
+            let stops = worker.unexpected_stops.iter_mut();
+            for (.., known) in stops.filter(|(t, a, _)| t == task && *a == attempt) {
+                *known = order;
+            }
+        }
+    }
+
+    pub(crate) fn stop_time(&self) -> Millis {
+        self.stop_time.unwrap_or(DEFAULT_STOP_TIME)
+    }
+}
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     job::{Resources, SubtaskId, Text},
+    stop_order::StopOrder,
     worker::WorkerInfo,
     worker_end::Outage,
 };
@@ -52,6 +53,8 @@
     pub(crate) entry_written_after: Option<Millis>,
     /// Resources of listed runs that should not exist and are being stopped.
     pub(crate) unexpected: Resources,
+    /// Stops of these runs, by subtask and attempt.
+    pub(crate) unexpected_stops: Vec<(SubtaskId, u32, StopOrder)>,
     /// Current incarnation; 0 if unknown.
     pub(crate) incarnation: u64,
     /// Incarnation whose end a report or a later entry has shown, and when.
@@ -176,6 +179,7 @@
         self.stored_seq = 0;
         self.replaced = false;
         self.unexpected = Resources::default();
+        self.unexpected_stops.clear();
         self.outage = None;
         self.clock = None;
     }
--- a/crates/batch/tests/stops.rs
+++ b/crates/batch/tests/stops.rs
@@ -4,7 +4,7 @@
 
 use base::clock::Millis;
 use batch::worker::Order;
-use fleet::{Fleet, starts, step, stops};
+use fleet::{Fleet, starts, step, stops, subtask};
 
 /// Maximum time that a stop takes at a worker.
 const STOP_TIME: Millis = Millis(900);
@@ -68,3 +68,46 @@
     assert_eq!(stop_times(Answer::At(100))[1], 1_400);
     assert_eq!(stop_times(Answer::Fails(700))[1], 1_100);
 }
+
+/// Guards against a stop with each report that lists a run which should not exist.
+#[test]
+fn the_stop_of_an_unexpected_run_is_repeated_like_others() {
+    let mut fleet = Fleet::new(1);
+    fleet.scheduler.set_stop_time(STOP_TIME);
+    let unexpected = Order {
+        worker: "w00".into(),
+        task: subtask("5.0.0.0"),
+        attempt: 3,
+        action: batch::worker::Action::Stop,
+    };
+    let mut times = Vec::new();
+    for ms in (0..3_000).step_by(50) {
+        fleet.report("w00", &[&unexpected], Vec::new());
+        times.extend(stops(&fleet.plan()).iter().map(|_| ms));
+        if ms == 100 {
+            let now = fleet.now;
+            fleet.scheduler.handle_stop_reply(&unexpected.task, 3, now);
+        }
+        fleet.advance(50);
+    }
+    assert_eq!(times, [0, 1_400]);
+}
+
+/// Guards against stops that wait for their turn and are sent although the run is known to be gone.
+#[test]
+fn a_stop_of_a_run_that_is_gone_is_not_wanted() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 8));
+    let started = starts(&fleet.plan()).remove(0);
+    fleet.take(&started);
+    let (now, wall_now) = (fleet.now, fleet.wall());
+    assert!(fleet.scheduler.cancel("1", now, wall_now));
+    let stop = stops(&fleet.plan()).remove(0);
+    let is_wanted = |fleet: &Fleet| {
+        let scheduler = &fleet.scheduler;
+        scheduler.is_stop_wanted(&stop.worker, &stop.task, stop.attempt)
+    };
+    assert!(is_wanted(&fleet));
+    fleet.advance(10).report("w00", &[], Vec::new());
+    assert!(!is_wanted(&fleet));
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -138,6 +138,14 @@
 ) {
     // A run that has ended meanwhile can be stopped as well: its number is not used again.
     let (task, attempt) = (&order.task, order.attempt);
+    let is_wanted = leader
+        .scheduler
+        .borrow()
+        .is_stop_wanted(&order.worker, task, attempt);
+    if !is_wanted {
+        cx.metrics.count_order("stop", "not_sent");
+        return;
+    }
     let reply = cx.workers.stop(target, task, attempt, permit.limit).await;
     log::info!(task:%, attempt, worker:% = order.worker, reply:?; "orders: stop");
     let outcome = if reply == Reply::Done(()) {
