batch, platform: a start that was not sent is no refusal of its worker

Such a start is now sent again, once; nothing has been sent, so it can't run twice. A refused connection still counts at once.

--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -228,6 +228,7 @@
             ordered_at: now,
             percent: 0,
             awaits_reply: false,
+            unsent_starts: 0,
             unanswered_starts: 0,
             has_lost_start: false,
             listed: false,
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -106,6 +106,9 @@
     /// Whether a start was ordered whose reply is not known yet.
     #[serde(skip)]
     pub(crate) awaits_reply: bool,
+    /// Number of start orders that were not sent.
+    #[serde(skip)]
+    pub(crate) unsent_starts: u32,
     /// Number of start orders without an answer.
     #[serde(skip)]
     pub(crate) unanswered_starts: u32,
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -14,6 +14,8 @@
 /// Number of unanswered starts after which the run is stopped. The second start makes up for a lost
 /// reply. A gang gives up before its members have waited for `gang-timeout` (3 s).
 const MAX_UNANSWERED_STARTS: u32 = 3;
+/// Number of starts that were not sent after which the worker counts as refusing them.
+const MAX_UNSENT_STARTS: u32 = 2;
 
 impl JobScheduler {
     /// Handles a worker's reply to a start order.
@@ -59,6 +61,7 @@
                 }
             }
             StartReply::Refused(refusal) => self.handle_refusal(id, refusal, now),
+            StartReply::NotSent => self.handle_unsent_start(id, now),
             StartReply::Unknown | StartReply::Closed => {
                 // A start that has been under way for longer may not have been carried out when the
                 // worker crashed for another reason.
@@ -83,6 +86,20 @@
         }
     }
 
+    /// Orders a start again that was not sent. The leader's own link may be the reason, so that the
+    /// first time says nothing about the worker.
+    fn handle_unsent_start(&mut self, id: &SubtaskId, now: Millis) {
+        let Some(run) = self.run_mut(id) else {
+            return;
+        };
+        run.unsent_starts += 1;
+        if run.unsent_starts >= MAX_UNSENT_STARTS {
+            self.handle_refusal(id, Refusal::Unhealthy, now);
+        } else if run.state == RunState::Ordered {
+            self.order_start(id, now);
+        }
+    }
+
     /// Records that a try of a start order has no answer, although the order was answered when it was
     /// sent again. It is called before the reply is handled.
     ///
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -132,6 +132,8 @@
     /// without an answer may, see
     /// [`handle_lost_start`](crate::scheduler::JobScheduler::handle_lost_start).
     Refused(Refusal),
+    /// The order was not sent, because no connection to the worker was opened in time.
+    NotSent,
     /// No reply: the order may still be carried out.
     Unknown,
     /// The connection closed without a reply: the order may have been carried out, and the worker may
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -190,6 +190,7 @@
 const fn outcome(reply: StartReply) -> &'static str {
     match reply {
         StartReply::Taken => "taken",
+        StartReply::NotSent => "not_sent",
         StartReply::Unknown | StartReply::Closed => "unknown",
         StartReply::Refused(refusal) => match refusal {
             Refusal::Fenced => "fenced",
