node: orders wait for a valid lease instead of being given up

An order whose turn came while the leader's own lease had lapsed was given up. For a start that counted as a try without an answer, three at once, which stopped the whole gang; a stop was forgotten until a later report.

The order now waits until the lease is valid again, which is when it may be sent at the earliest, or the leadership ends. The checks whether it is still wanted follow after that, as before.

--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -21,6 +21,8 @@
 /// only a report that was requested later than the reply shows whether the run still exists.
 const REPORT_DELAY: Millis = Millis(5);
 
+/// Interval at which an order that waits for a valid lease looks for it.
+const LEASE_POLL_INTERVAL: Millis = Millis(20);
 /// Interval at which a start that waits for the configuration looks for it.
 const CONFIG_POLL_INTERVAL: Millis = Millis(20);
 
@@ -35,6 +37,7 @@
     if matches!(order.action, Action::Start { .. }) {
         wait_for_config(&cx, &leader).await;
     }
+    wait_for_lease(&cx, &leader, &order).await;
     let Some(calls) = worker_session::calls(&leader, &order.worker) else {
         log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
         return handle_unsent(&leader, &order);
@@ -43,13 +46,14 @@
         log::info!(task:% = order.task, worker:% = order.worker; "orders: not sent to a silent worker");
         return handle_unsent(&leader, &order);
     };
+    wait_for_lease(&cx, &leader, &order).await;
+    if leader.ended.get() {
+        return;
+    }
     let Some(target) = worker_session::target(&leader, &order.worker) else {
         log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
         return handle_unsent(&leader, &order);
     };
-    if !may_send(&cx, &leader) {
-        return handle_unsendable(&leader, &order);
-    }
     match order.action {
         Action::Start { .. } => send_start(&cx, &leader, &order, &target, permit).await,
         Action::Stop => send_stop(&cx, &leader, &order, &target, permit).await,
@@ -78,8 +82,9 @@
             return refuse_unsent(cx, leader, order, Refusal::Unhealthy);
         }
         permit.set_answered();
-        if !may_send(cx, leader) {
-            return handle_unsendable(leader, order);
+        wait_for_lease(cx, leader, order).await;
+        if leader.ended.get() {
+            return;
         }
     }
     let limit = permit.limit.since(clock::now().since(began));
@@ -136,7 +141,6 @@
     target: &Target,
     mut permit: Permit,
 ) {
-    // A run that has ended meanwhile can be stopped as well: its number is not used again.
     let (task, attempt) = (&order.task, order.attempt);
     let is_wanted = leader
         .scheduler
@@ -175,8 +179,16 @@
     handle_start_reply(leader, order, StartReply::Refused(refusal));
 }
 
-fn may_send(cx: &Cx, leader: &Leader) -> bool {
-    !leader.ended.get() && cx.acting().is_some()
+/// Waits until the leader has a valid lease, or its leadership has ended. An order that is given up
+/// instead would be decided and stored anew, or leave a run that should have been stopped.
+async fn wait_for_lease(cx: &Cx, leader: &Leader, order: &Order) {
+    if leader.ended.get() || cx.acting().is_some() {
+        return;
+    }
+    log::info!(task:% = order.task, attempt = order.attempt; "orders: waits for a valid lease");
+    while !leader.ended.get() && cx.acting().is_none() {
+        cx::sleep(LEASE_POLL_INTERVAL).await;
+    }
 }
 
 /// Waits until the configuration has been read. Without it, each worker seems to check its capacity
@@ -205,13 +217,6 @@
     }
 }
 
-/// Handles an order of a leader without a valid lease. It repeats the order after its next renewal, or
-/// the next leader does.
-fn handle_unsendable(leader: &Leader, order: &Order) {
-    log::info!(task:% = order.task; "orders: not sent without a valid lease");
-    handle_unsent(leader, order);
-}
-
 /// Handles an order that was not sent like one without a reply: it is repeated, or a start is stopped.
 fn handle_unsent(leader: &Leader, order: &Order) {
     match order.action {
