node: a lease that was just renewed is not extended out of turn

Leases renewed within the last 0.75 s are left out. The pause after such extensions is as long, so that it ends before the next risk: after a pause of 1.5 s the lease (0.9 s) could lapse in it.

--- a/crates/node/src/extension.rs
+++ b/crates/node/src/extension.rs
@@ -13,7 +13,7 @@
 use crate::{
     cx::{self, Cx},
     leader::Leader,
-    worker_session::{self, HOLD_TIME},
+    worker_session::{self, HOLD_TIME, RECENT_RENEWAL},
 };
 
 /// Number of workers that are called at the same time. Each call takes a few milliseconds.
@@ -33,9 +33,13 @@
         if is_at_risk {
             extend_all(&cx, &leader);
         }
-        // While the store is slow the lease is at risk all the time. The sequential renewals are at
-        // most this old.
-        let wait = if is_at_risk { HOLD_TIME } else { at.since(now) };
+        // A renewal of the leader's lease ends the risk for longer than this pause, so that the next
+        // risk is not missed. Leases that were just renewed are left out.
+        let wait = if is_at_risk {
+            RECENT_RENEWAL
+        } else {
+            at.since(now)
+        };
         cx::sleep(wait.max(MIN_CHECK_INTERVAL)).await;
     }
 }
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -22,8 +22,8 @@
 
 /// Time for which a worker delays its reply to a renewal while no run finishes there.
 pub(crate) const HOLD_TIME: Millis = Millis(1_500);
-/// Time allowed for the reply in addition to the requested delay.
-const ANSWER_TIME: Millis = Millis(700);
+/// Age of a renewal up to which a lease needs no extension: half of [`HOLD_TIME`].
+pub(crate) const RECENT_RENEWAL: Millis = Millis(750);
 /// Delay after a failed renewal.
 const RETRY_DELAY: Millis = Millis(200);
 /// Maximum wait for the commit of reported finished runs before the next renewal.
@@ -66,6 +66,8 @@
     address: Option<net::SocketAddr>,
     /// Leases granted by this leader.
     grants: Grants,
+    /// Time of the last renewal that the worker answered.
+    renewed_at: Millis,
     /// Incarnation of the worker and the last sequence number that was acknowledged to it.
     acked: (u64, u64),
     /// Whether the worker may have restarted since its last report, because a renewal failed.
@@ -306,6 +308,7 @@
     }
     match answer.reply {
         Reply::Done(report) => {
+            record_renewal(leader, worker, sent);
             handle_report(leader, worker, &report, sent, acked);
             if !report.finished.is_empty() {
                 // The worker replies at once while finished runs are not acknowledged.
@@ -329,7 +332,22 @@
     }
 }
 
-/// Extends the lease of a worker at once, beside the sequential renewal, if the worker answers.
+fn record_renewal(leader: &Leader, worker: &Text, sent: Millis) {
+    if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
+        session.renewed_at = session.renewed_at.max(sent);
+    }
+}
+
+/// Returns whether the lease of a worker was renewed so lately that an extension gains little.
+fn is_renewed(leader: &Leader, worker: &Text) -> bool {
+    let sessions = leader.sessions.borrow();
+    sessions
+        .get(worker)
+        .is_some_and(|s| clock::now().since(s.renewed_at) < RECENT_RENEWAL)
+}
+
+/// Extends the lease of a worker at once, beside the sequential renewal, if the worker answers and
+/// the lease was not renewed just before.
 pub(crate) async fn extend_lease(cx: &Cx, leader: &Rc<Leader>, worker: &Text) {
     let Some(calls) = calls(leader, worker) else {
         return;
@@ -402,6 +420,9 @@
     match cx.workers.renew(&target, call, permit.limit).await.reply {
         Reply::Done(report) => {
             permit.set_answered();
+            if lease_end.is_some() {
+                record_renewal(leader, worker, sent);
+            }
             handle_report(leader, worker, &report, sent, None);
         }
         reply => log::debug!(worker:%, reply:?; "workers: no report beside the renewals"),
