node: the pause between reads of the VM list follows the time that they take

The pause is now four times as long as the read took, at least 0.8 s as before, and at most as long as the time after which a draining worker gets no new work allows (worker_drain_ms, from the platform's settings).

--- a/crates/node/src/node_cfg.rs
+++ b/crates/node/src/node_cfg.rs
@@ -43,6 +43,8 @@
     pub worker_lease_ms: Millis,
     /// Interval at which workers write their entries in the VM list.
     pub worker_heartbeat_ms: Millis,
+    /// Time after which a worker that has announced its shutdown gets no new work.
+    pub worker_drain_ms: Millis,
     /// Maximum time that a stop takes at a worker.
     pub worker_stop_ms: Millis,
     /// Time after which every node refuses a removed API key.
@@ -85,6 +87,7 @@
             connections: 2_000,
             worker_lease_ms: Millis(6_000),
             worker_heartbeat_ms: Millis(1_500),
+            worker_drain_ms: Millis(2_000),
             worker_stop_ms: Millis(1_000),
             revoke_ms: Millis(5_000),
             restore_ms: Millis(600),
--- a/crates/node/src/worker_list.rs
+++ b/crates/node/src/worker_list.rs
@@ -16,8 +16,13 @@
     load, worker_session,
 };
 
-/// Interval between two reads. A worker must get no new work 2 s after it announced its shutdown.
-const READ_INTERVAL: Millis = Millis(800);
+/// Minimum interval between two reads.
+const MIN_INTERVAL: Millis = Millis(800);
+/// Pause between two reads, as a multiple of the time that the last one took. The list of all workers
+/// is long for the link of a small VM.
+const PAUSE_FACTOR: u64 = 4;
+/// Time from the reading of the list to the last start that follows from it.
+const START_TIME: Millis = Millis(400);
 /// Delay after a failed read.
 const RETRY_DELAY: Millis = Millis(200);
 
@@ -54,11 +59,20 @@
             cx::sleep(RETRY_DELAY).await;
             continue;
         };
+        let took = clock::now().since(list.read_at);
         update(&leader, &list, &mut malformed);
-        cx::sleep(READ_INTERVAL).await;
+        cx::sleep(pause(took, cx.cfg.worker_drain_ms)).await;
     }
 }
 
+/// Returns the pause after a read that took `took`. A worker must get no new work `drain` after it
+/// announced its shutdown, which the next read may miss and the one after it shows.
+fn pause(took: Millis, drain: Millis) -> Millis {
+    let latest = drain.since(Millis(2 * took.0) + START_TIME);
+    let wanted = Millis(PAUSE_FACTOR * took.0);
+    wanted.min(latest).max(MIN_INTERVAL)
+}
+
 /// Applies the list. A malformed entry is skipped, and logged once unless its error changes.
 fn update(leader: &Leader, list: &VmList, malformed: &mut SortedMap<Text, String>) {
     let mut infos = Vec::with_capacity(list.rows.len());
