batch, node: the calls to all workers share a window

Cause: all orders of a leader were sent at once, one connection or two for each worker, with a fixed limit of 700 ms for the answer. On a link or processor that carries less, all become slow together; those that are not answered in time are sent again, stopped and placed anew, the renewals of the leader's own lease wait behind them, and the repeats fill what the first tries need.

The calls under way to all workers are now bounded by the time that answers take (additive increase, multiplicative decrease, above 200 ms); the others wait at the leader, extensions and stops before urgent starts, those before other starts, reports last, each in order, so that the members of a gang go out together. A call without an answer leaves the window after the usual time of an answer, so that silent workers hold up no others. The limit of a call follows the measured time of answers, 0.7 s as before to 1.4 s. Deferrable work is not placed while more starts wait than can be sent in a second.

--- a/crates/batch/src/call_queue.rs
+++ b/crates/batch/src/call_queue.rs
@@ -9,6 +9,8 @@
 
 use base::clock::Millis;
 
+use crate::answer_time::MIN_CALL_LIMIT;
+
 /// Maximum number of calls under way to a worker. With the renewal of its lease that makes three
 /// connections, for which a VM has room with the 1,100 workers of a large site.
 const MAX_CALLS: usize = 2;
@@ -18,13 +20,9 @@
 /// Time in which the calls that wait should be sent; the more there are, the shorter one holds up
 /// the next one. The members of a gang wait for each other for at least 3 s.
 const QUEUE_TIME: Millis = Millis(1_000);
-/// Time for which a call waits for a worker that answers no call.
-const MAX_SILENCE: Millis = Millis(700);
-/// Maximum time for the answer to a call.
-const MAX_CALL: Millis = Millis(700);
-/// Maximum time for a wait for a silent worker and the call after it. Three tries of a start fit
-/// into the time that the members of a gang wait for each other (3 s).
-const MAX_TRY: Millis = Millis(800);
+/// Time by which the wait for a silent worker and the call after it together may exceed the time
+/// limit of one call.
+const EXTRA_TRY: Millis = Millis(100);
 
 /// Place of a call among those that wait.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -57,14 +55,29 @@
 /// queue.end(first, true, Millis(7));
 /// assert_eq!(queue.advance(Millis(7)), [(second, Turn::Send(Millis(700)))]);
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CallQueue {
     next_id: u64,
     waiting: VecDeque<Waiting>,
-    /// Calls under way with the times when they were sent, the oldest first.
-    under_way: Vec<(u64, Millis)>,
-    /// Time of the last answer.
-    answered_at: Millis,
+    /// Calls under way with the times when they were sent, the oldest first; `None` while such a call
+    /// is [held](Self::hold).
+    under_way: Vec<(u64, Option<Millis>)>,
+    /// Time since when no call has been answered; `None` if the last one was.
+    silent_since: Option<Millis>,
+    /// Time limit for the answer to a call, also for the silence of the worker while calls wait.
+    limit: Millis,
+}
+
+impl Default for CallQueue {
+    fn default() -> Self {
+        Self {
+            next_id: 0,
+            waiting: VecDeque::new(),
+            under_way: Vec::new(),
+            silent_since: None,
+            limit: MIN_CALL_LIMIT,
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -102,7 +115,62 @@
     pub fn end(&mut self, id: u64, answered: bool, now: Millis) {
         self.under_way.retain(|(call, _)| *call != id);
         if answered {
-            self.answered_at = now;
+            // Calls that are still under way have been silent from now on.
+            let is_sent = |(_, sent): &(u64, Option<Millis>)| sent.is_some();
+            self.silent_since = self.under_way.iter().any(is_sent).then_some(now);
+        }
+    }
+
+    /// Sets the time limit for the answers to the calls that are sent from now on.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// use batch::call_queue::{CallQueue, Place, Turn};
+    /// let mut queue = CallQueue::default();
+    /// queue.set_limit(Millis(1_500));
+    /// let id = queue.add(Place::Last, Millis(5));
+    /// assert_eq!(queue.advance(Millis(5)), [(id, Turn::Send(Millis(1_500)))]);
+    /// ```
+    pub const fn set_limit(&mut self, limit: Millis) {
+        self.limit = limit;
+    }
+
+    /// Records that a call whose turn has come is not sent yet, for a reason outside of the worker.
+    /// The worker is not silent meanwhile.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// use batch::call_queue::{CallQueue, Place};
+    /// let mut queue = CallQueue::default();
+    /// let id = queue.add(Place::Last, Millis(5));
+    /// queue.add(Place::Last, Millis(5));
+    /// queue.advance(Millis(5));
+    /// queue.hold(id);
+    /// assert!(queue.next_at().is_none(), "the second call waits for the first");
+    /// queue.mark_sent(id, Millis(900));
+    /// assert!(queue.next_at().is_some());
+    /// ```
+    pub fn hold(&mut self, id: u64) {
+        self.set_sent(id, None);
+        if self.under_way.iter().all(|(_, sent)| sent.is_none()) {
+            self.silent_since = None;
+        }
+    }
+
+    /// Records that a [held](Self::hold) call is sent.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// batch::call_queue::CallQueue::default().mark_sent(1, Millis(1));
+    /// ```
+    pub fn mark_sent(&mut self, id: u64, now: Millis) {
+        self.set_sent(id, Some(now));
+        self.silent_since.get_or_insert(now);
+    }
+
+    fn set_sent(&mut self, id: u64, sent: Option<Millis>) {
+        if let Some(call) = self.under_way.iter_mut().find(|(call, _)| *call == id) {
+            call.1 = sent;
         }
     }
 
@@ -114,11 +182,13 @@
     /// assert!(batch::call_queue::CallQueue::default().advance(Millis(1)).is_empty());
     /// ```
     pub fn advance(&mut self, now: Millis) -> Vec<(u64, Turn)> {
-        let answered_at = self.answered_at;
+        let (silent_since, limit) = (self.silent_since, self.limit);
+        let silence =
+            |w: &Waiting| silent_since.map_or(Millis::ZERO, |t| now.since(t.max(w.since)));
         let mut turns = Vec::new();
-        if now.since(answered_at) >= MAX_SILENCE {
+        if silent_since.is_some() {
             self.waiting.retain(|w| {
-                let is_silent = now.since(w.since.max(answered_at)) >= MAX_SILENCE;
+                let is_silent = silence(w) >= limit;
                 if is_silent {
                     turns.push((w.id, Turn::GiveUp));
                 }
@@ -128,10 +198,10 @@
         while self.free_at().is_some_and(|t| t <= now)
             && let Some(next) = self.waiting.pop_front()
         {
-            let silent = now.since(next.since.max(answered_at));
-            let limit = Millis(MAX_TRY.0 - silent.0).min(MAX_CALL);
-            self.under_way.push((next.id, now));
-            turns.push((next.id, Turn::Send(limit)));
+            let rest = (limit + EXTRA_TRY).since(silence(&next)).min(limit);
+            self.under_way.push((next.id, Some(now)));
+            self.silent_since.get_or_insert(now);
+            turns.push((next.id, Turn::Send(rest)));
         }
         turns
     }
@@ -144,15 +214,18 @@
     /// ```
     pub fn next_at(&self) -> Option<Millis> {
         let oldest = self.waiting.iter().map(|w| w.since).min()?;
-        let given_up_at = oldest.max(self.answered_at) + MAX_SILENCE;
-        Some(self.free_at().map_or(given_up_at, |t| t.min(given_up_at)))
+        let given_up_at = self.silent_since.map(|t| oldest.max(t) + self.limit);
+        [self.free_at(), given_up_at].into_iter().flatten().min()
     }
 
     /// Returns the time from which one more call may be sent.
     fn free_at(&self) -> Option<Millis> {
         let waiting = self.waiting.len().max(1) as u64;
         let hold_up = Millis(QUEUE_TIME.0 / waiting).min(MAX_HOLD_UP);
-        let last = self.under_way.last().map(|(_, sent)| *sent + hold_up);
-        (self.under_way.len() < MAX_CALLS).then(|| last.unwrap_or_default())
+        match self.under_way.last() {
+            _ if self.under_way.len() >= MAX_CALLS => None,
+            Some((_, sent)) => sent.map(|t| t + hold_up),
+            None => Some(Millis::ZERO),
+        }
     }
 }
--- /dev/null
+++ b/crates/batch/src/call_window.rs
@@ -0,0 +1,252 @@
+//! Number and order of the calls to all workers.
+//!
+//! All calls of a leader share the link and the processor of its VM. If more were under way than these
+//! carry, all would become slow together, be given up and be sent again, and the repeats would fill
+//! what the first tries need. So the number of calls under way follows the time that answers take
+//! (additive increase, multiplicative decrease), and the others wait here, the more important ones
+//! first.
+
+use std::collections::VecDeque;
+
+use base::clock::Millis;
+
+use crate::answer_time::AnswerTime;
+
+/// Number of calls under way before any is answered.
+const INITIAL_SIZE: f64 = 48.0;
+/// Minimum number of calls under way. The members of a small gang are sent together.
+const MIN_SIZE: f64 = 8.0;
+/// Maximum number of calls under way, for which a VM has room beside a connection to each of the
+/// 1,100 workers of a large site.
+const MAX_SIZE: f64 = 512.0;
+/// Time of an answer above which fewer calls are sent. Renewals of the leader's lease (0.9 s) share
+/// the link.
+const SLOW_ANSWER: Millis = Millis(200);
+/// Factor by which the number decreases after a slow answer.
+const DECREASE: f64 = 0.7;
+/// Increase of the number for as many answers as there are calls under way.
+const INCREASE: f64 = 4.0;
+/// Minimum time after which a call without an answer leaves the window, so that silent workers don't
+/// hold up the calls to others.
+const MIN_OVERDUE: Millis = Millis(100);
+/// Maximum time, likewise.
+const MAX_OVERDUE: Millis = Millis(700);
+/// Time whose starts may wait here. Gangs wait for their members for at least 3 s.
+const QUEUE_TIME: Millis = Millis(1_000);
+/// Minimum of [`CallWindow::max_starts`].
+const MIN_STARTS: usize = 32;
+/// Minimum time of an answer that [`CallWindow::max_starts`] assumes.
+const MIN_ANSWER: Millis = Millis(20);
+
+/// Importance of a call, the highest first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Class {
+    /// Extension of the lease of what runs.
+    Extension,
+    /// Stop, for which rules set a time and which frees resources for starts.
+    Stop,
+    /// Start of urgent work.
+    UrgentStart,
+    /// Other start.
+    Start,
+    /// Request for a report.
+    Report,
+}
+
+/// Number of classes.
+const CLASSES: usize = 5;
+
+/// The calls to all workers that wait or are under way, apart from the sequential renewals.
+///
+/// ```
+/// use base::clock::Millis;
+/// use batch::call_window::{CallWindow, Class};
+///
+/// let mut window = CallWindow::default();
+/// let start = window.add(Class::Start);
+/// let stop = window.add(Class::Stop);
+/// assert_eq!(window.advance(Millis(5)), [stop, start]);
+/// window.end(stop, true, Millis(9));
+/// ```
+#[derive(Debug)]
+pub struct CallWindow {
+    next_id: u64,
+    size: f64,
+    waiting: [VecDeque<u64>; CLASSES],
+    /// Calls under way with the times when they were sent, the oldest first.
+    under_way: VecDeque<(u64, Millis)>,
+    /// Calls that have left the window without an answer and may still get one.
+    overdue: Vec<(u64, Millis)>,
+    answer_time: AnswerTime,
+    /// Time of the last decrease.
+    decreased_at: Millis,
+    /// Calls that were answered, and those that became overdue, since the last decrease.
+    answered: usize,
+    missed: usize,
+}
+
+impl Default for CallWindow {
+    fn default() -> Self {
+        Self {
+            next_id: 0,
+            size: INITIAL_SIZE,
+            waiting: Default::default(),
+            under_way: VecDeque::new(),
+            overdue: Vec::new(),
+            answer_time: AnswerTime::default(),
+            decreased_at: Millis::ZERO,
+            answered: 0,
+            missed: 0,
+        }
+    }
+}
+
+impl CallWindow {
+    /// Adds a call that waits for its turn, and returns its number.
+    ///
+    /// ```
+    /// use batch::call_window::{CallWindow, Class};
+    /// assert_eq!(CallWindow::default().add(Class::Stop), 1);
+    /// ```
+    pub fn add(&mut self, class: Class) -> u64 {
+        self.next_id += 1;
+        self.waiting[class as usize].push_back(self.next_id);
+        self.next_id
+    }
+
+    /// Returns the numbers of the calls whose turn has come, which are under way from now on.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// assert!(batch::call_window::CallWindow::default().advance(Millis(1)).is_empty());
+    /// ```
+    pub fn advance(&mut self, now: Millis) -> Vec<u64> {
+        self.remove_overdue(now);
+        let mut turns = Vec::new();
+        while self.under_way.len() < self.size as usize
+            && let Some(id) = self.waiting.iter_mut().find_map(VecDeque::pop_front)
+        {
+            self.under_way.push_back((id, now));
+            turns.push(id);
+        }
+        turns
+    }
+
+    /// Records that a call whose turn has come has ended, with or without an answer.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// batch::call_window::CallWindow::default().end(1, false, Millis(1));
+    /// ```
+    pub fn end(&mut self, id: u64, answered: bool, now: Millis) {
+        let is_this = |(call, _): &(u64, Millis)| *call == id;
+        let found = match self.under_way.iter().position(is_this) {
+            Some(i) => self.under_way.remove(i),
+            None => {
+                let i = self.overdue.iter().position(is_this);
+                i.map(|i| self.overdue.swap_remove(i))
+            }
+        };
+        let Some((_, sent)) = found else {
+            return;
+        };
+        let took = now.since(sent);
+        // A few silent workers say nothing about the time of the others' answers.
+        if answered || self.missed > self.answered {
+            self.answer_time.record(took);
+        }
+        if !answered {
+            return;
+        }
+        if took <= SLOW_ANSWER {
+            self.answered += 1;
+            self.size = (self.size + INCREASE / self.size).min(MAX_SIZE);
+        } else {
+            self.decrease(sent, now);
+        }
+    }
+
+    /// Returns the time of the next [`advance`](Self::advance) if no call ends before, or `None` if
+    /// no call waits.
+    ///
+    /// ```
+    /// assert!(batch::call_window::CallWindow::default().next_at().is_none());
+    /// ```
+    pub fn next_at(&self) -> Option<Millis> {
+        self.waiting.iter().find(|w| !w.is_empty())?;
+        let oldest = self.under_way.front();
+        Some(oldest.map_or(Millis::ZERO, |(_, sent)| *sent + self.overdue_after()))
+    }
+
+    /// Returns the time limit for the answer to a call that is sent now.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// assert_eq!(batch::call_window::CallWindow::default().call_limit(), Millis(700));
+    /// ```
+    pub fn call_limit(&self) -> Millis {
+        self.answer_time.call_limit()
+    }
+
+    /// Returns how many starts may wait for their answers before further work is placed. Starts that
+    /// wait for longer would only hold resources, and gangs would end before all members have come.
+    ///
+    /// ```
+    /// assert!(batch::call_window::CallWindow::default().max_starts() >= 32);
+    /// ```
+    pub fn max_starts(&self) -> usize {
+        let answer = self.answer_time.mean().max(MIN_ANSWER);
+        let in_time = self.size * QUEUE_TIME.0 as f64 / answer.0 as f64;
+        (in_time as usize).max(MIN_STARTS)
+    }
+
+    /// Returns the maximum number of calls under way.
+    ///
+    /// ```
+    /// assert_eq!(batch::call_window::CallWindow::default().size(), 48);
+    /// ```
+    pub fn size(&self) -> usize {
+        self.size as usize
+    }
+
+    /// Returns the number of calls that wait for their turn.
+    ///
+    /// ```
+    /// assert_eq!(batch::call_window::CallWindow::default().waiting(), 0);
+    /// ```
+    pub fn waiting(&self) -> usize {
+        self.waiting.iter().map(VecDeque::len).sum()
+    }
+
+    fn overdue_after(&self) -> Millis {
+        let usual = self.answer_time.usual_maximum();
+        usual.max(MIN_OVERDUE).min(MAX_OVERDUE)
+    }
+
+    fn remove_overdue(&mut self, now: Millis) {
+        let after = self.overdue_after();
+        while let Some(call) = self
+            .under_way
+            .pop_front_if(|(_, sent)| now.since(*sent) >= after)
+        {
+            self.overdue.push(call);
+            self.missed += 1;
+            // A few silent workers are no shortage.
+            if self.missed > self.answered.max(MIN_SIZE as usize) {
+                self.decrease(call.1, now);
+            }
+        }
+    }
+
+    /// Decreases the size for a slow call that was sent at `sent`, once for all calls that were under
+    /// way together.
+    fn decrease(&mut self, sent: Millis, now: Millis) {
+        if sent < self.decreased_at {
+            return;
+        }
+        self.size = (self.size * DECREASE).max(MIN_SIZE);
+        self.decreased_at = now;
+        self.answered = 0;
+        self.missed = 0;
+    }
+}
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,7 +7,9 @@
 //!
 //! Fields and variables named `task` refer to subtasks.
 
+pub mod answer_time;
 pub mod call_queue;
+pub mod call_window;
 mod candidates;
 mod capacity;
 pub mod config;
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -58,8 +58,16 @@
             now,
         };
         pass.candidates.reserve_for_urgent(reserve);
+        let mut starts = self.unanswered_starts();
+        let max_starts = self.max_starts.unwrap_or(usize::MAX);
         for unit in units {
+            // A start that can't be sent soon would only hold resources.
+            if starts >= max_starts && unit.priority != URGENT_PRIORITY {
+                continue;
+            }
+            let orders = self.orders.len();
             self.place_unit(&unit, &mut pass, wall_now);
+            starts += self.orders.len() - orders;
         }
     }
 
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::{
-    config::Config,
+    config::{Config, URGENT_PRIORITY},
     job::{Resources, Step, SubtaskId, Text},
     jobs::Jobs,
     open_job::Job,
@@ -75,6 +75,8 @@
     pub(crate) worker_heartbeat: Option<Millis>,
     /// Maximum time that a stop takes at a worker.
     pub(crate) stop_time: Option<Millis>,
+    /// Number of starts without an answer from which no more work is placed; `None` for no limit.
+    pub(crate) max_starts: Option<usize>,
     pub(crate) started_jobs: Vec<(u32, Millis)>,
     pub(crate) worker_ends: Vec<WorkerEnd>,
     /// Outcomes of the runs that workers reported as finished.
@@ -119,6 +121,35 @@
         self.stop_time = Some(time);
     }
 
+    /// Sets the number of starts that may wait for their answers before further deferrable work is
+    /// placed.
+    ///
+    /// ```
+    /// batch::scheduler::JobScheduler::default().set_max_starts(100);
+    /// ```
+    pub fn set_max_starts(&mut self, max: usize) {
+        self.max_starts = Some(max);
+    }
+
+    /// Returns whether a subtask belongs to urgent work.
+    ///
+    /// ```
+    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// assert!(!JobScheduler::default().is_urgent(&task));
+    /// ```
+    pub fn is_urgent(&self, task: &SubtaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let queue = job.and_then(|j| self.config.queue(&j.accepted.queue));
+        queue.is_some_and(|q| q.priority == URGENT_PRIORITY)
+    }
+
+    /// Returns the number of starts that are not answered yet.
+    pub(crate) fn unanswered_starts(&self) -> usize {
+        let runs = self.jobs.active().flat_map(Job::runs);
+        runs.filter(|(_, run)| run.awaits_reply).count()
+    }
+
     /// Returns the phase of a job.
     ///
     /// ```
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -9,11 +9,17 @@
     clock::{self, Millis},
     sorted::SortedMap,
 };
-use batch::call_queue::{CallQueue, Place, Turn};
+use batch::{
+    call_queue::{CallQueue, Place, Turn},
+    call_window::Class,
+};
 use ntex::rt;
 use tokio::sync::{self, oneshot};
 
-use crate::cx;
+use crate::{
+    turns,
+    window::{Slot, Window},
+};
 
 /// Calls to one worker; clones share them.
 #[derive(Clone, Debug, Default)]
@@ -38,12 +44,17 @@
     /// Time limit for the answer.
     pub(crate) limit: Millis,
     answered: bool,
+    /// Place among the calls to all workers.
+    slot: Option<Slot>,
 }
 
 impl Permit {
     /// Records that the worker has answered the call.
     pub(crate) fn set_answered(&mut self) {
         self.answered = true;
+        if let Some(slot) = &mut self.slot {
+            slot.set_answered();
+        }
     }
 }
 
@@ -57,23 +68,36 @@
 }
 
 impl Calls {
-    /// Waits for the turn of a call. Returns `None` if it is not to be sent, because the worker
-    /// answers no call.
-    pub(crate) async fn acquire(&self, place: Place) -> Option<Permit> {
+    /// Waits for the turn of a call, at the worker and then among those to all workers. Returns
+    /// `None` if it is not to be sent, because the worker answers no call.
+    pub(crate) async fn acquire(
+        &self,
+        place: Place,
+        window: &Window,
+        class: Class,
+    ) -> Option<Permit> {
         let (tx, rx) = oneshot::channel();
-        let id = self.0.queue.borrow_mut().add(place, clock::now());
+        let mut queue = self.0.queue.borrow_mut();
+        queue.set_limit(window.call_limit());
+        let id = queue.add(place, clock::now());
+        drop(queue);
         self.0.waiting.borrow_mut().insert(id, tx);
         self.advance();
-        rx.await.ok()
+        let mut permit = rx.await.ok()?;
+        self.0.queue.borrow_mut().hold(id);
+        permit.slot = Some(window.acquire(class).await?);
+        self.0.queue.borrow_mut().mark_sent(id, clock::now());
+        self.advance();
+        Some(permit)
     }
 
     /// Waits for the turn of a request for a report. Returns `None` also if another one waits,
     /// which will be sent later than now.
-    pub(crate) async fn acquire_for_report(&self) -> Option<Permit> {
+    pub(crate) async fn acquire_for_report(&self, window: &Window) -> Option<Permit> {
         if self.0.is_report_due.replace(true) {
             return None;
         }
-        let permit = self.acquire(Place::Last).await;
+        let permit = self.acquire(Place::Last, window, Class::Report).await;
         self.0.is_report_due.set(false);
         permit
     }
@@ -88,6 +112,7 @@
                     id,
                     limit,
                     answered: false,
+                    slot: None,
                 };
                 // If nobody waits any more, the permit comes back and the call ends.
                 drop(tx.map(|tx| tx.send(permit)));
@@ -95,22 +120,13 @@
         }
         self.0.changed.notify_one();
         if self.0.queue.borrow().next_at().is_some() && !self.0.has_timer.replace(true) {
-            rt::spawn(run_timer(self.clone())).detach();
-        }
-    }
-}
-
-/// Advances the queue at the times of its next turns while calls wait.
-async fn run_timer(calls: Calls) {
-    loop {
-        let next = calls.0.queue.borrow().next_at();
-        let Some(at) = next else {
-            break;
-        };
-        tokio::select! {
-            () = cx::sleep(at.since(clock::now())) => calls.advance(),
-            () = calls.0.changed.notified() => {}
+            let calls = self.clone();
+            rt::spawn(async move {
+                let next_at = || calls.0.queue.borrow().next_at();
+                turns::run_timer(&calls.0.changed, next_at, || calls.advance()).await;
+                calls.0.has_timer.set(false);
+            })
+            .detach();
         }
     }
-    calls.0.has_timer.set(false);
 }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -22,6 +22,7 @@
     cx::{self, Cx},
     extension, intake, load, policy, retention,
     rows::FailingRow,
+    window::Window,
     worker_list,
     worker_session::{self, WorkerSession},
 };
@@ -40,6 +41,8 @@
     pub(crate) started_at: Millis,
     pub(crate) scheduler: RefCell<JobScheduler>,
     pub(crate) sessions: RefCell<SortedMap<Text, WorkerSession>>,
+    /// Calls to all workers beside the renewals of their leases.
+    pub(crate) window: Window,
     /// Phases of the jobs as stored.
     pub(crate) stored_phases: RefCell<SortedMap<Text, Phase>>,
     /// Number of rows that hold the stored progress of each job.
@@ -92,6 +95,7 @@
             started_at: clock::now(),
             scheduler: RefCell::default(),
             sessions: RefCell::default(),
+            window: Window::default(),
             stored_phases: RefCell::default(),
             progress_rows: RefCell::default(),
             held_back: RefCell::default(),
@@ -173,6 +177,7 @@
         // Without the configuration no queue has a priority, and each worker seems to check its
         // capacity itself.
         if cx.config_age().is_some() {
+            scheduler.set_max_starts(leader.window.max_starts());
             scheduler.place(now, wall_now);
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,5 +30,7 @@
 mod refusal;
 mod retention;
 mod rows;
+mod turns;
+mod window;
 mod worker_list;
 mod worker_session;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -5,6 +5,7 @@
 use base::clock::{self, Millis};
 use batch::{
     call_queue::Place,
+    call_window::Class,
     worker::{Action, Order, Refusal, StartReply},
 };
 use ntex::rt;
@@ -42,7 +43,10 @@
         log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
         return handle_unsent(&leader, &order);
     };
-    let Some(permit) = calls.acquire(Place::Last).await else {
+    let Some(permit) = calls
+        .acquire(Place::Last, &leader.window, class(&leader, &order))
+        .await
+    else {
         log::info!(task:% = order.task, worker:% = order.worker; "orders: not sent to a silent worker");
         return handle_unsent(&leader, &order);
     };
@@ -60,6 +64,16 @@
     }
 }
 
+fn class(leader: &Leader, order: &Order) -> Class {
+    match order.action {
+        Action::Stop => Class::Stop,
+        Action::Start { .. } if leader.scheduler.borrow().is_urgent(&order.task) => {
+            Class::UrgentStart
+        }
+        Action::Start { .. } => Class::Start,
+    }
+}
+
 async fn send_start(
     cx: &Cx,
     leader: &Rc<Leader>,
--- /dev/null
+++ b/crates/node/src/window.rs
@@ -0,0 +1,98 @@
+//! Calls to all workers beside the sequential renewals, in the order and number of a [`CallWindow`].
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use base::{
+    clock::{self, Millis},
+    sorted::SortedMap,
+};
+use batch::call_window::{CallWindow, Class};
+use ntex::rt;
+use tokio::sync::{self, oneshot};
+
+use crate::turns;
+
+/// Calls of a leader to all workers; clones share them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Window(Rc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    window: RefCell<CallWindow>,
+    waiting: RefCell<SortedMap<u64, oneshot::Sender<Slot>>>,
+    /// Notified when the time of the next turn may have changed.
+    changed: sync::Notify,
+    has_timer: Cell<bool>,
+}
+
+/// Place of a call in the window, which it leaves when the slot is dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    window: Window,
+    id: u64,
+    answered: bool,
+}
+
+impl Slot {
+    /// Records that the call was answered.
+    pub(crate) fn set_answered(&mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut window = self.window.0.window.borrow_mut();
+        window.end(self.id, self.answered, clock::now());
+        drop(window);
+        self.window.advance();
+    }
+}
+
+impl Window {
+    /// Waits for the turn of a call. Returns `None` if the leadership has ended.
+    pub(crate) async fn acquire(&self, class: Class) -> Option<Slot> {
+        let (tx, rx) = oneshot::channel();
+        let id = self.0.window.borrow_mut().add(class);
+        self.0.waiting.borrow_mut().insert(id, tx);
+        self.advance();
+        rx.await.ok()
+    }
+
+    /// Returns the time limit for the answer to a call.
+    pub(crate) fn call_limit(&self) -> Millis {
+        self.0.window.borrow().call_limit()
+    }
+
+    /// Returns how many starts may wait for their answers before further work is placed.
+    pub(crate) fn max_starts(&self) -> usize {
+        self.0.window.borrow().max_starts()
+    }
+
+    fn advance(&self) {
+        let turns = self.0.window.borrow_mut().advance(clock::now());
+        for id in turns {
+            let tx = self.0.waiting.borrow_mut().remove(&id);
+            let slot = Slot {
+                window: self.clone(),
+                id,
+                answered: false,
+            };
+            // If nobody waits any more, the slot comes back and the call ends.
+            drop(tx.map(|tx| tx.send(slot)));
+        }
+        self.0.changed.notify_one();
+        if self.0.window.borrow().next_at().is_some() && !self.0.has_timer.replace(true) {
+            let window = self.clone();
+            rt::spawn(async move {
+                let next_at = || window.0.window.borrow().next_at();
+                turns::run_timer(&window.0.changed, next_at, || window.advance()).await;
+                window.0.has_timer.set(false);
+            })
+            .detach();
+        }
+    }
+}
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -5,6 +5,7 @@
 use base::clock::{self, Millis};
 use batch::{
     call_queue::Place,
+    call_window::Class,
     grant::{self, Grants},
     job::Text,
     worker::{Report, WorkerInfo},
@@ -298,7 +299,7 @@
         acked: acked.map_or(0, |(_, seq)| seq),
         wait,
     };
-    let limit = HOLD_TIME + ANSWER_TIME;
+    let limit = HOLD_TIME + leader.window.call_limit();
     let answer = cx.workers.renew(target, call, limit).await;
     let acked = acked.filter(|_| answer.has_acked);
     if !matches!(answer.reply, Reply::Done(_))
@@ -349,10 +350,16 @@
 /// Extends the lease of a worker at once, beside the sequential renewal, if the worker answers and
 /// the lease was not renewed just before.
 pub(crate) async fn extend_lease(cx: &Cx, leader: &Rc<Leader>, worker: &Text) {
+    if is_renewed(leader, worker) {
+        return;
+    }
     let Some(calls) = calls(leader, worker) else {
         return;
     };
-    let Some(permit) = calls.acquire(Place::First).await else {
+    let Some(permit) = calls
+        .acquire(Place::First, &leader.window, Class::Extension)
+        .await
+    else {
         return;
     };
     let end = renewed_lease_end(cx, leader, worker);
@@ -390,7 +397,7 @@
     let Some(calls) = calls(leader, worker) else {
         return;
     };
-    let Some(permit) = calls.acquire_for_report().await else {
+    let Some(permit) = calls.acquire_for_report(&leader.window).await else {
         return;
     };
     if leader.scheduler.borrow().runs_on(worker) > 0 {
