node: account of outgoing calls by purpose and outcome

Counts calls, bytes and the latency of answers of all clients in one place, HttpClient::call_for, into cells that the crates store and platform need no meter for. Calls whose caller stops waiting, such as repeated reads, count as abandoned: their bytes are on the link as well.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -30,6 +30,46 @@
     );
 }
 
+/// Guards against outgoing calls that are missing from the metrics, and against metrics of them that
+/// are exported but not documented.
+#[test]
+fn the_metrics_list_the_outgoing_calls_by_purpose() {
+    let cluster = Cluster::start("node-call-metrics", 1, 3, 300);
+    assert_eq!(cluster.submit(0, 1, 3, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+    let addr = cluster.operator_addrs[0];
+    let answer = common::http::send(addr, "GET", "/metrics", &[], "").unwrap();
+    let text = answer.body.as_str().unwrap();
+    let value = |series: &str| -> f64 {
+        let line = text.lines().find_map(|l| l.strip_prefix(series));
+        line.map_or(0.0, |v| v.trim().parse().unwrap())
+    };
+    for purpose in [
+        "renewal", "start", "list", "feed", "commit", "lease", "config", "read",
+    ] {
+        let labels = format!("{{outcome=\"answered\",purpose=\"{purpose}\"}}");
+        let calls = value(&format!("node_calls_total{labels}"));
+        assert!(calls >= 1.0, "{purpose}: {text}");
+        let bytes = |name: &str| value(&format!("node_call_{name}_bytes_total{labels}"));
+        assert!(bytes("sent") > 100.0 * calls && bytes("received") > 100.0 * calls);
+        let by_purpose = format!("{{purpose=\"{purpose}\"}}");
+        assert!(
+            value(&format!("node_call_seconds_count{by_purpose}"))
+                .total_cmp(&calls)
+                .is_eq()
+        );
+        let all = format!("node_call_seconds_bucket{{purpose=\"{purpose}\",le=\"+Inf\"}}");
+        assert!(value(&all).total_cmp(&calls).is_eq());
+    }
+    let starts = value("node_calls_total{outcome=\"answered\",purpose=\"start\"}");
+    assert!(starts.total_cmp(&3.0).is_eq(), "{text}");
+    let types = text.lines().filter_map(|l| l.strip_prefix("# TYPE "));
+    let doc = include_str!("../../../docs/metrics.md");
+    for name in types.filter_map(|t| t.split(' ').next()) {
+        assert!(doc.contains(&format!("| `{name}` |")), "{name}");
+    }
+}
+
 /// Guards against invalid input that is accepted, is not answered or gets a status other than the
 /// interface specifies.
 #[test]
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -9,7 +9,13 @@
 use batch::config::Config;
 use lease::{machine::Lease, table::Candidate};
 use platform::{advice::PolicyClient, table::Table, workers::Workers};
-use store::{http_cfg::HttpCfg, pace::Pace, store_clock::StoreClock, table::StoreError};
+use store::{
+    call_account::{CallAccount, Purpose},
+    http_cfg::HttpCfg,
+    pace::Pace,
+    store_clock::StoreClock,
+    table::StoreError,
+};
 use tokio::sync::Notify;
 
 use crate::{leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, rows};
@@ -64,6 +70,8 @@
     pub(crate) feed_table: Table,
     /// Latency of the calls to the store.
     pub(crate) pace: Rc<Pace>,
+    /// Account of the calls of all clients.
+    pub(crate) calls: Rc<CallAccount>,
     /// Clock of the store, from the answers to all clients.
     pub(crate) store_clock: Rc<StoreClock>,
     pub(crate) workers: Workers,
@@ -97,9 +105,11 @@
             lease_key: rows::LEASE.into(),
             heartbeat_key: rows::HEARTBEAT.into(),
         };
+        let calls: Rc<CallAccount> = Rc::default();
         let policy = match cfg.policy {
             Some(address) => {
-                Some(PolicyClient::new(address, http(POLICY_CONNECTIONS, CALL_TIMEOUT)).await?)
+                let client = PolicyClient::new(address, http(POLICY_CONNECTIONS, CALL_TIMEOUT));
+                Some(client.await?.with_account(calls.clone()))
             }
             None => None,
         };
@@ -110,19 +120,28 @@
             Table::new(store, http, pace.clone(), store_clock.clone())
         };
         Ok(Self {
-            table: table(STORE_CONNECTIONS, STORE_TIMEOUT).await?,
-            lease_table: table(LEASE_CONNECTIONS, LEASE_TIMEOUT).await?,
-            feed_table: table(FEED_CONNECTIONS, STORE_TIMEOUT).await?,
+            table: table(STORE_CONNECTIONS, STORE_TIMEOUT)
+                .await?
+                .with_account(calls.clone(), None),
+            lease_table: table(LEASE_CONNECTIONS, LEASE_TIMEOUT)
+                .await?
+                .with_account(calls.clone(), Some(Purpose::Lease)),
+            feed_table: table(FEED_CONNECTIONS, STORE_TIMEOUT)
+                .await?
+                .with_account(calls.clone(), None),
             pace,
             store_clock,
             policy,
-            workers: Workers::new(http(WORKER_CONNECTIONS, CALL_TIMEOUT)).await?,
+            workers: Workers::new(http(WORKER_CONNECTIONS, CALL_TIMEOUT))
+                .await?
+                .with_account(calls.clone()),
             active_config: RefCell::default(),
             config_changed: Notify::new(),
             lease: RefCell::new(Lease::new(candidate.id, cfg.lease)),
             wake_lease_task: Notify::new(),
             leader: RefCell::default(),
-            peers: Peers::new().await?,
+            peers: Peers::new(calls.clone()).await?,
+            calls,
             metrics: Metrics::default(),
             stopping: Cell::new(false),
             requests: Cell::new(0),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod accept;
 mod activity;
 mod authorise;
+mod call_metrics;
 mod calls;
 mod cancellations;
 mod changes;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,7 +8,7 @@
     metrics::{Counter, Gauge, Histogram},
 };
 
-use crate::cx::Ctx;
+use crate::{call_metrics, cx::Ctx};
 
 /// Instruments of a node.
 #[derive(Debug)]
@@ -155,7 +155,9 @@
         self.open_jobs.record(counts.open as u64, &[]);
         self.runs.record(counts.runs as u64, &[]);
         self.workers.record(counts.workers as u64, &[]);
-        self.exporter.encode()
+        let mut text = self.exporter.encode();
+        text.extend(call_metrics::text(&cx.calls).into_bytes());
+        text
     }
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,6 +8,7 @@
 use std::{
     cell::{Cell, RefCell},
     net,
+    rc::Rc,
 };
 
 use base::clock::{self, Millis};
@@ -17,6 +18,7 @@
 };
 use serde::{Deserialize, Serialize};
 use store::{
+    call_account::{CallAccount, Purpose},
     http_cfg::HttpCfg,
     http_client::HttpClient,
     reach::Reach,
@@ -45,6 +47,8 @@
 const MAX_REMOVED: usize = 40;
 /// Interval between two rounds of queries while the store does not serve this node.
 const QUERY_INTERVAL: Millis = Millis(400);
+/// Timeout of a query, within the interval between two rounds.
+const CALL_TIMEOUT: Millis = Millis(350);
 /// Number of nodes queried in a round. If a third of all nodes is not served, at least one of three
 /// is served in 96% of the rounds.
 const NODES_PER_ROUND: usize = 3;
@@ -87,16 +91,18 @@
 }
 
 impl Peers {
-    pub(crate) async fn new() -> Result<Self, StoreError> {
+    pub(crate) async fn new(account: Rc<CallAccount>) -> Result<Self, StoreError> {
         let cfg = HttpCfg {
             connections: NODES_PER_ROUND + 1,
             queue_ms: Millis(100),
             connect_ms: Millis(150),
-            call_ms: Millis(350),
+            call_ms: CALL_TIMEOUT,
             answer_bytes: 1 << 10,
         };
         Ok(Self {
-            client: HttpClient::new("http://nodes", cfg).await?,
+            client: HttpClient::new("http://nodes", cfg)
+                .await?
+                .with_account(account),
             others: RefCell::default(),
             reach: Cell::default(),
             changed: Notify::new(),
@@ -282,7 +288,12 @@
 async fn query(cx: &Cx, address: net::SocketAddr) {
     let asked_at = clock::now();
     let req = cx.peers.client.request_to(address, Method::GET, PATH);
-    let answer = match cx.peers.client.call(req, Bytes::new()).await {
+    let answer = match cx
+        .peers
+        .client
+        .call_for(Purpose::Peer, req, Bytes::new(), CALL_TIMEOUT)
+        .await
+    {
         Ok(answer) if answer.status == StatusCode::OK => answer,
         Ok(answer) => {
             log::debug!(node:% = address, status = answer.status.as_u16(); "peers: another node is not served");
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -12,6 +12,7 @@
 use derive_more::Display;
 use ntex::rt;
 use platform::workers::{Renewal, Reply, Target};
+use store::call_account::Purpose;
 use tokio::time;
 
 use crate::{
@@ -292,6 +293,7 @@
     let acked = unsent_ack(leader, worker);
     let wait = report_delay(leader, worker);
     let call = Renewal {
+        purpose: Purpose::Renewal,
         lease_end: renewed_lease_end(cx, leader, worker),
         acked: acked.map_or(0, |(_, seq)| seq),
         wait,
@@ -353,6 +355,7 @@
 ) -> bool {
     let sent = clock::now();
     let call = Renewal {
+        purpose: Purpose::Contact,
         lease_end: None,
         acked: 0,
         wait: Millis::ZERO,
@@ -395,6 +398,7 @@
     }
     let sent = clock::now();
     let call = Renewal {
+        purpose: lease_end.map_or(Purpose::Report, |_| Purpose::Extension),
         lease_end,
         acked: 0,
         wait: Millis::ZERO,
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -16,7 +16,11 @@
 };
 use tokio::sync;
 
-use crate::{http_cfg::HttpCfg, table::StoreError};
+use crate::{
+    call_account::{CallAccount, OpenCall, Purpose},
+    http_cfg::HttpCfg,
+    table::StoreError,
+};
 
 /// Time after which the client closes an idle connection. The client closes it before the server
 /// does, so that no call is sent on a connection that the server is closing.
@@ -38,6 +42,8 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     inner: rc::Rc<Inner>,
+    /// Account of the calls that name a purpose.
+    account: rc::Rc<CallAccount>,
 }
 
 #[derive(Debug)]
@@ -140,9 +146,16 @@
         };
         Ok(Self {
             inner: rc::Rc::new(inner),
+            account: rc::Rc::default(),
         })
     }
 
+    /// Counts the calls in `account`, which several clients may share.
+    #[must_use]
+    pub fn with_account(self, account: rc::Rc<CallAccount>) -> Self {
+        Self { account, ..self }
+    }
+
     /// Creates a request to `path` under the base URL.
     pub fn request(&self, method: Method, path: &str) -> ClientRequest {
         let url = format!("{}{path}", self.inner.base_url);
@@ -166,15 +179,31 @@
 
     /// Sends the request and reads the complete answer within the `call_ms` of the settings.
     pub async fn call(&self, req: ClientRequest, body: Bytes) -> Result<Answer, CallError> {
-        self.call_within(req, body, self.inner.cfg.call_ms).await
+        self.exchange(req, body, self.inner.cfg.call_ms, || {})
+            .await
+    }
+
+    /// Sends the request and reads the complete answer within `limit`. The call is counted under its
+    /// purpose.
+    pub async fn call_for(
+        &self,
+        purpose: Purpose,
+        req: ClientRequest,
+        body: Bytes,
+        limit: Millis,
+    ) -> Result<Answer, CallError> {
+        let mut open = OpenCall::new(self.account.clone(), purpose, body.len() as u64);
+        let result = self.exchange(req, body, limit, || open.set_sent()).await;
+        open.record(&result);
+        result
     }
 
-    /// Sends the request and reads the complete answer within `limit`.
-    pub async fn call_within(
+    async fn exchange(
         &self,
         req: ClientRequest,
         body: Bytes,
         limit: Millis,
+        on_send: impl FnOnce(),
     ) -> Result<Answer, CallError> {
         let cfg = &self.inner.cfg;
         let permit = self.inner.permits.acquire();
@@ -184,6 +213,7 @@
                 cfg.queue_ms
             )));
         };
+        on_send();
         let exchange = time::timeout(to_ntex(limit), exchange(req, body));
         match exchange.await {
             Ok(result) => result,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,5 +1,6 @@
 //! Clients of the platform's table service, object store and VM list.
 
+pub mod call_account;
 pub mod client;
 pub mod hedge;
 pub mod http;
