node: a line about the leader's load

"leader: load" gives, each 5 s while a call has no answer, an order is repeated or a unit waits for over 3 s, the numbers that show a leader short of link or processor time.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -20,6 +20,7 @@
 mod jobs;
 mod known_jobs;
 mod open_job;
+pub mod order_load;
 pub mod outbox;
 pub mod pacing;
 mod placement;
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -163,6 +163,7 @@
 
     /// Logs why a unit waits, at most once per [`WAIT_LOG_INTERVAL`] and job.
     fn log_waiting(&mut self, unit: &Unit, placed: usize, candidates: &Candidates, now: Millis) {
+        self.record_wait(unit.waited);
         if unit.waited < WAIT_LOG_THRESHOLD {
             return;
         }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -10,6 +10,7 @@
     job::{Resources, Step, SubtaskId, Text},
     jobs::Jobs,
     open_job::Job,
+    order_load::OrderLoad,
     policy::{PolicyRequest, StepId, StepTickets},
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
@@ -69,6 +70,7 @@
     pub(crate) workers: SortedMap<Text, Worker>,
     pub(crate) config: rc::Rc<Config>,
     pub(crate) orders: Vec<Order>,
+    pub(crate) order_load: OrderLoad,
     /// Ids of the jobs whose progress changed since the last commit.
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
@@ -168,6 +170,7 @@
     /// assert!(batch::scheduler::JobScheduler::default().take_changes().orders.is_empty());
     /// ```
     pub fn take_changes(&mut self) -> PendingChanges {
+        self.count_repeats();
         self.dirty.sort_unstable();
         self.dirty.dedup();
         let dirty = std::mem::take(&mut self.dirty);
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -20,7 +20,9 @@
     checkpoints::Checkpoints,
     commit,
     cx::{self, Cx},
-    extension, intake, load, policy, retention,
+    extension, intake, load,
+    load_log::LoadLog,
+    policy, retention,
     rows::FailingRow,
     worker_list,
     worker_session::{self, WorkerSession},
@@ -148,11 +150,13 @@
     rt::spawn(extension::run(cx.clone(), leader.clone())).detach();
     rt::spawn(retention::run(cx.clone(), leader.clone())).detach();
     let mut activity = Activity::default();
+    let mut load_log = LoadLog::new(&cx);
     while !leader.ended.get() {
         let started = clock::now();
         let wait = pass(&cx, &leader);
         let took = clock::now().since(started);
         activity.record(&cx, &leader, took);
+        load_log.record(&cx, &leader);
         tokio::select! {
             () = leader.changed.notified() => cx::sleep(pacing::delay_after(took)).await,
             () = cx.config_changed.notified() => {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod leader;
 mod lease_task;
 mod load;
+mod load_log;
 mod metrics;
 pub mod node_cfg;
 mod orders;
