batch: why a job waits, worker by worker

"batch: waits for room" counts each worker of the service under the first reason why it takes no subtask, and gives the starts, unanswered starts and stops of the job. "batch: waits for orders" names jobs whose runs are all ordered or being stopped: they are in no unit, so that no line told of them. node_accelerators and node_workers_silent hold what the leader counts against what workers list.

--- a/crates/batch/src/known_jobs.rs
+++ b/crates/batch/src/known_jobs.rs
@@ -1,12 +1,11 @@
 //! Jobs that a scheduler knows: accepted, restored or set aside.
 
-use base::clock::Millis;
-
 use crate::{
     job::{AcceptedJob, Text},
     open_job::Job,
     progress::{Progress, RecordError},
     scheduler::JobScheduler,
+    wait_log::WaitRecord,
 };
 
 impl JobScheduler {
@@ -39,7 +38,7 @@
         let job = Job {
             accepted,
             progress,
-            wait_logged_at: Millis::ZERO,
+            wait: WaitRecord::default(),
         };
         for (task, run) in job.runs() {
             let need = job.step(&task).reserved();
--- a/crates/batch/src/open_job.rs
+++ b/crates/batch/src/open_job.rs
@@ -1,10 +1,9 @@
 //! A job with its progress, as the scheduler keeps it.
 
-use base::clock::Millis;
-
 use crate::{
     job::{AcceptedJob, Step, SubtaskId},
     progress::{Occurrence, Progress, Run, Subtask},
+    wait_log::WaitRecord,
 };
 
 /// A job and its progress.
@@ -12,8 +11,7 @@
 pub(crate) struct Job {
     pub(crate) accepted: AcceptedJob,
     pub(crate) progress: Progress,
-    /// Time of the last log line about why the job waits.
-    pub(crate) wait_logged_at: Millis,
+    pub(crate) wait: WaitRecord,
 }
 
 impl Job {
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -19,10 +19,6 @@
 /// Maximum number of gangs that hold resources in one pass. Each leaves accelerators unused until
 /// it can start.
 const MAX_HOLDING_UNITS: usize = 10;
-/// Waiting time from which the reason for the wait is logged.
-const WAIT_LOG_THRESHOLD: Millis = Millis(3_000);
-/// Minimum time between two log lines about the wait of one job.
-const WAIT_LOG_INTERVAL: Millis = Millis(5_000);
 
 /// State of one scheduling pass.
 pub(crate) struct Pass {
@@ -46,6 +42,7 @@
         self.explain_losses(now, wall_now);
         let within_guarantee = self.organisations_within_guarantee();
         self.mark_considered(now);
+        self.log_unsettled(now);
         let units = self.units(&within_guarantee, now, wall_now);
         if units.is_empty() {
             return;
@@ -100,7 +97,7 @@
         if unit.isolation == Isolation::Alone {
             self.wait_alone(unit, &step, &service, candidates, now);
         }
-        self.log_waiting(unit, found.len(), candidates, now);
+        self.log_waiting(unit, found.len(), (&step, &service), candidates, now);
         self.request_tickets(unit, &step, &service, candidates, now);
         if unit.priority != URGENT_PRIORITY {
             return self.hold_capacity(unit, &step, &service, candidates, now);
@@ -161,29 +158,6 @@
         }
     }
 
-    /// Logs why a unit waits, at most once per [`WAIT_LOG_INTERVAL`] and job.
-    fn log_waiting(&mut self, unit: &Unit, placed: usize, candidates: &Candidates, now: Millis) {
-        self.record_wait(unit.waited);
-        if unit.waited < WAIT_LOG_THRESHOLD {
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&unit.job) else {
-            return;
-        };
-        if now.since(job.wait_logged_at) < WAIT_LOG_INTERVAL {
-            return;
-        }
-        job.wait_logged_at = now;
-        let free: u64 = candidates.all.iter().map(|c| c.free.accelerators).sum();
-        let need = job.accepted.spec.steps[unit.step].need;
-        log::info!(
-            job:% = unit.job, step = unit.step, tasks = unit.tasks.len(), placed, priority = unit.priority,
-            accelerators = need.accelerators, waited_ms = unit.waited.0, free, reserve = candidates.reserve,
-            workers = candidates.all.len();
-            "batch: waits for room"
-        );
-    }
-
     /// Starts a subtask and returns its attempt number.
     fn start(
         &mut self,
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -34,6 +34,7 @@
         let Some(worker) = task.and_then(|t| Some(t.run.as_ref()?.worker.clone())) else {
             return;
         };
+        self.count_unanswered(&id.job, reply);
         let Some(worker) = self.workers.get_mut(&worker) else {
             return;
         };
@@ -203,6 +204,7 @@
             self.handle_running(id, running, now);
         }
         self.count_unexpected_runs(id, report);
+        self.record_listed(id, report);
         self.resolve_missing_runs(id, report, sent, now);
         self.update_shutdown_time(&id.into(), now);
     }
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -198,13 +198,13 @@
     }
 
     /// Returns whether a run of the step, which is endless, has just failed on the candidate.
-    fn has_just_failed(&self, candidate: &Candidate) -> bool {
+    pub(crate) fn has_just_failed(&self, candidate: &Candidate) -> bool {
         let (job, step) = (&self.unit.job, self.unit.step);
         let worker = self.worker(candidate);
         worker.is_some_and(|w| w.has_failed_endless(job, step, self.now))
     }
 
-    fn has_ticket(&self, tickets: TicketCheck, candidate: &Candidate) -> bool {
+    pub(crate) fn has_ticket(&self, tickets: TicketCheck, candidate: &Candidate) -> bool {
         let incarnation = self.worker(candidate).map(|w| w.incarnation);
         let (Some(known), Some(incarnation)) = (tickets.known, incarnation) else {
             return false;
@@ -217,7 +217,7 @@
     /// Returns whether placing the unit here would combine work that uses leftover processor time
     /// with work that has a response time target. The former slows down the latter by amounts that
     /// vary within seconds.
-    fn interferes_with(&self, candidate: &Candidate) -> bool {
+    pub(crate) fn interferes_with(&self, candidate: &Candidate) -> bool {
         match (self.step.fills, self.step.target.is_some()) {
             (true, _) => candidate.has_latency_target,
             (false, true) => candidate.has_filler,
--- /dev/null
+++ b/crates/batch/src/wait_log.rs
@@ -0,0 +1,283 @@
+//! Log lines that tell why a job waits.
+
+use base::clock::Millis;
+
+use crate::{
+    candidates::{Candidate, Candidates},
+    config::URGENT_PRIORITY,
+    job::{Step, Text},
+    open_job::Job,
+    progress::RunState,
+    ranking::Unit,
+    scheduler::JobScheduler,
+    search::Search,
+    worker::StartReply,
+    worker_state::Worker,
+};
+
+/// Waiting time from which the reason for the wait is logged.
+const LOG_THRESHOLD: Millis = Millis(3_000);
+/// Minimum time between two log lines about the wait of one job.
+const LOG_INTERVAL: Millis = Millis(5_000);
+/// Minimum time between two checks for jobs with nothing but unsettled runs, which look at all runs.
+const CHECK_INTERVAL: Millis = Millis(1_000);
+
+/// What is known of the wait of a job. It begins anew with each leader.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WaitRecord {
+    /// Time of the last line about a unit that waits for room.
+    room_logged_at: Option<Millis>,
+    /// Time of the last line about unsettled runs.
+    orders_logged_at: Option<Millis>,
+    /// Time since when the job has runs of which none is known to run.
+    unsettled_since: Option<Millis>,
+    /// Starts without an answer.
+    unanswered_starts: u32,
+}
+
+/// How a worker stands to a unit that waits: the first reason why it takes no subtask of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    /// It does not answer the leader.
+    Silent,
+    /// It gets no work for some time after failures, refusals or outages.
+    Backoff,
+    Draining,
+    /// Its entry in the VM list is missing, too old or one of another life.
+    NoEntry,
+    /// Its runs leave no room.
+    Full,
+    /// Its room is held for a unit of higher rank.
+    Held,
+    /// It is kept free for urgent work.
+    Reserved,
+    /// Its runs or those of the unit have to be kept apart.
+    Isolated,
+    /// A run of the step would interfere with others, or has just failed there.
+    Unsuitable,
+    /// It lacks the label.
+    Label,
+    /// There is no ticket for it.
+    Ticket,
+    /// It has as many subtasks of the step as it may.
+    Limit,
+    /// It takes at least one subtask.
+    Usable,
+}
+
+/// Numbers of workers of the service of a unit.
+#[derive(Clone, Copy, Debug, Default)]
+struct Standings {
+    counts: [u32; Standing::Usable as usize + 1],
+    /// Workers with room for a subtask, whatever else excludes them.
+    fitting: u32,
+    /// Subtasks for which these have room.
+    room: u64,
+}
+
+impl Standings {
+    const fn of(&self, standing: Standing) -> u32 {
+        self.counts[standing as usize]
+    }
+}
+
+/// Runs and starts of a job.
+#[derive(Clone, Copy, Debug, Default)]
+struct JobRuns {
+    /// Starts so far, of all leaders.
+    starts: u64,
+    ordered: u32,
+    adopted: u32,
+    running: u32,
+    stopping: u32,
+    /// Starts whose reply is not known yet.
+    awaited: u32,
+    /// Time of the first stop order of the run that has been stopped for longest.
+    stopping_since: Option<Millis>,
+}
+
+impl JobRuns {
+    fn of(job: &Job) -> Self {
+        let steps = job.progress.occurrences.iter().flat_map(|o| &o.steps);
+        let mut runs = Self::default();
+        for task in steps.flatten() {
+            runs.starts += u64::from(task.attempt);
+            let Some(run) = &task.run else {
+                continue;
+            };
+            runs.awaited += u32::from(run.awaits_reply);
+            match run.state {
+                RunState::Adopted => runs.adopted += 1,
+                RunState::Ordered => runs.ordered += 1,
+                RunState::Running => runs.running += 1,
+                RunState::Stopping => {
+                    runs.stopping += 1;
+                    let since = runs.stopping_since.into_iter().chain(run.stop_ordered_at);
+                    runs.stopping_since = since.min();
+                }
+            }
+        }
+        runs
+    }
+
+    const fn is_unsettled(&self) -> bool {
+        self.running == 0 && self.ordered + self.adopted + self.stopping > 0
+    }
+
+    fn stopping_ms(&self, now: Millis) -> u64 {
+        self.stopping_since.map_or(0, |t| now.since(t).0)
+    }
+}
+
+fn is_due(logged_at: Option<Millis>, now: Millis) -> bool {
+    logged_at.is_none_or(|t| now.since(t) >= LOG_INTERVAL)
+}
+
+impl JobScheduler {
+    /// Logs why a unit waits, at most once per [`LOG_INTERVAL`] and job.
+    pub(crate) fn log_waiting(
+        &mut self,
+        unit: &Unit,
+        placed: usize,
+        (step, service): (&Step, &Text),
+        candidates: &Candidates,
+        now: Millis,
+    ) {
+        self.record_wait(unit.waited);
+        if unit.waited < LOG_THRESHOLD {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&unit.job) else {
+            return;
+        };
+        if !is_due(job.wait.room_logged_at, now) {
+            return;
+        }
+        job.wait.room_logged_at = Some(now);
+        let unanswered = job.wait.unanswered_starts;
+        let runs = JobRuns::of(job);
+        let tasks = unit.tasks.iter().filter_map(|id| job.subtask(id));
+        let attempts = tasks.map(|t| t.attempt).max().unwrap_or_default();
+        let free: u64 = candidates.all.iter().map(|c| c.free.accelerators).sum();
+        let all = self.standings(&self.search(unit, step, service, now), candidates);
+        log::info!(
+            job:% = unit.job, step = unit.step, tasks = unit.tasks.len(), placed, priority = unit.priority,
+            accelerators = step.need.accelerators, waited_ms = unit.waited.0, free, reserve = candidates.reserve,
+            workers = candidates.all.len(), of_service = all.counts.iter().sum::<u32>(),
+            fitting = all.fitting, room = all.room, usable = all.of(Standing::Usable),
+            silent = all.of(Standing::Silent), backoff = all.of(Standing::Backoff),
+            draining = all.of(Standing::Draining), no_entry = all.of(Standing::NoEntry),
+            full = all.of(Standing::Full), held = all.of(Standing::Held),
+            reserved = all.of(Standing::Reserved), isolated = all.of(Standing::Isolated),
+            unsuitable = all.of(Standing::Unsuitable), label = all.of(Standing::Label),
+            ticket = all.of(Standing::Ticket), limit = all.of(Standing::Limit),
+            guaranteed = unit.guaranteed, attempts, starts = runs.starts, unanswered,
+            running = runs.running, stopping = runs.stopping, stopping_ms = runs.stopping_ms(now);
+            "batch: waits for room"
+        );
+    }
+
+    /// Logs the jobs that have runs of which none is known to run, while their orders take over
+    /// [`LOG_THRESHOLD`]. Their subtasks do not wait for room.
+    pub(crate) fn log_unsettled(&mut self, now: Millis) {
+        if now.since(self.unsettled_checked_at) < CHECK_INTERVAL {
+            return;
+        }
+        self.unsettled_checked_at = now;
+        let workers = &self.workers;
+        let mut longest = Millis::ZERO;
+        for job in self.jobs.open_mut() {
+            let runs = JobRuns::of(job);
+            if !runs.is_unsettled() {
+                job.wait.unsettled_since = None;
+                continue;
+            }
+            let since = *job.wait.unsettled_since.get_or_insert(now);
+            let waited = now.since(since);
+            longest = longest.max(waited);
+            if waited < LOG_THRESHOLD || !is_due(job.wait.orders_logged_at, now) {
+                continue;
+            }
+            job.wait.orders_logged_at = Some(now);
+            let on = job.runs().map(|(_, run)| workers.get(&run.worker));
+            let silent = on.flatten().filter(|w| w.unresponsive).count();
+            log::info!(
+                job:% = job.accepted.id, waited_ms = waited.0, ordered = runs.ordered,
+                adopted = runs.adopted, stopping = runs.stopping, stopping_ms = runs.stopping_ms(now),
+                awaited = runs.awaited, silent, starts = runs.starts,
+                unanswered = job.wait.unanswered_starts;
+                "batch: waits for orders"
+            );
+        }
+        self.record_wait(longest);
+    }
+
+    /// Counts a start without an answer.
+    pub(crate) fn count_unanswered(&mut self, job: &str, reply: StartReply) {
+        if matches!(reply, StartReply::Unknown | StartReply::Closed)
+            && let Some(job) = self.jobs.get_mut(job)
+        {
+            job.wait.unanswered_starts += 1;
+        }
+    }
+
+    fn standings(&self, search: &Search, candidates: &Candidates) -> Standings {
+        let need = search.step.reserved();
+        let mut standings = Standings::default();
+        // Both lists have the order of the ids.
+        let mut open = candidates.all.iter().peekable();
+        for (id, worker) in self.workers.iter() {
+            while open.next_if(|c| c.worker < *id).is_some() {}
+            let candidate = open.next_if(|c| c.worker == *id);
+            let service = worker.info.as_ref().map(|i| &i.service);
+            if service != Some(search.service) {
+                continue;
+            }
+            let free = worker.free();
+            if need.fits_in(free) {
+                let limit = search.unit.tasks.len() as u64;
+                standings.fitting += 1;
+                standings.room += need.count_in(free).min(limit);
+            }
+            let standing = search.standing(worker, candidate);
+            standings.counts[standing as usize] += 1;
+        }
+        standings
+    }
+}
+
+impl Search<'_> {
+    fn standing(&self, worker: &Worker, candidate: Option<&Candidate>) -> Standing {
+        let need = self.step.reserved();
+        let Some(candidate) = candidate else {
+            return match &worker.info {
+                _ if worker.unresponsive => Standing::Silent,
+                _ if self.now < worker.no_work_until => Standing::Backoff,
+                Some(info) if info.draining => Standing::Draining,
+                _ => Standing::NoEntry,
+            };
+        };
+        let has_label = |label: &Text| worker.has_label(label);
+        if !need.fits_in(worker.free()) {
+            Standing::Full
+        } else if !need.fits_in(candidate.free) {
+            Standing::Held
+        } else if candidate.reserved_for_urgent && self.unit.priority != URGENT_PRIORITY {
+            Standing::Reserved
+        } else if !candidate.isolation.admits(self.unit.isolation) {
+            Standing::Isolated
+        } else if self.interferes_with(candidate)
+            || (self.step.endless && self.has_just_failed(candidate))
+        {
+            Standing::Unsuitable
+        } else if !self.step.label.as_ref().is_none_or(has_label) {
+            Standing::Label
+        } else if !self.tickets.is_none_or(|t| self.has_ticket(t, candidate)) {
+            Standing::Ticket
+        } else if self.remaining_limit(candidate) == 0 {
+            Standing::Limit
+        } else {
+            Standing::Usable
+        }
+    }
+}
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -52,6 +52,8 @@
     pub(crate) entry_written_after: Option<Millis>,
     /// Resources of listed runs that should not exist and are being stopped.
     pub(crate) unexpected: Resources,
+    /// Accelerators of the runs that the last report lists.
+    pub(crate) listed: u64,
     /// Current incarnation; 0 if unknown.
     pub(crate) incarnation: u64,
     /// Incarnation whose end a report or a later entry has shown, and when.
@@ -176,6 +178,7 @@
         self.stored_seq = 0;
         self.replaced = false;
         self.unexpected = Resources::default();
+        self.listed = 0;
         self.outage = None;
         self.clock = None;
     }
--- a/crates/node/src/load_log.rs
+++ b/crates/node/src/load_log.rs
@@ -71,6 +71,7 @@
             return;
         }
         let (answers, answer_ms) = new.prompt;
+        let usage = scheduler.usage();
         log::info!(
             ms = took.0, calls = new.calls, no_answers = new.no_answers, closed = new.closed,
             starts = new.starts, repeated_starts = load.repeated_starts,
@@ -78,7 +79,8 @@
             awaited_starts = scheduler.awaited_starts(),
             answer_ms = answer_ms.checked_div(answers).unwrap_or_default(),
             sent_bytes = new.sent_bytes, received_bytes = new.received_bytes,
-            longest_wait_ms = load.longest_wait.0;
+            longest_wait_ms = load.longest_wait.0, silent_workers = usage.silent,
+            capacity = usage.capacity, used = usage.used, listed = usage.listed;
             "leader: load"
         );
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,6 +36,8 @@
     open_jobs: Gauge<u64>,
     runs: Gauge<u64>,
     workers: Gauge<u64>,
+    silent_workers: Gauge<u64>,
+    accelerators: Gauge<u64>,
 }
 
 impl Default for Metrics {
@@ -64,6 +66,8 @@
             open_jobs: exporter.gauge("node_open_jobs"),
             runs: exporter.gauge("node_runs"),
             workers: exporter.gauge("node_workers"),
+            silent_workers: exporter.gauge("node_workers_silent"),
+            accelerators: exporter.gauge("node_accelerators"),
             exporter,
         }
     }
@@ -149,12 +153,23 @@
         self.config_age.record(age.0, &[]);
         let leader = cx.leader.borrow().clone();
         self.leading.record(u64::from(leader.is_some()), &[]);
-        let counts = leader
-            .map(|l| l.scheduler.borrow().counts())
-            .unwrap_or_default();
+        let of_leader = leader.map(|l| {
+            let scheduler = l.scheduler.borrow();
+            (scheduler.counts(), scheduler.usage())
+        });
+        let (counts, usage) = of_leader.unwrap_or_default();
         self.open_jobs.record(counts.open as u64, &[]);
         self.runs.record(counts.runs as u64, &[]);
         self.workers.record(counts.workers as u64, &[]);
+        self.silent_workers.record(usage.silent, &[]);
+        for (state, value) in [
+            ("capacity", usage.capacity),
+            ("used", usage.used),
+            ("listed", usage.listed),
+        ] {
+            self.accelerators
+                .record(value, &[KeyValue::new("state", state)]);
+        }
         let mut text = self.exporter.encode();
         text.extend(call_metrics::text(&cx.calls).into_bytes());
         text
