node: signs of a leadership without effect

"leader: ended" tells how long it lasted, whether the state was loaded and how many subtasks were placed; gauges for a valid lease and the age of the lease.

--- a/crates/batch/src/order_load.rs
+++ b/crates/batch/src/order_load.rs
@@ -36,6 +36,15 @@
         runs.filter(|(_, r)| r.awaits_reply).count()
     }
 
+    /// Returns the number of subtasks that this scheduler has placed.
+    ///
+    /// ```
+    /// assert_eq!(batch::scheduler::JobScheduler::default().placed(), 0);
+    /// ```
+    pub const fn placed(&self) -> u64 {
+        self.placed
+    }
+
     /// Counts the repetitions among the orders that are about to be taken.
     pub(crate) fn count_repeats(&mut self) {
         let (mut starts, mut stops) = (0, 0);
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -218,6 +218,7 @@
             self.started_jobs
                 .push((priority, wall_now.since(job.accepted.at)));
         }
+        self.placed += 1;
         self.dirty.push(id.job.clone());
         self.order_start(id, now);
         Some(attempt)
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -71,6 +71,8 @@
     pub(crate) config: rc::Rc<Config>,
     pub(crate) orders: Vec<Order>,
     pub(crate) order_load: OrderLoad,
+    /// Number of subtasks that were placed.
+    pub(crate) placed: u64,
     /// Time of the last check for jobs with nothing but unsettled runs.
     pub(crate) unsettled_checked_at: Millis,
     /// Ids of the jobs whose progress changed since the last commit.
--- a/crates/batch/tests/order_load.rs
+++ b/crates/batch/tests/order_load.rs
@@ -16,6 +16,7 @@
     fleet.submit("a", 1, step(1, 1));
     let first = starts(&fleet.plan()).remove(0);
     assert_eq!(fleet.scheduler.awaited_starts(), 1);
+    assert_eq!(fleet.scheduler.placed(), 1);
     assert_eq!(fleet.scheduler.take_order_load(), OrderLoad::default());
     let now = fleet.now;
     let (task, attempt) = (&first.task, first.attempt);
--- a/crates/lease/src/machine.rs
+++ b/crates/lease/src/machine.rs
@@ -170,6 +170,24 @@
         self.stopping = true;
     }
 
+    /// Returns for how long nobody has renewed the lease, as far as this process knows: since the start
+    /// of its own last renewal, or since it saw the heartbeat change. `None` before the first read.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// let lease = lease::machine::Lease::new(1, lease::lease_cfg::LeaseCfg::default());
+    /// assert!(lease.age(Millis(5)).is_none());
+    /// ```
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        let renewed_at = match &self.state {
+            State::Watching(w) => w.heartbeat?.1,
+            State::Acquiring(a) | State::Verifying(a) => a.watch.heartbeat?.1,
+            State::Holding(h) | State::Releasing(h, _) => h.renewed_at,
+            State::Ended => return None,
+        };
+        Some(now.since(renewed_at))
+    }
+
     /// Gives up the leadership because a higher fencing token was seen.
     ///
     /// ```
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -116,7 +116,9 @@
 
     /// Ends the leadership. Its tasks check [`Self::ended`] and return.
     pub(crate) fn end(&self, reason: &str) {
-        log::warn!(fence = self.held.fence, reason; "leader: ended");
+        let ms = clock::now().since(self.started_at).0;
+        let placed = self.scheduler.borrow().placed();
+        log::warn!(fence = self.held.fence, reason, ms, loaded = self.loaded.get(), placed; "leader: ended");
         self.ended.set(true);
         self.changed.notify_waiters();
         self.dirty.notify_waiters();
--- a/crates/node/src/load_log.rs
+++ b/crates/node/src/load_log.rs
@@ -48,8 +48,8 @@
         }
     }
 
-    /// Writes the line if it is due. It is left out while all calls are answered and nothing is
-    /// repeated or waits for long.
+    /// Writes the line if it is due. It is left out while the lease is valid, all calls are answered and
+    /// nothing is repeated or waits for long.
     pub(crate) fn record(&mut self, cx: &Cx, leader: &Leader) {
         let now = clock::now();
         let took = now.since(self.at);
@@ -64,7 +64,9 @@
         };
         let mut scheduler = leader.scheduler.borrow_mut();
         let load = scheduler.take_order_load();
-        let is_calm = new.no_answers == 0
+        let acting = cx.acting().is_some();
+        let is_calm = acting
+            && new.no_answers == 0
             && load.repeated_starts + load.repeated_stops == 0
             && load.longest_wait < LONG_WAIT;
         if is_calm {
@@ -73,7 +75,7 @@
         let (answers, answer_ms) = new.prompt;
         let usage = scheduler.usage();
         log::info!(
-            ms = took.0, calls = new.calls, no_answers = new.no_answers, closed = new.closed,
+            ms = took.0, acting, calls = new.calls, no_answers = new.no_answers, closed = new.closed,
             starts = new.starts, repeated_starts = load.repeated_starts,
             stops = new.stops, repeated_stops = load.repeated_stops, extensions = new.extensions,
             awaited_starts = scheduler.awaited_starts(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a node, listed in docs/metrics.md.
 
-use base::clock::Millis;
+use base::clock::{self, Millis};
 use batch::{worker::Outcome, worker_end::WorkerEnd};
 use meter::Exporter;
 use opentelemetry::{
@@ -33,6 +33,8 @@
     config_version: Gauge<u64>,
     config_age: Gauge<u64>,
     leading: Gauge<u64>,
+    acting: Gauge<u64>,
+    lease_age: Gauge<u64>,
     open_jobs: Gauge<u64>,
     runs: Gauge<u64>,
     workers: Gauge<u64>,
@@ -63,6 +65,8 @@
             config_version: exporter.gauge("node_config_version"),
             config_age: exporter.gauge("node_config_age_ms"),
             leading: exporter.gauge("node_leading"),
+            acting: exporter.gauge("node_acting"),
+            lease_age: exporter.gauge("node_lease_age_ms"),
             open_jobs: exporter.gauge("node_open_jobs"),
             runs: exporter.gauge("node_runs"),
             workers: exporter.gauge("node_workers"),
@@ -153,6 +157,9 @@
         self.config_age.record(age.0, &[]);
         let leader = cx.leader.borrow().clone();
         self.leading.record(u64::from(leader.is_some()), &[]);
+        self.acting.record(u64::from(cx.acting().is_some()), &[]);
+        let lease_age = cx.lease.borrow().age(clock::now());
+        self.lease_age.record(lease_age.unwrap_or_default().0, &[]);
         let of_leader = leader.map(|l| {
             let scheduler = l.scheduler.borrow();
             (scheduler.counts(), scheduler.usage())
