--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -70,6 +70,64 @@
     }
 }
 
+/// Guards against a leader whose calls stay unanswered, and a job that waits, without a line about it.
+#[test]
+fn calls_without_an_answer_and_waits_are_logged_in_numbers() {
+    let cluster = Cluster::start_behind_proxies("node-load", 1, 2, 60_000);
+    assert_eq!(cluster.submit(0, 1, 2, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "running");
+    assert_eq!(cluster.submit(0, 2, 2, true).unwrap().status, 200);
+    cluster.worker_proxies[0].set(Mode::DropAll);
+    let line_of = |msg: &str, has: &dyn Fn(&serde_json::Value) -> bool| {
+        wait_until(msg, TIMEOUT, || {
+            let log = cluster.nodes[0].log();
+            let lines = log.lines().filter_map(|l| serde_json::from_str(l).ok());
+            lines
+                .filter(|l: &serde_json::Value| l["msg"] == msg)
+                .find(|l| has(l))
+        })
+    };
+    let load = line_of("leader: load", &|l| l["no_answers"].as_u64() > Some(0));
+    let numbers = [
+        "ms",
+        "calls",
+        "closed",
+        "starts",
+        "repeated_starts",
+        "stops",
+        "repeated_stops",
+        "extensions",
+        "awaited_starts",
+        "answer_ms",
+        "sent_bytes",
+        "received_bytes",
+        "longest_wait_ms",
+        "silent_workers",
+        "capacity",
+        "used",
+        "listed",
+    ];
+    for name in numbers {
+        assert!(load[name].is_u64(), "{name}: {load}");
+    }
+    assert!(
+        load["calls"].as_u64() > load["no_answers"].as_u64(),
+        "{load}"
+    );
+    assert!(load["sent_bytes"].as_u64() > Some(0), "{load}");
+    let room = line_of("batch: waits for room", &|l| l["silent"] == 1);
+    assert_eq!(room["job"], "0000000000000002");
+    for (name, value) in [
+        ("of_service", 2),
+        ("full", 1),
+        ("fitting", 0),
+        ("attempts", 0),
+    ] {
+        assert_eq!(room[name], value, "{name}: {room}");
+    }
+    println!("{load}\n{room}");
+}
+
 /// Guards against invalid input that is accepted, is not answered or gets a status other than the
 /// interface specifies.
 #[test]
