--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -42,6 +42,7 @@
         self.explain_losses(now, wall_now);
         let within_guarantee = self.organisations_within_guarantee();
         self.mark_considered(now);
+        self.renew_wait_lines();
         self.log_unsettled(now);
         let units = self.units(&within_guarantee, now, wall_now);
         if units.is_empty() {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -14,6 +14,7 @@
     policy::{PolicyRequest, StepId, StepTickets},
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
+    wait_log::WaitLog,
     worker::{Action, Order, Outcome, WorkerInfo},
     worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
@@ -73,8 +74,7 @@
     pub(crate) order_load: OrderLoad,
     /// Number of subtasks that were placed.
     pub(crate) placed: u64,
-    /// Time of the last check for jobs with nothing but unsettled runs.
-    pub(crate) unsettled_checked_at: Millis,
+    pub(crate) wait_log: WaitLog,
     /// Ids of the jobs whose progress changed since the last commit.
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
--- a/crates/batch/src/wait_log.rs
+++ b/crates/batch/src/wait_log.rs
@@ -19,6 +19,9 @@
 const LOG_THRESHOLD: Millis = Millis(3_000);
 /// Minimum time between two log lines about the wait of one job.
 const LOG_INTERVAL: Millis = Millis(5_000);
+/// Maximum number of these lines in a pass, during which the leader renews no lease. Further jobs get
+/// theirs in the next passes.
+const MAX_LINES_PER_PASS: u32 = 30;
 /// Minimum time between two checks for jobs with nothing but unsettled runs, which look at all runs.
 const CHECK_INTERVAL: Millis = Millis(1_000);
 
@@ -35,6 +38,15 @@
     unanswered_starts: u32,
 }
 
+/// The lines of a scheduler.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WaitLog {
+    /// Lines that the current pass may still write.
+    lines_left: u32,
+    /// Time of the last check for jobs with nothing but unsettled runs.
+    checked_at: Millis,
+}
+
 /// How a worker stands to a unit that waits: the first reason why it takes no subtask of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Standing {
@@ -134,6 +146,11 @@
 }
 
 impl JobScheduler {
+    /// Allows the lines of another pass.
+    pub(crate) const fn renew_wait_lines(&mut self) {
+        self.wait_log.lines_left = MAX_LINES_PER_PASS;
+    }
+
     /// Logs why a unit waits, at most once per [`LOG_INTERVAL`] and job.
     pub(crate) fn log_waiting(
         &mut self,
@@ -144,7 +161,7 @@
         now: Millis,
     ) {
         self.record_wait(unit.waited);
-        if unit.waited < LOG_THRESHOLD {
+        if unit.waited < LOG_THRESHOLD || self.wait_log.lines_left == 0 {
             return;
         }
         let Some(job) = self.jobs.get_mut(&unit.job) else {
@@ -154,6 +171,7 @@
             return;
         }
         job.wait.room_logged_at = Some(now);
+        self.wait_log.lines_left -= 1;
         let unanswered = job.wait.unanswered_starts;
         let runs = JobRuns::of(job);
         let tasks = unit.tasks.iter().filter_map(|id| job.subtask(id));
@@ -180,12 +198,12 @@
     /// Logs the jobs that have runs of which none is known to run, while their orders take over
     /// [`LOG_THRESHOLD`]. Their subtasks do not wait for room.
     pub(crate) fn log_unsettled(&mut self, now: Millis) {
-        if now.since(self.unsettled_checked_at) < CHECK_INTERVAL {
+        if now.since(self.wait_log.checked_at) < CHECK_INTERVAL {
             return;
         }
-        self.unsettled_checked_at = now;
+        self.wait_log.checked_at = now;
         let workers = &self.workers;
-        let mut longest = Millis::ZERO;
+        let (mut longest, mut lines_left) = (Millis::ZERO, self.wait_log.lines_left);
         for job in self.jobs.open_mut() {
             let runs = JobRuns::of(job);
             if !runs.is_unsettled() {
@@ -195,10 +213,12 @@
             let since = *job.wait.unsettled_since.get_or_insert(now);
             let waited = now.since(since);
             longest = longest.max(waited);
-            if waited < LOG_THRESHOLD || !is_due(job.wait.orders_logged_at, now) {
+            let is_due = is_due(job.wait.orders_logged_at, now);
+            if waited < LOG_THRESHOLD || lines_left == 0 || !is_due {
                 continue;
             }
             job.wait.orders_logged_at = Some(now);
+            lines_left -= 1;
             let on = job.runs().map(|(_, run)| workers.get(&run.worker));
             let silent = on.flatten().filter(|w| w.unresponsive).count();
             log::info!(
@@ -209,6 +229,7 @@
                 "batch: waits for orders"
             );
         }
+        self.wait_log.lines_left = lines_left;
         self.record_wait(longest);
     }
 
--- a/crates/batch/tests/wait_log.rs
+++ b/crates/batch/tests/wait_log.rs
@@ -6,7 +6,7 @@
 
 use base::clock::Millis;
 use batch::{job::Step, worker::StartReply};
-use fleet::{Fleet, starts, step};
+use fleet::{Fleet, gang, starts, step};
 use log::kv;
 
 /// Fields of a line by name, with its text as `msg`.
@@ -170,6 +170,28 @@
     assert_eq!(take_lines(ORDERS), [], "at most one each 5 s");
 }
 
+/// Guards against a pass that takes long because many jobs wait, and against jobs that it leaves out for
+/// good.
+#[test]
+fn the_lines_of_many_jobs_are_spread_over_passes() {
+    start_capture();
+    let mut fleet = Fleet::new(1);
+    for i in 0..40 {
+        fleet.submit(&format!("wide-{i:02}"), 1, gang(2, 8));
+    }
+    fleet.plan();
+    fleet.advance(3_000).plan();
+    let first = take_lines(ROOM);
+    assert_eq!(first.len(), 30);
+    fleet.advance(250).plan();
+    let second = take_lines(ROOM);
+    assert_eq!(second.len(), 10);
+    let mut jobs: Vec<&String> = first.iter().chain(&second).map(|l| &l["job"]).collect();
+    jobs.sort_unstable();
+    jobs.dedup();
+    assert_eq!(jobs.len(), 40);
+}
+
 /// Guards against runs that the scheduler counts and no worker lists, without a sign of it.
 #[test]
 fn usage_shows_what_reports_do_not_list() {
