--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -38,8 +38,13 @@
     assert_eq!(cluster.submit(0, 1, 3, false).unwrap().status, 200);
     cluster.wait_for_state(0, 1, "completed");
     let addr = cluster.operator_addrs[0];
-    let answer = common::http::send(addr, "GET", "/metrics", &[], "").unwrap();
-    let text = answer.body.as_str().unwrap();
+    // A feed is answered when something changes or its wait is over.
+    let is_feed_answered = |text: &str| text.contains("node_call_seconds_count{purpose=\"feed\"}");
+    let text = wait_until("a feed is answered", TIMEOUT, || {
+        let answer = common::http::send(addr, "GET", "/metrics", &[], "")?;
+        let text = answer.body.as_str()?.to_owned();
+        is_feed_answered(&text).then_some(text)
+    });
     let value = |series: &str| -> f64 {
         let line = text.lines().find_map(|l| l.strip_prefix(series));
         line.map_or(0.0, |v| v.trim().parse().unwrap())
