--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -10,10 +10,12 @@
     job::{Resources, Step, SubtaskId, Text},
     jobs::Jobs,
     open_job::Job,
+    order_load::OrderLoad,
     policy::{PolicyRequest, StepId, StepTickets},
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
     stop_order::StopOrder,
+    wait_log::WaitLog,
     worker::{Action, Order, Outcome, WorkerInfo},
     worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
@@ -66,6 +68,10 @@
     pub(crate) workers: SortedMap<Text, Worker>,
     pub(crate) config: rc::Rc<Config>,
     pub(crate) orders: Vec<Order>,
+    pub(crate) order_load: OrderLoad,
+    /// Number of subtasks that were placed.
+    pub(crate) placed: u64,
+    pub(crate) wait_log: WaitLog,
     /// Ids of the jobs whose progress changed since the last commit.
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
@@ -144,12 +150,6 @@
         queue.is_some_and(|q| q.priority == URGENT_PRIORITY)
     }
 
-    /// Returns the number of starts that are not answered yet.
-    pub(crate) fn unanswered_starts(&self) -> usize {
-        let runs = self.jobs.active().flat_map(Job::runs);
-        runs.filter(|(_, run)| run.awaits_reply).count()
-    }
-
     /// Returns the phase of a job.
     ///
     /// ```
@@ -208,6 +208,7 @@
     /// assert!(batch::scheduler::JobScheduler::default().take_changes().orders.is_empty());
     /// ```
     pub fn take_changes(&mut self) -> PendingChanges {
+        self.count_repeats();
         self.dirty.sort_unstable();
         self.dirty.dedup();
         let dirty = std::mem::take(&mut self.dirty);
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -55,6 +55,8 @@
     pub(crate) unexpected: Resources,
     /// Stops of these runs, by subtask and attempt.
     pub(crate) unexpected_stops: Vec<(SubtaskId, u32, StopOrder)>,
+    /// Accelerators of the runs that the last report lists.
+    pub(crate) listed: u64,
     /// Current incarnation; 0 if unknown.
     pub(crate) incarnation: u64,
     /// Incarnation whose end a report or a later entry has shown, and when.
@@ -180,6 +182,7 @@
         self.replaced = false;
         self.unexpected = Resources::default();
         self.unexpected_stops.clear();
+        self.listed = 0;
         self.outage = None;
         self.clock = None;
     }
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -30,6 +30,109 @@
     );
 }
 
+/// Guards against outgoing calls that are missing from the metrics, and against metrics of them that
+/// are exported but not documented.
+#[test]
+fn the_metrics_list_the_outgoing_calls_by_purpose() {
+    let cluster = Cluster::start("node-call-metrics", 1, 3, 300);
+    assert_eq!(cluster.submit(0, 1, 3, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+    let addr = cluster.operator_addrs[0];
+    // A feed is answered when something changes or its wait is over.
+    let is_feed_answered = |text: &str| text.contains("node_call_seconds_count{purpose=\"feed\"}");
+    let text = wait_until("a feed is answered", TIMEOUT, || {
+        let answer = common::http::send(addr, "GET", "/metrics", &[], "")?;
+        let text = answer.body.as_str()?.to_owned();
+        is_feed_answered(&text).then_some(text)
+    });
+    let value = |series: &str| -> f64 {
+        let line = text.lines().find_map(|l| l.strip_prefix(series));
+        line.map_or(0.0, |v| v.trim().parse().unwrap())
+    };
+    for purpose in [
+        "renewal", "start", "list", "feed", "commit", "lease", "config", "read",
+    ] {
+        let labels = format!("{{outcome=\"answered\",purpose=\"{purpose}\"}}");
+        let calls = value(&format!("node_calls_total{labels}"));
+        assert!(calls >= 1.0, "{purpose}: {text}");
+        let bytes = |name: &str| value(&format!("node_call_{name}_bytes_total{labels}"));
+        assert!(bytes("sent") > 100.0 * calls && bytes("received") > 100.0 * calls);
+        let by_purpose = format!("{{purpose=\"{purpose}\"}}");
+        assert!(
+            value(&format!("node_call_seconds_count{by_purpose}"))
+                .total_cmp(&calls)
+                .is_eq()
+        );
+        let all = format!("node_call_seconds_bucket{{purpose=\"{purpose}\",le=\"+Inf\"}}");
+        assert!(value(&all).total_cmp(&calls).is_eq());
+    }
+    let starts = value("node_calls_total{outcome=\"answered\",purpose=\"start\"}");
+    assert!(starts.total_cmp(&3.0).is_eq(), "{text}");
+    let types = text.lines().filter_map(|l| l.strip_prefix("# TYPE "));
+    let doc = include_str!("../../../docs/metrics.md");
+    for name in types.filter_map(|t| t.split(' ').next()) {
+        assert!(doc.contains(&format!("| `{name}` |")), "{name}");
+    }
+}
+
+/// Guards against a leader whose calls stay unanswered, and a job that waits, without a line about it.
+#[test]
+fn calls_without_an_answer_and_waits_are_logged_in_numbers() {
+    let cluster = Cluster::start_behind_proxies("node-load", 1, 2, 60_000);
+    assert_eq!(cluster.submit(0, 1, 2, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "running");
+    assert_eq!(cluster.submit(0, 2, 2, true).unwrap().status, 200);
+    cluster.worker_proxies[0].set(Mode::DropAll);
+    let line_of = |msg: &str, has: &dyn Fn(&serde_json::Value) -> bool| {
+        wait_until(msg, TIMEOUT, || {
+            let log = cluster.nodes[0].log();
+            let lines = log.lines().filter_map(|l| serde_json::from_str(l).ok());
+            lines
+                .filter(|l: &serde_json::Value| l["msg"] == msg)
+                .find(|l| has(l))
+        })
+    };
+    let load = line_of("leader: load", &|l| l["no_answers"].as_u64() > Some(0));
+    let numbers = [
+        "ms",
+        "calls",
+        "closed",
+        "starts",
+        "repeated_starts",
+        "stops",
+        "repeated_stops",
+        "extensions",
+        "awaited_starts",
+        "answer_ms",
+        "sent_bytes",
+        "received_bytes",
+        "longest_wait_ms",
+        "silent_workers",
+        "capacity",
+        "used",
+        "listed",
+    ];
+    for name in numbers {
+        assert!(load[name].is_u64(), "{name}: {load}");
+    }
+    assert!(
+        load["calls"].as_u64() > load["no_answers"].as_u64(),
+        "{load}"
+    );
+    assert!(load["sent_bytes"].as_u64() > Some(0), "{load}");
+    let room = line_of("batch: waits for room", &|l| l["silent"] == 1);
+    assert_eq!(room["job"], "0000000000000002");
+    for (name, value) in [
+        ("of_service", 2),
+        ("full", 1),
+        ("fitting", 0),
+        ("attempts", 0),
+    ] {
+        assert_eq!(room[name], value, "{name}: {room}");
+    }
+    println!("{load}\n{room}");
+}
+
 /// Guards against invalid input that is accepted, is not answered or gets a status other than the
 /// interface specifies.
 #[test]
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -20,7 +20,9 @@
     checkpoints::Checkpoints,
     commit,
     cx::{self, Cx},
-    extension, intake, load, policy, retention,
+    extension, intake, load,
+    load_log::LoadLog,
+    policy, retention,
     rows::FailingRow,
     window::Window,
     worker_list,
@@ -118,7 +120,9 @@
 
     /// Ends the leadership. Its tasks check [`Self::ended`] and return.
     pub(crate) fn end(&self, reason: &str) {
-        log::warn!(fence = self.held.fence, reason; "leader: ended");
+        let ms = clock::now().since(self.started_at).0;
+        let placed = self.scheduler.borrow().placed();
+        log::warn!(fence = self.held.fence, reason, ms, loaded = self.loaded.get(), placed; "leader: ended");
         self.ended.set(true);
         self.changed.notify_waiters();
         self.dirty.notify_waiters();
@@ -152,11 +156,13 @@
     rt::spawn(extension::run(cx.clone(), leader.clone())).detach();
     rt::spawn(retention::run(cx.clone(), leader.clone())).detach();
     let mut activity = Activity::default();
+    let mut load_log = LoadLog::new(&cx);
     while !leader.ended.get() {
         let started = clock::now();
         let wait = pass(&cx, &leader);
         let took = clock::now().since(started);
         activity.record(&cx, &leader, took);
+        load_log.record(&cx, &leader);
         tokio::select! {
             () = leader.changed.notified() => cx::sleep(pacing::delay_after(took)).await,
             () = cx.config_changed.notified() => {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod accept;
 mod activity;
 mod authorise;
+mod call_metrics;
 mod calls;
 mod cancellations;
 mod changes;
@@ -21,6 +22,7 @@
 mod leader;
 mod lease_task;
 mod load;
+mod load_log;
 mod metrics;
 pub mod node_cfg;
 mod orders;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a node, listed in docs/metrics.md.
 
-use base::clock::Millis;
+use base::clock::{self, Millis};
 use batch::{worker::Outcome, worker_end::WorkerEnd};
 use meter::Exporter;
 use opentelemetry::{
@@ -8,7 +8,7 @@
     metrics::{Counter, Gauge, Histogram},
 };
 
-use crate::cx::Ctx;
+use crate::{call_metrics, cx::Ctx};
 
 /// Instruments of a node.
 #[derive(Debug)]
@@ -33,9 +33,13 @@
     config_version: Gauge<u64>,
     config_age: Gauge<u64>,
     leading: Gauge<u64>,
+    acting: Gauge<u64>,
+    lease_age: Gauge<u64>,
     open_jobs: Gauge<u64>,
     runs: Gauge<u64>,
     workers: Gauge<u64>,
+    silent_workers: Gauge<u64>,
+    accelerators: Gauge<u64>,
 }
 
 impl Default for Metrics {
@@ -61,9 +65,13 @@
             config_version: exporter.gauge("node_config_version"),
             config_age: exporter.gauge("node_config_age_ms"),
             leading: exporter.gauge("node_leading"),
+            acting: exporter.gauge("node_acting"),
+            lease_age: exporter.gauge("node_lease_age_ms"),
             open_jobs: exporter.gauge("node_open_jobs"),
             runs: exporter.gauge("node_runs"),
             workers: exporter.gauge("node_workers"),
+            silent_workers: exporter.gauge("node_workers_silent"),
+            accelerators: exporter.gauge("node_accelerators"),
             exporter,
         }
     }
@@ -149,13 +157,29 @@
         self.config_age.record(age.0, &[]);
         let leader = cx.leader.borrow().clone();
         self.leading.record(u64::from(leader.is_some()), &[]);
-        let counts = leader
-            .map(|l| l.scheduler.borrow().counts())
-            .unwrap_or_default();
+        self.acting.record(u64::from(cx.acting().is_some()), &[]);
+        let lease_age = cx.lease.borrow().age(clock::now());
+        self.lease_age.record(lease_age.unwrap_or_default().0, &[]);
+        let of_leader = leader.map(|l| {
+            let scheduler = l.scheduler.borrow();
+            (scheduler.counts(), scheduler.usage())
+        });
+        let (counts, usage) = of_leader.unwrap_or_default();
         self.open_jobs.record(counts.open as u64, &[]);
         self.runs.record(counts.runs as u64, &[]);
         self.workers.record(counts.workers as u64, &[]);
-        self.exporter.encode()
+        self.silent_workers.record(usage.silent, &[]);
+        for (state, value) in [
+            ("capacity", usage.capacity),
+            ("used", usage.used),
+            ("listed", usage.listed),
+        ] {
+            self.accelerators
+                .record(value, &[KeyValue::new("state", state)]);
+        }
+        let mut text = self.exporter.encode();
+        text.extend(call_metrics::text(&cx.calls).into_bytes());
+        text
     }
 }
 
