--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -20,7 +20,7 @@
 use serde_json::{Value, json};
 
 use crate::common::{self, Answer, Process, wait_until};
-use proxy::Proxy;
+use proxy::{Link, Proxy};
 
 /// Time limit for a condition, such as a takeover or the end of a job; a takeover takes up to 1.7 s.
 pub const TIMEOUT: time::Duration = time::Duration::from_secs(15);
@@ -105,6 +105,15 @@
         })
     }
 
+    /// Starts one node, all of whose connections to the store and the workers share a link.
+    pub fn start_on_link(test: &str, workers: usize, run_ms: u64, link: &Link) -> Self {
+        let (reborn, settings) = (Reborn::OtherId, json!({}));
+        Self::build(test, 1, workers, run_ms, reborn, &settings, |addr| {
+            let proxy = Proxy::start_on(addr, Some(link.clone())).unwrap();
+            (proxy.addr(), Some(proxy))
+        })
+    }
+
     fn build(
         test: &str,
         nodes: usize,
--- a/crates/cli/tests/cluster/proxy.rs
+++ b/crates/cli/tests/cluster/proxy.rs
@@ -4,7 +4,7 @@
     io::{self, Read, Write},
     net,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU8, AtomicUsize, Ordering},
     },
     thread, time,
@@ -41,6 +41,53 @@
 /// Read timeout, after which an idle connection checks the mode.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(50);
 
+/// A network link of limited bandwidth that all connections of its proxies share in both directions;
+/// clones share it. Bytes wait in the order in which they arrive from any connection.
+#[derive(Clone, Debug)]
+pub struct Link(Arc<Mutex<Queue>>);
+
+#[derive(Debug)]
+struct Queue {
+    bytes_per_s: u64,
+    /// Time when the last byte in the queue has been sent.
+    empty_at: time::Instant,
+    sent: u64,
+}
+
+impl Link {
+    pub fn new(bytes_per_s: u64) -> Self {
+        Self(Arc::new(Mutex::new(Queue {
+            bytes_per_s,
+            empty_at: time::Instant::now(),
+            sent: 0,
+        })))
+    }
+
+    /// Changes the bandwidth for the bytes that arrive from now on.
+    pub fn set_bandwidth(&self, bytes_per_s: u64) {
+        let mut queue = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.bytes_per_s = bytes_per_s;
+    }
+
+    /// Returns the number of bytes that were added to the queue so far.
+    pub fn sent(&self) -> u64 {
+        let queue = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        queue.sent
+    }
+
+    /// Adds bytes to the queue and waits until the last of them has been sent.
+    fn send(&self, bytes: usize) {
+        let now = time::Instant::now();
+        let mut queue = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let micros = bytes as u64 * 1_000_000 / queue.bytes_per_s;
+        let sent_at = queue.empty_at.max(now) + time::Duration::from_micros(micros);
+        queue.empty_at = sent_at;
+        queue.sent += bytes as u64;
+        drop(queue);
+        thread::sleep(sent_at - now);
+    }
+}
+
 /// A running proxy; clones share it.
 #[derive(Clone, Debug)]
 pub struct Proxy {
@@ -52,6 +99,11 @@
 impl Proxy {
     /// Starts a proxy to `target`.
     pub fn start(target: net::SocketAddr) -> io::Result<Self> {
+        Self::start_on(target, None)
+    }
+
+    /// Starts a proxy whose connections share `link` with those of its other proxies.
+    pub fn start_on(target: net::SocketAddr, link: Option<Link>) -> io::Result<Self> {
         let listener = net::TcpListener::bind(("127.0.0.1", 0))?;
         let addr = listener.local_addr()?;
         let mode: Arc<AtomicU8> = Arc::default();
@@ -61,7 +113,7 @@
             for client in listener.incoming().flatten() {
                 count.fetch_add(1, Ordering::Relaxed);
                 // A connection that can't be forwarded is closed.
-                let _ = forward(&client, target, &thread_mode);
+                let _ = forward(&client, target, &thread_mode, link.as_ref());
             }
         });
         Ok(Self {
@@ -94,6 +146,7 @@
     client: &net::TcpStream,
     target: net::SocketAddr,
     mode: &Arc<AtomicU8>,
+    link: Option<&Link>,
 ) -> io::Result<()> {
     let server = net::TcpStream::connect(target)?;
     for tcp in [client, &server] {
@@ -105,10 +158,10 @@
         (server, client.try_clone()?, true),
     ];
     for (from, to, is_answer) in directions {
-        let mode = mode.clone();
+        let (mode, link) = (mode.clone(), link.cloned());
         thread::spawn(move || {
             // When one direction ends, both are closed.
-            let _ = copy(&from, &to, is_answer, &mode);
+            let _ = copy(&from, &to, is_answer, &mode, link.as_ref());
             let _ = from.shutdown(net::Shutdown::Both);
             let _ = to.shutdown(net::Shutdown::Both);
         });
@@ -123,6 +176,7 @@
     mut to: &net::TcpStream,
     is_answer: bool,
     mode: &AtomicU8,
+    link: Option<&Link>,
 ) -> io::Result<()> {
     let mut buf = vec![0; 64 << 10];
     let mut dropping = false;
@@ -143,6 +197,9 @@
             }
             Err(e) => return Err(e),
         };
+        if let Some(link) = link {
+            link.send(n);
+        }
         match current(mode) {
             Mode::Forward => {}
             Mode::Slow => thread::sleep(DELAY),
