--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -32,6 +32,13 @@
 /// API key of the organisation in the first configuration.
 pub const API_KEY: &str = "key-one";
 
+/// What a node connects to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Peer {
+    Store,
+    Worker,
+}
+
 /// Running nodes with their store and workers.
 pub struct Cluster {
     pub nodes: Vec<Process>,
@@ -65,9 +72,15 @@
         reborn: Reborn,
     ) -> Self {
         let settings = json!({});
-        Self::build(test, nodes, workers, run_ms, reborn, &settings, |addr| {
-            (addr, None)
-        })
+        Self::build(
+            test,
+            nodes,
+            workers,
+            run_ms,
+            reborn,
+            &settings,
+            |_, addr| (addr, None),
+        )
     }
 
     /// Starts nodes with further settings.
@@ -79,7 +92,7 @@
         settings: &Value,
     ) -> Self {
         let reborn = Reborn::OtherId;
-        Self::build(test, nodes, workers, run_ms, reborn, settings, |addr| {
+        Self::build(test, nodes, workers, run_ms, reborn, settings, |_, addr| {
             (addr, None)
         })
     }
@@ -99,17 +112,32 @@
         reborn: Reborn,
     ) -> Self {
         let settings = json!({});
-        Self::build(test, nodes, workers, run_ms, reborn, &settings, |addr| {
-            let proxy = Proxy::start(addr).unwrap();
-            (proxy.addr(), Some(proxy))
-        })
+        Self::build(
+            test,
+            nodes,
+            workers,
+            run_ms,
+            reborn,
+            &settings,
+            |_, addr| {
+                let proxy = Proxy::start(addr).unwrap();
+                (proxy.addr(), Some(proxy))
+            },
+        )
     }
 
-    /// Starts one node, all of whose connections to the store and the workers share a link.
-    pub fn start_on_link(test: &str, workers: usize, run_ms: u64, link: &Link) -> Self {
+    /// Starts one node whose connections to the `peers` share a link.
+    pub fn start_on_link(
+        test: &str,
+        workers: usize,
+        run_ms: u64,
+        link: &Link,
+        peers: &[Peer],
+    ) -> Self {
         let (reborn, settings) = (Reborn::OtherId, json!({}));
-        Self::build(test, 1, workers, run_ms, reborn, &settings, |addr| {
-            let proxy = Proxy::start_on(addr, Some(link.clone())).unwrap();
+        Self::build(test, 1, workers, run_ms, reborn, &settings, |peer, addr| {
+            let link = peers.contains(&peer).then(|| link.clone());
+            let proxy = Proxy::start_on(addr, link).unwrap();
             (proxy.addr(), Some(proxy))
         })
     }
@@ -121,7 +149,7 @@
         run_ms: u64,
         reborn: Reborn,
         settings: &Value,
-        connect: impl Fn(net::SocketAddr) -> (net::SocketAddr, Option<Proxy>),
+        connect: impl Fn(Peer, net::SocketAddr) -> (net::SocketAddr, Option<Proxy>),
     ) -> Self {
         let dir = common::temp_dir(test);
         let stop = Arc::new(AtomicBool::new(false));
@@ -133,7 +161,7 @@
         let mut worker_proxies = Vec::new();
         let mut registrations = Vec::new();
         for worker in &workers {
-            let (address, proxy) = connect(worker.addr());
+            let (address, proxy) = connect(Peer::Worker, worker.addr());
             worker_proxies.extend(proxy);
             let mut registration = Registration::new(worker.clone(), address);
             registration.update(&store);
@@ -142,7 +170,8 @@
         keep_registered(registrations, store.clone(), stop.clone());
         let refuse_first_node: Arc<AtomicBool> = Arc::default();
         let refusable_addr = store.serve_refusable(&stop, &refuse_first_node).unwrap();
-        let store_for = |i: usize| connect(if i == 0 { refusable_addr } else { store.addr() });
+        let store_addr = |i: usize| if i == 0 { refusable_addr } else { store.addr() };
+        let store_for = |i: usize| connect(Peer::Store, store_addr(i));
         let (stores, store_proxies): (Vec<_>, Vec<_>) = (0..nodes).map(store_for).unzip();
         let operator_addrs: Vec<_> = (0..nodes).map(|_| common::free_addr()).collect();
         let ready_addrs: Vec<_> = (0..nodes).map(|_| common::free_addr()).collect();
