--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -15,7 +15,7 @@
 
 use platform_standin::{
     store::Store,
-    worker::{Reborn, Worker},
+    worker::{Gangs, Reborn, Worker},
 };
 use serde_json::{Value, json};
 
@@ -158,6 +158,10 @@
         let run_time = time::Duration::from_millis(run_ms);
         let start = |i| Worker::start(&stop, &format!("i-{i}"), run_time, reborn).unwrap();
         let workers: Vec<Worker> = (0..workers).map(start).collect();
+        let gangs = Gangs::default();
+        for worker in &workers {
+            worker.share_gangs(&gangs);
+        }
         let mut worker_proxies = Vec::new();
         let mut registrations = Vec::new();
         for worker in &workers {
