--- a/crates/batch/src/call_window.rs
+++ b/crates/batch/src/call_window.rs
@@ -140,12 +140,11 @@
     /// ```
     pub fn end(&mut self, id: u64, answered: bool, now: Millis) {
         let is_this = |(call, _): &(u64, Millis)| *call == id;
-        let found = match self.under_way.iter().position(is_this) {
-            Some(i) => self.under_way.remove(i),
-            None => {
-                let i = self.overdue.iter().position(is_this);
-                i.map(|i| self.overdue.swap_remove(i))
-            }
+        let found = if let Some(i) = self.under_way.iter().position(is_this) {
+            self.under_way.remove(i)
+        } else {
+            let i = self.overdue.iter().position(is_this);
+            i.map(|i| self.overdue.swap_remove(i))
         };
         let Some((_, sent)) = found else {
             return;
--- a/crates/batch/tests/stops.rs
+++ b/crates/batch/tests/stops.rs
@@ -3,8 +3,8 @@
 mod fleet;
 
 use base::clock::Millis;
-use batch::worker::Order;
-use fleet::{Fleet, starts, step, stops, subtask};
+use batch::worker::{Action, Order, StartReply};
+use fleet::{Fleet, starts, step, stops};
 
 /// Maximum time that a stop takes at a worker.
 const STOP_TIME: Millis = Millis(900);
@@ -69,30 +69,6 @@
     assert_eq!(stop_times(Answer::Fails(700))[1], 1_100);
 }
 
-/// Guards against a stop with each report that lists a run which should not exist.
-#[test]
-fn the_stop_of_an_unexpected_run_is_repeated_like_others() {
-    let mut fleet = Fleet::new(1);
-    fleet.scheduler.set_stop_time(STOP_TIME);
-    let unexpected = Order {
-        worker: "w00".into(),
-        task: subtask("5.0.0.0"),
-        attempt: 3,
-        action: batch::worker::Action::Stop,
-    };
-    let mut times = Vec::new();
-    for ms in (0..3_000).step_by(50) {
-        fleet.report("w00", &[&unexpected], Vec::new());
-        times.extend(stops(&fleet.plan()).iter().map(|_| ms));
-        if ms == 100 {
-            let now = fleet.now;
-            fleet.scheduler.handle_stop_reply(&unexpected.task, 3, now);
-        }
-        fleet.advance(50);
-    }
-    assert_eq!(times, [0, 1_400]);
-}
-
 /// Guards against stops that wait for their turn and are sent although the run is known to be gone.
 #[test]
 fn a_stop_of_a_run_that_is_gone_is_not_wanted() {
@@ -111,3 +87,56 @@
     fleet.advance(10).report("w00", &[], Vec::new());
     assert!(!is_wanted(&fleet));
 }
+
+/// Guards against a leader that fills its link with stops: each report still lists the run.
+#[test]
+fn a_stop_that_was_answered_is_not_sent_again_while_it_may_take_effect() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    let start = starts(&fleet.plan()).remove(0);
+    let now = fleet.now;
+    let taken = StartReply::Taken;
+    fleet
+        .scheduler
+        .handle_start_reply(&start.task, 1, taken, now);
+    fleet.advance(100).report("w00", &[&start], Vec::new());
+    let (now, wall_now) = (fleet.now, fleet.wall());
+    assert!(fleet.scheduler.cancel("1", now, wall_now));
+    assert_eq!(stops(&fleet.plan()).len(), 1);
+    let now = fleet.advance(10).now;
+    fleet.scheduler.handle_stop_reply(&start.task, 1, now);
+    for ms in (100..STOP_TIME.0).step_by(100) {
+        fleet.advance(100).report("w00", &[&start], Vec::new());
+        let repeated = stops(&fleet.plan());
+        assert!(repeated.is_empty(), "{ms} ms after the answer");
+    }
+    // It has had no effect in its time.
+    fleet.advance(2_000).report("w00", &[&start], Vec::new());
+    assert_eq!(stops(&fleet.plan()).len(), 1);
+}
+
+/// Guards against the same for a run that the leader doesn't know.
+#[test]
+fn a_stop_of_an_unexpected_run_is_not_sent_again_at_each_report() {
+    let mut fleet = Fleet::new(1);
+    fleet.plan();
+    let unexpected = Order {
+        worker: "w00".into(),
+        task: fleet::subtask("ff.0.0.0"),
+        attempt: 1,
+        action: Action::Stop,
+    };
+    fleet.report("w00", &[&unexpected], Vec::new());
+    assert_eq!(stops(&fleet.plan()).len(), 1);
+    let now = fleet.advance(10).now;
+    fleet.scheduler.handle_stop_reply(&unexpected.task, 1, now);
+    for ms in (100..STOP_TIME.0).step_by(100) {
+        fleet.advance(100).report("w00", &[&unexpected], Vec::new());
+        let repeated = stops(&fleet.plan());
+        assert!(repeated.is_empty(), "{ms} ms after the answer");
+    }
+    fleet
+        .advance(2_000)
+        .report("w00", &[&unexpected], Vec::new());
+    assert_eq!(stops(&fleet.plan()).len(), 1);
+}
