batch, node: waiting calls keep the order of their orders; a window begins small

Calls of a class now go in the order of their orders. The window begins at 16 calls and doubles with each round of fast answers until the first slow one. A call has up to 2 s for its answer.

Test: batch call_window, starts_keep_their_order_when_they_arrive_late.

--- a/crates/batch/src/answer_time.rs
+++ b/crates/batch/src/answer_time.rs
@@ -5,8 +5,8 @@
 /// Minimum time limit for the answer to a call. Three tries of a start fit into the time that the
 /// members of a gang wait for each other (3 s).
 pub const MIN_CALL_LIMIT: Millis = Millis(700);
-/// Maximum time limit, so that two tries of a start fit into that time.
-const MAX_CALL_LIMIT: Millis = Millis(1_400);
+/// Maximum time limit, so that a start and a stop after it fit into that time.
+const MAX_CALL_LIMIT: Millis = Millis(2_000);
 /// Weight of an answer in the mean, as the divisor of a moving average. Calls go to hundreds of
 /// workers, of which some may be slow by themselves.
 const MEAN_DIVISOR: f64 = 32.0;
--- a/crates/batch/src/call_window.rs
+++ b/crates/batch/src/call_window.rs
@@ -12,8 +12,9 @@
 
 use crate::answer_time::AnswerTime;
 
-/// Number of calls under way before any is answered.
-const INITIAL_SIZE: f64 = 48.0;
+/// Number of calls under way before any is answered. It doubles with each round of fast answers until
+/// the first slow one.
+const INITIAL_SIZE: f64 = 16.0;
 /// Minimum number of calls under way. The members of a small gang are sent together.
 const MIN_SIZE: f64 = 8.0;
 /// Maximum number of calls under way, for which a VM has room beside a connection to each of the
@@ -53,8 +54,13 @@
     Report,
 }
 
-/// Number of classes.
-const CLASSES: usize = 5;
+/// A call that waits, in the order of turns.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Waiting {
+    class: Class,
+    position: u64,
+    id: u64,
+}
 
 /// The calls to all workers that wait or are under way, apart from the sequential renewals.
 ///
@@ -63,8 +69,8 @@
 /// use batch::call_window::{CallWindow, Class};
 ///
 /// let mut window = CallWindow::default();
-/// let start = window.add(Class::Start);
-/// let stop = window.add(Class::Stop);
+/// let start = window.add(Class::Start, 1);
+/// let stop = window.add(Class::Stop, 2);
 /// assert_eq!(window.advance(Millis(5)), [stop, start]);
 /// window.end(stop, true, Millis(9));
 /// ```
@@ -72,13 +78,14 @@
 pub struct CallWindow {
     next_id: u64,
     size: f64,
-    waiting: [VecDeque<u64>; CLASSES],
+    /// Calls that wait, the next one last.
+    waiting: Vec<Waiting>,
     /// Calls under way with the times when they were sent, the oldest first.
     under_way: VecDeque<(u64, Millis)>,
     /// Calls that have left the window without an answer and may still get one.
     overdue: Vec<(u64, Millis)>,
     answer_time: AnswerTime,
-    /// Time of the last decrease.
+    /// Time of the last decrease; zero before the first one.
     decreased_at: Millis,
     /// Calls that were answered, and those that became overdue, since the last decrease.
     answered: usize,
@@ -90,7 +97,7 @@
         Self {
             next_id: 0,
             size: INITIAL_SIZE,
-            waiting: Default::default(),
+            waiting: Vec::new(),
             under_way: VecDeque::new(),
             overdue: Vec::new(),
             answer_time: AnswerTime::default(),
@@ -102,15 +109,23 @@
 }
 
 impl CallWindow {
-    /// Adds a call that waits for its turn, and returns its number.
+    /// Adds a call that waits for its turn, and returns its number. In its class it goes before calls
+    /// of a higher `position`: members of a gang that arrive here one after the other, because a
+    /// worker gets few calls at a time, still go out close together.
     ///
     /// ```
     /// use batch::call_window::{CallWindow, Class};
-    /// assert_eq!(CallWindow::default().add(Class::Stop), 1);
+    /// assert_eq!(CallWindow::default().add(Class::Stop, 1), 1);
     /// ```
-    pub fn add(&mut self, class: Class) -> u64 {
+    pub fn add(&mut self, class: Class, position: u64) -> u64 {
         self.next_id += 1;
-        self.waiting[class as usize].push_back(self.next_id);
+        let call = Waiting {
+            class,
+            position,
+            id: self.next_id,
+        };
+        let index = self.waiting.partition_point(|w| *w > call);
+        self.waiting.insert(index, call);
         self.next_id
     }
 
@@ -124,10 +139,10 @@
         self.remove_overdue(now);
         let mut turns = Vec::new();
         while self.under_way.len() < self.size as usize
-            && let Some(id) = self.waiting.iter_mut().find_map(VecDeque::pop_front)
+            && let Some(next) = self.waiting.pop()
         {
-            self.under_way.push_back((id, now));
-            turns.push(id);
+            self.under_way.push_back((next.id, now));
+            turns.push(next.id);
         }
         turns
     }
@@ -159,7 +174,13 @@
         }
         if took <= SLOW_ANSWER {
             self.answered += 1;
-            self.size = (self.size + INCREASE / self.size).min(MAX_SIZE);
+            let is_growing = self.decreased_at == Millis::ZERO;
+            let step = if is_growing {
+                1.0
+            } else {
+                INCREASE / self.size
+            };
+            self.size = (self.size + step).min(MAX_SIZE);
         } else {
             self.decrease(sent, now);
         }
@@ -172,7 +193,7 @@
     /// assert!(batch::call_window::CallWindow::default().next_at().is_none());
     /// ```
     pub fn next_at(&self) -> Option<Millis> {
-        self.waiting.iter().find(|w| !w.is_empty())?;
+        self.waiting.last()?;
         let oldest = self.under_way.front();
         Some(oldest.map_or(Millis::ZERO, |(_, sent)| *sent + self.overdue_after()))
     }
@@ -202,7 +223,7 @@
     /// Returns the maximum number of calls under way.
     ///
     /// ```
-    /// assert_eq!(batch::call_window::CallWindow::default().size(), 48);
+    /// assert_eq!(batch::call_window::CallWindow::default().size(), 16);
     /// ```
     pub fn size(&self) -> usize {
         self.size as usize
@@ -214,7 +235,7 @@
     /// assert_eq!(batch::call_window::CallWindow::default().waiting(), 0);
     /// ```
     pub fn waiting(&self) -> usize {
-        self.waiting.iter().map(VecDeque::len).sum()
+        self.waiting.len()
     }
 
     fn overdue_after(&self) -> Millis {
--- a/crates/batch/tests/call_window.rs
+++ b/crates/batch/tests/call_window.rs
@@ -56,8 +56,8 @@
     let (mut link, mut window, mut played) =
         (Link::default(), CallWindow::default(), Played::default());
     let mut under_way: Vec<(u64, Millis, Millis, bool)> = Vec::new();
-    for _ in 0..BURST {
-        window.add(Class::Start);
+    for i in 0..BURST {
+        window.add(Class::Start, i as u64);
     }
     for now in (1..60_000).map(Millis) {
         for (id, sent, end, answered) in under_way.extract_if(.., |(_, _, end, _)| *end <= now) {
@@ -116,7 +116,7 @@
         Class::Stop,
         Class::Extension,
     ];
-    let ids = classes.map(|class| window.add(class));
+    let ids = classes.map(|class| window.add(class, 1));
     let mut expected = ids;
     expected.reverse();
     assert_eq!(window.advance(Millis(1)), expected);
@@ -127,7 +127,7 @@
 fn a_free_link_is_used() {
     let mut window = CallWindow::default();
     for now in (1..2_000).map(Millis) {
-        window.add(Class::Start);
+        window.add(Class::Start, now.0);
         for id in window.advance(now) {
             window.end(id, true, now + ANSWER);
         }
@@ -135,3 +135,25 @@
     assert!(window.size() > 96, "{}", window.size());
     assert!(window.max_starts() > 3_000, "{}", window.max_starts());
 }
+
+/// Guards against gangs of which no member set is complete, because members that wait at a worker for
+/// their turn go behind those of later gangs.
+#[test]
+fn starts_keep_their_order_when_they_arrive_late() {
+    let mut window = CallWindow::default();
+    while !window.advance(Millis(1)).is_empty() || window.waiting() == 0 {
+        window.add(Class::Start, 1);
+    }
+    let later = window.add(Class::Start, 30);
+    let earlier = window.add(Class::Start, 20);
+    let mut turns = Vec::new();
+    for id in 1.. {
+        window.end(id, true, Millis(2));
+        turns.extend(window.advance(Millis(2)));
+        if window.waiting() == 0 {
+            break;
+        }
+    }
+    let place = |id| turns.iter().position(|t| *t == id);
+    assert!(place(earlier) < place(later), "{turns:?}");
+}
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -74,7 +74,7 @@
         &self,
         place: Place,
         window: &Window,
-        class: Class,
+        (class, position): (Class, u64),
     ) -> Option<Permit> {
         let (tx, rx) = oneshot::channel();
         let mut queue = self.0.queue.borrow_mut();
@@ -85,7 +85,7 @@
         self.advance();
         let mut permit = rx.await.ok()?;
         self.0.queue.borrow_mut().hold(id);
-        permit.slot = Some(window.acquire(class).await?);
+        permit.slot = Some(window.acquire(class, position).await?);
         self.0.queue.borrow_mut().mark_sent(id, clock::now());
         self.advance();
         Some(permit)
@@ -97,7 +97,7 @@
         if self.0.is_report_due.replace(true) {
             return None;
         }
-        let permit = self.acquire(Place::Last, window, Class::Report).await;
+        let permit = self.acquire(Place::Last, window, (Class::Report, 0)).await;
         self.0.is_report_due.set(false);
         permit
     }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -45,6 +45,8 @@
     pub(crate) sessions: RefCell<SortedMap<Text, WorkerSession>>,
     /// Calls to all workers beside the renewals of their leases.
     pub(crate) window: Window,
+    /// Number of orders so far.
+    pub(crate) orders: Cell<u64>,
     /// Phases of the jobs as stored.
     pub(crate) stored_phases: RefCell<SortedMap<Text, Phase>>,
     /// Number of rows that hold the stored progress of each job.
@@ -98,6 +100,7 @@
             scheduler: RefCell::default(),
             sessions: RefCell::default(),
             window: Window::default(),
+            orders: Cell::default(),
             stored_phases: RefCell::default(),
             progress_rows: RefCell::default(),
             held_back: RefCell::default(),
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -30,11 +30,13 @@
 /// Sends orders concurrently and hands the replies to the scheduler.
 pub(crate) fn send(cx: &Cx, leader: &Rc<Leader>, orders: Vec<Order>) {
     for order in orders {
-        rt::spawn(send_one(cx.clone(), leader.clone(), order)).detach();
+        let position = leader.orders.get() + 1;
+        leader.orders.set(position);
+        rt::spawn(send_one(cx.clone(), leader.clone(), order, position)).detach();
     }
 }
 
-async fn send_one(cx: Cx, leader: Rc<Leader>, order: Order) {
+async fn send_one(cx: Cx, leader: Rc<Leader>, order: Order, position: u64) {
     if matches!(order.action, Action::Start { .. }) {
         wait_for_config(&cx, &leader).await;
     }
@@ -44,7 +46,11 @@
         return handle_unsent(&leader, &order);
     };
     let Some(permit) = calls
-        .acquire(Place::Last, &leader.window, class(&leader, &order))
+        .acquire(
+            Place::Last,
+            &leader.window,
+            (class(&leader, &order), position),
+        )
         .await
     else {
         log::info!(task:% = order.task, worker:% = order.worker; "orders: not sent to a silent worker");
--- a/crates/node/src/window.rs
+++ b/crates/node/src/window.rs
@@ -54,9 +54,10 @@
 
 impl Window {
     /// Waits for the turn of a call. Returns `None` if the leadership has ended.
-    pub(crate) async fn acquire(&self, class: Class) -> Option<Slot> {
+    /// Calls of a class go in the order of their positions.
+    pub(crate) async fn acquire(&self, class: Class, position: u64) -> Option<Slot> {
         let (tx, rx) = oneshot::channel();
-        let id = self.0.window.borrow_mut().add(class);
+        let id = self.0.window.borrow_mut().add(class, position);
         self.0.waiting.borrow_mut().insert(id, tx);
         self.advance();
         rx.await.ok()
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -359,7 +359,7 @@
         return;
     };
     let Some(permit) = calls
-        .acquire(Place::First, &leader.window, Class::Extension)
+        .acquire(Place::First, &leader.window, (Class::Extension, 0))
         .await
     else {
         return;
