batch: a leader without measured answers gives calls more time

A new leader can't tell a slow link from silent workers, so that the first starts on a narrow link were given up after 0.7 s.

--- a/crates/batch/src/answer_time.rs
+++ b/crates/batch/src/answer_time.rs
@@ -12,6 +12,8 @@
 const MEAN_DIVISOR: f64 = 32.0;
 /// Weight of an answer in the mean deviation, likewise.
 const DEVIATION_DIVISOR: f64 = 16.0;
+/// Mean deviation in milliseconds before any answer, when nothing tells a slow link from a silent worker.
+const INITIAL_DEVIATION: f64 = 300.0;
 /// Number of mean deviations above the mean that an answer may take, as for retransmissions of TCP.
 const DEVIATIONS: f64 = 4.0;
 
@@ -22,19 +24,30 @@
 /// use batch::answer_time::AnswerTime;
 ///
 /// let mut time = AnswerTime::default();
-/// time.record(Millis(4));
+/// for _ in 0..50 {
+///     time.record(Millis(4));
+/// }
 /// assert_eq!(time.call_limit(), Millis(700));
 /// for _ in 0..200 {
 ///     time.record(Millis(900));
 /// }
 /// assert!(time.call_limit() > Millis(900));
 /// ```
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct AnswerTime {
     mean: f64,
     deviation: f64,
 }
 
+impl Default for AnswerTime {
+    fn default() -> Self {
+        Self {
+            mean: 0.0,
+            deviation: INITIAL_DEVIATION,
+        }
+    }
+}
+
 impl AnswerTime {
     /// Records that an answer took `took`, or that a call was given up after it.
     ///
@@ -62,7 +75,7 @@
     ///
     /// ```
     /// # use base::clock::Millis;
-    /// assert_eq!(batch::answer_time::AnswerTime::default().usual_maximum(), Millis::ZERO);
+    /// assert_eq!(batch::answer_time::AnswerTime::default().usual_maximum(), Millis(1_200));
     /// ```
     pub fn usual_maximum(&self) -> Millis {
         Millis((self.mean + DEVIATIONS * self.deviation) as u64)
@@ -72,7 +85,7 @@
     ///
     /// ```
     /// # use base::clock::Millis;
-    /// assert_eq!(batch::answer_time::AnswerTime::default().call_limit(), Millis(700));
+    /// assert_eq!(batch::answer_time::AnswerTime::default().call_limit(), Millis(1_200));
     /// ```
     pub fn call_limit(&self) -> Millis {
         self.usual_maximum().max(MIN_CALL_LIMIT).min(MAX_CALL_LIMIT)
--- a/crates/batch/src/call_window.rs
+++ b/crates/batch/src/call_window.rs
@@ -202,7 +202,7 @@
     ///
     /// ```
     /// use base::clock::Millis;
-    /// assert_eq!(batch::call_window::CallWindow::default().call_limit(), Millis(700));
+    /// assert_eq!(batch::call_window::CallWindow::default().call_limit(), Millis(1_200));
     /// ```
     pub fn call_limit(&self) -> Millis {
         self.answer_time.call_limit()
