--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -235,32 +235,9 @@
         });
     }
 
-    /// Asserts that no subtask ran twice at the same time, nor again after it was done, unless the
-    /// worker's lease ended before the completion was acknowledged. Returns the number of runs by
-    /// job.
+    /// Checks the runs of all workers; see [`check_runs`].
     pub fn check_runs(&self) -> BTreeMap<String, usize> {
-        let mut tasks: BTreeMap<String, Vec<_>> = BTreeMap::new();
-        for run in self.workers.iter().flat_map(Worker::runs) {
-            tasks.entry(run.task.clone()).or_default().push(run);
-        }
-        let mut jobs: BTreeMap<String, usize> = BTreeMap::new();
-        for (task, mut runs) in tasks {
-            runs.sort_by_key(|r| r.started);
-            for pair in runs.windows(2) {
-                let first_end = pair[0].ended;
-                assert!(
-                    first_end.is_some_and(|(t, _)| t <= pair[1].started),
-                    "{task} ran twice at the same time: {runs:?}"
-                );
-                assert!(
-                    pair[0].lapsed || first_end.is_none_or(|(_, how)| how != "done"),
-                    "{task} ran again after it was done: {runs:?}"
-                );
-            }
-            let job = task.split('.').next().unwrap_or_default().to_owned();
-            *jobs.entry(job).or_default() += runs.len();
-        }
-        jobs
+        check_runs(&self.workers)
     }
 
     /// Returns the index of the node that holds the lease.
@@ -275,6 +252,34 @@
     }
 }
 
+/// Asserts that no subtask ran twice at the same time, nor again after it was done, unless the
+/// worker's lease ended before the completion was acknowledged. Returns the number of runs by
+/// job.
+pub fn check_runs(workers: &[Worker]) -> BTreeMap<String, usize> {
+    let mut tasks: BTreeMap<String, Vec<_>> = BTreeMap::new();
+    for run in workers.iter().flat_map(Worker::runs) {
+        tasks.entry(run.task.clone()).or_default().push(run);
+    }
+    let mut jobs: BTreeMap<String, usize> = BTreeMap::new();
+    for (task, mut runs) in tasks {
+        runs.sort_by_key(|r| r.started);
+        for pair in runs.windows(2) {
+            let first_end = pair[0].ended;
+            assert!(
+                first_end.is_some_and(|(t, _)| t <= pair[1].started),
+                "{task} ran twice at the same time: {runs:?}"
+            );
+            assert!(
+                pair[0].lapsed || first_end.is_none_or(|(_, how)| how != "done"),
+                "{task} ran again after it was done: {runs:?}"
+            );
+        }
+        let job = task.split('.').next().unwrap_or_default().to_owned();
+        *jobs.entry(job).or_default() += runs.len();
+    }
+    jobs
+}
+
 /// Entry of a worker in the VM list.
 struct Registration {
     worker: Worker,
--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,283 @@
+//! Tests of nodes as real processes at the size of a large site, judged by what callers and workers
+//! see: accepted work that could run does run, and nothing runs twice.
+//!
+//! `cargo test --release -p buckthorncove --test fleet -- --ignored --nocapture --test-threads 1`
+//! `FLEET_SEED`, `FLEET_SECONDS`, `FLEET_LOAD`, `FLEET_SHARE` and `FLEET_SLICE=1` select other runs.
+
+mod cluster;
+mod common;
+mod site;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    env, hint, iter,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread, time,
+};
+
+use site::{
+    Fleet, Limit, ROOM, Short, WORKERS,
+    traffic::{CLASSES, Callers, Fate, INTERVAL, Job},
+};
+use platform_standin::worker::{Run, Worker};
+
+/// Time after the traffic by which accepted work has to run, and the time after that which is judged.
+const FINISH: time::Duration = time::Duration::from_secs(14);
+const JUDGED: time::Duration = time::Duration::from_secs(8);
+/// Time for which a job must stand to count as lost, and interval at which it is looked at.
+const STAND: time::Duration = time::Duration::from_secs(3);
+const STEP: time::Duration = time::Duration::from_millis(250);
+/// Busy loops of a busy machine.
+const LOOPS: usize = 6;
+
+fn env_or(name: &str, default: f64) -> f64 {
+    env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+/// A subtask as its name has it: job, occurrence, step, index.
+type Task = (u64, u64, usize, u64);
+
+fn parse(task: &str) -> Option<Task> {
+    let mut parts = task.split('.');
+    let id = u64::from_str_radix(parts.next()?, 16).ok()?;
+    let mut next = || parts.next()?.parse::<u64>().ok();
+    Some((id, next()?, next()? as usize, next()?))
+}
+
+/// All runs, with what is derived from them.
+struct Record {
+    runs: Vec<(usize, Task, Run)>,
+    done: BTreeMap<Task, time::Instant>,
+}
+
+impl Record {
+    fn new(workers: &[Worker]) -> Self {
+        let all = workers.iter().enumerate();
+        let all = all.flat_map(|(w, worker)| worker.runs().into_iter().map(move |r| (w, r)));
+        let runs: Vec<_> = all.filter_map(|(w, r)| Some((w, parse(&r.task)?, r))).collect();
+        let mut done = BTreeMap::new();
+        for (_, task, run) in &runs {
+            if let Some((at, "done")) = run.ended {
+                let first = done.entry(*task).or_insert(at);
+                *first = at.min(*first);
+            }
+        }
+        Self { runs, done }
+    }
+
+    fn done_at(&self, job: &Job, task: Task) -> Option<time::Instant> {
+        // One end of a gang stands for all.
+        let members = if job.gang { 0..job.steps[task.2] } else { task.3..task.3 + 1 };
+        members.filter_map(|i| self.done.get(&(task.0, task.1, task.2, i)).copied()).min()
+    }
+
+    fn step_done_at(&self, job: &Job, k: u64, step: usize) -> Option<time::Instant> {
+        let ends = (0..job.steps[step]).map(|i| self.done_at(job, (job.id, k, step, i)));
+        ends.collect::<Option<Vec<_>>>()?.into_iter().max()
+    }
+
+    fn is_done(&self, job: &Job) -> bool {
+        (0..job.occurrences.max(1)).all(|k| (0..job.steps.len()).all(|s| self.step_done_at(job, k, s).is_some()))
+    }
+
+    /// Returns whether a subtask's turn has come at a time and none of it has been done by then.
+    fn is_due(&self, job: &Job, at: time::Instant) -> bool {
+        (0..job.occurrences.max(1)).any(|k| {
+            let mut turn = Some(job.sent + INTERVAL * k as u32);
+            (0..job.steps.len()).any(|step| {
+                let end = self.step_done_at(job, k, step);
+                let is_due = turn.is_some_and(|t| t <= at) && end.is_none_or(|t| t > at);
+                turn = end;
+                is_due
+            })
+        })
+    }
+
+    /// Returns for each stand of a job its index, begin and length, for stands beyond [`STAND`]
+    /// within a time while less than half of the accelerators are in use and there is room twice over.
+    fn stands(&self, jobs: &[Job], from: time::Instant, to: time::Instant) -> Vec<(usize, time::Instant, time::Duration)> {
+        let needs: BTreeMap<u64, [u64; 3]> = jobs.iter().map(|j| (j.id, j.need)).collect();
+        let mut open: BTreeMap<usize, time::Instant> = BTreeMap::new();
+        let mut stands = Vec::new();
+        let accepted = || jobs.iter().enumerate().filter(|(_, j)| j.fate == Fate::Accepted);
+        let mut at = from;
+        while at < to {
+            let mut used = vec![[0; 3]; WORKERS];
+            let mut running = BTreeSet::new();
+            for (w, task, run) in &self.runs {
+                if run.started <= at + STEP && run.ended.is_none_or(|(t, _)| t >= at) {
+                    running.insert(task.0);
+                    let need = needs.get(&task.0).copied().unwrap_or_default();
+                    iter::zip(&mut used[*w], need).for_each(|(u, n)| *u += n);
+                }
+            }
+            let in_use: u64 = used.iter().map(|u| u[2]).sum();
+            let is_half_free = in_use < WORKERS as u64 * ROOM[2] / 2;
+            let fits = |need: [u64; 3]| -> u64 {
+                let on = |u: &[u64; 3]| (0..3).map(|i| ROOM[i].saturating_sub(u[i]) / need[i]).min().unwrap_or(0);
+                used.iter().map(on).sum()
+            };
+            for (i, job) in accepted() {
+                let wanted = 2 * if job.gang { job.steps[0] } else { 1 };
+                let stands_now = is_half_free
+                    && !running.contains(&job.id)
+                    && job.sent + STEP < at
+                    && self.is_due(job, at)
+                    && self.is_due(job, at + STEP)
+                    && fits(job.need) >= wanted;
+                if stands_now {
+                    open.entry(i).or_insert(at);
+                } else if let Some(begin) = open.remove(&i) {
+                    stands.push((i, begin, at - begin));
+                }
+            }
+            at += STEP;
+        }
+        stands.extend(open.into_iter().map(|(i, begin)| (i, begin, to - begin)));
+        stands.retain(|(_, _, length)| *length >= STAND);
+        stands
+    }
+}
+
+/// What happens beside the traffic.
+#[derive(Clone, Copy, Debug)]
+struct Trouble {
+    short: Short,
+    kills: u32,
+    loops: usize,
+}
+
+const CALM: Trouble = Trouble { short: Short::None, kills: 0, loops: 0 };
+
+/// Plays the traffic and asserts the promises.
+fn play(test: &str, trouble: Trouble) {
+    let (seed, load) = (env_or("FLEET_SEED", 1.0) as u64, env_or("FLEET_LOAD", 1.0));
+    let length = time::Duration::from_secs_f64(env_or("FLEET_SECONDS", 35.0));
+    let limit = Limit {
+        short: trouble.short,
+        share: env_or("FLEET_SHARE", 0.12),
+        by_slice: env::var_os("FLEET_SLICE").is_some(),
+    };
+    eprintln!("{test}: seed {seed}, load {load}, {length:?}, {trouble:?}, {limit:?}");
+    let mut fleet = Fleet::start(test);
+    let callers = Callers::new(fleet.addrs.clone());
+    let (before, began) = (fleet.processor_time(), time::Instant::now());
+    let over: Arc<AtomicBool> = Arc::default();
+    let limiter = fleet.limit(limit, over.clone());
+    for _ in 0..trouble.loops {
+        let over = over.clone();
+        thread::spawn(move || while !over.load(Ordering::Relaxed) { hint::spin_loop(); });
+    }
+    let player = callers.clone();
+    let traffic = thread::spawn(move || player.play(seed, load, length));
+    for i in 0..trouble.kills {
+        thread::sleep(length * (i + 1) / (trouble.kills + 1) - began.elapsed().min(length));
+        fleet.kill_leader();
+    }
+    traffic.join().unwrap();
+    let ended = time::Instant::now();
+    thread::sleep(FINISH + JUDGED);
+    let judged_until = time::Instant::now();
+    let leader = fleet.leader();
+    let after = fleet.processor_time();
+    over.store(true, Ordering::Relaxed);
+    limiter.join().unwrap();
+    callers.stop();
+    let jobs = callers.jobs.lock().unwrap().clone();
+    let record = Record::new(&fleet.workers);
+    let mut states: BTreeMap<String, usize> = BTreeMap::new();
+    for job in jobs.iter().filter(|j| j.fate == Fate::Accepted) {
+        let key = format!("{} as callers, {} as workers see it", callers.state(job), if record.is_done(job) { "done" } else { "open" });
+        *states.entry(key).or_default() += 1;
+    }
+    print_counts(&jobs, &record);
+    eprintln!("states {states:?}");
+    let cpu: Vec<f64> = iter::zip(&after, &before).map(|(a, b)| a - b).collect();
+    let span = judged_until.duration_since(began).as_secs_f64();
+    eprintln!("leader n{leader}: {:.2} s of processor time in {span:.0} s; all nodes {:.1} s, most {:.2} s", cpu[leader], cpu.iter().sum::<f64>(), cpu.iter().copied().fold(0.0, f64::max));
+    for (name, value) in fleet.metrics() {
+        eprintln!("  {name} {value}");
+    }
+    for (name, count) in fleet.messages() {
+        eprintln!("  log {count} x {name}");
+    }
+    for (what, from) in [("any time", began), ("LOST", ended + FINISH)] {
+        let stands = record.stands(&jobs, from, judged_until);
+        let longest = stands.iter().map(|s| s.2).max().unwrap_or_default();
+        eprintln!("{what}: {} stands, longest {longest:?}", stands.len());
+        for (i, begin, length) in stands.iter().take(12) {
+            let job = &jobs[*i];
+            let runs = record.runs.iter().filter(|(_, t, _)| t.0 == job.id).count();
+            eprintln!("  {} {:016x}: {} x {:?}, {runs} runs, stands from {:.1} s for {length:?}", CLASSES[job.class].queue, job.id, job.need[2], job.steps, begin.duration_since(began).as_secs_f64());
+        }
+    }
+    let lost = record.stands(&jobs, ended + FINISH, judged_until);
+    let workers = fleet.workers.clone();
+    drop(fleet);
+    cluster::check_runs(&workers);
+    assert!(lost.is_empty(), "seed {seed}: {} accepted jobs stand still", lost.len());
+    let unknown = states.keys().find(|s| s.starts_with("410"));
+    assert!(unknown.is_none(), "seed {seed}: accepted jobs are not known: {states:?}");
+}
+
+fn print_counts(jobs: &[Job], record: &Record) {
+    for (i, class) in CLASSES.iter().enumerate() {
+        let all: Vec<&Job> = jobs.iter().filter(|j| j.class == i).collect();
+        let of = |fate| all.iter().filter(|j| j.fate == fate).count();
+        let done = all.iter().filter(|j| j.fate == Fate::Accepted && record.is_done(j)).count();
+        eprintln!("{}: {} jobs, accepted {}, of these done {done}, refused {}, unknown {}, cancelled {}", class.queue, all.len(), of(Fate::Accepted), of(Fate::Refused), of(Fate::Unknown), of(Fate::Cancelled));
+    }
+    let mut ends: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut runs: BTreeMap<Task, usize> = BTreeMap::new();
+    for (_, task, run) in &record.runs {
+        *ends.entry(run.ended.map_or("runs", |(_, how)| how)).or_default() += 1;
+        *runs.entry(*task).or_default() += 1;
+    }
+    let most = runs.values().max().copied().unwrap_or(0);
+    eprintln!("runs {} of {} subtasks, most of one {most}, ends {ends:?}", record.runs.len(), runs.len());
+}
+
+/// Guards against work that stands still on a calm machine.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on() {
+    play("fleet-calm", CALM);
+}
+
+/// Guards against a collapse of a leader that has little processor time.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_under_a_slow_leader() {
+    play("fleet-leader", Trouble { short: Short::Leader, ..CALM });
+}
+
+/// Guards against a collapse of nodes that all have little processor time.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_on_slow_nodes() {
+    play("fleet-all", Trouble { short: Short::All, ..CALM });
+}
+
+/// Guards against work that a new leader does not know.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_after_a_takeover() {
+    play("fleet-kill", Trouble { kills: 1, ..CALM });
+}
+
+/// Guards against work that stands still after takeovers in a row.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_after_two_takeovers() {
+    play("fleet-kills", Trouble { kills: 2, ..CALM });
+}
+
+/// Guards against work that stands still on a busy machine.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_on_a_busy_machine() {
+    play("fleet-busy", Trouble { loops: LOOPS, ..CALM });
+}
