--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -31,6 +31,9 @@
 /// Time for which a job must stand to count as lost, and interval at which it is looked at.
 const STAND: time::Duration = time::Duration::from_secs(3);
 const STEP: time::Duration = time::Duration::from_millis(250);
+/// Interval between two printed numbers of accelerators in use, and number of printed stands.
+const USE_STEP: time::Duration = time::Duration::from_secs(4);
+const PRINTED_STANDS: usize = 12;
 /// Busy loops of a busy machine.
 const LOOPS: usize = 6;
 
@@ -225,7 +228,8 @@
     let player = callers.clone();
     let traffic = thread::spawn(move || player.play(seed, load, length));
     for i in 0..trouble.kills {
-        thread::sleep(length * (i + 1) / (trouble.kills + 1) - began.elapsed().min(length));
+        let at = length * (i + 1) / (trouble.kills + 1);
+        thread::sleep(at.saturating_sub(began.elapsed()));
         fleet.kill_leader();
     }
     traffic.join().unwrap();
@@ -254,46 +258,28 @@
     let early = iter::zip(&accepted, &answers)
         .filter(|(j, s)| is_early((j, s)))
         .count();
-    print_counts(&jobs, &record);
     eprintln!("states {states:?}");
     let cpu: Vec<f64> = iter::zip(&after, &before).map(|(a, b)| a - b).collect();
-    let span = judged_until.duration_since(began).as_secs_f64();
-    eprintln!(
-        "leader n{leader}: {:.2} s of processor time in {span:.0} s; all nodes {:.1} s, most {:.2} s",
-        cpu[leader],
+    let span = judged_until.duration_since(began);
+    let (all, most) = (
         cpu.iter().sum::<f64>(),
-        cpu.iter().copied().fold(0.0, f64::max)
+        cpu.iter().copied().fold(0.0, f64::max),
     );
-    let busy = (0..=span as u64)
-        .step_by(4)
-        .map(|s| record.in_use(&jobs, began + time::Duration::from_secs(s)));
     eprintln!(
-        "accelerators in use each 4 s: {:?}",
-        busy.collect::<Vec<_>>()
+        "leader n{leader}: {:.2} s of processor time in {span:.0?}; all nodes {all:.1} s, most {most:.2} s",
+        cpu[leader]
+    );
+    print_counts(&jobs, &record);
+    print_nodes(&fleet);
+    print_use(&jobs, &record, began, judged_until);
+    print_stands(&jobs, &record, "at any time", began, (began, judged_until));
+    print_stands(
+        &jobs,
+        &record,
+        "LOST",
+        began,
+        (ended + FINISH, judged_until),
     );
-    for (name, value) in fleet.metrics() {
-        eprintln!("  {name} {value}");
-    }
-    for (name, count) in fleet.messages() {
-        eprintln!("  log {count} x {name}");
-    }
-    for (what, from) in [("any time", began), ("LOST", ended + FINISH)] {
-        let stands = record.stands(&jobs, from, judged_until);
-        let longest = stands.iter().map(|s| s.2).max().unwrap_or_default();
-        eprintln!("{what}: {} stands, longest {longest:?}", stands.len());
-        for (i, begin, length) in stands.iter().take(12) {
-            let job = &jobs[*i];
-            let runs = record.runs.iter().filter(|(_, t, _)| t.0 == job.id).count();
-            eprintln!(
-                "  {} {:016x}: {} x {:?}, {runs} runs, stands from {:.1} s for {length:?}",
-                CLASSES[job.class].queue,
-                job.id,
-                job.need[2],
-                job.steps,
-                begin.duration_since(began).as_secs_f64()
-            );
-        }
-    }
     let lost = record.stands(&jobs, ended + FINISH, judged_until);
     let workers = fleet.workers.clone();
     drop(fleet);
@@ -311,6 +297,42 @@
     );
 }
 
+fn print_nodes(fleet: &Fleet) {
+    for (name, value) in fleet.metrics() {
+        eprintln!("  {name} {value}");
+    }
+    for (name, count) in fleet.messages() {
+        eprintln!("  log {count} x {name}");
+    }
+}
+
+fn print_use(jobs: &[Job], record: &Record, from: time::Instant, to: time::Instant) {
+    let times = iter::successors(Some(from), |t| Some(*t + USE_STEP)).take_while(|t| *t < to);
+    let used: Vec<u64> = times.map(|t| record.in_use(jobs, t)).collect();
+    eprintln!("accelerators in use each {USE_STEP:?}: {used:?}");
+}
+
+fn print_stands(
+    jobs: &[Job],
+    record: &Record,
+    what: &str,
+    began: time::Instant,
+    (from, to): (time::Instant, time::Instant),
+) {
+    let stands = record.stands(jobs, from, to);
+    let longest = stands.iter().map(|s| s.2).max().unwrap_or_default();
+    eprintln!("{what}: {} stands, longest {longest:?}", stands.len());
+    for (i, begin, length) in stands.iter().take(PRINTED_STANDS) {
+        let job = &jobs[*i];
+        let runs = record.runs.iter().filter(|(_, t, _)| t.0 == job.id).count();
+        let (queue, gpu, at) = (CLASSES[job.class].queue, job.need[2], *begin - began);
+        eprintln!(
+            "  {queue} {:016x}: {gpu} x {:?}, {runs} runs, stands from {at:.1?} for {length:?}",
+            job.id, job.steps
+        );
+    }
+}
+
 fn print_counts(jobs: &[Job], record: &Record) {
     for (i, class) in CLASSES.iter().enumerate() {
         let all: Vec<&Job> = jobs.iter().filter(|j| j.class == i).collect();
--- a/crates/cli/tests/site/mod.rs
+++ b/crates/cli/tests/site/mod.rs
@@ -168,7 +168,7 @@
                 let mut stopped = Vec::new();
                 let quota = PERIOD.mul_f64(limit.share);
                 while time::Instant::now() < end {
-                    let slice_over = end - time::Instant::now() < PERIOD - quota;
+                    let slice_over = time::Instant::now() + PERIOD > end + quota;
                     open.retain(|(pid, before)| {
                         let used = used_ns(*pid).saturating_sub(*before);
                         let over = if limit.by_slice {
@@ -184,7 +184,9 @@
                     });
                     thread::sleep(QUOTA_CHECK);
                 }
-                stopped.iter().for_each(|pid| signal(*pid, Signal::CONT));
+                for pid in stopped {
+                    signal(pid, Signal::CONT);
+                }
                 drop(pids);
                 // Lets a waiting kill take the lock.
                 thread::sleep(time::Duration::from_micros(200));
@@ -283,7 +285,7 @@
 }
 
 fn signal(pid: u32, signal: Signal) {
-    if let Some(pid) = Pid::from_raw(pid as i32) {
+    if let Some(pid) = Pid::from_raw(pid.cast_signed()) {
         let _ = rustix::process::kill_process(pid, signal);
     }
 }
