--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -76,13 +76,7 @@
         window: &Window,
         (class, position): (Class, u64),
     ) -> Option<Permit> {
-        let (tx, rx) = oneshot::channel();
-        let mut queue = self.0.queue.borrow_mut();
-        queue.set_limit(window.call_limit());
-        let id = queue.add(place, clock::now());
-        drop(queue);
-        self.0.waiting.borrow_mut().insert(id, tx);
-        self.advance();
+        let (id, rx) = self.add(place, window.call_limit());
         let mut permit = rx.await.ok()?;
         self.0.queue.borrow_mut().hold(id);
         permit.slot = Some(window.acquire(class, position).await?);
@@ -91,6 +85,18 @@
         Some(permit)
     }
 
+    /// Adds a call whose answer has the time limit `limit`.
+    fn add(&self, place: Place, limit: Millis) -> (u64, oneshot::Receiver<Permit>) {
+        let (tx, rx) = oneshot::channel();
+        let mut queue = self.0.queue.borrow_mut();
+        queue.set_limit(limit);
+        let id = queue.add(place, clock::now());
+        drop(queue);
+        self.0.waiting.borrow_mut().insert(id, tx);
+        self.advance();
+        (id, rx)
+    }
+
     /// Waits for the turn of a request for a report. Returns `None` also if another one waits,
     /// which will be sent later than now.
     pub(crate) async fn acquire_for_report(&self, window: &Window) -> Option<Permit> {
--- a/crates/node/src/extension.rs
+++ b/crates/node/src/extension.rs
@@ -1,7 +1,7 @@
 //! Extends the leases of all workers before the leader's own lease lapses.
 //!
 //! A leader without a valid lease renews no worker's. The sequential renewals wait at the workers,
-//! so that some leases are older than others by [`HOLD_TIME`] when the store stops answering.
+//! so that some leases are older than others by [`worker_session::HOLD_TIME`] when the store stops answering.
 //! An outage and a takeover together may then last longer than what is left of them.
 
 use std::{cell::RefCell, rc::Rc};
@@ -13,7 +13,7 @@
 use crate::{
     cx::{self, Cx},
     leader::Leader,
-    worker_session::{self, HOLD_TIME, RECENT_RENEWAL},
+    worker_session::{self, RECENT_RENEWAL},
 };
 
 /// Number of workers that are called at the same time. Each call takes a few milliseconds.
