--- a/crates/batch/tests/call_window.rs
+++ b/crates/batch/tests/call_window.rs
@@ -71,7 +71,7 @@
             played.sent += 1;
             let limit = window.call_limit();
             let answered_at = link.send(now);
-            let is_silent = silent > 0 && id as usize % silent == 0;
+            let is_silent = silent > 0 && (id as usize).is_multiple_of(silent);
             let answered = !is_silent && answered_at.since(now) < limit;
             let end = if answered { answered_at } else { now + limit };
             under_way.push((id, now, end, answered));
