--- a/crates/batch/tests/order_load.rs
+++ b/crates/batch/tests/order_load.rs
@@ -30,6 +30,10 @@
     fleet.scheduler.cancel("a", now, fleet.wall());
     fleet.plan();
     assert_eq!(fleet.scheduler.take_order_load().repeated_stops, 0);
+    let now = fleet.now;
+    fleet
+        .scheduler
+        .handle_unanswered_stop(&first.task, attempt, now);
     fleet
         .advance(STOP_RETRY)
         .report("w00", &[&first], Vec::new());
