store, platform: pages of whole tables share a narrow link

Cause: a leader read about 22 tables at once in pages of up to 500 rows, requested each page a second time after 1 s and gave it up after 2 s, however much of it had arrived. The answers took the link from each other and from the renewals of the lease.

Change: store::pages limits the pages of a client under way (4 at first, 2 to 16) and their rows (100 at first, 25 to 500). Both grow with pages of 16 kB or more that take under 100 ms, and halve when a page takes over 300 ms and the bytes themselves arrive slowly; a slow store on a fast link keeps its page size. A page is requested once more after 1 to 4 s without a byte, by the time that pages take, and given up after twice that.

--- a/crates/store/src/hedge.rs
+++ b/crates/store/src/hedge.rs
@@ -15,12 +15,6 @@
     table::{Commit, Row, StoreError, Txn, Write},
 };
 
-/// Time after which a read of many rows is sent again.
-const SECOND_PAGE_AFTER: Millis = Millis(1_000);
-/// Time after which a read of many rows is given up. An answer of 1 MB takes 0.4 s on a link of 20
-/// Mbit/s, and a leader reads several tables at once.
-const MAX_PAGE_TIME: Millis = Millis(2_000);
-
 /// Single calls to the store, each with a timeout of its own.
 pub trait Calls {
     /// Sends a transaction once and waits for the answer up to `limit`.
@@ -109,14 +103,6 @@
     repeat(again, pace.read_limit(), || pace.record_late_read(), timed).await
 }
 
-/// Reads many rows with `attempt`, like [`read`]. How long that takes depends on the link of the VM,
-/// and a second answer on it would delay the first, so the latency of other reads limits neither.
-pub async fn read_page<T, F: Future<Output = Result<T, StoreError>>>(
-    attempt: impl Fn() -> F,
-) -> Result<T, StoreError> {
-    repeat(|| SECOND_PAGE_AFTER, MAX_PAGE_TIME, || {}, attempt).await
-}
-
 async fn repeat<T, F: Future<Output = Result<T, StoreError>>>(
     again: impl Fn() -> Millis,
     limit: Millis,
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -3,6 +3,7 @@
 use std::{io, net, rc};
 
 use base::clock::Millis;
+use futures_util::StreamExt;
 use ntex::{
     client::{
         Client, ClientRequest, Connector,
@@ -12,7 +13,7 @@
     io::IoConfig,
     service::cfg::SharedCfg,
     time,
-    util::Bytes,
+    util::{Bytes, BytesMut},
 };
 use tokio::sync;
 
@@ -175,6 +176,26 @@
         req: ClientRequest,
         body: Bytes,
         limit: Millis,
+    ) -> Result<Answer, CallError> {
+        self.within(limit, exchange(req, body)).await
+    }
+
+    /// Sends a request without a body, and reads the complete answer within `limit`. Calls `arrived`
+    /// with the number of bytes of each piece of the answer; the head counts as 0.
+    pub async fn get_within(
+        &self,
+        req: ClientRequest,
+        limit: Millis,
+        arrived: impl Fn(usize),
+    ) -> Result<Answer, CallError> {
+        let max_bytes = self.inner.cfg.answer_bytes;
+        self.within(limit, receive(req, max_bytes, arrived)).await
+    }
+
+    async fn within(
+        &self,
+        limit: Millis,
+        exchange: impl Future<Output = Result<Answer, CallError>>,
     ) -> Result<Answer, CallError> {
         let cfg = &self.inner.cfg;
         let permit = self.inner.permits.acquire();
@@ -184,8 +205,7 @@
                 cfg.queue_ms
             )));
         };
-        let exchange = time::timeout(to_ntex(limit), exchange(req, body));
-        match exchange.await {
+        match time::timeout(to_ntex(limit), exchange).await {
             Ok(result) => result,
             Err(()) => Err(CallError::NoAnswer(format!(
                 "no complete answer in {limit}"
@@ -194,6 +214,29 @@
     }
 }
 
+async fn receive(
+    req: ClientRequest,
+    max_bytes: usize,
+    arrived: impl Fn(usize),
+) -> Result<Answer, CallError> {
+    let mut resp = req.send().await.map_err(|e| classify(&e))?;
+    arrived(0);
+    let mut body = BytesMut::new();
+    while let Some(piece) = resp.next().await {
+        let piece = piece.map_err(|e| CallError::NoAnswer(format!("incomplete answer: {e}")))?;
+        if body.len() + piece.len() > max_bytes {
+            let reason = format!("the answer exceeds {max_bytes} bytes");
+            return Err(CallError::NoAnswer(reason));
+        }
+        arrived(piece.len());
+        body.extend_from_slice(&piece);
+    }
+    Ok(Answer {
+        status: resp.status(),
+        body: body.freeze(),
+    })
+}
+
 async fn exchange(req: ClientRequest, body: Bytes) -> Result<Answer, CallError> {
     let sent = if body.is_empty() {
         req.send().await
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod mem;
 pub mod objects;
 pub mod pace;
+pub mod pages;
 pub mod reach;
 pub mod store_clock;
 pub mod table;
--- /dev/null
+++ b/crates/store/src/pages.rs
@@ -0,0 +1,259 @@
+//! Reads of whole tables in pages, which share the link of the VM with shorter calls.
+//!
+//! The number of pages under way and their size follow the time that pages take, so that a
+//! transaction on a narrow link waits for little. A page is given up for lack of progress rather
+//! than after a fixed time.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use base::clock::{self, Millis};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use tokio::{
+    sync::{Mutex, Notify},
+    time,
+};
+
+use crate::{
+    latency::{Latency, LatencyCfg},
+    table::StoreError,
+};
+
+/// Maximum number of rows of a page, and the number of the first page.
+const MAX_ROWS: usize = 500;
+const FIRST_ROWS: usize = 100;
+/// Minimum number of rows of a page. Below it most of the time of a page is latency.
+const MIN_ROWS: usize = 25;
+/// Maximum number of pages under way, and the first limit. The first pages of a leader compete
+/// with the renewals of its lease.
+const MAX_UNDER_WAY: usize = 16;
+const FIRST_UNDER_WAY: usize = 4;
+/// Lowest limit of the pages under way. With a single one a silent connection would block all.
+const MIN_UNDER_WAY: usize = 2;
+/// Time below which a page leaves room for larger and further ones.
+const FAST: Millis = Millis(100);
+/// Time above which pages delay other calls too much.
+const SLOW: Millis = Millis(300);
+/// Time between the first and the last byte of a page above which the link is what makes it slow.
+const SLOW_TRANSFER: Millis = Millis(50);
+/// Size in bytes below which the time of a page says nothing about the link.
+const MIN_EVIDENCE: usize = 16 << 10;
+/// Minimum time without a byte after which a page is requested again on another connection.
+const MIN_STALL: Millis = Millis(1_000);
+/// Maximum of that time, for a store whose pages take long.
+const MAX_STALL: Millis = Millis(4_000);
+/// Maximum number of requests for one page. It is given up after as many of these times.
+const MAX_ATTEMPTS: usize = 2;
+
+/// Bytes of a page that have arrived.
+#[derive(Debug, Default)]
+pub struct Arrival {
+    bytes: Cell<usize>,
+    first: Cell<Option<Millis>>,
+    last: Cell<Option<Millis>>,
+}
+
+impl Arrival {
+    /// Records that `bytes` bytes have arrived now.
+    ///
+    /// ```
+    /// store::pages::Arrival::default().record(1_000);
+    /// ```
+    pub fn record(&self, bytes: usize) {
+        let now = clock::now();
+        self.bytes.set(self.bytes.get() + bytes);
+        self.first.set(self.first.get().or(Some(now)));
+        self.last.set(Some(now));
+    }
+
+    fn transfer(&self) -> Millis {
+        let times = self.first.get().zip(self.last.get());
+        times.map_or(Millis::ZERO, |(first, last)| last.since(first))
+    }
+}
+
+/// Limits of the pages under way, shared by all reads of whole tables of a client.
+///
+/// ```
+/// # use store::pages::Pages;
+/// # async fn run() -> Result<(), store::table::StoreError> {
+/// let pages = Pages::default();
+/// let rows = pages.read(async |limit, _arrival| Ok(vec![0_u8; limit])).await?;
+/// assert_eq!(rows.len(), 100);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Pages {
+    rows: Cell<usize>,
+    max_under_way: Cell<usize>,
+    under_way: Cell<usize>,
+    /// Time when the limits were last reduced.
+    reduced_at: Cell<Option<Millis>>,
+    took: RefCell<Latency>,
+    /// Held by the page that waits for its turn first.
+    queue: Mutex<()>,
+    freed: Notify,
+}
+
+impl Default for Pages {
+    fn default() -> Self {
+        let cfg = LatencyCfg {
+            min_ms: MIN_STALL,
+            max_ms: MAX_STALL,
+        };
+        Self {
+            rows: Cell::new(FIRST_ROWS),
+            max_under_way: Cell::new(FIRST_UNDER_WAY),
+            under_way: Cell::default(),
+            reduced_at: Cell::default(),
+            took: RefCell::new(Latency::new(cfg)),
+            queue: Mutex::default(),
+            freed: Notify::new(),
+        }
+    }
+}
+
+/// The right to have a page under way, until it is dropped.
+#[derive(Debug)]
+struct Turn<'a>(&'a Pages);
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.0.under_way.set(self.0.under_way.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
+
+impl Pages {
+    /// Returns the number of rows to request in the next page.
+    ///
+    /// ```
+    /// assert_eq!(store::pages::Pages::default().rows(), 100);
+    /// ```
+    pub fn rows(&self) -> usize {
+        self.rows.get()
+    }
+
+    /// Returns the maximum number of pages under way.
+    ///
+    /// ```
+    /// assert_eq!(store::pages::Pages::default().max_under_way(), 4);
+    /// ```
+    pub fn max_under_way(&self) -> usize {
+        self.max_under_way.get()
+    }
+
+    /// Waits for its turn and reads a page with `attempt`, which gets the number of rows and records
+    /// what arrives. If nothing arrives for long, `attempt` is called once more, and then the page is
+    /// given up. Returns the first success, or the failure of the last attempt.
+    pub async fn read<T, F: Future<Output = Result<T, StoreError>>>(
+        &self,
+        attempt: impl Fn(usize, Rc<Arrival>) -> F,
+    ) -> Result<T, StoreError> {
+        let _turn = self.turn().await;
+        let rows = self.rows.get();
+        let sent = clock::now();
+        let arrivals: RefCell<Vec<Rc<Arrival>>> = RefCell::default();
+        let start = || {
+            let arrival: Rc<Arrival> = Rc::default();
+            arrivals.borrow_mut().push(arrival.clone());
+            let call = attempt(rows, arrival.clone());
+            async move { (arrival, call.await) }
+        };
+        let due = || {
+            let arrivals = arrivals.borrow();
+            let last = arrivals.iter().filter_map(|a| a.last.get()).max();
+            let stalls = arrivals.len().min(MAX_ATTEMPTS) as u64;
+            last.unwrap_or(sent) + Millis(self.stall().0 * stalls)
+        };
+        let mut attempts = FuturesUnordered::new();
+        attempts.push(start());
+        loop {
+            let wait = due().since(clock::now());
+            tokio::select! {
+                Some((arrival, result)) = attempts.next() => match result {
+                    Ok(page) => {
+                        self.record(sent, &arrival);
+                        return Ok(page);
+                    }
+                    Err(e) if !attempts.is_empty() => {
+                        log::debug!(reason:% = e; "store: one of several reads failed");
+                    }
+                    Err(e) => return Err(e),
+                },
+                () = time::sleep(wait.to_duration()) => {
+                    let now = clock::now();
+                    // Further bytes may have arrived since.
+                    if now < due() {
+                        continue;
+                    }
+                    if arrivals.borrow().len() < MAX_ATTEMPTS {
+                        attempts.push(start());
+                        continue;
+                    }
+                    let took = now.since(sent);
+                    let reason = format!("no complete page in {took}, and no progress");
+                    return Err(StoreError::NotDone { reason });
+                }
+            }
+        }
+    }
+
+    /// Returns the time without a byte after which a page counts as lost.
+    fn stall(&self) -> Millis {
+        let took = self.took.borrow();
+        took.mean().map_or(MIN_STALL, |_| took.limit())
+    }
+
+    async fn turn(&self) -> Turn<'_> {
+        let _first = self.queue.lock().await;
+        while self.under_way.get() >= self.max_under_way.get() {
+            self.freed.notified().await;
+        }
+        self.under_way.set(self.under_way.get() + 1);
+        Turn(self)
+    }
+
+    fn record(&self, sent: Millis, arrival: &Arrival) {
+        let took = clock::now().since(sent);
+        self.took.borrow_mut().record(took);
+        if took < FAST && arrival.bytes.get() >= MIN_EVIDENCE {
+            self.rows.set((self.rows.get() * 2).min(MAX_ROWS));
+            let more = self.max_under_way.get() + 1;
+            self.max_under_way.set(more.min(MAX_UNDER_WAY));
+            self.freed.notify_one();
+            return;
+        }
+        // Pages that were sent before the last reduction don't show its effect.
+        let is_new = self.reduced_at.get().is_none_or(|at| sent >= at);
+        if took > SLOW && arrival.transfer() > SLOW_TRANSFER && is_new {
+            self.reduced_at.set(Some(clock::now()));
+            self.rows.set((self.rows.get() / 2).max(MIN_ROWS));
+            let fewer = self.max_under_way.get() / 2;
+            self.max_under_way.set(fewer.max(MIN_UNDER_WAY));
+        }
+    }
+}
+
+/// Completes all reads, or cancels the others when one fails.
+///
+/// ```
+/// # use store::table::StoreError;
+/// # async fn run() -> Result<(), StoreError> {
+/// let reads = [1, 2].map(|_| async { Ok(()) });
+/// store::pages::all(reads).await?;
+/// # Ok(())
+/// # }
+/// ```
+pub async fn all<F: Future<Output = Result<(), StoreError>>>(
+    reads: impl IntoIterator<Item = F>,
+) -> Result<(), StoreError> {
+    let mut reads: FuturesUnordered<F> = reads.into_iter().collect();
+    while let Some(result) = reads.next().await {
+        result?;
+    }
+    Ok(())
+}
--- a/crates/store/tests/hedge.rs
+++ b/crates/store/tests/hedge.rs
@@ -180,26 +180,3 @@
         "{took}"
     );
 }
-
-/// Guards against a load that never ends on a narrow link: each page was read several times at
-/// once, and given up before the first answer was complete.
-#[ntex::test]
-async fn a_page_on_a_narrow_link_is_read_once() {
-    let store = Fake {
-        read_latencies: vec![Millis(700); 100],
-        ..Fake::default()
-    };
-    assert_eq!(hedge::read_page(|| store.row("a")).await, Ok(None));
-    assert_eq!(store.reads.get(), 1);
-}
-
-/// Guards against a page that is lost with a connection that has gone silent.
-#[ntex::test]
-async fn a_page_on_a_silent_connection_is_read_again() {
-    let store = Fake {
-        read_latencies: vec![Millis::from_secs(60)],
-        ..Fake::default()
-    };
-    assert_eq!(hedge::read_page(|| store.row("a")).await, Ok(None));
-    assert_eq!(store.reads.get(), 2);
-}
