node: a failed load keeps what it has read

The reads of the jobs ran on beside those of the next attempt, and an ended leader went on reading.

Change: the tables read so far are kept, and the next attempt continues behind the last page. The chain row is read before and after the tables; if it has changed, the load starts anew. All other rows are written only under the lease of this leader, and the feed of the jobs starts at the lowest version read. The reads run in one task, which drops them when one fails or the leadership ends. The VM list is read again if the load took over 800 ms, so that an announced shutdown is not missed.

--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -58,6 +58,20 @@
     assert!(delay < Duration::from_secs(1), "started after {delay:?}");
 }
 
+/// Guards against a leader that starts to read again from the first row whenever a read fails, and
+/// so never has its state.
+#[test]
+fn a_leader_loads_its_state_although_reads_fail() {
+    let mut cluster = Cluster::start("takeover-flaky", 2, 1, 500);
+    let leader = cluster.leader();
+    assert_eq!(cluster.submit(1 - leader, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(1 - leader, 1, "completed");
+    cluster.store.refuse_some_reads("jobs");
+    cluster.nodes[leader].kill();
+    assert_eq!(cluster.submit(1 - leader, 2, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(1 - leader, 2, "completed");
+}
+
 /// Guards against a second run of a subtask that a cut-off worker still runs: the leader before may
 /// have extended its lease until the takeover.
 #[test]
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -29,6 +29,9 @@
 /// Maximum interval between two passes. Passes also repeat orders and check how long units have
 /// waited.
 const MAX_PASS_INTERVAL: Millis = Millis(250);
+/// Maximum age of the VM list at the end of a load. A worker that has announced its shutdown since
+/// gets no new work.
+const MAX_LIST_AGE: Millis = Millis(800);
 /// Delay before a failed load is repeated.
 const LOAD_RETRY_DELAY: Millis = Millis(100);
 
@@ -120,21 +123,40 @@
         self.dirty.notify_waiters();
         self.committed.notify_waiters();
     }
+
+    /// Waits until the leadership ends, before its tasks have started.
+    async fn ended_early(&self) {
+        while !self.ended.get() {
+            self.changed.notified().await;
+        }
+    }
 }
 
 /// Loads the stored state, starts the tasks of the leader and runs scheduling passes until the
 /// leadership ends.
 pub(crate) async fn run(cx: Cx, leader: Rc<Leader>) {
     log::info!(fence = leader.held.fence; "leader: started");
+    let mut reads = load::Reads::default();
     let (version, workers) = loop {
-        let (loaded, workers) = tokio::join!(load::load(&cx, &leader), worker_list::fetch(&cx));
+        let attempt = async {
+            let started = clock::now();
+            let (loaded, workers) = tokio::join!(
+                load::load(&cx, &leader, &mut reads),
+                worker_list::fetch(&cx)
+            );
+            if loaded.is_ok() && clock::now().since(started) > MAX_LIST_AGE {
+                return (loaded, worker_list::fetch(&cx).await.or(workers));
+            }
+            (loaded, workers)
+        };
+        let (loaded, workers) = tokio::select! {
+            attempt = attempt => attempt,
+            () = leader.ended_early() => return,
+        };
         match loaded {
             Ok(version) => break (version, workers),
             Err(e) => log::warn!(reason:% = e; "leader: failed to load the state"),
         }
-        if leader.ended.get() {
-            return;
-        }
         cx::sleep(LOAD_RETRY_DELAY).await;
     };
     if let Some(workers) = workers {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,5 +30,6 @@
 mod refusal;
 mod retention;
 mod rows;
+mod table_read;
 mod worker_list;
 mod worker_session;
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -1,9 +1,11 @@
 //! Loads the state of all jobs at the start of a leadership.
 
+use std::mem;
+
 use base::sorted::SortedMap;
 use batch::{job::Text, progress::Progress, scheduler::JobScheduler};
 use store::{
-    long_row,
+    long_row, pages,
     table::{Row, StoreError},
 };
 
@@ -13,23 +15,72 @@
     cx::Cx,
     leader::Leader,
     rows::{self, ChainRow, FailingRow, JobRowKind, PhaseRow},
+    table_read::{self, TableRead},
 };
 
+/// What was read for a load. It is kept when a read fails, so that the next attempt continues.
+#[derive(Debug)]
+pub(crate) struct Reads {
+    /// Version of the row of the last commit before the reads, 0 for no row; `None` before it was
+    /// read.
+    chain: Option<u64>,
+    jobs: Vec<TableRead>,
+    progress: TableRead,
+    phases: TableRead,
+    checkpoints: TableRead,
+}
+
+impl Default for Reads {
+    fn default() -> Self {
+        Self {
+            chain: None,
+            jobs: rows::job_tables().map(TableRead::new).collect(),
+            progress: TableRead::new(rows::PROGRESS),
+            phases: TableRead::new(rows::PHASES),
+            checkpoints: TableRead::new(rows::CHECKPOINTS),
+        }
+    }
+}
+
+impl Reads {
+    /// Reads what is missing. Returns the row of the last commit and that of the failing workers.
+    async fn run(&mut self, cx: &Cx) -> Result<(Option<Row>, Option<Row>), StoreError> {
+        let (_, chain_key) = rows::CHAIN.split_once('/').unwrap_or_default();
+        let (_, failing) = rows::FAILING.split_once('/').unwrap_or_default();
+        let version = |row: &Option<Row>| row.as_ref().map_or(0, |r| r.version);
+        if self.chain.is_none() {
+            self.chain = Some(version(&cx.table.get_row(rows::CONTROL, chain_key).await?));
+        }
+        let written = [&mut self.progress, &mut self.phases, &mut self.checkpoints];
+        let tables = written.into_iter().chain(&mut self.jobs);
+        pages::all(tables.map(|t| t.run(cx))).await?;
+        let (chain, failing) = tokio::try_join!(
+            cx.table.get_row(rows::CONTROL, chain_key),
+            cx.table.get_row(rows::CONTROL, failing),
+        )?;
+        // The tables were read at different times, and fit together if no leader has written them
+        // since.
+        if self.chain != Some(version(&chain)) {
+            *self = Self::default();
+            return Err(StoreError::NotDone {
+                reason: "another leader has committed during the load".into(),
+            });
+        }
+        Ok((chain, failing))
+    }
+}
+
 /// Loads the state of the scheduler, and returns the version from which to watch the table of jobs.
-pub(crate) async fn load(cx: &Cx, leader: &Leader) -> Result<u64, StoreError> {
-    let (_, chain) = rows::CHAIN.split_once('/').unwrap_or_default();
+/// After a failure, the next call with the same `reads` continues.
+pub(crate) async fn load(cx: &Cx, leader: &Leader, reads: &mut Reads) -> Result<u64, StoreError> {
     // Only the table of jobs still changes: all other rows are written in transactions that check
     // the lease. The feed reports the jobs that are accepted after the read.
-    let (_, failing) = rows::FAILING.split_once('/').unwrap_or_default();
-    let (chain, failing, jobs, progress, phases, checkpoints) = tokio::try_join!(
-        cx.table.get_row(rows::CONTROL, chain),
-        cx.table.get_row(rows::CONTROL, failing),
-        read_jobs(cx),
-        read_all(cx, rows::PROGRESS),
-        read_all(cx, rows::PHASES),
-        read_all(cx, rows::CHECKPOINTS),
-    )?;
-    let ((jobs, from), (progress, _), (mut phases, _)) = (jobs, progress, phases);
+    let (chain, failing) = reads.run(cx).await?;
+    let reads = mem::take(reads);
+    let (jobs, from) = table_read::join(reads.jobs);
+    let (progress, _) = reads.progress.into_rows();
+    let (mut phases, _) = reads.phases.into_rows();
+    let (checkpoints, _) = reads.checkpoints.into_rows();
     let count = chain.as_ref().and_then(rows::from_json::<ChainRow>);
     let version = chain.map_or(0, |r| r.version);
     leader.chain.set((version, count.map_or(0, |c| c.count)));
@@ -44,7 +95,7 @@
     reused.extend(leave_out_older(&versions, &mut phases));
     let mut unreadable = Vec::new();
     let mut progress: SortedMap<Text, Progress> = decode(&progress, &mut unreadable);
-    restore_checkpoints(leader, &checkpoints.0, &versions, &mut progress);
+    restore_checkpoints(leader, &checkpoints, &versions, &mut progress);
     let phases: SortedMap<Text, PhaseRow> = decode(&phases, &mut unreadable);
     let partly_removed = partly_removed(&jobs, &progress, &phases);
     for id in &partly_removed {
@@ -203,37 +254,14 @@
 /// watch for changes.
 pub(crate) async fn read_jobs(cx: &Cx) -> Result<(Vec<Row>, u64), StoreError> {
     // The parts are read concurrently, so that a slow store takes as long for all as for one.
-    let reads = rows::job_tables().map(|table| {
-        let cx = cx.clone();
-        ntex::rt::spawn(async move { read_all(&cx, &table).await })
-    });
-    let reads: Vec<_> = reads.collect();
-    let mut all = Vec::new();
-    let mut from = u64::MAX;
-    for read in reads {
-        let (rows, version) = read.await.map_err(|e| StoreError::NotDone {
-            reason: e.to_string(),
-        })??;
-        all.extend(rows);
-        from = from.min(version);
-    }
-    Ok((all, from))
+    let mut reads: Vec<_> = rows::job_tables().map(TableRead::new).collect();
+    pages::all(reads.iter_mut().map(|r| r.run(cx))).await?;
+    Ok(table_read::join(reads))
 }
 
 /// Reads all rows of a table. Returns them with the version of the first page.
 pub(crate) async fn read_all(cx: &Cx, table: &str) -> Result<(Vec<Row>, u64), StoreError> {
-    let mut rows: Vec<Row> = Vec::new();
-    let mut version = None;
-    let mut from = String::new();
-    loop {
-        let page = cx.table.read_page(table, &from).await?;
-        version.get_or_insert(page.version);
-        let last = page.rows.last().map(|r| r.key.clone());
-        rows.extend(page.rows);
-        let Some(last) = last.filter(|_| page.has_more) else {
-            return Ok((rows, version.unwrap_or_default()));
-        };
-        let (_, key) = last.split_once('/').unwrap_or_default();
-        from = format!("{key} ");
-    }
+    let mut read = TableRead::new(table);
+    read.run(cx).await?;
+    Ok(read.into_rows())
 }
