node: the parts of the jobs are read again one at a time

Change: one part every 1.25 s, at most two after a delay. A change that the feed misses is still found: within 23 s while the store answers.

Test: cli a_job_that_the_feed_misses_is_found_without_a_burst_of_reads fails on the node before with 16 reads in a second.

--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -16,6 +16,11 @@
 /// second read on.
 const LIST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Interval in which a leader reads the whole table of jobs again.
+const REREAD_INTERVAL: Duration = Duration::from_secs(21);
+/// Time limit for a job that the feed misses: the interval, a feed, and a busy machine.
+const MISSED_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Guards against decisions by a restarted leader that has not read the configuration: it would
 /// know neither the priorities of the queues nor which workers check their capacity.
 #[test]
@@ -72,6 +77,30 @@
     cluster.wait_for_state(1 - leader, 2, "completed");
 }
 
+/// Guards against jobs that the feed misses, and against a search for them that fills the link of
+/// the leader with a read of the whole table.
+#[test]
+fn a_job_that_the_feed_misses_is_found_without_a_burst_of_reads() {
+    let cluster = Cluster::start("takeover-missed", 1, 1, 100);
+    assert_eq!(cluster.submit(0, 1, 1, false).unwrap().status, 200);
+    cluster.wait_for_state(0, 1, "completed");
+    let loaded = Instant::now();
+    cluster.store.hide_changes(".job");
+    assert_eq!(cluster.submit(0, 2, 1, false).unwrap().status, 200);
+    wait_until("the job is done", MISSED_TIMEOUT, || {
+        (cluster.state(0, 2) == "completed").then_some(())
+    });
+    thread::sleep((loaded + REREAD_INTERVAL).saturating_duration_since(Instant::now()));
+    let reads: Vec<Instant> = cluster.store.reads("jobs");
+    let reads: Vec<Instant> = reads.into_iter().filter(|r| *r > loaded).collect();
+    let in_a_second = |start: &Instant| {
+        let end = *start + Duration::from_secs(1);
+        reads.iter().filter(|r| (*start..end).contains(r)).count()
+    };
+    let most = reads.iter().map(in_a_second).max();
+    assert!(most.is_some_and(|n| n <= 6), "{most:?} reads in a second");
+}
+
 /// Guards against a second run of a subtask that a cut-off worker still runs: the leader before may
 /// have extended its lease until the takeover.
 #[test]
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -19,22 +19,22 @@
 const FEED_TIMEOUT: Millis = Millis(2_900);
 /// Delay after a failed read.
 const RETRY_DELAY: Millis = Millis(100);
-/// Interval between two reads of the whole table, in case the feed misses a change.
-const FULL_READ_INTERVAL: Millis = Millis(20_000);
+/// Interval between two reads of a part of the table, in case the feed misses a change. One is
+/// found after 16 intervals and the time of a feed, or 23 s.
+const PART_READ_INTERVAL: Millis = Millis(1_250);
+/// Maximum number of parts that are read one after another after a delay.
+const MAX_OVERDUE_PARTS: u64 = 2;
 
 /// Watches the table of jobs from `version` on until the leadership ends.
 pub(crate) async fn watch(cx: Cx, leader: Rc<Leader>, mut version: u64) {
-    let mut last_full_read = clock::now();
+    let mut rereads = PartReads::new(clock::now());
     while !leader.ended.get() {
         // No read is under way, and later ones return no older row.
         leader
             .removed_jobs
             .borrow_mut()
             .retain(|_, job| job.deleted > version);
-        if clock::now().since(last_full_read) >= FULL_READ_INTERVAL {
-            last_full_read = clock::now();
-            read_all(&cx, &leader).await;
-        }
+        rereads.run(&cx, &leader).await;
         let feed = cx
             .feed_table
             .changes(rows::JOBS, version, FEED_WAIT, FEED_TIMEOUT);
@@ -71,6 +71,49 @@
     }
 }
 
+/// Reads of the parts of the table in turn.
+struct PartReads {
+    tables: Vec<String>,
+    next: usize,
+    due: Millis,
+}
+
+impl PartReads {
+    fn new(now: Millis) -> Self {
+        Self {
+            tables: rows::job_tables().collect(),
+            next: 0,
+            due: now + PART_READ_INTERVAL,
+        }
+    }
+
+    /// Reads the parts that are due. One that can't be read stays the next one.
+    async fn run(&mut self, cx: &Cx, leader: &Leader) {
+        for _ in 0..MAX_OVERDUE_PARTS {
+            if clock::now() < self.due || leader.ended.get() {
+                return;
+            }
+            match load::read_all(cx, &self.tables[self.next]).await {
+                Ok((rows, _)) => {
+                    apply(cx, leader, rows.iter());
+                    self.next = (self.next + 1) % self.tables.len();
+                    self.due += PART_READ_INTERVAL;
+                }
+                Err(e) => {
+                    log::debug!(reason:% = e; "intake: failed to read a part again");
+                    self.due = clock::now() + PART_READ_INTERVAL;
+                    return;
+                }
+            }
+        }
+        // After an outage the parts are not read in a burst.
+        let overdue = clock::now().since(self.due);
+        if overdue >= PART_READ_INTERVAL {
+            self.due = clock::now();
+        }
+    }
+}
+
 /// Reads the whole table and returns its version.
 async fn read_all(cx: &Cx, leader: &Leader) -> Option<u64> {
     let (rows, version) = load::read_jobs(cx).await.ok()?;
