--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod refusal;
 mod retention;
 mod rows;
+mod table_read;
 mod turns;
 mod window;
 mod worker_list;
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -3,6 +3,7 @@
 use std::{io, net, rc};
 
 use base::clock::Millis;
+use futures_util::StreamExt;
 use ntex::{
     client::{
         Client, ClientRequest, Connector,
@@ -12,7 +13,7 @@
     io::IoConfig,
     service::cfg::SharedCfg,
     time,
-    util::Bytes,
+    util::{Bytes, BytesMut},
 };
 use tokio::sync;
 
@@ -204,6 +205,33 @@
         body: Bytes,
         limit: Millis,
         on_send: impl FnOnce(),
+    ) -> Result<Answer, CallError> {
+        self.within(limit, on_send, exchange(req, body)).await
+    }
+
+    /// Sends a request without a body, and reads the complete answer within `limit`. Calls `arrived`
+    /// with the number of bytes of each piece of the answer; the head counts as 0. The call is counted
+    /// under its purpose.
+    pub async fn get_for(
+        &self,
+        purpose: Purpose,
+        req: ClientRequest,
+        limit: Millis,
+        arrived: impl Fn(usize),
+    ) -> Result<Answer, CallError> {
+        let max_bytes = self.inner.cfg.answer_bytes;
+        let mut open = OpenCall::new(self.account.clone(), purpose, 0);
+        let exchange = receive(req, max_bytes, arrived);
+        let result = self.within(limit, || open.set_sent(), exchange).await;
+        open.record(&result);
+        result
+    }
+
+    async fn within(
+        &self,
+        limit: Millis,
+        on_send: impl FnOnce(),
+        exchange: impl Future<Output = Result<Answer, CallError>>,
     ) -> Result<Answer, CallError> {
         let cfg = &self.inner.cfg;
         let permit = self.inner.permits.acquire();
@@ -214,8 +242,7 @@
             )));
         };
         on_send();
-        let exchange = time::timeout(to_ntex(limit), exchange(req, body));
-        match exchange.await {
+        match time::timeout(to_ntex(limit), exchange).await {
             Ok(result) => result,
             Err(()) => Err(CallError::NoAnswer(format!(
                 "no complete answer in {limit}"
@@ -224,6 +251,29 @@
     }
 }
 
+async fn receive(
+    req: ClientRequest,
+    max_bytes: usize,
+    arrived: impl Fn(usize),
+) -> Result<Answer, CallError> {
+    let mut resp = req.send().await.map_err(|e| classify(&e))?;
+    arrived(0);
+    let mut body = BytesMut::new();
+    while let Some(piece) = resp.next().await {
+        let piece = piece.map_err(|e| CallError::NoAnswer(format!("incomplete answer: {e}")))?;
+        if body.len() + piece.len() > max_bytes {
+            let reason = format!("the answer exceeds {max_bytes} bytes");
+            return Err(CallError::NoAnswer(reason));
+        }
+        arrived(piece.len());
+        body.extend_from_slice(&piece);
+    }
+    Ok(Answer {
+        status: resp.status(),
+        body: body.freeze(),
+    })
+}
+
 async fn exchange(req: ClientRequest, body: Bytes) -> Result<Answer, CallError> {
     let sent = if body.is_empty() {
         req.send().await
