--- a/crates/batch/src/order_load.rs
+++ b/crates/batch/src/order_load.rs
@@ -1,8 +1,11 @@
-//! Repeated orders and waits, which show that the leader is short of something.
+//! Load of the leader: starts that wait, and repeated orders and waits, which show that it is short
+//! of something.
 
 use base::clock::Millis;
 
-use crate::{open_job::Job, scheduler::JobScheduler, worker::Action};
+use crate::{
+    config::URGENT_PRIORITY, job::SubtaskId, open_job::Job, scheduler::JobScheduler, worker::Action,
+};
 
 /// Numbers since the last call of [`JobScheduler::take_order_load`].
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -16,6 +19,29 @@
 }
 
 impl JobScheduler {
+    /// Sets the number of starts that may wait for their answers before further deferrable work is
+    /// placed.
+    ///
+    /// ```
+    /// batch::scheduler::JobScheduler::default().set_max_starts(100);
+    /// ```
+    pub fn set_max_starts(&mut self, max: usize) {
+        self.max_starts = Some(max);
+    }
+
+    /// Returns whether a subtask belongs to urgent work.
+    ///
+    /// ```
+    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// assert!(!JobScheduler::default().is_urgent(&task));
+    /// ```
+    pub fn is_urgent(&self, task: &SubtaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let queue = job.and_then(|j| self.config.queue(&j.accepted.queue));
+        queue.is_some_and(|q| q.priority == URGENT_PRIORITY)
+    }
+
     /// Returns the numbers since the last call.
     ///
     /// ```
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::{
-    config::{Config, URGENT_PRIORITY},
+    config::Config,
     job::{Resources, Step, SubtaskId, Text},
     jobs::Jobs,
     open_job::Job,
@@ -14,9 +14,8 @@
     policy::{PolicyRequest, StepId, StepTickets},
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
-    stop_order::StopOrder,
     wait_log::WaitLog,
-    worker::{Action, Order, Outcome, WorkerInfo},
+    worker::{Order, Outcome, WorkerInfo},
     worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
 };
@@ -117,39 +116,6 @@
         }
     }
 
-    /// Sets the maximum time that a stop takes at a worker.
-    ///
-    /// ```
-    /// use base::clock::Millis;
-    /// batch::scheduler::JobScheduler::default().set_stop_time(Millis(900));
-    /// ```
-    pub fn set_stop_time(&mut self, time: Millis) {
-        self.stop_time = Some(time);
-    }
-
-    /// Sets the number of starts that may wait for their answers before further deferrable work is
-    /// placed.
-    ///
-    /// ```
-    /// batch::scheduler::JobScheduler::default().set_max_starts(100);
-    /// ```
-    pub fn set_max_starts(&mut self, max: usize) {
-        self.max_starts = Some(max);
-    }
-
-    /// Returns whether a subtask belongs to urgent work.
-    ///
-    /// ```
-    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
-    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
-    /// assert!(!JobScheduler::default().is_urgent(&task));
-    /// ```
-    pub fn is_urgent(&self, task: &SubtaskId) -> bool {
-        let job = self.jobs.get(&task.job);
-        let queue = job.and_then(|j| self.config.queue(&j.accepted.queue));
-        queue.is_some_and(|q| q.priority == URGENT_PRIORITY)
-    }
-
     /// Returns the phase of a job.
     ///
     /// ```
@@ -484,42 +450,6 @@
         self.jobs.settle(id);
     }
 
-    /// Orders a stop of the subtask's run, if it has one. A stop that was ordered before is
-    /// repeated once its worker has not answered it, or has answered it and still lists the run.
-    pub(crate) fn stop(&mut self, task: &SubtaskId, now: Millis) {
-        let stop_time = self.stop_time();
-        let Some(t) = self.subtask_mut(task) else {
-            return;
-        };
-        let attempt = t.attempt;
-        let Some(run) = &mut t.run else {
-            return;
-        };
-        let is_ordered = run.state == RunState::Stopping;
-        if is_ordered
-            && run
-                .stop_order
-                .is_some_and(|o| !o.is_due_again(stop_time, now))
-        {
-            return;
-        }
-        run.state = RunState::Stopping;
-        run.stop_order = Some(StopOrder::UnderWay);
-        run.stop_ordered_at.get_or_insert(now);
-        run.ordered_at = now;
-        let worker = run.worker.clone();
-        self.order_stop(worker, task.clone(), attempt);
-    }
-
-    pub(crate) fn order_stop(&mut self, worker: Text, task: SubtaskId, attempt: u32) {
-        self.orders.push(Order {
-            worker,
-            task,
-            attempt,
-            action: Action::Stop,
-        });
-    }
-
     pub(crate) fn subtask_mut(&mut self, id: &SubtaskId) -> Option<&mut Subtask> {
         let job = self.jobs.get_mut(&id.job)?;
         let occurrence = job.progress.occurrences.get_mut(id.occurrence as usize)?;
--- a/crates/batch/src/stop_order.rs
+++ b/crates/batch/src/stop_order.rs
@@ -1,4 +1,4 @@
-//! Repetition of stop orders.
+//! Stop orders and their repetition.
 //!
 //! A stop takes effect some time after its answer, and reports list the run until then. A leader that
 //! took each of them for a lost stop would send several for each run, and most of them while many
@@ -8,7 +8,9 @@
 
 use crate::{
     job::{SubtaskId, Text},
+    progress::RunState,
     scheduler::JobScheduler,
+    worker::{Action, Order},
 };
 
 /// Maximum time that a stop takes at a worker, if the settings don't tell.
@@ -40,6 +42,52 @@
 }
 
 impl JobScheduler {
+    /// Sets the maximum time that a stop takes at a worker.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// batch::scheduler::JobScheduler::default().set_stop_time(Millis(900));
+    /// ```
+    pub fn set_stop_time(&mut self, time: Millis) {
+        self.stop_time = Some(time);
+    }
+
+    /// Orders a stop of the subtask's run, if it has one. A stop that was ordered before is
+    /// repeated once its worker has not answered it, or has answered it and still lists the run.
+    pub(crate) fn stop(&mut self, task: &SubtaskId, now: Millis) {
+        let stop_time = self.stop_time();
+        let Some(t) = self.subtask_mut(task) else {
+            return;
+        };
+        let attempt = t.attempt;
+        let Some(run) = &mut t.run else {
+            return;
+        };
+        let is_ordered = run.state == RunState::Stopping;
+        if is_ordered
+            && run
+                .stop_order
+                .is_some_and(|o| !o.is_due_again(stop_time, now))
+        {
+            return;
+        }
+        run.state = RunState::Stopping;
+        run.stop_order = Some(StopOrder::UnderWay);
+        run.stop_ordered_at.get_or_insert(now);
+        run.ordered_at = now;
+        let worker = run.worker.clone();
+        self.order_stop(worker, task.clone(), attempt);
+    }
+
+    pub(crate) fn order_stop(&mut self, worker: Text, task: SubtaskId, attempt: u32) {
+        self.orders.push(Order {
+            worker,
+            task,
+            attempt,
+            action: Action::Stop,
+        });
+    }
+
     /// Returns whether a stop order is still to be sent: the run may exist, or the worker lists it
     /// although it should not exist.
     ///
