node: a report is requested after a stop without an answer

Only a report that lists the run repeats a stop that was given up. With limits of up to 2 s and reports every 1.5 s a lost stop could be repeated after 3.9 s, later than the time for cancelled work (3 s and the time of a stop). The report is now requested 0.4 s after the stop was given up, which is when it may be repeated.

--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -22,6 +22,9 @@
 /// only a report that was requested later than the reply shows whether the run still exists.
 const REPORT_DELAY: Millis = Millis(5);
 
+/// Delay between a stop without an answer and the request for a report. A stop that is ordered again
+/// earlier is not sent.
+const STOP_RETRY: Millis = Millis(400);
 /// Interval at which an order that waits for a valid lease looks for it.
 const LEASE_POLL_INTERVAL: Millis = Millis(20);
 /// Interval at which a start that waits for the configuration looks for it.
@@ -179,7 +182,11 @@
     };
     cx.metrics.count_order("stop", outcome);
     if reply != Reply::Done(()) {
-        return handle_unanswered_stop(leader, order);
+        drop(permit);
+        handle_unanswered_stop(leader, order);
+        // Only a report that lists the run repeats the stop.
+        cx::sleep(STOP_RETRY).await;
+        return worker_session::request_report(cx, leader, &order.worker).await;
     }
     permit.set_answered();
     drop(permit);
