--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -244,10 +244,10 @@
     }
 }
 
-/// Handles an order that was not sent like one without a reply: it is repeated, or a start is stopped.
+/// Handles an order that was not sent: it is repeated, or given up if it is a start.
 fn handle_unsent(leader: &Leader, order: &Order) {
     match order.action {
-        Action::Start { .. } => handle_start_reply(leader, order, StartReply::Unknown),
+        Action::Start { .. } => handle_start_reply(leader, order, StartReply::NotSent),
         Action::Stop => handle_unanswered_stop(leader, order),
     }
 }
