batch, node: only starts that wait to be sent or answered limit further placing

Starts of a job whose progress the store does not take counted too.

The node now counts the starts between their release and their end, however that comes, and a pass gets what is left of the limit. A start that is not wanted any more is no longer awaited in the log either.

--- a/crates/batch/src/order_load.rs
+++ b/crates/batch/src/order_load.rs
@@ -19,8 +19,7 @@
 }
 
 impl JobScheduler {
-    /// Sets the number of starts that may wait for their answers before further deferrable work is
-    /// placed.
+    /// Sets the number of orders in the next pass from which no more deferrable work is placed.
     ///
     /// ```
     /// batch::scheduler::JobScheduler::default().set_max_starts(100);
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -56,7 +56,7 @@
             now,
         };
         pass.candidates.reserve_for_urgent(reserve);
-        let mut starts = self.awaited_starts();
+        let mut starts = 0;
         let max_starts = self.max_starts.unwrap_or(usize::MAX);
         for unit in units {
             // A start that can't be sent soon would only hold resources.
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -101,6 +101,20 @@
         }
     }
 
+    /// Records that a start order is not sent, because it is no longer [wanted](Self::is_start_wanted).
+    ///
+    /// ```
+    /// use batch::{scheduler::JobScheduler, job::SubtaskId};
+    /// let task = SubtaskId::parse("1.0.0.0").unwrap();
+    /// JobScheduler::default().handle_unwanted_start(&task, 1);
+    /// ```
+    pub fn handle_unwanted_start(&mut self, id: &SubtaskId, attempt: u32) {
+        let task = self.subtask_mut(id).filter(|t| t.attempt == attempt);
+        if let Some(run) = task.and_then(|t| t.run.as_mut()) {
+            run.awaits_reply = false;
+        }
+    }
+
     /// Records that a try of a start order has no answer, although the order was answered when it was
     /// sent again. It is called before the reply is handled.
     ///
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -80,7 +80,7 @@
     pub(crate) worker_heartbeat: Option<Millis>,
     /// Maximum time that a stop takes at a worker.
     pub(crate) stop_time: Option<Millis>,
-    /// Number of starts without an answer from which no more work is placed; `None` for no limit.
+    /// Number of orders in a pass from which no more deferrable work is placed; `None` for no limit.
     pub(crate) max_starts: Option<usize>,
     pub(crate) started_jobs: Vec<(u32, Millis)>,
     pub(crate) worker_ends: Vec<WorkerEnd>,
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -48,6 +48,8 @@
     pub(crate) sessions: RefCell<SortedMap<Text, WorkerSession>>,
     /// Calls to all workers beside the renewals of their leases.
     pub(crate) window: Window,
+    /// Number of starts that wait for their turn or their answer.
+    pub(crate) pending_starts: Cell<usize>,
     /// Number of orders so far.
     pub(crate) orders: Cell<u64>,
     /// Phases of the jobs as stored.
@@ -103,6 +105,7 @@
             scheduler: RefCell::default(),
             sessions: RefCell::default(),
             window: Window::default(),
+            pending_starts: Cell::default(),
             orders: Cell::default(),
             stored_phases: RefCell::default(),
             progress_rows: RefCell::default(),
@@ -208,7 +211,8 @@
         // Without the configuration no queue has a priority, and each worker seems to check its
         // capacity itself.
         if cx.config_age().is_some() {
-            scheduler.set_max_starts(leader.window.max_starts());
+            let pending = leader.pending_starts.get();
+            scheduler.set_max_starts(leader.window.max_starts().saturating_sub(pending));
             scheduler.place(now, wall_now);
         }
     }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -40,7 +40,9 @@
 }
 
 async fn send_one(cx: Cx, leader: Rc<Leader>, order: Order, position: u64) {
-    if matches!(order.action, Action::Start { .. }) {
+    let is_start = matches!(order.action, Action::Start { .. });
+    let _pending = is_start.then(|| PendingStart::new(&leader));
+    if is_start {
         wait_for_config(&cx, &leader).await;
     }
     wait_for_lease(&cx, &leader, &order).await;
@@ -73,6 +75,23 @@
     }
 }
 
+/// A start that waits for its turn or its answer, counted until it is dropped.
+struct PendingStart(Rc<Leader>);
+
+impl PendingStart {
+    fn new(leader: &Rc<Leader>) -> Self {
+        leader.pending_starts.set(leader.pending_starts.get() + 1);
+        Self(leader.clone())
+    }
+}
+
+impl Drop for PendingStart {
+    fn drop(&mut self) {
+        let pending = &self.0.pending_starts;
+        pending.set(pending.get() - 1);
+    }
+}
+
 fn class(leader: &Leader, order: &Order) -> Class {
     match order.action {
         Action::Stop => Class::Stop,
@@ -118,7 +137,8 @@
     if !wanted {
         log::info!(task:% = order.task, attempt = order.attempt; "orders: start not sent, its run was stopped or is known");
         cx.metrics.count_order("start", "not_sent");
-        return;
+        let mut scheduler = leader.scheduler.borrow_mut();
+        return scheduler.handle_unwanted_start(&order.task, order.attempt);
     }
     let fits = {
         let mut scheduler = leader.scheduler.borrow_mut();
