node: the time without a valid lease counts neither for the window nor against a worker

An order that had its turn when the lease lapsed kept its place in the window and at its worker: each lapse of 0.2 s halved the window within two (a model in the review: 512, 358, 250, 176 ... 64), and after 0.7 s all calls that waited for the worker were given up as if it were silent. It now gives its turn back and asks again once the lease is valid, with the place that it had.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -56,6 +56,11 @@
             slot.set_answered();
         }
     }
+
+    /// Gives the turn back without a call.
+    pub(crate) fn cancel(self) {
+        self.calls.0.queue.borrow_mut().hold(self.id);
+    }
 }
 
 impl Drop for Permit {
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -45,29 +45,28 @@
     if is_start {
         wait_for_config(&cx, &leader).await;
     }
-    wait_for_lease(&cx, &leader, &order).await;
-    let Some(calls) = worker_session::calls(&leader, &order.worker) else {
+    let calls = worker_session::calls(&leader, &order.worker);
+    let target = || worker_session::target(&leader, &order.worker);
+    let Some((calls, target)) = calls.and_then(|c| Some((c, target()?))) else {
         log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
         return handle_unsent(&leader, &order);
     };
-    let Some(permit) = calls
-        .acquire(
-            Place::Last,
-            &leader.window,
-            (class(&leader, &order), position),
-        )
-        .await
-    else {
-        log::info!(task:% = order.task, worker:% = order.worker; "orders: not sent to a silent worker");
-        return handle_unsent(&leader, &order);
-    };
-    wait_for_lease(&cx, &leader, &order).await;
-    if leader.ended.get() {
-        return;
-    }
-    let Some(target) = worker_session::target(&leader, &order.worker) else {
-        log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
-        return handle_unsent(&leader, &order);
+    let place = (class(&leader, &order), position);
+    let permit = loop {
+        wait_for_lease(&cx, &leader, &order).await;
+        let permit = calls.acquire(Place::Last, &leader.window, place).await;
+        if leader.ended.get() {
+            return;
+        }
+        let Some(permit) = permit else {
+            log::info!(task:% = order.task, worker:% = order.worker; "orders: not sent to a silent worker");
+            return handle_unsent(&leader, &order);
+        };
+        if cx.acting().is_some() {
+            break permit;
+        }
+        // The time until the lease is valid again says nothing about the link or the worker.
+        permit.cancel();
     };
     match order.action {
         Action::Start { .. } => send_start(&cx, &leader, &order, &target, permit).await,
@@ -124,9 +123,9 @@
             return refuse_unsent(cx, leader, order, Refusal::Unhealthy);
         }
         permit.set_answered();
-        wait_for_lease(cx, leader, order).await;
-        if leader.ended.get() {
-            return;
+        if cx.acting().is_none() {
+            drop(permit);
+            return send(cx, leader, vec![order.clone()]);
         }
     }
     let limit = permit.limit.since(clock::now().since(began));
