store: small pages raise only the number of pages under way

After 5 s without a page both are at most the first ones.

Tests: store small_pages_only_raise_the_number_under_way and limits_do_not_grow_across_an_idle_time.

--- a/crates/store/src/pages.rs
+++ b/crates/store/src/pages.rs
@@ -38,8 +38,10 @@
 const SLOW: Millis = Millis(300);
 /// Time between the first and the last byte of a page above which the link is what makes it slow.
 const SLOW_TRANSFER: Millis = Millis(50);
-/// Size in bytes below which the time of a page says nothing about the link.
+/// Size in bytes below which the time of a page says nothing about a larger one.
 const MIN_EVIDENCE: usize = 16 << 10;
+/// Time without a page after which the limits say nothing about the link any more.
+const MAX_IDLE: Millis = Millis(5_000);
 /// Minimum time without a byte after which a page is requested again on another connection.
 const MIN_STALL: Millis = Millis(1_000);
 /// Maximum of that time, for a store whose pages take long.
@@ -93,6 +95,8 @@
     /// Time when the limits were last reduced.
     reduced_at: Cell<Option<Millis>>,
     took: RefCell<Latency>,
+    /// Time when the last page ended.
+    ended_at: Cell<Millis>,
     /// Held by the page that waits for its turn first.
     queue: Mutex<()>,
     freed: Notify,
@@ -110,6 +114,7 @@
             under_way: Cell::default(),
             reduced_at: Cell::default(),
             took: RefCell::new(Latency::new(cfg)),
+            ended_at: Cell::new(clock::now()),
             queue: Mutex::default(),
             freed: Notify::new(),
         }
@@ -123,6 +128,7 @@
 impl Drop for Turn<'_> {
     fn drop(&mut self) {
         self.0.under_way.set(self.0.under_way.get() - 1);
+        self.0.ended_at.set(clock::now());
         self.0.freed.notify_one();
     }
 }
@@ -210,6 +216,12 @@
 
     async fn turn(&self) -> Turn<'_> {
         let _first = self.queue.lock().await;
+        let idle = clock::now().since(self.ended_at.get());
+        if self.under_way.get() == 0 && idle > MAX_IDLE {
+            self.rows.set(self.rows.get().min(FIRST_ROWS));
+            let limit = self.max_under_way.get();
+            self.max_under_way.set(limit.min(FIRST_UNDER_WAY));
+        }
         while self.under_way.get() >= self.max_under_way.get() {
             self.freed.notified().await;
         }
@@ -220,8 +232,10 @@
     fn record(&self, sent: Millis, arrival: &Arrival) {
         let took = clock::now().since(sent);
         self.took.borrow_mut().record(took);
-        if took < FAST && arrival.bytes.get() >= MIN_EVIDENCE {
-            self.rows.set((self.rows.get() * 2).min(MAX_ROWS));
+        if took < FAST {
+            if arrival.bytes.get() >= MIN_EVIDENCE {
+                self.rows.set((self.rows.get() * 2).min(MAX_ROWS));
+            }
             let more = self.max_under_way.get() + 1;
             self.max_under_way.set(more.min(MAX_UNDER_WAY));
             self.freed.notify_one();
--- a/crates/store/tests/pages.rs
+++ b/crates/store/tests/pages.rs
@@ -107,3 +107,30 @@
     pages.read(read).await.unwrap();
     assert_eq!((pages.rows(), pages.max_under_way()), (100, 4));
 }
+
+/// Guards against a burst on a link that has become narrow since the last page.
+#[ntex::test]
+async fn limits_do_not_grow_across_an_idle_time() {
+    let pages = Pages::default();
+    let fast = async |_, arrival: Rc<Arrival>| {
+        arrival.record(FULL);
+        Ok(())
+    };
+    for _ in 0..20 {
+        pages.read(fast).await.unwrap();
+    }
+    sleep(Millis(5_100)).await;
+    let rows = pages.read(async |rows, _| Ok(rows)).await;
+    assert_eq!(rows, Ok(100));
+    assert_eq!(pages.max_under_way(), 5, "one more after a fast page");
+}
+
+/// Guards against tables with few rows that are read a few at a time on a fast link.
+#[ntex::test]
+async fn small_pages_only_raise_the_number_under_way() {
+    let pages = Pages::default();
+    for _ in 0..20 {
+        pages.read(async |_, _| Ok(())).await.unwrap();
+    }
+    assert_eq!((pages.rows(), pages.max_under_way()), (100, 16));
+}
