batch, node: the window leaves out the time by which the process itself is late

The leader now measures by how much it handles a timer late, and takes the recent maximum off the time of an answer before it decides whether the link is slow.

Test: the example of CallWindow::record_lag, which fails without the subtraction.

--- a/crates/batch/src/call_window.rs
+++ b/crates/batch/src/call_window.rs
@@ -23,10 +23,16 @@
 /// Time of an answer above which fewer calls are sent. Renewals of the leader's lease (0.9 s) share
 /// the link.
 const SLOW_ANSWER: Millis = Millis(200);
+/// Factor by which the recent maximum of the lag falls with each measurement.
+const LAG_DECAY: f64 = 0.9;
+/// Time of an answer up to which the number doubles with each round at first.
+const FAST_ANSWER: Millis = Millis(100);
 /// Factor by which the number decreases after a slow answer.
 const DECREASE: f64 = 0.7;
 /// Increase of the number for as many answers as there are calls under way.
 const INCREASE: f64 = 4.0;
+/// Number of calls without an answer up to which workers are taken to be silent.
+const MIN_MISSED: usize = 8;
 /// Minimum time after which a call without an answer leaves the window, so that silent workers don't
 /// hold up the calls to others.
 const MIN_OVERDUE: Millis = Millis(100);
@@ -85,6 +91,8 @@
     /// Calls that have left the window without an answer and may still get one.
     overdue: Vec<(u64, Millis)>,
     answer_time: AnswerTime,
+    /// Recent maximum of the time by which this process handles events late.
+    lag: f64,
     /// Time of the last decrease; zero before the first one.
     decreased_at: Millis,
     /// Calls that were answered, and those that became overdue, since the last decrease.
@@ -101,6 +109,7 @@
             under_way: VecDeque::new(),
             overdue: Vec::new(),
             answer_time: AnswerTime::default(),
+            lag: 0.0,
             decreased_at: Millis::ZERO,
             answered: 0,
             missed: 0,
@@ -172,9 +181,10 @@
         if !answered {
             return;
         }
-        if took <= SLOW_ANSWER {
+        let on_link = took.since(Millis(self.lag as u64));
+        if on_link <= SLOW_ANSWER {
             self.answered += 1;
-            let is_growing = self.decreased_at == Millis::ZERO;
+            let is_growing = self.decreased_at == Millis::ZERO && on_link <= FAST_ANSWER;
             let step = if is_growing {
                 1.0
             } else {
@@ -186,6 +196,23 @@
         }
     }
 
+    /// Records that this process has handled an event `lag` late. A process that is short of processor
+    /// time reads answers late, however few calls are under way.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use batch::call_window::{CallWindow, Class};
+    /// let mut window = CallWindow::default();
+    /// window.record_lag(Millis(400));
+    /// let id = window.add(Class::Start, 1);
+    /// window.advance(Millis(1));
+    /// window.end(id, true, Millis(501));
+    /// assert!(window.size() >= 16);
+    /// ```
+    pub fn record_lag(&mut self, lag: Millis) {
+        self.lag = (self.lag * LAG_DECAY).max(lag.0 as f64);
+    }
+
     /// Returns the time of the next [`advance`](Self::advance) if no call ends before, or `None` if
     /// no call waits.
     ///
@@ -240,7 +267,7 @@
 
     fn overdue_after(&self) -> Millis {
         let usual = self.answer_time.usual_maximum();
-        usual.max(MIN_OVERDUE).min(MAX_OVERDUE)
+        usual.max(MIN_OVERDUE).min(MAX_OVERDUE) + Millis(self.lag as u64)
     }
 
     fn remove_overdue(&mut self, now: Millis) {
@@ -252,7 +279,7 @@
             self.overdue.push(call);
             self.missed += 1;
             // A few silent workers are no shortage.
-            if self.missed > self.answered.max(MIN_SIZE as usize) {
+            if self.missed > self.answered.max(MIN_MISSED) {
                 self.decrease(call.1, now);
             }
         }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -24,7 +24,7 @@
     load_log::LoadLog,
     policy, retention,
     rows::FailingRow,
-    window::Window,
+    window::{self, Window},
     worker_list,
     worker_session::{self, WorkerSession},
 };
@@ -182,6 +182,7 @@
     rt::spawn(worker_list::poll(cx.clone(), leader.clone())).detach();
     rt::spawn(commit::run(cx.clone(), leader.clone())).detach();
     rt::spawn(extension::run(cx.clone(), leader.clone())).detach();
+    rt::spawn(window::measure_lag(leader.clone())).detach();
     rt::spawn(retention::run(cx.clone(), leader.clone())).detach();
     let mut activity = Activity::default();
     let mut load_log = LoadLog::new(&cx);
--- a/crates/node/src/window.rs
+++ b/crates/node/src/window.rs
@@ -13,7 +13,10 @@
 use ntex::rt;
 use tokio::sync::{self, oneshot};
 
-use crate::turns;
+use crate::{cx, leader::Leader, turns};
+
+/// Interval at which the lag of this process is measured.
+const LAG_INTERVAL: Millis = Millis(100);
 
 /// Calls of a leader to all workers; clones share them.
 #[derive(Clone, Debug, Default)]
@@ -52,6 +55,16 @@
     }
 }
 
+/// Measures by how much this process handles events late, until the leadership ends.
+pub(crate) async fn measure_lag(leader: Rc<Leader>) {
+    while !leader.ended.get() {
+        let due = clock::now() + LAG_INTERVAL;
+        cx::sleep(LAG_INTERVAL).await;
+        let lag = clock::now().since(due);
+        leader.window.0.window.borrow_mut().record_lag(lag);
+    }
+}
+
 impl Window {
     /// Waits for the turn of a call. Returns `None` if the leadership has ended.
     /// Calls of a class go in the order of their positions.
