node, batch: an order reads its worker's address after its waits; one delay before a stop is repeated

The delay after which a stop may be repeated stood in two places with the same figure, batch stop_order and node orders; the node uses that of batch.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -36,7 +36,7 @@
 mod run_end;
 pub mod scheduler;
 mod search;
-mod stop_order;
+pub mod stop_order;
 pub mod usage;
 mod victims;
 mod wait_log;
--- a/crates/batch/src/stop_order.rs
+++ b/crates/batch/src/stop_order.rs
@@ -16,7 +16,7 @@
 /// Maximum time that a stop takes at a worker, if the settings don't tell.
 pub(crate) const DEFAULT_STOP_TIME: Millis = Millis(1_000);
 /// Time after which an order that failed, or one without effect, is sent again.
-const RETRY_DELAY: Millis = Millis(400);
+pub const RETRY_DELAY: Millis = Millis(400);
 
 /// What became of a stop order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -6,6 +6,7 @@
 use batch::{
     call_queue::Place,
     call_window::Class,
+    stop_order,
     worker::{Action, Order, Refusal, StartReply},
 };
 use ntex::rt;
@@ -22,9 +23,6 @@
 /// only a report that was requested later than the reply shows whether the run still exists.
 const REPORT_DELAY: Millis = Millis(5);
 
-/// Delay between a stop without an answer and the request for a report. A stop that is ordered again
-/// earlier is not sent.
-const STOP_RETRY: Millis = Millis(400);
 /// Interval at which an order that waits for a valid lease looks for it.
 const LEASE_POLL_INTERVAL: Millis = Millis(20);
 /// Interval at which a start that waits for the configuration looks for it.
@@ -45,9 +43,7 @@
     if is_start {
         wait_for_config(&cx, &leader).await;
     }
-    let calls = worker_session::calls(&leader, &order.worker);
-    let target = || worker_session::target(&leader, &order.worker);
-    let Some((calls, target)) = calls.and_then(|c| Some((c, target()?))) else {
+    let Some(calls) = worker_session::calls(&leader, &order.worker) else {
         log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
         return handle_unsent(&leader, &order);
     };
@@ -68,6 +64,10 @@
         // The time until the lease is valid again says nothing about the link or the worker.
         permit.cancel();
     };
+    let Some(target) = worker_session::target(&leader, &order.worker) else {
+        log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
+        return handle_unsent(&leader, &order);
+    };
     match order.action {
         Action::Start { .. } => send_start(&cx, &leader, &order, &target, permit).await,
         Action::Stop => send_stop(&cx, &leader, &order, &target, permit).await,
@@ -204,7 +204,7 @@
         drop(permit);
         handle_unanswered_stop(leader, order);
         // Only a report that lists the run repeats the stop.
-        cx::sleep(STOP_RETRY).await;
+        cx::sleep(stop_order::RETRY_DELAY).await;
         return worker_session::request_report(cx, leader, &order.worker).await;
     }
     permit.set_answered();
