node: the log of a stop counts connections, requests that arrive in it, and the age of the oldest one it cuts

The last line of a node had the number of requests under way only: it did not tell a stop that cut slow requests from one that cut what had just arrived, nor connections that were closed at the limit from those of a stop. Now node: stopping and node: stopped carry both, with metrics for open requests, open connections and connections refused at the limit. No change of what callers see.

--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -18,7 +18,9 @@
 };
 use tokio::sync::Notify;
 
-use crate::{leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, rows};
+use crate::{
+    leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, requests::Requests, rows,
+};
 
 /// Maximum time for a transaction. One that a slow store applies later is repeated by its sender.
 const STORE_TIMEOUT: Millis = Millis(2_500);
@@ -85,8 +87,10 @@
     pub(crate) peers: Peers,
     pub(crate) metrics: Metrics,
     pub(crate) stopping: Cell<bool>,
-    /// Number of callers' requests in flight.
-    pub(crate) requests: Cell<usize>,
+    /// Callers' requests under way.
+    pub(crate) requests: Rc<Requests>,
+    /// Connections of callers.
+    pub(crate) connections: serve::Connections,
 }
 
 impl Ctx {
@@ -144,7 +148,8 @@
             calls,
             metrics: Metrics::default(),
             stopping: Cell::new(false),
-            requests: Cell::new(0),
+            requests: Rc::default(),
+            connections: serve::Connections::default(),
             candidate,
             cfg,
         })
--- a/crates/node/src/dump.rs
+++ b/crates/node/src/dump.rs
@@ -44,7 +44,7 @@
         config_version: cx.config().version,
         config_age_ms: cx.config_age(),
         nodes_known: cx.peers.count(),
-        requests: cx.requests.get(),
+        requests: cx.requests.count(),
         stopping: cx.stopping.get(),
         leading,
     };
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -30,7 +30,7 @@
 
 /// Handles a request of a caller.
 pub(crate) async fn serve(cx: Cx, req: Request) -> Response {
-    let guard = RequestGuard::new(&cx);
+    let guard = cx.requests.begin(clock::now());
     let mut response = answer(&cx, req).await;
     drop(guard);
     if cx.stopping.get() {
@@ -155,19 +155,3 @@
         _ => Response::new(StatusCode::NOT_FOUND),
     }
 }
-
-/// Counts a request as in flight until it is dropped.
-struct RequestGuard(Cx);
-
-impl RequestGuard {
-    fn new(cx: &Cx) -> Self {
-        cx.requests.set(cx.requests.get() + 1);
-        Self(cx.clone())
-    }
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.requests.set(self.0.requests.get() - 1);
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod policy;
 pub mod process;
 mod refusal;
+mod requests;
 mod retention;
 mod rows;
 mod table_read;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -30,6 +30,9 @@
     takeovers: Counter<u64>,
     store_losses: Counter<u64>,
     unstored: Counter<u64>,
+    connections: Gauge<u64>,
+    refused_connections: Gauge<u64>,
+    open_requests: Gauge<u64>,
     config_version: Gauge<u64>,
     config_age: Gauge<u64>,
     leading: Gauge<u64>,
@@ -62,6 +65,9 @@
             takeovers: exporter.counter("node_takeovers"),
             store_losses: exporter.counter("node_store_losses"),
             unstored: exporter.counter("node_unstored"),
+            connections: exporter.gauge("node_connections"),
+            refused_connections: exporter.gauge("node_refused_connections"),
+            open_requests: exporter.gauge("node_open_requests"),
             config_version: exporter.gauge("node_config_version"),
             config_age: exporter.gauge("node_config_age_ms"),
             leading: exporter.gauge("node_leading"),
@@ -155,6 +161,10 @@
         let age = cx.config_age().unwrap_or_default();
         self.config_version.record(cx.config().version, &[]);
         self.config_age.record(age.0, &[]);
+        self.connections.record(cx.connections.open() as u64, &[]);
+        self.refused_connections
+            .record(cx.connections.refused(), &[]);
+        self.open_requests.record(cx.requests.count() as u64, &[]);
         let leader = cx.leader.borrow().clone();
         self.leading.record(u64::from(leader.is_some()), &[]);
         self.acting.record(u64::from(cx.acting().is_some()), &[]);
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -5,6 +5,7 @@
 use base::clock::{self, Millis};
 use derive_more::{Display, Error, From};
 use ntex::{http::Request, rt};
+use serve::Connections;
 use store::table::StoreError;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -47,11 +48,11 @@
     log::info!(name:% = cfg.name, zone:% = cfg.zone, listen:% = cfg.listen, store:% = cfg.store; "node: start");
     rt::System::new("node", rt::DefaultRuntime).block_on(async move {
         let cx: Cx = Ctx::new(cfg).await?.into();
-        serve(&cx, "front", front, front::serve);
-        serve(&cx, "ready", ready, |cx, req| {
+        serve(&cx, "front", front, cx.connections.clone(), front::serve);
+        serve(&cx, "ready", ready, Connections::default(), |cx, req| {
             future::ready(front::ready(&cx, &req))
         });
-        serve(&cx, "metrics", metrics, |cx, req| {
+        serve(&cx, "metrics", metrics, Connections::default(), |cx, req| {
             future::ready(front::serve_operators(&cx, &req))
         });
         rt::spawn(config::watch(cx.clone())).detach();
@@ -59,11 +60,12 @@
         let lease = rt::spawn(lease_task::run(cx.clone()));
         let stopped = wait_for_signal().await?;
         cx.stopping.set(true);
-        log::info!(requests = cx.requests.get(); "node: stopping");
+        let arrived = cx.requests.arrived();
+        log::info!(requests = cx.requests.count(), connections = cx.connections.open(); "node: stopping");
         cx.lease.borrow_mut().stop();
         cx.wake_lease_task.notify_one();
         let exit_by = stopped + cx.cfg.grace_ms.since(EXIT_MARGIN);
-        while clock::now() < exit_by && (cx.requests.get() > 0 || clock::now().since(stopped) < DRAIN_TIME)
+        while clock::now() < exit_by && (cx.requests.count() > 0 || clock::now().since(stopped) < DRAIN_TIME)
         {
             cx::sleep(POLL_INTERVAL).await;
         }
@@ -71,13 +73,24 @@
         if tokio::time::timeout(remaining, lease).await.is_err() {
             log::warn!("node: the lease was not released in time");
         }
-        log::info!(requests = cx.requests.get(), ms = clock::now().since(stopped).0; "node: stopped");
+        let now = clock::now();
+        let oldest = cx.requests.oldest().map_or(0, |at| now.since(at).0);
+        log::info!(
+            requests = cx.requests.count(), oldest_ms = oldest, connections = cx.connections.open(),
+            arrived = cx.requests.arrived() - arrived, ms = now.since(stopped).0;
+            "node: stopped"
+        );
         Ok(())
     })
 }
 
-fn serve<F, R>(cx: &Cx, name: &'static str, listener: net::TcpListener, f: F)
-where
+fn serve<F, R>(
+    cx: &Cx,
+    name: &'static str,
+    listener: net::TcpListener,
+    connections: Connections,
+    f: F,
+) where
     F: Fn(Cx, Request) -> R + 'static,
     R: Future<Output = ntex::http::Response> + 'static,
 {
@@ -87,7 +100,9 @@
     };
     let cx = cx.clone();
     rt::spawn(async move {
-        let served = serve::listen(name, listener, limits, move |req| f(cx.clone(), req));
+        let served = serve::listen(name, listener, limits, connections, move |req| {
+            f(cx.clone(), req)
+        });
         if let Err(e) = served.await {
             log::error!(listener = name, reason:% = e; "node: listener failed");
         }
--- a/crates/sched/src/http.rs
+++ b/crates/sched/src/http.rs
@@ -38,7 +38,13 @@
 pub(crate) async fn serve(cx: Cx, listener: net::TcpListener) {
     let metrics = Metrics::default();
     let handler = move |req: Request| future::ready(respond(&cx, &metrics, &req));
-    let served = serve::listen("sched-http", listener, serve::Limits::default(), handler);
+    let served = serve::listen(
+        "sched-http",
+        listener,
+        serve::Limits::default(),
+        serve::Connections::default(),
+        handler,
+    );
     if let Err(e) = served.await {
         log::error!("sched: the HTTP server failed: {e}");
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,6 +1,10 @@
 //! HTTP listeners that run on the thread of the caller's runtime.
 
-use std::{cell::Cell, io, net, rc::Rc};
+mod connections;
+
+use std::{io, net, rc::Rc};
+
+pub use connections::Connections;
 
 use ntex::{
     Pipeline, ServiceFactory, SharedCfg, fn_service,
@@ -48,6 +52,7 @@
     name: &'static str,
     listener: net::TcpListener,
     limits: Limits,
+    connections: Connections,
     handler: F,
 ) -> io::Result<()>
 where
@@ -68,7 +73,6 @@
     let http = ServiceFactory::<Io, SharedCfg>::create(&http, cfg.clone()).await;
     let http =
         Pipeline::new(http.map_err(|()| io::Error::other("cannot create the HTTP service"))?);
-    let open_connections = Rc::new(Cell::new(0));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -78,16 +82,17 @@
                 continue;
             }
         };
-        if open_connections.get() >= limits.max_connections {
-            let open = open_connections.get();
+        if connections.open() >= limits.max_connections {
+            let open = connections.open();
             log::warn!("{name}: connection closed: {open} connections are already open");
+            connections.refuse();
             continue;
         }
         let io = stream.into_std();
         let Ok(io) = io.and_then(|s| rt::from_tcp_stream(s, cfg.clone())) else {
             continue;
         };
-        let (http, guard) = (http.clone(), ConnectionGuard::new(&open_connections));
+        let (http, guard) = (http.clone(), connections.guard());
         rt::spawn(async move {
             let _guard = guard;
             // An error ends this connection only.
@@ -97,22 +102,6 @@
     }
 }
 
-/// Counts one connection as open until it is dropped.
-struct ConnectionGuard(Rc<Cell<usize>>);
-
-impl ConnectionGuard {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Reason why a body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyError {
