cli: tests for requests that a planned stop cuts (they fail)

A node behind a store that needs 300 ms an answer is stopped with SIGTERM while callers send a request each 25 ms, on connections that were idle before or on new ones, until the end of the process.

--- /dev/null
+++ b/crates/cli/tests/planned_stop.rs
@@ -0,0 +1,100 @@
+//! Planned stops of nodes whose callers keep their connections open.
+
+mod cluster;
+mod common;
+
+use std::{thread, time};
+
+use cluster::{API_KEY, Cluster, proxy::Mode};
+use common::keep_alive::{Connection, Outcome};
+
+/// Time within which a request on a connection that is being closed may end without an answer.
+const LOSS_SLACK: time::Duration = time::Duration::from_millis(200);
+/// Interval between the requests of callers, and time for which they go on after the signal:
+/// longer than the grace period.
+const INTERVAL: time::Duration = time::Duration::from_millis(25);
+const CALL_TIME: time::Duration = time::Duration::from_millis(6_200);
+/// Time after the signal by which the platform's balancer has taken the node out of rotation.
+const IN_ROTATION: time::Duration = time::Duration::from_secs(2);
+
+/// Sends a request to a stopping node each [`INTERVAL`], each with `connect`; returns those that were
+/// cut later than [`LOSS_SLACK`], with their times, and the number of those with an answer.
+fn call_during_stop(
+    mut connect: impl FnMut() -> Option<Connection>,
+) -> (Vec<(time::Duration, time::Duration)>, usize) {
+    let began = time::Instant::now();
+    let mut calls = Vec::new();
+    while began.elapsed() < CALL_TIME {
+        let at = began.elapsed();
+        if let Some(mut connection) = connect() {
+            let path = format!("/q/{:016x}", calls.len() + 1);
+            calls.push((
+                at,
+                thread::spawn(move || connection.send("GET", &path, API_KEY, "")),
+            ));
+        }
+        thread::sleep(INTERVAL);
+    }
+    let mut answered = 0;
+    let mut cut = Vec::new();
+    for (at, call) in calls {
+        match call.join().unwrap() {
+            Outcome::Answered { .. } => answered += 1,
+            Outcome::Cut { after } if after > LOSS_SLACK => cut.push((at, after)),
+            Outcome::Cut { .. } | Outcome::NotSent => {}
+        }
+    }
+    eprintln!("{answered} answered, cut {cut:?}");
+    (cut, answered)
+}
+
+/// Starts a node whose store needs a third of a second for an answer.
+fn start(test: &str) -> Cluster {
+    let cluster = Cluster::start_behind_proxies(test, 1, 1, 300);
+    cluster.store_proxies[0].set(Mode::Slow);
+    cluster
+}
+
+/// Guards against a planned stop that goes on to take requests on idle connections and cuts them.
+#[test]
+fn a_stop_answers_requests_on_open_connections() {
+    let mut cluster = start("stop-idle");
+    let addr = cluster.nodes[0].http;
+    let count = CALL_TIME.as_millis() / INTERVAL.as_millis();
+    let mut idle: Vec<_> = (0..count)
+        .map(|_| Connection::open(addr).unwrap())
+        .collect();
+    for connection in &mut idle {
+        let warm = connection.send("GET", "/other/", API_KEY, "");
+        assert!(matches!(warm, Outcome::Answered { .. }), "{warm:?}");
+    }
+    cluster.nodes[0].terminate();
+    let (cut, answered) = call_during_stop(|| idle.pop());
+    assert!(
+        cluster.nodes[0].has_ended(),
+        "the node outlives the grace period"
+    );
+    assert_eq!(cluster.nodes[0].wait(), Some(0));
+    assert!(answered > 0, "no request was answered after the signal");
+    assert!(cut.is_empty(), "{} requests were cut: {cut:?}", cut.len());
+}
+
+/// Guards against a planned stop that cuts the requests of callers that connect until the end.
+#[test]
+fn a_stop_answers_requests_on_new_connections() {
+    let mut cluster = start("stop-new");
+    let addr = cluster.nodes[0].http;
+    cluster.nodes[0].terminate();
+    let (cut, answered) = call_during_stop(|| Connection::open(addr).ok());
+    assert!(
+        cluster.nodes[0].has_ended(),
+        "the node outlives the grace period"
+    );
+    assert_eq!(cluster.nodes[0].wait(), Some(0));
+    let in_rotation = (IN_ROTATION.as_millis() / INTERVAL.as_millis()) as usize;
+    assert!(
+        answered > in_rotation / 2,
+        "only {answered} requests were answered"
+    );
+    assert!(cut.is_empty(), "{} requests were cut: {cut:?}", cut.len());
+}
