serve, node: a planned stop closes the listener and idle connections, and ends when all answers are written

Cause: the node took requests until it ended, on idle connections too, and ended at a fixed time whatever was under way. What it counted as under way were handlers, not answers that were still to be written.

Why it works: 2.6 s after the signal, when the balancer has taken the node out, the listener is closed, after it has accepted what waited in its queue. Idle connections are closed after what has arrived was read, others after their answer. No request begins after that, so those under way come to an end, and the process waits for their connections, which end once their answers are written. What the store has not answered 1 s before the end of the grace period is refused: a write with 504, since it may still be applied, anything else with 503.

--- a/crates/cli/tests/planned_stop.rs
+++ b/crates/cli/tests/planned_stop.rs
@@ -14,6 +14,8 @@
 /// longer than the grace period.
 const INTERVAL: time::Duration = time::Duration::from_millis(25);
 const CALL_TIME: time::Duration = time::Duration::from_millis(6_200);
+/// Time after the signal at which a caller sends a request whose time exceeds the grace period.
+const LATE_CALL: time::Duration = time::Duration::from_millis(2_500);
 /// Time after the signal by which the platform's balancer has taken the node out of rotation.
 const IN_ROTATION: time::Duration = time::Duration::from_secs(2);
 
@@ -98,3 +100,17 @@
     );
     assert!(cut.is_empty(), "{} requests were cut: {cut:?}", cut.len());
 }
+
+/// Guards against a planned stop that leaves a write without an answer when the store is lost during it.
+#[test]
+fn a_stop_answers_a_write_whose_outcome_is_unknown() {
+    let mut cluster = Cluster::start_behind_proxies("stop-lost", 1, 1, 300);
+    let mut connection = Connection::open(cluster.nodes[0].http).unwrap();
+    let body = r#"{"spec":"work","steps":[{"count":1,"cpu":100,"mem-mb":10,"gpu":1}]}"#;
+    cluster.nodes[0].terminate();
+    thread::sleep(LATE_CALL);
+    cluster.store_proxies[0].set(Mode::DropAll);
+    let outcome = connection.send("POST", "/q/00000000000000aa", API_KEY, body);
+    assert_eq!(outcome, Outcome::Answered { status: 504 });
+    assert_eq!(cluster.nodes[0].wait(), Some(0));
+}
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -16,7 +16,7 @@
     store_clock::StoreClock,
     table::StoreError,
 };
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, requests::Requests, rows,
@@ -87,6 +87,8 @@
     pub(crate) peers: Peers,
     pub(crate) metrics: Metrics,
     pub(crate) stopping: Cell<bool>,
+    /// Whether requests under way are to be refused because the process ends.
+    pub(crate) answers_due: watch::Sender<bool>,
     /// Callers' requests under way.
     pub(crate) requests: Rc<Requests>,
     /// Connections of callers.
@@ -148,6 +150,7 @@
             calls,
             metrics: Metrics::default(),
             stopping: Cell::new(false),
+            answers_due: watch::Sender::default(),
             requests: Rc::default(),
             connections: serve::Connections::default(),
             candidate,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,5 +1,7 @@
 //! HTTP handlers for callers' requests, the readiness check and the operators' endpoints.
 
+use std::cell::Cell;
+
 use base::clock::{self, Millis};
 use ntex::http::{ConnectionType, Method, Request, Response, StatusCode};
 use platform::paths;
@@ -21,8 +23,8 @@
 /// arrive.
 const ANSWER_MARGIN: Millis = Millis(150);
 
-/// Value of `retry-after`, in seconds, if the store serves other nodes but not this one: the
-/// balancer sends the next attempt to another node.
+/// Value of `retry-after`, in seconds, if other nodes are served: the balancer sends the next
+/// attempt to one of them.
 const RETRY_ELSEWHERE_S: u16 = 0;
 /// Value of `retry-after`, in seconds, if the store may be unavailable to all nodes. Outages last
 /// seconds, and a caller makes only a few attempts.
@@ -44,7 +46,12 @@
 
 async fn answer(cx: &Cx, mut req: Request) -> Response {
     let arrived = clock::now();
-    let result = process(cx, &mut req, arrived).await;
+    let received = Cell::new(false);
+    let mut due = cx.answers_due.subscribe();
+    let result = tokio::select! {
+        result = process(cx, &mut req, arrived, &received) => result,
+        _ = due.wait_for(|due| *due) => Err(interrupted(req.method(), received.get())),
+    };
     let name = result
         .as_ref()
         .map_or_else(|refusal| refusal.name(), |_| "done");
@@ -52,8 +59,23 @@
     result.unwrap_or_else(|refusal| refuse(cx, &req, refusal))
 }
 
-async fn process(cx: &Cx, req: &mut Request, arrived: Millis) -> Result<Response, Refusal> {
+/// Returns the refusal of a request that is given up while it is carried out. A write may have been sent
+/// once its body was received.
+fn interrupted(method: &Method, received: bool) -> Refusal {
+    match *method {
+        Method::POST | Method::DELETE if received => Refusal::Unknown,
+        _ => Refusal::Stopping,
+    }
+}
+
+async fn process(
+    cx: &Cx,
+    req: &mut Request,
+    arrived: Millis,
+    received: &Cell<bool>,
+) -> Result<Response, Refusal> {
     let body = read_body(cx, req).await?;
+    received.set(true);
     let authorised = authorise::authorise(cx, req)?;
     let deadline = arrived + timeout(req).since(ANSWER_MARGIN);
     // A call to a store that answers nothing would only take up the caller's time, and a
@@ -122,7 +144,8 @@
         config = cx.config().version, age_ms:? = age;
         "front: refused"
     );
-    let retry_after = if cx.peers.others_are_served() {
+    let elsewhere = refusal == Refusal::Stopping || cx.peers.others_are_served();
+    let retry_after = if elsewhere {
         RETRY_ELSEWHERE_S
     } else {
         RETRY_S
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 mod requests;
 mod retention;
 mod rows;
+mod stop;
 mod table_read;
 mod turns;
 mod window;
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -20,6 +20,8 @@
     ConfigAge,
     /// The store does not serve this node, or a row of the job is malformed; nothing was stored.
     Store,
+    /// The process ends before the request could be carried out; nothing was stored.
+    Stopping,
     /// The job does not exist or belongs to another organisation.
     NoJob,
     /// The caller's organisation has cancelled the id before; no job with it runs.
@@ -34,7 +36,7 @@
     /// Returns the answer; `retry_after` is the time in seconds after which the caller may retry.
     pub(crate) fn response(self, retry_after: u16) -> Response {
         let mut builder = Response::build(self.status());
-        if matches!(self, Self::ConfigAge | Self::Store) {
+        if matches!(self, Self::ConfigAge | Self::Store | Self::Stopping) {
             builder.header(paths::RETRY_AFTER, retry_after.to_string());
         }
         builder.finish()
@@ -50,6 +52,7 @@
             Self::Method => "method",
             Self::ConfigAge => "config_age",
             Self::Store => "store",
+            Self::Stopping => "stopping",
             Self::NoJob => "no_job",
             Self::Cancelled => "cancelled",
             Self::IdInUse => "id_in_use",
@@ -64,7 +67,7 @@
             Self::Invalid => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Method => StatusCode::METHOD_NOT_ALLOWED,
-            Self::ConfigAge | Self::Store => StatusCode::SERVICE_UNAVAILABLE,
+            Self::ConfigAge | Self::Store | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoJob | Self::Cancelled => StatusCode::GONE,
             Self::IdInUse => StatusCode::CONFLICT,
             Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub use connections::Connections;
 
+use futures_util::FutureExt;
 use ntex::{
     Pipeline, ServiceFactory, SharedCfg, fn_service,
     http::{HttpService, HttpServiceConfig, Payload, Request, Response, error::HttpError},
@@ -13,10 +14,18 @@
     rt, time,
     util::{Bytes, BytesMut},
 };
+use tokio::net::{TcpListener, TcpStream};
 
 /// Delay after a failed accept, so that the loop does not use up a core while the process is out of
 /// file descriptors.
 const ACCEPT_RETRY_DELAY: time::Millis = time::Millis(50);
+/// Maximum number of connections that wait to be accepted (the default of the listener).
+const MAX_BACKLOG: usize = 1_024;
+/// Time in which the first request on the connections that were accepted last has to arrive.
+const LAST_REQUEST_DELAY: time::Millis = time::Millis(100);
+/// Turns of the runtime in which requests that have arrived are read before idle connections are
+/// closed: one each for the socket, the reader and the parser.
+const READ_TURNS: usize = 3;
 
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
@@ -42,7 +51,8 @@
     }
 }
 
-/// Serves the requests on `listener` with `handler`; it returns only on an error.
+/// Serves the requests on `listener` with `handler` until the `connections` have been closed and have
+/// ended.
 ///
 /// # Errors
 ///
@@ -60,7 +70,7 @@
     R: Future<Output = Response> + 'static,
 {
     listener.set_nonblocking(true)?;
-    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let listener = TcpListener::from_std(listener)?;
     let http_cfg = HttpServiceConfig::new()
         .set_keepalive_timeout(limits.idle_timeout)
         .set_client_timeout(limits.head_timeout);
@@ -73,24 +83,16 @@
     let http = ServiceFactory::<Io, SharedCfg>::create(&http, cfg.clone()).await;
     let http =
         Pipeline::new(http.map_err(|()| io::Error::other("cannot create the HTTP service"))?);
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("{name}: cannot accept: {e}");
-                time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
+    let open = |stream: TcpStream| {
         if connections.open() >= limits.max_connections {
             let open = connections.open();
             log::warn!("{name}: connection closed: {open} connections are already open");
             connections.refuse();
-            continue;
+            return;
         }
         let io = stream.into_std();
         let Ok(io) = io.and_then(|s| rt::from_tcp_stream(s, cfg.clone())) else {
-            continue;
+            return;
         };
         let (http, guard) = (http.clone(), connections.guard());
         rt::spawn(async move {
@@ -99,7 +101,35 @@
             let _ = http.call(io).await;
         })
         .detach();
+    };
+    loop {
+        let accepted = tokio::select! {
+            () = connections.closing() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => open(stream),
+            Err(e) => {
+                log::warn!("{name}: cannot accept: {e}");
+                time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    // Closing the listener resets connections that it has not accepted.
+    for _ in 0..MAX_BACKLOG {
+        let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
+            break;
+        };
+        open(stream);
+    }
+    drop(listener);
+    time::sleep(LAST_REQUEST_DELAY).await;
+    for _ in 0..READ_TURNS {
+        tokio::task::yield_now().await;
     }
+    http.shutdown::<Io>().await;
+    connections.ended().await;
+    Ok(())
 }
 
 /// Reason why a body could not be read.
