node: signal handlers are installed before the listeners

Found by reading: a process accepted connections, in the kernel's queue, before it handled SIGTERM and SIGHUP, so that a signal in between killed it with its default action. Not reproduced; the gap is the time in which the clients of the platform are created.

--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -36,6 +36,8 @@
 /// Returns an error if a listener, a signal handler or a client can't be set up.
 pub fn run(cfg: NodeCfg) -> Result<(), ProcessError> {
     rt::System::new("node", rt::DefaultRuntime).block_on(async move {
+        // Without a handler these signals would kill a process that has accepted connections.
+        let mut signals = Signals::new()?;
         let front = net::TcpListener::bind(cfg.listen)?;
         let ready = net::TcpListener::bind(cfg.listen_ready)?;
         let metrics = net::TcpListener::bind(cfg.listen_metrics)?;
@@ -51,7 +53,6 @@
         rt::spawn(config::watch(cx.clone())).detach();
         rt::spawn(peers::watch(cx.clone())).detach();
         let lease = rt::spawn(lease_task::run(cx.clone()));
-        let mut signals = Signals::new()?;
         let signalled = signals.stop().await;
         stop::stop(&cx, signalled, callers, [ready, metrics], lease).await;
         Ok(())
