serve: requests on connections over the limit are refused with 503

What callers saw: a connection beyond the limit was closed after it had been accepted, without an answer; a caller that had sent its request could not tell whether it had run.

Now up to 64 connections over the limit are served by a handler that refuses each request with 503, retry-after 0 and connection: close. The new test got a reset connection before.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -8,8 +8,11 @@
 
 use futures_util::FutureExt;
 use ntex::{
-    Pipeline, ServiceFactory, SharedCfg, fn_service,
-    http::{HttpService, HttpServiceConfig, Payload, Request, Response, error::HttpError},
+    Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
+    http::{
+        HttpService, HttpServiceConfig, Payload, Request, Response,
+        error::{DispatchError, HttpError},
+    },
     io::Io,
     rt, time,
     util::{Bytes, BytesMut},
@@ -19,6 +22,8 @@
 /// Delay after a failed accept, so that the loop does not use up a core while the process is out of
 /// file descriptors.
 const ACCEPT_RETRY_DELAY: time::Millis = time::Millis(50);
+/// Connections accepted over the limit, so that their requests get a refusal.
+const SPARE_CONNECTIONS: usize = 64;
 /// Maximum number of connections that wait to be accepted (the default of the listener).
 const MAX_BACKLOG: usize = 1_024;
 /// Time in which the first request on the connections that were accepted last has to arrive.
@@ -30,7 +35,7 @@
 /// Limits of one listener.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Maximum number of open connections; further ones are closed without an answer.
+    /// Maximum number of open connections; requests on further ones are refused.
     pub max_connections: usize,
     /// Time after which an idle connection is closed.
     pub idle_timeout: time::Seconds,
@@ -75,30 +80,32 @@
         .set_keepalive_timeout(limits.idle_timeout)
         .set_client_timeout(limits.head_timeout);
     let cfg: SharedCfg = SharedCfg::new(name).add(http_cfg).into();
-    let handler = Rc::new(handler);
-    let http = HttpService::new(fn_service(move |req: Request| {
-        let handler = handler.clone();
-        async move { Ok::<_, HttpError>(handler(req).await) }
-    }));
-    let http = ServiceFactory::<Io, SharedCfg>::create(&http, cfg.clone()).await;
-    let http =
-        Pipeline::new(http.map_err(|()| io::Error::other("cannot create the HTTP service"))?);
+    let http = http_service(cfg.clone(), handler).await?;
+    let busy = http_service(cfg.clone(), async |_| busy()).await?;
     let open = |stream: TcpStream| {
-        if connections.open() >= limits.max_connections {
-            let open = connections.open();
-            log::warn!("{name}: connection closed: {open} connections are already open");
+        let open = connections.open();
+        let is_busy = open >= limits.max_connections;
+        if is_busy {
+            log::warn!("{name}: connection refused: {open} connections are already open");
             connections.refuse();
+        }
+        if open >= limits.max_connections + SPARE_CONNECTIONS {
             return;
         }
         let io = stream.into_std();
         let Ok(io) = io.and_then(|s| rt::from_tcp_stream(s, cfg.clone())) else {
             return;
         };
-        let (http, guard) = (http.clone(), connections.guard());
+        let guard = connections.guard();
+        let (http, busy) = (http.clone(), busy.clone());
         rt::spawn(async move {
             let _guard = guard;
             // An error ends this connection only.
-            let _ = http.call(io).await;
+            if is_busy {
+                let _ = busy.call(io).await;
+            } else {
+                let _ = http.call(io).await;
+            }
         })
         .detach();
     };
@@ -127,11 +134,36 @@
     for _ in 0..READ_TURNS {
         tokio::task::yield_now().await;
     }
-    http.shutdown::<Io>().await;
+    tokio::join!(http.shutdown::<Io>(), busy.shutdown::<Io>());
     connections.ended().await;
     Ok(())
 }
 
+async fn http_service<F, R>(
+    cfg: SharedCfg,
+    handler: F,
+) -> io::Result<Pipeline<impl Service<Io, Error = DispatchError>>>
+where
+    F: Fn(Request) -> R + 'static,
+    R: Future<Output = Response> + 'static,
+{
+    let handler = Rc::new(handler);
+    let http = HttpService::new(fn_service(move |req: Request| {
+        let handler = handler.clone();
+        async move { Ok::<_, HttpError>(handler(req).await) }
+    }));
+    let http = ServiceFactory::<Io, SharedCfg>::create(&http, cfg).await;
+    let http = http.map_err(|()| io::Error::other("cannot create the HTTP service"))?;
+    Ok(Pipeline::new(http))
+}
+
+/// Returns the answer to a request on a connection over the limit. The next attempt may reach another
+/// process at once.
+fn busy() -> Response {
+    let mut response = Response::ServiceUnavailable();
+    response.header("retry-after", "0").force_close().finish()
+}
+
 /// Reason why a body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyError {
--- a/crates/serve/tests/close.rs
+++ b/crates/serve/tests/close.rs
@@ -49,9 +49,17 @@
 
 /// Serves a listener whose connections are closed after `open`, until they have ended.
 async fn serve_for(open: time::Duration, listener: net::TcpListener) -> io::Result<()> {
+    serve_limited(Limits::default(), open, listener).await
+}
+
+async fn serve_limited(
+    limits: Limits,
+    open: time::Duration,
+    listener: net::TcpListener,
+) -> io::Result<()> {
     let connections = Connections::default();
     let closer = connections.clone();
-    let served = serve::listen("test", listener, Limits::default(), connections, handle);
+    let served = serve::listen("test", listener, limits, connections, handle);
     let close = async {
         tokio::time::sleep(open).await;
         closer.close();
@@ -103,3 +111,23 @@
         assert!(client.join().unwrap().ends_with("\r\n\r\nfast"));
     }
 }
+
+/// Guards against a connection over the limit that is closed without an answer.
+#[ntex::test]
+async fn a_request_over_the_limit_is_refused() {
+    let (listener, addr) = listener();
+    let limits = Limits {
+        max_connections: 1,
+        ..Limits::default()
+    };
+    let first = send(addr, "/slow", time::Duration::ZERO);
+    let second = thread::spawn(move || {
+        thread::sleep(SENT);
+        send(addr, "/fast", time::Duration::ZERO).join().unwrap()
+    });
+    serve_limited(limits, 2 * SENT, listener).await.unwrap();
+    assert!(first.join().unwrap().ends_with("\r\n\r\nslow"));
+    let refused = second.join().unwrap().to_ascii_lowercase();
+    assert!(refused.starts_with("http/1.1 503 "), "{refused:?}");
+    assert!(refused.contains("\r\nretry-after: 0\r\n"), "{refused:?}");
+}
