--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -141,7 +141,7 @@
     let age = cx.config_age().map(|a| a.0);
     log::info!(
         method:% = req.method(), path = req.path(), reason:? = refusal,
-        config = cx.config().version, age_ms:? = age;
+        config = cx.config().version, age_ms = age;
         "front: refused"
     );
     let elsewhere = refusal == Refusal::Stopping || cx.peers.others_are_served();
