--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -14,6 +14,30 @@
 /// Time before the exit by which each request is answered, if only with a refusal.
 const ANSWER_TIME: Millis = Millis(300);
 
+/// Times of the parts of a planned stop.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    /// When the listener and idle connections are closed.
+    close_at: Millis,
+    /// When the requests under way are refused.
+    answer_by: Millis,
+    exit_by: Millis,
+}
+
+impl Times {
+    /// A third of the time at least is left to the requests under way.
+    fn new(signalled: Millis, grace: Millis) -> Self {
+        let exit = grace.since(EXIT_MARGIN);
+        let answer = exit.since(ANSWER_TIME);
+        let close = DRAIN_TIME.min(Millis(answer.0 / 3 * 2));
+        Self {
+            close_at: signalled + close,
+            answer_by: signalled + answer,
+            exit_by: signalled + exit,
+        }
+    }
+}
+
 /// A listener whose connections can be closed.
 #[derive(Debug)]
 pub(crate) struct Listener {
@@ -45,10 +69,12 @@
     log::info!(requests = cx.requests.count(), connections = cx.connections.open(); "node: stopping");
     cx.lease.borrow_mut().stop();
     cx.wake_lease_task.notify_one();
-    let exit_by = signalled + cx.cfg.grace_ms.since(EXIT_MARGIN);
-    let answer_by = signalled + exit_by.since(signalled).since(ANSWER_TIME);
-    let drained = answer_by.min(signalled + DRAIN_TIME);
-    cx::sleep(drained.since(clock::now())).await;
+    let Times {
+        close_at,
+        answer_by,
+        exit_by,
+    } = Times::new(signalled, cx.cfg.grace_ms);
+    cx::sleep(close_at.since(clock::now())).await;
     log::info!(requests = cx.requests.count(), connections = cx.connections.open(); "node: closing connections");
     if !callers.close(answer_by).await {
         log::warn!(requests = cx.requests.count(); "node: requests under way are refused");
