soak: callers keep their connections open, and planned work comes in series

Four callers a node send requests on connections that they keep; a request that is cut later than 200 ms after it was sent fails the seed unless its node was killed or frozen meanwhile, whatever the store and the links do. Beside the faults, from a sequence of their own so that the old seeds keep theirs: planned stops of one or all nodes, SIGHUP, new versions of the configuration with other keys.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod http;
 pub mod keep_alive;
+pub mod open_callers;
 
 use std::{
     fs, net, path, process,
@@ -136,6 +137,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits until the process has ended and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let status = wait_until("end of the process", TIMEOUT, || {
--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -10,7 +10,7 @@
 use std::{env, ops::RangeInclusive, sync::atomic::Ordering, thread, time};
 
 use cluster::{API_KEY, Cluster, proxy::Mode};
-use common::wait_until;
+use common::{open_callers::OpenCallers, wait_until};
 use fastrand::Rng;
 use platform_standin::{store::Fault, worker::DEADLY};
 
@@ -25,6 +25,10 @@
 const RECOVERY_TIMEOUT: time::Duration = time::Duration::from_mins(1);
 /// Upper bound of the pause between two faults or requests, in milliseconds.
 const MAX_PAUSE_MS: u64 = 300;
+/// Callers for each node that keep their connections open.
+const OPEN_CALLERS: usize = 4;
+/// Time within which a request on a connection that is being closed may end without an answer.
+const LOSS_SLACK: time::Duration = time::Duration::from_millis(200);
 /// Seeds that have failed. 14, 31, 52: a subtask ran again 10 to 14 s after it was done on a worker
 /// that was disconnected for longer than its lease; the check now allows that. 2: the rest of a
 /// deadly gang completed on the stand-in, which does not break gangs. 310: a job was given up after
@@ -55,12 +59,25 @@
     frozen: [bool; NODES],
     /// Nodes that were killed and not restarted.
     down: [bool; NODES],
+    callers: OpenCallers,
+    /// Selects planned work beside the faults.
+    planned: Rng,
+    version: u64,
+    /// Kills and freezes: the node, and when they began and ended.
+    unplanned: Vec<(usize, time::Instant, Option<time::Instant>)>,
 }
 
 impl Soak {
     fn new(seed: u64) -> Self {
+        let cluster = Cluster::start_behind_proxies(&format!("soak-{seed}"), NODES, WORKERS, 400);
+        let addrs: Vec<_> = cluster.nodes.iter().map(|n| n.http).collect();
+        let path = format!("/q/{:016x}", 0);
         Self {
-            cluster: Cluster::start_behind_proxies(&format!("soak-{seed}"), NODES, WORKERS, 400),
+            callers: OpenCallers::start(&addrs, OPEN_CALLERS, &path, API_KEY),
+            planned: Rng::with_seed(!seed),
+            version: 1,
+            unplanned: Vec::new(),
+            cluster,
             rng: Rng::with_seed(seed),
             jobs: Vec::new(),
             frozen: [false; NODES],
@@ -97,6 +114,25 @@
         }
     }
 
+    /// Stops nodes as planned, sends SIGHUP or changes the configuration; most steps do none of it.
+    fn plan(&mut self) {
+        let node = self.planned.usize(..NODES);
+        match self.planned.u8(..24) {
+            0 => (0..NODES).for_each(|node| self.stop(node, true)),
+            1 | 2 => self.stop(node, true),
+            3 | 4 if !self.down[node] && !self.cluster.nodes[node].has_ended() => {
+                self.cluster.nodes[node].hang_up();
+            }
+            5 | 6 => {
+                self.version += self.planned.u64(1..4);
+                let other = format!("key-{}", self.version);
+                let config = cluster::config(self.version, &[API_KEY, &other]);
+                self.cluster.store.put("op", "config", &config);
+            }
+            _ => {}
+        }
+    }
+
     /// Submits a job to up to three random nodes until one accepts it, as callers do.
     fn submit(&mut self) {
         let id = self.jobs.len() as u64;
@@ -148,7 +184,8 @@
     }
 
     fn freeze(&mut self, node: usize) {
-        if !self.down[node] {
+        if !self.down[node] && !self.cluster.nodes[node].has_ended() {
+            self.unplanned.push((node, time::Instant::now(), None));
             self.cluster.nodes[node].freeze();
             self.frozen[node] = true;
         }
@@ -160,9 +197,13 @@
             return;
         }
         if planned {
-            self.cluster.nodes[node].terminate();
+            if !self.cluster.nodes[node].has_ended() {
+                self.cluster.nodes[node].terminate();
+            }
             return;
         }
+        let now = time::Instant::now();
+        self.unplanned.push((node, now, Some(now)));
         self.cluster.nodes[node].kill();
         self.down[node] = true;
     }
@@ -171,6 +212,13 @@
     fn recover(&mut self, node: usize) {
         if self.frozen[node] {
             self.cluster.nodes[node].thaw();
+            let frozen = self.unplanned.iter_mut().rev();
+            if let Some(freeze) = frozen
+                .into_iter()
+                .find(|(n, _, end)| *n == node && end.is_none())
+            {
+                freeze.2 = Some(time::Instant::now());
+            }
             self.frozen[node] = false;
         }
         if self.down[node] || self.cluster.nodes[node].has_ended() {
@@ -215,6 +263,17 @@
                 end_states.contains(&&*state).then_some(())
             });
         }
+        for cut in self.callers.cut_after(LOSS_SLACK) {
+            let is_unplanned = self.unplanned.iter().any(|(node, begin, end)| {
+                *node == cut.node && *begin <= cut.ended && end.is_none_or(|end| end >= cut.sent)
+            });
+            let ms = (cut.ended - cut.sent).as_millis();
+            assert!(
+                is_unplanned,
+                "seed {seed}: node {} cut a request after {ms} ms",
+                cut.node
+            );
+        }
         let runs = self.cluster.check_runs();
         for (id, expected) in self.jobs.iter().enumerate() {
             let count = runs.get(&format!("{id:016x}")).copied().unwrap_or(0);
@@ -235,6 +294,7 @@
     let end = time::Instant::now() + time::Duration::from_secs(seconds);
     while time::Instant::now() < end {
         soak.step();
+        soak.plan();
         soak.cluster.check_runs();
         let pause = soak.rng.u64(..MAX_PAUSE_MS);
         thread::sleep(time::Duration::from_millis(pause));
