serve: a listener that is closed accepts what waits in the socket's queue, not what the runtime knows of it

What callers saw: after a process had been off the processor, the connections that had arrived meanwhile were reset when the listener closed, with requests that had been sent that long before.

Cause: the queue was emptied through the runtime's cached readiness, which says 'nothing there' until the next poll of the kernel.

Now the socket is asked until it has none left.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub use connections::Connections;
 
-use futures_util::FutureExt;
 use ntex::{
     Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
     http::{
@@ -17,15 +16,13 @@
     rt, time,
     util::{Bytes, BytesMut},
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 /// Delay after a failed accept, so that the loop does not use up a core while the process is out of
 /// file descriptors.
 const ACCEPT_RETRY_DELAY: time::Millis = time::Millis(50);
 /// Connections accepted over the limit, so that their requests get a refusal.
 const SPARE_CONNECTIONS: usize = 64;
-/// Maximum number of connections that wait to be accepted (the default of the listener).
-const MAX_BACKLOG: usize = 1_024;
 /// Time in which the first request on the connections that were accepted last has to arrive.
 const LAST_REQUEST_DELAY: time::Millis = time::Millis(100);
 /// Turns of the runtime in which requests that have arrived are read before idle connections are
@@ -82,7 +79,7 @@
     let cfg: SharedCfg = SharedCfg::new(name).add(http_cfg).into();
     let http = http_service(cfg.clone(), handler).await?;
     let busy = http_service(cfg.clone(), async |_| busy()).await?;
-    let open = |stream: TcpStream| {
+    let open = |stream: net::TcpStream| {
         let open = connections.open();
         let is_busy = open >= limits.max_connections;
         if is_busy {
@@ -92,8 +89,8 @@
         if open >= limits.max_connections + SPARE_CONNECTIONS {
             return;
         }
-        let io = stream.into_std();
-        let Ok(io) = io.and_then(|s| rt::from_tcp_stream(s, cfg.clone())) else {
+        let io = stream.set_nonblocking(true);
+        let Ok(io) = io.and_then(|()| rt::from_tcp_stream(stream, cfg.clone())) else {
             return;
         };
         let guard = connections.guard();
@@ -115,18 +112,21 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => open(stream),
+            Ok((stream, _)) => {
+                if let Ok(stream) = stream.into_std() {
+                    open(stream);
+                }
+            }
             Err(e) => {
                 log::warn!("{name}: cannot accept: {e}");
                 time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
-    // Closing the listener resets connections that it has not accepted.
-    for _ in 0..MAX_BACKLOG {
-        let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
-            break;
-        };
+    // Closing the listener resets connections that it has not accepted. The runtime may not have
+    // noticed them yet, so the socket itself is asked.
+    let listener = listener.into_std()?;
+    while let Ok((stream, _)) = listener.accept() {
         open(stream);
     }
     drop(listener);
--- a/crates/serve/tests/close.rs
+++ b/crates/serve/tests/close.rs
@@ -98,15 +98,23 @@
     assert!(client.join().unwrap().ends_with("\r\n\r\nfast"));
 }
 
-/// Guards against a connection that is reset because it waited to be accepted.
+/// Guards against connections that are reset because they waited to be accepted while the process was
+/// busy.
 #[ntex::test]
-async fn a_connection_in_the_queue_is_answered() {
+async fn connections_in_the_queue_are_answered() {
     let (listener, addr) = listener();
+    let connections = Connections::default();
+    let closer = connections.clone();
+    let limits = Limits::default();
+    let served = ntex::rt::spawn(serve::listen("test", listener, limits, connections, handle));
+    tokio::time::sleep(SENT).await;
     let clients: Vec<_> = (0..20)
         .map(|_| send(addr, "/fast", time::Duration::ZERO))
         .collect();
-    thread::sleep(SENT);
-    serve_for(time::Duration::ZERO, listener).await.unwrap();
+    // The runtime does not run in this time.
+    thread::sleep(3 * SENT);
+    closer.close();
+    served.await.unwrap().unwrap();
     for client in clients {
         assert!(client.join().unwrap().ends_with("\r\n\r\nfast"));
     }
