--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -10,9 +10,9 @@
 /// and removes an entry after two failures.
 const DRAIN_TIME: Millis = Millis(2_600);
 /// Time by which the process exits before the end of the grace period, at the latest.
-const EXIT_MARGIN: Millis = Millis(700);
+const EXIT_MARGIN: Millis = Millis(300);
 /// Time before the exit by which each request is answered, if only with a refusal.
-const ANSWER_TIME: Millis = Millis(300);
+const ANSWER_TIME: Millis = Millis(700);
 
 /// Times of the parts of a planned stop.
 #[derive(Clone, Copy, Debug)]
