--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -23,6 +23,8 @@
 const ACCEPT_RETRY_DELAY: time::Millis = time::Millis(50);
 /// Connections accepted over the limit, so that their requests get a refusal.
 const SPARE_CONNECTIONS: usize = 64;
+/// Size up to which the body of a request on them is read.
+const MAX_REFUSED_BODY: usize = 256 << 10;
 /// Time in which the first request on the connections that were accepted last has to arrive.
 const LAST_REQUEST_DELAY: time::Millis = time::Millis(100);
 /// Turns of the runtime in which requests that have arrived are read before idle connections are
@@ -78,7 +80,7 @@
         .set_client_timeout(limits.head_timeout);
     let cfg: SharedCfg = SharedCfg::new(name).add(http_cfg).into();
     let http = http_service(cfg.clone(), handler).await?;
-    let busy = http_service(cfg.clone(), async |_| busy()).await?;
+    let busy = http_service(cfg.clone(), busy).await?;
     let open = |stream: net::TcpStream| {
         let open = connections.open();
         let is_busy = open >= limits.max_connections;
@@ -157,9 +159,10 @@
     Ok(Pipeline::new(http))
 }
 
-/// Returns the answer to a request on a connection over the limit. The next attempt may reach another
-/// process at once.
-fn busy() -> Response {
+/// Refuses a request on a connection over the limit. The next attempt may reach another process at once.
+async fn busy(mut req: Request) -> Response {
+    // A connection that is closed with unread bytes is reset, which can lose the answer.
+    let _ = read_body(req.take_payload(), MAX_REFUSED_BODY).await;
     let mut response = Response::ServiceUnavailable();
     response.header("retry-after", "0").force_close().finish()
 }
