serve: a connection may wait for its first request as long as between two

What callers saw: a connection that was opened 5 s or more before its first request was closed with 408; a request sent at that moment was reset.

Cause: the time for the head of the first request counts from the start of the connection. It is now that of idle connections, which may hold a connection as long anyway.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -38,7 +38,8 @@
     pub max_connections: usize,
     /// Time after which an idle connection is closed.
     pub idle_timeout: time::Seconds,
-    /// Time in which a caller must send the head of a request.
+    /// Time in which a caller must send the head of a request; for the first one it counts from the
+    /// start of the connection.
     pub head_timeout: time::Seconds,
 }
 
@@ -50,7 +51,8 @@
         Self {
             max_connections: 1_024,
             idle_timeout: time::Seconds(75),
-            head_timeout: time::Seconds(5),
+            // A connection may be opened well before its first request.
+            head_timeout: time::Seconds(75),
         }
     }
 }
