node, cli: log fields hold names and numbers, not debug text

An option without a value was logged as "None" and a reply as "Done(())" or "Unknown", which meant "no answer in time" in one place and could not be told from the text of a reason. Fields without a value are left out now; replies, refusals, outcomes, amounts of resources and the outcome of a removal have names and numbers, and a malformed row is named with its version.

--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -41,7 +41,7 @@
             && capacity != info.capacity
         {
             log::info!(
-                worker:% = info.id, before:? = capacity, after:? = info.capacity, used:? = self.used();
+                worker:% = info.id, before:% = capacity, after:% = info.capacity, used:% = self.used();
                 "batch: capacity changed"
             );
         }
@@ -109,7 +109,7 @@
             !info.draining && w.used().fits_in(info.capacity) && self.is_capacity_known(w, now);
         if !fits {
             log::info!(
-                task:%, worker:%, draining = info.draining, capacity:? = info.capacity, used:? = w.used(),
+                task:%, worker:%, draining = info.draining, capacity:% = info.capacity, used:% = w.used(),
                 entry_age_ms = w.max_entry_age(now).map(|a| a.0);
                 "batch: start no longer fits"
             );
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -10,7 +10,8 @@
 pub type Text = sync::Arc<str>;
 
 /// Amounts of the resources that a subtask uses or a worker has.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, Deserialize, Serialize)]
+#[display("cpu {cpu}, memory {memory_mb} MB, accelerators {accelerators}")]
 #[serde(default)]
 pub struct Resources {
     /// Processor time, in thousandths of a core.
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -135,7 +135,7 @@
             return;
         };
         let lost_try = run.may_start_late();
-        log::info!(task:% = id, worker:% = run.worker, reason:? = refusal, lost_try; "batch: start refused");
+        log::info!(task:% = id, worker:% = run.worker, reason = refusal.name(), lost_try; "batch: start refused");
         if refusal == Refusal::Ticket {
             self.remove_ticket(id, &run.worker);
         } else if refusal != Refusal::Fenced
--- a/crates/batch/src/run_end.rs
+++ b/crates/batch/src/run_end.rs
@@ -25,7 +25,7 @@
             t.attempt == finished.attempt && here
         });
         log::info!(
-            task:% = id, attempt = finished.attempt, worker, how:? = finished.outcome, seq = finished.seq, current;
+            task:% = id, attempt = finished.attempt, worker, how = finished.outcome.name(), seq = finished.seq, current;
             "batch: end"
         );
         if !current {
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -162,6 +162,26 @@
     Invalid,
 }
 
+impl Refusal {
+    /// Returns the name, a label of metrics and a field of log lines.
+    ///
+    /// ```
+    /// assert_eq!(batch::worker::Refusal::Room.name(), "room");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Fenced => "fenced",
+            Self::Old => "old",
+            Self::Late => "late",
+            Self::Room => "room",
+            Self::Ticket => "ticket",
+            Self::OtherLife => "other_worker",
+            Self::Unhealthy => "unhealthy",
+            Self::Invalid => "invalid",
+        }
+    }
+}
+
 /// An order for a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -47,11 +47,14 @@
     builder.init();
 }
 
-/// Returns the key-value pairs of a record.
+/// Returns the key-value pairs of a record, without those that have no value.
 fn fields(record: &log::Record<'_>) -> Map<String, serde_json::Value> {
     struct Fields(Map<String, serde_json::Value>);
     impl<'a> kv::VisitSource<'a> for Fields {
         fn visit_pair(&mut self, key: Key<'a>, value: Value<'a>) -> Result<(), kv::Error> {
+            if is_null(&value) {
+                return Ok(());
+            }
             let number = value.to_u64().map(serde_json::Value::from);
             let flag = value.to_bool().map(serde_json::Value::from);
             let json = number.or(flag).unwrap_or_else(|| json!(value.to_string()));
@@ -64,3 +67,20 @@
     let _ = record.key_values().visit(&mut fields);
     fields.0
 }
+
+/// Returns whether a value is that of an empty option, whose text is the name of its variant.
+fn is_null(value: &Value<'_>) -> bool {
+    struct IsNull(bool);
+    impl kv::VisitValue<'_> for IsNull {
+        fn visit_any(&mut self, _: Value<'_>) -> Result<(), kv::Error> {
+            Ok(())
+        }
+
+        fn visit_null(&mut self) -> Result<(), kv::Error> {
+            self.0 = true;
+            Ok(())
+        }
+    }
+    let mut visitor = IsNull(false);
+    value.visit(&mut visitor).is_ok() && visitor.0
+}
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -353,6 +353,10 @@
     if found == Some(link) {
         return Ok(row.map(|r| r.version));
     }
-    log::warn!(expected:? = link, found:?; "commit: another process has committed");
+    log::warn!(
+        fence = link.fence, count = link.count, found_fence = found.map(|f| f.fence),
+        found_count = found.map(|f| f.count);
+        "commit: another process has committed"
+    );
     Err(CommitError::LeadershipLost)
 }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -193,7 +193,10 @@
         return;
     }
     let reply = cx.workers.stop(target, task, attempt, permit.limit).await;
-    log::info!(task:%, attempt, worker:% = order.worker, reply:?; "orders: stop");
+    log::info!(
+        task:%, attempt, worker:% = order.worker, reply = reply.name(), reason = reply.reason();
+        "orders: stop"
+    );
     let outcome = if reply == Reply::Done(()) {
         "taken"
     } else {
@@ -250,16 +253,16 @@
         StartReply::Taken => "taken",
         StartReply::NotSent => "not_sent",
         StartReply::Unknown | StartReply::Closed => "unknown",
-        StartReply::Refused(refusal) => match refusal {
-            Refusal::Fenced => "fenced",
-            Refusal::Old => "old",
-            Refusal::Late => "late",
-            Refusal::Room => "room",
-            Refusal::Ticket => "ticket",
-            Refusal::OtherLife => "other_worker",
-            Refusal::Unhealthy => "unhealthy",
-            Refusal::Invalid => "invalid",
-        },
+        StartReply::Refused(refusal) => refusal.name(),
+    }
+}
+
+/// Returns the reply to a start as a field of log lines.
+const fn reply_name(reply: StartReply) -> &'static str {
+    match reply {
+        StartReply::Unknown => "no_answer",
+        StartReply::Closed => "closed",
+        StartReply::Taken | StartReply::NotSent | StartReply::Refused(_) => outcome(reply),
     }
 }
 
@@ -279,7 +282,7 @@
 fn handle_start_reply(leader: &Leader, order: &Order, reply: StartReply) {
     // An accepted start is not logged, because the end of its run is.
     if reply != StartReply::Taken {
-        log::info!(task:% = order.task, attempt = order.attempt, worker:% = order.worker, reply:?; "orders: start");
+        log::info!(task:% = order.task, attempt = order.attempt, worker:% = order.worker, reply = reply_name(reply); "orders: start");
     }
     let mut scheduler = leader.scheduler.borrow_mut();
     scheduler.handle_start_reply(&order.task, order.attempt, reply, clock::now());
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -22,7 +22,7 @@
     http_cfg::HttpCfg,
     http_client::HttpClient,
     reach::Reach,
-    table::{Row, StoreError, Txn},
+    table::{Commit, Row, StoreError, Txn},
 };
 use tokio::sync::Notify;
 
@@ -263,10 +263,14 @@
         txn.check(row.key.clone(), row.version)
             .delete(row.key.clone())
     });
-    let outcome = cx.table.commit(&txn).await;
+    let (outcome, reason) = match cx.table.commit(&txn).await {
+        Ok(Commit::Done { .. }) => ("done", None),
+        Ok(Commit::Conflict { .. }) => ("conflict", None),
+        Err(e) => ("failed", Some(e.to_string())),
+    };
     for (row, node) in gone {
         let age_ms = node.age(now).0;
-        log::info!(node:% = row.key, age_ms, outcome:?; "peers: removing the row of a node that is gone");
+        log::info!(node:% = row.key, age_ms, outcome, reason; "peers: removing the row of a node that is gone");
     }
 }
 
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -195,7 +195,8 @@
     match serde_json::from_str(&row.value) {
         Ok(value) => Some(value),
         Err(e) => {
-            log::error!("node: malformed row {}: {e}", row.key);
+            let bytes = row.value.len();
+            log::error!(row:% = row.key, version = row.version, bytes, reason:% = e; "node: malformed row");
             None
         }
     }
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -387,7 +387,10 @@
     };
     let reply = cx.workers.renew(target, call, limit).await.reply;
     let Reply::Done(report) = reply else {
-        log::info!(worker:% = target.id, reply:?; "workers: no contact before a start");
+        log::info!(
+            worker:% = target.id, reply = reply.name(), reason = reply.reason();
+            "workers: no contact before a start"
+        );
         return false;
     };
     handle_report(leader, &target.id, &report, sent, None);
