batch: the end of a job is logged with its cause

A job shown as failed after failures of a subtask, after crashes of workers and a cancelled one had the same line, "batch: job phase changed"; whether a limit of the configuration or the count of crashes decided had to be guessed from the lines before it, and those are dropped first on a busy leader. The line has the cause, the subtask, its count, the limit, the version of the configuration and the age of the job.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     job::{SubtaskId, Text},
+    job_end::JobEnd,
     progress::Phase,
     scheduler::JobScheduler,
     worker_end::{EndCause, Explanation, LostRun, LostWorker, Outage, WorkerEnd},
@@ -169,7 +170,12 @@
                 continue;
             }
             log::error!(task:%, crashes, limit, worker:% = lost.id; "batch: given up, it crashes its workers");
-            self.finish(&task.job, Phase::Failed, now, wall_now);
+            let end = JobEnd::Crashes {
+                task: &task,
+                crashes,
+                limit,
+            };
+            self.finish(&task.job, end, now, wall_now);
             gave_up = true;
         }
         gave_up
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod grant;
 mod isolation;
 pub mod job;
+mod job_end;
 mod jobs;
 mod known_jobs;
 mod open_job;
--- a/crates/batch/src/run_end.rs
+++ b/crates/batch/src/run_end.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     job::SubtaskId,
+    job_end::JobEnd,
     open_job::Job,
-    progress::Phase,
     scheduler::JobScheduler,
     worker::{FinishedRun, Outcome},
 };
@@ -87,7 +87,7 @@
         }
         let all_done = |j: &Job| !j.progress.phase.is_final() && j.is_done();
         if self.jobs.get(&id.job).is_some_and(all_done) {
-            self.finish(&id.job, Phase::Completed, now, wall_now);
+            self.finish(&id.job, JobEnd::Done, now, wall_now);
         }
     }
 
@@ -111,9 +111,18 @@
             return;
         };
         task.failures += 1;
-        let given_up = limit.is_some_and(|limit| task.failures >= limit);
-        if given_up && !endless && !is_final {
-            return self.finish(&id.job, Phase::Failed, now, wall_now);
+        let failures = task.failures;
+        let reached = limit.filter(|limit| failures >= *limit);
+        if let Some(limit) = reached
+            && !endless
+            && !is_final
+        {
+            let end = JobEnd::Failures {
+                task: id,
+                failures,
+                limit,
+            };
+            return self.finish(&id.job, end, now, wall_now);
         }
         self.stop_gang(id, now);
     }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::{
     config::Config,
     job::{Resources, Step, SubtaskId, Text},
+    job_end::JobEnd,
     jobs::Jobs,
     open_job::Job,
     order_load::OrderLoad,
@@ -152,7 +153,7 @@
         if !self.phase(id).is_some_and(open) {
             return false;
         }
-        self.finish(id, Phase::Cancelled, now, wall_now);
+        self.finish(id, JobEnd::Cancelled, now, wall_now);
         true
     }
 
@@ -427,12 +428,19 @@
         }
     }
 
-    /// Moves a job to a final phase and stops its runs.
-    pub(crate) fn finish(&mut self, id: &str, phase: Phase, now: Millis, wall_now: Millis) {
+    /// Ends a job and stops its runs.
+    pub(crate) fn finish(&mut self, id: &str, end: JobEnd<'_>, now: Millis, wall_now: Millis) {
+        let phase = end.phase();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        log::info!(job = id, phase:%, before:% = job.progress.phase; "batch: job phase changed");
+        let age_ms = wall_now.since(job.accepted.at).0;
+        log::info!(
+            job = id, phase:%, before:% = job.progress.phase, cause = end.name(),
+            task = end.fault().map(|f| f.0.to_string()), count = end.fault().map(|f| f.1),
+            limit = end.fault().map(|f| f.2), config = self.config.version, age_ms;
+            "batch: job phase changed"
+        );
         job.progress.phase = phase;
         job.progress.at = wall_now;
         self.dirty.push(job.accepted.id.clone());
