node: what a caller is told about a job names the row that says so

A 410 for a job that was removed, one whose row is lost, a read that is older than the row and an id that was never accepted looked alike: the lines had no versions. A 504 had no id of its job, a repeated submission looked like a new one, and nothing led from a cancelled job to its cancellation.

- accept: stored has the version of the row and whether it was there before; accept: no row of the job has the version of the store at the read; retention: job removed has both versions and the phase.
- accept: no time left and its relatives name the job and the request.
- accept: cancellation stored, accept: cancelled before, intake: cancellation and accept: the id was cancelled before have the version of the cancellation.
- accept: shown as ended (failed or cancelled only) has the row and its version, commit: end stored the version that the leader wrote.
- accept: job of another organisation has the owner and the row.
- accept: slow reads for a phase, for answers that took a second or more.

Counters of submissions and of shown phases by source, and a histogram of the time until an end is stored. RetriedWrite is moved to a file of its own.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -12,17 +12,16 @@
 
 use crate::{
     authorise::Authorised,
-    cx::{self, Cx},
+    cx::Cx,
     peers,
     refusal::Refusal,
+    retried_write::{Request, RetriedWrite},
     rows::{self, CancelRow, JobRow, JobRowKind, PhaseRow},
+    shown_phase::{ShownPhase, Source},
 };
 
-/// Delay before a refused or unanswered write is sent again.
-const RETRY_DELAY: Millis = Millis(60);
-/// Time for which a write that the store refuses is repeated. A refusal costs the caller less than
-/// a longer wait, and the store may serve another entry.
-const MAX_REFUSED_TIME: Millis = Millis(200);
+/// Duration of the reads for an answer from which on they are logged.
+const SLOW_READ: Millis = Millis(1_000);
 
 /// Stores a job, which is accepted once it is stored. A repeated submission has no further effect.
 pub(crate) async fn submit(
@@ -53,17 +52,33 @@
         log::info!(job:% = accepted.id, reason:%; "accept: invalid job");
         return Err(Refusal::TooLarge);
     }
-    let started = clock::now();
-    let mut write = RetriedWrite::new(deadline);
-    store_job(cx, &mut write, &accepted, &record).await?;
+    let mut write = RetriedWrite::new(Request::Submission, &accepted.id, deadline);
+    let stored = store_job(cx, &mut write, &accepted, &record).await?;
     log::info!(
-        job:% = accepted.id, queue:% = accepted.queue, organisation:? = accepted.organisation,
-        config = cx.config().version, tries = write.tries, ms = clock::now().since(started).0;
+        job:% = accepted.id, queue:% = accepted.queue, organisation = accepted.organisation.as_deref(),
+        config = cx.config().version, version = stored.version, known = stored.known,
+        age_ms = stored.age.map(|a| a.0), tries = write.tries(), unknown = write.is_unknown(),
+        ms = write.age().0;
         "accept: stored"
     );
+    cx.metrics
+        .count_submission(match (stored.known, write.is_unknown()) {
+            (false, _) => "stored",
+            (true, false) => "known",
+            (true, true) => "known_after_unknown",
+        });
     Ok(Response::Ok().finish())
 }
 
+/// The row of a job that counts as accepted.
+struct AcceptedRow {
+    version: u64,
+    /// Whether it was there before: of an earlier request, or of an attempt whose answer was lost.
+    known: bool,
+    /// Its age by the store's clock, if it was there before.
+    age: Option<Millis>,
+}
+
 /// Stores the row of a job, unless the job is already stored, another job has its id or the id is
 /// cancelled.
 ///
@@ -74,7 +89,7 @@
     write: &mut RetriedWrite,
     accepted: &AcceptedJob,
     record: &str,
-) -> Result<(), Refusal> {
+) -> Result<AcceptedRow, Refusal> {
     let (job, cancel) = (rows::job_key(&accepted.id), rows::cancel_key(&accepted.id));
     let mut cancel_version = 0;
     loop {
@@ -82,16 +97,29 @@
             .check(job.clone(), 0)
             .check(cancel.clone(), cancel_version)
             .put(job.clone(), record.to_owned());
-        let Commit::Conflict { .. } = write.commit(cx, &txn).await? else {
-            return Ok(());
-        };
+        if let Commit::Done { version } = write.commit(cx, &txn).await? {
+            return Ok(AcceptedRow {
+                version,
+                known: false,
+                age: None,
+            });
+        }
         let stored = read_job(cx, &accepted.id).await;
         let stored = stored.map_err(|_| write.refusal())?;
         if let Some(row) = &stored.job {
-            return check_same(accepted, row);
+            check_same(accepted, row)?;
+            return Ok(AcceptedRow {
+                version: row.version,
+                known: true,
+                age: rows::age_of_job(row, cx.store_clock.now()),
+            });
         }
         if stored.is_cancelled_for(accepted.organisation.as_ref()) {
-            log::info!(job:% = accepted.id, organisation:? = accepted.organisation; "accept: the id was cancelled before");
+            log::info!(
+                job:% = accepted.id, organisation = accepted.organisation.as_deref(),
+                version = stored.cancel_version(), age_ms = stored.cancel_age(cx).map(|a| a.0);
+                "accept: the id was cancelled before"
+            );
             return Err(Refusal::Cancelled);
         }
         cancel_version = stored.cancel.map_or(0, |(_, version)| version);
@@ -108,148 +136,104 @@
         return Ok(());
     }
     log::info!(
-        job:% = accepted.id, queue:% = accepted.queue, organisation:? = accepted.organisation,
-        stored_queue:% = known.queue, stored_version = row.version;
+        job:% = accepted.id, queue:% = accepted.queue, organisation = accepted.organisation.as_deref(),
+        stored_queue:% = known.queue, stored_organisation = known.organisation.as_deref(),
+        stored_version = row.version;
         "accept: another job has the id"
     );
     Err(Refusal::IdInUse)
 }
 
-/// A write that is repeated until its outcome is known or the deadline passes.
-struct RetriedWrite {
-    deadline: Millis,
-    refused_since: Option<Millis>,
-    /// Whether an earlier attempt may still be applied.
-    unknown: bool,
-    tries: u32,
-}
-
-impl RetriedWrite {
-    const fn new(deadline: Millis) -> Self {
-        Self {
-            deadline,
-            refused_since: None,
-            unknown: false,
-            tries: 0,
-        }
-    }
-
-    /// Commits `txn`, which must be idempotent.
-    async fn commit(&mut self, cx: &Cx, txn: &Txn) -> Result<Commit, Refusal> {
-        loop {
-            if cx.peers.reach().is_out() {
-                log::info!(tries = self.tries, unknown = self.unknown; "accept: the store answers nothing");
-                return Err(self.refusal());
-            }
-            self.tries += 1;
-            let remaining = self.deadline.since(clock::now()).to_duration();
-            let result = tokio::time::timeout(remaining, cx.table.commit(txn)).await;
-            let error = match result {
-                Ok(Ok(commit)) => return Ok(commit),
-                Ok(Err(e)) => e,
-                Err(_) => StoreError::Unknown {
-                    reason: "the time of the caller is over".into(),
-                },
-            };
-            let now = clock::now();
-            match &error {
-                StoreError::Unknown { .. } => self.unknown = true,
-                StoreError::Rejected { .. } => {
-                    log::error!(tries = self.tries, unknown = self.unknown, reason:% = error; "accept: the store rejects the write");
-                    return Err(self.rejection());
-                }
-                StoreError::NotDone { .. } => {
-                    peers::record_loss(cx, "accept");
-                    let since = *self.refused_since.get_or_insert(now);
-                    if !self.unknown && now.since(since) >= MAX_REFUSED_TIME {
-                        log::info!(tries = self.tries, reason:% = error; "accept: the store refuses");
-                        return Err(self.refusal());
-                    }
-                }
-            }
-            if now + RETRY_DELAY >= self.deadline {
-                log::info!(tries = self.tries, unknown = self.unknown, reason:% = error; "accept: no time left");
-                return Err(self.refusal());
-            }
-            cx::sleep(RETRY_DELAY).await;
-        }
-    }
-
-    /// Returns the refusal to report for a write that never succeeds.
-    const fn rejection(&self) -> Refusal {
-        if self.unknown {
-            Refusal::Unknown
-        } else {
-            Refusal::TooLarge
-        }
-    }
-
-    /// Returns the refusal to report: a write that may have been applied must not count as refused.
-    const fn refusal(&self) -> Refusal {
-        if self.unknown {
-            Refusal::Unknown
-        } else {
-            Refusal::Store
-        }
+/// Returns the phase of a job.
+pub(crate) async fn phase(cx: &Cx, authorised: &Authorised) -> Result<Response, Refusal> {
+    let id = &authorised.path_suffix;
+    let started = clock::now();
+    let shown = read_phase(cx, authorised).await;
+    let took = clock::now().since(started);
+    if took >= SLOW_READ {
+        let result = shown
+            .as_ref()
+            .map_or_else(|r| r.name(), |s| s.source.name());
+        log::info!(job = id, ms = took.0, result; "accept: slow reads for a phase");
     }
+    let shown = shown?;
+    shown.record(cx, id);
+    Ok(Response::Ok()
+        .content_type("application/json")
+        .body(job::encode_phase(shown.phase)))
 }
 
-/// Returns the phase of a job.
-pub(crate) async fn phase(cx: &Cx, authorised: &Authorised) -> Result<Response, Refusal> {
+async fn read_phase(cx: &Cx, authorised: &Authorised) -> Result<ShownPhase, Refusal> {
     let id = &authorised.path_suffix;
     let row = cx.table.get_row(rows::PHASES, id).await;
     let row = row.map_err(|e| read_failure(cx, id, &e))?;
     let phase: Option<PhaseRow> = row.as_ref().map(decode).transpose()?;
-    if let Some(phase) = &phase
-        && !phase.is_expired(cx.store_clock.now(), cx.cfg.keep_ms)
+    let found = row.as_ref().zip(phase.as_ref());
+    let store_now = cx.store_clock.now();
+    if let Some((row, phase)) = found
+        && !phase.is_expired(store_now, cx.cfg.keep_ms)
     {
-        check_owner(authorised, phase.organisation.as_ref())?;
-        return Ok(phase_response(phase.phase));
+        check_owner(authorised, phase.organisation.as_ref(), row)?;
+        return Ok(ShownPhase::of_row(Source::Phase, phase, row, store_now));
     }
     let stored = read_job(cx, id).await?;
-    let cancelled = stored.is_cancelled_for(authorised.organisation.as_ref());
-    let stored = stored.job;
     // The row of an expired end may be left of a removed job. The leader writes the phase of a job after
     // it has read the job.
-    if let (Some(row), Some(phase)) = (&row, &phase)
-        && stored.as_ref().is_none_or(|job| job.version < row.version)
+    if let Some((row, phase)) = found
+        && stored
+            .job
+            .as_ref()
+            .is_none_or(|job| job.version < row.version)
     {
-        check_owner(authorised, phase.organisation.as_ref())?;
-        return Ok(phase_response(phase.phase));
+        check_owner(authorised, phase.organisation.as_ref(), row)?;
+        return Ok(ShownPhase::of_row(
+            Source::ExpiredPhase,
+            phase,
+            row,
+            store_now,
+        ));
     }
-    let accepted = accepted_job(id, stored.as_ref())?;
-    check_owner(authorised, accepted.organisation.as_ref())?;
-    Ok(phase_response(if cancelled {
-        Phase::Cancelled
-    } else {
-        Phase::Queued
-    }))
-}
-
-fn phase_response(phase: Phase) -> Response {
-    Response::Ok()
-        .content_type("application/json")
-        .body(job::encode_phase(phase))
+    let Some(row) = &stored.job else {
+        log::info!(
+            job = id, organisation = authorised.organisation.as_deref(),
+            store_version = stored.read_at, cancel_version = stored.cancel_version(),
+            cancel_age_ms = stored.cancel_age(cx).map(|a| a.0), store_ms = store_now.map(|t| t.0);
+            "accept: no row of the job"
+        );
+        return Err(Refusal::NoJob);
+    };
+    let accepted: AcceptedJob = decode(row)?;
+    check_owner(authorised, accepted.organisation.as_ref(), row)?;
+    if stored.is_cancelled_for(authorised.organisation.as_ref()) {
+        return Ok(ShownPhase {
+            phase: Phase::Cancelled,
+            source: Source::Cancellation,
+            version: stored.cancel_version().unwrap_or_default(),
+            age: stored.cancel_age(cx),
+        });
+    }
+    Ok(ShownPhase {
+        phase: Phase::Queued,
+        source: Source::Job,
+        version: row.version,
+        age: None,
+    })
 }
 
-/// Checks that the job belongs to the caller's organisation; other jobs are reported as unknown.
-fn check_owner(authorised: &Authorised, owner: Option<&Text>) -> Result<(), Refusal> {
+/// Checks that the job belongs to the caller's organisation; other jobs are reported as unknown. `row`
+/// is the one that names its organisation.
+fn check_owner(authorised: &Authorised, owner: Option<&Text>, row: &Row) -> Result<(), Refusal> {
     if authorised.organisation.as_ref() == owner {
         return Ok(());
     }
-    log::info!(job = authorised.path_suffix, organisation:? = authorised.organisation; "accept: job of another organisation");
+    log::info!(
+        job = authorised.path_suffix, organisation = authorised.organisation.as_deref(),
+        owner = owner.map(|o| &**o), row:% = row.key, version = row.version;
+        "accept: job of another organisation"
+    );
     Err(Refusal::NoJob)
 }
 
-/// Decodes the row of an accepted job.
-fn accepted_job(id: &str, row: Option<&Row>) -> Result<AcceptedJob, Refusal> {
-    let Some(row) = row else {
-        log::info!(job = id; "accept: no row of the job");
-        return Err(Refusal::NoJob);
-    };
-    decode(row)
-}
-
 /// Decodes a row of a job. A malformed one does not show that the job is gone: a later version may
 /// have written it.
 fn decode<T: for<'a> Deserialize<'a>>(row: &Row) -> Result<T, Refusal> {
@@ -269,6 +253,8 @@
     job: Option<Row>,
     /// Cancellation and the version of its row.
     cancel: Option<(CancelRow, u64)>,
+    /// Newest version of the store when it was read.
+    read_at: u64,
 }
 
 impl StoredJob {
@@ -276,6 +262,16 @@
         let cancel = self.cancel.as_ref();
         cancel.is_some_and(|(row, _)| row.applies_to(organisation))
     }
+
+    fn cancel_version(&self) -> Option<u64> {
+        self.cancel.as_ref().map(|(_, version)| *version)
+    }
+
+    /// Returns the age of the cancellation by the store's clock.
+    fn cancel_age(&self, cx: &Cx) -> Option<Millis> {
+        let stored_at = self.cancel.as_ref()?.0.stored_at?;
+        Some(cx.store_clock.now()?.since(stored_at))
+    }
 }
 
 /// Reads the rows of a job.
@@ -286,7 +282,10 @@
         .read(&table, &format!("{id}."), &format!("{id}/"))
         .await;
     let page = page.map_err(|e| read_failure(cx, id, &e))?;
-    let mut stored = StoredJob::default();
+    let mut stored = StoredJob {
+        read_at: page.version,
+        ..StoredJob::default()
+    };
     for row in page.rows {
         match rows::parse_job_key(&row.key) {
             Some((_, JobRowKind::Job)) => stored.job = Some(row),
@@ -308,30 +307,39 @@
     deadline: Millis,
 ) -> Result<Response, Refusal> {
     let id = &authorised.path_suffix;
-    let mut write = RetriedWrite::new(deadline);
+    let mut write = RetriedWrite::new(Request::Cancellation, id, deadline);
     loop {
         let stored = read_job(cx, id).await?;
         if let Some(row) = &stored.job {
-            check_owner(
-                authorised,
-                decode::<AcceptedJob>(row)?.organisation.as_ref(),
-            )?;
+            let owner = decode::<AcceptedJob>(row)?.organisation;
+            check_owner(authorised, owner.as_ref(), row)?;
         }
         let known = stored.job.is_some();
         let answer = || known.then(|| Response::Ok().finish()).ok_or(Refusal::NoJob);
         let organisation = authorised.organisation.as_ref();
         if stored.is_cancelled_for(organisation) {
+            log::info!(
+                job = id, organisation = organisation.map(|o| &**o), known,
+                version = stored.cancel_version(), age_ms = stored.cancel_age(cx).map(|a| a.0),
+                tries = write.tries();
+                "accept: cancelled before"
+            );
             return answer();
         }
+        let job_version = stored.job.as_ref().map_or(0, |row| row.version);
         let (before, version) = stored.cancel.unwrap_or_default();
         let row = before.and(organisation, cx.store_clock.now());
         let key = rows::cancel_key(id);
         let txn = Txn::default()
-            .check(rows::job_key(id), stored.job.map_or(0, |row| row.version))
+            .check(rows::job_key(id), job_version)
             .check(key.clone(), version)
             .put(key, rows::to_json(&row));
-        if let Commit::Done { .. } = write.commit(cx, &txn).await? {
-            log::info!(job = id, known, tries = write.tries; "accept: cancellation stored");
+        if let Commit::Done { version } = write.commit(cx, &txn).await? {
+            log::info!(
+                job = id, organisation = organisation.map(|o| &**o), known, job_version, version,
+                tries = write.tries(), ms = write.age().0;
+                "accept: cancellation stored"
+            );
             return answer();
         }
     }
--- a/crates/node/src/cancellations.rs
+++ b/crates/node/src/cancellations.rs
@@ -41,12 +41,25 @@
             return false;
         }
         let organisation = scheduler.organisation(id);
-        content.applies_to(organisation.as_ref())
-            && scheduler.cancel(id, clock::now(), clock::wall())
+        let cancelled = content.applies_to(organisation.as_ref())
+            && scheduler.cancel(id, clock::now(), clock::wall());
+        if cancelled {
+            log::info!(
+                job = id, organisation = organisation.as_deref(), version = row.version,
+                age_ms = age(&content, store_now).map(|a| a.0);
+                "intake: cancellation"
+            );
+        }
+        cancelled
     }
 
     /// Cancels a job that has just become known if its id is cancelled. Returns whether it was.
-    pub(crate) fn apply_to_new(&mut self, scheduler: &mut JobScheduler, id: &str) -> bool {
+    pub(crate) fn apply_to_new(
+        &mut self,
+        scheduler: &mut JobScheduler,
+        id: &str,
+        store_now: Option<Millis>,
+    ) -> bool {
         let organisation = scheduler.organisation(id);
         // The row is deleted with the job from now on.
         let Some(cancellation) = self.0.remove(id) else {
@@ -55,7 +68,11 @@
         if !cancellation.row.applies_to(organisation.as_ref()) {
             return false;
         }
-        log::info!(job = id, organisation:?; "intake: the job was cancelled before it was stored");
+        log::info!(
+            job = id, organisation = organisation.as_deref(), version = cancellation.version,
+            age_ms = age(&cancellation.row, store_now).map(|a| a.0);
+            "intake: the job was cancelled before it was stored"
+        );
         scheduler.cancel(id, clock::now(), clock::wall())
     }
 
@@ -74,3 +91,8 @@
             .retain(|known, c| **known != *id || c.version != version);
     }
 }
+
+/// Returns the age of a cancellation by the store's clock, if both times are known.
+fn age(row: &CancelRow, store_now: Option<Millis>) -> Option<Millis> {
+    Some(store_now?.since(row.stored_at?))
+}
--- a/crates/node/src/changes.rs
+++ b/crates/node/src/changes.rs
@@ -4,7 +4,10 @@
     clock::{self, Millis},
     sorted::SortedMap,
 };
-use batch::{job::Text, progress::Progress};
+use batch::{
+    job::Text,
+    progress::{Phase, Progress},
+};
 use serde::Serialize;
 use store::{long_row, table::Txn};
 
@@ -178,6 +181,16 @@
         self.changes.iter().any(|c| c.kind == ChangeKind::End)
     }
 
+    /// Returns the jobs whose end is stored for the first time: id, phase and the time since the end.
+    pub(crate) fn ends(&self) -> impl Iterator<Item = (&Text, Phase, Millis)> {
+        let wall_now = clock::wall();
+        let ends = self.changes.iter().filter(|c| c.phase.is_some());
+        ends.filter_map(move |change| {
+            let end = change.end.as_ref()?;
+            Some((&change.id, end.phase, wall_now.since(end.at)))
+        })
+    }
+
     /// Sets the times of the ends to the current one. Callers see an end once it is stored, which may
     /// be the effect of any attempt.
     pub(crate) fn update_ends(&mut self, cx: &Cx, leader: &Leader) {
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -63,6 +63,7 @@
         if !batch.is_empty() {
             let pause = match commit_txn(&cx, &leader, &mut batch).await {
                 Ok(()) => {
+                    log_ends(&cx, &leader, &batch);
                     singles = singles.saturating_sub(1);
                     record_stored(&cx, &leader, &mut outbox, &mut pending, batch)
                 }
@@ -231,6 +232,18 @@
     pause
 }
 
+/// Logs the ends of jobs that are stored now, from when on callers see them.
+fn log_ends(cx: &Cx, leader: &Leader, batch: &Batch) {
+    let version = leader.chain.get().0;
+    for (id, phase, waited) in batch.ends() {
+        cx.metrics.record_stored_end(waited);
+        log::info!(
+            job:% = id, phase:%, version, fence = leader.held.fence, waited_ms = waited.0;
+            "commit: end stored"
+        );
+    }
+}
+
 /// Handles a transaction of one item that the store rejects for good, so that it holds up no other one.
 fn skip_rejected(cx: &Cx, leader: &Leader, pending: &mut PendingCounts, batch: Batch) {
     for change in &batch.changes {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -153,7 +153,7 @@
                 log::info!(job:% = accepted.id, queue:% = accepted.queue, version = row.version; "intake: job");
                 versions.insert(accepted.id.clone(), row.version);
                 changed |= scheduler.accept(accepted);
-                cancellations.apply_to_new(&mut scheduler, id);
+                cancellations.apply_to_new(&mut scheduler, id, store_now);
             }
             Some((id, JobRowKind::Cancel)) => cancels.push((id, row)),
             None => log::error!(row:% = row.key; "intake: unknown kind of row"),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of a node, listed in docs/metrics.md.
 
 use base::clock::{self, Millis};
-use batch::{worker::Outcome, worker_end::WorkerEnd};
+use batch::{progress::Phase, worker::Outcome, worker_end::WorkerEnd};
 use meter::Exporter;
 use opentelemetry::{
     KeyValue,
@@ -16,6 +16,9 @@
     exporter: Exporter,
     requests: Counter<u64>,
     request_seconds: Histogram<f64>,
+    submissions: Counter<u64>,
+    shown_phases: Counter<u64>,
+    stored_end_seconds: Histogram<f64>,
     commits: Counter<u64>,
     commit_seconds: Histogram<f64>,
     orders: Counter<u64>,
@@ -51,6 +54,9 @@
         Self {
             requests: exporter.counter("node_requests"),
             request_seconds: exporter.latency_histogram("node_request_seconds"),
+            submissions: exporter.counter("node_submissions"),
+            shown_phases: exporter.counter("node_shown_phases"),
+            stored_end_seconds: exporter.latency_histogram("node_stored_end_seconds"),
             commits: exporter.counter("node_commits"),
             commit_seconds: exporter.latency_histogram("node_commit_seconds"),
             orders: exporter.counter("node_orders"),
@@ -90,12 +96,31 @@
         self.request_seconds.record(seconds(took), &[]);
     }
 
+    /// Counts an accepted submission by what it found.
+    pub(crate) fn count_submission(&self, result: &'static str) {
+        self.submissions.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a phase that a caller was told, by the kind of row that it was taken from.
+    pub(crate) fn count_shown_phase(&self, phase: Phase, source: &'static str) {
+        let labels = [
+            KeyValue::new("phase", phase.to_string()),
+            KeyValue::new("source", source),
+        ];
+        self.shown_phases.add(1, &labels);
+    }
+
     /// Records an attempt of a commit with its outcome and duration.
     pub(crate) fn record_commit(&self, outcome: &'static str, took: Millis) {
         self.commits.add(1, &[KeyValue::new("outcome", outcome)]);
         self.commit_seconds.record(seconds(took), &[]);
     }
 
+    /// Records the time from the end of a job to its commit.
+    pub(crate) fn record_stored_end(&self, waited: Millis) {
+        self.stored_end_seconds.record(seconds(waited), &[]);
+    }
+
     /// Counts an order by kind and outcome.
     pub(crate) fn count_order(&self, kind: &'static str, outcome: &'static str) {
         let labels = [
--- a/crates/node/src/retention.rs
+++ b/crates/node/src/retention.rs
@@ -106,6 +106,7 @@
             }
         };
         for id in &removed {
+            let phase = leader.scheduler.borrow().phase(id);
             let ended_at = leader.scheduler.borrow_mut().remove_job(id);
             let age_ms = ended_at.map_or(0, |at| now.since(at).0);
             let row = leader.job_versions.borrow_mut().remove(id);
@@ -114,7 +115,11 @@
                 deleted: version,
             };
             leader.removed_jobs.borrow_mut().insert(id.clone(), removed);
-            log::info!(job:% = id, age_ms, keep_ms = keep.0; "retention: job removed");
+            log::info!(
+                job:% = id, phase = phase.map(|p| p.to_string()), age_ms, keep_ms = keep.0,
+                version = removed.row, removed_version = removed.deleted, fence = leader.held.fence;
+                "retention: job removed"
+            );
         }
         leader.deleted_jobs.borrow_mut().extend(removed);
     }
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -118,6 +118,12 @@
     Some(job)
 }
 
+/// Returns the age of the row of a job by the store's clock, if both times are known.
+pub(crate) fn age_of_job(row: &Row, store_now: Option<Millis>) -> Option<Millis> {
+    let stored_at = from_json::<AcceptanceTime>(row)?.stored_at?;
+    Some(store_now?.since(stored_at))
+}
+
 /// Content of the row of a cancellation. A cancellation of a job that is not known bars the id, because
 /// its submission may still be applied. Earlier versions write an empty object, and only beside the row
 /// of a job.
