node: what a leader has loaded and read can be told for each job

After a takeover only the number of open jobs was logged, so whether a job that stands still was loaded, was missed by the feed or waits for the removal of an earlier one with its id could not be told. leader: open jobs lists the ids (up to 1,000), leader: loaded and leader: ended have the same counts and the number of the last commit, intake: job has the age and the due time, intake: the job waits for the removal of an earlier one is new. node_feed_version and node_feed_age_ms show how far the leader has read the table of jobs, node_intake_seconds how long that takes.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -362,6 +362,15 @@
         }
     }
 
+    /// Iterates over the ids of the jobs that have not ended.
+    ///
+    /// ```
+    /// assert!(batch::scheduler::JobScheduler::default().open_jobs().next().is_none());
+    /// ```
+    pub fn open_jobs(&self) -> impl Iterator<Item = &Text> {
+        self.jobs.open().map(|job| &job.accepted.id)
+    }
+
     /// Returns whether a run exists or may exist on the worker, or the outcome of a finished run is not
     /// stored.
     ///
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -144,3 +144,32 @@
     assert_eq!(cluster.submit(1, 2, 1, false).unwrap().status, 200);
     assert_eq!(line(&cluster, "accept: stored", 2)["known"], false);
 }
+
+/// Guards against an accepted job that stands still, for which nobody can tell whether the leader has
+/// missed it, and whether a new one has loaded it.
+#[test]
+fn a_job_that_no_leader_has_read_is_told_from_a_loaded_one() {
+    let mut cluster = Cluster::start("explain-takeover", 2, 1, 60_000);
+    let leader = cluster.leader();
+    cluster.store.hide_changes(".job");
+    let answer = cluster.submit(1 - leader, 1, 1, false).unwrap();
+    assert_eq!(answer.status, 200);
+    let stored = number(&line(&cluster, "accept: stored", 1), "version");
+    let addr = cluster.operator_addrs[leader];
+    wait_until("the feed is beyond the job", TIMEOUT, || {
+        let answer = common::http::send(addr, "GET", "/metrics", &[], "")?;
+        let mut lines = answer.body.as_str()?.lines();
+        let version = lines.find_map(|l| l.strip_prefix("node_feed_version "))?;
+        (version.parse::<u64>().ok()? >= stored).then_some(())
+    });
+    assert!(!has_line(&cluster, "intake: job", 1), "it was not missed");
+    cluster.nodes[leader].kill();
+    let loaded = wait_until("the next leader has loaded the job", TIMEOUT, || {
+        let lines = lines(&cluster, "leader: open jobs", "open", &json!(1));
+        lines.into_iter().next()
+    });
+    assert_eq!(loaded["jobs"], format!("{:016x}", 1));
+    let counts = &lines(&cluster, "leader: loaded", "fence", &loaded["fence"])[0];
+    let fields = ["rows", "jobs", "open", "set_aside", "partly_removed"];
+    assert_eq!(fields.map(|f| number(counts, f)), [1, 1, 1, 0, 0]);
+}
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -55,6 +55,7 @@
                 let rows = rows.iter().filter(|(_, deleted)| !deleted);
                 apply(&cx, &leader, rows.map(|(row, _)| row));
                 version = next;
+                leader.feed.set((version, clock::now()));
             }
             Ok(Changes::HistoryGone) => {
                 log::warn!(version; "intake: the store has no history since this version, reading again");
@@ -138,19 +139,38 @@
             Some((id, JobRowKind::Job)) if is_removed(id, row) => {}
             // A known job is not decoded again. A later one with its id waits for its removal.
             Some((id, JobRowKind::Job)) if scheduler.knows(id) => {
-                if versions.get(id).is_some_and(|v| row.version > *v) {
+                if let Some(known) = versions.get(id).filter(|v| row.version > **v) {
                     leader.has_skipped_jobs.set(true);
+                    log::info!(
+                        job = id, version = row.version, known_version = *known;
+                        "intake: the job waits for the removal of an earlier one"
+                    );
                 }
             }
             // So does one whose predecessor has left rows of its progress.
-            Some((id, JobRowKind::Job)) if has_ended(id) => leader.has_skipped_jobs.set(true),
+            Some((id, JobRowKind::Job)) if has_ended(id) => {
+                leader.has_skipped_jobs.set(true);
+                log::info!(
+                    job = id, version = row.version;
+                    "intake: the job waits for the removal of an earlier one"
+                );
+            }
             Some((id, JobRowKind::Job)) => {
                 let Some(accepted) = rows::accepted_job(row, store_now, clock::wall()) else {
                     log::error!(job = id, reason = "malformed row of the job"; "intake: job set aside");
                     scheduler.set_aside(id.into());
                     continue;
                 };
-                log::info!(job:% = accepted.id, queue:% = accepted.queue, version = row.version; "intake: job");
+                let wall_now = clock::wall();
+                let first = accepted.spec.repeat.map(|r| r.first);
+                let age = wall_now.since(accepted.at);
+                cx.metrics.record_intake(age);
+                log::info!(
+                    job:% = accepted.id, queue:% = accepted.queue, version = row.version,
+                    age_ms = age.0,
+                    due_ms = first.map(|at| at.since(wall_now).0);
+                    "intake: job"
+                );
                 versions.insert(accepted.id.clone(), row.version);
                 changed |= scheduler.accept(accepted);
                 cancellations.apply_to_new(&mut scheduler, id, store_now);
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -75,6 +75,8 @@
     pub(crate) has_skipped_jobs: Cell<bool>,
     /// Notified when such a job can be read.
     pub(crate) read_again: Notify,
+    /// Version up to which the table of jobs was read, and the time of the last answer to its feed.
+    pub(crate) feed: Cell<(u64, Millis)>,
     /// Version and sequence number of the last commit.
     pub(crate) chain: Cell<(u64, u64)>,
     /// Notified when something changed that requires a pass.
@@ -118,6 +120,7 @@
             removed_jobs: RefCell::default(),
             has_skipped_jobs: Cell::default(),
             read_again: Notify::new(),
+            feed: Cell::default(),
             chain: Cell::default(),
             changed: Notify::new(),
             dirty: Notify::new(),
@@ -130,8 +133,14 @@
     /// Ends the leadership. Its tasks check [`Self::ended`] and return.
     pub(crate) fn end(&self, reason: &str) {
         let ms = clock::now().since(self.started_at).0;
-        let placed = self.scheduler.borrow().placed();
-        log::warn!(fence = self.held.fence, reason, ms, loaded = self.loaded.get(), placed; "leader: ended");
+        let scheduler = self.scheduler.borrow();
+        let (placed, counts) = (scheduler.placed(), scheduler.counts());
+        log::warn!(
+            fence = self.held.fence, reason, ms, loaded = self.loaded.get(), placed,
+            jobs = counts.jobs, open = counts.open, runs = counts.runs,
+            set_aside = counts.set_aside, commit = self.chain.get().1;
+            "leader: ended"
+        );
         self.ended.set(true);
         self.changed.notify_waiters();
         self.dirty.notify_waiters();
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -18,6 +18,11 @@
     table_read::{self, TableRead},
 };
 
+/// Number of ids of open jobs in a line.
+const LINE_JOBS: usize = 50;
+/// Maximum number of such lines, which are written at once.
+const MAX_JOB_LINES: usize = 20;
+
 /// What was read for a load. It is kept when a read fails, so that the next attempt continues.
 #[derive(Debug)]
 pub(crate) struct Reads {
@@ -99,8 +104,10 @@
     let phases: SortedMap<Text, PhaseRow> = decode(&phases, &mut unreadable);
     let partly_removed = partly_removed(&jobs, &progress, &phases);
     for id in &partly_removed {
-        log::info!(job:% = id; "leader: removing the rest of a removed job");
+        let phase = phases.get(id).map(|p| p.phase.to_string());
+        log::info!(job:% = id, phase; "leader: removing the rest of a removed job");
     }
+    let removed = partly_removed.len();
     *leader.deleted_jobs.borrow_mut() = partly_removed;
     let mut scheduler = leader.scheduler.borrow_mut();
     *scheduler = JobScheduler::new(cx.cfg.restore_ms);
@@ -149,6 +156,7 @@
     scheduler.restore_failing_workers(&failing, now);
     *leader.stored_failing.borrow_mut() = failing;
     let mut cancellations = Cancellations::default();
+    let cancels_read = cancels.len();
     for (id, row) in cancels {
         cancellations.apply(&mut scheduler, id, row, store_now);
     }
@@ -160,14 +168,27 @@
     *leader.job_versions.borrow_mut() = versions;
     *leader.stored_phases.borrow_mut() =
         phases.iter().map(|(id, p)| (id.clone(), p.phase)).collect();
+    let counts = scheduler.counts();
     log::info!(
-        fence = leader.held.fence, jobs = jobs.len(), open = scheduler.counts().open, ends_unknown,
-        version = from;
+        fence = leader.held.fence, rows = jobs.len(), jobs = counts.jobs, open = counts.open,
+        runs = counts.runs, set_aside = counts.set_aside, cancellations = cancels_read, ends_unknown,
+        partly_removed = removed, reused = reused.len(), version = from,
+        commit = leader.chain.get().1, ms = now.since(leader.started_at).0;
         "leader: loaded"
     );
+    log_open_jobs(leader.held.fence, &scheduler);
+    leader.feed.set((from, now));
     Ok(from)
 }
 
+/// Logs the ids of the open jobs, so that it can be told for each whether it was loaded.
+fn log_open_jobs(fence: u64, scheduler: &JobScheduler) {
+    let ids: Vec<&str> = scheduler.open_jobs().map(|id| &**id).collect();
+    for part in ids.chunks(LINE_JOBS).take(MAX_JOB_LINES) {
+        log::info!(fence, open = ids.len(), jobs = part.join(" "); "leader: open jobs");
+    }
+}
+
 /// Gives the progress of open jobs the checkpoints that are stored apart.
 fn restore_checkpoints(
     leader: &Leader,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -22,6 +22,7 @@
     commits: Counter<u64>,
     commit_seconds: Histogram<f64>,
     orders: Counter<u64>,
+    intake_seconds: Histogram<f64>,
     start_seconds: Histogram<f64>,
     worker_outages: Counter<u64>,
     worker_ends: Counter<u64>,
@@ -41,6 +42,8 @@
     leading: Gauge<u64>,
     acting: Gauge<u64>,
     lease_age: Gauge<u64>,
+    feed_version: Gauge<u64>,
+    feed_age: Gauge<u64>,
     open_jobs: Gauge<u64>,
     runs: Gauge<u64>,
     workers: Gauge<u64>,
@@ -60,6 +63,7 @@
             commits: exporter.counter("node_commits"),
             commit_seconds: exporter.latency_histogram("node_commit_seconds"),
             orders: exporter.counter("node_orders"),
+            intake_seconds: exporter.latency_histogram("node_intake_seconds"),
             start_seconds: exporter.latency_histogram("node_job_start_seconds"),
             worker_outages: exporter.counter("node_worker_outages"),
             worker_ends: exporter.counter("node_worker_ends"),
@@ -79,6 +83,8 @@
             leading: exporter.gauge("node_leading"),
             acting: exporter.gauge("node_acting"),
             lease_age: exporter.gauge("node_lease_age_ms"),
+            feed_version: exporter.gauge("node_feed_version"),
+            feed_age: exporter.gauge("node_feed_age_ms"),
             open_jobs: exporter.gauge("node_open_jobs"),
             runs: exporter.gauge("node_runs"),
             workers: exporter.gauge("node_workers"),
@@ -130,6 +136,11 @@
         self.orders.add(1, &labels);
     }
 
+    /// Records the time from the submission of a job until the leader has read it.
+    pub(crate) fn record_intake(&self, waited: Millis) {
+        self.intake_seconds.record(seconds(waited), &[]);
+    }
+
     /// Records the time from the submission of a job to the first start of a subtask.
     pub(crate) fn record_job_start(&self, priority: u32, waited: Millis) {
         let label = [KeyValue::new("priority", i64::from(priority))];
@@ -195,6 +206,15 @@
         self.acting.record(u64::from(cx.acting().is_some()), &[]);
         let lease_age = cx.lease.borrow().age(clock::now());
         self.lease_age.record(lease_age.unwrap_or_default().0, &[]);
+        let (feed_version, feed_at) = leader
+            .as_ref()
+            .map_or_else(Default::default, |l| l.feed.get());
+        let feed_age = match feed_version {
+            0 => Millis::ZERO,
+            _ => clock::now().since(feed_at),
+        };
+        self.feed_version.record(feed_version, &[]);
+        self.feed_age.record(feed_age.0, &[]);
         let of_leader = leader.map(|l| {
             let scheduler = l.scheduler.borrow();
             (scheduler.counts(), scheduler.usage())
