node: changes of the configuration, readiness and the store are logged with numbers

Beside a change of the configuration the log had its version only, so a key that was removed and a queue that changed looked alike; a node that reported itself as not ready left no line, and the return of the store did not tell for how long it was lost. config: applied has the numbers of added, removed and changed queues and keys and the age of the configuration before; node: not ready (with the reason) and node: ready, one line a change; store: no answer has the age of the last answer, store: answers again the length of the loss. Metrics for all three.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -3,9 +3,9 @@
 mod cluster;
 mod common;
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, thread, time::Duration};
 
-use cluster::{API_KEY, Cluster, TIMEOUT};
+use cluster::{API_KEY, Cluster, TIMEOUT, config};
 use common::wait_until;
 use serde_json::{Value, json};
 
@@ -145,6 +145,48 @@
     assert_eq!(line(&cluster, "accept: stored", 2)["known"], false);
 }
 
+/// Guards against requests that are refused after a change of the configuration, or by a node that the
+/// store does not serve, with nothing in the log that tells one from the other.
+#[test]
+fn a_removed_key_and_a_node_without_the_store_are_told_apart() {
+    let cluster = Cluster::start("explain-refused", 3, 1, 100);
+    cluster
+        .store
+        .put("op", "config", &config(2, &["other-key"]));
+    wait_until("the key is refused", TIMEOUT, || {
+        let answer = cluster.get(0, "/q/")?;
+        (answer.status == 401).then_some(())
+    });
+    let applied = &lines(&cluster, "config: applied", "version", &json!(2))[0];
+    let counts = [
+        "added_keys",
+        "removed_keys",
+        "changed_queues",
+        "removed_queues",
+    ];
+    assert_eq!(counts.map(|f| number(applied, f)), [1, 1, 0, 0]);
+    assert!(number(applied, "before_age_ms") < 60_000);
+    thread::sleep(Duration::from_secs(1));
+    cluster.refuse_first_node.store(true, Ordering::Relaxed);
+    let refused = wait_until("the node is not ready", TIMEOUT, || {
+        let lines = lines(&cluster, "node: not ready", "reason", &json!("store"));
+        lines.into_iter().next()
+    });
+    assert_eq!(refused["before"], "ready");
+    cluster.refuse_first_node.store(false, Ordering::Relaxed);
+    wait_until("the node is ready again", TIMEOUT, || {
+        let lines = lines(&cluster, "node: ready", "before", &json!("store"));
+        lines.into_iter().next()
+    });
+    let regained = lines(
+        &cluster,
+        "store: answers again",
+        "store",
+        &json!("regained"),
+    );
+    assert!(number(&regained[0], "lost_ms") > 0, "{regained:?}");
+}
+
 /// Guards against an accepted job that stands still, for which nobody can tell whether the leader has
 /// missed it, and whether a new one has loaded it.
 #[test]
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,8 +7,9 @@
 use store::table::{Row, StoreError};
 
 use crate::{
+    config_diff::ConfigDiff,
     cx::{self, Cx},
-    peers,
+    peers, readiness,
 };
 
 /// Time for which the store delays its answer while nothing changes. Each answer confirms the
@@ -91,6 +92,8 @@
     if active_config.row_version > 0 {
         active_config.confirmed_at = active_config.confirmed_at.max(Some(started));
     }
+    drop(active_config);
+    readiness::record(cx);
 }
 
 /// Applies a configuration unless a newer one is active.
@@ -101,7 +104,18 @@
     }
     match config::decode(&row.value) {
         Ok(config) => {
-            log::info!(version = config.version, row = row.version, before = active_config.config.version; "config: applied");
+            let diff = ConfigDiff::new(&active_config.config, &config);
+            let confirmed_at = active_config.confirmed_at;
+            log::info!(
+                version = config.version, row = row.version, before = active_config.config.version,
+                before_age_ms = confirmed_at.map(|at| clock::now().since(at).0),
+                queues = config.queues.len(), organisations = config.organisations.len(),
+                added_queues = diff.added_queues, removed_queues = diff.removed_queues,
+                changed_queues = diff.changed_queues, names = diff.names,
+                added_keys = diff.added_keys, removed_keys = diff.removed_keys, other = diff.other;
+                "config: applied"
+            );
+            cx.metrics.count_config_change("applied");
             active_config.config = Rc::new(config);
             active_config.row_version = row.version;
             drop(active_config);
@@ -109,6 +123,7 @@
         }
         Err(e) => {
             log::error!(row = row.version, reason:% = e; "config: refused, the one before stays in force");
+            cx.metrics.count_config_change("refused");
         }
     }
 }
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -19,7 +19,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, requests::Requests, rows,
+    leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, readiness,
+    requests::Requests, rows,
 };
 
 /// Maximum time for a transaction. One that a slow store applies later is repeated by its sender.
@@ -87,6 +88,8 @@
     pub(crate) peers: Peers,
     pub(crate) metrics: Metrics,
     pub(crate) stopping: Cell<bool>,
+    /// Readiness as last logged.
+    pub(crate) readiness: readiness::Logged,
     /// Whether requests under way are to be refused because the process ends.
     pub(crate) answers_due: watch::Sender<bool>,
     /// Callers' requests under way.
@@ -150,6 +153,7 @@
             calls,
             metrics: Metrics::default(),
             stopping: Cell::new(false),
+            readiness: readiness::Logged::default(),
             answers_due: watch::Sender::default(),
             requests: Rc::default(),
             connections: serve::Connections::default(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,7 +8,7 @@
     metrics::{Counter, Gauge, Histogram},
 };
 
-use crate::{call_metrics, cx::Ctx};
+use crate::{call_metrics, cx::Ctx, readiness::Readiness};
 
 /// Instruments of a node.
 #[derive(Debug)]
@@ -33,10 +33,13 @@
     lease_gap_seconds: Histogram<f64>,
     takeovers: Counter<u64>,
     store_losses: Counter<u64>,
+    store_loss_seconds: Histogram<f64>,
+    config_changes: Counter<u64>,
     unstored: Counter<u64>,
     connections: Gauge<u64>,
     refused_connections: Gauge<u64>,
     open_requests: Gauge<u64>,
+    ready: Gauge<u64>,
     config_version: Gauge<u64>,
     config_age: Gauge<u64>,
     leading: Gauge<u64>,
@@ -74,10 +77,13 @@
             lease_gap_seconds: exporter.latency_histogram("node_lease_gap_seconds"),
             takeovers: exporter.counter("node_takeovers"),
             store_losses: exporter.counter("node_store_losses"),
+            store_loss_seconds: exporter.latency_histogram("node_store_loss_seconds"),
+            config_changes: exporter.counter("node_config_changes"),
             unstored: exporter.counter("node_unstored"),
             connections: exporter.gauge("node_connections"),
             refused_connections: exporter.gauge("node_refused_connections"),
             open_requests: exporter.gauge("node_open_requests"),
+            ready: exporter.gauge("node_ready"),
             config_version: exporter.gauge("node_config_version"),
             config_age: exporter.gauge("node_config_age_ms"),
             leading: exporter.gauge("node_leading"),
@@ -186,6 +192,17 @@
         self.store_losses.add(1, &[]);
     }
 
+    /// Records the length of a time in which the store did not answer this node.
+    pub(crate) fn record_store_loss(&self, lost: Millis) {
+        self.store_loss_seconds.record(seconds(lost), &[]);
+    }
+
+    /// Counts a configuration that was read, by what became of it.
+    pub(crate) fn count_config_change(&self, result: &'static str) {
+        self.config_changes
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts something that can't be stored because of its size: checkpoints, or the progress of a job.
     pub(crate) fn count_unstored(&self, what: &'static str, count: usize) {
         self.unstored
@@ -195,6 +212,8 @@
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self, cx: &Ctx) -> Vec<u8> {
         let age = cx.config_age().unwrap_or_default();
+        let is_ready = Readiness::of(cx) == Readiness::Ready;
+        self.ready.record(u64::from(is_ready), &[]);
         self.config_version.record(cx.config().version, &[]);
         self.config_age.record(age.0, &[]);
         self.connections.record(cx.connections.open() as u64, &[]);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     cx::{self, Cx},
-    load, rows,
+    load, readiness, rows,
 };
 
 /// Maximum interval between two reads of the list of nodes, which changes when VMs are added or
@@ -139,18 +139,25 @@
 
 /// Records that the store has answered this node.
 pub(crate) fn record_answer(cx: &Cx) {
-    if cx.peers.update(|r| r.record_answer(clock::now())) {
-        log::info!(store = "regained"; "store: answers again");
+    let now = clock::now();
+    let lost = cx.peers.reach().lost_for(now).unwrap_or_default();
+    if cx.peers.update(|r| r.record_answer(now)) {
+        cx.metrics.record_store_loss(lost);
+        let config_age_ms = cx.config_age().map(|a| a.0);
+        log::info!(store = "regained", lost_ms = lost.0, config_age_ms; "store: answers again");
         cx.peers.changed.notify_waiters();
     }
+    readiness::record(cx);
 }
 
 /// Records that the store has refused or not answered a call of this node.
 pub(crate) fn record_loss(cx: &Cx, call: &str) {
-    if cx.peers.update(|r| r.record_loss(clock::now())) {
+    let now = clock::now();
+    let answer_age_ms = cx.peers.reach().answer_age(now).map(|a| a.0);
+    if cx.peers.update(|r| r.record_loss(now)) {
         cx.metrics.count_store_loss();
-        let age = cx.config_age().map(|a| a.0);
-        log::warn!(store = "lost", call, config_age_ms = age; "store: no answer");
+        let config_age_ms = cx.config_age().map(|a| a.0);
+        log::warn!(store = "lost", call, answer_age_ms, config_age_ms; "store: no answer");
         cx.peers.changed.notify_waiters();
     }
 }
@@ -176,6 +183,7 @@
     let mut registered = false;
     let mut interval = FIRST_LIST_INTERVAL;
     loop {
+        readiness::record(&cx);
         if cx.peers.reach().is_lost() {
             query_others(&cx).await;
             cx::sleep(QUERY_INTERVAL).await;
@@ -321,5 +329,6 @@
         .update(|r| r.record_report(asked_at, age, clock::now()));
     if is_served && !was_served {
         log::info!(node:% = address, age_ms = age.0; "peers: the store serves another node");
+        readiness::record(cx);
     }
 }
--- a/crates/store/src/reach.rs
+++ b/crates/store/src/reach.rs
@@ -82,6 +82,18 @@
         self.lost_at.is_some()
     }
 
+    /// Returns for how long the store has not answered; `None` while it answers.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// let mut reach = store::reach::Reach::default();
+    /// reach.record_loss(Millis(10));
+    /// assert_eq!(reach.lost_for(Millis(15)), Some(Millis(5)));
+    /// ```
+    pub fn lost_for(&self, now: Millis) -> Option<Millis> {
+        self.lost_at.map(|at| now.since(at))
+    }
+
     /// Returns whether another call would most likely not be answered: two reads in a row were not.
     /// One refused call may exceed the rate of all processes together.
     ///
