--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,14 +1,14 @@
 //! Metrics of a node, listed in docs/metrics.md.
 
 use base::clock::{self, Millis};
-use batch::{worker::Outcome, worker_end::WorkerEnd};
+use batch::{progress::Phase, worker::Outcome, worker_end::WorkerEnd};
 use meter::Exporter;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
 };
 
-use crate::{call_metrics, cx::Ctx};
+use crate::{call_metrics, cx::Ctx, readiness::Readiness};
 
 /// Instruments of a node.
 #[derive(Debug)]
@@ -16,9 +16,13 @@
     exporter: Exporter,
     requests: Counter<u64>,
     request_seconds: Histogram<f64>,
+    submissions: Counter<u64>,
+    shown_phases: Counter<u64>,
+    stored_end_seconds: Histogram<f64>,
     commits: Counter<u64>,
     commit_seconds: Histogram<f64>,
     orders: Counter<u64>,
+    intake_seconds: Histogram<f64>,
     start_seconds: Histogram<f64>,
     worker_outages: Counter<u64>,
     worker_ends: Counter<u64>,
@@ -29,15 +33,20 @@
     lease_gap_seconds: Histogram<f64>,
     takeovers: Counter<u64>,
     store_losses: Counter<u64>,
+    store_loss_seconds: Histogram<f64>,
+    config_changes: Counter<u64>,
     unstored: Counter<u64>,
     connections: Gauge<u64>,
     refused_connections: Gauge<u64>,
     open_requests: Gauge<u64>,
+    ready: Gauge<u64>,
     config_version: Gauge<u64>,
     config_age: Gauge<u64>,
     leading: Gauge<u64>,
     acting: Gauge<u64>,
     lease_age: Gauge<u64>,
+    feed_version: Gauge<u64>,
+    feed_age: Gauge<u64>,
     open_jobs: Gauge<u64>,
     runs: Gauge<u64>,
     workers: Gauge<u64>,
@@ -51,9 +60,13 @@
         Self {
             requests: exporter.counter("node_requests"),
             request_seconds: exporter.latency_histogram("node_request_seconds"),
+            submissions: exporter.counter("node_submissions"),
+            shown_phases: exporter.counter("node_shown_phases"),
+            stored_end_seconds: exporter.latency_histogram("node_stored_end_seconds"),
             commits: exporter.counter("node_commits"),
             commit_seconds: exporter.latency_histogram("node_commit_seconds"),
             orders: exporter.counter("node_orders"),
+            intake_seconds: exporter.latency_histogram("node_intake_seconds"),
             start_seconds: exporter.latency_histogram("node_job_start_seconds"),
             worker_outages: exporter.counter("node_worker_outages"),
             worker_ends: exporter.counter("node_worker_ends"),
@@ -64,15 +77,20 @@
             lease_gap_seconds: exporter.latency_histogram("node_lease_gap_seconds"),
             takeovers: exporter.counter("node_takeovers"),
             store_losses: exporter.counter("node_store_losses"),
+            store_loss_seconds: exporter.latency_histogram("node_store_loss_seconds"),
+            config_changes: exporter.counter("node_config_changes"),
             unstored: exporter.counter("node_unstored"),
             connections: exporter.gauge("node_connections"),
             refused_connections: exporter.gauge("node_refused_connections"),
             open_requests: exporter.gauge("node_open_requests"),
+            ready: exporter.gauge("node_ready"),
             config_version: exporter.gauge("node_config_version"),
             config_age: exporter.gauge("node_config_age_ms"),
             leading: exporter.gauge("node_leading"),
             acting: exporter.gauge("node_acting"),
             lease_age: exporter.gauge("node_lease_age_ms"),
+            feed_version: exporter.gauge("node_feed_version"),
+            feed_age: exporter.gauge("node_feed_age_ms"),
             open_jobs: exporter.gauge("node_open_jobs"),
             runs: exporter.gauge("node_runs"),
             workers: exporter.gauge("node_workers"),
@@ -90,12 +108,31 @@
         self.request_seconds.record(seconds(took), &[]);
     }
 
+    /// Counts an accepted submission by what it found.
+    pub(crate) fn count_submission(&self, result: &'static str) {
+        self.submissions.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a phase that a caller was told, by the kind of row that it was taken from.
+    pub(crate) fn count_shown_phase(&self, phase: Phase, source: &'static str) {
+        let labels = [
+            KeyValue::new("phase", phase.to_string()),
+            KeyValue::new("source", source),
+        ];
+        self.shown_phases.add(1, &labels);
+    }
+
     /// Records an attempt of a commit with its outcome and duration.
     pub(crate) fn record_commit(&self, outcome: &'static str, took: Millis) {
         self.commits.add(1, &[KeyValue::new("outcome", outcome)]);
         self.commit_seconds.record(seconds(took), &[]);
     }
 
+    /// Records the time from the end of a job to its commit.
+    pub(crate) fn record_stored_end(&self, waited: Millis) {
+        self.stored_end_seconds.record(seconds(waited), &[]);
+    }
+
     /// Counts an order by kind and outcome.
     pub(crate) fn count_order(&self, kind: &'static str, outcome: &'static str) {
         let labels = [
@@ -105,6 +142,11 @@
         self.orders.add(1, &labels);
     }
 
+    /// Records the time from the submission of a job until the leader has read it.
+    pub(crate) fn record_intake(&self, waited: Millis) {
+        self.intake_seconds.record(seconds(waited), &[]);
+    }
+
     /// Records the time from the submission of a job to the first start of a subtask.
     pub(crate) fn record_job_start(&self, priority: u32, waited: Millis) {
         let label = [KeyValue::new("priority", i64::from(priority))];
@@ -150,6 +192,17 @@
         self.store_losses.add(1, &[]);
     }
 
+    /// Records the length of a time in which the store did not answer this node.
+    pub(crate) fn record_store_loss(&self, lost: Millis) {
+        self.store_loss_seconds.record(seconds(lost), &[]);
+    }
+
+    /// Counts a configuration that was read, by what became of it.
+    pub(crate) fn count_config_change(&self, result: &'static str) {
+        self.config_changes
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts something that can't be stored because of its size: checkpoints, or the progress of a job.
     pub(crate) fn count_unstored(&self, what: &'static str, count: usize) {
         self.unstored
@@ -159,6 +212,8 @@
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self, cx: &Ctx) -> Vec<u8> {
         let age = cx.config_age().unwrap_or_default();
+        let is_ready = Readiness::of(cx) == Readiness::Ready;
+        self.ready.record(u64::from(is_ready), &[]);
         self.config_version.record(cx.config().version, &[]);
         self.config_age.record(age.0, &[]);
         self.connections.record(cx.connections.open() as u64, &[]);
@@ -170,6 +225,15 @@
         self.acting.record(u64::from(cx.acting().is_some()), &[]);
         let lease_age = cx.lease.borrow().age(clock::now());
         self.lease_age.record(lease_age.unwrap_or_default().0, &[]);
+        let (feed_version, feed_at) = leader
+            .as_ref()
+            .map_or_else(Default::default, |l| l.feed.get());
+        let feed_age = match feed_version {
+            0 => Millis::ZERO,
+            _ => clock::now().since(feed_at),
+        };
+        self.feed_version.record(feed_version, &[]);
+        self.feed_age.record(feed_age.0, &[]);
         let of_leader = leader.map(|l| {
             let scheduler = l.scheduler.borrow();
             (scheduler.counts(), scheduler.usage())
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -118,6 +118,12 @@
     Some(job)
 }
 
+/// Returns the age of the row of a job by the store's clock, if both times are known.
+pub(crate) fn age_of_job(row: &Row, store_now: Option<Millis>) -> Option<Millis> {
+    let stored_at = from_json::<AcceptanceTime>(row)?.stored_at?;
+    Some(store_now?.since(stored_at))
+}
+
 /// Content of the row of a cancellation. A cancellation of a job that is not known bars the id, because
 /// its submission may still be applied. Earlier versions write an empty object, and only beside the row
 /// of a job.
@@ -195,7 +201,8 @@
     match serde_json::from_str(&row.value) {
         Ok(value) => Some(value),
         Err(e) => {
-            log::error!("node: malformed row {}: {e}", row.key);
+            let bytes = row.value.len();
+            log::error!(row:% = row.key, version = row.version, bytes, reason:% = e; "node: malformed row");
             None
         }
     }
