--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -12,6 +12,7 @@
     authorise::{self, Authorised},
     cx::Cx,
     dump, peers,
+    readiness::Readiness,
     refusal::Refusal,
 };
 
@@ -157,7 +158,7 @@
 /// not ready while other nodes are served. If no node is served it stays ready, because it refuses
 /// requests at once and with the correct reason.
 pub(crate) fn ready(cx: &Cx, req: &Request) -> Response {
-    let is_ready = !cx.stopping.get() && cx.config_age().is_some() && !cx.peers.others_are_served();
+    let is_ready = Readiness::of(cx) == Readiness::Ready;
     match (req.path() == paths::READINESS, is_ready) {
         (true, true) => Response::Ok().finish(),
         (true, false) => Response::ServiceUnavailable().finish(),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -4,7 +4,10 @@
 use ntex::rt::JoinHandle;
 use serve::Connections;
 
-use crate::cx::{self, Cx};
+use crate::{
+    cx::{self, Cx},
+    readiness,
+};
 
 /// Time after the signal in which new connections are accepted. The balancer checks once a second
 /// and removes an entry after two failures.
@@ -65,6 +68,7 @@
     mut lease: JoinHandle<()>,
 ) {
     cx.stopping.set(true);
+    readiness::record(cx);
     let arrived = cx.requests.arrived();
     log::info!(requests = cx.requests.count(), connections = cx.connections.open(); "node: stopping");
     cx.lease.borrow_mut().stop();
