node: a cancellation that may be stored is not refused with 503 when the job can't be read again

What callers saw: a cancellation whose first answer was lost, and whose second try met the stored first one, was answered 503, 'nothing was stored', if the store then refused to read the job.

Cause: the read after a conflict reported its own failure without regard to the tries before it. It now gives the refusal of the write, 504 once a try may have been applied. The new test got 503 on the code before; the stand-in can refuse reads of a range for it.

--- a/crates/cli/tests/cancellation.rs
+++ b/crates/cli/tests/cancellation.rs
@@ -5,9 +5,9 @@
 
 use std::{thread, time::Duration};
 
-use cluster::{API_KEY, Cluster, config};
+use cluster::{API_KEY, Cluster, TIMEOUT, config};
 use common::wait_until;
-use platform_standin::worker::Worker;
+use platform_standin::{store::Fault, worker::Worker};
 use serde_json::{Value, json};
 
 /// Time that a run takes.
@@ -106,3 +106,26 @@
     assert_eq!(cancel(&cluster, 1), 410);
     assert_eq!(submit(2), Some(200));
 }
+
+/// Guards against a cancellation that is stored, and reported as not carried out because the job can't be
+/// read again after the answer was lost.
+#[test]
+fn a_cancellation_whose_answer_was_lost_is_not_reported_as_refused() {
+    let cluster = Cluster::start("cancel-lost", 2, 1, RUN_MS);
+    assert_eq!(cluster.submit(1, 1, 1, false).unwrap().status, 200);
+    let lost = cluster.store.lost_answers();
+    cluster.store.set_fault(Fault::LosesAnswers);
+    let store = cluster.store.clone();
+    let row = format!("{:016x}.cancel", 1);
+    let fault = thread::spawn(move || {
+        wait_until("the cancellation is stored", TIMEOUT, || {
+            let is_stored = store.keys().iter().any(|(_, key)| *key == row);
+            (is_stored && store.lost_answers() > lost).then_some(())
+        });
+        store.refuse_range_reads("jobs");
+        store.set_fault(Fault::None);
+    });
+    let status = cancel(&cluster, 1);
+    fault.join().unwrap();
+    assert_eq!(status, 504);
+}
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -309,9 +309,10 @@
     let id = &authorised.path_suffix;
     let mut write = RetriedWrite::new(Request::Cancellation, id, deadline);
     loop {
-        let stored = read_job(cx, id).await?;
+        let stored = read_job(cx, id).await.map_err(|_| write.refusal())?;
         if let Some(row) = &stored.job {
-            let owner = decode::<AcceptedJob>(row)?.organisation;
+            let owner = decode::<AcceptedJob>(row).map_err(|_| write.refusal())?;
+            let owner = owner.organisation;
             check_owner(authorised, owner.as_ref(), row)?;
         }
         let known = stored.job.is_some();
