node: a read that the store does not answer in the caller's time is refused within it

What callers saw: a request for the state of a job could be answered only after the caller had left, when the store was slow: up to two reads of 2 s and more each, whatever X-Deadline-Ms said.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -96,7 +96,7 @@
 ) -> Result<Response, Refusal> {
     if authorised.path_suffix.is_empty() {
         return match *req.method() {
-            Method::GET => accept::pending(cx, &authorised).await,
+            Method::GET => read_by(deadline, accept::pending(cx, &authorised)).await,
             _ => Err(Refusal::Method),
         };
     }
@@ -107,7 +107,7 @@
             .all(|b| b.is_ascii_hexdigit());
     match *req.method() {
         Method::POST if is_id => accept::submit(cx, &authorised, body, deadline).await,
-        Method::GET if is_id => accept::phase(cx, &authorised).await,
+        Method::GET if is_id => read_by(deadline, accept::phase(cx, &authorised)).await,
         Method::DELETE if is_id => accept::cancel(cx, &authorised, deadline).await,
         Method::POST => Err(Refusal::Invalid),
         Method::GET | Method::DELETE => Err(Refusal::NoJob),
@@ -115,6 +115,16 @@
     }
 }
 
+/// Gives up a read that the store has not answered by `deadline`.
+async fn read_by(
+    deadline: Millis,
+    read: impl Future<Output = Result<Response, Refusal>>,
+) -> Result<Response, Refusal> {
+    let remaining = deadline.since(clock::now()).to_duration();
+    let read = tokio::time::timeout(remaining, read).await;
+    read.unwrap_or(Err(Refusal::Store))
+}
+
 /// Number of hexadecimal digits in the id of a job.
 const ID_DIGITS: usize = 16;
 
