node: leader: load names what fills the link, and the window of calls

New fields: sent_commits, sent_renewals, sent_orders, received_reads, commits, commit_ms, window, waiting_calls.

--- a/crates/node/src/load_log.rs
+++ b/crates/node/src/load_log.rs
@@ -33,11 +33,19 @@
     closed: u64,
     sent_bytes: u64,
     received_bytes: u64,
+    /// Sent bytes of commits, of renewals and reports, and of orders.
+    sent_commits: u64,
+    sent_renewals: u64,
+    sent_orders: u64,
+    /// Received bytes of reads of whole tables and of the VM list.
+    received_reads: u64,
     starts: u64,
     stops: u64,
     extensions: u64,
     /// Answers to calls of [`PROMPT`], and the sum of their times in ms.
     prompt: (u64, u64),
+    /// Answered commits, likewise.
+    commits: (u64, u64),
 }
 
 impl LoadLog {
@@ -72,15 +80,18 @@
         if is_calm {
             return;
         }
-        let (answers, answer_ms) = new.prompt;
+        let mean = |(answers, ms): (u64, u64)| ms.checked_div(answers).unwrap_or_default();
         let usage = scheduler.usage();
         log::info!(
             ms = took.0, acting, calls = new.calls, no_answers = new.no_answers, closed = new.closed,
             starts = new.starts, repeated_starts = load.repeated_starts,
             stops = new.stops, repeated_stops = load.repeated_stops, extensions = new.extensions,
             awaited_starts = scheduler.awaited_starts(),
-            answer_ms = answer_ms.checked_div(answers).unwrap_or_default(),
-            sent_bytes = new.sent_bytes, received_bytes = new.received_bytes,
+            answer_ms = mean(new.prompt), commits = new.commits.0, commit_ms = mean(new.commits),
+            window = leader.window.size(), waiting_calls = leader.window.waiting(),
+            sent_bytes = new.sent_bytes, sent_commits = new.sent_commits,
+            sent_renewals = new.sent_renewals, sent_orders = new.sent_orders,
+            received_bytes = new.received_bytes, received_reads = new.received_reads,
             longest_wait_ms = load.longest_wait.0, silent_workers = usage.silent,
             capacity = usage.capacity, used = usage.used, listed = usage.listed;
             "leader: load"
@@ -92,12 +103,12 @@
     fn of(account: &CallAccount) -> Self {
         let mut totals = Self::default();
         for purpose in Purpose::ALL {
-            let mut calls = 0;
+            let (mut calls, mut sent, mut received) = (0, 0, 0);
             for outcome in Outcome::ALL {
                 let traffic = account.traffic(purpose, outcome);
                 calls += traffic.calls;
-                totals.sent_bytes += traffic.sent_bytes;
-                totals.received_bytes += traffic.received_bytes;
+                sent += traffic.sent_bytes;
+                received += traffic.received_bytes;
                 match outcome {
                     Outcome::NoAnswer => totals.no_answers += traffic.calls,
                     Outcome::Closed => totals.closed += traffic.calls,
@@ -108,17 +119,34 @@
                 }
             }
             totals.calls += calls;
+            totals.sent_bytes += sent;
+            totals.received_bytes += received;
             match purpose {
                 Purpose::Start => totals.starts = calls,
                 Purpose::Stop => totals.stops = calls,
                 Purpose::Extension => totals.extensions = calls,
                 _ => {}
             }
+            match purpose {
+                Purpose::Commit => totals.sent_commits += sent,
+                Purpose::Start | Purpose::Stop => totals.sent_orders += sent,
+                Purpose::Renewal | Purpose::Extension | Purpose::Report | Purpose::Contact => {
+                    totals.sent_renewals += sent;
+                }
+                Purpose::Read | Purpose::List => totals.received_reads += received,
+                Purpose::Feed
+                | Purpose::Lease
+                | Purpose::Config
+                | Purpose::Policy
+                | Purpose::Peer => {}
+            }
         }
         for latency in PROMPT.map(|p| account.latency(p)) {
             totals.prompt.0 += latency.answers;
             totals.prompt.1 += latency.sum_ms;
         }
+        let commits = account.latency(Purpose::Commit);
+        totals.commits = (commits.answers, commits.sum_ms);
         totals
     }
 
@@ -129,6 +157,10 @@
             closed: self.closed - before.closed,
             sent_bytes: self.sent_bytes - before.sent_bytes,
             received_bytes: self.received_bytes - before.received_bytes,
+            sent_commits: self.sent_commits - before.sent_commits,
+            sent_renewals: self.sent_renewals - before.sent_renewals,
+            sent_orders: self.sent_orders - before.sent_orders,
+            received_reads: self.received_reads - before.received_reads,
             starts: self.starts - before.starts,
             stops: self.stops - before.stops,
             extensions: self.extensions - before.extensions,
@@ -136,6 +168,10 @@
                 self.prompt.0 - before.prompt.0,
                 self.prompt.1 - before.prompt.1,
             ),
+            commits: (
+                self.commits.0 - before.commits.0,
+                self.commits.1 - before.commits.1,
+            ),
         }
     }
 }
--- a/crates/node/src/window.rs
+++ b/crates/node/src/window.rs
@@ -86,6 +86,16 @@
         self.0.window.borrow().max_starts()
     }
 
+    /// Returns the maximum number of calls under way.
+    pub(crate) fn size(&self) -> usize {
+        self.0.window.borrow().size()
+    }
+
+    /// Returns the number of calls that wait for their turn among those to all workers.
+    pub(crate) fn waiting(&self) -> usize {
+        self.0.window.borrow().waiting()
+    }
+
     fn advance(&self) {
         let turns = self.0.window.borrow_mut().advance(clock::now());
         for id in turns {
