batch: a subtask that is done keeps no checkpoint

Each commit holds the whole record of its jobs, and on a narrow link orders wait behind it.

The new test of stored_records fails without the change.

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -285,7 +285,7 @@
         let Some(task) = current else {
             return self.stop_unexpected(worker, &running.task, running.attempt, now);
         };
-        if !running.checkpoint.is_empty() {
+        if !task.done && !running.checkpoint.is_empty() {
             task.checkpoint = running.checkpoint.clone();
         }
         let percent = running.percent;
--- a/crates/batch/src/run_end.rs
+++ b/crates/batch/src/run_end.rs
@@ -3,7 +3,7 @@
 use base::clock::Millis;
 
 use crate::{
-    job::SubtaskId,
+    job::{SubtaskId, Text},
     open_job::Job,
     progress::Phase,
     scheduler::JobScheduler,
@@ -83,6 +83,7 @@
         for member in self.gang_members(id, gang) {
             if let Some(task) = self.subtask_mut(&member) {
                 task.done = true;
+                task.checkpoint = Text::default();
             }
         }
         let all_done = |j: &Job| !j.progress.phase.is_final() && j.is_done();
--- a/crates/batch/tests/stored_records.rs
+++ b/crates/batch/tests/stored_records.rs
@@ -155,3 +155,21 @@
     fleet.finish(&order, 1, Outcome::Failed);
     assert_eq!(fleet.scheduler.phase("1"), Some(Phase::Failed));
 }
+
+/// Guards against records with checkpoints from which nothing will continue. A commit holds the whole
+/// progress of its jobs, and on a narrow link orders wait behind it.
+#[test]
+fn a_subtask_that_is_done_keeps_no_checkpoint() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(2, 1));
+    let orders = starts(&fleet.plan());
+    for order in &orders {
+        fleet.take(order);
+    }
+    fleet.finish_with(&orders[0], 1, Outcome::Done, "saved-0");
+    fleet.finish_with(&orders[1], 2, Outcome::Failed, "saved-1");
+    let changes = fleet.plan();
+    let stored = serde_json::to_string(&changes.records[0].1).unwrap();
+    assert!(!stored.contains("saved-0"), "{stored}");
+    assert!(stored.contains("saved-1"), "the other one continues");
+}
