batch, node: finished runs are stored together while answers are slow

Cause: each commit holds the whole progress of the jobs that have changed, and a job was stored again at the end of each of its runs. On 250 KB/s commits took 52 to 77% of what the leader sent. Starts, stops and reports waited behind them, their answers took 160 to 300 ms, the window of calls fell to its minimum of 8, and no deferrable work is placed while 32 starts wait for that window.

Now a job of which only runs have finished waits for up to 2 s, by how far answers take longer than 50 ms; on a wide link, where they take 4 ms, nothing waits. Starts, stops and the end of a job are stored at once. Until the ends of a worker may be acknowledged, its report is not requested after each commit of anything, which it would answer at once with the same ends.

--- a/crates/batch/examples/large_site.rs
+++ b/crates/batch/examples/large_site.rs
@@ -347,10 +347,15 @@
             let task = order.task.to_string();
             (now, is_start, &order.worker, task, order.attempt).hash(&mut self.orders);
         }
-        let released = self.outbox.add(changes);
+        let released = self.outbox.add(changes, now);
         self.release(released);
         let mut stored = Vec::new();
-        for (id, progress) in self.outbox.in_order().into_iter().take(JOBS_PER_COMMIT) {
+        for (id, progress) in self
+            .outbox
+            .due(now, Millis::ZERO)
+            .into_iter()
+            .take(JOBS_PER_COMMIT)
+        {
             self.bytes += serde_json::to_string(progress).map_or(0, |s| s.len());
             stored.push(id.clone());
         }
--- a/crates/batch/src/call_window.rs
+++ b/crates/batch/src/call_window.rs
@@ -45,6 +45,13 @@
 /// Minimum time of an answer that [`CallWindow::max_starts`] assumes.
 const MIN_ANSWER: Millis = Millis(20);
 
+/// Mean time of an answer up to which changes that nothing waits for are stored at once.
+const PROMPT_ANSWER: Millis = Millis(50);
+/// Deferral of such changes, as a multiple of the time by which answers take longer.
+const DEFERRAL_FACTOR: u64 = 16;
+/// Maximum of that deferral.
+const MAX_DEFERRAL: Millis = Millis(2_000);
+
 /// Importance of a call, the highest first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Class {
@@ -247,6 +254,18 @@
         (in_time as usize).max(MIN_STARTS)
     }
 
+    /// Returns for how long changes that nothing waits for are not stored. Commits share the link with
+    /// the calls, and each holds the whole progress of its jobs.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// assert_eq!(batch::call_window::CallWindow::default().deferral(), Millis::ZERO);
+    /// ```
+    pub fn deferral(&self) -> Millis {
+        let over = self.answer_time.mean().since(PROMPT_ANSWER);
+        Millis(DEFERRAL_FACTOR * over.0).min(MAX_DEFERRAL)
+    }
+
     /// Returns the maximum number of calls under way.
     ///
     /// ```
--- a/crates/batch/src/outbox.rs
+++ b/crates/batch/src/outbox.rs
@@ -3,6 +3,9 @@
 //! A slow store applies one or two transactions a second, and each holds a limited number of jobs.
 //! Jobs with orders are therefore stored first, and the orders of a job are sent as soon as the job
 //! is stored.
+//!
+//! The whole progress of a job is stored each time. On a narrow link, the jobs that only have finished
+//! runs wait a little, so that several of these are stored at once.
 
 use base::{clock::Millis, sorted::SortedMap};
 
@@ -19,9 +22,10 @@
 /// Changes of a scheduler that are not stored yet.
 ///
 /// ```
+/// use base::clock::Millis;
 /// use batch::{outbox::Outbox, scheduler::JobScheduler};
 /// let mut outbox = Outbox::default();
-/// let released = outbox.add(JobScheduler::default().take_changes());
+/// let released = outbox.add(JobScheduler::default().take_changes(), Millis(1));
 /// assert!(outbox.is_empty() && released.orders.is_empty());
 /// ```
 #[derive(Debug, Default)]
@@ -38,6 +42,19 @@
     orders: Vec<Order>,
     /// Position in the order of additions: of the first order if there is one.
     position: u64,
+    /// Time of the first change.
+    since: Millis,
+}
+
+impl Waiting {
+    /// Returns the time from which the job is to be stored. Orders wait for it, and callers see its end.
+    fn due(&self, deferral: Millis) -> Millis {
+        if self.orders.is_empty() && !self.progress.phase.is_final() {
+            self.since + deferral
+        } else {
+            self.since
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -57,14 +74,15 @@
 }
 
 impl Outbox {
-    /// Adds changes. The progress of a job replaces the one that waits. Returns the orders and
+    /// Adds changes of `now`. The progress of a job replaces the one that waits. Returns the orders and
     /// acknowledgements that need not wait for any job.
     ///
     /// ```
+    /// use base::clock::Millis;
     /// use batch::{outbox::Outbox, scheduler::PendingChanges};
-    /// assert!(Outbox::default().add(PendingChanges::default()).acks.is_empty());
+    /// assert!(Outbox::default().add(PendingChanges::default(), Millis(1)).acks.is_empty());
     /// ```
-    pub fn add(&mut self, changes: PendingChanges) -> Released {
+    pub fn add(&mut self, changes: PendingChanges, now: Millis) -> Released {
         self.added += 1;
         let mut released = Released::default();
         for (id, progress) in changes.records {
@@ -76,6 +94,7 @@
                 progress,
                 orders: Vec::new(),
                 position: self.added,
+                since: now,
             };
             self.waiting.insert(id, waiting);
         }
@@ -108,20 +127,33 @@
         self.waiting.is_empty()
     }
 
-    /// Returns the waiting jobs in the order in which they should be stored: those with orders
-    /// first, then the longest waiting.
+    /// Returns the jobs to store at `now` in their order: those with orders first, then the longest
+    /// waiting. Jobs that have not ended and without orders wait for `deferral`.
     ///
     /// ```
-    /// assert!(batch::outbox::Outbox::default().in_order().is_empty());
+    /// use base::clock::Millis;
+    /// let outbox = batch::outbox::Outbox::default();
+    /// assert!(outbox.due(Millis(5), Millis::ZERO).is_empty());
     /// ```
-    pub fn in_order(&self) -> Vec<(&Text, &Progress)> {
-        let mut all: Vec<_> = self.waiting.iter().collect();
+    pub fn due(&self, now: Millis, deferral: Millis) -> Vec<(&Text, &Progress)> {
+        let is_due = |(_, w): &(&Text, &Waiting)| w.due(deferral) <= now;
+        let mut all: Vec<_> = self.waiting.iter().filter(is_due).collect();
         all.sort_by_key(|(_, w)| (w.orders.is_empty(), w.position));
         all.into_iter().map(|(id, w)| (id, &w.progress)).collect()
     }
 
-    /// Records that jobs are stored as last returned by [`in_order`](Self::in_order). Returns what
-    /// may be sent now.
+    /// Returns the time from which a job is [due](Self::due), or `None` if none waits.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// assert!(batch::outbox::Outbox::default().next_at(Millis::ZERO).is_none());
+    /// ```
+    pub fn next_at(&self, deferral: Millis) -> Option<Millis> {
+        self.waiting.iter().map(|(_, w)| w.due(deferral)).min()
+    }
+
+    /// Records that jobs are stored as last returned by [`due`](Self::due). Returns what may be sent
+    /// now.
     ///
     /// ```
     /// assert!(batch::outbox::Outbox::default().mark_stored(&[]).orders.is_empty());
--- a/crates/batch/tests/call_window.rs
+++ b/crates/batch/tests/call_window.rs
@@ -157,3 +157,23 @@
     let place = |id| turns.iter().position(|t| *t == id);
     assert!(place(earlier) < place(later), "{turns:?}");
 }
+
+/// Guards against commits that fill the link while calls wait, and against changes that are stored late
+/// without a shortage.
+#[test]
+fn changes_are_deferred_only_while_answers_are_slow() {
+    let mut window = CallWindow::default();
+    let answer = |window: &mut CallWindow, took: u64| {
+        for _ in 0..200 {
+            let id = window.add(Class::Start, 1);
+            window.advance(Millis(1));
+            window.end(id, true, Millis(1 + took));
+        }
+        window.deferral()
+    };
+    assert_eq!(answer(&mut window, 40), Millis::ZERO);
+    let narrow = answer(&mut window, 150);
+    assert!(narrow > Millis(1_000), "{narrow}");
+    assert!(answer(&mut window, 900) <= Millis(2_000));
+    assert_eq!(answer(&mut window, 4), Millis::ZERO);
+}
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -53,7 +53,7 @@
         for end in &changes.worker_ends {
             cx.metrics.count_worker_end(*end);
         }
-        release(&cx, &leader, outbox.add(changes));
+        release(&cx, &leader, outbox.add(changes, clock::now()));
         let content = if singles > 0 {
             Content::One
         } else {
@@ -90,14 +90,24 @@
         }
         tokio::select! {
             () = leader.dirty.notified() => {}
-            () = cx::sleep(PENDING_INTERVAL) => {}
+            () = cx::sleep(wait(&leader, &outbox)) => {}
         }
     }
 }
 
+/// Returns the time until something may have to be stored.
+fn wait(leader: &Leader, outbox: &Outbox) -> Millis {
+    let next = outbox.next_at(leader.window.deferral());
+    // What is due and was not stored is held back.
+    let wait = next.map(|t| t.since(clock::now()));
+    let wait = wait.filter(|w| *w > Millis::ZERO);
+    wait.unwrap_or(PENDING_INTERVAL).min(PENDING_INTERVAL)
+}
+
 /// Returns whether more is to be stored at once.
 fn has_more(leader: &Leader, outbox: &Outbox) -> bool {
-    !outbox.is_empty()
+    let next = outbox.next_at(leader.window.deferral());
+    next.is_some_and(|t| t <= clock::now())
         || !leader.deleted_jobs.borrow().is_empty()
         || leader.scheduler.borrow().has_changes()
         || leader.checkpoints.borrow().has_due(clock::now())
@@ -144,7 +154,7 @@
     content: Content,
 ) -> Batch {
     let mut batch = Batch::new(content);
-    for (id, progress) in outbox.in_order() {
+    for (id, progress) in outbox.due(clock::now(), leader.window.deferral()) {
         if is_held_back(leader, id) {
             continue;
         }
--- a/crates/node/src/window.rs
+++ b/crates/node/src/window.rs
@@ -86,6 +86,11 @@
         self.0.window.borrow().max_starts()
     }
 
+    /// Returns for how long changes that nothing waits for are not stored.
+    pub(crate) fn deferral(&self) -> Millis {
+        self.0.window.borrow().deferral()
+    }
+
     /// Returns the maximum number of calls under way.
     pub(crate) fn size(&self) -> usize {
         self.0.window.borrow().size()
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -315,8 +315,8 @@
             handle_report(leader, worker, &report, sent, acked);
             if !report.finished.is_empty() {
                 // The worker replies at once while finished runs are not acknowledged.
-                let committed = leader.committed.notified();
-                let _ = time::timeout(MAX_COMMIT_WAIT.to_duration(), committed).await;
+                let acked = wait_for_ack(leader, worker);
+                let _ = time::timeout(MAX_COMMIT_WAIT.to_duration(), acked).await;
             } else if !report.is_complete {
                 // So it does while a finished run whose row is malformed is not acknowledged.
                 cx::sleep(RETRY_DELAY).await;
@@ -335,6 +335,17 @@
     }
 }
 
+/// Waits until finished runs may be acknowledged to a worker, or the leadership has ended.
+async fn wait_for_ack(leader: &Leader, worker: &Text) {
+    while !leader.ended.get() {
+        let committed = leader.committed.notified();
+        if unsent_ack(leader, worker).is_some() {
+            return;
+        }
+        committed.await;
+    }
+}
+
 fn record_renewal(leader: &Leader, worker: &Text, sent: Millis) {
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
         session.renewed_at = session.renewed_at.max(sent);
