wire, entry, sched: a shutdown does not wait for peers that are silent

What operators saw: by reading, an entry that is stopped beside a member that is frozen, or beside a connection to its members' address that never opens, does not end: it waits without limit, with its listener still open, until it is killed. A scheduler has a limit of 3 s and spends all of it.

Cause: the shutdown of the exchange waits for the end of each connection; a connection ends after the opening of HTTP/2 and the answer to a ping, both of which depend on the peer.

Why it works: connections that have not opened carry no exchange and are closed at once; the caller states how long the others may take, 1 s in an entry, 3 s in a scheduler as before, and connections that are still open then end with the server.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -35,6 +35,8 @@
 const LATE_REQUEST_GRACE: Millis = Millis(100);
 /// Timeout for each of the last writes to the table service in a planned stop.
 const FLUSH_TIMEOUT: Millis = Millis(2_000);
+/// Timeout for answers to other members in a planned stop.
+const MEMBERS_TIMEOUT: Millis = Millis(1_000);
 
 /// Why an entry could not start or run.
 #[derive(Debug, Display, Error, From)]
@@ -241,7 +243,9 @@
     let stopping = cx.clone();
     rt::spawn(async move {
         stop(&stopping, parts.stopped).await;
-        wire.shutdown().await;
+        if !wire.shutdown(MEMBERS_TIMEOUT).await {
+            log::warn!("entry: a member did not end its connection in {MEMBERS_TIMEOUT}");
+        }
         let _ = parts.drained.send(true);
     });
     let _ = parts.started.send(Ok(()));
--- a/crates/sched/src/process.rs
+++ b/crates/sched/src/process.rs
@@ -190,8 +190,10 @@
     }
     cx.stopping.set(true);
     // Open exchanges may wait for decisions, so both are drained together.
-    let drained = tokio::time::timeout(DRAIN_LIMIT.to_duration(), server.shutdown());
-    let _ = tokio::join!(drained, drain(&cx));
+    let (answered, ()) = tokio::join!(server.shutdown(DRAIN_LIMIT), drain(&cx));
+    if !answered {
+        log::warn!("sched: exchanges were still open after {DRAIN_LIMIT}");
+    }
     voting::withdraw(&cx).await;
     cx.lease.borrow_mut().stop();
     cx.lease_changed.notify_one();
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,13 +1,15 @@
 //! Server side of the transport.
 
-use std::{cell::Cell, future::Future, io, net, rc::Rc, time};
+use std::{cell::Cell, future::Future, io, net, rc::Rc};
 
+use base::clock::Millis;
 use bytes::Bytes;
 use h2::{RecvStream, server::SendResponse};
 use ntex::rt;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    time,
 };
 
 use crate::{
@@ -19,7 +21,7 @@
 const MAX_CONCURRENT_STREAMS: u32 = 256;
 /// Delay after a failed accept, so that the loop does not use up a core while the process is out of
 /// file descriptors.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
+const ACCEPT_RETRY_DELAY: Millis = Millis(50);
 
 /// A running server; dropping it closes the listener and all connections.
 #[derive(Debug)]
@@ -34,10 +36,11 @@
         self.addr
     }
 
-    /// Stops accepting exchanges and returns when all exchanges in progress are complete.
-    pub async fn shutdown(self) {
+    /// Stops accepting exchanges and waits until all exchanges in progress are complete, or until `limit` has passed; returns whether they have.
+    pub async fn shutdown(self, limit: Millis) -> bool {
         let _ = self.stop.send(true);
-        self.stop.closed().await;
+        let ended = time::timeout(limit.to_duration(), self.stop.closed());
+        ended.await.is_ok()
     }
 }
 
@@ -72,7 +75,7 @@
             Ok((tcp, _)) => {
                 rt::spawn(serve_connection(tcp, stopped.clone(), handler.clone()));
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(_) => time::sleep(ACCEPT_RETRY_DELAY.to_duration()).await,
         }
     }
 }
@@ -89,18 +92,21 @@
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .initial_window_size(frame::MAX_FRAME_BYTES as u32)
         .initial_connection_window_size(4 * frame::MAX_FRAME_BYTES as u32);
-    let Ok(mut connection) = builder.handshake::<_, Bytes>(tcp).await else {
-        return;
+    let handshake = builder.handshake::<_, Bytes>(tcp);
+    let mut connection = tokio::select! {
+        _ = stopped.changed() => return,
+        connection = handshake => match connection {
+            Ok(connection) => connection,
+            Err(_) => return,
+        },
     };
     let hello_received = Rc::new(Cell::new(false));
-    let mut stopping = false;
     loop {
         let accepted = tokio::select! {
-            changed = stopped.changed(), if !stopping => {
+            changed = stopped.changed() => {
                 if changed.is_err() {
                     return;
                 }
-                stopping = true;
                 connection.graceful_shutdown();
                 continue;
             }
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -1,6 +1,6 @@
 //! Exchanges between a client and a server over loopback.
 
-use std::{net, time};
+use std::{io::Write, net, time};
 
 use base::clock::Millis;
 use wire::{
@@ -9,6 +9,9 @@
     server::{self, Server},
 };
 
+/// Time limit of a shutdown.
+const LIMIT: Millis = Millis(5_000);
+
 fn listener() -> net::TcpListener {
     net::TcpListener::bind("127.0.0.1:0").unwrap()
 }
@@ -95,7 +98,7 @@
     let (server, client) = start();
     assert_eq!(client.call(&Request::Ping).await, Ok(Reply::Pong));
     let addr = server.addr();
-    server.shutdown().await;
+    assert!(server.shutdown(LIMIT).await);
     let _restarted = server::serve(net::TcpListener::bind(addr).unwrap(), handle).unwrap();
     assert_eq!(client.call(&Request::Ping).await, Ok(Reply::Pong));
 }
@@ -110,7 +113,7 @@
     });
     let stop = async {
         tokio::time::sleep(time::Duration::from_millis(20)).await;
-        server.shutdown().await;
+        assert!(server.shutdown(LIMIT).await);
     };
     let (reply, ()) = tokio::join!(call, stop);
     assert_eq!(
@@ -122,6 +125,24 @@
     );
 }
 
+/// Guards against a shutdown that waits for a peer that has not opened its connection, and against
+/// one without end beside a peer that does not read.
+#[ntex::test]
+async fn shutdown_ends_beside_silent_peers() {
+    let (server, client) = start();
+    let _unopened = net::TcpStream::connect(server.addr()).unwrap();
+    assert_eq!(client.call(&Request::Ping).await, Ok(Reply::Pong));
+    assert!(server.shutdown(LIMIT).await);
+
+    let (server, _) = start();
+    let mut frozen = net::TcpStream::connect(server.addr()).unwrap();
+    frozen
+        .write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+        .unwrap();
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    assert!(!server.shutdown(Millis(100)).await);
+}
+
 /// Guards against accepting a peer that speaks another version of the protocol.
 #[ntex::test]
 async fn an_unknown_protocol_is_refused() {
