wire: a request that a stopping server has not accepted counts as not sent

What callers saw: a submission, cancellation or change sent to a scheduler at the moment of its planned stop could be answered 504, outcome unknown, though the scheduler had not run it and said so.

Cause: the client took the end of a stream above the last one that the server accepts (a GOAWAY without error) for a lost answer.

Evidence: the new test a_call_beside_a_shutdown_is_answered_or_not_sent shuts the server down after 0 to 19 turns of the runtime.

Why it works: HTTP/2 guarantees that streams above the last one named were not processed, so the call is reported as not sent and the entry sends it to the next scheduler or answers "not run".

The test assumed that 20 ms suffice; it now stops the server once the handler runs and asks for the same whole answer.

--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -5,7 +5,7 @@
 use base::clock::Millis;
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use h2::client::SendRequest;
+use h2::{Reason, client::SendRequest};
 use ntex::rt;
 use tokio::{net::TcpStream, sync::Mutex, time};
 
@@ -22,7 +22,7 @@
 /// Failure of a call.
 #[derive(Clone, Debug, Display, Eq, PartialEq, Error)]
 pub enum WireError {
-    /// The request was not sent, so it had no effect.
+    /// The request was not sent or not processed, so it had no effect.
     #[display("not sent: {reason}")]
     NotSent {
         /// Cause of the failure.
@@ -202,7 +202,19 @@
         .map_err(|e| WireError::not_sent(&e))?;
     body.send_data(message, true)
         .map_err(|e| WireError::lost(&e))?;
-    let response = response.await.map_err(|e| WireError::lost(&e))?;
+    let response = response.await.map_err(|e| {
+        if is_unprocessed(&e) {
+            WireError::not_sent(&e)
+        } else {
+            WireError::lost(&e)
+        }
+    })?;
     let reply = frame::receive(&mut response.into_body()).await?;
     Ok(reply)
 }
+
+/// Returns whether the peer states that it has not processed the request: a graceful GOAWAY fails
+/// only the streams above the last one that the peer has accepted.
+fn is_unprocessed(e: &h2::Error) -> bool {
+    e.is_remote() && e.is_go_away() && e.reason() == Some(Reason::NO_ERROR)
+}
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -1,8 +1,9 @@
 //! Exchanges between a client and a server over loopback.
 
-use std::{io::Write, net, time};
+use std::{cell::Cell, io::Write, net, rc::Rc, time};
 
 use base::clock::Millis;
+use tokio::sync::oneshot;
 use wire::{
     client::{Client, WireError},
     message::{Effect, Reply, Request},
@@ -106,13 +107,22 @@
 /// Guards against a shutdown that aborts an exchange in progress.
 #[ntex::test]
 async fn shutdown_waits_for_exchanges() {
-    let (server, client) = start();
+    let (began, begun) = oneshot::channel();
+    let began = Rc::new(Cell::new(Some(began)));
+    let server = server::serve(listener(), move |req| {
+        if let Some(began) = began.take() {
+            began.send(()).unwrap();
+        }
+        handle(req)
+    });
+    let server = server.unwrap();
+    let client = Client::new(server.addr());
     let call = client.call(&Request::QuorumRead {
         member: 1,
         known_revision: 80,
     });
     let stop = async {
-        tokio::time::sleep(time::Duration::from_millis(20)).await;
+        begun.await.unwrap();
         assert!(server.shutdown(LIMIT).await);
     };
     let (reply, ()) = tokio::join!(call, stop);
@@ -125,6 +135,37 @@
     );
 }
 
+/// Guards against a call that is reported as lost although the server, which was shut down at any
+/// step of the call, has not run it.
+#[ntex::test]
+async fn a_call_beside_a_shutdown_is_answered_or_not_sent() {
+    let mut answered = 0;
+    for turns in 0..20 {
+        let runs = Rc::new(Cell::new(0));
+        let counted = runs.clone();
+        let server = server::serve(listener(), move |req| {
+            counted.set(counted.get() + 1);
+            handle(req)
+        });
+        let server = server.unwrap();
+        let client = Client::new(server.addr());
+        let stop = async {
+            for _ in 0..turns {
+                tokio::task::yield_now().await;
+            }
+            server.shutdown(LIMIT).await
+        };
+        let (reply, ended) = tokio::join!(client.call(&Request::Ping), stop);
+        assert!(ended, "turn {turns}: the server goes on");
+        match reply {
+            Ok(_) => answered += 1,
+            Err(WireError::NotSent { .. }) => assert_eq!(runs.get(), 0, "turn {turns}"),
+            Err(e) => panic!("turn {turns}: {} runs, {e}", runs.get()),
+        }
+    }
+    assert!(answered > 0);
+}
+
 /// Guards against a shutdown that waits for a peer that has not opened its connection, and against
 /// one without end beside a peer that does not read.
 #[ntex::test]
