wire: a server closes a connection once the peer has received its answers

What callers saw: by reading, answers of a stopping scheduler that were written but not yet received were lost, and the entry told its caller that the outcome is unknown.

Cause: the server closed the socket as soon as the last answer was handed to the system. Frames that the peer sends after that, such as window updates for the answer that it reads, reset the connection, and what the peer has not read is lost.

Evidence: the new test shutdown_delivers_large_answers (6 answers of 1 MB, a client that reads nothing for 100 ms, 8 rounds). The test now stops the server once all six handlers run.

Why it works: the server ends its side and reads until the peer ends its own, which the peer does when it has all answers. The limit of the shutdown bounds that.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod frame;
 pub mod message;
 pub mod server;
+mod socket;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -15,6 +15,7 @@
 use crate::{
     frame::{self, FrameError},
     message::{Effect, PROTOCOL, Reply, Request},
+    socket::Socket,
 };
 
 /// Maximum number of concurrent exchanges on one connection.
@@ -36,7 +37,8 @@
         self.addr
     }
 
-    /// Stops accepting exchanges and waits until all exchanges in progress are complete, or until `limit` has passed; returns whether they have.
+    /// Stops accepting exchanges and waits until the peers have received the answers to all
+    /// exchanges in progress, or until `limit` has passed; returns whether they have.
     pub async fn shutdown(self, limit: Millis) -> bool {
         let _ = self.stop.send(true);
         let ended = time::timeout(limit.to_duration(), self.stop.closed());
@@ -92,7 +94,7 @@
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
         .initial_window_size(frame::MAX_FRAME_BYTES as u32)
         .initial_connection_window_size(4 * frame::MAX_FRAME_BYTES as u32);
-    let handshake = builder.handshake::<_, Bytes>(tcp);
+    let handshake = builder.handshake::<_, Bytes>(Socket::new(tcp));
     let mut connection = tokio::select! {
         _ = stopped.changed() => return,
         connection = handshake => match connection {
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -1,9 +1,9 @@
 //! Exchanges between a client and a server over loopback.
 
-use std::{cell::Cell, io::Write, net, rc::Rc, time};
+use std::{cell::Cell, io::Write, net, rc::Rc, thread, time};
 
 use base::clock::Millis;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use wire::{
     client::{Client, WireError},
     message::{Effect, Reply, Request},
@@ -166,6 +166,55 @@
     assert!(answered > 0);
 }
 
+/// Guards against a shutdown that closes a connection before the peer has received its answers.
+#[ntex::test]
+async fn shutdown_delivers_large_answers() {
+    for round in 0..8 {
+        let listener = listener();
+        let client = Client::new(listener.local_addr().unwrap());
+        let (stop, stopped) = oneshot::channel();
+        let (began, mut begun) = mpsc::unbounded_channel();
+        let server = thread::spawn(move || {
+            ntex::rt::System::new("wire", ntex::rt::DefaultRuntime).block_on(async move {
+                let server = server::serve(listener, move |_| {
+                    began.send(()).unwrap();
+                    answer_large()
+                });
+                let server = server.unwrap();
+                stopped.await.unwrap();
+                server.shutdown(LIMIT).await
+            })
+        });
+        let calls: Vec<_> = (0..6)
+            .map(|_| {
+                let client = client.clone();
+                ntex::rt::spawn(async move { client.call(&Request::Ping).await })
+            })
+            .collect();
+        for _ in &calls {
+            begun.recv().await.unwrap();
+        }
+        stop.send(()).unwrap();
+        // The client reads nothing while the server sends.
+        thread::sleep(time::Duration::from_millis(100));
+        for call in calls {
+            let reply = call.await.unwrap().map(drop);
+            assert_eq!(reply, Ok(()), "round {round}");
+        }
+        let ended = ntex::rt::spawn_blocking(move || server.join().unwrap());
+        assert!(ended.await.unwrap(), "the server goes on");
+    }
+}
+
+async fn answer_large() -> Reply {
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    Reply::Failed {
+        code: "large".into(),
+        message: "x".repeat(1_000_000),
+        done: Effect::None,
+    }
+}
+
 /// Guards against a shutdown that waits for a peer that has not opened its connection, and against
 /// one without end beside a peer that does not read.
 #[ntex::test]
