--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -1,14 +1,18 @@
 //! Exchanges between a client and a server over loopback.
 
-use std::{net, time};
+use std::{cell::Cell, io::Write, net, rc::Rc, thread, time};
 
 use base::clock::Millis;
+use tokio::sync::{mpsc, oneshot};
 use wire::{
     client::{Client, WireError},
     message::{Effect, Reply, Request},
     server::{self, Server},
 };
 
+/// Time limit of a shutdown.
+const LIMIT: Millis = Millis(5_000);
+
 fn listener() -> net::TcpListener {
     net::TcpListener::bind("127.0.0.1:0").unwrap()
 }
@@ -95,7 +99,7 @@
     let (server, client) = start();
     assert_eq!(client.call(&Request::Ping).await, Ok(Reply::Pong));
     let addr = server.addr();
-    server.shutdown().await;
+    assert!(server.shutdown(LIMIT).await);
     let _restarted = server::serve(net::TcpListener::bind(addr).unwrap(), handle).unwrap();
     assert_eq!(client.call(&Request::Ping).await, Ok(Reply::Pong));
 }
@@ -103,14 +107,23 @@
 /// Guards against a shutdown that aborts an exchange in progress.
 #[ntex::test]
 async fn shutdown_waits_for_exchanges() {
-    let (server, client) = start();
+    let (began, begun) = oneshot::channel();
+    let began = Rc::new(Cell::new(Some(began)));
+    let server = server::serve(listener(), move |req| {
+        if let Some(began) = began.take() {
+            began.send(()).unwrap();
+        }
+        handle(req)
+    });
+    let server = server.unwrap();
+    let client = Client::new(server.addr());
     let call = client.call(&Request::QuorumRead {
         member: 1,
         known_revision: 80,
     });
     let stop = async {
-        tokio::time::sleep(time::Duration::from_millis(20)).await;
-        server.shutdown().await;
+        begun.await.unwrap();
+        assert!(server.shutdown(LIMIT).await);
     };
     let (reply, ()) = tokio::join!(call, stop);
     assert_eq!(
@@ -122,6 +135,104 @@
     );
 }
 
+/// Guards against a call that is reported as lost although the server, which was shut down at any
+/// step of the call, has not run it.
+#[ntex::test]
+async fn a_call_beside_a_shutdown_is_answered_or_not_sent() {
+    let mut answered = 0;
+    for turns in 0..20 {
+        let runs = Rc::new(Cell::new(0));
+        let counted = runs.clone();
+        let server = server::serve(listener(), move |req| {
+            counted.set(counted.get() + 1);
+            handle(req)
+        });
+        let server = server.unwrap();
+        let client = Client::new(server.addr());
+        let stop = async {
+            for _ in 0..turns {
+                tokio::task::yield_now().await;
+            }
+            server.shutdown(LIMIT).await
+        };
+        let (reply, ended) = tokio::join!(client.call(&Request::Ping), stop);
+        assert!(ended, "turn {turns}: the server goes on");
+        match reply {
+            Ok(_) => answered += 1,
+            Err(WireError::NotSent { .. }) => assert_eq!(runs.get(), 0, "turn {turns}"),
+            Err(e) => panic!("turn {turns}: {} runs, {e}", runs.get()),
+        }
+    }
+    assert!(answered > 0);
+}
+
+/// Guards against a shutdown that closes a connection before the peer has received its answers.
+#[ntex::test]
+async fn shutdown_delivers_large_answers() {
+    for round in 0..8 {
+        let listener = listener();
+        let client = Client::new(listener.local_addr().unwrap());
+        let (stop, stopped) = oneshot::channel();
+        let (began, mut begun) = mpsc::unbounded_channel();
+        let server = thread::spawn(move || {
+            ntex::rt::System::new("wire", ntex::rt::DefaultRuntime).block_on(async move {
+                let server = server::serve(listener, move |_| {
+                    began.send(()).unwrap();
+                    answer_large()
+                });
+                let server = server.unwrap();
+                stopped.await.unwrap();
+                server.shutdown(LIMIT).await
+            })
+        });
+        let calls: Vec<_> = (0..6)
+            .map(|_| {
+                let client = client.clone();
+                ntex::rt::spawn(async move { client.call(&Request::Ping).await })
+            })
+            .collect();
+        for _ in &calls {
+            begun.recv().await.unwrap();
+        }
+        stop.send(()).unwrap();
+        // The client reads nothing while the server sends.
+        thread::sleep(time::Duration::from_millis(100));
+        for call in calls {
+            let reply = call.await.unwrap().map(drop);
+            assert_eq!(reply, Ok(()), "round {round}");
+        }
+        let ended = ntex::rt::spawn_blocking(move || server.join().unwrap());
+        assert!(ended.await.unwrap(), "the server goes on");
+    }
+}
+
+async fn answer_large() -> Reply {
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    Reply::Failed {
+        code: "large".into(),
+        message: "x".repeat(1_000_000),
+        done: Effect::None,
+    }
+}
+
+/// Guards against a shutdown that waits for a peer that has not opened its connection, and against
+/// one without end beside a peer that does not read.
+#[ntex::test]
+async fn shutdown_ends_beside_silent_peers() {
+    let (server, client) = start();
+    let _unopened = net::TcpStream::connect(server.addr()).unwrap();
+    assert_eq!(client.call(&Request::Ping).await, Ok(Reply::Pong));
+    assert!(server.shutdown(LIMIT).await);
+
+    let (server, _) = start();
+    let mut frozen = net::TcpStream::connect(server.addr()).unwrap();
+    frozen
+        .write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
+        .unwrap();
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    assert!(!server.shutdown(Millis(100)).await);
+}
+
 /// Guards against accepting a peer that speaks another version of the protocol.
 #[ntex::test]
 async fn an_unknown_protocol_is_refused() {
