tests: process tests can play another build, and read bodies on open connections

Clients that keep their connection open read the bodies of answers, and a process can be sent SIGHUP. No test changes by it.

--- a/crates/cli/tests/common/keep_alive.rs
+++ b/crates/cli/tests/common/keep_alive.rs
@@ -5,6 +5,8 @@
     net, time,
 };
 
+use serde_json::Value;
+
 use super::TIMEOUT;
 
 /// What became of a request.
@@ -24,6 +26,8 @@
     tcp: net::TcpStream,
     /// Whether the server has asked to close it.
     closing: bool,
+    /// Body of the last answer.
+    body: Vec<u8>,
 }
 
 impl Connection {
@@ -31,8 +35,18 @@
         let tcp = net::TcpStream::connect_timeout(&addr, time::Duration::from_secs(2))?;
         tcp.set_read_timeout(Some(TIMEOUT))?;
         tcp.set_nodelay(true)?;
-        let closing = false;
-        Ok(Self { tcp, closing })
+        let (closing, body) = (false, Vec::new());
+        Ok(Self { tcp, closing, body })
+    }
+
+    /// Sets the time after which an answer that has not arrived is given up.
+    pub fn set_limit(&self, limit: time::Duration) -> io::Result<()> {
+        self.tcp.set_read_timeout(Some(limit))
+    }
+
+    /// Returns the body of the last answer as JSON; null if it is not JSON.
+    pub fn body(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
     }
 
     /// Returns whether the connection takes another request.
@@ -85,6 +99,7 @@
         while buf.len() < head + length {
             self.read_some(&mut buf)?;
         }
+        self.body = buf.split_off(head);
         text.split(' ').nth(1)?.parse().ok()
     }
 
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -5,7 +5,7 @@
 pub mod keep_alive;
 
 use std::{
-    fs, net, path, process,
+    env, fs, net, path, process,
     sync::atomic::{AtomicU16, Ordering},
     thread, time,
 };
@@ -85,7 +85,10 @@
             .append(true)
             .open(settings.with_extension("log"))
             .unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_buckthorncove"))
+        // Another build can be played in its place.
+        let bin = env::var_os("BUCKTHORNCOVE_BIN");
+        let bin = bin.unwrap_or_else(|| env!("CARGO_BIN_EXE_buckthorncove").into());
+        let child = process::Command::new(bin)
             .arg(role)
             .arg(&settings)
             .stdout(log.try_clone().unwrap())
@@ -136,6 +139,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits until the process has ended and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let status = wait_until("end of the process", TIMEOUT, || {
