fleet: callers keep connections open, planned work at any time, and a judge for all kinds of LOST

The fleet opened one connection a request, played kills only, and judged at its end.

Change: callers keep up to 300 connections open and use three in four requests on them; new ones go to nodes in rotation (readiness once a second, out after two misses). Beside the traffic, seeded: rolls of all 33 nodes by SIGTERM in groups of 1 to 7 that overlap, the leader first; SIGHUP; changes of routes, API keys and targets; kills of the leader. Judged: requests without a whole answer later than 200 ms after they were sent, at any time (a node that was killed within 4 s aside); accepted jobs that are answered 410 after 3 s, or shown as failed or cancelled; jobs that are not known 14 s after the traffic; processes that end by themselves. The existing judge stays. All plays of the file have these callers now, and are judged by all of it.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -2,8 +2,8 @@
 //! see: accepted work that could run does run, and nothing runs twice.
 //!
 //! `cargo test --release -p buckthorncove --test fleet -- --ignored --nocapture --test-threads 1`
-//! `FLEET_SEED`, `FLEET_SECONDS`, `FLEET_LOAD`, `FLEET_SHARE`, `FLEET_SLICE=1` and
-//! `FLEET_LIMIT_SECONDS` select other runs.
+//! `FLEET_SEED`, `FLEET_SECONDS`, `FLEET_LOAD`, `FLEET_READERS`, `FLEET_SHARE`, `FLEET_SLICE=1` and
+//! `FLEET_LIMIT_SECONDS` select other runs; `BUCKTHORNCOVE_BIN` is the path of another build to play.
 
 mod cluster;
 mod common;
@@ -21,8 +21,10 @@
 
 use platform_standin::worker::{Run, Worker};
 use site::{
-    Fleet, Limit, ROOM, Short, WORKERS,
+    Fleet, Limit, ROOM, Short, WORKERS, judge,
+    rotation::Rotation,
     traffic::{CLASSES, Callers, Fate, INTERVAL, Job},
+    troubles::{Counts, Troubles},
 };
 
 /// Time after the traffic by which accepted work has to run, and the time after that which is judged.
@@ -36,6 +38,8 @@
 const PRINTED_STANDS: usize = 12;
 /// Busy loops of a busy machine.
 const LOOPS: usize = 6;
+/// Callers that read states.
+const READERS: f64 = 8.0;
 
 fn env_or(name: &str, default: f64) -> f64 {
     env::var(name)
@@ -186,15 +190,24 @@
 #[derive(Clone, Copy, Debug)]
 struct Trouble {
     short: Short,
-    kills: u32,
+    counts: Counts,
     loops: usize,
 }
 
-const CALM: Trouble = Trouble {
-    short: Short::None,
-    kills: 0,
-    loops: 0,
-};
+const CALM: Trouble = troubles(0, 0, 0, 0);
+
+const fn troubles(kills: u32, rolls: u32, reloads: u32, changes: u32) -> Trouble {
+    Trouble {
+        short: Short::None,
+        counts: Counts {
+            kills,
+            rolls,
+            reloads,
+            changes,
+        },
+        loops: 0,
+    }
+}
 
 /// Plays the traffic and asserts the promises.
 fn play(test: &str, trouble: Trouble) {
@@ -207,9 +220,10 @@
     };
     eprintln!("{test}: seed {seed}, load {load}, {length:?}, {trouble:?}, {limit:?}");
     let mut fleet = Fleet::start(test);
-    let callers = Callers::new(fleet.addrs.clone());
-    let (before, began) = (fleet.processor_time(), time::Instant::now());
     let over: Arc<AtomicBool> = Arc::default();
+    let rotation = Rotation::start(fleet.addrs.clone(), &fleet.ready_addrs, &over);
+    let callers = Callers::new(rotation.clone(), env_or("FLEET_READERS", READERS) as usize);
+    let (before, began) = (fleet.processor_time(), time::Instant::now());
     let limit_over: Arc<AtomicBool> = Arc::default();
     let limiter = fleet.limit(limit, limit_over.clone());
     let (limit_end, limit_time) = (limit_over.clone(), env_or("FLEET_LIMIT_SECONDS", 600.0));
@@ -217,24 +231,16 @@
         thread::sleep(time::Duration::from_secs_f64(limit_time));
         limit_end.store(true, Ordering::Relaxed);
     });
-    for _ in 0..trouble.loops {
-        let over = over.clone();
-        thread::spawn(move || {
-            while !over.load(Ordering::Relaxed) {
-                hint::spin_loop();
-            }
-        });
-    }
+    spin(trouble.loops, &over);
     let player = callers.clone();
     let traffic = thread::spawn(move || player.play(seed, load, length));
-    for i in 0..trouble.kills {
-        let at = length * (i + 1) / (trouble.kills + 1);
-        thread::sleep(at.saturating_sub(began.elapsed()));
-        fleet.kill_leader();
-    }
+    let mut troubles = Troubles::new(seed, length, trouble.counts);
+    troubles.play(&mut fleet, || traffic.is_finished());
     traffic.join().unwrap();
     let ended = time::Instant::now();
-    thread::sleep(FINISH + JUDGED);
+    thread::sleep(FINISH);
+    let mut broken = ask_for_all(&callers);
+    thread::sleep((FINISH + JUDGED).saturating_sub(ended.elapsed()));
     let judged_until = time::Instant::now();
     let leader = fleet.leader();
     let after = fleet.processor_time();
@@ -259,16 +265,7 @@
         .filter(|(j, s)| is_early((j, s)))
         .count();
     eprintln!("states {states:?}");
-    let cpu: Vec<f64> = iter::zip(&after, &before).map(|(a, b)| a - b).collect();
-    let span = judged_until.duration_since(began);
-    let (all, most) = (
-        cpu.iter().sum::<f64>(),
-        cpu.iter().copied().fold(0.0, f64::max),
-    );
-    eprintln!(
-        "leader n{leader}: {:.2} s of processor time in {span:.0?}; all nodes {all:.1} s, most {most:.2} s",
-        cpu[leader]
-    );
+    print_processor_time(leader, &before, &after, judged_until - began);
     print_counts(&jobs, &record);
     print_nodes(&fleet);
     print_use(&jobs, &record, began, judged_until);
@@ -281,6 +278,12 @@
         (ended + FINISH, judged_until),
     );
     let lost = record.stands(&jobs, ended + FINISH, judged_until);
+    broken.extend(callers.seen.lock().unwrap().lost(&troubles.events, began));
+    let ends = troubles.ends();
+    eprintln!("refused connections {}, ends {ends}", rotation.refused());
+    for line in &broken {
+        eprintln!("  LOST: {line}");
+    }
     let workers = fleet.workers.clone();
     drop(fleet);
     cluster::check_runs(&workers);
@@ -289,6 +292,12 @@
         "seed {seed}: {} accepted jobs stand still",
         lost.len()
     );
+    assert!(
+        broken.is_empty(),
+        "seed {seed}: {} cases of LOST",
+        broken.len()
+    );
+    assert_eq!(ends, 0, "seed {seed}: processes ended by themselves");
     assert_eq!(early, 0, "seed {seed}: open jobs are shown as completed");
     let unknown = states.keys().find(|s| s.starts_with("410"));
     assert!(
@@ -297,6 +306,38 @@
     );
 }
 
+/// Keeps processors busy until `over` is set.
+fn spin(loops: usize, over: &Arc<AtomicBool>) {
+    for _ in 0..loops {
+        let over = over.clone();
+        thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                hint::spin_loop();
+            }
+        });
+    }
+}
+
+/// Asks for all accepted jobs; returns a line for each that is not known.
+fn ask_for_all(callers: &Callers) -> Vec<String> {
+    let jobs = callers.jobs.lock().unwrap().clone();
+    let accepted = jobs.iter().filter(|j| j.fate == Fate::Accepted);
+    let states: Vec<String> = accepted.map(|j| callers.state_at_last(j)).collect();
+    judge::unknown(&jobs, &states)
+}
+
+fn print_processor_time(leader: usize, before: &[f64], after: &[f64], span: time::Duration) {
+    let cpu: Vec<f64> = iter::zip(after, before).map(|(a, b)| a - b).collect();
+    let (all, most) = (
+        cpu.iter().sum::<f64>(),
+        cpu.iter().copied().fold(0.0, f64::max),
+    );
+    eprintln!(
+        "leader n{leader}: {:.2} s of processor time in {span:.0?}; all nodes {all:.1} s, most {most:.2} s",
+        cpu[leader]
+    );
+}
+
 fn print_nodes(fleet: &Fleet) {
     for (name, value) in fleet.metrics() {
         eprintln!("  {name} {value}");
@@ -404,14 +445,14 @@
 #[test]
 #[ignore = "350 workers and 33 processes for a minute"]
 fn work_goes_on_after_a_takeover() {
-    play("fleet-kill", Trouble { kills: 1, ..CALM });
+    play("fleet-kill", troubles(1, 0, 0, 0));
 }
 
 /// Guards against work that stands still after takeovers in a row.
 #[test]
 #[ignore = "350 workers and 33 processes for a minute"]
 fn work_goes_on_after_two_takeovers() {
-    play("fleet-kills", Trouble { kills: 2, ..CALM });
+    play("fleet-kills", troubles(2, 0, 0, 0));
 }
 
 /// Guards against work that stands still on a busy machine.
@@ -426,3 +467,52 @@
         },
     );
 }
+
+/// Guards against requests and jobs that planned stops of all nodes lose.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn nothing_is_lost_in_a_roll() {
+    play("fleet-roll", troubles(0, 1, 0, 0));
+}
+
+/// Guards against requests that planned stops cut because the nodes wait for a processor.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn nothing_is_lost_in_a_roll_on_a_busy_machine() {
+    let loops = LOOPS;
+    play(
+        "fleet-busy-roll",
+        Trouble {
+            loops,
+            ..troubles(0, 2, 0, 0)
+        },
+    );
+}
+
+/// Guards against requests that planned stops of nodes with little processor time cut.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn nothing_is_lost_in_a_roll_of_slow_nodes() {
+    let short = Short::All;
+    play(
+        "fleet-slow-roll",
+        Trouble {
+            short,
+            ..troubles(0, 2, 0, 0)
+        },
+    );
+}
+
+/// Guards against requests and jobs that planned work of all kinds loses when it overlaps.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn nothing_is_lost_in_overlapping_planned_work() {
+    play("fleet-planned", troubles(0, 2, 12, 12));
+}
+
+/// Guards against jobs that are lost when nodes are killed beside planned work.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn nothing_is_lost_in_planned_work_beside_kills() {
+    play("fleet-planned-kills", troubles(3, 2, 6, 6));
+}
--- a/crates/cli/tests/site/mod.rs
+++ b/crates/cli/tests/site/mod.rs
@@ -1,6 +1,9 @@
 //! A fleet of real nodes on stand-ins for the store and hundreds of workers.
 
+pub mod judge;
+pub mod rotation;
 pub mod traffic;
+pub mod troubles;
 
 use std::{
     collections::BTreeMap,
@@ -27,7 +30,7 @@
 /// Number of nodes and workers, and of the data centres that they are spread over.
 pub const NODES: usize = 33;
 pub const WORKERS: usize = 350;
-const DATA_CENTRES: usize = 5;
+pub const DATA_CENTRES: usize = 5;
 /// Time that a member of a gang waits for the others (`gang-timeout-ms` of the site).
 const GANG_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 /// Workers per rack.
@@ -68,6 +71,8 @@
 pub struct Fleet {
     pub nodes: Vec<Process>,
     pub addrs: Addrs,
+    /// Addresses at which the balancer asks for readiness.
+    pub ready_addrs: Addrs,
     operator_addrs: Vec<net::SocketAddr>,
     pub store: Store,
     pub workers: Vec<Worker>,
@@ -82,7 +87,7 @@
         eprintln!("logs in {}", dir.display());
         let stop: Arc<AtomicBool> = Arc::default();
         let store = Store::start(&stop).unwrap();
-        store.put("op", "config", &config());
+        store.put("op", "config", &config(1, 0, 1));
         let gangs = Gangs::new(GANG_TIMEOUT);
         let start = |i: usize| {
             let run_time = time::Duration::ZERO;
@@ -100,10 +105,11 @@
         keep_registered(workers.clone(), store.clone(), stop.clone());
         let addrs: Vec<_> = (0..NODES).map(|_| common::free_addr()).collect();
         let operator_addrs: Vec<_> = (0..NODES).map(|_| common::free_addr()).collect();
+        let ready_addrs: Vec<_> = (0..NODES).map(|_| common::free_addr()).collect();
         let node = |i: usize| {
             let share = if i < LARGE_NODES { 0.5 } else { 0.12 };
             let cfg = json!({"name": format!("n{i}"), "zone": format!("dc-{}", i % DATA_CENTRES),
-                "listen": addrs[i], "listen_ready": common::free_addr(),
+                "listen": addrs[i], "listen_ready": ready_addrs[i],
                 "listen_metrics": operator_addrs[i], "store": store.addr(), "row_bytes": 65_536,
                 "worker_lease_ms": 6_000, "worker_heartbeat_ms": 1_500, "revoke_ms": 5_000,
                 "keep_ms": 120_000, "restore_ms": 100, "cpu_share": share, "cores": 1,
@@ -116,6 +122,7 @@
         let mut fleet = Self {
             nodes,
             addrs: Arc::new(addrs),
+            ready_addrs: Arc::new(ready_addrs),
             operator_addrs,
             store,
             workers,
@@ -142,13 +149,12 @@
         find_leader(&self.store, &self.operator_addrs)
     }
 
-    pub fn kill_leader(&mut self) {
-        let i = self.leader();
+    /// Kills a node that still runs, and starts it again.
+    pub fn replace(&mut self, i: usize) {
         let mut pids = self.pids.lock().unwrap();
         self.nodes[i].kill();
         self.nodes[i].restart();
         pids[i] = self.nodes[i].pid();
-        eprintln!("killed and restarted the leader, node {i}");
     }
 
     /// Limits the processor time of nodes until `until`.
@@ -330,19 +336,31 @@
     });
 }
 
-fn config() -> Value {
+/// Returns a configuration with additional routes, each with an API key of its own.
+fn config(version: u64, extra: usize, target_factor: u64) -> Value {
     let route = |c: &traffic::Class| {
         json!({"name": c.queue, "host": "callers.example", "path-prefix": format!("/{}/", c.queue),
             "service": "svc", "priority": c.priority, "max-attempts": 4, "slack-factor": 3.0,
-            "target-latency-ms": c.target_ms})
+            "target-latency-ms": c.target_ms * target_factor})
     };
+    let extra_route = |i: usize| {
+        json!({"name": format!("extra-{i}"), "host": "callers.example",
+            "path-prefix": format!("/extra-{i}/"), "service": "svc", "priority": 2})
+    };
+    let routes = CLASSES.iter().map(route).chain((0..extra).map(extra_route));
     // 62% of all accelerators are guaranteed.
     let guaranteed = WORKERS as u64 * ROOM[2] * 62 / 100 / ORGANISATIONS as u64;
+    let api_keys = |i: usize| -> Vec<String> {
+        let added = (i..extra)
+            .step_by(ORGANISATIONS)
+            .map(|n| format!("extra-key-{n}"));
+        [format!("key-{i}")].into_iter().chain(added).collect()
+    };
     let tenant = |i: usize| {
-        json!({"name": format!("org-{i}"), "api-keys": [format!("key-{i}")],
+        json!({"name": format!("org-{i}"), "api-keys": api_keys(i),
             "guaranteed": {"gpu": guaranteed}})
     };
-    json!({"version": 1, "routes": CLASSES.iter().map(route).collect::<Vec<_>>(),
+    json!({"version": version, "routes": routes.collect::<Vec<_>>(),
         "services": [{"name": "svc", "admission-check": true}],
         "limits": {"max-body-bytes": 262_144},
         "tenants": (0..ORGANISATIONS).map(tenant).collect::<Vec<_>>()})
--- a/crates/cli/tests/site/traffic.rs
+++ b/crates/cli/tests/site/traffic.rs
@@ -12,18 +12,21 @@
 use fastrand::Rng;
 use serde_json::{Value, json};
 
-use super::Addrs;
-use crate::common;
+use super::{
+    judge::{self, Seen},
+    rotation::Rotation,
+};
+use crate::common::keep_alive::Outcome;
 
 /// Number of organisations.
 pub const ORGANISATIONS: usize = 10;
-/// Time that callers wait for an answer.
-const CALL_LIMIT_MS: &str = "3000";
 /// Pause of a caller before the next try.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
-/// Number of callers that read the state of accepted jobs, and the pause of each.
-const READERS: usize = 8;
+/// Pause of a caller that reads the state of accepted jobs, and interval of its requests on other routes.
 const READ_PAUSE: time::Duration = time::Duration::from_millis(40);
+const EXTRA_INTERVAL: usize = 8;
+/// Number of routes that are requested though they may not exist.
+const EXTRA_ROUTES: usize = 200;
 
 /// Jobs of one queue, as the site's description names them.
 pub struct Class {
@@ -82,6 +85,7 @@
     pub occurrences: u64,
     pub sent: time::Instant,
     pub fate: Fate,
+    pub accepted: Option<time::Instant>,
     key: String,
 }
 
@@ -115,6 +119,7 @@
             occurrences: if rng.f64() < c.repeats { 4 } else { 0 },
             sent: time::Instant::now(),
             fate: Fate::Unknown,
+            accepted: None,
             key: format!("key-{}", rng.usize(..ORGANISATIONS)),
         }
     }
@@ -147,19 +152,22 @@
 /// Callers and their jobs.
 #[derive(Clone)]
 pub struct Callers {
-    addrs: Addrs,
+    rotation: Arc<Rotation>,
     pub jobs: Arc<Mutex<Vec<Job>>>,
+    pub seen: Arc<Mutex<Seen>>,
     stop: Arc<AtomicBool>,
 }
 
 impl Callers {
-    pub fn new(addrs: Addrs) -> Self {
+    /// Starts callers, `readers` of which read states.
+    pub fn new(rotation: Arc<Rotation>, readers: usize) -> Self {
         let callers = Self {
-            addrs,
+            rotation,
             jobs: Arc::default(),
+            seen: Arc::default(),
             stop: Arc::default(),
         };
-        for _ in 0..READERS {
+        for _ in 0..readers {
             let callers = callers.clone();
             thread::spawn(move || callers.read_states());
         }
@@ -200,10 +208,7 @@
     fn submit(&self, index: usize, job: &Job, body: &str, cancel_after: Option<time::Duration>) {
         let mut fate = Fate::Refused;
         for _ in 0..CLASSES[job.class].tries {
-            match self
-                .send("POST", &job.path(), &job.key, body)
-                .map(|a| a.status)
-            {
+            match self.send("POST", &job.path(), &job.key, body).map(|a| a.0) {
                 Some(200..=299) => {
                     fate = Fate::Accepted;
                     break;
@@ -214,7 +219,10 @@
             }
             thread::sleep(RETRY_PAUSE);
         }
-        self.jobs.lock().unwrap()[index].fate = fate;
+        let mut jobs = self.jobs.lock().unwrap();
+        jobs[index].fate = fate;
+        jobs[index].accepted = (fate == Fate::Accepted).then(time::Instant::now);
+        drop(jobs);
         if let Some(after) = cancel_after
             && fate != Fate::Refused
         {
@@ -222,7 +230,7 @@
             self.jobs.lock().unwrap()[index].fate = Fate::Cancelled;
             for _ in 0..3 {
                 let answer = self.send("DELETE", &job.path(), &job.key, "");
-                if answer.is_some_and(|a| a.status < 300 || a.status == 410) {
+                if answer.is_some_and(|a| a.0 < 300 || a.0 == 410) {
                     return;
                 }
                 thread::sleep(RETRY_PAUSE);
@@ -230,36 +238,88 @@
         }
     }
 
-    fn send(&self, method: &str, path: &str, key: &str, body: &str) -> Option<common::Answer> {
-        let bearer = format!("Bearer {key}");
-        let headers = [
-            ("authorization", bearer.as_str()),
-            ("x-deadline-ms", CALL_LIMIT_MS),
-        ];
-        let addr = self.addrs[fastrand::usize(..self.addrs.len())];
-        common::http::send_with_host("callers.example", addr, method, path, &headers, body)
+    /// Sends a request on an open connection or a new one; returns the status and the body.
+    fn send(&self, method: &str, path: &str, key: &str, body: &str) -> Option<(u16, Value)> {
+        loop {
+            let (node, mut connection, is_kept) = self.rotation.take()?;
+            let sent = time::Instant::now();
+            match connection.send(method, path, key, body) {
+                Outcome::Answered { status } => {
+                    let body = connection.body();
+                    self.rotation.put_back(node, connection);
+                    return Some((status, body));
+                }
+                Outcome::Cut { after } => {
+                    let what = format!("{method} {path}");
+                    let cut = judge::Cut {
+                        node,
+                        sent,
+                        after,
+                        what,
+                        is_kept,
+                    };
+                    self.seen.lock().unwrap().cuts.push(cut);
+                    return None;
+                }
+                Outcome::NotSent => {}
+            }
+        }
     }
 
     /// Returns the state of a job; empty without an answer.
     pub fn state(&self, job: &Job) -> String {
         let answer = self.send("GET", &job.path(), &job.key, "");
-        answer.map_or_else(String::new, |a| match a.status {
-            200 => a.text("state").to_owned(),
+        answer.map_or_else(String::new, |(status, body)| match status {
+            200 => body["state"].as_str().unwrap_or_default().to_owned(),
             status => status.to_string(),
         })
     }
 
+    /// Returns the state of a job, with as many tries as callers make.
+    pub fn state_at_last(&self, job: &Job) -> String {
+        let mut state = String::new();
+        for _ in 0..judge::TRIES {
+            state = self.state(job);
+            if !state.is_empty() && state.parse::<u16>().is_err() {
+                break;
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+        state
+    }
+
     fn read_states(&self) {
-        while !self.stop.load(Ordering::Relaxed) {
+        for i in 0.. {
+            if self.stop.load(Ordering::Relaxed) {
+                return;
+            }
             thread::sleep(READ_PAUSE);
+            if i % EXTRA_INTERVAL == 0 {
+                let n = fastrand::usize(..EXTRA_ROUTES);
+                self.send(
+                    "GET",
+                    &format!("/extra-{n}/"),
+                    &format!("extra-key-{n}"),
+                    "",
+                );
+            }
             let jobs = self.jobs.lock().unwrap();
             if jobs.is_empty() {
                 continue;
             }
-            let job = jobs[fastrand::usize(..jobs.len())].clone();
+            let index = fastrand::usize(..jobs.len());
+            let job = jobs[index].clone();
             drop(jobs);
             if job.fate == Fate::Accepted {
-                self.state(&job);
+                let sent = time::Instant::now();
+                let state = self.state(&job);
+                // A job that was cancelled in between may be shown so.
+                if self.jobs.lock().unwrap()[index].fate == Fate::Accepted
+                    && judge::is_wrong(&state, sent, &job)
+                {
+                    let text = format!("job {:016x}: {state}", job.id);
+                    self.seen.lock().unwrap().wrong.push((sent, text));
+                }
             }
         }
     }
