--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -6,7 +6,7 @@
 pub mod open_callers;
 
 use std::{
-    fs, net, path, process,
+    env, fs, net, path, process,
     sync::atomic::{AtomicU16, Ordering},
     thread, time,
 };
@@ -86,7 +86,10 @@
             .append(true)
             .open(settings.with_extension("log"))
             .unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_buckthorncove"))
+        // Another build can be played in its place.
+        let bin = env::var_os("BUCKTHORNCOVE_BIN");
+        let bin = bin.unwrap_or_else(|| env!("CARGO_BIN_EXE_buckthorncove").into());
+        let child = process::Command::new(bin)
             .arg(role)
             .arg(&settings)
             .stdout(log.try_clone().unwrap())
