entry: a planned stop waits until callers have received their answers

What callers saw: a caller that reads a long answer slowly lost the rest of it when the entry was stopped.

Cause: a request counted as under way until its handler returned, not until its answer was written.

Evidence: the new test a_stop_waits_for_callers_that_read_slowly (an answer of nearly 4 MB, a caller that reads it 4 s after the signal).

Why it works: after the last request has ended no new one begins, so the buffers of the connections only empty; the stop goes on when all of them are handed to the system, or after 10 s. The log says when the callers were drained, and counts the answers that are cut.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -254,9 +254,11 @@
 
 fn count_connection(cx: &Rc<Entry>, io: ntex::io::IoRef) {
     cx.connections.set(cx.connections.get() + 1);
+    cx.callers.borrow_mut().insert(io.clone());
     let cx = cx.clone();
     rt::spawn(async move {
         io.on_disconnect().await;
+        cx.callers.borrow_mut().remove(&io);
         cx.connections.set(cx.connections.get() - 1);
     });
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -31,6 +31,8 @@
 const SPARE_CONNECTIONS: usize = 64;
 /// Interval at which a planned stop checks for requests in flight and unsettled claims.
 const DRAIN_POLL_PERIOD: Millis = Millis(5);
+/// Time in which callers have to receive their answers in a planned stop.
+const WRITE_TIMEOUT: Millis = Millis(10_000);
 /// Time for which a drained entry still answers requests that arrive late.
 const LATE_REQUEST_GRACE: Millis = Millis(100);
 /// Timeout for each of the last writes to the table service in a planned stop.
@@ -276,8 +278,13 @@
 /// Waits for a stop request, drains the entry and removes it from the members.
 async fn stop(cx: &Rc<Entry>, mut stopped: watch::Receiver<bool>) {
     let _ = stopped.wait_for(|stop| *stop).await;
+    let began = clock::now();
     cx.phase.set(Phase::Notice);
-    log::info!("entry: not ready, draining in {}", cx.cfg.stop_notice);
+    log::info!(
+        "entry: not ready, draining in {}, {} requests under way",
+        cx.cfg.stop_notice,
+        cx.in_flight.get()
+    );
     time::sleep(cx.cfg.stop_notice.to_duration()).await;
     cx.phase.set(Phase::Draining);
     let max_duration = cx.cfg.max_deadline.max(cx.cfg.scheduler_timeout) + cx.cfg.body_timeout;
@@ -285,12 +292,17 @@
     while cx.in_flight.get() > 0 && clock::now() < end {
         time::sleep(DRAIN_POLL_PERIOD.to_duration()).await;
     }
-    if cx.in_flight.get() > 0 {
-        log::error!(
-            "entry: stops with {} requests under way",
-            cx.in_flight.get()
-        );
+    let end = clock::now() + WRITE_TIMEOUT;
+    while cx.unwritten() > 0 && clock::now() < end {
+        time::sleep(DRAIN_POLL_PERIOD.to_duration()).await;
+    }
+    let (requests, answers) = (cx.in_flight.get(), cx.unwritten());
+    if requests + answers > 0 {
+        log::error!("entry: stops with {requests} requests under way and {answers} answers unread");
     }
+    let connections = cx.connections.get();
+    let took = clock::now().since(began);
+    log::info!("entry: callers drained in {took}, {connections} connections are open");
     time::sleep(LATE_REQUEST_GRACE.to_duration()).await;
     flush_and_leave(cx).await;
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashSet,
     net,
     rc::Rc,
 };
@@ -10,7 +11,7 @@
 use claim::{claim_cfg::ClaimCfg, claims::Claims, driver::Driver};
 use derive_more::Display;
 use member::{fences::Fences, membership::Renewal};
-use ntex::http::HeaderMap;
+use ntex::{http::HeaderMap, io::IoRef};
 use route::limits_cfg::LimitsCfg;
 use schema::service::Service;
 use serde::Serialize;
@@ -62,6 +63,8 @@
     pub in_flight: Cell<usize>,
     /// Number of connections from callers and operators.
     pub connections: Cell<usize>,
+    /// Open connections from callers and operators.
+    pub callers: RefCell<HashSet<IoRef>>,
     /// Memory budget for request bodies.
     pub body_memory: Rc<BodyMemory>,
     /// Configuration in force.
@@ -116,6 +119,7 @@
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
+            callers: RefCell::default(),
             body_memory: Rc::new(BodyMemory::new(cfg.body_memory)),
             config: CurrentConfig::default(),
             config_read_lock: Mutex::new(()),
@@ -145,6 +149,13 @@
         Ok(InFlightGuard(self.clone()))
     }
 
+    /// Returns the number of connections whose answers are not yet handed to the system.
+    pub fn unwritten(&self) -> usize {
+        let callers = self.callers.borrow();
+        let unwritten = |io: &&IoRef| !io.is_closed() && io.with_write_dst_buf(|b| b.len()) > 0;
+        callers.iter().filter(unwritten).count()
+    }
+
     /// Returns whether the load balancer should send requests to this entry.
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
--- a/crates/entry/tests/entry/setup.rs
+++ b/crates/entry/tests/entry/setup.rs
@@ -216,6 +216,12 @@
         self
     }
 
+    /// Sets the number of padding bytes in the answers of the backend stand-ins.
+    pub fn answer_bytes(mut self, bytes: usize) -> Self {
+        self.backend.answer_bytes = bytes;
+        self
+    }
+
     /// Sets the replies that the scheduler gives in turn; the last one is repeated.
     pub fn replies(mut self, replies: Vec<Reply>) -> Self {
         self.replies = replies;
--- a/crates/entry/tests/entry/stop.rs
+++ b/crates/entry/tests/entry/stop.rs
@@ -1,13 +1,17 @@
 //! Planned stops of an entry.
 
 use std::{
+    io::Write,
+    net::TcpStream,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::Duration,
 };
 
+use base::limits;
 use serde_json::json;
 
 use crate::setup::{self, Response};
@@ -126,3 +130,25 @@
     system.entries.remove(0).stop();
     assert_eq!(running.join().unwrap().status, 200);
 }
+
+/// Guards against a stop that ends while a caller still reads a long answer.
+#[test]
+fn a_stop_waits_for_callers_that_read_slowly() {
+    let bytes = limits::ANSWER_BYTES - (64 << 10);
+    let mut system = setup::system().answer_bytes(bytes).start();
+    let mut tcp = TcpStream::connect(system.addr()).unwrap();
+    tcp.set_read_timeout(Some(setup::TIMEOUT)).unwrap();
+    let bearer = format!("Bearer {}", setup::TOKEN);
+    let headers = [("authorization", &*bearer)];
+    let request = setup::request("POST", "/call/refund/score", &headers, b"{}");
+    tcp.write_all(&request).unwrap();
+    setup::eventually("the request has run", || {
+        system.runs() == 1 && system.dump()["in_flight"] == 0
+    });
+    let entry = system.entries.remove(0);
+    let stop = thread::spawn(move || entry.stop());
+    thread::sleep(Duration::from_secs(4));
+    let got = setup::receive(&mut tcp).expect("a whole answer");
+    assert!(got.body.len() > bytes, "{} bytes", got.body.len());
+    stop.join().unwrap();
+}
