entry, sched: SIGHUP does not end the process, and a scheduler handles signals before it listens

What callers saw: a request under way, a transfer for example, ended without an answer when an entry got SIGHUP.

Cause: entries and schedulers left SIGHUP to its default action, which kills the process. A scheduler also opened its listeners before it handled SIGTERM and SIGINT, so that a signal in between killed it (by reading, not reproduced).

Why it works: both processes handle and log SIGHUP, as a node does, and a scheduler installs its handlers before its listeners.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -136,6 +136,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits until the process has ended and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let status = wait_until("end of the process", TIMEOUT, || {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -126,19 +126,23 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let (mut term, mut int) = {
+    let (mut term, mut int, mut hup) = {
         let _guard = runtime.enter();
         (
             signal(SignalKind::terminate())?,
             signal(SignalKind::interrupt())?,
+            signal(SignalKind::hangup())?,
         )
     };
     let handle = start(cfg)?;
     log::info!("entry: listening on {}", handle.addr());
     runtime.block_on(async {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
+        loop {
+            tokio::select! {
+                _ = term.recv() => return,
+                _ = int.recv() => return,
+                _ = hup.recv() => log::info!("entry: SIGHUP is ignored, settings are read at start only"),
+            }
         }
     });
     log::info!("entry: beginning a planned stop");
--- a/crates/sched/src/process.rs
+++ b/crates/sched/src/process.rs
@@ -6,7 +6,10 @@
 use derive_more::{Display, Error, From};
 use ntex::rt;
 use store::table::StoreError;
-use tokio::sync::mpsc as control;
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    sync::mpsc as control,
+};
 use wire::server;
 
 use crate::{
@@ -135,19 +138,19 @@
 
 /// Runs a scheduler on the current thread until SIGTERM or SIGINT, then releases the lease.
 pub fn run(cfg: Settings) -> Result<(), ProcessError> {
-    let listeners = Listeners::open(&cfg)?;
-    log::info!(
-        "sched: listening on {} (wire) and {} (HTTP)",
-        listeners.wire.local_addr()?,
-        listeners.http.local_addr()?
-    );
-    let (control, commands) = control::unbounded_channel();
     let system = rt::System::new("sched", rt::DefaultRuntime);
     system.block_on(async move {
+        // Without a handler these signals would kill a process that has accepted connections.
+        let mut signals = Signals::new()?;
+        let listeners = Listeners::open(&cfg)?;
+        log::info!(
+            "sched: listening on {} (wire) and {} (HTTP)",
+            listeners.wire.local_addr()?,
+            listeners.http.local_addr()?
+        );
+        let (control, commands) = control::unbounded_channel();
         rt::spawn(async move {
-            if let Err(e) = wait_for_signal().await {
-                return log::error!("sched: failed to install signal handlers: {e}");
-            }
+            signals.stop().await;
             let _ = control.send(Control::Stop);
             // Keeps the channel open, because its end counts as a kill.
             std::future::pending::<()>().await;
@@ -157,15 +160,32 @@
     })
 }
 
-async fn wait_for_signal() -> io::Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// Signals that a scheduler handles.
+struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.term.recv() => return,
+                _ = self.int.recv() => return,
+                _ = self.hup.recv() => log::info!("sched: SIGHUP is ignored, settings are read at start only"),
+            }
+        }
     }
-    Ok(())
 }
 
 async fn serve(
