sched: a planned stop closes the operators' connections and waits for their answers

Found by reading, not shown by a run: the HTTP listener of a scheduler was never closed, and the process ended with whatever was still to be written on its connections. Now the listener and idle connections are closed last, other connections after their answers, within 1 s. The log shows the begin of a stop.

No new test; the tests of the scheduler, which stop it as planned many times, pass.

--- a/crates/sched/src/http.rs
+++ b/crates/sched/src/http.rs
@@ -6,6 +6,7 @@
 use ntex::http::{Request, Response, StatusCode};
 use schema::job::Phase;
 use serde::Serialize;
+use serve::Connections;
 
 use crate::{ctx::Cx, metrics::Metrics};
 
@@ -34,15 +35,15 @@
     pub(crate) jobs: usize,
 }
 
-/// Serves `listener`; returns only if the server can't be started.
-pub(crate) async fn serve(cx: Cx, listener: net::TcpListener) {
+/// Serves `listener` until the `connections` have been closed and have ended.
+pub(crate) async fn serve(cx: Cx, listener: net::TcpListener, connections: Connections) {
     let metrics = Metrics::default();
     let handler = move |req: Request| future::ready(respond(&cx, &metrics, &req));
     let served = serve::listen(
         "sched-http",
         listener,
         serve::Limits::default(),
-        serve::Connections::default(),
+        connections,
         handler,
     );
     if let Err(e) = served.await {
--- a/crates/sched/src/process.rs
+++ b/crates/sched/src/process.rs
@@ -5,10 +5,12 @@
 use base::clock::{self, Millis};
 use derive_more::{Display, Error, From};
 use ntex::rt;
+use serve::Connections;
 use store::table::StoreError;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync::mpsc as control,
+    time,
 };
 use wire::server;
 
@@ -20,6 +22,8 @@
 
 /// Maximum wait for open decisions and exchanges at a planned stop.
 const DRAIN_LIMIT: Millis = Millis(3_000);
+/// Maximum wait for answers to operators at a planned stop.
+const HTTP_LIMIT: Millis = Millis(1_000);
 /// Interval of the checks for open decisions at a planned stop.
 const DRAIN_POLL: Millis = Millis(10);
 
@@ -198,7 +202,8 @@
     let server = server::serve(listeners.wire, move |req| {
         requests::handle(handler_cx.clone(), req)
     })?;
-    rt::spawn(http::serve(cx.clone(), listeners.http)).detach();
+    let operators = Connections::default();
+    let http = rt::spawn(http::serve(cx.clone(), listeners.http, operators.clone()));
     rt::spawn(members::run_membership(cx.clone())).detach();
     let lease = rt::spawn(lease_task::run(cx.clone()));
     loop {
@@ -209,6 +214,7 @@
         }
     }
     cx.stopping.set(true);
+    log::info!("sched: beginning a planned stop");
     // Open exchanges may wait for decisions, so both are drained together.
     let (answered, ()) = tokio::join!(server.shutdown(DRAIN_LIMIT), drain(&cx));
     if !answered {
@@ -219,6 +225,11 @@
     cx.lease_changed.notify_one();
     let _ = lease.await;
     members::leave(&cx).await;
+    operators.close();
+    if time::timeout(HTTP_LIMIT.to_duration(), http).await.is_err() {
+        let open = operators.open();
+        log::warn!("sched: {open} operators' connections were still open after {HTTP_LIMIT}");
+    }
     log::info!("sched: stopped");
     Ok(())
 }
