cli: the test of a thawed entry tells whether the entry has ended

An empty answer on a closed connection, the sign in KNOWN-RED, is also what the caller of a process that has ended gets. The test now fails with the exit status and the log in that case. Nothing else changes.

--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -164,7 +164,7 @@
 /// settles the claim, the key is used again and the entry resumes before the deadline.
 #[test]
 fn a_thawed_entry_does_not_use_an_old_claim() {
-    let system = Builder::default().start("old-claim");
+    let mut system = Builder::default().start("old-claim");
     // The table applies the claim 600 ms after it is sent; the entry is frozen in between.
     let slow = Faults {
         slow_ms: Millis(600),
@@ -199,6 +199,7 @@
     system.entries[0].thaw();
     let late = first.join().unwrap();
     assert_eq!(system.executions("twice"), 1, "{late:?}");
+    system.entries[0].assert_running();
     let late = late.expect("an answer of the thawed entry");
     let replayed = late.head.contains("x-replayed: 1");
     assert!(late.status != 200 || replayed, "{late:?}");
