--- a/crates/sched/src/process.rs
+++ b/crates/sched/src/process.rs
@@ -5,8 +5,13 @@
 use base::clock::{self, Millis};
 use derive_more::{Display, Error, From};
 use ntex::rt;
+use serve::Connections;
 use store::table::StoreError;
-use tokio::sync::mpsc as control;
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    sync::mpsc as control,
+    time,
+};
 use wire::server;
 
 use crate::{
@@ -17,6 +22,8 @@
 
 /// Maximum wait for open decisions and exchanges at a planned stop.
 const DRAIN_LIMIT: Millis = Millis(3_000);
+/// Maximum wait for answers to operators at a planned stop.
+const HTTP_LIMIT: Millis = Millis(1_000);
 /// Interval of the checks for open decisions at a planned stop.
 const DRAIN_POLL: Millis = Millis(10);
 
@@ -135,19 +142,19 @@
 
 /// Runs a scheduler on the current thread until SIGTERM or SIGINT, then releases the lease.
 pub fn run(cfg: Settings) -> Result<(), ProcessError> {
-    let listeners = Listeners::open(&cfg)?;
-    log::info!(
-        "sched: listening on {} (wire) and {} (HTTP)",
-        listeners.wire.local_addr()?,
-        listeners.http.local_addr()?
-    );
-    let (control, commands) = control::unbounded_channel();
     let system = rt::System::new("sched", rt::DefaultRuntime);
     system.block_on(async move {
+        // Without a handler these signals would kill a process that has accepted connections.
+        let mut signals = Signals::new()?;
+        let listeners = Listeners::open(&cfg)?;
+        log::info!(
+            "sched: listening on {} (wire) and {} (HTTP)",
+            listeners.wire.local_addr()?,
+            listeners.http.local_addr()?
+        );
+        let (control, commands) = control::unbounded_channel();
         rt::spawn(async move {
-            if let Err(e) = wait_for_signal().await {
-                return log::error!("sched: failed to install signal handlers: {e}");
-            }
+            signals.stop().await;
             let _ = control.send(Control::Stop);
             // Keeps the channel open, because its end counts as a kill.
             std::future::pending::<()>().await;
@@ -157,15 +164,32 @@
     })
 }
 
-async fn wait_for_signal() -> io::Result<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// Signals that a scheduler handles.
+struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.term.recv() => return,
+                _ = self.int.recv() => return,
+                _ = self.hup.recv() => log::info!("sched: SIGHUP is ignored, settings are read at start only"),
+            }
+        }
     }
-    Ok(())
 }
 
 async fn serve(
@@ -178,7 +202,8 @@
     let server = server::serve(listeners.wire, move |req| {
         requests::handle(handler_cx.clone(), req)
     })?;
-    rt::spawn(http::serve(cx.clone(), listeners.http)).detach();
+    let operators = Connections::default();
+    let http = rt::spawn(http::serve(cx.clone(), listeners.http, operators.clone()));
     rt::spawn(members::run_membership(cx.clone())).detach();
     let lease = rt::spawn(lease_task::run(cx.clone()));
     loop {
@@ -189,6 +214,7 @@
         }
     }
     cx.stopping.set(true);
+    log::info!("sched: beginning a planned stop");
     // Open exchanges may wait for decisions, so both are drained together.
     let (answered, ()) = tokio::join!(server.shutdown(DRAIN_LIMIT), drain(&cx));
     if !answered {
@@ -199,6 +225,11 @@
     cx.lease_changed.notify_one();
     let _ = lease.await;
     members::leave(&cx).await;
+    operators.close();
+    if time::timeout(HTTP_LIMIT.to_duration(), http).await.is_err() {
+        let open = operators.open();
+        log::warn!("sched: {open} operators' connections were still open after {HTTP_LIMIT}");
+    }
     log::info!("sched: stopped");
     Ok(())
 }
