planned_stop: a stop that had no processor answers what arrived meanwhile

What callers saw in a roll of all nodes at fleet size, on: 2 requests cut 205 and 258 ms after they were sent. The nodes had waited for a processor when their time was over, and ended with the requests unread in the sockets; their count of requests was 0.

Change: the test holds a node from 2.5 to 2.9 s after SIGTERM and sends requests on its open connections meanwhile.

--- a/crates/cli/tests/planned_stop.rs
+++ b/crates/cli/tests/planned_stop.rs
@@ -114,3 +114,32 @@
     assert_eq!(outcome, Outcome::Answered { status: 504 });
     assert_eq!(cluster.nodes[0].wait(), Some(0));
 }
+
+/// Sends requests to a stopping node that has no processor when it closes its connections, on
+/// `kept` connections that were open before and on `queued` ones that it has not accepted.
+fn call_while_starved(test: &str, kept: usize, queued: usize) {
+    let mut cluster = Cluster::start(test, 1, 1, 300);
+    let addr = cluster.nodes[0].http;
+    let open = |_| Connection::open(addr).unwrap();
+    let mut connections: Vec<_> = (0..kept).map(open).collect();
+    cluster.nodes[0].terminate();
+    thread::sleep(LATE_CALL);
+    cluster.nodes[0].freeze();
+    connections.extend((0..queued).map(open));
+    let calls = connections.into_iter().map(|mut connection| {
+        thread::spawn(move || connection.send("GET", "/q/0000000000000001", API_KEY, ""))
+    });
+    let calls: Vec<_> = calls.collect();
+    thread::sleep(LOSS_SLACK * 2);
+    cluster.nodes[0].thaw();
+    let outcomes: Vec<Outcome> = calls.into_iter().map(|c| c.join().unwrap()).collect();
+    let is_cut = |o: &Outcome| !matches!(o, Outcome::Answered { .. });
+    assert!(!outcomes.iter().any(is_cut), "{outcomes:?}");
+    assert_eq!(cluster.nodes[0].wait(), Some(0));
+}
+
+/// Guards against a planned stop that ends without a look at what arrived while it had no processor.
+#[test]
+fn a_starved_stop_answers_requests_on_open_connections() {
+    call_while_starved("stop-starved", 8, 0);
+}
