planned_stop: connections that wait in the listener's queue at a stop, a known fault

What callers see: a connection that was made while the node had no processor, just before it closes its listener, is reset, and its request has no answer, 400 ms after it was sent.

Cause: `serve::listen` polls the runtime's accept once for what is left in the queue. The runtime may not have looked at the socket since the connections came; accept is then pending though they wait, and dropping the listener resets them.

--- a/crates/cli/tests/planned_stop.rs
+++ b/crates/cli/tests/planned_stop.rs
@@ -143,3 +143,9 @@
 fn a_starved_stop_answers_requests_on_open_connections() {
     call_while_starved("stop-starved", 8, 0);
 }
+
+/// Guards against a planned stop that resets connections which its runtime has not seen yet.
+#[test]
+fn a_starved_stop_answers_requests_on_queued_connections() {
+    call_while_starved("stop-queued", 0, 8);
+}
