fleet: many nodes are killed at once, and jobs are submitted again after their acceptance

Change: a trouble that kills 17 to 33 nodes at the same moment, the leader too, and a play of three of them with a kill, a roll and changes of the configuration. One in eight accepted jobs is submitted again within 9 s, as a late request of its caller. Troubles of a play are a list of kinds and numbers.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -24,7 +24,7 @@
     Fleet, Limit, ROOM, Short, WORKERS, judge,
     rotation::Rotation,
     traffic::{CLASSES, Callers, Fate, INTERVAL, Job},
-    troubles::{Counts, Troubles},
+    troubles::{Kind, Troubles},
 };
 
 /// Time after the traffic by which accepted work has to run, and the time after that which is judged.
@@ -190,21 +190,17 @@
 #[derive(Clone, Copy, Debug)]
 struct Trouble {
     short: Short,
-    counts: Counts,
+    /// Number of troubles of each kind.
+    counts: &'static [(Kind, u32)],
     loops: usize,
 }
 
-const CALM: Trouble = troubles(0, 0, 0, 0);
+const CALM: Trouble = troubles(&[]);
 
-const fn troubles(kills: u32, rolls: u32, reloads: u32, changes: u32) -> Trouble {
+const fn troubles(counts: &'static [(Kind, u32)]) -> Trouble {
     Trouble {
         short: Short::None,
-        counts: Counts {
-            kills,
-            rolls,
-            reloads,
-            changes,
-        },
+        counts,
         loops: 0,
     }
 }
@@ -445,14 +441,14 @@
 #[test]
 #[ignore = "350 workers and 33 processes for a minute"]
 fn work_goes_on_after_a_takeover() {
-    play("fleet-kill", troubles(1, 0, 0, 0));
+    play("fleet-kill", troubles(&[(Kind::Kill, 1)]));
 }
 
 /// Guards against work that stands still after takeovers in a row.
 #[test]
 #[ignore = "350 workers and 33 processes for a minute"]
 fn work_goes_on_after_two_takeovers() {
-    play("fleet-kills", troubles(2, 0, 0, 0));
+    play("fleet-kills", troubles(&[(Kind::Kill, 2)]));
 }
 
 /// Guards against work that stands still on a busy machine.
@@ -472,7 +468,7 @@
 #[test]
 #[ignore = "350 workers and 33 processes for a minute"]
 fn nothing_is_lost_in_a_roll() {
-    play("fleet-roll", troubles(0, 1, 0, 0));
+    play("fleet-roll", troubles(&[(Kind::Roll, 1)]));
 }
 
 /// Guards against requests that planned stops cut because the nodes wait for a processor.
@@ -484,7 +480,7 @@
         "fleet-busy-roll",
         Trouble {
             loops,
-            ..troubles(0, 2, 0, 0)
+            ..troubles(&[(Kind::Roll, 2)])
         },
     );
 }
@@ -498,7 +494,7 @@
         "fleet-slow-roll",
         Trouble {
             short,
-            ..troubles(0, 2, 0, 0)
+            ..troubles(&[(Kind::Roll, 2)])
         },
     );
 }
@@ -507,12 +503,38 @@
 #[test]
 #[ignore = "350 workers and 33 processes for a minute"]
 fn nothing_is_lost_in_overlapping_planned_work() {
-    play("fleet-planned", troubles(0, 2, 12, 12));
+    play(
+        "fleet-planned",
+        troubles(&[(Kind::Roll, 2), (Kind::Hup, 12), (Kind::Change, 12)]),
+    );
 }
 
 /// Guards against jobs that are lost when nodes are killed beside planned work.
 #[test]
 #[ignore = "350 workers and 33 processes for a minute"]
 fn nothing_is_lost_in_planned_work_beside_kills() {
-    play("fleet-planned-kills", troubles(3, 2, 6, 6));
+    play(
+        "fleet-planned-kills",
+        troubles(&[
+            (Kind::Kill, 3),
+            (Kind::Roll, 2),
+            (Kind::Hup, 6),
+            (Kind::Change, 6),
+        ]),
+    );
+}
+
+/// Guards against jobs that are lost when many nodes are killed at once beside planned work.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn nothing_is_lost_when_many_nodes_are_killed() {
+    play(
+        "fleet-herd",
+        troubles(&[
+            (Kind::Kill, 1),
+            (Kind::Herd, 3),
+            (Kind::Roll, 1),
+            (Kind::Change, 6),
+        ]),
+    );
 }
--- a/crates/cli/tests/site/traffic.rs
+++ b/crates/cli/tests/site/traffic.rs
@@ -22,6 +22,9 @@
 pub const ORGANISATIONS: usize = 10;
 /// Pause of a caller before the next try.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// One in this many accepted jobs is submitted again, within this time.
+const REPEATS: u64 = 8;
+const REPEAT_MS: u64 = 9_000;
 /// Pause of a caller that reads the state of accepted jobs, and interval of its requests on other routes.
 const READ_PAUSE: time::Duration = time::Duration::from_millis(40);
 const EXTRA_INTERVAL: usize = 8;
@@ -223,6 +226,13 @@
         jobs[index].fate = fate;
         jobs[index].accepted = (fate == Fate::Accepted).then(time::Instant::now);
         drop(jobs);
+        if fate == Fate::Accepted && job.id.is_multiple_of(REPEATS) {
+            let (callers, job, body) = (self.clone(), job.clone(), body.to_owned());
+            thread::spawn(move || {
+                thread::sleep(time::Duration::from_millis(job.id % REPEAT_MS));
+                callers.send("POST", &job.path(), &job.key, &body);
+            });
+        }
         if let Some(after) = cancel_after
             && fate != Fate::Refused
         {
--- a/crates/cli/tests/site/troubles.rs
+++ b/crates/cli/tests/site/troubles.rs
@@ -16,19 +16,13 @@
 const ROUTES: usize = 200;
 const VERSIONS: u64 = 3;
 
-/// Number of troubles of each kind in the time of the traffic.
-#[derive(Clone, Copy, Debug)]
-pub struct Counts {
-    pub kills: u32,
-    pub rolls: u32,
-    pub reloads: u32,
-    pub changes: u32,
-}
-
 /// What was done to a node or to all of them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
+    /// Kills the leader.
     Kill,
+    /// Kills many nodes at once, the leader too.
+    Herd,
     /// Stops all nodes in groups, the leader in the first.
     Roll,
     Term,
@@ -59,18 +53,12 @@
 }
 
 impl Troubles {
-    pub fn new(seed: u64, length: time::Duration, counts: Counts) -> Self {
+    pub fn new(seed: u64, length: time::Duration, counts: &[(Kind, u32)]) -> Self {
         let mut rng = Rng::with_seed(seed);
         let mut due = Vec::new();
-        let kinds = [
-            (counts.kills, Kind::Kill),
-            (counts.rolls, Kind::Roll),
-            (counts.reloads, Kind::Hup),
-            (counts.changes, Kind::Change),
-        ];
-        for (count, kind) in kinds {
+        for (count, kind) in counts.iter().map(|(k, c)| (*c, *k)) {
             let at = |i: u32| match kind {
-                Kind::Kill => length * (i + 1) / (count + 1),
+                Kind::Kill | Kind::Herd => length * (i + 1) / (count + 1),
                 _ => length.mul_f64((f64::from(i) + 0.3 * rng.f64()) / f64::from(count)),
             };
             due.extend((0..count).map(at).map(|at| (at, kind)));
@@ -144,12 +132,10 @@
 
     fn act(&mut self, kind: Kind, fleet: &mut Fleet) {
         match kind {
-            Kind::Kill => {
-                let i = fleet.leader();
-                self.note(kind, Some(i));
-                self.stopping.retain(|(n, _)| *n != i);
-                fleet.replace(i);
-                eprintln!("killed and restarted the leader, node {i}");
+            Kind::Kill => self.kill(fleet, 0),
+            Kind::Herd => {
+                let others = self.rng.usize(NODES / 2..NODES);
+                self.kill(fleet, others);
             }
             Kind::Roll => {
                 self.rolled = (0..NODES).collect();
@@ -176,6 +162,26 @@
         }
     }
 
+    /// Kills the leader and `others`.
+    fn kill(&mut self, fleet: &mut Fleet, others: usize) {
+        let leader = fleet.leader();
+        let mut killed = self.rng.choose_multiple(0..NODES, others);
+        killed.retain(|i| *i != leader);
+        killed.push(leader);
+        for i in &killed {
+            self.note(Kind::Kill, Some(*i));
+            self.stopping.retain(|(n, _)| n != i);
+            fleet.nodes[*i].kill();
+        }
+        for i in &killed {
+            fleet.replace(*i);
+        }
+        eprintln!(
+            "killed and restarted {} nodes, the leader {leader}",
+            killed.len()
+        );
+    }
+
     fn stop_group(&mut self, fleet: &Fleet) {
         for _ in 0..self.rng.usize(1..=AT_ONCE) {
             let Some(i) = self.rolled.pop() else { return };
