cli: the test of the longest checkpoint has runs that outlast a report

Since a subtask that is done keeps no checkpoint. The runs of 1 s ended before a report listed them as running, so the checkpoints that the test had counted were those of subtasks that were done, from which nothing continues.

--- a/crates/cli/tests/checkpoints.rs
+++ b/crates/cli/tests/checkpoints.rs
@@ -17,6 +17,8 @@
 /// Time limit for the end of a large job.
 const LARGE_JOB_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Time that a run takes whose checkpoint is reported while it goes on: longer than a report waits.
+const RUN_MS: u64 = 2_500;
 /// Number of subtasks that run at the same time on a worker.
 const SHARE: usize = 32;
 
@@ -109,7 +111,7 @@
     // The row is {"c":"..."}.
     let longest = ROW_BYTES - 8;
     for (bytes, is_stored) in [(longest, true), (longest + 1, false)] {
-        let cluster = Cluster::start(&format!("node-checkpoint-{bytes}"), 1, 2, 1_000);
+        let cluster = Cluster::start(&format!("node-checkpoint-{bytes}"), 1, 2, RUN_MS);
         submit(&cluster, 1, 6 * SHARE, bytes);
         let mut stored = 0;
         wait_until("the job ends", LARGE_JOB_TIMEOUT, || {
