serve, node, sched, entry: one type for the signals of a server process

The change had written the same three handlers, and the same wait with the same line about SIGHUP, in node, scheduler and entry. They are serve::Signals now. Log lines, order of installation and listeners, and what ends a process stay as they were.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -13,12 +13,9 @@
     time::Seconds,
     web,
 };
+use serve::Signals;
 use store::table::StoreError;
-use tokio::{
-    signal::unix::{SignalKind, signal},
-    sync::watch,
-    time,
-};
+use tokio::{sync::watch, time};
 
 use crate::{
     entry_cfg::EntryCfg,
@@ -126,25 +123,13 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let (mut term, mut int, mut hup) = {
+    let mut signals = {
         let _guard = runtime.enter();
-        (
-            signal(SignalKind::terminate())?,
-            signal(SignalKind::interrupt())?,
-            signal(SignalKind::hangup())?,
-        )
+        Signals::new()?
     };
     let handle = start(cfg)?;
     log::info!("entry: listening on {}", handle.addr());
-    runtime.block_on(async {
-        loop {
-            tokio::select! {
-                _ = term.recv() => return,
-                _ = int.recv() => return,
-                _ = hup.recv() => log::info!("entry: SIGHUP is ignored, settings are read at start only"),
-            }
-        }
-    });
+    runtime.block_on(signals.stop("entry"));
     log::info!("entry: beginning a planned stop");
     handle.stop();
     Ok(())
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -2,12 +2,11 @@
 
 use std::{future, io, net};
 
-use base::clock::{self, Millis};
+use base::clock;
 use derive_more::{Display, Error, From};
 use ntex::{http::Request, rt};
-use serve::Connections;
+use serve::{Connections, Signals};
 use store::table::StoreError;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::{
     config,
@@ -36,7 +35,6 @@
 /// Returns an error if a listener, a signal handler or a client can't be set up.
 pub fn run(cfg: NodeCfg) -> Result<(), ProcessError> {
     rt::System::new("node", rt::DefaultRuntime).block_on(async move {
-        // Without a handler these signals would kill a process that has accepted connections.
         let mut signals = Signals::new()?;
         let front = net::TcpListener::bind(cfg.listen)?;
         let ready = net::TcpListener::bind(cfg.listen_ready)?;
@@ -53,8 +51,8 @@
         rt::spawn(config::watch(cx.clone())).detach();
         rt::spawn(peers::watch(cx.clone())).detach();
         let lease = rt::spawn(lease_task::run(cx.clone()));
-        let signalled = signals.stop().await;
-        stop::stop(&cx, signalled, callers, [ready, metrics], lease).await;
+        signals.stop("node").await;
+        stop::stop(&cx, clock::now(), callers, [ready, metrics], lease).await;
         Ok(())
     })
 }
@@ -86,31 +84,3 @@
         served,
     }
 }
-
-/// Signals that a node handles.
-struct Signals {
-    term: Signal,
-    int: Signal,
-    hup: Signal,
-}
-
-impl Signals {
-    fn new() -> io::Result<Self> {
-        Ok(Self {
-            term: signal(SignalKind::terminate())?,
-            int: signal(SignalKind::interrupt())?,
-            hup: signal(SignalKind::hangup())?,
-        })
-    }
-
-    /// Waits for SIGTERM or SIGINT and returns the time when it was received.
-    async fn stop(&mut self) -> Millis {
-        loop {
-            tokio::select! {
-                _ = self.term.recv() => return clock::now(),
-                _ = self.int.recv() => return clock::now(),
-                _ = self.hup.recv() => log::info!("node: SIGHUP is ignored, settings are read at start only"),
-            }
-        }
-    }
-}
--- a/crates/sched/src/process.rs
+++ b/crates/sched/src/process.rs
@@ -5,13 +5,9 @@
 use base::clock::{self, Millis};
 use derive_more::{Display, Error, From};
 use ntex::rt;
-use serve::Connections;
+use serve::{Connections, Signals};
 use store::table::StoreError;
-use tokio::{
-    signal::unix::{Signal, SignalKind, signal},
-    sync::mpsc as control,
-    time,
-};
+use tokio::{sync::mpsc as control, time};
 use wire::server;
 
 use crate::{
@@ -144,7 +140,6 @@
 pub fn run(cfg: Settings) -> Result<(), ProcessError> {
     let system = rt::System::new("sched", rt::DefaultRuntime);
     system.block_on(async move {
-        // Without a handler these signals would kill a process that has accepted connections.
         let mut signals = Signals::new()?;
         let listeners = Listeners::open(&cfg)?;
         log::info!(
@@ -154,7 +149,7 @@
         );
         let (control, commands) = control::unbounded_channel();
         rt::spawn(async move {
-            signals.stop().await;
+            signals.stop("sched").await;
             let _ = control.send(Control::Stop);
             // Keeps the channel open, because its end counts as a kill.
             std::future::pending::<()>().await;
@@ -164,34 +159,6 @@
     })
 }
 
-/// Signals that a scheduler handles.
-struct Signals {
-    term: Signal,
-    int: Signal,
-    hup: Signal,
-}
-
-impl Signals {
-    fn new() -> io::Result<Self> {
-        Ok(Self {
-            term: signal(SignalKind::terminate())?,
-            int: signal(SignalKind::interrupt())?,
-            hup: signal(SignalKind::hangup())?,
-        })
-    }
-
-    /// Waits for SIGTERM or SIGINT.
-    async fn stop(&mut self) {
-        loop {
-            tokio::select! {
-                _ = self.term.recv() => return,
-                _ = self.int.recv() => return,
-                _ = self.hup.recv() => log::info!("sched: SIGHUP is ignored, settings are read at start only"),
-            }
-        }
-    }
-}
-
 async fn serve(
     cfg: Settings,
     listeners: Listeners,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,10 +1,12 @@
-//! HTTP listeners that run on the thread of the caller's runtime.
+//! HTTP listeners that run on the thread of the caller's runtime, and the signals of their process.
 
 mod connections;
+mod signals;
 
 use std::{io, net, rc::Rc};
 
 pub use connections::Connections;
+pub use signals::Signals;
 
 use ntex::{
     Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
