--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -77,7 +77,7 @@
             phase: cx.phase.get(),
             ready: cx.is_ready(),
             in_flight: cx.in_flight.get(),
-            connections: cx.connections.get(),
+            connections: cx.connections(),
             body_bytes: cx.body_memory.used(),
             config_revision: cx.config.revision(),
             config_age_ms: cx.config.age(),
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -233,8 +233,8 @@
             count_connection(cx, connection.get_ref().get_ref());
             connection.ack()
         }
-        Control::Request(request) if cx.connections.get() > cx.cfg.connections => {
-            let message = format!("this entry has {} connections open", cx.connections.get());
+        Control::Request(request) if cx.connections() > cx.cfg.connections => {
+            let message = format!("this entry has {} connections open", cx.connections());
             let refusal = Refusal::not_run(Code::TooManyConnections, message);
             refuse(cx, &refusal);
             request.fail_with(closing_response(&refusal))
@@ -253,13 +253,11 @@
 }
 
 fn count_connection(cx: &Rc<Entry>, io: ntex::io::IoRef) {
-    cx.connections.set(cx.connections.get() + 1);
     cx.callers.borrow_mut().insert(io.clone());
     let cx = cx.clone();
     rt::spawn(async move {
         io.on_disconnect().await;
         cx.callers.borrow_mut().remove(&io);
-        cx.connections.set(cx.connections.get() - 1);
     });
 }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -289,7 +289,7 @@
     if requests + answers > 0 {
         log::error!("entry: stops with {requests} requests under way and {answers} answers unread");
     }
-    let connections = cx.connections.get();
+    let connections = cx.connections();
     let took = clock::now().since(began);
     log::info!("entry: callers drained in {took}, {connections} connections are open");
     time::sleep(LATE_REQUEST_GRACE.to_duration()).await;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -61,8 +61,6 @@
     pub phase: Cell<Phase>,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
-    /// Number of connections from callers and operators.
-    pub connections: Cell<usize>,
     /// Open connections from callers and operators.
     pub callers: RefCell<HashSet<IoRef>>,
     /// Memory budget for request bodies.
@@ -118,7 +116,6 @@
             id,
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
-            connections: Cell::new(0),
             callers: RefCell::default(),
             body_memory: Rc::new(BodyMemory::new(cfg.body_memory)),
             config: CurrentConfig::default(),
@@ -149,6 +146,11 @@
         Ok(InFlightGuard(self.clone()))
     }
 
+    /// Returns the number of connections from callers and operators.
+    pub fn connections(&self) -> usize {
+        self.callers.borrow().len()
+    }
+
     /// Returns the number of connections whose answers are not yet handed to the system.
     pub fn unwritten(&self) -> usize {
         let callers = self.callers.borrow();
@@ -294,7 +296,7 @@
         GaugeValues {
             in_flight: self.in_flight.get() as u64,
             queued: queued as u64,
-            connections: self.connections.get() as u64,
+            connections: self.connections() as u64,
             backend_busy: busy as u64,
             backend_idle: idle as u64,
             config_revision: self.config.revision(),
