node: one age of a cancellation; readiness is not logged twice for one answer

accept and cancellations derived the age of a cancellation's row each; CancelRow::age serves both. Each confirmation of the configuration is followed by peers::record_answer, which looks at the readiness, so the look in confirm was the same one again.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -269,8 +269,8 @@
 
     /// Returns the age of the cancellation by the store's clock.
     fn cancel_age(&self, cx: &Cx) -> Option<Millis> {
-        let stored_at = self.cancel.as_ref()?.0.stored_at?;
-        Some(cx.store_clock.now()?.since(stored_at))
+        let (row, _) = self.cancel.as_ref()?;
+        row.age(cx.store_clock.now())
     }
 }
 
--- a/crates/node/src/cancellations.rs
+++ b/crates/node/src/cancellations.rs
@@ -46,7 +46,7 @@
         if cancelled {
             log::info!(
                 job = id, organisation = organisation.as_deref(), version = row.version,
-                age_ms = age(&content, store_now).map(|a| a.0);
+                age_ms = content.age(store_now).map(|a| a.0);
                 "intake: cancellation"
             );
         }
@@ -70,7 +70,7 @@
         }
         log::info!(
             job = id, organisation = organisation.as_deref(), version = cancellation.version,
-            age_ms = age(&cancellation.row, store_now).map(|a| a.0);
+            age_ms = cancellation.row.age(store_now).map(|a| a.0);
             "intake: the job was cancelled before it was stored"
         );
         scheduler.cancel(id, clock::now(), clock::wall())
@@ -91,8 +91,3 @@
             .retain(|known, c| **known != *id || c.version != version);
     }
 }
-
-/// Returns the age of a cancellation by the store's clock, if both times are known.
-fn age(row: &CancelRow, store_now: Option<Millis>) -> Option<Millis> {
-    Some(store_now?.since(row.stored_at?))
-}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -9,7 +9,7 @@
 use crate::{
     config_diff::ConfigDiff,
     cx::{self, Cx},
-    peers, readiness,
+    peers,
 };
 
 /// Time for which the store delays its answer while nothing changes. Each answer confirms the
@@ -92,8 +92,6 @@
     if active_config.row_version > 0 {
         active_config.confirmed_at = active_config.confirmed_at.max(Some(started));
     }
-    drop(active_config);
-    readiness::record(cx);
 }
 
 /// Applies a configuration unless a newer one is active.
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Returns the age by the store's clock, if both times are known.
+    pub(crate) fn age(&self, store_now: Option<Millis>) -> Option<Millis> {
+        Some(store_now?.since(self.stored_at?))
+    }
+
     /// Returns whether a job of an organisation is cancelled.
     pub(crate) fn applies_to(&self, organisation: Option<&Text>) -> bool {
         self.organisations.is_empty()
