store, node: bytes of answers that were given up are counted and logged

Cause of the blind spot: received bytes were counted from complete answers only. On a link of 2 Mbit/s that was full of parts of the configuration, `leader: load` showed 18 to 27 KB received in 5 s.

Change: all calls receive their answer piece by piece, and an Arrival (new crate transfer, moved from store::pages) says what has come. The account counts it whatever the outcome, the reason of a call that was given up names the bytes and the age of the last one, and a new line `node: received bytes that were not used` sums them up each 5 s. Nothing is decided differently.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -105,7 +105,7 @@
             let diff = ConfigDiff::new(&active_config.config, &config);
             let confirmed_at = active_config.confirmed_at;
             log::info!(
-                version = config.version, row = row.version, before = active_config.config.version,
+                version = config.version, row = row.version, bytes = row.value.len(), before = active_config.config.version,
                 before_age_ms = confirmed_at.map(|at| clock::now().since(at).0),
                 queues = config.queues.len(), organisations = config.organisations.len(),
                 added_queues = diff.added_queues, removed_queues = diff.removed_queues,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod intake;
 mod leader;
 mod lease_task;
+mod link_log;
 mod load;
 mod load_log;
 mod metrics;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -11,7 +11,7 @@
 use crate::{
     config,
     cx::{Ctx, Cx},
-    front, lease_task,
+    front, lease_task, link_log,
     node_cfg::NodeCfg,
     peers,
     stop::{self, Listener},
@@ -50,6 +50,7 @@
         });
         rt::spawn(config::watch(cx.clone())).detach();
         rt::spawn(peers::watch(cx.clone())).detach();
+        rt::spawn(link_log::watch(cx.clone())).detach();
         let lease = rt::spawn(lease_task::run(cx.clone()));
         signals.stop("node").await;
         stop::stop(&cx, clock::now(), callers, [ready, metrics], lease).await;
--- a/crates/store/src/call_account.rs
+++ b/crates/store/src/call_account.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use base::clock::{self, Millis};
+use transfer::arrival::Arrival;
 
 use crate::http_client::{Answer, CallError};
 
@@ -236,17 +237,25 @@
     account: Rc<CallAccount>,
     purpose: Purpose,
     body_bytes: u64,
+    /// What has arrived of the answer, whether it gets complete or not.
+    arrival: Rc<Arrival>,
     /// Time when the call was sent; `None` while it waits for a connection.
     sent_at: Option<Millis>,
     is_recorded: bool,
 }
 
 impl OpenCall {
-    pub(crate) const fn new(account: Rc<CallAccount>, purpose: Purpose, body_bytes: u64) -> Self {
+    pub(crate) const fn new(
+        account: Rc<CallAccount>,
+        purpose: Purpose,
+        body_bytes: u64,
+        arrival: Rc<Arrival>,
+    ) -> Self {
         Self {
             account,
             purpose,
             body_bytes,
+            arrival,
             sent_at: None,
             is_recorded: false,
         }
@@ -257,19 +266,17 @@
     }
 
     pub(crate) fn record(mut self, result: &Result<Answer, CallError>) {
-        let received = match result {
-            Ok(answer) => ANSWER_HEAD_BYTES + answer.body.len() as u64,
-            Err(_) => 0,
-        };
         if let (Ok(_), Some(sent_at)) = (result, self.sent_at) {
             let took = clock::now().since(sent_at);
             self.account.record_latency(self.purpose, took);
         }
-        self.end(Outcome::of(result), received);
+        self.end(Outcome::of(result));
     }
 
-    fn end(&mut self, outcome: Outcome, received: u64) {
+    fn end(&mut self, outcome: Outcome) {
         self.is_recorded = true;
+        let head = self.arrival.first().map_or(0, |_| ANSWER_HEAD_BYTES);
+        let received = head + self.arrival.bytes() as u64;
         let is_sent = self.sent_at.is_some() && outcome != Outcome::NotSent;
         let sent = match outcome {
             Outcome::Refused => 0,
@@ -283,7 +290,7 @@
 impl Drop for OpenCall {
     fn drop(&mut self) {
         if !self.is_recorded {
-            self.end(Outcome::Abandoned, 0);
+            self.end(Outcome::Abandoned);
         }
     }
 }
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net, rc};
 
-use base::clock::Millis;
+use base::clock::{self, Millis};
 use futures_util::StreamExt;
 use ntex::{
     client::{
@@ -16,6 +16,7 @@
     util::{Bytes, BytesMut},
 };
 use tokio::sync;
+use transfer::arrival::Arrival;
 
 use crate::{
     call_account::{CallAccount, OpenCall, Purpose},
@@ -128,7 +129,6 @@
             .connector::<Connector>(connector)
             .disable_redirects()
             .disable_timeout()
-            .response_payload_limit(cfg.answer_bytes)
             .response_payload_timeout(time::Millis::ZERO)
             .build(shared)
             .await
@@ -180,7 +180,8 @@
 
     /// Sends the request and reads the complete answer within the `call_ms` of the settings.
     pub async fn call(&self, req: ClientRequest, body: Bytes) -> Result<Answer, CallError> {
-        self.exchange(req, body, self.inner.cfg.call_ms, || {})
+        let arrival = Arrival::default();
+        self.within(self.inner.cfg.call_ms, &arrival, req, body, || {})
             .await
     }
 
@@ -193,36 +194,36 @@
         body: Bytes,
         limit: Millis,
     ) -> Result<Answer, CallError> {
-        let mut open = OpenCall::new(self.account.clone(), purpose, body.len() as u64);
-        let result = self.exchange(req, body, limit, || open.set_sent()).await;
-        open.record(&result);
-        result
+        let arrival = rc::Rc::default();
+        self.counted(purpose, req, body, limit, &arrival).await
     }
 
-    async fn exchange(
+    /// Sends a request without a body, and reads the complete answer within `limit`. Records what has
+    /// arrived of it in `arrival`. The call is counted under its purpose.
+    pub async fn get_for(
         &self,
+        purpose: Purpose,
         req: ClientRequest,
-        body: Bytes,
         limit: Millis,
-        on_send: impl FnOnce(),
+        arrival: &rc::Rc<Arrival>,
     ) -> Result<Answer, CallError> {
-        self.within(limit, on_send, exchange(req, body)).await
+        self.counted(purpose, req, Bytes::new(), limit, arrival)
+            .await
     }
 
-    /// Sends a request without a body, and reads the complete answer within `limit`. Calls `arrived`
-    /// with the number of bytes of each piece of the answer; the head counts as 0. The call is counted
-    /// under its purpose.
-    pub async fn get_for(
+    async fn counted(
         &self,
         purpose: Purpose,
         req: ClientRequest,
+        body: Bytes,
         limit: Millis,
-        arrived: impl Fn(usize),
+        arrival: &rc::Rc<Arrival>,
     ) -> Result<Answer, CallError> {
-        let max_bytes = self.inner.cfg.answer_bytes;
-        let mut open = OpenCall::new(self.account.clone(), purpose, 0);
-        let exchange = receive(req, max_bytes, arrived);
-        let result = self.within(limit, || open.set_sent(), exchange).await;
+        let account = self.account.clone();
+        let mut open = OpenCall::new(account, purpose, body.len() as u64, arrival.clone());
+        let result = self
+            .within(limit, arrival, req, body, || open.set_sent())
+            .await;
         open.record(&result);
         result
     }
@@ -230,8 +231,10 @@
     async fn within(
         &self,
         limit: Millis,
+        arrival: &Arrival,
+        req: ClientRequest,
+        body: Bytes,
         on_send: impl FnOnce(),
-        exchange: impl Future<Output = Result<Answer, CallError>>,
     ) -> Result<Answer, CallError> {
         let cfg = &self.inner.cfg;
         let permit = self.inner.permits.acquire();
@@ -242,22 +245,36 @@
             )));
         };
         on_send();
+        let exchange = exchange(req, body, cfg.answer_bytes, arrival);
         match time::timeout(to_ntex(limit), exchange).await {
             Ok(result) => result,
-            Err(()) => Err(CallError::NoAnswer(format!(
-                "no complete answer in {limit}"
-            ))),
+            Err(()) => Err(CallError::NoAnswer(no_answer(limit, arrival))),
         }
     }
 }
 
-async fn receive(
+/// Describes an answer that is not complete after `limit`.
+fn no_answer(limit: Millis, arrival: &Arrival) -> String {
+    let Some(last) = arrival.last() else {
+        return format!("no answer in {limit}");
+    };
+    let (bytes, age) = (arrival.bytes(), clock::now().since(last));
+    format!("no complete answer in {limit}: {bytes} bytes arrived, the last {age} ago")
+}
+
+async fn exchange(
     req: ClientRequest,
+    body: Bytes,
     max_bytes: usize,
-    arrived: impl Fn(usize),
+    arrival: &Arrival,
 ) -> Result<Answer, CallError> {
-    let mut resp = req.send().await.map_err(|e| classify(&e))?;
-    arrived(0);
+    let sent = if body.is_empty() {
+        req.send().await
+    } else {
+        req.send_body(body).await
+    };
+    let mut resp = sent.map_err(|e| classify(&e))?;
+    arrival.record(0);
     let mut body = BytesMut::new();
     while let Some(piece) = resp.next().await {
         let piece = piece.map_err(|e| CallError::NoAnswer(format!("incomplete answer: {e}")))?;
@@ -265,7 +282,7 @@
             let reason = format!("the answer exceeds {max_bytes} bytes");
             return Err(CallError::NoAnswer(reason));
         }
-        arrived(piece.len());
+        arrival.record(piece.len());
         body.extend_from_slice(&piece);
     }
     Ok(Answer {
@@ -274,20 +291,6 @@
     })
 }
 
-async fn exchange(req: ClientRequest, body: Bytes) -> Result<Answer, CallError> {
-    let sent = if body.is_empty() {
-        req.send().await
-    } else {
-        req.send_body(body).await
-    };
-    let resp = sent.map_err(|e| classify(&e))?;
-    let status = resp.status();
-    match resp.body().await {
-        Ok(body) => Ok(Answer { status, body }),
-        Err(e) => Err(CallError::NoAnswer(format!("incomplete answer: {e}"))),
-    }
-}
-
 /// Distinguishes a connection that could not be opened from one that was lost during the call.
 ///
 /// The HTTP library reports a connection that closes without an answer as `Disconnected(None)`,
--- a/crates/store/src/pages.rs
+++ b/crates/store/src/pages.rs
@@ -15,6 +15,7 @@
     sync::{Mutex, Notify},
     time,
 };
+use transfer::arrival::Arrival;
 
 use crate::{
     latency::{Latency, LatencyCfg},
@@ -49,33 +50,6 @@
 /// Maximum number of requests for one page. It is given up after as many of these times.
 const MAX_ATTEMPTS: usize = 2;
 
-/// Bytes of a page that have arrived.
-#[derive(Debug, Default)]
-pub struct Arrival {
-    bytes: Cell<usize>,
-    first: Cell<Option<Millis>>,
-    last: Cell<Option<Millis>>,
-}
-
-impl Arrival {
-    /// Records that `bytes` bytes have arrived now.
-    ///
-    /// ```
-    /// store::pages::Arrival::default().record(1_000);
-    /// ```
-    pub fn record(&self, bytes: usize) {
-        let now = clock::now();
-        self.bytes.set(self.bytes.get() + bytes);
-        self.first.set(self.first.get().or(Some(now)));
-        self.last.set(Some(now));
-    }
-
-    fn transfer(&self) -> Millis {
-        let times = self.first.get().zip(self.last.get());
-        times.map_or(Millis::ZERO, |(first, last)| last.since(first))
-    }
-}
-
 /// Limits of the pages under way, shared by all reads of whole tables of a client.
 ///
 /// ```
@@ -171,7 +145,7 @@
         };
         let due = || {
             let arrivals = arrivals.borrow();
-            let last = arrivals.iter().filter_map(|a| a.last.get()).max();
+            let last = arrivals.iter().filter_map(|a| a.last()).max();
             let stalls = arrivals.len().min(MAX_ATTEMPTS) as u64;
             last.unwrap_or(sent) + Millis(self.stall().0 * stalls)
         };
@@ -233,7 +207,7 @@
         let took = clock::now().since(sent);
         self.took.borrow_mut().record(took);
         if took < FAST {
-            if arrival.bytes.get() >= MIN_EVIDENCE {
+            if arrival.bytes() >= MIN_EVIDENCE {
                 self.rows.set((self.rows.get() * 2).min(MAX_ROWS));
             }
             let more = self.max_under_way.get() + 1;
@@ -243,7 +217,7 @@
         }
         // Pages that were sent before the last reduction don't show its effect.
         let is_new = self.reduced_at.get().is_none_or(|at| sent >= at);
-        if took > SLOW && arrival.transfer() > SLOW_TRANSFER && is_new {
+        if took > SLOW && arrival.duration() > SLOW_TRANSFER && is_new {
             self.reduced_at.set(Some(clock::now()));
             self.rows.set((self.rows.get() / 2).max(MIN_ROWS));
             let fewer = self.max_under_way.get() / 2;
--- a/crates/store/tests/pages.rs
+++ b/crates/store/tests/pages.rs
@@ -3,11 +3,9 @@
 use std::{cell::Cell, rc::Rc};
 
 use base::clock::Millis;
-use store::{
-    pages::{Arrival, Pages},
-    table::StoreError,
-};
+use store::{pages::Pages, table::StoreError};
 use tokio::time;
+use transfer::arrival::Arrival;
 
 const FULL: usize = 100 << 10;
 
--- /dev/null
+++ b/crates/transfer/src/lib.rs
@@ -0,0 +1,3 @@
+//! Progress of transfers over a network.
+
+pub mod arrival;
