store, wire limits of reads to progress: a long answer is waited for while it arrives

Cause: limits of reads counted from the start of a call and followed the time of short answers (480 to 2,000 ms; 1,700 ms for the feed), and each repeat asked for the whole answer beside the ones under way. The answer takes 1.8 s on that link alone, so it was thrown away again and again, and the parts filled the link. The configuration was never confirmed, and after 75% of revoke-ms all calls are refused.

Change: `transfer::limit::Limit` ends a call for lack of progress: at the former time if nothing has arrived, after a pause without a byte otherwise, and after 4 s below 16 KB/s if bytes trickle; a fast start gives no credit. All calls of HttpClient have it, so those of the product's own interface as well. Repeated reads (hedge::read, pages) share one piece of code (store::repeat): an answer that has begun is requested a second time only when it stalls, and a request beside an answer that arrives is dropped. The latency of reads is that of the first byte, so that a long answer does not count as a slow store. The stand-in of a link sends in pieces of 4 KB; 64 KB kept the link silent for 1.4 s.

A silent connection ends a read as fast as before: the older tests of hedge and pages are unchanged but for the arrival that attempts get.

Ruled out: a longer limit alone, since the size has no bound that a figure fits.

--- a/crates/cli/tests/cluster/proxy.rs
+++ b/crates/cli/tests/cluster/proxy.rs
@@ -38,6 +38,9 @@
 
 /// Delay in each direction in [`Mode::Slow`].
 const DELAY: time::Duration = time::Duration::from_millis(150);
+/// Size of the pieces in which the connections of a link send in turn. A larger one would keep the link
+/// silent for all others while it is on its way.
+const PIECE_BYTES: usize = 4 << 10;
 /// Read timeout, after which an idle connection checks the mode.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(50);
 
@@ -197,18 +200,21 @@
             }
             Err(e) => return Err(e),
         };
-        if let Some(link) = link {
-            link.send(n);
-        }
-        match current(mode) {
-            Mode::Forward => {}
-            Mode::Slow => thread::sleep(DELAY),
-            Mode::DropAnswers => dropping |= is_answer,
-            Mode::DropAll => dropping = true,
-            Mode::Close => return Ok(()),
-        }
-        if !dropping {
-            to.write_all(&buf[..n])?;
+        let piece_bytes = if link.is_some() { PIECE_BYTES } else { n };
+        for piece in buf[..n].chunks(piece_bytes) {
+            if let Some(link) = link {
+                link.send(piece.len());
+            }
+            match current(mode) {
+                Mode::Forward => {}
+                Mode::Slow => thread::sleep(DELAY),
+                Mode::DropAnswers => dropping |= is_answer,
+                Mode::DropAll => dropping = true,
+                Mode::Close => return Ok(()),
+            }
+            if !dropping {
+                to.write_all(piece)?;
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/cli/tests/long_config.rs
@@ -0,0 +1,128 @@
+//! Tests of a node as a real process whose configuration is long for its link.
+
+mod cluster;
+mod common;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use cluster::{
+    API_KEY, Cluster, Peer, TIMEOUT,
+    proxy::{Link, Mode},
+};
+use common::wait_until;
+use serde_json::{Value, json};
+
+/// Bandwidth of a link of 2 Mbit/s, in bytes a second.
+const NARROW: u64 = 250_000;
+/// Bandwidth on which the configuration takes 11 s, longer than keys may be used after their removal.
+const VERY_NARROW: u64 = 45_000;
+/// Number of routes by which the configuration grows, to 336 KB.
+const ROUTES: usize = 1_400;
+/// Time after which a changed configuration is in force (`config-apply-ms`).
+const APPLY_TIME: Duration = Duration::from_secs(3);
+/// Time after which no call with a removed key is carried out (`revoke-ms`).
+const REVOKE_TIME: Duration = Duration::from_secs(5);
+const NEW_KEY: &str = "key-two";
+
+/// Returns a configuration with many routes of the length that the platform gives them.
+fn long_config(version: u64, keys: &[&str]) -> Value {
+    let mut config = cluster::config(version, keys);
+    let routes = config["routes"].as_array_mut().unwrap();
+    let last = routes[0].clone();
+    for i in 0..ROUTES {
+        let mut route = last.clone();
+        route["name"] = json!(format!("r-{i:07}"));
+        route["path-prefix"] = json!(format!("/r-{i:07}/"));
+        route["comment"] = json!("x".repeat(60));
+        routes.push(route);
+    }
+    config
+}
+
+fn start(test: &str, link: &Link) -> Cluster {
+    Cluster::start_on_link(test, 1, 300, link, &[Peer::Store])
+}
+
+fn pending(cluster: &Cluster, path: &str, key: &str) -> u16 {
+    let answer = cluster.call(0, "GET", path, key, "");
+    answer.map_or(0, |a| a.status)
+}
+
+/// Guards against nodes that refuse all calls for good after a configuration that takes as long as the
+/// limit of a read on their link.
+#[test]
+fn a_long_configuration_is_in_force_in_time_and_no_call_is_refused() {
+    let link = Link::new(10 << 20);
+    let cluster = start("long-config", &link);
+    // Limits that follow the time of answers have settled on short ones.
+    thread::sleep(Duration::from_secs(2));
+    link.set_bandwidth(NARROW);
+    cluster
+        .store
+        .put("op", "config", &long_config(2, &[API_KEY]));
+    let stored = Instant::now();
+    let mut in_force = None;
+    let mut id = 0;
+    while stored.elapsed() < Duration::from_secs(8) {
+        id += 1;
+        let answer = cluster.submit(0, id, 1, false);
+        let status = answer.map_or(0, |a| a.status);
+        assert_eq!(status, 200, "submission {id} after {:?}", stored.elapsed());
+        if in_force.is_none() && pending(&cluster, "/r-0001399/", API_KEY) == 200 {
+            in_force = Some(stored.elapsed());
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    let took = in_force.expect("the new routes are in force");
+    assert!(took < APPLY_TIME, "{took:?}");
+}
+
+/// Guards against a removed key that can be used while the configuration that removes it still arrives.
+#[test]
+fn a_removed_key_is_refused_while_the_configuration_arrives() {
+    let link = Link::new(10 << 20);
+    let cluster = start("long-revocation", &link);
+    link.set_bandwidth(VERY_NARROW);
+    cluster
+        .store
+        .put("op", "config", &long_config(2, &[NEW_KEY]));
+    let stored = Instant::now();
+    let mut refused_at = None;
+    wait_until("the new key is in force", Duration::from_secs(30), || {
+        let sent = stored.elapsed();
+        let status = pending(&cluster, "/q/", API_KEY);
+        if status == 200 {
+            assert!(sent < REVOKE_TIME, "the removed key is used after {sent:?}");
+        } else {
+            refused_at.get_or_insert(sent);
+        }
+        (pending(&cluster, "/q/", NEW_KEY) == 200).then_some(())
+    });
+    assert!(
+        refused_at.is_some_and(|t| t < REVOKE_TIME),
+        "{refused_at:?}"
+    );
+    assert_eq!(pending(&cluster, "/q/", API_KEY), 401);
+}
+
+/// Guards against a configuration that never arrives because its connection went silent in its middle.
+#[test]
+fn a_long_configuration_arrives_after_its_connection_went_silent() {
+    let link = Link::new(10 << 20);
+    let cluster = start("long-silence", &link);
+    link.set_bandwidth(NARROW);
+    cluster
+        .store
+        .put("op", "config", &long_config(2, &[API_KEY]));
+    thread::sleep(Duration::from_millis(600));
+    cluster.store_proxies[0].set(Mode::DropAnswers);
+    thread::sleep(Duration::from_millis(400));
+    // Connections that have dropped bytes stay silent, new ones work.
+    cluster.store_proxies[0].set(Mode::Forward);
+    wait_until("the new routes are in force", TIMEOUT, || {
+        (pending(&cluster, "/r-0001399/", API_KEY) == 200).then_some(())
+    });
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,6 +5,7 @@
 use base::clock::{self, Millis};
 use platform::{config, table::Changes};
 use store::table::{Row, StoreError};
+use transfer::limit::Limit;
 
 use crate::{
     config_diff::ConfigDiff,
@@ -15,8 +16,11 @@
 /// Time for which the store delays its answer while nothing changes. Each answer confirms the
 /// configuration, so its age stays below twice this time.
 const FEED_WAIT: Millis = Millis(800);
-/// Timeout of a read: the wait and time for a slow answer.
-const FEED_TIMEOUT: Millis = Millis(1_700);
+/// Limit of a read: the wait and time for a slow answer.
+const FEED_LIMIT: Limit = Limit {
+    answer: Millis(1_700),
+    pause: Millis(900),
+};
 /// Delay after a failed read.
 const RETRY_DELAY: Millis = Millis(150);
 
@@ -68,9 +72,10 @@
 
 async fn wait_for_change(cx: &Cx, version: u64) -> Result<Option<u64>, StoreError> {
     let started = clock::now();
+    let arrival = Rc::default();
     let feed = cx
         .feed_table
-        .changes(config::TABLE, version, FEED_WAIT, FEED_TIMEOUT);
+        .changes(config::TABLE, version, FEED_WAIT, FEED_LIMIT, &arrival);
     match feed.await? {
         Changes::Rows { rows, version } => {
             for (row, _) in rows.iter().filter(|(r, _)| &*r.key == config::KEY) {
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -5,6 +5,7 @@
 use base::clock::{self, Millis};
 use platform::table::Changes;
 use store::table::Row;
+use transfer::limit::Limit;
 
 use crate::{
     cx::{self, Cx},
@@ -15,8 +16,11 @@
 
 /// Time for which the store delays its answer while nothing changes.
 const FEED_WAIT: Millis = Millis(2_000);
-/// Timeout of a read: the wait and time for a slow answer.
-const FEED_TIMEOUT: Millis = Millis(2_900);
+/// Limit of a read: the wait and time for a slow answer.
+const FEED_LIMIT: Limit = Limit {
+    answer: Millis(2_900),
+    pause: Millis(900),
+};
 /// Delay after a failed read.
 const RETRY_DELAY: Millis = Millis(100);
 /// Interval between two reads of a part of the table, in case the feed misses a change. One is
@@ -35,9 +39,10 @@
             .borrow_mut()
             .retain(|_, job| job.deleted > version);
         rereads.run(&cx, &leader).await;
+        let arrival = Rc::default();
         let feed = cx
             .feed_table
-            .changes(rows::JOBS, version, FEED_WAIT, FEED_TIMEOUT);
+            .changes(rows::JOBS, version, FEED_WAIT, FEED_LIMIT, &arrival);
         let feed = tokio::select! {
             feed = feed => feed,
             // A call that was sent before is not answered after an outage of the store.
--- a/crates/store/src/hedge.rs
+++ b/crates/store/src/hedge.rs
@@ -4,17 +4,21 @@
 //! call that takes unusually long is therefore not only waited for: a read is sent again on another
 //! connection, and for a transaction a row that it writes is read back.
 
-use std::pin;
+use std::{pin, rc::Rc};
 
 use base::clock::{self, Millis};
-use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::time;
+use transfer::arrival::Arrival;
 
 use crate::{
     pace::Pace,
+    repeat::{self, Patience},
     table::{Commit, Row, StoreError, Txn, Write},
 };
 
+/// Maximum number of requests of one read.
+const MAX_READS: usize = 4;
+
 /// Single calls to the store, each with a timeout of its own.
 pub trait Calls {
     /// Sends a transaction once and waits for the answer up to `limit`.
@@ -84,52 +88,27 @@
     }
 }
 
-/// Reads with `attempt`, which is called again after each [`Pace::second_read_after`] without an
-/// answer, and gives up after [`Pace::read_limit`]. Returns the first success, or the failure of the
-/// last attempt.
+/// Reads with `attempt`, which records what arrives of the answer. It is called again after each
+/// [`Pace::second_read_after`] without progress, and the read is given up after [`Pace::read_limit`]
+/// without any. Returns the first success, or the failure of the last attempt.
 pub async fn read<T, F: Future<Output = Result<T, StoreError>>>(
     pace: &Pace,
-    attempt: impl Fn() -> F,
+    attempt: impl Fn(Rc<Arrival>) -> F,
 ) -> Result<T, StoreError> {
-    let timed = || async {
-        let sent = clock::now();
-        let result = attempt().await;
-        if result.is_ok() {
-            pace.record_read(clock::now().since(sent));
-        }
-        result
+    let limit = pace.read_limit();
+    let patience = || Patience {
+        again: pace.second_read_after(),
+        limit,
+        max_attempts: MAX_READS,
     };
-    let again = || pace.second_read_after();
-    repeat(again, pace.read_limit(), || pace.record_late_read(), timed).await
-}
-
-async fn repeat<T, F: Future<Output = Result<T, StoreError>>>(
-    again: impl Fn() -> Millis,
-    limit: Millis,
-    record_late: impl Fn(),
-    attempt: impl Fn() -> F,
-) -> Result<T, StoreError> {
-    let mut given_up = pin::pin!(time::sleep(limit.to_duration()));
-    let mut attempts = FuturesUnordered::new();
-    attempts.push(attempt());
-    loop {
-        tokio::select! {
-            Some(result) = attempts.next() => match result {
-                Err(e) if !attempts.is_empty() => {
-                    log::debug!(reason:% = e; "store: one of several reads failed");
-                }
-                result => return result,
-            },
-            () = &mut given_up => {
-                let reason = format!("no complete answer in {limit}");
-                return Err(StoreError::NotDone { reason });
-            }
-            () = time::sleep(again().to_duration()) => {
-                if attempts.len() == 1 {
-                    record_late();
-                }
-                attempts.push(attempt());
-            }
+    let record_late = |calls| {
+        if calls == 1 {
+            pace.record_late_read();
         }
-    }
+    };
+    let (arrival, value) = repeat::repeat(patience, record_late, attempt).await?;
+    // The time that the rest of an answer takes follows its size.
+    let answered = arrival.first().unwrap_or_else(clock::now);
+    pace.record_read(answered.since(arrival.started()));
+    Ok(value)
 }
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -9,14 +9,14 @@
         Client, ClientRequest, Connector,
         error::{ClientError, ConnectError},
     },
-    http::{Method, StatusCode},
+    http::{Method, StatusCode, header},
     io::IoConfig,
     service::cfg::SharedCfg,
     time,
     util::{Bytes, BytesMut},
 };
 use tokio::sync;
-use transfer::arrival::Arrival;
+use transfer::{arrival::Arrival, limit::Limit};
 
 use crate::{
     call_account::{CallAccount, OpenCall, Purpose},
@@ -178,15 +178,15 @@
         self.inner.client.request(method, url).address(address)
     }
 
-    /// Sends the request and reads the complete answer within the `call_ms` of the settings.
+    /// Sends the request and reads the complete answer, unless it makes no progress for the `call_ms` of
+    /// the settings.
     pub async fn call(&self, req: ClientRequest, body: Bytes) -> Result<Answer, CallError> {
-        let arrival = Arrival::default();
-        self.within(self.inner.cfg.call_ms, &arrival, req, body, || {})
-            .await
+        let (arrival, limit) = (Arrival::default(), self.inner.cfg.call_ms.into());
+        self.within(limit, &arrival, req, body, || {}).await
     }
 
-    /// Sends the request and reads the complete answer within `limit`. The call is counted under its
-    /// purpose.
+    /// Sends the request and reads the complete answer, unless it makes no progress for `limit`. The
+    /// call is counted under its purpose.
     pub async fn call_for(
         &self,
         purpose: Purpose,
@@ -195,16 +195,17 @@
         limit: Millis,
     ) -> Result<Answer, CallError> {
         let arrival = rc::Rc::default();
-        self.counted(purpose, req, body, limit, &arrival).await
+        self.counted(purpose, req, body, limit.into(), &arrival)
+            .await
     }
 
-    /// Sends a request without a body, and reads the complete answer within `limit`. Records what has
-    /// arrived of it in `arrival`. The call is counted under its purpose.
+    /// Sends a request without a body and reads the complete answer as far as `limit` allows. Records
+    /// what has arrived of it in `arrival`. The call is counted under its purpose.
     pub async fn get_for(
         &self,
         purpose: Purpose,
         req: ClientRequest,
-        limit: Millis,
+        limit: Limit,
         arrival: &rc::Rc<Arrival>,
     ) -> Result<Answer, CallError> {
         self.counted(purpose, req, Bytes::new(), limit, arrival)
@@ -216,7 +217,7 @@
         purpose: Purpose,
         req: ClientRequest,
         body: Bytes,
-        limit: Millis,
+        limit: Limit,
         arrival: &rc::Rc<Arrival>,
     ) -> Result<Answer, CallError> {
         let account = self.account.clone();
@@ -230,7 +231,7 @@
 
     async fn within(
         &self,
-        limit: Millis,
+        limit: Limit,
         arrival: &Arrival,
         req: ClientRequest,
         body: Bytes,
@@ -245,50 +246,63 @@
             )));
         };
         on_send();
-        let exchange = exchange(req, body, cfg.answer_bytes, arrival);
-        match time::timeout(to_ntex(limit), exchange).await {
-            Ok(result) => result,
-            Err(()) => Err(CallError::NoAnswer(no_answer(limit, arrival))),
-        }
+        arrival.start();
+        let exchange = self.inner.exchange(req, body, arrival);
+        let result = limit.wait(arrival, exchange).await;
+        result.unwrap_or_else(|| Err(CallError::NoAnswer(no_answer(arrival))))
     }
 }
 
-/// Describes an answer that is not complete after `limit`.
-fn no_answer(limit: Millis, arrival: &Arrival) -> String {
+/// Describes an answer that is given up before it is complete.
+fn no_answer(arrival: &Arrival) -> String {
+    let now = clock::now();
+    let took = now.since(arrival.started());
     let Some(last) = arrival.last() else {
-        return format!("no answer in {limit}");
+        return format!("no answer in {took}");
     };
-    let (bytes, age) = (arrival.bytes(), clock::now().since(last));
-    format!("no complete answer in {limit}: {bytes} bytes arrived, the last {age} ago")
+    let (bytes, age) = (arrival.bytes(), now.since(last));
+    format!("no complete answer in {took}: {bytes} bytes arrived, the last {age} ago")
 }
 
-async fn exchange(
-    req: ClientRequest,
-    body: Bytes,
-    max_bytes: usize,
-    arrival: &Arrival,
-) -> Result<Answer, CallError> {
-    let sent = if body.is_empty() {
-        req.send().await
-    } else {
-        req.send_body(body).await
-    };
-    let mut resp = sent.map_err(|e| classify(&e))?;
-    arrival.record(0);
-    let mut body = BytesMut::new();
-    while let Some(piece) = resp.next().await {
-        let piece = piece.map_err(|e| CallError::NoAnswer(format!("incomplete answer: {e}")))?;
-        if body.len() + piece.len() > max_bytes {
-            let reason = format!("the answer exceeds {max_bytes} bytes");
-            return Err(CallError::NoAnswer(reason));
+impl Inner {
+    async fn exchange(
+        &self,
+        req: ClientRequest,
+        body: Bytes,
+        arrival: &Arrival,
+    ) -> Result<Answer, CallError> {
+        let max_bytes = self.cfg.answer_bytes;
+        let sent = if body.is_empty() {
+            req.send().await
+        } else {
+            req.send_body(body).await
+        };
+        let mut resp = sent.map_err(|e| classify(&e))?;
+        arrival.record(0);
+        let length = resp.headers().get(header::CONTENT_LENGTH);
+        let length = length.and_then(|v| v.to_str().ok()?.parse().ok());
+        if length.is_some_and(|l: usize| l > max_bytes) {
+            return Err(too_long(max_bytes));
         }
-        arrival.record(piece.len());
-        body.extend_from_slice(&piece);
+        let mut body = BytesMut::new();
+        while let Some(piece) = resp.next().await {
+            let piece =
+                piece.map_err(|e| CallError::NoAnswer(format!("incomplete answer: {e}")))?;
+            if body.len() + piece.len() > max_bytes {
+                return Err(too_long(max_bytes));
+            }
+            arrival.record(piece.len());
+            body.extend_from_slice(&piece);
+        }
+        Ok(Answer {
+            status: resp.status(),
+            body: body.freeze(),
+        })
     }
-    Ok(Answer {
-        status: resp.status(),
-        body: body.freeze(),
-    })
+}
+
+fn too_long(max_bytes: usize) -> CallError {
+    CallError::NoAnswer(format!("the answer exceeds {max_bytes} bytes"))
 }
 
 /// Distinguishes a connection that could not be opened from one that was lost during the call.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod pace;
 pub mod pages;
 pub mod reach;
+mod repeat;
 pub mod store_clock;
 pub mod table;
 pub mod vm;
--- a/crates/store/src/pace.rs
+++ b/crates/store/src/pace.rs
@@ -52,7 +52,7 @@
 }
 
 impl Pace {
-    /// Records the latency of an answered read.
+    /// Records the time from sending a read to the first byte of its answer.
     ///
     /// ```
     /// # use base::clock::Millis;
@@ -99,7 +99,7 @@
         self.reads.get().mean()
     }
 
-    /// Returns the time after which a read is sent again on another connection.
+    /// Returns the time without progress after which a read is sent again on another connection.
     ///
     /// ```
     /// # use base::clock::Millis;
@@ -109,7 +109,7 @@
         self.reads.get().limit()
     }
 
-    /// Returns the time after which a read is given up.
+    /// Returns the time without progress after which a read is given up.
     ///
     /// ```
     /// # use base::clock::Millis;
--- a/crates/store/src/pages.rs
+++ b/crates/store/src/pages.rs
@@ -11,14 +11,12 @@
 
 use base::clock::{self, Millis};
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use tokio::{
-    sync::{Mutex, Notify},
-    time,
-};
+use tokio::sync::{Mutex, Notify};
 use transfer::arrival::Arrival;
 
 use crate::{
     latency::{Latency, LatencyCfg},
+    repeat::{self, Patience},
     table::StoreError,
 };
 
@@ -136,50 +134,15 @@
         let _turn = self.turn().await;
         let rows = self.rows.get();
         let sent = clock::now();
-        let arrivals: RefCell<Vec<Rc<Arrival>>> = RefCell::default();
-        let start = || {
-            let arrival: Rc<Arrival> = Rc::default();
-            arrivals.borrow_mut().push(arrival.clone());
-            let call = attempt(rows, arrival.clone());
-            async move { (arrival, call.await) }
-        };
-        let due = || {
-            let arrivals = arrivals.borrow();
-            let last = arrivals.iter().filter_map(|a| a.last()).max();
-            let stalls = arrivals.len().min(MAX_ATTEMPTS) as u64;
-            last.unwrap_or(sent) + Millis(self.stall().0 * stalls)
+        let patience = || Patience {
+            again: self.stall(),
+            limit: Millis(self.stall().0 * MAX_ATTEMPTS as u64),
+            max_attempts: MAX_ATTEMPTS,
         };
-        let mut attempts = FuturesUnordered::new();
-        attempts.push(start());
-        loop {
-            let wait = due().since(clock::now());
-            tokio::select! {
-                Some((arrival, result)) = attempts.next() => match result {
-                    Ok(page) => {
-                        self.record(sent, &arrival);
-                        return Ok(page);
-                    }
-                    Err(e) if !attempts.is_empty() => {
-                        log::debug!(reason:% = e; "store: one of several reads failed");
-                    }
-                    Err(e) => return Err(e),
-                },
-                () = time::sleep(wait.to_duration()) => {
-                    let now = clock::now();
-                    // Further bytes may have arrived since.
-                    if now < due() {
-                        continue;
-                    }
-                    if arrivals.borrow().len() < MAX_ATTEMPTS {
-                        attempts.push(start());
-                        continue;
-                    }
-                    let took = now.since(sent);
-                    let reason = format!("no complete page in {took}, and no progress");
-                    return Err(StoreError::NotDone { reason });
-                }
-            }
-        }
+        let read = repeat::repeat(patience, |_| {}, |arrival| attempt(rows, arrival));
+        let (arrival, page) = read.await?;
+        self.record(sent, &arrival);
+        Ok(page)
     }
 
     /// Returns the time without a byte after which a page counts as lost.
--- a/crates/store/tests/hedge.rs
+++ b/crates/store/tests/hedge.rs
@@ -3,6 +3,8 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    future,
+    rc::Rc,
 };
 
 use base::clock::{self, Millis};
@@ -12,6 +14,7 @@
     table::{Commit, Row, StoreError, Txn},
 };
 use tokio::time;
+use transfer::arrival::Arrival;
 
 /// Maximum time for a transaction in these tests.
 const MAX: Millis = Millis(3_000);
@@ -155,7 +158,7 @@
     };
     let pace = fast_pace();
     let start = clock::now();
-    let row = hedge::read(&pace, || store.row("a")).await;
+    let row = hedge::read(&pace, |_| store.row("a")).await;
     assert_eq!(row, Ok(None));
     assert!(clock::now().since(start) < pace.read_limit());
     assert_eq!(store.reads.get(), 2);
@@ -171,7 +174,7 @@
     let pace = fast_pace();
     let limit = pace.read_limit();
     let start = clock::now();
-    let row = hedge::read(&pace, || store.row("a")).await;
+    let row = hedge::read(&pace, |_| store.row("a")).await;
     assert!(matches!(row, Err(StoreError::NotDone { .. })), "{row:?}");
     // Half of the limit allows for a busy machine.
     let took = clock::now().since(start);
@@ -180,3 +183,88 @@
         "{took}"
     );
 }
+
+/// Records 40 pieces that arrive at the rate of a link of 2 Mbit/s, which takes 1.3 s.
+async fn arrive(arrival: &Arrival) {
+    for _ in 0..40 {
+        sleep(Millis(32)).await;
+        arrival.record(8_000);
+    }
+}
+
+/// Guards against a long answer that is requested again while it arrives and then given up, by limits
+/// that follow short answers: no answer was ever complete on a narrow link.
+#[ntex::test]
+async fn an_answer_that_is_long_for_the_link_is_read_once() {
+    let pace = fast_pace();
+    let reads = Cell::new(0);
+    let read = async |arrival: Rc<Arrival>| {
+        reads.set(reads.get() + 1);
+        arrive(&arrival).await;
+        Ok(())
+    };
+    assert_eq!(hedge::read(&pace, read).await, Ok(()));
+    assert_eq!(reads.get(), 1);
+    assert!(pace.read_limit() < Millis(600), "{}", pace.read_limit());
+}
+
+/// Guards against two requests for a long answer that share the link to the end, because the first
+/// one was late to begin.
+#[ntex::test]
+async fn a_request_beside_an_answer_that_arrives_is_dropped() {
+    let pace = fast_pace();
+    let (reads, under_way) = (Cell::new(0), Rc::new(()));
+    let counts = RefCell::new(Vec::new());
+    let read = async |arrival: Rc<Arrival>| {
+        let is_first = reads.replace(reads.get() + 1) == 0;
+        let _call = under_way.clone();
+        if !is_first {
+            future::pending::<()>().await;
+        }
+        sleep(pace.second_read_after() + Millis(50)).await;
+        arrive(&arrival).await;
+        counts.borrow_mut().push(Rc::strong_count(&under_way) - 1);
+        Ok(())
+    };
+    assert_eq!(hedge::read(&pace, read).await, Ok(()));
+    assert_eq!((reads.get(), counts.take()), (2, vec![1]));
+}
+
+/// Guards against a read that waits for the rest of an answer on a connection that has gone silent.
+#[ntex::test]
+async fn an_answer_that_stops_is_requested_again() {
+    let pace = fast_pace();
+    let (reads, stopped) = (Cell::new(0), Cell::new(Millis::ZERO));
+    let read = async |arrival: Rc<Arrival>| {
+        if reads.replace(reads.get() + 1) == 0 {
+            arrival.record(100_000);
+            stopped.set(clock::now());
+            future::pending::<()>().await;
+        }
+        Ok(())
+    };
+    assert_eq!(hedge::read(&pace, read).await, Ok(()));
+    assert_eq!(reads.get(), 2);
+    // As fast as for a connection that is silent from the start.
+    let took = clock::now().since(stopped.get());
+    assert!(took < pace.read_limit(), "{took}");
+}
+
+/// Guards against a read that hangs on a connection on which bytes trickle.
+#[ntex::test]
+async fn an_answer_that_trickles_is_requested_again() {
+    let pace = fast_pace();
+    let reads = Cell::new(0);
+    let read = async |arrival: Rc<Arrival>| {
+        if reads.replace(reads.get() + 1) == 0 {
+            loop {
+                arrival.record(10);
+                sleep(Millis(50)).await;
+            }
+        }
+        Ok(())
+    };
+    let read = time::timeout(Millis(6_000).to_duration(), hedge::read(&pace, read));
+    assert_eq!(read.await, Ok(Ok(())));
+    assert_eq!(reads.get(), 2);
+}
--- a/crates/transfer/src/arrival.rs
+++ b/crates/transfer/src/arrival.rs
@@ -4,6 +4,16 @@
 
 use base::clock::{self, Millis};
 
+/// Rate, in bytes per ms, at which an answer should arrive at least. A link of 2 Mbit/s carries 15
+/// answers at once at this rate.
+const MIN_RATE: u64 = 16;
+/// Maximum time by which an answer may fall behind that rate while bytes arrive.
+const MAX_BEHIND: Millis = Millis(4_000);
+/// Bytes of other answers that may arrive between two pieces of one on the same link.
+const MAX_QUEUED: u64 = 128 << 10;
+/// Maximum of the pause that is taken for usual.
+const MAX_USUAL_PAUSE: Millis = Millis(2_000);
+
 /// Bytes of the answer to a call that have arrived so far.
 ///
 /// ```
@@ -13,14 +23,38 @@
 /// arrival.record(1_000);
 /// assert_eq!(arrival.bytes(), 1_000);
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Arrival {
+    started: Cell<Millis>,
     bytes: Cell<usize>,
     first: Cell<Option<Millis>>,
     last: Cell<Option<Millis>>,
+    /// Time until which the bytes so far suffice at [`MIN_RATE`], at most that of the last byte.
+    on_time: Cell<Millis>,
+}
+
+impl Default for Arrival {
+    fn default() -> Self {
+        Self {
+            started: Cell::new(clock::now()),
+            bytes: Cell::default(),
+            first: Cell::default(),
+            last: Cell::default(),
+            on_time: Cell::default(),
+        }
+    }
 }
 
 impl Arrival {
+    /// Records that the call is sent now rather than when the arrival was created.
+    ///
+    /// ```
+    /// transfer::arrival::Arrival::default().start();
+    /// ```
+    pub fn start(&self) {
+        self.started.set(clock::now());
+    }
+
     /// Records that `bytes` bytes have arrived now. The head of an answer counts as 0.
     ///
     /// ```
@@ -29,10 +63,25 @@
     pub fn record(&self, bytes: usize) {
         let now = clock::now();
         self.bytes.set(self.bytes.get() + bytes);
+        let covered = Millis(bytes as u64 / MIN_RATE);
+        let on_time = self
+            .last
+            .get()
+            .map_or(now, |_| self.on_time.get() + covered);
+        self.on_time.set(on_time.min(now));
         self.first.set(self.first.get().or(Some(now)));
         self.last.set(Some(now));
     }
 
+    /// Returns the time when the call was sent.
+    ///
+    /// ```
+    /// assert!(transfer::arrival::Arrival::default().started() <= base::clock::now());
+    /// ```
+    pub const fn started(&self) -> Millis {
+        self.started.get()
+    }
+
     /// Returns the number of bytes that have arrived.
     ///
     /// ```
@@ -70,4 +119,29 @@
         let times = self.first.get().zip(self.last.get());
         times.map_or(Millis::ZERO, |(first, last)| last.since(first))
     }
+
+    /// Returns the time from which on the answer counts as stalled unless more of it arrives: `pause`
+    /// after its last byte, later on a link that explains a longer pause, and earlier if its bytes
+    /// trickle. Returns `None` before its first byte.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    ///
+    /// let arrival = transfer::arrival::Arrival::default();
+    /// assert_eq!(arrival.stalled_at(Millis(500)), None);
+    /// arrival.record(100);
+    /// assert_eq!(arrival.stalled_at(Millis(500)), arrival.last().map(|t| t + Millis(500)));
+    /// ```
+    pub fn stalled_at(&self, pause: Millis) -> Option<Millis> {
+        let silent_at = self.last.get()? + pause.max(self.usual_pause());
+        Some(silent_at.min(self.on_time.get() + MAX_BEHIND))
+    }
+
+    /// Returns the pause between two pieces that is usual on a link which this answer shares with
+    /// others, by the rate at which it has arrived so far.
+    fn usual_pause(&self) -> Millis {
+        let pause = MAX_QUEUED * self.duration().0;
+        let pause = pause.checked_div(self.bytes.get() as u64);
+        pause.map_or(Millis::ZERO, Millis).min(MAX_USUAL_PAUSE)
+    }
 }
--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -1,3 +1,4 @@
-//! Progress of transfers over a network.
+//! Progress of transfers over a network, and limits that follow it.
 
 pub mod arrival;
+pub mod limit;
