node: a call that fails beside others that are served is no loss of the store

What callers saw: late configurations.

Cause: any call that failed marked the store as lost, whatever else it answered, until the next answer. Each change of that state gave up the feeds under way, also one whose answer was arriving, and the configuration was read from its first byte on.

Change: the clients of the store know when part of an answer last arrived (refusals for lack of service don't count). A failed call marks the store as lost only if nothing has arrived since it was sent, and two such reads make it count as out. A feed whose answer has begun is never given up for a change of that state. Feeds of jobs that wait are still sent again when another call has failed, because connections go silent together. The result of a lease step comes with its start.

--- a/crates/cli/tests/long_config.rs
+++ b/crates/cli/tests/long_config.rs
@@ -23,6 +23,8 @@
 const ROUTES: usize = 1_400;
 /// Time after which a changed configuration is in force (`config-apply-ms`).
 const APPLY_TIME: Duration = Duration::from_secs(3);
+/// Time after which most of the configuration has arrived on the narrow link, and not all.
+const MOSTLY_ARRIVED: Duration = Duration::from_millis(1_500);
 /// Time after which no call with a removed key is carried out (`revoke-ms`).
 const REVOKE_TIME: Duration = Duration::from_secs(5);
 const NEW_KEY: &str = "key-two";
@@ -51,6 +53,17 @@
     answer.map_or(0, |a| a.status)
 }
 
+/// Returns a metric without labels.
+fn metric(cluster: &Cluster, name: &str) -> f64 {
+    let addr = cluster.operator_addrs[0];
+    let answer = common::http::send(addr, "GET", "/metrics", &[], "").unwrap();
+    let text = answer.body.as_str().unwrap_or_default().to_owned();
+    assert!(text.contains("# TYPE"), "{text}");
+    // A counter has no line before it counts for the first time.
+    let line = text.lines().find_map(|l| l.strip_prefix(name));
+    line.map_or(0.0, |l| l.trim().parse().unwrap())
+}
+
 /// Guards against nodes that refuse all calls for good after a configuration that takes as long as the
 /// limit of a read on their link.
 #[test]
@@ -78,6 +91,31 @@
     }
     let took = in_force.expect("the new routes are in force");
     assert!(took < APPLY_TIME, "{took:?}");
+    let losses = metric(&cluster, "node_store_losses_total");
+    assert!(losses < 1.0, "the store counted as lost {losses} times");
+}
+
+/// Guards against a configuration that is given up while it arrives, because a call beside it has
+/// failed and the store counts as lost.
+#[test]
+fn a_call_that_fails_does_not_stop_a_configuration_that_arrives() {
+    let link = Link::new(10 << 20);
+    let cluster = start("long-beside", &link);
+    link.set_bandwidth(NARROW);
+    cluster.store.refuse_range_reads("phases");
+    cluster
+        .store
+        .put("op", "config", &long_config(2, &[API_KEY]));
+    let stored = Instant::now();
+    thread::sleep(MOSTLY_ARRIVED);
+    assert_eq!(cluster.state(0, 1), "", "the read is refused");
+    wait_until("the new routes are in force", TIMEOUT, || {
+        (pending(&cluster, "/r-0001399/", API_KEY) == 200).then_some(())
+    });
+    let took = stored.elapsed();
+    assert!(took > MOSTLY_ARRIVED && took < APPLY_TIME, "{took:?}");
+    let losses = metric(&cluster, "node_store_losses_total");
+    assert!(losses < 1.0, "the store counted as lost {losses} times");
 }
 
 /// Guards against a removed key that can be used while the configuration that removes it still arrives.
--- a/crates/lease/src/task.rs
+++ b/crates/lease/src/task.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 
-use base::clock;
+use base::clock::{self, Millis};
 use tokio::sync::Notify;
 
 use crate::{
@@ -11,13 +11,14 @@
 };
 
 /// Runs `lease` until it is released. `wake` ends a wait early. `on_result` gets each
-/// step on the table and its result, and `on_change` is called whenever the lease may have been won or lost.
+/// step on the table, its start and its result, and `on_change` is called whenever the lease may have been
+/// won or lost.
 pub async fn run<T: LeaseTable>(
     lease: &RefCell<Lease>,
     wake: &Notify,
     table: &T,
     candidate: &Candidate,
-    mut on_result: impl FnMut(Step, StepResult),
+    mut on_result: impl FnMut(Step, Millis, StepResult),
     mut on_change: impl FnMut(),
 ) {
     let mut count = 0;
@@ -34,9 +35,10 @@
             }
             step => {
                 count += 1;
+                let started = clock::now();
                 let result = table::execute(table, candidate, step, count).await;
                 lease.borrow_mut().complete(clock::now(), result.outcome);
-                on_result(step, result);
+                on_result(step, started, result);
             }
         }
         on_change();
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -165,8 +165,9 @@
 
 async fn read_phase(cx: &Cx, authorised: &Authorised) -> Result<ShownPhase, Refusal> {
     let id = &authorised.path_suffix;
+    let started = clock::now();
     let row = cx.table.get_row(rows::PHASES, id).await;
-    let row = row.map_err(|e| read_failure(cx, id, &e))?;
+    let row = row.map_err(|e| read_failure(cx, id, started, &e))?;
     let phase: Option<PhaseRow> = row.as_ref().map(decode).transpose()?;
     let found = row.as_ref().zip(phase.as_ref());
     let store_now = cx.store_clock.now();
@@ -240,8 +241,8 @@
     rows::from_json(row).ok_or(Refusal::Store)
 }
 
-fn read_failure(cx: &Cx, id: &str, error: &StoreError) -> Refusal {
-    peers::record_loss(cx, "accept");
+fn read_failure(cx: &Cx, id: &str, started: Millis, error: &StoreError) -> Refusal {
+    peers::record_loss(cx, "accept", started);
     log::info!(job = id, reason:% = error; "accept: failed to read from the store");
     Refusal::Store
 }
@@ -277,11 +278,12 @@
 /// Reads the rows of a job.
 async fn read_job(cx: &Cx, id: &str) -> Result<StoredJob, Refusal> {
     let table = rows::job_table(id);
+    let started = clock::now();
     let page = cx
         .table
         .read(&table, &format!("{id}."), &format!("{id}/"))
         .await;
-    let page = page.map_err(|e| read_failure(cx, id, &e))?;
+    let page = page.map_err(|e| read_failure(cx, id, started, &e))?;
     let mut stored = StoredJob {
         read_at: page.version,
         ..StoredJob::default()
@@ -349,8 +351,9 @@
 /// Returns the number of jobs of a queue that have not started.
 pub(crate) async fn pending(cx: &Cx, authorised: &Authorised) -> Result<Response, Refusal> {
     let (_, key) = rows::PENDING.split_once('/').unwrap_or_default();
+    let started = clock::now();
     let row = cx.table.get_row(rows::CONTROL, key).await;
-    let row = row.map_err(|e| read_failure(cx, &authorised.queue.name, &e))?;
+    let row = row.map_err(|e| read_failure(cx, &authorised.queue.name, started, &e))?;
     let counts = row.as_ref().and_then(rows::from_json::<rows::PendingRow>);
     let count = counts.and_then(|c| c.get(&authorised.queue.name).copied());
     Ok(Response::Ok()
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,7 +5,7 @@
 use base::clock::{self, Millis};
 use platform::{config, table::Changes};
 use store::table::{Row, StoreError};
-use transfer::limit::Limit;
+use transfer::{arrival::Arrival, limit::Limit};
 
 use crate::{
     config_diff::ConfigDiff,
@@ -30,11 +30,16 @@
     let mut version = None;
     loop {
         let was_lost = cx.peers.reach().is_lost();
+        let (started, arrival) = (clock::now(), Rc::default());
         let result = match version {
-            Some(version) if !was_lost => tokio::select! {
-                result = wait_for_change(&cx, version) => result,
-                () = cx.peers.changed() => continue,
-            },
+            Some(version) if !was_lost => {
+                let feed = feed(&cx, version, &arrival);
+                let changed = async || cx.peers.changed().await;
+                let Some(feed) = peers::wait_unless(changed, &arrival, feed).await else {
+                    continue;
+                };
+                apply_changes(&cx, started, version, feed)
+            }
             _ => read(&cx).await,
         };
         match result {
@@ -45,10 +50,10 @@
             Err(e) => {
                 let age = cx.config_age().map(|a| a.0);
                 log::info!(age_ms = age, reason:% = e; "config: failed to read from the store");
-                if was_lost {
+                if was_lost && !cx.store_served_after(started) {
                     peers::confirm_loss(&cx);
                 }
-                peers::record_loss(&cx, "config");
+                peers::record_loss(&cx, "config", started);
                 cx::sleep(RETRY_DELAY).await;
             }
         }
@@ -70,13 +75,23 @@
     Ok(Some(page.version))
 }
 
-async fn wait_for_change(cx: &Cx, version: u64) -> Result<Option<u64>, StoreError> {
-    let started = clock::now();
-    let arrival = Rc::default();
+/// Waits for a change of the configuration.
+async fn feed(cx: &Cx, version: u64, arrival: &Rc<Arrival>) -> Result<Changes, StoreError> {
     let feed = cx
         .feed_table
-        .changes(config::TABLE, version, FEED_WAIT, FEED_LIMIT, &arrival);
-    match feed.await? {
+        .changes(config::TABLE, version, FEED_WAIT, FEED_LIMIT, arrival);
+    feed.await
+}
+
+/// Applies the changes after `version`, which were asked for at `started`. Returns the version to
+/// continue from, or `None` if the configuration is to be read.
+fn apply_changes(
+    cx: &Cx,
+    started: Millis,
+    version: u64,
+    changes: Result<Changes, StoreError>,
+) -> Result<Option<u64>, StoreError> {
+    match changes? {
         Changes::Rows { rows, version } => {
             for (row, _) in rows.iter().filter(|(r, _)| &*r.key == config::KEY) {
                 apply(cx, row);
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -173,6 +173,13 @@
         Some(clock::now().since(confirmed_at))
     }
 
+    /// Returns whether the store has served a call of this node after `time`, at least in part.
+    pub(crate) fn store_served_after(&self, time: Millis) -> bool {
+        let tables = [&self.table, &self.lease_table, &self.feed_table];
+        let heard_at = tables.into_iter().filter_map(Table::heard_at).max();
+        heard_at.is_some_and(|at| at > time)
+    }
+
     /// Returns the leader state if this process may currently act as the leader.
     pub(crate) fn acting(&self) -> Option<Rc<Leader>> {
         let held = self.lease.borrow().acting(clock::now())?;
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -10,7 +10,7 @@
 use crate::{
     cx::{self, Cx},
     leader::Leader,
-    load,
+    load, peers,
     rows::{self, JobRowKind},
 };
 
@@ -43,10 +43,12 @@
         let feed = cx
             .feed_table
             .changes(rows::JOBS, version, FEED_WAIT, FEED_LIMIT, &arrival);
+        let suspected = async || cx.peers.suspected().await;
         let feed = tokio::select! {
-            feed = feed => feed,
-            // A call that was sent before is not answered after an outage of the store.
-            () = cx.peers.changed() => continue,
+            feed = peers::wait_unless(suspected, &arrival, feed) => match feed {
+                Some(feed) => feed,
+                None => continue,
+            },
             () = leader.read_again.notified() => {
                 read_all(&cx, &leader).await;
                 continue;
--- a/crates/node/src/lease_task.rs
+++ b/crates/node/src/lease_task.rs
@@ -24,8 +24,8 @@
         wake,
         &cx.lease_table,
         &cx.candidate,
-        |step, result| {
-            record_result(&cx, step, result);
+        |step, started, result| {
+            record_result(&cx, step, started, result);
             spread_takeovers(&cx);
         },
         || update_leader(&cx),
@@ -43,12 +43,14 @@
 
 /// Records whether the store answers. Only a failed read shows that it does not: a part of a slow
 /// store refuses transactions while it has too many.
-fn record_result(cx: &Cx, step: Step, result: StepResult) {
+fn record_result(cx: &Cx, step: Step, started: Millis, result: StepResult) {
     match (step, result.outcome) {
         (_, Outcome::Rows { .. } | Outcome::Done { .. } | Outcome::Conflict { .. }) => {
             peers::record_answer(cx);
         }
-        (Step::Read, Outcome::NotDone | Outcome::Unknown) => peers::record_loss(cx, "lease"),
+        (Step::Read, Outcome::NotDone | Outcome::Unknown) => {
+            peers::record_loss(cx, "lease", started);
+        }
         _ => {}
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net,
+    net, pin,
     rc::Rc,
 };
 
@@ -25,6 +25,7 @@
     table::{Commit, Row, StoreError, Txn},
 };
 use tokio::sync::Notify;
+use transfer::arrival::Arrival;
 
 use crate::{
     cx::{self, Cx},
@@ -63,6 +64,8 @@
     reach: Cell<Reach>,
     /// Notified when the store is lost or regained.
     changed: Notify,
+    /// Notified when a call to the store has failed beside others that are served.
+    call_failed: Notify,
 }
 
 /// Answer of a node to the question whether the store serves it.
@@ -106,6 +109,7 @@
             others: RefCell::default(),
             reach: Cell::default(),
             changed: Notify::new(),
+            call_failed: Notify::new(),
         })
     }
 
@@ -129,6 +133,15 @@
         self.changed.notified().await;
     }
 
+    /// Waits until calls that were sent before may stay without an answer: the store is lost or
+    /// regained, or a call has failed beside others that are served. Connections go silent together.
+    pub(crate) async fn suspected(&self) {
+        tokio::select! {
+            () = self.changed() => {}
+            () = self.call_failed.notified() => {}
+        }
+    }
+
     fn update<T>(&self, f: impl FnOnce(&mut Reach) -> T) -> T {
         let mut reach = self.reach.get();
         let result = f(&mut reach);
@@ -150,8 +163,16 @@
     readiness::record(cx);
 }
 
-/// Records that the store has refused or not answered a call of this node.
-pub(crate) fn record_loss(cx: &Cx, call: &str) {
+/// Records that the store has refused or not answered a call of this node that was sent at `sent`.
+///
+/// A node that the store has served since then has not lost it: the connection of the call may be
+/// silent, or its answer too long for the link.
+pub(crate) fn record_loss(cx: &Cx, call: &str, sent: Millis) {
+    if cx.store_served_after(sent) {
+        log::debug!(call; "store: a call has failed beside others that are served");
+        cx.peers.call_failed.notify_waiters();
+        return;
+    }
     let now = clock::now();
     let answer_age_ms = cx.peers.reach().answer_age(now).map(|a| a.0);
     if cx.peers.update(|r| r.record_loss(now)) {
@@ -162,6 +183,23 @@
     }
 }
 
+/// Waits for the answer to a `call` to the store. Returns `None` if `stale` ends before any of the answer
+/// has arrived.
+pub(crate) async fn wait_unless<T>(
+    stale: impl AsyncFn(),
+    arrival: &Arrival,
+    call: impl Future<Output = T>,
+) -> Option<T> {
+    let mut call = pin::pin!(call);
+    loop {
+        tokio::select! {
+            result = &mut call => return Some(result),
+            () = stale() => {}
+        }
+        arrival.first()?;
+    }
+}
+
 /// Records that a read which started after the loss of the store has failed too.
 pub(crate) fn confirm_loss(cx: &Cx) {
     cx.peers.update(Reach::confirm_loss);
--- a/crates/node/src/retried_write.rs
+++ b/crates/node/src/retried_write.rs
@@ -83,7 +83,8 @@
                 return Err(self.refusal());
             }
             self.tries += 1;
-            let remaining = self.deadline.since(clock::now()).to_duration();
+            let sent = clock::now();
+            let remaining = self.deadline.since(sent).to_duration();
             let result = tokio::time::timeout(remaining, cx.table.commit(txn)).await;
             let error = match result {
                 Ok(Ok(commit)) => return Ok(commit),
@@ -104,7 +105,7 @@
                     return Err(self.rejection());
                 }
                 StoreError::NotDone { .. } => {
-                    peers::record_loss(cx, "accept");
+                    peers::record_loss(cx, "accept", sent);
                     let since = *self.refused_since.get_or_insert(now);
                     if !self.unknown && now.since(since) >= MAX_REFUSED_TIME {
                         log::info!(
--- a/crates/sched/src/lease_task.rs
+++ b/crates/sched/src/lease_task.rs
@@ -18,7 +18,7 @@
         lease_key: cx.lease_key(),
         heartbeat_key: cx.heartbeat_key(),
     };
-    let on_result = |_, result: StepResult| {
+    let on_result = |_, _, result: StepResult| {
         if result.is_answered() {
             cx.table_answered_at.set(clock::now());
         }
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -1,6 +1,6 @@
 //! HTTP client whose errors tell whether anything may have been sent.
 
-use std::{io, net, rc};
+use std::{cell::Cell, io, net, rc};
 
 use base::clock::{self, Millis};
 use futures_util::StreamExt;
@@ -55,6 +55,8 @@
     client: Client,
     permits: sync::Semaphore,
     cfg: HttpCfg,
+    /// Time when part of an answer that is not a refusal last arrived.
+    heard_at: Cell<Option<Millis>>,
 }
 
 /// A complete answer of the server.
@@ -144,6 +146,7 @@
             client,
             permits: sync::Semaphore::new(cfg.connections),
             cfg,
+            heard_at: Cell::default(),
         };
         Ok(Self {
             inner: rc::Rc::new(inner),
@@ -157,6 +160,12 @@
         Self { account, ..self }
     }
 
+    /// Returns the time when part of an answer last arrived, or `None` before the first one. Refusals
+    /// for lack of service don't count.
+    pub fn heard_at(&self) -> Option<Millis> {
+        self.inner.heard_at.get()
+    }
+
     /// Creates a request to `path` under the base URL.
     pub fn request(&self, method: Method, path: &str) -> ClientRequest {
         let url = format!("{}{path}", self.inner.base_url);
@@ -278,7 +287,15 @@
             req.send_body(body).await
         };
         let mut resp = sent.map_err(|e| classify(&e))?;
-        arrival.record(0);
+        let is_refusal =
+            resp.status().is_server_error() || resp.status() == StatusCode::TOO_MANY_REQUESTS;
+        let record = |bytes| {
+            arrival.record(bytes);
+            if !is_refusal {
+                self.heard_at.set(arrival.last());
+            }
+        };
+        record(0);
         let length = resp.headers().get(header::CONTENT_LENGTH);
         let length = length.and_then(|v| v.to_str().ok()?.parse().ok());
         if length.is_some_and(|l: usize| l > max_bytes) {
@@ -291,7 +308,7 @@
             if body.len() + piece.len() > max_bytes {
                 return Err(too_long(max_bytes));
             }
-            arrival.record(piece.len());
+            record(piece.len());
             body.extend_from_slice(&piece);
         }
         Ok(Answer {
