--- a/crates/store/src/call_account.rs
+++ b/crates/store/src/call_account.rs
@@ -139,7 +139,7 @@
         match result {
             Ok(_) => Self::Answered,
             Err(CallError::Refused(_)) => Self::Refused,
-            Err(CallError::NoAnswer(_)) => Self::NoAnswer,
+            Err(CallError::NoAnswer(_) | CallError::TooLong(_)) => Self::NoAnswer,
             Err(CallError::Closed(_)) => Self::Closed,
             Err(CallError::NotSent(_)) => Self::NotSent,
         }
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -81,6 +81,8 @@
     Closed(String),
     /// The request may have been sent, and no complete answer was received.
     NoAnswer(String),
+    /// The request was sent, and the answer exceeds the `answer_bytes` of the settings.
+    TooLong(String),
 }
 
 impl CallError {
@@ -95,7 +97,8 @@
             Self::NotSent(reason)
             | Self::Refused(reason)
             | Self::Closed(reason)
-            | Self::NoAnswer(reason) => reason,
+            | Self::NoAnswer(reason)
+            | Self::TooLong(reason) => reason,
         }
     }
 
@@ -103,7 +106,9 @@
     pub fn into_write_error(self) -> StoreError {
         match self {
             Self::NotSent(reason) | Self::Refused(reason) => StoreError::NotDone { reason },
-            Self::Closed(reason) | Self::NoAnswer(reason) => StoreError::Unknown { reason },
+            Self::Closed(reason) | Self::NoAnswer(reason) | Self::TooLong(reason) => {
+                StoreError::Unknown { reason }
+            }
         }
     }
 
@@ -319,7 +324,7 @@
 }
 
 fn too_long(max_bytes: usize) -> CallError {
-    CallError::NoAnswer(format!("the answer exceeds {max_bytes} bytes"))
+    CallError::TooLong(format!("the answer exceeds {max_bytes} bytes"))
 }
 
 /// Distinguishes a connection that could not be opened from one that was lost during the call.
