node: after an outage of the store only the changes of the configuration are read

What callers saw: after each outage the link of a VM was full of a configuration that had not changed, while what had waited for the store came back; and calls were refused for up to 0.8 s longer than needed after a long configuration.

Cause: while the store counted as lost, the configuration was read whole (hedged, up to four requests), also when the version in force was known. After an answer that had taken long, the next confirmation waited for another change first.

Change: while the store is lost, the changes since the known version are asked for without a wait, with the same repeats. The whole row is read only at the start and when the store can't tell the changes. A configuration that was confirmed more than two waits ago is confirmed without a wait.

--- a/crates/cli/tests/long_config.rs
+++ b/crates/cli/tests/long_config.rs
@@ -13,6 +13,7 @@
     proxy::{Link, Mode},
 };
 use common::wait_until;
+use platform_standin::store::Fault;
 use serde_json::{Value, json};
 
 /// Bandwidth of a link of 2 Mbit/s, in bytes a second.
@@ -27,6 +28,8 @@
 const MOSTLY_ARRIVED: Duration = Duration::from_millis(1_500);
 /// Time after which no call with a removed key is carried out (`revoke-ms`).
 const REVOKE_TIME: Duration = Duration::from_secs(5);
+/// Number of outages of the store in a row.
+const OUTAGES: u32 = 6;
 const NEW_KEY: &str = "key-two";
 
 /// Returns a configuration with many routes of the length that the platform gives them.
@@ -118,6 +121,38 @@
     assert!(losses < 1.0, "the store counted as lost {losses} times");
 }
 
+/// Guards against a configuration that each node reads from its first byte on after an outage, when
+/// the link is needed for what has waited.
+#[test]
+fn an_unchanged_configuration_is_not_read_again_after_an_outage() {
+    let link = Link::new(10 << 20);
+    let cluster = start("long-outage", &link);
+    let config = long_config(2, &[API_KEY]);
+    cluster.store.put("op", "config", &config);
+    wait_until("the new routes are in force", TIMEOUT, || {
+        (pending(&cluster, "/r-0001399/", API_KEY) == 200).then_some(())
+    });
+    let sent = link.sent();
+    for outage in 1..=OUTAGES {
+        cluster.store.set_fault(Fault::Refuses);
+        wait_until("the store counts as lost", TIMEOUT, || {
+            let losses = metric(&cluster, "node_store_losses_total");
+            (losses >= f64::from(outage)).then_some(())
+        });
+        // Either the lease or the configuration is the first to be read again.
+        thread::sleep(Duration::from_millis(u64::from(outage) * 70));
+        cluster.store.set_fault(Fault::None);
+        thread::sleep(Duration::from_millis(900));
+        assert_eq!(pending(&cluster, "/r-0001399/", API_KEY), 200);
+    }
+    let bytes = link.sent() - sent;
+    let whole = config.to_string().len() as u64;
+    assert!(
+        bytes < whole,
+        "{bytes} bytes, the configuration has {whole}"
+    );
+}
+
 /// Guards against a removed key that can be used while the configuration that removes it still arrives.
 #[test]
 fn a_removed_key_is_refused_while_the_configuration_arrives() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -21,6 +21,8 @@
     answer: Millis(1_700),
     pause: Millis(900),
 };
+/// Age from which on the configuration is confirmed without a wait, as after a long answer.
+const OLD: Millis = Millis(2 * FEED_WAIT.0);
 /// Delay after a failed read.
 const RETRY_DELAY: Millis = Millis(150);
 
@@ -32,7 +34,13 @@
         let was_lost = cx.peers.reach().is_lost();
         let (started, arrival) = (clock::now(), Rc::default());
         let result = match version {
-            Some(version) if !was_lost => {
+            // The whole configuration is only read if the store can't tell the changes.
+            None => read(&cx).await,
+            Some(version) if was_lost => {
+                let feed = cx.feed_table.changes_now(config::TABLE, version);
+                apply_changes(&cx, started, version, feed.await)
+            }
+            Some(version) => {
                 let feed = feed(&cx, version, &arrival);
                 let changed = async || cx.peers.changed().await;
                 let Some(feed) = peers::wait_unless(changed, &arrival, feed).await else {
@@ -40,7 +48,6 @@
                 };
                 apply_changes(&cx, started, version, feed)
             }
-            _ => read(&cx).await,
         };
         match result {
             Ok(next) => {
@@ -77,9 +84,11 @@
 
 /// Waits for a change of the configuration.
 async fn feed(cx: &Cx, version: u64, arrival: &Rc<Arrival>) -> Result<Changes, StoreError> {
+    let is_old = cx.config_age().is_none_or(|age| age > OLD);
+    let wait = if is_old { Millis::ZERO } else { FEED_WAIT };
     let feed = cx
         .feed_table
-        .changes(config::TABLE, version, FEED_WAIT, FEED_LIMIT, arrival);
+        .changes(config::TABLE, version, wait, FEED_LIMIT, arrival);
     feed.await
 }
 
