store, node: a long transaction gets the time that its body takes on the link

What callers would see: on a link of 2 Mbit/s a transaction of 600 KB (800 KB in base64, 3.2 s) was given up after 1.0 s with an unknown outcome and sent again for good.

Ruled out: the progress of the request itself.

The time of the body comes on top of the limit for the answer: 1 ms for 5 KB on 200 Mbit/s, 0.8 s for 50 KB on 2 Mbit/s.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,7 +5,7 @@
 use base::clock::{self, Millis};
 use platform::{config, table::Changes};
 use store::table::{Row, StoreError};
-use transfer::{arrival::Arrival, limit::Limit};
+use transfer::{exchange::Exchange, limit::Limit};
 
 use crate::{
     config_diff::ConfigDiff,
@@ -32,7 +32,7 @@
     let mut version = None;
     loop {
         let was_lost = cx.peers.reach().is_lost();
-        let (started, arrival) = (clock::now(), Rc::default());
+        let (started, exchange) = (clock::now(), Rc::default());
         let result = match version {
             // The whole configuration is only read if the store can't tell the changes.
             None => read(&cx).await,
@@ -41,9 +41,9 @@
                 apply_changes(&cx, started, version, feed.await)
             }
             Some(version) => {
-                let feed = feed(&cx, version, &arrival);
+                let feed = feed(&cx, version, &exchange);
                 let changed = async || cx.peers.changed().await;
-                let Some(feed) = peers::wait_unless(changed, &arrival, feed).await else {
+                let Some(feed) = peers::wait_unless(changed, &exchange, feed).await else {
                     continue;
                 };
                 apply_changes(&cx, started, version, feed)
@@ -83,12 +83,12 @@
 }
 
 /// Waits for a change of the configuration.
-async fn feed(cx: &Cx, version: u64, arrival: &Rc<Arrival>) -> Result<Changes, StoreError> {
+async fn feed(cx: &Cx, version: u64, exchange: &Rc<Exchange>) -> Result<Changes, StoreError> {
     let is_old = cx.config_age().is_none_or(|age| age > OLD);
     let wait = if is_old { Millis::ZERO } else { FEED_WAIT };
     let feed = cx
         .feed_table
-        .changes(config::TABLE, version, wait, FEED_LIMIT, arrival);
+        .changes(config::TABLE, version, wait, FEED_LIMIT, exchange);
     feed.await
 }
 
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -100,11 +100,13 @@
 
 impl Ctx {
     pub(crate) async fn new(cfg: NodeCfg) -> Result<Self, StoreError> {
+        let min_send_rate = cfg.min_send_rate();
         let http = |connections, call_ms| HttpCfg {
             connections,
             queue_ms: Millis(500),
             connect_ms: CONNECT_TIMEOUT,
             call_ms,
+            min_send_rate,
             answer_bytes: MAX_ANSWER_BYTES,
         };
         let store = cfg.store;
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -39,13 +39,13 @@
             .borrow_mut()
             .retain(|_, job| job.deleted > version);
         rereads.run(&cx, &leader).await;
-        let arrival = Rc::default();
+        let exchange = Rc::default();
         let feed = cx
             .feed_table
-            .changes(rows::JOBS, version, FEED_WAIT, FEED_LIMIT, &arrival);
+            .changes(rows::JOBS, version, FEED_WAIT, FEED_LIMIT, &exchange);
         let suspected = async || cx.peers.suspected().await;
         let feed = tokio::select! {
-            feed = peers::wait_unless(suspected, &arrival, feed) => match feed {
+            feed = peers::wait_unless(suspected, &exchange, feed) => match feed {
                 Some(feed) => feed,
                 None => continue,
             },
--- a/crates/node/src/node_cfg.rs
+++ b/crates/node/src/node_cfg.rs
@@ -16,6 +16,8 @@
 /// assert!(small.lease.yield_ms > cfg.lease.yield_ms);
 /// let e = node::node_cfg::read("{ row_bytes: 10 }").unwrap_err();
 /// assert!(e.to_string().contains("row_bytes: invalid value 10: must be at least 8192"));
+/// let e = node::node_cfg::read("{ link_mbps: 0 }").unwrap_err();
+/// assert!(e.to_string().contains("link_mbps: invalid value 0.0: must be at least 0.032"));
 /// let e = node::node_cfg::read("{ nmae: 'n1' }").unwrap_err();
 /// assert!(e.to_string().contains("nmae: invalid value \"n1\": unknown setting"));
 /// ```
@@ -59,6 +61,8 @@
     pub cpu_share: f64,
     /// Speed of the VM's core, as a multiple of a standard core.
     pub cores: f64,
+    /// Bandwidth of the VM's link in Mbit/s.
+    pub link_mbps: f64,
     /// Settings of the leader lease.
     pub lease: LeaseCfg,
 }
@@ -69,9 +73,23 @@
 /// Time for which such a VM yields the lease to others. A candidate reads the lease every 0.5 s.
 const YIELD_TIME: Millis = Millis(700);
 
+/// Number of long transfers for which the link has room at once.
+const LINK_SHARES: f64 = 4.0;
+/// Bytes per ms that a link of 1 Mbit/s carries.
+const BYTES_PER_MS: f64 = 125.0;
+/// Minimum of [`NodeCfg::link_mbps`]: each share is a byte per ms.
+const MIN_LINK_MBPS: f64 = LINK_SHARES / BYTES_PER_MS;
+
 /// Minimum of [`NodeCfg::row_bytes`]: a job with a text of 4,000 bytes fits in one row.
 const MIN_ROW_BYTES: usize = 8 << 10;
 
+impl NodeCfg {
+    /// Returns the rate, in bytes per ms, at which a request is sent at least.
+    pub(crate) fn min_send_rate(&self) -> u64 {
+        (self.link_mbps * BYTES_PER_MS / LINK_SHARES) as u64
+    }
+}
+
 impl Default for NodeCfg {
     fn default() -> Self {
         let loopback = net::SocketAddr::from(([127, 0, 0, 1], 0));
@@ -104,6 +122,7 @@
             },
             cpu_share: 1.0,
             cores: 1.0,
+            link_mbps: 2.0,
         }
     }
 }
@@ -126,6 +145,14 @@
             problem,
         ));
     }
+    if cfg.min_send_rate() == 0 {
+        let problem = format!("must be at least {MIN_LINK_MBPS}");
+        return Err(settings::invalid_value(
+            "link_mbps",
+            &cfg.link_mbps.into(),
+            problem,
+        ));
+    }
     let lease = &cfg.lease;
     settings::check_less(
         "lease.renew_ms",
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -25,7 +25,7 @@
     table::{Commit, Row, StoreError, Txn},
 };
 use tokio::sync::Notify;
-use transfer::arrival::Arrival;
+use transfer::exchange::Exchange;
 
 use crate::{
     cx::{self, Cx},
@@ -101,6 +101,7 @@
             connect_ms: Millis(150),
             call_ms: CALL_TIMEOUT,
             answer_bytes: 1 << 10,
+            ..HttpCfg::default()
         };
         Ok(Self {
             client: HttpClient::new("http://nodes", cfg)
@@ -187,7 +188,7 @@
 /// has arrived.
 pub(crate) async fn wait_unless<T>(
     stale: impl AsyncFn(),
-    arrival: &Arrival,
+    exchange: &Exchange,
     call: impl Future<Output = T>,
 ) -> Option<T> {
     let mut call = pin::pin!(call);
@@ -196,7 +197,7 @@
             result = &mut call => return Some(result),
             () = stale() => {}
         }
-        arrival.first()?;
+        exchange.first()?;
     }
 }
 
--- a/crates/store/src/call_account.rs
+++ b/crates/store/src/call_account.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc};
 
 use base::clock::{self, Millis};
-use transfer::arrival::Arrival;
+use transfer::exchange::Exchange;
 
 use crate::http_client::{Answer, CallError};
 
@@ -238,7 +238,7 @@
     purpose: Purpose,
     body_bytes: u64,
     /// What has arrived of the answer, whether it gets complete or not.
-    arrival: Rc<Arrival>,
+    exchange: Rc<Exchange>,
     /// Time when the call was sent; `None` while it waits for a connection.
     sent_at: Option<Millis>,
     is_recorded: bool,
@@ -249,13 +249,13 @@
         account: Rc<CallAccount>,
         purpose: Purpose,
         body_bytes: u64,
-        arrival: Rc<Arrival>,
+        exchange: Rc<Exchange>,
     ) -> Self {
         Self {
             account,
             purpose,
             body_bytes,
-            arrival,
+            exchange,
             sent_at: None,
             is_recorded: false,
         }
@@ -275,8 +275,8 @@
 
     fn end(&mut self, outcome: Outcome) {
         self.is_recorded = true;
-        let head = self.arrival.first().map_or(0, |_| ANSWER_HEAD_BYTES);
-        let received = head + self.arrival.bytes() as u64;
+        let head = self.exchange.first().map_or(0, |_| ANSWER_HEAD_BYTES);
+        let received = head + self.exchange.bytes() as u64;
         let is_sent = self.sent_at.is_some() && outcome != Outcome::NotSent;
         let sent = match outcome {
             Outcome::Refused => 0,
--- a/crates/store/src/hedge.rs
+++ b/crates/store/src/hedge.rs
@@ -8,7 +8,7 @@
 
 use base::clock::{self, Millis};
 use tokio::time;
-use transfer::arrival::Arrival;
+use transfer::exchange::Exchange;
 
 use crate::{
     pace::Pace,
@@ -93,7 +93,7 @@
 /// without any. Returns the first success, or the failure of the last attempt.
 pub async fn read<T, F: Future<Output = Result<T, StoreError>>>(
     pace: &Pace,
-    attempt: impl Fn(Rc<Arrival>) -> F,
+    attempt: impl Fn(Rc<Exchange>) -> F,
 ) -> Result<T, StoreError> {
     let limit = pace.read_limit();
     let patience = || Patience {
@@ -106,9 +106,9 @@
             pace.record_late_read();
         }
     };
-    let (arrival, value) = repeat::repeat(patience, record_late, attempt).await?;
+    let (exchange, value) = repeat::repeat(patience, record_late, attempt).await?;
     // The time that the rest of an answer takes follows its size.
-    let answered = arrival.first().unwrap_or_else(clock::now);
-    pace.record_read(answered.since(arrival.started()));
+    let answered = exchange.first().unwrap_or_else(clock::now);
+    pace.record_read(answered.since(exchange.started()));
     Ok(value)
 }
--- a/crates/store/src/http_cfg.rs
+++ b/crates/store/src/http_cfg.rs
@@ -21,12 +21,15 @@
     pub queue_ms: Millis,
     /// Timeout for opening a connection. A call that exceeds it has sent nothing.
     pub connect_ms: Millis,
-    /// Timeout for the complete answer, measured from the time at which a connection is free.
+    /// Maximum time without progress, measured from the time at which a connection is free.
     ///
     /// It includes opening the connection and must exceed twice `connect_ms`: a call may wait for
     /// the connection attempt of another call to fail before it makes its own, and the outcome of
-    /// a call that exceeds this timeout counts as unknown.
+    /// a call that exceeds this time counts as unknown.
     pub call_ms: Millis,
+    /// Rate, in bytes per ms, at which the body of a request is sent at least. Its time comes on top
+    /// of `call_ms`, because what waits in the buffers of a connection can't be seen.
+    pub min_send_rate: u64,
     /// Maximum size of an answer in bytes.
     pub answer_bytes: usize,
 }
@@ -38,6 +41,7 @@
             queue_ms: Millis(1_000),
             connect_ms: Millis(500),
             call_ms: Millis(2_000),
+            min_send_rate: 64,
             answer_bytes: 64 << 20,
         }
     }
--- a/crates/store/src/http_client.rs
+++ b/crates/store/src/http_client.rs
@@ -16,7 +16,7 @@
     util::{Bytes, BytesMut},
 };
 use tokio::sync;
-use transfer::{arrival::Arrival, limit::Limit};
+use transfer::{exchange::Exchange, limit::Limit};
 
 use crate::{
     call_account::{CallAccount, OpenCall, Purpose},
@@ -195,8 +195,8 @@
     /// Sends the request and reads the complete answer, unless it makes no progress for the `call_ms` of
     /// the settings.
     pub async fn call(&self, req: ClientRequest, body: Bytes) -> Result<Answer, CallError> {
-        let (arrival, limit) = (Arrival::default(), self.inner.cfg.call_ms.into());
-        self.within(limit, &arrival, req, body, || {}).await
+        let (exchange, limit) = (Exchange::default(), self.inner.cfg.call_ms.into());
+        self.within(limit, &exchange, req, body, || {}).await
     }
 
     /// Sends the request and reads the complete answer, unless it makes no progress for `limit`. The
@@ -208,21 +208,21 @@
         body: Bytes,
         limit: Millis,
     ) -> Result<Answer, CallError> {
-        let arrival = rc::Rc::default();
-        self.counted(purpose, req, body, limit.into(), &arrival)
+        let exchange = rc::Rc::default();
+        self.counted(purpose, req, body, limit.into(), &exchange)
             .await
     }
 
     /// Sends a request without a body and reads the complete answer as far as `limit` allows. Records
-    /// what has arrived of it in `arrival`. The call is counted under its purpose.
+    /// what has arrived of it in `exchange`. The call is counted under its purpose.
     pub async fn get_for(
         &self,
         purpose: Purpose,
         req: ClientRequest,
         limit: Limit,
-        arrival: &rc::Rc<Arrival>,
+        exchange: &rc::Rc<Exchange>,
     ) -> Result<Answer, CallError> {
-        self.counted(purpose, req, Bytes::new(), limit, arrival)
+        self.counted(purpose, req, Bytes::new(), limit, exchange)
             .await
     }
 
@@ -232,12 +232,12 @@
         req: ClientRequest,
         body: Bytes,
         limit: Limit,
-        arrival: &rc::Rc<Arrival>,
+        exchange: &rc::Rc<Exchange>,
     ) -> Result<Answer, CallError> {
         let account = self.account.clone();
-        let mut open = OpenCall::new(account, purpose, body.len() as u64, arrival.clone());
+        let mut open = OpenCall::new(account, purpose, body.len() as u64, exchange.clone());
         let result = self
-            .within(limit, arrival, req, body, || open.set_sent())
+            .within(limit, exchange, req, body, || open.set_sent())
             .await;
         open.record(&result);
         result
@@ -246,7 +246,7 @@
     async fn within(
         &self,
         limit: Limit,
-        arrival: &Arrival,
+        exchange: &Exchange,
         req: ClientRequest,
         body: Bytes,
         on_send: impl FnOnce(),
@@ -260,30 +260,32 @@
             )));
         };
         on_send();
-        arrival.start();
-        let exchange = self.inner.exchange(req, body, arrival);
-        let result = limit.wait(arrival, exchange).await;
-        result.unwrap_or_else(|| Err(CallError::NoAnswer(no_answer(arrival))))
+        exchange.start();
+        let sending = Millis(body.len() as u64 / cfg.min_send_rate.max(1));
+        let limit = limit.after(sending);
+        let call = self.inner.roundtrip(req, body, exchange);
+        let result = limit.wait(exchange, call).await;
+        result.unwrap_or_else(|| Err(CallError::NoAnswer(no_answer(exchange))))
     }
 }
 
 /// Describes an answer that is given up before it is complete.
-fn no_answer(arrival: &Arrival) -> String {
+fn no_answer(exchange: &Exchange) -> String {
     let now = clock::now();
-    let took = now.since(arrival.started());
-    let Some(last) = arrival.last() else {
+    let took = now.since(exchange.started());
+    let Some(last) = exchange.last() else {
         return format!("no answer in {took}");
     };
-    let (bytes, age) = (arrival.bytes(), now.since(last));
+    let (bytes, age) = (exchange.bytes(), now.since(last));
     format!("no complete answer in {took}: {bytes} bytes arrived, the last {age} ago")
 }
 
 impl Inner {
-    async fn exchange(
+    async fn roundtrip(
         &self,
         req: ClientRequest,
         body: Bytes,
-        arrival: &Arrival,
+        exchange: &Exchange,
     ) -> Result<Answer, CallError> {
         let max_bytes = self.cfg.answer_bytes;
         let sent = if body.is_empty() {
@@ -295,9 +297,9 @@
         let is_refusal =
             resp.status().is_server_error() || resp.status() == StatusCode::TOO_MANY_REQUESTS;
         let record = |bytes| {
-            arrival.record(bytes);
+            exchange.record(bytes);
             if !is_refusal {
-                self.heard_at.set(arrival.last());
+                self.heard_at.set(exchange.last());
             }
         };
         record(0);
--- a/crates/store/src/pages.rs
+++ b/crates/store/src/pages.rs
@@ -12,7 +12,7 @@
 use base::clock::{self, Millis};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::sync::{Mutex, Notify};
-use transfer::arrival::Arrival;
+use transfer::exchange::Exchange;
 
 use crate::{
     latency::{Latency, LatencyCfg},
@@ -129,7 +129,7 @@
     /// given up. Returns the first success, or the failure of the last attempt.
     pub async fn read<T, F: Future<Output = Result<T, StoreError>>>(
         &self,
-        attempt: impl Fn(usize, Rc<Arrival>) -> F,
+        attempt: impl Fn(usize, Rc<Exchange>) -> F,
     ) -> Result<T, StoreError> {
         let _turn = self.turn().await;
         let rows = self.rows.get();
@@ -139,9 +139,9 @@
             limit: Millis(self.stall().0 * MAX_ATTEMPTS as u64),
             max_attempts: MAX_ATTEMPTS,
         };
-        let read = repeat::repeat(patience, |_| {}, |arrival| attempt(rows, arrival));
-        let (arrival, page) = read.await?;
-        self.record(sent, &arrival);
+        let read = repeat::repeat(patience, |_| {}, |exchange| attempt(rows, exchange));
+        let (exchange, page) = read.await?;
+        self.record(sent, &exchange);
         Ok(page)
     }
 
@@ -166,11 +166,11 @@
         Turn(self)
     }
 
-    fn record(&self, sent: Millis, arrival: &Arrival) {
+    fn record(&self, sent: Millis, exchange: &Exchange) {
         let took = clock::now().since(sent);
         self.took.borrow_mut().record(took);
         if took < FAST {
-            if arrival.bytes() >= MIN_EVIDENCE {
+            if exchange.bytes() >= MIN_EVIDENCE {
                 self.rows.set((self.rows.get() * 2).min(MAX_ROWS));
             }
             let more = self.max_under_way.get() + 1;
@@ -180,7 +180,7 @@
         }
         // Pages that were sent before the last reduction don't show its effect.
         let is_new = self.reduced_at.get().is_none_or(|at| sent >= at);
-        if took > SLOW && arrival.duration() > SLOW_TRANSFER && is_new {
+        if took > SLOW && exchange.duration() > SLOW_TRANSFER && is_new {
             self.reduced_at.set(Some(clock::now()));
             self.rows.set((self.rows.get() / 2).max(MIN_ROWS));
             let fewer = self.max_under_way.get() / 2;
--- a/crates/store/src/repeat.rs
+++ b/crates/store/src/repeat.rs
@@ -5,7 +5,7 @@
 use base::clock::{self, Millis};
 use futures_util::future;
 use tokio::time;
-use transfer::arrival::Arrival;
+use transfer::exchange::Exchange;
 
 use crate::table::StoreError;
 
@@ -28,7 +28,7 @@
 
 /// A request and its call.
 struct Attempt<F> {
-    arrival: Rc<Arrival>,
+    exchange: Rc<Exchange>,
     call: Pin<Box<F>>,
 }
 
@@ -44,24 +44,24 @@
 impl<F> Attempts<F> {
     fn push(&mut self, attempt: Attempt<F>) {
         self.count += 1;
-        self.last_at = attempt.arrival.started();
+        self.last_at = attempt.exchange.started();
         self.under_way.push(attempt);
     }
 
-    fn arrivals(&self) -> impl Iterator<Item = &Arrival> {
-        self.under_way.iter().map(|a| &*a.arrival)
+    fn exchanges(&self) -> impl Iterator<Item = &Exchange> {
+        self.under_way.iter().map(|a| &*a.exchange)
     }
 
     /// Returns the time when all requests have made no progress for `time`.
     fn stalled_at(&self, time: Millis) -> Millis {
-        let first = self.arrivals().map(Arrival::started).min();
-        let answered = self.arrivals().filter_map(|a| a.stalled_at(time)).max();
+        let first = self.exchanges().map(Exchange::started).min();
+        let answered = self.exchanges().filter_map(|a| a.stalled_at(time)).max();
         answered.unwrap_or_else(|| first.unwrap_or_default() + time)
     }
 
     /// Returns the time when the read is sent again, or `None` if it is not.
     fn again_at(&self, patience: Patience) -> Option<Millis> {
-        let has_begun = self.arrivals().any(|a| a.bytes() > 0);
+        let has_begun = self.exchanges().any(|a| a.bytes() > 0);
         let is_full = has_begun && self.under_way.len() >= MAX_LONG_ATTEMPTS;
         if is_full || self.count >= patience.max_attempts {
             return None;
@@ -76,7 +76,7 @@
     /// the request that is sent then gets its time.
     fn end(&self, patience: Patience) -> Millis {
         let end = self.stalled_at(patience.limit);
-        if self.arrivals().all(|a| a.first().is_none()) {
+        if self.exchanges().all(|a| a.first().is_none()) {
             return end;
         }
         end.max(self.stalled_at(patience.again) + patience.again)
@@ -85,19 +85,19 @@
     /// Drops the requests that are not answered yet and that another one has made unnecessary by
     /// arriving. They would ask for all of it once more on the same link.
     fn drop_unnecessary(&mut self) {
-        let Some(last) = self.arrivals().filter_map(Arrival::last).max() else {
+        let Some(last) = self.exchanges().filter_map(Exchange::last).max() else {
             return;
         };
-        let is_needed = |a: &Arrival| a.first().is_some() || a.started() >= last;
-        self.under_way.retain(|a| is_needed(&a.arrival));
+        let is_needed = |a: &Exchange| a.first().is_some() || a.started() >= last;
+        self.under_way.retain(|a| is_needed(&a.exchange));
     }
 
     /// Describes why the read is given up.
     fn no_progress(&self) -> StoreError {
         let now = clock::now();
-        let bytes: usize = self.arrivals().map(Arrival::bytes).sum();
+        let bytes: usize = self.exchanges().map(Exchange::bytes).sum();
         let (took, count) = (now.since(self.started), self.count);
-        let last = self.arrivals().filter_map(Arrival::last).max();
+        let last = self.exchanges().filter_map(Exchange::last).max();
         let idle = last.map_or(took, |last| now.since(last));
         let reason = format!(
             "no complete answer in {took}: {bytes} bytes arrived, the last {idle} ago, {count} requests"
@@ -108,16 +108,16 @@
 
 /// Reads with `attempt`, which records what arrives and is called again for lack of progress, each time
 /// after `record_late` was called with the number of requests so far. Returns the first success with
-/// its arrival, or the failure of the last attempt.
+/// its exchange, or the failure of the last attempt.
 pub(crate) async fn repeat<T, F: Future<Output = Result<T, StoreError>>>(
     patience: impl Fn() -> Patience,
     record_late: impl Fn(usize),
-    attempt: impl Fn(Rc<Arrival>) -> F,
-) -> Result<(Rc<Arrival>, T), StoreError> {
+    attempt: impl Fn(Rc<Exchange>) -> F,
+) -> Result<(Rc<Exchange>, T), StoreError> {
     let start = || {
-        let arrival: Rc<Arrival> = Rc::default();
-        let call = Box::pin(attempt(arrival.clone()));
-        Attempt { arrival, call }
+        let exchange: Rc<Exchange> = Rc::default();
+        let call = Box::pin(attempt(exchange.clone()));
+        Attempt { exchange, call }
     };
     let started = clock::now();
     let mut attempts = Attempts {
@@ -145,7 +145,7 @@
                 Err(e) if !attempts.under_way.is_empty() => {
                     log::debug!(reason:% = e; "store: one of several reads failed");
                 }
-                result => return result.map(|value| (attempt.arrival, value)),
+                result => return result.map(|value| (attempt.exchange, value)),
             }
         }
         attempts.drop_unnecessary();
--- a/crates/transfer/src/arrival.rs
+++ b/crates/transfer/src/exchange.rs
@@ -1,4 +1,4 @@
-//! Bytes of an answer as they arrive.
+//! Progress of a call and its answer.
 
 use std::cell::Cell;
 
@@ -14,17 +14,17 @@
 /// Maximum of the pause that is taken for usual.
 const MAX_USUAL_PAUSE: Millis = Millis(2_000);
 
-/// Bytes of the answer to a call that have arrived so far.
+/// When a call was sent, and what has arrived of its answer so far.
 ///
 /// ```
-/// use transfer::arrival::Arrival;
+/// use transfer::exchange::Exchange;
 ///
-/// let arrival = Arrival::default();
-/// arrival.record(1_000);
-/// assert_eq!(arrival.bytes(), 1_000);
+/// let exchange = Exchange::default();
+/// exchange.record(1_000);
+/// assert_eq!(exchange.bytes(), 1_000);
 /// ```
 #[derive(Debug)]
-pub struct Arrival {
+pub struct Exchange {
     started: Cell<Millis>,
     bytes: Cell<usize>,
     first: Cell<Option<Millis>>,
@@ -33,7 +33,7 @@
     on_time: Cell<Millis>,
 }
 
-impl Default for Arrival {
+impl Default for Exchange {
     fn default() -> Self {
         Self {
             started: Cell::new(clock::now()),
@@ -45,11 +45,11 @@
     }
 }
 
-impl Arrival {
-    /// Records that the call is sent now rather than when the arrival was created.
+impl Exchange {
+    /// Records that the call is sent now rather than when this value was created.
     ///
     /// ```
-    /// transfer::arrival::Arrival::default().start();
+    /// transfer::exchange::Exchange::default().start();
     /// ```
     pub fn start(&self) {
         self.started.set(clock::now());
@@ -58,7 +58,7 @@
     /// Records that `bytes` bytes have arrived now. The head of an answer counts as 0.
     ///
     /// ```
-    /// transfer::arrival::Arrival::default().record(1_000);
+    /// transfer::exchange::Exchange::default().record(1_000);
     /// ```
     pub fn record(&self, bytes: usize) {
         let now = clock::now();
@@ -76,7 +76,7 @@
     /// Returns the time when the call was sent.
     ///
     /// ```
-    /// assert!(transfer::arrival::Arrival::default().started() <= base::clock::now());
+    /// assert!(transfer::exchange::Exchange::default().started() <= base::clock::now());
     /// ```
     pub const fn started(&self) -> Millis {
         self.started.get()
@@ -85,7 +85,7 @@
     /// Returns the number of bytes that have arrived.
     ///
     /// ```
-    /// assert_eq!(transfer::arrival::Arrival::default().bytes(), 0);
+    /// assert_eq!(transfer::exchange::Exchange::default().bytes(), 0);
     /// ```
     pub const fn bytes(&self) -> usize {
         self.bytes.get()
@@ -94,7 +94,7 @@
     /// Returns the time of the first byte, or `None` before it.
     ///
     /// ```
-    /// assert_eq!(transfer::arrival::Arrival::default().first(), None);
+    /// assert_eq!(transfer::exchange::Exchange::default().first(), None);
     /// ```
     pub const fn first(&self) -> Option<Millis> {
         self.first.get()
@@ -103,7 +103,7 @@
     /// Returns the time of the last byte so far, or `None` before the first one.
     ///
     /// ```
-    /// assert_eq!(transfer::arrival::Arrival::default().last(), None);
+    /// assert_eq!(transfer::exchange::Exchange::default().last(), None);
     /// ```
     pub const fn last(&self) -> Option<Millis> {
         self.last.get()
@@ -113,7 +113,7 @@
     ///
     /// ```
     /// use base::clock::Millis;
-    /// assert_eq!(transfer::arrival::Arrival::default().duration(), Millis::ZERO);
+    /// assert_eq!(transfer::exchange::Exchange::default().duration(), Millis::ZERO);
     /// ```
     pub fn duration(&self) -> Millis {
         let times = self.first.get().zip(self.last.get());
@@ -127,10 +127,10 @@
     /// ```
     /// use base::clock::Millis;
     ///
-    /// let arrival = transfer::arrival::Arrival::default();
-    /// assert_eq!(arrival.stalled_at(Millis(500)), None);
-    /// arrival.record(100);
-    /// assert_eq!(arrival.stalled_at(Millis(500)), arrival.last().map(|t| t + Millis(500)));
+    /// let exchange = transfer::exchange::Exchange::default();
+    /// assert_eq!(exchange.stalled_at(Millis(500)), None);
+    /// exchange.record(100);
+    /// assert_eq!(exchange.stalled_at(Millis(500)), exchange.last().map(|t| t + Millis(500)));
     /// ```
     pub fn stalled_at(&self, pause: Millis) -> Option<Millis> {
         let silent_at = self.last.get()? + pause.max(self.usual_pause());
--- a/crates/transfer/src/lib.rs
+++ b/crates/transfer/src/lib.rs
@@ -1,4 +1,4 @@
 //! Progress of transfers over a network, and limits that follow it.
 
-pub mod arrival;
+pub mod exchange;
 pub mod limit;
--- a/crates/transfer/src/limit.rs
+++ b/crates/transfer/src/limit.rs
@@ -10,7 +10,7 @@
 use base::clock::{self, Millis};
 use tokio::{task, time};
 
-use crate::arrival::Arrival;
+use crate::exchange::Exchange;
 
 /// Turns of the runtime in which bytes that have arrived are read before a call is given up: one each
 /// for the socket, the reader and the parser.
@@ -43,53 +43,70 @@
 }
 
 impl Limit {
-    /// Returns the time when a call is given up whose answer has arrived as far as `arrival` says.
+    /// Allows `time` for the request before that for the answer begins.
     ///
     /// ```
     /// use base::clock::Millis;
-    /// use transfer::{arrival::Arrival, limit::Limit};
+    /// use transfer::limit::Limit;
     ///
-    /// let arrival = Arrival::default();
-    /// let end = Limit::from(Millis(500)).end(&arrival);
-    /// assert_eq!(end, arrival.started() + Millis(500));
+    /// let limit = Limit::from(Millis(500)).after(Millis(300));
+    /// assert_eq!((limit.answer, limit.pause), (Millis(800), Millis(500)));
     /// ```
-    pub fn end(self, arrival: &Arrival) -> Millis {
-        let stalled_at = arrival.stalled_at(self.pause);
-        stalled_at.unwrap_or_else(|| arrival.started() + self.answer)
+    #[must_use]
+    pub fn after(self, time: Millis) -> Self {
+        Self {
+            answer: self.answer + time,
+            ..self
+        }
+    }
+
+    /// Returns the time when a call is given up whose answer has arrived as far as `exchange` says.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use transfer::{exchange::Exchange, limit::Limit};
+    ///
+    /// let exchange = Exchange::default();
+    /// let end = Limit::from(Millis(500)).end(&exchange);
+    /// assert_eq!(end, exchange.started() + Millis(500));
+    /// ```
+    pub fn end(self, exchange: &Exchange) -> Millis {
+        let stalled_at = exchange.stalled_at(self.pause);
+        stalled_at.unwrap_or_else(|| exchange.started() + self.answer)
     }
 
-    /// Waits for `exchange`, which records in `arrival` what arrives. Returns `None` if it makes no
+    /// Waits for `call`, which records in `exchange` what arrives. Returns `None` if it makes no
     /// progress for too long.
     ///
     /// ```
     /// use base::clock::Millis;
-    /// use transfer::{arrival::Arrival, limit::Limit};
+    /// use transfer::{exchange::Exchange, limit::Limit};
     ///
     /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
-    /// let (arrival, limit) = (Arrival::default(), Limit::from(Millis(10)));
-    /// assert_eq!(limit.wait(&arrival, async { 1 }).await, Some(1));
-    /// assert_eq!(limit.wait(&arrival, std::future::pending::<()>()).await, None);
+    /// let (exchange, limit) = (Exchange::default(), Limit::from(Millis(10)));
+    /// assert_eq!(limit.wait(&exchange, async { 1 }).await, Some(1));
+    /// assert_eq!(limit.wait(&exchange, std::future::pending::<()>()).await, None);
     /// # });
     /// ```
-    pub async fn wait<T>(self, arrival: &Arrival, exchange: impl Future<Output = T>) -> Option<T> {
-        let mut exchange = pin::pin!(exchange);
+    pub async fn wait<T>(self, exchange: &Exchange, call: impl Future<Output = T>) -> Option<T> {
+        let mut call = pin::pin!(call);
         loop {
             // The first byte may bring the end forward.
-            let left = self.end(arrival).since(clock::now()).min(self.pause);
+            let left = self.end(exchange).since(clock::now()).min(self.pause);
             tokio::select! {
                 biased;
-                result = &mut exchange => return Some(result),
+                result = &mut call => return Some(result),
                 () = time::sleep(left.to_duration()) => {}
             }
             // After a suspension of the process, what has arrived meanwhile is still unread.
             for _ in 0..READ_TURNS {
                 tokio::select! {
                     biased;
-                    result = &mut exchange => return Some(result),
+                    result = &mut call => return Some(result),
                     () = task::yield_now() => {}
                 }
             }
-            if clock::now() >= self.end(arrival) {
+            if clock::now() >= self.end(exchange) {
                 return None;
             }
         }
