wire: a long answer or request is waited for while the link carries it

What callers would see: on the product's own interface, an entry polls the leader with 5 s for the answer, which holds a new configuration of up to 1 MB; a link of 2 Mbit/s takes 4.2 s for that alone. Beside other traffic the call and its connection, which other calls share, are given up and the next poll begins anew. Pushes and votes have shorter limits.

Change: calls end for lack of progress (transfer::limit), and the body of a request has its time at 64 bytes per ms.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod backend_cfg;
 pub mod faults;
 mod http_server;
+pub mod narrow_link;
 pub mod platform;
 pub mod platform_cfg;
 mod platform_state;
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -8,6 +8,7 @@
 use h2::{Reason, client::SendRequest};
 use ntex::rt;
 use tokio::{net::TcpStream, sync::Mutex, time};
+use transfer::{exchange::Exchange, limit::Limit};
 
 use crate::{
     frame::{self, FrameError},
@@ -16,8 +17,10 @@
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
-/// Time limit for the answer to a call unless [`Client::with_timeout`] sets another.
+/// Maximum time without progress of a call unless [`Client::with_timeout`] sets another.
 const DEFAULT_CALL_TIMEOUT: Millis = Millis(5_000);
+/// Rate, in bytes per ms, at which a request is sent at least: a quarter of a link of 2 Mbit/s.
+const MIN_SEND_RATE: u64 = 64;
 
 /// Failure of a call.
 #[derive(Clone, Debug, Display, Eq, PartialEq, Error)]
@@ -86,7 +89,7 @@
         }
     }
 
-    /// Sets the time limit for the answer to a call.
+    /// Sets the maximum time without progress of a call. A long answer is waited for while it arrives.
     ///
     /// ```
     /// use base::clock::Millis;
@@ -114,18 +117,25 @@
     pub async fn call(&self, req: &Request) -> Result<Reply, WireError> {
         let message = frame::encode(req).map_err(|e| WireError::not_sent(&e))?;
         let sender = self.sender().await?;
-        match time::timeout(self.timeout.to_duration(), exchange(sender, message)).await {
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(e)) => {
+        let sending = Millis(message.len() as u64 / MIN_SEND_RATE);
+        let limit = Limit::from(self.timeout).after(sending);
+        let exchange = Exchange::default();
+        match limit
+            .wait(&exchange, roundtrip(sender, message, &exchange))
+            .await
+        {
+            Some(Ok(reply)) => Ok(reply),
+            Some(Err(e)) => {
                 self.disconnect().await;
                 Err(e)
             }
             // The connection to a peer that does not answer may be dead, so the next call opens a
             // new one.
-            Err(_) => {
+            None => {
                 self.disconnect().await;
+                let bytes = exchange.bytes();
                 Err(WireError::lost(&format!(
-                    "no answer from {} in {}",
+                    "no answer from {} in {}, {bytes} bytes arrived",
                     self.addr, self.timeout
                 )))
             }
@@ -180,7 +190,7 @@
         let _ = connection.await;
     });
     let hello = frame::encode(&Request::Hello { protocol: PROTOCOL })?;
-    let reply = exchange(sender.clone(), hello)
+    let reply = roundtrip(sender.clone(), hello, &Exchange::default())
         .await
         .map_err(|e| WireError::not_sent(&e))?;
     match reply {
@@ -192,7 +202,11 @@
     }
 }
 
-async fn exchange(sender: SendRequest<Bytes>, message: Bytes) -> Result<Reply, WireError> {
+async fn roundtrip(
+    sender: SendRequest<Bytes>,
+    message: Bytes,
+    exchange: &Exchange,
+) -> Result<Reply, WireError> {
     let mut sender = sender.ready().await.map_err(|e| WireError::not_sent(&e))?;
     let req = http::Request::post("http://peer/")
         .body(())
@@ -209,7 +223,9 @@
             WireError::lost(&e)
         }
     })?;
-    let reply = frame::receive(&mut response.into_body()).await?;
+    exchange.record(0);
+    let mut body = response.into_body();
+    let reply = frame::receive_with(&mut body, |bytes| exchange.record(bytes)).await?;
     Ok(reply)
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -103,6 +103,15 @@
 
 /// Reads a stream to its end and decodes the frame in it.
 pub async fn receive<T: DeserializeOwned>(stream: &mut RecvStream) -> Result<T, FrameError> {
+    receive_with(stream, |_| {}).await
+}
+
+/// Reads a stream to its end and decodes the frame in it. Calls `record` with the number of bytes of
+/// each piece that arrives.
+pub async fn receive_with<T: DeserializeOwned>(
+    stream: &mut RecvStream,
+    record: impl Fn(usize),
+) -> Result<T, FrameError> {
     let mut buf = BytesMut::new();
     while let Some(chunk) = stream.data().await {
         let chunk = chunk.map_err(|e| FrameError::Stream {
@@ -113,6 +122,7 @@
                 len: buf.len() + chunk.len(),
             });
         }
+        record(chunk.len());
         buf.extend_from_slice(&chunk);
         stream
             .flow_control()
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, io::Write, net, rc::Rc, thread, time};
 
 use base::clock::Millis;
+use standin::narrow_link::NarrowLink;
 use tokio::sync::{mpsc, oneshot};
 use wire::{
     client::{Client, WireError},
@@ -215,6 +216,39 @@
     }
 }
 
+/// A link of 2 Mbit/s, which carries the large answer in 4 s.
+const NARROW: u32 = 250_000;
+
+/// Guards against a configuration that a peer on a narrow link never gets, because the call and its
+/// connection are given up while the answer arrives.
+#[ntex::test]
+async fn an_answer_that_is_long_for_the_link_is_received() {
+    let server = server::serve(listener(), |_| answer_large()).unwrap();
+    let link = NarrowLink::start(server.addr(), NARROW).unwrap();
+    let client = Client::new(link.addr()).with_timeout(Millis(1_000));
+    let reply = client.call(&Request::Ping).await;
+    let Ok(Reply::Failed { message, .. }) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(message.len(), 1_000_000);
+}
+
+/// Guards against a request that is given up while it is sent.
+#[ntex::test]
+async fn a_request_that_is_long_for_the_link_is_received() {
+    let (server, _) = start();
+    let link = NarrowLink::start(server.addr(), NARROW).unwrap();
+    let client = Client::new(link.addr()).with_timeout(Millis(1_000));
+    let req = Request::Apply {
+        change: 1,
+        operator: "ops".parse().unwrap(),
+        records: vec!["x".repeat(500); 1_000],
+        expected_revision: None,
+    };
+    let reply = client.call(&req).await;
+    assert!(matches!(reply, Ok(Reply::Failed { .. })), "{reply:?}");
+}
+
 /// Guards against a shutdown that waits for a peer that has not opened its connection, and against
 /// one without end beside a peer that does not read.
 #[ntex::test]
