entry: reads of the configuration and the VM list are not cut after the time of one answer

What callers would see: on a link of 2 Mbit/s an entry never reads a configuration of 3,000 organisations (900 KB) or a list of 3,000 servers, and refuses all calls once its configuration is no longer confirmed.

Cause: all rows of the configuration together, several calls, had platform_timeout (1 s) as a whole, and so had the list. A request or a push that waited for the read (400 ms, platform_timeout) ended it as well, and the next one began anew.

Change: one task reads, and each of its calls ends for lack of progress only. Requests and pushes ask it for a read and wait as long as before (entry::refresh); the read goes on when they stop waiting.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod members;
 pub mod metrics;
+pub mod refresh;
 pub mod refusal;
 pub mod schedulers;
 pub mod server;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -16,7 +16,6 @@
 use schema::service::Service;
 use serde::Serialize;
 use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::StoreError, vms::Vms};
-use tokio::{sync::Mutex, time};
 
 use crate::{
     auth::Identity,
@@ -27,6 +26,7 @@
     entry_cfg::EntryCfg,
     members::Members,
     metrics::{GaugeValues, Metrics},
+    refresh::Refresh,
     refusal::{Code, Refusal},
     schedulers::Schedulers,
     vm_list::VmList,
@@ -67,8 +67,8 @@
     pub body_memory: Rc<BodyMemory>,
     /// Configuration in force.
     pub config: CurrentConfig,
-    /// Lock held while the configuration is read.
-    pub config_read_lock: Mutex<()>,
+    /// Reads of the configuration.
+    pub config_refresh: Refresh,
     /// Whether the last read of the configuration from the table service succeeded.
     pub table_reached: Cell<bool>,
     /// Member row of this entry, and the members as last read.
@@ -77,6 +77,8 @@
     pub fences: RefCell<Fences>,
     /// VM list.
     pub vm_list: VmList,
+    /// Reads of the VM list.
+    pub vm_refresh: Refresh,
     /// Connections to backend servers.
     pub backends: Backends,
     /// Claims of idempotency keys.
@@ -119,11 +121,12 @@
             callers: RefCell::default(),
             body_memory: Rc::new(BodyMemory::new(cfg.body_memory)),
             config: CurrentConfig::default(),
-            config_read_lock: Mutex::new(()),
+            config_refresh: Refresh::default(),
+            vm_refresh: Refresh::default(),
             table_reached: Cell::new(false),
             members: Members::new(id, members_addr),
             fences: RefCell::default(),
-            vm_list: VmList::new(vms, cfg.platform_timeout),
+            vm_list: VmList::new(vms),
             backends: Backends::new(cfg.connect_timeout, cfg.backend_idle),
             claims,
             schedulers: Schedulers::new(cfg.schedulers.clone()),
@@ -221,9 +224,17 @@
             .prune(|addr| servers.values().any(|s| s.address == *addr));
     }
 
-    /// Reads the VM list unless it is younger than `max_age`.
+    /// Waits for a read of the VM list unless the last one is younger than `max_age`. After
+    /// `platform_timeout` the list as it is known stays in use.
     pub async fn refresh_vm_list(&self, max_age: Millis) {
-        match self.vm_list.refresh(max_age, self.cfg.vm_poll).await {
+        let is_current = || self.vm_list.age().is_some_and(|age| age < max_age);
+        let limit = self.cfg.platform_timeout;
+        self.vm_refresh.wait(limit, is_current).await;
+    }
+
+    /// Reads the VM list.
+    pub async fn read_vm_list(&self) {
+        match self.vm_list.refresh(self.cfg.vm_poll).await {
             Ok(true) => self.update_balancers(),
             Ok(false) => {}
             Err(e) => {
@@ -231,37 +242,36 @@
                 self.metrics.alarm("vm_list");
             }
         }
+        self.vm_refresh.record_done();
+    }
+
+    /// Waits for a read that confirms the configuration unless its confirmation is younger than
+    /// `max_age`, at most for `platform_timeout`.
+    pub async fn refresh_config(&self, max_age: Millis) {
+        let is_current = || self.config.is_confirmed(max_age);
+        let limit = self.cfg.platform_timeout;
+        self.config_refresh.wait(limit, is_current).await;
     }
 
-    /// Reads and confirms the configuration unless its confirmation is younger than `max_age`.
+    /// Reads and confirms the configuration.
     ///
     /// If the table service fails, a quorum of the members can confirm it.
-    pub async fn refresh_config(&self, max_age: Millis) {
-        if self.config.is_confirmed(max_age) {
-            return;
-        }
-        let _guard = self.config_read_lock.lock().await;
-        if self.config.is_confirmed(max_age) {
-            return;
-        }
+    pub async fn read_config(&self) {
         let start = clock::now();
-        let confirming = self.read_and_confirm();
-        let read = time::timeout(self.cfg.platform_timeout.to_duration(), confirming).await;
-        let problem = match read {
-            Ok(Ok(Renewal::Confirmed)) => {
+        match self.read_and_confirm().await {
+            Ok(Renewal::Confirmed) => {
                 self.table_reached.set(true);
-                return self.config.confirm(start);
+                self.config.confirm(start);
             }
-            Ok(Ok(Renewal::Renewed | Renewal::Retry)) => {
-                return self.table_reached.set(true);
+            Ok(Renewal::Renewed | Renewal::Retry) => self.table_reached.set(true),
+            Err(e) => {
+                log::error!("config: alarm: the configuration was not confirmed: {e}");
+                self.metrics.alarm("config");
+                self.table_reached.set(false);
+                self.members.quorum_read(self, clock::now()).await;
             }
-            Ok(Err(e)) => e.to_string(),
-            Err(_) => format!("no answer in {}", self.cfg.platform_timeout),
-        };
-        log::error!("config: alarm: the configuration was not confirmed: {problem}");
-        self.metrics.alarm("config");
-        self.table_reached.set(false);
-        self.members.quorum_read(self, clock::now()).await;
+        }
+        self.config_refresh.record_done();
     }
 
     /// Reads the newest configuration and renews the member row in a transaction that confirms that
--- a/crates/entry/src/tasks.rs
+++ b/crates/entry/src/tasks.rs
@@ -73,8 +73,8 @@
 /// before the next poll.
 async fn catch_up(cx: &Entry, revision: u64) {
     if revision > cx.config.revision() {
-        let reading = cx.refresh_config(Millis::ZERO);
-        let _ = time::timeout(CATCH_UP_TIMEOUT.to_duration(), reading).await;
+        let is_current = || cx.config.revision() >= revision;
+        cx.config_refresh.wait(CATCH_UP_TIMEOUT, is_current).await;
     }
 }
 
@@ -100,8 +100,8 @@
 async fn poll_config(cx: Rc<Entry>) {
     loop {
         let start = clock::now();
-        cx.refresh_config(Millis::ZERO).await;
-        sleep_until_next(start, cx.cfg.config_poll).await;
+        cx.read_config().await;
+        cx.config_refresh.due(start, cx.cfg.config_poll).await;
     }
 }
 
@@ -138,8 +138,8 @@
 async fn poll_vms(cx: Rc<Entry>) {
     loop {
         let start = clock::now();
-        cx.refresh_vm_list(Millis::ZERO).await;
-        sleep_until_next(start, cx.cfg.vm_poll).await;
+        cx.read_vm_list().await;
+        cx.vm_refresh.due(start, cx.cfg.vm_poll).await;
     }
 }
 
--- a/crates/entry/src/vm_list.rs
+++ b/crates/entry/src/vm_list.rs
@@ -7,7 +7,6 @@
     vm::{Vm, VmRole, VmState},
     vms::Vms,
 };
-use tokio::{sync::Mutex, time};
 
 /// Time for which `x-leaving: 1` from a server overrides the list, which lags behind.
 const LEAVING_MARK_LIFETIME: Millis = Millis::from_secs(30);
@@ -27,27 +26,23 @@
 #[derive(Debug)]
 pub struct VmList {
     vms: Vms,
-    timeout: Millis,
     servers: RefCell<SortedMap<Name, Server>>,
     /// When servers last marked themselves as leaving.
     leaving_marks: RefCell<SortedMap<Name, Millis>>,
     /// Start of the last successful read.
     last_read: Cell<Option<Millis>>,
     last_failure: Cell<Option<Millis>>,
-    read_lock: Mutex<()>,
 }
 
 impl VmList {
     /// Creates an empty list that is read from `vms`.
-    pub fn new(vms: Vms, timeout: Millis) -> Self {
+    pub fn new(vms: Vms) -> Self {
         Self {
             vms,
-            timeout,
             servers: RefCell::default(),
             leaving_marks: RefCell::default(),
             last_read: Cell::new(None),
             last_failure: Cell::new(None),
-            read_lock: Mutex::new(()),
         }
     }
 
@@ -84,32 +79,24 @@
         }
     }
 
-    /// Reads the list unless a read that started less than `max_age` ago succeeded.
+    /// Reads the list unless the last read has failed less than `pause` ago.
     ///
-    /// After a failure, the last list stays in use, and the next read starts at the earliest after
-    /// `pause`. Returns whether the list was replaced, or the error.
-    pub async fn refresh(&self, max_age: Millis, pause: Millis) -> Result<bool, String> {
-        if self.age().is_some_and(|age| age < max_age) {
-            return Ok(false);
-        }
-        let _guard = self.read_lock.lock().await;
+    /// After a failure, the last list stays in use. Returns whether the list was replaced, or the
+    /// error.
+    pub async fn refresh(&self, pause: Millis) -> Result<bool, String> {
         let now = clock::now();
-        let is_recent = |at: Option<Millis>, span| at.is_some_and(|at| now.since(at) < span);
-        if is_recent(self.last_read.get(), max_age) || is_recent(self.last_failure.get(), pause) {
+        let failed_at = self.last_failure.get();
+        if failed_at.is_some_and(|at| now.since(at) < pause) {
             return Ok(false);
         }
-        let listed = time::timeout(self.timeout.to_duration(), self.vms.list()).await;
-        match listed {
-            Ok(Ok(vms)) => {
+        match self.vms.list().await {
+            Ok(vms) => {
                 self.replace(vms, now);
                 Ok(true)
             }
-            failure => {
+            Err(e) => {
                 self.last_failure.set(Some(clock::now()));
-                Err(match failure {
-                    Ok(Err(e)) => e.to_string(),
-                    _ => format!("no answer in {}", self.timeout),
-                })
+                Err(e.to_string())
             }
         }
     }
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod history;
 mod invalid_input;
 mod leaving;
+mod narrow_link;
 mod schedulers;
 mod setup;
 mod stop;
--- a/crates/entry/tests/entry/setup.rs
+++ b/crates/entry/tests/entry/setup.rs
@@ -15,6 +15,7 @@
     backend,
     backend_cfg::{BackendCfg, BackendFaults, ServiceTime},
     faults::Faults,
+    narrow_link::NarrowLink,
     platform,
     platform_cfg::PlatformCfg,
 };
@@ -23,6 +24,8 @@
 
 /// Timeout of socket reads and of [`eventually`].
 pub const TIMEOUT: Duration = Duration::from_secs(10);
+/// Rate of a link at first, in bytes a second.
+const WIDE: u32 = 10 << 20;
 pub const ORG: &str = "rain-cover";
 pub const TOKEN: &str = "rain-cover-token";
 pub const OTHER_TOKEN: &str = "lamp-loans-token";
@@ -151,6 +154,8 @@
 /// One or more entries with their stand-ins.
 pub struct System {
     pub platform: platform::Handle,
+    /// Link between the entries and the platform.
+    pub link: NarrowLink,
     pub backends: backend::Handle,
     pub entries: Vec<Handle>,
     pub vms: Vec<Vm>,
@@ -165,6 +170,7 @@
     cfg: Value,
     backend: BackendCfg,
     replies: Vec<Reply>,
+    on_link: bool,
 }
 
 pub fn system() -> Builder {
@@ -183,6 +189,7 @@
             ..BackendCfg::default()
         },
         replies: Vec::new(),
+        on_link: false,
     }
 }
 
@@ -228,6 +235,12 @@
         self
     }
 
+    /// Connects the entries to the platform over a link, which is wide at first.
+    pub fn on_link(mut self) -> Self {
+        self.on_link = true;
+        self
+    }
+
     pub fn start(mut self) -> System {
         self.backend.servers = self.servers;
         let backends = backend::start(self.backend).unwrap();
@@ -241,11 +254,17 @@
             ..PlatformCfg::default()
         })
         .unwrap();
+        let link = NarrowLink::start(platform.addr(), WIDE).unwrap();
+        let platform_addr = if self.on_link {
+            link.addr()
+        } else {
+            platform.addr()
+        };
         let scheduler = Scheduler::start(self.replies);
         put_config(platform.addr(), 1, &[]);
         let mut cfg = self.cfg;
-        cfg["table"] = json!(platform.addr());
-        cfg["vm_list"] = json!(platform.addr());
+        cfg["table"] = json!(platform_addr);
+        cfg["vm_list"] = json!(platform_addr);
         if cfg.get("schedulers").is_none() {
             cfg["schedulers"] = json!([scheduler.addr]);
         }
@@ -253,6 +272,7 @@
         cfg["operators"] = json!([{ "name": "aigerim", "token_hash": hash }]);
         let mut system = System {
             platform,
+            link,
             backends,
             entries: Vec::new(),
             vms,
