member: a process that leaves is not registered again by its own renewal

What others saw: a stopped entry or scheduler stayed in the list of members, and counted in quorums, until the leader removed it for want of renewals.

Cause: renewals went on while the process left. One that was under way when the row was deleted met the conflict, forgot its version, and the next one registered the member again. Besides, a conflict of the transaction that leaves, because the list had changed meanwhile, was taken for success.

Change: `leave` first ends the renewals: those that come later write nothing (Renewal::Left), and one under way is waited for. A conflict is tried again up to five times.

Looked at for the same: the scheduler uses the same code. A node's row in the list of nodes is not deleted at a stop.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -263,7 +263,7 @@
                 self.table_reached.set(true);
                 self.config.confirm(start);
             }
-            Ok(Renewal::Renewed | Renewal::Retry) => self.table_reached.set(true),
+            Ok(Renewal::Renewed | Renewal::Retry | Renewal::Left) => self.table_reached.set(true),
             Err(e) => {
                 log::error!("config: alarm: the configuration was not confirmed: {e}");
                 self.metrics.alarm("config");
@@ -288,7 +288,7 @@
             }
             let rev = (found == self.config.revision()).then_some(version);
             renewal = self.members.own.renew(&self.table, rev).await?;
-            if renewal == Renewal::Confirmed {
+            if matches!(renewal, Renewal::Confirmed | Renewal::Left) {
                 break;
             }
         }
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -7,6 +7,7 @@
     client::Table,
     table::{Commit, StoreError, Txn},
 };
+use tokio::sync::Mutex;
 
 use crate::rows::{self, MEMBERS_KEY, MemberList, MemberRole, MemberRow, REVISION_KEY};
 
@@ -28,6 +29,10 @@
     version: Cell<Option<u64>>,
     /// Start of the last write of this member's row that is known to be applied.
     renewed_at: Cell<Option<Millis>>,
+    /// Whether this member leaves or has left.
+    leaving: Cell<bool>,
+    /// Held while rows are read and written, so that a renewal under way ends before the member leaves.
+    writing: Mutex<()>,
 }
 
 /// Result of a renewal.
@@ -39,8 +44,13 @@
     Renewed,
     /// Another transaction was applied first, or a read was stale; the caller retries.
     Retry,
+    /// The member leaves or has left; nothing was written.
+    Left,
 }
 
+/// Maximum number of attempts to leave; one fails if the member list changes at the same time.
+const LEAVE_ATTEMPTS: usize = 5;
+
 impl Membership {
     /// Creates the membership without I/O; the first renewal registers the member.
     pub fn new(id: u64, address: net::SocketAddr, role: MemberRole) -> Self {
@@ -51,6 +61,8 @@
             renewals: Cell::new(0),
             version: Cell::new(None),
             renewed_at: Cell::new(None),
+            leaving: Cell::new(false),
+            writing: Mutex::new(()),
         }
     }
 
@@ -89,6 +101,10 @@
         table: &Table,
         rev_version: Option<u64>,
     ) -> Result<Renewal, StoreError> {
+        let _guard = self.writing.lock().await;
+        if self.leaving.get() {
+            return Ok(Renewal::Left);
+        }
         let Some(version) = self.version.get() else {
             return self.find_or_register(table).await;
         };
@@ -115,18 +131,28 @@
         }
     }
 
-    /// Removes this member's row and its item in the member list at a planned stop.
+    /// Removes this member's row and its item in the member list at a planned stop. The row is not
+    /// renewed any more from now on, and a renewal under way ends first.
     ///
     /// If this fails, the leader removes the member once its row is no longer renewed.
     pub async fn leave(&self, table: &Table) -> Result<(), StoreError> {
-        let row = table.get(MEMBERS_KEY).await?;
-        let version = row.as_ref().map_or(0, |row| row.version);
-        let list = MemberList::read(row.as_ref())?.without(&[self.id]);
-        let txn = Txn::default()
-            .check(MEMBERS_KEY, version)
-            .put(MEMBERS_KEY, rows::to_json(&list))
-            .delete(rows::member_key(self.id));
-        table.commit(&txn).await.map(|_| ())
+        self.leaving.set(true);
+        let _guard = self.writing.lock().await;
+        for _ in 0..LEAVE_ATTEMPTS {
+            let row = table.get(MEMBERS_KEY).await?;
+            let version = row.as_ref().map_or(0, |row| row.version);
+            let list = MemberList::read(row.as_ref())?.without(&[self.id]);
+            let txn = Txn::default()
+                .check(MEMBERS_KEY, version)
+                .put(MEMBERS_KEY, rows::to_json(&list))
+                .delete(rows::member_key(self.id));
+            if let Commit::Done { .. } = table.commit(&txn).await? {
+                return Ok(());
+            }
+        }
+        Err(StoreError::NotDone {
+            reason: "the member list keeps changing".into(),
+        })
     }
 
     async fn find_or_register(&self, table: &Table) -> Result<Renewal, StoreError> {
