node: a node that is behind the configuration reads its newest row

What callers saw: during a series of changes of a long configuration, nodes on links of 2 Mbit/s refused calls with 503 because their configuration was too old, the longer the series the more.

Cause: the changes since a version include each configuration in between. One that is stored while another is received comes with the next answer, which takes longer, so that more are stored meanwhile.

Change: after an answer that took half a second or more to arrive and held several configurations, the row is read, which has the newest one only, until it does not change any more. Of several configurations the newest valid one is applied.

A series of 214 KB each 0.5 s on 2 Mbit/s, the last one in force within 3 s (config-apply-ms).

--- a/crates/cli/tests/long_config.rs
+++ b/crates/cli/tests/long_config.rs
@@ -28,16 +28,24 @@
 const MOSTLY_ARRIVED: Duration = Duration::from_millis(1_500);
 /// Time after which no call with a removed key is carried out (`revoke-ms`).
 const REVOKE_TIME: Duration = Duration::from_secs(5);
+/// Number of routes of each configuration of a series, to 214 KB, and the number and interval of changes.
+const ROUTES_OF_SERIES: usize = 900;
+const CHANGES: u64 = 16;
+const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of outages of the store in a row.
 const OUTAGES: u32 = 6;
 const NEW_KEY: &str = "key-two";
 
-/// Returns a configuration with many routes of the length that the platform gives them.
 fn long_config(version: u64, keys: &[&str]) -> Value {
+    config_with(ROUTES, version, keys)
+}
+
+/// Returns a configuration with many routes of the length that the platform gives them.
+fn config_with(count: usize, version: u64, keys: &[&str]) -> Value {
     let mut config = cluster::config(version, keys);
     let routes = config["routes"].as_array_mut().unwrap();
     let last = routes[0].clone();
-    for i in 0..ROUTES {
+    for i in 0..count {
         let mut route = last.clone();
         route["name"] = json!(format!("r-{i:07}"));
         route["path-prefix"] = json!(format!("/r-{i:07}/"));
@@ -121,6 +129,34 @@
     assert!(losses < 1.0, "the store counted as lost {losses} times");
 }
 
+/// Guards against a node that falls behind a series of changes more and more: the changes that were
+/// stored while it read one come as one answer, which takes longer.
+#[test]
+fn a_series_of_long_configurations_is_followed() {
+    let link = Link::new(10 << 20);
+    let cluster = start("long-series", &link);
+    link.set_bandwidth(NARROW);
+    for version in 2..2 + CHANGES {
+        let config = config_with(ROUTES_OF_SERIES, version, &[API_KEY]);
+        cluster.store.put("op", "config", &config);
+        let stored = Instant::now();
+        while stored.elapsed() < CHANGE_INTERVAL {
+            let status = pending(&cluster, "/q/", API_KEY);
+            assert_eq!(status, 200, "version {version} is the newest");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+    let last = config_with(ROUTES_OF_SERIES + 1, 2 + CHANGES, &[API_KEY]);
+    cluster.store.put("op", "config", &last);
+    let stored = Instant::now();
+    let path = format!("/r-{ROUTES_OF_SERIES:07}/");
+    wait_until("the last configuration is in force", TIMEOUT, || {
+        (pending(&cluster, &path, API_KEY) == 200).then_some(())
+    });
+    let took = stored.elapsed();
+    assert!(took < APPLY_TIME, "{took:?}");
+}
+
 /// Guards against a configuration that each node reads from its first byte on after an outage, when
 /// the link is needed for what has waited.
 #[test]
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -23,9 +23,30 @@
 };
 /// Age from which on the configuration is confirmed without a wait, as after a long answer.
 const OLD: Millis = Millis(2 * FEED_WAIT.0);
+/// Time that an answer takes to arrive from which on it is long for the link.
+const LONG_READ: Millis = Millis(500);
 /// Delay after a failed read.
 const RETRY_DELAY: Millis = Millis(150);
 
+/// What a read of the configuration or its changes has found.
+#[derive(Clone, Copy, Debug)]
+struct Found {
+    /// Version to continue from; `None` if the configuration is to be read.
+    version: Option<u64>,
+    /// Number of configurations, and whether the read was one of the whole row.
+    configs: usize,
+    whole: bool,
+}
+
+impl Found {
+    /// Returns whether further changes have probably been stored while the answer arrived, which took
+    /// `took`. The changes would include each of these configurations, the row only has the last one.
+    fn is_behind(self, took: Millis) -> bool {
+        let enough = if self.whole { 1 } else { 2 };
+        took >= LONG_READ && self.configs >= enough
+    }
+}
+
 /// Keeps the configuration up to date until the process ends. While the store is lost, its reads
 /// also find out when it answers again.
 pub(crate) async fn watch(cx: Cx) {
@@ -34,7 +55,7 @@
         let was_lost = cx.peers.reach().is_lost();
         let (started, exchange) = (clock::now(), Rc::default());
         let result = match version {
-            // The whole configuration is only read if the store can't tell the changes.
+            // The whole configuration is only read if the store can't tell the changes, or too many.
             None => read(&cx).await,
             Some(version) if was_lost => {
                 let feed = cx.feed_table.changes_now(config::TABLE, version);
@@ -50,9 +71,11 @@
             }
         };
         match result {
-            Ok(next) => {
+            Ok(found) => {
                 peers::record_answer(&cx);
-                version = next;
+                let began = exchange.first().unwrap_or(started);
+                let is_behind = found.is_behind(clock::now().since(began));
+                version = found.version.filter(|_| !is_behind);
             }
             Err(e) => {
                 let age = cx.config_age().map(|a| a.0);
@@ -67,19 +90,25 @@
     }
 }
 
-/// Reads the configuration without waiting for a change; returns the version to continue from.
-pub(crate) async fn read(cx: &Cx) -> Result<Option<u64>, StoreError> {
+/// Reads the configuration without waiting for a change.
+async fn read(cx: &Cx) -> Result<Found, StoreError> {
     let started = clock::now();
     let (_, key) = config::KEY.split_once('/').unwrap_or_default();
     let page = cx
         .table
         .read(config::TABLE, key, &format!("{key} "))
         .await?;
+    let before = cx.active_config.borrow().row_version;
+    let configs = page.rows.iter().filter(|r| r.version > before).count();
     for row in &page.rows {
         apply(cx, row);
     }
     confirm(cx, started);
-    Ok(Some(page.version))
+    Ok(Found {
+        version: Some(page.version),
+        configs,
+        whole: true,
+    })
 }
 
 /// Waits for a change of the configuration.
@@ -92,27 +121,32 @@
     feed.await
 }
 
-/// Applies the changes after `version`, which were asked for at `started`. Returns the version to
-/// continue from, or `None` if the configuration is to be read.
+/// Applies the changes after `version`, which were asked for at `started`.
 fn apply_changes(
     cx: &Cx,
     started: Millis,
     version: u64,
     changes: Result<Changes, StoreError>,
-) -> Result<Option<u64>, StoreError> {
-    match changes? {
+) -> Result<Found, StoreError> {
+    let (version, configs) = match changes? {
         Changes::Rows { rows, version } => {
-            for (row, _) in rows.iter().filter(|(r, _)| &*r.key == config::KEY) {
-                apply(cx, row);
-            }
+            let configs = rows.iter().map(|(row, _)| row);
+            let configs: Vec<&Row> = configs.filter(|r| &*r.key == config::KEY).collect();
+            // The newest one that is valid.
+            configs.iter().rev().any(|row| apply(cx, row));
             confirm(cx, started);
-            Ok(Some(version))
+            (Some(version), configs.len())
         }
         Changes::HistoryGone => {
             log::warn!(version; "config: the store has no history since this version, reading again");
-            Ok(None)
+            (None, 0)
         }
-    }
+    };
+    Ok(Found {
+        version,
+        configs,
+        whole: false,
+    })
 }
 
 /// Records that the active configuration was the newest one at `started`.
@@ -123,11 +157,12 @@
     }
 }
 
-/// Applies a configuration unless a newer one is active.
-fn apply(cx: &Cx, row: &Row) {
+/// Applies a configuration unless it or a newer one is active. Returns whether one of these is active
+/// now.
+fn apply(cx: &Cx, row: &Row) -> bool {
     let mut active_config = cx.active_config.borrow_mut();
     if row.version <= active_config.row_version {
-        return;
+        return true;
     }
     match config::decode(&row.value) {
         Ok(config) => {
@@ -147,10 +182,12 @@
             active_config.row_version = row.version;
             drop(active_config);
             cx.config_changed.notify_waiters();
+            true
         }
         Err(e) => {
             log::error!(row = row.version, reason:% = e; "config: refused, the one before stays in force");
             cx.metrics.count_config_change("refused");
+            false
         }
     }
 }
