node: a number of waiting jobs that is not known is refused

Cause: the stored number was told whatever its age, and 0 for a row that is missing or malformed.

Change: the row has the time by the store's clock at which the jobs were counted, in an entry without a name that earlier versions don't look up. A number older than 2 s ("This value may be 2 s old", PROTOCOL) is refused with 503 and Retry-After, as are a missing and a malformed row; a row of an earlier version is told as before. The leader counts again each second in a transaction of its own, unless its feed of submissions is late.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -23,6 +23,9 @@
 /// Duration of the reads for an answer from which on they are logged.
 const SLOW_READ: Millis = Millis(1_000);
 
+/// Maximum age of the number of pending jobs that callers are told.
+const MAX_COUNT_AGE: Millis = Millis(2_000);
+
 /// Stores a job, which is accepted once it is stored. A repeated submission has no further effect.
 pub(crate) async fn submit(
     cx: &Cx,
@@ -354,8 +357,19 @@
     let started = clock::now();
     let row = cx.table.get_row(rows::CONTROL, key).await;
     let row = row.map_err(|e| read_failure(cx, &authorised.queue.name, started, &e))?;
-    let counts = row.as_ref().and_then(rows::from_json::<rows::PendingRow>);
-    let count = counts.and_then(|c| c.get(&authorised.queue.name).copied());
+    let Some(row) = row else {
+        log::info!(queue:% = authorised.queue.name; "accept: pending jobs were never counted");
+        return Err(Refusal::Count);
+    };
+    let counts: rows::PendingRow = decode(&row)?;
+    // Earlier versions write no time.
+    let counted_at = counts.get(rows::PENDING_AT).map(|at| Millis(*at));
+    let age = counted_at.map(|at| cx.store_clock.now().unwrap_or_default().since(at));
+    if let Some(age) = age.filter(|age| *age > MAX_COUNT_AGE) {
+        log::info!(queue:% = authorised.queue.name, age_ms = age.0, version = row.version; "accept: pending jobs were counted too long ago");
+        return Err(Refusal::Count);
+    }
+    let count = counts.get(&authorised.queue.name).copied();
     Ok(Response::Ok()
         .content_type("application/json")
         .body(job::encode_pending(count.unwrap_or(0))))
--- a/crates/node/src/changes.rs
+++ b/crates/node/src/changes.rs
@@ -15,6 +15,7 @@
     checkpoints::CheckpointWrite,
     cx::Cx,
     leader::Leader,
+    pending,
     rows::{self, FailingRow, PendingRow, PhaseRow},
 };
 
@@ -106,8 +107,13 @@
     }
 
     /// Adds the pending counts, if they are to be written and there is room for them.
-    pub(crate) fn add_counts(&mut self, counts: Option<PendingRow>, row_bytes: usize) {
-        self.counts = counts.and_then(|counts| self.add_row(rows::PENDING, counts, row_bytes));
+    pub(crate) fn add_counts(&mut self, cx: &Cx, counts: Option<PendingRow>) {
+        let Some(counts) = counts else {
+            return;
+        };
+        let row = pending::dated(cx, counts.clone());
+        let added = self.add_row(rows::PENDING, row, cx.cfg.row_bytes);
+        self.counts = added.map(|_| counts);
     }
 
     /// Adds the failing workers, if they are to be written and there is room for them.
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -14,7 +14,7 @@
     changes::{Batch, Change, ChangeKind, Content},
     cx::{self, Cx},
     leader::Leader,
-    orders,
+    orders, pending,
     rows::{self, ChainRow, FailingRow, PendingRow},
 };
 
@@ -134,14 +134,15 @@
         if self.written.is_some() && clock::now().since(self.written_at) < PENDING_INTERVAL {
             return None;
         }
-        let counts = leader.scheduler.borrow().queued_jobs_by_queue();
+        let counts = pending::count(leader)?;
         (self.written.as_ref() != Some(&counts)).then_some(counts)
     }
 
-    fn mark_written(&mut self, counts: Option<PendingRow>) {
+    fn mark_written(&mut self, leader: &Leader, counts: Option<PendingRow>) {
         if counts.is_some() {
             self.written = counts;
             self.written_at = clock::now();
+            leader.counted_at.set(self.written_at);
         }
     }
 }
@@ -174,7 +175,7 @@
             break;
         }
     }
-    batch.add_counts(pending.to_write(leader), cx.cfg.row_bytes);
+    batch.add_counts(cx, pending.to_write(leader));
     batch.add_failing(failing_to_write(leader), cx.cfg.row_bytes);
     batch.add_checkpoints(leader);
     batch
@@ -234,7 +235,7 @@
     let mut checkpoints = leader.checkpoints.borrow_mut();
     checkpoints.mark_stored(&batch.checkpoints, clock::now());
     drop(checkpoints);
-    pending.mark_written(batch.counts);
+    pending.mark_written(leader, batch.counts);
     if let Some(failing) = batch.failing {
         *leader.stored_failing.borrow_mut() = failing;
     }
@@ -271,7 +272,7 @@
     checkpoints.mark_stored(&batch.checkpoints, clock::now());
     cx.metrics
         .count_unstored("checkpoint", batch.checkpoints.len());
-    pending.mark_written(batch.counts);
+    pending.mark_written(leader, batch.counts);
     if let Some(failing) = batch.failing {
         *leader.stored_failing.borrow_mut() = failing;
     }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -29,6 +29,13 @@
 /// Maximum number of parts that are read one after another after a delay.
 const MAX_OVERDUE_PARTS: u64 = 2;
 
+/// Returns whether the last answer of the feed is older than a wait for changes takes, so that jobs which
+/// were stored since may be missing.
+pub(crate) fn is_late(leader: &Leader) -> bool {
+    let (_, answered_at) = leader.feed.get();
+    clock::now().since(answered_at) > FEED_LIMIT.answer
+}
+
 /// Watches the table of jobs from `version` on until the leadership ends.
 pub(crate) async fn watch(cx: Cx, leader: Rc<Leader>, mut version: u64) {
     let mut rereads = PartReads::new(clock::now());
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -22,7 +22,7 @@
     cx::{self, Cx},
     extension, intake, load,
     load_log::LoadLog,
-    policy, retention,
+    pending, policy, retention,
     rows::FailingRow,
     window::{self, Window},
     worker_list,
@@ -63,6 +63,8 @@
     /// Jobs whose rows in the table of jobs are deleted and whose rows written by the leader are to
     /// be deleted.
     pub(crate) deleted_jobs: RefCell<Vec<Text>>,
+    /// Time when the pending counts were last stored.
+    pub(crate) counted_at: Cell<Millis>,
     /// Failing workers as last stored.
     pub(crate) stored_failing: RefCell<FailingRow>,
     /// Cancellations of ids whose jobs are not known.
@@ -114,6 +116,7 @@
             held_back: RefCell::default(),
             checkpoints: RefCell::default(),
             deleted_jobs: RefCell::default(),
+            counted_at: Cell::default(),
             stored_failing: RefCell::default(),
             cancellations: RefCell::default(),
             job_versions: RefCell::default(),
@@ -191,6 +194,7 @@
     rt::spawn(worker_list::poll(cx.clone(), leader.clone())).detach();
     rt::spawn(commit::run(cx.clone(), leader.clone())).detach();
     rt::spawn(extension::run(cx.clone(), leader.clone())).detach();
+    rt::spawn(pending::refresh(cx.clone(), leader.clone())).detach();
     rt::spawn(window::measure_lag(leader.clone())).detach();
     rt::spawn(retention::run(cx.clone(), leader.clone())).detach();
     let mut activity = Activity::default();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod node_cfg;
 mod orders;
 mod peers;
+mod pending;
 mod policy;
 pub mod process;
 mod readiness;
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -20,6 +20,8 @@
     ConfigAge,
     /// The store does not serve this node, or a row of the job is malformed; nothing was stored.
     Store,
+    /// The number of pending jobs is not known: no leader has counted them recently.
+    Count,
     /// The process ends before the request could be carried out; nothing was stored.
     Stopping,
     /// The job does not exist or belongs to another organisation.
@@ -36,7 +38,10 @@
     /// Returns the answer; `retry_after` is the time in seconds after which the caller may retry.
     pub(crate) fn response(self, retry_after: u16) -> Response {
         let mut builder = Response::build(self.status());
-        if matches!(self, Self::ConfigAge | Self::Store | Self::Stopping) {
+        if matches!(
+            self,
+            Self::ConfigAge | Self::Store | Self::Count | Self::Stopping
+        ) {
             builder.header(paths::RETRY_AFTER, retry_after.to_string());
         }
         builder.finish()
@@ -52,6 +57,7 @@
             Self::Method => "method",
             Self::ConfigAge => "config_age",
             Self::Store => "store",
+            Self::Count => "count",
             Self::Stopping => "stopping",
             Self::NoJob => "no_job",
             Self::Cancelled => "cancelled",
@@ -67,7 +73,9 @@
             Self::Invalid => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Method => StatusCode::METHOD_NOT_ALLOWED,
-            Self::ConfigAge | Self::Store | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::ConfigAge | Self::Store | Self::Count | Self::Stopping => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoJob | Self::Cancelled => StatusCode::GONE,
             Self::IdInUse => StatusCode::CONFLICT,
             Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -193,9 +193,13 @@
 /// Content of [`FAILING`]: the number of failures by worker id.
 pub(crate) type FailingRow = SortedMap<Text, u32>;
 
-/// Content of [`PENDING`]: the number of pending jobs by queue.
+/// Content of [`PENDING`]: the number of pending jobs by queue, and under [`PENDING_AT`] the time by the
+/// store's clock at which they were counted.
 pub(crate) type PendingRow = SortedMap<Text, u64>;
 
+/// Entry of a [`PendingRow`] that is no queue. Earlier versions write none and look up queues only.
+pub(crate) const PENDING_AT: &str = "";
+
 /// Encodes the content of a row. Rows are plain data and always have a JSON form.
 pub(crate) fn to_json<T: Serialize>(value: &T) -> String {
     serde_json::to_string(value).expect("rows are plain data")
