store: a read is not given up right after a suspension of the process

Found when reading the change: the limits of repeated reads count by a clock that goes on while a VM is suspended, so a read under way was given up on the thaw before what had arrived meanwhile was read. It now gets one more turn of the runtime, as other calls do (transfer::limit).

--- a/crates/store/src/repeat.rs
+++ b/crates/store/src/repeat.rs
@@ -127,12 +127,13 @@
         under_way: Vec::new(),
     };
     attempts.push(start());
+    let mut is_overdue = false;
     loop {
         let end = attempts.end(patience());
         let again_at = attempts.again_at(patience()).unwrap_or(end);
         let mut wait = again_at.min(end).since(clock::now());
-        if attempts.under_way.len() > 1 {
-            wait = wait.min(CHECK_INTERVAL);
+        if is_overdue || attempts.under_way.len() > 1 {
+            wait = wait.clamp(Millis(1), CHECK_INTERVAL);
         }
         let calls = attempts.under_way.iter_mut().map(|a| a.call.as_mut());
         let answered = tokio::select! {
@@ -151,8 +152,14 @@
         attempts.drop_unnecessary();
         let now = clock::now();
         if now >= attempts.end(patience()) {
-            return Err(attempts.no_progress());
+            if is_overdue {
+                return Err(attempts.no_progress());
+            }
+            // After a suspension of the process, what has arrived meanwhile is still unread.
+            is_overdue = true;
+            continue;
         }
+        is_overdue = false;
         if attempts.again_at(patience()).is_some_and(|at| now >= at) {
             record_late(attempts.count);
             attempts.push(start());
