intake: the first feed of jobs after a failure does not wait

Cause: after an outage the feed waited up to 2 s for the next submission before its answer showed that none was missed. Until then the leader counts no waiting jobs, and questions for their number were refused for up to 2 s longer than needed.

--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -39,6 +39,7 @@
 /// Watches the table of jobs from `version` on until the leadership ends.
 pub(crate) async fn watch(cx: Cx, leader: Rc<Leader>, mut version: u64) {
     let mut rereads = PartReads::new(clock::now());
+    let mut wait = FEED_WAIT;
     while !leader.ended.get() {
         // No read is under way, and later ones return no older row.
         leader
@@ -49,7 +50,9 @@
         let exchange = Rc::default();
         let feed = cx
             .feed_table
-            .changes(rows::JOBS, version, FEED_WAIT, FEED_LIMIT, &exchange);
+            .changes(rows::JOBS, version, wait, FEED_LIMIT, &exchange);
+        // After a failure it is found out at once whether submissions were missed.
+        wait = Millis::ZERO;
         let suspected = async || cx.peers.suspected().await;
         let feed = tokio::select! {
             feed = peers::wait_unless(suspected, &exchange, feed) => match feed {
@@ -70,6 +73,7 @@
                 apply(&cx, &leader, rows.map(|(row, _)| row));
                 version = next;
                 leader.feed.set((version, clock::now()));
+                wait = FEED_WAIT;
             }
             Ok(Changes::HistoryGone) => {
                 log::warn!(version; "intake: the store has no history since this version, reading again");
