node: a node without a configuration waits for one

A configuration that was never confirmed counted as old, so its changes were asked for without a wait, again and again until the first one was stored.

Test: a_node_without_a_configuration_waits_for_one (cli, long_config): 27,621 calls in 3 s before, below 8 now.

--- a/crates/cli/tests/long_config.rs
+++ b/crates/cli/tests/long_config.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::{
+    sync::{Arc, atomic::AtomicBool},
     thread,
     time::{Duration, Instant},
 };
@@ -12,8 +13,8 @@
     API_KEY, Cluster, Peer, TIMEOUT,
     proxy::{Link, Mode},
 };
-use common::wait_until;
-use platform_standin::store::Fault;
+use common::{Process, wait_until};
+use platform_standin::store::{Fault, Store};
 use serde_json::{Value, json};
 
 /// Bandwidth of a link of 2 Mbit/s, in bytes a second.
@@ -217,6 +218,32 @@
     assert_eq!(pending(&cluster, "/q/", API_KEY), 401);
 }
 
+/// Guards against a node that asks for the configuration without a pause as long as there is none.
+#[test]
+fn a_node_without_a_configuration_waits_for_one() {
+    let dir = common::temp_dir("no-config");
+    let stop = Arc::new(AtomicBool::new(false));
+    let store = Store::start(&stop).unwrap();
+    let [callers, ready, operators] = [(); 3].map(|()| common::free_addr());
+    let cfg = json!({"name": "n0", "zone": "z", "listen": callers, "listen_ready": ready,
+        "listen_metrics": operators, "store": store.addr()});
+    let settings = common::write_settings(&dir, "node-0", &cfg);
+    let _node = Process::start("node", settings, callers);
+    let calls = || {
+        let text = common::http::send(operators, "GET", "/metrics", &[], "")?.body;
+        let text = text.as_str()?.to_owned();
+        let of_config = |l: &&str| l.starts_with("node_calls_total") && l.contains("\"config\"");
+        let counts = text.lines().filter(of_config);
+        let counts = counts.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok());
+        Some(counts.sum::<u64>()).filter(|n| *n > 0)
+    };
+    wait_until("the store is asked", TIMEOUT, calls);
+    thread::sleep(Duration::from_secs(3));
+    // A call waits for 0.8 s.
+    let calls = calls().unwrap();
+    assert!(calls < 8, "{calls} calls");
+}
+
 /// Guards against a configuration that never arrives because its connection went silent in its middle.
 #[test]
 fn a_long_configuration_arrives_after_its_connection_went_silent() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -113,7 +113,7 @@
 
 /// Waits for a change of the configuration.
 async fn feed(cx: &Cx, version: u64, exchange: &Rc<Exchange>) -> Result<Changes, StoreError> {
-    let is_old = cx.config_age().is_none_or(|age| age > OLD);
+    let is_old = cx.config_age().is_some_and(|age| age > OLD);
     let wait = if is_old { Millis::ZERO } else { FEED_WAIT };
     let feed = cx
         .feed_table
