node: a long configuration is read once at the start

Found when reading the change: took the first configuration of a process for a change that was stored while it was read, and read it once more on a narrow link.

--- a/crates/cli/tests/long_config.rs
+++ b/crates/cli/tests/long_config.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::AtomicBool},
     thread,
     time::{Duration, Instant},
@@ -11,7 +12,7 @@
 
 use cluster::{
     API_KEY, Cluster, Peer, TIMEOUT,
-    proxy::{Link, Mode},
+    proxy::{Link, Mode, Proxy},
 };
 use common::{Process, wait_until};
 use platform_standin::store::{Fault, Store};
@@ -218,17 +219,42 @@
     assert_eq!(pending(&cluster, "/q/", API_KEY), 401);
 }
 
+/// Starts a node; returns its address for operators too.
+fn start_node(test: &str, store: SocketAddr) -> (Process, SocketAddr) {
+    let [callers, ready, operators] = [(); 3].map(|()| common::free_addr());
+    let cfg = json!({"name": "n0", "zone": "z", "listen": callers, "listen_ready": ready,
+        "listen_metrics": operators, "store": store});
+    let settings = common::write_settings(&common::temp_dir(test), "node-0", &cfg);
+    (Process::start("node", settings, callers), operators)
+}
+
+/// Guards against a long configuration that a node reads twice at its start.
+#[test]
+fn a_node_reads_a_long_configuration_once_at_its_start() {
+    let stop = Arc::new(AtomicBool::new(false));
+    let store = Store::start(&stop).unwrap();
+    let config = long_config(1, &[API_KEY]);
+    store.put("op", "config", &config);
+    let link = Link::new(NARROW);
+    let proxy = Proxy::start_on(store.addr(), Some(link.clone())).unwrap();
+    let (_node, operators) = start_node("long-start", proxy.addr());
+    wait_until("the configuration is in force", TIMEOUT, || {
+        let text = common::http::send(operators, "GET", "/metrics", &[], "")?.body;
+        text.as_str()?
+            .contains("node_config_version 1")
+            .then_some(())
+    });
+    thread::sleep(Duration::from_secs(1));
+    let whole = config.to_string().len() as u64;
+    assert!(link.sent() < 2 * whole, "{} bytes of {whole}", link.sent());
+}
+
 /// Guards against a node that asks for the configuration without a pause as long as there is none.
 #[test]
 fn a_node_without_a_configuration_waits_for_one() {
-    let dir = common::temp_dir("no-config");
     let stop = Arc::new(AtomicBool::new(false));
     let store = Store::start(&stop).unwrap();
-    let [callers, ready, operators] = [(); 3].map(|()| common::free_addr());
-    let cfg = json!({"name": "n0", "zone": "z", "listen": callers, "listen_ready": ready,
-        "listen_metrics": operators, "store": store.addr()});
-    let settings = common::write_settings(&dir, "node-0", &cfg);
-    let _node = Process::start("node", settings, callers);
+    let (_node, operators) = start_node("no-config", store.addr());
     let calls = || {
         let text = common::http::send(operators, "GET", "/metrics", &[], "")?.body;
         let text = text.as_str()?.to_owned();
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -33,8 +33,9 @@
 struct Found {
     /// Version to continue from; `None` if the configuration is to be read.
     version: Option<u64>,
-    /// Number of configurations, and whether the read was one of the whole row.
+    /// Number of configurations that were stored since the one that was active.
     configs: usize,
+    /// Whether the row was read, which has the newest of them only.
     whole: bool,
 }
 
@@ -98,8 +99,9 @@
         .table
         .read(config::TABLE, key, &format!("{key} "))
         .await?;
-    let before = cx.active_config.borrow().row_version;
-    let configs = page.rows.iter().filter(|r| r.version > before).count();
+    let active = cx.active_config.borrow().row_version;
+    let is_newer = |row: &&Row| active > 0 && row.version > active;
+    let configs = page.rows.iter().filter(is_newer).count();
     for row in &page.rows {
         apply(cx, row);
     }
