batch: the size of a window of calls is a part of its own

Additive increase and multiplicative decrease move from call_window to window, so that calls to other services can use them.

--- a/crates/batch/src/call_window.rs
+++ b/crates/batch/src/call_window.rs
@@ -10,16 +10,20 @@
 
 use base::clock::Millis;
 
-use crate::answer_time::AnswerTime;
+use crate::{
+    answer_time::AnswerTime,
+    window::{Window, WindowCfg},
+};
 
-/// Number of calls under way before any is answered. It doubles with each round of fast answers until
-/// the first slow one.
-const INITIAL_SIZE: f64 = 16.0;
-/// Minimum number of calls under way. The members of a small gang are sent together.
-const MIN_SIZE: f64 = 8.0;
-/// Maximum number of calls under way, for which a VM has room beside a connection to each of the
-/// 1,100 workers of a large site.
-const MAX_SIZE: f64 = 512.0;
+/// Size of the window. A VM has room for the maximum beside a connection to each of the 1,100 workers of
+/// a large site, and the members of a small gang are sent together at the minimum.
+const WINDOW: WindowCfg = WindowCfg {
+    initial: 16.0,
+    min: 8.0,
+    max: 512.0,
+    increase: 4.0,
+    decrease: 0.7,
+};
 /// Time of an answer above which fewer calls are sent. Renewals of the leader's lease (0.9 s) share
 /// the link.
 const SLOW_ANSWER: Millis = Millis(200);
@@ -27,10 +31,6 @@
 const LAG_DECAY: f64 = 0.9;
 /// Time of an answer up to which the number doubles with each round at first.
 const FAST_ANSWER: Millis = Millis(100);
-/// Factor by which the number decreases after a slow answer.
-const DECREASE: f64 = 0.7;
-/// Increase of the number for as many answers as there are calls under way.
-const INCREASE: f64 = 4.0;
 /// Number of calls without an answer up to which workers are taken to be silent.
 const MIN_MISSED: usize = 8;
 /// Minimum time after which a call without an answer leaves the window, so that silent workers don't
@@ -90,7 +90,7 @@
 #[derive(Debug)]
 pub struct CallWindow {
     next_id: u64,
-    size: f64,
+    window: Window,
     /// Calls that wait, the next one last.
     waiting: Vec<Waiting>,
     /// Calls under way with the times when they were sent, the oldest first.
@@ -100,8 +100,6 @@
     answer_time: AnswerTime,
     /// Recent maximum of the time by which this process handles events late.
     lag: f64,
-    /// Time of the last decrease; zero before the first one.
-    decreased_at: Millis,
     /// Calls that were answered, and those that became overdue, since the last decrease.
     answered: usize,
     missed: usize,
@@ -111,13 +109,12 @@
     fn default() -> Self {
         Self {
             next_id: 0,
-            size: INITIAL_SIZE,
+            window: Window::new(WINDOW),
             waiting: Vec::new(),
             under_way: VecDeque::new(),
             overdue: Vec::new(),
             answer_time: AnswerTime::default(),
             lag: 0.0,
-            decreased_at: Millis::ZERO,
             answered: 0,
             missed: 0,
         }
@@ -154,7 +151,7 @@
     pub fn advance(&mut self, now: Millis) -> Vec<u64> {
         self.remove_overdue(now);
         let mut turns = Vec::new();
-        while self.under_way.len() < self.size as usize
+        while self.under_way.len() < self.window.size()
             && let Some(next) = self.waiting.pop()
         {
             self.under_way.push_back((next.id, now));
@@ -191,13 +188,11 @@
         let on_link = took.since(Millis(self.lag as u64));
         if on_link <= SLOW_ANSWER {
             self.answered += 1;
-            let is_growing = self.decreased_at == Millis::ZERO && on_link <= FAST_ANSWER;
-            let step = if is_growing {
-                1.0
+            if !self.window.has_decreased() && on_link <= FAST_ANSWER {
+                self.window.increase_fast();
             } else {
-                INCREASE / self.size
-            };
-            self.size = (self.size + step).min(MAX_SIZE);
+                self.window.increase();
+            }
         } else {
             self.decrease(sent, now);
         }
@@ -250,7 +245,7 @@
     /// ```
     pub fn max_starts(&self) -> usize {
         let answer = self.answer_time.mean().max(MIN_ANSWER);
-        let in_time = self.size * QUEUE_TIME.0 as f64 / answer.0 as f64;
+        let in_time = self.window.exact_size() * QUEUE_TIME.0 as f64 / answer.0 as f64;
         (in_time as usize).max(MIN_STARTS)
     }
 
@@ -272,7 +267,7 @@
     /// assert_eq!(batch::call_window::CallWindow::default().size(), 16);
     /// ```
     pub fn size(&self) -> usize {
-        self.size as usize
+        self.window.size()
     }
 
     /// Returns the number of calls that wait for their turn.
@@ -304,15 +299,10 @@
         }
     }
 
-    /// Decreases the size for a slow call that was sent at `sent`, once for all calls that were under
-    /// way together.
     fn decrease(&mut self, sent: Millis, now: Millis) {
-        if sent < self.decreased_at {
-            return;
+        if self.window.decrease(sent, now) {
+            self.answered = 0;
+            self.missed = 0;
         }
-        self.size = (self.size * DECREASE).max(MIN_SIZE);
-        self.decreased_at = now;
-        self.answered = 0;
-        self.missed = 0;
     }
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod usage;
 mod victims;
 mod wait_log;
+mod window;
 pub mod worker;
 pub mod worker_end;
 mod worker_state;
