batch: a burst of requests for tickets does not outlive its cause

Cause: the service handles the requests of a VM in turn, also those that the VM has given up. Up to 8 were under way, which takes 4 s, each was given up after 2.5 s and sent again. Evidence: 423 requests for 40 steps, 82 given up at 2.507 s, 318 refused with 429 because the abandoned ones filled the queue, and the service's own record, in which it handles one request each 0.5 s throughout. Ruled out: a lost service, and tickets that expire before their start (all 18 answers led to one).

Change: the number of requests under way follows the answers (the window of the calls to workers, with values of its own). A request without an answer becomes late, which makes room for another one, and its answer is used whenever it comes. The time after which it is late counts the requests before it and follows measured lateness. Steps that wait for resources too are requested last. A leader that has ended is not kept alive by its requests.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pacing;
 mod placement;
 pub mod policy;
+mod policy_calls;
 mod preemption;
 pub mod progress;
 mod ranking;
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -56,6 +56,7 @@
             now,
         };
         pass.candidates.reserve_for_urgent(reserve);
+        self.policy_calls.advance(now);
         let mut starts = 0;
         let max_starts = self.max_starts.unwrap_or(usize::MAX);
         for unit in units {
@@ -67,6 +68,7 @@
             self.place_unit(&unit, &mut pass, wall_now);
             starts += self.orders.len() - orders;
         }
+        self.send_later_requests(now);
     }
 
     fn place_unit(&mut self, unit: &Unit, pass: &mut Pass, wall_now: Millis) {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -12,7 +12,8 @@
     jobs::Jobs,
     open_job::Job,
     order_load::OrderLoad,
-    policy::{PolicyRequest, StepId, StepTickets},
+    policy::{PolicyRequest, StepId, StepTickets, UnsentRequest},
+    policy_calls::PolicyCalls,
     progress::{Phase, Progress, Run, RunState, Subtask},
     reserve::UrgentLoad,
     wait_log::WaitLog,
@@ -98,7 +99,11 @@
     /// Whether a VM list was read that has not been compared with these losses.
     pub(crate) has_new_list: bool,
     pub(crate) step_tickets: SortedMap<StepId, StepTickets>,
+    pub(crate) policy_calls: PolicyCalls,
+    /// Requests to send.
     pub(crate) policy_requests: Vec<PolicyRequest>,
+    /// Requests for units that wait for resources too, sent at the end of a pass.
+    pub(crate) later_requests: Vec<UnsentRequest>,
 }
 
 impl JobScheduler {
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -38,6 +38,8 @@
     /// `None` before the first request to the policy service.
     pub(crate) known: Option<&'a StepTickets>,
     pub(crate) now: Millis,
+    /// Whether the policy service is taken to allow all workers that it has not denied.
+    pub(crate) assumes_tickets: bool,
 }
 
 impl JobScheduler {
@@ -52,6 +54,7 @@
         let tickets = self.needs_tickets(&unit.job).then(|| TicketCheck {
             known: self.step_tickets.get(&StepId::from(&unit.tasks[0])),
             now,
+            assumes_tickets: false,
         });
         Search {
             scheduler: self,
@@ -205,6 +208,11 @@
     }
 
     pub(crate) fn has_ticket(&self, tickets: TicketCheck, candidate: &Candidate) -> bool {
+        if tickets.assumes_tickets {
+            return tickets
+                .known
+                .is_none_or(|t| !t.is_denied(&candidate.worker));
+        }
         let incarnation = self.worker(candidate).map(|w| w.incarnation);
         let (Some(known), Some(incarnation)) = (tickets.known, incarnation) else {
             return false;
--- a/crates/node/src/policy.rs
+++ b/crates/node/src/policy.rs
@@ -1,6 +1,6 @@
 //! Sends requests for tickets to the policy service.
 
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use base::clock;
 use batch::policy::PolicyRequest;
@@ -12,16 +12,20 @@
 pub(crate) fn send(cx: &Cx, leader: &Rc<Leader>) {
     let requests = leader.scheduler.borrow_mut().take_policy_requests();
     for request in requests {
-        rt::spawn(send_one(cx.clone(), leader.clone(), request)).detach();
+        rt::spawn(send_one(cx.clone(), Rc::downgrade(leader), request)).detach();
     }
 }
 
-async fn send_one(cx: Cx, leader: Rc<Leader>, request: PolicyRequest) {
+async fn send_one(cx: Cx, leader: Weak<Leader>, request: PolicyRequest) {
     let sent = clock::now();
     let answer = match &cx.policy {
         Some(policy) => policy.request_tickets(&request).await,
         None => Err("the settings name no policy service".into()),
     };
+    // An answer may take far longer than the leadership.
+    let Some(leader) = leader.upgrade() else {
+        return;
+    };
     let now = clock::now();
     let mut scheduler = leader.scheduler.borrow_mut();
     match answer {
