batch: lasting work is not given up because its worker goes down

Cause: a job is given up after a number of crashes of its workers, whatever kind of work it is. Evidence: 'worker crashed under the run' with crashes 1 (5 s after a start) and 2 (right after one), then 'given up, it crashes its workers', limit 2. Ruled out: failed attempts, of which there were none.

Change: lasting work is never given up. Decision and reasons: docs/design.md, section 7.

Postmortem: docs/incidents/lasting-flap.md

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -2,7 +2,8 @@
 //!
 //! A crash is counted for each run on the worker. Most of them are innocent, so a subtask with a
 //! crash is started again where nothing else has just started: the next crash then shows whether it
-//! is the cause. A subtask is given up only after such a crash.
+//! is the cause. A subtask is given up only after such a crash, and never if it lasts until its job
+//! is cancelled: see [`rest`](crate::rest).
 
 use std::cmp::Reverse;
 
@@ -133,6 +134,9 @@
                 fresh = run.fresh, age_ms = run.age.0;
                 "batch: worker crashed under the run"
             );
+            if self.is_lasting(&run.task) {
+                self.rest(&run.task, &lost.id, lost.outage.from);
+            }
         }
         for run in lost.runs.iter().filter(|r| r.may_have_existed) {
             let Some(task) = self.subtask_mut(&run.task).filter(|t| !t.done) else {
@@ -157,7 +161,8 @@
             Some(job) if r.task.job == *job => limit.min(MAX_CRASHES_IN_ALL),
             _ => MAX_CRASHES_IN_ALL,
         };
-        let at_fault = suspects.iter().filter(|r| crashes(r) >= limit_of(r));
+        let is_at_fault = |r: &&&LostRun| crashes(r) >= limit_of(r) && !self.is_lasting(&r.task);
+        let at_fault = suspects.iter().filter(is_at_fault);
         let mut at_fault: Vec<&LostRun> = at_fault.copied().collect();
         at_fault.sort_by_key(|r| (&r.task.job, Reverse(crashes(r))));
         at_fault.dedup_by_key(|r| &r.task.job);
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -34,6 +34,7 @@
 mod ranking;
 mod reports;
 mod reserve;
+mod rest;
 mod retention;
 mod run_end;
 pub mod scheduler;
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -141,7 +141,8 @@
             if task.alone_wait.is_none() {
                 log::info!(task:% = id, crashes = task.crashes, held = worker.as_deref().unwrap_or_default(); "batch: waits for a worker of its own");
             }
-            task.wait_alone(worker.is_some(), now);
+            // Lasting work may not wait until the runs on the held worker have ended.
+            task.wait_alone(worker.is_some() && !step.endless, now);
         }
     }
 
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -150,6 +150,10 @@
     /// Wait for a worker of its own. It is not stored: the wait begins anew with the next leader.
     #[serde(skip)]
     pub(crate) alone_wait: Option<AloneWait>,
+    /// Time until which the subtask is not started. It is not stored: the next leader may start it
+    /// once without the rest.
+    #[serde(skip)]
+    pub(crate) rests_until: Millis,
     /// Newest checkpoint.
     #[serde(rename = "c", skip_serializing_if = "str::is_empty")]
     pub checkpoint: Text,
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -7,7 +7,7 @@
     isolation::Isolation,
     job::{Step, SubtaskId, Text},
     open_job::Job,
-    progress::{Occurrence, Progress},
+    progress::{Occurrence, Progress, Subtask},
     scheduler::JobScheduler,
 };
 
@@ -146,7 +146,7 @@
                 if !job.dependencies_done(occurrence, s) {
                     continue;
                 }
-                let tasks = job.startable(k, s, step);
+                let tasks = job.startable(k, s, step, now);
                 if tasks.is_empty() {
                     continue;
                 }
@@ -263,15 +263,15 @@
             .filter(|(_, ids)| !ids.is_empty())
     }
 
-    /// Returns the subtasks of a step that have no run and are not done. A gang is returned whole
-    /// or not at all.
-    fn startable(&self, k: usize, s: usize, step: &Step) -> Vec<SubtaskId> {
+    /// Returns the subtasks of a step that have no run, are not done and do not rest. A gang is
+    /// returned whole or not at all.
+    fn startable(&self, k: usize, s: usize, step: &Step, now: Millis) -> Vec<SubtaskId> {
         let tasks = &self.progress.occurrences[k].steps[s];
-        if step.gang && tasks.iter().any(|t| t.run.is_some() || t.done) {
+        let is_startable = |t: &Subtask| t.run.is_none() && !t.done && !t.is_resting(now);
+        if step.gang && !tasks.iter().all(is_startable) {
             return Vec::new();
         }
-        let free = tasks.iter().enumerate();
-        let free = free.filter(|(_, t)| t.run.is_none() && !t.done);
+        let free = tasks.iter().enumerate().filter(|(_, t)| is_startable(t));
         free.map(|(i, _)| self.subtask_id(k, s, i)).collect()
     }
 }
