batch: work does not wait for a preference beside room

Cause: the end of such a wait follows the estimate or the load, not what can come of waiting.

Change: a data rack that can't hold the unit is no preference; with more than half of a service free, work waits 2 s at most for a rack or a worker of its own; lasting work may use reserved workers; a service of which more than half is free has no reserve, which also took the workers of an idle service for the urgent work of a full one.

--- a/crates/batch/src/candidates.rs
+++ b/crates/batch/src/candidates.rs
@@ -115,6 +115,8 @@
     pub(crate) all: Vec<Candidate>,
     /// Names of the services.
     services: Vec<Text>,
+    /// Whether more than half of each service is free, in the order of `services`.
+    have_ample_room: Vec<bool>,
     /// Names of the racks, sorted.
     racks: Vec<Text>,
     /// Indices of the candidates of each rack, in the order of `racks`.
@@ -148,11 +150,14 @@
             candidate.rack = index;
             rack_members[index].push(i);
         }
+        let all: Vec<Candidate> = candidates
+            .into_iter()
+            .map(|(_, candidate)| candidate)
+            .collect();
+        let has_ample_room = |service| has_ample_room(&all, service);
         Self {
-            all: candidates
-                .into_iter()
-                .map(|(_, candidate)| candidate)
-                .collect(),
+            have_ample_room: (0..services.len()).map(has_ample_room).collect(),
+            all,
             services,
             racks,
             rack_members,
@@ -171,6 +176,11 @@
         self.services.iter().position(|s| s == name)
     }
 
+    /// Returns whether more than half of a service was free at the beginning of the pass.
+    pub(crate) fn has_ample_room(&self, service: usize) -> bool {
+        self.have_ample_room[service]
+    }
+
     /// Returns the indices of the candidates of each rack.
     pub(crate) fn by_rack(&self) -> &[Vec<usize>] {
         &self.rack_members
@@ -201,12 +211,13 @@
 
     /// Reserves idle workers for urgent work until they have `reserve` accelerators in total.
     /// Urgent jobs often need all accelerators of several workers in one rack, so free accelerators
-    /// scattered over busy workers don't help them.
+    /// scattered over busy workers don't help them. A service with ample room needs no reserve.
     pub(crate) fn reserve_for_urgent(&mut self, reserve: u64) {
         self.reserve = reserve;
         let idle = |rack: &Vec<usize>| -> Vec<usize> {
             let here = rack.iter().copied();
-            here.filter(|i| self.all[*i].is_idle()).collect()
+            let may_be_reserved = |c: &Candidate| c.is_idle() && !self.has_ample_room(c.service);
+            here.filter(|i| may_be_reserved(&self.all[*i])).collect()
         };
         let mut racks: Vec<Vec<usize>> = self.rack_members.iter().map(idle).collect();
         // Racks with the most idle workers come first; the sort is stable, so ties keep rack order.
@@ -222,6 +233,20 @@
     }
 }
 
+/// Returns whether more than half of the accelerators of a service are free, or of its processors if
+/// it has none.
+fn has_ample_room(all: &[Candidate], service: usize) -> bool {
+    let (mut free, mut capacity) = (Resources::default(), Resources::default());
+    for candidate in all.iter().filter(|c| c.service == service) {
+        free.add(candidate.free, 1);
+        capacity.add(candidate.capacity, 1);
+    }
+    match capacity.accelerators {
+        0 => 2 * free.cpu > capacity.cpu,
+        accelerators => 2 * free.accelerators > accelerators,
+    }
+}
+
 impl JobScheduler {
     /// Returns all workers that take new work, with their free resources.
     pub(crate) fn candidates(&self, now: Millis) -> Candidates {
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -130,6 +130,9 @@
     ) {
         let search = self.search(unit, step, service, now);
         let to_empty = search.find_worker_to_empty(candidates);
+        // Lasting work, and work for which there is room beside others, may not wait until the runs on
+        // the held worker have ended.
+        let may_wait_long = !step.endless && !search.has_ample_room(candidates);
         if let Some(i) = to_empty {
             candidates.all[i].isolation.hold();
         }
@@ -141,8 +144,7 @@
             if task.alone_wait.is_none() {
                 log::info!(task:% = id, crashes = task.crashes, held = worker.as_deref().unwrap_or_default(); "batch: waits for a worker of its own");
             }
-            // Lasting work may not wait until the runs on the held worker have ended.
-            task.wait_alone(worker.is_some() && !step.endless, now);
+            task.wait_alone(worker.is_some() && may_wait_long, now);
         }
     }
 
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -20,6 +20,8 @@
 /// Time that other work waits for such a rack, in percent of its estimated run time. On other
 /// workers the run takes several times the estimate, so waiting this long is worthwhile.
 const LOCALITY_WAIT_PERCENT: u64 = 150;
+/// Maximum time that work waits for such a rack while its service has ample room.
+const MAX_WAIT_BESIDE_ROOM: Millis = Millis(2_000);
 
 /// Search for workers for one unit.
 pub(crate) struct Search<'a> {
@@ -77,7 +79,7 @@
             return Vec::new();
         }
         let all = self.usable(candidates);
-        let can_spread = self.may_spread() || self.must_spread(candidates, &all);
+        let can_spread = self.may_spread(candidates) || self.must_spread(candidates, &all);
         let one_rack = self.needs_one_rack() && !can_spread;
         let req = SearchRequest {
             one_rack,
@@ -120,7 +122,7 @@
                 1
             },
             one_rack,
-            urgent: self.unit.priority == URGENT_PRIORITY,
+            urgent: self.unit.priority == URGENT_PRIORITY || self.step.endless,
         }
     }
 
@@ -148,7 +150,7 @@
     /// Returns sets of usable candidates; the whole unit has to be placed within one of them.
     pub(crate) fn candidate_sets(&self, candidates: &Candidates) -> Vec<Vec<usize>> {
         let all = self.usable(candidates);
-        if self.may_spread() || self.must_spread(candidates, &all) {
+        if self.may_spread(candidates) || self.must_spread(candidates, &all) {
             return vec![all];
         }
         self.preferred_sets(candidates, &all)
@@ -185,7 +187,7 @@
     /// Returns whether the unit, which needs the service with the given index, may run on a candidate,
     /// whatever else has just started there.
     fn is_suitable(&self, candidate: &Candidate, service: usize) -> bool {
-        if (candidate.reserved_for_urgent && self.unit.priority != URGENT_PRIORITY)
+        if self.is_reserved(candidate)
             || self.interferes_with(candidate)
             || (self.step.endless && self.has_just_failed(candidate))
         {
@@ -200,6 +202,12 @@
             && self.step.label.as_ref().is_none_or(has_label)
     }
 
+    /// Returns whether a candidate is kept free for other work. Endless work is not kept from it,
+    /// because it has to run again soon after its last run.
+    pub(crate) fn is_reserved(&self, candidate: &Candidate) -> bool {
+        candidate.reserved_for_urgent && self.unit.priority != URGENT_PRIORITY && !self.step.endless
+    }
+
     /// Returns whether a run of the step, which is endless, has just failed on the candidate.
     pub(crate) fn has_just_failed(&self, candidate: &Candidate) -> bool {
         let (job, step) = (&self.unit.job, self.unit.step);
@@ -235,25 +243,36 @@
 
     /// Returns whether the unit has waited long enough to run outside its data rack or on several
     /// racks.
-    fn may_spread(&self) -> bool {
-        let max_wait = match self.unit.priority {
+    fn may_spread(&self, candidates: &Candidates) -> bool {
+        let usual = match self.unit.priority {
             URGENT_PRIORITY => URGENT_LOCALITY_WAIT,
             _ => Millis(self.step.estimate.0 * LOCALITY_WAIT_PERCENT / 100),
         };
+        let max_wait = if self.has_ample_room(candidates) {
+            usual.min(MAX_WAIT_BESIDE_ROOM)
+        } else {
+            usual
+        };
         self.unit.waited >= max_wait
     }
 
-    /// Returns whether a gang does not fit on any single rack, so that waiting for one is
-    /// pointless.
+    /// Returns whether more than half of the unit's service is free.
+    pub(crate) fn has_ample_room(&self, candidates: &Candidates) -> bool {
+        let service = candidates.service(self.service);
+        service.is_some_and(|s| candidates.has_ample_room(s))
+    }
+
+    /// Returns whether the data rack can't hold the unit, or no single rack can hold a gang that needs
+    /// one, so that waiting for it is pointless.
     fn must_spread(&self, candidates: &Candidates, all: &[usize]) -> bool {
+        if let Some(rack) = &self.step.data_rack {
+            return !self.can_hold(rack, candidates);
+        }
         if !self.needs_one_rack() {
             return false;
         }
         let need = self.step.reserved();
-        let limit = match self.step.max_per_worker {
-            0 => u64::MAX,
-            limit => limit,
-        };
+        let limit = self.step_limit();
         let mut racks = vec![0_u64; candidates.by_rack().len()];
         for candidate in all.iter().map(|i| &candidates.all[*i]) {
             let count = need.count_in(candidate.capacity).min(limit);
@@ -263,6 +282,37 @@
         racks.iter().all(|count| *count < wanted)
     }
 
+    /// Returns whether the workers of a rack could hold the unit if they were idle.
+    fn can_hold(&self, rack: &Text, candidates: &Candidates) -> bool {
+        let (need, limit) = (self.step.reserved(), self.step_limit());
+        let wanted = if self.unit.all_or_nothing {
+            self.unit.tasks.len() as u64
+        } else {
+            1
+        };
+        let count = |capacity| need.count_in(capacity).min(limit).min(wanted);
+        let taking_work = candidates.rack(rack).iter().map(|i| &candidates.all[*i]);
+        let of_service =
+            taking_work.filter(|c| candidates.service(self.service) == Some(c.service));
+        if of_service.map(|c| count(c.capacity)).sum::<u64>() >= wanted {
+            return true;
+        }
+        // Workers that don't take work now may do so soon, unless they are about to leave.
+        let infos = self.scheduler.workers.values().filter_map(|w| {
+            let is_of_rack = w.rack() == Some(rack);
+            let info = w.info.as_ref().filter(|_| is_of_rack)?;
+            (info.service == *self.service && !info.draining).then_some(info)
+        });
+        infos.map(|i| count(i.capacity)).sum::<u64>() >= wanted
+    }
+
+    fn step_limit(&self) -> u64 {
+        match self.step.max_per_worker {
+            0 => u64::MAX,
+            limit => limit,
+        }
+    }
+
     /// Searches the preferred sets of candidates.
     fn find_preferred(&self, candidates: &Candidates, all: &[usize], when: FreeAt) -> Vec<usize> {
         let sets = self.preferred_sets(candidates, all);
--- a/crates/batch/src/wait_log.rs
+++ b/crates/batch/src/wait_log.rs
@@ -4,7 +4,6 @@
 
 use crate::{
     candidates::{Candidate, Candidates},
-    config::URGENT_PRIORITY,
     job::{Step, Text},
     open_job::Job,
     progress::RunState,
@@ -283,7 +282,7 @@
             Standing::Full
         } else if !need.fits_in(candidate.free) {
             Standing::Held
-        } else if candidate.reserved_for_urgent && self.unit.priority != URGENT_PRIORITY {
+        } else if self.is_reserved(candidate) {
             Standing::Reserved
         } else if !candidate.isolation.admits(self.unit.isolation) {
             Standing::Isolated
