serve, cli: SIGHUP right after the start ends no process

Cause: the handlers were installed with the runtime, after the settings were read. Evidence: a process that waits for its settings on a pipe ends by signal 1. Ruled out: an error of its own, which has an exit code.

Change: server commands install a handler for SIGHUP before anything else (signal-hook, which tokio's registry underlies and which was in the lock file).

--- a/crates/cli/src/command/server.rs
+++ b/crates/cli/src/command/server.rs
@@ -6,6 +6,7 @@
 
 /// Runs an entry, the process that serves callers and operators.
 pub fn entry(args: &args::Entry) -> eyre::Result<()> {
+    serve::survive_hang_up()?;
     let path = &args.settings;
     let cfg = entry::entry_cfg::EntryCfg::parse(&read_settings(path)?)
         .map_err(|e| Failure::bad_input(format!("{path}: {e}")))?;
@@ -14,6 +15,7 @@
 
 /// Runs a scheduler, the process that places jobs on workers.
 pub fn scheduler(args: &args::Scheduler) -> eyre::Result<()> {
+    serve::survive_hang_up()?;
     let path = &args.settings;
     let cfg = sched::cfg::read(&read_settings(path)?)
         .map_err(|e| Failure::bad_input(format!("{path}: {e}")))?;
@@ -26,6 +28,7 @@
 
 /// Runs a node, the process that accepts jobs on a VM and may become the leader.
 pub fn node(args: &args::Node) -> eyre::Result<()> {
+    serve::survive_hang_up()?;
     let path = match &args.settings {
         Some(path) => path.clone(),
         None => env::var(SETTINGS_VAR).map_err(|e| {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,7 +6,7 @@
 use std::{io, net, rc::Rc};
 
 pub use connections::Connections;
-pub use signals::Signals;
+pub use signals::{Signals, survive_hang_up};
 
 use ntex::{
     Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
--- a/crates/serve/src/signals.rs
+++ b/crates/serve/src/signals.rs
@@ -1,9 +1,26 @@
 //! Signals that a server process handles.
 
-use std::io;
+use std::{io, sync};
 
+use signal_hook::{consts, flag};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// Keeps SIGHUP from ending a process that has no [`Signals`] yet. A server process calls it before
+/// anything else, because it may be sent the signal as soon as its id is known.
+///
+/// ```
+/// serve::survive_hang_up()?;
+/// # Ok::<_, std::io::Error>(())
+/// ```
+///
+/// # Errors
+///
+/// Returns an error if the handler can't be installed.
+pub fn survive_hang_up() -> io::Result<()> {
+    let unused = sync::Arc::default();
+    flag::register(consts::SIGHUP, unused).map(|_| ())
+}
+
 /// Handlers of SIGTERM, SIGINT and SIGHUP. Without them these signals would kill a process that has
 /// accepted connections, so they are installed before its listeners are opened.
 #[derive(Debug)]
