batch: one check for endless work; the service of a rack is looked up once

Read-through of the change, behaviour unchanged. rest.rs had written again what stood twice in run_end.rs, under another word; all three call is_endless now. can_hold looked up the service for each worker of the rack.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -134,7 +134,7 @@
                 fresh = run.fresh, age_ms = run.age.0;
                 "batch: worker crashed under the run"
             );
-            if self.is_lasting(&run.task) {
+            if self.is_endless(&run.task) {
                 self.rest(&run.task, &lost.id, lost.outage.from);
             }
         }
@@ -161,7 +161,7 @@
             Some(job) if r.task.job == *job => limit.min(MAX_CRASHES_IN_ALL),
             _ => MAX_CRASHES_IN_ALL,
         };
-        let is_at_fault = |r: &&&LostRun| crashes(r) >= limit_of(r) && !self.is_lasting(&r.task);
+        let is_at_fault = |r: &&&LostRun| crashes(r) >= limit_of(r) && !self.is_endless(&r.task);
         let at_fault = suspects.iter().filter(is_at_fault);
         let mut at_fault: Vec<&LostRun> = at_fault.copied().collect();
         at_fault.sort_by_key(|r| (&r.task.job, Reverse(crashes(r))));
--- a/crates/batch/src/rest.rs
+++ b/crates/batch/src/rest.rs
@@ -34,7 +34,7 @@
 
 impl JobScheduler {
     /// Returns whether a subtask lasts until its job is cancelled.
-    pub(crate) fn is_lasting(&self, id: &SubtaskId) -> bool {
+    pub(crate) fn is_endless(&self, id: &SubtaskId) -> bool {
         self.step_of(id).is_some_and(|s| s.endless)
     }
 
--- a/crates/batch/src/run_end.rs
+++ b/crates/batch/src/run_end.rs
@@ -43,7 +43,7 @@
             return;
         }
         match finished.outcome {
-            Outcome::Done if self.step_of(id).is_some_and(|s| s.endless) => {}
+            Outcome::Done if self.is_endless(id) => {}
             Outcome::Done => self.handle_done(worker, id, now, wall_now),
             Outcome::Failed => self.handle_failure(worker, id, now, wall_now),
             Outcome::Stopped | Outcome::Lapsed | Outcome::Broken | Outcome::Alone => {
@@ -64,7 +64,7 @@
         let id = &finished.task;
         let was_lapsed = self.take_lapsed_run(worker, finished);
         let is_open = self.phase(&id.job).is_some_and(|p| !p.is_final());
-        let is_endless = self.step_of(id).is_some_and(|s| s.endless);
+        let is_endless = self.is_endless(id);
         let is_done = self.subtask(id).is_none_or(|t| t.done);
         if !was_lapsed || finished.outcome != Outcome::Done || !is_open || is_endless || is_done {
             return;
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -292,8 +292,8 @@
         };
         let count = |capacity| need.count_in(capacity).min(limit).min(wanted);
         let taking_work = candidates.rack(rack).iter().map(|i| &candidates.all[*i]);
-        let of_service =
-            taking_work.filter(|c| candidates.service(self.service) == Some(c.service));
+        let service = candidates.service(self.service);
+        let of_service = taking_work.filter(|c| service == Some(c.service));
         if of_service.map(|c| count(c.capacity)).sum::<u64>() >= wanted {
             return true;
         }
