--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -2,6 +2,11 @@
 
 use base::clock::Millis;
 
+use crate::worker_clock::WorkerClock;
+
+/// Maximum age of a reading of a worker's clock: that of an entry in the VM list, which is written every
+/// 1.5 s and read a little later.
+const MAX_READING_AGE: Millis = Millis(9_000);
 /// Maximum amount by which a worker's clock may be slower than the local clock, in percent.
 const SLOW_PERCENT: u64 = 2;
 /// Added to the computed end of a lease to allow for rounding and for the transit time of an order.
@@ -77,6 +82,31 @@
         self.clock.is_some()
     }
 
+    /// Returns whether the known incarnation may have read `clock` between the local times `sent` and
+    /// `now`. An incarnation whose clock is unknown may have.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// let mut grants = batch::grant::Grants::default();
+    /// grants.observe_clock(Millis(500_000), Millis(10));
+    /// assert!(!grants.fits_clock(Millis(7), Millis(20), Millis(30)));
+    /// ```
+    pub fn fits_clock(&self, clock: Millis, sent: Millis, now: Millis) -> bool {
+        self.clock.is_none_or(|(value, at)| {
+            WorkerClock::new(value, at.since(MAX_READING_AGE), at).fits(clock, sent, now)
+        })
+    }
+
+    /// Returns the time on the worker's clock at the local time `now`; `None` if it is unknown.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// assert_eq!(batch::grant::Grants::default().clock_at(Millis(5)), None);
+    /// ```
+    pub fn clock_at(&self, now: Millis) -> Option<Millis> {
+        self.clock.map(|(value, at)| value + now.since(at))
+    }
+
     /// Records whether the worker answers. A worker that receives renewals but can't answer would
     /// keep its runs as long as its lease is renewed, so an unresponsive worker gets no renewals.
     ///
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -45,5 +45,6 @@
 mod wait_log;
 mod window;
 pub mod worker;
+pub mod worker_clock;
 pub mod worker_end;
 mod worker_state;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -162,6 +162,7 @@
     let answer = cx.workers.start(target, &start, limit).await;
     if let Some(clock) = answer.clock {
         permit.set_answered();
+        worker_session::log_other_life(leader, order, clock, began);
         worker_session::observe_clock(leader, &order.worker, clock);
     }
     if answer.has_lost_try {
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -8,7 +8,7 @@
     call_window::Class,
     grant::{self, Grants},
     job::Text,
-    worker::{Report, WorkerInfo},
+    worker::{Order, Report, WorkerInfo},
 };
 use derive_more::Display;
 use ntex::rt;
@@ -146,6 +146,24 @@
     session.grants.renewal(cx.cfg.worker_lease_ms, clock::now())
 }
 
+/// Logs an answer to a start whose time is not one of the clock of the known incarnation.
+pub(crate) fn log_other_life(leader: &Leader, order: &Order, clock: Millis, sent: Millis) {
+    let sessions = leader.sessions.borrow();
+    let Some(session) = sessions.get(&order.worker) else {
+        return;
+    };
+    let now = clock::now();
+    if session.grants.fits_clock(clock, sent, now) {
+        return;
+    }
+    let expected = session.grants.clock_at(now).unwrap_or_default();
+    log::info!(
+        task:% = order.task, attempt = order.attempt, worker:% = order.worker,
+        life = session.grants.incarnation(), clock_ms = clock.0, expected_ms = expected.0;
+        "orders: answer of another life of the worker"
+    );
+}
+
 /// Records a time on the worker's clock from one of its replies.
 pub(crate) fn observe_clock(leader: &Leader, worker: &Text, clock: Millis) {
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
@@ -224,7 +242,14 @@
             leader.dirty.notify_one();
             continue;
         }
-        if clock::now() > leases_expire_at(&cx, &leader, &worker) {
+        let expire_at = leases_expire_at(&cx, &leader, &worker);
+        if clock::now() > expire_at {
+            let life = leader
+                .sessions
+                .borrow()
+                .get(&worker)
+                .map(|s| s.grants.incarnation());
+            log::info!(worker:%, life, over_ms = clock::now().since(expire_at).0; "workers: leases are over");
             leader
                 .scheduler
                 .borrow_mut()
