batch, node: a lease that the next life of a worker has taken is not over

Cause: a worker that is back under its id takes calls that were meant for its former life, and the leader counted them to the former one.

Change: an answer to an order belongs to the known life only if its time fits that life's clock; otherwise a report is requested, and if that does not settle it, the start or stop counts as unanswered. Runs that the known life has confirmed end with the leases on its clock, as before. What another life may have taken ends a lease after the latest time at which it may be carried out, unless the known life shows (by an answer or its entry) that it got the calls itself, or the worker is no longer listed. A new leader treats what its predecessor granted in the same way.

Why it works: every order is received by the life that exists at that moment, and dies with it. The clock of each life starts at any value, so that it tells lives apart in answers that name none.

--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -2,15 +2,15 @@
 
 use base::clock::Millis;
 
-use crate::worker_clock::WorkerClock;
+use crate::worker_clock::{DRIFT_PERCENT, WorkerClock};
 
-/// Maximum age of a reading of a worker's clock: that of an entry in the VM list, which is written every
-/// 1.5 s and read a little later.
-const MAX_READING_AGE: Millis = Millis(9_000);
-/// Maximum amount by which a worker's clock may be slower than the local clock, in percent.
-const SLOW_PERCENT: u64 = 2;
+/// Maximum age of the time in an entry of the VM list: it is written every 1.5 s, and three times as
+/// rarely while the store is slow.
+const MAX_ENTRY_AGE: Millis = Millis(9_000);
 /// Added to the computed end of a lease to allow for rounding and for the transit time of an order.
 const MARGIN: Millis = Millis(150);
+/// Time after which a worker no longer carries out a call that was given up.
+const MAX_CALL_DELAY: Millis = Millis(12_000);
 
 /// Returns the longest local duration in which a worker's clock advances by `span`.
 ///
@@ -19,12 +19,26 @@
 /// assert_eq!(batch::grant::max_local_duration(Millis(980)), Millis(1_001));
 /// ```
 pub const fn max_local_duration(span: Millis) -> Millis {
-    Millis(span.0 * 100 / (100 - SLOW_PERCENT) + 1)
+    Millis(span.0 * 100 / (100 - DRIFT_PERCENT) + 1)
+}
+
+/// Which runs on a worker have certainly ended, because their leases have expired.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expired {
+    /// None.
+    Nothing,
+    /// Those that the known incarnation has confirmed.
+    Confirmed,
+    /// All.
+    All,
 }
 
 /// Leases granted to one worker. A lease ends at a time on the worker's clock, so a delayed order
 /// does not extend it.
 ///
+/// A restarted worker keeps its id. Calls that are meant for an incarnation may reach the next one, on
+/// whose clock the lease ends at another time, but at most the length of a lease after the call.
+///
 /// ```
 /// use base::clock::Millis;
 /// use batch::grant::Grants;
@@ -41,15 +55,39 @@
     incarnation: u64,
     /// Incarnation whose end a report or a later entry has shown.
     ended_incarnation: Option<u64>,
-    /// A time on the worker's clock, and a local time by which the worker's clock had reached it.
-    clock: Option<(Millis, Millis)>,
-    /// Latest end of all granted leases, on the worker's clock.
+    /// Clock of the incarnation.
+    clock: Option<WorkerClock>,
+    /// Latest end of all leases granted to the incarnation, on its clock.
     latest: Millis,
+    /// Length of the longest lease.
+    lease: Millis,
+    /// Time until which calls that were meant for an earlier incarnation were sent.
+    changed_at: Option<Millis>,
+    /// Time at which the last call with a lease was given up, or answered by another incarnation. The
+    /// known incarnation has not answered a later call.
+    unsettled_at: Option<Millis>,
     /// Whether the last renewal went unanswered.
     unresponsive: bool,
 }
 
 impl Grants {
+    /// Returns the leases that earlier leaders have granted to an incarnation, or to one before it, with
+    /// calls until `last_call_at`.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// let grants = batch::grant::Grants::inherited(7, Millis(6_000), Millis(10));
+    /// assert_eq!(grants.incarnation(), 7);
+    /// ```
+    pub fn inherited(incarnation: u64, lease: Millis, last_call_at: Millis) -> Self {
+        Self {
+            incarnation,
+            lease,
+            unsettled_at: Some(last_call_at),
+            ..Self::default()
+        }
+    }
+
     /// Records a time that the worker's clock had reached by `now`.
     ///
     /// ```
@@ -60,10 +98,53 @@
     /// ```
     pub const fn observe_clock(&mut self, clock: Millis, now: Millis) {
         if clock.0 > 0 {
-            self.clock = Some((clock, now));
+            self.clock = Some(WorkerClock::new(clock, now.since(MAX_ENTRY_AGE), now));
         }
     }
 
+    /// Records an answer that does not name the incarnation, with a time on the worker's clock, to a call
+    /// that was sent at `sent`. Returns whether the known incarnation has given it.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// let mut grants = batch::grant::Grants::default();
+    /// grants.observe_clock(Millis(500_000), Millis(10));
+    /// assert!(grants.observe_answer(Millis(500_010), Millis(20), Millis(30)));
+    /// assert!(!grants.observe_answer(Millis(7), Millis(40), Millis(50)));
+    /// ```
+    pub fn observe_answer(&mut self, clock: Millis, sent: Millis, now: Millis) -> bool {
+        let known = self.clock.as_mut().filter(|c| c.fits(clock, sent, now));
+        let Some(known) = known else {
+            self.record_unanswered(now);
+            return false;
+        };
+        known.narrow(clock, sent, now);
+        self.settle(sent);
+        true
+    }
+
+    /// Records that a call with a lease was given up at `now`. Whichever incarnation has received it may
+    /// still carry it out.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// use batch::grant::{Expired, Grants};
+    /// let mut grants = Grants::default();
+    /// grants.observe_clock(Millis(500), Millis(10));
+    /// grants.grant(Millis(6_000), Millis(10));
+    /// grants.record_unanswered(Millis(700));
+    /// assert_eq!(grants.expired(0, true, Millis(7_000)), Expired::Confirmed);
+    /// ```
+    pub fn record_unanswered(&mut self, now: Millis) {
+        self.unsettled_at = self.unsettled_at.max(Some(now));
+    }
+
+    /// Records that the known incarnation has received a call at `alive` or later. It or an earlier one has
+    /// received all calls that were given up before.
+    fn settle(&mut self, alive: Millis) {
+        self.unsettled_at = self.unsettled_at.filter(|t| *t >= alive);
+    }
+
     /// Returns the incarnation of the worker; 0 if unknown.
     ///
     /// ```
@@ -82,21 +163,6 @@
         self.clock.is_some()
     }
 
-    /// Returns whether the known incarnation may have read `clock` between the local times `sent` and
-    /// `now`. An incarnation whose clock is unknown may have.
-    ///
-    /// ```
-    /// # use base::clock::Millis;
-    /// let mut grants = batch::grant::Grants::default();
-    /// grants.observe_clock(Millis(500_000), Millis(10));
-    /// assert!(!grants.fits_clock(Millis(7), Millis(20), Millis(30)));
-    /// ```
-    pub fn fits_clock(&self, clock: Millis, sent: Millis, now: Millis) -> bool {
-        self.clock.is_none_or(|(value, at)| {
-            WorkerClock::new(value, at.since(MAX_READING_AGE), at).fits(clock, sent, now)
-        })
-    }
-
     /// Returns the time on the worker's clock at the local time `now`; `None` if it is unknown.
     ///
     /// ```
@@ -104,7 +170,7 @@
     /// assert_eq!(batch::grant::Grants::default().clock_at(Millis(5)), None);
     /// ```
     pub fn clock_at(&self, now: Millis) -> Option<Millis> {
-        self.clock.map(|(value, at)| value + now.since(at))
+        self.clock.map(|c| c.value_at(now))
     }
 
     /// Records whether the worker answers. A worker that receives renewals but can't answer would
@@ -143,15 +209,15 @@
     /// assert_eq!(batch::grant::Grants::default().grant(Millis(6_000), Millis(20)), None);
     /// ```
     pub fn grant(&mut self, lease: Millis, now: Millis) -> Option<Millis> {
-        let (clock, at) = self.clock?;
-        let end = clock + now.since(at) + lease;
+        let end = self.clock?.value_at(now) + lease;
         self.latest = self.latest.max(end);
+        self.lease = self.lease.max(lease);
         Some(end)
     }
 
     /// Records the incarnation and the clock in the worker's entry in the VM list. Returns whether it
-    /// is another incarnation, which has no leases yet. The entry of a restarted worker may name the
-    /// incarnation before for some time.
+    /// is another incarnation. The entry of a restarted worker may name the incarnation before for some
+    /// time.
     ///
     /// ```
     /// # use base::clock::Millis;
@@ -161,58 +227,123 @@
     /// ```
     pub fn observe_entry(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
         let before = self.incarnation;
-        let is_new =
-            self.ended_incarnation != Some(incarnation) && self.observe(incarnation, clock, now);
-        if is_new && incarnation > before {
+        if self.ended_incarnation == Some(incarnation) {
+            return false;
+        }
+        if !self.observe(incarnation, now) {
+            // The entry was written after the call was given up.
+            let is_later = |t: &Millis| self.clock.is_some_and(|c| clock > c.latest_at(*t));
+            self.unsettled_at = self.unsettled_at.filter(|t| !is_later(t));
+            if !self.has_clock() {
+                self.observe_clock(clock, now);
+            }
+            return false;
+        }
+        self.observe_clock(clock, now);
+        if incarnation > before {
             self.ended_incarnation = Some(before);
         }
-        is_new
+        true
     }
 
-    /// Records the incarnation and the clock in a report of the worker. Returns whether it is another
-    /// incarnation, which has no leases yet.
+    /// Records the incarnation and the clock in a report of the worker that was requested at `sent`.
+    /// Returns whether it is another incarnation.
     ///
     /// ```
     /// # use base::clock::Millis;
     /// let mut grants = batch::grant::Grants::default();
     /// grants.observe_entry(1, Millis(5), Millis(10));
-    /// assert!(grants.observe_report(2, Millis(1), Millis(20)));
+    /// assert!(grants.observe_report(2, Millis(1), Millis(15), Millis(20)));
     /// ```
-    pub fn observe_report(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
+    pub fn observe_report(
+        &mut self,
+        incarnation: u64,
+        clock: Millis,
+        sent: Millis,
+        now: Millis,
+    ) -> bool {
         let before = self.incarnation;
         // A late report that was taken for that of a restart must not hide the current incarnation.
         if incarnation < before && self.ended_incarnation == Some(incarnation) {
             return false;
         }
-        let is_new = self.observe(incarnation, clock, now);
+        let is_new = self.observe(incarnation, now);
         if is_new {
             self.ended_incarnation = Some(before);
         }
-        self.observe_clock(clock, now);
+        if clock > Millis::ZERO {
+            match &mut self.clock {
+                Some(known) if known.fits(clock, sent, now) => known.narrow(clock, sent, now),
+                _ => self.clock = Some(WorkerClock::new(clock, sent, now)),
+            }
+        }
+        self.settle(sent);
         is_new
     }
 
-    fn observe(&mut self, incarnation: u64, clock: Millis, now: Millis) -> bool {
+    fn observe(&mut self, incarnation: u64, now: Millis) -> bool {
         let is_new = incarnation != self.incarnation;
         if is_new {
+            if self.lease > Millis::ZERO {
+                self.changed_at = Some(now);
+            }
             self.incarnation = incarnation;
             self.latest = Millis::ZERO;
             self.clock = None;
-            self.observe_clock(clock, now);
+            self.unsettled_at = None;
         }
         is_new
     }
 
-    /// Returns the local time when all granted leases have certainly expired.
+    /// Returns the local time when all leases of the known incarnation have certainly expired, whichever
+    /// incarnation they were granted to.
     ///
     /// ```
     /// # use base::clock::Millis;
     /// assert_eq!(batch::grant::Grants::default().expires_at(), Millis::ZERO);
     /// ```
     pub fn expires_at(&self) -> Millis {
-        let Some((clock, at)) = self.clock else {
+        self.own_end()
+            .max(self.end_of_call(self.changed_at, MAX_CALL_DELAY))
+    }
+
+    /// Returns which runs have certainly ended at `now`. `known` is the incarnation that has confirmed
+    /// runs. A worker that is not listed has carried out its calls, or is gone.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// use batch::grant::{Expired, Grants};
+    /// assert_eq!(Grants::default().expired(1, true, Millis(5)), Expired::All);
+    /// ```
+    pub fn expired(&self, known: u64, is_listed: bool, now: Millis) -> Expired {
+        let delay = if is_listed {
+            MAX_CALL_DELAY
+        } else {
+            Millis::ZERO
+        };
+        let confirmed = self.own_end().max(self.end_of_call(self.changed_at, delay));
+        let all = confirmed.max(self.end_of_call(self.unsettled_at, delay));
+        // A later incarnation shows that the one that has confirmed the runs has ended.
+        let has_ended = known < self.incarnation;
+        match () {
+            () if now > all => Expired::All,
+            () if now > confirmed || has_ended => Expired::Confirmed,
+            () => Expired::Nothing,
+        }
+    }
+
+    /// Returns the end of the leases that were granted to the known incarnation.
+    fn own_end(&self) -> Millis {
+        let Some(clock) = self.clock else {
             return Millis::ZERO;
         };
-        at + max_local_duration(self.latest.since(clock)) + MARGIN
+        clock.at() + max_local_duration(self.latest.since(clock.reached())) + MARGIN
+    }
+
+    /// Returns the end of a lease that a call gives to an incarnation that it was not meant for.
+    fn end_of_call(&self, given_up_at: Option<Millis>, delay: Millis) -> Millis {
+        given_up_at.map_or(Millis::ZERO, |t| {
+            t + delay + max_local_duration(self.lease) + MARGIN
+        })
     }
 }
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -74,7 +74,7 @@
     /// Id of the worker.
     #[serde(rename = "w")]
     pub worker: Text,
-    /// Incarnation of the worker.
+    /// Incarnation of the worker that is known to have the run, or that was known when it was placed.
     #[serde(rename = "b")]
     pub incarnation: u64,
     #[serde(skip)]
@@ -122,6 +122,18 @@
 }
 
 impl Run {
+    /// Records that an incarnation of the worker has the run.
+    pub(crate) fn confirm(&mut self, incarnation: u64, now: Millis) {
+        self.incarnation = incarnation;
+        self.taken_at.get_or_insert(now);
+        self.answered_at.get_or_insert(now);
+    }
+
+    /// Returns whether an incarnation has confirmed to this leader that it has the run.
+    pub(crate) const fn is_confirmed_by(&self, incarnation: u64) -> bool {
+        self.taken_at.is_some() && self.incarnation == incarnation
+    }
+
     /// Returns whether a start without an answer was sent, which may still be carried out.
     pub(crate) const fn may_start_late(&self) -> bool {
         self.unanswered_starts > 0 || self.has_lost_start
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -42,6 +42,7 @@
             return;
         };
         let is_in_contact = worker.is_in_contact(now);
+        let incarnation = worker.incarnation;
         match reply {
             StartReply::Taken => worker.record_answer(now),
             StartReply::Closed if is_in_contact => worker.alive_until = now,
@@ -55,7 +56,7 @@
             StartReply::Taken | StartReply::Refused(Refusal::Old) => {
                 run.answered_at.get_or_insert(now);
                 if reply == StartReply::Taken {
-                    run.taken_at.get_or_insert(now);
+                    run.confirm(incarnation, now);
                 }
                 if matches!(run.state, RunState::Ordered | RunState::Adopted) {
                     run.state = RunState::Running;
@@ -277,6 +278,7 @@
     }
 
     fn handle_running(&mut self, worker: &str, running: &Running, now: Millis) {
+        let incarnation = self.workers.get(worker).map_or(0, |w| w.incarnation);
         let task = self.subtask_mut(&running.task);
         let current = task.filter(|t| {
             let here = t.run.as_ref().is_some_and(|r| &*r.worker == worker);
@@ -295,9 +297,8 @@
         };
         run.percent = percent;
         run.listed = true;
-        run.taken_at.get_or_insert(now);
         // If the report to a later request does not list the run, the run is gone.
-        run.answered_at.get_or_insert(now);
+        run.confirm(incarnation, now);
         match run.state {
             RunState::Adopted | RunState::Ordered => run.state = RunState::Running,
             RunState::Running => {}
@@ -345,6 +346,7 @@
                 && (run.awaits_reply || run.may_start_late())
             {
                 run.answered_at = None;
+                run.taken_at = None;
                 run.listed = false;
                 run.stop_order = None;
             }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -288,6 +288,16 @@
             .map(|w| (w.incarnation, w.stored_seq))
     }
 
+    /// Returns the known incarnation of a worker, 0 if none is, and whether the VM list names the worker.
+    ///
+    /// ```
+    /// assert_eq!(batch::scheduler::JobScheduler::default().life("w"), (0, false));
+    /// ```
+    pub fn life(&self, worker: &str) -> (u64, bool) {
+        let worker = self.workers.get(worker);
+        worker.map_or((0, false), |w| (w.incarnation, w.info.is_some()))
+    }
+
     /// Returns the ids of the workers that are [in use](Self::is_in_use), in ascending order.
     ///
     /// ```
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -126,7 +126,7 @@
 /// Reply of a worker to a start order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StartReply {
-    /// The run exists.
+    /// The run exists on the known incarnation of the worker.
     Taken,
     /// The try that was answered did not start a run and will not start one later. An earlier one
     /// without an answer may, see
@@ -141,6 +141,23 @@
     Closed,
 }
 
+impl StartReply {
+    /// Returns what the reply tells if another incarnation of the worker than the known one gave it. That
+    /// one has not refused a start that the known one may still carry out.
+    ///
+    /// ```
+    /// use batch::worker::StartReply;
+    /// assert_eq!(StartReply::Taken.of_other_incarnation(), StartReply::Unknown);
+    /// ```
+    #[must_use]
+    pub const fn of_other_incarnation(self) -> Self {
+        match self {
+            Self::Taken | Self::Refused(Refusal::Old) => Self::Unknown,
+            Self::Refused(_) | Self::NotSent | Self::Unknown | Self::Closed => self,
+        }
+    }
+}
+
 /// Reason why a worker refused a start.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
--- a/crates/batch/src/worker_clock.rs
+++ b/crates/batch/src/worker_clock.rs
@@ -45,6 +45,27 @@
         }
     }
 
+    /// Adds a reading of the same clock.
+    pub(crate) fn narrow(&mut self, value: Millis, after: Millis, by: Millis) {
+        let added = Self::new(value, after, by);
+        *self = Self {
+            at: by,
+            earliest: added.earliest.max(self.earliest_at(by)),
+            latest: added.latest.min(self.latest_at(by)),
+        };
+        self.latest = self.latest.max(self.earliest);
+    }
+
+    /// Returns the local time of the bounds.
+    pub(crate) const fn at(&self) -> Millis {
+        self.at
+    }
+
+    /// Returns a value that the clock has reached at the local time of the bounds.
+    pub(crate) const fn reached(&self) -> Millis {
+        self.earliest
+    }
+
     /// Returns the time on the clock at a local time, if both run at the same rate.
     ///
     /// ```
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     crash::OUTAGE_MEMORY,
+    grant::Expired,
     job::{Resources, SubtaskId, Text},
     progress::{ClosedStart, Run, RunState},
     scheduler::JobScheduler,
@@ -98,7 +99,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LapsedRun {
     worker: Text,
-    incarnation: u64,
     task: SubtaskId,
     attempt: u32,
     expired_at: Millis,
@@ -259,12 +259,37 @@
     /// batch::scheduler::JobScheduler::default().handle_lease_expiry("w", Millis(1));
     /// ```
     pub fn handle_lease_expiry(&mut self, worker: &str, now: Millis) {
-        let Some(lost) = self.lost_worker(worker, now, now) else {
+        self.handle_expired_runs(worker, Expired::All, now);
+    }
+
+    /// Handles the end of runs whose leases have expired.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use batch::{grant::Expired, scheduler::JobScheduler};
+    /// JobScheduler::default().handle_expired_runs("w", Expired::Confirmed, Millis(1));
+    /// ```
+    pub fn handle_expired_runs(&mut self, worker: &str, expired: Expired, now: Millis) {
+        let Some(mut lost) = self.lost_worker(worker, now, now) else {
             return;
         };
+        let is_confirmed = |task: &SubtaskId| {
+            let run = self.subtask(task).and_then(|t| t.run.as_ref());
+            run.is_some_and(|r| r.is_confirmed_by(lost.incarnation))
+        };
+        match expired {
+            Expired::Nothing => lost.runs.clear(),
+            Expired::Confirmed => lost.runs.retain(|r| is_confirmed(&r.task)),
+            Expired::All => {}
+        }
+        if expired != Expired::All && lost.runs.is_empty() {
+            return;
+        }
         if let Some(w) = self.workers.get_mut(worker) {
             w.back_off(now);
-            w.unexpected = Resources::default();
+            if expired == Expired::All {
+                w.unexpected = Resources::default();
+            }
         }
         for run in &lost.runs {
             log::warn!(
@@ -283,7 +308,6 @@
         self.lapsed_runs
             .extend(lost.runs.iter().map(|run| LapsedRun {
                 worker: lost.id.clone(),
-                incarnation: lost.incarnation,
                 task: run.task.clone(),
                 attempt: run.attempt,
                 expired_at: now,
@@ -294,12 +318,8 @@
     /// Returns whether a finished run is one whose lease expired before its worker reported the end, and
     /// forgets it.
     pub(crate) fn take_lapsed_run(&mut self, worker: &str, finished: &FinishedRun) -> bool {
-        let incarnation = self.workers.get(worker).map(|w| w.incarnation);
         let position = self.lapsed_runs.iter().position(|r| {
-            *r.worker == *worker
-                && Some(r.incarnation) == incarnation
-                && r.task == finished.task
-                && r.attempt == finished.attempt
+            *r.worker == *worker && r.task == finished.task && r.attempt == finished.attempt
         });
         position.map(|i| self.lapsed_runs.swap_remove(i)).is_some()
     }
--- a/crates/batch/tests/worker_replies.rs
+++ b/crates/batch/tests/worker_replies.rs
@@ -433,7 +433,7 @@
 fn an_old_entry_of_a_restarted_worker_does_not_end_its_leases() {
     let mut grants = Grants::default();
     grants.observe_entry(1, Millis(500_000), Millis(1_000));
-    assert!(grants.observe_report(2, Millis(100), Millis(1_500)));
+    assert!(grants.observe_report(2, Millis(100), Millis(1_500), Millis(1_500)));
     grants.grant(Millis(6_000), Millis(1_500));
     let over = grants.expires_at();
     assert!(!grants.observe_entry(1, Millis(500_000), Millis(1_600)));
@@ -466,17 +466,17 @@
 #[test]
 fn a_late_report_does_not_hide_the_current_life() {
     let mut grants = Grants::default();
-    grants.observe_report(1, Millis(9_000), Millis(1_000));
+    grants.observe_report(1, Millis(9_000), Millis(1_000), Millis(1_000));
     assert!(grants.observe_entry(2, Millis(10), Millis(2_000)));
     assert!(grants.grant(Millis(6_000), Millis(2_000)).is_some());
     let end = grants.expires_at();
-    assert!(!grants.observe_report(1, Millis(9_500), Millis(2_005)));
+    assert!(!grants.observe_report(1, Millis(9_500), Millis(2_005), Millis(2_005)));
     assert_eq!(grants.expires_at(), end);
     // A leader that knows no earlier life can't tell that the report is late.
     let mut grants = Grants::default();
     grants.observe_entry(2, Millis(10), Millis(2_000));
-    grants.observe_report(1, Millis(9_500), Millis(2_005));
-    assert!(grants.observe_report(2, Millis(20), Millis(2_010)));
+    grants.observe_report(1, Millis(9_500), Millis(2_005), Millis(2_005));
+    assert!(grants.observe_report(2, Millis(20), Millis(2_010), Millis(2_010)));
 
     let mut fleet = Fleet::new(1);
     fleet.report_life("w00", 1);
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -185,6 +185,7 @@
         }
         cx::sleep(LOAD_RETRY_DELAY).await;
     };
+    worker_session::adopt_leases(&cx, &leader);
     if let Some(workers) = workers {
         worker_list::apply_first(&leader, &workers);
     }
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -159,11 +159,19 @@
         ticket: ticket.clone(),
         lease_end,
     };
-    let answer = cx.workers.start(target, &start, limit).await;
-    if let Some(clock) = answer.clock {
+    let sent = clock::now();
+    let mut answer = cx.workers.start(target, &start, limit).await;
+    if answer.clock.is_some() {
         permit.set_answered();
-        worker_session::log_other_life(leader, order, clock, began);
-        worker_session::observe_clock(leader, &order.worker, clock);
+        drop(permit);
+        if !worker_session::is_known_to_answer(cx, leader, target, answer.clock, sent).await {
+            answer.reply = answer.reply.of_other_incarnation();
+        }
+    } else {
+        answer.reply = answer.reply.of_other_incarnation();
+    }
+    if matches!(answer.reply, StartReply::Unknown | StartReply::Closed) {
+        worker_session::record_unanswered(leader, &order.worker);
     }
     if answer.has_lost_try {
         let mut scheduler = leader.scheduler.borrow_mut();
@@ -193,7 +201,15 @@
         cx.metrics.count_order("stop", "not_sent");
         return;
     }
-    let reply = cx.workers.stop(target, task, attempt, permit.limit).await;
+    let sent = clock::now();
+    let answer = cx.workers.stop(target, task, attempt, permit.limit).await;
+    let mut reply = answer.reply;
+    if reply == Reply::Done(()) {
+        permit.set_answered();
+        if !worker_session::is_known_to_answer(cx, leader, target, answer.clock, sent).await {
+            reply = Reply::OtherWorker;
+        }
+    }
     log::info!(
         task:%, attempt, worker:% = order.worker, reply = reply.name(), reason = reply.reason();
         "orders: stop"
@@ -211,7 +227,6 @@
         cx::sleep(stop_order::RETRY_DELAY).await;
         return worker_session::request_report(cx, leader, &order.worker).await;
     }
-    permit.set_answered();
     drop(permit);
     let open = leader
         .scheduler
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -6,9 +6,9 @@
 use batch::{
     call_queue::Place,
     call_window::Class,
-    grant::{self, Grants},
+    grant::{self, Expired, Grants},
     job::Text,
-    worker::{Order, Report, WorkerInfo},
+    worker::{Report, WorkerInfo},
 };
 use derive_more::Display;
 use ntex::rt;
@@ -146,28 +146,60 @@
     session.grants.renewal(cx.cfg.worker_lease_ms, clock::now())
 }
 
-/// Logs an answer to a start whose time is not one of the clock of the known incarnation.
-pub(crate) fn log_other_life(leader: &Leader, order: &Order, clock: Millis, sent: Millis) {
-    let sessions = leader.sessions.borrow();
-    let Some(session) = sessions.get(&order.worker) else {
-        return;
+/// Takes over the leases that earlier leaders have granted to workers with runs.
+pub(crate) fn adopt_leases(cx: &Cx, leader: &Leader) {
+    let scheduler = leader.scheduler.borrow();
+    let last_call_at = leader.started_at + MAX_ORDER_DELAY;
+    let mut sessions = leader.sessions.borrow_mut();
+    for worker in scheduler.workers_with_runs() {
+        let (incarnation, _) = scheduler.life(&worker);
+        let lease = cx.cfg.worker_lease_ms;
+        sessions.get_or_default(worker).grants =
+            Grants::inherited(incarnation, lease, last_call_at);
+    }
+}
+
+/// Returns whether the incarnation of the worker that the leader knows has given an answer, whose
+/// connection was open from `sent` on. If another one has, a report is requested, which names it.
+pub(crate) async fn is_known_to_answer(
+    cx: &Cx,
+    leader: &Rc<Leader>,
+    target: &Target,
+    clock: Option<Millis>,
+    sent: Millis,
+) -> bool {
+    let answered_at = clock::now();
+    let is_known = || {
+        let life = leader.scheduler.borrow().life(&target.id).0;
+        let mut sessions = leader.sessions.borrow_mut();
+        let grants = sessions.get_mut(&target.id).map(|s| &mut s.grants);
+        grants.zip(clock).is_some_and(|(g, clock)| {
+            g.observe_answer(clock, sent, answered_at) && g.incarnation() == life
+        })
     };
+    if is_known() {
+        return true;
+    }
     let now = clock::now();
-    if session.grants.fits_clock(clock, sent, now) {
-        return;
+    {
+        let mut sessions = leader.sessions.borrow_mut();
+        if let Some(session) = sessions.get_mut(&target.id) {
+            session.may_have_restarted = true;
+            log::info!(
+                worker:% = target.id, life = session.grants.incarnation(), clock_ms = clock.map(|c| c.0),
+                expected_ms = session.grants.clock_at(now).map(|c| c.0);
+                "orders: answer of another life of the worker"
+            );
+        }
     }
-    let expected = session.grants.clock_at(now).unwrap_or_default();
-    log::info!(
-        task:% = order.task, attempt = order.attempt, worker:% = order.worker,
-        life = session.grants.incarnation(), clock_ms = clock.0, expected_ms = expected.0;
-        "orders: answer of another life of the worker"
-    );
+    confirm_contact(cx, leader, target, leader.window.call_limit()).await && is_known()
 }
 
-/// Records a time on the worker's clock from one of its replies.
-pub(crate) fn observe_clock(leader: &Leader, worker: &Text, clock: Millis) {
+/// Records that a call with a lease was given up without an answer.
+pub(crate) fn record_unanswered(leader: &Leader, worker: &Text) {
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
-        session.grants.observe_clock(clock, clock::now());
+        session.grants.record_unanswered(clock::now());
+        session.may_have_restarted = true;
     }
 }
 
@@ -242,18 +274,12 @@
             leader.dirty.notify_one();
             continue;
         }
-        let expire_at = leases_expire_at(&cx, &leader, &worker);
-        if clock::now() > expire_at {
-            let life = leader
-                .sessions
-                .borrow()
-                .get(&worker)
-                .map(|s| s.grants.incarnation());
-            log::info!(worker:%, life, over_ms = clock::now().since(expire_at).0; "workers: leases are over");
-            leader
-                .scheduler
-                .borrow_mut()
-                .handle_lease_expiry(&worker, clock::now());
+        let now = clock::now();
+        let expired = expired(&cx, &leader, &worker, now);
+        if expired != Expired::Nothing {
+            let mut scheduler = leader.scheduler.borrow_mut();
+            scheduler.handle_expired_runs(&worker, expired, now);
+            drop(scheduler);
             leader.changed.notify_one();
         }
         cx::sleep(RETRY_DELAY).await;
@@ -291,14 +317,19 @@
     leader.changed.notify_one();
 }
 
-/// Returns the time after which no run can exist on an unresponsive worker. The previous leader may
-/// have granted leases until this leadership began.
-fn leases_expire_at(cx: &Cx, leader: &Leader, worker: &Text) -> Millis {
+/// Returns which runs can no longer exist on an unresponsive worker. The previous leader may have granted
+/// leases until this leadership began.
+fn expired(cx: &Cx, leader: &Leader, worker: &Text, now: Millis) -> Expired {
     let lease = grant::max_local_duration(cx.cfg.worker_lease_ms);
-    let before = leader.started_at + lease + MAX_ORDER_DELAY;
+    if now <= leader.started_at + lease + MAX_ORDER_DELAY {
+        return Expired::Nothing;
+    }
+    let (life, is_listed) = leader.scheduler.borrow().life(worker);
     let sessions = leader.sessions.borrow();
-    let granted = sessions.get(worker).map(|s| s.grants.expires_at());
-    granted.unwrap_or_default().max(before)
+    let expired = sessions
+        .get(worker)
+        .map(|s| s.grants.expired(life, is_listed, now));
+    expired.unwrap_or(Expired::All)
 }
 
 /// Returns for how long the worker may delay its reply to a renewal. Of runs that an earlier leader
@@ -329,10 +360,8 @@
     let limit = HOLD_TIME + leader.window.call_limit();
     let answer = cx.workers.renew(target, call, limit).await;
     let acked = acked.filter(|_| answer.has_acked);
-    if !matches!(answer.reply, Reply::Done(_))
-        && let Some(session) = leader.sessions.borrow_mut().get_mut(worker)
-    {
-        session.may_have_restarted = true;
+    if !matches!(answer.reply, Reply::Done(_)) {
+        record_failed_renewal(leader, worker, call.lease_end.is_some());
     }
     match answer.reply {
         Reply::Done(report) => {
@@ -360,6 +389,15 @@
     }
 }
 
+fn record_failed_renewal(leader: &Leader, worker: &Text, has_lease: bool) {
+    if has_lease {
+        return record_unanswered(leader, worker);
+    }
+    if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
+        session.may_have_restarted = true;
+    }
+}
+
 /// Waits until finished runs may be acknowledged to a worker, or the leadership has ended.
 async fn wait_for_ack(leader: &Leader, worker: &Text) {
     while !leader.ended.get() {
@@ -475,7 +513,10 @@
             }
             handle_report(leader, worker, &report, sent, None);
         }
-        reply => log::debug!(worker:%, reply:?; "workers: no report beside the renewals"),
+        reply => {
+            log::debug!(worker:%, reply:?; "workers: no report beside the renewals");
+            record_failed_renewal(leader, worker, lease_end.is_some());
+        }
     }
 }
 
@@ -513,7 +554,7 @@
         session.may_have_restarted = false;
         if session
             .grants
-            .observe_report(incarnation, report.clock, now)
+            .observe_report(incarnation, report.clock, sent, now)
         {
             session.acked = (incarnation, 0);
         }
