batch: a run of the next life is neither a crash of the former one nor done for nothing

What callers saw: jobs isolated or given up for crashes that they had outlived; work done again that was done.

Cause: after a takeover, a run that the stored record names for one life of a worker counted as crashed with it, although the next life had taken its start and listed it.

Change: what the next life lists is its own unless this leader knows that the former one had it.

A run that the former life had confirmed and the next one lists too did crash: a second try of its start reached the next life.

--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -219,11 +219,8 @@
                 log::warn!(worker = id, life = report.incarnation, before; "batch: worker restarted");
                 let mut lost = self.lost_worker(id, sent, now);
                 if let Some(lost) = &mut lost {
-                    let is_of_life = |task: &SubtaskId| {
-                        let run = self.subtask(task).and_then(|t| t.run.as_ref());
-                        run.is_some_and(|r| r.incarnation == before)
-                    };
-                    lost.runs.retain(|r| is_of_life(&r.task));
+                    lost.runs
+                        .retain(|r| self.was_run_of(before, &r.task, report));
                 }
                 if let Some(lost) = lost.filter(|l| !l.runs.is_empty()) {
                     self.judge(&lost, now, wall_now);
@@ -261,6 +258,18 @@
         self.update_shutdown_time(&id.into(), now);
     }
 
+    /// Returns whether a run was one of the incarnation `before`, when a report of the next one arrives.
+    /// What an earlier leader has placed may have reached the next one only, which lists it then.
+    fn was_run_of(&self, before: u64, task: &SubtaskId, report: &Report) -> bool {
+        let Some(t) = self.subtask(task) else {
+            return false;
+        };
+        let Some(run) = t.run.as_ref().filter(|r| r.incarnation == before) else {
+            return false;
+        };
+        run.state != RunState::Adopted || !report.names(task, t.attempt)
+    }
+
     /// Returns whether a report may come from an earlier incarnation than the current one: it names
     /// one that has ended, or another one and was requested at `sent`, before the last report arrived.
     /// Calls overtake each other.
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -111,6 +111,15 @@
     pub is_complete: bool,
 }
 
+impl Report {
+    /// Returns whether the worker lists a run as running or finished.
+    pub(crate) fn names(&self, task: &SubtaskId, attempt: u32) -> bool {
+        let is_running = |r: &Running| r.task == *task && r.attempt == attempt;
+        let is_finished = |r: &FinishedRun| r.task == *task && r.attempt == attempt;
+        self.running.iter().any(is_running) || self.finished.iter().any(is_finished)
+    }
+}
+
 impl Default for Report {
     fn default() -> Self {
         Self {
