--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -22,6 +22,7 @@
 mod job_end;
 mod jobs;
 mod known_jobs;
+mod known_workers;
 mod open_job;
 pub mod order_load;
 pub mod outbox;
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -25,7 +25,7 @@
     pending, policy, retention,
     rows::FailingRow,
     window::{self, Window},
-    worker_list,
+    worker_lease, worker_list,
     worker_session::{self, WorkerSession},
 };
 
@@ -185,7 +185,7 @@
         }
         cx::sleep(LOAD_RETRY_DELAY).await;
     };
-    worker_session::adopt_leases(&cx, &leader);
+    worker_lease::adopt(&cx, &leader);
     if let Some(workers) = workers {
         worker_list::apply_first(&leader, &workers);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,5 +43,6 @@
 mod table_read;
 mod turns;
 mod window;
+mod worker_lease;
 mod worker_list;
 mod worker_session;
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -16,7 +16,7 @@
     calls::Permit,
     cx::{self, Cx},
     leader::Leader,
-    worker_session,
+    worker_lease, worker_session,
 };
 
 /// Delay between the reply to a stop and the request for a report. Times are in milliseconds, and
@@ -148,7 +148,7 @@
     if !fits {
         return refuse_unsent(cx, leader, order, Refusal::Room);
     }
-    let Some(lease_end) = worker_session::grant_lease(cx, leader, &order.worker) else {
+    let Some(lease_end) = worker_lease::grant(cx, leader, &order.worker) else {
         return handle_unsent(leader, order);
     };
     let start = Start {
@@ -164,14 +164,14 @@
     if answer.clock.is_some() {
         permit.set_answered();
         drop(permit);
-        if !worker_session::is_known_to_answer(cx, leader, target, answer.clock, sent).await {
+        if !worker_lease::is_known_to_answer(cx, leader, target, answer.clock, sent).await {
             answer.reply = answer.reply.of_other_incarnation();
         }
     } else {
         answer.reply = answer.reply.of_other_incarnation();
     }
     if matches!(answer.reply, StartReply::Unknown | StartReply::Closed) {
-        worker_session::record_unanswered(leader, &order.worker);
+        worker_lease::record_unanswered(leader, &order.worker);
     }
     if answer.has_lost_try {
         let mut scheduler = leader.scheduler.borrow_mut();
@@ -206,7 +206,7 @@
     let mut reply = answer.reply;
     if reply == Reply::Done(()) {
         permit.set_answered();
-        if !worker_session::is_known_to_answer(cx, leader, target, answer.clock, sent).await {
+        if !worker_lease::is_known_to_answer(cx, leader, target, answer.clock, sent).await {
             reply = Reply::OtherWorker;
         }
     }
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -6,7 +6,7 @@
 use batch::{
     call_queue::Place,
     call_window::Class,
-    grant::{self, Expired, Grants},
+    grant::{Expired, Grants},
     job::Text,
     worker::{Report, WorkerInfo},
 };
@@ -20,6 +20,7 @@
     calls::{Calls, Permit},
     cx::{self, Cx},
     leader::Leader,
+    worker_lease,
 };
 
 /// Time for which a worker delays its reply to a renewal while no run finishes there.
@@ -30,10 +31,6 @@
 const RETRY_DELAY: Millis = Millis(200);
 /// Maximum wait for the commit of reported finished runs before the next renewal.
 const MAX_COMMIT_WAIT: Millis = Millis(500);
-/// Time after the start of a leadership in which the previous leader may still send an order. It
-/// checks its lease before each order, but its process may be suspended between the check and the
-/// send.
-const MAX_ORDER_DELAY: Millis = Millis(150);
 
 /// Reason why a renewal failed.
 #[derive(Debug, Display)]
@@ -67,13 +64,13 @@
 pub(crate) struct WorkerSession {
     address: Option<net::SocketAddr>,
     /// Leases granted by this leader.
-    grants: Grants,
+    pub(crate) grants: Grants,
     /// Time of the last renewal that the worker answered.
     renewed_at: Millis,
     /// Incarnation of the worker and the last sequence number that was acknowledged to it.
     acked: (u64, u64),
-    /// Whether the worker may have restarted since its last report, because a renewal failed.
-    may_have_restarted: bool,
+    /// Whether the worker may have restarted since its last report, because a call failed.
+    pub(crate) may_have_restarted: bool,
     /// Whether a task renews the lease.
     is_active: bool,
     calls: Calls,
@@ -133,76 +130,6 @@
     sessions.get(worker).map(|s| s.calls.clone())
 }
 
-/// Returns the end of the lease for a start order, or `None` if the worker's clock is unknown.
-pub(crate) fn grant_lease(cx: &Cx, leader: &Leader, worker: &Text) -> Option<Millis> {
-    let mut sessions = leader.sessions.borrow_mut();
-    let session = sessions.get_mut(worker)?;
-    session.grants.grant(cx.cfg.worker_lease_ms, clock::now())
-}
-
-fn renewed_lease_end(cx: &Cx, leader: &Leader, worker: &Text) -> Option<Millis> {
-    let mut sessions = leader.sessions.borrow_mut();
-    let session = sessions.get_mut(worker)?;
-    session.grants.renewal(cx.cfg.worker_lease_ms, clock::now())
-}
-
-/// Takes over the leases that earlier leaders have granted to workers with runs.
-pub(crate) fn adopt_leases(cx: &Cx, leader: &Leader) {
-    let scheduler = leader.scheduler.borrow();
-    let last_call_at = leader.started_at + MAX_ORDER_DELAY;
-    let mut sessions = leader.sessions.borrow_mut();
-    for worker in scheduler.workers_with_runs() {
-        let (incarnation, _) = scheduler.life(&worker);
-        let lease = cx.cfg.worker_lease_ms;
-        sessions.get_or_default(worker).grants =
-            Grants::inherited(incarnation, lease, last_call_at);
-    }
-}
-
-/// Returns whether the incarnation of the worker that the leader knows has given an answer, whose
-/// connection was open from `sent` on. If another one has, a report is requested, which names it.
-pub(crate) async fn is_known_to_answer(
-    cx: &Cx,
-    leader: &Rc<Leader>,
-    target: &Target,
-    clock: Option<Millis>,
-    sent: Millis,
-) -> bool {
-    let answered_at = clock::now();
-    let is_known = || {
-        let life = leader.scheduler.borrow().life(&target.id).0;
-        let mut sessions = leader.sessions.borrow_mut();
-        let grants = sessions.get_mut(&target.id).map(|s| &mut s.grants);
-        grants.zip(clock).is_some_and(|(g, clock)| {
-            g.observe_answer(clock, sent, answered_at) && g.incarnation() == life
-        })
-    };
-    if is_known() {
-        return true;
-    }
-    let now = clock::now();
-    {
-        let mut sessions = leader.sessions.borrow_mut();
-        if let Some(session) = sessions.get_mut(&target.id) {
-            session.may_have_restarted = true;
-            log::info!(
-                worker:% = target.id, life = session.grants.incarnation(), clock_ms = clock.map(|c| c.0),
-                expected_ms = session.grants.clock_at(now).map(|c| c.0);
-                "orders: answer of another life of the worker"
-            );
-        }
-    }
-    confirm_contact(cx, leader, target, leader.window.call_limit()).await && is_known()
-}
-
-/// Records that a call with a lease was given up without an answer.
-pub(crate) fn record_unanswered(leader: &Leader, worker: &Text) {
-    if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
-        session.grants.record_unanswered(clock::now());
-        session.may_have_restarted = true;
-    }
-}
-
 /// Starts a renewal task for each worker in use that has none.
 pub(crate) fn start_sessions(cx: &Cx, leader: &Rc<Leader>) {
     let inactive = inactive_workers(leader);
@@ -275,7 +202,7 @@
             continue;
         }
         let now = clock::now();
-        let expired = expired(&cx, &leader, &worker, now);
+        let expired = worker_lease::expired(&cx, &leader, &worker, now);
         if expired != Expired::Nothing {
             let mut scheduler = leader.scheduler.borrow_mut();
             scheduler.handle_expired_runs(&worker, expired, now);
@@ -317,21 +244,6 @@
     leader.changed.notify_one();
 }
 
-/// Returns which runs can no longer exist on an unresponsive worker. The previous leader may have granted
-/// leases until this leadership began.
-fn expired(cx: &Cx, leader: &Leader, worker: &Text, now: Millis) -> Expired {
-    let lease = grant::max_local_duration(cx.cfg.worker_lease_ms);
-    if now <= leader.started_at + lease + MAX_ORDER_DELAY {
-        return Expired::Nothing;
-    }
-    let (life, is_listed) = leader.scheduler.borrow().life(worker);
-    let sessions = leader.sessions.borrow();
-    let expired = sessions
-        .get(worker)
-        .map(|s| s.grants.expired(life, is_listed, now));
-    expired.unwrap_or(Expired::All)
-}
-
 /// Returns for how long the worker may delay its reply to a renewal. Of runs that an earlier leader
 /// placed, only a report tells whether they have started.
 fn report_delay(leader: &Leader, worker: &Text) -> Millis {
@@ -353,7 +265,7 @@
     let wait = report_delay(leader, worker);
     let call = Renewal {
         purpose: Purpose::Renewal,
-        lease_end: renewed_lease_end(cx, leader, worker),
+        lease_end: worker_lease::renewed_end(cx, leader, worker),
         acked: acked.map_or(0, |(_, seq)| seq),
         wait,
     };
@@ -361,7 +273,7 @@
     let answer = cx.workers.renew(target, call, limit).await;
     let acked = acked.filter(|_| answer.has_acked);
     if !matches!(answer.reply, Reply::Done(_)) {
-        record_failed_renewal(leader, worker, call.lease_end.is_some());
+        worker_lease::record_failed_renewal(leader, worker, call.lease_end.is_some());
     }
     match answer.reply {
         Reply::Done(report) => {
@@ -389,15 +301,6 @@
     }
 }
 
-fn record_failed_renewal(leader: &Leader, worker: &Text, has_lease: bool) {
-    if has_lease {
-        return record_unanswered(leader, worker);
-    }
-    if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
-        session.may_have_restarted = true;
-    }
-}
-
 /// Waits until finished runs may be acknowledged to a worker, or the leadership has ended.
 async fn wait_for_ack(leader: &Leader, worker: &Text) {
     while !leader.ended.get() {
@@ -438,7 +341,7 @@
     else {
         return;
     };
-    let end = renewed_lease_end(cx, leader, worker);
+    let end = worker_lease::renewed_end(cx, leader, worker);
     if end.is_some() {
         fetch_report(cx, leader, worker, end, permit).await;
     }
@@ -515,7 +418,7 @@
         }
         reply => {
             log::debug!(worker:%, reply:?; "workers: no report beside the renewals");
-            record_failed_renewal(leader, worker, lease_end.is_some());
+            worker_lease::record_failed_renewal(leader, worker, lease_end.is_some());
         }
     }
 }
