batch: the entry of a worker's life is not dated by the clock of the one before

Callers may have seen work on workers that had shrunk: on a service without an admission check, a start needs an entry of at most two heartbeats. The age of an entry followed from the difference of two clocks, also if the second one was that of the next life under the same id, which starts at any value.

An entry of another life now counts as written after the list before was read, like that of a new worker.

--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -45,14 +45,16 @@
                 "batch: capacity changed"
             );
         }
-        let before = self.entry_clock.replace(info.clock);
+        let before = self.entry_clock.replace((info.incarnation, info.clock));
+        // Each incarnation has a clock of its own.
+        let before = before.filter(|(life, _)| *life == info.incarnation);
         self.entry_written_after = match before {
             // An entry without a clock counts as new whenever the list is read.
             _ if info.clock == Millis::ZERO => Some(now),
-            Some(clock) if clock == info.clock => self.entry_written_after,
+            Some((_, clock)) if clock == info.clock => self.entry_written_after,
             // The list before did not contain the entry. The two entries are as far apart as their
             // clocks, however long the list was not read.
-            Some(clock) => {
+            Some((_, clock)) => {
                 let by_clock = self.entry_written_after;
                 last_read.max(by_clock.map(|t| t + info.clock.since(clock)))
             }
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -46,8 +46,8 @@
     pub(crate) machine: Option<Text>,
     /// Last listed capacity.
     pub(crate) last_capacity: Option<Resources>,
-    /// Time on the worker's clock when it wrote its entry.
-    pub(crate) entry_clock: Option<Millis>,
+    /// Incarnation that wrote the last entry, and the time on its clock.
+    pub(crate) entry_clock: Option<(u64, Millis)>,
     /// Time after which the entry was written; `None` if it was in the first list that this leader
     /// read.
     pub(crate) entry_written_after: Option<Millis>,
--- a/crates/batch/tests/lives.rs
+++ b/crates/batch/tests/lives.rs
@@ -2,8 +2,11 @@
 
 mod fleet;
 
+use std::rc::Rc;
+
 use base::clock::Millis;
 use batch::{
+    config::Config,
     grant::{Expired, Grants},
     worker::{Outcome, StartReply},
 };
@@ -200,3 +203,28 @@
         "{phase:?}"
     );
 }
+
+/// Guards against starts beyond the capacity of a worker that has shrunk: its next life, whose clock is
+/// ahead, seemed to have written its entry only now, for as long as it was ahead.
+#[test]
+fn the_entry_of_a_life_is_not_dated_by_the_clock_of_the_one_before() {
+    let mut fleet = Fleet::new(1);
+    let config = Config {
+        services_without_admission_check: vec!["svc".into()],
+        ..fleet::config()
+    };
+    fleet.scheduler.configure(&Rc::new(config));
+    fleet.resize("w00", 8);
+    fleet.infos[0].incarnation = 2;
+    fleet.infos[0].clock = Millis(8_000_000);
+    let (infos, now) = (fleet.infos.clone(), fleet.advance(500).now);
+    fleet.scheduler.replace_vm_list(infos, now);
+    fleet.submit("1", 1, step(1, 1));
+    fleet.advance(4_000);
+    assert!(starts(&fleet.plan()).is_empty(), "the entry is 4 s old");
+    let clock = fleet.infos[0].clock + Millis(4_000);
+    fleet.infos[0].clock = clock;
+    let (infos, now) = (fleet.infos.clone(), fleet.now);
+    fleet.scheduler.replace_vm_list(infos, now);
+    assert_eq!(starts(&fleet.plan()).len(), 1);
+}
