batch: an announced shutdown is that of one life of a worker

A worker that had announced its shutdown and is back under its id kept the time of it until its own entry was read, and again while the list had the former entry: runs of the new life were stopped, and its crash counted as a shutdown. The time is now forgotten with the life, and an entry of another life sets none.

--- a/crates/batch/src/evacuation.rs
+++ b/crates/batch/src/evacuation.rs
@@ -10,6 +10,7 @@
     job::{Step, SubtaskId, Text},
     progress::{Run, RunState},
     scheduler::JobScheduler,
+    worker::WorkerInfo,
 };
 
 /// Time before a worker's shutdown at which runs with checkpoints are stopped: a stop takes up to
@@ -69,8 +70,11 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let Some(info) = worker.info.as_ref().filter(|i| i.draining) else {
-            // The entry of the next incarnation may be read before the end of this one is noticed.
+        let life = worker.incarnation;
+        let is_leaving = |i: &&WorkerInfo| i.draining && i.incarnation == life;
+        let Some(info) = worker.info.as_ref().filter(is_leaving) else {
+            // The entry of the next incarnation may be read before the end of this one is noticed, and that
+            // of the former one after it.
             let incarnation = worker.info.as_ref().map(|i| i.incarnation);
             if incarnation == Some(worker.incarnation) {
                 worker.shutdown_at = None;
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -185,6 +185,7 @@
         self.listed = 0;
         self.outage = None;
         self.clock = None;
+        self.shutdown_at = None;
     }
 
     /// Returns how old the worker's entry is by the worker's own clock; `None` if a clock is unknown.
--- a/crates/batch/tests/lives.rs
+++ b/crates/batch/tests/lives.rs
@@ -10,7 +10,7 @@
     grant::{Expired, Grants},
     worker::{Outcome, StartReply},
 };
-use fleet::{Fleet, finished, starts, step};
+use fleet::{Fleet, finished, starts, step, stops};
 
 const LEASE: Millis = Millis(6_000);
 /// Time after which a worker no longer carries out a call, with a lease and its margin.
@@ -228,3 +228,22 @@
     fleet.scheduler.replace_vm_list(infos, now);
     assert_eq!(starts(&fleet.plan()).len(), 1);
 }
+
+/// Guards against work that is stopped on the next life of a worker because the former one had announced its
+/// shutdown.
+#[test]
+fn a_shutdown_is_that_of_one_life() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.advance(5).take(&order);
+    fleet.infos[0].draining = true;
+    fleet.infos[0].remaining = Some(Millis(3_000));
+    let (infos, now) = (fleet.infos.clone(), fleet.now);
+    fleet.scheduler.replace_vm_list(infos, now);
+    // The next life has the run; the list still has the entry of the former one.
+    fleet.advance(3_500).report_running(&order, 2, 10);
+    let now = fleet.now;
+    fleet.scheduler.evacuate(now);
+    assert!(stops(&fleet.plan()).is_empty());
+}
