--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -54,7 +54,7 @@
     /// Proxies in front of the workers, by worker; empty without proxies.
     pub worker_proxies: Vec<Proxy>,
     pub workers: Vec<Worker>,
-    _stop: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
 }
 
 impl Cluster {
@@ -202,7 +202,7 @@
             store_proxies: store_proxies.into_iter().flatten().collect(),
             worker_proxies,
             workers,
-            _stop: stop,
+            stop,
         };
         for i in 0..nodes {
             wait_until("node is ready", TIMEOUT, || {
@@ -213,6 +213,17 @@
         cluster
     }
 
+    /// Starts a further worker, which keeps its id, and writes its entry in the VM list.
+    pub fn add_worker(&mut self, run_ms: u64) {
+        let id = format!("i-{}", self.workers.len());
+        let run_time = time::Duration::from_millis(run_ms);
+        let worker = Worker::start(&self.stop, &id, run_time, Reborn::SameId).unwrap();
+        let mut registration = Registration::new(worker.clone(), worker.addr());
+        registration.update(&self.store);
+        keep_registered(vec![registration], self.store.clone(), self.stop.clone());
+        self.workers.push(worker);
+    }
+
     /// Sends a request to a node as a caller with an API key.
     pub fn call(
         &self,
