batch: what the next life of a worker may have is a crash of the former one only once it has reported

Its only run had started in the next life, 8.444 s; the leader was killed at 9.0 s; the next one knew the run by its record, on the former life. When its lease was over, the VM list named the next life, which counted as the end of the former one: one crash. The real one at 14.0 s was the second, and the job was given up.

Cause: a loss was judged as soon as the list named any other life, also an earlier one, although nothing showed which of the two had the run.

Change: a loss with runs that the former life has not confirmed is judged once the next life has reported; what it lists, running or finished, is not lost. The worker is asked for that report as soon as it answers. An entry of an earlier life shows nothing.

a_lapsed_run_of_the_next_life_is_no_crash_of_the_former_one and an_entry_of_an_earlier_life_shows_no_crash failed before.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -14,7 +14,8 @@
     job_end::JobEnd,
     progress::Phase,
     scheduler::JobScheduler,
-    worker_end::{EndCause, Explanation, LostRun, LostWorker, Outage, WorkerEnd},
+    worker::Report,
+    worker_end::{EndCause, Existence, Explanation, LostRun, LostWorker, Outage, WorkerEnd},
 };
 
 /// Number of crashes after which a subtask is given up if the last one came right after its start,
@@ -115,7 +116,8 @@
         now: Millis,
         wall_now: Millis,
     ) -> bool {
-        let may_be_cause = |r: &&LostRun| r.existed && (r.fresh || !common_cause);
+        let may_be_cause =
+            |r: &&LostRun| r.existence == Existence::Existed && (r.fresh || !common_cause);
         let suspects = lost.runs.iter().filter(may_be_cause);
         let suspects: Vec<&LostRun> = suspects.collect();
         for run in &suspects {
@@ -138,7 +140,11 @@
                 self.rest(&run.task, &lost.id, lost.outage.from);
             }
         }
-        for run in lost.runs.iter().filter(|r| r.may_have_existed) {
+        for run in lost
+            .runs
+            .iter()
+            .filter(|r| r.existence == Existence::Possible)
+        {
             let Some(task) = self.subtask_mut(&run.task).filter(|t| !t.done) else {
                 continue;
             };
@@ -216,6 +222,19 @@
         }
     }
 
+    /// Removes what a report shows not to be lost: the runs of an incarnation that is still there, and those
+    /// of the next one.
+    pub(crate) fn settle_losses(&mut self, worker: &str, report: &Report) {
+        self.unexplained_losses.retain_mut(|lost| {
+            if *lost.id != *worker {
+                return true;
+            }
+            lost.runs
+                .retain(|r| r.confirmed || !report.names(&r.task, r.attempt));
+            lost.incarnation != report.incarnation && !lost.runs.is_empty()
+        });
+    }
+
     fn fates(&self, losses: &[LostWorker]) -> Vec<Fate> {
         let infos = || self.workers.values().filter_map(|w| w.info.as_ref());
         let mut addresses: Vec<&Text> = infos().map(|i| &i.address).collect();
@@ -223,11 +242,16 @@
         addresses.sort_unstable();
         machines.sort_unstable();
         let fate = |lost: &LostWorker| {
-            let same_id = self.workers.get(&lost.id).and_then(|w| w.info.as_ref());
+            let worker = self.workers.get(&lost.id);
+            let same_id = worker.and_then(|w| w.info.as_ref());
+            let has_reported =
+                worker.is_some_and(|w| w.incarnation > lost.incarnation && w.clock.is_some());
+            let is_certain = has_reported || lost.runs.iter().all(|r| r.confirmed);
             let is_listed =
                 |all: &[&Text], key: &Text| !key.is_empty() && all.binary_search(&key).is_ok();
             match same_id {
-                Some(i) if i.incarnation != lost.incarnation => Fate::Ended,
+                Some(i) if i.incarnation > lost.incarnation && is_certain => Fate::Ended,
+                Some(i) if i.incarnation != lost.incarnation => Fate::Unknown,
                 Some(i) if lost.listed_at.is_none_or(|t| i.clock > t) => Fate::Survived,
                 None if is_listed(&addresses, &lost.address) => Fate::Ended,
                 None if lost
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -236,9 +236,8 @@
         };
         worker.record_answer(now);
         worker.clock = (report.clock > Millis::ZERO).then_some((report.clock, now));
-        let life = worker.incarnation;
-        self.unexplained_losses
-            .retain(|l| &*l.id != id || l.incarnation != life);
+        worker.awaits_report = false;
+        self.settle_losses(id, report);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -88,11 +88,21 @@
     pub(crate) age: Millis,
     /// Whether the worker may have ended because the run started.
     pub(crate) fresh: bool,
-    /// Whether the run existed. A start that the worker has not answered may not have been
-    /// carried out, and a run that was stopped may have ended before.
-    pub(crate) existed: bool,
-    /// Whether a start of it was sent right before the worker went away, and may have reached it.
-    pub(crate) may_have_existed: bool,
+    pub(crate) existence: Existence,
+    /// Whether the incarnation that ended has confirmed it. Otherwise the next one may have it.
+    pub(crate) confirmed: bool,
+}
+
+/// Whether a run existed when its worker ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Existence {
+    /// It did.
+    Existed,
+    /// A start of it was sent right before, and may have reached the worker.
+    Possible,
+    /// Nothing shows that it did. A start that the worker has not answered may not have been carried out,
+    /// and a run that was stopped may have ended before.
+    Unproven,
 }
 
 /// A run on a worker that did not answer until its lease was over.
@@ -273,13 +283,9 @@
         let Some(mut lost) = self.lost_worker(worker, now, now) else {
             return;
         };
-        let is_confirmed = |task: &SubtaskId| {
-            let run = self.subtask(task).and_then(|t| t.run.as_ref());
-            run.is_some_and(|r| r.is_confirmed_by(lost.incarnation))
-        };
         match expired {
             Expired::Nothing => lost.runs.clear(),
-            Expired::Confirmed => lost.runs.retain(|r| is_confirmed(&r.task)),
+            Expired::Confirmed => lost.runs.retain(|r| r.confirmed),
             Expired::All => {}
         }
         if expired != Expired::All && lost.runs.is_empty() {
@@ -290,6 +296,7 @@
             if expired == Expired::All {
                 w.unexpected = Resources::default();
             }
+            w.awaits_report |= lost.runs.iter().any(|r| !r.confirmed);
         }
         for run in &lost.runs {
             log::warn!(
@@ -358,14 +365,18 @@
             if run.placed_at.is_some_and(|t| t > placed_until) {
                 return None;
             }
-            let existed = run.existed(from);
+            let existence = match () {
+                () if run.existed(from) => Existence::Existed,
+                () if run.start_closed_at(from).is_some() => Existence::Possible,
+                () => Existence::Unproven,
+            };
             Some(LostRun {
                 task: task.clone(),
                 attempt: subtask.attempt,
                 age: run.known_age(from),
                 fresh: run.is_fresh(from),
-                existed,
-                may_have_existed: !existed && run.start_closed_at(from).is_some(),
+                existence,
+                confirmed: run.is_confirmed_by(worker.incarnation),
             })
         });
         let runs: Vec<LostRun> = runs.collect();
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -85,6 +85,8 @@
     pub(crate) clock: Option<(Millis, Millis)>,
     /// Whether the worker currently fails to answer.
     pub(crate) unresponsive: bool,
+    /// Whether only a report tells if runs whose leases have expired were those of the next incarnation.
+    pub(crate) awaits_report: bool,
     /// Number of outages that are at most [`OUTAGE_MEMORY`] apart.
     recent_outages: u32,
     /// End of the last outage.
@@ -121,10 +123,13 @@
         used
     }
 
-    /// Returns whether a run exists or may exist here, or the outcome of a finished run is not stored.
+    /// Returns whether a run exists or may exist here, the outcome of a finished run is not stored, or a
+    /// report is to tell what has become of runs.
     pub(crate) fn is_in_use(&self) -> bool {
         let has_unexpected = self.unexpected != Resources::default();
-        !self.runs.is_empty() || has_unexpected || self.processed_seq > self.stored_seq
+        let awaits_report = self.awaits_report && self.info.is_some();
+        let has_unstored = self.processed_seq > self.stored_seq;
+        !self.runs.is_empty() || has_unexpected || has_unstored || awaits_report
     }
 
     /// Returns whether new work may be placed on the worker.
--- a/crates/batch/tests/lives.rs
+++ b/crates/batch/tests/lives.rs
@@ -247,3 +247,47 @@
     fleet.scheduler.evacuate(now);
     assert!(stops(&fleet.plan()).is_empty());
 }
+
+/// Guards against jobs that are given up after one crash: a subtask that an earlier leader placed had reached
+/// the next life only, and counted as crashed with the former one when its lease was over.
+#[test]
+fn a_lapsed_run_of_the_next_life_is_no_crash_of_the_former_one() {
+    for is_listed in [true, false] {
+        let mut fleet = Fleet::new(2);
+        fleet.submit("1", 1, step(1, 1));
+        let order = starts(&fleet.plan()).remove(0);
+        fleet.restart();
+        let worker = order.worker.clone();
+        let now = fleet.advance(20_000).now;
+        fleet.scheduler.handle_lease_expiry(&worker, now);
+        for info in fleet.infos.iter_mut().filter(|i| i.id == worker) {
+            info.incarnation = 2;
+        }
+        let (infos, now) = (fleet.infos.clone(), fleet.advance(10).now);
+        fleet.scheduler.replace_vm_list(infos.clone(), now);
+        fleet.plan();
+        assert_eq!(fleet.crashes("1"), 0, "nothing is known of the next life");
+        assert!(fleet.scheduler.is_in_use(&worker), "it is to be asked");
+        let end = finished(&order, 1, Outcome::Lapsed);
+        let ends = if is_listed { vec![end] } else { vec![] };
+        fleet.advance(5).report(&worker, &[], ends);
+        fleet.scheduler.replace_vm_list(infos, now);
+        fleet.plan();
+        assert_eq!(fleet.crashes("1"), u32::from(!is_listed));
+    }
+}
+
+/// Guards against a crash that an entry of an earlier life shows.
+#[test]
+fn an_entry_of_an_earlier_life_shows_no_crash() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.advance(5).report_running(&order, 2, 10);
+    let now = fleet.advance(20_000).now;
+    fleet.scheduler.handle_lease_expiry(&order.worker, now);
+    let (infos, now) = (fleet.infos.clone(), fleet.advance(10).now);
+    fleet.scheduler.replace_vm_list(infos, now);
+    fleet.plan();
+    assert_eq!(fleet.crashes("1"), 0);
+}
