batch: a crash does not count for a job that was accepted after the next life had begun

Its worker was back at 8.2 s; the job was accepted at 8.43 s and placed there by a leader that knew the former life only, and that was killed at 9.0 s, before its starts got an answer. The next leader read the runs from the store, and the first report of the next life counted them as crashed with the former one (9.58 s). One real crash later the job was given up.

Cause: what an earlier leader has stored counts as having existed on the life that it knew.

Change: an incarnation is the wall-clock time of its start. A run of a job that was accepted after it can't have been one of the life before. The same for leases that are over. What remains: a subtask of an older job that is placed in the same way still counts one crash too many; nothing that is stored tells when a run was placed.

Ruled out: counting no unconfirmed run after a takeover; a_crash_before_a_takeover_counts and a_takeover_tells_two_crashes_from_the_loss_of_a_rack need it, and were not touched.

a_crash_does_not_count_for_a_job_that_was_accepted_after_it failed before.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -5,7 +5,7 @@
 //! is the cause. A subtask is given up only after such a crash, and never if it lasts until its job
 //! is cancelled: see [`rest`](crate::rest).
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, mem};
 
 use base::clock::Millis;
 
@@ -207,10 +207,10 @@
 
     /// Finds the losses that a new VM list explains.
     pub(crate) fn explain_losses(&mut self, now: Millis, wall_now: Millis) {
-        if !std::mem::take(&mut self.has_new_list) || self.unexplained_losses.is_empty() {
+        if !mem::take(&mut self.has_new_list) || self.unexplained_losses.is_empty() {
             return;
         }
-        let losses = std::mem::take(&mut self.unexplained_losses);
+        let losses = mem::take(&mut self.unexplained_losses);
         let fates = self.fates(&losses);
         for (lost, fate) in losses.into_iter().zip(fates) {
             match fate {
@@ -225,14 +225,16 @@
     /// Removes what a report shows not to be lost: the runs of an incarnation that is still there, and those
     /// of the next one.
     pub(crate) fn settle_losses(&mut self, worker: &str, report: &Report) {
-        self.unexplained_losses.retain_mut(|lost| {
+        let mut losses = mem::take(&mut self.unexplained_losses);
+        losses.retain_mut(|lost| {
             if *lost.id != *worker {
                 return true;
             }
-            lost.runs
-                .retain(|r| r.confirmed || !report.names(&r.task, r.attempt));
+            let is_lost = |r: &LostRun| r.confirmed || self.may_precede(report, &r.task, r.attempt);
+            lost.runs.retain(is_lost);
             lost.incarnation != report.incarnation && !lost.runs.is_empty()
         });
+        self.unexplained_losses = losses;
     }
 
     fn fates(&self, losses: &[LostWorker]) -> Vec<Fate> {
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -258,7 +258,6 @@
     }
 
     /// Returns whether a run was one of the incarnation `before`, when a report of the next one arrives.
-    /// What an earlier leader has placed may have reached the next one only, which lists it then.
     fn was_run_of(&self, before: u64, task: &SubtaskId, report: &Report) -> bool {
         let Some(t) = self.subtask(task) else {
             return false;
@@ -266,7 +265,16 @@
         let Some(run) = t.run.as_ref().filter(|r| r.incarnation == before) else {
             return false;
         };
-        run.state != RunState::Adopted || !report.names(task, t.attempt)
+        run.state != RunState::Adopted || self.may_precede(report, task, t.attempt)
+    }
+
+    /// Returns whether an incarnation before the one that reports may have had a run. The leader that placed
+    /// the run may not have known the next one, which lists the run then, or has begun before the job was
+    /// accepted.
+    pub(crate) fn may_precede(&self, report: &Report, task: &SubtaskId, attempt: u32) -> bool {
+        let job = self.jobs.get(&task.job);
+        let accepted_at = job.map_or(Millis::ZERO, |j| j.accepted.at);
+        accepted_at < Millis(report.incarnation) && !report.names(task, attempt)
     }
 
     /// Returns whether a report may come from an earlier incarnation than the current one: it names
--- a/crates/batch/tests/lives.rs
+++ b/crates/batch/tests/lives.rs
@@ -139,12 +139,29 @@
     fleet.submit("1", 1, step(1, 1));
     let order = starts(&fleet.plan()).remove(0);
     fleet.restart();
-    fleet.advance(5).report_running(&order, 2, 10);
+    let born = fleet.wall().0 + 5;
+    fleet.advance(600).report_running(&order, born, 10);
     fleet.plan();
     assert_eq!(fleet.crashes("1"), 0);
     assert_eq!(fleet.scheduler.runs_on("w00"), 1);
 }
 
+/// Guards against a crash that counts for a job that was accepted after it, because an earlier leader had
+/// placed it on the former life.
+#[test]
+fn a_crash_does_not_count_for_a_job_that_was_accepted_after_it() {
+    for (born_after, counted) in [(5, 1), (0, 0)] {
+        let mut fleet = Fleet::new(1);
+        fleet.submit("1", 1, step(1, 1));
+        let born = fleet.wall().0 + born_after;
+        fleet.plan();
+        fleet.restart();
+        fleet.advance(600).report_life("w00", born);
+        fleet.plan();
+        assert_eq!(fleet.crashes("1"), counted, "born {born_after} ms after it");
+    }
+}
+
 /// Guards against a crash that counts for no run, because the worker is back by the time it is found.
 #[test]
 fn a_confirmed_run_that_ends_with_its_life_is_a_crash() {
@@ -260,8 +277,9 @@
         let worker = order.worker.clone();
         let now = fleet.advance(20_000).now;
         fleet.scheduler.handle_lease_expiry(&worker, now);
+        let born = fleet.wall().0;
         for info in fleet.infos.iter_mut().filter(|i| i.id == worker) {
-            info.incarnation = 2;
+            info.incarnation = born;
         }
         let (infos, now) = (fleet.infos.clone(), fleet.advance(10).now);
         fleet.scheduler.replace_vm_list(infos.clone(), now);
