--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -300,7 +300,8 @@
         }
         for run in &lost.runs {
             log::warn!(
-                task:% = run.task, attempt = run.attempt, worker, age_ms = run.age.0;
+                task:% = run.task, attempt = run.attempt, worker, life = lost.incarnation,
+                confirmed = run.confirmed, age_ms = run.age.0;
                 "batch: lease of the run is over"
             );
         }
