batch: the lines of waits tell probation from backoff, when it ends, the queue, and runs of lives that have ended

"batch: waits for room" counted workers after outages, refusals and failures in one number and did not tell when the first of them takes work again. A job whose queue is missing showed only as priority. "batch: waits for orders" did not tell whether a run is counted to a life of its worker that has ended. No line more is written.

--- a/crates/batch/src/wait_log.rs
+++ b/crates/batch/src/wait_log.rs
@@ -6,7 +6,7 @@
     candidates::{Candidate, Candidates},
     job::{Step, Text},
     open_job::Job,
-    progress::RunState,
+    progress::{Run, RunState},
     ranking::Unit,
     scheduler::JobScheduler,
     search::Search,
@@ -51,7 +51,9 @@
 enum Standing {
     /// It does not answer the leader.
     Silent,
-    /// It gets no work for some time after failures, refusals or outages.
+    /// It gets no work for some time after repeated outages.
+    Probation,
+    /// It gets none for some time after failures or refusals.
     Backoff,
     Draining,
     /// Its entry in the VM list is missing, too old or one of another life.
@@ -84,6 +86,8 @@
     fitting: u32,
     /// Subtasks for which these have room.
     room: u64,
+    /// Time until the first of these that is held off gets work again.
+    held_off: Option<Millis>,
 }
 
 impl Standings {
@@ -175,6 +179,8 @@
         let runs = JobRuns::of(job);
         let tasks = unit.tasks.iter().filter_map(|id| job.subtask(id));
         let attempts = tasks.map(|t| t.attempt).max().unwrap_or_default();
+        let name = job.accepted.queue.clone();
+        let queue = self.config.queue(&name);
         let free: u64 = candidates.all.iter().map(|c| c.free.accelerators).sum();
         let all = self.standings(&self.search(unit, step, service, now), candidates);
         log::info!(
@@ -182,7 +188,9 @@
             accelerators = step.need.accelerators, waited_ms = unit.waited.0, free, reserve = candidates.reserve,
             workers = candidates.all.len(), of_service = all.counts.iter().sum::<u32>(),
             fitting = all.fitting, room = all.room, usable = all.of(Standing::Usable),
-            silent = all.of(Standing::Silent), backoff = all.of(Standing::Backoff),
+            queue:% = name, has_queue = queue.is_some(), config = self.config.version,
+            silent = all.of(Standing::Silent), probation = all.of(Standing::Probation),
+            backoff = all.of(Standing::Backoff), held_off_ms = all.held_off.map_or(0, |t| t.0),
             draining = all.of(Standing::Draining), no_entry = all.of(Standing::NoEntry),
             full = all.of(Standing::Full), held = all.of(Standing::Held),
             reserved = all.of(Standing::Reserved), isolated = all.of(Standing::Isolated),
@@ -220,10 +228,16 @@
             lines_left -= 1;
             let on = job.runs().map(|(_, run)| workers.get(&run.worker));
             let silent = on.flatten().filter(|w| w.unresponsive).count();
+            let is_of_other_life = |run: &Run| {
+                let worker = workers.get(&run.worker);
+                worker.is_some_and(|w| w.incarnation != run.incarnation)
+            };
+            let other_life = job.runs().filter(|(_, run)| is_of_other_life(run)).count();
+            let unlisted = job.runs().filter(|(_, run)| !run.listed).count();
             log::info!(
                 job:% = job.accepted.id, waited_ms = waited.0, ordered = runs.ordered,
                 adopted = runs.adopted, stopping = runs.stopping, stopping_ms = runs.stopping_ms(now),
-                awaited = runs.awaited, silent, starts = runs.starts,
+                awaited = runs.awaited, silent, other_life, unlisted, starts = runs.starts,
                 unanswered = job.wait.unanswered_starts;
                 "batch: waits for orders"
             );
@@ -258,6 +272,9 @@
                 let limit = search.unit.tasks.len() as u64;
                 standings.fitting += 1;
                 standings.room += need.count_in(free).min(limit);
+                let rest = worker.held_off_until().since(search.now);
+                let rest = (rest > Millis::ZERO).then_some(rest);
+                standings.held_off = standings.held_off.into_iter().chain(rest).min();
             }
             let standing = search.standing(worker, candidate);
             standings.counts[standing as usize] += 1;
@@ -272,6 +289,7 @@
         let Some(candidate) = candidate else {
             return match &worker.info {
                 _ if worker.unresponsive => Standing::Silent,
+                _ if self.now < worker.probation_until => Standing::Probation,
                 _ if self.now < worker.no_work_until => Standing::Backoff,
                 Some(info) if info.draining => Standing::Draining,
                 _ => Standing::NoEntry,
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -77,8 +77,10 @@
     pub(crate) processed_seq: u64,
     /// Highest sequence number of a finished run whose outcome is stored.
     pub(crate) stored_seq: u64,
-    /// Time until which the worker gets no new work.
+    /// Time until which the worker gets no new work after failures or refusals.
     pub(crate) no_work_until: Millis,
+    /// Time until which it gets none after repeated outages.
+    pub(crate) probation_until: Millis,
     /// Time at which a draining worker shuts down.
     pub(crate) shutdown_at: Option<Millis>,
     /// A time on the worker's clock, and the local time when the worker reported it.
@@ -136,11 +138,16 @@
     pub(crate) fn accepts_work(&self, now: Millis) -> bool {
         !self.unresponsive
             && !self.replaced
-            && now >= self.no_work_until
+            && now >= self.held_off_until()
             && self.has_current_entry()
             && self.info.as_ref().is_some_and(|i| !i.draining)
     }
 
+    /// Returns the time until which the worker gets no new work.
+    pub(crate) fn held_off_until(&self) -> Millis {
+        self.no_work_until.max(self.probation_until)
+    }
+
     /// Returns whether the entry in the VM list is one of the current incarnation. Another one may
     /// have other resources.
     fn has_current_entry(&self) -> bool {
@@ -274,9 +281,8 @@
         self.recent_outages += 1;
         if self.recent_outages > 1 {
             let doublings = (self.recent_outages - 2).min(MAX_PROBATION_DOUBLINGS);
-            self.no_work_until = self
-                .no_work_until
-                .max(now + Millis(PROBATION.0 << doublings));
+            let end = now + Millis(PROBATION.0 << doublings);
+            self.probation_until = self.probation_until.max(end);
         }
     }
 }
--- a/crates/batch/tests/wait_log.rs
+++ b/crates/batch/tests/wait_log.rs
@@ -63,6 +63,7 @@
     let names = [
         "usable",
         "silent",
+        "probation",
         "backoff",
         "draining",
         "no_entry",
