--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -30,6 +30,8 @@
 /// Time after the traffic by which accepted work has to run, and the time after that which is judged.
 const FINISH: time::Duration = time::Duration::from_secs(14);
 const JUDGED: time::Duration = time::Duration::from_secs(8);
+/// Time between two restarts after the traffic.
+const LATE_PAUSE: time::Duration = time::Duration::from_secs(2);
 /// Time for which a job must stand to count as lost, and interval at which it is looked at.
 const STAND: time::Duration = time::Duration::from_secs(3);
 const STEP: time::Duration = time::Duration::from_millis(250);
@@ -193,6 +195,8 @@
     /// Number of troubles of each kind.
     counts: &'static [(Kind, u32)],
     loops: usize,
+    /// Number of restarts of most workers after the traffic.
+    late_restarts: u32,
 }
 
 const CALM: Trouble = troubles(&[]);
@@ -202,6 +206,7 @@
         short: Short::None,
         counts,
         loops: 0,
+        late_restarts: 0,
     }
 }
 
@@ -234,7 +239,11 @@
     troubles.play(&mut fleet, || traffic.is_finished());
     traffic.join().unwrap();
     let ended = time::Instant::now();
-    thread::sleep(FINISH);
+    for _ in 0..trouble.late_restarts {
+        troubles.restart_most(&fleet);
+        thread::sleep(LATE_PAUSE);
+    }
+    thread::sleep(FINISH.saturating_sub(ended.elapsed()));
     let mut broken = ask_for_all(&callers);
     thread::sleep((FINISH + JUDGED).saturating_sub(ended.elapsed()));
     let judged_until = time::Instant::now();
@@ -282,12 +291,12 @@
     }
     let workers = fleet.workers.clone();
     drop(fleet);
-    cluster::check_runs(&workers);
     assert!(
         lost.is_empty(),
         "seed {seed}: {} accepted jobs stand still",
         lost.len()
     );
+    cluster::check_runs(&workers);
     assert!(
         broken.is_empty(),
         "seed {seed}: {} cases of LOST",
@@ -538,3 +547,51 @@
         ]),
     );
 }
+
+/// Guards against work that stands still after workers have come back under their old ids, again and
+/// again.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_after_restarts_under_old_ids() {
+    play(
+        "fleet-restarts",
+        troubles(&[(Kind::Restart, 10), (Kind::LostStarts, 20)]),
+    );
+}
+
+/// Guards against work that stands still after such restarts beside queues that come, go and change.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_after_restarts_beside_changes_of_queues() {
+    play(
+        "fleet-queues",
+        troubles(&[
+            (Kind::Restart, 8),
+            (Kind::LostStarts, 10),
+            (Kind::Queues, 14),
+        ]),
+    );
+}
+
+/// Guards against work that stands still beside workers that were out of reach several times in a row.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_after_late_restarts() {
+    play(
+        "fleet-late-restarts",
+        Trouble {
+            late_restarts: 5,
+            ..troubles(&[(Kind::Restart, 6)])
+        },
+    );
+}
+
+/// Guards against work that stands still after such restarts beside takeovers.
+#[test]
+#[ignore = "350 workers and 33 processes for a minute"]
+fn work_goes_on_after_restarts_beside_takeovers() {
+    play(
+        "fleet-restart-kills",
+        troubles(&[(Kind::Kill, 2), (Kind::Restart, 8), (Kind::Queues, 6)]),
+    );
+}
--- a/crates/cli/tests/site/mod.rs
+++ b/crates/cli/tests/site/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{
     collections::BTreeMap,
-    fs, net,
+    fs, iter, net,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -87,12 +87,11 @@
         eprintln!("logs in {}", dir.display());
         let stop: Arc<AtomicBool> = Arc::default();
         let store = Store::start(&stop).unwrap();
-        store.put("op", "config", &config(1, 0, 1));
+        store.put("op", "config", &Shape::default().config(1));
         let gangs = Gangs::new(GANG_TIMEOUT);
         let start = |i: usize| {
             let run_time = time::Duration::ZERO;
-            let worker =
-                Worker::start(&stop, &format!("w-{i}"), run_time, Reborn::OtherId).unwrap();
+            let worker = Worker::start(&stop, &format!("w-{i}"), run_time, Reborn::SameId).unwrap();
             worker.set_room(ROOM[0], ROOM[1], ROOM[2], &gangs);
             worker.set_stop_time(time::Duration::from_millis(100 + 8 * (i as u64 * 37 % 100)));
             worker
@@ -100,7 +99,7 @@
         let workers: Vec<Worker> = (0..WORKERS).map(start).collect();
         store.put_all(
             "servers",
-            (0..WORKERS).map(|i| entry(&workers[i], i)).collect(),
+            (0..WORKERS).filter_map(|i| entry(&workers[i], i)).collect(),
         );
         keep_registered(workers.clone(), store.clone(), stop.clone());
         let addrs: Vec<_> = (0..NODES).map(|_| common::free_addr()).collect();
@@ -307,13 +306,14 @@
         .unwrap_or(0)
 }
 
-fn entry(worker: &Worker, i: usize) -> (String, Value) {
+/// Returns the entry of a worker in the VM list; `None` while it is down.
+fn entry(worker: &Worker, i: usize) -> Option<(String, Value)> {
     let zone = i % DATA_CENTRES;
     let rack = format!("r{zone}-{}", i / DATA_CENTRES / RACK);
-    let (id, mut entry) = worker.entry(&rack, "ready").unwrap();
+    let (id, mut entry) = worker.entry(&rack, "ready")?;
     entry["zone"] = json!(format!("dc-{zone}"));
     entry["capacity"] = json!({"cpu": ROOM[0], "mem-mb": ROOM[1], "gpu": ROOM[2]});
-    (id, entry)
+    Some((id, entry))
 }
 
 fn keep_registered(workers: Vec<Worker>, store: Store, stop: Arc<AtomicBool>) {
@@ -330,38 +330,68 @@
                 return;
             }
             let members = (group..WORKERS).step_by(HEARTBEAT_GROUPS);
-            store.put_all("servers", members.map(|i| entry(&workers[i], i)).collect());
+            let entries = members.filter_map(|i| entry(&workers[i], i));
+            store.put_all("servers", entries.collect());
             thread::sleep(HEARTBEAT / HEARTBEAT_GROUPS as u32);
         }
     });
 }
 
-/// Returns a configuration with additional routes, each with an API key of its own.
-fn config(version: u64, extra: usize, target_factor: u64) -> Value {
-    let route = |c: &traffic::Class| {
-        json!({"name": c.queue, "host": "callers.example", "path-prefix": format!("/{}/", c.queue),
-            "service": "svc", "priority": c.priority, "max-attempts": 4, "slack-factor": 3.0,
-            "target-latency-ms": c.target_ms * target_factor})
-    };
-    let extra_route = |i: usize| {
-        json!({"name": format!("extra-{i}"), "host": "callers.example",
-            "path-prefix": format!("/extra-{i}/"), "service": "svc", "priority": 2})
-    };
-    let routes = CLASSES.iter().map(route).chain((0..extra).map(extra_route));
-    // 62% of all accelerators are guaranteed.
-    let guaranteed = WORKERS as u64 * ROOM[2] * 62 / 100 / ORGANISATIONS as u64;
-    let api_keys = |i: usize| -> Vec<String> {
-        let added = (i..extra)
-            .step_by(ORGANISATIONS)
-            .map(|n| format!("extra-key-{n}"));
-        [format!("key-{i}")].into_iter().chain(added).collect()
-    };
-    let tenant = |i: usize| {
-        json!({"name": format!("org-{i}"), "api-keys": api_keys(i),
-            "guaranteed": {"gpu": guaranteed}})
-    };
-    json!({"version": version, "routes": routes.collect::<Vec<_>>(),
-        "services": [{"name": "svc", "admission-check": true}],
-        "limits": {"max-body-bytes": 262_144},
-        "tenants": (0..ORGANISATIONS).map(tenant).collect::<Vec<_>>()})
+/// What one version of the configuration holds.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Number of additional routes, each with an API key of its own.
+    pub extra: usize,
+    pub target_factor: u64,
+    /// Priority of each queue of the traffic; `None` if it is missing.
+    pub priorities: [Option<u32>; CLASSES.len()],
+    pub max_attempts: u32,
+    /// Share of all accelerators that is guaranteed, in percent.
+    pub guaranteed: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            extra: 0,
+            target_factor: 1,
+            priorities: CLASSES.map(|c| Some(c.priority)),
+            max_attempts: 4,
+            guaranteed: 62,
+        }
+    }
+}
+
+impl Shape {
+    pub fn config(&self, version: u64) -> Value {
+        let route = |(c, priority): (&traffic::Class, &Option<u32>)| {
+            let priority = (*priority)?;
+            Some(
+                json!({"name": c.queue, "host": "callers.example", "path-prefix": format!("/{}/", c.queue),
+                "service": "svc", "priority": priority, "max-attempts": self.max_attempts,
+                "slack-factor": 3.0, "target-latency-ms": c.target_ms * self.target_factor}),
+            )
+        };
+        let extra_route = |i: usize| {
+            json!({"name": format!("extra-{i}"), "host": "callers.example",
+                "path-prefix": format!("/extra-{i}/"), "service": "svc", "priority": 2})
+        };
+        let routes = iter::zip(&CLASSES, &self.priorities).filter_map(route);
+        let routes = routes.chain((0..self.extra).map(extra_route));
+        let guaranteed = WORKERS as u64 * ROOM[2] * self.guaranteed / 100 / ORGANISATIONS as u64;
+        let api_keys = |i: usize| -> Vec<String> {
+            let added = (i..self.extra)
+                .step_by(ORGANISATIONS)
+                .map(|n| format!("extra-key-{n}"));
+            [format!("key-{i}")].into_iter().chain(added).collect()
+        };
+        let tenant = |i: usize| {
+            json!({"name": format!("org-{i}"), "api-keys": api_keys(i),
+                "guaranteed": {"gpu": guaranteed}})
+        };
+        json!({"version": version, "routes": routes.collect::<Vec<_>>(),
+            "services": [{"name": "svc", "admission-check": true}],
+            "limits": {"max-body-bytes": 262_144},
+            "tenants": (0..ORGANISATIONS).map(tenant).collect::<Vec<_>>()})
+    }
 }
--- a/crates/cli/tests/site/troubles.rs
+++ b/crates/cli/tests/site/troubles.rs
@@ -3,8 +3,9 @@
 use std::{cmp, ops, thread, time};
 
 use fastrand::Rng;
+use platform_standin::worker::LostStart;
 
-use super::{Fleet, NODES, config};
+use super::{Fleet, NODES, Shape, WORKERS, traffic::CLASSES};
 
 /// Time between SIGTERM and SIGKILL.
 const GRACE: time::Duration = time::Duration::from_secs(6);
@@ -16,6 +17,11 @@
 const ROUTES: usize = 200;
 const VERSIONS: u64 = 3;
 
+/// Maximum number of workers that lose a start at once.
+const LOST_STARTS: usize = 40;
+/// Range of the delay of a lost start and of the time for which further ones are refused, in ms.
+const LOST_START_MS: ops::Range<u64> = 0..2_500;
+
 /// What was done to a node or to all of them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -28,6 +34,12 @@
     Term,
     Hup,
     Change,
+    /// Crashes many workers, which come back under their ids.
+    Restart,
+    /// Loses the answers to starts, which are carried out later.
+    LostStarts,
+    /// Adds, removes and changes the queues of the traffic.
+    Queues,
     /// The process ended by itself.
     End,
 }
@@ -49,6 +61,8 @@
     next_group: time::Instant,
     stopping: Vec<(usize, time::Instant)>,
     version: u64,
+    /// Whether the queues of the traffic are not all there as at first.
+    has_odd_queues: bool,
     pub events: Vec<Event>,
 }
 
@@ -71,6 +85,7 @@
             next_group: time::Instant::now(),
             stopping: Vec::new(),
             version: 1,
+            has_odd_queues: false,
             events: Vec::new(),
         }
     }
@@ -96,6 +111,9 @@
                 self.stop_group(fleet);
             }
         }
+        if self.has_odd_queues {
+            self.configure(fleet, &Shape::default());
+        }
     }
 
     /// Returns the number of processes that ended by themselves.
@@ -152,16 +170,64 @@
                 }
             }
             Kind::Change => {
-                self.version += 1 + self.rng.u64(..VERSIONS);
-                let (extra, factor) = (self.rng.usize(..ROUTES), self.rng.u64(1..4));
+                let shape = Shape {
+                    extra: self.rng.usize(..ROUTES),
+                    target_factor: self.rng.u64(1..4),
+                    ..Shape::default()
+                };
                 self.note(kind, None);
-                let config = config(self.version, extra, factor);
-                fleet.store.put("op", "config", &config);
+                self.configure(fleet, &shape);
+            }
+            Kind::Restart => {
+                let count = self.rng.usize(WORKERS / 20..WORKERS * 3 / 5);
+                for i in self.rng.choose_multiple(0..WORKERS, count) {
+                    fleet.workers[i].crash();
+                }
+            }
+            Kind::LostStarts => {
+                let count = self.rng.usize(1..=LOST_STARTS);
+                for i in self.rng.choose_multiple(0..WORKERS, count) {
+                    let mut any = || time::Duration::from_millis(self.rng.u64(LOST_START_MS));
+                    fleet.workers[i].lose_start(LostStart {
+                        delay: any(),
+                        refusing: any() / 2,
+                    });
+                }
+            }
+            Kind::Queues => {
+                let mut any = |p: u32| match self.rng.u8(..4) {
+                    0 => None,
+                    1 => Some(self.rng.u32(..3)),
+                    _ => Some(p),
+                };
+                let shape = Shape {
+                    priorities: CLASSES.map(|c| any(c.priority)),
+                    extra: self.rng.usize(..ROUTES),
+                    max_attempts: self.rng.u32(3..6),
+                    guaranteed: self.rng.u64(..62),
+                    ..Shape::default()
+                };
+                self.note(kind, None);
+                self.configure(fleet, &shape);
+                self.has_odd_queues = true;
             }
             Kind::Term | Kind::End => {}
         }
     }
 
+    /// Crashes two thirds of the workers, which come back under their ids.
+    pub fn restart_most(&mut self, fleet: &Fleet) {
+        for i in self.rng.choose_multiple(0..WORKERS, WORKERS * 2 / 3) {
+            fleet.workers[i].crash();
+        }
+    }
+
+    fn configure(&mut self, fleet: &Fleet, shape: &Shape) {
+        self.version += 1 + self.rng.u64(..VERSIONS);
+        let config = shape.config(self.version);
+        fleet.store.put("op", "config", &config);
+    }
+
     /// Kills the leader and `others`.
     fn kill(&mut self, fleet: &mut Fleet, others: usize) {
         let leader = fleet.leader();
