--- a/crates/batch/tests/histories/mod.rs
+++ b/crates/batch/tests/histories/mod.rs
@@ -24,6 +24,9 @@
     pub stopped_at: Option<Millis>,
 }
 
+/// Services, each with half of the workers of each rack.
+pub const SERVICES: [&str; 2] = ["svc", "other"];
+
 /// One life of a worker.
 #[derive(Debug, Default)]
 pub struct Life {
@@ -63,6 +66,10 @@
     pub orders: Vec<InFlight>,
     pub steps: BTreeMap<Text, Vec<Step>>,
     pub run_times: BTreeMap<Text, Millis>,
+    /// Priority of the queue of each job, which names the queue.
+    pub queues: BTreeMap<Text, u32>,
+    /// Service of each queue in force, by priority; that of a missing queue is the first one.
+    pub services: [&'static str; 3],
     pub done: BTreeSet<SubtaskId>,
     pub version: u64,
     pub calm_from: Option<Millis>,
@@ -87,13 +94,20 @@
             },
             ..Machine::default()
         };
+        let mut fleet = Fleet::new(WORKERS);
+        for (i, info) in fleet.infos.iter_mut().enumerate() {
+            info.service = SERVICES[i % 2].into();
+        }
+        fleet.set_up();
         Self {
-            fleet: Fleet::new(WORKERS),
+            fleet,
             rng: Rng::with_seed(seed),
             machines: (0..WORKERS).map(machine).collect(),
             orders: Vec::new(),
             steps: BTreeMap::new(),
             run_times: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            services: [SERVICES[0]; 3],
             done: BTreeSet::new(),
             version: 1,
             calm_from: None,
@@ -151,6 +165,7 @@
         self.run_times.insert(id.as_str().into(), run_time);
         let org = ["org-a", "org-b", "org-c"][self.rng.usize(..3)];
         let priority = self.rng.u32(0..3);
+        self.queues.insert(id.as_str().into(), priority);
         self.fleet.submit_spec(&id, priority, org, spec);
     }
 
--- a/crates/batch/tests/standstill.rs
+++ b/crates/batch/tests/standstill.rs
@@ -13,7 +13,7 @@
     progress::Phase,
     worker::{Action, Report, Running, StartReply},
 };
-use histories::{InFlight, WORKERS, World};
+use histories::{InFlight, SERVICES, WORKERS, World};
 use quickcheck::{Gen, QuickCheck};
 
 const ACCELERATORS: u64 = 8;
@@ -194,7 +194,12 @@
         self.version += 1;
         let mut config: Config = fleet::config();
         config.version = self.version;
+        self.services = [SERVICES[0]; 3];
         if !is_last {
+            for (queue, service) in config.queues.iter_mut().zip(&mut self.services) {
+                *service = SERVICES[usize::from(self.rng.u8(..4) == 0)];
+                queue.service = (*service).into();
+            }
             for queue in &mut config.queues {
                 if self.rng.u8(..3) == 0 {
                     queue.priority = self.rng.u32(0..3);
@@ -202,11 +207,12 @@
                 queue.max_attempts = 20;
                 queue.slack_factor = self.rng.f64() * 5.0;
             }
-            let mut n = 0;
-            config.queues.retain(|_| {
-                n += 1;
-                self.rng.u8(..4) > 0
-            });
+            let kept = [(); 3].map(|()| self.rng.u8(..4) > 0);
+            for (service, _) in self.services.iter_mut().zip(kept).filter(|(_, k)| !k) {
+                *service = SERVICES[0];
+            }
+            let mut kept = kept.into_iter();
+            config.queues.retain(|_| kept.next() == Some(true));
             for organisation in &mut config.organisations {
                 organisation.guaranteed_accelerators = self.rng.u64(0..64);
             }
@@ -291,7 +297,10 @@
             return false;
         };
         let (mut used, mut places) = (0, 0);
-        for machine in &self.machines {
+        let service = self.services[self.queues[job] as usize];
+        let of_service = self.fleet.infos.iter().zip(&self.machines);
+        let of_service = of_service.filter(|(info, _)| &*info.service == service);
+        for (_, machine) in of_service {
             let runs = machine.life.running.keys();
             let needs: Vec<Resources> = runs.map(|t| self.steps[&t.job][t.step].need).collect();
             let taken: u64 = needs.iter().map(|n| n.accelerators).sum();
@@ -299,7 +308,7 @@
             places += (ACCELERATORS - taken) / step.need.accelerators;
         }
         let wanted = if step.gang { u64::from(step.count) } else { 1 };
-        used * 2 < ACCELERATORS * WORKERS as u64 && places >= 2 * wanted
+        used * 2 < ACCELERATORS * WORKERS as u64 / 2 && places >= 2 * wanted
     }
 
     fn judge(&mut self, seed: u64, judged_from: Millis) -> Option<String> {
