node: the first renewal that reaches the next life of a worker does not wait there

What callers saw: work stood for 1.5 s longer than its worker was away, once for 3.9 s at fleet size.

Cause: a renewal asks a worker with runs to answer when one of them ends, within 1.5 s. The first one after a failed call did so too, although the worker may be in its next life, which has none of these runs.

--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -245,8 +245,13 @@
 }
 
 /// Returns for how long the worker may delay its reply to a renewal. Of runs that an earlier leader
-/// placed, only a report tells whether they have started.
+/// placed, only a report tells whether they have started, and of those of a worker that may have restarted,
+/// whether they still exist.
 fn report_delay(leader: &Leader, worker: &Text) -> Millis {
+    let sessions = leader.sessions.borrow();
+    if sessions.get(worker).is_some_and(|s| s.may_have_restarted) {
+        return Millis::ZERO;
+    }
     let scheduler = leader.scheduler.borrow();
     // Of an unexpected run only the end is waited for.
     let has_runs = scheduler.runs_on(worker) > 0 || scheduler.has_unexpected_runs(worker);
