--- a/crates/batch/src/grant.rs
+++ b/crates/batch/src/grant.rs
@@ -66,6 +66,10 @@
     /// Time at which the last call with a lease was given up, or answered by another incarnation. The
     /// known incarnation has not answered a later call.
     unsettled_at: Option<Millis>,
+    /// The same for starts.
+    unsettled_start_at: Option<Millis>,
+    /// Whether the known incarnation has answered a call.
+    has_answered: bool,
     /// Whether the last renewal went unanswered.
     unresponsive: bool,
 }
@@ -84,6 +88,7 @@
             incarnation,
             lease,
             unsettled_at: Some(last_call_at),
+            unsettled_start_at: Some(last_call_at),
             ..Self::default()
         }
     }
@@ -115,7 +120,7 @@
     pub fn observe_answer(&mut self, clock: Millis, sent: Millis, now: Millis) -> bool {
         let known = self.clock.as_mut().filter(|c| c.fits(clock, sent, now));
         let Some(known) = known else {
-            self.record_unanswered(now);
+            self.record_unanswered_start(now);
             return false;
         };
         known.narrow(clock, sent, now);
@@ -139,10 +144,27 @@
         self.unsettled_at = self.unsettled_at.max(Some(now));
     }
 
+    /// Records that a start was given up at `now`, like [`record_unanswered`](Self::record_unanswered).
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// batch::grant::Grants::default().record_unanswered_start(Millis(700));
+    /// ```
+    pub fn record_unanswered_start(&mut self, now: Millis) {
+        self.record_unanswered(now);
+        self.unsettled_start_at = self.unsettled_start_at.max(Some(now));
+    }
+
     /// Records that the known incarnation has received a call at `alive` or later. It or an earlier one has
     /// received all calls that were given up before.
     fn settle(&mut self, alive: Millis) {
-        self.unsettled_at = self.unsettled_at.filter(|t| *t >= alive);
+        self.has_answered = true;
+        self.keep_unsettled(|given_up_at| given_up_at >= alive);
+    }
+
+    fn keep_unsettled(&mut self, is_kept: impl Fn(Millis) -> bool) {
+        self.unsettled_at = self.unsettled_at.filter(|t| is_kept(*t));
+        self.unsettled_start_at = self.unsettled_start_at.filter(|t| is_kept(*t));
     }
 
     /// Returns the incarnation of the worker; 0 if unknown.
@@ -231,11 +253,11 @@
             return false;
         }
         if !self.observe(incarnation, now) {
-            // The entry was written after the call was given up.
-            let is_later = |t: &Millis| self.clock.is_some_and(|c| clock > c.latest_at(*t));
-            self.unsettled_at = self.unsettled_at.filter(|t| !is_later(t));
-            if !self.has_clock() {
-                self.observe_clock(clock, now);
+            // Without an answer it is not known how old the entry was from which the clock is known.
+            match self.clock.filter(|_| self.has_answered) {
+                Some(known) => self.keep_unsettled(|t| clock <= known.latest_at(t)),
+                None if self.clock.is_none() => self.observe_clock(clock, now),
+                None => {}
             }
             return false;
         }
@@ -290,7 +312,9 @@
             self.incarnation = incarnation;
             self.latest = Millis::ZERO;
             self.clock = None;
+            self.has_answered = false;
             self.unsettled_at = None;
+            self.unsettled_start_at = None;
         }
         is_new
     }
@@ -308,7 +332,8 @@
     }
 
     /// Returns which runs have certainly ended at `now`. `known` is the incarnation that has confirmed
-    /// runs. A worker that is not listed has carried out its calls, or is gone.
+    /// runs. A worker that is no longer listed counts as gone: nothing but a restart that is known tells
+    /// that it may still carry out a call.
     ///
     /// ```
     /// # use base::clock::Millis;
@@ -316,13 +341,12 @@
     /// assert_eq!(Grants::default().expired(1, true, Millis(5)), Expired::All);
     /// ```
     pub fn expired(&self, known: u64, is_listed: bool, now: Millis) -> Expired {
-        let delay = if is_listed {
-            MAX_CALL_DELAY
+        let confirmed = self.expires_at();
+        let all = confirmed.max(if is_listed {
+            self.end_of_call(self.unsettled_at, MAX_CALL_DELAY)
         } else {
-            Millis::ZERO
-        };
-        let confirmed = self.own_end().max(self.end_of_call(self.changed_at, delay));
-        let all = confirmed.max(self.end_of_call(self.unsettled_at, delay));
+            self.end_of_call(self.unsettled_start_at, Millis::ZERO)
+        });
         // A later incarnation shows that the one that has confirmed the runs has ended.
         let has_ended = known < self.incarnation;
         match () {
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -256,6 +256,7 @@
         };
         if let Some(w) = self.workers.get_mut(worker) {
             w.replaced = true;
+            w.awaits_report = false;
             w.unexpected = Resources::default();
         }
         self.remove_lost_runs(&lost, now);
@@ -288,14 +289,16 @@
             Expired::Confirmed => lost.runs.retain(|r| r.confirmed),
             Expired::All => {}
         }
-        if expired != Expired::All && lost.runs.is_empty() {
+        if let Some(w) = self.workers.get_mut(worker)
+            && expired == Expired::All
+        {
+            w.unexpected = Resources::default();
+        }
+        if lost.runs.is_empty() {
             return;
         }
         if let Some(w) = self.workers.get_mut(worker) {
             w.back_off(now);
-            if expired == Expired::All {
-                w.unexpected = Resources::default();
-            }
             w.awaits_report |= lost.runs.iter().any(|r| !r.confirmed);
         }
         for run in &lost.runs {
--- a/crates/batch/tests/lives.rs
+++ b/crates/batch/tests/lives.rs
@@ -104,6 +104,41 @@
     );
 }
 
+/// Guards against a start that is carried out 12 s after it was given up, beside another run.
+#[test]
+fn an_unanswered_start_may_be_carried_out_up_to_12_s_later() {
+    let mut grants = granted();
+    grants.record_unanswered_start(Millis(2_700));
+    let last = Millis(2_700 + 12_000) + LEASE;
+    assert_eq!(grants.expired(1, true, last), Expired::Confirmed);
+    // An answer to a call that was sent before says nothing of one that was given up after it.
+    assert!(grants.observe_answer(Millis(501_600), Millis(2_600), Millis(2_800)));
+    assert_eq!(grants.expired(1, true, last), Expired::Confirmed);
+    // Once a restart is known, it doesn't matter whether the worker is listed.
+    grants.observe_entry(2, Millis(90), Millis(2_900));
+    assert_eq!(grants.expired(2, false, last), Expired::Nothing);
+}
+
+/// Guards against work that waits for the leases of a life that is known to have ended.
+#[test]
+fn the_confirmed_runs_of_an_ended_life_are_over_at_once() {
+    let mut grants = granted();
+    assert_eq!(grants.expired(1, true, Millis(3_000)), Expired::Nothing);
+    grants.observe_entry(2, Millis(90), Millis(3_000));
+    assert_eq!(grants.expired(1, true, Millis(3_000)), Expired::Confirmed);
+    assert_eq!(grants.expired(2, true, Millis(3_000)), Expired::Nothing);
+}
+
+/// Guards against work that waits longer than a lease on a lost worker, because the renewal that waited
+/// there was given up after its start.
+#[test]
+fn a_lost_worker_keeps_its_runs_for_a_lease_after_its_last_start() {
+    let mut grants = granted();
+    grants.record_unanswered_start(Millis(2_700));
+    grants.record_unanswered(Millis(4_400));
+    assert_eq!(grants.expired(1, false, Millis(9_000)), Expired::All);
+}
+
 /// Guards against a next leader that starts a subtask elsewhere while a life that its predecessor did not
 /// know of may have taken the start.
 #[test]
@@ -120,6 +155,11 @@
     let mut restarted = grants;
     restarted.observe_entry(2, Millis(700), Millis(1_500));
     assert_ne!(restarted.expired(1, true, Millis(9_000)), Expired::All);
+    // Entries don't tell the predecessor's calls from later ones, because no answer dates them.
+    let mut silent = grants;
+    silent.observe_entry(1, Millis(700), Millis(1_100));
+    silent.observe_entry(1, Millis(60_000), Millis(3_000));
+    assert_ne!(silent.expired(1, true, Millis(9_000)), Expired::All);
 }
 
 /// Guards against a lease that is over too soon in a life whose start came from a call to the life before.
@@ -309,3 +349,37 @@
     fleet.plan();
     assert_eq!(fleet.crashes("1"), 0);
 }
+
+/// Guards against the leases of one life that end the runs of another.
+#[test]
+fn a_run_belongs_to_the_life_that_listed_it_last() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.advance(5).take(&order);
+    fleet.advance(600).report_running(&order, 2, 10);
+    let now = fleet.now;
+    let scheduler = &mut fleet.scheduler;
+    scheduler.handle_expired_runs("w00", Expired::Confirmed, now);
+    assert_eq!(scheduler.runs_on("w00"), 0);
+}
+
+/// Guards against a leader that is busy with a worker whose address another one has, and counts its end again
+/// and again.
+#[test]
+fn a_replaced_worker_is_not_asked_for_a_report() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("1", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    let now = fleet.advance(20_000).now;
+    fleet.scheduler.handle_lease_expiry(&order.worker, now);
+    assert!(fleet.scheduler.is_in_use(&order.worker));
+    fleet.plan();
+    fleet.scheduler.handle_lease_expiry(&order.worker, now);
+    assert!(fleet.plan().worker_ends.is_empty());
+    let wall_now = fleet.wall();
+    fleet
+        .scheduler
+        .handle_replaced(&order.worker, now, wall_now);
+    assert!(!fleet.scheduler.is_in_use(&order.worker));
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -171,7 +171,7 @@
         answer.reply = answer.reply.of_other_incarnation();
     }
     if matches!(answer.reply, StartReply::Unknown | StartReply::Closed) {
-        worker_lease::record_unanswered(leader, &order.worker);
+        worker_lease::record_unanswered_start(leader, &order.worker);
     }
     if answer.has_lost_try {
         let mut scheduler = leader.scheduler.borrow_mut();
--- a/crates/node/src/worker_lease.rs
+++ b/crates/node/src/worker_lease.rs
@@ -80,20 +80,20 @@
         && is_known()
 }
 
-/// Records that a call with a lease was given up without an answer.
-pub(crate) fn record_unanswered(leader: &Leader, worker: &Text) {
+/// Records that a start was given up without an answer.
+pub(crate) fn record_unanswered_start(leader: &Leader, worker: &Text) {
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
-        session.grants.record_unanswered(clock::now());
+        session.grants.record_unanswered_start(clock::now());
         session.may_have_restarted = true;
     }
 }
 
 /// Records a renewal, or a request for a report, without an answer.
 pub(crate) fn record_failed_renewal(leader: &Leader, worker: &Text, has_lease: bool) {
-    if has_lease {
-        return record_unanswered(leader, worker);
-    }
     if let Some(session) = leader.sessions.borrow_mut().get_mut(worker) {
+        if has_lease {
+            session.grants.record_unanswered(clock::now());
+        }
         session.may_have_restarted = true;
     }
 }
--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -199,6 +199,7 @@
             drop(scheduler);
             leader.changed.notify_one();
             leader.dirty.notify_one();
+            cx::sleep(RETRY_DELAY).await;
             continue;
         }
         let now = clock::now();
