--- a/crates/node/src/worker_session.rs
+++ b/crates/node/src/worker_session.rs
@@ -194,9 +194,10 @@
             |to: &Target| target(&leader, &worker).is_some_and(|t| t.address == to.address);
         if matches!(failure, Failure::Replaced) && to.as_ref().is_some_and(is_current) {
             let (now, wall_now) = (clock::now(), clock::wall());
-            let mut scheduler = leader.scheduler.borrow_mut();
-            scheduler.handle_replaced(&worker, now, wall_now);
-            drop(scheduler);
+            leader
+                .scheduler
+                .borrow_mut()
+                .handle_replaced(&worker, now, wall_now);
             leader.changed.notify_one();
             leader.dirty.notify_one();
             cx::sleep(RETRY_DELAY).await;
