batch: a worker that goes away in the millisecond of its last sign counts as in contact

Cause: the connection of a start closes in the same millisecond as that of the first renewal of a worker that was idle before. The former sets the time until which the worker was alive to the current one, and the latter took "alive until now" for "not in contact". So the outage was not compared with the 28 others of that moment, and the job was given up after two crashes, as if its run alone had ended its worker.

Change: whether a worker was in contact is told by whether its last sign is known and recent, in one place. "batch: worker ended" has it as in_contact.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -95,7 +95,8 @@
         };
         log::warn!(
             worker:% = lost.id, life = lost.incarnation, cause = cause.name(), runs = lost.runs.len(),
-            with_others, common_cause, silent_ms = now.since(lost.outage.from).0;
+            in_contact = lost.outage.was_in_contact, with_others, common_cause,
+            silent_ms = now.since(lost.outage.from).0;
             "batch: worker ended"
         );
         let gave_up = cause == EndCause::Crashed
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -145,13 +145,24 @@
         self.answered_at > Millis::ZERO && now.since(self.answered_at) <= MAX_REPORT_GAP
     }
 
-    /// Returns the time until which the worker was alive, or `now` if it was not in contact. Then
-    /// only the time at which it was found missing can be compared with other outages.
-    fn last_seen(&self, now: Millis) -> Millis {
-        if self.alive_until == Millis::ZERO || now.since(self.alive_until) > MAX_REPORT_GAP {
-            return now;
+    /// Returns the time until which the worker was alive; `None` if it was not in contact.
+    fn last_seen(&self, now: Millis) -> Option<Millis> {
+        let is_recent = now.since(self.alive_until) <= MAX_REPORT_GAP;
+        (self.alive_until > Millis::ZERO && is_recent).then_some(self.alive_until)
+    }
+
+    /// Returns the outage of the worker that is found missing at `now`. Of one that was not in contact,
+    /// only that time can be compared with other outages.
+    fn outage(&self, id: Text, explanation: Explanation, now: Millis) -> Outage {
+        let last_seen = self.last_seen(now);
+        Outage {
+            worker: id,
+            rack: self.rack().cloned(),
+            from: last_seen.unwrap_or(now),
+            to: now,
+            was_in_contact: last_seen.is_some(),
+            explanation,
         }
-        self.alive_until
     }
 }
 
@@ -209,19 +220,12 @@
         };
         w.set_responding(false, now);
         w.alive_until = w.alive_until.max(alive_until);
-        let from = w.last_seen(now);
+        let from = w.last_seen(now).unwrap_or(now);
         let explanation = self.explanation(worker, from);
         let Some(w) = self.workers.get_mut(worker) else {
             return;
         };
-        let outage = Outage {
-            worker: worker.into(),
-            rack: w.rack().cloned(),
-            from,
-            to: now,
-            was_in_contact: from < now || alive_until == now,
-            explanation,
-        };
+        let outage = w.outage(worker.into(), explanation, now);
         w.outage.get_or_insert_with(|| outage.clone());
         self.outages.retain(|o| now.since(o.to) <= OUTAGE_MEMORY);
         self.outages.push(outage);
@@ -351,14 +355,7 @@
     ) -> Option<LostWorker> {
         let worker = self.workers.get(id)?;
         let id: Text = id.into();
-        let found_now = || Outage {
-            worker: id.clone(),
-            rack: worker.rack().cloned(),
-            from: worker.last_seen(now),
-            to: now,
-            was_in_contact: worker.last_seen(now) < now,
-            explanation: Explanation::None,
-        };
+        let found_now = || worker.outage(id.clone(), Explanation::None, now);
         let mut outage = worker.outage.clone().unwrap_or_else(found_now);
         // The answer to a start may arrive after the first failure of another call.
         outage.from = outage.from.max(worker.alive_until);
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -448,3 +448,33 @@
     }
     assert_eq!(fleet.scheduler.phase("job"), Some(Phase::Running));
 }
+
+/// Guards against a job that is given up because workers that go away in one millisecond are not
+/// compared with each other.
+#[test]
+fn a_crash_under_the_first_run_of_an_idle_worker_is_compared_with_others() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit("job", 1, step(1, 1));
+    for round in 0..3 {
+        let order = starts(&fleet.plan()).remove(0);
+        let workers: Vec<_> = fleet.infos.iter().map(|i| i.id.clone()).collect();
+        let other = workers.iter().find(|w| **w != order.worker).unwrap();
+        fleet.report(&order.worker.clone(), &[], Vec::new());
+        fleet.report(other, &[], Vec::new());
+        let now = fleet.advance(CRASH_DELAY).now;
+        let closed = StartReply::Closed;
+        fleet
+            .scheduler
+            .handle_start_reply(&order.task, order.attempt, closed, now);
+        fleet.plan();
+        fleet.lose(&order.worker, Millis::ZERO);
+        fleet.lose(other, now);
+        fleet.advance(3_000).replace(&order.worker);
+        fleet.replace(other);
+        assert_eq!(
+            fleet.scheduler.phase("job"),
+            Some(Phase::Running),
+            "round {round}"
+        );
+    }
+}
