batch: an outage that takes many workers clears the runs that had just started there

Cause: a run that had just started counts as a suspect in each crash, also if 16, 148 and 83 other workers went away in the same moment. A gang that starts again and again between such outages collects four of these.

Change: if at least three other workers went away at the same time without a reason of their own and without a run of a job that had just started on the lost one, the outage explains the loss and nothing is counted. Older runs of the same job don't clear it, and one or two other crashes don't either. "batch: worker ended" has their number as unrelated.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -37,6 +37,10 @@
 /// Number of other workers of a rack that show its loss, if all were missing when this leader first
 /// called them. Two of them may have crashed by themselves at different times before.
 const MIN_MISSING_OF_RACK: usize = 2;
+/// Number of other workers that show an outage which also took a worker where a run had just started,
+/// if they went away at the same time, had no such run and none of its job. One or two may have
+/// crashed by themselves.
+const MIN_LOST_IN_OUTAGE: usize = 3;
 /// Maximum time between two outages that count as simultaneous.
 const SIMULTANEOUS: Millis = Millis(200);
 /// Time for which outages are kept for comparison, and unexplained losses for an explanation.
@@ -86,16 +90,17 @@
             MIN_MISSING_OF_RACK
         };
         let common_cause = common.count() >= min_common;
+        let unrelated = others.iter().filter(|o| lost.is_unrelated(o)).count();
+        let is_outage = common_cause
+            && (lost.outage.explanation == Explanation::None || unrelated >= MIN_LOST_IN_OUTAGE);
         let cause = match lost {
             lost if lost.was_leaving => EndCause::Left,
-            lost if common_cause && lost.outage.explanation == Explanation::None => {
-                EndCause::Outage
-            }
+            _ if is_outage => EndCause::Outage,
             _ => EndCause::Crashed,
         };
         log::warn!(
             worker:% = lost.id, life = lost.incarnation, cause = cause.name(), runs = lost.runs.len(),
-            in_contact = lost.outage.was_in_contact, with_others, common_cause,
+            in_contact = lost.outage.was_in_contact, with_others, common_cause, unrelated,
             silent_ms = now.since(lost.outage.from).0;
             "batch: worker ended"
         );
--- a/crates/batch/src/worker_end.rs
+++ b/crates/batch/src/worker_end.rs
@@ -79,6 +79,17 @@
     pub(crate) runs: Vec<LostRun>,
 }
 
+impl LostWorker {
+    /// Returns whether another worker went away that had no reason of its own, nor a run of a job that
+    /// had just started on this one.
+    pub(crate) fn is_unrelated(&self, other: &Outage) -> bool {
+        let is_there = |r: &LostRun| other.jobs.binary_search(&r.task.job).is_ok();
+        other.was_in_contact
+            && other.explanation == Explanation::None
+            && !self.runs.iter().any(|r| r.fresh && is_there(r))
+    }
+}
+
 /// A run on a worker that ended.
 #[derive(Clone, Debug)]
 pub(crate) struct LostRun {
@@ -126,6 +137,8 @@
     /// Whether it was in contact with this leader before.
     pub(crate) was_in_contact: bool,
     pub(crate) explanation: Explanation,
+    /// Jobs that had runs on it, sorted.
+    pub(crate) jobs: Vec<Text>,
 }
 
 /// What on a worker may explain that it went away.
@@ -155,6 +168,9 @@
     /// only that time can be compared with other outages.
     fn outage(&self, id: Text, explanation: Explanation, now: Millis) -> Outage {
         let last_seen = self.last_seen(now);
+        let mut jobs: Vec<Text> = self.runs.iter().map(|(t, _)| t.job.clone()).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
         Outage {
             worker: id,
             rack: self.rack().cloned(),
@@ -162,6 +178,7 @@
             to: now,
             was_in_contact: last_seen.is_some(),
             explanation,
+            jobs,
         }
     }
 }
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -2,9 +2,11 @@
 
 mod fleet;
 
+use std::iter;
+
 use base::clock::Millis;
 use batch::{
-    job::{Repeat, Spec, Step},
+    job::{Repeat, Spec, Step, Text},
     progress::Phase,
     worker::{Order, Outcome, Refusal, StartReply},
 };
@@ -478,3 +480,83 @@
         );
     }
 }
+
+/// Loses workers in the moment after a start, and replaces them.
+fn play_outage(fleet: &mut Fleet, workers: &[Text]) {
+    let now = fleet.advance(CRASH_DELAY).now;
+    for worker in workers {
+        fleet.lose(worker, now);
+    }
+    fleet.advance(3_000);
+    for worker in workers {
+        fleet.replace(worker);
+    }
+    fleet.advance(2_000);
+}
+
+/// Starts a job of one subtask and loses its worker with others.
+fn start_in_outage(fleet: &mut Fleet, others: usize) {
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.take(&order);
+    let ids = fleet.infos.iter().map(|i| i.id.clone());
+    let others = ids.filter(|w| *w != order.worker).take(others);
+    let lost: Vec<_> = iter::once(order.worker.clone()).chain(others).collect();
+    play_outage(fleet, &lost);
+}
+
+/// Guards against a job that is given up because it starts again and again as many workers crash.
+#[test]
+fn a_job_that_starts_as_many_workers_crash_is_not_given_up() {
+    let mut fleet = Fleet::new(8);
+    fleet.submit("job", 1, step(1, 1));
+    for round in 0..6 {
+        start_in_outage(&mut fleet, 3);
+        let phase = fleet.scheduler.phase("job");
+        assert_eq!(phase, Some(Phase::Running), "round {round}");
+        assert_eq!(fleet.crashes("job"), 0, "round {round}");
+    }
+}
+
+/// Guards against a deadly subtask that is taken for innocent because few other workers go away by
+/// chance.
+#[test]
+fn two_other_crashes_clear_no_start() {
+    let mut fleet = Fleet::new(8);
+    fleet.submit("job", 1, step(1, 1));
+    start_in_outage(&mut fleet, 2);
+    fleet.plan();
+    assert_eq!(fleet.crashes("job"), 1);
+}
+
+/// Guards against a deadly job that is taken for innocent because its older runs crash their workers
+/// at the same time.
+#[test]
+fn older_runs_of_a_job_do_not_clear_its_new_one() {
+    let mut fleet = Fleet::new(8);
+    fleet.submit("deadly", 1, step(5, 8));
+    let mut older = starts(&fleet.plan());
+    for order in &older {
+        fleet.take(order);
+    }
+    let mut rounds = 0;
+    while fleet.scheduler.phase("deadly") != Some(Phase::Failed) {
+        rounds += 1;
+        assert!(rounds < 8, "not given up");
+        // One run ends, so that its subtask starts anew beside the older runs.
+        let stopped = older.iter().position(|o| o.task.index == 0).unwrap();
+        let stopped = older.remove(stopped);
+        fleet.advance(1_000);
+        fleet.finish(&stopped, 1, Outcome::Stopped);
+        let new = starts(&fleet.plan());
+        for order in &new {
+            fleet.take(order);
+        }
+        let lost: Vec<_> = older.iter().chain(&new).map(|o| o.worker.clone()).collect();
+        play_outage(&mut fleet, &lost);
+        older = starts(&fleet.plan());
+        for order in &older {
+            fleet.take(order);
+        }
+        fleet.advance(2_000);
+    }
+}
