batch: an outage of most workers of a service puts none of them on probation

Cause: a worker that went down and up again within 20 s gets no work for some time, so that others are preferred. After an outage of all workers there are no others, and all wait for 2 s at least.

Change: probation ends while more than half of a service, and three workers at least, went down and up several times lately.

Tests: two of batch probation failed before ("left: 0, right: 8" and "left: 0, right: 2").

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod policy;
 mod policy_calls;
 mod preemption;
+mod probation;
 pub mod progress;
 mod ranking;
 mod reports;
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -48,6 +48,7 @@
         if units.is_empty() {
             return;
         }
+        self.end_shared_probation(now);
         let reserve = self.reserve(now, wall_now);
         let mut pass = Pass {
             candidates: self.candidates(now),
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -282,6 +282,11 @@
         self.failures = 0;
     }
 
+    /// Returns whether the worker went down and up several times lately.
+    pub(crate) fn is_flapping(&self, now: Millis) -> bool {
+        self.recent_outages > 1 && now.since(self.responding_since) <= OUTAGE_MEMORY
+    }
+
     /// Records whether the worker answers. Each recovery counts as one outage.
     pub(crate) fn set_responding(&mut self, responding: bool, now: Millis) {
         let recovered = self.unresponsive && responding;
--- a/crates/batch/tests/probation.rs
+++ b/crates/batch/tests/probation.rs
@@ -28,26 +28,63 @@
     fleet.infos.iter().map(|i| i.id.clone()).collect()
 }
 
-/// Guards against work that waits beside idle workers, all of which were out of reach some times.
-#[test]
-fn work_does_not_wait_for_the_probation_of_all_workers() {
-    let mut fleet = Fleet::new(WORKERS);
+/// Lets the first workers go down and up six times, each time for 2.5 s.
+fn flap(fleet: &mut Fleet, count: usize) {
+    let flapping: Vec<_> = ids(fleet).into_iter().take(count).collect();
     for _ in 0..6 {
-        for id in ids(&fleet) {
-            let now = fleet.now;
-            fleet.lose(&id, now);
+        fleet.advance(1_500);
+        let now = fleet.now;
+        for id in &flapping {
+            fleet.lose(id, now);
         }
-        fleet.advance(2_500);
-        for id in ids(&fleet) {
-            let now = fleet.now;
-            fleet.scheduler.set_responding(&id, true, now);
+        let now = fleet.advance(2_500).now;
+        for id in &flapping {
+            fleet.scheduler.set_responding(id, true, now);
         }
-        fleet.advance(1_500);
     }
+}
+
+/// Guards against work that waits beside idle workers, all of which were out of reach some times.
+#[test]
+fn work_does_not_wait_for_the_probation_of_all_workers() {
+    let mut fleet = Fleet::new(WORKERS);
+    flap(&mut fleet, WORKERS);
+    fleet.advance(1_500);
     let wait = wait_of(&mut fleet);
     assert!(wait.is_some_and(|w| w <= MAX_WAIT), "{wait:?}");
 }
 
+/// Guards against work that stands still right after an outage of most workers, because each of them
+/// is spared for others.
+#[test]
+fn work_starts_at_once_where_most_workers_went_away_together() {
+    for (count, is_spared) in [(WORKERS, false), (5, false), (4, true), (1, true)] {
+        let mut fleet = Fleet::new(WORKERS);
+        flap(&mut fleet, count);
+        fleet.submit("job", 1, step(WORKERS as u32, 8));
+        let placed = starts(&fleet.plan()).len();
+        let expected = if is_spared { WORKERS - count } else { WORKERS };
+        assert_eq!(placed, expected, "{count} of {WORKERS} workers");
+    }
+}
+
+/// Guards against the same while some of the workers are not back yet.
+#[test]
+fn the_first_workers_that_are_back_from_an_outage_of_all_get_work() {
+    let mut fleet = Fleet::new(WORKERS);
+    flap(&mut fleet, WORKERS);
+    let now = fleet.advance(1_500).now;
+    for id in ids(&fleet) {
+        fleet.lose(&id, now);
+    }
+    let now = fleet.advance(2_500).now;
+    for id in ids(&fleet).iter().take(2) {
+        fleet.scheduler.set_responding(id, true, now);
+    }
+    fleet.submit("job", 1, step(WORKERS as u32, 8));
+    assert_eq!(starts(&fleet.plan()).len(), 2);
+}
+
 /// Guards against work that uses up its attempts on workers on which everything fails.
 #[test]
 fn work_waits_for_the_backoff_of_workers_on_which_everything_fails() {
