plan: an outage of many workers is not held against the jobs that ran there

Cause: the product's own interface weighs each crash by itself. A job that had just started gets a weight of 2 when a power loss takes its worker with many others, and fails for good at 6.

Change: crashes of the last minute are kept. A weight is taken back once three other workers are known to have crashed at the same time that had neither one of the suspects nor a job that had just started. The first crash of an outage is counted before the others are known, so this has to be undone later; a job that reaches the limit in between still fails.

Tests: an_outage_of_many_workers_has_no_weight failed before ("left: 2, right: 0"); the other three hold before and each fails on a mutant (limit of two, crashes at other times, jobs that start together, a gang on all of its workers). crash_workers_of delivers the restarts of several workers before their reports; for one worker nothing changes.

--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     jobs::JobId,
-    record::JobRecord,
+    record::{JobKey, JobRecord},
     state::{Plan, Step},
 };
 
@@ -17,6 +17,41 @@
 const OTHER_SUSPECT: u32 = 1;
 /// Sum of the weights from which the job is at fault: three crashes as the sole suspect.
 const CRASH_LIMIT: u32 = 3 * SOLE_SUSPECT;
+/// Number of other workers that show an outage, if they crashed at the same time as a worker, had no
+/// job that had just started and none of those suspected of its crash. One or two may have crashed by
+/// themselves.
+const MIN_LOST_IN_OUTAGE: usize = 3;
+/// Time for which crashes are kept for comparison.
+const CRASH_MEMORY: Millis = Millis(60_000);
+
+/// A crash of a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Crash {
+    worker: Name,
+    /// Last time at which the worker was alive.
+    from: Millis,
+    /// Time at which it had restarted.
+    to: Millis,
+    /// Whether a job had just started there.
+    has_fresh: bool,
+    /// Jobs that ran or were being stopped there.
+    jobs: Vec<JobKey>,
+    /// Those that may be the cause, and the weight that was added to each.
+    suspects: Vec<JobKey>,
+    weight: u32,
+}
+
+impl Crash {
+    /// Returns whether another crash happened at the same time for a reason that is none of the jobs
+    /// suspected of this one.
+    fn is_unrelated(&self, other: &Self) -> bool {
+        self.worker != other.worker
+            && self.from <= other.to
+            && other.from <= self.to
+            && !other.has_fresh
+            && !self.suspects.iter().any(|job| other.jobs.contains(job))
+    }
+}
 
 /// Returns whether the job has crashed too many workers.
 pub(crate) fn is_at_fault(rec: &JobRecord) -> bool {
@@ -31,8 +66,8 @@
             return;
         };
         let running = |id: &JobId| self.jobs.get(*id).rec.phase == Phase::Running;
-        let jobs: Vec<JobId> = self.workers.jobs_on(worker);
-        let jobs: Vec<JobId> = jobs.into_iter().filter(running).collect();
+        let all: Vec<JobId> = self.workers.jobs_on(worker);
+        let jobs: Vec<JobId> = all.iter().copied().filter(running).collect();
         let alive_until = step.now.since(silent);
         // After a restore the phase began before `phase_since`, and `started_at` is by the wall clock
         // of another leader, which may be ahead.
@@ -42,11 +77,23 @@
         };
         let fresh = jobs.iter().copied().filter(|id| age(id) < PROVING_TIME);
         let fresh: Vec<JobId> = fresh.collect();
+        let key = |id: &JobId| self.jobs.get(*id).rec.key();
+        let mut crash = Crash {
+            worker: name.clone(),
+            from: alive_until,
+            to: step.now,
+            has_fresh: !fresh.is_empty(),
+            jobs: all.iter().map(key).collect(),
+            suspects: Vec::new(),
+            weight: 0,
+        };
         let (suspects, weight) = match (&fresh[..], &jobs[..]) {
             ([_], _) => (fresh, SOLE_SUSPECT),
             ([], [_]) => (jobs, OTHER_SUSPECT),
             _ => (fresh, OTHER_SUSPECT),
         };
+        crash.suspects = suspects.iter().map(key).collect();
+        crash.weight = weight;
         for id in suspects {
             let rec = &mut self.jobs.get_mut(id).rec;
             rec.crash_weight += weight;
@@ -57,5 +104,39 @@
             );
             step.changed.push(id);
         }
+        self.crashes
+            .retain(|c| step.now.since(c.to) <= CRASH_MEMORY);
+        self.crashes.push(crash);
+        self.clear_suspects(step);
+    }
+
+    /// Takes back the weights of crashes that many workers share. The first of them is counted before
+    /// the others are known.
+    fn clear_suspects(&mut self, step: &mut Step) {
+        let others = |crash: &Crash| {
+            self.crashes
+                .iter()
+                .filter(|o| crash.is_unrelated(o))
+                .count()
+        };
+        let is_outage = |crash: &Crash| others(crash) >= MIN_LOST_IN_OUTAGE;
+        let outage: Vec<bool> = self.crashes.iter().map(is_outage).collect();
+        for (crash, _) in self.crashes.iter_mut().zip(outage).filter(|(_, o)| *o) {
+            for key in crash.suspects.drain(..) {
+                let Some(id) = self.jobs.find(&key) else {
+                    continue;
+                };
+                let rec = &mut self.jobs.get_mut(id).rec;
+                if rec.phase.is_final() {
+                    continue;
+                }
+                rec.crash_weight = rec.crash_weight.saturating_sub(crash.weight);
+                log::info!(
+                    job:% = key, worker:% = crash.worker, weight = crash.weight, sum = rec.crash_weight;
+                    "plan: worker crashed with many others, the job is not suspected"
+                );
+                step.changed.push(id);
+            }
+        }
     }
 }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     corrections::{Correction, CorrectionKey},
+    crash::Crash,
     event::{Decision, Event, WorkerInfo},
     jobs::{JobId, JobState, Jobs},
     order::{Action, Order},
@@ -67,6 +68,8 @@
     pub(crate) fleet_known: bool,
     /// Whether the waiting jobs must be checked against the limits again.
     pub(crate) recheck_limits: bool,
+    /// Crashes of workers a short while ago.
+    pub(crate) crashes: Vec<Crash>,
     /// Jobs changed by the restore whose records are part of the next decision.
     pub(crate) unsaved: Vec<JobId>,
 }
@@ -120,6 +123,7 @@
             clock_lag: Millis::ZERO,
             fleet_known: true,
             recheck_limits: false,
+            crashes: Vec::new(),
             unsaved: Vec::new(),
         }
     }
--- a/crates/plan/tests/crashes.rs
+++ b/crates/plan/tests/crashes.rs
@@ -66,30 +66,39 @@
 
     /// Crashes the worker of a job; it was alive until now, and restarts after 3 s.
     fn crash_worker_of(&mut self, title: &str) {
-        let worker = self.job(title).members[0].worker.clone();
+        self.crash_workers_of(&[title]);
+    }
+
+    /// Crashes the workers of jobs at the same time.
+    fn crash_workers_of(&mut self, titles: &[&str]) {
+        let members = titles.iter().flat_map(|title| self.job(title).members);
+        let workers: Vec<_> = members.map(|m| m.worker).collect();
         let alive_until = self.now;
-        self.fleet.workers.remove(&worker);
+        for worker in &workers {
+            self.fleet.workers.remove(worker);
+        }
         self.now += Millis(3_000);
-        let running: Vec<Attempt> = self
-            .plan
-            .records()
-            .filter(|r| r.members.iter().any(|m| m.worker == worker))
-            .map(|r| Attempt {
-                job: r.key(),
-                attempt: r.attempt,
-            })
-            .collect();
-        let crash = Event::WorkerRestarted {
-            worker: worker.clone(),
-            silent: self.now.since(alive_until),
-        };
-        self.handle(crash);
-        for attempt in running {
-            self.handle(Event::Member {
-                attempt,
-                worker: worker.clone(),
-                report: Report::NotHeld,
-            });
+        let silent = self.now.since(alive_until);
+        for worker in workers.clone() {
+            self.handle(Event::WorkerRestarted { worker, silent });
+        }
+        for worker in workers {
+            let running: Vec<Attempt> = self
+                .plan
+                .records()
+                .filter(|r| r.members.iter().any(|m| m.worker == worker))
+                .map(|r| Attempt {
+                    job: r.key(),
+                    attempt: r.attempt,
+                })
+                .collect();
+            for attempt in running {
+                self.handle(Event::Member {
+                    attempt,
+                    worker: worker.clone(),
+                    report: Report::NotHeld,
+                });
+            }
         }
     }
 }
@@ -158,3 +167,71 @@
     site.crash_worker_of("long");
     assert_eq!(site.job("long").crash_weight, 1);
 }
+
+/// Returns the weight that a crash has for a job that had just started, beside crashes of workers with
+/// older jobs.
+fn weight_beside(others: &[&str]) -> u32 {
+    let mut site = Site::new(8);
+    for other in others {
+        site.submit(other, 8);
+    }
+    site.advance(10_000);
+    site.submit("new", 8);
+    site.advance(100);
+    // The order of the events does not matter.
+    let (before, after) = others.split_at(others.len() / 2);
+    site.crash_workers_of(&[before, &["new"], after].concat());
+    for other in others {
+        let weight = site.job(other).crash_weight;
+        assert!(weight <= 1, "{other}: {weight}");
+    }
+    site.job("new").crash_weight
+}
+
+/// Guards against a job that is given up because it starts again and again as many workers crash.
+#[test]
+fn an_outage_of_many_workers_has_no_weight() {
+    assert_eq!(weight_beside(&["a", "b", "c"]), 0);
+    assert_eq!(weight_beside(&["a", "b"]), 2);
+}
+
+/// Guards against deadly jobs that are taken for innocent because they crash their workers together.
+#[test]
+fn jobs_that_start_and_crash_together_keep_their_weight() {
+    let mut site = Site::new(8);
+    let jobs = ["a", "b", "c", "d"];
+    for job in jobs {
+        site.submit(job, 8);
+    }
+    site.advance(100);
+    site.crash_workers_of(&jobs);
+    for job in jobs {
+        assert_eq!(site.job(job).crash_weight, 2, "{job}");
+    }
+}
+
+#[test]
+fn a_gang_that_crashes_all_of_its_workers_keeps_its_weight() {
+    let mut site = Site::new(4);
+    let job = job("org", "gang", shape(4, 8, Adjacency::Rack));
+    site.handle(Event::Submitted { job });
+    site.advance(10_000);
+    site.crash_workers_of(&["gang"]);
+    assert_eq!(site.job("gang").crash_weight, 4, "one for each worker");
+}
+
+/// Guards against a deadly job that is taken for innocent because workers crash at other times.
+#[test]
+fn crashes_at_other_times_clear_no_job() {
+    let mut site = Site::new(8);
+    let others = ["a", "b", "c"];
+    for other in others {
+        site.submit(other, 8);
+    }
+    site.advance(10_000);
+    site.crash_workers_of(&others);
+    site.submit("new", 8);
+    site.advance(100);
+    site.crash_worker_of("new");
+    assert_eq!(site.job("new").crash_weight, 2);
+}
