batch, plan: crashes of one worker count once as evidence of an outage; plan compares in linear time

Several outages of one flapping worker within the time of another loss counted as several workers (batch: one_worker_that_flaps_clears_no_start failed before, "left: 0, right: 1"). In plan each crash compared all pairs of the last minute, which grows with the cube of the workers that an outage takes; a new crash is now compared with each kept one.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -5,7 +5,7 @@
 //! is the cause. A subtask is given up only after such a crash, and never if it lasts until its job
 //! is cancelled: see [`rest`](crate::rest).
 
-use std::{cmp::Reverse, mem};
+use std::{cmp::Reverse, collections::BTreeSet, mem};
 
 use base::clock::Millis;
 
@@ -90,7 +90,9 @@
             MIN_MISSING_OF_RACK
         };
         let common_cause = common.count() >= min_common;
-        let unrelated = others.iter().filter(|o| lost.is_unrelated(o)).count();
+        let unrelated = others.iter().filter(|o| lost.is_unrelated(o));
+        let unrelated: BTreeSet<&Text> = unrelated.map(|o| &o.worker).collect();
+        let unrelated = unrelated.len();
         let is_outage = common_cause
             && (lost.outage.explanation == Explanation::None || unrelated >= MIN_LOST_IN_OUTAGE);
         let cause = match lost {
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -528,6 +528,24 @@
     assert_eq!(fleet.crashes("job"), 1);
 }
 
+#[test]
+fn one_worker_that_flaps_clears_no_start() {
+    let mut fleet = Fleet::new(8);
+    fleet.submit("job", 1, step(1, 1));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.take(&order);
+    let ids = fleet.infos.iter().map(|i| i.id.clone());
+    let other = ids.into_iter().find(|w| *w != order.worker).unwrap();
+    for _ in 0..3 {
+        let now = fleet.advance(CRASH_DELAY).now;
+        fleet.lose(&other, now);
+        fleet.scheduler.set_responding(&other, true, now);
+    }
+    play_outage(&mut fleet, &[order.worker]);
+    fleet.plan();
+    assert_eq!(fleet.crashes("job"), 1);
+}
+
 /// Guards against a deadly job that is taken for innocent because its older runs crash their workers
 /// at the same time.
 #[test]
--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -1,5 +1,7 @@
 //! Attribution of crashes of workers to the jobs that ran there.
 
+use std::mem;
+
 use base::{clock::Millis, name::Name};
 use schema::job::Phase;
 
@@ -39,17 +41,24 @@
     /// Those that may be the cause, and the weight that was added to each.
     suspects: Vec<JobKey>,
     weight: u32,
+    /// Other workers whose crashes are unrelated, up to [`MIN_LOST_IN_OUTAGE`].
+    unrelated: Vec<Name>,
 }
 
 impl Crash {
-    /// Returns whether another crash happened at the same time for a reason that is none of the jobs
-    /// suspected of this one.
-    fn is_unrelated(&self, other: &Self) -> bool {
-        self.worker != other.worker
-            && self.from <= other.to
-            && other.from <= self.to
-            && !other.has_fresh
-            && !self.suspects.iter().any(|job| other.jobs.contains(job))
+    /// Counts another crash if it happened at the same time for a reason that is none of the jobs
+    /// suspected of this one. Returns whether the crash is now known as part of an outage.
+    fn compare(&mut self, other: &Self) -> bool {
+        if self.unrelated.len() >= MIN_LOST_IN_OUTAGE {
+            return true;
+        }
+        let is_simultaneous = self.from <= other.to && other.from <= self.to;
+        let has_suspect = self.suspects.iter().any(|job| other.jobs.contains(job));
+        let is_known = self.worker == other.worker || self.unrelated.contains(&other.worker);
+        if is_simultaneous && !other.has_fresh && !has_suspect && !is_known {
+            self.unrelated.push(other.worker.clone());
+        }
+        self.unrelated.len() >= MIN_LOST_IN_OUTAGE
     }
 }
 
@@ -86,6 +95,7 @@
             jobs: all.iter().map(key).collect(),
             suspects: Vec::new(),
             weight: 0,
+            unrelated: Vec::new(),
         };
         let (suspects, weight) = match (&fresh[..], &jobs[..]) {
             ([_], _) => (fresh, SOLE_SUSPECT),
@@ -106,37 +116,40 @@
         }
         self.crashes
             .retain(|c| step.now.since(c.to) <= CRASH_MEMORY);
-        self.crashes.push(crash);
-        self.clear_suspects(step);
+        self.clear_suspects(step, crash);
     }
 
     /// Takes back the weights of crashes that many workers share. The first of them is counted before
     /// the others are known.
-    fn clear_suspects(&mut self, step: &mut Step) {
-        let others = |crash: &Crash| {
-            self.crashes
-                .iter()
-                .filter(|o| crash.is_unrelated(o))
-                .count()
-        };
-        let is_outage = |crash: &Crash| others(crash) >= MIN_LOST_IN_OUTAGE;
-        let outage: Vec<bool> = self.crashes.iter().map(is_outage).collect();
-        for (crash, _) in self.crashes.iter_mut().zip(outage).filter(|(_, o)| *o) {
-            for key in crash.suspects.drain(..) {
-                let Some(id) = self.jobs.find(&key) else {
-                    continue;
-                };
-                let rec = &mut self.jobs.get_mut(id).rec;
-                if rec.phase.is_final() {
-                    continue;
-                }
-                rec.crash_weight = rec.crash_weight.saturating_sub(crash.weight);
-                log::info!(
-                    job:% = key, worker:% = crash.worker, weight = crash.weight, sum = rec.crash_weight;
-                    "plan: worker crashed with many others, the job is not suspected"
-                );
-                step.changed.push(id);
+    fn clear_suspects(&mut self, step: &mut Step, mut new: Crash) {
+        let mut crashes = mem::take(&mut self.crashes);
+        for crash in &mut crashes {
+            if new.compare(crash) {
+                self.clear(step, &mut new);
+            }
+            if crash.compare(&new) {
+                self.clear(step, crash);
+            }
+        }
+        crashes.push(new);
+        self.crashes = crashes;
+    }
+
+    fn clear(&mut self, step: &mut Step, crash: &mut Crash) {
+        for key in crash.suspects.drain(..) {
+            let Some(id) = self.jobs.find(&key) else {
+                continue;
+            };
+            let rec = &mut self.jobs.get_mut(id).rec;
+            if rec.phase.is_final() {
+                continue;
             }
+            rec.crash_weight = rec.crash_weight.saturating_sub(crash.weight);
+            log::info!(
+                job:% = key, worker:% = crash.worker, weight = crash.weight, sum = rec.crash_weight;
+                "plan: worker crashed with many others, the job is not suspected"
+            );
+            step.changed.push(id);
         }
     }
 }
