--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -87,23 +87,22 @@
         let fresh = jobs.iter().copied().filter(|id| age(id) < PROVING_TIME);
         let fresh: Vec<JobId> = fresh.collect();
         let key = |id: &JobId| self.jobs.get(*id).rec.key();
-        let mut crash = Crash {
+        let has_fresh = !fresh.is_empty();
+        let (suspects, weight) = match (&fresh[..], &jobs[..]) {
+            ([_], _) => (fresh, SOLE_SUSPECT),
+            ([], [_]) => (jobs, OTHER_SUSPECT),
+            _ => (fresh, OTHER_SUSPECT),
+        };
+        let crash = Crash {
             worker: name.clone(),
             from: alive_until,
             to: step.now,
-            has_fresh: !fresh.is_empty(),
+            has_fresh,
             jobs: all.iter().map(key).collect(),
-            suspects: Vec::new(),
-            weight: 0,
+            suspects: suspects.iter().map(key).collect(),
+            weight,
             unrelated: Vec::new(),
         };
-        let (suspects, weight) = match (&fresh[..], &jobs[..]) {
-            ([_], _) => (fresh, SOLE_SUSPECT),
-            ([], [_]) => (jobs, OTHER_SUSPECT),
-            _ => (fresh, OTHER_SUSPECT),
-        };
-        crash.suspects = suspects.iter().map(key).collect();
-        crash.weight = weight;
         for id in suspects {
             let rec = &mut self.jobs.get_mut(id).rec;
             rec.crash_weight += weight;
