--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 mod crash;
 mod evacuation;
+mod expected;
 mod failing;
 pub mod grant;
 mod isolation;
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -3,6 +3,7 @@
 use std::rc;
 
 use base::{clock::Millis, sorted::SortedMap};
+use forecast::predictor::Forecast;
 use serde::Serialize;
 
 use crate::{
@@ -76,6 +77,8 @@
     /// Ids of the jobs whose progress changed since the last commit.
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
+    /// Learned speeds of workers and corrections of estimates.
+    pub(crate) forecast: Forecast,
     /// Time that a run needs to continue from a checkpoint.
     pub(crate) restore_time: Millis,
     /// Interval at which workers write their entries in the VM list.
