evacuation: nothing starts in an evacuated data centre

Cause: an operator who evacuates a data centre had no way to tell the scheduler, which went on placing work there.

Change: each node keeps the rows op/evacuate/ZONE beside the configuration. The leader places nothing in these data centres and checks each start right before it is sent; one that may not be sent is rolled back with its gang. With evacuate_ms set, starts wait while the rows were confirmed too long ago.

--- a/crates/batch/src/candidates.rs
+++ b/crates/batch/src/candidates.rs
@@ -277,7 +277,8 @@
             .workers
             .iter()
             .enumerate()
-            .filter(|(_, (_, w))| w.accepts_work(now) && self.is_capacity_known(w, now));
+            .filter(|(_, (_, w))| w.accepts_work(now) && self.is_capacity_known(w, now))
+            .filter(|(_, (_, w))| !self.is_evacuated(w));
         // Neighbouring runs often belong to the same job.
         let mut last: Option<&Job> = None;
         let mut services: Vec<Text> = Vec::new();
--- a/crates/batch/src/capacity.rs
+++ b/crates/batch/src/capacity.rs
@@ -62,6 +62,7 @@
         };
         self.address = info.address.clone();
         self.machine.clone_from(&info.machine);
+        self.zone = Some(info.zone.clone());
         self.info = Some(info);
     }
 }
--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -86,10 +86,11 @@
         ((self.urgent.expected() - load).max(0.0) as u64).min(max_reserve)
     }
 
-    /// Returns the total number of accelerators of the listed workers, and how many are free.
+    /// Returns the total number of accelerators of the listed workers that are not evacuated, and how
+    /// many are free.
     fn accelerators(&self) -> (u64, u64) {
         let (mut all, mut free) = (0, 0);
-        for (_, worker) in self.workers.iter() {
+        for worker in self.workers.values().filter(|w| !self.is_evacuated(w)) {
             all += worker.info.as_ref().map_or(0, |i| i.capacity.accelerators);
             free += worker.free().accelerators;
         }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -21,6 +21,7 @@
     worker::{Order, Outcome, WorkerInfo},
     worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
     worker_state::Worker,
+    zone_evacuation::Evacuations,
 };
 
 /// Changes to commit.
@@ -77,6 +78,7 @@
     /// Ids of the jobs whose progress changed since the last commit.
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
+    pub(crate) evacuations: Evacuations,
     /// Learned speeds of workers and corrections of estimates.
     pub(crate) forecast: Forecast,
     /// Time that a run needs to continue from a checkpoint.
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -336,9 +336,9 @@
         if of_service.map(|c| count(c.capacity)).sum::<u64>() >= wanted {
             return true;
         }
-        // Workers that don't take work now may do so soon, unless they are about to leave.
+        // Workers that don't take work now may do so soon, unless they are about to leave or evacuated.
         let infos = self.scheduler.workers.values().filter_map(|w| {
-            let is_of_rack = w.rack() == Some(rack);
+            let is_of_rack = w.rack() == Some(rack) && !self.scheduler.is_evacuated(w);
             let info = w.info.as_ref().filter(|_| is_of_rack)?;
             (info.service == *self.service && !info.draining).then_some(info)
         });
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -47,6 +47,8 @@
     pub(crate) address: Text,
     /// Last listed hardware.
     pub(crate) machine: Option<Text>,
+    /// Last listed data centre; `None` if the worker was never listed.
+    pub(crate) zone: Option<Text>,
     /// Last listed capacity.
     pub(crate) last_capacity: Option<Resources>,
     /// Incarnation that wrote the last entry, and the time on its clock.
--- /dev/null
+++ b/crates/batch/tests/zone_evacuation.rs
@@ -0,0 +1,508 @@
+//! Evacuation of data centres, and the return to service.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+
+use batch::{
+    job::{Step, Text},
+    scheduler::PendingChanges,
+    worker::{Order, Outcome, StartReply},
+};
+use fastrand::Rng;
+use fleet::{Fleet, gang, starts, step, stops};
+
+/// Returns a fleet whose workers belong to the data centres `zones` in turn, in racks of four.
+fn fleet_in(workers: usize, zones: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new(workers);
+    for (i, info) in fleet.infos.iter_mut().enumerate() {
+        info.zone = zones[i / 4 % zones.len()].into();
+    }
+    fleet.set_up();
+    fleet
+}
+
+fn evacuate(fleet: &mut Fleet, zones: &[&str]) {
+    let zones: Vec<Text> = zones.iter().map(|z| (*z).into()).collect();
+    fleet.scheduler.set_evacuated(&zones, fleet.now);
+}
+
+fn zone_of<'a>(fleet: &'a Fleet, worker: &str) -> &'a str {
+    let info = fleet.infos.iter().find(|i| &*i.id == worker);
+    info.map_or("", |i| &i.zone)
+}
+
+fn zones_of(fleet: &Fleet, orders: &[Order]) -> Vec<String> {
+    let zones = orders.iter().map(|o| zone_of(fleet, &o.worker).to_owned());
+    zones.collect()
+}
+
+/// Runs a pass and returns the data centre of each start.
+fn placed(fleet: &mut Fleet) -> Vec<String> {
+    let orders = starts(&fleet.plan());
+    zones_of(fleet, &orders)
+}
+
+/// Guards against work that is placed in an evacuated data centre, and against a data centre that
+/// stays empty after its return to service.
+#[test]
+fn nothing_starts_in_an_evacuated_data_centre() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    evacuate(&mut fleet, &["b"]);
+    fleet.submit("1", 1, step(8, 8));
+    let first = starts(&fleet.plan());
+    assert_eq!(zones_of(&fleet, &first), ["a"; 4]);
+    evacuate(&mut fleet, &["a", "b"]);
+    assert!(starts(&fleet.advance(100).plan()).is_empty());
+    evacuate(&mut fleet, &["a"]);
+    let second = starts(&fleet.plan());
+    assert_eq!(zones_of(&fleet, &second), ["b"; 4]);
+}
+
+/// Guards against an evacuation that stops what runs, or hides its end.
+#[test]
+fn runs_in_an_evacuated_data_centre_end_by_themselves() {
+    let mut fleet = fleet_in(4, &["a"]);
+    fleet.submit("bounded", 1, gang(2, 8));
+    let lasting = Step {
+        endless: true,
+        ..step(1, 8)
+    };
+    fleet.submit("lasting", 1, lasting);
+    let orders = starts(&fleet.plan());
+    assert_eq!(orders.len(), 3);
+    orders.iter().for_each(|o| fleet.take(o));
+    evacuate(&mut fleet, &["a"]);
+    for _ in 0..20 {
+        assert!(fleet.advance(250).plan().orders.is_empty());
+    }
+    let bounded = orders.iter().find(|o| &*o.task.job == "bounded").unwrap();
+    fleet.finish(bounded, 1, Outcome::Done);
+    assert_eq!(
+        fleet.scheduler.phase("bounded"),
+        Some(batch::progress::Phase::Completed)
+    );
+}
+
+/// Guards against orders that were queued before the request and are sent after it, and against a gang
+/// that starts in part.
+#[test]
+fn a_queued_start_is_rolled_back_with_its_gang() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    for worker in ["w00", "w01", "w02"] {
+        fleet.infos.retain(|i| &*i.id != worker);
+    }
+    fleet.set_up();
+    fleet.submit("1", 1, gang(3, 8));
+    let orders = starts(&fleet.plan());
+    let in_b = orders.iter().find(|o| zone_of(&fleet, &o.worker) == "b");
+    let in_b = in_b.expect("one worker of `a` can't hold the gang").clone();
+    evacuate(&mut fleet, &["b"]);
+    for order in &orders {
+        let is_evacuated = fleet
+            .scheduler
+            .is_start_evacuated(&order.task, &order.worker);
+        assert!(is_evacuated, "the gang could not become whole: {order:?}");
+    }
+    fleet.scheduler.roll_back_start(&in_b.task, 1, fleet.now);
+    let changes = fleet.plan();
+    let stopped: Vec<_> = stops(&changes).into_iter().map(|o| o.task).collect();
+    assert_eq!(stopped.len(), 2);
+    assert!(!stopped.contains(&in_b.task), "its run never existed");
+    for order in &orders {
+        let is_wanted = fleet.scheduler.is_start_wanted(&order.task, 1);
+        assert!(!is_wanted, "{order:?}");
+    }
+    assert!(starts(&changes).is_empty());
+    for order in orders.iter().filter(|o| **o != in_b) {
+        let now = fleet.now;
+        fleet.scheduler.handle_stop_reply(&order.task, 1, now);
+        fleet.advance(10).report(&order.worker, &[], Vec::new());
+    }
+    evacuate(&mut fleet, &[]);
+    let again = starts(&fleet.plan());
+    assert_eq!(again.len(), 3, "without a backoff");
+    assert!(again.iter().all(|o| o.attempt == 2));
+}
+
+/// Guards against a start that is repeated in an evacuated data centre because the first one was not
+/// answered, and against a stop of a run that this start began.
+#[test]
+fn an_unanswered_start_is_not_repeated_and_its_run_is_kept() {
+    let mut fleet = fleet_in(4, &["a"]);
+    fleet.submit("1", 1, step(2, 8));
+    let orders = starts(&fleet.plan());
+    let now = fleet.now;
+    for order in &orders {
+        let reply = StartReply::Unknown;
+        fleet
+            .scheduler
+            .handle_start_reply(&order.task, 1, reply, now);
+    }
+    evacuate(&mut fleet, &["a"]);
+    let repeated = starts(&fleet.plan());
+    assert_eq!(repeated.len(), 2);
+    for order in &repeated {
+        assert!(
+            fleet
+                .scheduler
+                .is_start_evacuated(&order.task, &order.worker)
+        );
+        fleet.scheduler.roll_back_start(&order.task, 1, now);
+    }
+    assert!(fleet.plan().orders.is_empty());
+    let [begun, lost] = &orders[..] else {
+        panic!("two subtasks were placed");
+    };
+    fleet
+        .advance(100)
+        .report(&begun.worker, &[begun], Vec::new());
+    fleet.report(&lost.worker, &[], Vec::new());
+    let changes = fleet.plan();
+    assert_eq!(stops(&changes).len(), 1);
+    assert_eq!(stops(&changes)[0].task, lost.task);
+    assert!(starts(&changes).is_empty());
+}
+
+/// Guards against a new leader that repeats the starts of its predecessor in an evacuated data centre.
+#[test]
+fn a_new_leader_repeats_no_start_there() {
+    let mut fleet = fleet_in(4, &["a"]);
+    fleet.submit("1", 1, step(1, 8));
+    let order = starts(&fleet.plan()).remove(0);
+    fleet.restart();
+    evacuate(&mut fleet, &["a"]);
+    fleet.advance(100).report(&order.worker, &[], Vec::new());
+    for repeated in starts(&fleet.plan()) {
+        let (task, worker) = (&repeated.task, &repeated.worker);
+        assert!(fleet.scheduler.is_start_evacuated(task, worker));
+    }
+}
+
+/// Guards against starts on a worker whose entry is gone, so that its data centre is forgotten.
+#[test]
+fn a_start_on_an_unlisted_worker_is_checked_too() {
+    let mut fleet = fleet_in(4, &["a"]);
+    fleet.submit("1", 1, step(1, 8));
+    let order = starts(&fleet.plan()).remove(0);
+    let infos = std::mem::take(&mut fleet.infos);
+    fleet.set_up();
+    evacuate(&mut fleet, &["b"]);
+    let is_evacuated = |fleet: &Fleet| {
+        fleet
+            .scheduler
+            .is_start_evacuated(&order.task, &order.worker)
+    };
+    assert!(!is_evacuated(&fleet));
+    evacuate(&mut fleet, &["a"]);
+    assert!(is_evacuated(&fleet));
+    fleet.restart();
+    evacuate(&mut fleet, &["b"]);
+    assert!(is_evacuated(&fleet), "its data centre is not known");
+    fleet.infos = infos;
+}
+
+/// Guards against a job that waits for its data rack while that can't start anything.
+#[test]
+fn an_evacuated_data_rack_is_no_reason_to_wait() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    evacuate(&mut fleet, &["b"]);
+    let near = Step {
+        data_rack: Some("r1".into()),
+        ..step(1, 8)
+    };
+    fleet.submit("1", 1, near);
+    assert_eq!(placed(&mut fleet), ["a"]);
+}
+
+/// Guards against a gang that waits for a rack which only an evacuated data centre has.
+#[test]
+fn racks_there_hold_no_gang() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    fleet.infos.remove(0);
+    fleet.infos[0].labels = vec!["a".into(), "r9".into()];
+    fleet.set_up();
+    evacuate(&mut fleet, &["b"]);
+    let tight = Step {
+        same_rack: true,
+        ..gang(3, 8)
+    };
+    fleet.submit("1", 1, tight);
+    assert_eq!(placed(&mut fleet), ["a"; 3]);
+}
+
+/// Guards against a job that runs on a worker without its label because those that have it are
+/// evacuated.
+#[test]
+fn a_label_stays_a_condition() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    for info in &mut fleet.infos[4..] {
+        info.labels.insert(0, "special".into());
+    }
+    fleet.set_up();
+    evacuate(&mut fleet, &["b"]);
+    let labelled = Step {
+        label: Some("special".into()),
+        ..step(1, 8)
+    };
+    fleet.submit("1", 1, labelled);
+    for _ in 0..100 {
+        assert!(fleet.advance(250).plan().orders.is_empty());
+    }
+    evacuate(&mut fleet, &[]);
+    assert_eq!(placed(&mut fleet), ["b"]);
+}
+
+/// Guards against preemption of runs whose resources nothing may use.
+#[test]
+fn no_run_there_is_preempted() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    fleet.submit("low", 2, step(8, 8));
+    let low = starts(&fleet.plan());
+    low.iter().for_each(|o| fleet.take(o));
+    evacuate(&mut fleet, &["b"]);
+    fleet.submit("urgent", 0, gang(6, 8));
+    for _ in 0..10 {
+        assert!(fleet.advance(250).plan().orders.is_empty());
+    }
+    fleet.submit("small", 0, gang(2, 8));
+    fleet.plan();
+    let stopped = stops(&fleet.advance(250).plan());
+    assert_eq!(zones_of(&fleet, &stopped), ["a"; 2]);
+}
+
+/// Guards against evacuated workers that count in a decision about the others, such as the reserve for
+/// urgent work or ample room.
+#[test]
+fn the_others_are_used_as_if_they_were_all() {
+    for seed in 0..30 {
+        let mut whole = fleet_in(16, &["a", "b"]);
+        let mut part = fleet_in(16, &["a", "b"]);
+        part.infos.retain(|i| &*i.zone == "a");
+        part.set_up();
+        evacuate(&mut whole, &["b"]);
+        let orders = [&mut whole, &mut part].map(|fleet| play(fleet, seed));
+        assert!(orders[0] == orders[1], "seed {seed}");
+        assert!(orders[0].iter().any(|o| !o.is_empty()));
+    }
+}
+
+/// Plays random submissions and ends, and returns the orders of each pass.
+fn play(fleet: &mut Fleet, seed: u64) -> Vec<Vec<Order>> {
+    let mut rng = Rng::with_seed(seed);
+    let mut running: Vec<(u64, Order)> = Vec::new();
+    let mut seqs: BTreeMap<Text, u64> = BTreeMap::new();
+    let mut all = Vec::new();
+    for i in 0..200 {
+        if rng.u32(..4) == 0 {
+            let priority = rng.u32(..3);
+            let rack = (rng.u32(..3) == 0).then(|| format!("r{}", 2 * rng.u32(..2)).into());
+            let count = rng.u32(1..5);
+            let step = match rng.u32(..3) {
+                0 => gang(count, 8),
+                1 => Step {
+                    same_rack: true,
+                    ..gang(count, 4)
+                },
+                _ => step(count, 4),
+            };
+            let step = Step {
+                data_rack: rack.filter(|_| !step.gang),
+                ..step
+            };
+            fleet.submit(&format!("j{i}"), priority, step);
+        }
+        let orders = fleet.advance(100).plan().orders;
+        settle(fleet, &orders, &mut running, &mut seqs, &mut rng);
+        all.push(orders);
+    }
+    all
+}
+
+/// Lets workers carry out orders at once and end their runs later.
+fn settle(
+    fleet: &mut Fleet,
+    orders: &[Order],
+    running: &mut Vec<(u64, Order)>,
+    seqs: &mut BTreeMap<Text, u64>,
+    rng: &mut Rng,
+) {
+    for order in orders {
+        if order.action == batch::worker::Action::Stop {
+            running.retain(|(_, o)| o.task != order.task);
+            end(fleet, order, seqs, Outcome::Stopped);
+        } else {
+            fleet.take(order);
+            running.push((fleet.now.0 + rng.u64(500..4_000), order.clone()));
+        }
+    }
+    let now = fleet.now.0;
+    let over: Vec<_> = running.extract_if(.., |(at, _)| *at <= now).collect();
+    for (_, order) in over {
+        end(fleet, &order, seqs, Outcome::Done);
+    }
+}
+
+fn end(fleet: &mut Fleet, order: &Order, seqs: &mut BTreeMap<Text, u64>, outcome: Outcome) {
+    let seq = seqs.entry(order.worker.clone()).or_default();
+    *seq += 1;
+    fleet.finish(order, *seq, outcome);
+}
+
+/// Guards against starts that slip through while data centres are evacuated and return in turn, orders
+/// wait in queues and leaders change, and against jobs that never run after that.
+#[test]
+fn random_evacuations_of_two_data_centres() {
+    for seed in 0..60 {
+        let mut history = History::new(seed);
+        for _ in 0..150 {
+            history.pass(true);
+        }
+        history.evacuated.clear();
+        for _ in 0..400 {
+            history.pass(false);
+        }
+        let counts = history.fleet.scheduler.counts();
+        assert_eq!((counts.open, counts.runs), (0, 0), "seed {seed}");
+    }
+}
+
+/// A fleet in three data centres, of which two are evacuated at times.
+struct History {
+    fleet: Fleet,
+    rng: Rng,
+    evacuated: Vec<&'static str>,
+    /// Orders that wait to be sent, with the time of their turn.
+    queued: Vec<(u64, Order)>,
+    running: Vec<(u64, Order)>,
+    seqs: BTreeMap<Text, u64>,
+    submitted: u32,
+    seed: u64,
+}
+
+impl History {
+    fn new(seed: u64) -> Self {
+        Self {
+            fleet: fleet_in(24, &["a", "b", "c"]),
+            rng: Rng::with_seed(seed),
+            evacuated: Vec::new(),
+            queued: Vec::new(),
+            running: Vec::new(),
+            seqs: BTreeMap::new(),
+            submitted: 0,
+            seed,
+        }
+    }
+
+    fn pass(&mut self, is_busy: bool) {
+        if is_busy && self.rng.u32(..10) == 0 {
+            let zone = self.rng.choice(["a", "b"]).unwrap();
+            match self.evacuated.iter().position(|z| *z == zone) {
+                Some(i) => drop(self.evacuated.remove(i)),
+                None => self.evacuated.push(zone),
+            }
+        }
+        if is_busy && self.rng.u32(..2) == 0 {
+            self.submitted += 1;
+            let count = self.rng.u32(1..7);
+            let step = match self.rng.bool() {
+                true => gang(count, 8),
+                false => step(count, 4),
+            };
+            let priority = self.rng.u32(..3);
+            self.fleet
+                .submit(&format!("j{}", self.submitted), priority, step);
+        }
+        self.fleet.advance(100);
+        evacuate(&mut self.fleet, &self.evacuated.clone());
+        let changes = self.fleet.plan();
+        self.check_placed(&changes);
+        for order in changes.orders {
+            let turn = self.fleet.now.0 + self.rng.u64(0..400);
+            self.queued.push((turn, order));
+        }
+        self.send();
+        let now = self.fleet.now.0;
+        let over: Vec<_> = self.running.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, order) in over {
+            if self.is_complete(&order) {
+                self.end(&order, Outcome::Done);
+            } else {
+                self.running.push((now + 100, order));
+            }
+        }
+    }
+
+    /// Returns whether all members of a gang run.
+    fn is_complete(&self, order: &Order) -> bool {
+        let of_job = |o: &Order| o.task.job == order.task.job;
+        let is_queued = self.queued.iter().any(|(_, o)| of_job(o));
+        !is_queued
+    }
+
+    fn check_placed(&self, changes: &PendingChanges) {
+        for order in starts(changes).iter().filter(|o| o.attempt > 0) {
+            let zone = zone_of(&self.fleet, &order.worker);
+            assert!(
+                !self.evacuated.contains(&zone),
+                "seed {}: {order:?}",
+                self.seed
+            );
+        }
+    }
+
+    /// Sends the orders whose turn it is, as a leader does.
+    fn send(&mut self) {
+        let now = self.fleet.now.0;
+        let due: Vec<_> = self.queued.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, order) in due {
+            let (task, attempt, at) = (&order.task, order.attempt, self.fleet.now);
+            let scheduler = &mut self.fleet.scheduler;
+            if order.action == batch::worker::Action::Stop {
+                if scheduler.is_stop_wanted(&order.worker, task, attempt) {
+                    let ran = self
+                        .running
+                        .extract_if(.., |(_, o)| o.task == *task)
+                        .count()
+                        > 0;
+                    scheduler.handle_stop_reply(task, attempt, at);
+                    if ran {
+                        self.end(&order, Outcome::Stopped);
+                    } else {
+                        self.fleet.advance(1);
+                        self.report_of(&order.worker);
+                    }
+                }
+            } else if !scheduler.is_start_wanted(task, attempt) {
+                scheduler.handle_unwanted_start(task, attempt);
+            } else if scheduler.is_start_evacuated(task, &order.worker) {
+                scheduler.roll_back_start(task, attempt, at);
+            } else {
+                let zone = zone_of(&self.fleet, &order.worker);
+                assert!(
+                    !self.evacuated.contains(&zone),
+                    "seed {}: {order:?}",
+                    self.seed
+                );
+                self.fleet.take(&order);
+                let end = now + self.rng.u64(300..3_000);
+                self.running.push((end, order));
+            }
+        }
+    }
+
+    fn report_of(&mut self, worker: &Text) {
+        let here = self.running.iter().map(|(_, o)| o);
+        let here: Vec<&Order> = here.filter(|o| o.worker == *worker).collect();
+        self.fleet.report(worker, &here, Vec::new());
+    }
+
+    fn end(&mut self, order: &Order, outcome: Outcome) {
+        let seq = self.seqs.entry(order.worker.clone()).or_default();
+        *seq += 1;
+        let finished = fleet::finished(order, *seq, outcome);
+        let here = self.running.iter().map(|(_, o)| o);
+        let here: Vec<&Order> = here.filter(|o| o.worker == order.worker).collect();
+        self.fleet.report(&order.worker, &here, vec![finished]);
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use base::clock::{self, Millis};
-use platform::{config, table::Changes};
+use platform::{config, evacuation, table::Changes};
 use store::table::{Row, StoreError};
 use transfer::{exchange::Exchange, limit::Limit};
 
@@ -91,28 +91,46 @@
     }
 }
 
-/// Reads the configuration without waiting for a change.
+/// Reads the configuration and the requests to evacuate data centres, without waiting for a change.
 async fn read(cx: &Cx) -> Result<Found, StoreError> {
     let started = clock::now();
-    let (_, key) = config::KEY.split_once('/').unwrap_or_default();
-    let page = cx
-        .table
-        .read(config::TABLE, key, &format!("{key} "))
-        .await?;
+    let (rows, version) = read_rows(cx).await?;
     let active = cx.active_config.borrow().row_version;
-    let is_newer = |row: &&Row| active > 0 && row.version > active;
-    let configs = page.rows.iter().filter(is_newer).count();
-    for row in &page.rows {
+    let configs = || rows.iter().filter(|r| &*r.key == config::KEY);
+    let newer = configs().filter(|r| active > 0 && r.version > active);
+    let newer = newer.count();
+    for row in configs() {
         apply(cx, row);
     }
+    if cx.evacuations.borrow_mut().replace(&rows) {
+        cx.config_changed.notify_waiters();
+    }
     confirm(cx, started);
     Ok(Found {
-        version: Some(page.version),
-        configs,
+        version: Some(version),
+        configs: newer,
         whole: true,
     })
 }
 
+/// Reads the rows from that of the configuration to the last request. Returns them with the version of
+/// the first page, after which the changes continue.
+async fn read_rows(cx: &Cx) -> Result<(Vec<Row>, u64), StoreError> {
+    let rest = |key: &str| key.split_once('/').map_or("", |(_, rest)| rest).to_owned();
+    let (mut rows, mut version, mut from) = (Vec::new(), None, rest(config::KEY));
+    loop {
+        let to = evacuation::KEYS_END;
+        let page = cx.table.read(config::TABLE, &from, to).await?;
+        let version = *version.get_or_insert(page.version);
+        rows.extend(page.rows);
+        match rows.last().filter(|_| page.has_more) {
+            // A space is the lowest byte in keys.
+            Some(last) => from = rest(&last.key) + " ",
+            None => return Ok((rows, version)),
+        }
+    }
+}
+
 /// Waits for a change of the configuration.
 async fn feed(cx: &Cx, version: u64, exchange: &Rc<Exchange>) -> Result<Changes, StoreError> {
     let is_old = cx.config_age().is_some_and(|age| age > OLD);
@@ -136,6 +154,7 @@
             let configs: Vec<&Row> = configs.filter(|r| &*r.key == config::KEY).collect();
             // The newest one that is valid.
             configs.iter().rev().any(|row| apply(cx, row));
+            apply_requests(cx, &rows);
             confirm(cx, started);
             (Some(version), configs.len())
         }
@@ -151,6 +170,18 @@
     })
 }
 
+/// Applies the changes of requests to evacuate data centres, each row with whether it was deleted.
+fn apply_requests(cx: &Cx, rows: &[(Row, bool)]) {
+    let mut requests = cx.evacuations.borrow_mut();
+    let mut has_changed = false;
+    for (row, deleted) in rows {
+        has_changed |= requests.apply(row, *deleted);
+    }
+    if has_changed {
+        cx.config_changed.notify_waiters();
+    }
+}
+
 /// Records that the active configuration was the newest one at `started`.
 fn confirm(cx: &Cx, started: Millis) {
     let mut active_config = cx.active_config.borrow_mut();
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, readiness,
+    evacuation, leader::Leader, metrics::Metrics, node_cfg::NodeCfg, peers::Peers, readiness,
     requests::Requests, rows,
 };
 
@@ -80,6 +80,9 @@
     pub(crate) workers: Workers,
     pub(crate) policy: Option<PolicyClient>,
     pub(crate) active_config: RefCell<ActiveConfig>,
+    /// Requests to evacuate data centres, confirmed together with the configuration.
+    pub(crate) evacuations: RefCell<evacuation::Requests>,
+    /// Notified when the configuration or the set of evacuated data centres has changed.
     pub(crate) config_changed: Notify,
     pub(crate) lease: RefCell<Lease>,
     /// Wakes the lease task early, after the lease was marked as lost or is to be released.
@@ -147,6 +150,7 @@
                 .await?
                 .with_account(calls.clone()),
             active_config: RefCell::default(),
+            evacuations: RefCell::default(),
             config_changed: Notify::new(),
             lease: RefCell::new(Lease::new(candidate.id, cfg.lease)),
             wake_lease_task: Notify::new(),
@@ -175,6 +179,20 @@
         Some(clock::now().since(confirmed_at))
     }
 
+    /// Returns whether starts may be decided and sent: the configuration was read, and the requests to
+    /// evacuate data centres are new enough, if there may be any.
+    pub(crate) fn may_start(&self) -> bool {
+        let max_age = evacuation::max_age(self.cfg.evacuate_ms);
+        let age = self.config_age();
+        age.is_some_and(|age| max_age.is_none_or(|max| age <= max))
+    }
+
+    /// Returns the time within which a start that is sent now has to be carried out, if that matters.
+    pub(crate) fn start_limit(&self) -> Option<Millis> {
+        let bound = self.cfg.evacuate_ms?;
+        Some(bound.since(self.config_age()?))
+    }
+
     /// Returns whether the store has served a call of this node after `time`, at least in part.
     pub(crate) fn store_served_after(&self, time: Millis) -> bool {
         let tables = [&self.table, &self.lease_table, &self.feed_table];
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -219,13 +219,14 @@
     let (now, wall_now) = (clock::now(), clock::wall());
     let mut scheduler = leader.scheduler.borrow_mut();
     scheduler.configure(&cx.config());
+    scheduler.set_evacuated(cx.evacuations.borrow().zones(), now);
     let next = scheduler.open_due_occurrences(wall_now);
     // Without a valid lease no new decisions are made, because they could not be committed.
     if cx.acting().is_some() {
         scheduler.evacuate(now);
         // Without the configuration no queue has a priority, and each worker seems to check its
-        // capacity itself.
-        if cx.config_age().is_some() {
+        // capacity itself. With an old one, data centres may have been evacuated since.
+        if cx.may_start() {
             let pending = leader.pending_starts.get();
             scheduler.set_max_starts(leader.window.max_starts().saturating_sub(pending));
             scheduler.place(now, wall_now);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod config_diff;
 mod cx;
 mod dump;
+mod evacuation;
 mod extension;
 mod front;
 mod intake;
--- a/crates/node/src/node_cfg.rs
+++ b/crates/node/src/node_cfg.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use settings::CfgError;
 
+use crate::evacuation::MIN_EVACUATE_MS;
+
 /// Settings of a node, as JSON with comments.
 ///
 /// ```
@@ -18,6 +20,8 @@
 /// assert!(e.to_string().contains("row_bytes: invalid value 10: must be at least 8192"));
 /// let e = node::node_cfg::read("{ link_mbps: 0 }").unwrap_err();
 /// assert!(e.to_string().contains("link_mbps: invalid value 0.0: must be at least 0.032"));
+/// let e = node::node_cfg::read("{ evacuate_ms: 500 }").unwrap_err();
+/// assert!(e.to_string().contains("evacuate_ms: invalid value 500: must be at least 2000"));
 /// let e = node::node_cfg::read("{ nmae: 'n1' }").unwrap_err();
 /// assert!(e.to_string().contains("nmae: invalid value \"n1\": unknown setting"));
 /// ```
@@ -51,6 +55,9 @@
     pub worker_stop_ms: Millis,
     /// Time after which every node refuses a removed API key.
     pub revoke_ms: Millis,
+    /// Time after a request to evacuate a data centre from which on no subtask starts there; `None` if
+    /// there are no such requests.
+    pub evacuate_ms: Option<Millis>,
     /// Time that a run needs to continue from a checkpoint.
     pub restore_ms: Millis,
     /// Time for which the phase of a job can be read after its end.
@@ -108,6 +115,7 @@
             worker_drain_ms: Millis(2_000),
             worker_stop_ms: Millis(1_000),
             revoke_ms: Millis(5_000),
+            evacuate_ms: None,
             restore_ms: Millis(600),
             keep_ms: Millis::from_secs(120),
             grace_ms: Millis(6_000),
@@ -153,6 +161,14 @@
             problem,
         ));
     }
+    if let Some(bound) = cfg.evacuate_ms.filter(|t| *t < MIN_EVACUATE_MS) {
+        let problem = format!("must be at least {MIN_EVACUATE_MS}");
+        return Err(settings::invalid_value(
+            "evacuate_ms",
+            &bound.0.into(),
+            problem,
+        ));
+    }
     let lease = &cfg.lease;
     settings::check_less(
         "lease.renew_ms",
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -40,9 +40,6 @@
 async fn send_one(cx: Cx, leader: Rc<Leader>, order: Order, position: u64) {
     let is_start = matches!(order.action, Action::Start { .. });
     let _pending = is_start.then(|| PendingStart::new(&leader));
-    if is_start {
-        wait_for_config(&cx, &leader).await;
-    }
     let Some(calls) = worker_session::calls(&leader, &order.worker) else {
         log::warn!(task:% = order.task, worker:% = order.worker; "orders: the address of the worker is unknown");
         return handle_unsent(&leader, &order);
@@ -50,6 +47,9 @@
     let place = (class(&leader, &order), position);
     let permit = loop {
         wait_for_lease(&cx, &leader, &order).await;
+        if is_start {
+            wait_for_config(&cx, &leader, &order).await;
+        }
         let permit = calls.acquire(Place::Last, &leader.window, place).await;
         if leader.ended.get() {
             return;
@@ -58,10 +58,11 @@
             log::info!(task:% = order.task, worker:% = order.worker; "orders: not sent to a silent worker");
             return handle_unsent(&leader, &order);
         };
-        if cx.acting().is_some() {
+        if cx.acting().is_some() && (!is_start || cx.may_start()) {
             break permit;
         }
-        // The time until the lease is valid again says nothing about the link or the worker.
+        // The time until the lease is valid again, or the configuration is confirmed, says nothing about
+        // the link or the worker.
         permit.cancel();
     };
     let Some(target) = worker_session::target(&leader, &order.worker) else {
@@ -123,12 +124,13 @@
             return refuse_unsent(cx, leader, order, Refusal::Unhealthy);
         }
         permit.set_answered();
-        if cx.acting().is_none() {
+        if cx.acting().is_none() || !cx.may_start() {
             drop(permit);
             return send(cx, leader, vec![order.clone()]);
         }
     }
     let limit = permit.limit.since(clock::now().since(began));
+    let limit = cx.start_limit().map_or(limit, |max| limit.min(max));
     let wanted = leader
         .scheduler
         .borrow()
@@ -139,6 +141,11 @@
         let mut scheduler = leader.scheduler.borrow_mut();
         return scheduler.handle_unwanted_start(&order.task, order.attempt);
     }
+    if !is_admitted_by_zone(cx, leader, order) {
+        cx.metrics.count_order("start", "evacuated");
+        leader.changed.notify_one();
+        return;
+    }
     let fits = {
         let mut scheduler = leader.scheduler.borrow_mut();
         // The configuration may have been read after the last pass.
@@ -256,14 +263,31 @@
     }
 }
 
-/// Waits until the configuration has been read. Without it, each worker seems to check its capacity
-/// itself.
-async fn wait_for_config(cx: &Cx, leader: &Leader) {
-    while cx.config_age().is_none() && !leader.ended.get() {
+/// Waits until the configuration has been read, and confirmed recently enough if data centres may be
+/// evacuated. Without it, each worker seems to check its capacity itself.
+async fn wait_for_config(cx: &Cx, leader: &Leader, order: &Order) {
+    if leader.ended.get() || cx.may_start() {
+        return;
+    }
+    let age_ms = cx.config_age().map(|a| a.0);
+    log::info!(task:% = order.task, attempt = order.attempt, age_ms; "orders: waits for the configuration");
+    while !leader.ended.get() && !cx.may_start() {
         cx::sleep(CONFIG_POLL_INTERVAL).await;
     }
 }
 
+/// Returns whether a start may be sent to the data centre of its worker. One that may not is rolled back:
+/// it may have waited for its turn since before the request to evacuate.
+fn is_admitted_by_zone(cx: &Cx, leader: &Leader, order: &Order) -> bool {
+    let (mut scheduler, now) = (leader.scheduler.borrow_mut(), clock::now());
+    scheduler.set_evacuated(cx.evacuations.borrow().zones(), now);
+    let is_evacuated = scheduler.is_start_evacuated(&order.task, &order.worker);
+    if is_evacuated {
+        scheduler.roll_back_start(&order.task, order.attempt, now);
+    }
+    !is_evacuated
+}
+
 const fn outcome(reply: StartReply) -> &'static str {
     match reply {
         StartReply::Taken => "taken",
