evacuation: cold workers last, dump, metrics and log lines

Cause: workers are slow for some seconds after an evacuation, and an operator could not see what is left in a data centre.

Change: workers whose entry has cold-remaining-ms above 0 are used after warm ones that fit. The leader logs when it begins and ceases to hold starts back. The random histories of the test have changes of leader too.

--- a/crates/batch/src/candidates.rs
+++ b/crates/batch/src/candidates.rs
@@ -42,6 +42,8 @@
     pub(crate) excess: Resources,
     /// Whether the worker gets no work that others have room for, after failures or outages.
     pub(crate) is_held_off: bool,
+    /// Whether the worker is still slow.
+    pub(crate) is_cold: bool,
     /// Whether only urgent work may be placed here.
     pub(crate) reserved_for_urgent: bool,
     /// Whether a run on the worker has a response time target.
@@ -301,6 +303,7 @@
                 capacity: info.capacity,
                 excess: Resources::default(),
                 is_held_off: now < worker.held_off_until(),
+                is_cold: worker.is_cold(now),
                 reserved_for_urgent: false,
                 has_latency_target: false,
                 has_filler: false,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -51,4 +51,4 @@
 pub mod worker_clock;
 pub mod worker_end;
 mod worker_state;
-mod zone_evacuation;
+pub mod zone_evacuation;
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -367,7 +367,8 @@
             (found.len() == self.unit.tasks.len()).then_some((free, found))
         });
         // Prefers the fullest rack, so that the others stay free for large gangs.
-        let best = fitting.min_by_key(|(free, _)| *free);
+        let cold = |found: &[usize]| found.iter().filter(|i| candidates.all[**i].is_cold).count();
+        let best = fitting.min_by_key(|(free, found)| (cold(found), *free));
         best.map_or_else(Vec::new, |(_, found)| found)
     }
 
@@ -397,7 +398,11 @@
             // A crash of an emptier worker hits fewer others.
             fitting.reverse();
         }
-        fitting.sort_by_key(|(_, i, _)| candidates.all[*i].is_held_off);
+        // Many starts at once would keep workers slow that have just returned to service.
+        fitting.sort_by_key(|(_, i, _)| {
+            let candidate = &candidates.all[*i];
+            (candidate.is_held_off, candidate.is_cold)
+        });
         let mut found = Vec::with_capacity(wanted);
         for (_, i, count) in fitting {
             let rest = (wanted - found.len()) as u64;
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -21,6 +21,8 @@
     pub draining: bool,
     /// Minimum time until a draining worker shuts down.
     pub remaining: Option<Millis>,
+    /// Time for which the worker is still slow, because it was idle or has just started.
+    pub cold: Option<Millis>,
     /// Total resources of the worker.
     pub capacity: Resources,
     /// Labels of the worker; the last one names the rack.
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -226,6 +226,12 @@
         is_current.then(|| (clock + now.since(at)).since(info.clock))
     }
 
+    /// Returns whether the worker is slow for some time after it was idle or has started.
+    pub(crate) fn is_cold(&self, now: Millis) -> bool {
+        let cold = self.info.as_ref().and_then(|i| i.cold);
+        cold.is_some_and(|time| time > self.entry_age(now).unwrap_or_default())
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let labels = self.info.iter().flat_map(|i| &i.labels);
         labels.into_iter().any(|l| &**l == label)
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -300,6 +300,7 @@
         zone: "z".into(),
         draining: false,
         remaining: None,
+        cold: None,
         capacity: Resources {
             cpu: 64_000,
             memory_mb: 262_144,
--- a/crates/batch/tests/zone_evacuation.rs
+++ b/crates/batch/tests/zone_evacuation.rs
@@ -2,10 +2,11 @@
 
 mod fleet;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use base::clock::Millis;
 use batch::{
-    job::{Step, Text},
+    job::{Step, SubtaskId, Text},
     scheduler::PendingChanges,
     worker::{Order, Outcome, StartReply},
 };
@@ -71,7 +72,9 @@
     fleet.submit("lasting", 1, lasting);
     let orders = starts(&fleet.plan());
     assert_eq!(orders.len(), 3);
-    orders.iter().for_each(|o| fleet.take(o));
+    for order in &orders {
+        fleet.take(order);
+    }
     evacuate(&mut fleet, &["a"]);
     for _ in 0..20 {
         assert!(fleet.advance(250).plan().orders.is_empty());
@@ -259,7 +262,9 @@
     let mut fleet = fleet_in(8, &["a", "b"]);
     fleet.submit("low", 2, step(8, 8));
     let low = starts(&fleet.plan());
-    low.iter().for_each(|o| fleet.take(o));
+    for order in &low {
+        fleet.take(order);
+    }
     evacuate(&mut fleet, &["b"]);
     fleet.submit("urgent", 0, gang(6, 8));
     for _ in 0..10 {
@@ -349,6 +354,75 @@
     fleet.finish(order, *seq, outcome);
 }
 
+/// Guards against a burst of starts on workers that are slow after an evacuation, while others have room.
+#[test]
+fn cold_workers_are_used_after_warm_ones() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    for info in &mut fleet.infos[..4] {
+        info.cold = Some(Millis(3_000));
+    }
+    fleet.set_up();
+    // The fullest workers come first among equally warm ones.
+    fleet.submit("0", 1, step(1, 4));
+    assert_eq!(placed(&mut fleet), ["b"]);
+    fleet.submit("1", 1, step(8, 4));
+    let zones = placed(&mut fleet);
+    assert_eq!(zones, [["b"; 7].as_slice(), &["a"]].concat());
+    let tight = Step {
+        same_rack: true,
+        ..gang(2, 4)
+    };
+    fleet.submit("2", 1, tight);
+    assert_eq!(placed(&mut fleet), ["a"; 2], "they are not excluded");
+}
+
+/// Guards against a worker that counts as cold for as long as its entry is not written again.
+#[test]
+fn a_worker_is_cold_for_the_time_that_its_entry_tells() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    for info in &mut fleet.infos[..4] {
+        info.cold = Some(Millis(1_000));
+        info.clock = fleet.now;
+    }
+    fleet.set_up();
+    fleet.report("w00", &[], Vec::new());
+    fleet.submit("0", 1, step(1, 4));
+    assert_eq!(placed(&mut fleet), ["b"]);
+    fleet.submit("1", 1, step(7, 4));
+    assert_eq!(placed(&mut fleet), ["b"; 7]);
+    fleet.advance(1_000).submit("2", 1, step(1, 4));
+    let order = starts(&fleet.plan()).remove(0);
+    assert_eq!(&*order.worker, "w00", "only its age is known");
+}
+
+/// Guards against an operator who waits for runs that are not listed, or for lasting ones, which do not
+/// end by themselves.
+#[test]
+fn the_runs_that_are_left_are_listed() {
+    let mut fleet = fleet_in(8, &["a", "b"]);
+    let lasting = Step {
+        endless: true,
+        ..step(2, 8)
+    };
+    fleet.submit("lasting", 1, lasting);
+    fleet.submit("bounded", 1, step(30, 1));
+    let in_a = |o: &&Order| o.worker < "w04".into();
+    let orders = starts(&fleet.plan());
+    let count = orders.iter().filter(in_a).count();
+    evacuate(&mut fleet, &["a"]);
+    let zones = fleet.scheduler.evacuated_zones();
+    let [zone] = &zones[..] else {
+        panic!("one data centre is evacuated");
+    };
+    assert_eq!((&*zone.zone, zone.workers, zone.runs), ("a", 4, count));
+    let is_lasting = |o: &&Order| &*o.task.job == "lasting";
+    let lasting = orders.iter().filter(in_a).filter(is_lasting).count();
+    assert_eq!(zone.lasting, lasting);
+    assert_eq!(zone.left.len(), count.min(20));
+    let listed = zone.left.iter().filter(|r| r.lasting).count();
+    assert_eq!(listed, lasting, "those that do not end come first");
+}
+
 /// Guards against starts that slip through while data centres are evacuated and return in turn, orders
 /// wait in queues and leaders change, and against jobs that never run after that.
 #[test]
@@ -375,8 +449,11 @@
     /// Orders that wait to be sent, with the time of their turn.
     queued: Vec<(u64, Order)>,
     running: Vec<(u64, Order)>,
+    /// Subtasks and attempts of all starts so far.
+    placed: BTreeSet<(SubtaskId, u32)>,
     seqs: BTreeMap<Text, u64>,
     submitted: u32,
+    passes: u32,
     seed: u64,
 }
 
@@ -388,8 +465,10 @@
             evacuated: Vec::new(),
             queued: Vec::new(),
             running: Vec::new(),
+            placed: BTreeSet::new(),
             seqs: BTreeMap::new(),
             submitted: 0,
+            passes: 0,
             seed,
         }
     }
@@ -405,9 +484,10 @@
         if is_busy && self.rng.u32(..2) == 0 {
             self.submitted += 1;
             let count = self.rng.u32(1..7);
-            let step = match self.rng.bool() {
-                true => gang(count, 8),
-                false => step(count, 4),
+            let step = if self.rng.bool() {
+                gang(count, 8)
+            } else {
+                step(count, 4)
             };
             let priority = self.rng.u32(..3);
             self.fleet
@@ -421,6 +501,13 @@
             let turn = self.fleet.now.0 + self.rng.u64(0..400);
             self.queued.push((turn, order));
         }
+        if is_busy && self.rng.u32(..30) == 0 {
+            self.change_leader();
+        }
+        self.passes += 1;
+        if self.passes % 15 == 0 {
+            self.report_all();
+        }
         self.send();
         let now = self.fleet.now.0;
         let over: Vec<_> = self.running.extract_if(.., |(at, _)| *at <= now).collect();
@@ -440,8 +527,28 @@
         !is_queued
     }
 
-    fn check_placed(&self, changes: &PendingChanges) {
-        for order in starts(changes).iter().filter(|o| o.attempt > 0) {
+    /// Lets another leader take over, which knows only what was committed, and loses all orders that wait.
+    fn change_leader(&mut self) {
+        self.queued.clear();
+        self.fleet.advance(1).restart();
+        self.report_all();
+    }
+
+    /// Delivers the reports of all workers, each of which answers a renewal within 1.5 s.
+    fn report_all(&mut self) {
+        let workers: Vec<Text> = self.fleet.infos.iter().map(|i| i.id.clone()).collect();
+        for worker in workers {
+            self.report_of(&worker);
+        }
+    }
+
+    /// Asserts that no new start is ordered in an evacuated data centre. A new leader may order those of its
+    /// predecessor again, which are not sent then.
+    fn check_placed(&mut self, changes: &PendingChanges) {
+        for order in &starts(changes) {
+            if !self.placed.insert((order.task.clone(), order.attempt)) {
+                continue;
+            }
             let zone = zone_of(&self.fleet, &order.worker);
             assert!(
                 !self.evacuated.contains(&zone),
--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -45,6 +45,11 @@
         &self.zones
     }
 
+    /// Returns the requests with the names of their data centres, in the order of [`Self::zones`].
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Text, &Request)> {
+        self.by_zone.iter()
+    }
+
     /// Replaces all requests by those among `rows`, which were read together. Returns whether the set
     /// of data centres has changed.
     pub(crate) fn replace(&mut self, rows: &[Row]) -> bool {
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -81,6 +81,8 @@
     pub(crate) feed: Cell<(u64, Millis)>,
     /// Version and sequence number of the last commit.
     pub(crate) chain: Cell<(u64, u64)>,
+    /// Time since when no start is decided or sent, because the configuration was confirmed too long ago.
+    pub(crate) starts_held_since: Cell<Option<Millis>>,
     /// Notified when something changed that requires a pass.
     pub(crate) changed: Notify,
     /// Notified when there is something to commit.
@@ -125,6 +127,7 @@
             read_again: Notify::new(),
             feed: Cell::default(),
             chain: Cell::default(),
+            starts_held_since: Cell::default(),
             changed: Notify::new(),
             dirty: Notify::new(),
             committed: Notify::new(),
@@ -221,6 +224,7 @@
     scheduler.configure(&cx.config());
     scheduler.set_evacuated(cx.evacuations.borrow().zones(), now);
     let next = scheduler.open_due_occurrences(wall_now);
+    log_held_starts(cx, leader, now);
     // Without a valid lease no new decisions are made, because they could not be committed.
     if cx.acting().is_some() {
         scheduler.evacuate(now);
@@ -243,3 +247,21 @@
         MAX_PASS_INTERVAL.min(due.since(wall_now)).max(Millis(1))
     })
 }
+
+/// Logs when starts begin and cease to wait for the configuration.
+fn log_held_starts(cx: &Cx, leader: &Leader, now: Millis) {
+    let (is_held, since) = (!cx.may_start(), leader.starts_held_since.get());
+    let age_ms = cx.config_age().map(|a| a.0);
+    match since {
+        None if is_held => {
+            log::warn!(fence = leader.held.fence, age_ms; "leader: holds starts back until the configuration is confirmed");
+            leader.starts_held_since.set(Some(now));
+        }
+        Some(since) if !is_held => {
+            let held_ms = now.since(since).0;
+            log::info!(fence = leader.held.fence, age_ms, held_ms, pending = leader.pending_starts.get(); "leader: sends starts again");
+            leader.starts_held_since.set(None);
+        }
+        _ => {}
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -42,6 +42,9 @@
     ready: Gauge<u64>,
     config_version: Gauge<u64>,
     config_age: Gauge<u64>,
+    evacuated_zones: Gauge<u64>,
+    evacuated_runs: Gauge<u64>,
+    starts_held: Gauge<u64>,
     leading: Gauge<u64>,
     acting: Gauge<u64>,
     lease_age: Gauge<u64>,
@@ -86,6 +89,9 @@
             ready: exporter.gauge("node_ready"),
             config_version: exporter.gauge("node_config_version"),
             config_age: exporter.gauge("node_config_age_ms"),
+            evacuated_zones: exporter.gauge("node_evacuated_zones"),
+            evacuated_runs: exporter.gauge("node_evacuated_runs"),
+            starts_held: exporter.gauge("node_starts_held"),
             leading: exporter.gauge("node_leading"),
             acting: exporter.gauge("node_acting"),
             lease_age: exporter.gauge("node_lease_age_ms"),
@@ -216,6 +222,8 @@
         self.ready.record(u64::from(is_ready), &[]);
         self.config_version.record(cx.config().version, &[]);
         self.config_age.record(age.0, &[]);
+        let evacuated = cx.evacuations.borrow().zones().len();
+        self.evacuated_zones.record(evacuated as u64, &[]);
         self.connections.record(cx.connections.open() as u64, &[]);
         self.refused_connections
             .record(cx.connections.refused(), &[]);
@@ -234,11 +242,15 @@
         };
         self.feed_version.record(feed_version, &[]);
         self.feed_age.record(feed_age.0, &[]);
+        let holds_starts = leader.as_ref().is_some_and(|_| !cx.may_start());
+        self.starts_held.record(u64::from(holds_starts), &[]);
         let of_leader = leader.map(|l| {
             let scheduler = l.scheduler.borrow();
-            (scheduler.counts(), scheduler.usage())
+            let left = scheduler.evacuated_zones().iter().map(|z| z.runs).sum();
+            (scheduler.counts(), scheduler.usage(), left)
         });
-        let (counts, usage) = of_leader.unwrap_or_default();
+        let (counts, usage, left): (_, _, usize) = of_leader.unwrap_or_default();
+        self.evacuated_runs.record(left as u64, &[]);
         self.open_jobs.record(counts.open as u64, &[]);
         self.runs.record(counts.runs as u64, &[]);
         self.workers.record(counts.workers as u64, &[]);
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -48,7 +48,7 @@
     let permit = loop {
         wait_for_lease(&cx, &leader, &order).await;
         if is_start {
-            wait_for_config(&cx, &leader, &order).await;
+            wait_for_config(&cx, &leader).await;
         }
         let permit = calls.acquire(Place::Last, &leader.window, place).await;
         if leader.ended.get() {
@@ -265,12 +265,7 @@
 
 /// Waits until the configuration has been read, and confirmed recently enough if data centres may be
 /// evacuated. Without it, each worker seems to check its capacity itself.
-async fn wait_for_config(cx: &Cx, leader: &Leader, order: &Order) {
-    if leader.ended.get() || cx.may_start() {
-        return;
-    }
-    let age_ms = cx.config_age().map(|a| a.0);
-    log::info!(task:% = order.task, attempt = order.attempt, age_ms; "orders: waits for the configuration");
+async fn wait_for_config(cx: &Cx, leader: &Leader) {
     while !leader.ended.get() && !cx.may_start() {
         cx::sleep(CONFIG_POLL_INTERVAL).await;
     }
