--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -336,9 +336,9 @@
         if of_service.map(|c| count(c.capacity)).sum::<u64>() >= wanted {
             return true;
         }
-        // Workers that don't take work now may do so soon, unless they are about to leave.
+        // Workers that don't take work now may do so soon, unless they are about to leave or evacuated.
         let infos = self.scheduler.workers.values().filter_map(|w| {
-            let is_of_rack = w.rack() == Some(rack);
+            let is_of_rack = w.rack() == Some(rack) && !self.scheduler.is_evacuated(w);
             let info = w.info.as_ref().filter(|_| is_of_rack)?;
             (info.service == *self.service && !info.draining).then_some(info)
         });
@@ -367,7 +367,8 @@
             (found.len() == self.unit.tasks.len()).then_some((free, found))
         });
         // Prefers the fullest rack, so that the others stay free for large gangs.
-        let best = fitting.min_by_key(|(free, _)| *free);
+        let cold = |found: &[usize]| found.iter().filter(|i| candidates.all[**i].is_cold).count();
+        let best = fitting.min_by_key(|(free, found)| (cold(found), *free));
         best.map_or_else(Vec::new, |(_, found)| found)
     }
 
@@ -397,7 +398,11 @@
             // A crash of an emptier worker hits fewer others.
             fitting.reverse();
         }
-        fitting.sort_by_key(|(_, i, _)| candidates.all[*i].is_held_off);
+        // Many starts at once would keep workers slow that have just returned to service.
+        fitting.sort_by_key(|(_, i, _)| {
+            let candidate = &candidates.all[*i];
+            (candidate.is_held_off, candidate.is_cold)
+        });
         let mut found = Vec::with_capacity(wanted);
         for (_, i, count) in fitting {
             let rest = (wanted - found.len()) as u64;
--- a/crates/batch/src/worker_state.rs
+++ b/crates/batch/src/worker_state.rs
@@ -47,6 +47,8 @@
     pub(crate) address: Text,
     /// Last listed hardware.
     pub(crate) machine: Option<Text>,
+    /// Last listed data centre; `None` if the worker was never listed.
+    pub(crate) zone: Option<Text>,
     /// Last listed capacity.
     pub(crate) last_capacity: Option<Resources>,
     /// Incarnation that wrote the last entry, and the time on its clock.
@@ -224,6 +226,12 @@
         is_current.then(|| (clock + now.since(at)).since(info.clock))
     }
 
+    /// Returns whether the worker is slow for some time after it was idle or has started.
+    pub(crate) fn is_cold(&self, now: Millis) -> bool {
+        let cold = self.info.as_ref().and_then(|i| i.cold);
+        cold.is_some_and(|time| time > self.entry_age(now).unwrap_or_default())
+    }
+
     pub(crate) fn has_label(&self, label: &str) -> bool {
         let labels = self.info.iter().flat_map(|i| &i.labels);
         labels.into_iter().any(|l| &**l == label)
