--- a/crates/forecast/src/observation.rs
+++ b/crates/forecast/src/observation.rs
@@ -22,6 +22,8 @@
 pub struct Observation<'a> {
     /// Number that the subtasks of one step share.
     pub step: u64,
+    /// Index of the subtask within the step. A worker may run several subtasks of a step.
+    pub index: usize,
     /// Kind of work.
     pub kind: &'a Kind,
     /// Id of the worker.
