batch: place by expected end on workers of different speeds

The progress and the ends of runs now feed the forecast, except for those whose run time has other reasons (checkpoints, cold workers, away from data or rack, starts of earlier leaders). A pure module, speed_class, decides which workers are slow for urgent work and which workers a unit uses first:

- work that is in time only elsewhere avoids slow workers, urgent work preempts there first, then waits up to 1.5 s for runs that end shortly if it gains by that, then uses slow workers;
- work with slack uses slow workers first, then unknown ones;
- gangs go on workers of one class if one can hold them;
- the reserve for urgent work is kept on workers that are not slow.

--- a/crates/batch/examples/large_site.rs
+++ b/crates/batch/examples/large_site.rs
@@ -403,6 +403,7 @@
         zone: "z".into(),
         draining: false,
         remaining: None,
+        cold_remaining: None,
         capacity: Resources {
             cpu: 64_000,
             memory_mb: 131_072,
--- a/crates/batch/src/candidates.rs
+++ b/crates/batch/src/candidates.rs
@@ -1,6 +1,7 @@
 //! Workers that can take new subtasks, with their free resources during one scheduling pass.
 
 use base::clock::Millis;
+use forecast::predictor::Slowness;
 
 use crate::{
     isolation::IsolationState,
@@ -8,6 +9,7 @@
     open_job::Job,
     progress::RunState,
     scheduler::JobScheduler,
+    speed_class::{SpeedClass, SpeedSet, Speeds},
     worker_end::PROVING_TIME,
 };
 
@@ -15,6 +17,10 @@
 /// of a typical deferrable run, so held resources are used within about one generation of runs.
 const SOON_LIMIT: Millis = Millis(8_000);
 
+/// Time within which runs end that urgent work waits for rather than use slow workers. It is about half
+/// of an urgent run, so that several of those under way end within it.
+pub(crate) const SHORT_WAIT: Millis = Millis(1_000);
+
 /// A worker that takes new work, with its free resources.
 #[derive(Clone, Debug)]
 #[expect(
@@ -35,6 +41,8 @@
     pub(crate) free_after_stops: Resources,
     /// Resources that are free once the runs that end within [`SOON_LIMIT`] have ended.
     pub(crate) free_soon: Resources,
+    /// Resources that are free once the runs that end within [`SHORT_WAIT`] have ended.
+    pub(crate) free_shortly: Resources,
     /// Total resources of the worker.
     pub(crate) capacity: Resources,
     /// Resources by which runs exceed a capacity that has shrunk, once the ordered stops have taken
@@ -49,6 +57,9 @@
     /// Whether a run on the worker uses only leftover processor time.
     pub(crate) has_filler: bool,
     pub(crate) isolation: IsolationState,
+    pub(crate) slowness: Slowness,
+    /// Class by its speed if its service has [speeds](Candidates::speeds).
+    pub(crate) speed: SpeedClass,
 }
 
 /// Point in time whose free resources a search considers.
@@ -56,6 +67,7 @@
 pub(crate) enum FreeAt {
     Now,
     AfterStops,
+    Shortly,
     Soon,
 }
 
@@ -64,6 +76,7 @@
         match when {
             FreeAt::Now => self.free,
             FreeAt::AfterStops => self.free_after_stops,
+            FreeAt::Shortly => self.free_shortly,
             FreeAt::Soon => self.free_soon,
         }
     }
@@ -71,6 +84,7 @@
     pub(crate) fn take(&mut self, need: Resources) {
         self.free = self.free.saturating_sub(need);
         self.free_after_stops = self.free_after_stops.saturating_sub(need);
+        self.free_shortly = self.free_shortly.saturating_sub(need);
         self.free_soon = self.free_soon.saturating_sub(need);
     }
 
@@ -100,6 +114,8 @@
     pub(crate) one_rack: bool,
     /// Whether workers that are reserved for urgent work count.
     pub(crate) urgent: bool,
+    /// Workers that count by their speed.
+    pub(crate) speeds: SpeedSet,
 }
 
 impl SearchRequest {
@@ -110,6 +126,7 @@
             && self.count <= other.count
             && (other.one_rack || !self.one_rack)
             && (self.urgent || !other.urgent)
+            && self.speeds.covers(other.speeds)
             && self.service == other.service
     }
 }
@@ -127,6 +144,8 @@
     pub(crate) has_held_off: bool,
     /// Whether more than half of each service was free, that of workers that are held off included.
     are_half_idle: Vec<bool>,
+    /// Speeds of each service that has slow workers, in the order of `services`.
+    speeds: Vec<Option<Speeds>>,
     /// Names of the racks, sorted.
     racks: Vec<Text>,
     /// Indices of the candidates of each rack, in the order of `racks`.
@@ -191,6 +210,41 @@
         self.services.iter().position(|s| s == name)
     }
 
+    /// Returns the speeds of a service, if it has workers that are slow for urgent work.
+    pub(crate) fn speeds(&self, service: usize) -> Option<&Speeds> {
+        self.speeds.get(service)?.as_ref()
+    }
+
+    /// Returns whether a service has workers that are slow for urgent work.
+    pub(crate) fn has_slow_workers(&self) -> bool {
+        self.speeds.iter().any(Option::is_some)
+    }
+
+    /// Returns the number of workers that are slow for urgent work.
+    pub(crate) fn slow_workers(&self) -> usize {
+        let slow = self.all.iter().filter(|c| c.speed == SpeedClass::Slow);
+        slow.count()
+    }
+
+    /// Sets the speeds of a service and the classes of its workers.
+    fn set_speeds(&mut self, service: usize, limit: f64) {
+        let of_service = |c: &&Candidate| c.service == service;
+        let all: Vec<Slowness> = self
+            .all
+            .iter()
+            .filter(of_service)
+            .map(|c| c.slowness)
+            .collect();
+        let Some(speeds) = Speeds::of(&all, limit) else {
+            return;
+        };
+        for candidate in self.all.iter_mut().filter(|c| c.service == service) {
+            candidate.speed = speeds.class(candidate.slowness);
+        }
+        self.speeds.resize(self.services.len(), None);
+        self.speeds[service] = Some(speeds);
+    }
+
     /// Returns whether more than half of a service was free at the beginning of the pass.
     pub(crate) fn has_ample_room(&self, service: usize) -> bool {
         self.have_ample_room[service]
@@ -232,13 +286,18 @@
 
     /// Reserves idle workers for urgent work until they have `reserve` accelerators in total.
     /// Urgent jobs often need all accelerators of several workers in one rack, so free accelerators
-    /// scattered over busy workers don't help them. A service with ample room needs no reserve.
+    /// scattered over busy workers don't help them, nor do workers that are slow for urgent work. A
+    /// service with ample room needs no reserve.
     pub(crate) fn reserve_for_urgent(&mut self, reserve: u64) {
         self.reserve = reserve;
         let idle = |rack: &Vec<usize>| -> Vec<usize> {
             let here = rack.iter().copied();
-            let may_be_reserved =
-                |c: &Candidate| c.is_idle() && !c.is_held_off && !self.has_ample_room(c.service);
+            let may_be_reserved = |c: &Candidate| {
+                c.is_idle()
+                    && !c.is_held_off
+                    && c.speed != SpeedClass::Slow
+                    && !self.has_ample_room(c.service)
+            };
             here.filter(|i| may_be_reserved(&self.all[*i])).collect()
         };
         let mut racks: Vec<Vec<usize>> = self.rack_members.iter().map(idle).collect();
@@ -296,6 +355,7 @@
                 service,
                 free,
                 free_after_stops: free,
+                free_shortly: free,
                 free_soon: free,
                 capacity: info.capacity,
                 excess: Resources::default(),
@@ -304,8 +364,11 @@
                 has_latency_target: false,
                 has_filler: false,
                 isolation: IsolationState::default(),
+                slowness: self.forecast.slowness(id),
+                speed: SpeedClass::default(),
             };
-            let (mut stopping, mut ending) = (Resources::default(), Resources::default());
+            let mut stopping = Resources::default();
+            let (mut ending_shortly, mut ending) = (Resources::default(), Resources::default());
             for (task, need) in &worker.runs {
                 if last.is_none_or(|j| j.accepted.id != task.job) {
                     last = self.jobs.get(&task.job);
@@ -323,10 +386,13 @@
                 if is_stopping {
                     stopping.add(*need, 1);
                 }
-                if is_stopping || (!step.endless && run.expected_remaining(step, now) <= SOON_LIMIT)
-                {
+                let remaining = (!step.endless).then(|| run.expected_remaining(step, now));
+                if is_stopping || remaining.is_some_and(|t| t <= SOON_LIMIT) {
                     ending.add(*need, 1);
                 }
+                if is_stopping || remaining.is_some_and(|t| t <= SHORT_WAIT) {
+                    ending_shortly.add(*need, 1);
+                }
                 candidate.has_latency_target |= step.target.is_some();
                 candidate.has_filler |= step.fills;
                 let proven = run.known_age(now) >= PROVING_TIME;
@@ -337,10 +403,21 @@
             let after_stops = used.saturating_sub(stopping);
             candidate.free_after_stops = info.capacity.saturating_sub(after_stops);
             candidate.excess = after_stops.saturating_sub(info.capacity);
-            candidate.free_soon = info.capacity.saturating_sub(used.saturating_sub(ending));
+            let after = |ending| info.capacity.saturating_sub(used.saturating_sub(ending));
+            candidate.free_shortly = after(ending_shortly);
+            candidate.free_soon = after(ending);
             Some((worker.rack().cloned().unwrap_or_default(), candidate))
         });
         let candidates = candidates.collect();
-        Candidates::new(candidates, services)
+        let mut candidates = Candidates::new(candidates, services);
+        for (i, service) in candidates.services.clone().iter().enumerate() {
+            let limit = self
+                .typical_work
+                .limit(service, &self.config, &self.forecast);
+            if let Some(limit) = limit {
+                candidates.set_speeds(i, limit);
+            }
+        }
+        candidates
     }
 }
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -3,10 +3,11 @@
 use base::clock::Millis;
 
 use crate::{
-    candidates::{Candidates, FreeAt},
+    candidates::{Candidates, FreeAt, SHORT_WAIT},
     config::URGENT_PRIORITY,
     isolation::Isolation,
     job::{Step, SubtaskId, Text},
+    placement_forecast::PlacementForecast,
     progress::{Phase, Run, RunState},
     ranking::Unit,
     scheduler::JobScheduler,
@@ -16,6 +17,9 @@
 /// Time that urgent work waits for free resources before it preempts other work. Urgent runs are
 /// short, so one of them often ends in that time.
 const PREEMPT_AFTER: Millis = Millis(100);
+/// Maximum wait of urgent work for workers that are not slow. It has to start within 2.9 s at the
+/// strictest and may have to preempt other work in that time.
+const MAX_SPEED_WAIT: Millis = Millis(1_500);
 /// Maximum number of gangs that hold resources in one pass. Each leaves accelerators unused until
 /// it can start.
 const MAX_HOLDING_UNITS: usize = 10;
@@ -40,6 +44,7 @@
     /// ```
     pub fn place(&mut self, now: Millis, wall_now: Millis) {
         self.explain_losses(now, wall_now);
+        self.forecast.update(now);
         let within_guarantee = self.organisations_within_guarantee();
         self.mark_considered(now);
         self.renew_wait_lines();
@@ -49,6 +54,7 @@
             return;
         }
         self.end_shared_probation(now);
+        self.note_typical_work(&units);
         let reserve = self.reserve(now, wall_now);
         let mut pass = Pass {
             candidates: self.candidates(now),
@@ -56,16 +62,18 @@
             victims: None,
             now,
         };
+        self.slow_workers = pass.candidates.slow_workers();
         pass.candidates.reserve_for_urgent(reserve);
         self.policy_calls.advance(now);
         let mut starts = 0;
         let max_starts = self.max_starts.unwrap_or(usize::MAX);
-        for unit in units {
+        for mut unit in units {
             // A start that can't be sent soon would only hold resources.
             if starts >= max_starts && unit.priority != URGENT_PRIORITY {
                 continue;
             }
             let orders = self.orders.len();
+            unit.preference = self.preference_of(&unit, &pass.candidates, wall_now);
             self.place_unit(&unit, &mut pass, wall_now);
             starts += self.orders.len() - orders;
         }
@@ -82,6 +90,7 @@
         let (candidates, now) = (&mut pass.candidates, pass.now);
         let search = self.search(unit, &step, &service, now);
         let found = search.find(candidates, FreeAt::Now);
+        let forecast = self.placement_forecast(unit, &step, candidates, &found);
         let mut placed = Vec::with_capacity(found.len());
         for (id, candidate) in unit.tasks.iter().zip(&found) {
             let worker = candidates.all[*candidate].worker.clone();
@@ -91,7 +100,7 @@
             candidates.all[*candidate]
                 .isolation
                 .add_run(isolation, false, step.endless);
-            if let Some(attempt) = self.start(id, worker.clone(), now, wall_now) {
+            if let Some(attempt) = self.start(id, worker.clone(), &forecast, now, wall_now) {
                 placed.push(format!("{}#{attempt}@{worker}", id.index));
             }
         }
@@ -99,13 +108,30 @@
             // One line per unit, because one per subtask of a large step would flood the log.
             log::info!(
                 job:% = unit.job, occurrence = unit.tasks[0].occurrence, step = unit.step,
-                waited_ms = unit.waited.0, tasks = placed.join(" ");
+                waited_ms = unit.waited.0, tasks = placed.join(" "),
+                slowness = forecast.slowness.factor, confidence = forecast.slowness.confidence,
+                expected_ms = forecast.run_time.0;
                 "batch: placed"
             );
+            self.record_typical(unit, &step);
         }
         if found.len() == unit.tasks.len() {
             return;
         }
+        let mut rest = unit.clone();
+        rest.tasks.drain(..found.len());
+        if unit.priority == URGENT_PRIORITY && unit.preference.excludes_slow() {
+            let covered = self.wait_for_faster(&rest, &step, &service, pass);
+            rest.tasks.drain(..covered);
+            if !rest.tasks.is_empty() {
+                rest.preference.allow_slow();
+                return self.place_unit(&rest, pass, wall_now);
+            }
+            let candidates = &pass.candidates;
+            self.log_waiting(unit, found.len(), (&step, &service), candidates, now);
+            return self.request_tickets(unit, &step, &service, &mut pass.candidates, now);
+        }
+        let candidates = &mut pass.candidates;
         if unit.isolation == Isolation::Alone {
             self.wait_alone(unit, &step, &service, candidates, now);
         }
@@ -115,11 +141,35 @@
             return self.hold_capacity(unit, &step, &service, candidates, now);
         }
         let may_stop = unit.waited >= PREEMPT_AFTER;
-        let mut rest = unit.clone();
-        rest.tasks.drain(..found.len());
         self.preempt_for(&rest, &step, &service, pass, may_stop);
     }
 
+    /// Holds resources of workers that are not slow for an urgent unit, and preempts other work there.
+    /// Without such work, the unit waits for runs that end shortly, if it ends sooner then than on slow
+    /// workers. Returns for how many of its subtasks there will be room.
+    fn wait_for_faster(
+        &mut self,
+        unit: &Unit,
+        step: &Step,
+        service: &Text,
+        pass: &mut Pass,
+    ) -> usize {
+        if unit.waited >= MAX_SPEED_WAIT {
+            return 0;
+        }
+        let may_stop = unit.waited >= PREEMPT_AFTER;
+        let covered = self.preempt_for(unit, step, service, pass, may_stop);
+        if covered > 0 || !unit.preference.gains_by_waiting(SHORT_WAIT) {
+            return covered;
+        }
+        let search = self.search(unit, step, service, pass.now);
+        let found = search.find(&mut pass.candidates, FreeAt::Shortly);
+        for candidate in &found {
+            pass.candidates.all[*candidate].take(step.reserved());
+        }
+        found.len()
+    }
+
     /// Keeps a worker free of new work for a unit that has to run alone, if one will become idle.
     fn wait_alone(
         &mut self,
@@ -178,6 +228,7 @@
         &mut self,
         id: &SubtaskId,
         worker: Text,
+        forecast: &PlacementForecast,
         now: Millis,
         wall_now: Millis,
     ) -> Option<u32> {
@@ -212,6 +263,10 @@
             placed_at: Some(now),
             answered_at: None,
             taken_at: None,
+            began_at: None,
+            // A run that continues from a checkpoint has less to do.
+            expected: (forecast.measures_speed && task.checkpoint.is_empty())
+                .then_some(forecast.run_time),
             closed_start: None,
             stop_ordered_at: None,
             stop_order: None,
--- a/crates/batch/src/preemption.rs
+++ b/crates/batch/src/preemption.rs
@@ -14,7 +14,8 @@
 
 impl JobScheduler {
     /// Holds the resources that become free for the unit, and stops other runs if those are not
-    /// enough. Without `may_stop`, the resources are held but nothing is stopped yet.
+    /// enough. Without `may_stop`, the resources are held but nothing is stopped yet. Returns for how
+    /// many of its subtasks there will be room.
     pub(crate) fn preempt_for(
         &mut self,
         unit: &Unit,
@@ -22,7 +23,7 @@
         service: &Text,
         pass: &mut Pass,
         may_stop: bool,
-    ) {
+    ) -> usize {
         let search = self.search(unit, step, service, pass.now);
         let mut found = search.find(&mut pass.candidates, FreeAt::AfterStops);
         let mut stops = Vec::new();
@@ -39,7 +40,7 @@
             }
             pass.victims = Some(victims);
             let Some(plan) = plan else {
-                return;
+                return 0;
             };
             found = plan.candidates;
             pass.candidates.invalidate_after_stops();
@@ -58,9 +59,10 @@
                 }
             }
         }
-        for candidate in found {
-            pass.candidates.all[candidate].take(step.reserved());
+        for candidate in &found {
+            pass.candidates.all[*candidate].take(step.reserved());
         }
+        found.len()
     }
 }
 
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -88,6 +88,14 @@
     /// Time when the worker first confirmed that the run exists there.
     #[serde(skip)]
     pub(crate) taken_at: Option<Millis>,
+    /// Time when the worker confirmed the start by its answer to the first order; `None` if the start
+    /// may have been earlier.
+    #[serde(skip)]
+    pub(crate) began_at: Option<Millis>,
+    /// Expected run time when it was placed; `None` if its run time does not tell how fast the worker is,
+    /// or an earlier leader placed it.
+    #[serde(skip)]
+    pub(crate) expected: Option<Millis>,
     /// The last start order whose connection closed without an answer.
     #[serde(skip)]
     pub(crate) closed_start: Option<ClosedStart>,
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -9,10 +9,11 @@
     open_job::Job,
     progress::{Occurrence, Progress, Subtask},
     scheduler::JobScheduler,
+    speed_class::Preference,
 };
 
 /// A job that takes longer than this multiple of its completion objective is of no value.
-const TOO_LATE_FACTOR: u64 = 3;
+pub(crate) const TOO_LATE_FACTOR: u64 = 3;
 
 /// Unit of placement: the subtasks of one step that may start now.
 #[derive(Clone, Debug)]
@@ -30,6 +31,8 @@
     pub(crate) waited: Millis,
     /// How far its subtasks have to be kept apart from other work.
     pub(crate) isolation: Isolation,
+    /// Workers that it uses first.
+    pub(crate) preference: Preference,
 }
 
 /// Sort key of a unit; lower ranks are placed first.
@@ -162,6 +165,7 @@
                         guaranteed,
                         waited: occurrence.waited(start, now, wall_now),
                         isolation,
+                        preference: Preference::None,
                     });
                 }
             }
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -56,6 +56,8 @@
             StartReply::Taken | StartReply::Refused(Refusal::Old) => {
                 run.answered_at.get_or_insert(now);
                 if reply == StartReply::Taken {
+                    let is_first = run.taken_at.is_none() && !run.may_start_late();
+                    run.began_at = run.began_at.or(is_first.then_some(now));
                     run.confirm(incarnation, now);
                 }
                 if matches!(run.state, RunState::Ordered | RunState::Adopted) {
@@ -226,6 +228,7 @@
                     self.judge(&lost, now, wall_now);
                 }
                 self.forget_answers(id);
+                self.forecast.worker_restarted(id);
             }
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.start_reported_life(report.incarnation, now);
@@ -311,7 +314,7 @@
         let Some(run) = &mut task.run else {
             return;
         };
-        run.percent = percent;
+        let percent_before = std::mem::replace(&mut run.percent, percent);
         run.listed = true;
         // If the report to a later request does not list the run, the run is gone.
         run.confirm(incarnation, now);
@@ -321,8 +324,13 @@
             RunState::Stopping => return self.stop(&running.task, now),
         }
         let is_final = |p: Phase| p.is_final();
-        if !is_done && self.phase(&running.task.job).is_some_and(is_final) {
+        if is_done {
+            return;
+        }
+        if self.phase(&running.task.job).is_some_and(is_final) {
             self.stop(&running.task, now);
+        } else {
+            self.observe_progress(&running.task, percent_before, now);
         }
     }
 
@@ -363,6 +371,7 @@
             {
                 run.answered_at = None;
                 run.taken_at = None;
+                run.began_at = None;
                 run.listed = false;
                 run.stop_order = None;
             }
--- a/crates/batch/src/run_end.rs
+++ b/crates/batch/src/run_end.rs
@@ -37,6 +37,9 @@
         {
             task.checkpoint = finished.checkpoint.clone();
         }
+        if finished.outcome == Outcome::Done {
+            self.observe_done(id, now);
+        }
         self.remove_run(id);
         // An earlier run was done after all.
         if self.subtask(id).is_some_and(|t| t.done) && finished.outcome != Outcome::Done {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -17,6 +17,7 @@
     policy_calls::PolicyCalls,
     progress::{Phase, Progress, Run, Subtask},
     reserve::UrgentLoad,
+    typical_work::TypicalWork,
     wait_log::WaitLog,
     worker::{Order, Outcome, WorkerInfo},
     worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
@@ -79,6 +80,11 @@
     pub(crate) urgent: UrgentLoad,
     /// Learned speeds of workers and corrections of estimates.
     pub(crate) forecast: Forecast,
+    pub(crate) typical_work: TypicalWork,
+    /// Logarithms of the ratios of run times to expected run times.
+    pub(crate) run_time_errors: Vec<f64>,
+    /// Number of workers that were slow for urgent work in the last pass.
+    pub(crate) slow_workers: usize,
     /// Time that a run needs to continue from a checkpoint.
     pub(crate) restore_time: Millis,
     /// Interval at which workers write their entries in the VM list.
@@ -376,6 +382,9 @@
             let worker = self.workers.get_or_default(info.id.clone());
             let is_idle = worker.incarnation == 0 || worker.runs.is_empty();
             if is_idle && worker.is_new_life(info.incarnation, now) {
+                if worker.incarnation != 0 {
+                    self.forecast.worker_restarted(&info.id);
+                }
                 worker.start_listed_life(info.incarnation, now);
             }
             let id = info.id.clone();
@@ -389,6 +398,7 @@
         for id in unlisted {
             self.workers.remove(&id);
         }
+        self.forget_speeds();
     }
 
     /// Ends a job and stops its runs.
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -1,6 +1,8 @@
 //! Search for workers on which a unit can be placed. A unit is the subtasks of one step that may
 //! start now, see [`Unit`].
 
+use std::borrow::Cow;
+
 use base::clock::Millis;
 
 use crate::{
@@ -11,6 +13,7 @@
     policy::{StepId, StepTickets},
     ranking::Unit,
     scheduler::JobScheduler,
+    speed_class::{Preference, SpeedSet},
     worker_state::Worker,
 };
 
@@ -87,7 +90,7 @@
         };
         let all = search.usable(candidates);
         let can_spread = search.may_spread(candidates) || search.must_spread(candidates, &all);
-        search.find_among(candidates, &all, can_spread, when)
+        search.find_in_sets(candidates, &all, can_spread, when).0
     }
 
     /// Returns whether the unit has waited long enough, beside room for it, to use workers that are
@@ -101,21 +104,14 @@
 
     /// Searches the workers that are not held off.
     fn find_sound(&self, candidates: &mut Candidates, when: FreeAt) -> Vec<usize> {
-        let anywhere = self.request(when, false);
-        if candidates.has_failed(&anywhere) {
+        let sets = self.sets();
+        let has_failed = |set: &SpeedSet| candidates.has_failed(&self.request(when, false, *set));
+        if sets.iter().all(has_failed) {
             return Vec::new();
         }
         let all = self.usable(candidates);
         let can_spread = self.may_spread(candidates) || self.must_spread(candidates, &all);
-        let one_rack = self.needs_one_rack() && !can_spread;
-        let req = SearchRequest {
-            one_rack,
-            ..anywhere
-        };
-        if one_rack && candidates.has_failed(&req) {
-            return Vec::new();
-        }
-        let found = self.find_among(candidates, &all, can_spread, when);
+        let (found, failed) = self.find_in_sets(candidates, &all, can_spread, when);
         // A failed search is recorded only if the step has no restrictions, because otherwise the
         // search for another step may still succeed.
         let is_unrestricted = self.step.label.is_none()
@@ -126,30 +122,83 @@
             && self.unit.isolation == Isolation::None
             && self.step.target.is_none()
             && self.tickets.is_none();
-        if found.is_empty() && is_unrestricted {
+        for req in failed.into_iter().filter(|_| is_unrestricted) {
             candidates.record_failure(req);
         }
         found
     }
 
-    fn find_among(
+    /// Searches the sets of workers by speed in turn, each first within the data rack or one rack.
+    /// Outside of it a run takes longer than on a slow worker. Returns the candidates and the searches
+    /// that found none.
+    fn find_in_sets(
         &self,
         candidates: &Candidates,
         all: &[usize],
         can_spread: bool,
         when: FreeAt,
-    ) -> Vec<usize> {
-        let mut found = self.find_preferred(candidates, all, when);
-        if found.len() < self.unit.tasks.len() && can_spread {
-            let spread = self.pack(candidates, all, when);
-            if spread.len() > found.len() {
-                found = spread;
+    ) -> (Vec<usize>, Vec<SearchRequest>) {
+        let (mut best, mut failed) = (Vec::new(), Vec::new());
+        let has_locality = self.needs_one_rack() || self.step.data_rack.is_some();
+        let rounds: &[bool] = if can_spread && has_locality {
+            &[false, true]
+        } else {
+            &[false]
+        };
+        for spread in rounds.iter().copied() {
+            for set in self.sets() {
+                let one_rack = self.needs_one_rack() && !spread;
+                let req = self.request(when, one_rack, *set);
+                if candidates.has_failed(&req) {
+                    continue;
+                }
+                let members = self.of_set(candidates, all, *set);
+                let found = if spread {
+                    self.pack(candidates, &members, when)
+                } else {
+                    self.find_preferred(candidates, &members, when)
+                };
+                if found.len() == self.unit.tasks.len() {
+                    return (found, failed);
+                }
+                // Among the slow workers, those on which the unit ends late were left out.
+                if found.is_empty() && *set != SpeedSet::Slow {
+                    failed.push(req);
+                }
+                if found.len() > best.len() {
+                    best = found;
+                }
             }
         }
-        found
+        (best, failed)
     }
 
-    fn request(&self, when: FreeAt, one_rack: bool) -> SearchRequest {
+    /// Returns the sets of workers by speed that the search tries in turn.
+    fn sets(&self) -> &'static [SpeedSet] {
+        self.unit.preference.sets(self.unit.all_or_nothing)
+    }
+
+    /// Returns the members of a set of workers by speed. Slow ones on which the unit ends later than it
+    /// needs to are left out of the set of slow workers.
+    fn of_set<'a>(
+        &self,
+        candidates: &Candidates,
+        all: &'a [usize],
+        set: SpeedSet,
+    ) -> Cow<'a, [usize]> {
+        if set == SpeedSet::Any {
+            return Cow::Borrowed(all);
+        }
+        let (preference, is_gang) = (self.unit.preference, self.unit.all_or_nothing);
+        let is_member = |c: &Candidate| {
+            let rank = preference.rank(c.speed, c.slowness.factor, is_gang);
+            set.contains(c.speed) && rank <= Preference::LAST_GOOD_RANK
+        };
+        let members = all.iter().copied();
+        members.filter(|i| is_member(&candidates.all[*i])).collect()
+    }
+
+    fn request(&self, when: FreeAt, one_rack: bool, speeds: SpeedSet) -> SearchRequest {
         SearchRequest {
             when,
             service: self.service.clone(),
@@ -161,6 +210,7 @@
             },
             one_rack,
             urgent: self.unit.priority == URGENT_PRIORITY || self.step.endless,
+            speeds,
         }
     }
 
@@ -189,9 +239,20 @@
     pub(crate) fn candidate_sets(&self, candidates: &Candidates) -> Vec<Vec<usize>> {
         let all = self.usable(candidates);
         if self.may_spread(candidates) || self.must_spread(candidates, &all) {
-            return vec![all];
+            return vec![self.allowed(candidates, &all).into_owned()];
         }
-        self.preferred_sets(candidates, &all)
+        let allowed = self.allowed(candidates, &all);
+        self.preferred_sets(candidates, &allowed)
+    }
+
+    /// Returns the members of `all` that the unit may use at its present wait.
+    fn allowed<'a>(&self, candidates: &Candidates, all: &'a [usize]) -> Cow<'a, [usize]> {
+        let set = if self.unit.preference.excludes_slow() {
+            SpeedSet::NotSlow
+        } else {
+            SpeedSet::Any
+        };
+        self.of_set(candidates, all, set)
     }
 
     fn worker(&self, candidate: &Candidate) -> Option<&Worker> {
@@ -397,6 +458,14 @@
             // A crash of an emptier worker hits fewer others.
             fitting.reverse();
         }
+        if self.unit.preference != Preference::None {
+            let rank = |c: &Candidate| {
+                let factor = c.slowness.factor;
+                let is_gang = self.unit.all_or_nothing;
+                self.unit.preference.rank(c.speed, factor, is_gang)
+            };
+            fitting.sort_by_key(|(_, i, _)| rank(&candidates.all[*i]));
+        }
         fitting.sort_by_key(|(_, i, _)| candidates.all[*i].is_held_off);
         let mut found = Vec::with_capacity(wanted);
         for (_, i, count) in fitting {
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -21,6 +21,8 @@
     pub draining: bool,
     /// Minimum time until a draining worker shuts down.
     pub remaining: Option<Millis>,
+    /// Time for which the worker still runs more slowly than usual.
+    pub cold_remaining: Option<Millis>,
     /// Total resources of the worker.
     pub capacity: Resources,
     /// Labels of the worker; the last one names the rack.
--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -9,6 +9,7 @@
     job::{AcceptedJob, Resources, Spec, Step, SubtaskId, Text},
     progress::Progress,
     scheduler::{JobScheduler, PendingChanges},
+    speed_report::StoredForecast,
     worker::{Action, FinishedRun, Order, Outcome, Report, Running, StartReply, WorkerInfo},
 };
 
@@ -21,6 +22,7 @@
     pub scheduler: JobScheduler,
     pub now: Millis,
     pub infos: Vec<WorkerInfo>,
+    pub config: Config,
     accepted: Vec<AcceptedJob>,
     /// Records of the jobs' progress as committed.
     stored: BTreeMap<Text, String>,
@@ -28,10 +30,15 @@
 
 impl Fleet {
     pub fn new(workers: usize) -> Self {
+        Self::with_config(workers, config())
+    }
+
+    pub fn with_config(workers: usize, config: Config) -> Self {
         let mut fleet = Self {
             scheduler: JobScheduler::default(),
             now: Millis(1_000),
             infos: (0..workers).map(info).collect(),
+            config,
             accepted: Vec::new(),
             stored: BTreeMap::new(),
         };
@@ -41,14 +48,19 @@
 
     /// Gives a new scheduler the configuration and the VM list.
     pub fn set_up(&mut self) {
-        self.scheduler.configure(&Rc::new(config()));
+        self.scheduler.configure(&Rc::new(self.config.clone()));
         self.scheduler.replace_vm_list(self.infos.clone(), self.now);
     }
 
     /// Replaces the scheduler by one that knows only what was committed.
     pub fn restart(&mut self) {
         let failing = self.scheduler.failing_workers();
+        let stored = StoredForecast::default();
+        let forecast = self.scheduler.forecast_to_store(&stored, self.now);
         self.scheduler = JobScheduler::default();
+        if let Some(forecast) = forecast {
+            self.scheduler.restore_forecast(&forecast, self.now);
+        }
         self.scheduler.restore_failing_workers(&failing, self.now);
         // A leader reads the jobs in the order of their ids.
         self.accepted.sort_by(|a, b| a.id.cmp(&b.id));
@@ -163,6 +175,30 @@
             .handle_report(&order.worker, &report, now, now, wall_now);
     }
 
+    /// Delivers a complete report of a worker: its running runs with their progress in percent, and its
+    /// finished ones.
+    pub fn report_progress(
+        &mut self,
+        worker: &str,
+        running: &[(&Order, u32)],
+        finished: Vec<FinishedRun>,
+    ) {
+        let running = running.iter().map(|(order, percent)| Running {
+            percent: *percent,
+            ..run(order)
+        });
+        let report = Report {
+            clock: self.now,
+            incarnation: 1,
+            running: running.collect(),
+            finished,
+            ..Report::default()
+        };
+        let (now, wall_now) = (self.now, self.wall());
+        self.scheduler
+            .handle_report(worker, &report, now, now, wall_now);
+    }
+
     /// Changes the number of accelerators of a worker, whose clock shows the current time.
     pub fn resize(&mut self, worker: &str, accelerators: u64) {
         let now = self.now;
@@ -300,6 +336,7 @@
         zone: "z".into(),
         draining: false,
         remaining: None,
+        cold_remaining: None,
         capacity: Resources {
             cpu: 64_000,
             memory_mb: 262_144,
