node: store the forecast for the next leader

A new leader would place urgent work on slow workers until it has seen a few runs. The next leader restores it; a malformed or missing row only means that learning starts anew.

Metrics node_run_time_error and node_workers_slow; the dump lists the slowest workers.

--- a/crates/node/src/activity.rs
+++ b/crates/node/src/activity.rs
@@ -35,6 +35,9 @@
                 None => self.ends.push((outcome, 1)),
             }
         }
+        for error in leader.scheduler.borrow_mut().take_run_time_errors() {
+            cx.metrics.record_run_time_error(error);
+        }
         self.record_lease(cx, leader, now);
         if now.since(self.since) >= INTERVAL {
             self.log(leader);
--- a/crates/node/src/changes.rs
+++ b/crates/node/src/changes.rs
@@ -7,6 +7,7 @@
 use batch::{
     job::Text,
     progress::{Phase, Progress},
+    speed_report::StoredForecast,
 };
 use serde::Serialize;
 use store::{long_row, table::Txn};
@@ -55,7 +56,9 @@
     /// The failing workers, if they are to be written.
     pub(crate) failing: Option<FailingRow>,
     pub(crate) checkpoints: Vec<CheckpointWrite>,
-    /// Encoded rows of the counts and the failing workers.
+    /// The forecast, if it is written with the other changes.
+    pub(crate) forecast: Option<StoredForecast>,
+    /// Encoded rows of the counts, the failing workers and the forecast.
     others: Vec<(&'static str, String)>,
     writes: usize,
     bytes: usize,
@@ -71,6 +74,7 @@
             counts: None,
             failing: None,
             checkpoints: Vec::new(),
+            forecast: None,
             others: Vec::new(),
             writes: 0,
             bytes: 0,
@@ -79,7 +83,12 @@
 
     /// Returns the number of items.
     pub(crate) fn len(&self) -> usize {
-        let others = usize::from(self.counts.is_some()) + usize::from(self.failing.is_some());
+        let others = [
+            self.counts.is_some(),
+            self.failing.is_some(),
+            self.forecast.is_some(),
+        ];
+        let others = others.into_iter().filter(|is_added| *is_added).count();
         self.changes.len() + others + self.checkpoints.len()
     }
 
@@ -121,6 +130,23 @@
         self.failing = failing.and_then(|failing| self.add_row(rows::FAILING, failing, row_bytes));
     }
 
+    /// Adds the forecast if it is to be written, is not too long and there is room for it. The next leader
+    /// can learn it anew, so it is no reason for a transaction of its own.
+    pub(crate) fn add_forecast(&mut self, forecast: Option<StoredForecast>, row_bytes: usize) {
+        let Some(forecast) = forecast.filter(|_| self.has_changes()) else {
+            return;
+        };
+        let value = rows::to_json(&forecast);
+        if value.len() > row_bytes {
+            log::warn!(bytes = value.len(), row_bytes; "commit: the forecast is longer than a row");
+        } else if self.has_room(1, value.len()) {
+            self.writes += 1;
+            self.bytes += value.len();
+            self.others.push((rows::FORECAST, value));
+            self.forecast = Some(forecast);
+        }
+    }
+
     /// Adds a row with as many of the entries as it holds.
     fn add_row<T: Serialize>(
         &mut self,
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -6,6 +6,7 @@
 use batch::{
     job::Text,
     outbox::{self, Outbox, Released},
+    speed_report::StoredForecast,
 };
 use lease::table::HeartbeatRow;
 use store::table::{Commit, StoreError, Txn};
@@ -30,6 +31,9 @@
 /// Minimum interval between two writes of the pending counts.
 const PENDING_INTERVAL: Millis = Millis(400);
 
+/// Minimum interval between two writes of the forecast.
+const FORECAST_INTERVAL: Millis = Millis(3_000);
+
 /// Reason why a transaction was not committed.
 enum CommitError {
     /// It can no longer be committed, because the leadership has ended.
@@ -177,6 +181,9 @@
     }
     batch.add_counts(cx, pending.to_write(leader));
     batch.add_failing(failing_to_write(leader), cx.cfg.row_bytes);
+    if content == Content::Many && batch.has_changes() {
+        batch.add_forecast(forecast_to_write(leader), cx.cfg.row_bytes);
+    }
     batch.add_checkpoints(leader);
     batch
 }
@@ -239,6 +246,9 @@
     if let Some(failing) = batch.failing {
         *leader.stored_failing.borrow_mut() = failing;
     }
+    if let Some(forecast) = batch.forecast {
+        *leader.stored_forecast.borrow_mut() = forecast;
+    }
     release(cx, leader, outbox.mark_stored(&stored));
     pause
 }
@@ -284,6 +294,18 @@
     (*leader.stored_failing.borrow() != failing).then_some(failing)
 }
 
+/// Returns the forecast if it differs materially from the stored one. That is looked at once in
+/// [`FORECAST_INTERVAL`], also if the store rejects the row.
+fn forecast_to_write(leader: &Leader) -> Option<StoredForecast> {
+    let now = clock::now();
+    if now.since(leader.forecast_checked_at.get()) < FORECAST_INTERVAL {
+        return None;
+    }
+    leader.forecast_checked_at.set(now);
+    let scheduler = leader.scheduler.borrow();
+    scheduler.forecast_to_store(&leader.stored_forecast.borrow(), now)
+}
+
 /// Commits one transaction as the next link of the commit chain, and retries until it is applied or
 /// the leadership ends.
 async fn commit_txn(cx: &Cx, leader: &Leader, batch: &mut Batch) -> Result<(), CommitError> {
--- a/crates/node/src/dump.rs
+++ b/crates/node/src/dump.rs
@@ -1,10 +1,14 @@
 //! Dump of the state of a node for operators.
 
 use base::clock::{self, Millis};
+use batch::speed_report::SlowWorker;
 use serde::Serialize;
 
 use crate::cx::Cx;
 
+/// Maximum number of slow workers in a dump.
+const MAX_SLOWEST: usize = 20;
+
 #[derive(Serialize)]
 struct Dump<'a> {
     name: &'a str,
@@ -25,6 +29,9 @@
     since_ms: Millis,
     commits: u64,
     counts: batch::scheduler::Counts,
+    /// Number of workers that are slow for urgent work.
+    slow_workers: usize,
+    slowest_workers: Vec<SlowWorker>,
 }
 
 /// Returns the state as JSON.
@@ -37,6 +44,8 @@
         since_ms: clock::now().since(l.started_at),
         commits: l.chain.get().1,
         counts: l.scheduler.borrow().counts(),
+        slow_workers: l.scheduler.borrow().slow_workers(),
+        slowest_workers: l.scheduler.borrow().slowest_workers(MAX_SLOWEST),
     });
     let dump = Dump {
         name: &cx.cfg.name,
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -9,7 +9,9 @@
     clock::{self, Millis},
     sorted::SortedMap,
 };
-use batch::{job::Text, pacing, progress::Phase, scheduler::JobScheduler};
+use batch::{
+    job::Text, pacing, progress::Phase, scheduler::JobScheduler, speed_report::StoredForecast,
+};
 use lease::machine::Held;
 use ntex::rt;
 use tokio::sync::Notify;
@@ -67,6 +69,10 @@
     pub(crate) counted_at: Cell<Millis>,
     /// Failing workers as last stored.
     pub(crate) stored_failing: RefCell<FailingRow>,
+    /// Forecast as last stored.
+    pub(crate) stored_forecast: RefCell<StoredForecast>,
+    /// Time when it was last looked at whether the forecast is to be stored.
+    pub(crate) forecast_checked_at: Cell<Millis>,
     /// Cancellations of ids whose jobs are not known.
     pub(crate) cancellations: RefCell<Cancellations>,
     /// Versions of the rows of the known jobs in the table of jobs.
@@ -118,6 +124,8 @@
             deleted_jobs: RefCell::default(),
             counted_at: Cell::default(),
             stored_failing: RefCell::default(),
+            stored_forecast: RefCell::default(),
+            forecast_checked_at: Cell::default(),
             cancellations: RefCell::default(),
             job_versions: RefCell::default(),
             removed_jobs: RefCell::default(),
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -3,7 +3,7 @@
 use std::mem;
 
 use base::sorted::SortedMap;
-use batch::{job::Text, progress::Progress, scheduler::JobScheduler};
+use batch::{job::Text, progress::Progress, scheduler::JobScheduler, speed_report::StoredForecast};
 use store::{
     long_row, pages,
     table::{Row, StoreError},
@@ -48,10 +48,11 @@
 }
 
 impl Reads {
-    /// Reads what is missing. Returns the row of the last commit and that of the failing workers.
-    async fn run(&mut self, cx: &Cx) -> Result<(Option<Row>, Option<Row>), StoreError> {
+    /// Reads what is missing. Returns the rows of the last commit, the failing workers and the forecast.
+    async fn run(&mut self, cx: &Cx) -> Result<[Option<Row>; 3], StoreError> {
         let (_, chain_key) = rows::CHAIN.split_once('/').unwrap_or_default();
         let (_, failing) = rows::FAILING.split_once('/').unwrap_or_default();
+        let (_, forecast) = rows::FORECAST.split_once('/').unwrap_or_default();
         let version = |row: &Option<Row>| row.as_ref().map_or(0, |r| r.version);
         if self.chain.is_none() {
             self.chain = Some(version(&cx.table.get_row(rows::CONTROL, chain_key).await?));
@@ -59,9 +60,10 @@
         let written = [&mut self.progress, &mut self.phases, &mut self.checkpoints];
         let tables = written.into_iter().chain(&mut self.jobs);
         pages::all(tables.map(|t| t.run(cx))).await?;
-        let (chain, failing) = tokio::try_join!(
+        let (chain, failing, forecast) = tokio::try_join!(
             cx.table.get_row(rows::CONTROL, chain_key),
             cx.table.get_row(rows::CONTROL, failing),
+            cx.table.get_row(rows::CONTROL, forecast),
         )?;
         // The tables were read at different times, and fit together if no leader has written them
         // since.
@@ -71,7 +73,7 @@
                 reason: "another leader has committed during the load".into(),
             });
         }
-        Ok((chain, failing))
+        Ok([chain, failing, forecast])
     }
 }
 
@@ -80,7 +82,7 @@
 pub(crate) async fn load(cx: &Cx, leader: &Leader, reads: &mut Reads) -> Result<u64, StoreError> {
     // Only the table of jobs still changes: all other rows are written in transactions that check
     // the lease. The feed reports the jobs that are accepted after the read.
-    let (chain, failing) = reads.run(cx).await?;
+    let [chain, failing, forecast] = reads.run(cx).await?;
     let reads = mem::take(reads);
     let (jobs, from) = table_read::join(reads.jobs);
     let (progress, _) = reads.progress.into_rows();
@@ -155,6 +157,12 @@
     let failing = failing.unwrap_or_default();
     scheduler.restore_failing_workers(&failing, now);
     *leader.stored_failing.borrow_mut() = failing;
+    let forecast = forecast
+        .as_ref()
+        .and_then(rows::from_json::<StoredForecast>);
+    let forecast = forecast.unwrap_or_default();
+    scheduler.restore_forecast(&forecast, now);
+    *leader.stored_forecast.borrow_mut() = forecast;
     let mut cancellations = Cancellations::default();
     let cancels_read = cancels.len();
     for (id, row) in cancels {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -29,6 +29,7 @@
     lost_runs: Counter<u64>,
     given_up_jobs: Counter<u64>,
     run_ends: Counter<u64>,
+    run_time_errors: Histogram<f64>,
     pass_seconds: Histogram<f64>,
     lease_gap_seconds: Histogram<f64>,
     takeovers: Counter<u64>,
@@ -51,6 +52,7 @@
     runs: Gauge<u64>,
     workers: Gauge<u64>,
     silent_workers: Gauge<u64>,
+    slow_workers: Gauge<u64>,
     accelerators: Gauge<u64>,
 }
 
@@ -73,6 +75,7 @@
             lost_runs: exporter.counter("node_lost_runs"),
             given_up_jobs: exporter.counter("node_given_up_jobs"),
             run_ends: exporter.counter("node_run_ends"),
+            run_time_errors: exporter.latency_histogram("node_run_time_error"),
             pass_seconds: exporter.latency_histogram("node_pass_seconds"),
             lease_gap_seconds: exporter.latency_histogram("node_lease_gap_seconds"),
             takeovers: exporter.counter("node_takeovers"),
@@ -95,6 +98,7 @@
             runs: exporter.gauge("node_runs"),
             workers: exporter.gauge("node_workers"),
             silent_workers: exporter.gauge("node_workers_silent"),
+            slow_workers: exporter.gauge("node_workers_slow"),
             accelerators: exporter.gauge("node_accelerators"),
             exporter,
         }
@@ -172,6 +176,11 @@
         self.run_ends.add(1, &label);
     }
 
+    /// Records by how much a run time differed from the expected one, as the logarithm of their ratio.
+    pub(crate) fn record_run_time_error(&self, log_ratio: f64) {
+        self.run_time_errors.record(log_ratio.abs(), &[]);
+    }
+
     /// Records the duration of a scheduling pass.
     pub(crate) fn record_pass(&self, took: Millis) {
         self.pass_seconds.record(seconds(took), &[]);
@@ -236,13 +245,18 @@
         self.feed_age.record(feed_age.0, &[]);
         let of_leader = leader.map(|l| {
             let scheduler = l.scheduler.borrow();
-            (scheduler.counts(), scheduler.usage())
+            (
+                scheduler.counts(),
+                scheduler.usage(),
+                scheduler.slow_workers(),
+            )
         });
-        let (counts, usage) = of_leader.unwrap_or_default();
+        let (counts, usage, slow) = of_leader.unwrap_or_default();
         self.open_jobs.record(counts.open as u64, &[]);
         self.runs.record(counts.runs as u64, &[]);
         self.workers.record(counts.workers as u64, &[]);
         self.silent_workers.record(usage.silent, &[]);
+        self.slow_workers.record(slow as u64, &[]);
         for (state, value) in [
             ("capacity", usage.capacity),
             ("used", usage.used),
--- a/crates/node/src/rows.rs
+++ b/crates/node/src/rows.rs
@@ -26,6 +26,8 @@
 pub(crate) const PENDING: &str = "control/pending";
 /// Row with the workers on which run after run fails; it sorts after the lease row.
 pub(crate) const FAILING: &str = "control/workers";
+/// Row with what the leader has learned about the speed of workers and about run times.
+pub(crate) const FORECAST: &str = "control/forecast";
 /// Row of the leader lease.
 pub(crate) const LEASE: &str = "control/lease";
 /// Heartbeat row of the lease; it sorts before the lease row.
