--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -189,15 +189,18 @@
         if set == SpeedSet::Any {
             return Cow::Borrowed(all);
         }
-        let (preference, is_gang) = (self.unit.preference, self.unit.all_or_nothing);
-        let is_member = |c: &Candidate| {
-            let rank = preference.rank(c.speed, c.slowness.factor, is_gang);
-            set.contains(c.speed) && rank <= Preference::LAST_GOOD_RANK
-        };
+        let is_member =
+            |c: &Candidate| set.contains(c.speed) && self.rank(c) <= Preference::LAST_GOOD_RANK;
         let members = all.iter().copied();
         members.filter(|i| is_member(&candidates.all[*i])).collect()
     }
 
+    /// Returns the rank of a candidate by its speed; the lowest is used first.
+    fn rank(&self, candidate: &Candidate) -> u8 {
+        let factor = candidate.slowness.factor;
+        self.unit.preference.rank(candidate.speed, factor)
+    }
+
     fn request(&self, when: FreeAt, one_rack: bool, speeds: SpeedSet) -> SearchRequest {
         SearchRequest {
             when,
@@ -425,11 +428,13 @@
                 .iter()
                 .map(|i| candidates.all[*i].free_at(when).accelerators);
             let free: u64 = free.sum();
-            (found.len() == self.unit.tasks.len()).then_some((free, found))
+            // A gang goes at the pace of its slowest member.
+            let rank = found.iter().map(|i| self.rank(&candidates.all[*i])).max();
+            (found.len() == self.unit.tasks.len()).then_some((rank, free, found))
         });
         // Prefers the fullest rack, so that the others stay free for large gangs.
-        let best = fitting.min_by_key(|(free, _)| *free);
-        best.map_or_else(Vec::new, |(_, found)| found)
+        let best = fitting.min_by_key(|(rank, free, _)| (*rank, *free));
+        best.map_or_else(Vec::new, |(.., found)| found)
     }
 
     /// Chooses candidates for as many subtasks as fit, the fullest workers first, and returns the
@@ -459,12 +464,7 @@
             fitting.reverse();
         }
         if self.unit.preference != Preference::None {
-            let rank = |c: &Candidate| {
-                let factor = c.slowness.factor;
-                let is_gang = self.unit.all_or_nothing;
-                self.unit.preference.rank(c.speed, factor, is_gang)
-            };
-            fitting.sort_by_key(|(_, i, _)| rank(&candidates.all[*i]));
+            fitting.sort_by_key(|(_, i, _)| self.rank(&candidates.all[*i]));
         }
         fitting.sort_by_key(|(_, i, _)| candidates.all[*i].is_held_off);
         let mut found = Vec::with_capacity(wanted);
--- a/crates/batch/src/speed_class.rs
+++ b/crates/batch/src/speed_class.rs
@@ -29,12 +29,17 @@
 use forecast::predictor::Slowness;
 
 /// Confidence from which the slowness of a worker counts as known: its logarithm has a standard
-/// deviation of at most 0.25.
-const KNOWN_CONFIDENCE: f64 = 0.5;
+/// deviation of at most 0.3.
+const KNOWN_CONFIDENCE: f64 = 0.4;
 /// Least ratio of the factor of a slow worker to that of the others. The factors of equal workers
 /// differ by up to 10%, so that a limit near them must not split them.
 const MIN_CONTRAST: f64 = 1.2;
 
+/// Factor around the middle of two groups of workers within which the gap between them is.
+const GAP: f64 = 1.1;
+/// Maximum share of the known workers in the gap: one in this number.
+const MIN_GROUP_SHARE: usize = 10;
+
 /// Class of a worker by its speed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum SpeedClass {
@@ -110,14 +115,32 @@
     #[must_use]
     pub fn of(workers: &[Slowness], limit: f64) -> Option<Self> {
         let known = workers.iter().filter(|w| is_known(**w)).map(|w| w.factor);
-        let (mut slow, mut other): (Vec<f64>, Vec<f64>) = known.partition(|f| *f > limit);
+        let known: Vec<f64> = known.collect();
         let has_unknown = workers.iter().any(|w| !is_known(*w));
-        let typical = || (has_unknown && limit >= 1.0).then_some(1.0);
-        let other = median(&mut other).or_else(typical)?;
+        let split = |limit: f64| {
+            let (mut slow, mut other): (Vec<f64>, Vec<f64>) =
+                known.iter().partition(|f| **f > limit);
+            let typical = || (has_unknown && limit >= 1.0).then_some(1.0);
+            let other = median(&mut other).or_else(typical)?;
+            Some((other, median(&mut slow)?))
+        };
+        let (other, _) = split(limit)?;
         let limit = limit.max(MIN_CONTRAST * other);
-        slow.retain(|f| *f > limit);
-        let slow = median(&mut slow)?;
-        Some(Self { limit, slow, other })
+        let (other, slow) = split(limit)?;
+        // Factors become exact only after several runs. Where they form two groups, the gap between these
+        // tells the groups apart sooner than the limit, which may be near the factor of the slow ones.
+        let middle = (slow * other).sqrt();
+        let is_near = |f: &&f64| (GAP.recip()..GAP).contains(&(**f / middle));
+        let near = known.iter().filter(is_near).count();
+        if middle >= limit || near * MIN_GROUP_SHARE > known.len() {
+            return Some(Self { limit, slow, other });
+        }
+        let (other, slow) = split(middle)?;
+        Some(Self {
+            limit: middle,
+            slow,
+            other,
+        })
     }
 
     /// Returns the class of a worker.
@@ -174,15 +197,20 @@
     /// Highest rank of workers on which the unit ends no later than it needs to.
     pub(crate) const LAST_GOOD_RANK: u8 = 2;
 
-    /// Returns the rank of a worker; the lowest is used first. A gang that has a slow member gains
-    /// nothing from the others, so it takes as many slow workers as it can.
-    pub(crate) fn rank(self, class: SpeedClass, factor: f64, is_gang: bool) -> u8 {
-        match (self, class) {
-            (Self::SlowFirst { max_factor }, SpeedClass::Slow) if factor > max_factor => 3,
-            (Self::None, _) | (Self::SlowFirst { .. }, SpeedClass::Slow) => 0,
-            (Self::AvoidSlow { .. }, class) => u8::from((class == SpeedClass::Slow) != is_gang),
-            (Self::SlowFirst { .. }, SpeedClass::Unknown) => 1,
-            (Self::SlowFirst { .. }, SpeedClass::Other) => 2,
+    /// Returns the rank of a worker; the lowest is used first.
+    pub(crate) fn rank(self, class: SpeedClass, factor: f64) -> u8 {
+        let from_fastest = match class {
+            SpeedClass::Other => 0,
+            SpeedClass::Unknown => 1,
+            SpeedClass::Slow => 2,
+        };
+        match self {
+            Self::None => 0,
+            Self::AvoidSlow { .. } => from_fastest,
+            Self::SlowFirst { max_factor } if class == SpeedClass::Slow && factor > max_factor => {
+                Self::LAST_GOOD_RANK + 1
+            }
+            Self::SlowFirst { .. } => Self::LAST_GOOD_RANK - from_fastest,
         }
     }
 
--- a/crates/batch/tests/speed_classes.rs
+++ b/crates/batch/tests/speed_classes.rs
@@ -434,6 +434,22 @@
     assert_eq!(speeds.class(some[2]), SpeedClass::Unknown);
 }
 
+/// Factors become exact only after several runs. Guards against slow workers that count as others until
+/// then, because the limit is near the factor of slow workers.
+#[test]
+fn two_groups_are_told_apart_by_the_gap_between_them() {
+    let two = known(&[0.8, 0.9, 1.0, 1.0, 1.0, 1.8, 2.0, 2.3, 2.4]);
+    let speeds = Speeds::of(&two, 2.14).expect("two classes");
+    let slow = two.iter().filter(|w| speeds.class(**w) == SpeedClass::Slow);
+    assert_eq!(slow.count(), 4);
+    // Without a gap the limit alone counts.
+    let all: Vec<f64> = (0..20).map(|i| 0.6 + 0.1 * f64::from(i)).collect();
+    let all = known(&all);
+    let speeds = Speeds::of(&all, 2.14).expect("two classes");
+    let slow = all.iter().filter(|w| speeds.class(**w) == SpeedClass::Slow);
+    assert_eq!(slow.count(), 4);
+}
+
 /// Guards against work that takes the workers that others need more.
 #[test]
 fn the_preference_follows_from_the_ends_on_each_class() {
--- a/crates/node/src/load.rs
+++ b/crates/node/src/load.rs
@@ -153,16 +153,7 @@
             log::error!(job = id, reason:% = e; "leader: job set aside");
         }
     }
-    let failing = failing.as_ref().and_then(rows::from_json::<FailingRow>);
-    let failing = failing.unwrap_or_default();
-    scheduler.restore_failing_workers(&failing, now);
-    *leader.stored_failing.borrow_mut() = failing;
-    let forecast = forecast
-        .as_ref()
-        .and_then(rows::from_json::<StoredForecast>);
-    let forecast = forecast.unwrap_or_default();
-    scheduler.restore_forecast(&forecast, now);
-    *leader.stored_forecast.borrow_mut() = forecast;
+    restore_workers(leader, &mut scheduler, failing.as_ref(), forecast.as_ref());
     let mut cancellations = Cancellations::default();
     let cancels_read = cancels.len();
     for (id, row) in cancels {
@@ -189,6 +180,22 @@
     Ok(from)
 }
 
+/// Restores what earlier leaders have stored about workers.
+fn restore_workers(
+    leader: &Leader,
+    scheduler: &mut JobScheduler,
+    failing: Option<&Row>,
+    forecast: Option<&Row>,
+) {
+    let now = base::clock::now();
+    let failing: FailingRow = failing.and_then(rows::from_json).unwrap_or_default();
+    scheduler.restore_failing_workers(&failing, now);
+    *leader.stored_failing.borrow_mut() = failing;
+    let forecast: StoredForecast = forecast.and_then(rows::from_json).unwrap_or_default();
+    scheduler.restore_forecast(&forecast, now);
+    *leader.stored_forecast.borrow_mut() = forecast;
+}
+
 /// Logs the ids of the open jobs, so that it can be told for each whether it was loaded.
 fn log_open_jobs(fence: u64, scheduler: &JobScheduler) {
     let ids: Vec<&str> = scheduler.open_jobs().map(|id| &**id).collect();
