--- a/crates/forecast/examples/accuracy.rs
+++ b/crates/forecast/examples/accuracy.rs
@@ -4,7 +4,7 @@
 
 use sim::{Choice, Sim, Work, mean_abs};
 
-#[path = "../tests/sim/mod.rs"]
+#[path = "sim/mod.rs"]
 mod sim;
 
 fn kinds() -> Vec<Work> {
@@ -24,7 +24,7 @@
 fn report(name: &str, sim: &mut Sim) {
     println!("{name}");
     println!(
-        "  s   known  error  conf>=0.5 error  worst  >15% off  run time (estimate)  within likely"
+        "  s   known  error  conf>=0.5 error  worst  >15% off  run times: error (of estimates) within likely, per kind"
     );
     for seconds in [1, 2, 3, 5, 8, 12, 20, 30, 50] {
         sim.predictions.clear();
@@ -33,17 +33,18 @@
         let (known, sure) = (sim.errors(0.01), sim.errors(0.5));
         let worst = sure.iter().fold(0.0, |a: f64, b| a.max(b.abs()));
         let off = sure.iter().filter(|e| e.abs() > 0.14).count();
-        let p = &sim.predictions;
-        let within = p.iter().filter(|p| p.likely >= 0.0).count() as f64 / p.len().max(1) as f64;
-        println!(
-            "{seconds:3}  {:5}  {:.3}  {:9} {:.3}  {worst:.3}  {off:8}  {:8.3} ({:.3})     {within:.2}",
+        print!(
+            "{seconds:3}  {:5}  {:.3}  {:9} {:.3}  {worst:.3}  {off:8} ",
             known.len(),
             mean_abs(known),
             sure.len(),
             mean_abs(sure),
-            mean_abs(p.iter().map(|p| p.median)),
-            mean_abs(p.iter().map(|p| p.estimate)),
         );
+        for work in 0..sim.work.len() {
+            let (median, estimate, within) = sim.run_times(work);
+            print!("  {median:.2} ({estimate:.2}) {within:.2}");
+        }
+        println!();
     }
     let (total, n) = sim.cost;
     let stored = sim.forecast.stored(base::clock::Millis(sim.now));
--- a/crates/forecast/tests/sim/mod.rs
+++ b/crates/forecast/examples/sim/mod.rs
@@ -85,8 +85,7 @@
     /// Time spent in `update` and number of calls.
     pub cost: (std::time::Duration, u32),
     pub worst: std::time::Duration,
-    /// Predictions at the start of steps: ln of the predicted median, of the likely run time, of
-    /// the estimate, each over the run time of the step on a typical worker; number of the kind.
+    /// Predictions at the start of steps.
     pub predictions: Vec<Prediction>,
     used: Vec<usize>,
     runs: Vec<Run>,
@@ -94,6 +93,7 @@
     service: Name,
 }
 
+/// Logarithms of predicted values over the run time of a subtask on a typical worker.
 pub struct Prediction {
     pub work: usize,
     pub median: f64,
@@ -163,6 +163,16 @@
         }
     }
 
+    /// Mean absolute error of the predicted median, that of the estimate, and the share of
+    /// subtasks within the likely run time, of one kind.
+    pub fn run_times(&self, work: usize) -> (f64, f64, f64) {
+        let p = self.predictions.iter().filter(|p| p.work == work);
+        let n = p.clone().count().max(1) as f64;
+        let within = p.clone().filter(|p| p.likely >= 0.0).count() as f64 / n;
+        let median = mean_abs(p.clone().map(|p| p.median));
+        (median, mean_abs(p.map(|p| p.estimate)), within)
+    }
+
     fn start_steps(&mut self) {
         let room = (self.factors.len() * self.slots) as f64 * self.load;
         while (self.runs.len() as f64) < room {
@@ -173,9 +183,11 @@
             let Some(workers) = self.choose(w.members) else {
                 return;
             };
-            self.predict(work, base, estimate);
             for (index, worker) in workers.into_iter().enumerate() {
                 let base = base * (w.scatter * self.normal()).exp();
+                if index == 0 {
+                    self.predict(work, base, estimate);
+                }
                 self.used[worker] += 1;
                 self.runs.push(Run {
                     step: self.steps.len(),
--- a/crates/forecast/src/fit.rs
+++ b/crates/forecast/src/fit.rs
@@ -14,7 +14,7 @@
 /// Variance of worker effects in a service of which nothing is known: standard deviation 0.5.
 pub(crate) const PRIOR_SPREAD: f64 = 0.25;
 /// Number of workers that this variance is worth.
-const PRIOR_WORKERS: f64 = 5.0;
+const PRIOR_WORKERS: f64 = 2.0;
 /// Least variance of worker effects, so that a worker that becomes slow is noticed.
 const MIN_SPREAD: f64 = 0.002_5;
 /// Alternations in one update, which starts from the result of the earlier one. With few
@@ -52,6 +52,16 @@
     pub scatter_n: f64,
 }
 
+/// What the runs of a step on one worker tell of the step.
+#[derive(Clone, Copy, Debug, Default)]
+struct Member {
+    /// Logarithm of the run time on a typical worker.
+    value: f64,
+    /// Effect of the worker.
+    speed: f64,
+    runs: f64,
+}
+
 impl StepValue {
     /// A step that ended before it took part in a fit.
     pub fn unknown(kind: u32) -> Self {
@@ -107,7 +117,7 @@
 
     fn clear_steps(&mut self, priors: &[StepPrior]) {
         for (step, prior) in self.steps.iter_mut().zip(priors) {
-            step.effect = prior.effect;
+            step.effect = prior.effect + step.carry;
         }
     }
 
@@ -205,6 +215,14 @@
                 e.to_step = e.to_step.shifted(delta);
             }
         }
+        for step in &mut self.steps {
+            if let Some(&delta) = step.service.and_then(|s| shifts.get(s as usize)) {
+                step.carry = step.carry.shifted(delta);
+                if let Some(value) = &mut step.value {
+                    value.value += delta;
+                }
+            }
+        }
         shifts
     }
 
@@ -260,30 +278,29 @@
             starts.push(total);
             total += step.used() as usize;
         }
-        let mut values = vec![(0.0, 0.0); total];
+        let mut members = vec![Member::default(); total];
         let mut precisions = vec![0.0; self.steps.len()];
-        for step in &mut self.steps {
-            step.speed = 0.0;
-        }
         for (_, w) in self.workers.iter() {
             for e in &w.edges {
                 let exact = self.steps[e.step as usize].exact;
                 if exact == 0 || !e.is_bound {
                     let at = &mut starts[e.step as usize];
-                    values[*at] = (e.value - w.effect.mean(), e.runs.len() as f64);
+                    members[*at] = Member {
+                        value: e.value - w.effect.mean(),
+                        speed: w.effect.mean(),
+                        runs: e.runs.len() as f64,
+                    };
                     *at += 1;
                 }
                 precisions[e.step as usize] += e.to_step.precision;
-                let step = &mut self.steps[e.step as usize];
-                step.speed += w.effect.mean() / f64::from(step.edges);
-                step.service = w.service;
+                self.steps[e.step as usize].service = w.service;
             }
         }
         let mut scratch = Vec::new();
         for ((step, &end), &precision) in self.steps.iter_mut().zip(&starts).zip(&precisions) {
-            if step.edges > 0 {
-                let values = &values[end - step.used() as usize..end];
-                step.summarize(values, precision, &mut scratch);
+            if step.edges > 0 && step.rank() >= step.best {
+                let members = &members[end - step.used() as usize..end];
+                step.summarize(members, precision, &mut scratch);
             }
         }
     }
@@ -318,15 +335,26 @@
         }
     }
 
-    fn summarize(&mut self, values: &[(f64, f64)], precision: f64, scratch: &mut Vec<f64>) {
+    /// Order of states of the step by how much they tell.
+    fn rank(&self) -> u32 {
+        if self.exact > 0 {
+            u32::MAX / 2 + self.exact
+        } else {
+            self.edges
+        }
+    }
+
+    fn summarize(&mut self, members: &[Member], precision: f64, scratch: &mut Vec<f64>) {
+        self.best = self.rank();
+        self.speed = members.iter().map(|m| m.speed).sum::<f64>() / members.len() as f64;
         scratch.clear();
-        scratch.extend(values.iter().map(|(v, _)| v));
+        scratch.extend(members.iter().map(|m| m.value));
         let value = median(scratch);
         scratch.clear();
         scratch.extend(
-            values
+            members
                 .iter()
-                .map(|(v, runs)| (v - value).abs() * runs.sqrt()),
+                .map(|m| (m.value - value).abs() * m.runs.sqrt()),
         );
         // The median of absolute deviations of a normal distribution is 0.674 standard deviations.
         let scatter = (median(scratch) / 0.674).powi(2);
@@ -336,8 +364,8 @@
             value,
             var: 1.0 / precision,
             scatter,
-            scatter_n: if values.len() >= 4 {
-                values.len() as f64 - 1.0
+            scatter_n: if members.len() >= 4 {
+                members.len() as f64 - 1.0
             } else {
                 0.0
             },
--- a/crates/forecast/src/predictor.rs
+++ b/crates/forecast/src/predictor.rs
@@ -6,8 +6,8 @@
     Name,
     gauss::Gauss,
     observation::{Kind, Observation},
-    run_times::{RunTimes, Sums},
-    speeds::{Speeds, Worker},
+    run_times::{MAX_KINDS, RunTimes, Sums},
+    speeds::{MAX_WORKERS, Speeds, Worker},
     stored::{Stored, StoredKind, StoredWorker},
 };
 
@@ -21,8 +21,8 @@
 const UNKNOWN_DEVIATION: f64 = 0.5;
 /// Difference of the logarithm of a factor from 0 that is worth storing: 15%.
 const STORED_DIFFERENCE: f64 = 0.14;
-/// Confidence of a factor that is worth storing.
-const STORED_CONFIDENCE: f64 = 0.5;
+/// Confidence of a factor that is worth storing: standard deviation 0.15 of its logarithm.
+const STORED_CONFIDENCE: f64 = 0.7;
 /// Share of its precision that evidence keeps in the next leader.
 const RESTORED_SHARE: f64 = 0.5;
 
@@ -191,7 +191,7 @@
     /// Restores what [`stored`](Self::stored) returned to an earlier leader.
     pub fn restore(stored: &Stored, now: Millis) -> Self {
         let mut forecast = Self::default();
-        for StoredWorker(name, log, weight) in &stored.workers {
+        for StoredWorker(name, log, weight) in stored.workers.iter().take(MAX_WORKERS) {
             let var = 1.0 / (RESTORED_SHARE * f64::from(*weight).max(1.0));
             let carry = Gauss::new(f64::from(*log) / 100.0, var);
             let worker = Worker::restore(carry, now);
@@ -199,12 +199,15 @@
         }
         for (name, typical) in &stored.services {
             if let Some(slot) = forecast.speeds.service(name) {
-                forecast.speeds.services[slot as usize].typical = *typical;
+                let service = &mut forecast.speeds.services[slot as usize];
+                service.typical = (*typical).min(MAX_WORKERS as u32);
             }
         }
-        for kind in &stored.kinds {
-            let sums = Sums::restore(&kind.regression).scaled(RESTORED_SHARE);
-            forecast.run_times.insert(&kind.kind(), sums);
+        for kind in stored.kinds.iter().take(MAX_KINDS) {
+            if let Some(sums) = Sums::restore(&kind.regression) {
+                let sums = sums.scaled(RESTORED_SHARE);
+                forecast.run_times.insert(&kind.kind(), sums);
+            }
         }
         forecast
     }
@@ -250,9 +253,12 @@
         }
     }
 
-    fn restore(regression: &[f32; 8]) -> Self {
+    /// Returns the sums, or `None` if they can't come from observations.
+    fn restore(regression: &[f32; 8]) -> Option<Self> {
         let [n, x, d, xx, xd, dd, scatter_n, scatter] = regression.map(f64::from);
-        Self {
+        let positive = [n, xx, dd, scatter_n, scatter].iter().all(|v| *v >= 0.0);
+        let bounded = regression.iter().all(|v| v.abs() < 1e6);
+        (positive && bounded && n > 0.0).then_some(Self {
             n,
             x: n * x,
             d: n * d,
@@ -261,6 +267,6 @@
             dd: n * (dd + d * d),
             scatter_n,
             scatter: scatter_n * scatter,
-        }
+        })
     }
 }
--- a/crates/forecast/src/run_times.rs
+++ b/crates/forecast/src/run_times.rs
@@ -39,7 +39,8 @@
     pub xx: f64,
     pub xd: f64,
     pub dd: f64,
-    /// Weight and weighted sum of the variances within steps.
+    /// Weight and weighted sum of the variances within steps that have ended. Of a step under way
+    /// the short runs are seen first, which looks like less scatter.
     pub scatter_n: f64,
     pub scatter: f64,
 }
@@ -53,8 +54,6 @@
         self.xx += weight * x * x;
         self.xd += weight * x * d;
         self.dd += weight * d * d;
-        self.scatter_n += step.scatter_n;
-        self.scatter += step.scatter_n * step.scatter;
     }
 
     pub fn scaled(&self, f: f64) -> Self {
@@ -219,6 +218,8 @@
             if weight > 0.0 {
                 e.past = e.past.scaled(DECAY);
                 e.past.add(step, weight);
+                e.past.scatter_n += step.scatter_n;
+                e.past.scatter += step.scatter_n * step.scatter;
             }
         }
         for e in &mut self.entries {
--- a/crates/forecast/src/speeds.rs
+++ b/crates/forecast/src/speeds.rs
@@ -11,7 +11,7 @@
 const REPORTED: f64 = 4_000.0;
 /// Runs of one step that are kept for a worker.
 const MAX_RUNS: usize = 8;
-const MAX_WORKERS: usize = 2_048;
+pub(crate) const MAX_WORKERS: usize = 2_048;
 const MAX_SERVICES: usize = 64;
 /// Time of load after which an observation counts half, in ms. Runs take 2 to 9 s, so that two runs
 /// outvote the earlier ones.
@@ -67,8 +67,13 @@
     pub edges: u32,
     /// Edges whose value is not only an upper bound.
     pub exact: u32,
+    /// Evidence from edges that were dropped. The first to end are the shortest runs, so that
+    /// without it the step would look longer towards its end.
+    pub carry: Gauss,
     pub effect: Gauss,
+    /// What was observed when the most members were known, and the rank of that state.
     pub value: Option<StepValue>,
+    pub best: u32,
     /// Mean effect of its workers and their service.
     pub speed: f64,
     pub service: Option<u32>,
@@ -319,6 +324,7 @@
         for edge in edges {
             let step = &mut self.steps[edge.step as usize];
             step.edges -= 1;
+            step.carry += edge.to_step;
             if step.edges == 0 {
                 let value = step.value.take();
                 self.past
@@ -353,6 +359,8 @@
         x: (obs.estimate.0.max(1) as f64).ln(),
         edges: 0,
         exact: 0,
+        carry: Gauss::default(),
+        best: 0,
         effect: Gauss::default(),
         value: None,
         speed: 0.0,
