--- a/crates/forecast/examples/accuracy.rs
+++ b/crates/forecast/examples/accuracy.rs
@@ -2,6 +2,13 @@
 //!
 //! `cargo run --release -p forecast --example accuracy`
 
+use std::time::{Duration, Instant};
+
+use base::clock::Millis;
+use forecast::{
+    observation::{Kind, Observation},
+    predictor::Forecast,
+};
 use sim::{Choice, Sim, Work, mean_abs};
 
 #[path = "sim/mod.rs"]
@@ -41,23 +48,87 @@
             mean_abs(sure),
         );
         for work in 0..sim.work.len() {
-            let (median, estimate, within) = sim.run_times(work);
-            print!("  {median:.2} ({estimate:.2}) {within:.2}");
+            if sim.predictions.iter().any(|p| p.work == work) {
+                let (median, estimate, within) = sim.run_times(work);
+                print!("  {median:.2} ({estimate:.2}) {within:.2}");
+            } else {
+                print!("  -");
+            }
         }
         println!();
     }
-    let (total, n) = sim.cost;
-    let stored = sim.forecast.stored(base::clock::Millis(sim.now));
+    let stored = sim.forecast.stored(Millis(sim.now));
     println!(
-        "  update: mean {:?}, worst {:?} of {n}; stored: {} bytes, {} workers",
-        total / n.max(1),
-        sim.worst,
+        "  update: {}; stored: {} bytes, {} workers",
+        times(&mut sim.costs),
         serde_json::to_string(&stored).map_or(0, |s| s.len()),
         stored.workers.len(),
     );
 }
 
+fn times(costs: &mut [Duration]) -> String {
+    costs.sort();
+    let n = costs.len();
+    let mean = costs.iter().sum::<Duration>() / n.max(1) as u32;
+    let at = |q: usize| costs[(n * q / 100).min(n - 1)];
+    format!(
+        "mean {mean:?}, median {:?}, 95 of 100 within {:?}",
+        at(50),
+        at(95)
+    )
+}
+
+/// Resident memory of the process in KiB.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let number = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0)
+}
+
+/// Time and memory with the most that is kept of each worker: 8 steps.
+fn full(workers: u64, runs: usize) {
+    let before = resident();
+    let mut forecast = Forecast::default();
+    let kind = Kind::default();
+    let mut now = 0;
+    let mut costs = Vec::new();
+    for round in 0..100 {
+        now += 1_000;
+        for worker in 0..workers {
+            let name = format!("worker-{worker:04}").into();
+            for step in 0..8 {
+                for index in 0..runs {
+                    let obs = Observation {
+                        step: (worker + step * 41) % (workers / 2),
+                        index: index + worker as usize * 8,
+                        kind: &kind,
+                        worker: &name,
+                        service: &"batch".into(),
+                        estimate: Millis(100_000),
+                        elapsed: Millis(20_000 + now + worker * 7 % 1_000 * (step + 1)),
+                        progress: 0.11 + f64::from(round) * 0.005,
+                    };
+                    forecast.observe(&obs, Millis(now));
+                }
+            }
+        }
+        let begin = Instant::now();
+        forecast.update(Millis(now));
+        costs.push(begin.elapsed());
+    }
+    println!(
+        "{workers} workers with 8 steps of {runs} runs: update {}; {} KiB",
+        times(&mut costs),
+        resident().saturating_sub(before),
+    );
+}
+
 fn main() {
+    // The largest comes first, because memory that is free again doesn't count.
+    full(1_100, 8);
+    full(1_100, 1);
+    full(350, 1);
     for choice in [Choice::Random, Choice::Alike] {
         let mut sim = Sim::new(two_classes(350), kinds(), 1);
         sim.choice = choice;
--- a/crates/forecast/examples/sim/mod.rs
+++ b/crates/forecast/examples/sim/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::time::{Duration, Instant};
+
 use base::clock::Millis;
 use forecast::{
     Name,
@@ -82,9 +84,8 @@
     /// Share of the slots that are in use.
     pub load: f64,
     pub slots: usize,
-    /// Time spent in `update` and number of calls.
-    pub cost: (std::time::Duration, u32),
-    pub worst: std::time::Duration,
+    /// Times of the calls of `update` that computed something.
+    pub costs: Vec<Duration>,
     /// Predictions at the start of steps.
     pub predictions: Vec<Prediction>,
     used: Vec<usize>,
@@ -115,8 +116,7 @@
             rng: fastrand::Rng::with_seed(seed),
             load: 0.7,
             slots: 8,
-            cost: (std::time::Duration::ZERO, 0),
-            worst: std::time::Duration::ZERO,
+            costs: Vec::new(),
             predictions: Vec::new(),
             runs: Vec::new(),
             steps: Vec::new(),
@@ -153,12 +153,11 @@
             self.start_steps();
             self.work();
             self.report();
-            let begin = std::time::Instant::now();
+            let begin = Instant::now();
             self.forecast.update(Millis(self.now));
             let took = begin.elapsed();
-            if took.as_micros() > 5 {
-                self.cost = (self.cost.0 + took, self.cost.1 + 1);
-                self.worst = self.worst.max(took);
+            if took > Duration::from_micros(5) {
+                self.costs.push(took);
             }
         }
     }
--- a/crates/forecast/src/predictor.rs
+++ b/crates/forecast/src/predictor.rs
@@ -92,6 +92,27 @@
 
 impl Forecast {
     /// Records how far a run has come. A later observation of the same run replaces the earlier one.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use forecast::{observation::{Kind, Observation}, predictor::Forecast};
+    ///
+    /// let mut forecast = Forecast::default();
+    /// let obs = Observation {
+    ///     step: 1,
+    ///     index: 0,
+    ///     kind: &Kind::default(),
+    ///     worker: &"w".into(),
+    ///     service: &"s".into(),
+    ///     estimate: Millis(1_000),
+    ///     elapsed: Millis(1_500),
+    ///     progress: 0.5,
+    /// };
+    /// forecast.observe(&obs, Millis(1_500));
+    /// forecast.update(Millis(1_500));
+    /// let run_time = forecast.run_time(obs.kind, Millis(1_000));
+    /// assert!(run_time.median > Millis(1_000));
+    /// ```
     pub fn observe(&mut self, obs: &Observation<'_>, now: Millis) {
         if !(obs.progress > 0.0 && obs.progress.is_finite()) {
             return;
@@ -103,6 +124,13 @@
     }
 
     /// Recomputes speeds and corrections, at most every 250 ms and only after new observations.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// let mut forecast = forecast::predictor::Forecast::default();
+    /// forecast.update(Millis(0));
+    /// assert!(forecast.slowest(1).is_empty());
+    /// ```
     pub fn update(&mut self, now: Millis) {
         let load = (self.speeds.edges() as u64).max(INTERVAL_EDGES);
         let interval = Millis(INTERVAL.0 * load / INTERVAL_EDGES);
@@ -119,12 +147,38 @@
     }
 
     /// Returns the slowness of a worker.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use forecast::{observation::{Kind, Observation}, predictor::{Forecast, Slowness}};
+    /// # let mut forecast = Forecast::default();
+    /// # let kind = Kind { gang: true, ..Kind::default() };
+    /// # let runs = [("a", 0.4), ("b", 0.4), ("c", 0.2)];
+    /// # for (i, (worker, progress)) in runs.iter().cycle().take(9).enumerate() {
+    /// #     let obs = Observation {
+    /// #         step: i as u64 / 3, index: i % 3, kind: &kind, worker: &(*worker).into(),
+    /// #         service: &"s".into(), estimate: Millis(5_000), elapsed: Millis(2_000),
+    /// #         progress: *progress,
+    /// #     };
+    /// #     forecast.observe(&obs, Millis(2_000));
+    /// # }
+    /// # forecast.update(Millis(2_000));
+    /// assert!(forecast.slowness("c").factor > 1.5);
+    /// assert_eq!(forecast.slowness("d"), Slowness::UNKNOWN);
+    /// ```
     pub fn slowness(&self, worker: &str) -> Slowness {
         let worker = self.speeds.workers.get(worker);
         worker.map_or(Slowness::UNKNOWN, Slowness::of)
     }
 
     /// Returns the expected run time of a subtask on a typical worker.
+    ///
+    /// ```
+    /// use base::clock::Millis;
+    /// use forecast::{observation::Kind, predictor::Forecast};
+    /// let run_time = Forecast::default().run_time(&Kind::default(), Millis(700));
+    /// assert_eq!((run_time.median, run_time.confidence), (Millis(700), 0.0));
+    /// ```
     pub fn run_time(&self, kind: &Kind, estimate: Millis) -> RunTime {
         let x = (estimate.0.max(1) as f64).ln();
         match self.run_times.expected(kind, x) {
@@ -142,16 +196,73 @@
     }
 
     /// Forgets a worker that is gone.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use forecast::{observation::{Kind, Observation}, predictor::{Forecast, Slowness}};
+    /// # let mut forecast = Forecast::default();
+    /// # let kind = Kind { gang: true, ..Kind::default() };
+    /// # let runs = [("a", 0.4), ("b", 0.4), ("c", 0.2)];
+    /// # for (i, (worker, progress)) in runs.iter().cycle().take(9).enumerate() {
+    /// #     let obs = Observation {
+    /// #         step: i as u64 / 3, index: i % 3, kind: &kind, worker: &(*worker).into(),
+    /// #         service: &"s".into(), estimate: Millis(5_000), elapsed: Millis(2_000),
+    /// #         progress: *progress,
+    /// #     };
+    /// #     forecast.observe(&obs, Millis(2_000));
+    /// # }
+    /// # forecast.update(Millis(2_000));
+    /// forecast.forget_worker("c");
+    /// assert_eq!(forecast.slowness("c"), Slowness::UNKNOWN);
+    /// ```
     pub fn forget_worker(&mut self, worker: &str) {
         self.speeds.forget(worker);
     }
 
     /// Keeps the speed of a worker with low confidence, as after a restart on the same hardware.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use forecast::{observation::{Kind, Observation}, predictor::{Forecast, Slowness}};
+    /// # let mut forecast = Forecast::default();
+    /// # let kind = Kind { gang: true, ..Kind::default() };
+    /// # let runs = [("a", 0.4), ("b", 0.4), ("c", 0.2)];
+    /// # for (i, (worker, progress)) in runs.iter().cycle().take(9).enumerate() {
+    /// #     let obs = Observation {
+    /// #         step: i as u64 / 3, index: i % 3, kind: &kind, worker: &(*worker).into(),
+    /// #         service: &"s".into(), estimate: Millis(5_000), elapsed: Millis(2_000),
+    /// #         progress: *progress,
+    /// #     };
+    /// #     forecast.observe(&obs, Millis(2_000));
+    /// # }
+    /// # forecast.update(Millis(2_000));
+    /// let before = forecast.slowness("c");
+    /// forecast.worker_restarted("c");
+    /// assert!(forecast.slowness("c").confidence < before.confidence);
+    /// ```
     pub fn worker_restarted(&mut self, worker: &str) {
         self.speeds.restarted(worker);
     }
 
     /// Returns the workers with the largest factors, slowest first.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use forecast::{observation::{Kind, Observation}, predictor::{Forecast, Slowness}};
+    /// # let mut forecast = Forecast::default();
+    /// # let kind = Kind { gang: true, ..Kind::default() };
+    /// # let runs = [("a", 0.4), ("b", 0.4), ("c", 0.2)];
+    /// # for (i, (worker, progress)) in runs.iter().cycle().take(9).enumerate() {
+    /// #     let obs = Observation {
+    /// #         step: i as u64 / 3, index: i % 3, kind: &kind, worker: &(*worker).into(),
+    /// #         service: &"s".into(), estimate: Millis(5_000), elapsed: Millis(2_000),
+    /// #         progress: *progress,
+    /// #     };
+    /// #     forecast.observe(&obs, Millis(2_000));
+    /// # }
+    /// # forecast.update(Millis(2_000));
+    /// assert_eq!(&*forecast.slowest(1)[0].0, "c");
+    /// ```
     pub fn slowest(&self, n: usize) -> Vec<(Name, Slowness)> {
         let all = self.speeds.workers.iter();
         let mut all = all
@@ -163,6 +274,25 @@
     }
 
     /// Returns what the next leader needs.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use forecast::{observation::{Kind, Observation}, predictor::{Forecast, Slowness}};
+    /// # let mut forecast = Forecast::default();
+    /// # let kind = Kind { gang: true, ..Kind::default() };
+    /// # let runs = [("a", 0.4), ("b", 0.4), ("c", 0.2)];
+    /// # for (i, (worker, progress)) in runs.iter().cycle().take(9).enumerate() {
+    /// #     let obs = Observation {
+    /// #         step: i as u64 / 3, index: i % 3, kind: &kind, worker: &(*worker).into(),
+    /// #         service: &"s".into(), estimate: Millis(5_000), elapsed: Millis(2_000),
+    /// #         progress: *progress,
+    /// #     };
+    /// #     forecast.observe(&obs, Millis(2_000));
+    /// # }
+    /// # forecast.update(Millis(2_000));
+    /// let stored = forecast.stored(Millis(2_000));
+    /// assert_eq!(&*stored.workers[0].0, "c");
+    /// ```
     pub fn stored(&self, _now: Millis) -> Stored {
         let mut stored = Stored::default();
         let mut typical = vec![0; self.speeds.services.len()];
@@ -189,6 +319,26 @@
     }
 
     /// Restores what [`stored`](Self::stored) returned to an earlier leader.
+    ///
+    /// ```
+    /// # use base::clock::Millis;
+    /// # use forecast::{observation::{Kind, Observation}, predictor::{Forecast, Slowness}};
+    /// # let mut forecast = Forecast::default();
+    /// # let kind = Kind { gang: true, ..Kind::default() };
+    /// # let runs = [("a", 0.4), ("b", 0.4), ("c", 0.2)];
+    /// # for (i, (worker, progress)) in runs.iter().cycle().take(9).enumerate() {
+    /// #     let obs = Observation {
+    /// #         step: i as u64 / 3, index: i % 3, kind: &kind, worker: &(*worker).into(),
+    /// #         service: &"s".into(), estimate: Millis(5_000), elapsed: Millis(2_000),
+    /// #         progress: *progress,
+    /// #     };
+    /// #     forecast.observe(&obs, Millis(2_000));
+    /// # }
+    /// # forecast.update(Millis(2_000));
+    /// let stored = forecast.stored(Millis(2_000));
+    /// let restored = Forecast::restore(&stored, Millis(0));
+    /// assert!(restored.slowness("c").factor > 1.5);
+    /// ```
     pub fn restore(stored: &Stored, now: Millis) -> Self {
         let mut forecast = Self::default();
         for StoredWorker(name, log, weight) in stored.workers.iter().take(MAX_WORKERS) {
@@ -242,6 +392,7 @@
             self.xx / n - x * x,
             self.xd / n - x * d,
             self.dd / n - d * d,
+            self.var / n,
             scatter_n,
             scatter,
         ];
@@ -254,9 +405,11 @@
     }
 
     /// Returns the sums, or `None` if they can't come from observations.
-    fn restore(regression: &[f32; 8]) -> Option<Self> {
-        let [n, x, d, xx, xd, dd, scatter_n, scatter] = regression.map(f64::from);
-        let positive = [n, xx, dd, scatter_n, scatter].iter().all(|v| *v >= 0.0);
+    fn restore(regression: &[f32; 9]) -> Option<Self> {
+        let [n, x, d, xx, xd, dd, var, scatter_n, scatter] = regression.map(f64::from);
+        let positive = [n, xx, dd, var, scatter_n, scatter]
+            .iter()
+            .all(|v| *v >= 0.0);
         let bounded = regression.iter().all(|v| v.abs() < 1e6);
         (positive && bounded && n > 0.0).then_some(Self {
             n,
@@ -265,6 +418,7 @@
             xx: n * (xx + x * x),
             xd: n * (xd + x * d),
             dd: n * (dd + d * d),
+            var: n * var,
             scatter_n,
             scatter: scatter_n * scatter,
         })
--- a/crates/forecast/src/run_times.rs
+++ b/crates/forecast/src/run_times.rs
@@ -39,6 +39,8 @@
     pub xx: f64,
     pub xd: f64,
     pub dd: f64,
+    /// Weighted sum of the variances with which the steps are known.
+    pub var: f64,
     /// Weight and weighted sum of the variances within steps that have ended. Of a step under way
     /// the short runs are seen first, which looks like less scatter.
     pub scatter_n: f64,
@@ -54,6 +56,7 @@
         self.xx += weight * x * x;
         self.xd += weight * x * d;
         self.dd += weight * d * d;
+        self.var += weight * step.var;
     }
 
     pub fn scaled(&self, f: f64) -> Self {
@@ -64,6 +67,7 @@
             xx: self.xx * f,
             xd: self.xd * f,
             dd: self.dd * f,
+            var: self.var * f,
             scatter_n: self.scatter_n * f,
             scatter: self.scatter * f,
         }
@@ -90,6 +94,8 @@
     slope: f64,
     var: f64,
     scatter: f64,
+    /// Part of the variance that comes from how well the steps are known.
+    observed: f64,
 }
 
 impl Line {
@@ -116,6 +122,7 @@
             slope,
             var: (VAR_WEIGHT * PRIOR_VAR + squares.max(0.0)) / (VAR_WEIGHT + s.n),
             scatter,
+            observed: s.var / (VAR_WEIGHT + s.n),
         }
     }
 
@@ -243,9 +250,11 @@
             return None;
         }
         let (mean, var) = line.predict(x);
+        // The scatter within steps is already part of the variance of a kind with narrow steps.
+        let scatter = (line.scatter - line.observed).max(0.0);
         Some(Expected {
             median: mean,
-            likely: mean + LIKELY * (var + line.scatter).sqrt(),
+            likely: mean + LIKELY * (var + scatter).sqrt(),
             confidence: line.n / (line.n + PRIOR_WEIGHT),
         })
     }
--- a/crates/forecast/tests/speeds.rs
+++ b/crates/forecast/tests/speeds.rs
@@ -193,6 +193,85 @@
     );
 }
 
+/// Guards against a member that has ended and waits for the others being taken for slow.
+#[test]
+fn a_gang_member_that_waits_is_not_slow() {
+    let kind = Kind {
+        gang: true,
+        ..Kind::default()
+    };
+    let mut f = Forecast::default();
+    for t in 1..=8_u64 {
+        // Members of 2 s, 2 s and 8 s; the last one is first seen when it has ended.
+        for (index, worker, time) in [
+            (0, "a", 2.0),
+            (1, "b", 8.0),
+            (2, "c", 8.0),
+            (3, "late", 2.0),
+        ] {
+            let obs = Observation {
+                step: 1,
+                index,
+                kind: &kind,
+                worker: &worker.into(),
+                service: &"s".into(),
+                estimate: Millis(4_000),
+                elapsed: Millis(t * 1_000),
+                progress: (t as f64 / time).min(1.0),
+            };
+            if worker != "late" || t > 5 {
+                f.observe(&obs, Millis(t * 1_000));
+            }
+        }
+        f.update(Millis(t * 1_000));
+    }
+    let [a, b, late] = ["a", "b", "late"].map(|w| f.slowness(w).factor);
+    // Four times as fast, drawn together by the prior; with the wait it would be no difference.
+    assert!(b / a > 2.5, "{a}, {b}");
+    assert!(late <= b, "{late}, {b}");
+}
+
+/// Guards against the pace before a change of speed hiding the one after it until the run ends.
+#[test]
+fn a_change_during_a_run_shows_in_the_run() {
+    let kind = Kind {
+        gang: true,
+        ..Kind::default()
+    };
+    let mut f = Forecast::default();
+    for t in 2..=8_u64 {
+        for index in 0..8 {
+            // From 2 s on, the first worker takes twice as long.
+            let pace = if index == 0 { 0.05 } else { 0.1 };
+            let obs = Observation {
+                step: 1,
+                index,
+                kind: &kind,
+                worker: &format!("w{index}").into(),
+                service: &"s".into(),
+                estimate: Millis(10_000),
+                elapsed: Millis(t * 1_000),
+                progress: 0.2 + (t - 2) as f64 * pace,
+            };
+            f.observe(&obs, Millis(t * 1_000));
+        }
+        f.update(Millis(t * 1_000));
+    }
+    let [changed, same] = ["w0", "w1"].map(|w| f.slowness(w).factor);
+    // The pace over the whole run differs by 1.6 only.
+    assert!(changed / same > 1.7, "{changed}, {same}");
+}
+
+/// Guards against speeds that only show by comparison within a step.
+#[test]
+fn steps_of_one_subtask_show_speeds() {
+    let mut sim = Sim::new(two_classes(), vec![Work::new("a", false, 1, 4_000.0)], 1);
+    sim.run(40_000);
+    let errors = sim.errors(0.0);
+    assert_eq!(errors.len(), 120);
+    assert!(share_above(&errors, 0.44) <= 0.03, "{}", mean_abs(errors));
+}
+
 /// Guards against one run that was held up deciding about its worker.
 #[test]
 fn one_outlier_has_little_effect() {
