forecast: a new image starts from the regression of its queue

Cause: a kind is a queue and an image. Where images change often, each new one would start from submitted estimates that the whole queue gets wrong, and 64 kinds may be too few.

Evidence: `a_new_image_starts_from_its_queue` (new): 40 steps of two images at 3 times the estimate give a third image a median of 2 to 3 times the estimate with a confidence of 0.3 to 0.5, and its own 60 steps overrule that.

Change: the regression over the other kinds of a queue is the prior of a kind.

--- a/crates/forecast/src/predictor.rs
+++ b/crates/forecast/src/predictor.rs
@@ -312,8 +312,7 @@
         let services = self.speeds.services.iter().zip(typical);
         let services = services.map(|(s, n)| (s.name.clone(), n.max(s.typical)));
         stored.services = services.collect();
-        let live = self.speeds.step_values().collect::<Vec<_>>();
-        let kinds = self.run_times.sums(&live).filter(|(_, sums)| sums.n > 0.0);
+        let kinds = self.run_times.sums().filter(|(_, sums)| sums.n > 0.0);
         stored.kinds = kinds.map(|(kind, sums)| sums.store(kind)).collect();
         stored
     }
--- a/crates/forecast/src/run_times.rs
+++ b/crates/forecast/src/run_times.rs
@@ -10,6 +10,8 @@
 
 /// Kinds that are kept. A kind that is not in use makes room for a new one.
 pub(crate) const MAX_KINDS: usize = 64;
+/// Confidence in the regression of a queue for a kind of it that was not observed.
+const OTHERS: f64 = 0.5;
 /// Number of observations that the prior (slope 1, intercept 0) is worth.
 const PRIOR_WEIGHT: f64 = 5.0;
 /// Variance of the logarithm of the estimates that the prior of the slope was seen on.
@@ -73,15 +75,37 @@
         }
     }
 
-    /// Moves all run times by `delta`.
-    fn shifted(&self, delta: f64) -> Self {
+    fn plus(&self, other: &Self) -> Self {
         Self {
-            d: self.d + self.n * delta,
-            xd: self.xd + self.x * delta,
-            dd: self.dd + 2.0 * delta * self.d + self.n * delta * delta,
+            n: self.n + other.n,
+            x: self.x + other.x,
+            d: self.d + other.d,
+            xx: self.xx + other.xx,
+            xd: self.xd + other.xd,
+            dd: self.dd + other.dd,
+            var: self.var + other.var,
+            scatter_n: self.scatter_n + other.scatter_n,
+            scatter: self.scatter + other.scatter,
+        }
+    }
+
+    /// The sums with `d` less its expectation `at + slope * x`.
+    fn less(&self, at: f64, slope: f64) -> Self {
+        Self {
+            d: self.d - at * self.n - slope * self.x,
+            xd: self.xd - at * self.x - slope * self.xx,
+            dd: self.dd - 2.0 * (at * self.d + slope * self.xd)
+                + at * at * self.n
+                + 2.0 * at * slope * self.x
+                + slope * slope * self.xx,
             ..*self
         }
     }
+
+    /// Moves all run times by `delta`.
+    fn shifted(&self, delta: f64) -> Self {
+        self.less(-delta, 0.0)
+    }
 }
 
 /// Regression of a kind.
@@ -96,12 +120,31 @@
     scatter: f64,
     /// Part of the variance that comes from how well the steps are known.
     observed: f64,
+    confidence: f64,
 }
 
 impl Line {
-    fn new(s: &Sums, gang: bool) -> Self {
-        let n = s.n.max(1e-9);
-        let center = s.x / n;
+    /// Regression without observations: slope 1 and intercept 0.
+    const PRIOR: Self = Self {
+        n: 0.0,
+        center: 0.0,
+        spread: 0.0,
+        intercept: 0.0,
+        slope: 0.0,
+        var: PRIOR_VAR,
+        scatter: SCATTER * SCATTER,
+        observed: 0.0,
+        confidence: 0.0,
+    };
+
+    /// Regression of `sums` with the regression `prior`.
+    fn new(sums: &Sums, prior: &Self, gang: bool) -> Self {
+        let s = sums.less(prior.intercept - prior.slope * prior.center, prior.slope);
+        let (n, center) = if s.n > 0.0 {
+            (s.n, s.x / s.n)
+        } else {
+            (1.0, prior.center)
+        };
         let spread = (s.xx - s.x * center).max(0.0);
         let cross = s.xd - s.x * s.d / n;
         let slope = cross / (spread + PRIOR_WEIGHT * PRIOR_SPREAD);
@@ -112,24 +155,26 @@
         let scatter = if gang {
             GANG_SCATTER * GANG_SCATTER
         } else {
-            (SCATTER_WEIGHT * SCATTER * SCATTER + s.scatter) / (SCATTER_WEIGHT + s.scatter_n)
+            (SCATTER_WEIGHT * prior.scatter + s.scatter) / (SCATTER_WEIGHT + s.scatter_n)
         };
+        let known = s.n / (s.n + PRIOR_WEIGHT);
         Self {
             n: s.n,
             center,
             spread,
-            intercept,
-            slope,
-            var: (VAR_WEIGHT * PRIOR_VAR + squares.max(0.0)) / (VAR_WEIGHT + s.n),
+            intercept: intercept + prior.intercept + prior.slope * (center - prior.center),
+            slope: slope + prior.slope,
+            var: (VAR_WEIGHT * prior.var + squares.max(0.0)) / (VAR_WEIGHT + s.n),
             scatter,
             observed: s.var / (VAR_WEIGHT + s.n),
+            confidence: known + (1.0 - known) * OTHERS * prior.confidence,
         }
     }
 
     /// Mean and variance of the logarithm of the run time of a step.
     fn predict(&self, x: f64) -> (f64, f64) {
+        let mean = x + self.intercept + self.slope * (x - self.center);
         let u = if self.n > 0.0 { x - self.center } else { 0.0 };
-        let mean = x + self.intercept + self.slope * u;
         let unsure =
             1.0 / (self.n + PRIOR_WEIGHT) + u * u / (self.spread + PRIOR_WEIGHT * PRIOR_SPREAD);
         (mean, self.var * (1.0 + unsure))
@@ -146,6 +191,8 @@
     used_at: Millis,
     /// Sums over the steps that are no longer observed.
     past: Sums,
+    /// Sums over all its steps at the last update.
+    sums: Sums,
     line: Line,
 }
 
@@ -185,7 +232,8 @@
             steps: 0,
             used_at: Millis::ZERO,
             past,
-            line: Line::new(&past, kind.gang),
+            sums: past,
+            line: Line::new(&past, &self.prior_of(kind), kind.gang),
         };
         let slot = if self.entries.len() < MAX_KINDS {
             self.entries.push(entry);
@@ -234,19 +282,41 @@
                 e.past = e.past.shifted(delta);
             }
         }
-        let mut sums = self.entries.iter().map(|e| e.past).collect::<Vec<_>>();
+        for e in &mut self.entries {
+            e.sums = e.past;
+        }
         for step in live {
-            let weight = self.entries[step.kind as usize].weight(step);
-            sums[step.kind as usize].add(step, weight);
+            let e = &mut self.entries[step.kind as usize];
+            let weight = e.weight(step);
+            e.sums.add(step, weight);
+        }
+        for i in 0..self.entries.len() {
+            let e = &self.entries[i];
+            let prior = self.prior_of(&e.kind);
+            self.entries[i].line = Line::new(&e.sums, &prior, e.kind.gang);
         }
-        for (e, s) in self.entries.iter_mut().zip(&sums) {
-            e.line = Line::new(s, e.kind.gang);
+    }
+
+    /// Regression over the other kinds of the same queue, which differ in their images.
+    fn prior_of(&self, kind: &Kind) -> Line {
+        let same = |e: &&Entry| {
+            e.kind.gang == kind.gang && e.kind.queue == kind.queue && e.kind.image != kind.image
+        };
+        let others = self.entries.iter().filter(same);
+        let sums = others.fold(Sums::default(), |sums, e| sums.plus(&e.sums));
+        if sums.n > 0.0 {
+            Line::new(&sums, &Line::PRIOR, kind.gang)
+        } else {
+            Line::PRIOR
         }
     }
 
     pub fn expected(&self, kind: &Kind, x: f64) -> Option<Expected> {
-        let line = &self.entries[*self.slots.get(kind)? as usize].line;
-        if line.n <= 0.0 {
+        let line = match self.slots.get(kind) {
+            Some(&slot) => self.entries[slot as usize].line,
+            None => Line::new(&Sums::default(), &self.prior_of(kind), kind.gang),
+        };
+        if line.confidence <= 0.0 {
             return None;
         }
         let (mean, var) = line.predict(x);
@@ -255,18 +325,13 @@
         Some(Expected {
             median: mean,
             likely: mean + LIKELY * (var + scatter).sqrt(),
-            confidence: line.n / (line.n + PRIOR_WEIGHT),
+            confidence: line.confidence,
         })
     }
 
-    /// Iterates over the kinds with the sums of all their steps.
-    pub fn sums(&self, live: &[StepValue]) -> impl Iterator<Item = (&Kind, Sums)> {
-        let mut sums = self.entries.iter().map(|e| e.past).collect::<Vec<_>>();
-        for step in live {
-            let weight = self.entries[step.kind as usize].weight(step);
-            sums[step.kind as usize].add(step, weight);
-        }
-        self.entries.iter().map(|e| &e.kind).zip(sums)
+    /// Iterates over the kinds with the sums of all their steps at the last update.
+    pub fn sums(&self) -> impl Iterator<Item = (&Kind, &Sums)> {
+        self.entries.iter().map(|e| (&e.kind, &e.sums))
     }
 }
 
--- a/crates/forecast/tests/run_times.rs
+++ b/crates/forecast/tests/run_times.rs
@@ -151,3 +151,29 @@
         Millis(1_000)
     );
 }
+
+/// Guards against each new image starting from submitted estimates that its queue gets wrong.
+#[test]
+fn a_new_image_starts_from_its_queue() {
+    let image = |queue: &str, image: &str| Kind {
+        queue: Some(queue.into()),
+        image: Some(image.into()),
+        gang: false,
+    };
+    let mut f = Forecast::default();
+    for step in 0..40 {
+        let kind = image("q", ["a", "b"][step as usize % 2]);
+        observe(&mut f, &kind, step, 12, 1_000, 3_000);
+    }
+    let new = f.run_time(&image("q", "c"), Millis(1_000));
+    assert!((2_000..3_000).contains(&new.median.0), "{new:?}");
+    assert!((0.3..=0.5).contains(&new.confidence), "{new:?}");
+    let other = f.run_time(&image("r", "c"), Millis(1_000));
+    assert_eq!(other.median, Millis(1_000), "another queue");
+    // The image turns out to take as long as estimated.
+    for step in 40..100 {
+        observe(&mut f, &image("q", "c"), step, 12, 1_000, 1_000);
+    }
+    let [c, a] = ["c", "a"].map(|i| f.run_time(&image("q", i), Millis(1_000)).median.0);
+    assert!((900..1_300).contains(&c) && a > 1_900, "{c}, {a}");
+}
