--- a/crates/forecast/src/fit.rs
+++ b/crates/forecast/src/fit.rs
@@ -14,14 +14,21 @@
 /// Variance of worker effects in a service of which nothing is known: standard deviation 0.5.
 pub(crate) const PRIOR_SPREAD: f64 = 0.25;
 /// Number of workers that this variance is worth.
-const PRIOR_WORKERS: f64 = 5.0;
+const PRIOR_WORKERS: f64 = 2.0;
 /// Least variance of worker effects, so that a worker that becomes slow is noticed.
 const MIN_SPREAD: f64 = 0.002_5;
-/// Alternations in one update. Later updates start from the result of the earlier ones.
-const PASSES: usize = 4;
+/// Alternations in one update, which starts from the result of the earlier one. With few
+/// observations, as at the start, there are twice as many: in the bench example this reduces the
+/// mean error of speeds after the first second from 0.084 to 0.072.
+const PASSES: usize = 2;
+const FEW_EDGES: usize = 1_000;
 /// Standard deviations from which an observation loses weight.
 const HUBER: f64 = 1.5;
 
+/// Part of the stretch that one update corrects, and the weight of no stretch in it.
+const STRETCH_GAIN: f64 = 0.1;
+const STRETCH_WEIGHT: f64 = 10.0;
+
 /// What is expected of a step before it is observed.
 pub(crate) struct StepPrior {
     /// Logarithm of the run time.
@@ -45,6 +52,16 @@
     pub scatter_n: f64,
 }
 
+/// What the runs of a step on one worker tell of the step.
+#[derive(Clone, Copy, Debug, Default)]
+struct Member {
+    /// Logarithm of the run time on a typical worker.
+    value: f64,
+    /// Effect of the worker.
+    speed: f64,
+    runs: f64,
+}
+
 impl StepValue {
     /// A step that ended before it took part in a fit.
     pub fn unknown(kind: u32) -> Self {
@@ -75,25 +92,43 @@
         let priors = self.steps.iter().map(|s| prior(s.kind, s.x));
         let priors = priors.collect::<Vec<_>>();
         self.clear_steps(&priors);
+        self.count_exact();
         for (_, w) in self.workers.iter_mut() {
             w.effect = w.evidence + worker_prior(&self.services, w);
             for e in &w.edges {
                 self.steps[e.step as usize].effect += e.to_step;
             }
         }
-        for _ in 0..PASSES {
+        let passes = if self.edges() < FEW_EDGES {
+            2 * PASSES
+        } else {
+            PASSES
+        };
+        for _ in 0..passes {
             self.pass_to_steps(&priors);
             self.pass_to_workers(&priors);
         }
         let shifts = self.center();
         self.update_spreads();
         self.summarize_steps();
+        self.stretch(&priors, &shifts);
         shifts
     }
 
     fn clear_steps(&mut self, priors: &[StepPrior]) {
         for (step, prior) in self.steps.iter_mut().zip(priors) {
-            step.effect = prior.effect;
+            step.effect = prior.effect + step.carry;
+        }
+    }
+
+    fn count_exact(&mut self) {
+        for step in &mut self.steps {
+            step.exact = 0;
+        }
+        for (_, w) in self.workers.iter() {
+            for e in w.edges.iter().filter(|e| !e.is_bound) {
+                self.steps[e.step as usize].exact += 1;
+            }
         }
     }
 
@@ -107,9 +142,12 @@
                 let noise = e.noise(priors[e.step as usize].scatter);
                 let var = noise + rest.var();
                 let value = e.value - rest.mean();
-                let residual = value - steps[e.step as usize].effect.mean();
+                let step = &steps[e.step as usize];
+                let residual = value - step.effect.mean();
                 // A step that is new may be far from the expectation of its kind.
-                let weight = if e.to_step.precision > 0.0 {
+                let weight = if e.is_bound && step.exact > 0 {
+                    0.0
+                } else if e.to_step.precision > 0.0 {
                     huber(residual, var)
                 } else {
                     1.0
@@ -136,7 +174,11 @@
                 let rest = self.steps[e.step as usize].effect - e.to_step;
                 let var = e.noise(priors[e.step as usize].scatter) + rest.var();
                 let value = e.value - rest.mean();
-                let weight = Worker::weight(load, e) * huber(value - now, var);
+                let weight = if e.is_bound && value > now {
+                    0.0
+                } else {
+                    Worker::weight(load, e) * huber(value - now, var)
+                };
                 e.to_worker = Gauss::new(value, var).scaled(weight);
                 evidence += e.to_worker;
             }
@@ -150,7 +192,7 @@
         let mut means = vec![Vec::new(); self.services.len()];
         let mut new = vec![0; self.services.len()];
         for (_, w) in self.workers.iter() {
-            if let Some(service) = w.service {
+            if let (Some(service), true) = (w.service, w.evidence.precision > 0.0) {
                 means[service as usize].push(w.effect.mean());
                 new[service as usize] += u32::from(!w.restored);
             }
@@ -173,6 +215,14 @@
                 e.to_step = e.to_step.shifted(delta);
             }
         }
+        for step in &mut self.steps {
+            if let Some(&delta) = step.service.and_then(|s| shifts.get(s as usize)) {
+                step.carry = step.carry.shifted(delta);
+                if let Some(value) = &mut step.value {
+                    value.value += delta;
+                }
+            }
+        }
         shifts
     }
 
@@ -192,29 +242,65 @@
         }
     }
 
+    /// Undoes the shrinkage of effects that the fit itself can't see.
+    ///
+    /// If gangs run on workers of like speed, reports within a gang don't tell slow gangs from long
+    /// steps, and the prior draws all effects to zero, a little in each update. Then steps on slow
+    /// workers look longer than their kind, and those on fast workers shorter. The slope of this
+    /// over all steps is the amount by which the effects are too small.
+    fn stretch(&mut self, priors: &[StepPrior], shifts: &[f64]) {
+        let mut sums = vec![(0.0, 0.0); self.services.len()];
+        for (step, prior) in self.steps.iter().zip(priors) {
+            let (Some(value), Some(service)) = (step.value, step.service) else {
+                continue;
+            };
+            let expected = prior.effect.mean() + shifts[service as usize];
+            let weight = 1.0 / (prior.effect.var() + value.var);
+            let (cross, square) = &mut sums[service as usize];
+            *cross += weight * step.speed * (value.value - expected);
+            *square += weight * step.speed * step.speed;
+        }
+        for (_, w) in self.workers.iter_mut() {
+            let Some(service) = w.service else {
+                continue;
+            };
+            let (cross, square) = sums[service as usize];
+            let stretch = cross / (square + STRETCH_WEIGHT);
+            w.stretch(1.0 + STRETCH_GAIN * stretch.clamp(-0.5, 0.5));
+        }
+    }
+
     /// Computes the median run time of each step on a typical worker and the scatter around it.
     fn summarize_steps(&mut self) {
         let mut starts = Vec::with_capacity(self.steps.len());
         let mut total = 0;
         for step in &self.steps {
             starts.push(total);
-            total += step.edges as usize;
+            total += step.used() as usize;
         }
-        let mut values = vec![(0.0, 0.0); total];
+        let mut members = vec![Member::default(); total];
         let mut precisions = vec![0.0; self.steps.len()];
         for (_, w) in self.workers.iter() {
             for e in &w.edges {
-                let at = &mut starts[e.step as usize];
-                values[*at] = (e.value - w.effect.mean(), e.runs.len() as f64);
-                *at += 1;
+                let exact = self.steps[e.step as usize].exact;
+                if exact == 0 || !e.is_bound {
+                    let at = &mut starts[e.step as usize];
+                    members[*at] = Member {
+                        value: e.value - w.effect.mean(),
+                        speed: w.effect.mean(),
+                        runs: e.runs.len() as f64,
+                    };
+                    *at += 1;
+                }
                 precisions[e.step as usize] += e.to_step.precision;
+                self.steps[e.step as usize].service = w.service;
             }
         }
         let mut scratch = Vec::new();
         for ((step, &end), &precision) in self.steps.iter_mut().zip(&starts).zip(&precisions) {
-            if step.edges > 0 {
-                let values = &values[end - step.edges as usize..end];
-                step.summarize(values, precision, &mut scratch);
+            if step.edges > 0 && step.rank() >= step.best {
+                let members = &members[end - step.used() as usize..end];
+                step.summarize(members, precision, &mut scratch);
             }
         }
     }
@@ -227,16 +313,48 @@
     }
 }
 
+impl Worker {
+    /// Multiplies the effect.
+    fn stretch(&mut self, by: f64) {
+        self.carry.sum *= by;
+        self.evidence.sum *= by;
+        self.effect.sum *= by;
+        for e in &mut self.edges {
+            e.to_worker.sum *= by;
+        }
+    }
+}
+
 impl Step {
-    fn summarize(&mut self, values: &[(f64, f64)], precision: f64, scratch: &mut Vec<f64>) {
+    /// Number of edges that tell its value. Upper bounds count if there is nothing else.
+    fn used(&self) -> u32 {
+        if self.exact > 0 {
+            self.exact
+        } else {
+            self.edges
+        }
+    }
+
+    /// Order of states of the step by how much they tell.
+    fn rank(&self) -> u32 {
+        if self.exact > 0 {
+            u32::MAX / 2 + self.exact
+        } else {
+            self.edges
+        }
+    }
+
+    fn summarize(&mut self, members: &[Member], precision: f64, scratch: &mut Vec<f64>) {
+        self.best = self.rank();
+        self.speed = members.iter().map(|m| m.speed).sum::<f64>() / members.len() as f64;
         scratch.clear();
-        scratch.extend(values.iter().map(|(v, _)| v));
+        scratch.extend(members.iter().map(|m| m.value));
         let value = median(scratch);
         scratch.clear();
         scratch.extend(
-            values
+            members
                 .iter()
-                .map(|(v, runs)| (v - value).abs() * runs.sqrt()),
+                .map(|m| (m.value - value).abs() * m.runs.sqrt()),
         );
         // The median of absolute deviations of a normal distribution is 0.674 standard deviations.
         let scatter = (median(scratch) / 0.674).powi(2);
@@ -246,8 +364,8 @@
             value,
             var: 1.0 / precision,
             scatter,
-            scatter_n: if values.len() >= 4 {
-                values.len() as f64 - 1.0
+            scatter_n: if members.len() >= 4 {
+                members.len() as f64 - 1.0
             } else {
                 0.0
             },
