--- a/crates/node/src/dump.rs
+++ b/crates/node/src/dump.rs
@@ -1,11 +1,14 @@
 //! Dump of the state of a node for operators.
 
 use base::clock::{self, Millis};
-use batch::{job::Text, zone_evacuation::EvacuatedZone};
+use batch::{job::Text, speed_report::SlowWorker, zone_evacuation::EvacuatedZone};
 use serde::Serialize;
 
 use crate::cx::Cx;
 
+/// Maximum number of slow workers in a dump.
+const MAX_SLOWEST: usize = 20;
+
 #[derive(Serialize)]
 struct Dump<'a> {
     name: &'a str,
@@ -39,6 +42,9 @@
     counts: batch::scheduler::Counts,
     /// What is left in each evacuated data centre.
     evacuated: Vec<EvacuatedZone>,
+    /// Number of workers that are slow for urgent work.
+    slow_workers: usize,
+    slowest_workers: Vec<SlowWorker>,
 }
 
 /// Returns the state as JSON.
@@ -52,6 +58,8 @@
         commits: l.chain.get().1,
         counts: l.scheduler.borrow().counts(),
         evacuated: l.scheduler.borrow().evacuated_zones(),
+        slow_workers: l.scheduler.borrow().slow_workers(),
+        slowest_workers: l.scheduler.borrow().slowest_workers(MAX_SLOWEST),
     });
     let requests = cx.evacuations.borrow();
     let evacuated = requests.iter().map(|(zone, request)| Evacuated {
