evacuation: tests with real nodes

Cause: the pure tests do not cover the watch of the rows, the check right before a start is sent and the age of the rows.

--- a/crates/cli/tests/cluster/mod.rs
+++ b/crates/cli/tests/cluster/mod.rs
@@ -112,18 +112,19 @@
         reborn: Reborn,
     ) -> Self {
         let settings = json!({});
-        Self::build(
-            test,
-            nodes,
-            workers,
-            run_ms,
-            reborn,
-            &settings,
-            |_, addr| {
-                let proxy = Proxy::start(addr).unwrap();
-                (proxy.addr(), Some(proxy))
-            },
-        )
+        Self::build(test, nodes, workers, run_ms, reborn, &settings, proxied)
+    }
+
+    /// Starts such nodes with further settings.
+    pub fn start_behind_proxies_with_settings(
+        test: &str,
+        nodes: usize,
+        workers: usize,
+        run_ms: u64,
+        settings: &Value,
+    ) -> Self {
+        let reborn = Reborn::OtherId;
+        Self::build(test, nodes, workers, run_ms, reborn, settings, proxied)
     }
 
     /// Starts one node whose connections to the `peers` share a link.
@@ -333,6 +334,11 @@
     jobs
 }
 
+fn proxied(_: Peer, addr: net::SocketAddr) -> (net::SocketAddr, Option<Proxy>) {
+    let proxy = Proxy::start(addr).unwrap();
+    (proxy.addr(), Some(proxy))
+}
+
 /// Entry of a worker in the VM list.
 struct Registration {
     worker: Worker,
