evacuation: the paused leader of the test can't know the request

Cause: the answer to the feed that was under way during the pause told the request, so the test passed without the check of the age.

Evidence: without that check the test fails now; with it, it passes.

Change: the request comes after the feed's answer, and the feed is refused for some time after the pause.

--- a/crates/cli/tests/evacuation.rs
+++ b/crates/cli/tests/evacuation.rs
@@ -152,9 +152,15 @@
     let mut ids = 0;
     let accepted = submit_for(&cluster, 0, &mut ids, Duration::from_secs(2));
     cluster.nodes[0].freeze();
+    // The feed that is under way is answered before the request.
+    thread::sleep(Duration::from_secs(1));
     let at = evacuate(&cluster, "b");
-    thread::sleep(Duration::from_millis(2_500));
+    thread::sleep(Duration::from_secs(3));
+    // The lease is renewed before the requests can be read.
+    cluster.store.refuse_feed("op");
     cluster.nodes[0].thaw();
+    thread::sleep(Duration::from_millis(4_000));
+    cluster.store.refuse_feed("");
     wait_for_all(&cluster, 0, &accepted);
     assert!(accepted.len() > 6, "{} jobs", accepted.len());
     assert_no_start_in_b(&cluster, at);
