--- a/crates/batch/src/wait_log.rs
+++ b/crates/batch/src/wait_log.rs
@@ -49,6 +49,8 @@
 /// How a worker stands to a unit that waits: the first reason why it takes no subtask of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Standing {
+    /// Its data centre is evacuated.
+    Evacuated,
     /// It does not answer the leader.
     Silent,
     /// It gets no work for some time after repeated outages.
@@ -190,7 +192,7 @@
             workers = open().count(), of_service = all.counts.iter().sum::<u32>(),
             fitting = all.fitting, room = all.room, usable = all.of(Standing::Usable),
             queue:% = name, has_queue = queue.is_some(), config = self.config.version,
-            silent = all.of(Standing::Silent), probation = all.of(Standing::Probation),
+            evacuated = all.of(Standing::Evacuated), silent = all.of(Standing::Silent), probation = all.of(Standing::Probation),
             backoff = all.of(Standing::Backoff), held_off_ms = all.held_off.map_or(0, |t| t.0),
             draining = all.of(Standing::Draining), no_entry = all.of(Standing::NoEntry),
             full = all.of(Standing::Full), held = all.of(Standing::Held),
@@ -299,6 +301,7 @@
         let need = self.step.reserved();
         let Some(candidate) = candidate else {
             return match &worker.info {
+                _ if self.scheduler.is_evacuated(worker) => Standing::Evacuated,
                 _ if worker.unresponsive => Standing::Silent,
                 _ if self.now < worker.held_off_until() => worker.held_off_by(self.now),
                 Some(info) if info.draining => Standing::Draining,
--- a/crates/batch/tests/wait_log.rs
+++ b/crates/batch/tests/wait_log.rs
@@ -60,8 +60,10 @@
         ],
     );
     let of = |name: &str| -> u64 { lines[0][name].parse().unwrap() };
+    assert_eq!(of("evacuated"), 0);
     let names = [
         "usable",
+        "evacuated",
         "silent",
         "probation",
         "backoff",
@@ -82,6 +84,9 @@
     assert_eq!(take_lines(ROOM), [], "at most one each 5 s");
     fleet.advance(100).plan();
     assert_eq!(take_lines(ROOM).len(), 1);
+    fleet.scheduler.set_evacuated(&["z".into()], fleet.now);
+    fleet.advance(5_000).plan();
+    check(&take_lines(ROOM)[0], &[("of_service", 6), ("evacuated", 6)]);
 }
 
 /// Guards against a job whose orders never settle and that no line names, because it does not wait for
--- a/crates/batch/tests/zone_evacuation.rs
+++ b/crates/batch/tests/zone_evacuation.rs
@@ -505,7 +505,7 @@
             self.change_leader();
         }
         self.passes += 1;
-        if self.passes % 15 == 0 {
+        if self.passes.is_multiple_of(15) {
             self.report_all();
         }
         self.send();
--- a/crates/cli/tests/evacuation.rs
+++ b/crates/cli/tests/evacuation.rs
@@ -159,7 +159,7 @@
     // The lease is renewed before the requests can be read.
     cluster.store.refuse_feed("op");
     cluster.nodes[0].thaw();
-    thread::sleep(Duration::from_millis(4_000));
+    thread::sleep(Duration::from_secs(4));
     cluster.store.refuse_feed("");
     wait_for_all(&cluster, 0, &accepted);
     assert!(accepted.len() > 6, "{} jobs", accepted.len());
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -102,7 +102,8 @@
     for row in configs() {
         apply(cx, row);
     }
-    if cx.evacuations.borrow_mut().replace(&rows) {
+    let age = cx.config_age();
+    if cx.evacuations.borrow_mut().replace(&rows, age) {
         cx.config_changed.notify_waiters();
     }
     confirm(cx, started);
@@ -173,9 +174,9 @@
 /// Applies the changes of requests to evacuate data centres, each row with whether it was deleted.
 fn apply_requests(cx: &Cx, rows: &[(Row, bool)]) {
     let mut requests = cx.evacuations.borrow_mut();
-    let mut has_changed = false;
+    let (mut has_changed, age) = (false, cx.config_age());
     for (row, deleted) in rows {
-        has_changed |= requests.apply(row, *deleted);
+        has_changed |= requests.apply(row, *deleted, age);
     }
     if has_changed {
         cx.config_changed.notify_waiters();
--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -50,9 +50,9 @@
         self.by_zone.iter()
     }
 
-    /// Replaces all requests by those among `rows`, which were read together. Returns whether the set
-    /// of data centres has changed.
-    pub(crate) fn replace(&mut self, rows: &[Row]) -> bool {
+    /// Replaces all requests by those among `rows`, which were read together. The rows were last known
+    /// `max_age` ago. Returns whether the set of data centres has changed.
+    pub(crate) fn replace(&mut self, rows: &[Row], max_age: Option<Millis>) -> bool {
         let mut listed: Vec<&str> = rows.iter().filter_map(evacuation::zone).collect();
         listed.sort_unstable();
         let is_over = |zone: &&Text| listed.binary_search(&&***zone).is_err();
@@ -62,13 +62,13 @@
             has_changed |= self.end(&zone);
         }
         for row in rows {
-            has_changed |= self.apply(row, false);
+            has_changed |= self.apply(row, false, max_age);
         }
         has_changed
     }
 
     /// Applies a row that was read or has changed. Returns whether the set of data centres has changed.
-    pub(crate) fn apply(&mut self, row: &Row, deleted: bool) -> bool {
+    pub(crate) fn apply(&mut self, row: &Row, deleted: bool, max_age: Option<Millis>) -> bool {
         let Some(zone) = evacuation::zone(row) else {
             return false;
         };
@@ -84,7 +84,7 @@
                     version: row.version,
                     seen_at: clock::now(),
                 };
-                log::warn!(zone, row = row.version; "evacuation: begins");
+                log::warn!(zone, row = row.version, max_age_ms = max_age.map(|a| a.0); "evacuation: begins");
                 self.by_zone.insert(zone.into(), request);
                 self.zones = self.by_zone.keys().cloned().collect();
                 true
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,8 @@
 mod cx;
 mod dump;
 mod evacuation;
+#[cfg(test)]
+mod evacuation_tests;
 mod extension;
 mod front;
 mod intake;
