--- a/crates/batch/tests/fleet/mod.rs
+++ b/crates/batch/tests/fleet/mod.rs
@@ -39,6 +39,27 @@
         fleet
     }
 
+    /// Returns a fleet whose racks belong to the data centres `zones` in turn.
+    pub fn in_zones(workers: usize, zones: &[&str]) -> Self {
+        let mut fleet = Self::new(workers);
+        for (i, info) in fleet.infos.iter_mut().enumerate() {
+            info.zone = zones[i / 4 % zones.len()].into();
+        }
+        fleet.set_up();
+        fleet
+    }
+
+    pub fn evacuate(&mut self, zones: &[&str]) {
+        let zones: Vec<Text> = zones.iter().map(|z| (*z).into()).collect();
+        self.scheduler.set_evacuated(&zones, self.now);
+    }
+
+    /// Returns the data centre of a listed worker.
+    pub fn zone_of(&self, worker: &str) -> &str {
+        let info = self.infos.iter().find(|i| &*i.id == worker);
+        info.map_or("", |i| &i.zone)
+    }
+
     /// Gives a new scheduler the configuration and the VM list.
     pub fn set_up(&mut self) {
         self.scheduler.configure(&Rc::new(config()));
--- a/crates/batch/tests/zone_evacuation.rs
+++ b/crates/batch/tests/zone_evacuation.rs
@@ -2,39 +2,18 @@
 
 mod fleet;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use base::clock::Millis;
 use batch::{
-    job::{Step, SubtaskId, Text},
-    scheduler::PendingChanges,
+    job::{Step, Text},
     worker::{Order, Outcome, StartReply},
 };
 use fastrand::Rng;
 use fleet::{Fleet, gang, starts, step, stops};
 
-/// Returns a fleet whose workers belong to the data centres `zones` in turn, in racks of four.
-fn fleet_in(workers: usize, zones: &[&str]) -> Fleet {
-    let mut fleet = Fleet::new(workers);
-    for (i, info) in fleet.infos.iter_mut().enumerate() {
-        info.zone = zones[i / 4 % zones.len()].into();
-    }
-    fleet.set_up();
-    fleet
-}
-
-fn evacuate(fleet: &mut Fleet, zones: &[&str]) {
-    let zones: Vec<Text> = zones.iter().map(|z| (*z).into()).collect();
-    fleet.scheduler.set_evacuated(&zones, fleet.now);
-}
-
-fn zone_of<'a>(fleet: &'a Fleet, worker: &str) -> &'a str {
-    let info = fleet.infos.iter().find(|i| &*i.id == worker);
-    info.map_or("", |i| &i.zone)
-}
-
 fn zones_of(fleet: &Fleet, orders: &[Order]) -> Vec<String> {
-    let zones = orders.iter().map(|o| zone_of(fleet, &o.worker).to_owned());
+    let zones = orders.iter().map(|o| fleet.zone_of(&o.worker).to_owned());
     zones.collect()
 }
 
@@ -48,14 +27,14 @@
 /// stays empty after its return to service.
 #[test]
 fn nothing_starts_in_an_evacuated_data_centre() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
-    evacuate(&mut fleet, &["b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
+    fleet.evacuate(&["b"]);
     fleet.submit("1", 1, step(8, 8));
     let first = starts(&fleet.plan());
     assert_eq!(zones_of(&fleet, &first), ["a"; 4]);
-    evacuate(&mut fleet, &["a", "b"]);
+    fleet.evacuate(&["a", "b"]);
     assert!(starts(&fleet.advance(100).plan()).is_empty());
-    evacuate(&mut fleet, &["a"]);
+    fleet.evacuate(&["a"]);
     let second = starts(&fleet.plan());
     assert_eq!(zones_of(&fleet, &second), ["b"; 4]);
 }
@@ -63,7 +42,7 @@
 /// Guards against an evacuation that stops what runs, or hides its end.
 #[test]
 fn runs_in_an_evacuated_data_centre_end_by_themselves() {
-    let mut fleet = fleet_in(4, &["a"]);
+    let mut fleet = Fleet::in_zones(4, &["a"]);
     fleet.submit("bounded", 1, gang(2, 8));
     let lasting = Step {
         endless: true,
@@ -75,7 +54,7 @@
     for order in &orders {
         fleet.take(order);
     }
-    evacuate(&mut fleet, &["a"]);
+    fleet.evacuate(&["a"]);
     for _ in 0..20 {
         assert!(fleet.advance(250).plan().orders.is_empty());
     }
@@ -91,16 +70,16 @@
 /// that starts in part.
 #[test]
 fn a_queued_start_is_rolled_back_with_its_gang() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
     for worker in ["w00", "w01", "w02"] {
         fleet.infos.retain(|i| &*i.id != worker);
     }
     fleet.set_up();
     fleet.submit("1", 1, gang(3, 8));
     let orders = starts(&fleet.plan());
-    let in_b = orders.iter().find(|o| zone_of(&fleet, &o.worker) == "b");
+    let in_b = orders.iter().find(|o| fleet.zone_of(&o.worker) == "b");
     let in_b = in_b.expect("one worker of `a` can't hold the gang").clone();
-    evacuate(&mut fleet, &["b"]);
+    fleet.evacuate(&["b"]);
     for order in &orders {
         let is_evacuated = fleet
             .scheduler
@@ -122,7 +101,7 @@
         fleet.scheduler.handle_stop_reply(&order.task, 1, now);
         fleet.advance(10).report(&order.worker, &[], Vec::new());
     }
-    evacuate(&mut fleet, &[]);
+    fleet.evacuate(&[]);
     let again = starts(&fleet.plan());
     assert_eq!(again.len(), 3, "without a backoff");
     assert!(again.iter().all(|o| o.attempt == 2));
@@ -132,7 +111,7 @@
 /// answered, and against a stop of a run that this start began.
 #[test]
 fn an_unanswered_start_is_not_repeated_and_its_run_is_kept() {
-    let mut fleet = fleet_in(4, &["a"]);
+    let mut fleet = Fleet::in_zones(4, &["a"]);
     fleet.submit("1", 1, step(2, 8));
     let orders = starts(&fleet.plan());
     let now = fleet.now;
@@ -142,7 +121,7 @@
             .scheduler
             .handle_start_reply(&order.task, 1, reply, now);
     }
-    evacuate(&mut fleet, &["a"]);
+    fleet.evacuate(&["a"]);
     let repeated = starts(&fleet.plan());
     assert_eq!(repeated.len(), 2);
     for order in &repeated {
@@ -170,11 +149,11 @@
 /// Guards against a new leader that repeats the starts of its predecessor in an evacuated data centre.
 #[test]
 fn a_new_leader_repeats_no_start_there() {
-    let mut fleet = fleet_in(4, &["a"]);
+    let mut fleet = Fleet::in_zones(4, &["a"]);
     fleet.submit("1", 1, step(1, 8));
     let order = starts(&fleet.plan()).remove(0);
     fleet.restart();
-    evacuate(&mut fleet, &["a"]);
+    fleet.evacuate(&["a"]);
     fleet.advance(100).report(&order.worker, &[], Vec::new());
     for repeated in starts(&fleet.plan()) {
         let (task, worker) = (&repeated.task, &repeated.worker);
@@ -185,22 +164,22 @@
 /// Guards against starts on a worker whose entry is gone, so that its data centre is forgotten.
 #[test]
 fn a_start_on_an_unlisted_worker_is_checked_too() {
-    let mut fleet = fleet_in(4, &["a"]);
+    let mut fleet = Fleet::in_zones(4, &["a"]);
     fleet.submit("1", 1, step(1, 8));
     let order = starts(&fleet.plan()).remove(0);
     let infos = std::mem::take(&mut fleet.infos);
     fleet.set_up();
-    evacuate(&mut fleet, &["b"]);
+    fleet.evacuate(&["b"]);
     let is_evacuated = |fleet: &Fleet| {
         fleet
             .scheduler
             .is_start_evacuated(&order.task, &order.worker)
     };
     assert!(!is_evacuated(&fleet));
-    evacuate(&mut fleet, &["a"]);
+    fleet.evacuate(&["a"]);
     assert!(is_evacuated(&fleet));
     fleet.restart();
-    evacuate(&mut fleet, &["b"]);
+    fleet.evacuate(&["b"]);
     assert!(is_evacuated(&fleet), "its data centre is not known");
     fleet.infos = infos;
 }
@@ -208,8 +187,8 @@
 /// Guards against a job that waits for its data rack while that can't start anything.
 #[test]
 fn an_evacuated_data_rack_is_no_reason_to_wait() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
-    evacuate(&mut fleet, &["b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
+    fleet.evacuate(&["b"]);
     let near = Step {
         data_rack: Some("r1".into()),
         ..step(1, 8)
@@ -221,11 +200,11 @@
 /// Guards against a gang that waits for a rack which only an evacuated data centre has.
 #[test]
 fn racks_there_hold_no_gang() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
     fleet.infos.remove(0);
     fleet.infos[0].labels = vec!["a".into(), "r9".into()];
     fleet.set_up();
-    evacuate(&mut fleet, &["b"]);
+    fleet.evacuate(&["b"]);
     let tight = Step {
         same_rack: true,
         ..gang(3, 8)
@@ -238,12 +217,12 @@
 /// evacuated.
 #[test]
 fn a_label_stays_a_condition() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
     for info in &mut fleet.infos[4..] {
         info.labels.insert(0, "special".into());
     }
     fleet.set_up();
-    evacuate(&mut fleet, &["b"]);
+    fleet.evacuate(&["b"]);
     let labelled = Step {
         label: Some("special".into()),
         ..step(1, 8)
@@ -252,20 +231,20 @@
     for _ in 0..100 {
         assert!(fleet.advance(250).plan().orders.is_empty());
     }
-    evacuate(&mut fleet, &[]);
+    fleet.evacuate(&[]);
     assert_eq!(placed(&mut fleet), ["b"]);
 }
 
 /// Guards against preemption of runs whose resources nothing may use.
 #[test]
 fn no_run_there_is_preempted() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
     fleet.submit("low", 2, step(8, 8));
     let low = starts(&fleet.plan());
     for order in &low {
         fleet.take(order);
     }
-    evacuate(&mut fleet, &["b"]);
+    fleet.evacuate(&["b"]);
     fleet.submit("urgent", 0, gang(6, 8));
     for _ in 0..10 {
         assert!(fleet.advance(250).plan().orders.is_empty());
@@ -281,11 +260,11 @@
 #[test]
 fn the_others_are_used_as_if_they_were_all() {
     for seed in 0..30 {
-        let mut whole = fleet_in(16, &["a", "b"]);
-        let mut part = fleet_in(16, &["a", "b"]);
+        let mut whole = Fleet::in_zones(16, &["a", "b"]);
+        let mut part = Fleet::in_zones(16, &["a", "b"]);
         part.infos.retain(|i| &*i.zone == "a");
         part.set_up();
-        evacuate(&mut whole, &["b"]);
+        whole.evacuate(&["b"]);
         let orders = [&mut whole, &mut part].map(|fleet| play(fleet, seed));
         assert!(orders[0] == orders[1], "seed {seed}");
         assert!(orders[0].iter().any(|o| !o.is_empty()));
@@ -357,7 +336,7 @@
 /// Guards against a burst of starts on workers that are slow after an evacuation, while others have room.
 #[test]
 fn cold_workers_are_used_after_warm_ones() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
     for info in &mut fleet.infos[..4] {
         info.cold = Some(Millis(3_000));
     }
@@ -379,7 +358,7 @@
 /// Guards against a worker that counts as cold for as long as its entry is not written again.
 #[test]
 fn a_worker_is_cold_for_the_time_that_its_entry_tells() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
     for info in &mut fleet.infos[..4] {
         info.cold = Some(Millis(1_000));
         info.clock = fleet.now;
@@ -399,7 +378,7 @@
 /// end by themselves.
 #[test]
 fn the_runs_that_are_left_are_listed() {
-    let mut fleet = fleet_in(8, &["a", "b"]);
+    let mut fleet = Fleet::in_zones(8, &["a", "b"]);
     let lasting = Step {
         endless: true,
         ..step(2, 8)
@@ -409,7 +388,7 @@
     let in_a = |o: &&Order| o.worker < "w04".into();
     let orders = starts(&fleet.plan());
     let count = orders.iter().filter(in_a).count();
-    evacuate(&mut fleet, &["a"]);
+    fleet.evacuate(&["a"]);
     let zones = fleet.scheduler.evacuated_zones();
     let [zone] = &zones[..] else {
         panic!("one data centre is evacuated");
@@ -422,194 +401,3 @@
     let listed = zone.left.iter().filter(|r| r.lasting).count();
     assert_eq!(listed, lasting, "those that do not end come first");
 }
-
-/// Guards against starts that slip through while data centres are evacuated and return in turn, orders
-/// wait in queues and leaders change, and against jobs that never run after that.
-#[test]
-fn random_evacuations_of_two_data_centres() {
-    for seed in 0..60 {
-        let mut history = History::new(seed);
-        for _ in 0..150 {
-            history.pass(true);
-        }
-        history.evacuated.clear();
-        for _ in 0..400 {
-            history.pass(false);
-        }
-        let counts = history.fleet.scheduler.counts();
-        assert_eq!((counts.open, counts.runs), (0, 0), "seed {seed}");
-    }
-}
-
-/// A fleet in three data centres, of which two are evacuated at times.
-struct History {
-    fleet: Fleet,
-    rng: Rng,
-    evacuated: Vec<&'static str>,
-    /// Orders that wait to be sent, with the time of their turn.
-    queued: Vec<(u64, Order)>,
-    running: Vec<(u64, Order)>,
-    /// Subtasks and attempts of all starts so far.
-    placed: BTreeSet<(SubtaskId, u32)>,
-    seqs: BTreeMap<Text, u64>,
-    submitted: u32,
-    passes: u32,
-    seed: u64,
-}
-
-impl History {
-    fn new(seed: u64) -> Self {
-        Self {
-            fleet: fleet_in(24, &["a", "b", "c"]),
-            rng: Rng::with_seed(seed),
-            evacuated: Vec::new(),
-            queued: Vec::new(),
-            running: Vec::new(),
-            placed: BTreeSet::new(),
-            seqs: BTreeMap::new(),
-            submitted: 0,
-            passes: 0,
-            seed,
-        }
-    }
-
-    fn pass(&mut self, is_busy: bool) {
-        if is_busy && self.rng.u32(..10) == 0 {
-            let zone = self.rng.choice(["a", "b"]).unwrap();
-            match self.evacuated.iter().position(|z| *z == zone) {
-                Some(i) => drop(self.evacuated.remove(i)),
-                None => self.evacuated.push(zone),
-            }
-        }
-        if is_busy && self.rng.u32(..2) == 0 {
-            self.submitted += 1;
-            let count = self.rng.u32(1..7);
-            let step = if self.rng.bool() {
-                gang(count, 8)
-            } else {
-                step(count, 4)
-            };
-            let priority = self.rng.u32(..3);
-            self.fleet
-                .submit(&format!("j{}", self.submitted), priority, step);
-        }
-        self.fleet.advance(100);
-        evacuate(&mut self.fleet, &self.evacuated.clone());
-        let changes = self.fleet.plan();
-        self.check_placed(&changes);
-        for order in changes.orders {
-            let turn = self.fleet.now.0 + self.rng.u64(0..400);
-            self.queued.push((turn, order));
-        }
-        if is_busy && self.rng.u32(..30) == 0 {
-            self.change_leader();
-        }
-        self.passes += 1;
-        if self.passes.is_multiple_of(15) {
-            self.report_all();
-        }
-        self.send();
-        let now = self.fleet.now.0;
-        let over: Vec<_> = self.running.extract_if(.., |(at, _)| *at <= now).collect();
-        for (_, order) in over {
-            if self.is_complete(&order) {
-                self.end(&order, Outcome::Done);
-            } else {
-                self.running.push((now + 100, order));
-            }
-        }
-    }
-
-    /// Returns whether all members of a gang run.
-    fn is_complete(&self, order: &Order) -> bool {
-        let of_job = |o: &Order| o.task.job == order.task.job;
-        let is_queued = self.queued.iter().any(|(_, o)| of_job(o));
-        !is_queued
-    }
-
-    /// Lets another leader take over, which knows only what was committed, and loses all orders that wait.
-    fn change_leader(&mut self) {
-        self.queued.clear();
-        self.fleet.advance(1).restart();
-        self.report_all();
-    }
-
-    /// Delivers the reports of all workers, each of which answers a renewal within 1.5 s.
-    fn report_all(&mut self) {
-        let workers: Vec<Text> = self.fleet.infos.iter().map(|i| i.id.clone()).collect();
-        for worker in workers {
-            self.report_of(&worker);
-        }
-    }
-
-    /// Asserts that no new start is ordered in an evacuated data centre. A new leader may order those of its
-    /// predecessor again, which are not sent then.
-    fn check_placed(&mut self, changes: &PendingChanges) {
-        for order in &starts(changes) {
-            if !self.placed.insert((order.task.clone(), order.attempt)) {
-                continue;
-            }
-            let zone = zone_of(&self.fleet, &order.worker);
-            assert!(
-                !self.evacuated.contains(&zone),
-                "seed {}: {order:?}",
-                self.seed
-            );
-        }
-    }
-
-    /// Sends the orders whose turn it is, as a leader does.
-    fn send(&mut self) {
-        let now = self.fleet.now.0;
-        let due: Vec<_> = self.queued.extract_if(.., |(at, _)| *at <= now).collect();
-        for (_, order) in due {
-            let (task, attempt, at) = (&order.task, order.attempt, self.fleet.now);
-            let scheduler = &mut self.fleet.scheduler;
-            if order.action == batch::worker::Action::Stop {
-                if scheduler.is_stop_wanted(&order.worker, task, attempt) {
-                    let ran = self
-                        .running
-                        .extract_if(.., |(_, o)| o.task == *task)
-                        .count()
-                        > 0;
-                    scheduler.handle_stop_reply(task, attempt, at);
-                    if ran {
-                        self.end(&order, Outcome::Stopped);
-                    } else {
-                        self.fleet.advance(1);
-                        self.report_of(&order.worker);
-                    }
-                }
-            } else if !scheduler.is_start_wanted(task, attempt) {
-                scheduler.handle_unwanted_start(task, attempt);
-            } else if scheduler.is_start_evacuated(task, &order.worker) {
-                scheduler.roll_back_start(task, attempt, at);
-            } else {
-                let zone = zone_of(&self.fleet, &order.worker);
-                assert!(
-                    !self.evacuated.contains(&zone),
-                    "seed {}: {order:?}",
-                    self.seed
-                );
-                self.fleet.take(&order);
-                let end = now + self.rng.u64(300..3_000);
-                self.running.push((end, order));
-            }
-        }
-    }
-
-    fn report_of(&mut self, worker: &Text) {
-        let here = self.running.iter().map(|(_, o)| o);
-        let here: Vec<&Order> = here.filter(|o| o.worker == *worker).collect();
-        self.fleet.report(worker, &here, Vec::new());
-    }
-
-    fn end(&mut self, order: &Order, outcome: Outcome) {
-        let seq = self.seqs.entry(order.worker.clone()).or_default();
-        *seq += 1;
-        let finished = fleet::finished(order, *seq, outcome);
-        let here = self.running.iter().map(|(_, o)| o);
-        let here: Vec<&Order> = here.filter(|o| o.worker == order.worker).collect();
-        self.fleet.report(&order.worker, &here, vec![finished]);
-    }
-}
