batch: a few workers near the limit make no slow class

Slow workers now count only if they are at least 2% of the known ones, or one of them is slow beyond the standard deviation of its factor.

--- a/crates/batch/examples/speed_classes.rs
+++ b/crates/batch/examples/speed_classes.rs
@@ -241,6 +241,7 @@
                 (0.1 + class.estimate_error.powi(2)) as f32,
                 -(class.estimate_error.powi(2)) as f32,
                 (class.estimate_error.powi(2) + 0.01) as f32,
+                0.001,
                 200.0,
                 0.02,
             ],
--- a/crates/batch/src/speed_class.rs
+++ b/crates/batch/src/speed_class.rs
@@ -31,6 +31,11 @@
 /// Confidence from which the slowness of a worker counts as known: its logarithm has a standard
 /// deviation of at most 0.3.
 const KNOWN_CONFIDENCE: f64 = 0.4;
+/// Standard deviation of the logarithm of a factor at which its confidence is zero.
+const UNKNOWN_DEVIATION: f64 = 0.5;
+/// Least share of the known workers that are slow, one in this number, unless one is slow for certain.
+/// Among hundreds of workers whose factors are near the limit, some are above it by chance.
+const MAX_WORKERS_PER_SLOW: usize = 50;
 /// Least ratio of the factor of a slow worker to that of the others. The factors of equal workers
 /// differ by up to 10%, so that a limit near them must not split them.
 const MIN_CONTRAST: f64 = 1.2;
@@ -127,6 +132,11 @@
         let (other, _) = split(limit)?;
         let limit = limit.max(MIN_CONTRAST * other);
         let (other, slow) = split(limit)?;
+        let count = known.iter().filter(|f| **f > limit).count();
+        let is_certain = |w: &Slowness| is_known(*w) && least_factor(*w) > limit;
+        if count * MAX_WORKERS_PER_SLOW < known.len() && !workers.iter().any(is_certain) {
+            return None;
+        }
         // Factors become exact only after several runs. Where they form two groups, the gap between these
         // tells the groups apart sooner than the limit, which may be near the factor of the slow ones.
         let middle = (slow * other).sqrt();
@@ -283,6 +293,11 @@
     worker.confidence >= KNOWN_CONFIDENCE
 }
 
+/// Returns the factor less its standard deviation.
+fn least_factor(worker: Slowness) -> f64 {
+    worker.factor * (-UNKNOWN_DEVIATION * (1.0 - worker.confidence)).exp()
+}
+
 /// Returns the median, the upper one of two.
 pub(crate) fn median(values: &mut [f64]) -> Option<f64> {
     values.sort_unstable_by(f64::total_cmp);
--- a/crates/batch/src/speed_report.rs
+++ b/crates/batch/src/speed_report.rs
@@ -1,21 +1,13 @@
 //! What operators and the next leader learn about the speed of workers.
 
 use base::clock::Millis;
-use forecast::{
-    predictor::Forecast,
-    stored::{StoredKind, StoredWorker},
-};
+use forecast::predictor::Forecast;
 
 use crate::{job::Text, scheduler::JobScheduler, speed_class};
 
 /// Stored form of what a scheduler has learned about speeds and run times.
 pub type StoredForecast = forecast::stored::Stored;
 
-/// Difference of the logarithm of a worker's factor, in hundredths, from which it is stored again: 15%.
-const MATERIAL_DIFFERENCE: u16 = 14;
-/// The same for the mean ratio of run times to estimates of a kind.
-const MATERIAL_RATIO: f32 = 0.14;
-
 /// A worker and how much longer runs take there than on a typical one.
 #[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct SlowWorker {
@@ -42,7 +34,7 @@
         now: Millis,
     ) -> Option<StoredForecast> {
         let current = self.forecast.stored(now);
-        differs(&current, stored).then_some(current)
+        current.differs_from(stored).then_some(current)
     }
 
     /// Restores what an earlier leader has stored.
@@ -81,19 +73,3 @@
         self.slow_workers
     }
 }
-
-/// Returns whether workers or kinds of two forecasts differ materially. Weights grow with every run and
-/// don't count.
-fn differs(a: &StoredForecast, b: &StoredForecast) -> bool {
-    let worker_differs = |(x, y): (&StoredWorker, &StoredWorker)| {
-        x.0 != y.0 || x.1.abs_diff(y.1) >= MATERIAL_DIFFERENCE
-    };
-    let kind_differs = |(x, y): (&StoredKind, &StoredKind)| {
-        let is_same = (&x.queue, &x.image, x.gang) == (&y.queue, &y.image, y.gang);
-        !is_same || (x.regression[2] - y.regression[2]).abs() >= MATERIAL_RATIO
-    };
-    a.workers.len() != b.workers.len()
-        || a.kinds.len() != b.kinds.len()
-        || a.workers.iter().zip(&b.workers).any(worker_differs)
-        || a.kinds.iter().zip(&b.kinds).any(kind_differs)
-}
--- a/crates/batch/tests/speed_classes.rs
+++ b/crates/batch/tests/speed_classes.rs
@@ -40,7 +40,7 @@
         queue: Some(queue.into()),
         image: None,
         gang,
-        regression: [50.0, 8.5, -0.357, 0.1, 0.0, 0.01, 50.0, 0.001],
+        regression: [50.0, 8.5, -0.357, 0.1, 0.0, 0.01, 0.001, 50.0, 0.001],
     };
     let kinds = ["q0", "q1", "q2"].into_iter();
     let kinds = kinds.flat_map(|q| [(q, false), (q, true)]);
@@ -450,6 +450,20 @@
     assert_eq!(slow.count(), 4);
 }
 
+/// Guards against a class of a few workers that are above the limit by chance.
+#[test]
+fn single_workers_count_as_slow_only_for_certain() {
+    let mut all = known(&[1.0; 100]);
+    // The confidence of 0.8 is a standard deviation of 10%.
+    all.extend(known(&[1.6]));
+    assert_eq!(Speeds::of(&all, 1.5), None);
+    all.extend(known(&[1.6, 1.6]));
+    assert!(Speeds::of(&all, 1.5).is_some());
+    all.truncate(100);
+    all.extend(known(&[1.7]));
+    assert!(Speeds::of(&all, 1.5).is_some());
+}
+
 /// Guards against work that takes the workers that others need more.
 #[test]
 fn the_preference_follows_from_the_ends_on_each_class() {
--- a/crates/cli/tests/takeover.rs
+++ b/crates/cli/tests/takeover.rs
@@ -148,6 +148,38 @@
     assert_eq!(row, Some(json!([])));
 }
 
+/// Guards against a new leader that forgets which workers are slow, and against one that a malformed row
+/// keeps from leading or from learning anew.
+#[test]
+fn a_new_leader_reads_which_workers_are_slow() {
+    let mut cluster = Cluster::start("takeover-forecast", 2, 1, 100);
+    let (worker, _) = cluster.workers[0].entry("r1", "ready").unwrap();
+    let row = json!({"w": [[worker, 89, 200]], "s": [["batch", 3]]});
+    cluster.store.put("control", "forecast", &row);
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    let slowest = wait_until("the new leader knows the slow worker", TIMEOUT, || {
+        let dump = common::get(cluster.operator_addrs[1 - leader], "/dump")?.body;
+        let slowest = &dump["leading"]["slowest_workers"][0];
+        slowest["worker"].is_string().then(|| slowest.clone())
+    });
+    assert_eq!(slowest["worker"], json!(worker));
+    assert!(slowest["factor"].as_f64().unwrap() > 2.0, "{slowest}");
+    cluster.nodes[leader].restart();
+    let malformed = json!({"w": "none"});
+    cluster.store.put("control", "forecast", &malformed);
+    let leader = cluster.leader();
+    cluster.nodes[leader].kill();
+    let mut id = 0;
+    wait_until("the forecast is stored again", LIST_TIMEOUT, || {
+        id += 1;
+        cluster.submit(1 - leader, id, 1, false);
+        thread::sleep(Duration::from_millis(200));
+        let row = cluster.store.get("control", "forecast")?;
+        row["k"].is_array().then_some(())
+    });
+}
+
 /// Guards against ranks and claims by the clock of the node that accepted a job.
 #[test]
 fn the_wait_of_a_job_does_not_depend_on_the_clock_of_its_entry() {
