batch: rank jobs by expected run times instead of submitted estimates

Cause: callers measure a job's objective (slack factor x critical path + target latency) on the true run times. The rank went by the submitted estimates, which for two kinds of one deployment are off by a standard deviation of the logarithm of 0.9. Change: critical path, due time and 'too late' use expected_run_time. It returns the estimate until the forecast has learned something, so the order stays as it was.

--- a/crates/batch/src/expected.rs
+++ b/crates/batch/src/expected.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     job::{Step, Text},
+    open_job::Job,
     scheduler::JobScheduler,
 };
 
@@ -26,4 +27,11 @@
         };
         self.forecast.run_time(&kind, step.estimate).median
     }
+
+    /// Returns the expected run time of a subtask of each step of a job.
+    pub(crate) fn expected_run_times(&self, job: &Job) -> Vec<Millis> {
+        let steps = job.accepted.spec.steps.iter();
+        let run_time = |s| self.expected_run_time(&job.accepted.queue, s);
+        steps.map(run_time).collect()
+    }
 }
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -1,5 +1,7 @@
 //! Selection of the subtasks that may start, and the order in which they are placed.
 
+use std::cell::LazyCell;
+
 use base::{clock::Millis, sorted::SortedMap};
 
 use crate::{
@@ -124,9 +126,12 @@
         let slack = queue.map_or(1.0, |q| q.slack_factor);
         let target = queue.map_or(Millis::ZERO, |q| q.target_latency);
         let guaranteed = guaranteed && priority == URGENT_PRIORITY;
-        let objective = Millis((job.critical_path().0 as f64 * slack) as u64) + target;
+        let run_times = LazyCell::new(|| self.expected_run_times(job));
         let rank_of = |occurrence, start| {
-            let end = wall_now + job.remaining_critical_path(occurrence);
+            // Callers measure the objective on the true run times, not on the submitted estimates.
+            let critical_path = job.critical_path(&run_times);
+            let objective = Millis((critical_path.0 as f64 * slack) as u64) + target;
+            let end = wall_now + job.remaining_critical_path(occurrence, &run_times);
             Rank {
                 unguaranteed: !guaranteed,
                 deferrable: priority > URGENT_PRIORITY,
@@ -206,23 +211,25 @@
         }
     }
 
-    /// Returns the estimated duration of the critical path through the steps.
-    fn critical_path(&self) -> Millis {
+    /// Returns the duration of the critical path through the steps with the given run times.
+    fn critical_path(&self, run_times: &[Millis]) -> Millis {
         let mut ends: Vec<Millis> = Vec::new();
-        for step in &self.accepted.spec.steps {
+        for (step, run_time) in self.accepted.spec.steps.iter().zip(run_times) {
             let before = step.after.iter().map(|a| ends[*a]).max();
-            ends.push(before.unwrap_or_default() + step.estimate);
+            ends.push(before.unwrap_or_default() + *run_time);
         }
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the estimated duration of the critical path through the steps that are not done.
-    fn remaining_critical_path(&self, occurrence: &Occurrence) -> Millis {
+    /// Returns the duration of the critical path through the steps that are not done, with the given
+    /// run times.
+    fn remaining_critical_path(&self, occurrence: &Occurrence, run_times: &[Millis]) -> Millis {
         let mut ends: Vec<Millis> = Vec::new();
-        for (step, tasks) in self.accepted.spec.steps.iter().zip(&occurrence.steps) {
+        let steps = self.accepted.spec.steps.iter().zip(run_times);
+        for ((step, run_time), tasks) in steps.zip(&occurrence.steps) {
             let before = step.after.iter().map(|a| ends[*a]).max();
             let is_done = tasks.iter().all(|t| t.done);
-            let remaining = if is_done { Millis::ZERO } else { step.estimate };
+            let remaining = if is_done { Millis::ZERO } else { *run_time };
             ends.push(before.unwrap_or_default() + remaining);
         }
         ends.into_iter().max().unwrap_or_default()
