batch: order by cost of delay and preemption by gain while there is too little room

Cause: while waiting work exceeds the free room, units are ordered by due time alone, and urgent work stops whatever loses least: also runs that end before the stop takes effect, and the same work again and again. Change: module delay_cost (pure) with order, loss and gain; module shortage finds the services with too little room and sorts their units within the outer order. Preemption awaits runs that end in time by their progress, counts earlier starts, and stops for unguaranteed work only if it gains more than is lost.

--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -10,6 +10,7 @@
     progress::{Phase, Run, RunState},
     ranking::Unit,
     scheduler::JobScheduler,
+    shortage::MeanWork,
     victims::Victims,
 };
 
@@ -27,6 +28,8 @@
     pub(crate) within_guarantee: Vec<Text>,
     /// Runs that may be preempted; collected when the first unit needs them.
     pub(crate) victims: Option<Victims>,
+    /// Mean work of the jobs of each queue; computed when it is first needed.
+    pub(crate) mean_work: Option<MeanWork>,
     pub(crate) now: Millis,
 }
 
@@ -44,7 +47,7 @@
         self.mark_considered(now);
         self.renew_wait_lines();
         self.log_unsettled(now);
-        let units = self.units(&within_guarantee, now, wall_now);
+        let mut units = self.units(&within_guarantee, now, wall_now);
         if units.is_empty() {
             return;
         }
@@ -54,8 +57,10 @@
             candidates: self.candidates(now),
             within_guarantee,
             victims: None,
+            mean_work: None,
             now,
         };
+        self.order_by_cost(&mut units, &mut pass);
         pass.candidates.reserve_for_urgent(reserve);
         self.policy_calls.advance(now);
         let mut starts = 0;
@@ -117,7 +122,10 @@
         let may_stop = unit.waited >= PREEMPT_AFTER;
         let mut rest = unit.clone();
         rest.tasks.drain(..found.len());
-        self.preempt_for(&rest, &step, &service, pass, may_stop);
+        if !self.preempt_for(&rest, &step, &service, pass, may_stop) {
+            // Without a stop the unit starts when runs have ended, which other work must not replace.
+            self.hold_capacity(&rest, &step, &service, &mut pass.candidates, now);
+        }
     }
 
     /// Keeps a worker free of new work for a unit that has to run alone, if one will become idle.
@@ -184,7 +192,9 @@
         let job = self.jobs.get_mut(&id.job)?;
         let step = &job.accepted.spec.steps[id.step];
         let need = step.reserved();
-        let tasks = &mut job.progress.occurrences[id.occurrence as usize].steps[id.step];
+        let occurrence = &mut job.progress.occurrences[id.occurrence as usize];
+        occurrence.claimed_at = None;
+        let tasks = &mut occurrence.steps[id.step];
         if step.gang && id.index == 0 {
             // All members of a gang start with the same attempt number and checkpoint.
             let attempt = tasks.iter().map(|t| t.attempt).max().unwrap_or(0);
@@ -217,6 +227,7 @@
             stop_order: None,
             ordered_at: now,
             percent: 0,
+            percent_at: now,
             awaits_reply: false,
             unsent_starts: 0,
             unanswered_starts: 0,
--- a/crates/batch/src/preemption.rs
+++ b/crates/batch/src/preemption.rs
@@ -2,8 +2,11 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap};
 
+use base::clock::Millis;
+
 use crate::{
     candidates::{Candidates, FreeAt},
+    delay_cost::{self, Delay},
     job::{Resources, Step, Text},
     placement::Pass,
     ranking::Unit,
@@ -12,9 +15,14 @@
     victims::{Victim, Victims},
 };
 
+/// Time after stops for a unit without a guarantee in which no more are ordered for it. The reports of the
+/// stopped runs arrive in that time.
+const STOP_INTERVAL: Millis = Millis(1_300);
+
 impl JobScheduler {
     /// Holds the resources that become free for the unit, and stops other runs if those are not
-    /// enough. Without `may_stop`, the resources are held but nothing is stopped yet.
+    /// enough and the unit gains more than that loses. Without `may_stop`, the resources are held but
+    /// nothing is stopped yet. Returns `false` if stops would let the unit start but don't pay.
     pub(crate) fn preempt_for(
         &mut self,
         unit: &Unit,
@@ -22,45 +30,98 @@
         service: &Text,
         pass: &mut Pass,
         may_stop: bool,
-    ) {
+    ) -> bool {
         let search = self.search(unit, step, service, pass.now);
         let mut found = search.find(&mut pass.candidates, FreeAt::AfterStops);
         let mut stops = Vec::new();
         if found.len() < unit.tasks.len() {
+            let delay = self.delay_in(unit, pass);
             let mut victims = match pass.victims.take() {
                 Some(victims) => victims,
                 None => self.victims(pass),
             };
-            let plan = search.plan_preemption(&pass.candidates, &victims);
+            let max_wait = self.max_wait_for_ends(unit, delay.as_ref());
+            let plan = search.plan_preemption(&pass.candidates, &victims, max_wait);
+            let pays = plan
+                .as_ref()
+                .is_none_or(|p| self.pays(p, unit, delay.as_ref(), &victims));
+            let plan = plan.filter(|_| pays);
             for index in plan.iter().flat_map(|p| &p.stops) {
                 let victim = &mut victims.all[*index];
+                let awaited = victim.ends_within(max_wait);
                 victim.selected = true;
-                stops.push(victim.clone());
+                stops.push((victim.clone(), awaited));
             }
             pass.victims = Some(victims);
             let Some(plan) = plan else {
-                return;
+                return pays;
             };
             found = plan.candidates;
             pass.candidates.invalidate_after_stops();
         }
         // Resources that the unit is going to use are held even while it waits, so that nothing is
         // started there that would have to be stopped again.
-        for victim in stops {
-            for (candidate, need) in victim.frees {
-                pass.candidates.all[candidate].free_after_stop(need);
+        for (victim, awaited) in stops {
+            for (candidate, need) in &victim.frees {
+                pass.candidates.all[*candidate].free_after_stop(*need);
             }
-            if may_stop {
-                let tasks = victim.tasks.len();
-                log::info!(task:% = victim.tasks[0], tasks, loss = victim.loss, for_job:% = unit.job; "batch: preempted");
-                for id in &victim.tasks {
-                    self.stop(id, pass.now);
-                }
+            if may_stop && !awaited {
+                self.stop_victim(&victim, unit, pass.now);
             }
         }
         for candidate in found {
             pass.candidates.all[candidate].take(step.reserved());
         }
+        true
+    }
+
+    fn stop_victim(&mut self, victim: &Victim, unit: &Unit, now: Millis) {
+        log::info!(
+            task:% = victim.tasks[0], tasks = victim.tasks.len(), loss = victim.loss, starts = victim.starts,
+            remaining_ms = victim.remaining.0, for_job:% = unit.job, guaranteed = unit.guaranteed,
+            waited_ms = unit.waited.0, objective_ms = unit.objective.0;
+            "batch: preempted"
+        );
+        for id in &victim.tasks {
+            self.stop(id, now);
+        }
+        let first = &unit.tasks[0];
+        if let Some(job) = self.jobs.get_mut(&first.job)
+            && let Some(occurrence) = job.progress.occurrences.get_mut(first.occurrence as usize)
+        {
+            occurrence.claimed_at = Some(now);
+        }
+    }
+
+    fn delay_in(&self, unit: &Unit, pass: &mut Pass) -> Option<Delay> {
+        let job = self.jobs.get(&unit.job)?;
+        let mean_work = pass.mean_work.get_or_insert_with(|| self.mean_work());
+        Some(self.delay_of(unit, job, mean_work))
+    }
+
+    /// Returns for how long the unit may wait for the ends of other runs instead of stopping them;
+    /// `None` if it waits for none.
+    fn max_wait_for_ends(&self, unit: &Unit, delay: Option<&Delay>) -> Option<Millis> {
+        let delay = delay.filter(|_| self.overload_rules.stops_by_gain)?;
+        let wait = delay_cost::max_wait_for_ends(delay, unit.guaranteed, self.stop_time());
+        Some(wait)
+    }
+
+    /// Returns whether the unit gains more than the stops lose. Guaranteed work is entitled to its room
+    /// whatever it costs.
+    fn pays(&self, plan: &Plan, unit: &Unit, delay: Option<&Delay>, victims: &Victims) -> bool {
+        if unit.guaranteed || plan.loss == 0 || !self.overload_rules.stops_by_gain {
+            return true;
+        }
+        let Some(delay) = delay else {
+            return true;
+        };
+        if unit.claimed.is_some_and(|age| age < STOP_INTERVAL) {
+            return false;
+        }
+        let ends = plan.stops.iter().map(|v| victims.all[*v].remaining);
+        let wait = ends.max().unwrap_or_default();
+        delay_cost::is_gain(delay, plan.loss, Millis(self.stop_time().0 / 2), wait)
     }
 }
 
@@ -69,7 +130,7 @@
 struct Plan {
     /// Index of the candidate for each subtask.
     candidates: Vec<usize>,
-    /// Indices of the victims to stop.
+    /// Indices of the victims to stop or to wait for.
     stops: Vec<usize>,
     loss: u64,
 }
@@ -88,18 +149,29 @@
 impl Search<'_> {
     /// Returns the plan that places most subtasks and, among those, loses least work. Returns
     /// `None` if no plan frees enough resources.
-    fn plan_preemption(&self, candidates: &Candidates, victims: &Victims) -> Option<Plan> {
+    fn plan_preemption(
+        &self,
+        candidates: &Candidates,
+        victims: &Victims,
+        max_wait: Option<Millis>,
+    ) -> Option<Plan> {
         let sets = self.candidate_sets(candidates);
         let plans = sets
             .iter()
-            .filter_map(|set| self.plan(candidates, victims, set));
+            .filter_map(|set| self.plan(candidates, victims, set, max_wait));
         let missing = |p: &Plan| self.unit.tasks.len() - p.candidates.len();
         plans.min_by_key(|p| (missing(p), p.loss))
     }
 
     /// Adds the cheapest victim groups of one set of candidates until the unit fits, then removes
     /// the stops that are not needed.
-    fn plan(&self, candidates: &Candidates, victims: &Victims, set: &[usize]) -> Option<Plan> {
+    fn plan(
+        &self,
+        candidates: &Candidates,
+        victims: &Victims,
+        set: &[usize],
+        max_wait: Option<Millis>,
+    ) -> Option<Plan> {
         let wanted = self.unit.tasks.len() as u64;
         let mut fits: Vec<(usize, u64)> = Vec::new();
         let mut total = 0;
@@ -116,7 +188,7 @@
         let mut groups: Vec<VictimGroup> = Vec::new();
         if total < wanted {
             for candidate in set {
-                self.add_victim_groups(candidates, victims, *candidate, &mut groups);
+                self.add_victim_groups(candidates, victims, *candidate, max_wait, &mut groups);
             }
         }
         // Groups of one candidate build on each other, so each is considered only after the
@@ -155,7 +227,7 @@
             let used = count.min(rest) as usize;
             plan.candidates.extend(std::iter::repeat_n(candidate, used));
         }
-        self.drop_unneeded_stops(candidates, victims, &mut plan);
+        self.drop_unneeded_stops(candidates, victims, max_wait, &mut plan);
         Some(plan)
     }
 
@@ -173,29 +245,35 @@
         count.min(self.remaining_limit(candidate))
     }
 
-    /// Adds the victim groups of one candidate, starting with the victims of smallest loss.
+    /// Adds the victim groups of one candidate, starting with the runs whose end the unit can wait for
+    /// and then the victims of smallest loss.
     fn add_victim_groups(
         &self,
         candidates: &Candidates,
         victims: &Victims,
         candidate: usize,
+        max_wait: Option<Millis>,
         groups: &mut Vec<VictimGroup>,
     ) {
         let wanted = self.unit.tasks.len() as u64;
         let mut freed = Resources::default();
         let mut fits = self.fitting_count(candidates, candidate, freed);
         let (mut stops, mut loss) = (Vec::new(), 0);
-        for index in &victims.by_candidate[candidate] {
+        let here = &victims.by_candidate[candidate];
+        let (ending, others): (Vec<usize>, Vec<usize>) = here
+            .iter()
+            .partition(|v| victims.all[**v].ends_within(max_wait));
+        for index in ending.iter().chain(&others) {
             if fits >= wanted {
                 return;
             }
             let victim = &victims.all[*index];
-            if !victim.is_preemptible_by(self.unit) {
+            if !victim.ends_within(max_wait) && !victim.is_preemptible_by(self.unit) {
                 continue;
             }
             freed.add(victim.frees_in(candidate), 1);
             stops.push(*index);
-            loss += victim.loss;
+            loss += victim.loss_beyond(max_wait);
             let now = self.fitting_count(candidates, candidate, freed);
             if now > fits {
                 groups.push(VictimGroup {
@@ -211,8 +289,14 @@
 
     /// Removes the stops that the plan does not need, trying the victims of greatest loss first
     /// because dropping those saves the most work.
-    fn drop_unneeded_stops(&self, candidates: &Candidates, victims: &Victims, plan: &mut Plan) {
-        let loss = |v: &usize| victims.all[*v].loss;
+    fn drop_unneeded_stops(
+        &self,
+        candidates: &Candidates,
+        victims: &Victims,
+        max_wait: Option<Millis>,
+        plan: &mut Plan,
+    ) {
+        let loss = |v: &usize| victims.all[*v].loss_beyond(max_wait);
         plan.stops.sort_by_key(loss);
         for i in (0..plan.stops.len()).rev() {
             let victim = &victims.all[plan.stops[i]];
@@ -243,6 +327,14 @@
 }
 
 impl Victim {
+    /// Returns the work that is lost for a unit that can wait for `max_wait` until runs end.
+    fn loss_beyond(&self, max_wait: Option<Millis>) -> u64 {
+        if self.ends_within(max_wait) {
+            return 0;
+        }
+        self.loss
+    }
+
     /// Returns the resources that stopping the victim frees on a candidate.
     fn frees_in(&self, candidate: usize) -> Resources {
         let mut freed = Resources::default();
--- a/crates/batch/src/progress.rs
+++ b/crates/batch/src/progress.rs
@@ -103,6 +103,9 @@
     /// Last reported progress in percent.
     #[serde(skip)]
     pub(crate) percent: u32,
+    /// Time of the report with this progress.
+    #[serde(skip)]
+    pub(crate) percent_at: Millis,
     /// Whether a start was ordered whose reply is not known yet.
     #[serde(skip)]
     pub(crate) awaits_reply: bool,
@@ -186,9 +189,23 @@
     /// Time of the first pass of this leader that considered the occurrence.
     #[serde(skip)]
     pub(crate) considered_at: Option<Millis>,
+    /// Time when runs were last stopped for a unit of the occurrence that has not started since.
+    #[serde(skip)]
+    pub(crate) claimed_at: Option<Millis>,
 }
 
+/// Time for which a unit keeps its claim on the room of runs that were stopped for it. A stop takes up
+/// to 0.9 s, its report and the orders up to as much again.
+const CLAIM_TIME: Millis = Millis(2_000);
+
 impl Occurrence {
+    /// Returns how long ago runs were stopped for a unit that has not started since; `None` if it has
+    /// lost its claim on their room.
+    pub(crate) fn claimed(&self, now: Millis) -> Option<Millis> {
+        let age = now.since(self.claimed_at?);
+        (age < CLAIM_TIME).then_some(age)
+    }
+
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().flatten().all(|t| t.done)
     }
@@ -356,6 +373,7 @@
         Occurrence {
             steps,
             considered_at: None,
+            claimed_at: None,
         }
     }
 }
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     config::URGENT_PRIORITY,
+    delay_cost::{SortKey, TOO_LATE_FACTOR},
     isolation::Isolation,
     job::{Step, SubtaskId, Text},
     open_job::Job,
@@ -13,9 +14,6 @@
     scheduler::JobScheduler,
 };
 
-/// A job that takes longer than this multiple of its completion objective is of no value.
-const TOO_LATE_FACTOR: u64 = 3;
-
 /// Unit of placement: the subtasks of one step that may start now.
 #[derive(Clone, Debug)]
 pub(crate) struct Unit {
@@ -30,6 +28,12 @@
     pub(crate) guaranteed: bool,
     /// How long the unit has waited.
     pub(crate) waited: Millis,
+    /// Time from the submission to the expected end if the unit starts now.
+    pub(crate) took: Millis,
+    /// Completion objective, counted from the submission.
+    pub(crate) objective: Millis,
+    /// Time since runs were stopped for the unit; `None` if that is long ago.
+    pub(crate) claimed: Option<Millis>,
     /// How far its subtasks have to be kept apart from other work.
     pub(crate) isolation: Isolation,
 }
@@ -42,6 +46,8 @@
     /// Urgent work comes before all other work.
     deferrable: bool,
     timeliness: Timeliness,
+    /// Order by cost of delay while there is too little room.
+    key: SortKey,
     priority: u32,
     /// End of the completion objective.
     due: Millis,
@@ -52,6 +58,18 @@
     pub(crate) fn is_in_time(self) -> bool {
         self.timeliness == Timeliness::InTime
     }
+
+    /// Sets the order among units of the same timeliness.
+    pub(crate) const fn order_by(&mut self, key: SortKey) {
+        self.key = key;
+    }
+
+    /// Puts the unit before all others of its class, whatever its priority and timeliness.
+    pub(crate) const fn put_first(&mut self) {
+        self.timeliness = Timeliness::InTime;
+        self.key = SortKey::NONE;
+        self.priority = 0;
+    }
 }
 
 /// Expected completion of a job relative to its objective.
@@ -132,17 +150,20 @@
             let critical_path = job.critical_path(&run_times);
             let objective = Millis((critical_path.0 as f64 * slack) as u64) + target;
             let end = wall_now + job.remaining_critical_path(occurrence, &run_times);
-            Rank {
+            let took = end.since(start);
+            let rank = Rank {
                 unguaranteed: !guaranteed,
                 deferrable: priority > URGENT_PRIORITY,
-                timeliness: match end.since(start) {
+                timeliness: match took {
                     took if took <= objective => Timeliness::InTime,
                     took if took.0 <= TOO_LATE_FACTOR * objective.0 => Timeliness::Late,
                     _ => Timeliness::TooLate,
                 },
+                key: SortKey::NONE,
                 priority,
                 due: start + objective,
-            }
+            };
+            (rank, took, objective)
         };
         for (k, occurrence) in job.progress.occurrences.iter().enumerate() {
             let start = job.occurrence_start(k as u32);
@@ -155,7 +176,8 @@
                 if tasks.is_empty() {
                     continue;
                 }
-                let rank = *rank.get_or_insert_with(|| rank_of(occurrence, start));
+                let (rank, took, objective) =
+                    *rank.get_or_insert_with(|| rank_of(occurrence, start));
                 for (isolation, tasks) in job.by_isolation(tasks, step, now) {
                     units.push(Unit {
                         rank,
@@ -166,6 +188,9 @@
                         priority,
                         guaranteed,
                         waited: occurrence.waited(start, now, wall_now),
+                        took,
+                        objective,
+                        claimed: occurrence.claimed(now),
                         isolation,
                     });
                 }
--- a/crates/batch/src/reports.rs
+++ b/crates/batch/src/reports.rs
@@ -312,6 +312,7 @@
             return;
         };
         run.percent = percent;
+        run.percent_at = now;
         run.listed = true;
         // If the report to a later request does not list the run, the run is gone.
         run.confirm(incarnation, now);
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     config::Config,
+    delay_cost::OverloadRules,
     job::{Step, SubtaskId, Text},
     job_end::JobEnd,
     jobs::Jobs,
@@ -77,6 +78,7 @@
     /// Ids of the jobs whose progress changed since the last commit.
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
+    pub(crate) overload_rules: OverloadRules,
     /// Learned speeds of workers and corrections of estimates.
     pub(crate) forecast: Forecast,
     /// Time that a run needs to continue from a checkpoint.
--- a/crates/batch/src/victims.rs
+++ b/crates/batch/src/victims.rs
@@ -5,10 +5,11 @@
 use crate::{
     candidates::Candidates,
     config::URGENT_PRIORITY,
+    delay_cost,
     job::{Resources, SubtaskId},
     open_job::Job,
     placement::Pass,
-    progress::RunState,
+    progress::{Run, RunState},
     ranking::Unit,
     scheduler::JobScheduler,
 };
@@ -23,15 +24,21 @@
 /// same resources and, once stopped, has to wait for several free workers again.
 const HIGH_PRIORITY_FACTOR: u64 = 5;
 
-/// A run that may be preempted, or all runs of a gang.
+/// A run that may be preempted or whose end may be awaited, or all runs of a gang.
 #[derive(Clone, Debug)]
 pub(crate) struct Victim {
     /// Subtasks that are stopped together.
     pub(crate) tasks: Vec<SubtaskId>,
     /// Resources that become free, by index of the candidate.
     pub(crate) frees: Vec<(usize, Resources)>,
-    /// Lost work in core milliseconds.
+    /// Lost work in core milliseconds; it rises with the number of starts.
     pub(crate) loss: u64,
+    /// Number of starts so far.
+    pub(crate) starts: u32,
+    /// Time until it ends by itself, by the progress that workers have reported.
+    pub(crate) projected: Option<Millis>,
+    /// Time until it is expected to end by itself.
+    pub(crate) remaining: Millis,
     /// Whether a unit has already selected the victim in this pass.
     pub(crate) selected: bool,
     priority: u32,
@@ -43,7 +50,16 @@
     /// Returns whether the victim may be stopped for the unit.
     pub(crate) fn is_preemptible_by(&self, unit: &Unit) -> bool {
         let may_claim = unit.guaranteed && unit.waited >= PREEMPT_URGENT_AFTER;
-        !self.selected && (self.priority > unit.priority || (may_claim && !self.within_guarantee))
+        let is_lower = self.priority > unit.priority;
+        !self.selected && (is_lower || (may_claim && !self.within_guarantee))
+    }
+
+    /// Returns whether the victim is known to end by itself within the given time.
+    pub(crate) fn ends_within(&self, limit: Option<Millis>) -> bool {
+        let Some(limit) = limit else {
+            return false;
+        };
+        !self.selected && self.projected.is_some_and(|t| t <= limit)
     }
 }
 
@@ -56,7 +72,7 @@
 }
 
 impl JobScheduler {
-    /// Returns the runs that may be preempted in a pass.
+    /// Returns the runs that may be preempted in a pass, and those whose end may be awaited.
     pub(crate) fn victims(&self, pass: &Pass) -> Victims {
         let mut victims = Victims {
             all: Vec::new(),
@@ -67,19 +83,27 @@
             let priority = queue.map_or(u32::MAX, |q| q.priority);
             let org = job.accepted.organisation.as_ref();
             let within = org.is_some_and(|o| pass.within_guarantee.binary_search(o).is_ok());
-            if priority == URGENT_PRIORITY && within {
+            let by_gain = self.overload_rules.stops_by_gain;
+            if priority == URGENT_PRIORITY && within && !by_gain {
                 continue;
             }
+            let run_times = self.expected_run_times(job);
             for members in job.preemptible_units() {
                 let mut victim = Victim {
                     tasks: members,
                     frees: Vec::new(),
                     loss: 0,
+                    starts: 0,
+                    projected: None,
+                    remaining: Millis::ZERO,
                     selected: false,
                     priority,
                     within_guarantee: within,
                 };
                 job.compute_loss(&mut victim, &pass.candidates, self.restore_time, pass.now);
+                if by_gain {
+                    job.compute_end(&mut victim, &run_times, pass.now);
+                }
                 victims.add(victim);
             }
         }
@@ -156,4 +180,36 @@
         }
         victim.frees.sort_by_key(|(candidate, _)| *candidate);
     }
+
+    /// Computes when a victim ends by itself, and adds to its loss for its earlier starts. The members
+    /// of a gang end together, at the pace of the slowest.
+    fn compute_end(&self, victim: &mut Victim, run_times: &[Millis], now: Millis) {
+        let mut projected = Some(Millis::ZERO);
+        for id in &victim.tasks {
+            let Some((task, run)) = self.subtask(id).and_then(|t| Some((t, t.run.as_ref()?)))
+            else {
+                continue;
+            };
+            victim.starts = victim.starts.max(task.attempt);
+            let projection = run.projected_remaining(now);
+            projected = projected.zip(projection).map(|(a, b)| a.max(b));
+            let step = self.step(id);
+            let expected = run_times[id.step].since(run.elapsed(step, now));
+            victim.remaining = victim.remaining.max(projection.unwrap_or(expected));
+        }
+        victim.projected = projected;
+        victim.loss = delay_cost::loss_of_stop(victim.loss, victim.starts);
+    }
+}
+
+impl Run {
+    /// Returns the remaining time by the last report; `None` if that tells nothing.
+    fn projected_remaining(&self, now: Millis) -> Option<Millis> {
+        // The time of the start is unknown if an earlier leader placed the run.
+        let placed_at = self.placed_at?;
+        let started_at = self.taken_at.unwrap_or(placed_at);
+        let elapsed = self.percent_at.since(started_at);
+        let age = now.since(self.percent_at);
+        delay_cost::projected_remaining(elapsed, self.percent, age)
+    }
 }
