batch: the density of late jobs is that of jobs in time

Cause: among late jobs of one size, the density by what is left of the value put the latest last, so that a job that waits longest was overtaken by every later one. Change: density uses the full value; aging then puts older jobs first.

--- a/crates/batch/examples/overload.rs
+++ b/crates/batch/examples/overload.rs
@@ -1,8 +1,8 @@
 //! Plays bursts of load against the scheduler and prints what each order of waiting units earns:
 //!
-//! `cargo run --release -p batch --example overload -- [SEEDS] [--corrected] [--calm]`
+//! `cargo run --release -p batch --example overload -- [SEEDS] [--corrected] [--load=FACTOR]`
 //!
-//! `--corrected` submits estimates as a forecast corrects them, `--calm` plays a load with ample room.
+//! `--corrected` submits estimates as a forecast corrects them, `--load` multiplies the rate of jobs.
 
 use std::{collections::BTreeMap, env, rc::Rc};
 
@@ -166,11 +166,8 @@
     let args: Vec<String> = env::args().skip(1).collect();
     let seeds = args.iter().find_map(|a| a.parse().ok()).unwrap_or(4_u64);
     let corrected = args.iter().any(|a| a == "--corrected");
-    let load = if args.iter().any(|a| a == "--calm") {
-        0.4
-    } else {
-        1.0
-    };
+    let load = args.iter().find_map(|a| a.strip_prefix("--load=")?.parse().ok());
+    let load = load.unwrap_or(1.0);
     println!(
         "{:<22} {:>5} | {:>17} | {:>17} | {:>14} | {:>5} {:>5} {:>5} | {:>6} {:>5} {:>8} | {:>7} {:>7}",
         "rules", "value", "value by kind", "on time by kind", "by size 10/20/70", "org", "w10%", "wmin",
--- a/crates/batch/src/delay_cost.rs
+++ b/crates/batch/src/delay_cost.rs
@@ -156,7 +156,9 @@
         share * full_value(self.priority, self.work, self.mean_work)
     }
 
-    /// Returns the value per work left, which grows with the wait.
+    /// Returns the value per work left, which grows with the wait. It is that of a job in time also if the
+    /// job is late: what a late job has lost is lost in any order, and by what is left of it the
+    /// latest would come last.
     fn density(&self, ages: bool) -> f64 {
         let waited = self.waited.0 as f64 / self.objective.0.max(1) as f64;
         let aging = if ages {
@@ -164,7 +166,8 @@
         } else {
             1.0
         };
-        self.value_after(Millis::ZERO) * aging / self.work_left.max(1.0)
+        let value = full_value(self.priority, self.work, self.mean_work);
+        value * aging / self.work_left.max(1.0)
     }
 
     /// Returns the sort key of the unit among those with the same timeliness; lower keys come first.
