batch: value per job decides on stops; an earlier claim comes first; tests

Cause: the gain of a stop was compared in amounts of work, so that short urgent work never paid for a stop of long runs, and a run that takes longer than expected counted as ending at once, for ever. A unit whose stops were under way could lose its room to one with later stops. Change: gain and loss are relative to the mean job of the queue; an overdue run counts as lasting as long again; claims are ordered by age.

--- a/crates/batch/examples/overload.rs
+++ b/crates/batch/examples/overload.rs
@@ -131,7 +131,10 @@
 
 struct Site {
     scheduler: JobScheduler,
+    /// Draws the jobs, which don't depend on decisions.
     rng: Rng,
+    /// Draws delays of orders and reports.
+    delays: Rng,
     now: Millis,
     infos: Vec<WorkerInfo>,
     workers: Vec<Worker>,
@@ -289,6 +292,7 @@
         Self {
             scheduler,
             rng,
+            delays: Rng::with_seed(seed),
             now: Millis(1),
             workers: infos.iter().map(worker).collect(),
             infos,
@@ -388,7 +392,7 @@
             ended: None,
             to_start: count,
             started: None,
-            guaranteed: false,
+            guaranteed: kind == 0,
         };
         let accepted = AcceptedJob {
             id: id.clone(),
@@ -404,9 +408,12 @@
         };
         self.scheduler.accept(accepted);
         self.jobs.insert(id.clone(), job);
-        let guaranteed = kind == 0 && self.used_by(organisation) <= GUARANTEE;
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.guaranteed = guaranteed;
+        let is_within = self.used_by(organisation) <= GUARANTEE;
+        let open =
+            |j: &&mut Job| j.kind == 0 && j.organisation == organisation && j.ended.is_none();
+        // A job that exceeds the guarantee takes it from the others of the organisation.
+        for job in self.jobs.values_mut().filter(open) {
+            job.guaranteed &= is_within;
         }
     }
 
@@ -425,7 +432,7 @@
         let due: Vec<_> = self.outages.extract_if(.., |o| o.0 <= now).collect();
         for (_, share) in due {
             let wall_now = self.wall();
-            let first = self.rng.usize(..WORKERS);
+            let first = self.delays.usize(..WORKERS);
             for i in 0..(WORKERS as f64 * share) as usize {
                 let w = &mut self.workers[(first + i) % WORKERS];
                 w.down_until = now + Millis(5_000);
@@ -464,7 +471,9 @@
         for order in changes.orders {
             let delay = match order.action {
                 Action::Start { .. } => ORDER_TIME,
-                Action::Stop => ORDER_TIME + Millis(self.rng.u64(MAX_STOP_TIME / 3..MAX_STOP_TIME)),
+                Action::Stop => {
+                    ORDER_TIME + Millis(self.delays.u64(MAX_STOP_TIME / 3..MAX_STOP_TIME))
+                }
             };
             self.orders.push((now + delay, order));
         }
@@ -519,7 +528,7 @@
             checkpoints: job.checkpoints,
             order,
         };
-        let first_report = now + Millis(self.rng.u64(450..1_500));
+        let first_report = now + Millis(self.delays.u64(450..1_500));
         let w = self.worker(&run.order.worker.clone());
         if w.runs.is_empty() {
             w.reports_at = first_report;
--- a/crates/batch/src/delay_cost.rs
+++ b/crates/batch/src/delay_cost.rs
@@ -1,8 +1,8 @@
 //! Cost of delay of waiting work, and whether a preemption gains more than it loses.
 //!
-//! Functions over plain values. Amounts of work are in core milliseconds (see
-//! [`Resources::weight`](crate::job::Resources)), and the value of a job is the amount of work of
-//! equal value, so that the two can be compared.
+//! Functions over plain values. Work is in core milliseconds (see
+//! [`Resources::weight`](crate::job::Resources)). Values are relative to a job with the mean work of its
+//! queue.
 
 use std::cmp::Reverse;
 
@@ -34,6 +34,9 @@
 const MAX_OVERDUE: Millis = Millis(200);
 /// Minimum progress for projecting the end of a run; reports round it to whole percents.
 const MIN_PROJECTION_PERCENT: u32 = 10;
+/// Factor on densities in sort keys. The largest jobs have about 1e9 core milliseconds, so that their
+/// densities keep three digits.
+const DENSITY_SCALE: f64 = 1e6;
 /// Additional loss of a run for each earlier start of its subtask, as a multiple of its loss. A job
 /// that was stopped before has become later and loses more by a further stop.
 const LOSS_PER_START: u64 = 1;
@@ -116,18 +119,35 @@
 ///
 /// ```
 /// use batch::delay_cost::full_value;
-/// assert_eq!(full_value(2, 100.0, 100.0), 100.0);
-/// assert!(full_value(2, 10.0, 100.0) > 10.0, "a part doesn't depend on the work");
+/// assert_eq!(full_value(2, 100.0, 100.0), 1.0);
+/// assert!(full_value(2, 10.0, 100.0) > 0.1, "a part doesn't depend on the work");
 /// ```
 pub fn full_value(priority: u32, work: f64, mean_work: f64) -> f64 {
     let relative = work / mean_work.max(1.0);
-    let value = (FIXED_VALUE + VALUE_OF_WORK * relative).min(MAX_VALUE) * mean_work.max(1.0);
+    let value = (FIXED_VALUE + VALUE_OF_WORK * relative).min(MAX_VALUE);
+    value * priority_factor(priority)
+}
+
+const fn priority_factor(priority: u32) -> f64 {
     match priority {
-        0 | 1 => value * HIGH_PRIORITY_VALUE,
-        _ => value,
+        0 | 1 => HIGH_PRIORITY_VALUE,
+        _ => 1.0,
     }
 }
 
+/// Returns the value of work that is lost by a stop of runs that were started `starts` times.
+///
+/// ```
+/// use batch::delay_cost::value_of_lost_work;
+/// assert_eq!(value_of_lost_work(2, 50.0, 100.0, 1), 0.5);
+/// assert!(value_of_lost_work(2, 50.0, 100.0, 2) > 0.5);
+/// ```
+pub fn value_of_lost_work(priority: u32, lost: f64, mean_work: f64, starts: u32) -> f64 {
+    let earlier = u64::from(starts.saturating_sub(1));
+    let factor = 1 + LOSS_PER_START * earlier;
+    priority_factor(priority) * lost / mean_work.max(1.0) * factor as f64
+}
+
 impl Delay {
     /// Returns the time for which the start may be put off without the job being late; 0 if it is
     /// late.
@@ -167,7 +187,7 @@
             1.0
         };
         let value = full_value(self.priority, self.work, self.mean_work);
-        value * aging / self.work_left.max(1.0)
+        value * self.mean_work.max(1.0) * aging / self.work_left.max(1.0)
     }
 
     /// Returns the sort key of the unit among those with the same timeliness; lower keys come first.
@@ -182,8 +202,7 @@
     /// assert!(key(&tight) < key(&lax), "the tight one would be late after one generation of runs");
     /// ```
     pub fn sort_key(&self, order: WaitingOrder, generation: Millis) -> SortKey {
-        // Densities are of the order of 1, so that millionths keep all differences that matter.
-        let by_density = |ages| Reverse((self.density(ages) * 1e6) as u64);
+        let by_density = |ages| Reverse((self.density(ages) * DENSITY_SCALE) as u64);
         let laxity = self.laxity();
         let tight = laxity > Millis::ZERO && laxity <= generation;
         let (after_tight, laxity, density) = match order {
@@ -212,7 +231,7 @@
 pub struct SortKey {
     after_tight: bool,
     laxity: Millis,
-    /// Value per work left, in millionths.
+    /// Value per work left, times [`DENSITY_SCALE`].
     density: Reverse<u64>,
 }
 
@@ -223,6 +242,15 @@
         laxity: Millis::ZERO,
         density: Reverse(0),
     };
+
+    /// Returns the key of a unit for which runs were stopped, `age` ago. The earliest claim comes first:
+    /// if a later one took the room, the unit would have to stop more runs.
+    pub(crate) const fn of_claim(age: Millis) -> Self {
+        Self {
+            density: Reverse(u64::MAX / 2 + age.0),
+            ..Self::NONE
+        }
+    }
 }
 
 /// Returns the loss by a stop of a run that was started `starts` times, this time included.
@@ -244,12 +272,12 @@
 /// use batch::delay_cost::{Delay, is_gain};
 /// let job = Delay { objective: Millis(3_000), work: 100.0, mean_work: 100.0, ..Delay::default() };
 /// let (stop, generation) = (Millis(500), Millis(4_000));
-/// assert!(is_gain(&Delay { took: Millis(2_500), ..job }, 10, stop, generation));
-/// assert!(!is_gain(&Delay { took: Millis(9_000), ..job }, 10, stop, generation), "it has no value");
+/// assert!(is_gain(&Delay { took: Millis(2_500), ..job }, 0.1, stop, generation));
+/// assert!(!is_gain(&Delay { took: Millis(9_000), ..job }, 0.1, stop, generation), "it has no value");
 /// ```
-pub fn is_gain(delay: &Delay, loss: u64, stop_time: Millis, generation: Millis) -> bool {
+pub fn is_gain(delay: &Delay, loss: f64, stop_time: Millis, generation: Millis) -> bool {
     let gain = delay.value_after(stop_time) - delay.value_after(generation.max(stop_time));
-    gain > loss as f64
+    gain > loss
 }
 
 /// Returns for how long a unit may leave runs to end by themselves instead of stopping them. It is half
--- a/crates/batch/src/preemption.rs
+++ b/crates/batch/src/preemption.rs
@@ -35,10 +35,12 @@
         let mut found = search.find(&mut pass.candidates, FreeAt::AfterStops);
         let mut stops = Vec::new();
         if found.len() < unit.tasks.len() {
-            let delay = self.delay_in(unit, pass);
+            let mean_work = pass.mean_work.take().unwrap_or_else(|| self.mean_work());
+            let job = self.jobs.get(&unit.job);
+            let delay = job.map(|j| self.delay_of(unit, j, &mean_work));
             let mut victims = match pass.victims.take() {
                 Some(victims) => victims,
-                None => self.victims(pass),
+                None => self.victims(pass, &mean_work),
             };
             let max_wait = self.max_wait_for_ends(unit, delay.as_ref());
             let plan = search.plan_preemption(&pass.candidates, &victims, max_wait);
@@ -53,6 +55,7 @@
                 stops.push((victim.clone(), awaited));
             }
             pass.victims = Some(victims);
+            pass.mean_work = Some(mean_work);
             let Some(plan) = plan else {
                 return pays;
             };
@@ -77,7 +80,7 @@
 
     fn stop_victim(&mut self, victim: &Victim, unit: &Unit, now: Millis) {
         log::info!(
-            task:% = victim.tasks[0], tasks = victim.tasks.len(), loss = victim.loss, starts = victim.starts,
+            task:% = victim.tasks[0], tasks = victim.tasks.len(), loss = victim.loss, lost = victim.lost, starts = victim.starts,
             remaining_ms = victim.remaining.0, for_job:% = unit.job, guaranteed = unit.guaranteed,
             waited_ms = unit.waited.0, objective_ms = unit.objective.0;
             "batch: preempted"
@@ -93,12 +96,6 @@
         }
     }
 
-    fn delay_in(&self, unit: &Unit, pass: &mut Pass) -> Option<Delay> {
-        let job = self.jobs.get(&unit.job)?;
-        let mean_work = pass.mean_work.get_or_insert_with(|| self.mean_work());
-        Some(self.delay_of(unit, job, mean_work))
-    }
-
     /// Returns for how long the unit may wait for the ends of other runs instead of stopping them;
     /// `None` if it waits for none.
     fn max_wait_for_ends(&self, unit: &Unit, delay: Option<&Delay>) -> Option<Millis> {
@@ -119,9 +116,12 @@
         if unit.claimed.is_some_and(|age| age < STOP_INTERVAL) {
             return false;
         }
-        let ends = plan.stops.iter().map(|v| victims.all[*v].remaining);
-        let wait = ends.max().unwrap_or_default();
-        delay_cost::is_gain(delay, plan.loss, Millis(self.stop_time().0 / 2), wait)
+        let victims = || plan.stops.iter().map(|v| &victims.all[*v]);
+        let max_wait = self.max_wait_for_ends(unit, Some(delay));
+        let stopped = victims().filter(|v| !v.ends_within(max_wait));
+        let loss = stopped.map(|v| v.value).sum();
+        let wait = victims().map(|v| v.remaining).max().unwrap_or_default();
+        delay_cost::is_gain(delay, loss, Millis(self.stop_time().0 / 2), wait)
     }
 }
 
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -64,10 +64,11 @@
         self.key = key;
     }
 
-    /// Puts the unit before all others of its class, whatever its priority and timeliness.
-    pub(crate) const fn put_first(&mut self) {
+    /// Puts the unit before all others of its class, whatever its priority and timeliness, in the order
+    /// of `key`.
+    pub(crate) const fn put_first(&mut self, key: SortKey) {
         self.timeliness = Timeliness::InTime;
-        self.key = SortKey::NONE;
+        self.key = key;
         self.priority = 0;
     }
 }
--- a/crates/batch/src/shortage.rs
+++ b/crates/batch/src/shortage.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     candidates::Candidates,
-    delay_cost::{Delay, OverloadRules, WaitingOrder},
+    delay_cost::{Delay, OverloadRules, SortKey, WaitingOrder},
     job::{Resources, Step, Text},
     open_job::Job,
     placement::Pass,
@@ -20,7 +20,7 @@
 }
 
 impl MeanWork {
-    fn of(&self, queue: &Text) -> f64 {
+    pub(crate) fn of(&self, queue: &Text) -> f64 {
         self.by_queue.get(queue).map_or(0.0, |(sum, n)| sum / n)
     }
 }
@@ -76,8 +76,10 @@
                 continue;
             };
             let delay = self.delay_of(unit, job, mean_work);
-            if unit.claimed.is_some() || delay.is_overdue() {
-                unit.rank.put_first();
+            if let Some(age) = unit.claimed {
+                unit.rank.put_first(SortKey::of_claim(age));
+            } else if delay.is_overdue() {
+                unit.rank.put_first(SortKey::NONE);
             } else if !job.accepted.spec.steps[unit.step].endless {
                 let order = self.overload_rules.order;
                 unit.rank
--- a/crates/batch/src/victims.rs
+++ b/crates/batch/src/victims.rs
@@ -12,6 +12,7 @@
     progress::{Run, RunState},
     ranking::Unit,
     scheduler::JobScheduler,
+    shortage::MeanWork,
 };
 
 /// Added to the loss of urgent work, so that it is stopped only if nothing else frees enough
@@ -31,8 +32,12 @@
     pub(crate) tasks: Vec<SubtaskId>,
     /// Resources that become free, by index of the candidate.
     pub(crate) frees: Vec<(usize, Resources)>,
-    /// Lost work in core milliseconds; it rises with the number of starts.
+    /// Lost work in core milliseconds.
+    pub(crate) lost: u64,
+    /// The same, weighted by priority and number of starts.
     pub(crate) loss: u64,
+    /// Value of the lost work.
+    pub(crate) value: f64,
     /// Number of starts so far.
     pub(crate) starts: u32,
     /// Time until it ends by itself, by the progress that workers have reported.
@@ -73,7 +78,7 @@
 
 impl JobScheduler {
     /// Returns the runs that may be preempted in a pass, and those whose end may be awaited.
-    pub(crate) fn victims(&self, pass: &Pass) -> Victims {
+    pub(crate) fn victims(&self, pass: &Pass, mean_work: &MeanWork) -> Victims {
         let mut victims = Victims {
             all: Vec::new(),
             by_candidate: vec![Vec::new(); pass.candidates.all.len()],
@@ -92,7 +97,9 @@
                 let mut victim = Victim {
                     tasks: members,
                     frees: Vec::new(),
+                    lost: 0,
                     loss: 0,
+                    value: 0.0,
                     starts: 0,
                     projected: None,
                     remaining: Millis::ZERO,
@@ -102,7 +109,14 @@
                 };
                 job.compute_loss(&mut victim, &pass.candidates, self.restore_time, pass.now);
                 if by_gain {
+                    let mean = mean_work.of(&job.accepted.queue);
                     job.compute_end(&mut victim, &run_times, pass.now);
+                    victim.value = delay_cost::value_of_lost_work(
+                        priority,
+                        victim.lost as f64,
+                        mean,
+                        victim.starts,
+                    );
                 }
                 victims.add(victim);
             }
@@ -170,7 +184,9 @@
             if step.checkpoints {
                 lost = lost.min(restore);
             }
-            victim.loss += step.need.weight() * factor * lost.0 / 1_000;
+            let lost = step.need.weight() * lost.0 / 1_000;
+            victim.lost += lost;
+            victim.loss += lost * factor;
             if victim.priority == URGENT_PRIORITY {
                 victim.loss += URGENT_PENALTY;
             }
@@ -194,7 +210,12 @@
             let projection = run.projected_remaining(now);
             projected = projected.zip(projection).map(|(a, b)| a.max(b));
             let step = self.step(id);
-            let expected = run_times[id.step].since(run.elapsed(step, now));
+            let elapsed = run.elapsed(step, now);
+            let expected = match run_times[id.step].since(elapsed) {
+                // A run that takes longer than expected may take as long again.
+                Millis::ZERO => elapsed,
+                rest => rest,
+            };
             victim.remaining = victim.remaining.max(projection.unwrap_or(expected));
         }
         victim.projected = projected;
