batch, node: log lines and metrics of preemption and of shortages

Cause: nothing told what preemption costs, whether what it made room for starts, and when the order by cost of delay is in force. Change: 'batch: preempted' has reason, lost work and starts; 'batch: too little room' and 'batch: room for all again' mark a shortage; 'batch: waits for room' has the expected end and the objective; metrics node_preempted_runs_total, node_preempted_core_seconds_total, node_lapsed_claims_total.

--- a/crates/batch/examples/overload.rs
+++ b/crates/batch/examples/overload.rs
@@ -2,7 +2,8 @@
 //!
 //! `cargo run --release -p batch --example overload -- [SEEDS] [--corrected] [--load=FACTOR]`
 //!
-//! `--corrected` submits estimates as a forecast corrects them, `--load` multiplies the rate of jobs.
+//! `--corrected` submits estimates as a forecast corrects them, `--load` multiplies the rate of jobs, and
+//! `--only=ORDER-GAIN` (as in `--only=Mixed-true`) plays one line of the table.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -153,6 +154,7 @@
     stops: u64,
     lost: f64,
     stops_by_task: BTreeMap<SubtaskId, u32>,
+    lapsed_claims: u64,
 }
 
 /// Result of one played load.
@@ -169,6 +171,7 @@
     stops: u64,
     stopped_again: u32,
     lost: f64,
+    lapsed_claims: u64,
 }
 
 fn main() {
@@ -181,7 +184,7 @@
     let load = load.unwrap_or(1.0);
     let only = args.iter().find_map(|a| a.strip_prefix("--only="));
     println!(
-        "{:<22} {:>5} | {:>17} | {:>17} | {:>14} | {:>5} {:>5} {:>5} | {:>6} {:>5} {:>8} | {:>7} {:>7}",
+        "{:<22} {:>5} | {:>17} | {:>17} | {:>14} | {:>5} {:>5} {:>5} | {:>6} {:>5} {:>8} | {:>8} {:>6} {:>6}",
         "rules",
         "value",
         "value by kind",
@@ -194,7 +197,8 @@
         "again",
         "lost c-s",
         "late",
-        "not done"
+        "undone",
+        "lapsed"
     );
     let orders = [
         WaitingOrder::Due,
@@ -207,25 +211,21 @@
         .into_iter()
         .flat_map(|g| orders.map(|o| (g, o)))
     {
-        if !only.is_none_or(|o| o == format!("{order:?}-{stops_by_gain}")) {
+        if only.is_some_and(|o| o != format!("{order:?}-{stops_by_gain}")) {
             continue;
         }
-        {
-            let rules = OverloadRules {
-                order,
-                stops_by_gain,
-            };
-            let mut total = Score::default();
-            for seed in 0..seeds {
-                let mut site = Site::new(seed, rules, corrected, load);
-                site.play();
-                site.score(&mut total);
-            }
-            total.print(
-                &format!("{order:?}{}", if stops_by_gain { " gain" } else { "" }),
-                seeds,
-            );
+        let rules = OverloadRules {
+            order,
+            stops_by_gain,
+        };
+        let mut total = Score::default();
+        for seed in 0..seeds {
+            let mut site = Site::new(seed, rules, corrected, load);
+            site.play();
+            site.score(&mut total);
         }
+        let stops = if stops_by_gain { " gain" } else { "" };
+        total.print(&format!("{order:?}{stops}"), seeds);
     }
 }
 
@@ -249,7 +249,7 @@
         let worst_org = self.organisations.values().map(|p| ratio(*p));
         let n = seeds as f64;
         println!(
-            "{name:<22} {:.3} | {} | {} | {} | {:.3} {:.3} {:.3} | {:>6.0} {:>5.0} {:>8.0} | {:>3}/{:<4} {:>6}",
+            "{name:<22} {:.3} | {} | {} | {} | {:.3} {:.3} {:.3} | {:>6.0} {:>5.0} {:>8.0} | {:>3}/{:<4} {:>6} {:>6}",
             sum(&self.kinds),
             three(&self.kinds),
             three(&self.on_time),
@@ -262,7 +262,8 @@
             self.lost / n,
             self.reclaims.0,
             self.reclaims.1,
-            self.unfinished
+            self.unfinished,
+            self.lapsed_claims as f64 / n
         );
     }
 }
@@ -308,6 +309,7 @@
             stops: 0,
             lost: 0.0,
             stops_by_task: BTreeMap::new(),
+            lapsed_claims: 0,
         }
     }
 
@@ -331,7 +333,7 @@
     }
 
     fn submit_due(&mut self) {
-        for kind in 0..KINDS.len() {
+        for (kind, k) in KINDS.iter().enumerate() {
             let in_burst =
                 |b: &(Millis, Millis, usize)| b.2 == kind && b.0 <= self.now && self.now < b.1;
             let factor = if self.bursts.iter().any(in_burst) {
@@ -339,7 +341,7 @@
             } else {
                 1.0
             };
-            if self.rng.f64() < KINDS[kind].per_s * factor * self.load / 1_000.0 {
+            if self.rng.f64() < k.per_s * factor * self.load / 1_000.0 {
                 self.submit(kind);
             }
         }
@@ -466,6 +468,7 @@
         self.scheduler.open_due_occurrences(wall_now);
         self.scheduler.place(now, wall_now);
         self.scheduler.take_run_ends();
+        self.lapsed_claims += self.scheduler.take_preemptions().lapsed_claims;
         let changes = self.scheduler.take_changes();
         self.scheduler.mark_committed(&changes.acks);
         for order in changes.orders {
@@ -648,6 +651,7 @@
         total.windows.extend(windows.values().map(|w| ratio(*w)));
         total.stops += self.stops;
         total.lost += self.lost;
+        total.lapsed_claims += self.lapsed_claims;
         let again = self.stops_by_task.values().filter(|n| **n > 1);
         total.stopped_again += again.count() as u32;
     }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod policy;
 mod policy_calls;
 mod preemption;
+pub mod preemption_log;
 mod probation;
 pub mod progress;
 mod ranking;
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -45,10 +45,12 @@
         self.explain_losses(now, wall_now);
         let within_guarantee = self.organisations_within_guarantee();
         self.mark_considered(now);
+        self.end_lapsed_claims(now);
         self.renew_wait_lines();
         self.log_unsettled(now);
         let mut units = self.units(&within_guarantee, now, wall_now);
         if units.is_empty() {
+            self.end_shortages(now);
             return;
         }
         self.end_shared_probation(now);
--- a/crates/batch/src/preemption.rs
+++ b/crates/batch/src/preemption.rs
@@ -78,24 +78,6 @@
         true
     }
 
-    fn stop_victim(&mut self, victim: &Victim, unit: &Unit, now: Millis) {
-        log::info!(
-            task:% = victim.tasks[0], tasks = victim.tasks.len(), loss = victim.loss, lost = victim.lost, starts = victim.starts,
-            remaining_ms = victim.remaining.0, for_job:% = unit.job, guaranteed = unit.guaranteed,
-            waited_ms = unit.waited.0, objective_ms = unit.objective.0;
-            "batch: preempted"
-        );
-        for id in &victim.tasks {
-            self.stop(id, now);
-        }
-        let first = &unit.tasks[0];
-        if let Some(job) = self.jobs.get_mut(&first.job)
-            && let Some(occurrence) = job.progress.occurrences.get_mut(first.occurrence as usize)
-        {
-            occurrence.claimed_at = Some(now);
-        }
-    }
-
     /// Returns for how long the unit may wait for the ends of other runs instead of stopping them;
     /// `None` if it waits for none.
     fn max_wait_for_ends(&self, unit: &Unit, delay: Option<&Delay>) -> Option<Millis> {
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -64,6 +64,11 @@
         self.key = key;
     }
 
+    /// Returns the expected completion relative to the objective.
+    pub(crate) const fn timeliness(self) -> Timeliness {
+        self.timeliness
+    }
+
     /// Puts the unit before all others of its class, whatever its priority and timeliness, in the order
     /// of `key`.
     pub(crate) const fn put_first(&mut self, key: SortKey) {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -16,8 +16,10 @@
     order_load::OrderLoad,
     policy::{PolicyRequest, StepId, StepTickets, UnsentRequest},
     policy_calls::PolicyCalls,
+    preemption_log::PreemptionLog,
     progress::{Phase, Progress, Run, Subtask},
     reserve::UrgentLoad,
+    shortage::Shortage,
     wait_log::WaitLog,
     worker::{Order, Outcome, WorkerInfo},
     worker_end::{LapsedRun, LostWorker, Outage, WorkerEnd},
@@ -79,6 +81,10 @@
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
     pub(crate) overload_rules: OverloadRules,
+    /// Services with too little room for their waiting work.
+    pub(crate) shortages: SortedMap<Text, Shortage>,
+    /// Stops for other work since the caller last asked for them.
+    pub(crate) preemption_log: PreemptionLog,
     /// Learned speeds of workers and corrections of estimates.
     pub(crate) forecast: Forecast,
     /// Time that a run needs to continue from a checkpoint.
--- a/crates/batch/src/shortage.rs
+++ b/crates/batch/src/shortage.rs
@@ -8,7 +8,7 @@
     job::{Resources, Step, Text},
     open_job::Job,
     placement::Pass,
-    ranking::Unit,
+    ranking::{Timeliness, Unit},
     scheduler::JobScheduler,
 };
 
@@ -25,6 +25,16 @@
     }
 }
 
+/// Time that a shortage lasts before it is logged. Shorter ones end with the next runs.
+const LOG_AFTER: Millis = Millis(1_000);
+
+/// Time in which a service has too little room for its waiting work.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Shortage {
+    since: Millis,
+    is_logged: bool,
+}
+
 /// Room of a service, and what its waiting units need.
 #[derive(Clone, Copy, Debug, Default)]
 struct Balance {
@@ -35,6 +45,15 @@
     subtasks: u64,
 }
 
+impl Shortage {
+    fn log_end(&self, service: &Text, now: Millis) {
+        if self.is_logged {
+            let lasted_ms = now.since(self.since).0;
+            log::info!(service:%, lasted_ms; "batch: room for all again");
+        }
+    }
+}
+
 impl Balance {
     fn is_short(&self) -> bool {
         !self.wanted.fits_in(self.free)
@@ -58,11 +77,12 @@
     }
 
     /// Sorts the units of the services that have too little room for them by their cost of delay.
-    pub(crate) fn order_by_cost(&self, units: &mut [Unit], pass: &mut Pass) {
+    pub(crate) fn order_by_cost(&mut self, units: &mut [Unit], pass: &mut Pass) {
         if self.overload_rules.order == WaitingOrder::Due {
             return;
         }
         let balances = self.balances(units, &pass.candidates);
+        self.record_shortages(&balances, units, pass.now);
         if !balances.iter().any(|(_, b)| b.is_short()) {
             return;
         }
@@ -89,6 +109,59 @@
         units.sort_by_key(|u| u.rank);
     }
 
+    /// Records which services have too little room, and logs the beginning and the end of longer
+    /// shortages.
+    fn record_shortages(
+        &mut self,
+        balances: &SortedMap<Text, Balance>,
+        units: &[Unit],
+        now: Millis,
+    ) {
+        let is_short = |name: &Text| balances.get(name).is_some_and(Balance::is_short);
+        self.shortages.retain(|name, shortage| {
+            let is_short = is_short(name);
+            if !is_short {
+                shortage.log_end(name, now);
+            }
+            is_short
+        });
+        for (name, balance) in balances.iter().filter(|(_, b)| b.is_short()) {
+            if self.shortages.get(name).is_none() {
+                let shortage = Shortage {
+                    since: now,
+                    is_logged: false,
+                };
+                self.shortages.insert(name.clone(), shortage);
+            }
+            let Some(shortage) = self.shortages.get_mut(name) else {
+                continue;
+            };
+            if shortage.is_logged || now.since(shortage.since) < LOG_AFTER {
+                continue;
+            }
+            shortage.is_logged = true;
+            let count = |timeliness| {
+                let units = units.iter().filter(|u| u.rank.timeliness() == timeliness);
+                units.count()
+            };
+            log::info!(
+                service:% = name, wanted:% = balance.wanted, free:% = balance.free,
+                subtasks = balance.subtasks, run_time_ms = balance.generation().0,
+                in_time = count(Timeliness::InTime), late = count(Timeliness::Late),
+                too_late = count(Timeliness::TooLate);
+                "batch: too little room"
+            );
+        }
+    }
+
+    /// Ends all shortages, because nothing waits.
+    pub(crate) fn end_shortages(&mut self, now: Millis) {
+        for (name, shortage) in self.shortages.iter_mut() {
+            shortage.log_end(name, now);
+        }
+        self.shortages = SortedMap::default();
+    }
+
     /// Returns what the cost of delay of a unit depends on.
     pub(crate) fn delay_of(&self, unit: &Unit, job: &Job, mean_work: &MeanWork) -> Delay {
         let run_times = self.expected_run_times(job);
--- a/crates/batch/src/wait_log.rs
+++ b/crates/batch/src/wait_log.rs
@@ -197,7 +197,8 @@
             reserved = all.of(Standing::Reserved), isolated = all.of(Standing::Isolated),
             unsuitable = all.of(Standing::Unsuitable), label = all.of(Standing::Label),
             ticket = all.of(Standing::Ticket), limit = all.of(Standing::Limit),
-            guaranteed = unit.guaranteed, attempts, starts = runs.starts, unanswered,
+            expected_ms = unit.took.0, objective_ms = unit.objective.0,
+            claimed_ms = unit.claimed.map(|t| t.0), guaranteed = unit.guaranteed, attempts, starts = runs.starts, unanswered,
             running = runs.running, stopping = runs.stopping, stopping_ms = runs.stopping_ms(now);
             "batch: waits for room"
         );
--- a/crates/node/src/activity.rs
+++ b/crates/node/src/activity.rs
@@ -28,6 +28,8 @@
         cx.metrics.record_pass(took);
         self.passes += 1;
         self.longest_pass = self.longest_pass.max(took);
+        let preemptions = leader.scheduler.borrow_mut().take_preemptions();
+        cx.metrics.count_preemptions(&preemptions);
         for outcome in leader.scheduler.borrow_mut().take_run_ends() {
             cx.metrics.count_run_end(outcome);
             match self.ends.iter_mut().find(|(o, _)| *o == outcome) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of a node, listed in docs/metrics.md.
 
 use base::clock::{self, Millis};
-use batch::{progress::Phase, worker::Outcome, worker_end::WorkerEnd};
+use batch::{
+    preemption_log::PreemptionLog, progress::Phase, worker::Outcome, worker_end::WorkerEnd,
+};
 use meter::Exporter;
 use opentelemetry::{
     KeyValue,
@@ -29,6 +31,9 @@
     lost_runs: Counter<u64>,
     given_up_jobs: Counter<u64>,
     run_ends: Counter<u64>,
+    preempted_runs: Counter<u64>,
+    preempted_work: Counter<u64>,
+    lapsed_claims: Counter<u64>,
     pass_seconds: Histogram<f64>,
     lease_gap_seconds: Histogram<f64>,
     takeovers: Counter<u64>,
@@ -73,6 +78,9 @@
             lost_runs: exporter.counter("node_lost_runs"),
             given_up_jobs: exporter.counter("node_given_up_jobs"),
             run_ends: exporter.counter("node_run_ends"),
+            preempted_runs: exporter.counter("node_preempted_runs"),
+            preempted_work: exporter.counter("node_preempted_core_seconds"),
+            lapsed_claims: exporter.counter("node_lapsed_claims"),
             pass_seconds: exporter.latency_histogram("node_pass_seconds"),
             lease_gap_seconds: exporter.latency_histogram("node_lease_gap_seconds"),
             takeovers: exporter.counter("node_takeovers"),
@@ -172,6 +180,20 @@
         self.run_ends.add(1, &label);
     }
 
+    /// Counts stops for other work.
+    pub(crate) fn count_preemptions(&self, log: &PreemptionLog) {
+        for stop in &log.stops {
+            let labels = [
+                KeyValue::new("reason", stop.reason.name()),
+                KeyValue::new("repeated", stop.repeated),
+            ];
+            self.preempted_runs.add(stop.runs as u64, &labels);
+            let core_seconds = stop.lost.div_ceil(1_000);
+            self.preempted_work.add(core_seconds, &labels);
+        }
+        self.lapsed_claims.add(log.lapsed_claims, &[]);
+    }
+
     /// Records the duration of a scheduling pass.
     pub(crate) fn record_pass(&self, took: Millis) {
         self.pass_seconds.record(seconds(took), &[]);
