--- a/crates/batch/src/expected.rs
+++ b/crates/batch/src/expected.rs
@@ -5,11 +5,12 @@
 
 use crate::{
     config::{Queue, URGENT_PRIORITY},
+    delay_cost::TOO_LATE_FACTOR,
     isolation::Isolation,
     job::{Step, Text},
     open_job::Job,
     progress::Occurrence,
-    ranking::{TOO_LATE_FACTOR, Unit},
+    ranking::Unit,
     scheduler::JobScheduler,
     speed_class::{self, Preference, Speeds, Work},
     typical_work::kind_of,
@@ -101,4 +102,11 @@
         }
         rests[step]
     }
+
+    /// Returns the expected run time of a subtask of each step of a job.
+    pub(crate) fn expected_run_times(&self, job: &Job) -> Vec<Millis> {
+        let steps = job.accepted.spec.steps.iter();
+        let run_time = |s| self.expected_run_time(&job.accepted.queue, s);
+        steps.map(run_time).collect()
+    }
 }
--- a/crates/batch/src/placement.rs
+++ b/crates/batch/src/placement.rs
@@ -8,9 +8,11 @@
     isolation::Isolation,
     job::{Step, SubtaskId, Text},
     placement_forecast::PlacementForecast,
+    preemption::Claim,
     progress::{Phase, Run, RunState},
     ranking::Unit,
     scheduler::JobScheduler,
+    shortage::MeanWork,
     victims::Victims,
 };
 
@@ -31,6 +33,8 @@
     pub(crate) within_guarantee: Vec<Text>,
     /// Runs that may be preempted; collected when the first unit needs them.
     pub(crate) victims: Option<Victims>,
+    /// Mean work of the jobs of each queue; computed when it is first needed.
+    pub(crate) mean_work: Option<MeanWork>,
     pub(crate) now: Millis,
 }
 
@@ -47,10 +51,12 @@
         self.forecast.update(now);
         let within_guarantee = self.organisations_within_guarantee();
         self.mark_considered(now);
+        self.end_lapsed_claims(now);
         self.renew_wait_lines();
         self.log_unsettled(now);
-        let units = self.units(&within_guarantee, now, wall_now);
+        let mut units = self.units(&within_guarantee, now, wall_now);
         if units.is_empty() {
+            self.end_shortages(now);
             return;
         }
         self.end_shared_probation(now);
@@ -60,9 +66,11 @@
             candidates: self.candidates(now),
             within_guarantee,
             victims: None,
+            mean_work: None,
             now,
         };
         self.slow_workers = pass.candidates.slow_workers();
+        self.order_by_cost(&mut units, &mut pass);
         pass.candidates.reserve_for_urgent(reserve);
         self.policy_calls.advance(now);
         let mut starts = 0;
@@ -141,7 +149,11 @@
             return self.hold_capacity(unit, &step, &service, candidates, now);
         }
         let may_stop = unit.waited >= PREEMPT_AFTER;
-        self.preempt_for(&rest, &step, &service, pass, may_stop);
+        let claim = self.preempt_for(&rest, &step, &service, pass, may_stop);
+        if claim == Claim::NoGain {
+            // Without a stop the unit starts when runs have ended, which other work must not replace.
+            self.hold_capacity(&rest, &step, &service, &mut pass.candidates, now);
+        }
     }
 
     /// Holds resources of workers that are not slow for an urgent unit, and preempts other work there.
@@ -158,7 +170,8 @@
             return 0;
         }
         let may_stop = unit.waited >= PREEMPT_AFTER;
-        let covered = self.preempt_for(unit, step, service, pass, may_stop);
+        let claim = self.preempt_for(unit, step, service, pass, may_stop);
+        let covered = claim.covered();
         if covered > 0 || !unit.preference.gains_by_waiting(SHORT_WAIT) {
             return covered;
         }
@@ -235,7 +248,9 @@
         let job = self.jobs.get_mut(&id.job)?;
         let step = &job.accepted.spec.steps[id.step];
         let need = step.reserved();
-        let tasks = &mut job.progress.occurrences[id.occurrence as usize].steps[id.step];
+        let occurrence = &mut job.progress.occurrences[id.occurrence as usize];
+        occurrence.claimed_at = None;
+        let tasks = &mut occurrence.steps[id.step];
         if step.gang && id.index == 0 {
             // All members of a gang start with the same attempt number and checkpoint.
             let attempt = tasks.iter().map(|t| t.attempt).max().unwrap_or(0);
@@ -272,6 +287,7 @@
             stop_order: None,
             ordered_at: now,
             percent: 0,
+            percent_at: now,
             awaits_reply: false,
             unsent_starts: 0,
             unanswered_starts: 0,
--- a/crates/batch/src/preemption.rs
+++ b/crates/batch/src/preemption.rs
@@ -2,8 +2,11 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap};
 
+use base::clock::Millis;
+
 use crate::{
     candidates::{Candidates, FreeAt},
+    delay_cost::{self, Delay},
     job::{Resources, Step, Text},
     placement::Pass,
     ranking::Unit,
@@ -12,10 +15,33 @@
     victims::{Victim, Victims},
 };
 
+/// Time after stops for a unit without a guarantee in which no more are ordered for it. The reports of the
+/// stopped runs arrive in that time.
+const STOP_INTERVAL: Millis = Millis(1_300);
+
+/// Result of an attempt to make room for a unit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Claim {
+    /// There will be room for this number of its subtasks.
+    Room(usize),
+    /// Stops would make room, but the unit gains less than they lose.
+    NoGain,
+}
+
+impl Claim {
+    /// Returns for how many subtasks there will be room.
+    pub(crate) const fn covered(self) -> usize {
+        match self {
+            Self::Room(count) => count,
+            Self::NoGain => 0,
+        }
+    }
+}
+
 impl JobScheduler {
     /// Holds the resources that become free for the unit, and stops other runs if those are not
-    /// enough. Without `may_stop`, the resources are held but nothing is stopped yet. Returns for how
-    /// many of its subtasks there will be room.
+    /// enough and the unit gains more than that loses. Without `may_stop`, the resources are held but
+    /// nothing is stopped yet.
     pub(crate) fn preempt_for(
         &mut self,
         unit: &Unit,
@@ -23,46 +49,80 @@
         service: &Text,
         pass: &mut Pass,
         may_stop: bool,
-    ) -> usize {
+    ) -> Claim {
         let search = self.search(unit, step, service, pass.now);
         let mut found = search.find(&mut pass.candidates, FreeAt::AfterStops);
         let mut stops = Vec::new();
         if found.len() < unit.tasks.len() {
+            let mean_work = pass.mean_work.take().unwrap_or_else(|| self.mean_work());
+            let job = self.jobs.get(&unit.job);
+            let delay = job.map(|j| self.delay_of(unit, j, &mean_work));
             let mut victims = match pass.victims.take() {
                 Some(victims) => victims,
-                None => self.victims(pass),
+                None => self.victims(pass, &mean_work),
             };
-            let plan = search.plan_preemption(&pass.candidates, &victims);
+            let max_wait = self.max_wait_for_ends(unit, delay.as_ref());
+            let plan = search.plan_preemption(&pass.candidates, &victims, max_wait);
+            let pays = plan
+                .as_ref()
+                .is_none_or(|p| self.pays(p, unit, delay.as_ref(), &victims));
+            let plan = plan.filter(|_| pays);
             for index in plan.iter().flat_map(|p| &p.stops) {
                 let victim = &mut victims.all[*index];
+                let awaited = victim.ends_within(max_wait);
                 victim.selected = true;
-                stops.push(victim.clone());
+                stops.push((victim.clone(), awaited));
             }
             pass.victims = Some(victims);
+            pass.mean_work = Some(mean_work);
             let Some(plan) = plan else {
-                return 0;
+                return if pays { Claim::Room(0) } else { Claim::NoGain };
             };
             found = plan.candidates;
             pass.candidates.invalidate_after_stops();
         }
         // Resources that the unit is going to use are held even while it waits, so that nothing is
         // started there that would have to be stopped again.
-        for victim in stops {
-            for (candidate, need) in victim.frees {
-                pass.candidates.all[candidate].free_after_stop(need);
+        for (victim, awaited) in stops {
+            for (candidate, need) in &victim.frees {
+                pass.candidates.all[*candidate].free_after_stop(*need);
             }
-            if may_stop {
-                let tasks = victim.tasks.len();
-                log::info!(task:% = victim.tasks[0], tasks, loss = victim.loss, for_job:% = unit.job; "batch: preempted");
-                for id in &victim.tasks {
-                    self.stop(id, pass.now);
-                }
+            if may_stop && !awaited {
+                self.stop_victim(&victim, unit, pass.now);
             }
         }
         for candidate in &found {
             pass.candidates.all[*candidate].take(step.reserved());
         }
-        found.len()
+        Claim::Room(found.len())
+    }
+
+    /// Returns for how long the unit may wait for the ends of other runs instead of stopping them;
+    /// `None` if it waits for none.
+    fn max_wait_for_ends(&self, unit: &Unit, delay: Option<&Delay>) -> Option<Millis> {
+        let delay = delay.filter(|_| self.overload_rules.stops_by_gain)?;
+        let wait = delay_cost::max_wait_for_ends(delay, unit.guaranteed, self.stop_time());
+        Some(wait)
+    }
+
+    /// Returns whether the unit gains more than the stops lose. Guaranteed work is entitled to its room
+    /// whatever it costs.
+    fn pays(&self, plan: &Plan, unit: &Unit, delay: Option<&Delay>, victims: &Victims) -> bool {
+        if unit.guaranteed || plan.loss == 0 || !self.overload_rules.stops_by_gain {
+            return true;
+        }
+        let Some(delay) = delay else {
+            return true;
+        };
+        if unit.claimed.is_some_and(|age| age < STOP_INTERVAL) {
+            return false;
+        }
+        let victims = || plan.stops.iter().map(|v| &victims.all[*v]);
+        let max_wait = self.max_wait_for_ends(unit, Some(delay));
+        let stopped = victims().filter(|v| !v.ends_within(max_wait));
+        let loss = stopped.map(|v| v.value).sum();
+        let wait = victims().map(|v| v.remaining).max().unwrap_or_default();
+        delay_cost::is_gain(delay, loss, Millis(self.stop_time().0 / 2), wait)
     }
 }
 
@@ -71,7 +131,7 @@
 struct Plan {
     /// Index of the candidate for each subtask.
     candidates: Vec<usize>,
-    /// Indices of the victims to stop.
+    /// Indices of the victims to stop or to wait for.
     stops: Vec<usize>,
     loss: u64,
 }
@@ -90,18 +150,29 @@
 impl Search<'_> {
     /// Returns the plan that places most subtasks and, among those, loses least work. Returns
     /// `None` if no plan frees enough resources.
-    fn plan_preemption(&self, candidates: &Candidates, victims: &Victims) -> Option<Plan> {
+    fn plan_preemption(
+        &self,
+        candidates: &Candidates,
+        victims: &Victims,
+        max_wait: Option<Millis>,
+    ) -> Option<Plan> {
         let sets = self.candidate_sets(candidates);
         let plans = sets
             .iter()
-            .filter_map(|set| self.plan(candidates, victims, set));
+            .filter_map(|set| self.plan(candidates, victims, set, max_wait));
         let missing = |p: &Plan| self.unit.tasks.len() - p.candidates.len();
         plans.min_by_key(|p| (missing(p), p.loss))
     }
 
     /// Adds the cheapest victim groups of one set of candidates until the unit fits, then removes
     /// the stops that are not needed.
-    fn plan(&self, candidates: &Candidates, victims: &Victims, set: &[usize]) -> Option<Plan> {
+    fn plan(
+        &self,
+        candidates: &Candidates,
+        victims: &Victims,
+        set: &[usize],
+        max_wait: Option<Millis>,
+    ) -> Option<Plan> {
         let wanted = self.unit.tasks.len() as u64;
         let mut fits: Vec<(usize, u64)> = Vec::new();
         let mut total = 0;
@@ -118,7 +189,7 @@
         let mut groups: Vec<VictimGroup> = Vec::new();
         if total < wanted {
             for candidate in set {
-                self.add_victim_groups(candidates, victims, *candidate, &mut groups);
+                self.add_victim_groups(candidates, victims, *candidate, max_wait, &mut groups);
             }
         }
         // Groups of one candidate build on each other, so each is considered only after the
@@ -157,7 +228,7 @@
             let used = count.min(rest) as usize;
             plan.candidates.extend(std::iter::repeat_n(candidate, used));
         }
-        self.drop_unneeded_stops(candidates, victims, &mut plan);
+        self.drop_unneeded_stops(candidates, victims, max_wait, &mut plan);
         Some(plan)
     }
 
@@ -175,29 +246,35 @@
         count.min(self.remaining_limit(candidate))
     }
 
-    /// Adds the victim groups of one candidate, starting with the victims of smallest loss.
+    /// Adds the victim groups of one candidate, starting with the runs whose end the unit can wait for
+    /// and then the victims of smallest loss.
     fn add_victim_groups(
         &self,
         candidates: &Candidates,
         victims: &Victims,
         candidate: usize,
+        max_wait: Option<Millis>,
         groups: &mut Vec<VictimGroup>,
     ) {
         let wanted = self.unit.tasks.len() as u64;
         let mut freed = Resources::default();
         let mut fits = self.fitting_count(candidates, candidate, freed);
         let (mut stops, mut loss) = (Vec::new(), 0);
-        for index in &victims.by_candidate[candidate] {
+        let here = &victims.by_candidate[candidate];
+        let (ending, others): (Vec<usize>, Vec<usize>) = here
+            .iter()
+            .partition(|v| victims.all[**v].ends_within(max_wait));
+        for index in ending.iter().chain(&others) {
             if fits >= wanted {
                 return;
             }
             let victim = &victims.all[*index];
-            if !victim.is_preemptible_by(self.unit) {
+            if !victim.ends_within(max_wait) && !victim.is_preemptible_by(self.unit) {
                 continue;
             }
             freed.add(victim.frees_in(candidate), 1);
             stops.push(*index);
-            loss += victim.loss;
+            loss += victim.loss_beyond(max_wait);
             let now = self.fitting_count(candidates, candidate, freed);
             if now > fits {
                 groups.push(VictimGroup {
@@ -213,8 +290,14 @@
 
     /// Removes the stops that the plan does not need, trying the victims of greatest loss first
     /// because dropping those saves the most work.
-    fn drop_unneeded_stops(&self, candidates: &Candidates, victims: &Victims, plan: &mut Plan) {
-        let loss = |v: &usize| victims.all[*v].loss;
+    fn drop_unneeded_stops(
+        &self,
+        candidates: &Candidates,
+        victims: &Victims,
+        max_wait: Option<Millis>,
+        plan: &mut Plan,
+    ) {
+        let loss = |v: &usize| victims.all[*v].loss_beyond(max_wait);
         plan.stops.sort_by_key(loss);
         for i in (0..plan.stops.len()).rev() {
             let victim = &victims.all[plan.stops[i]];
@@ -245,6 +328,14 @@
 }
 
 impl Victim {
+    /// Returns the work that is lost for a unit that can wait for `max_wait` until runs end.
+    fn loss_beyond(&self, max_wait: Option<Millis>) -> u64 {
+        if self.ends_within(max_wait) {
+            return 0;
+        }
+        self.loss
+    }
+
     /// Returns the resources that stopping the victim frees on a candidate.
     fn frees_in(&self, candidate: usize) -> Resources {
         let mut freed = Resources::default();
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -1,9 +1,12 @@
 //! Selection of the subtasks that may start, and the order in which they are placed.
 
+use std::cell::LazyCell;
+
 use base::{clock::Millis, sorted::SortedMap};
 
 use crate::{
     config::URGENT_PRIORITY,
+    delay_cost::{SortKey, TOO_LATE_FACTOR},
     isolation::Isolation,
     job::{Step, SubtaskId, Text},
     open_job::Job,
@@ -12,9 +15,6 @@
     speed_class::Preference,
 };
 
-/// A job that takes longer than this multiple of its completion objective is of no value.
-pub(crate) const TOO_LATE_FACTOR: u64 = 3;
-
 /// Unit of placement: the subtasks of one step that may start now.
 #[derive(Clone, Debug)]
 pub(crate) struct Unit {
@@ -29,6 +29,12 @@
     pub(crate) guaranteed: bool,
     /// How long the unit has waited.
     pub(crate) waited: Millis,
+    /// Time from the submission to the expected end if the unit starts now.
+    pub(crate) took: Millis,
+    /// Completion objective, counted from the submission.
+    pub(crate) objective: Millis,
+    /// Time since runs were stopped for the unit; `None` if that is long ago.
+    pub(crate) claimed: Option<Millis>,
     /// How far its subtasks have to be kept apart from other work.
     pub(crate) isolation: Isolation,
     /// Workers that it uses first.
@@ -43,6 +49,8 @@
     /// Urgent work comes before all other work.
     deferrable: bool,
     timeliness: Timeliness,
+    /// Order by cost of delay while there is too little room.
+    key: SortKey,
     priority: u32,
     /// End of the completion objective.
     due: Millis,
@@ -53,6 +61,24 @@
     pub(crate) fn is_in_time(self) -> bool {
         self.timeliness == Timeliness::InTime
     }
+
+    /// Sets the order among units of the same timeliness.
+    pub(crate) const fn order_by(&mut self, key: SortKey) {
+        self.key = key;
+    }
+
+    /// Returns the expected completion relative to the objective.
+    pub(crate) const fn timeliness(self) -> Timeliness {
+        self.timeliness
+    }
+
+    /// Puts the unit before all others of its class, whatever its priority and timeliness, in the order
+    /// of `key`.
+    pub(crate) const fn put_first(&mut self, key: SortKey) {
+        self.timeliness = Timeliness::InTime;
+        self.key = key;
+        self.priority = 0;
+    }
 }
 
 /// Expected completion of a job relative to its objective.
@@ -127,20 +153,26 @@
         let slack = queue.map_or(1.0, |q| q.slack_factor);
         let target = queue.map_or(Millis::ZERO, |q| q.target_latency);
         let guaranteed = guaranteed && priority == URGENT_PRIORITY;
-        let objective = Millis((job.critical_path().0 as f64 * slack) as u64) + target;
+        let run_times = LazyCell::new(|| self.expected_run_times(job));
         let rank_of = |occurrence, start| {
-            let end = wall_now + job.remaining_critical_path(occurrence);
-            Rank {
+            // Callers measure the objective on the true run times, not on the submitted estimates.
+            let critical_path = job.critical_path(&run_times);
+            let objective = Millis((critical_path.0 as f64 * slack) as u64) + target;
+            let end = wall_now + job.remaining_critical_path(occurrence, &run_times);
+            let took = end.since(start);
+            let rank = Rank {
                 unguaranteed: !guaranteed,
                 deferrable: priority > URGENT_PRIORITY,
-                timeliness: match end.since(start) {
+                timeliness: match took {
                     took if took <= objective => Timeliness::InTime,
                     took if took.0 <= TOO_LATE_FACTOR * objective.0 => Timeliness::Late,
                     _ => Timeliness::TooLate,
                 },
+                key: SortKey::NONE,
                 priority,
                 due: start + objective,
-            }
+            };
+            (rank, took, objective)
         };
         for (k, occurrence) in job.progress.occurrences.iter().enumerate() {
             let start = job.occurrence_start(k as u32);
@@ -153,7 +185,8 @@
                 if tasks.is_empty() {
                     continue;
                 }
-                let rank = *rank.get_or_insert_with(|| rank_of(occurrence, start));
+                let (rank, took, objective) =
+                    *rank.get_or_insert_with(|| rank_of(occurrence, start));
                 for (isolation, tasks) in job.by_isolation(tasks, step, now) {
                     units.push(Unit {
                         rank,
@@ -164,6 +197,9 @@
                         priority,
                         guaranteed,
                         waited: occurrence.waited(start, now, wall_now),
+                        took,
+                        objective,
+                        claimed: occurrence.claimed(now),
                         isolation,
                         preference: Preference::None,
                     });
@@ -210,23 +246,25 @@
         }
     }
 
-    /// Returns the estimated duration of the critical path through the steps.
-    fn critical_path(&self) -> Millis {
+    /// Returns the duration of the critical path through the steps with the given run times.
+    fn critical_path(&self, run_times: &[Millis]) -> Millis {
         let mut ends: Vec<Millis> = Vec::new();
-        for step in &self.accepted.spec.steps {
+        for (step, run_time) in self.accepted.spec.steps.iter().zip(run_times) {
             let before = step.after.iter().map(|a| ends[*a]).max();
-            ends.push(before.unwrap_or_default() + step.estimate);
+            ends.push(before.unwrap_or_default() + *run_time);
         }
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the estimated duration of the critical path through the steps that are not done.
-    fn remaining_critical_path(&self, occurrence: &Occurrence) -> Millis {
+    /// Returns the duration of the critical path through the steps that are not done, with the given
+    /// run times.
+    fn remaining_critical_path(&self, occurrence: &Occurrence, run_times: &[Millis]) -> Millis {
         let mut ends: Vec<Millis> = Vec::new();
-        for (step, tasks) in self.accepted.spec.steps.iter().zip(&occurrence.steps) {
+        let steps = self.accepted.spec.steps.iter().zip(run_times);
+        for ((step, run_time), tasks) in steps.zip(&occurrence.steps) {
             let before = step.after.iter().map(|a| ends[*a]).max();
             let is_done = tasks.iter().all(|t| t.done);
-            let remaining = if is_done { Millis::ZERO } else { step.estimate };
+            let remaining = if is_done { Millis::ZERO } else { *run_time };
             ends.push(before.unwrap_or_default() + remaining);
         }
         ends.into_iter().max().unwrap_or_default()
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     config::Config,
+    delay_cost::OverloadRules,
     job::{Step, SubtaskId, Text},
     job_end::JobEnd,
     jobs::Jobs,
@@ -15,8 +16,10 @@
     order_load::OrderLoad,
     policy::{PolicyRequest, StepId, StepTickets, UnsentRequest},
     policy_calls::PolicyCalls,
+    preemption_log::PreemptionLog,
     progress::{Phase, Progress, Run, Subtask},
     reserve::UrgentLoad,
+    shortage::Shortage,
     typical_work::TypicalWork,
     wait_log::WaitLog,
     worker::{Order, Outcome, WorkerInfo},
@@ -80,6 +83,11 @@
     pub(crate) dirty: Vec<Text>,
     pub(crate) urgent: UrgentLoad,
     pub(crate) evacuations: Evacuations,
+    pub(crate) overload_rules: OverloadRules,
+    /// Services with too little room for their waiting work.
+    pub(crate) shortages: SortedMap<Text, Shortage>,
+    /// Stops for other work since the caller last asked for them.
+    pub(crate) preemption_log: PreemptionLog,
     /// Learned speeds of workers and corrections of estimates.
     pub(crate) forecast: Forecast,
     pub(crate) typical_work: TypicalWork,
