--- a/crates/batch/tests/overload_order.rs
+++ b/crates/batch/tests/overload_order.rs
@@ -144,6 +144,43 @@
     }
 }
 
+/// Guards against starvation in random histories: after 60 s, no later job of the same class goes
+/// first, whatever its cost of delay.
+#[test]
+fn a_job_that_has_waited_for_a_minute_goes_first() {
+    for seed in 0..10 {
+        let mut rng = Rng::with_seed(seed);
+        let (mut fleet, mut running) = full(1);
+        let mut waiting: Vec<(Text, Millis)> = Vec::new();
+        let mut overdue_starts = 0;
+        for round in 0..150 {
+            for i in 0..rng.usize(1..4) {
+                let id = format!("job-{round}-{i}");
+                let shape = lasting(rng.u64(100..9_000), step(1, 8));
+                submit(&mut fleet, &id, rng.u32(1..3), BORROWER, shape);
+                waiting.push((id.as_str().into(), fleet.now));
+            }
+            fleet.plan();
+            let ended = running.remove(0);
+            fleet
+                .advance(rng.u64(500..1_500))
+                .finish(&ended, round + 1, Outcome::Done);
+            running = starts(&fleet.plan());
+            let started = &running[0].task.job;
+            let at = waiting.iter().position(|(id, _)| id == started);
+            let (_, since) = waiting.remove(at.expect("a waiting job"));
+            let is_overdue = |since: Millis| fleet.now.since(since) >= Millis(60_000);
+            let overdue = waiting.iter().filter(|(_, since)| is_overdue(*since));
+            assert!(
+                is_overdue(since) || overdue.count() == 0,
+                "seed {seed}, round {round}"
+            );
+            overdue_starts += u32::from(is_overdue(since));
+        }
+        assert!(overdue_starts > 0, "seed {seed}: no job waits for long");
+    }
+}
+
 /// Guards against guaranteed work that waits behind other urgent work because of its cost of delay, and
 /// urgent work behind deferrable work, in random histories.
 #[test]
