--- a/crates/batch/examples/speed_classes.rs
+++ b/crates/batch/examples/speed_classes.rs
@@ -163,6 +163,7 @@
         ("mixed 0.7 0.7 1.7", mixed, 1.0),
         ("mixed, load 1.6", mixed, 1.6),
         ("mixed, load 2.2", mixed, 2.2),
+        ("mixed, load 3.2", mixed, 3.2),
         ("mild 0.8 1.0 1.3", mild, 1.0),
         ("equal", equal, 1.0),
         ("equal, load 2.2", equal, 2.2),
