--- a/crates/batch/examples/overload/load.rs
+++ b/crates/batch/examples/overload/load.rs
@@ -106,6 +106,7 @@
         zone: "z".into(),
         draining: false,
         remaining: None,
+        cold: None,
         capacity: Resources {
             cpu: 64_000,
             memory_mb: 131_072,
--- a/crates/batch/src/observations.rs
+++ b/crates/batch/src/observations.rs
@@ -123,19 +123,19 @@
             self.typical_work.record(&job.accepted.queue, step);
         }
     }
+}
 
-    /// Returns whether run times on the chosen candidates tell how fast these are. Runs away from their
-    /// data or rack, and those on cold workers, take longer.
-    pub(crate) fn measures_speed(&self, step: &Step, all: &Candidates, chosen: &[usize]) -> bool {
-        let is_cold = |i: &usize| all.all[*i].is_cold;
-        let mut racks = chosen.iter().map(|i| all.all[*i].rack);
-        let first = racks.next();
-        let is_apart = step.gang && step.same_rack && racks.any(|r| Some(r) != first);
-        let rack = step.data_rack.as_ref().map(|name| all.rack(name));
-        let is_away = |i: &usize| rack.is_some_and(|r| r.binary_search(i).is_err());
-        let is_bounded = !step.endless && !step.fills;
-        is_bounded && !is_apart && !chosen.iter().any(is_cold) && !chosen.iter().any(is_away)
-    }
+/// Returns whether run times on the chosen candidates tell how fast these are. Runs away from their
+/// data or rack, and those on cold workers, take longer.
+pub(crate) fn measures_speed(step: &Step, all: &Candidates, chosen: &[usize]) -> bool {
+    let is_cold = |i: &usize| all.all[*i].is_cold;
+    let mut racks = chosen.iter().map(|i| all.all[*i].rack);
+    let first = racks.next();
+    let is_apart = step.gang && step.same_rack && racks.any(|r| Some(r) != first);
+    let rack = step.data_rack.as_ref().map(|name| all.rack(name));
+    let is_away = |i: &usize| rack.is_some_and(|r| r.binary_search(i).is_err());
+    let is_bounded = !step.endless && !step.fills;
+    is_bounded && !is_apart && !chosen.iter().any(is_cold) && !chosen.iter().any(is_away)
 }
 
 impl Job {
--- a/crates/batch/src/placement_forecast.rs
+++ b/crates/batch/src/placement_forecast.rs
@@ -6,6 +6,7 @@
 use crate::{
     candidates::Candidates,
     job::Step,
+    observations,
     ranking::Unit,
     scheduler::JobScheduler,
     speed_class::{self, Preference},
@@ -39,7 +40,7 @@
         PlacementForecast {
             slowness,
             run_time: speed_class::scaled(median, slowness.factor),
-            measures_speed: self.measures_speed(step, candidates, chosen),
+            measures_speed: observations::measures_speed(step, candidates, chosen),
         }
     }
 
