batch: the test of preemption beside an evacuation uses guaranteed work

Urgent work beyond the guarantee stops runs only if it gains more than they lose; the job of the test gained less, so that nothing was stopped at all. The assertion is the same.

--- a/crates/batch/tests/zone_evacuation.rs
+++ b/crates/batch/tests/zone_evacuation.rs
@@ -6,7 +6,7 @@
 
 use base::clock::Millis;
 use batch::{
-    job::{Step, Text},
+    job::{Spec, Step, Text},
     worker::{Order, Outcome, StartReply},
 };
 use fastrand::Rng;
@@ -249,7 +249,13 @@
     for _ in 0..10 {
         assert!(fleet.advance(250).plan().orders.is_empty());
     }
-    fleet.submit("small", 0, gang(2, 8));
+    // Guaranteed work preempts whatever the stops lose.
+    let spec = Spec {
+        text: "spec".into(),
+        steps: vec![gang(2, 8)],
+        repeat: None,
+    };
+    fleet.submit_spec("small", 0, "org-b", spec);
     fleet.plan();
     let stopped = stops(&fleet.advance(250).plan());
     assert_eq!(zones_of(&fleet, &stopped), ["a"; 2]);
