--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -46,6 +46,7 @@
 mod search;
 pub mod speed_class;
 pub mod speed_report;
+mod speed_search;
 pub mod stop_order;
 mod typical_work;
 pub mod usage;
--- a/crates/batch/src/search.rs
+++ b/crates/batch/src/search.rs
@@ -1,8 +1,6 @@
 //! Search for workers on which a unit can be placed. A unit is the subtasks of one step that may
 //! start now, see [`Unit`].
 
-use std::borrow::Cow;
-
 use base::clock::Millis;
 
 use crate::{
@@ -128,80 +126,7 @@
         found
     }
 
-    /// Searches the sets of workers by speed in turn, each first within the data rack or one rack.
-    /// Outside of it a run takes longer than on a slow worker. Returns the candidates and the searches
-    /// that found none.
-    fn find_in_sets(
-        &self,
-        candidates: &Candidates,
-        all: &[usize],
-        can_spread: bool,
-        when: FreeAt,
-    ) -> (Vec<usize>, Vec<SearchRequest>) {
-        let (mut best, mut failed) = (Vec::new(), Vec::new());
-        let has_locality = self.needs_one_rack() || self.step.data_rack.is_some();
-        let rounds: &[bool] = if can_spread && has_locality {
-            &[false, true]
-        } else {
-            &[false]
-        };
-        for spread in rounds.iter().copied() {
-            for set in self.sets() {
-                let one_rack = self.needs_one_rack() && !spread;
-                let req = self.request(when, one_rack, *set);
-                if candidates.has_failed(&req) {
-                    continue;
-                }
-                let members = self.of_set(candidates, all, *set);
-                let found = if spread {
-                    self.pack(candidates, &members, when)
-                } else {
-                    self.find_preferred(candidates, &members, when)
-                };
-                if found.len() == self.unit.tasks.len() {
-                    return (found, failed);
-                }
-                // Among the slow workers, those on which the unit ends late were left out.
-                if found.is_empty() && *set != SpeedSet::Slow {
-                    failed.push(req);
-                }
-                if found.len() > best.len() {
-                    best = found;
-                }
-            }
-        }
-        (best, failed)
-    }
-
-    /// Returns the sets of workers by speed that the search tries in turn.
-    fn sets(&self) -> &'static [SpeedSet] {
-        self.unit.preference.sets(self.unit.all_or_nothing)
-    }
-
-    /// Returns the members of a set of workers by speed. Slow ones on which the unit ends later than it
-    /// needs to are left out of the set of slow workers.
-    fn of_set<'a>(
-        &self,
-        candidates: &Candidates,
-        all: &'a [usize],
-        set: SpeedSet,
-    ) -> Cow<'a, [usize]> {
-        if set == SpeedSet::Any {
-            return Cow::Borrowed(all);
-        }
-        let is_member =
-            |c: &Candidate| set.contains(c.speed) && self.rank(c) <= Preference::LAST_GOOD_RANK;
-        let members = all.iter().copied();
-        members.filter(|i| is_member(&candidates.all[*i])).collect()
-    }
-
-    /// Returns the rank of a candidate by its speed; the lowest is used first.
-    fn rank(&self, candidate: &Candidate) -> u8 {
-        let factor = candidate.slowness.factor;
-        self.unit.preference.rank(candidate.speed, factor)
-    }
-
-    fn request(&self, when: FreeAt, one_rack: bool, speeds: SpeedSet) -> SearchRequest {
+    pub(crate) fn request(&self, when: FreeAt, one_rack: bool, speeds: SpeedSet) -> SearchRequest {
         SearchRequest {
             when,
             service: self.service.clone(),
@@ -217,7 +142,7 @@
         }
     }
 
-    fn needs_one_rack(&self) -> bool {
+    pub(crate) fn needs_one_rack(&self) -> bool {
         self.step.gang && self.step.same_rack
     }
 
@@ -248,16 +173,6 @@
         self.preferred_sets(candidates, &allowed)
     }
 
-    /// Returns the members of `all` that the unit may use at its present wait.
-    fn allowed<'a>(&self, candidates: &Candidates, all: &'a [usize]) -> Cow<'a, [usize]> {
-        let set = if self.unit.preference.excludes_slow() {
-            SpeedSet::NotSlow
-        } else {
-            SpeedSet::Any
-        };
-        self.of_set(candidates, all, set)
-    }
-
     fn worker(&self, candidate: &Candidate) -> Option<&Worker> {
         let workers = &self.scheduler.workers;
         let (_, worker) = workers
@@ -417,7 +332,12 @@
     }
 
     /// Searches the preferred sets of candidates.
-    fn find_preferred(&self, candidates: &Candidates, all: &[usize], when: FreeAt) -> Vec<usize> {
+    pub(crate) fn find_preferred(
+        &self,
+        candidates: &Candidates,
+        all: &[usize],
+        when: FreeAt,
+    ) -> Vec<usize> {
         let sets = self.preferred_sets(candidates, all);
         if let [set] = &sets[..] {
             return self.pack(candidates, set, when);
@@ -439,7 +359,12 @@
 
     /// Chooses candidates for as many subtasks as fit, the fullest workers first, and returns the
     /// index of one for each of these subtasks; none if an all-or-nothing unit does not fit.
-    fn pack(&self, candidates: &Candidates, indices: &[usize], when: FreeAt) -> Vec<usize> {
+    pub(crate) fn pack(
+        &self,
+        candidates: &Candidates,
+        indices: &[usize],
+        when: FreeAt,
+    ) -> Vec<usize> {
         let need = self.step.reserved();
         let wanted = self.unit.tasks.len();
         let mut fitting: Vec<(u64, usize, u64)> = Vec::new();
