--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -49,6 +49,7 @@
 mod shortage;
 pub mod speed_class;
 pub mod speed_report;
+mod speed_search;
 pub mod stop_order;
 mod typical_work;
 pub mod usage;
