--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A system of real processes on stand-ins, which tests can kill, suspend and stop.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod crowd;
 pub mod http;
 pub mod keep_alive;
 pub mod open_callers;
@@ -197,6 +198,8 @@
     pub behaviour: worker_cfg::Behaviour,
     /// Index of an entry without schedulers in its settings, as if the network between them failed.
     pub entry_without_schedulers: Option<usize>,
+    /// Further settings of the entries.
+    pub entry_settings: Value,
 }
 
 impl Default for Builder {
@@ -214,6 +217,7 @@
                 ..Default::default()
             },
             entry_without_schedulers: None,
+            entry_settings: json!({}),
         }
     }
 }
@@ -250,13 +254,16 @@
         let schedulers = schedulers.collect();
         let entries = (0..self.entries).map(|i| {
             let http = free_addr();
-            let cfg = json!({
+            let mut cfg = json!({
                 "listen": http, "listen_members": free_addr(),
                 "table": platform.addr(), "vm_list": platform.addr(),
                 "schedulers": if self.entry_without_schedulers == Some(i) { &[] } else { wire_addrs.as_slice() },
                 "expected_entries": self.entries,
                 "operators": [{ "name": "operator", "token_hash": OPERATOR_TOKEN_HASH }],
             });
+            for (name, value) in self.entry_settings.as_object().into_iter().flatten() {
+                cfg[name] = value.clone();
+            }
             Process::start("entry", write_settings(&dir, &format!("entry-{i}"), &cfg), http)
         });
         let entries = entries.collect();
