--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,120 +1,64 @@
-//! Request bodies: reading within limits of size, memory and time, and parsing as JSON.
+//! Request bodies: what an entry requires of them, and parsing as JSON. `serve` reads them.
 
-use std::{cell::Cell, rc::Rc};
+use std::{rc::Rc, sync::Arc};
 
 use base::{clock::Millis, limits};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use ntex::{http::HeaderMap, web::types::Payload};
 use serde::de::DeserializeOwned;
-use tokio::time;
+use serve::{Bodies, BodyError, BodySpec, Memory};
 
 use crate::refusal::{Code, Refusal};
 
-/// Memory budget for request bodies, shared by all requests of one entry.
-#[derive(Debug)]
-pub struct BodyMemory {
-    used: Cell<usize>,
-    limit: usize,
-}
-
-/// Body memory reserved by one request; dropping it frees the memory.
-#[derive(Debug)]
-pub struct MemoryReservation {
-    memory: Rc<BodyMemory>,
-    bytes: usize,
-}
-
-/// Body of a request with its reservation of body memory.
+/// Body of a request with its memory in the budget.
 #[derive(Debug)]
 pub struct Body {
     /// The complete body.
     pub bytes: Bytes,
-    _reservation: MemoryReservation,
+    _memory: Memory,
 }
 
-impl BodyMemory {
-    /// Creates a budget of `limit` bytes.
-    ///
-    /// ```
-    /// assert_eq!(entry::body::BodyMemory::new(10).used(), 0);
-    /// ```
-    pub const fn new(limit: usize) -> Self {
-        Self {
-            used: Cell::new(0),
-            limit,
-        }
-    }
-
-    /// Returns the number of bytes in use.
-    pub const fn used(&self) -> usize {
-        self.used.get()
-    }
-
-    /// Reads a body within the size limit, the memory budget and `timeout`.
+impl Body {
+    /// Reads a body within the size limit, the budget and `timeout`. The sender has a share of the
+    /// budget.
     pub async fn read(
-        self: &Rc<Self>,
+        bodies: &Rc<Bodies>,
+        sender: Option<Arc<str>>,
         headers: &HeaderMap,
         payload: Payload,
         timeout: Millis,
-    ) -> Result<Body, Refusal> {
-        let declared = declared_length(headers)?;
-        if declared > limits::BODY_BYTES as u64 {
-            return Err(too_large());
-        }
-        let collected = self.collect(payload);
-        match time::timeout(timeout.to_duration(), collected).await {
-            Ok(body) => body,
-            Err(_) => Err(Refusal::not_run(
-                Code::TooSlow,
-                format!("the body was not received within {timeout}"),
-            )),
-        }
-    }
-
-    async fn collect(self: &Rc<Self>, mut payload: Payload) -> Result<Body, Refusal> {
-        let mut reservation = MemoryReservation {
-            memory: self.clone(),
-            bytes: 0,
+    ) -> Result<Self, Refusal> {
+        let spec = BodySpec {
+            organisation: sender,
+            declared: declared_length(headers)?,
+            max_bytes: limits::BODY_BYTES,
+            timeout,
         };
-        let mut body = BytesMut::new();
-        while let Some(chunk) = payload.recv().await {
-            let chunk = chunk.map_err(|e| {
-                Refusal::not_run(
-                    Code::BodyIncomplete,
-                    format!("the body could not be read: {e}"),
-                )
-            })?;
-            if body.len() + chunk.len() > limits::BODY_BYTES {
-                return Err(too_large());
-            }
-            reservation.reserve(chunk.len())?;
-            body.extend_from_slice(&chunk);
-        }
-        Ok(Body {
-            bytes: body.freeze(),
-            _reservation: reservation,
+        let body = bodies.read(payload.into_inner(), spec).await;
+        let body = body.map_err(|e| refusal(e, timeout))?;
+        Ok(Self {
+            bytes: body.bytes.into(),
+            _memory: body.memory,
         })
     }
 }
 
-impl MemoryReservation {
-    fn reserve(&mut self, bytes: usize) -> Result<(), Refusal> {
-        let used = self.memory.used.get() + bytes;
-        if used > self.memory.limit {
-            return Err(Refusal::not_run(
-                Code::BodyMemoryFull,
-                "the memory for request bodies is full, try again later",
-            ));
-        }
-        self.memory.used.set(used);
-        self.bytes += bytes;
-        Ok(())
-    }
-}
-
-impl Drop for MemoryReservation {
-    fn drop(&mut self) {
-        self.memory.used.set(self.memory.used.get() - self.bytes);
+fn refusal(error: BodyError, timeout: Millis) -> Refusal {
+    match error {
+        BodyError::TooLarge => too_large(),
+        BodyError::Chunks => Refusal::not_run(Code::BodyTooLarge, "the body has too many chunks"),
+        BodyError::Broken => Refusal::not_run(
+            Code::BodyIncomplete,
+            "the body could not be read: it is incomplete or malformed",
+        ),
+        BodyError::TooSlow => Refusal::not_run(
+            Code::TooSlow,
+            format!("the body was not received within {timeout}"),
+        ),
+        BodyError::Full => Refusal::not_run(
+            Code::BodyMemoryFull,
+            "the memory for request bodies is full, try again later",
+        ),
     }
 }
 
@@ -124,12 +68,13 @@
         .map_err(|e| Refusal::not_run(Code::BadJson, format!("the body is not valid: {e}")))
 }
 
-fn declared_length(headers: &HeaderMap) -> Result<u64, Refusal> {
+fn declared_length(headers: &HeaderMap) -> Result<Option<usize>, Refusal> {
     let Some(header) = headers.get("content-length") else {
-        return Ok(0);
+        return Ok(None);
     };
     let length = header.to_str().ok().and_then(|s| s.parse().ok());
-    length.ok_or_else(|| Refusal::not_run(Code::BadHeader, "content-length is not a whole number"))
+    let bad = || Refusal::not_run(Code::BadHeader, "content-length is not a whole number");
+    length.map(Some).ok_or_else(bad)
 }
 
 fn too_large() -> Refusal {
--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -78,7 +78,7 @@
             ready: cx.is_ready(),
             in_flight: cx.in_flight.get(),
             connections: cx.connections(),
-            body_bytes: cx.body_memory.used(),
+            body_bytes: cx.bodies.used(),
             config_revision: cx.config.revision(),
             config_age_ms: cx.config.age(),
             vm_list_age_ms: cx.vm_list.age(),
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -8,13 +8,16 @@
         error::DecodeError,
         h1::{self, Control, ControlAck, control::Reason},
     },
-    io::Filter,
+    io::{Filter, IoRef},
     rt,
     util::Bytes,
     web::{HttpRequest, HttpResponse, types::Payload},
 };
 
+use base::name::Name;
+
 use crate::{
+    auth::Identity,
     body::Body,
     call::{self, Call},
     control_plane::{self, ControlRequest},
@@ -23,8 +26,23 @@
     state::{Entry, Phase},
 };
 
+/// Connections accepted over the limit, so that their requests get a refusal.
+pub const SPARE_CONNECTIONS: usize = 64;
+
 /// Serves one request.
 pub async fn serve(cx: Rc<Entry>, req: HttpRequest, payload: Payload) -> HttpResponse {
+    let io = req.io().cloned();
+    if let Some(io) = &io {
+        cx.callers.begin_request(io);
+    }
+    let response = answer(&cx, req, payload).await;
+    if let Some(io) = &io {
+        cx.callers.end_request(io);
+    }
+    response
+}
+
+async fn answer(cx: &Rc<Entry>, req: HttpRequest, payload: Payload) -> HttpResponse {
     let path = req.path().to_owned();
     let mut parts = path.trim_start_matches('/').splitn(4, '/');
     let parts = [parts.next(), parts.next(), parts.next(), parts.next()];
@@ -34,31 +52,31 @@
     let delete = *req.method() == Method::DELETE;
     let mut response = match parts {
         [Some("call"), Some(service), Some(operation), None] if post => {
-            serve_call(&cx, headers, payload, service, operation).await
+            serve_call(cx, headers, payload, service, operation).await
         }
-        [Some("ready"), None, ..] if get => ready(&cx),
-        [Some("dump"), None, ..] if get => HttpResponse::Ok().json(&Dump::of(&cx)),
-        [Some("metrics"), None, ..] if get => metrics(&cx),
+        [Some("ready"), None, ..] if get => ready(cx),
+        [Some("dump"), None, ..] if get => HttpResponse::Ok().json(&Dump::of(cx)),
+        [Some("metrics"), None, ..] if get => metrics(cx),
         [Some("jobs"), None, ..] if post => {
-            serve_control(&cx, headers, payload, ControlRoute::Submit).await
+            serve_control(cx, headers, payload, ControlRoute::Submit).await
         }
         [Some("jobs"), None, ..] if get => {
-            serve_control(&cx, headers, payload, ControlRoute::Jobs).await
+            serve_control(cx, headers, payload, ControlRoute::Jobs).await
         }
         [Some("jobs"), Some(o), Some(j), None] if get => {
-            serve_control(&cx, headers, payload, ControlRoute::Job(o, j)).await
+            serve_control(cx, headers, payload, ControlRoute::Job(o, j)).await
         }
         [Some("jobs"), Some(o), Some(j), None] if delete => {
-            serve_control(&cx, headers, payload, ControlRoute::Cancel(o, j)).await
+            serve_control(cx, headers, payload, ControlRoute::Cancel(o, j)).await
         }
         [Some("config"), None, ..] if post => {
-            serve_control(&cx, headers, payload, ControlRoute::Apply).await
+            serve_control(cx, headers, payload, ControlRoute::Apply).await
         }
         [Some("claims"), None, ..] if post => {
-            serve_control(&cx, headers, payload, ControlRoute::Settle).await
+            serve_control(cx, headers, payload, ControlRoute::Settle).await
         }
         [Some("config"), None, ..] if get => {
-            serve_control(&cx, headers, payload, ControlRoute::Config).await
+            serve_control(cx, headers, payload, ControlRoute::Config).await
         }
         [
             Some("call" | "ready" | "dump" | "metrics" | "jobs" | "claims" | "config"),
@@ -99,7 +117,7 @@
     };
     // The deadline is measured from the arrival of the headers.
     let deadline = base::clock::now() + allowed;
-    let body = match read_body(cx, headers, payload).await {
+    let body = match read_body(cx, &organisation, headers, payload).await {
         Ok(body) => body,
         Err(refusal) => return refuse(cx, &refusal),
     };
@@ -147,14 +165,15 @@
         Ok(identity) => identity,
         Err(refusal) => return refuse(cx, &refusal),
     };
+    let (Identity::Organisation(sender) | Identity::Operator(sender)) = &identity;
     let request = match route {
-        ControlRoute::Submit => read_body(cx, headers, payload)
+        ControlRoute::Submit => read_body(cx, sender, headers, payload)
             .await
             .map(ControlRequest::Submit),
-        ControlRoute::Apply => read_body(cx, headers, payload)
+        ControlRoute::Apply => read_body(cx, sender, headers, payload)
             .await
             .map(ControlRequest::Apply),
-        ControlRoute::Settle => read_body(cx, headers, payload)
+        ControlRoute::Settle => read_body(cx, sender, headers, payload)
             .await
             .map(ControlRequest::Settle),
         ControlRoute::Jobs => Ok(ControlRequest::Jobs),
@@ -183,9 +202,14 @@
     ))
 }
 
-async fn read_body(cx: &Entry, headers: &HeaderMap, payload: Payload) -> Result<Body, Refusal> {
-    let timeout = cx.cfg.body_timeout;
-    cx.body_memory.read(headers, payload, timeout).await
+async fn read_body(
+    cx: &Entry,
+    sender: &Name,
+    headers: &HeaderMap,
+    payload: Payload,
+) -> Result<Body, Refusal> {
+    let sender = Some(sender.as_ref().into());
+    Body::read(&cx.bodies, sender, headers, payload, cx.cfg.body_timeout).await
 }
 
 /// Counts a refusal and returns its response.
@@ -252,12 +276,23 @@
     }
 }
 
-fn count_connection(cx: &Rc<Entry>, io: ntex::io::IoRef) {
-    cx.callers.borrow_mut().insert(io.clone());
+/// Counts a connection until it ends. Beyond the limit idle ones are closed in its favour; without
+/// idle ones it gets a refusal, or is closed at once if too many wait for theirs.
+fn count_connection(cx: &Rc<Entry>, io: IoRef) {
+    cx.callers.insert(io.clone());
+    while cx.connections() > cx.cfg.connections && cx.callers.close_idle() {}
+    if cx.connections() > cx.cfg.connections {
+        cx.bodies.shed_slowest();
+    }
+    if cx.connections() > cx.cfg.connections + SPARE_CONNECTIONS {
+        cx.callers.remove(&io);
+        io.terminate();
+        return;
+    }
     let cx = cx.clone();
     rt::spawn(async move {
         io.on_disconnect().await;
-        cx.callers.borrow_mut().remove(&io);
+        cx.callers.remove(&io);
     });
 }
 
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -7,7 +7,7 @@
 use ntex::{
     SharedCfg,
     http::{HttpService, HttpServiceConfig, h1::Control},
-    io::{Filter, IoConfig},
+    io::Filter,
     rt, server,
     service::fn_service,
     time::Seconds,
@@ -24,8 +24,9 @@
     tasks,
 };
 
-/// Connections accepted over the limit, so that their requests get a refusal.
-const SPARE_CONNECTIONS: usize = 64;
+/// Connections accepted over the limit: those that get a refusal, and as many that are closed at
+/// once, so that an entry whose connections are all open still sees that others come.
+const SPARE_CONNECTIONS: usize = 2 * http::SPARE_CONNECTIONS;
 /// Interval at which a planned stop checks for requests in flight and unsettled claims.
 const DRAIN_POLL_PERIOD: Millis = Millis(5);
 /// Time in which callers have to receive their answers in a planned stop.
@@ -206,7 +207,7 @@
         .set_headers_read_rate(timeout, timeout, u32::MAX)
         .set_payload_read_rate(timeout, Seconds::ZERO, 1)
         .set_keepalive_timeout(Seconds(75));
-    let io = IoConfig::new().set_disconnect_timeout(Seconds(1));
+    let io = serve::io_config().set_disconnect_timeout(Seconds(1));
     SharedCfg::new("ENTRY").add(http).add(io).into()
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashSet,
     net,
     rc::Rc,
 };
@@ -15,13 +14,13 @@
 use route::limits_cfg::LimitsCfg;
 use schema::service::Service;
 use serde::Serialize;
+use serve::{Bodies, Callers};
 use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::StoreError, vms::Vms};
 
 use crate::{
     auth::Identity,
     backend::Backends,
     balancer::Balancer,
-    body::BodyMemory,
     config::{self, CurrentConfig},
     entry_cfg::EntryCfg,
     members::Members,
@@ -35,6 +34,9 @@
 /// Attempts per confirmation; an attempt fails if another transaction is applied first.
 const CONFIRM_ATTEMPTS: usize = 3;
 
+/// Copies of a body that are counted: it is sent on as it was received.
+const BODY_COPIES: usize = 1;
+
 /// Phase in the lifecycle of an entry.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -62,9 +64,9 @@
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
     /// Open connections from callers and operators.
-    pub callers: RefCell<HashSet<IoRef>>,
-    /// Memory budget for request bodies.
-    pub body_memory: Rc<BodyMemory>,
+    pub callers: Callers,
+    /// Request bodies under way, and the budget for them.
+    pub bodies: Rc<Bodies>,
     /// Configuration in force.
     pub config: CurrentConfig,
     /// Reads of the configuration.
@@ -118,8 +120,8 @@
             id,
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
-            callers: RefCell::default(),
-            body_memory: Rc::new(BodyMemory::new(cfg.body_memory)),
+            callers: Callers::default(),
+            bodies: Rc::new(Bodies::new(cfg.body_memory, BODY_COPIES)),
             config: CurrentConfig::default(),
             config_refresh: Refresh::default(),
             vm_refresh: Refresh::default(),
@@ -151,14 +153,13 @@
 
     /// Returns the number of connections from callers and operators.
     pub fn connections(&self) -> usize {
-        self.callers.borrow().len()
+        self.callers.count()
     }
 
     /// Returns the number of connections whose answers are not yet handed to the system.
     pub fn unwritten(&self) -> usize {
-        let callers = self.callers.borrow();
-        let unwritten = |io: &&IoRef| !io.is_closed() && io.with_write_dst_buf(|b| b.len()) > 0;
-        callers.iter().filter(unwritten).count()
+        let unwritten = |io: &IoRef| !io.is_closed() && io.with_write_dst_buf(|b| b.len()) > 0;
+        self.callers.count_where(unwritten)
     }
 
     /// Returns whether the load balancer should send requests to this entry.
@@ -312,7 +313,7 @@
             config_revision: self.config.revision(),
             config_age: self.config.age().unwrap_or(Millis(u64::MAX)),
             vm_list_age: self.vm_list.age().unwrap_or(Millis(u64::MAX)),
-            body_bytes: self.body_memory.used() as u64,
+            body_bytes: self.bodies.used() as u64,
             ready: u64::from(self.is_ready()),
         }
     }
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -9,6 +9,7 @@
 use batch::config::Config;
 use lease::{machine::Lease, table::Candidate};
 use platform::{advice::PolicyClient, table::Table, workers::Workers};
+use serve::{Bodies, Connections};
 use store::{
     call_account::{CallAccount, Purpose},
     http_cfg::HttpCfg,
@@ -42,7 +43,9 @@
 /// Maximum number of connections to the policy service, which refuses calls beyond 32 waiting ones.
 const POLICY_CONNECTIONS: usize = 16;
 /// Maximum number of connections to all workers together.
-const WORKER_CONNECTIONS: usize = 1_500;
+pub(crate) const WORKER_CONNECTIONS: usize = 1_500;
+/// Copies of a body that are counted: the received one, and its decoded form or the row to be stored.
+const BODY_COPIES: usize = 2;
 /// Maximum size of an answer in bytes. A page of the store has at most 1 MB, in base64.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
@@ -95,7 +98,7 @@
     /// Callers' requests under way.
     pub(crate) requests: Rc<Requests>,
     /// Connections of callers.
-    pub(crate) connections: serve::Connections,
+    pub(crate) connections: Connections,
 }
 
 impl Ctx {
@@ -116,6 +119,7 @@
             lease_key: rows::LEASE.into(),
             heartbeat_key: rows::HEARTBEAT.into(),
         };
+        let bodies = Rc::new(Bodies::new(cfg.body_memory(), BODY_COPIES));
         let calls: Rc<CallAccount> = Rc::default();
         let policy = match cfg.policy {
             Some(address) => {
@@ -158,7 +162,7 @@
             readiness: readiness::Logged::default(),
             answers_due: watch::Sender::default(),
             requests: Rc::default(),
-            connections: serve::Connections::default(),
+            connections: Connections::new(bodies),
             candidate,
             cfg,
         })
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -5,7 +5,7 @@
 use base::clock::{self, Millis};
 use ntex::http::{ConnectionType, Method, Request, Response, StatusCode};
 use platform::paths;
-use serve::BodyError;
+use serve::{Body, BodyError, BodySpec};
 
 use crate::{
     accept,
@@ -20,6 +20,9 @@
 const DEFAULT_MAX_BODY_BYTES: usize = 256 << 10;
 /// Timeout of a request whose caller does not state one.
 const DEFAULT_TIMEOUT: Millis = Millis(3_000);
+/// Time in which the body of a request that is refused by its head may arrive before the refusal is
+/// sent and the connection closed.
+const REFUSED_BODY_TIMEOUT: Millis = Millis(500);
 /// Time by which the answer is sent before the caller's timeout. The answer takes up to 10 ms to
 /// arrive.
 const ANSWER_MARGIN: Millis = Millis(150);
@@ -75,40 +78,55 @@
     arrived: Millis,
     received: &Cell<bool>,
 ) -> Result<Response, Refusal> {
-    let body = read_body(cx, req).await?;
+    let deadline = arrived + timeout(req).since(ANSWER_MARGIN);
+    let head = check_head(cx, req);
+    let body = read_body(cx, req, head.as_ref(), deadline).await?;
     received.set(true);
+    head?;
+    // The key may have been removed while the body arrived.
+    let (authorised, operation) = check_head(cx, req)?;
+    match operation {
+        Operation::Pending => read_by(deadline, accept::pending(cx, &authorised)).await,
+        Operation::Submit => accept::submit(cx, &authorised, body.bytes(), deadline).await,
+        Operation::Phase => read_by(deadline, accept::phase(cx, &authorised)).await,
+        Operation::Cancel => accept::cancel(cx, &authorised, deadline).await,
+    }
+}
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Operation {
+    Pending,
+    Submit,
+    Phase,
+    Cancel,
+}
+
+/// Judges a request by its head.
+fn check_head(cx: &Cx, req: &Request) -> Result<(Authorised, Operation), Refusal> {
     let authorised = authorise::authorise(cx, req)?;
-    let deadline = arrived + timeout(req).since(ANSWER_MARGIN);
     // A call to a store that answers nothing would only take up the caller's time, and a
     // transaction might still be applied after the caller has left.
     if cx.peers.reach().is_out() {
         return Err(Refusal::Store);
     }
-    dispatch(cx, req, authorised, &body, deadline).await
+    let operation = operation(req.method(), &authorised.path_suffix)?;
+    Ok((authorised, operation))
 }
 
-async fn dispatch(
-    cx: &Cx,
-    req: &Request,
-    authorised: Authorised,
-    body: &[u8],
-    deadline: Millis,
-) -> Result<Response, Refusal> {
-    if authorised.path_suffix.is_empty() {
-        return match *req.method() {
-            Method::GET => read_by(deadline, accept::pending(cx, &authorised)).await,
+fn operation(method: &Method, path_suffix: &str) -> Result<Operation, Refusal> {
+    if path_suffix.is_empty() {
+        return match *method {
+            Method::GET => Ok(Operation::Pending),
             _ => Err(Refusal::Method),
         };
     }
-    let is_id = authorised.path_suffix.len() == ID_DIGITS
-        && authorised
-            .path_suffix
-            .bytes()
-            .all(|b| b.is_ascii_hexdigit());
-    match *req.method() {
-        Method::POST if is_id => accept::submit(cx, &authorised, body, deadline).await,
-        Method::GET if is_id => read_by(deadline, accept::phase(cx, &authorised)).await,
-        Method::DELETE if is_id => accept::cancel(cx, &authorised, deadline).await,
+    let is_id =
+        path_suffix.len() == ID_DIGITS && path_suffix.bytes().all(|b| b.is_ascii_hexdigit());
+    match *method {
+        Method::POST if is_id => Ok(Operation::Submit),
+        Method::GET if is_id => Ok(Operation::Phase),
+        Method::DELETE if is_id => Ok(Operation::Cancel),
         Method::POST => Err(Refusal::Invalid),
         Method::GET | Method::DELETE => Err(Refusal::NoJob),
         _ => Err(Refusal::Method),
@@ -128,15 +146,63 @@
 /// Number of hexadecimal digits in the id of a job.
 const ID_DIGITS: usize = 16;
 
-async fn read_body(cx: &Cx, req: &mut Request) -> Result<ntex::util::Bytes, Refusal> {
-    let limit = match cx.config().max_body_bytes {
+/// Body of a request, which only a submission keeps.
+enum RequestBody {
+    Kept(Body),
+    Dropped,
+}
+
+impl RequestBody {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Kept(body) => &body.bytes,
+            Self::Dropped => &[],
+        }
+    }
+}
+
+/// Reads the body of a request that was judged by its head. A body that nobody needs is received too,
+/// because a connection that is closed with unread bytes is reset, which can lose the answer.
+async fn read_body(
+    cx: &Cx,
+    req: &mut Request,
+    head: Result<&(Authorised, Operation), &Refusal>,
+    deadline: Millis,
+) -> Result<RequestBody, Refusal> {
+    let max_bytes = match cx.config().max_body_bytes {
         0 => DEFAULT_MAX_BODY_BYTES,
         limit => limit,
     };
-    let body = serve::read_body(req.take_payload(), limit).await;
-    body.map_err(|e| match e {
+    let spec = BodySpec {
+        organisation: head.ok().and_then(|(a, _)| a.organisation.clone()),
+        declared: serve::declared_length(req.headers()),
+        max_bytes,
+        timeout: deadline.since(clock::now()),
+    };
+    let bodies = cx.connections.bodies();
+    let payload = req.take_payload();
+    let result = match head {
+        Ok((_, Operation::Submit)) => bodies.read(payload, spec).await.map(RequestBody::Kept),
+        Ok(_) => {
+            let received = bodies.discard(payload, spec).await;
+            received.map(|()| RequestBody::Dropped)
+        }
+        Err(refusal) => {
+            let timeout = spec.timeout.min(REFUSED_BODY_TIMEOUT);
+            let received = bodies.discard(payload, BodySpec { timeout, ..spec }).await;
+            match received {
+                // The refusal by the head does not depend on the rest of the body.
+                Err(BodyError::TooSlow | BodyError::Full) => return Err(*refusal),
+                received => received.map(|()| RequestBody::Dropped),
+            }
+        }
+    };
+    result.map_err(|e| match e {
         BodyError::TooLarge => Refusal::TooLarge,
         BodyError::Broken => Refusal::Invalid,
+        BodyError::TooSlow => Refusal::SlowBody,
+        BodyError::Full => Refusal::BodiesFull,
+        BodyError::Chunks => Refusal::Chunks,
     })
 }
 
@@ -149,12 +215,13 @@
 }
 
 fn refuse(cx: &Cx, req: &Request, refusal: Refusal) -> Response {
-    let age = cx.config_age().map(|a| a.0);
-    log::info!(
-        method:% = req.method(), path = req.path(), reason:? = refusal,
-        config = cx.config().version, age_ms = age;
-        "front: refused"
-    );
+    // `serve` logs refused bodies, a line for each cause at a time.
+    if !matches!(
+        refusal,
+        Refusal::SlowBody | Refusal::BodiesFull | Refusal::Chunks
+    ) {
+        log_refusal(cx, req, refusal);
+    }
     let elsewhere = refusal == Refusal::Stopping || cx.peers.others_are_served();
     let retry_after = if elsewhere {
         RETRY_ELSEWHERE_S
@@ -164,6 +231,15 @@
     refusal.response(retry_after)
 }
 
+fn log_refusal(cx: &Cx, req: &Request, refusal: Refusal) {
+    let age = cx.config_age().map(|a| a.0);
+    log::info!(
+        method:% = req.method(), path = req.path(), reason:? = refusal,
+        config = cx.config().version, age_ms = age;
+        "front: refused"
+    );
+}
+
 /// Handles the balancer's readiness check. A node that the store does not serve reports itself as
 /// not ready while other nodes are served. If no node is served it stays ready, because it refuses
 /// requests at once and with the correct reason.
--- a/crates/node/src/node_cfg.rs
+++ b/crates/node/src/node_cfg.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use settings::CfgError;
 
+use crate::cx;
+
 /// Settings of a node, as JSON with comments.
 ///
 /// ```
@@ -39,7 +41,8 @@
     pub row_bytes: usize,
     /// Address of the policy service; `None` if no queue requires tickets.
     pub policy: Option<net::SocketAddr>,
-    /// Maximum number of open connections for each listener. An idle one takes about 10 KB.
+    /// Maximum number of open connections of callers, if memory and descriptors suffice for them. An idle
+    /// one takes about 10 KB.
     pub connections: usize,
     /// Maximum duration of a lease that is granted to a worker.
     pub worker_lease_ms: Millis,
@@ -59,6 +62,10 @@
     pub grace_ms: Millis,
     /// Share of a core that the process may use on the VM.
     pub cpu_share: f64,
+    /// Memory of the VM in MiB.
+    pub memory_mb: usize,
+    /// Maximum number of file descriptors of the process; `None` if there is no such limit.
+    pub max_fds: Option<usize>,
     /// Speed of the VM's core, as a multiple of a standard core.
     pub cores: f64,
     /// Bandwidth of the VM's link in Mbit/s.
@@ -80,6 +87,28 @@
 /// Minimum of [`NodeCfg::link_mbps`]: each share is a byte per ms.
 const MIN_LINK_MBPS: f64 = LINK_SHARES / BYTES_PER_MS;
 
+/// Memory of the smallest VM in MiB.
+const SMALLEST_MEMORY_MB: usize = 120;
+/// Minimum of [`NodeCfg::memory_mb`]: a body of the default limit fits in the budget.
+const MIN_MEMORY_MB: usize = 16;
+/// Part of the memory for request bodies. A leader of the design size takes about half of the smallest
+/// VM (docs/CAPACITY.md), connections take a quarter.
+const BODY_MEMORY_PART: usize = 8;
+/// Number of connections per MiB of memory: each may hold an incomplete head of 16 KiB, all of them a
+/// quarter of the memory.
+const CONNECTIONS_PER_MB: usize = 16;
+/// Number of descriptors that are not for callers: 200 for files, those of the connections to workers,
+/// 100 for the store, the policy service and other nodes, and the connections of the two other listeners.
+const OTHER_FDS: usize =
+    200 + cx::WORKER_CONNECTIONS + 100 + 2 * (MAX_OPERATORS + SPARE_CONNECTIONS);
+/// Connections over a limit which get a refusal.
+const SPARE_CONNECTIONS: usize = 64;
+/// Maximum number of connections of operators, other nodes and the readiness check, for each of the
+/// two listeners.
+const MAX_OPERATORS: usize = 64;
+/// Minimum number of callers' connections.
+const MIN_CONNECTIONS: usize = 64;
+
 /// Minimum of [`NodeCfg::row_bytes`]: a job with a text of 4,000 bytes fits in one row.
 const MIN_ROW_BYTES: usize = 8 << 10;
 
@@ -88,6 +117,25 @@
     pub(crate) fn min_send_rate(&self) -> u64 {
         (self.link_mbps * BYTES_PER_MS / LINK_SHARES) as u64
     }
+
+    /// Returns the budget of bytes for request bodies under way.
+    pub(crate) const fn body_memory(&self) -> usize {
+        (self.memory_mb << 20) / BODY_MEMORY_PART
+    }
+
+    /// Returns the maximum number of callers' connections, for which memory and descriptors suffice.
+    pub(crate) fn callers(&self) -> usize {
+        let by_memory = self.memory_mb * CONNECTIONS_PER_MB;
+        let free_fds = |fds: usize| fds.saturating_sub(OTHER_FDS + SPARE_CONNECTIONS);
+        let by_fds = self.max_fds.map_or(usize::MAX, free_fds);
+        let max = self.connections.min(by_memory).min(by_fds);
+        max.max(MIN_CONNECTIONS.min(self.connections))
+    }
+
+    /// Returns the maximum number of connections of each other listener.
+    pub(crate) fn operators(&self) -> usize {
+        self.connections.min(MAX_OPERATORS)
+    }
 }
 
 impl Default for NodeCfg {
@@ -121,6 +169,8 @@
                 yield_ms: Millis::ZERO,
             },
             cpu_share: 1.0,
+            memory_mb: SMALLEST_MEMORY_MB,
+            max_fds: None,
             cores: 1.0,
             link_mbps: 2.0,
         }
@@ -145,6 +195,11 @@
             problem,
         ));
     }
+    if cfg.memory_mb < MIN_MEMORY_MB {
+        let problem = format!("must be at least {MIN_MEMORY_MB}");
+        let value = cfg.memory_mb.into();
+        return Err(settings::invalid_value("memory_mb", &value, problem));
+    }
     if cfg.min_send_rate() == 0 {
         let problem = format!("must be at least {MIN_LINK_MBPS}");
         return Err(settings::invalid_value(
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -41,11 +41,15 @@
         let metrics = net::TcpListener::bind(cfg.listen_metrics)?;
         log::info!(name:% = cfg.name, zone:% = cfg.zone, listen:% = cfg.listen, store:% = cfg.store; "node: start");
         let cx: Cx = Ctx::new(cfg).await?.into();
-        let callers = serve(&cx, "front", front, cx.connections.clone(), front::serve);
-        let ready = serve(&cx, "ready", ready, Connections::default(), |cx, req| {
+        let (callers, operators) = (cx.cfg.callers(), cx.cfg.operators());
+        let connections = cx.connections.clone();
+        let callers = serve(&cx, "front", front, callers, connections, front::serve);
+        let connections = Connections::default();
+        let ready = serve(&cx, "ready", ready, operators, connections, |cx, req| {
             future::ready(front::ready(&cx, &req))
         });
-        let metrics = serve(&cx, "metrics", metrics, Connections::default(), |cx, req| {
+        let connections = Connections::default();
+        let metrics = serve(&cx, "metrics", metrics, operators, connections, |cx, req| {
             future::ready(front::serve_operators(&cx, &req))
         });
         rt::spawn(config::watch(cx.clone())).detach();
@@ -62,6 +66,7 @@
     cx: &Cx,
     name: &'static str,
     listener: net::TcpListener,
+    max_connections: usize,
     connections: Connections,
     f: F,
 ) -> Listener
@@ -70,7 +75,7 @@
     R: Future<Output = ntex::http::Response> + 'static,
 {
     let limits = serve::Limits {
-        max_connections: cx.cfg.connections,
+        max_connections,
         ..serve::Limits::default()
     };
     let (cx, closable) = (cx.clone(), connections.clone());
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -14,6 +14,12 @@
     Invalid,
     /// The body is too large.
     TooLarge,
+    /// The body has too many chunks.
+    Chunks,
+    /// The body did not arrive within the time of its request; nothing was stored.
+    SlowBody,
+    /// The memory or the processor time for bodies is used up; nothing was stored.
+    BodiesFull,
     /// The path does not support the method.
     Method,
     /// The configuration is missing or too old.
@@ -40,7 +46,12 @@
         let mut builder = Response::build(self.status());
         if matches!(
             self,
-            Self::ConfigAge | Self::Store | Self::Count | Self::Stopping
+            Self::ConfigAge
+                | Self::Store
+                | Self::Count
+                | Self::Stopping
+                | Self::SlowBody
+                | Self::BodiesFull
         ) {
             builder.header(paths::RETRY_AFTER, retry_after.to_string());
         }
@@ -54,6 +65,9 @@
             Self::Key => "key",
             Self::Invalid => "invalid",
             Self::TooLarge => "too_large",
+            Self::Chunks => "chunks",
+            Self::SlowBody => "slow_body",
+            Self::BodiesFull => "bodies_full",
             Self::Method => "method",
             Self::ConfigAge => "config_age",
             Self::Store => "store",
@@ -71,11 +85,14 @@
             Self::NoQueue => StatusCode::NOT_FOUND,
             Self::Key => StatusCode::UNAUTHORIZED,
             Self::Invalid => StatusCode::BAD_REQUEST,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooLarge | Self::Chunks => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Method => StatusCode::METHOD_NOT_ALLOWED,
-            Self::ConfigAge | Self::Store | Self::Count | Self::Stopping => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::ConfigAge
+            | Self::Store
+            | Self::Count
+            | Self::Stopping
+            | Self::SlowBody
+            | Self::BodiesFull => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoJob | Self::Cancelled => StatusCode::GONE,
             Self::IdInUse => StatusCode::CONFLICT,
             Self::Unknown => StatusCode::GATEWAY_TIMEOUT,
--- /dev/null
+++ b/crates/serve/src/bodies.rs
@@ -0,0 +1,372 @@
+//! Request bodies: reading within limits of size, memory, time and processor time.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use base::{
+    clock::{self, Millis},
+    sorted::SortedMap,
+};
+use derive_more::Display;
+use ntex::{
+    http::{HeaderMap, Payload, header},
+    util::Bytes,
+};
+use tokio::{sync::Notify, time};
+
+use crate::{
+    budget::{Budget, Decision},
+    chunk_pace::ChunkPace,
+};
+
+/// Maximum number of chunks of one body: 256 KiB in chunks of 16 bytes.
+const MAX_CHUNKS: u64 = 16 << 10;
+/// Number of chunks that a reader takes in a row before others have their turn.
+const CHUNKS_IN_A_ROW: u64 = 64;
+/// Number of chunks of a body from which on they are read at the pace of the process. A body of 256 KiB
+/// in segments of a network has 180.
+const PACED_CHUNKS: u64 = 256;
+/// Mean size below which chunks count as tiny.
+const TINY_CHUNK: usize = 64;
+/// Memory of the HTTP library for the chunks of one read: 682 chunks of one byte fit into
+/// [`READ_BUFFER`], each takes 32 bytes in its queue, which grows by doubling.
+const TINY_CHUNK_QUEUE: usize = 32 << 10;
+/// Size of the HTTP library's read buffer of each connection.
+pub(crate) const READ_BUFFER: usize = 4 << 10;
+/// Time in which a body that is refused by its declared length may still arrive.
+const SKIP_TIME: Millis = Millis(500);
+/// Size up to which it may, as a multiple of the limit.
+const SKIPPED_PART: usize = 4;
+/// Interval at which refused bodies are logged, by cause.
+const LOG_INTERVAL: Millis = Millis(5_000);
+
+/// Reason why a body could not be read.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum BodyError {
+    /// The body is larger than the limit.
+    #[display("too_large")]
+    TooLarge,
+    /// The connection was closed before the end of the body, or the body is malformed.
+    #[display("broken")]
+    Broken,
+    /// The body did not arrive within its time limit.
+    #[display("too_slow")]
+    TooSlow,
+    /// The memory or the processor time for bodies is used up, and this body gave way.
+    #[display("full")]
+    Full,
+    /// The body has too many chunks.
+    #[display("chunks")]
+    Chunks,
+}
+
+/// What is known about a body before it is read.
+#[derive(Clone, Debug)]
+pub struct BodySpec {
+    /// Organisation of the caller, which has a share of the memory.
+    pub organisation: Option<Arc<str>>,
+    /// Length that the caller declares.
+    pub declared: Option<usize>,
+    /// Maximum size.
+    pub max_bytes: usize,
+    /// Time limit.
+    pub timeout: Millis,
+}
+
+/// Bodies under way in one process; all its readers share the budget.
+///
+/// ```
+/// assert_eq!(serve::Bodies::new(1 << 20, 1).used(), 0);
+/// ```
+#[derive(Debug)]
+pub struct Bodies {
+    budget: RefCell<Budget>,
+    /// Copies that are counted for each byte.
+    copies: usize,
+    pace: RefCell<ChunkPace>,
+    readers: RefCell<SortedMap<u64, Rc<Notify>>>,
+    /// Notified when memory was freed.
+    freed: Notify,
+    refused: RefCell<SortedMap<BodyError, Refused>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Refused {
+    count: u64,
+    logged: u64,
+    logged_at: Option<Millis>,
+}
+
+/// A body that was read whole. Its memory counts as used until this is dropped.
+#[derive(Debug)]
+pub struct Body {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// Their memory in the budget.
+    pub memory: Memory,
+}
+
+/// Memory of a body in the budget, which is freed when this is dropped.
+#[derive(Debug)]
+pub struct Memory {
+    bodies: Rc<Bodies>,
+    id: u64,
+}
+
+impl Drop for Memory {
+    fn drop(&mut self) {
+        self.bodies.budget.borrow_mut().end(self.id);
+        self.bodies.readers.borrow_mut().remove(&self.id);
+        self.bodies.freed.notify_waiters();
+    }
+}
+
+/// Returns the declared length of a body, if there is a valid one.
+///
+/// ```
+/// let headers = ntex::http::HeaderMap::new();
+/// assert_eq!(serve::declared_length(&headers), None);
+/// ```
+pub fn declared_length(headers: &HeaderMap) -> Option<usize> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+impl Bodies {
+    /// Creates a budget of `limit` bytes, in which each byte of a body counts `copies` times.
+    pub fn new(limit: usize, copies: usize) -> Self {
+        Self {
+            budget: RefCell::new(Budget::new(limit)),
+            copies,
+            pace: RefCell::default(),
+            readers: RefCell::default(),
+            freed: Notify::new(),
+            refused: RefCell::default(),
+        }
+    }
+
+    /// Returns the number of bytes in use.
+    pub fn used(&self) -> usize {
+        self.budget.borrow().used()
+    }
+
+    /// Returns the number of bodies under way.
+    pub fn under_way(&self) -> usize {
+        self.budget.borrow().bodies()
+    }
+
+    /// Returns how many bodies were refused so far, by cause.
+    pub fn refused(&self) -> Vec<(BodyError, u64)> {
+        let refused = self.refused.borrow();
+        refused.iter().map(|(e, r)| (*e, r.count)).collect()
+    }
+
+    /// Makes the body give way that arrives for the longest time, if that is a second at least. Returns
+    /// whether there is one.
+    pub fn shed_slowest(&self) -> bool {
+        let shed = self.budget.borrow_mut().shed_slowest(clock::now());
+        self.notify(shed.as_slice());
+        shed.is_some()
+    }
+
+    /// Reads a whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body exceeds a limit, gives way to others, or is incomplete or malformed.
+    pub async fn read(
+        self: &Rc<Self>,
+        payload: Payload,
+        spec: BodySpec,
+    ) -> Result<Body, BodyError> {
+        let (organisation, declared) = (spec.organisation.clone(), spec.declared);
+        let mut budget = self.budget.borrow_mut();
+        let id = budget.begin(organisation, declared, clock::now());
+        drop(budget);
+        let told = Rc::new(Notify::new());
+        self.readers.borrow_mut().insert(id, told.clone());
+        let memory = Memory {
+            bodies: self.clone(),
+            id,
+        };
+        let reader = Reader {
+            bodies: self,
+            spec: &spec,
+            kept: Some(id),
+        };
+        let result = tokio::select! {
+            result = reader.read_in_time(payload) => result,
+            () = told.notified() => Err(BodyError::Full),
+        };
+        let bytes = result.inspect_err(|e| self.count_refusal(*e, spec.organisation.as_deref()))?;
+        self.budget.borrow_mut().complete(id);
+        Ok(Body { bytes, memory })
+    }
+
+    /// Reads a body and drops its bytes as they arrive, so that the connection can go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body exceeds a limit, or is incomplete or malformed.
+    pub async fn discard(&self, payload: Payload, spec: BodySpec) -> Result<(), BodyError> {
+        let reader = Reader {
+            bodies: self,
+            spec: &spec,
+            kept: None,
+        };
+        let result = reader.read_in_time(payload).await;
+        result
+            .inspect_err(|e| self.count_refusal(*e, spec.organisation.as_deref()))
+            .map(drop)
+    }
+
+    fn notify(&self, ids: &[u64]) {
+        let readers = self.readers.borrow();
+        for told in ids.iter().filter_map(|id| readers.get(id)) {
+            told.notify_one();
+        }
+    }
+
+    fn count_refusal(&self, error: BodyError, organisation: Option<&str>) {
+        let now = clock::now();
+        let mut refused = self.refused.borrow_mut();
+        let refused = refused.get_or_default(error);
+        refused.count += 1;
+        let is_due = |at: Millis| now.since(at) >= LOG_INTERVAL;
+        if !refused.logged_at.is_none_or(is_due) {
+            return;
+        }
+        let count = refused.count - refused.logged;
+        (refused.logged, refused.logged_at) = (refused.count, Some(now));
+        let (bytes, bodies) = (self.used(), self.under_way());
+        log::info!(
+            cause:% = error, count, total = refused.count, organisation, bytes, bodies;
+            "bodies: refused"
+        );
+    }
+}
+
+/// Reader of one body.
+struct Reader<'a> {
+    bodies: &'a Bodies,
+    spec: &'a BodySpec,
+    /// Id of the body in the budget; `None` if its bytes are dropped.
+    kept: Option<u64>,
+}
+
+impl Reader<'_> {
+    async fn read_in_time(&self, payload: Payload) -> Result<Vec<u8>, BodyError> {
+        let is_too_large = self.spec.declared.is_some_and(|d| d > self.spec.max_bytes);
+        if is_too_large {
+            return self.skip(payload).await;
+        }
+        let read = self.read(payload);
+        let read = time::timeout(self.spec.timeout.to_duration(), read).await;
+        read.unwrap_or(Err(BodyError::TooSlow))
+    }
+
+    /// Drops the begin of a body whose declared length is too large, and refuses it. A connection that
+    /// is closed with unread bytes is reset, which can lose the answer.
+    async fn skip(&self, payload: Payload) -> Result<Vec<u8>, BodyError> {
+        let max_bytes = self.spec.max_bytes.saturating_mul(SKIPPED_PART);
+        let spec = BodySpec {
+            max_bytes,
+            ..self.spec.clone()
+        };
+        let reader = Reader {
+            bodies: self.bodies,
+            spec: &spec,
+            kept: None,
+        };
+        let timeout = self.spec.timeout.min(SKIP_TIME);
+        let _ = time::timeout(timeout.to_duration(), reader.read(payload)).await;
+        Err(BodyError::TooLarge)
+    }
+
+    async fn read(&self, mut payload: Payload) -> Result<Vec<u8>, BodyError> {
+        if let Payload::H1(payload) = &payload {
+            // The library reads on only when its queue is empty.
+            payload.max_buffer_size(1);
+        }
+        let mut body = Vec::new();
+        let (mut len, mut chunks, mut len_before, mut has_queue) = (0, 0, 0, false);
+        while let Some(chunk) = payload.recv().await {
+            let chunk = chunk.map_err(|_| BodyError::Broken)?;
+            len += chunk.len();
+            chunks += 1;
+            if len > self.spec.max_bytes {
+                return Err(BodyError::TooLarge);
+            }
+            if let Some(id) = self.kept {
+                self.reserve(id, chunk.len() * self.bodies.copies).await?;
+                self.append(&mut body, &chunk);
+            }
+            drop(chunk);
+            if chunks % CHUNKS_IN_A_ROW != 0 {
+                continue;
+            }
+            let is_tiny = len - len_before < CHUNKS_IN_A_ROW as usize * TINY_CHUNK;
+            if let (Some(id), true, false) = (self.kept, is_tiny, has_queue) {
+                self.reserve(id, TINY_CHUNK_QUEUE).await?;
+                has_queue = true;
+            }
+            len_before = len;
+            self.take_turn(chunks).await?;
+        }
+        Ok(body)
+    }
+
+    async fn reserve(&self, id: u64, bytes: usize) -> Result<(), BodyError> {
+        loop {
+            let freed = self.bodies.freed.notified();
+            let decision = self
+                .bodies
+                .budget
+                .borrow_mut()
+                .reserve(id, bytes, clock::now());
+            match decision {
+                Decision::Granted => return Ok(()),
+                Decision::Shed => return Err(BodyError::Full),
+                Decision::Wait(shed) => self.bodies.notify(&shed),
+            }
+            freed.await;
+        }
+    }
+
+    /// Appends a chunk. Capacity beyond the bytes received is not touched, so it takes no memory.
+    fn append(&self, body: &mut Vec<u8>, chunk: &Bytes) {
+        let len = body.len() + chunk.len();
+        if len > body.capacity() {
+            let max = self.spec.declared.unwrap_or(self.spec.max_bytes);
+            let capacity = (2 * body.capacity()).min(max).max(len);
+            body.reserve_exact(capacity - body.len());
+        }
+        body.extend_from_slice(chunk);
+    }
+
+    /// Lets others run, and keeps a body with many chunks to the pace of the process.
+    async fn take_turn(&self, chunks: u64) -> Result<(), BodyError> {
+        if chunks >= MAX_CHUNKS {
+            return Err(BodyError::Chunks);
+        }
+        if chunks < PACED_CHUNKS {
+            tokio::task::yield_now().await;
+            return Ok(());
+        }
+        let wait = self
+            .bodies
+            .pace
+            .borrow_mut()
+            .take(CHUNKS_IN_A_ROW, clock::now());
+        match wait {
+            None => Err(BodyError::Full),
+            Some(Millis::ZERO) => {
+                tokio::task::yield_now().await;
+                Ok(())
+            }
+            Some(wait) => {
+                time::sleep(wait.to_duration()).await;
+                Ok(())
+            }
+        }
+    }
+}
--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -1,26 +1,85 @@
 //! Open connections of a listener, and how they are closed.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
+use base::clock::{self, Millis};
+use ntex::io::IoRef;
 use tokio::sync::watch;
 
+use crate::bodies::Bodies;
+
+/// Time for which a connection without a request under way is not closed in favour of another one, so
+/// that a new caller can send its request.
+const MIN_IDLE: Millis = Millis(250);
+/// Budget of the bodies of listeners that read none.
+const SMALL_BUDGET: usize = 1 << 20;
+
 /// Connections of one listener; clones share them.
 ///
 /// ```
 /// let connections = serve::Connections::default();
 /// assert_eq!((connections.open(), connections.refused()), (0, 0));
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Connections(Rc<State>);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     open: watch::Sender<usize>,
     refused: Cell<u64>,
     closing: watch::Sender<bool>,
+    callers: Callers,
+    bodies: Rc<Bodies>,
+}
+
+impl Default for Connections {
+    fn default() -> Self {
+        Self::new(Rc::new(Bodies::new(SMALL_BUDGET, 1)))
+    }
 }
 
 impl Connections {
+    /// Creates the state of a listener whose requests have their bodies in `bodies`.
+    pub fn new(bodies: Rc<Bodies>) -> Self {
+        Self(Rc::new(State {
+            open: watch::Sender::default(),
+            refused: Cell::default(),
+            closing: watch::Sender::default(),
+            callers: Callers::default(),
+            bodies,
+        }))
+    }
+
+    /// Returns how many idle connections were closed so far in favour of others.
+    pub fn displaced(&self) -> u64 {
+        self.0.callers.displaced()
+    }
+
+    /// Returns the bodies of the requests.
+    pub fn bodies(&self) -> &Rc<Bodies> {
+        &self.0.bodies
+    }
+
+    /// Closes idle connections until fewer than `max` are open; returns whether there is room for
+    /// another one. Without idle ones the slowest body gives way, whose connection closes after its
+    /// refusal.
+    pub(crate) fn make_room(&self, max: usize) -> bool {
+        let callers = &self.0.callers;
+        while callers.count() >= max {
+            if !callers.close_idle() {
+                return callers.count() == max && self.0.bodies.shed_slowest();
+            }
+        }
+        true
+    }
+
+    pub(crate) fn callers(&self) -> &Callers {
+        &self.0.callers
+    }
+
     /// Returns the number of open connections.
     pub fn open(&self) -> usize {
         *self.0.open.borrow()
@@ -57,17 +116,114 @@
     }
 
     /// Counts a connection as open until the guard is dropped.
-    pub(crate) fn guard(&self) -> Guard {
+    pub(crate) fn guard(&self, io: IoRef) -> Guard {
         self.0.open.send_modify(|n| *n += 1);
-        Guard(self.clone())
+        self.0.callers.insert(io.clone());
+        Guard {
+            connections: self.clone(),
+            io,
+        }
     }
 }
 
 #[derive(Debug)]
-pub(crate) struct Guard(Connections);
+pub(crate) struct Guard {
+    connections: Connections,
+    io: IoRef,
+}
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.0.0.open.send_modify(|n| *n -= 1);
+        let state = &self.connections.0;
+        state.callers.remove(&self.io);
+        state.open.send_modify(|n| *n -= 1);
+    }
+}
+
+/// Open connections with what their callers do, from which an idle one is closed when too many are
+/// open.
+///
+/// ```
+/// let callers = serve::Callers::default();
+/// assert_eq!((callers.count(), callers.close_idle()), (0, false));
+/// ```
+#[derive(Debug, Default)]
+pub struct Callers {
+    open: RefCell<Vec<Caller>>,
+    displaced: Cell<u64>,
+}
+
+#[derive(Debug)]
+struct Caller {
+    io: IoRef,
+    requests: usize,
+    has_answer: bool,
+    idle_since: Millis,
+}
+
+impl Callers {
+    /// Returns the number of connections.
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Returns how many connections [`Self::close_idle`] has closed so far.
+    pub const fn displaced(&self) -> u64 {
+        self.displaced.get()
+    }
+
+    /// Adds a connection.
+    pub fn insert(&self, io: IoRef) {
+        self.open.borrow_mut().push(Caller {
+            io,
+            requests: 0,
+            has_answer: false,
+            idle_since: clock::now(),
+        });
+    }
+
+    /// Removes a connection.
+    pub fn remove(&self, io: &IoRef) {
+        self.open.borrow_mut().retain(|c| c.io != *io);
+    }
+
+    /// Returns the number of connections for which `f` holds.
+    pub fn count_where(&self, f: impl Fn(&IoRef) -> bool) -> usize {
+        self.open.borrow().iter().filter(|c| f(&c.io)).count()
+    }
+
+    /// Counts a request of a connection as under way until [`Self::end_request`].
+    pub fn begin_request(&self, io: &IoRef) {
+        if let Some(caller) = self.open.borrow_mut().iter_mut().find(|c| c.io == *io) {
+            caller.requests += 1;
+        }
+    }
+
+    /// Ends a request of a connection.
+    pub fn end_request(&self, io: &IoRef) {
+        if let Some(caller) = self.open.borrow_mut().iter_mut().find(|c| c.io == *io) {
+            caller.requests = caller.requests.saturating_sub(1);
+            caller.has_answer = true;
+            caller.idle_since = clock::now();
+        }
+    }
+
+    /// Closes the connection without a request under way that is idle for the longest time: first
+    /// among those that had no answer yet. Returns whether there was one.
+    pub fn close_idle(&self) -> bool {
+        let now = clock::now();
+        let mut open = self.open.borrow_mut();
+        let is_idle = |c: &Caller| {
+            c.requests == 0
+                && now.since(c.idle_since) >= MIN_IDLE
+                && c.io.with_write_dst_buf(|b| b.len()) == 0
+        };
+        let idle = open.iter().enumerate().filter(|(_, c)| is_idle(c));
+        let Some((i, _)) = idle.min_by_key(|(_, c)| (c.has_answer, c.idle_since)) else {
+            return false;
+        };
+        open.swap_remove(i).io.terminate();
+        self.displaced.set(self.displaced.get() + 1);
+        true
     }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,22 +1,26 @@
 //! HTTP listeners that run on the thread of the caller's runtime, and the signals of their process.
 
+mod bodies;
+pub mod budget;
+pub mod chunk_pace;
 mod connections;
 mod signals;
 
 use std::{io, net, rc::Rc};
 
-pub use connections::Connections;
+pub use bodies::{Bodies, Body, BodyError, BodySpec, Memory, declared_length};
+pub use connections::{Callers, Connections};
 pub use signals::{Signals, survive_hang_up};
 
+use base::clock::Millis;
 use ntex::{
     Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
     http::{
-        HttpService, HttpServiceConfig, Payload, Request, Response,
+        HttpService, HttpServiceConfig, Request, Response,
         error::{DispatchError, HttpError},
     },
-    io::Io,
+    io::{Io, IoConfig},
     rt, time,
-    util::{Bytes, BytesMut},
 };
 use tokio::net::TcpListener;
 
@@ -27,8 +31,16 @@
 const SPARE_CONNECTIONS: usize = 64;
 /// Size up to which the body of a request on them is read.
 const MAX_REFUSED_BODY: usize = 256 << 10;
+/// Time in which such a body has to arrive.
+const REFUSED_BODY_TIMEOUT: Millis = Millis(500);
+/// Maximum size of the head of a request, which the library keeps until it is complete.
+const MAX_HEAD: usize = 16 << 10;
 /// Time in which the first request on the connections that were accepted last has to arrive.
 const LAST_REQUEST_DELAY: time::Millis = time::Millis(100);
+/// Free bytes of a connection's read buffer below which it grows.
+const LOW_READ_BUFFER: usize = 512;
+/// Number of unused read buffers that are kept.
+const READ_BUFFERS: usize = 64;
 /// Turns of the runtime in which requests that have arrived are read before idle connections are
 /// closed: one each for the socket, the reader and the parser.
 const READ_TURNS: usize = 3;
@@ -59,6 +71,15 @@
     }
 }
 
+/// Returns the settings of connections that keep few bytes before they are read.
+///
+/// ```
+/// assert_eq!(serve::io_config().read_buf().high, 4 << 10);
+/// ```
+pub fn io_config() -> IoConfig {
+    IoConfig::new().set_read_buf(bodies::READ_BUFFER, LOW_READ_BUFFER, READ_BUFFERS)
+}
+
 /// Serves the requests on `listener` with `handler` until the `connections` have been closed and have
 /// ended.
 ///
@@ -82,24 +103,27 @@
     let http_cfg = HttpServiceConfig::new()
         .set_keepalive_timeout(limits.idle_timeout)
         .set_client_timeout(limits.head_timeout);
-    let cfg: SharedCfg = SharedCfg::new(name).add(http_cfg).into();
-    let http = http_service(cfg.clone(), handler).await?;
-    let busy = http_service(cfg.clone(), busy).await?;
+    let http_cfg = http_cfg.set_max_buf_size(MAX_HEAD);
+    let cfg: SharedCfg = SharedCfg::new(name).add(http_cfg).add(io_config()).into();
+    let http = http_service(cfg.clone(), connections.clone(), handler).await?;
+    let refusing = connections.clone();
+    let busy = move |req| busy(refusing.clone(), req);
+    let busy = http_service(cfg.clone(), connections.clone(), busy).await?;
     let open = |stream: net::TcpStream| {
+        let is_busy = !connections.make_room(limits.max_connections);
         let open = connections.open();
-        let is_busy = open >= limits.max_connections;
         if is_busy {
             log::warn!("{name}: connection refused: {open} connections are already open");
             connections.refuse();
         }
-        if open >= limits.max_connections + SPARE_CONNECTIONS {
+        if connections.callers().count() >= limits.max_connections + SPARE_CONNECTIONS {
             return;
         }
         let io = stream.set_nonblocking(true);
         let Ok(io) = io.and_then(|()| rt::from_tcp_stream(stream, cfg.clone())) else {
             return;
         };
-        let guard = connections.guard();
+        let guard = connections.guard(io.get_ref());
         let (http, busy) = (http.clone(), busy.clone());
         rt::spawn(async move {
             let _guard = guard;
@@ -147,6 +171,7 @@
 
 async fn http_service<F, R>(
     cfg: SharedCfg,
+    connections: Connections,
     handler: F,
 ) -> io::Result<Pipeline<impl Service<Io, Error = DispatchError>>>
 where
@@ -155,8 +180,18 @@
 {
     let handler = Rc::new(handler);
     let http = HttpService::new(fn_service(move |req: Request| {
-        let handler = handler.clone();
-        async move { Ok::<_, HttpError>(handler(req).await) }
+        let (handler, connections) = (handler.clone(), connections.clone());
+        async move {
+            let io = req.io().cloned();
+            if let Some(io) = &io {
+                connections.callers().begin_request(io);
+            }
+            let response = handler(req).await;
+            if let Some(io) = &io {
+                connections.callers().end_request(io);
+            }
+            Ok::<_, HttpError>(response)
+        }
     }));
     let http = ServiceFactory::<Io, SharedCfg>::create(&http, cfg).await;
     let http = http.map_err(|()| io::Error::other("cannot create the HTTP service"))?;
@@ -164,35 +199,15 @@
 }
 
 /// Refuses a request on a connection over the limit. The next attempt may reach another process at once.
-async fn busy(mut req: Request) -> Response {
+async fn busy(connections: Connections, mut req: Request) -> Response {
     // A connection that is closed with unread bytes is reset, which can lose the answer.
-    let _ = read_body(req.take_payload(), MAX_REFUSED_BODY).await;
+    let spec = BodySpec {
+        organisation: None,
+        declared: declared_length(req.headers()),
+        max_bytes: MAX_REFUSED_BODY,
+        timeout: REFUSED_BODY_TIMEOUT,
+    };
+    let _ = connections.bodies().discard(req.take_payload(), spec).await;
     let mut response = Response::ServiceUnavailable();
     response.header("retry-after", "0").force_close().finish()
 }
-
-/// Reason why a body could not be read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum BodyError {
-    /// The body is larger than the limit.
-    TooLarge,
-    /// The connection was closed before the end of the body, or the body is malformed.
-    Broken,
-}
-
-/// Reads a whole body of at most `limit` bytes.
-///
-/// # Errors
-///
-/// Returns an error if the body is too large, incomplete or malformed.
-pub async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk.map_err(|_| BodyError::Broken)?;
-        if body.len() + chunk.len() > limit {
-            return Err(BodyError::TooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
