serve, node, entry: metrics, limits and tests of request bodies

Cause: bodies that are refused, bytes under way and closed connections were not to be seen, and the budget's decisions were tested only through processes.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use base::name::Name;
 use ntex::{
     http::{
         ConnectionType, HeaderMap, Method, Response, StatusCode,
@@ -14,8 +15,6 @@
     web::{HttpRequest, HttpResponse, types::Payload},
 };
 
-use base::name::Name;
-
 use crate::{
     auth::Identity,
     body::Body,
@@ -240,7 +239,7 @@
 }
 
 fn metrics(cx: &Entry) -> HttpResponse {
-    let text = cx.metrics.encode(cx.gauge_values());
+    let text = cx.metrics.encode(&cx.gauge_values());
     HttpResponse::Ok()
         .content_type("text/plain; version=0.0.4")
         .body(text)
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -6,9 +6,10 @@
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
 };
+use serve::BodyError;
 
 /// Gauge values, which are read when the metrics are collected.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct GaugeValues {
     /// Number of requests in flight.
     pub in_flight: u64,
@@ -28,6 +29,10 @@
     pub vm_list_age: Millis,
     /// Total size in bytes of the request bodies in memory.
     pub body_bytes: u64,
+    /// Number of refused request bodies by cause.
+    pub refused_bodies: Vec<(BodyError, u64)>,
+    /// Number of idle connections that were closed in favour of others.
+    pub displaced_connections: u64,
     /// 1 if the entry is ready, else 0.
     pub ready: u64,
 }
@@ -52,6 +57,8 @@
     config_age: Gauge<u64>,
     vm_list_age: Gauge<u64>,
     body_bytes: Gauge<u64>,
+    refused_bodies: Gauge<u64>,
+    displaced_connections: Gauge<u64>,
     ready: Gauge<u64>,
 }
 
@@ -77,6 +84,8 @@
             config_age: gauge("entry_config_age_ms"),
             vm_list_age: gauge("entry_vm_list_age_ms"),
             body_bytes: gauge("entry_body_bytes"),
+            refused_bodies: gauge("entry_refused_bodies"),
+            displaced_connections: gauge("entry_displaced_connections"),
             ready: gauge("entry_ready"),
             exporter,
         }
@@ -115,7 +124,7 @@
     }
 
     /// Returns all metrics in the Prometheus text format.
-    pub fn encode(&self, values: GaugeValues) -> Vec<u8> {
+    pub fn encode(&self, values: &GaugeValues) -> Vec<u8> {
         self.in_flight.record(values.in_flight, &[]);
         self.queued.record(values.queued, &[]);
         self.connections.record(values.connections, &[]);
@@ -125,6 +134,12 @@
         self.config_age.record(values.config_age.0, &[]);
         self.vm_list_age.record(values.vm_list_age.0, &[]);
         self.body_bytes.record(values.body_bytes, &[]);
+        for (cause, count) in &values.refused_bodies {
+            let cause = [KeyValue::new("cause", cause.to_string())];
+            self.refused_bodies.record(*count, &cause);
+        }
+        let displaced = values.displaced_connections;
+        self.displaced_connections.record(displaced, &[]);
         self.ready.record(values.ready, &[]);
         self.exporter.encode()
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,6 +8,8 @@
     metrics::{Counter, Gauge, Histogram},
 };
 
+use serve::Connections;
+
 use crate::{call_metrics, cx::Ctx, readiness::Readiness};
 
 /// Instruments of a node.
@@ -38,6 +40,10 @@
     unstored: Counter<u64>,
     connections: Gauge<u64>,
     refused_connections: Gauge<u64>,
+    displaced_connections: Gauge<u64>,
+    body_bytes: Gauge<u64>,
+    open_bodies: Gauge<u64>,
+    refused_bodies: Gauge<u64>,
     open_requests: Gauge<u64>,
     ready: Gauge<u64>,
     config_version: Gauge<u64>,
@@ -82,6 +88,10 @@
             unstored: exporter.counter("node_unstored"),
             connections: exporter.gauge("node_connections"),
             refused_connections: exporter.gauge("node_refused_connections"),
+            displaced_connections: exporter.gauge("node_displaced_connections"),
+            body_bytes: exporter.gauge("node_body_bytes"),
+            open_bodies: exporter.gauge("node_open_bodies"),
+            refused_bodies: exporter.gauge("node_refused_bodies"),
             open_requests: exporter.gauge("node_open_requests"),
             ready: exporter.gauge("node_ready"),
             config_version: exporter.gauge("node_config_version"),
@@ -108,6 +118,18 @@
         self.request_seconds.record(seconds(took), &[]);
     }
 
+    fn record_bodies(&self, connections: &Connections) {
+        let displaced = connections.displaced();
+        self.displaced_connections.record(displaced, &[]);
+        let bodies = connections.bodies();
+        self.body_bytes.record(bodies.used() as u64, &[]);
+        self.open_bodies.record(bodies.under_way() as u64, &[]);
+        for (cause, count) in bodies.refused() {
+            let cause = [KeyValue::new("cause", cause.to_string())];
+            self.refused_bodies.record(count, &cause);
+        }
+    }
+
     /// Counts an accepted submission by what it found.
     pub(crate) fn count_submission(&self, result: &'static str) {
         self.submissions.add(1, &[KeyValue::new("result", result)]);
@@ -219,6 +241,7 @@
         self.connections.record(cx.connections.open() as u64, &[]);
         self.refused_connections
             .record(cx.connections.refused(), &[]);
+        self.record_bodies(&cx.connections);
         self.open_requests.record(cx.requests.count() as u64, &[]);
         let leader = cx.leader.borrow().clone();
         self.leading.record(u64::from(leader.is_some()), &[]);
--- a/crates/serve/src/bodies.rs
+++ b/crates/serve/src/bodies.rs
@@ -179,9 +179,8 @@
         spec: BodySpec,
     ) -> Result<Body, BodyError> {
         let (organisation, declared) = (spec.organisation.clone(), spec.declared);
-        let mut budget = self.budget.borrow_mut();
-        let id = budget.begin(organisation, declared, clock::now());
-        drop(budget);
+        let now = clock::now();
+        let id = self.budget.borrow_mut().begin(organisation, declared, now);
         let told = Rc::new(Notify::new());
         self.readers.borrow_mut().insert(id, told.clone());
         let memory = Memory {
--- /dev/null
+++ b/crates/serve/tests/budget.rs
@@ -0,0 +1,147 @@
+//! Decisions of the budget for request bodies.
+
+use std::sync::Arc;
+
+use base::clock::Millis;
+use serve::{
+    budget::{Budget, Decision},
+    chunk_pace::ChunkPace,
+};
+
+const LIMIT: usize = 1_000_000;
+
+fn name(text: &str) -> Arc<str> {
+    text.into()
+}
+
+/// Begins a body that has received `bytes` at `now`.
+fn begin(budget: &mut Budget, organisation: &str, bytes: usize, now: Millis) -> u64 {
+    let id = budget.begin(Some(name(organisation)), Some(LIMIT), now);
+    assert_eq!(budget.reserve(id, bytes, now), Decision::Granted);
+    id
+}
+
+/// Guards against a full budget that refuses an ordinary small request.
+#[test]
+fn a_small_body_displaces_the_one_that_holds_most() {
+    let mut budget = Budget::new(LIMIT);
+    let large = begin(&mut budget, "a", 500_000, Millis(0));
+    let larger_but_new = begin(&mut budget, "a", 499_000, Millis(90));
+    let small = budget.begin(Some(name("a")), Some(2_000), Millis(100));
+    let decision = budget.reserve(small, 2_000, Millis(100));
+    assert_eq!(decision, Decision::Wait(vec![large]));
+    assert_eq!(budget.reserve(large, 1, Millis(100)), Decision::Shed);
+    budget.end(large);
+    assert_eq!(budget.reserve(small, 2_000, Millis(101)), Decision::Granted);
+    assert_eq!(
+        budget.reserve(larger_but_new, 1, Millis(101)),
+        Decision::Granted
+    );
+}
+
+/// Guards against a large body that interrupts others which make progress.
+#[test]
+fn a_large_body_displaces_only_slow_ones() {
+    let mut budget = Budget::new(LIMIT);
+    let first = begin(&mut budget, "a", 900_000, Millis(0));
+    let second = budget.begin(Some(name("a")), Some(200_000), Millis(900));
+    assert_eq!(budget.reserve(second, 200_000, Millis(900)), Decision::Shed);
+    budget.end(second);
+    let third = budget.begin(Some(name("a")), Some(200_000), Millis(1_100));
+    let decision = budget.reserve(third, 200_000, Millis(1_100));
+    assert_eq!(decision, Decision::Wait(vec![first]));
+}
+
+/// Guards against an organisation whose bodies displace those of another one within its share.
+#[test]
+fn each_organisation_keeps_its_share() {
+    let mut budget = Budget::new(LIMIT);
+    let modest = begin(&mut budget, "modest", 300_000, Millis(0));
+    let many: Vec<u64> = (0..7)
+        .map(|i| begin(&mut budget, "many", 100_000, Millis(i)))
+        .collect();
+    let now = Millis(1_500);
+    let another = budget.begin(Some(name("many")), Some(50_000), now);
+    assert_eq!(
+        budget.reserve(another, 50_000, now),
+        Decision::Wait(vec![many[0]])
+    );
+    let more = budget.reserve(modest, 200_000, now);
+    // The first one leaves already.
+    assert_eq!(more, Decision::Wait(vec![many[1]]));
+}
+
+/// Guards against a request that is given up although its body was read whole.
+#[test]
+fn a_whole_body_stays() {
+    let mut budget = Budget::new(LIMIT);
+    let whole = begin(&mut budget, "a", LIMIT, Millis(0));
+    budget.complete(whole);
+    let now = Millis(60_000);
+    assert_eq!(budget.shed_slowest(now), None);
+    let small = budget.begin(Some(name("b")), Some(10), now);
+    assert_eq!(budget.reserve(small, 10, now), Decision::Wait(vec![]));
+    assert_eq!(budget.reserve(whole, 0, now), Decision::Granted);
+    budget.end(whole);
+    assert_eq!(budget.reserve(small, 10, now), Decision::Granted);
+}
+
+/// Guards against a limit of the budget below that of a single body.
+#[test]
+fn a_body_alone_is_served() {
+    let mut budget = Budget::new(1_000);
+    let id = budget.begin(None, None, Millis(0));
+    assert_eq!(budget.reserve(id, 900, Millis(0)), Decision::Granted);
+    assert_eq!(budget.reserve(id, 900, Millis(1)), Decision::Granted);
+    budget.end(id);
+    assert_eq!((budget.used(), budget.bodies()), (0, 0));
+}
+
+/// Guards against bytes that stay counted, or are counted twice, in any order of events.
+#[test]
+fn the_account_is_exact() {
+    let mut budget = Budget::new(50_000);
+    let mut open: Vec<(u64, usize)> = Vec::new();
+    let mut state = 1_u64;
+    let mut next = |n: u64| {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (state >> 33) % n
+    };
+    for step in 0..20_000 {
+        let now = Millis(step);
+        match next(4) {
+            0 => open.push((budget.begin(Some(name(&next(3).to_string())), None, now), 0)),
+            1 if !open.is_empty() => {
+                let i = next(open.len() as u64) as usize;
+                budget.end(open.swap_remove(i).0);
+            }
+            2 if !open.is_empty() => {
+                let i = next(open.len() as u64) as usize;
+                let bytes = next(9_000) as usize;
+                if budget.reserve(open[i].0, bytes, now) == Decision::Granted {
+                    open[i].1 += bytes;
+                }
+            }
+            3 => drop(budget.shed_slowest(now)),
+            _ => {}
+        }
+        assert_eq!(budget.used(), open.iter().map(|(_, b)| b).sum::<usize>());
+        assert!(budget.used() <= 50_000 || open.iter().filter(|(_, b)| *b > 0).count() == 1);
+        if open.len() > 40 {
+            open.drain(..).for_each(|(id, _)| budget.end(id));
+        }
+    }
+}
+
+/// Guards against chunks that together take the processor, and against waits that only grow.
+#[test]
+fn chunks_are_read_at_a_bounded_pace() {
+    let mut pace = ChunkPace::default();
+    let now = Millis(10);
+    let turns = (0..1_000).filter(|_| pace.take(64, now).is_some()).count();
+    assert!((300..330).contains(&turns), "{turns}");
+    assert_eq!(pace.take(64, now), None);
+    assert_eq!(pace.take(64, Millis(2_000)), Some(Millis::ZERO));
+}
