serve: a body that gives way leaves its room at once; tiny chunks are paced from the start

Cause: readers that waited for the room of others were woken together at each release, and the slowest body gave way to a new connection only after 1 s, so 2,000 callers at once got ordinary requests refused. The first 256 chunks of each connection were read without the pace, and 682 parsed at once.

Evidence: by hand, debug build, 2,000 connections with large chunks: POST and GET 503 before. Tests of serve pass.

Change: the budget grants the room of a body that gives way at once and keeps usage by organisation; a full listener sheds a body of 0.25 s; runs of chunks under 64 bytes on average share the pace; read buffers of 2 KiB. Refused bodies are exported for each cause, also at 0. Entries send retry-after with 429 that say not run.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -281,7 +281,7 @@
     cx.callers.insert(io.clone());
     while cx.connections() > cx.cfg.connections && cx.callers.close_idle() {}
     if cx.connections() > cx.cfg.connections {
-        cx.bodies.shed_slowest();
+        cx.bodies.shed_one();
     }
     if cx.connections() > cx.cfg.connections + SPARE_CONNECTIONS {
         cx.callers.remove(&io);
@@ -315,5 +315,8 @@
         .header(REFUSED, &*refusal.code)
         .content_type("application/json")
         .force_close();
+    if let Some(seconds) = refusal.retry_after() {
+        response.header("retry-after", seconds);
+    }
     response.body(Bytes::from(refusal.body()))
 }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -9,6 +9,9 @@
 /// Header that marks an answer as an error of the entry itself and contains its code.
 pub const REFUSED: &str = "x-refused";
 
+/// Value of `retry-after` in seconds: a queue or the budget for bodies is full for about that long.
+const RETRY_S: &str = "1";
+
 /// Whether a refused request was run.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -228,9 +231,20 @@
         serde_json::to_string(&body).expect("a refusal is valid JSON")
     }
 
+    /// Returns the time in seconds after which the sender may try again, if the request was refused
+    /// because there was too little room.
+    pub fn retry_after(&self) -> Option<&'static str> {
+        let is_full = self.status == StatusCode::TOO_MANY_REQUESTS;
+        (is_full && self.outcome == Outcome::NotRun).then_some(RETRY_S)
+    }
+
     /// Returns the HTTP answer.
     pub fn response(&self) -> HttpResponse {
-        HttpResponse::build(self.status)
+        let mut response = HttpResponse::build(self.status);
+        if let Some(seconds) = self.retry_after() {
+            response.set_header("retry-after", seconds);
+        }
+        response
             .set_header(REFUSED, &*self.code)
             .content_type("application/json")
             .body(self.body())
--- a/crates/serve/src/bodies.rs
+++ b/crates/serve/src/bodies.rs
@@ -22,16 +22,15 @@
 const MAX_CHUNKS: u64 = 16 << 10;
 /// Number of chunks that a reader takes in a row before others have their turn.
 const CHUNKS_IN_A_ROW: u64 = 64;
-/// Number of chunks of a body from which on they are read at the pace of the process. A body of 256 KiB
-/// in segments of a network has 180.
-const PACED_CHUNKS: u64 = 256;
-/// Mean size below which chunks count as tiny.
+/// Mean size below which chunks in a row count as tiny: they are read at the pace of the process. The
+/// segments of a network are larger.
 const TINY_CHUNK: usize = 64;
-/// Memory of the HTTP library for the chunks of one read: 682 chunks of one byte fit into
+/// Memory of the HTTP library for the chunks of one read: 341 chunks of one byte fit into
 /// [`READ_BUFFER`], each takes 32 bytes in its queue, which grows by doubling.
-const TINY_CHUNK_QUEUE: usize = 32 << 10;
-/// Size of the HTTP library's read buffer of each connection.
-pub(crate) const READ_BUFFER: usize = 4 << 10;
+const TINY_CHUNK_QUEUE: usize = 16 << 10;
+/// Size of the HTTP library's read buffer of each connection. It parses all chunks in it at once: with
+/// 4 KiB, 600 connections with tiny chunks still put a lease at risk.
+pub(crate) const READ_BUFFER: usize = 2 << 10;
 /// Time in which a body that is refused by its declared length may still arrive.
 const SKIP_TIME: Millis = Millis(500);
 /// Size up to which it may, as a multiple of the limit.
@@ -59,6 +58,17 @@
     Chunks,
 }
 
+impl BodyError {
+    /// All causes.
+    const ALL: [Self; 5] = [
+        Self::TooLarge,
+        Self::Broken,
+        Self::TooSlow,
+        Self::Full,
+        Self::Chunks,
+    ];
+}
+
 /// What is known about a body before it is read.
 #[derive(Clone, Debug)]
 pub struct BodySpec {
@@ -154,16 +164,17 @@
         self.budget.borrow().bodies()
     }
 
-    /// Returns how many bodies were refused so far, by cause.
+    /// Returns how many bodies were refused so far, for each cause.
     pub fn refused(&self) -> Vec<(BodyError, u64)> {
         let refused = self.refused.borrow();
-        refused.iter().map(|(e, r)| (*e, r.count)).collect()
+        let count = |e| refused.get(&e).map_or(0, |r: &Refused| r.count);
+        BodyError::ALL.into_iter().map(|e| (e, count(e))).collect()
     }
 
-    /// Makes the body give way that arrives for the longest time, if that is a second at least. Returns
-    /// whether there is one.
-    pub fn shed_slowest(&self) -> bool {
-        let shed = self.budget.borrow_mut().shed_slowest(clock::now());
+    /// Makes the largest and slowest body give way in favour of another connection. Returns whether there
+    /// is one.
+    pub fn shed_one(&self) -> bool {
+        let shed = self.budget.borrow_mut().shed_one(clock::now());
         self.notify(shed.as_slice());
         shed.is_some()
     }
@@ -309,7 +320,7 @@
                 has_queue = true;
             }
             len_before = len;
-            self.take_turn(chunks).await?;
+            self.take_turn(chunks, is_tiny).await?;
         }
         Ok(body)
     }
@@ -323,9 +334,12 @@
                 .borrow_mut()
                 .reserve(id, bytes, clock::now());
             match decision {
-                Decision::Granted => return Ok(()),
+                Decision::Granted(shed) => {
+                    self.bodies.notify(&shed);
+                    return Ok(());
+                }
                 Decision::Shed => return Err(BodyError::Full),
-                Decision::Wait(shed) => self.bodies.notify(&shed),
+                Decision::Wait => {}
             }
             freed.await;
         }
@@ -342,12 +356,12 @@
         body.extend_from_slice(chunk);
     }
 
-    /// Lets others run, and keeps a body with many chunks to the pace of the process.
-    async fn take_turn(&self, chunks: u64) -> Result<(), BodyError> {
+    /// Lets others run, and keeps tiny chunks to the pace of the process.
+    async fn take_turn(&self, chunks: u64, is_tiny: bool) -> Result<(), BodyError> {
         if chunks >= MAX_CHUNKS {
             return Err(BodyError::Chunks);
         }
-        if chunks < PACED_CHUNKS {
+        if !is_tiny {
             tokio::task::yield_now().await;
             return Ok(());
         }
--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -9,6 +9,9 @@
 /// Time after which a body that still arrives gives way to any other. A request has 3 s in all unless
 /// its caller states more.
 const SLOW: Millis = Millis(1_000);
+/// Time after which it gives way to another connection when as many as allowed are open: as long as
+/// an idle connection is kept then.
+const SLOW_CONNECTION: Millis = Millis(250);
 
 /// Budget for the bytes of bodies under way.
 ///
@@ -20,21 +23,31 @@
 /// use serve::budget::{Budget, Decision};
 /// let mut budget = Budget::new(100_000);
 /// let large = budget.begin(None, None, Millis(0));
-/// assert_eq!(budget.reserve(large, 90_000, Millis(0)), Decision::Granted);
+/// assert_eq!(budget.reserve(large, 90_000, Millis(0)), Decision::Granted(vec![]));
 /// let small = budget.begin(None, Some(20_000), Millis(5));
-/// assert_eq!(budget.reserve(small, 20_000, Millis(5)), Decision::Wait(vec![large]));
+/// assert_eq!(budget.reserve(small, 20_000, Millis(5)), Decision::Granted(vec![large]));
+/// assert_eq!(budget.used(), 110_000);
 /// budget.end(large);
-/// assert_eq!(budget.reserve(small, 20_000, Millis(5)), Decision::Granted);
+/// assert_eq!(budget.used(), 20_000);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
     limit: usize,
     used: usize,
-    /// Those of them that belong to shed bodies.
+    /// Those of them that belong to shed bodies, whose readers drop them in their next turn.
     leaving: usize,
     next: u64,
     /// In order of their ids.
     open: Vec<Open>,
+    organisations: SortedMap<Option<Arc<str>>, Usage>,
+}
+
+/// What the bodies of an organisation use.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    bodies: usize,
+    /// Bytes of those that are not shed.
+    bytes: usize,
 }
 
 /// A body under way.
@@ -57,26 +70,34 @@
     Whole,
 }
 
+impl Open {
+    /// Returns the product of size and age.
+    const fn held(&self, now: Millis) -> u64 {
+        self.bytes as u64 * (now.since(self.since).0 + 1)
+    }
+}
+
 /// Answer to a reservation.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
-    /// The bytes are reserved.
-    Granted,
-    /// The bytes are not free yet. The bodies with these ids give way now and have to be told so.
-    Wait(Vec<u64>),
+    /// The bytes are reserved. The bodies with these ids give way and have to be told so.
+    Granted(Vec<u64>),
+    /// Bodies that were read whole hold the bytes; the request may wait for the end of one.
+    Wait,
     /// This body gives way.
     Shed,
 }
 
 impl Budget {
     /// Creates a budget of `limit` bytes.
-    pub const fn new(limit: usize) -> Self {
+    pub fn new(limit: usize) -> Self {
         Self {
             limit,
             used: 0,
             leaving: 0,
             next: 0,
             open: Vec::new(),
+            organisations: SortedMap::default(),
         }
     }
 
@@ -99,6 +120,9 @@
     ) -> u64 {
         let id = self.next;
         self.next += 1;
+        self.organisations
+            .get_or_default(organisation.clone())
+            .bodies += 1;
         self.open.push(Open {
             id,
             organisation,
@@ -120,12 +144,18 @@
         }
         // A body within the limit of a single one is never larger than the machine allows.
         let is_alone = self.used == self.open[i].bytes;
-        if is_alone || self.used + bytes <= self.limit {
-            self.used += bytes;
-            self.open[i].bytes += bytes;
-            return Decision::Granted;
-        }
-        self.make_room(i, bytes, now)
+        let shed = if is_alone || self.used - self.leaving + bytes <= self.limit {
+            Vec::new()
+        } else {
+            match self.make_room(i, bytes, now) {
+                Ok(shed) => shed,
+                Err(decision) => return decision,
+            }
+        };
+        self.used += bytes;
+        self.open[i].bytes += bytes;
+        self.usage(i).bytes += bytes;
+        Decision::Granted(shed)
     }
 
     /// Marks a body as read whole: it does not give way any more.
@@ -137,86 +167,92 @@
 
     /// Removes a body and frees its bytes.
     pub fn end(&mut self, id: u64) {
-        if let Some(i) = self.position(id) {
-            let body = self.open.remove(i);
-            self.used -= body.bytes;
-            if body.state == State::Shed {
-                self.leaving -= body.bytes;
-            }
+        let Some(i) = self.position(id) else {
+            return;
+        };
+        let (bytes, state) = (self.open[i].bytes, self.open[i].state);
+        self.used -= bytes;
+        if state == State::Shed {
+            self.leaving -= bytes;
+        } else {
+            self.usage(i).bytes -= bytes;
+        }
+        self.usage(i).bodies -= 1;
+        let body = self.open.remove(i);
+        let usage = self.organisations.get(&body.organisation);
+        if usage.is_some_and(|u| u.bodies == 0) {
+            self.organisations.remove(&body.organisation);
         }
     }
 
-    /// Sheds the body that arrives for the longest time, if that is a second at least.
-    pub fn shed_slowest(&mut self, now: Millis) -> Option<u64> {
-        let reading = |i: &usize| self.open[*i].state == State::Reading;
-        // Bodies are in the order in which they began.
-        let slowest = (0..self.open.len()).find(reading)?;
-        (now.since(self.open[slowest].since) >= SLOW).then(|| self.shed(slowest))
+    /// Sheds the body that arrives with the largest product of size and age, if one has arrived for
+    /// long enough, so that another connection can be served.
+    pub fn shed_one(&mut self, now: Millis) -> Option<u64> {
+        let open = self.open.iter().enumerate();
+        let is_slow = |o: &Open| o.state == State::Reading && now.since(o.since) >= SLOW_CONNECTION;
+        let slow = open.filter(|(_, o)| is_slow(o));
+        let (i, _) = slow.max_by_key(|(_, o)| o.held(now))?;
+        Some(self.shed(i))
     }
 
     fn shed(&mut self, i: usize) -> u64 {
-        let body = &mut self.open[i];
-        body.state = State::Shed;
-        self.leaving += body.bytes;
-        body.id
+        let bytes = self.open[i].bytes;
+        self.open[i].state = State::Shed;
+        self.leaving += bytes;
+        self.usage(i).bytes -= bytes;
+        self.open[i].id
     }
 
-    fn make_room(&mut self, requester: usize, bytes: usize, now: Millis) -> Decision {
+    /// Sheds bodies until `bytes` more fit.
+    fn make_room(
+        &mut self,
+        requester: usize,
+        bytes: usize,
+        now: Millis,
+    ) -> Result<Vec<u64>, Decision> {
         let mut shed = Vec::new();
-        if self.used + bytes <= self.limit + self.leaving {
-            return Decision::Wait(shed);
-        }
-        let mut usage = self.usage();
-        *usage.get_or_default(self.open[requester].organisation.clone()) += bytes;
-        let share = self.limit / usage.len().max(1);
-        while self.used + bytes > self.limit + self.leaving {
-            if let Some(i) = self.victim(requester, bytes, &usage, share, now) {
-                *usage.get_or_default(self.open[i].organisation.clone()) -= self.open[i].bytes;
-                shed.push(self.shed(i));
-                continue;
+        self.usage(requester).bytes += bytes;
+        let result = loop {
+            if self.used - self.leaving + bytes <= self.limit {
+                break Ok(());
+            }
+            match self.victim(requester, bytes, now) {
+                Some(i) => shed.push(self.shed(i)),
+                None if self.is_over_share(&self.open[requester]) => break Err(Decision::Shed),
+                None => break Err(Decision::Wait),
             }
-            let used = usage.get(&self.open[requester].organisation);
-            if shed.is_empty() && used.is_some_and(|u| *u > share) {
+        };
+        self.usage(requester).bytes -= bytes;
+        result.map(|()| shed).inspect_err(|decision| {
+            if *decision == Decision::Shed {
                 self.shed(requester);
-                return Decision::Shed;
             }
-            break;
-        }
-        Decision::Wait(shed)
+        })
     }
 
     /// Returns the body that gives way to another one, which needs `bytes` more.
-    fn victim(
-        &self,
-        requester: usize,
-        bytes: usize,
-        usage: &SortedMap<Option<Arc<str>>, usize>,
-        share: usize,
-        now: Millis,
-    ) -> Option<usize> {
+    fn victim(&self, requester: usize, bytes: usize, now: Millis) -> Option<usize> {
         let req = &self.open[requester];
         let size = req.declared.unwrap_or(0).max(req.bytes + bytes);
-        let is_over_share = |o: &Open| usage.get(&o.organisation).is_some_and(|u| *u > share);
         let gives_way = |o: &Open| {
             let is_slow = o.bytes > 0 && now.since(o.since) >= SLOW;
             let is_larger = size <= SMALL && o.bytes > size;
             let is_reading = o.state == State::Reading && o.id != req.id;
-            is_reading && (is_slow || is_larger) && is_over_share(o)
+            is_reading && (is_slow || is_larger) && self.is_over_share(o)
         };
-        let held = |o: &Open| o.bytes as u64 * (now.since(o.since).0 + 1);
-        let open = self.open.iter().enumerate();
-        let victims = open.filter(|(_, o)| gives_way(o));
-        victims.max_by_key(|(_, o)| held(o)).map(|(i, _)| i)
+        let victims = self.open.iter().enumerate().filter(|(_, o)| gives_way(o));
+        victims.max_by_key(|(_, o)| o.held(now)).map(|(i, _)| i)
     }
 
-    /// Returns the bytes of each organisation without those of shed bodies.
-    fn usage(&self) -> SortedMap<Option<Arc<str>>, usize> {
-        let mut usage = SortedMap::default();
-        let staying = self.open.iter().filter(|o| o.state != State::Shed);
-        for o in staying {
-            *usage.get_or_default(o.organisation.clone()) += o.bytes;
-        }
-        usage
+    fn is_over_share(&self, body: &Open) -> bool {
+        let share = self.limit / self.organisations.len().max(1);
+        let usage = self.organisations.get(&body.organisation);
+        usage.is_some_and(|u| u.bytes > share)
+    }
+
+    fn usage(&mut self, i: usize) -> &mut Usage {
+        let organisation = self.open[i].organisation.clone();
+        self.organisations.get_or_default(organisation)
     }
 
     fn position(&self, id: u64) -> Option<usize> {
--- a/crates/serve/src/chunk_pace.rs
+++ b/crates/serve/src/chunk_pace.rs
@@ -1,4 +1,4 @@
-//! Pace at which a process reads many chunks, without I/O and clock.
+//! Pace at which a process reads tiny chunks, without I/O and clock.
 
 use base::clock::Millis;
 
@@ -8,7 +8,7 @@
 /// Maximum time that a reader waits for its turn.
 const MAX_WAIT: Millis = Millis(1_000);
 
-/// Turns of the readers whose bodies have many chunks.
+/// Turns of the readers whose bodies have tiny chunks.
 ///
 /// ```
 /// use base::clock::Millis;
--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -64,13 +64,13 @@
     }
 
     /// Closes idle connections until fewer than `max` are open; returns whether there is room for
-    /// another one. Without idle ones the slowest body gives way, whose connection closes after its
-    /// refusal.
+    /// another one. Without idle ones the largest and slowest body gives way, whose connection
+    /// closes after its refusal.
     pub(crate) fn make_room(&self, max: usize) -> bool {
         let callers = &self.0.callers;
         while callers.count() >= max {
             if !callers.close_idle() {
-                return callers.count() == max && self.0.bodies.shed_slowest();
+                return self.0.bodies.shed_one();
             }
         }
         true
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -74,7 +74,7 @@
 /// Returns the settings of connections that keep few bytes before they are read.
 ///
 /// ```
-/// assert_eq!(serve::io_config().read_buf().high, 4 << 10);
+/// assert_eq!(serve::io_config().read_buf().high, 2 << 10);
 /// ```
 pub fn io_config() -> IoConfig {
     IoConfig::new().set_read_buf(bodies::READ_BUFFER, LOW_READ_BUFFER, READ_BUFFERS)
