--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -146,6 +146,9 @@
                 if let Ok(stream) = stream.into_std() {
                     open(stream);
                 }
+                // Connections that come at once are taken one per turn, so that their first reads do
+                // not hold up other tasks together.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
                 log::warn!("{name}: cannot accept: {e}");
