--- a/crates/batch/examples/speed_classes.rs
+++ b/crates/batch/examples/speed_classes/main.rs
@@ -5,18 +5,20 @@
 //! `none` learns nothing and places as without speeds; `fixed` knows the class of each worker from the
 //! beginning; `learned` places by expected end from the progress of runs.
 
+mod load;
+
 use std::{collections::BTreeMap, env, rc::Rc, time::Instant};
 
 use base::clock::Millis;
 use batch::{
-    config::{Config, Queue},
-    job::{AcceptedJob, Resources, Spec, Step, SubtaskId, Text},
+    job::{AcceptedJob, Resources, Spec, Step, Text},
     scheduler::JobScheduler,
     speed_report::StoredForecast,
     worker::{Action, FinishedRun, Order, Outcome, Report, Running, StartReply, WorkerInfo},
 };
 use fastrand::Rng;
 use forecast::stored::{StoredKind, StoredWorker};
+use load::{Class, KINDS, config, info, subtask};
 
 const WORKERS: usize = 350;
 const WORKERS_PER_RACK: usize = 14;
@@ -34,60 +36,6 @@
 /// Factor by which a job may miss its objective and keep part of its value.
 const TOO_LATE_FACTOR: u64 = 3;
 
-/// One kind of jobs.
-#[derive(Clone, Copy)]
-struct Class {
-    per_s: f64,
-    width: u32,
-    base: f64,
-    accelerators: &'static [u64],
-    gang: bool,
-    same_rack: f64,
-    slack: f64,
-    target: Millis,
-    /// Standard deviation of the logarithm of estimate / base time.
-    estimate_error: f64,
-}
-
-const SIZES: &[u64] = &[1, 2, 4, 8, 8];
-
-/// Kinds of the deployment whose workers differ.
-const KINDS: [Class; 3] = [
-    Class {
-        per_s: 6.5,
-        width: 5,
-        base: 2_100.0,
-        accelerators: SIZES,
-        gang: true,
-        same_rack: 0.5,
-        slack: 1.5,
-        target: Millis(250),
-        estimate_error: 0.18,
-    },
-    Class {
-        per_s: 1.2,
-        width: 13,
-        base: 7_200.0,
-        accelerators: SIZES,
-        gang: true,
-        same_rack: 0.0,
-        slack: 2.5,
-        target: Millis(1_000),
-        estimate_error: 0.9,
-    },
-    Class {
-        per_s: 1.2,
-        width: 39,
-        base: 6_500.0,
-        accelerators: &[1],
-        gang: false,
-        same_rack: 0.0,
-        slack: 4.0,
-        target: Millis(2_000),
-        estimate_error: 0.9,
-    },
-];
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Policy {
     None,
@@ -542,55 +490,3 @@
         println!("           urgent in time each 5 s: {}", windows.join(" "));
     }
 }
-
-fn subtask(job: &Text, index: usize) -> SubtaskId {
-    SubtaskId {
-        job: job.clone(),
-        occurrence: 0,
-        step: 0,
-        index,
-    }
-}
-
-fn info(i: usize) -> WorkerInfo {
-    WorkerInfo {
-        id: format!("w{i:04}").into(),
-        service: "svc".into(),
-        address: format!("127.0.0.1:{}", i + 1).into(),
-        machine: Some(format!("m{i}").into()),
-        zone: "z".into(),
-        draining: false,
-        remaining: None,
-        cold: None,
-        capacity: Resources {
-            cpu: 64_000,
-            memory_mb: 131_072,
-            accelerators: 8,
-        },
-        labels: vec!["a".into(), format!("r{:03}", i / WORKERS_PER_RACK).into()],
-        incarnation: 1,
-        clock: Millis(1),
-    }
-}
-
-fn config() -> Config {
-    let queue = |(i, c): (usize, &Class)| Queue {
-        name: format!("q{i}").into(),
-        host: "h".into(),
-        path_prefix: format!("/q{i}/").into(),
-        service: "svc".into(),
-        priority: i as u32,
-        max_attempts: 3,
-        slack_factor: c.slack,
-        target_latency: c.target,
-        public: false,
-        policy: None,
-    };
-    Config {
-        version: 1,
-        queues: KINDS.iter().enumerate().map(queue).collect(),
-        organisations: Vec::new(),
-        services_without_admission_check: Vec::new(),
-        max_body_bytes: 262_144,
-    }
-}
