batch: one computation of the critical path

The corrected objective repeated the loop of Job::critical_path; it calls it now. Behaviour is the same. Passed: clippy, fmt, and the tests speed_classes, speed_rules, overload_order, preemption_gain and waits.

--- a/crates/batch/src/expected.rs
+++ b/crates/batch/src/expected.rs
@@ -76,12 +76,8 @@
                 speed_class::scaled(median, 1.0 / r.max(f64::MIN_POSITIVE))
             })
         };
-        let mut ends: Vec<Millis> = Vec::with_capacity(job.accepted.spec.steps.len());
-        for step in &job.accepted.spec.steps {
-            let before = step.after.iter().map(|a| ends[*a]).max();
-            ends.push(before.unwrap_or_default() + corrected(step));
-        }
-        let path = ends.into_iter().max().unwrap_or_default();
+        let run_times: Vec<Millis> = job.accepted.spec.steps.iter().map(corrected).collect();
+        let path = job.critical_path(&run_times);
         speed_class::scaled(path, queue.slack_factor) + queue.target_latency
     }
 
--- a/crates/batch/src/ranking.rs
+++ b/crates/batch/src/ranking.rs
@@ -247,7 +247,7 @@
     }
 
     /// Returns the duration of the critical path through the steps with the given run times.
-    fn critical_path(&self, run_times: &[Millis]) -> Millis {
+    pub(crate) fn critical_path(&self, run_times: &[Millis]) -> Millis {
         let mut ends: Vec<Millis> = Vec::new();
         for (step, run_time) in self.accepted.spec.steps.iter().zip(run_times) {
             let before = step.after.iter().map(|a| ends[*a]).max();
