cli: crowds of callers that send without end, come again or read no answers

Processes beside endless chunk headers, heads and request lines, whole bodies that are large once decoded, requests in a row whose answers are not read, long paths, and crowds at the other addresses of a node, an entry and a scheduler. Checked: the process lives, memory and descriptors stay under a bound (half of the memory of the smallest VM), ordinary requests are answered beside the crowd and after it, callers are served in turn (by counts of answers, not by time), and the log of refused requests is bounded.

--- /dev/null
+++ b/crates/cli/tests/caller_crowd.rs
@@ -0,0 +1,485 @@
+//! Processes beside callers that send without end, hand in bodies that are large once decoded, leave
+//! their answers unread, or close and come again. Checked are the life of the process, its memory, its
+//! descriptors, and ordinary requests beside the crowd and after it; no times, and not which requests
+//! of the crowd are refused.
+
+mod cluster;
+mod common;
+
+use std::{
+    net,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time,
+};
+
+use cluster::{API_KEY, Cluster, TIMEOUT};
+use common::{
+    Builder, ORGANISATION_TOKEN, Process, System, crowd,
+    flood::{Flood, Script, Then},
+    wait_until,
+};
+use serde_json::json;
+
+/// Number of callers in a crowd.
+const CALLERS: usize = 64;
+/// Number of callers that send many requests one after the other.
+const REQUESTERS: usize = 200;
+/// Number of callers whose bodies are whole.
+const BODIES: usize = 100;
+/// Number of callers whose bodies are whole and do not fit in the memory for bodies together.
+const WHOLE_BODIES: usize = 600;
+/// Setting `connections` of the processes: room for each crowd and for ordinary callers.
+const CONNECTIONS: usize = 700;
+/// Setting `memory_mb` of the nodes.
+const MEMORY_MB: usize = 120;
+/// Maximum size of a body in the configuration, as in the users' own.
+const BODY_BYTES: usize = 256 << 10;
+/// Bytes that each caller sends in a line that has no end.
+const ENDLESS_BYTES: usize = 64 << 20;
+/// Bound of the memory of a process: half of that of the smallest VM.
+const MAX_MEMORY_KIB: u64 = 60 << 10;
+/// Bound of the descriptors beside those before the crowd and the setting `connections`: 64
+/// connections that get a refusal, and a few descriptors of the process's own.
+const MORE_DESCRIPTORS: usize = 64 + 16;
+/// Bound of the bytes that a process logs for one refused request.
+const LOG_BYTES_OF_REQUEST: usize = 512;
+/// Time after which ordinary requests are sent although the crowd still sends.
+const SENDING: time::Duration = time::Duration::from_secs(2);
+/// Number of ordinary requests beside a crowd.
+const ORDINARY: usize = 5;
+
+/// Keeps the tests of this file from running at once.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn alone() -> MutexGuard<'static, ()> {
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sends a crowd to `addr` and ordinary requests to `proc`.
+fn check(
+    proc: &mut Process,
+    addr: net::SocketAddr,
+    callers: usize,
+    scripts: &[Script],
+    ordinary: impl Fn(&str),
+) {
+    let pid = proc.pid();
+    let before = crowd::descriptors(pid);
+    let flood = Flood::start(addr, callers, scripts, SENDING);
+    proc.assert_running();
+    let descriptors = crowd::descriptors(pid);
+    for _ in 0..ORDINARY {
+        ordinary("beside the crowd");
+    }
+    proc.assert_running();
+    drop(flood);
+    ordinary("after the crowd");
+    proc.assert_running();
+    let memory = crowd::peak_memory_kib(pid);
+    println!("{callers} callers: {memory} KiB, {before} descriptors, then {descriptors}");
+    assert!(memory <= MAX_MEMORY_KIB, "{callers} callers: {memory} KiB");
+    let most = before + CONNECTIONS + MORE_DESCRIPTORS;
+    assert!(descriptors <= most, "{before}, then {descriptors}");
+}
+
+/// Returns a script that ends with a line of which only the begin is sent.
+fn endless(start: String) -> Script {
+    let start = start.into_bytes();
+    Script {
+        start,
+        repeated: b"yyyyyyyyyyyyyyyy".to_vec(),
+        times: ENDLESS_BYTES / 16,
+        then: Then::Stay,
+    }
+}
+
+fn once(request: String, then: Then) -> Script {
+    Script {
+        start: request.into_bytes(),
+        repeated: Vec::new(),
+        times: 0,
+        then,
+    }
+}
+
+fn many(request: String, then: Then) -> Script {
+    Script {
+        start: Vec::new(),
+        repeated: request.into_bytes(),
+        times: 1 << 20,
+        then,
+    }
+}
+
+fn authorization(key: Option<&str>) -> String {
+    key.map_or_else(String::new, |k| format!("authorization: Bearer {k}\r\n"))
+}
+
+/// Returns the request line and the headers of a request to a node.
+fn node_head(method: &str, id: usize, key: Option<&str>) -> String {
+    let key = authorization(key);
+    format!("{method} /q/{id:016x} HTTP/1.1\r\nhost: callers.example\r\n{key}")
+}
+
+fn with_body(head: &str, body: &str) -> String {
+    format!("{head}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+fn start_node(test: &str) -> Cluster {
+    let settings = json!({ "connections": CONNECTIONS, "memory_mb": MEMORY_MB });
+    let cluster = Cluster::start_with_settings(test, 1, 2, 300, &settings);
+    let mut config = cluster::config(2, &[API_KEY]);
+    config["limits"]["max-body-bytes"] = json!(BODY_BYTES);
+    cluster.store.put("op", "config", &config);
+    let larger = " ".repeat(30_000);
+    wait_until("the larger limit is in force", TIMEOUT, || {
+        let answer = cluster.call(0, "POST", "/q/x", API_KEY, &larger)?;
+        (answer.status == 400).then_some(())
+    });
+    cluster
+}
+
+/// Hands in a job and reads it.
+fn ordinary_job(addr: net::SocketAddr, when: &str) {
+    let step = json!({"count": 1, "cpu": 1_000, "mem-mb": 100, "gpu": 8, "estimated-ms": 500});
+    let body = json!({"spec": "work", "steps": [step]}).to_string();
+    for (method, body) in [("POST", body.as_str()), ("GET", "")] {
+        let status = send_ordinary(addr, method, body);
+        assert_eq!(status, Some(200), "{method} {when}");
+    }
+}
+
+fn send_ordinary(addr: net::SocketAddr, method: &str, body: &str) -> Option<u16> {
+    let bearer = format!("Bearer {API_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let path = "/q/0000000000000001";
+    let answer =
+        common::http::send_with_host("callers.example", addr, method, path, &headers, body);
+    answer.map(|a| a.status)
+}
+
+fn check_node(test: &str, callers: usize, scripts: &[Script]) {
+    let _alone = alone();
+    let mut cluster = start_node(test);
+    let mut proc = cluster.nodes.remove(0);
+    let addr = proc.http;
+    check(&mut proc, addr, callers, scripts, |when| {
+        ordinary_job(addr, when)
+    });
+}
+
+fn start_entry(test: &str) -> System {
+    let builder = Builder {
+        entries: 1,
+        schedulers: 1,
+        entry_settings: json!({"connections": CONNECTIONS, "body_memory_bytes": 4 << 20}),
+        ..Builder::default()
+    };
+    builder.start(test)
+}
+
+fn check_entry(test: &str, callers: usize, scripts: &[Script]) {
+    let _alone = alone();
+    let mut system = start_entry(test);
+    let mut proc = system.entries.remove(0);
+    let addr = proc.http;
+    check(&mut proc, addr, callers, scripts, |when| {
+        let answer = common::call(addr, "score", None);
+        let status = answer.as_ref().map(|a| a.status);
+        assert_eq!(status, Some(200), "{when}: {answer:?}");
+    });
+}
+
+fn entry_head(path: &str, key: Option<&str>) -> String {
+    format!("POST {path} HTTP/1.1\r\nhost: x\r\n{}", authorization(key))
+}
+
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+
+/// Returns a body of `BODY_BYTES` of a job with as many steps as fit.
+fn job_of(step: &str) -> String {
+    let steps = vec![step; (BODY_BYTES - 100) / (step.len() + 1)].join(",");
+    format!(r#"{{"spec":"work","steps":[{steps}]}}"#)
+}
+
+/// Returns scripts that hand in the body as jobs of different ids.
+fn submissions(body: &str, then: Then) -> Vec<Script> {
+    let submission = |id| once(with_body(&node_head("POST", id, Some(API_KEY)), body), then);
+    (0..BODIES).map(|i| submission(0x1000 + i)).collect()
+}
+
+/// Guards against a node that keeps the header of a chunk until its end.
+#[test]
+fn a_node_stands_chunk_headers_without_end() {
+    for key in [Some(API_KEY), None] {
+        for callers in [1, CALLERS] {
+            let head = node_head("POST", 0xaa, key);
+            let script = endless(format!("{head}{CHUNKED}1;x="));
+            check_node("chunk-headers", callers, &[script]);
+        }
+    }
+}
+
+/// Guards against a node that keeps the header of a chunk behind many small ones.
+#[test]
+fn a_node_stands_chunk_headers_without_end_after_chunks() {
+    let head = node_head("POST", 0xaa, Some(API_KEY));
+    let chunks = "1\r\n \r\n".repeat(100);
+    let script = endless(format!("{head}{CHUNKED}{chunks}1;x="));
+    check_node("late-chunk-headers", CALLERS, &[script]);
+}
+
+/// Guards against a node that keeps the size of a chunk, which may begin with any number of zeros.
+#[test]
+fn a_node_stands_chunk_sizes_of_zeros() {
+    let head = node_head("POST", 0xaa, Some(API_KEY));
+    let script = Script {
+        repeated: b"0000000000000000".to_vec(),
+        ..endless(format!("{head}{CHUNKED}"))
+    };
+    check_node("chunk-zeros", CALLERS, &[script]);
+}
+
+/// Guards against a node that keeps request lines, headers or trailers without end.
+#[test]
+fn a_node_stands_lines_without_end() {
+    let head = node_head("POST", 0xaa, Some(API_KEY));
+    let starts = [
+        "GET /".to_owned(),
+        format!("{head}x: "),
+        format!("{head}{CHUNKED}0\r\nx: "),
+    ];
+    check_node("endless-lines", CALLERS, &starts.map(endless));
+}
+
+/// Guards against a node that keeps the fields of heads without end.
+#[test]
+fn a_node_stands_heads_of_many_fields() {
+    let script = Script {
+        start: node_head("POST", 0xaa, Some(API_KEY)).into_bytes(),
+        repeated: b"a:b\r\n".to_vec(),
+        times: ENDLESS_BYTES / 5,
+        then: Then::Stay,
+    };
+    check_node("many-fields", CALLERS, &[script]);
+}
+
+/// Guards against a node whose account of bodies is wrong after some that were whole had to give way.
+#[test]
+fn a_node_stands_whole_bodies_that_give_way() {
+    let _alone = alone();
+    let mut cluster = start_node("whole-bodies");
+    let mut proc = cluster.nodes.remove(0);
+    let addr = proc.http;
+    let scripts = submissions(&job_of("{}"), Then::Stay);
+    check(&mut proc, addr, WHOLE_BODIES, &scripts, |when| {
+        ordinary_job(addr, when);
+    });
+    wait_until("no body is under way", TIMEOUT, || {
+        let answer = common::get(cluster.operator_addrs[0], "/metrics")?;
+        let text = answer.body.as_str()?.to_owned();
+        let is_zero = |name: &str| {
+            let mut lines = text.lines().filter(|l| l.starts_with(name));
+            lines.any(|l| l.ends_with(" 0"))
+        };
+        (is_zero("node_body_bytes") && is_zero("node_open_bodies")).then_some(())
+    });
+}
+
+/// Guards against a node that decodes more steps than a job may have.
+#[test]
+fn a_node_stands_jobs_of_empty_steps() {
+    let body = job_of("{}");
+    check_node("empty-steps", BODIES, &submissions(&body, Then::Stay));
+    check_node("empty-steps", BODIES, &submissions(&body, Then::ComeAgain));
+}
+
+/// Guards against a node that keeps the decoded form of many jobs.
+#[test]
+fn a_node_stands_jobs_of_many_steps() {
+    let body = job_of(r#"{"count":1}"#);
+    check_node("many-steps", BODIES, &submissions(&body, Then::ComeAgain));
+    // The record of a job of 150 steps is still stored.
+    let steps = vec![r#"{"count":1}"#; 150].join(",");
+    let body = format!(r#"{{"spec":"work","steps":[{steps}]}}"#);
+    check_node("valid-steps", BODIES, &submissions(&body, Then::ComeAgain));
+}
+
+/// Guards against a node that decodes any number of dependencies.
+#[test]
+fn a_node_stands_jobs_of_many_dependencies() {
+    let step = format!(
+        r#"{{"count":1,"after":[{}0]}}"#,
+        "0,".repeat(BODY_BYTES / 2 - 100)
+    );
+    let body = format!(r#"{{"spec":"work","steps":[{{"count":1}},{step}]}}"#);
+    let body = &body[..];
+    check_node("dependencies", BODIES, &submissions(body, Then::ComeAgain));
+}
+
+/// Guards against a node whose callers come again with whole bodies and with bodies that stop short.
+#[test]
+fn a_node_stands_callers_that_come_again() {
+    let body = " ".repeat(BODY_BYTES);
+    let script = |i: usize| {
+        let whole = with_body(&node_head("POST", i, Some(API_KEY)), &body);
+        let len = if i == 0 { whole.len() } else { whole.len() - 1 };
+        once(whole[..len].to_owned(), Then::ComeAgain)
+    };
+    let scripts: Vec<Script> = (0..5).map(script).collect();
+    check_node("again", REQUESTERS, &scripts);
+}
+
+/// Guards against a node that answers without end what nobody reads.
+#[test]
+fn a_node_stands_requests_whose_answers_are_not_read() {
+    for key in [Some(API_KEY), None] {
+        let request = format!("{}\r\n", node_head("GET", 0xaa, key));
+        let script = many(request, Then::Stay);
+        check_node("unread-answers", REQUESTERS, &[script]);
+    }
+}
+
+/// Guards against a node that answers a caller's requests one after the other while others wait: until
+/// an ordinary request is answered, each other caller gets fewer than two answers on average.
+#[test]
+fn a_node_serves_callers_in_turn() {
+    let _alone = alone();
+    for key in [Some(API_KEY), None] {
+        let mut cluster = start_node("in-turn");
+        let mut proc = cluster.nodes.remove(0);
+        let request = format!("{}\r\n", node_head("GET", 0xaa, key));
+        let script = many(request, Then::Read);
+        let flood = Flood::start(proc.http, REQUESTERS, &[script], SENDING);
+        wait_until("the crowd is served", TIMEOUT, || {
+            (flood.answers() > 10 * REQUESTERS).then_some(())
+        });
+        let counts = (0..ORDINARY).map(|_| {
+            let before = flood.answers();
+            assert_eq!(send_ordinary(proc.http, "GET", ""), Some(410));
+            flood.answers() - before
+        });
+        let counts: Vec<usize> = counts.collect();
+        println!("answers of the crowd before an ordinary one: {counts:?}");
+        let fair = |n: &usize| *n <= 2 * REQUESTERS;
+        assert!(counts.iter().all(fair), "key {key:?}: {counts:?}");
+        proc.assert_running();
+    }
+}
+
+/// Guards against a node that logs as much as callers send.
+#[test]
+fn a_node_logs_little_of_refused_requests() {
+    let _alone = alone();
+    let mut cluster = start_node("log-bytes");
+    let mut proc = cluster.nodes.remove(0);
+    let before = proc.log().len();
+    let path = "x".repeat(8 << 10);
+    for key in [Some(API_KEY), None] {
+        let key = authorization(key);
+        let request = format!("GET /q/{path} HTTP/1.1\r\nhost: callers.example\r\n{key}\r\n");
+        let script = Script {
+            times: 10,
+            ..many(request, Then::Read)
+        };
+        let flood = Flood::start(proc.http, CALLERS, &[script], SENDING);
+        wait_until("the crowd is answered", TIMEOUT, || {
+            (flood.answers() >= 10 * CALLERS).then_some(())
+        });
+    }
+    proc.assert_running();
+    let bytes = proc.log().len() - before;
+    println!("{bytes} bytes for {} requests", 20 * CALLERS);
+    assert!(
+        bytes <= 20 * CALLERS * LOG_BYTES_OF_REQUEST,
+        "{bytes} bytes"
+    );
+}
+
+/// Guards against a node whose other addresses have no bounds.
+#[test]
+fn a_node_stands_crowds_at_its_other_addresses() {
+    for (i, path) in ["/dump", "/metrics", "/-/readiness"].iter().enumerate() {
+        let head = format!("GET {path} HTTP/1.1\r\nhost: x\r\n");
+        let scripts = [
+            many(format!("{head}\r\n"), Then::Stay),
+            endless(format!("{head}{CHUNKED}1;x=")),
+        ];
+        for script in scripts {
+            let _alone = alone();
+            let mut cluster = start_node("other-addresses");
+            let mut proc = cluster.nodes.remove(0);
+            let addr = [cluster.operator_addrs[0], cluster.ready_addrs[0]][i / 2];
+            let ordinary = proc.http;
+            check(&mut proc, addr, CALLERS, &[script], |when| {
+                ordinary_job(ordinary, when);
+            });
+        }
+    }
+}
+
+/// Guards against an entry that keeps the header of a chunk until its end.
+#[test]
+fn an_entry_stands_chunk_headers_without_end() {
+    for key in [Some(ORGANISATION_TOKEN), None] {
+        for callers in [1, CALLERS] {
+            let head = entry_head("/call/refund/score", key);
+            let script = endless(format!("{head}{CHUNKED}1;x="));
+            check_entry("entry-chunk-headers", callers, &[script]);
+        }
+    }
+}
+
+/// Guards against an entry that keeps request lines, headers or trailers without end.
+#[test]
+fn an_entry_stands_lines_without_end() {
+    let head = entry_head("/call/refund/score", Some(ORGANISATION_TOKEN));
+    let starts = [
+        "GET /".to_owned(),
+        format!("{head}x: "),
+        format!("{head}{CHUNKED}0\r\nx: "),
+    ];
+    check_entry("entry-lines", CALLERS, &starts.map(endless));
+}
+
+/// Guards against an entry that answers without end what nobody reads.
+#[test]
+fn an_entry_stands_requests_whose_answers_are_not_read() {
+    for path in ["/dump", "/metrics", "/jobs", "/x"] {
+        println!("{path}");
+        let key = authorization(Some(ORGANISATION_TOKEN));
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\n{key}\r\n");
+        check_entry("entry-unread", REQUESTERS, &[many(request, Then::Stay)]);
+    }
+}
+
+/// Guards against an entry that decodes more records than a change may have.
+#[test]
+fn an_entry_stands_jobs_of_many_fields() {
+    let values = "0,".repeat(BODY_BYTES);
+    let body = format!(r#"{{"schema":2,"kind":"job","name":"x","steps":[{values}0]}}"#);
+    let request = with_body(&entry_head("/jobs", Some(ORGANISATION_TOKEN)), &body);
+    check_entry("entry-jobs", BODIES, &[once(request, Then::ComeAgain)]);
+}
+
+/// Guards against a scheduler whose address for operators has no bounds.
+#[test]
+fn a_scheduler_stands_crowds() {
+    let head = "GET /dump HTTP/1.1\r\nhost: x\r\n";
+    let scripts = [
+        many(format!("{head}\r\n"), Then::Stay),
+        endless(format!("{head}{CHUNKED}1;x=")),
+    ];
+    for script in scripts {
+        let _alone = alone();
+        let mut system = start_entry("scheduler-crowd");
+        let mut proc = system.schedulers.remove(0);
+        let (addr, entry) = (proc.http, system.entries[0].http);
+        check(&mut proc, addr, CALLERS, &[script], |when| {
+            let status = common::get(addr, "/ready").map(|a| a.status);
+            assert_eq!(status, Some(200), "{when}");
+            let status = common::call(entry, "score", None).map(|a| a.status);
+            assert_eq!(status, Some(200), "{when}");
+        });
+    }
+}
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 pub mod crowd;
+pub mod flood;
 pub mod http;
 pub mod keep_alive;
 pub mod open_callers;
