serve: a body that gave way is not completed

Seen by callers: beside 600 whole bodies of 256 KiB the process ended ("attempt to subtract with overflow", then a panic in a destructor); a release build wrapped instead, and each such body raised the limit for good.

Cause: a body that was told to give way may be read whole in the same turn of the runtime. Budget::complete then made Shed into Whole, and end took its bytes from its organisation a second time and never from those that leave.

Change: complete keeps the state of a body that gives way and says so; its reader refuses it like any other that gave way. Its bytes have been granted to others already, so keeping it would exceed the limit.

--- a/crates/cli/tests/caller_crowd.rs
+++ b/crates/cli/tests/caller_crowd.rs
@@ -164,7 +164,7 @@
     let mut proc = cluster.nodes.remove(0);
     let addr = proc.http;
     check(&mut proc, addr, callers, scripts, |when| {
-        ordinary_job(addr, when)
+        ordinary_job(addr, when);
     });
 }
 
--- a/crates/serve/src/bodies.rs
+++ b/crates/serve/src/bodies.rs
@@ -207,8 +207,12 @@
             result = reader.read_in_time(payload) => result,
             () = told.notified() => Err(BodyError::Full),
         };
+        // The body may have given way in the turn of the runtime in which its end arrived.
+        let result = result.and_then(|bytes| {
+            let stays = self.budget.borrow_mut().complete(id);
+            stays.then_some(bytes).ok_or(BodyError::Full)
+        });
         let bytes = result.inspect_err(|e| self.count_refusal(*e, spec.organisation.as_deref()))?;
-        self.budget.borrow_mut().complete(id);
         Ok(Body { bytes, memory })
     }
 
--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -158,11 +158,17 @@
         Decision::Granted(shed)
     }
 
-    /// Marks a body as read whole: it does not give way any more.
-    pub fn complete(&mut self, id: u64) {
-        if let Some(i) = self.position(id) {
-            self.open[i].state = State::Whole;
+    /// Marks a body as read whole, so that it does not give way any more. Returns `false` if it has given
+    /// way before: its bytes have been granted to others.
+    pub fn complete(&mut self, id: u64) -> bool {
+        let Some(i) = self.position(id) else {
+            return false;
+        };
+        if self.open[i].state == State::Shed {
+            return false;
         }
+        self.open[i].state = State::Whole;
+        true
     }
 
     /// Removes a body and frees its bytes.
--- a/crates/serve/tests/budget.rs
+++ b/crates/serve/tests/budget.rs
@@ -145,6 +145,63 @@
     }
 }
 
+/// What happens to one of two bodies.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Reserve,
+    Shed,
+    Complete,
+    End,
+}
+
+const EVENTS: [Event; 4] = [Event::Reserve, Event::Shed, Event::Complete, Event::End];
+
+/// Returns all sequences of `len` events, each of one of two bodies.
+fn sequences(len: u32) -> impl Iterator<Item = Vec<(usize, Event)>> {
+    let kinds = 2 * EVENTS.len();
+    (0..kinds.pow(len)).map(move |number| {
+        let digits = (0..len).map(|i| number / kinds.pow(i) % kinds);
+        digits.map(|d| (d % 2, EVENTS[d / 2])).collect()
+    })
+}
+
+/// Guards against bytes that are taken from an account twice, or stay in it, whatever the order in
+/// which bodies give way, are read whole and end.
+#[test]
+fn every_order_of_events_frees_all_bytes() {
+    for events in sequences(5) {
+        let mut budget = Budget::new(LIMIT);
+        let ids = [1, 2].map(|_| budget.begin(Some(name("a")), None, Millis(0)));
+        for (time, (i, event)) in (1..).zip(&events) {
+            let now = Millis(1_000 * time);
+            match event {
+                Event::Reserve => drop(budget.reserve(ids[*i], 600_000, now)),
+                Event::Shed => drop(budget.shed_one(now)),
+                Event::Complete => drop(budget.complete(ids[*i])),
+                Event::End => budget.end(ids[*i]),
+            }
+        }
+        ids.into_iter().for_each(|id| budget.end(id));
+        assert_eq!((budget.used(), budget.bodies()), (0, 0), "{events:?}");
+        begin(&mut budget, "a", 900_000, Millis(9_000));
+        let second = budget.begin(Some(name("a")), None, Millis(9_000));
+        let decision = budget.reserve(second, 900_000, Millis(9_000));
+        assert_eq!(decision, Decision::Shed, "{events:?}");
+    }
+}
+
+/// Guards against a body that was told to give way and is kept all the same.
+#[test]
+fn a_body_that_gives_way_is_not_completed() {
+    let mut budget = Budget::new(LIMIT);
+    let body = begin(&mut budget, "a", 900_000, Millis(0));
+    assert_eq!(budget.shed_one(Millis(1_000)), Some(body));
+    assert!(!budget.complete(body));
+    let other = begin(&mut budget, "a", 900_000, Millis(1_000));
+    assert!(budget.complete(other));
+    assert_eq!(budget.shed_one(Millis(9_000)), None);
+}
+
 /// Guards against chunks that together take the processor, and against waits that only grow.
 #[test]
 fn chunks_are_read_at_a_bounded_pace() {
