serve: bytes that are not decoded have a limit on every connection

Seen by callers: one connection that sends a chunk header without end (`1;x=yyyy...`) as fast as it is taken stopped a node: 503 beside it, 78 MB in a release build after 2 s, 236 to 276 MB beside 64 of them; entries the same.

Cause: the HTTP library keeps the header of a chunk until its end and asks for more although its read buffer is full, so neither the header nor the buffer has a limit, and it looks for the end again after each read.

Change: a filter on each connection of callers, operators and the readiness check (node, entry, scheduler) closes it when more than 18 KiB wait to be decoded: the largest head and one read. Heads over the limit are still refused with 431. Counted as cause "line" among the refused bodies.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -47,7 +47,7 @@
     match error {
         BodyError::TooLarge => too_large(),
         BodyError::Chunks => Refusal::not_run(Code::BodyTooLarge, "the body has too many chunks"),
-        BodyError::Broken => Refusal::not_run(
+        BodyError::Broken | BodyError::Line => Refusal::not_run(
             Code::BodyIncomplete,
             "the body could not be read: it is incomplete or malformed",
         ),
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -6,14 +6,14 @@
 use derive_more::{Display, Error, From};
 use ntex::{
     SharedCfg,
-    http::{HttpService, HttpServiceConfig, h1::Control},
-    io::Filter,
+    http::{HttpService, HttpServiceConfig, error::DispatchError, h1::Control},
+    io::{Filter, Io},
     rt, server,
-    service::fn_service,
+    service::{chain_factory, fn_service},
     time::Seconds,
     web,
 };
-use serve::Signals;
+use serve::{Bodies, Signals};
 use store::table::StoreError;
 use tokio::{sync::watch, time};
 
@@ -176,10 +176,16 @@
                 async move { answer(cx, req, payload).await }
             },
         ));
-        HttpService::new(app).h1_control(fn_service(move |control| {
+        let bodies = cx.as_ref().map_or_else(no_bodies, |cx| cx.bodies.clone());
+        let limit = fn_service(move |io: Io| {
+            let io = serve::limit_reads(io, bodies.clone());
+            async move { Ok::<_, DispatchError>(io) }
+        });
+        let http = HttpService::new(app).h1_control(fn_service(move |control| {
             let ack = on_control(cx.as_ref(), control);
             async move { Ok::<_, io::Error>(ack) }
-        }))
+        }));
+        chain_factory(limit).and_then(http)
     };
     let server = server::build()
         .workers(1)
@@ -312,3 +318,8 @@
         }
     }
 }
+
+/// Returns the budget of an entry whose state could not be built, which serves no body.
+fn no_bodies() -> Rc<Bodies> {
+    Rc::new(Bodies::new(0, 1))
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -199,7 +199,7 @@
     };
     result.map_err(|e| match e {
         BodyError::TooLarge => Refusal::TooLarge,
-        BodyError::Broken => Refusal::Invalid,
+        BodyError::Broken | BodyError::Line => Refusal::Invalid,
         BodyError::TooSlow => Refusal::SlowBody,
         BodyError::Full => Refusal::BodiesFull,
         BodyError::Chunks => Refusal::Chunks,
--- a/crates/serve/src/bodies.rs
+++ b/crates/serve/src/bodies.rs
@@ -56,16 +56,20 @@
     /// The body has too many chunks.
     #[display("chunks")]
     Chunks,
+    /// The header of a chunk, or a head, has no end within the limit.
+    #[display("line")]
+    Line,
 }
 
 impl BodyError {
     /// All causes.
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::TooLarge,
         Self::Broken,
         Self::TooSlow,
         Self::Full,
         Self::Chunks,
+        Self::Line,
     ];
 }
 
@@ -240,7 +244,7 @@
         }
     }
 
-    fn count_refusal(&self, error: BodyError, organisation: Option<&str>) {
+    pub(crate) fn count_refusal(&self, error: BodyError, organisation: Option<&str>) {
         let now = clock::now();
         let mut refused = self.refused.borrow_mut();
         let refused = refused.get_or_default(error);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -4,12 +4,14 @@
 pub mod budget;
 pub mod chunk_pace;
 mod connections;
+mod read_limit;
 mod signals;
 
 use std::{io, net, rc::Rc};
 
 pub use bodies::{Bodies, Body, BodyError, BodySpec, Memory, declared_length};
 pub use connections::{Callers, Connections};
+pub use read_limit::{ReadLimit, limit_reads};
 pub use signals::{Signals, survive_hang_up};
 
 use base::clock::Millis;
@@ -19,7 +21,7 @@
         HttpService, HttpServiceConfig, Request, Response,
         error::{DispatchError, HttpError},
     },
-    io::{Io, IoConfig},
+    io::{Base, Io, IoConfig},
     rt, time,
 };
 use tokio::net::TcpListener;
@@ -33,8 +35,6 @@
 const MAX_REFUSED_BODY: usize = 256 << 10;
 /// Time in which such a body has to arrive.
 const REFUSED_BODY_TIMEOUT: Millis = Millis(500);
-/// Maximum size of the head of a request, which the library keeps until it is complete.
-const MAX_HEAD: usize = 16 << 10;
 /// Time in which the first request on the connections that were accepted last has to arrive.
 const LAST_REQUEST_DELAY: time::Millis = time::Millis(100);
 /// Free bytes of a connection's read buffer below which it grows.
@@ -103,7 +103,7 @@
     let http_cfg = HttpServiceConfig::new()
         .set_keepalive_timeout(limits.idle_timeout)
         .set_client_timeout(limits.head_timeout);
-    let http_cfg = http_cfg.set_max_buf_size(MAX_HEAD);
+    let http_cfg = http_cfg.set_max_buf_size(read_limit::MAX_HEAD);
     let cfg: SharedCfg = SharedCfg::new(name).add(http_cfg).add(io_config()).into();
     let http = http_service(cfg.clone(), connections.clone(), handler).await?;
     let refusing = connections.clone();
@@ -123,6 +123,7 @@
         let Ok(io) = io.and_then(|()| rt::from_tcp_stream(stream, cfg.clone())) else {
             return;
         };
+        let io = limit_reads(io, connections.bodies().clone());
         let guard = connections.guard(io.get_ref());
         let (http, busy) = (http.clone(), busy.clone());
         rt::spawn(async move {
@@ -167,16 +168,19 @@
     for _ in 0..READ_TURNS {
         tokio::task::yield_now().await;
     }
-    tokio::join!(http.shutdown::<Io>(), busy.shutdown::<Io>());
+    tokio::join!(http.shutdown::<CallerIo>(), busy.shutdown::<CallerIo>());
     connections.ended().await;
     Ok(())
 }
 
+/// Connection of a caller.
+type CallerIo = Io<ReadLimit<Base>>;
+
 async fn http_service<F, R>(
     cfg: SharedCfg,
     connections: Connections,
     handler: F,
-) -> io::Result<Pipeline<impl Service<Io, Error = DispatchError>>>
+) -> io::Result<Pipeline<impl Service<CallerIo, Error = DispatchError>>>
 where
     F: Fn(Request) -> R + 'static,
     R: Future<Output = Response> + 'static,
@@ -196,7 +200,7 @@
             Ok::<_, HttpError>(response)
         }
     }));
-    let http = ServiceFactory::<Io, SharedCfg>::create(&http, cfg).await;
+    let http = ServiceFactory::<CallerIo, SharedCfg>::create(&http, cfg).await;
     let http = http.map_err(|()| io::Error::other("cannot create the HTTP service"))?;
     Ok(Pipeline::new(http))
 }
--- a/crates/serve/tests/bodies.rs
+++ b/crates/serve/tests/bodies.rs
@@ -135,3 +135,29 @@
     let answer = exchange(vec![head.into_bytes()], time::Duration::ZERO);
     assert!(answer.ends_with("\r\n\r\n2"), "{answer}");
 }
+
+/// Guards against a header of a chunk that is kept until its end, whatever its length.
+#[test]
+fn a_chunk_header_without_end_closes_its_connection() {
+    let parts = vec![chunked(), b"1;x=".to_vec(), vec![b'y'; 64 << 10]];
+    let answer = exchange(parts, time::Duration::from_millis(20));
+    assert_eq!(answer, "");
+}
+
+/// Guards against a limit that legal extensions of chunks meet.
+#[test]
+fn a_chunk_with_an_extension_is_read() {
+    let mut text = format!("2;x={}\r\nab\r\n", "y".repeat(8 << 10)).into_bytes();
+    text.extend_from_slice(b"0\r\n\r\n");
+    let answer = exchange(vec![chunked(), text], time::Duration::ZERO);
+    assert!(answer.ends_with("\r\n\r\n2"), "{answer}");
+}
+
+/// Guards against a head over the limit that is refused without an answer.
+#[test]
+fn a_head_over_the_limit_is_refused_with_an_answer() {
+    let filler = "y".repeat((16 << 10) + 64);
+    let head = format!("POST / HTTP/1.1\r\nhost: x\r\nx-filler: {filler}");
+    let answer = exchange(vec![head.into_bytes()], time::Duration::ZERO);
+    assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+}
--- a/crates/serve/tests/budget.rs
+++ b/crates/serve/tests/budget.rs
@@ -181,7 +181,9 @@
                 Event::End => budget.end(ids[*i]),
             }
         }
-        ids.into_iter().for_each(|id| budget.end(id));
+        for id in ids {
+            budget.end(id);
+        }
         assert_eq!((budget.used(), budget.bodies()), (0, 0), "{events:?}");
         begin(&mut budget, "a", 900_000, Millis(9_000));
         let second = budget.begin(Some(name("a")), None, Millis(9_000));
