node: a job is decoded up to its first invalid step and kept as its record

Seen by callers: 100 bodies of 256 KiB of empty steps took a node to 72 MB, 600 to over 73 MB (debug); a single one takes 24 MB.

Cause: a body was decoded whole before the number of its steps was checked, and a step is two hundred bytes where its text is three. The decoded form, the body and the record were all kept while the store was called, and only twice the body counted against the memory for bodies.

Change: StepList checks each step as it is decoded (no step without subtasks, 6,000 subtasks in all, as before). Decoding doesn't wait, so there is one decoded job at a time; a request keeps its record only. The account of its body is changed to what the record takes during its transaction, and may have to wait for others.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -141,6 +141,26 @@
 }
 
 impl Step {
+    /// Checks the step at index `i` of a job.
+    fn check(&self, i: usize) -> Result<(), SpecError> {
+        if self.count == 0 {
+            return Err(SpecError::NoSubtasks(i));
+        }
+        if self.after.iter().any(|a| *a >= i) {
+            return Err(SpecError::After(i));
+        }
+        let Resources {
+            cpu,
+            memory_mb,
+            accelerators,
+        } = self.need;
+        let amounts = [cpu, memory_mb, accelerators, self.estimate.0];
+        if amounts.into_iter().any(|a| a > MAX_AMOUNT) {
+            return Err(SpecError::Amount(i));
+        }
+        Ok(())
+    }
+
     /// Returns the resources that a subtask reserves on a worker. A subtask that uses only idle
     /// processor time reserves none of it.
     pub fn reserved(&self) -> Resources {
@@ -254,24 +274,48 @@
             return Err(SpecError::Subtasks(subtasks));
         }
         for (i, step) in self.steps.iter().enumerate() {
-            if step.count == 0 {
-                return Err(SpecError::NoSubtasks(i));
-            }
-            if step.after.iter().any(|a| *a >= i) {
-                return Err(SpecError::After(i));
-            }
-            let Resources {
-                cpu,
-                memory_mb,
-                accelerators,
-            } = step.need;
-            let amounts = [cpu, memory_mb, accelerators, step.estimate.0];
-            if amounts.into_iter().any(|a| a > MAX_AMOUNT) {
-                return Err(SpecError::Amount(i));
-            }
+            step.check(i)?;
+        }
+        Ok(())
+    }
+}
+
+/// Steps of a job that is decoded, each checked before it is kept, so that a body with more steps than a
+/// job may have takes no more memory than a valid one.
+///
+/// ```
+/// use batch::job::{SpecError, Step, StepList};
+/// let mut list = StepList::default();
+/// list.push(Step { count: 2, ..Step::default() }).unwrap();
+/// assert_eq!(list.push(Step::default()), Err(SpecError::NoSubtasks(1)));
+/// assert_eq!(list.into_steps().len(), 1);
+/// ```
+#[derive(Debug, Default)]
+pub struct StepList {
+    steps: Vec<Step>,
+    subtasks: u64,
+}
+
+impl StepList {
+    /// Adds the next step.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first limit that the step violates, alone or together with those before it.
+    pub fn push(&mut self, step: Step) -> Result<(), SpecError> {
+        step.check(self.steps.len())?;
+        self.subtasks += u64::from(step.count);
+        if self.subtasks > MAX_SUBTASKS {
+            return Err(SpecError::Subtasks(self.subtasks));
         }
+        self.steps.push(step);
         Ok(())
     }
+
+    /// Returns the steps.
+    pub fn into_steps(self) -> Vec<Step> {
+        self.steps
+    }
 }
 
 /// Stored record of an accepted job.
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -8,6 +8,7 @@
 use ntex::http::Response;
 use platform::job;
 use serde::Deserialize;
+use serve::{Body, BodyError};
 use store::table::{Commit, Row, StoreError, Txn};
 
 use crate::{
@@ -23,42 +24,96 @@
 /// Duration of the reads for an answer from which on they are logged.
 const SLOW_READ: Millis = Millis(1_000);
 
+/// Copies of a job's record during its transaction: the record, its base64 in the request, and the
+/// request as it is sent.
+const RECORD_COPIES: usize = 4;
+
 /// Maximum age of the number of pending jobs that callers are told.
 const MAX_COUNT_AGE: Millis = Millis(2_000);
 
+/// A job in the form in which it is stored. The decoded one, which is many times larger, is dropped
+/// before the store is called.
+struct Submission<'a> {
+    authorised: &'a Authorised,
+    record: String,
+}
+
+impl<'a> Submission<'a> {
+    /// Decodes and checks the body of a submission.
+    fn decode(cx: &Cx, authorised: &'a Authorised, body: &[u8]) -> Result<Self, Refusal> {
+        let spec = job::decode(body).map_err(|reason| {
+            log::info!(job = authorised.path_suffix, reason; "accept: invalid job");
+            Refusal::Invalid
+        })?;
+        let accepted = AcceptedJob {
+            id: authorised.path_suffix.as_str().into(),
+            queue: authorised.queue.name.clone(),
+            service: authorised.queue.service.clone(),
+            organisation: authorised.organisation.clone(),
+            at: clock::wall(),
+            spec,
+        };
+        let record = rows::to_json(&JobRow {
+            job: &accepted,
+            stored_at: cx.store_clock.now(),
+        });
+        if record.len() > cx.cfg.row_bytes {
+            let (bytes, max) = (record.len(), cx.cfg.row_bytes);
+            let reason = SpecError::Record { bytes, max };
+            log::info!(job:% = accepted.id, reason:%; "accept: invalid job");
+            return Err(Refusal::TooLarge);
+        }
+        Ok(Self { authorised, record })
+    }
+
+    fn id(&self) -> &str {
+        &self.authorised.path_suffix
+    }
+
+    fn organisation(&self) -> Option<&Text> {
+        self.authorised.organisation.as_ref()
+    }
+
+    /// Checks that a stored job is the one that was submitted, by its organisation, queue and work. An
+    /// id belongs to one job of the whole deployment, because workers know subtasks by it.
+    fn check_same(&self, row: &Row) -> Result<(), Refusal> {
+        let known = rows::from_json::<AcceptedJob>(row);
+        let submitted = serde_json::from_str::<AcceptedJob>(&self.record).ok();
+        let (Some(known), Some(submitted)) = (known, submitted) else {
+            return Err(Refusal::Unknown);
+        };
+        if submitted.is_repetition_of(&known) {
+            return Ok(());
+        }
+        log::info!(
+            job:% = submitted.id, queue:% = submitted.queue, organisation = submitted.organisation.as_deref(),
+            stored_queue:% = known.queue, stored_organisation = known.organisation.as_deref(),
+            stored_version = row.version;
+            "accept: another job has the id"
+        );
+        Err(Refusal::IdInUse)
+    }
+}
+
 /// Stores a job, which is accepted once it is stored. A repeated submission has no further effect.
 pub(crate) async fn submit(
     cx: &Cx,
     authorised: &Authorised,
-    body: &[u8],
+    body: Body,
     deadline: Millis,
 ) -> Result<Response, Refusal> {
-    let spec = job::decode(body).map_err(|reason| {
-        log::info!(job = authorised.path_suffix, reason; "accept: invalid job");
-        Refusal::Invalid
-    })?;
-    let accepted = AcceptedJob {
-        id: authorised.path_suffix.as_str().into(),
-        queue: authorised.queue.name.clone(),
-        service: authorised.queue.service.clone(),
-        organisation: authorised.organisation.clone(),
-        at: clock::wall(),
-        spec,
-    };
-    let record = rows::to_json(&JobRow {
-        job: &accepted,
-        stored_at: cx.store_clock.now(),
-    });
-    if record.len() > cx.cfg.row_bytes {
-        let (bytes, max) = (record.len(), cx.cfg.row_bytes);
-        let reason = SpecError::Record { bytes, max };
-        log::info!(job:% = accepted.id, reason:%; "accept: invalid job");
-        return Err(Refusal::TooLarge);
-    }
-    let mut write = RetriedWrite::new(Request::Submission, &accepted.id, deadline);
-    let stored = store_job(cx, &mut write, &accepted, &record).await?;
+    let submission = Submission::decode(cx, authorised, &body.bytes)?;
+    let memory = body.into_memory();
+    let resized = memory.resize(submission.record.len() * RECORD_COPIES);
+    let remaining = deadline.since(clock::now()).to_duration();
+    let resized = tokio::time::timeout(remaining, resized).await;
+    resized
+        .unwrap_or(Err(BodyError::TooSlow))
+        .map_err(Refusal::of_body)?;
+    let mut write = RetriedWrite::new(Request::Submission, submission.id(), deadline);
+    let stored = store_job(cx, &mut write, &submission).await?;
     log::info!(
-        job:% = accepted.id, queue:% = accepted.queue, organisation = accepted.organisation.as_deref(),
+        job = submission.id(), queue:% = authorised.queue.name, organisation = submission.organisation().map(|o| &**o),
         config = cx.config().version, version = stored.version, known = stored.known,
         age_ms = stored.age.map(|a| a.0), tries = write.tries(), unknown = write.is_unknown(),
         ms = write.age().0;
@@ -90,16 +145,18 @@
 async fn store_job(
     cx: &Cx,
     write: &mut RetriedWrite,
-    accepted: &AcceptedJob,
-    record: &str,
+    submission: &Submission<'_>,
 ) -> Result<AcceptedRow, Refusal> {
-    let (job, cancel) = (rows::job_key(&accepted.id), rows::cancel_key(&accepted.id));
+    let (job, cancel) = (
+        rows::job_key(submission.id()),
+        rows::cancel_key(submission.id()),
+    );
     let mut cancel_version = 0;
     loop {
         let txn = Txn::default()
             .check(job.clone(), 0)
             .check(cancel.clone(), cancel_version)
-            .put(job.clone(), record.to_owned());
+            .put(job.clone(), submission.record.clone());
         if let Commit::Done { version } = write.commit(cx, &txn).await? {
             return Ok(AcceptedRow {
                 version,
@@ -107,19 +164,19 @@
                 age: None,
             });
         }
-        let stored = read_job(cx, &accepted.id).await;
+        let stored = read_job(cx, submission.id()).await;
         let stored = stored.map_err(|_| write.refusal())?;
         if let Some(row) = &stored.job {
-            check_same(accepted, row)?;
+            submission.check_same(row)?;
             return Ok(AcceptedRow {
                 version: row.version,
                 known: true,
                 age: rows::age_of_job(row, cx.store_clock.now()),
             });
         }
-        if stored.is_cancelled_for(accepted.organisation.as_ref()) {
+        if stored.is_cancelled_for(submission.organisation()) {
             log::info!(
-                job:% = accepted.id, organisation = accepted.organisation.as_deref(),
+                job = submission.id(), organisation = submission.organisation().map(|o| &**o),
                 version = stored.cancel_version(), age_ms = stored.cancel_age(cx).map(|a| a.0);
                 "accept: the id was cancelled before"
             );
@@ -129,24 +186,6 @@
     }
 }
 
-/// Checks that a stored job is the one that was submitted, by its organisation, queue and work. An id
-/// belongs to one job of the whole deployment, because workers know subtasks by it.
-fn check_same(accepted: &AcceptedJob, row: &Row) -> Result<(), Refusal> {
-    let Some(known) = rows::from_json::<AcceptedJob>(row) else {
-        return Err(Refusal::Unknown);
-    };
-    if accepted.is_repetition_of(&known) {
-        return Ok(());
-    }
-    log::info!(
-        job:% = accepted.id, queue:% = accepted.queue, organisation = accepted.organisation.as_deref(),
-        stored_queue:% = known.queue, stored_organisation = known.organisation.as_deref(),
-        stored_version = row.version;
-        "accept: another job has the id"
-    );
-    Err(Refusal::IdInUse)
-}
-
 /// Returns the phase of a job.
 pub(crate) async fn phase(cx: &Cx, authorised: &Authorised) -> Result<Response, Refusal> {
     let id = &authorised.path_suffix;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -87,7 +87,10 @@
     let (authorised, operation) = check_head(cx, req)?;
     match operation {
         Operation::Pending => read_by(deadline, accept::pending(cx, &authorised)).await,
-        Operation::Submit => accept::submit(cx, &authorised, body.bytes(), deadline).await,
+        Operation::Submit => match body {
+            RequestBody::Kept(body) => accept::submit(cx, &authorised, body, deadline).await,
+            RequestBody::Dropped => Err(Refusal::Invalid),
+        },
         Operation::Phase => read_by(deadline, accept::phase(cx, &authorised)).await,
         Operation::Cancel => accept::cancel(cx, &authorised, deadline).await,
     }
@@ -152,15 +155,6 @@
     Dropped,
 }
 
-impl RequestBody {
-    fn bytes(&self) -> &[u8] {
-        match self {
-            Self::Kept(body) => &body.bytes,
-            Self::Dropped => &[],
-        }
-    }
-}
-
 /// Reads the body of a request that was judged by its head. A body that nobody needs is received too,
 /// because a connection that is closed with unread bytes is reset, which can lose the answer.
 async fn read_body(
@@ -197,13 +191,7 @@
             }
         }
     };
-    result.map_err(|e| match e {
-        BodyError::TooLarge => Refusal::TooLarge,
-        BodyError::Broken | BodyError::Line => Refusal::Invalid,
-        BodyError::TooSlow => Refusal::SlowBody,
-        BodyError::Full => Refusal::BodiesFull,
-        BodyError::Chunks => Refusal::Chunks,
-    })
+    result.map_err(Refusal::of_body)
 }
 
 fn timeout(req: &Request) -> Millis {
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use ntex::http::{Response, StatusCode};
 use platform::paths;
+use serve::BodyError;
 
 /// Reason why a request was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,6 +42,17 @@
 }
 
 impl Refusal {
+    /// Returns the refusal of a request whose body could not be read or kept.
+    pub(crate) const fn of_body(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::TooLarge,
+            BodyError::Broken | BodyError::Line => Self::Invalid,
+            BodyError::TooSlow => Self::SlowBody,
+            BodyError::Full => Self::BodiesFull,
+            BodyError::Chunks => Self::Chunks,
+        }
+    }
+
     /// Returns the answer; `retry_after` is the time in seconds after which the caller may retry.
     pub(crate) fn response(self, retry_after: u16) -> Response {
         let mut builder = Response::build(self.status());
--- a/crates/serve/src/bodies.rs
+++ b/crates/serve/src/bodies.rs
@@ -126,6 +126,47 @@
     id: u64,
 }
 
+impl Body {
+    /// Frees the bytes, and returns their memory in the budget, which still counts.
+    pub fn into_memory(self) -> Memory {
+        self.memory
+    }
+}
+
+impl Memory {
+    /// Changes the number of bytes that count, such as when a body has been decoded. More bytes may have to
+    /// wait for the end of other bodies.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::Full`] if the memory is full and this body gives way.
+    ///
+    /// ```
+    /// # use std::rc::Rc;
+    /// # use base::clock::Millis;
+    /// # use serve::{Bodies, BodySpec};
+    /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
+    /// let bodies = Rc::new(Bodies::new(1 << 20, 2));
+    /// let spec = BodySpec {
+    ///     organisation: None, declared: None, max_bytes: 100, timeout: Millis(3_000),
+    /// };
+    /// let body = bodies.read(ntex::http::Payload::None, spec).await.unwrap();
+    /// let memory = body.into_memory();
+    /// memory.resize(5_000).await.unwrap();
+    /// assert_eq!(bodies.used(), 5_000);
+    /// # });
+    /// ```
+    pub async fn resize(&self, bytes: usize) -> Result<(), BodyError> {
+        let kept = self.bodies.budget.borrow_mut().shrink(self.id, bytes);
+        if bytes <= kept {
+            self.bodies.freed.notify_waiters();
+            return Ok(());
+        }
+        let reserved = self.bodies.reserve(self.id, bytes - kept).await;
+        reserved.inspect_err(|e| self.bodies.count_refusal(*e, None))
+    }
+}
+
 impl Drop for Memory {
     fn drop(&mut self) {
         self.bodies.budget.borrow_mut().end(self.id);
@@ -237,6 +278,23 @@
             .map(drop)
     }
 
+    async fn reserve(&self, id: u64, bytes: usize) -> Result<(), BodyError> {
+        loop {
+            let freed = self.freed.notified();
+            let now = clock::now();
+            let decision = self.budget.borrow_mut().reserve(id, bytes, now);
+            match decision {
+                Decision::Granted(shed) => {
+                    self.notify(&shed);
+                    return Ok(());
+                }
+                Decision::Shed => return Err(BodyError::Full),
+                Decision::Wait => {}
+            }
+            freed.await;
+        }
+    }
+
     fn notify(&self, ids: &[u64]) {
         let readers = self.readers.borrow();
         for told in ids.iter().filter_map(|id| readers.get(id)) {
@@ -315,7 +373,9 @@
                 return Err(BodyError::TooLarge);
             }
             if let Some(id) = self.kept {
-                self.reserve(id, chunk.len() * self.bodies.copies).await?;
+                self.bodies
+                    .reserve(id, chunk.len() * self.bodies.copies)
+                    .await?;
                 self.append(&mut body, &chunk);
             }
             drop(chunk);
@@ -324,7 +384,7 @@
             }
             let is_tiny = len - len_before < CHUNKS_IN_A_ROW as usize * TINY_CHUNK;
             if let (Some(id), true, false) = (self.kept, is_tiny, has_queue) {
-                self.reserve(id, TINY_CHUNK_QUEUE).await?;
+                self.bodies.reserve(id, TINY_CHUNK_QUEUE).await?;
                 has_queue = true;
             }
             len_before = len;
@@ -333,26 +393,6 @@
         Ok(body)
     }
 
-    async fn reserve(&self, id: u64, bytes: usize) -> Result<(), BodyError> {
-        loop {
-            let freed = self.bodies.freed.notified();
-            let decision = self
-                .bodies
-                .budget
-                .borrow_mut()
-                .reserve(id, bytes, clock::now());
-            match decision {
-                Decision::Granted(shed) => {
-                    self.bodies.notify(&shed);
-                    return Ok(());
-                }
-                Decision::Shed => return Err(BodyError::Full),
-                Decision::Wait => {}
-            }
-            freed.await;
-        }
-    }
-
     /// Appends a chunk. Capacity beyond the bytes received is not touched, so it takes no memory.
     fn append(&self, body: &mut Vec<u8>, chunk: &Bytes) {
         let len = body.len() + chunk.len();
--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -171,6 +171,21 @@
         true
     }
 
+    /// Frees the bytes of a body beyond `bytes`; returns how many it has kept. Those of one that gives way
+    /// stay counted until its end.
+    pub fn shrink(&mut self, id: u64, bytes: usize) -> usize {
+        let Some(i) = self.position(id) else {
+            return 0;
+        };
+        if self.open[i].state != State::Shed {
+            let freed = self.open[i].bytes.saturating_sub(bytes);
+            self.used -= freed;
+            self.usage(i).bytes -= freed;
+            self.open[i].bytes -= freed;
+        }
+        self.open[i].bytes
+    }
+
     /// Removes a body and frees its bytes.
     pub fn end(&mut self, id: u64) {
         let Some(i) = self.position(id) else {
@@ -239,7 +254,7 @@
     /// Returns the body that gives way to another one, which needs `bytes` more.
     fn victim(&self, requester: usize, bytes: usize, now: Millis) -> Option<usize> {
         let req = &self.open[requester];
-        let size = req.declared.unwrap_or(0).max(req.bytes + bytes);
+        let size = self.size(requester, bytes);
         let gives_way = |o: &Open| {
             let is_slow = o.bytes > 0 && now.since(o.since) >= SLOW;
             let is_larger = size <= SMALL && o.bytes > size;
@@ -250,6 +265,12 @@
         victims.max_by_key(|(_, o)| o.held(now)).map(|(i, _)| i)
     }
 
+    /// Returns the size that a body has at least, if it gets `bytes` more.
+    fn size(&self, i: usize, bytes: usize) -> usize {
+        let body = &self.open[i];
+        body.declared.unwrap_or(0).max(body.bytes + bytes)
+    }
+
     fn is_over_share(&self, body: &Open) -> bool {
         let share = self.limit / self.organisations.len().max(1);
         let usage = self.organisations.get(&body.organisation);
--- a/crates/serve/tests/budget.rs
+++ b/crates/serve/tests/budget.rs
@@ -151,10 +151,17 @@
     Reserve,
     Shed,
     Complete,
+    Shrink,
     End,
 }
 
-const EVENTS: [Event; 4] = [Event::Reserve, Event::Shed, Event::Complete, Event::End];
+const EVENTS: [Event; 5] = [
+    Event::Reserve,
+    Event::Shed,
+    Event::Complete,
+    Event::Shrink,
+    Event::End,
+];
 
 /// Returns all sequences of `len` events, each of one of two bodies.
 fn sequences(len: u32) -> impl Iterator<Item = Vec<(usize, Event)>> {
@@ -178,6 +185,7 @@
                 Event::Reserve => drop(budget.reserve(ids[*i], 600_000, now)),
                 Event::Shed => drop(budget.shed_one(now)),
                 Event::Complete => drop(budget.complete(ids[*i])),
+                Event::Shrink => drop(budget.shrink(ids[*i], 200_000)),
                 Event::End => budget.end(ids[*i]),
             }
         }
