serve: a small body waits for whole ones of its organisation

Seen by callers (once in ten runs of cli an_entry_stands_jobs_of_many_fields): 429 to an ordinary request of 15 bytes while 100 bodies of 512 KiB of the same organisation came. By reading: an organisation over its share was refused at once although only whole bodies, which end in milliseconds, hold the memory. With one organisation the share is the whole budget, so each of its callers was refused.

Change: a body of at most 64 KiB waits for the end of a whole one, within its own time; a larger one is refused as before. The new test a_small_body_waits_for_whole_ones fails without it. That this was the 429 is suspected, not shown: the run did not print its code.

--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -239,7 +239,11 @@
             }
             match self.victim(requester, bytes, now) {
                 Some(i) => shed.push(self.shed(i)),
-                None if self.is_over_share(&self.open[requester]) => break Err(Decision::Shed),
+                None if self.size(requester, bytes) > SMALL
+                    && self.is_over_share(&self.open[requester]) =>
+                {
+                    break Err(Decision::Shed);
+                }
                 None => break Err(Decision::Wait),
             }
         };
--- a/crates/serve/tests/budget.rs
+++ b/crates/serve/tests/budget.rs
@@ -212,6 +212,21 @@
     assert_eq!(budget.shed_one(Millis(9_000)), None);
 }
 
+/// Guards against an ordinary small request that is refused because bodies of its organisation were
+/// read whole and have not ended.
+#[test]
+fn a_small_body_waits_for_whole_ones() {
+    let mut budget = Budget::new(LIMIT);
+    let whole = begin(&mut budget, "a", LIMIT, Millis(0));
+    assert!(budget.complete(whole));
+    let small = budget.begin(Some(name("a")), Some(200), Millis(1));
+    assert_eq!(budget.reserve(small, 200, Millis(1)), Decision::Wait);
+    assert_eq!(budget.shrink(whole, 10_000), 10_000);
+    assert_eq!(budget.reserve(small, 200, Millis(2)), granted());
+    let large = budget.begin(Some(name("a")), Some(LIMIT), Millis(3));
+    assert_eq!(budget.reserve(large, LIMIT, Millis(3)), Decision::Shed);
+}
+
 /// Guards against chunks that together take the processor, and against waits that only grow.
 #[test]
 fn chunks_are_read_at_a_bounded_pace() {
