serve: connections that come are accepted 16 in a turn, from a longer queue

Cause: the listener accepted one connection in a turn of the runtime, fewer than came, and its queue of 128 overflowed (429 to 749 times a run, ListenOverflows). The system then drops the first packet, and a client repeats it after a second.

Ruled out: a longer queue alone (1,024): ordinary requests then wait behind connections that their callers have closed, 1.9 to 2.8 s, and it still overflows 2,532 times.

Change: 16 are accepted in a turn, and the queue has 1,024.

Measured (debug, trial with both values set from outside, five ordinary submissions and reads): one in a turn and 128: 39 to 257 ms, 702 and 749 overflows; 4 and 1,024: 132 to 931 ms, 294 and 339; 16 and 1,024: 41 to 95 ms, none; 64 and 1,024: 31 to 75 ms, none.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -98,8 +98,8 @@
 
 /// Starts an entry on its own threads and returns when it listens.
 pub fn start(cfg: EntryCfg) -> Result<Handle, EntryError> {
-    let listener = net::TcpListener::bind(cfg.listen)?;
-    let members = net::TcpListener::bind(cfg.listen_members)?;
+    let listener = serve::bind(cfg.listen)?;
+    let members = serve::bind(cfg.listen_members)?;
     let (addr, members_addr) = (listener.local_addr()?, members.local_addr()?);
     let (stop, stopped) = watch::channel(false);
     let (started, starting) = mpsc::channel();
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -36,9 +36,9 @@
 pub fn run(cfg: NodeCfg) -> Result<(), ProcessError> {
     rt::System::new("node", rt::DefaultRuntime).block_on(async move {
         let mut signals = Signals::new()?;
-        let front = net::TcpListener::bind(cfg.listen)?;
-        let ready = net::TcpListener::bind(cfg.listen_ready)?;
-        let metrics = net::TcpListener::bind(cfg.listen_metrics)?;
+        let front = serve::bind(cfg.listen)?;
+        let ready = serve::bind(cfg.listen_ready)?;
+        let metrics = serve::bind(cfg.listen_metrics)?;
         log::info!(name:% = cfg.name, zone:% = cfg.zone, listen:% = cfg.listen, store:% = cfg.store; "node: start");
         let cx: Cx = Ctx::new(cfg).await?.into();
         let (callers, operators) = (cx.cfg.callers(), cx.cfg.operators());
--- a/crates/sched/src/process.rs
+++ b/crates/sched/src/process.rs
@@ -98,8 +98,8 @@
 impl Listeners {
     fn open(cfg: &Settings) -> io::Result<Self> {
         Ok(Self {
-            wire: net::TcpListener::bind(cfg.wire)?,
-            http: net::TcpListener::bind(cfg.http)?,
+            wire: serve::bind(cfg.wire)?,
+            http: serve::bind(cfg.http)?,
         })
     }
 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -26,6 +26,11 @@
 };
 use tokio::net::TcpListener;
 
+/// Number of connections that wait to be accepted; the system may have a lower limit.
+const QUEUE: i32 = 1_024;
+/// Number of connections accepted in a turn of the runtime: their first reads are not paced and must not
+/// hold up other tasks, and a queue that is emptied too slowly refuses others.
+const ACCEPTS_PER_TURN: usize = 16;
 /// Delay after a failed accept, so that the loop does not use up a core while the process is out of
 /// file descriptors.
 const ACCEPT_RETRY_DELAY: time::Millis = time::Millis(50);
@@ -71,6 +76,24 @@
     }
 }
 
+/// Binds a listener whose queue takes the connections that come while a turn of the runtime lasts. The
+/// system drops the first packet of others, and a client repeats it after a second.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+///
+/// ```
+/// let listener = serve::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+/// assert!(listener.local_addr().unwrap().port() > 0);
+/// ```
+pub fn bind(addr: net::SocketAddr) -> io::Result<net::TcpListener> {
+    let listener = net::TcpListener::bind(addr)?;
+    // The standard library listens with a queue of 128.
+    rustix::net::listen(&listener, QUEUE)?;
+    Ok(listener)
+}
+
 /// Returns the settings of connections that keep few bytes before they are read.
 ///
 /// ```
@@ -137,6 +160,7 @@
         })
         .detach();
     };
+    let mut accepted_in_turn = 0;
     loop {
         let accepted = tokio::select! {
             () = connections.closing() => break,
@@ -147,9 +171,11 @@
                 if let Ok(stream) = stream.into_std() {
                     open(stream);
                 }
-                // Connections that come at once are taken one per turn, so that their first reads do
-                // not hold up other tasks together.
-                tokio::task::yield_now().await;
+                accepted_in_turn += 1;
+                if accepted_in_turn == ACCEPTS_PER_TURN {
+                    accepted_in_turn = 0;
+                    tokio::task::yield_now().await;
+                }
             }
             Err(e) => {
                 log::warn!("{name}: cannot accept: {e}");
