serve: requests begin in the order in which their connections were served

Seen by callers: beside 200 connections that send requests one after the other, an ordinary request was answered after 34,456 to 399,383 answers to others (debug, no key; 38,038 to 45,809 release). An entry whose /dump or /metrics was asked so refused ordinary requests with 503, because it could not confirm its configuration.

Cause: the HTTP library answers all requests in its read buffer in one turn of the runtime as long as their answers need not wait, and each connection does so in the same turn. Reads and calls to the store wait meanwhile.

Change: 16 requests of a listener begin in a turn of the runtime, first those of the connections that were served least recently (Turns; node, entry, scheduler, each listener by itself, so a crowd of callers does not delay the readiness check). A request that waits keeps its deadline, which counts from its head.

Ruled out: one request in a turn: with large bodies each turn has one decoding, and ordinary submissions are refused with 503 because their memory comes too late.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -2,7 +2,10 @@
 
 use std::rc::Rc;
 
-use base::name::Name;
+use base::{
+    clock::{self, Millis},
+    name::Name,
+};
 use ntex::{
     http::{
         ConnectionType, HeaderMap, Method, Response, StatusCode,
@@ -30,18 +33,26 @@
 
 /// Serves one request.
 pub async fn serve(cx: Rc<Entry>, req: HttpRequest, payload: Payload) -> HttpResponse {
+    // The deadline is measured from the arrival of the headers.
+    let arrived = clock::now();
     let io = req.io().cloned();
     if let Some(io) = &io {
         cx.callers.begin_request(io);
+        cx.callers.take_turn(io).await;
     }
-    let response = answer(&cx, req, payload).await;
+    let response = answer(&cx, req, payload, arrived).await;
     if let Some(io) = &io {
         cx.callers.end_request(io);
     }
     response
 }
 
-async fn answer(cx: &Rc<Entry>, req: HttpRequest, payload: Payload) -> HttpResponse {
+async fn answer(
+    cx: &Rc<Entry>,
+    req: HttpRequest,
+    payload: Payload,
+    arrived: Millis,
+) -> HttpResponse {
     let path = req.path().to_owned();
     let mut parts = path.trim_start_matches('/').splitn(4, '/');
     let parts = [parts.next(), parts.next(), parts.next(), parts.next()];
@@ -51,7 +62,7 @@
     let delete = *req.method() == Method::DELETE;
     let mut response = match parts {
         [Some("call"), Some(service), Some(operation), None] if post => {
-            serve_call(cx, headers, payload, service, operation).await
+            serve_call(cx, headers, payload, service, operation, arrived).await
         }
         [Some("ready"), None, ..] if get => ready(cx),
         [Some("dump"), None, ..] if get => HttpResponse::Ok().json(&Dump::of(cx)),
@@ -100,6 +111,7 @@
     payload: Payload,
     service: &str,
     operation: &str,
+    arrived: Millis,
 ) -> HttpResponse {
     let guard = match cx.begin_request() {
         Ok(guard) => guard,
@@ -114,8 +126,7 @@
         Ok(checked) => checked,
         Err(refusal) => return refuse(cx, &refusal),
     };
-    // The deadline is measured from the arrival of the headers.
-    let deadline = base::clock::now() + allowed;
+    let deadline = arrived + allowed;
     let body = match read_body(cx, &organisation, headers, payload).await {
         Ok(body) => body,
         Err(refusal) => return refuse(cx, &refusal),
@@ -213,7 +224,7 @@
 
 /// Counts a refusal and returns its response.
 fn refuse(cx: &Entry, refusal: &Refusal) -> HttpResponse {
-    cx.metrics.request(&refusal.code, base::clock::Millis::ZERO);
+    cx.metrics.request(&refusal.code, Millis::ZERO);
     refusal.response()
 }
 
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -49,7 +49,7 @@
 }
 
 async fn answer(cx: &Cx, mut req: Request) -> Response {
-    let arrived = clock::now();
+    let arrived = serve::arrived(&req);
     let received = Cell::new(false);
     let mut due = cx.answers_due.subscribe();
     let result = tokio::select! {
--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -9,11 +9,13 @@
 use ntex::io::IoRef;
 use tokio::sync::watch;
 
-use crate::bodies::Bodies;
+use crate::{bodies::Bodies, turns::Turns};
 
 /// Time for which a connection without a request under way is not closed in favour of another one, so
 /// that a new caller can send its request.
 const MIN_IDLE: Millis = Millis(250);
+/// Number of requests that begin in a turn of the runtime.
+const REQUESTS_PER_TURN: usize = 16;
 /// Budget of the bodies of listeners that read none.
 const SMALL_BUDGET: usize = 1 << 20;
 
@@ -147,10 +149,11 @@
 /// let callers = serve::Callers::default();
 /// assert_eq!((callers.count(), callers.close_idle()), (0, false));
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Callers {
     open: RefCell<Vec<Caller>>,
     displaced: Cell<u64>,
+    turns: Rc<Turns>,
 }
 
 #[derive(Debug)]
@@ -159,6 +162,18 @@
     requests: usize,
     has_answer: bool,
     idle_since: Millis,
+    /// Number of its last request among those of all connections.
+    last_turn: u64,
+}
+
+impl Default for Callers {
+    fn default() -> Self {
+        Self {
+            open: RefCell::default(),
+            displaced: Cell::default(),
+            turns: Rc::new(Turns::new(REQUESTS_PER_TURN)),
+        }
+    }
 }
 
 impl Callers {
@@ -179,6 +194,7 @@
             requests: 0,
             has_answer: false,
             idle_since: clock::now(),
+            last_turn: self.turns.latest(),
         });
     }
 
@@ -194,18 +210,32 @@
 
     /// Counts a request of a connection as under way until [`Self::end_request`].
     pub fn begin_request(&self, io: &IoRef) {
-        if let Some(caller) = self.open.borrow_mut().iter_mut().find(|c| c.io == *io) {
-            caller.requests += 1;
-        }
+        self.with_caller(io, |c| c.requests += 1);
+    }
+
+    /// Waits until a request of a connection may begin. In each turn of the runtime some begin, first those
+    /// of the connections that were served least recently.
+    pub async fn take_turn(&self, io: &IoRef) {
+        let last = self.with_caller(io, |c| c.last_turn);
+        let turn = self.turns.take(last.unwrap_or(self.turns.latest())).await;
+        self.with_caller(io, |c| c.last_turn = turn);
     }
 
     /// Ends a request of a connection.
     pub fn end_request(&self, io: &IoRef) {
-        if let Some(caller) = self.open.borrow_mut().iter_mut().find(|c| c.io == *io) {
-            caller.requests = caller.requests.saturating_sub(1);
-            caller.has_answer = true;
-            caller.idle_since = clock::now();
-        }
+        self.with_caller(io, |c| {
+            c.requests = c.requests.saturating_sub(1);
+            c.has_answer = true;
+            c.idle_since = clock::now();
+        });
+    }
+
+    fn with_caller<T>(&self, io: &IoRef, f: impl FnOnce(&mut Caller) -> T) -> Option<T> {
+        self.open
+            .borrow_mut()
+            .iter_mut()
+            .find(|c| c.io == *io)
+            .map(f)
     }
 
     /// Closes the connection without a request under way that is idle for the longest time: first
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod read_limit;
 mod signals;
+mod turns;
 
 use std::{io, net, rc::Rc};
 
@@ -13,8 +14,9 @@
 pub use connections::{Callers, Connections};
 pub use read_limit::{ReadLimit, limit_reads};
 pub use signals::{Signals, survive_hang_up};
+pub use turns::Turns;
 
-use base::clock::Millis;
+use base::clock::{self, Millis};
 use ntex::{
     Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
     http::{
@@ -216,8 +218,10 @@
         let (handler, connections) = (handler.clone(), connections.clone());
         async move {
             let io = req.io().cloned();
+            req.extensions_mut().insert(Arrival(clock::now()));
             if let Some(io) = &io {
                 connections.callers().begin_request(io);
+                connections.callers().take_turn(io).await;
             }
             let response = handler(req).await;
             if let Some(io) = &io {
@@ -231,6 +235,23 @@
     Ok(Pipeline::new(http))
 }
 
+/// Time at which the head of a request was received.
+#[derive(Clone, Copy, Debug)]
+struct Arrival(Millis);
+
+/// Returns the time at which the head of a request was received, from which its deadline counts. It may
+/// have waited for its turn since then.
+///
+/// ```no_run
+/// # fn f(req: &ntex::http::Request) {
+/// let age = base::clock::now().since(serve::arrived(req));
+/// # }
+/// ```
+pub fn arrived(req: &Request) -> Millis {
+    let arrival = req.extensions().get::<Arrival>().copied();
+    arrival.map_or_else(clock::now, |a| a.0)
+}
+
 /// Refuses a request on a connection over the limit. The next attempt may reach another process at once.
 async fn busy(connections: Connections, mut req: Request) -> Response {
     // A connection that is closed with unread bytes is reset, which can lose the answer.
