node: one large body is decoded in a turn of the runtime

Cause: bodies that were read whole in the same turn of the runtime were decoded one after the other in it, some ms each, and on a share of a core many times that; calls to the store and the lease waited for all of them.

Change: a body of more than 16 KiB waits for its turn to be decoded, one in each turn of the runtime, in the order in which they were read. It holds its memory meanwhile, as before.

The time of ordinary requests on a share of a core was not measured.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -88,7 +88,10 @@
     match operation {
         Operation::Pending => read_by(deadline, accept::pending(cx, &authorised)).await,
         Operation::Submit => match body {
-            RequestBody::Kept(body) => accept::submit(cx, &authorised, body, deadline).await,
+            RequestBody::Kept(body) => {
+                body.decoding().await;
+                accept::submit(cx, &authorised, body, deadline).await
+            }
             RequestBody::Dropped => Err(Refusal::Invalid),
         },
         Operation::Phase => read_by(deadline, accept::phase(cx, &authorised)).await,
--- a/crates/serve/src/bodies.rs
+++ b/crates/serve/src/bodies.rs
@@ -16,6 +16,7 @@
 use crate::{
     budget::{Budget, Decision},
     chunk_pace::ChunkPace,
+    turns::Turns,
 };
 
 /// Maximum number of chunks of one body: 256 KiB in chunks of 16 bytes.
@@ -31,6 +32,9 @@
 /// Size of the HTTP library's read buffer of each connection. It parses all chunks in it at once: with
 /// 4 KiB, 600 connections with tiny chunks still put a lease at risk.
 pub(crate) const READ_BUFFER: usize = 2 << 10;
+/// Size up to which a body is decoded in the turn of the runtime in which it was read whole. Decoding a
+/// larger one takes some ms.
+const SMALL_BODY: usize = 16 << 10;
 /// Time in which a body that is refused by its declared length may still arrive.
 const SKIP_TIME: Millis = Millis(500);
 /// Size up to which it may, as a multiple of the limit.
@@ -100,6 +104,7 @@
     readers: RefCell<SortedMap<u64, Rc<Notify>>>,
     /// Notified when memory was freed.
     freed: Notify,
+    decoding: Rc<Turns>,
     refused: RefCell<SortedMap<BodyError, Refused>>,
 }
 
@@ -127,6 +132,15 @@
 }
 
 impl Body {
+    /// Waits until the body may be decoded: one large body in each turn of the runtime, in the order in which
+    /// they were read.
+    pub async fn decoding(&self) {
+        if self.bytes.len() > SMALL_BODY {
+            let decoding = self.memory.bodies.decoding.clone();
+            decoding.take(decoding.latest()).await;
+        }
+    }
+
     /// Frees the bytes, and returns their memory in the budget, which still counts.
     pub fn into_memory(self) -> Memory {
         self.memory
@@ -195,6 +209,7 @@
             pace: RefCell::default(),
             readers: RefCell::default(),
             freed: Notify::new(),
+            decoding: Rc::new(Turns::new(1)),
             refused: RefCell::default(),
         }
     }
