entry: the record of a submitted job has at most 64 KiB

A job's record has a few names and numbers.

Change: POST /jobs takes at most 64 KiB (413, body_too_large, by the declared length before the body is read). Calls to backend services, which aren't decoded, and changes of operators keep 1 MiB.

--- a/crates/base/src/limits.rs
+++ b/crates/base/src/limits.rs
@@ -4,6 +4,8 @@
 
 /// Maximum size of a request body that an entry accepts, in bytes.
 pub const BODY_BYTES: usize = 1 << 20;
+/// Maximum size of the record of a job that a caller submits, in bytes.
+pub const JOB_RECORD_BYTES: usize = 64 << 10;
 /// Maximum size of the answer of a backend server, in bytes.
 pub const ANSWER_BYTES: usize = 4 << 20;
 /// Maximum size of an answer that is stored with an idempotency key, in bytes.
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use base::{clock::Millis, limits};
+use base::clock::Millis;
 use bytes::Bytes;
 use ntex::{http::HeaderMap, web::types::Payload};
 use serde::de::DeserializeOwned;
@@ -18,24 +18,32 @@
     _memory: Memory,
 }
 
+/// Limits of one body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// Maximum size in bytes.
+    pub bytes: usize,
+    /// Time in which it has to arrive.
+    pub timeout: Millis,
+}
+
 impl Body {
-    /// Reads a body within the size limit, the budget and `timeout`. The sender has a share of the
-    /// budget.
+    /// Reads a body within the budget and its `limits`. The sender has a share of the budget.
     pub async fn read(
         bodies: &Rc<Bodies>,
         sender: Option<Arc<str>>,
         headers: &HeaderMap,
         payload: Payload,
-        timeout: Millis,
+        limits: BodyLimits,
     ) -> Result<Self, Refusal> {
         let spec = BodySpec {
             organisation: sender,
             declared: declared_length(headers)?,
-            max_bytes: limits::BODY_BYTES,
-            timeout,
+            max_bytes: limits.bytes,
+            timeout: limits.timeout,
         };
         let body = bodies.read(payload.into_inner(), spec).await;
-        let body = body.map_err(|e| refusal(e, timeout))?;
+        let body = body.map_err(|e| refusal(e, limits))?;
         Ok(Self {
             bytes: body.bytes.into(),
             _memory: body.memory,
@@ -43,9 +51,13 @@
     }
 }
 
-fn refusal(error: BodyError, timeout: Millis) -> Refusal {
+fn refusal(error: BodyError, limits: BodyLimits) -> Refusal {
+    let BodyLimits { bytes, timeout } = limits;
     match error {
-        BodyError::TooLarge => too_large(),
+        BodyError::TooLarge => Refusal::not_run(
+            Code::BodyTooLarge,
+            format!("the body is larger than {bytes} bytes"),
+        ),
         BodyError::Chunks => Refusal::not_run(Code::BodyTooLarge, "the body has too many chunks"),
         BodyError::Broken | BodyError::Line => Refusal::not_run(
             Code::BodyIncomplete,
@@ -76,8 +88,3 @@
     let bad = || Refusal::not_run(Code::BadHeader, "content-length is not a whole number");
     length.map(Some).ok_or_else(bad)
 }
-
-fn too_large() -> Refusal {
-    let message = format!("the body is larger than {} bytes", limits::BODY_BYTES);
-    Refusal::not_run(Code::BodyTooLarge, message)
-}
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -4,6 +4,7 @@
 
 use base::{
     clock::{self, Millis},
+    limits,
     name::Name,
 };
 use ntex::{
@@ -20,7 +21,7 @@
 
 use crate::{
     auth::Identity,
-    body::Body,
+    body::{Body, BodyLimits},
     call::{self, Call},
     control_plane::{self, ControlRequest},
     dump::Dump,
@@ -127,7 +128,8 @@
         Err(refusal) => return refuse(cx, &refusal),
     };
     let deadline = arrived + allowed;
-    let body = match read_body(cx, &organisation, headers, payload).await {
+    let max_bytes = limits::BODY_BYTES;
+    let body = match read_body(cx, &organisation, headers, payload, max_bytes).await {
         Ok(body) => body,
         Err(refusal) => return refuse(cx, &refusal),
     };
@@ -177,13 +179,14 @@
     };
     let (Identity::Organisation(sender) | Identity::Operator(sender)) = &identity;
     let request = match route {
-        ControlRoute::Submit => read_body(cx, sender, headers, payload)
-            .await
-            .map(ControlRequest::Submit),
-        ControlRoute::Apply => read_body(cx, sender, headers, payload)
+        ControlRoute::Submit => {
+            let body = read_body(cx, sender, headers, payload, limits::JOB_RECORD_BYTES);
+            body.await.map(ControlRequest::Submit)
+        }
+        ControlRoute::Apply => read_body(cx, sender, headers, payload, limits::BODY_BYTES)
             .await
             .map(ControlRequest::Apply),
-        ControlRoute::Settle => read_body(cx, sender, headers, payload)
+        ControlRoute::Settle => read_body(cx, sender, headers, payload, limits::BODY_BYTES)
             .await
             .map(ControlRequest::Settle),
         ControlRoute::Jobs => Ok(ControlRequest::Jobs),
@@ -217,9 +220,14 @@
     sender: &Name,
     headers: &HeaderMap,
     payload: Payload,
+    max_bytes: usize,
 ) -> Result<Body, Refusal> {
     let sender = Some(sender.as_ref().into());
-    Body::read(&cx.bodies, sender, headers, payload, cx.cfg.body_timeout).await
+    let limits = BodyLimits {
+        bytes: max_bytes,
+        timeout: cx.cfg.body_timeout,
+    };
+    Body::read(&cx.bodies, sender, headers, payload, limits).await
 }
 
 /// Counts a refusal and returns its response.
