node: log lines that callers cause have a size and a rate

Seen: 1,280 refused requests with a path of 8 KiB wrote 9.9 MB; each refused request of any caller, also one without a key, wrote a line, which takes processor time.

Cause: the path, and the reason of an invalid job, were logged whole, and every refusal was logged.

Change: both are logged up to 256 bytes. Of the lines about refusals (for each reason), invalid jobs and unknown jobs 100 are logged at once and 20 a second; `suppressed` counts those left out. An ordinary node refuses fewer, so the way from an id to its cause stays. The account of refused bodies uses the same limit.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -42,7 +42,7 @@
     /// Decodes and checks the body of a submission.
     fn decode(cx: &Cx, authorised: &'a Authorised, body: &[u8]) -> Result<Self, Refusal> {
         let spec = job::decode(body).map_err(|reason| {
-            log::info!(job = authorised.path_suffix, reason; "accept: invalid job");
+            log_invalid(cx, &authorised.path_suffix, &reason);
             Refusal::Invalid
         })?;
         let accepted = AcceptedJob {
@@ -60,7 +60,7 @@
         if record.len() > cx.cfg.row_bytes {
             let (bytes, max) = (record.len(), cx.cfg.row_bytes);
             let reason = SpecError::Record { bytes, max };
-            log::info!(job:% = accepted.id, reason:%; "accept: invalid job");
+            log_invalid(cx, &accepted.id, &reason.to_string());
             return Err(Refusal::TooLarge);
         }
         Ok(Self { authorised, record })
@@ -95,6 +95,13 @@
     }
 }
 
+fn log_invalid(cx: &Cx, id: &str, reason: &str) {
+    if let Some(suppressed) = cx.log_limits.take("invalid_job") {
+        let reason = serve::log_text(reason);
+        log::info!(job = id, reason, suppressed; "accept: invalid job");
+    }
+}
+
 /// Stores a job, which is accepted once it is stored. A repeated submission has no further effect.
 pub(crate) async fn submit(
     cx: &Cx,
@@ -237,12 +244,15 @@
         ));
     }
     let Some(row) = &stored.job else {
-        log::info!(
-            job = id, organisation = authorised.organisation.as_deref(),
-            store_version = stored.read_at, cancel_version = stored.cancel_version(),
-            cancel_age_ms = stored.cancel_age(cx).map(|a| a.0), store_ms = store_now.map(|t| t.0);
-            "accept: no row of the job"
-        );
+        if let Some(suppressed) = cx.log_limits.take("no_row") {
+            log::info!(
+                job = id, organisation = authorised.organisation.as_deref(),
+                store_version = stored.read_at, cancel_version = stored.cancel_version(),
+                cancel_age_ms = stored.cancel_age(cx).map(|a| a.0), store_ms = store_now.map(|t| t.0),
+                suppressed;
+                "accept: no row of the job"
+            );
+        }
         return Err(Refusal::NoJob);
     };
     let accepted: AcceptedJob = decode(row)?;
--- a/crates/node/src/cx.rs
+++ b/crates/node/src/cx.rs
@@ -9,7 +9,7 @@
 use batch::config::Config;
 use lease::{machine::Lease, table::Candidate};
 use platform::{advice::PolicyClient, table::Table, workers::Workers};
-use serve::{Bodies, Connections};
+use serve::{Bodies, Connections, LogLimits};
 use store::{
     call_account::{CallAccount, Purpose},
     http_cfg::HttpCfg,
@@ -102,6 +102,8 @@
     pub(crate) requests: Rc<Requests>,
     /// Connections of callers.
     pub(crate) connections: Connections,
+    /// Limits of the log lines that callers' requests cause.
+    pub(crate) log_limits: LogLimits,
 }
 
 impl Ctx {
@@ -167,6 +169,7 @@
             answers_due: watch::Sender::default(),
             requests: Rc::default(),
             connections: Connections::new(bodies),
+            log_limits: LogLimits::default(),
             candidate,
             cfg,
         })
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -223,10 +223,13 @@
 }
 
 fn log_refusal(cx: &Cx, req: &Request, refusal: Refusal) {
+    let Some(suppressed) = cx.log_limits.take(refusal.name()) else {
+        return;
+    };
     let age = cx.config_age().map(|a| a.0);
     log::info!(
-        method:% = req.method(), path = req.path(), reason:? = refusal,
-        config = cx.config().version, age_ms = age;
+        method = serve::log_text(req.method().as_str()), path = serve::log_text(req.path()), reason:? = refusal,
+        config = cx.config().version, age_ms = age, suppressed;
         "front: refused"
     );
 }
--- a/crates/serve/src/bodies.rs
+++ b/crates/serve/src/bodies.rs
@@ -16,6 +16,7 @@
 use crate::{
     budget::{Budget, Decision},
     chunk_pace::ChunkPace,
+    log_limit::LogLimit,
     turns::Turns,
 };
 
@@ -108,11 +109,19 @@
     refused: RefCell<SortedMap<BodyError, Refused>>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Refused {
     count: u64,
-    logged: u64,
-    logged_at: Option<Millis>,
+    log_limit: LogLimit,
+}
+
+impl Default for Refused {
+    fn default() -> Self {
+        Self {
+            count: 0,
+            log_limit: LogLimit::new(1, LOG_INTERVAL),
+        }
+    }
 }
 
 /// A body that was read whole. Its memory counts as used until this is dropped.
@@ -318,16 +327,13 @@
     }
 
     pub(crate) fn count_refusal(&self, error: BodyError, organisation: Option<&str>) {
-        let now = clock::now();
         let mut refused = self.refused.borrow_mut();
         let refused = refused.get_or_default(error);
         refused.count += 1;
-        let is_due = |at: Millis| now.since(at) >= LOG_INTERVAL;
-        if !refused.logged_at.is_none_or(is_due) {
+        let Some(suppressed) = refused.log_limit.take(clock::now()) else {
             return;
-        }
-        let count = refused.count - refused.logged;
-        (refused.logged, refused.logged_at) = (refused.count, Some(now));
+        };
+        let count = suppressed + 1;
         let (bytes, bodies) = (self.used(), self.under_way());
         log::info!(
             cause:% = error, count, total = refused.count, organisation, bytes, bodies;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod chunk_pace;
 mod connections;
+mod log_limit;
 mod read_limit;
 mod signals;
 mod turns;
@@ -12,6 +13,7 @@
 
 pub use bodies::{Bodies, Body, BodyError, BodySpec, Memory, declared_length};
 pub use connections::{Callers, Connections};
+pub use log_limit::{LogLimit, LogLimits, log_text};
 pub use read_limit::{ReadLimit, limit_reads};
 pub use signals::{Signals, survive_hang_up};
 pub use turns::Turns;
