serve: a crowded listener closes connections after their answers

Seen by callers: with 800 callers that send requests one after the other at a limit of 700 connections, no ordinary connection was served: 764 stayed open (700 and the 64 that get a refusal), others were closed at once.

Cause: connections are only closed in favour of others while they are idle and have nothing to send. These are never idle, and the HTTP library serves requests that have arrived behind one that was answered with `connection: close`, also behind refusals.

Change: from three quarters of the callers' connections on, each is closed after its next answer, and what arrived behind that is not served. Idle connections with answers that nobody reads may be closed after 1 s (10 s if more than 64 KiB are left). Lines about refused connections have the limit of other lines.

Ruled out: closing only at the limit itself: the listener stays at 764 connections.

--- a/crates/cli/tests/caller_crowd.rs
+++ b/crates/cli/tests/caller_crowd.rs
@@ -483,3 +483,68 @@
         });
     }
 }
+
+/// Guards against connections that callers keep from others by requests without an end.
+#[test]
+fn a_node_stands_more_callers_than_connections() {
+    let request = format!("{}\r\n", node_head("GET", 0xaa, Some(API_KEY)));
+    let callers = CONNECTIONS + 100;
+    check_node("full", callers, &[many(request, Then::Stay)]);
+}
+
+/// Guards against connections that callers keep from others by requests without an end.
+#[test]
+fn an_entry_stands_more_callers_than_connections() {
+    let key = authorization(Some(ORGANISATION_TOKEN));
+    let request = format!("GET /x HTTP/1.1\r\nhost: x\r\n{key}\r\n");
+    let callers = CONNECTIONS + 100;
+    check_entry("entry-full", callers, &[many(request, Then::Stay)]);
+}
+
+/// Guards against a node that keeps large incomplete heads and headers of chunks of many callers.
+#[test]
+fn a_node_stands_long_heads_that_stop_short() {
+    let head = node_head("POST", 0xaa, Some(API_KEY));
+    let filler = "y".repeat(15_000);
+    let fields = "a:b\r\n".repeat(90);
+    for request in [
+        format!("{head}x: {filler}"),
+        format!("{head}{fields}x: {filler}"),
+        format!("{head}{CHUNKED}1;x={filler}"),
+    ] {
+        check_node("long-heads", WHOLE_BODIES, &[once(request, Then::Stay)]);
+    }
+}
+
+/// Guards against a node that serves other protocols than HTTP/1.1 without its limits.
+#[test]
+fn a_node_stands_other_protocols() {
+    for head in [
+        "GET /q/1 HTTP/1.1\r\nhost: x\r\nupgrade: h2c\r\nconnection: upgrade\r\n\r\n",
+        "CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n",
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+        "GET / HTTP/1.0\r\n\r\n",
+    ] {
+        check_node("protocols", CALLERS, &[endless(head.to_owned())]);
+    }
+}
+
+/// Guards against a node that keeps bodies which it does not need, or that it has asked for.
+#[test]
+fn a_node_stands_bodies_that_it_drops() {
+    let body = "y".repeat(BODY_BYTES);
+    let get = with_body(&node_head("GET", 0xaa, Some(API_KEY)), &body);
+    let head = node_head("POST", 0xaa, Some(API_KEY));
+    let expecting = with_body(&format!("{head}expect: 100-continue\r\n"), &body);
+    let head = node_head("GET", 0xaa, None);
+    let chunks = "1\r\ny\r\n".repeat(10_000);
+    let chunked = format!("{head}{CHUNKED}{chunks}");
+    for request in [
+        &get[..get.len() - 1],
+        &expecting[..expecting.len() - 1],
+        &chunked,
+    ] {
+        let script = once(request.to_owned(), Then::Stay);
+        check_node("dropped-bodies", WHOLE_BODIES, &[script]);
+    }
+}
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -36,14 +36,20 @@
 pub async fn serve(cx: Rc<Entry>, req: HttpRequest, payload: Payload) -> HttpResponse {
     // The deadline is measured from the arrival of the headers.
     let arrived = clock::now();
-    let io = req.io().cloned();
-    if let Some(io) = &io {
-        cx.callers.begin_request(io);
-        cx.callers.take_turn(io).await;
+    let Some(io) = req.io().cloned() else {
+        return answer(&cx, req, payload, arrived).await;
+    };
+    if !cx.callers.begin_request(&io) {
+        cx.callers.end_request(&io);
+        return HttpResponse::ServiceUnavailable().finish();
     }
-    let response = answer(&cx, req, payload, arrived).await;
-    if let Some(io) = &io {
-        cx.callers.end_request(io);
+    cx.callers.take_turn(&io).await;
+    let mut response = answer(&cx, req, payload, arrived).await;
+    cx.callers.end_request(&io);
+    if cx.connections() >= serve::keep_alive_connections(cx.cfg.connections) {
+        cx.callers.close_after_answer(&io);
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
     }
     response
 }
@@ -279,6 +285,12 @@
             let message = format!("this entry has {} connections open", cx.connections());
             let refusal = Refusal::not_run(Code::TooManyConnections, message);
             refuse(cx, &refusal);
+            if let Some(io) = request.get_ref().io() {
+                if cx.callers.begin_request(io) {
+                    cx.callers.close_after_answer(io);
+                }
+                cx.callers.end_request(io);
+            }
             request.fail_with(closing_response(&refusal))
         }
         Control::Upgrade(upgrade) => {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -41,7 +41,15 @@
         let metrics = serve::bind(cfg.listen_metrics)?;
         log::info!(name:% = cfg.name, zone:% = cfg.zone, listen:% = cfg.listen, store:% = cfg.store; "node: start");
         let cx: Cx = Ctx::new(cfg).await?.into();
-        let (callers, operators) = (cx.cfg.callers(), cx.cfg.operators());
+        let callers = serve::Limits {
+            max_connections: cx.cfg.callers(),
+            keep_alive_connections: serve::keep_alive_connections(cx.cfg.callers()),
+            ..serve::Limits::default()
+        };
+        let operators = serve::Limits {
+            max_connections: cx.cfg.operators(),
+            ..serve::Limits::default()
+        };
         let connections = cx.connections.clone();
         let callers = serve(&cx, "front", front, callers, connections, front::serve);
         let connections = Connections::default();
@@ -66,7 +74,7 @@
     cx: &Cx,
     name: &'static str,
     listener: net::TcpListener,
-    max_connections: usize,
+    limits: serve::Limits,
     connections: Connections,
     f: F,
 ) -> Listener
@@ -74,10 +82,6 @@
     F: Fn(Cx, Request) -> R + 'static,
     R: Future<Output = ntex::http::Response> + 'static,
 {
-    let limits = serve::Limits {
-        max_connections,
-        ..serve::Limits::default()
-    };
     let (cx, closable) = (cx.clone(), connections.clone());
     let served = rt::spawn(async move {
         let f = move |req| f(cx.clone(), req);
--- a/crates/serve/src/connections.rs
+++ b/crates/serve/src/connections.rs
@@ -9,11 +9,18 @@
 use ntex::io::IoRef;
 use tokio::sync::watch;
 
-use crate::{bodies::Bodies, turns::Turns};
+use crate::{bodies::Bodies, log_limit::LogLimits, turns::Turns};
 
 /// Time for which a connection without a request under way is not closed in favour of another one, so
 /// that a new caller can send its request.
 const MIN_IDLE: Millis = Millis(250);
+/// Size up to which the rest of an answer arrives at once at a caller that reads: the buffers of the system
+/// have taken more than that before.
+const SMALL_REST: usize = 64 << 10;
+/// Time for which a connection with a small rest is not closed in favour of another one.
+const SMALL_REST_TIME: Millis = Millis(1_000);
+/// Time for which one with a larger rest is not.
+const LARGE_REST_TIME: Millis = Millis(10_000);
 /// Number of requests that begin in a turn of the runtime.
 const REQUESTS_PER_TURN: usize = 16;
 /// Budget of the bodies of listeners that read none.
@@ -35,6 +42,7 @@
     closing: watch::Sender<bool>,
     callers: Callers,
     bodies: Rc<Bodies>,
+    log_limits: LogLimits,
 }
 
 impl Default for Connections {
@@ -52,6 +60,7 @@
             closing: watch::Sender::default(),
             callers: Callers::default(),
             bodies,
+            log_limits: LogLimits::default(),
         }))
     }
 
@@ -113,8 +122,10 @@
         let _ = self.0.open.subscribe().wait_for(|n| *n == 0).await;
     }
 
-    pub(crate) fn refuse(&self) {
+    /// Counts a refused connection. Returns how many lines about others were left out, if one may be logged.
+    pub(crate) fn refuse(&self) -> Option<u64> {
         self.0.refused.set(self.refused() + 1);
+        self.0.log_limits.take("refused")
     }
 
     /// Counts a connection as open until the guard is dropped.
@@ -162,6 +173,8 @@
     requests: usize,
     has_answer: bool,
     idle_since: Millis,
+    /// Whether the connection is closed after its last answer.
+    is_closing: bool,
     /// Number of its last request among those of all connections.
     last_turn: u64,
 }
@@ -194,6 +207,7 @@
             requests: 0,
             has_answer: false,
             idle_since: clock::now(),
+            is_closing: false,
             last_turn: self.turns.latest(),
         });
     }
@@ -208,9 +222,25 @@
         self.open.borrow().iter().filter(|c| f(&c.io)).count()
     }
 
-    /// Counts a request of a connection as under way until [`Self::end_request`].
-    pub fn begin_request(&self, io: &IoRef) {
-        self.with_caller(io, |c| c.requests += 1);
+    /// Counts a request of a connection as under way until [`Self::end_request`]. Returns `false` if the
+    /// connection was to be closed after its last answer: the request is not served, and the connection
+    /// closes.
+    pub fn begin_request(&self, io: &IoRef) -> bool {
+        let is_closing = self.with_caller(io, |c| {
+            c.requests += 1;
+            c.is_closing
+        });
+        if is_closing == Some(true) {
+            // The library serves requests that it has received behind the last one.
+            io.close();
+            return false;
+        }
+        true
+    }
+
+    /// Closes a connection after the answer to its request under way.
+    pub fn close_after_answer(&self, io: &IoRef) {
+        self.with_caller(io, |c| c.is_closing = true);
     }
 
     /// Waits until a request of a connection may begin. In each turn of the runtime some begin, first those
@@ -238,18 +268,20 @@
             .map(f)
     }
 
-    /// Closes the connection without a request under way that is idle for the longest time: first
-    /// among those that had no answer yet. Returns whether there was one.
+    /// Closes the connection without a request under way that is idle for the longest time: first among
+    /// those that had no answer yet, last those whose callers do not read their answers. Returns whether
+    /// there was one.
     pub fn close_idle(&self) -> bool {
         let now = clock::now();
         let mut open = self.open.borrow_mut();
-        let is_idle = |c: &Caller| {
-            c.requests == 0
-                && now.since(c.idle_since) >= MIN_IDLE
-                && c.io.with_write_dst_buf(|b| b.len()) == 0
+        let rank = |c: &Caller| {
+            let unsent = c.io.with_write_dst_buf(|b| b.len());
+            let is_idle = c.requests == 0 && now.since(c.idle_since) >= min_idle(unsent);
+            is_idle.then_some((unsent > 0, c.has_answer, c.idle_since))
         };
-        let idle = open.iter().enumerate().filter(|(_, c)| is_idle(c));
-        let Some((i, _)) = idle.min_by_key(|(_, c)| (c.has_answer, c.idle_since)) else {
+        let idle = open.iter().enumerate();
+        let idle = idle.filter_map(|(i, c)| rank(c).map(|rank| (rank, i)));
+        let Some((_, i)) = idle.min() else {
             return false;
         };
         open.swap_remove(i).io.terminate();
@@ -257,3 +289,13 @@
         true
     }
 }
+
+/// Returns the time since the end of the last request after which a connection may be closed in favour of
+/// another one, if `unsent` bytes of answers are left to send.
+const fn min_idle(unsent: usize) -> Millis {
+    match unsent {
+        0 => MIN_IDLE,
+        1..=SMALL_REST => SMALL_REST_TIME,
+        _ => LARGE_REST_TIME,
+    }
+}
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -22,7 +22,7 @@
 use ntex::{
     Pipeline, Service, ServiceFactory, SharedCfg, fn_service,
     http::{
-        HttpService, HttpServiceConfig, Request, Response,
+        ConnectionType, HttpService, HttpServiceConfig, Request, Response,
         error::{DispatchError, HttpError},
     },
     io::{Base, Io, IoConfig},
@@ -59,6 +59,9 @@
 pub struct Limits {
     /// Maximum number of open connections; requests on further ones are refused.
     pub max_connections: usize,
+    /// Number of open connections from which on each is closed after its next answer, so that callers who
+    /// send requests without an end leave room for others.
+    pub keep_alive_connections: usize,
     /// Time after which an idle connection is closed.
     pub idle_timeout: time::Seconds,
     /// Time in which a caller must send the head of a request; for the first one it counts from the
@@ -73,6 +76,7 @@
     fn default() -> Self {
         Self {
             max_connections: 1_024,
+            keep_alive_connections: usize::MAX,
             idle_timeout: time::Seconds(75),
             // A connection may be opened well before its first request.
             head_timeout: time::Seconds(75),
@@ -80,6 +84,16 @@
     }
 }
 
+/// Returns the value of [`Limits::keep_alive_connections`] for callers of whom `max_connections` may be
+/// connected: a quarter is left for others.
+///
+/// ```
+/// assert_eq!(serve::keep_alive_connections(1_000), 750);
+/// ```
+pub const fn keep_alive_connections(max_connections: usize) -> usize {
+    max_connections - max_connections / 4
+}
+
 /// Binds a listener whose queue takes the connections that come while a turn of the runtime lasts. The
 /// system drops the first packet of others, and a client repeats it after a second.
 ///
@@ -132,16 +146,15 @@
         .set_client_timeout(limits.head_timeout);
     let http_cfg = http_cfg.set_max_buf_size(read_limit::MAX_HEAD);
     let cfg: SharedCfg = SharedCfg::new(name).add(http_cfg).add(io_config()).into();
-    let http = http_service(cfg.clone(), connections.clone(), handler).await?;
+    let http = http_service(cfg.clone(), connections.clone(), limits, handler).await?;
     let refusing = connections.clone();
     let busy = move |req| busy(refusing.clone(), req);
-    let busy = http_service(cfg.clone(), connections.clone(), busy).await?;
+    let busy = http_service(cfg.clone(), connections.clone(), limits, busy).await?;
     let open = |stream: net::TcpStream| {
         let is_busy = !connections.make_room(limits.max_connections);
         let open = connections.open();
-        if is_busy {
-            log::warn!("{name}: connection refused: {open} connections are already open");
-            connections.refuse();
+        if is_busy && let Some(suppressed) = connections.refuse() {
+            log::warn!(suppressed; "{name}: connection refused: {open} connections are already open");
         }
         if connections.callers().count() >= limits.max_connections + SPARE_CONNECTIONS {
             return;
@@ -209,6 +222,7 @@
 async fn http_service<F, R>(
     cfg: SharedCfg,
     connections: Connections,
+    limits: Limits,
     handler: F,
 ) -> io::Result<Pipeline<impl Service<CallerIo, Error = DispatchError>>>
 where
@@ -219,15 +233,22 @@
     let http = HttpService::new(fn_service(move |req: Request| {
         let (handler, connections) = (handler.clone(), connections.clone());
         async move {
-            let io = req.io().cloned();
             req.extensions_mut().insert(Arrival(clock::now()));
-            if let Some(io) = &io {
-                connections.callers().begin_request(io);
-                connections.callers().take_turn(io).await;
+            let Some(io) = req.io().cloned() else {
+                return Ok(handler(req).await);
+            };
+            let callers = connections.callers();
+            if !callers.begin_request(&io) {
+                callers.end_request(&io);
+                return Ok(Response::ServiceUnavailable().finish());
             }
-            let response = handler(req).await;
-            if let Some(io) = &io {
-                connections.callers().end_request(io);
+            callers.take_turn(&io).await;
+            let mut response = handler(req).await;
+            callers.end_request(&io);
+            if callers.count() >= limits.keep_alive_connections {
+                callers.close_after_answer(&io);
+                let head = response.head_mut();
+                head.set_connection_type(ConnectionType::Close);
             }
             Ok::<_, HttpError>(response)
         }
