entry: answers that callers do not take have a budget

Seen: 100 callers that send requests with answers of 1 MiB and read none of them took an entry to 144,704 KiB (debug) and 125,852 KiB (release) on; the bound is 61,440.

Cause: an answer is handed to the HTTP library whole, which keeps it until the caller has read it.

Change: an answer of more than 64 KiB takes its memory from a budget (body_memory_bytes) before it is read from the backend server, in the order of arrival, and is written in pieces of 8 KiB. While the budget is full, connections close whose callers have taken nothing for 100 ms. A request that gets no memory within its time has the outcome unknown, as any other whose answer is missing.

--- a/crates/cli/tests/caller_crowd.rs
+++ b/crates/cli/tests/caller_crowd.rs
@@ -548,3 +548,27 @@
         check_node("dropped-bodies", WHOLE_BODIES, &[script]);
     }
 }
+
+/// Guards against an entry that keeps the large answers of callers that do not read them.
+#[test]
+fn an_entry_stands_large_answers_that_are_not_read() {
+    let _alone = alone();
+    let mut builder = Builder {
+        entries: 1,
+        schedulers: 1,
+        entry_settings: json!({"connections": CONNECTIONS, "body_memory_bytes": 4 << 20}),
+        ..Builder::default()
+    };
+    builder.backends.answer_bytes = 1 << 20;
+    let mut system = builder.start("large-answers");
+    let mut proc = system.entries.remove(0);
+    let addr = proc.http;
+    let head = entry_head("/call/refund/score", Some(ORGANISATION_TOKEN));
+    let script = many(with_body(&head, "{}"), Then::Stay);
+    check(&mut proc, addr, BODIES, &[script], |when| {
+        let answer = common::call(addr, "score", None);
+        let head = answer.map(|a| (a.status, a.head));
+        let status = head.as_ref().map(|(status, _)| *status);
+        assert_eq!(status, Some(200), "{when}: {head:?}");
+    });
+}
--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -17,6 +17,7 @@
     io::cfg::IoConfig,
     service,
 };
+use serve::{AnswerMemory, Answers};
 use tokio::time;
 
 /// Header with the request id, which the answer repeats.
@@ -29,6 +30,8 @@
 const LOAD: &str = "x-load";
 /// Header that marks the server as leaving.
 const LEAVING: &str = "x-leaving";
+/// Size up to which an answer takes no memory from the budget.
+const SMALL_ANSWER: usize = 64 << 10;
 /// Header that states that the server did not run the request.
 const NOT_RUN: &str = "x-not-run";
 
@@ -56,6 +59,8 @@
     pub content_type: Option<HeaderValue>,
     /// The complete body.
     pub body: Bytes,
+    /// Memory of a large body in the budget.
+    pub memory: Option<Rc<AnswerMemory>>,
     /// Load of the server at the time of the answer.
     pub load: Option<Load>,
     /// Whether the server is leaving and must get no new requests.
@@ -143,16 +148,18 @@
 #[derive(Debug)]
 pub struct Backends {
     client_cfg: SharedCfg,
+    answers: Rc<Answers>,
     idle_limit: Millis,
     pools: RefCell<SortedMap<net::SocketAddr, Pool>>,
 }
 
 impl Backends {
-    /// Creates empty pools.
-    pub fn new(connect_timeout: Millis, idle_limit: Millis) -> Self {
+    /// Creates empty pools. Large answers take their memory from `answers`.
+    pub fn new(connect_timeout: Millis, idle_limit: Millis, answers: Rc<Answers>) -> Self {
         let io = IoConfig::new().set_connect_timeout(ntex::time::Millis(connect_timeout.0 as u32));
         Self {
             client_cfg: SharedCfg::new("BACKEND").add(io).into(),
+            answers,
             idle_limit,
             pools: RefCell::default(),
         }
@@ -175,7 +182,7 @@
             Some(conn) => conn,
             None => self.connect().await?,
         };
-        let exchange = conn.exchange(server, request, timeout);
+        let exchange = conn.exchange(server, request, timeout, &self.answers);
         let answer = match time::timeout(timeout.to_duration(), exchange).await {
             Ok(answer) => answer,
             Err(_) => Err(BackendError::DeadlineExceeded),
@@ -288,6 +295,7 @@
         server: net::SocketAddr,
         request: &BackendRequest,
         timeout: Millis,
+        answers: &Rc<Answers>,
     ) -> Result<Answer, BackendError> {
         let mut req = self
             .client
@@ -301,12 +309,16 @@
         }
         let body = ntex::util::Bytes::copy_from_slice(&request.body);
         let response = req.send_body(body).await.map_err(|e| exchange_error(&e))?;
-        read_answer(&request.id, &response).await
+        read_answer(&request.id, &response, answers).await
     }
 }
 
 /// Reads the body of `response` and checks that the answer is complete and belongs to request `id`.
-async fn read_answer(id: &str, response: &ClientResponse) -> Result<Answer, BackendError> {
+async fn read_answer(
+    id: &str,
+    response: &ClientResponse,
+    answers: &Rc<Answers>,
+) -> Result<Answer, BackendError> {
     let header = |name: &str| response.headers().get(name);
     let text = |name: &str| header(name).and_then(|v| v.to_str().ok());
     if text(REQUEST_ID) != Some(id) {
@@ -318,6 +330,13 @@
     if !states_length && !has_no_body(response.status()) {
         return Err(BackendError::Malformed);
     }
+    let declared = text("content-length").and_then(|v| v.parse().ok());
+    let memory = match declared.unwrap_or(limits::ANSWER_BYTES) {
+        ..=SMALL_ANSWER => None,
+        bytes => Some(Rc::new(
+            answers.reserve(bytes.min(limits::ANSWER_BYTES)).await,
+        )),
+    };
     let body = response.body().limit(limits::ANSWER_BYTES);
     let body = body.timeout(ntex::time::Millis::ZERO).await;
     let body = body.map_err(|e| match e {
@@ -330,6 +349,7 @@
         status: response.status(),
         content_type: header("content-type").cloned(),
         body: Bytes::copy_from_slice(&body),
+        memory,
         load: text(LOAD).and_then(parse_load),
         leaving: text(LEAVING) == Some("1"),
         not_run: is_unavailable && text(NOT_RUN) == Some("1"),
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -9,11 +9,13 @@
     ticket::{ExecutionOutcome, Ticket},
 };
 use ntex::{
-    http::{HeaderMap, StatusCode, header::HeaderValue},
+    http::{self, HeaderMap, StatusCode, header::HeaderValue},
+    io::IoRef,
     web::HttpResponse,
 };
 use route::{admission::AdmissionError, outcome};
 use schema::service::{Operation, Service};
+use serve::AnswerBody;
 use tokio::time;
 
 use crate::{
@@ -55,6 +57,8 @@
     pub content_type: Option<HeaderValue>,
     /// The body.
     pub body: Body,
+    /// Connection of the caller.
+    pub io: Option<IoRef>,
 }
 
 /// Time after the start of a claim within which its request may be sent.
@@ -120,7 +124,7 @@
     match result {
         Ok(reply) => {
             cx.metrics.request("answered", took);
-            reply.response()
+            reply.response(call.io)
         }
         Err(refusal) => {
             cx.metrics.request(&refusal.code, took);
@@ -380,14 +384,21 @@
 }
 
 impl Reply {
-    fn response(self) -> HttpResponse {
+    /// Returns the response, which is written to `io`.
+    fn response(self, io: Option<IoRef>) -> HttpResponse {
         match self {
             Self::Fresh(answer) => {
                 let mut response = HttpResponse::build(answer.status);
                 if let Some(content_type) = answer.content_type {
                     response.header("content-type", content_type);
                 }
-                response.body(ntex::util::Bytes::copy_from_slice(&answer.body))
+                match answer.memory {
+                    Some(memory) => {
+                        let body = AnswerBody::new(answer.body, memory, io);
+                        response.body(http::body::Body::from_message(body))
+                    }
+                    None => response.body(ntex::util::Bytes::copy_from_slice(&answer.body)),
+                }
             }
             Self::Replayed(answer) => replayed(&answer),
         }
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -69,7 +69,7 @@
     let delete = *req.method() == Method::DELETE;
     let mut response = match parts {
         [Some("call"), Some(service), Some(operation), None] if post => {
-            serve_call(cx, headers, payload, service, operation, arrived).await
+            serve_call(cx, &req, payload, service, operation, arrived).await
         }
         [Some("ready"), None, ..] if get => ready(cx),
         [Some("dump"), None, ..] if get => HttpResponse::Ok().json(&Dump::of(cx)),
@@ -114,12 +114,13 @@
 
 async fn serve_call(
     cx: &Rc<Entry>,
-    headers: &HeaderMap,
+    req: &HttpRequest,
     payload: Payload,
     service: &str,
     operation: &str,
     arrived: Millis,
 ) -> HttpResponse {
+    let headers = req.headers();
     let guard = match cx.begin_request() {
         Ok(guard) => guard,
         Err(refusal) => return refuse(cx, &refusal),
@@ -146,6 +147,7 @@
         deadline,
         content_type: headers.get("content-type").cloned(),
         body,
+        io: req.io().cloned(),
     };
     // The request completes even if the caller disconnects, because claims and load counts depend
     // on its result.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,7 +14,7 @@
 use route::limits_cfg::LimitsCfg;
 use schema::service::Service;
 use serde::Serialize;
-use serve::{Bodies, Callers};
+use serve::{Answers, Bodies, Callers};
 use store::{client::Table, http::HttpTable, http_cfg::HttpCfg, table::StoreError, vms::Vms};
 
 use crate::{
@@ -67,6 +67,8 @@
     pub callers: Callers,
     /// Request bodies under way, and the budget for them.
     pub bodies: Rc<Bodies>,
+    /// Answers that callers have not taken yet, and the budget for them.
+    pub answers: Rc<Answers>,
     /// Configuration in force.
     pub config: CurrentConfig,
     /// Reads of the configuration.
@@ -116,6 +118,7 @@
         let vms = Vms::new(&format!("http://{}", cfg.vm_list), http).await?;
         let id = fastrand::u64(1..);
         let (claims, driver) = Claims::new(ClaimCfg::default(), table.clone(), id);
+        let answers = Rc::new(Answers::new(cfg.body_memory));
         let entry = Self {
             id,
             phase: Cell::new(Phase::Serving),
@@ -129,7 +132,8 @@
             members: Members::new(id, members_addr),
             fences: RefCell::default(),
             vm_list: VmList::new(vms),
-            backends: Backends::new(cfg.connect_timeout, cfg.backend_idle),
+            backends: Backends::new(cfg.connect_timeout, cfg.backend_idle, answers.clone()),
+            answers,
             claims,
             schedulers: Schedulers::new(cfg.schedulers.clone()),
             table,
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP listeners that run on the thread of the caller's runtime, and the signals of their process.
 
+mod answers;
 mod bodies;
 pub mod budget;
 pub mod chunk_pace;
@@ -11,6 +12,7 @@
 
 use std::{io, net, rc::Rc};
 
+pub use answers::{AnswerBody, AnswerMemory, Answers};
 pub use bodies::{Bodies, Body, BodyError, BodySpec, Memory, declared_length};
 pub use connections::{Callers, Connections};
 pub use log_limit::{LogLimit, LogLimits, log_text};
