cli: a crowd of small submissions with many subtasks, known red

100 valid submissions of 70 bytes with 6,000 subtasks each take a node to 154,128 KiB (debug);, release: 187,640 KiB. The leader keeps the state of every subtask of every accepted job, and the next leader loads it again.

--- a/crates/cli/tests/caller_crowd.rs
+++ b/crates/cli/tests/caller_crowd.rs
@@ -572,3 +572,12 @@
         assert_eq!(status, Some(200), "{when}: {head:?}");
     });
 }
+
+/// Guards against a leader that keeps the subtasks of all submitted jobs: each submission has less than 100
+/// bytes, and is within all limits.
+#[test]
+fn a_node_stands_jobs_of_many_subtasks() {
+    let step = r#"{"count":6000,"cpu":1000,"mem-mb":100,"gpu":8,"estimated-ms":500}"#;
+    let body = format!(r#"{{"spec":"work","steps":[{step}]}}"#);
+    check_node("many-subtasks", BODIES, &submissions(&body, Then::Stay));
+}
