cli: crowds at entries and schedulers in a file of their own; metrics of answers

The tests are moved without a change; what they share is in tests/crowds. An entry shows the bytes of large answers that callers have not taken, and the connections that it closed because of them.

--- a/crates/cli/tests/caller_crowd.rs
+++ b/crates/cli/tests/caller_crowd.rs
@@ -1,119 +1,28 @@
-//! Processes beside callers that send without end, hand in bodies that are large once decoded, leave
-//! their answers unread, or close and come again. Checked are the life of the process, its memory, its
-//! descriptors, and ordinary requests beside the crowd and after it; no times, and not which requests
-//! of the crowd are refused.
+//! Nodes beside crowds of callers; [`crowds`] says what is checked.
 
 mod cluster;
 mod common;
+mod crowds;
 
-use std::{
-    net,
-    sync::{Mutex, MutexGuard, PoisonError},
-    time,
-};
+use std::net;
 
 use cluster::{API_KEY, Cluster, TIMEOUT};
 use common::{
-    Builder, ORGANISATION_TOKEN, Process, System, crowd,
     flood::{Flood, Script, Then},
     wait_until,
 };
+use crowds::{
+    BODIES, BODY_BYTES, CALLERS, CHUNKED, CONNECTIONS, ENDLESS_BYTES, ORDINARY, REQUESTERS,
+    SENDING, alone, authorization, check, endless, many, once, with_body,
+};
 use serde_json::json;
 
-/// Number of callers in a crowd.
-const CALLERS: usize = 64;
-/// Number of callers that send many requests one after the other.
-const REQUESTERS: usize = 200;
-/// Number of callers whose bodies are whole.
-const BODIES: usize = 100;
 /// Number of callers whose bodies are whole and do not fit in the memory for bodies together.
 const WHOLE_BODIES: usize = 600;
-/// Setting `connections` of the processes: room for each crowd and for ordinary callers.
-const CONNECTIONS: usize = 700;
 /// Setting `memory_mb` of the nodes.
 const MEMORY_MB: usize = 120;
-/// Maximum size of a body in the configuration, as in the users' own.
-const BODY_BYTES: usize = 256 << 10;
-/// Bytes that each caller sends in a line that has no end.
-const ENDLESS_BYTES: usize = 64 << 20;
-/// Bound of the memory of a process: half of that of the smallest VM.
-const MAX_MEMORY_KIB: u64 = 60 << 10;
-/// Bound of the descriptors beside those before the crowd and the setting `connections`: 64
-/// connections that get a refusal, and a few descriptors of the process's own.
-const MORE_DESCRIPTORS: usize = 64 + 16;
 /// Bound of the bytes that a process logs for one refused request.
 const LOG_BYTES_OF_REQUEST: usize = 512;
-/// Time after which ordinary requests are sent although the crowd still sends.
-const SENDING: time::Duration = time::Duration::from_secs(2);
-/// Number of ordinary requests beside a crowd.
-const ORDINARY: usize = 5;
-
-/// Keeps the tests of this file from running at once.
-static ALONE: Mutex<()> = Mutex::new(());
-
-fn alone() -> MutexGuard<'static, ()> {
-    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Sends a crowd to `addr` and ordinary requests to `proc`.
-fn check(
-    proc: &mut Process,
-    addr: net::SocketAddr,
-    callers: usize,
-    scripts: &[Script],
-    ordinary: impl Fn(&str),
-) {
-    let pid = proc.pid();
-    let before = crowd::descriptors(pid);
-    let flood = Flood::start(addr, callers, scripts, SENDING);
-    proc.assert_running();
-    let descriptors = crowd::descriptors(pid);
-    for _ in 0..ORDINARY {
-        ordinary("beside the crowd");
-    }
-    proc.assert_running();
-    drop(flood);
-    ordinary("after the crowd");
-    proc.assert_running();
-    let memory = crowd::peak_memory_kib(pid);
-    println!("{callers} callers: {memory} KiB, {before} descriptors, then {descriptors}");
-    assert!(memory <= MAX_MEMORY_KIB, "{callers} callers: {memory} KiB");
-    let most = before + CONNECTIONS + MORE_DESCRIPTORS;
-    assert!(descriptors <= most, "{before}, then {descriptors}");
-}
-
-/// Returns a script that ends with a line of which only the begin is sent.
-fn endless(start: String) -> Script {
-    let start = start.into_bytes();
-    Script {
-        start,
-        repeated: b"yyyyyyyyyyyyyyyy".to_vec(),
-        times: ENDLESS_BYTES / 16,
-        then: Then::Stay,
-    }
-}
-
-fn once(request: String, then: Then) -> Script {
-    Script {
-        start: request.into_bytes(),
-        repeated: Vec::new(),
-        times: 0,
-        then,
-    }
-}
-
-fn many(request: String, then: Then) -> Script {
-    Script {
-        start: Vec::new(),
-        repeated: request.into_bytes(),
-        times: 1 << 20,
-        then,
-    }
-}
-
-fn authorization(key: Option<&str>) -> String {
-    key.map_or_else(String::new, |k| format!("authorization: Bearer {k}\r\n"))
-}
 
 /// Returns the request line and the headers of a request to a node.
 fn node_head(method: &str, id: usize, key: Option<&str>) -> String {
@@ -121,10 +30,6 @@
     format!("{method} /q/{id:016x} HTTP/1.1\r\nhost: callers.example\r\n{key}")
 }
 
-fn with_body(head: &str, body: &str) -> String {
-    format!("{head}content-length: {}\r\n\r\n{body}", body.len())
-}
-
 fn start_node(test: &str) -> Cluster {
     let settings = json!({ "connections": CONNECTIONS, "memory_mb": MEMORY_MB });
     let cluster = Cluster::start_with_settings(test, 1, 2, 300, &settings);
@@ -168,34 +73,6 @@
     });
 }
 
-fn start_entry(test: &str) -> System {
-    let builder = Builder {
-        entries: 1,
-        schedulers: 1,
-        entry_settings: json!({"connections": CONNECTIONS, "body_memory_bytes": 4 << 20}),
-        ..Builder::default()
-    };
-    builder.start(test)
-}
-
-fn check_entry(test: &str, callers: usize, scripts: &[Script]) {
-    let _alone = alone();
-    let mut system = start_entry(test);
-    let mut proc = system.entries.remove(0);
-    let addr = proc.http;
-    check(&mut proc, addr, callers, scripts, |when| {
-        let answer = common::call(addr, "score", None);
-        let status = answer.as_ref().map(|a| a.status);
-        assert_eq!(status, Some(200), "{when}: {answer:?}");
-    });
-}
-
-fn entry_head(path: &str, key: Option<&str>) -> String {
-    format!("POST {path} HTTP/1.1\r\nhost: x\r\n{}", authorization(key))
-}
-
-const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
-
 /// Returns a body of `BODY_BYTES` of a job with as many steps as fit.
 fn job_of(step: &str) -> String {
     let steps = vec![step; (BODY_BYTES - 100) / (step.len() + 1)].join(",");
@@ -418,72 +295,6 @@
     }
 }
 
-/// Guards against an entry that keeps the header of a chunk until its end.
-#[test]
-fn an_entry_stands_chunk_headers_without_end() {
-    for key in [Some(ORGANISATION_TOKEN), None] {
-        for callers in [1, CALLERS] {
-            let head = entry_head("/call/refund/score", key);
-            let script = endless(format!("{head}{CHUNKED}1;x="));
-            check_entry("entry-chunk-headers", callers, &[script]);
-        }
-    }
-}
-
-/// Guards against an entry that keeps request lines, headers or trailers without end.
-#[test]
-fn an_entry_stands_lines_without_end() {
-    let head = entry_head("/call/refund/score", Some(ORGANISATION_TOKEN));
-    let starts = [
-        "GET /".to_owned(),
-        format!("{head}x: "),
-        format!("{head}{CHUNKED}0\r\nx: "),
-    ];
-    check_entry("entry-lines", CALLERS, &starts.map(endless));
-}
-
-/// Guards against an entry that answers without end what nobody reads.
-#[test]
-fn an_entry_stands_requests_whose_answers_are_not_read() {
-    for path in ["/dump", "/metrics", "/jobs", "/x"] {
-        println!("{path}");
-        let key = authorization(Some(ORGANISATION_TOKEN));
-        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\n{key}\r\n");
-        check_entry("entry-unread", REQUESTERS, &[many(request, Then::Stay)]);
-    }
-}
-
-/// Guards against an entry that decodes more records than a change may have.
-#[test]
-fn an_entry_stands_jobs_of_many_fields() {
-    let values = "0,".repeat(BODY_BYTES);
-    let body = format!(r#"{{"schema":2,"kind":"job","name":"x","steps":[{values}0]}}"#);
-    let request = with_body(&entry_head("/jobs", Some(ORGANISATION_TOKEN)), &body);
-    check_entry("entry-jobs", BODIES, &[once(request, Then::ComeAgain)]);
-}
-
-/// Guards against a scheduler whose address for operators has no bounds.
-#[test]
-fn a_scheduler_stands_crowds() {
-    let head = "GET /dump HTTP/1.1\r\nhost: x\r\n";
-    let scripts = [
-        many(format!("{head}\r\n"), Then::Stay),
-        endless(format!("{head}{CHUNKED}1;x=")),
-    ];
-    for script in scripts {
-        let _alone = alone();
-        let mut system = start_entry("scheduler-crowd");
-        let mut proc = system.schedulers.remove(0);
-        let (addr, entry) = (proc.http, system.entries[0].http);
-        check(&mut proc, addr, CALLERS, &[script], |when| {
-            let status = common::get(addr, "/ready").map(|a| a.status);
-            assert_eq!(status, Some(200), "{when}");
-            let status = common::call(entry, "score", None).map(|a| a.status);
-            assert_eq!(status, Some(200), "{when}");
-        });
-    }
-}
-
 /// Guards against connections that callers keep from others by requests without an end.
 #[test]
 fn a_node_stands_more_callers_than_connections() {
@@ -492,15 +303,6 @@
     check_node("full", callers, &[many(request, Then::Stay)]);
 }
 
-/// Guards against connections that callers keep from others by requests without an end.
-#[test]
-fn an_entry_stands_more_callers_than_connections() {
-    let key = authorization(Some(ORGANISATION_TOKEN));
-    let request = format!("GET /x HTTP/1.1\r\nhost: x\r\n{key}\r\n");
-    let callers = CONNECTIONS + 100;
-    check_entry("entry-full", callers, &[many(request, Then::Stay)]);
-}
-
 /// Guards against a node that keeps large incomplete heads and headers of chunks of many callers.
 #[test]
 fn a_node_stands_long_heads_that_stop_short() {
@@ -549,30 +351,6 @@
     }
 }
 
-/// Guards against an entry that keeps the large answers of callers that do not read them.
-#[test]
-fn an_entry_stands_large_answers_that_are_not_read() {
-    let _alone = alone();
-    let mut builder = Builder {
-        entries: 1,
-        schedulers: 1,
-        entry_settings: json!({"connections": CONNECTIONS, "body_memory_bytes": 4 << 20}),
-        ..Builder::default()
-    };
-    builder.backends.answer_bytes = 1 << 20;
-    let mut system = builder.start("large-answers");
-    let mut proc = system.entries.remove(0);
-    let addr = proc.http;
-    let head = entry_head("/call/refund/score", Some(ORGANISATION_TOKEN));
-    let script = many(with_body(&head, "{}"), Then::Stay);
-    check(&mut proc, addr, BODIES, &[script], |when| {
-        let answer = common::call(addr, "score", None);
-        let head = answer.map(|a| (a.status, a.head));
-        let status = head.as_ref().map(|(status, _)| *status);
-        assert_eq!(status, Some(200), "{when}: {head:?}");
-    });
-}
-
 /// Guards against a leader that keeps the subtasks of all submitted jobs: each submission has less than 100
 /// bytes, and is within all limits.
 #[test]
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -29,6 +29,10 @@
     pub vm_list_age: Millis,
     /// Total size in bytes of the request bodies in memory.
     pub body_bytes: u64,
+    /// Total size in bytes of the large answers that callers have not taken yet.
+    pub answer_bytes: u64,
+    /// Number of connections that were closed because their callers did not take their answers.
+    pub stalled_answers: u64,
     /// Number of refused request bodies by cause.
     pub refused_bodies: Vec<(BodyError, u64)>,
     /// Number of idle connections that were closed in favour of others.
@@ -57,6 +61,8 @@
     config_age: Gauge<u64>,
     vm_list_age: Gauge<u64>,
     body_bytes: Gauge<u64>,
+    answer_bytes: Gauge<u64>,
+    stalled_answers: Gauge<u64>,
     refused_bodies: Gauge<u64>,
     displaced_connections: Gauge<u64>,
     ready: Gauge<u64>,
@@ -84,6 +90,8 @@
             config_age: gauge("entry_config_age_ms"),
             vm_list_age: gauge("entry_vm_list_age_ms"),
             body_bytes: gauge("entry_body_bytes"),
+            answer_bytes: gauge("entry_answer_bytes"),
+            stalled_answers: gauge("entry_stalled_answers"),
             refused_bodies: gauge("entry_refused_bodies"),
             displaced_connections: gauge("entry_displaced_connections"),
             ready: gauge("entry_ready"),
@@ -134,6 +142,8 @@
         self.config_age.record(values.config_age.0, &[]);
         self.vm_list_age.record(values.vm_list_age.0, &[]);
         self.body_bytes.record(values.body_bytes, &[]);
+        self.answer_bytes.record(values.answer_bytes, &[]);
+        self.stalled_answers.record(values.stalled_answers, &[]);
         for (cause, count) in &values.refused_bodies {
             let cause = [KeyValue::new("cause", cause.to_string())];
             self.refused_bodies.record(*count, &cause);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -318,6 +318,8 @@
             config_age: self.config.age().unwrap_or(Millis(u64::MAX)),
             vm_list_age: self.vm_list.age().unwrap_or(Millis(u64::MAX)),
             body_bytes: self.bodies.used() as u64,
+            answer_bytes: self.answers.used() as u64,
+            stalled_answers: self.answers.stalled(),
             refused_bodies: self.bodies.refused(),
             displaced_connections: self.callers.displaced(),
             ready: u64::from(self.is_ready()),
--- a/crates/serve/src/answers.rs
+++ b/crates/serve/src/answers.rs
@@ -156,6 +156,17 @@
 
 impl AnswerBody {
     /// Creates the body of an answer that is written to `io`.
+    ///
+    /// ```
+    /// # use std::rc::Rc;
+    /// # use ntex::http::body::{BodySize, MessageBody};
+    /// # ntex::rt::System::new("doc", ntex::rt::DefaultRuntime).block_on(async {
+    /// let answers = Rc::new(serve::Answers::new(1 << 20));
+    /// let memory = Rc::new(answers.reserve(4).await);
+    /// let body = serve::AnswerBody::new("text".into(), memory, None);
+    /// assert_eq!(body.size(), BodySize::Sized(4));
+    /// # });
+    /// ```
     pub fn new(bytes: bytes::Bytes, memory: Rc<AnswerMemory>, io: Option<IoRef>) -> Self {
         memory.held.progress_at.set(clock::now());
         memory.held.io.replace(io);
--- a/crates/serve/src/bodies.rs
+++ b/crates/serve/src/bodies.rs
@@ -105,6 +105,7 @@
     readers: RefCell<SortedMap<u64, Rc<Notify>>>,
     /// Notified when memory was freed.
     freed: Notify,
+    /// Order in which large bodies are decoded.
     decoding: Rc<Turns>,
     refused: RefCell<SortedMap<BodyError, Refused>>,
 }
@@ -143,6 +144,13 @@
 impl Body {
     /// Waits until the body may be decoded: one large body in each turn of the runtime, in the order in which
     /// they were read.
+    ///
+    /// ```no_run
+    /// # async fn f(body: serve::Body) {
+    /// body.decoding().await;
+    /// let text = std::str::from_utf8(&body.bytes);
+    /// # }
+    /// ```
     pub async fn decoding(&self) {
         if self.bytes.len() > SMALL_BODY {
             let decoding = self.memory.bodies.decoding.clone();
