--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -24,8 +24,8 @@
 /// Duration of the reads for an answer from which on they are logged.
 const SLOW_READ: Millis = Millis(1_000);
 
-/// Copies of a job's record during its transaction: the record, its base64 in the request, and the
-/// request as it is sent.
+/// Copies of a job's record that count during its transaction: the record, the one in the transaction, its
+/// base64 and the encoded request.
 const RECORD_COPIES: usize = 4;
 
 /// Maximum age of the number of pending jobs that callers are told.
@@ -120,7 +120,7 @@
     let mut write = RetriedWrite::new(Request::Submission, submission.id(), deadline);
     let stored = store_job(cx, &mut write, &submission).await?;
     log::info!(
-        job = submission.id(), queue:% = authorised.queue.name, organisation = submission.organisation().map(|o| &**o),
+        job = submission.id(), queue:% = authorised.queue.name, organisation = authorised.organisation.as_deref(),
         config = cx.config().version, version = stored.version, known = stored.known,
         age_ms = stored.age.map(|a| a.0), tries = write.tries(), unknown = write.is_unknown(),
         ms = write.age().0;
@@ -183,7 +183,7 @@
         }
         if stored.is_cancelled_for(submission.organisation()) {
             log::info!(
-                job = submission.id(), organisation = submission.organisation().map(|o| &**o),
+                job = submission.id(), organisation = submission.authorised.organisation.as_deref(),
                 version = stored.cancel_version(), age_ms = stored.cancel_age(cx).map(|a| a.0);
                 "accept: the id was cancelled before"
             );
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -151,7 +151,11 @@
     let http = http_service(cfg.clone(), connections.clone(), limits, handler).await?;
     let refusing = connections.clone();
     let busy = move |req| busy(refusing.clone(), req);
-    let busy = http_service(cfg.clone(), connections.clone(), limits, busy).await?;
+    let refused = Limits {
+        keep_alive_connections: 0,
+        ..limits
+    };
+    let busy = http_service(cfg.clone(), connections.clone(), refused, busy).await?;
     let open = |stream: net::TcpStream| {
         let is_busy = !connections.make_room(limits.max_connections);
         let open = connections.open();
