--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -205,6 +205,7 @@
     def __init__(self, task, attempt, step, spec, now):
         self.task, self.attempt, self.step, self.started = task, attempt, step, now
         self.takes = spec.get("takes-ms", 1000) / 1000
+        self.fails = spec.get("fails", False)
         self.stop_at = None
 
     @property
@@ -213,17 +214,20 @@
 
 
 class Minion(Server):
-    """A minion, which refuses what does not fit. The text of a job's spec names the run time."""
+    """A minion, which refuses what does not fit. The `spec` of a job is JSON that names the time of its runs
+    (`takes-ms`) and whether they fail (`fails`)."""
 
     def __init__(self, world, name, rack, capacity):
         super().__init__()
-        self.world, self.name, self.rack, self.capacity = world, name, rack, capacity
-        self.life, self.up = 0, False
+        self.world, self.name, self.capacity = world, name, capacity
+        self.labels = ["a", rack]
+        self.life, self.up, self.id = 0, False, None
 
-    async def start(self):
-        """Begins a life, under a new id."""
+    async def start(self, keeps_id=False):
+        """Begins a life, under a new id or under the one that it had."""
         self.life += 1
-        self.id = f"{self.name}-{self.life}"
+        if not keeps_id:
+            self.id = f"{self.name}-{self.life}"
         self.born, self.began = int(time.time() * 1000), time.monotonic()
         self.clock_base = 100_000 + 7_919 * self.life
         self.fence, self.lease_end, self.sequence = 0, 0, 0
@@ -242,7 +246,7 @@
             await self.world.store.put("servers", self.id, {
                 "service": SERVICE, "address": self.address, "zone": "zone-a", "version": "v1",
                 "slots": 8, "state": "ready", "cold-remaining-ms": 0, "capacity": self.capacity,
-                "labels": ["a", self.rack], "clock-ms": self.clock(), "sequence": self.sequence,
+                "labels": self.labels, "clock-ms": self.clock(), "sequence": self.sequence,
                 "machine": self.name, "born": self.born,
             })
             await asyncio.sleep(BEAT_S)
@@ -263,7 +267,7 @@
             return "stopped"
         if not run.step.get("gang"):
             is_over = not run.step.get("long-running") and now >= run.started + run.takes
-            return "done" if is_over else None
+            return ("failed" if run.fails else "done") if is_over else None
         gang = self.world.gangs[run.gang]
         if gang["begun"] is None:
             return "alone" if now >= run.started + GANG_TIMEOUT_S else None
@@ -284,6 +288,10 @@
             self.event.set()
         self.world.run_ended(self, run, how)
 
+    def fail(self, task):
+        """Ends a lasting run as failed, which may happen at any time."""
+        self.end(self.runs[task], "failed")
+
     def used(self):
         keys = ("cpu", "mem-mb", "gpu")
         return {k: sum(self.need(r.step).get(k, 0) for r in self.runs.values()) for k in keys}
@@ -382,7 +390,8 @@
     async def remove_entry(self, ident):
         """Removes the entry after three intervals of silence, as the platform does."""
         await asyncio.sleep(3 * BEAT_S)
-        await self.world.store.put("servers", ident, None)
+        if not (self.up and self.id == ident):
+            await self.world.store.put("servers", ident, None)
 
 
 class Node:
@@ -452,8 +461,9 @@
         self.folder = Path(tempfile.mkdtemp(prefix="buckthorncove-review-"))
         self.minions, self.nodes, self.runs = [], [], []
 
-    async def build(self, nodes, minions, routes, tenants, per_rack=4):
-        """Starts the store, the minions and the nodes, and waits until the nodes are ready."""
+    async def build(self, nodes, minions, routes, tenants, per_rack=4, labels=None):
+        """Starts the store, the minions and the nodes, and waits until the nodes are ready. `labels` gives minions a
+        further label, by number."""
         self.store = Store()
         await self.store.listen()
         self.routes, self.tenants = routes, tenants
@@ -461,6 +471,8 @@
         for i in range(minions):
             capacity = {"cpu": 64_000, "mem-mb": 262_144, "gpu": 8}
             minion = Minion(self, f"minion-{i}", f"r-{i // per_rack}", capacity)
+            if label := (labels or {}).get(i):
+                minion.labels.insert(1, label)
             self.minions.append(minion)
             await minion.start()
         self.nodes = [Node(self, i) for i in range(nodes)]
@@ -488,6 +500,7 @@
         return answer is not None and answer[0] == 200
 
     def step_of(self, task):
+        """Returns the step of a subtask as it was handed in."""
         job, _, step, _ = task.split(".")
         return self.jobs[job]["steps"][int(step)]
 
