--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -32,9 +32,8 @@
     "hold-max-ms": HOLD_MAX_MS, "drain-ms": 2000, "stop-timeout-ms": 400, "revoke-ms": 5000,
     "status_s": 120, "restore-ms": 600, "grace-s": 6,
 }
-RECLAIM_S = 2.9
+LIMITS = {"cpu-share": 0.25, "cores": 1, "memory-mb": 260, "max-fds": 4100, "link-mbps": 1000.0}
 VISIBLE_S = 3.0
-CANCEL_S = 3.0
 
 
 class Record:
@@ -397,19 +396,20 @@
 class Node:
     """A process of the deploy file."""
 
-    def __init__(self, world, number):
-        self.world, self.name = world, f"edge-{number}"
-        ports = free_ports(3)
-        self.front, self.ready, self.internal = ports
-        settings = world.folder / f"{self.name}.json"
-        settings.write_text(render((REPOSITORY / "deploy/node.json").read_text(), {
+    def __init__(self, world, number, bounds, limits):
+        self.world, self.name, self.limits = world, f"edge-{number}", limits
+        self.front, self.ready, self.internal = free_ports(3)
+        self.settings, self.process = world.folder / f"{self.name}.json", None
+        self.write_settings(bounds)
+
+    def write_settings(self, bounds):
+        """Fills in the template of the settings, as the platform does at each start."""
+        self.settings.write_text(render((REPOSITORY / "deploy/node.json").read_text(), {
             "node": self.name, "zone": "zone-a", "ip": HOST,
             "listen": {"front": f"{HOST}:{self.front}", "ready": f"{HOST}:{self.ready}"},
-            "internal-ports": [self.internal, self.internal], "platform": {"address": world.store.address, "row-bytes": 65536},
-            "heartbeat-ms": int(BEAT_S * 1000), "bounds": BOUNDS,
-            "limits": {"cpu-share": 0.25, "cores": 1, "memory-mb": 260, "max-fds": 4100, "link-mbps": 1000.0},
+            "internal-ports": [self.internal, self.internal], "bounds": bounds, "limits": self.limits,
+            "platform": {"address": self.world.store.address, "row-bytes": 65536}, "heartbeat-ms": int(BEAT_S * 1000),
         }))
-        self.settings, self.process = settings, None
 
     def start(self):
         env = {"PATH": os.environ["PATH"], "BUCKTHORNCOVE_SETTINGS": str(self.settings)}
@@ -418,6 +418,13 @@
         self.process = subprocess.Popen(command, cwd=REPOSITORY, env=env, stdout=log, stderr=log)
         self.world.record.add(self.name, "starts")
 
+    def memory_mb(self):
+        """Returns the resident memory of the process; 0 if it does not run."""
+        if self.process is None or self.process.poll() is not None:
+            return 0
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return next((int(line.split()[1]) // 1024 for line in status.splitlines() if line.startswith("VmRSS")), 0)
+
     def kill(self):
         if self.process and self.process.poll() is None:
             self.process.kill()
@@ -461,9 +468,9 @@
         self.folder = Path(tempfile.mkdtemp(prefix="buckthorncove-review-"))
         self.minions, self.nodes, self.runs = [], [], []
 
-    async def build(self, nodes, minions, routes, tenants, per_rack=4, labels=None):
-        """Starts the store, the minions and the nodes, and waits until the nodes are ready. `labels` gives minions a
-        further label, by number."""
+    async def build(self, nodes, minions, routes, tenants, per_rack=4, labels=None, bounds=None, limits=None):
+        """Starts the store, the minions and the nodes. `labels` gives minions a further label, by number; `bounds`
+        and `limits` replace some of those in the settings."""
         self.store = Store()
         await self.store.listen()
         self.routes, self.tenants = routes, tenants
@@ -475,9 +482,12 @@
                 minion.labels.insert(1, label)
             self.minions.append(minion)
             await minion.start()
-        self.nodes = [Node(self, i) for i in range(nodes)]
+        self.nodes = [Node(self, i, BOUNDS | (bounds or {}), LIMITS | (limits or {})) for i in range(nodes)]
         for node in self.nodes:
             node.start()
+
+    async def wait_until_ready(self):
+        """Waits until all nodes are ready and one of them leads."""
         end = time.monotonic() + 15
         for node in self.nodes:
             while not await self.is_ready(node):
